Lay the foundations: errors, settings, charts, logs, HTTP on h11

Cause: the parts and daemons need one error tree with verdicts, validated settings, interpreted state charts, a transport and HTTP with limits.

--- /dev/null
+++ b/buckthorndeal/errors.py
@@ -0,0 +1,213 @@
+"""Exception tree of the package and the verdict attached to failed requests."""
+
+import enum
+
+__all__ = [
+    "AuthenticationError",
+    "BuckthorndealError",
+    "ChartError",
+    "ConflictError",
+    "CorruptStoreError",
+    "DocumentError",
+    "ForbiddenError",
+    "FrameError",
+    "NotLeaderError",
+    "RequestError",
+    "SettingsError",
+    "StoreError",
+    "ValidationError",
+    "Verdict",
+    "WireError",
+]
+
+
+class Verdict(enum.Enum):
+    """Whether a request may have run at an endpoint.
+
+    ``NOT_RUN`` is only used when it is proved: no byte of the request was handed
+    to the kernel towards an endpoint.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class BuckthorndealError(Exception):
+    """Base class of every error raised by the package."""
+
+
+class ChartError(BuckthorndealError):
+    """A state chart is malformed, or an event is not allowed in a state."""
+
+
+class SettingsError(BuckthorndealError):
+    """A settings file cannot be used.
+
+    Parameters
+    ----------
+    file : str
+        Path of the settings file.
+    path : str
+        Path of the value inside the file, such as ``$.listen.port``.
+    value : object
+        The rejected value.
+    allowed : str
+        What is allowed in its place.
+    """
+
+    def __init__(self, file: str, path: str, value: object, allowed: str) -> None:
+        super().__init__(f"{file}: {path}: value {value!r} is not allowed: {allowed}")
+        self.file = file
+        self.path = path
+        self.value = value
+        self.allowed = allowed
+
+
+class WireError(BuckthorndealError):
+    """A message of the peer protocol cannot be used."""
+
+
+class FrameError(WireError):
+    """A frame is malformed, truncated or too large."""
+
+
+class AuthenticationError(WireError):
+    """A frame or a forwarded request does not carry a valid MAC."""
+
+
+class StoreError(BuckthorndealError):
+    """State on disk cannot be read or written."""
+
+
+class CorruptStoreError(StoreError):
+    """A record before the end of a file is damaged.
+
+    Parameters
+    ----------
+    file : str
+        Path of the damaged file.
+    offset : int
+        Byte offset of the damaged record.
+    reason : str
+        What is wrong with the record.
+    """
+
+    def __init__(self, file: str, offset: int, reason: str) -> None:
+        super().__init__(f"{file}: offset {offset}: {reason}")
+        self.file = file
+        self.offset = offset
+
+
+class DocumentError(BuckthorndealError):
+    """A change to the operating document is refused."""
+
+
+class ValidationError(DocumentError):
+    """The text of a section does not satisfy its model.
+
+    Parameters
+    ----------
+    section : str
+        Name of the section.
+    path : str
+        Path of the value inside the section.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, section: str, path: str, reason: str) -> None:
+        super().__init__(f"section {section!r}: {path}: {reason}")
+        self.section = section
+        self.path = path
+        self.reason = reason
+
+
+class ConflictError(DocumentError):
+    """Another change on the same base revision was accepted first.
+
+    Parameters
+    ----------
+    section : str
+        Name of the section.
+    winner_author : str
+        Team that wrote the accepted change.
+    winner_revision : int
+        Section revision made by the accepted change.
+    diff : str
+        Unified diff from the accepted text to the refused text.
+    """
+
+    def __init__(
+        self, section: str, winner_author: str, winner_revision: int, diff: str
+    ) -> None:
+        super().__init__(
+            f"section {section!r} is at revision {winner_revision} "
+            f"by team {winner_author!r}"
+        )
+        self.section = section
+        self.winner_author = winner_author
+        self.winner_revision = winner_revision
+        self.diff = diff
+
+
+class ForbiddenError(DocumentError):
+    """The team may not change the section, or its key is not valid."""
+
+
+class NotLeaderError(BuckthorndealError):
+    """The replica cannot accept the call because it is not the leader.
+
+    Parameters
+    ----------
+    leader : str or None
+        Replica that is believed to lead.
+    """
+
+    def __init__(self, leader: str | None) -> None:
+        super().__init__(f"not the leader; leader is {leader or 'unknown'}")
+        self.leader = leader
+
+
+class RequestError(BuckthorndealError):
+    """A caller's request ends with an error.
+
+    Parameters
+    ----------
+    code : str
+        Stable machine-readable code, such as ``overloaded``.
+    status : int
+        HTTP status.
+    message : str
+        Explanation for the caller.
+    verdict : Verdict
+        Whether the request may have run.
+    retry_after_s : float or None
+        When to come back, in seconds; None if a retry cannot help.
+    """
+
+    def __init__(
+        self,
+        code: str,
+        status: int,
+        message: str,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.status = status
+        self.message = message
+        self.verdict = verdict
+        self.retry_after_s = retry_after_s
+
+    def to_body(self) -> dict:
+        """Return the JSON object shown to the caller."""
+        return {
+            "error": {
+                "code": self.code,
+                "message": self.message,
+                "verdict": self.verdict.value,
+                "retry_after_s": self.retry_after_s,
+            }
+        }
--- /dev/null
+++ b/buckthorndeal/http_client.py
@@ -0,0 +1,237 @@
+"""HTTP/1.1 client on h11: persistent bounded connections to one address."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import curio
+import h11
+
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.transport import Stream, Transport
+
+__all__ = ["ClientResponse", "HttpPool", "create_http_pool"]
+
+READ_BYTES = 65_536
+MAX_HEADER_BYTES = 65_536
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(eq=False)
+class _Connection:
+    stream: Stream
+    protocol: h11.Connection
+
+
+@dataclass(eq=False)
+class ClientResponse:
+    """Response head, with the body read on demand.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : dict of str to str
+        Values by lower-case name.
+    """
+
+    status: int
+    headers: dict[str, str]
+    _connection: _Connection = field(repr=False)
+
+    async def iter_body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive.
+
+        Raises
+        ------
+        RequestError
+            With verdict ``MAY_HAVE_RUN`` if the connection breaks.
+        """
+        while True:
+            event = await _next_event(self._connection)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise _create_broken("the answer ended early")
+
+    async def read(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([part async for part in self.iter_body()])
+
+
+class HttpPool:
+    """Connections to one address.
+
+    Parameters
+    ----------
+    transport : Transport
+        Opens the connections.
+    address : str
+        IP address.
+    port : int
+        Port.
+    max_connections : int
+        Largest number of open connections.
+    """
+
+    def __init__(
+        self, transport: Transport, address: str, port: int, max_connections: int
+    ) -> None:
+        self.address = address
+        self.port = port
+        self._transport = transport
+        self._slots = curio.Semaphore(max_connections)
+        self._idle: list[_Connection] = []
+        self._closed = False
+
+    @asynccontextmanager
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+    ) -> AsyncIterator[ClientResponse]:
+        """Send a request and yield the response once its head has arrived.
+
+        The connection is kept if the body was read to its end, and closed
+        otherwise. Closing it tells the endpoint that the work is cancelled.
+
+        Raises
+        ------
+        RequestError
+            With verdict ``NOT_RUN`` if no connection could be opened, and
+            ``MAY_HAVE_RUN`` for failures after bytes were handed to the kernel.
+        """
+        async with self._slots:
+            connection = await self._acquire()
+            try:
+                await _send_request(
+                    connection,
+                    method,
+                    target,
+                    [("host", f"{self.address}:{self.port}"), *headers],
+                    body,
+                )
+                yield await _read_head(connection)
+            finally:
+                await self._release(connection)
+
+    async def fetch(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+    ) -> tuple[int, dict[str, str], bytes]:
+        """Send a request and return status, headers and whole body."""
+        async with self.request(method, target, headers, body) as response:
+            return response.status, response.headers, await response.read()
+
+    async def close(self) -> None:
+        """Close the idle connections; busy ones close when released."""
+        self._closed = True
+        while self._idle:
+            await self._idle.pop().stream.close()
+
+    async def _acquire(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            # A readable idle connection was closed by the peer, or holds bytes
+            # of an answer that nobody asked for.
+            if not connection.stream.is_readable():
+                return connection
+            await connection.stream.close()
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                stream = await self._transport.connect(self.address, self.port)
+        except (OSError, curio.TaskTimeout) as error:
+            raise RequestError(
+                "connect_failed",
+                502,
+                f"no connection to {self.address}:{self.port}",
+                Verdict.NOT_RUN,
+                retry_after_s=1.0,
+            ) from error
+        return _Connection(stream, _create_protocol())
+
+    async def _release(self, connection: _Connection) -> None:
+        protocol = connection.protocol
+        reusable = (
+            not self._closed
+            and protocol.our_state is h11.DONE
+            and protocol.their_state is h11.DONE
+            and not protocol.trailing_data[0]
+        )
+        if reusable:
+            protocol.start_next_cycle()
+            self._idle.append(connection)
+            return
+        async with curio.disable_cancellation():
+            await connection.stream.close()
+
+
+async def _send_request(
+    connection: _Connection,
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes,
+) -> None:
+    send = connection.protocol.send
+    head = h11.Request(
+        method=method,
+        target=target,
+        headers=[*headers, ("content-length", str(len(body)))],
+    )
+    data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
+    try:
+        await connection.stream.sendall(data)
+    except OSError as error:
+        raise _create_broken(str(error)) from error
+
+
+async def _read_head(connection: _Connection) -> ClientResponse:
+    while True:
+        event = await _next_event(connection)
+        if isinstance(event, h11.Response):
+            headers = {
+                name.decode("ascii"): value.decode("latin-1")
+                for name, value in event.headers
+            }
+            return ClientResponse(event.status_code, headers, connection)
+        if not isinstance(event, h11.InformationalResponse):
+            raise _create_broken("the connection closed before an answer")
+
+
+async def _next_event(connection: _Connection) -> object:
+    protocol = connection.protocol
+    try:
+        while True:
+            event = protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            protocol.receive_data(await connection.stream.recv(READ_BYTES))
+    except OSError as error:
+        raise _create_broken(str(error)) from error
+    except h11.RemoteProtocolError as error:
+        raise _create_broken(f"malformed answer: {error}") from error
+
+
+def _create_protocol() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+
+def _create_broken(reason: str) -> RequestError:
+    return RequestError(
+        "connection_broken", 502, f"connection broken: {reason}", Verdict.MAY_HAVE_RUN
+    )
+
+
+def create_http_pool(
+    transport: Transport, address: str, port: int, max_connections: int = 64
+) -> HttpPool:
+    """Return a pool without open connections."""
+    return HttpPool(transport, address, port, max_connections)
--- /dev/null
+++ b/buckthorndeal/settings.py
@@ -0,0 +1,182 @@
+"""Settings of the programs: validated models of files in JSON with comments."""
+
+import re
+from typing import Annotated, Any, TypeVar
+
+import jsonc
+import msgspec
+from msgspec import Meta
+
+from buckthorndeal.errors import SettingsError
+
+__all__ = [
+    "Address",
+    "ControlSettings",
+    "EntrySettings",
+    "Limits",
+    "PeerAddress",
+    "load_settings",
+    "parse_settings",
+]
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+IpAddress = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+PeerKey = Annotated[str, Meta(pattern=r"^[0-9a-f]{32,128}$")]
+PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
+PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
+ByteCount = Annotated[int, Meta(ge=1, le=1 << 30)]
+
+
+class Address(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Address and port to listen on or to connect to."""
+
+    address: IpAddress = "127.0.0.1"
+    port: Port
+
+
+class PeerAddress(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """A named host and its address."""
+
+    host: Name
+    address: IpAddress = "127.0.0.1"
+    port: Port
+
+
+class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Limits of the HTTP listener; sizes in bytes, times in seconds."""
+
+    max_header_bytes: ByteCount = 16_384
+    max_body_bytes: ByteCount = 4_194_304
+    header_timeout_s: PositiveSeconds = 5.0
+    body_timeout_s: PositiveSeconds = 20.0
+    idle_timeout_s: PositiveSeconds = 60.0
+    max_connections: PositiveCount = 4096
+    max_connections_per_endpoint: PositiveCount = 256
+
+
+class EntrySettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of the entry host daemon."""
+
+    host: Name
+    region: Name
+    failure_domain: Name
+    listen: Address
+    peer_listen: Address
+    control_hosts: Annotated[tuple[PeerAddress, ...], Meta(min_length=1)]
+    seeds: tuple[Address, ...] = ()
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    data_directory: str | None = None
+    limits: Limits = Limits()
+    drain_timeout_s: PositiveSeconds = 30.0
+    answer_retention_s: PositiveSeconds = 86_400.0
+
+
+class ControlSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of the control daemon.
+
+    `voters` names the hosts that vote when the cluster is created; `learners`
+    the hosts that follow the log and can be promoted.
+    """
+
+    host: Name
+    region: Name
+    failure_domain: Name
+    listen: Address
+    peer_listen: Address
+    voters: Annotated[tuple[PeerAddress, ...], Meta(min_length=1, max_length=7)]
+    learners: tuple[PeerAddress, ...] = ()
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    data_directory: str | None = None
+    initial_document: str | None = None
+    limits: Limits = Limits()
+    promote_after_s: PositiveSeconds = 30.0
+
+
+ModelT = TypeVar("ModelT")
+
+
+def load_settings(file: str, model: type[ModelT]) -> ModelT:
+    """Read and validate a settings file.
+
+    Parameters
+    ----------
+    file : str
+        Path of a file in JSON with comments.
+    model : type
+        Settings model, such as `EntrySettings`.
+
+    Returns
+    -------
+    object
+        Instance of `model`.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read, parsed or validated.
+    """
+    try:
+        with open(file, encoding="utf-8") as stream:
+            text = stream.read()
+    except OSError as error:
+        raise SettingsError(file, "$", None, error.strerror or str(error)) from error
+    return parse_settings(text, model, file)
+
+
+def parse_settings(text: str, model: type[ModelT], file: str) -> ModelT:
+    """Validate settings text.
+
+    Parameters
+    ----------
+    text : str
+        JSON with comments.
+    model : type
+        Settings model.
+    file : str
+        Name used in errors.
+
+    Returns
+    -------
+    object
+        Instance of `model`.
+
+    Raises
+    ------
+    SettingsError
+        If the text cannot be parsed or validated.
+    """
+    try:
+        raw = jsonc.loads(text)
+    except ValueError as error:
+        raise SettingsError(file, "$", None, f"valid JSON ({error})") from error
+    try:
+        return msgspec.convert(raw, model, strict=True)
+    except msgspec.ValidationError as error:
+        reason, path = split_validation_error(str(error))
+        raise SettingsError(file, path, find_value(raw, path), reason) from error
+
+
+def split_validation_error(message: str) -> tuple[str, str]:
+    """Split a msgspec message into the reason and the path it names."""
+    match = re.fullmatch(r"(.*?)(?: - at `(?:key in )?(.*)`)?", message, re.DOTALL)
+    return match.group(1), match.group(2) or "$"
+
+
+def find_value(raw: Any, path: str) -> Any:
+    """Return the value at a msgspec path, or None if the path does not exist.
+
+    msgspec writes ``[...]`` for any key of a mapping; the lookup stops there.
+    """
+    for key, index in re.findall(r"\.([^.\[]+)|\[(\d+|\.\.\.)\]", path):
+        try:
+            raw = raw[key] if key else raw[int(index)]
+        except (KeyError, IndexError, TypeError, ValueError):
+            return None
+    return raw
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,137 @@
+"""Tests of the HTTP server with the HTTP client over loopback."""
+
+import unittest
+
+import curio
+
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.http_server import create_http_server
+from buckthorndeal.settings import Limits
+from buckthorndeal.transport import create_socket_transport
+
+
+async def _echo(request, responder):
+    await responder.respond(200, request.body or request.path.encode())
+
+
+class HttpServerTest(unittest.TestCase):
+    """Runs a server on a free port for each test."""
+
+    def run_with_server(self, scenario, handler=_echo, **limits):
+        async def main():
+            transport = create_socket_transport()
+            server = create_http_server(handler, Limits(**limits))
+            await server.start(transport, "127.0.0.1", 0)
+            try:
+                return await scenario(transport, server)
+            finally:
+                await server.close()
+
+        return curio.run(main)
+
+    def test_connection_is_reused_for_a_second_request(self):
+        """Guards against a connection that is not reset between requests."""
+
+        async def scenario(transport, server):
+            pool = create_http_pool(transport, "127.0.0.1", server.port)
+            first = await pool.fetch("GET", "/a", [])
+            second = await pool.fetch("POST", "/b", [], b"body")
+            count = server.connection_count
+            await pool.close()
+            return first[2], second[2], count
+
+        result = self.run_with_server(scenario)
+        self.assertEqual(result, (b"/a", b"body", 1))
+
+    def test_slow_header_client_gets_408_and_frees_its_task(self):
+        """Guards against clients that hold a task by never ending their headers."""
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n")
+            head = await stream.recv(1000)
+            while await stream.recv(1000):
+                pass
+            await curio.sleep(0)
+            await stream.close()
+            return head, server.connection_count
+
+        head, count = self.run_with_server(scenario, header_timeout_s=0.05)
+        self.assertTrue(head.startswith(b"HTTP/1.1 408 "), head)
+        self.assertEqual(count, 0)
+
+    def test_body_over_the_limit_gets_413(self):
+        """Guards against bodies that exhaust memory."""
+
+        async def scenario(transport, server):
+            pool = create_http_pool(transport, "127.0.0.1", server.port)
+            return (await pool.fetch("POST", "/", [], b"x" * 11))[0]
+
+        self.assertEqual(self.run_with_server(scenario, max_body_bytes=10), 413)
+
+    def test_malformed_request_gets_400(self):
+        """Guards against a parser error that ends without an answer."""
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(b"NOT HTTP\r\n\r\n")
+            answer = await stream.recv(1000)
+            await stream.close()
+            return answer
+
+        self.assertTrue(self.run_with_server(scenario).startswith(b"HTTP/1.1 400 "))
+
+    def test_handler_is_cancelled_when_the_caller_disconnects(self):
+        """Guards against work that goes on for a caller that has gone."""
+        cancelled = []
+
+        async def wait_forever(request, responder):
+            try:
+                await curio.sleep(30)
+            except curio.CancelledError:
+                cancelled.append(request.path)
+                raise
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n")
+            while not server.active_requests:
+                await curio.sleep(0.001)
+            await stream.close()
+            while server.active_requests:
+                await curio.sleep(0.001)
+
+        self.run_with_server(scenario, handler=wait_forever)
+        self.assertEqual(cancelled, ["/x"])
+
+    def test_refused_connection_proves_not_run(self):
+        """Guards against a connection failure reported as possibly run."""
+
+        async def scenario(transport, server):
+            await server.close()
+            pool = create_http_pool(transport, "127.0.0.1", server.port)
+            with self.assertRaises(RequestError) as caught:
+                await pool.fetch("GET", "/", [])
+            return caught.exception.verdict
+
+        self.assertIs(self.run_with_server(scenario), Verdict.NOT_RUN)
+
+    def test_answer_cut_off_reports_may_have_run(self):
+        """Guards against a lost answer reported as not run."""
+
+        async def cut_off(request, responder):
+            raise OSError("cut off")
+
+        async def scenario(transport, server):
+            pool = create_http_pool(transport, "127.0.0.1", server.port)
+            with self.assertRaises(RequestError) as caught:
+                await pool.fetch("GET", "/", [])
+            return caught.exception.verdict
+
+        verdict = self.run_with_server(scenario, handler=cut_off)
+        self.assertIs(verdict, Verdict.MAY_HAVE_RUN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,44 @@
+"""Tests of settings files."""
+
+import unittest
+
+from buckthorndeal.errors import SettingsError
+from buckthorndeal.settings import EntrySettings, parse_settings
+
+VALID = """{
+  // Comments are allowed.
+  "host": "entry-1", "region": "shah-alam", "failure_domain": "shah-alam-a",
+  "listen": {"port": 8080}, "peer_listen": {"port": 9080},
+  "control_hosts": [{"host": "control-1", "port": 9180}],
+  "peer_keys": ["00112233445566778899aabbccddeeff"]
+}"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Validation of settings text."""
+
+    def test_comments_are_accepted(self):
+        """Guards against a reader that only takes plain JSON."""
+        settings = parse_settings(VALID, EntrySettings, "entry.jsonc")
+        self.assertEqual(settings.listen.port, 8080)
+
+    def test_error_names_file_path_value_and_allowed(self):
+        """Guards against errors that do not say where and what to change."""
+        text = VALID.replace("9080", "90800")
+        with self.assertRaises(SettingsError) as caught:
+            parse_settings(text, EntrySettings, "entry.jsonc")
+        error = caught.exception
+        self.assertEqual(error.file, "entry.jsonc")
+        self.assertEqual(error.path, "$.peer_listen.port")
+        self.assertEqual(error.value, 90800)
+        self.assertIn("65535", error.allowed)
+
+    def test_unknown_field_is_refused(self):
+        """Guards against a misspelt name that is ignored."""
+        text = VALID.replace('"region"', '"regoin": "x", "region"')
+        with self.assertRaisesRegex(SettingsError, "regoin"):
+            parse_settings(text, EntrySettings, "entry.jsonc")
+
+
+if __name__ == "__main__":
+    unittest.main()
