--- /dev/null
+++ b/buckthorndeal/sections.py
@@ -0,0 +1,204 @@
+"""Validated models of the operating document's sections."""
+
+from typing import Annotated, Any, Literal
+
+import jsonc
+import msgspec
+from msgspec import Meta
+
+from buckthorndeal.errors import ValidationError
+from buckthorndeal.settings import split_validation_error
+
+__all__ = [
+    "AccountsSection",
+    "HedgePolicy",
+    "ModelPlacement",
+    "NonIdempotentCall",
+    "Placement",
+    "PlatformSection",
+    "Region",
+    "Section",
+    "Service",
+    "SupportSection",
+    "Team",
+    "TeamsSection",
+    "Weights",
+    "Workspace",
+    "parse_section",
+]
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Weight = Annotated[float, Meta(ge=0, le=1)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+PositiveSeconds = Annotated[float, Meta(gt=0, le=3600)]
+Rate = Annotated[float, Meta(gt=0, le=1e6)]
+Count = Annotated[int, Meta(ge=0, le=100_000)]
+PositiveCount = Annotated[int, Meta(ge=1, le=100_000)]
+
+
+class Weights(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How much a service weighs cost and tail latency, each from 0 to 1."""
+
+    cost: Weight = 0.5
+    tail_latency: Weight = 0.5
+
+
+class NonIdempotentCall(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Calls of a plain service that must run at most once."""
+
+    method: Literal["POST", "PUT", "PATCH", "DELETE", "GET"]
+    path_prefix: Annotated[str, Meta(pattern=r"^/")]
+
+
+class HedgePolicy(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """When a second attempt of an idempotent call is started."""
+
+    enabled: bool = False
+    after_s: PositiveSeconds = 0.5
+
+
+class Service(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A service that the gateway routes to."""
+
+    kind: Literal["model", "plain"]
+    models: tuple[Name, ...] = ()
+    default_deadline_s: PositiveSeconds = 30.0
+    weights: Weights = Weights()
+    non_idempotent: tuple[NonIdempotentCall, ...] = ()
+    hedge: HedgePolicy = HedgePolicy()
+
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Return whether a call may run more than once."""
+        return not any(
+            call.method == method and path.startswith(call.path_prefix)
+            for call in self.non_idempotent
+        )
+
+
+class Region(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A region and the share of its capacity that it may lend to others."""
+
+    home: Name
+    failure_domains: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    spill_share: Share = 0.2
+
+
+class ModelPlacement(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Limits of one model's copies in each region."""
+
+    version: Name
+    min_copies: Count = 1
+    max_copies: PositiveCount = 8
+    adapters: tuple[Name, ...] = ()
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Limits of placement."""
+
+    models: dict[Name, ModelPlacement] = {}
+    weight_store_loads_per_minute: Rate = 6.0
+
+
+class PlatformSection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Section of the platform team: services, regions and placement."""
+
+    services: dict[Name, Service]
+    regions: dict[Name, Region]
+    placement: Placement = Placement()
+
+
+class Workspace(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A workspace: SHA-256 hashes of its keys, residence and limits."""
+
+    key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1)]
+    home_region: Name
+    bound: bool = False
+    requests_per_s: Rate = 50.0
+    burst: PositiveCount = 100
+    concurrency: PositiveCount = 64
+    priority: Annotated[int, Meta(ge=0, le=9)] = 5
+
+
+class AccountsSection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Section of the accounts team: workspaces by name."""
+
+    workspaces: dict[Name, Workspace]
+
+
+class SupportSection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Section of the support team: contact, and hosts and endpoints out of use."""
+
+    contact: str = ""
+    drained_hosts: tuple[Name, ...] = ()
+    refused_endpoints: tuple[Name, ...] = ()
+
+
+class Team(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A team: SHA-256 hashes of its keys and the sections it owns."""
+
+    key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1)]
+    sections: tuple[Name, ...]
+
+
+class TeamsSection(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Section that lists the teams; owned by the platform team."""
+
+    teams: dict[Name, Team]
+
+
+Section = (
+    PlatformSection | AccountsSection | SupportSection | TeamsSection | dict[str, Any]
+)
+
+SECTION_MODELS: dict[str, type] = {
+    "platform": PlatformSection,
+    "accounts": AccountsSection,
+    "support": SupportSection,
+    "teams": TeamsSection,
+}
+
+
+def parse_section(name: str, text: str) -> Section:
+    """Validate the text of a section.
+
+    Parameters
+    ----------
+    name : str
+        Section name. A name without a model takes any JSON object.
+    text : str
+        JSON with comments.
+
+    Returns
+    -------
+    Section
+        The validated model, or a dict for sections added by a deployment.
+
+    Raises
+    ------
+    ValidationError
+        If the text is not JSON or does not satisfy the model.
+    """
+    try:
+        raw = jsonc.loads(text)
+    except ValueError as error:
+        raise ValidationError(name, "$", f"not valid JSON: {error}") from error
+    try:
+        return msgspec.convert(raw, SECTION_MODELS.get(name, dict[str, Any]))
+    except msgspec.ValidationError as error:
+        reason, path = split_validation_error(str(error))
+        raise ValidationError(name, path, reason) from error
