--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,11 @@
 	$(BIN)/ruff check .
 	$(BIN)/python -m unittest discover -s tests -t .
 
-bench: $(VENV)/.installed
+$(VENV)/.bench: $(VENV)/.installed requirements-bench.lock
+	$(BIN)/pip install --quiet -r requirements-bench.lock
+	touch $@
+
+bench: $(VENV)/.bench
 	$(BIN)/buckthorndeal-bench all
 
 format: $(VENV)/.installed
