--- /dev/null
+++ b/buckthorndeal/_entry_calls.py
@@ -0,0 +1,265 @@
+"""Running calls: attempts in turn, bookings under a claim, forwarding to owners."""
+
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from buckthorndeal._entry_attempts import (
+    MAX_ATTEMPTS,
+    REFUSAL_STATUSES,
+    Attempt,
+    EntryContext,
+    PeerRefusalError,
+    choose_route,
+    get_target_name,
+    log_route,
+    open_attempt,
+)
+from buckthorndeal._entry_claims import (
+    ClaimPort,
+    compute_fingerprint,
+    create_may_have_run,
+    get_claim_key,
+)
+from buckthorndeal._entry_messages import Answer, Call, FindOwner, Progress, Route
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.views import AttemptOutcome, Decision
+
+RETRY_AFTER_S = 1.0
+
+UseAttempt = Callable[[Attempt], Awaitable[Answer | None]]
+
+
+async def run_with_deadline(
+    context: EntryContext, call: Call, progress: Progress, work: Callable
+) -> object:
+    """Run `work()`; raise RequestError with the true verdict when time is up."""
+    try:
+        async with curio.timeout_after(max(0.0, call.deadline_s - context.now())):
+            return await work()
+    except curio.TaskTimeout:
+        raise RequestError(
+            "deadline_exceeded",
+            504,
+            "the deadline has passed",
+            progress.verdict,
+            RETRY_AFTER_S,
+        ) from None
+
+
+async def run_attempts(
+    context: EntryContext,
+    call: Call,
+    progress: Progress,
+    use: UseAttempt,
+    get_call: Callable[[], Call],
+) -> Answer | None:
+    """Try endpoints until one attempt succeeds.
+
+    Parameters
+    ----------
+    use : callable
+        Reads the answer of an attempt. It raises RequestError if the answer is
+        broken, or returns None for an attempt whose outcome is ``REFUSED``.
+    get_call : callable
+        Returns the call to send next; a resumed stream changes its body.
+
+    Raises
+    ------
+    RequestError
+        When no attempt is left, with the verdict of `progress`.
+    """
+    excluded: frozenset[str] = frozenset()
+    last_error: RequestError | None = None
+    for _ in range(MAX_ATTEMPTS):
+        attempt_id, route = await choose_route(context, call, excluded)
+        name = get_target_name(route)
+        if name is None:
+            break
+        excluded |= {name}
+        try:
+            async with open_attempt(
+                context, get_call(), progress, attempt_id, route
+            ) as attempt:
+                answer = await use(attempt)
+            if attempt.outcome is AttemptOutcome.SUCCEEDED:
+                return answer
+            last_error = _create_overloaded(progress)
+        except PeerRefusalError as error:
+            raise _with_verdict(error, progress) from error
+        except RequestError as error:
+            last_error = error
+        if progress.verdict is Verdict.MAY_HAVE_RUN:
+            if not call.idempotent:
+                break
+            # A failed connection after an earlier dispatch is in "retrying" already.
+            progress.advance_if_allowed("retry")
+    raise _create_failure(last_error, progress, call)
+
+
+def _create_overloaded(progress: Progress) -> RequestError:
+    return RequestError(
+        "endpoint_overloaded",
+        503,
+        "the endpoint has no room",
+        progress.verdict,
+        RETRY_AFTER_S,
+    )
+
+
+def _create_failure(
+    last_error: RequestError | None, progress: Progress, call: Call
+) -> RequestError:
+    if last_error is None:
+        return RequestError(
+            "no_endpoint",
+            503,
+            f"no endpoint of {call.service_name} can take the request",
+            progress.verdict,
+            RETRY_AFTER_S,
+        )
+    return _with_verdict(last_error, progress)
+
+
+def _with_verdict(error: RequestError, progress: Progress) -> RequestError:
+    retry_after_s = error.retry_after_s
+    if retry_after_s is None and error.status in (502, 503, 504):
+        retry_after_s = RETRY_AFTER_S
+    return RequestError(
+        error.code, error.status, error.message, progress.verdict, retry_after_s
+    )
+
+
+async def run_unary(context: EntryContext, call: Call, progress: Progress) -> Answer:
+    """Return the whole answer of an idempotent call."""
+
+    async def use(attempt: Attempt) -> Answer | None:
+        if attempt.response.status in REFUSAL_STATUSES:
+            attempt.outcome = AttemptOutcome.REFUSED
+            return None
+        return await _read_answer(attempt)
+
+    return await run_with_deadline(
+        context,
+        call,
+        progress,
+        lambda: run_attempts(context, call, progress, use, lambda: call),
+    )
+
+
+async def _read_answer(attempt: Attempt) -> Answer:
+    response = attempt.response
+    body = await response.read()
+    attempt.outcome = AttemptOutcome.SUCCEEDED
+    content_type = response.headers.get("content-type", "application/octet-stream")
+    return Answer(response.status, content_type, body)
+
+
+class BookingRunner:
+    """Runs non-idempotent calls in tasks that outlive a disconnected caller.
+
+    A caller that is cut off resends with the same key. Letting the booking end
+    gives that resend the recorded answer in place of "may have run".
+    """
+
+    def __init__(self, context: EntryContext, claims: ClaimPort) -> None:
+        self._context = context
+        self._claims = claims
+        self.running = 0
+
+    async def run(self, call: Call, progress: Progress) -> Answer:
+        self.running += 1
+        try:
+            task = await curio.spawn(self._run_task, call, progress, daemon=True)
+        except BaseException:
+            self.running -= 1
+            raise
+        task.report_crash = False
+        await task.wait()
+        if task.exception is not None:
+            raise task.exception
+        return task.result
+
+    async def _run_task(self, call: Call, progress: Progress) -> Answer:
+        try:
+            return await self._run_booking(call, progress)
+        finally:
+            self.running -= 1
+
+    async def _run_booking(self, call: Call, progress: Progress) -> Answer:
+        home = call.identity.workspace.home_region
+        owner = await self._context.router.ask(FindOwner(home))
+        if owner.host != self._context.host:
+            return await self._forward(call, progress, owner)
+        key = get_claim_key(call)
+        try:
+            async with curio.timeout_after(
+                max(0.0, call.deadline_s - self._context.now())
+            ):
+                recorded = await self._claims.claim(key, compute_fingerprint(call))
+        except curio.TaskTimeout:
+            raise create_may_have_run(
+                "another request with this key is still running"
+            ) from None
+        if recorded is not None:
+            return recorded
+        progress.advance("claim")
+        return await self._run_claimed(call, progress)
+
+    async def _run_claimed(self, call: Call, progress: Progress) -> Answer:
+        key = get_claim_key(call)
+        await self._claims.record_dispatch(key)
+        try:
+            answer = await run_with_deadline(
+                self._context,
+                call,
+                progress,
+                lambda: run_attempts(
+                    self._context, call, progress, _read_answer, lambda: call
+                ),
+            )
+        except BaseException:
+            if progress.verdict is Verdict.NOT_RUN:
+                await self._claims.record_not_run(key)
+            else:
+                await self._claims.record_unknown(key)
+            raise
+        await self._claims.record_answer(key, answer)
+        return answer
+
+    async def _forward(self, call: Call, progress: Progress, owner: object) -> Answer:
+        key = get_claim_key(call)
+        known_before = self._claims.knows(key)
+        decision = Decision(None, owner.region, {}, "host owns the claims of the home")
+        route = Route(decision, owner)
+        try:
+            return await run_with_deadline(
+                self._context,
+                call,
+                progress,
+                lambda: self._send_to_owner(call, progress, route),
+            )
+        except RequestError as error:
+            if isinstance(error, PeerRefusalError):
+                if error.verdict is Verdict.NOT_RUN:
+                    self._claims.withdraw_forward(key)
+            elif known_before:
+                raise create_may_have_run(
+                    "the claim's owner cannot be reached after an earlier attempt"
+                ) from error
+            raise _with_verdict(error, progress) from error
+
+    async def _send_to_owner(
+        self, call: Call, progress: Progress, route: Route
+    ) -> Answer:
+        attempt_id = self._context.create_id()
+        log_route(self._context, call, attempt_id, route)
+        async with open_attempt(
+            self._context,
+            call,
+            progress,
+            attempt_id,
+            route,
+            lambda: self._claims.record_forward(get_claim_key(call)),
+        ) as attempt:
+            return await _read_answer(attempt)
--- /dev/null
+++ b/buckthorndeal/_entry_document.py
@@ -0,0 +1,67 @@
+"""Document task: owns the sections in force.
+
+The sections come from files until the control hosts deliver them; a subscriber
+sends `PutDocument` to this task.
+"""
+
+import os
+
+from buckthorndeal._entry_messages import DocumentView, GetDocument, PutDocument
+from buckthorndeal.authentication import create_authenticator
+from buckthorndeal.errors import SettingsError
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.sections import AccountsSection, PlatformSection, SupportSection
+from buckthorndeal.sections import parse_section as parse_section_text
+
+SECTIONS = ("platform", "accounts", "support")
+
+
+def create_document_view(
+    platform: PlatformSection,
+    accounts: AccountsSection,
+    support: SupportSection,
+    revision: int = 1,
+) -> DocumentView:
+    return DocumentView(
+        revision, platform, accounts, support, create_authenticator(accounts)
+    )
+
+
+def create_empty_view() -> DocumentView:
+    return create_document_view(
+        PlatformSection(services={}, regions={}),
+        AccountsSection(workspaces={}),
+        SupportSection(),
+        revision=0,
+    )
+
+
+def load_document(directory: str) -> DocumentView:
+    """Read ``platform.jsonc``, ``accounts.jsonc`` and ``support.jsonc``."""
+    sections = [_load_section(directory, name) for name in SECTIONS]
+    return create_document_view(*sections)
+
+
+def _load_section(directory: str, name: str) -> object:
+    file = os.path.join(directory, f"{name}.jsonc")
+    try:
+        with open(file, encoding="utf-8") as stream:
+            return parse_section_text(name, stream.read())
+    except OSError as error:
+        raise SettingsError(file, "$", None, error.strerror or str(error)) from error
+
+
+async def run_document(mailbox: Mailbox, view: DocumentView, host: str) -> None:
+    async for envelope in mailbox:
+        message = envelope.message
+        if isinstance(message, GetDocument):
+            await envelope.reply(view)
+        elif isinstance(message, PutDocument):
+            # A revision in force is never followed by an older one.
+            if message.view.revision > view.revision:
+                view = message.view
+                log_event("document_in_force", host=host, revision=view.revision)
+            await envelope.reply(view.revision)
+        else:
+            await envelope.fail(TypeError(f"unknown message {message!r}"))
--- /dev/null
+++ b/buckthorndeal/_entry_front.py
@@ -0,0 +1,319 @@
+"""HTTP of the entry host: callers, forwarded requests, endpoints and operators."""
+
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qs
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_attempts import (
+    REQUEST_ID_HEADER,
+    VERDICT_HEADER,
+    EntryContext,
+)
+from buckthorndeal._entry_calls import BookingRunner, run_unary
+from buckthorndeal._entry_claims import ClaimPort, get_claim_key
+from buckthorndeal._entry_messages import (
+    Admit,
+    Answer,
+    Call,
+    GetDocument,
+    ListEndpoints,
+    ListHosts,
+    ListRegionHosts,
+    Progress,
+    Release,
+)
+from buckthorndeal._entry_parse import (
+    CHAT_PATH,
+    SERVICE_PREFIX,
+    identify,
+    parse_call,
+    read_forwarding,
+    read_request_id,
+)
+from buckthorndeal._entry_relay import StreamRelay
+from buckthorndeal.authentication import Identity
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.forwarding import ForwardedRequest
+from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.logs import log_event
+from buckthorndeal.metrics import CONTENT_TYPE
+from buckthorndeal.registry import (
+    Accepted,
+    Announcement,
+    DrainNotice,
+    Heartbeat,
+    LeaveNotice,
+)
+
+MAX_REGISTRARS = 2
+ENDPOINT_MESSAGES = {
+    "/v1/endpoints/announce": Announcement,
+    "/v1/endpoints/heartbeat": Heartbeat,
+    "/v1/endpoints/drain": DrainNotice,
+    "/v1/endpoints/leave": LeaveNotice,
+}
+
+
+class EntryFront:
+    """Handles the requests of one entry host.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared parts of the entry host.
+    claims : ClaimPort
+        Claims of non-idempotent calls.
+    bookings : BookingRunner
+        Runs non-idempotent calls.
+    is_ready : callable
+        Whether the host takes new callers.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        claims: ClaimPort,
+        bookings: BookingRunner,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._context = context
+        self._claims = claims
+        self._bookings = bookings
+        self._is_ready = is_ready
+        self._routes: dict[str, Callable[..., Awaitable[None]]] = {
+            "/healthz": self._answer_health,
+            "/readyz": self._answer_ready,
+            "/metrics": self._answer_metrics,
+            "/v1/entry-hosts": self._answer_hosts,
+            "/v1/models": self._answer_models,
+        }
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request."""
+        path = request.path
+        if path == CHAT_PATH or path.startswith(SERVICE_PREFIX):
+            await self._answer_call(request, responder)
+        elif path in ENDPOINT_MESSAGES:
+            await self._answer_endpoint(request, responder, ENDPOINT_MESSAGES[path])
+        elif path in self._routes:
+            if request.method != "GET":
+                raise RequestError("method_not_allowed", 405, "use GET")
+            await self._routes[path](request, responder)
+        else:
+            raise RequestError("not_found", 404, "no such path")
+
+    async def _answer_health(self, request: Request, responder: Responder) -> None:
+        await responder.respond_json(200, {"status": "ok"})
+
+    async def _answer_ready(self, request: Request, responder: Responder) -> None:
+        if not self._is_ready():
+            raise RequestError("draining", 503, "the host is draining")
+        await responder.respond_json(200, {"status": "ready"})
+
+    async def _answer_metrics(self, request: Request, responder: Responder) -> None:
+        metrics = self._context.metrics
+        endpoints = await self._context.router.ask(ListEndpoints())
+        metrics.set_gauge("endpoints", len(endpoints))
+        metrics.set_gauge("bookings_running", self._bookings.running)
+        await responder.respond(200, metrics.render().encode(), CONTENT_TYPE)
+
+    async def _answer_hosts(self, request: Request, responder: Responder) -> None:
+        query = parse_qs(request.target.partition("?")[2])
+        region = query.get("region", [self._context.region])[0]
+        answer = await self._context.router.ask(ListHosts(region))
+        hosts = [
+            {
+                "host": record.host,
+                "region": record.region,
+                "address": record.address,
+                "port": record.port,
+            }
+            for record in answer.hosts
+        ]
+        body = {"hosts": hosts, "lifetime_s": answer.lifetime_s}
+        await responder.respond_json(200, body)
+
+    async def _answer_models(self, request: Request, responder: Responder) -> None:
+        document = await self._context.document.ask(GetDocument())
+        document.authenticator.authenticate(request.headers.get("authorization"))
+        models = [
+            {"id": model, "object": "model", "owned_by": name}
+            for name, service in document.platform.services.items()
+            for model in service.models
+        ]
+        await responder.respond_json(200, {"object": "list", "data": models})
+
+    async def _answer_endpoint(
+        self, request: Request, responder: Responder, model: type
+    ) -> None:
+        if request.method != "POST":
+            raise RequestError("method_not_allowed", 405, "use POST")
+        try:
+            message = msgspec.json.decode(request.body, type=model)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise RequestError("bad_request", 400, str(error)) from error
+        if isinstance(message, Announcement) and message.region != self._context.region:
+            raise RequestError("wrong_region", 409, "announce in the endpoint's region")
+        outcome = await self._context.router.ask(message)
+        if not isinstance(outcome, Accepted):
+            raise RequestError("refused", 409, outcome.reason)
+        hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
+        registrars = [
+            {"host": record.host, "address": record.address, "port": record.port}
+            for record in hosts[:MAX_REGISTRARS]
+        ]
+        await responder.respond_json(
+            200, {"state": outcome.state, "registrars": registrars}
+        )
+
+    async def _answer_call(self, request: Request, responder: Responder) -> None:
+        context = self._context
+        started_s = context.now()
+        progress = Progress()
+        request_id = context.create_id()
+        service = "unknown"
+        error: RequestError | None = None
+        status = "cancelled"
+        try:
+            forwarded = read_forwarding(request, context.peer_keys)
+            request_id = read_request_id(request, lambda: request_id)
+            document = await context.document.ask(GetDocument())
+            identity = identify(request, forwarded, document)
+            await self._check_residence(identity)
+            call = parse_call(
+                request, request_id, identity, forwarded, document, started_s
+            )
+            service = call.service_name
+            error = await self._run_call(call, forwarded, progress, responder)
+            status = "ok" if error is None else error.code
+        except RequestError as caught:
+            error, status = caught, caught.code
+            if responder.started:
+                raise
+            await _respond_refusal(responder, caught, request_id)
+        finally:
+            self._record_end(request_id, service, status, progress, started_s, error)
+
+    def _record_end(
+        self,
+        request_id: str,
+        service: str,
+        status: str,
+        progress: Progress,
+        started_s: float,
+        error: RequestError | None,
+    ) -> None:
+        context = self._context
+        total_s = context.now() - started_s
+        verdict = error.verdict if error is not None else progress.verdict
+        if status == "ok":
+            # A recorded answer is given without a dispatch of its own.
+            verdict = Verdict.RAN
+        context.metrics.count("requests_total", service=service, outcome=status)
+        context.metrics.observe("request_seconds", total_s, service=service)
+        log_event(
+            "request_end",
+            host=context.host,
+            request_id=request_id,
+            service=service,
+            outcome=status,
+            state=progress.state,
+            verdict=verdict.value,
+            total_s=round(total_s, 4),
+        )
+
+    async def _check_residence(self, identity: Identity) -> None:
+        """Refuse data that must not be handled here, before it is decoded."""
+        workspace = identity.workspace
+        if not workspace.bound or workspace.home_region == self._context.region:
+            return
+        hosts = await self._context.router.ask(ListRegionHosts(workspace.home_region))
+        names = ", ".join(
+            f"{record.host} ({record.address}:{record.port})" for record in hosts
+        )
+        raise RequestError(
+            "wrong_region",
+            421,
+            f"data of this workspace stays in {workspace.home_region}; "
+            f"use {names or 'an entry host there'}",
+        )
+
+    async def _run_call(
+        self,
+        call: Call,
+        forwarded: ForwardedRequest | None,
+        progress: Progress,
+        responder: Responder,
+    ) -> RequestError | None:
+        try:
+            return await self._run_admitted(call, forwarded, progress, responder)
+        except RequestError as error:
+            progress.advance_if_allowed(_get_end_event(progress))
+            if call.idempotent or error.verdict is not Verdict.NOT_RUN:
+                raise
+            if not self._claims.knows(get_claim_key(call)):
+                raise
+            # The refusal is about this attempt; an earlier one may have run.
+            raise RequestError(
+                error.code,
+                error.status,
+                f"{error.message}; an earlier request with this key may have run",
+                Verdict.MAY_HAVE_RUN,
+                error.retry_after_s,
+            ) from error
+
+    async def _run_admitted(
+        self,
+        call: Call,
+        forwarded: ForwardedRequest | None,
+        progress: Progress,
+        responder: Responder,
+    ) -> RequestError | None:
+        ticket_id = self._context.create_id()
+        try:
+            # The origin has admitted a forwarded request already.
+            if forwarded is None:
+                await self._context.router.ask(Admit(ticket_id, call.identity))
+            progress.advance("admit")
+            return await self._dispatch_call(call, progress, responder)
+        finally:
+            async with curio.disable_cancellation():
+                await self._context.router.send(Release(ticket_id))
+
+    async def _dispatch_call(
+        self, call: Call, progress: Progress, responder: Responder
+    ) -> RequestError | None:
+        if call.stream:
+            relay = StreamRelay(self._context, call, progress, responder)
+            error = await relay.run()
+            progress.advance_if_allowed("finish" if error is None else "fail")
+            return error
+        if call.idempotent:
+            answer = await run_unary(self._context, call, progress)
+        else:
+            answer = await self._bookings.run(call, progress)
+        progress.advance_if_allowed("finish")
+        await _respond_answer(responder, answer, call.request_id)
+        return None
+
+
+def _get_end_event(progress: Progress) -> str:
+    return "refuse" if progress.verdict is Verdict.NOT_RUN else "fail"
+
+
+async def _respond_answer(
+    responder: Responder, answer: Answer, request_id: str
+) -> None:
+    headers = [(REQUEST_ID_HEADER, request_id)]
+    await responder.respond(answer.status, answer.body, answer.content_type, headers)
+
+
+async def _respond_refusal(
+    responder: Responder, error: RequestError, request_id: str
+) -> None:
+    headers = [(REQUEST_ID_HEADER, request_id), (VERDICT_HEADER, error.verdict.value)]
+    if error.retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, round(error.retry_after_s)))))
+    await responder.respond_json(error.status, error.to_body(), headers)
--- /dev/null
+++ b/buckthorndeal/_entry_messages.py
@@ -0,0 +1,201 @@
+"""Messages between the tasks of the entry host, and the data of one call."""
+
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from buckthorndeal.authentication import Authenticator, Identity
+from buckthorndeal.charts import Chart, load_chart
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.errors import Verdict
+from buckthorndeal.sections import (
+    AccountsSection,
+    PlatformSection,
+    Service,
+    SupportSection,
+)
+from buckthorndeal.views import AttemptResult, Decision, RouteRequest
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentView:
+    """The sections in force; replaced as a whole."""
+
+    revision: int
+    platform: PlatformSection
+    accounts: AccountsSection
+    support: SupportSection
+    authenticator: Authenticator
+
+
+@dataclass(frozen=True, slots=True)
+class GetDocument:
+    """Asks the document task for the `DocumentView` in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class PutDocument:
+    """Tells the document task of a newer `DocumentView`."""
+
+    view: DocumentView
+
+
+@dataclass(frozen=True, slots=True)
+class ChooseRoute:
+    """Asks the router task for a `Route`; counts the attempt until it ends."""
+
+    attempt_id: str
+    request: RouteRequest
+    document: DocumentView
+
+
+@dataclass(frozen=True, slots=True)
+class FindOwner:
+    """Asks the router task for the host that holds a region's claims."""
+
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndAttempt:
+    """Tells the router task that an attempt ended; an unknown id is ignored."""
+
+    attempt_id: str
+    result: AttemptResult | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Admit:
+    """Asks the router task to admit a request; raises RequestError if refused."""
+
+    ticket_id: str
+    identity: Identity
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Ends the admission of a request; an unknown id is ignored."""
+
+    ticket_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListEndpoints:
+    """Asks the router task for every endpoint that has not left."""
+
+
+@dataclass(frozen=True, slots=True)
+class ListHosts:
+    """Asks the router task for a `DirectoryAnswer`."""
+
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListRegionHosts:
+    """Asks the router task for every host of a region in the fixed order."""
+
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class HostSeen:
+    """Tells the router task the state of an entry host."""
+
+    host: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Tells the router task to expire what is silent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A decision, with the host to forward to if the region is another one."""
+
+    decision: Decision
+    host: HostRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A caller's request, parsed and authenticated.
+
+    Parameters
+    ----------
+    request_id : str
+        Id that the caller sees.
+    target : str
+        Path and query towards the caller's entry host.
+    endpoint_target : str
+        Path and query towards an endpoint.
+    fields : dict or None
+        Decoded body of a model request.
+    hops : tuple of str
+        Hosts passed before this one.
+    """
+
+    request_id: str
+    identity: Identity
+    service_name: str
+    service: Service
+    model: str | None
+    method: str
+    target: str
+    endpoint_target: str
+    body: bytes
+    content_type: str
+    deadline_s: float
+    document: DocumentView
+    idempotent: bool = True
+    idempotency_key: str = ""
+    fields: dict[str, Any] | None = None
+    stream: bool = False
+    resume_from: int = 0
+    origin: str = ""
+    hops: tuple[str, ...] = ()
+    crossed: bool = False
+
+    def replace_body(self, body: bytes) -> "Call":
+        """Return the same call with another body."""
+        return replace(self, body=body)
+
+
+@dataclass(slots=True)
+class Progress:
+    """State of one request in the request chart.
+
+    Parameters
+    ----------
+    chart : Chart
+        Chart that gives the verdict of each state.
+    state : str
+        Current state.
+    """
+
+    chart: Chart = field(default_factory=lambda: load_chart("request"))
+    state: str = "received"
+
+    def advance(self, event: str) -> None:
+        """Move to the next state."""
+        self.state = self.chart.advance(self.state, event)
+
+    def advance_if_allowed(self, event: str) -> None:
+        """Move to the next state if the event is allowed here."""
+        if self.chart.allows(self.state, event):
+            self.advance(event)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Verdict of a failure in the current state."""
+        return self.chart.get_verdict(self.state)
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer of an endpoint."""
+
+    status: int
+    content_type: str
+    body: bytes
--- /dev/null
+++ b/buckthorndeal/_entry_pools.py
@@ -0,0 +1,76 @@
+"""Connection pools of endpoints and entry hosts, and cancellation at endpoints."""
+
+import curio
+import msgspec
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.http_client import HttpPool, create_http_pool
+from buckthorndeal.logs import log_event
+from buckthorndeal.transport import Transport
+
+CANCEL_TIMEOUT_S = 2.0
+MAX_POOLS = 4_096
+
+
+class Pools:
+    """One pool for each address in use.
+
+    Parameters
+    ----------
+    transport : Transport
+        Opens the connections.
+    host : str
+        Name of this entry host for log lines.
+    max_connections : int
+        Largest number of connections of one pool.
+    """
+
+    def __init__(self, transport: Transport, host: str, max_connections: int) -> None:
+        self._transport = transport
+        self._host = host
+        self._max_connections = max_connections
+        self._pools: dict[tuple[str, int], HttpPool] = {}
+        self._cancels: set[curio.Task] = set()
+
+    async def get(self, address: str, port: int) -> HttpPool:
+        key = (address, port)
+        if key not in self._pools:
+            if len(self._pools) >= MAX_POOLS:
+                # Addresses of endpoints that have gone are the oldest entries.
+                await self._pools.pop(next(iter(self._pools))).close()
+            self._pools[key] = create_http_pool(
+                self._transport, address, port, self._max_connections
+            )
+        return self._pools[key]
+
+    async def cancel_later(self, address: str, port: int, attempt_id: str) -> None:
+        """Tell an endpoint, in a task of its own, that an attempt is over."""
+        task = await curio.spawn(
+            self._send_cancel, address, port, attempt_id, daemon=True
+        )
+        task.report_crash = False
+
+    async def _send_cancel(self, address: str, port: int, attempt_id: str) -> None:
+        task = await curio.current_task()
+        self._cancels.add(task)
+        body = msgspec.json.encode({"request_id": attempt_id})
+        headers = [("content-type", "application/json")]
+        pool = await self.get(address, port)
+        try:
+            async with curio.timeout_after(CANCEL_TIMEOUT_S):
+                await pool.fetch("POST", "/cancel", headers, body)
+        except (RequestError, curio.TaskTimeout) as error:
+            log_event(
+                "cancel_failed",
+                host=self._host,
+                attempt_id=attempt_id,
+                reason=str(error),
+            )
+        finally:
+            self._cancels.discard(task)
+
+    async def close(self) -> None:
+        for task in list(self._cancels):
+            await task.join()
+        for pool in self._pools.values():
+            await pool.close()
--- /dev/null
+++ b/buckthorndeal/_entry_relay.py
@@ -0,0 +1,182 @@
+"""Relay of streamed answers: events matched, resumed elsewhere, and never mixed."""
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_attempts import (
+    REFUSAL_STATUSES,
+    Attempt,
+    EntryContext,
+    create_mismatch,
+)
+from buckthorndeal._entry_calls import run_attempts, run_with_deadline
+from buckthorndeal._entry_messages import Answer, Call, Progress
+from buckthorndeal.errors import RequestError, WireError
+from buckthorndeal.http_server import Responder
+from buckthorndeal.streams import (
+    Event,
+    create_cursor,
+    create_event_parser,
+    format_event,
+)
+from buckthorndeal.views import AttemptOutcome
+
+# The end marker has been passed on already; the rest of the response is only read
+# so that the connection can be used again.
+TRAILER_TIMEOUT_S = 1.0
+ERROR_EVENT_TIMEOUT_S = 1.0
+
+
+class StreamRelay:
+    """Passes the events of one request on to its caller.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared parts of the entry host.
+    call : Call
+        Streamed call.
+    progress : Progress
+        State of the request.
+    responder : Responder
+        Response to the caller.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        call: Call,
+        progress: Progress,
+        responder: Responder,
+    ) -> None:
+        self._context = context
+        self._call = call
+        self._progress = progress
+        self._responder = responder
+        self._cursor = create_cursor(call.resume_from)
+        self._writing = False
+        self._last_s: float | None = None
+
+    async def run(self) -> RequestError | None:
+        """Relay the whole answer; return the error if it ended with an error event."""
+        try:
+            answer = await run_with_deadline(
+                self._context, self._call, self._progress, self._run_attempts
+            )
+        except RequestError as error:
+            if self._cursor.ended:
+                # The caller has the whole answer.
+                return None
+            if not self._responder.started:
+                raise
+            await self._send_error(error)
+            return error
+        if answer is not None:
+            await self._responder.respond(
+                answer.status, answer.body, answer.content_type, self._headers()
+            )
+        return None
+
+    async def _run_attempts(self) -> Answer | None:
+        return await run_attempts(
+            self._context, self._call, self._progress, self._use, self._get_call
+        )
+
+    def _get_call(self) -> Call:
+        if self._cursor.next_token == self._call.resume_from:
+            return self._call
+        fields = {**self._call.fields, "resume_from": self._cursor.next_token}
+        return self._call.replace_body(msgspec.json.encode(fields))
+
+    async def _use(self, attempt: Attempt) -> Answer | None:
+        response = attempt.response
+        if response.status in REFUSAL_STATUSES:
+            attempt.outcome = AttemptOutcome.REFUSED
+            return None
+        if response.status != 200:
+            return await self._read_refusal(attempt)
+        parser = create_event_parser()
+        try:
+            while not self._cursor.ended and (data := await response.read_part()):
+                await self._pass_on(parser.feed(data), attempt)
+        except WireError as error:
+            raise create_mismatch(str(error)) from error
+        if not self._cursor.ended:
+            raise create_mismatch("the stream ended before its last token")
+        attempt.outcome = AttemptOutcome.SUCCEEDED
+        await self._read_trailer(attempt)
+        return None
+
+    async def _read_refusal(self, attempt: Attempt) -> Answer:
+        if self._responder.started:
+            raise create_mismatch("the endpoint refused to resume the stream")
+        body = await attempt.response.read()
+        attempt.outcome = AttemptOutcome.SUCCEEDED
+        content_type = attempt.response.headers.get("content-type", "text/plain")
+        return Answer(attempt.response.status, content_type, body)
+
+    async def _read_trailer(self, attempt: Attempt) -> None:
+        await self._responder.finish()
+        try:
+            async with curio.ignore_after(TRAILER_TIMEOUT_S):
+                await attempt.response.read_part()
+        except RequestError:
+            pass
+
+    async def _pass_on(self, events: list[Event], attempt: Attempt) -> None:
+        accepted = []
+        mismatch = None
+        for event in events:
+            try:
+                if self._cursor.accept(event, attempt.attempt_id):
+                    accepted.append(self._rename(event))
+            except WireError as error:
+                # Events before the mismatch have moved the cursor and are sent.
+                mismatch = error
+                break
+        if accepted:
+            self._record(attempt, len(accepted))
+            await self._write(b"".join(map(format_event, accepted)))
+        if mismatch is not None:
+            raise mismatch
+
+    def _rename(self, event: Event) -> Event:
+        index = event.id.rpartition(":")[2]
+        return Event(f"{self._call.request_id}:{index}", event.data, event.kind)
+
+    def _record(self, attempt: Attempt, count: int) -> None:
+        now_s = self._context.now()
+        metrics = self._context.metrics
+        service = self._call.service_name
+        if attempt.first_token_s is None:
+            attempt.first_token_s = now_s - attempt.started_s
+        if self._last_s is None:
+            metrics.observe(
+                "first_token_seconds", attempt.first_token_s, service=service
+            )
+        else:
+            metrics.observe("token_gap_seconds", now_s - self._last_s, service=service)
+        self._last_s = now_s
+        tokens = count - self._cursor.ended
+        attempt.output_tokens += tokens
+        metrics.count("tokens_total", tokens, service=service)
+
+    def _headers(self) -> list[tuple[str, str]]:
+        return [("buckthorndeal-request-id", self._call.request_id)]
+
+    async def _write(self, data: bytes) -> None:
+        self._writing = True
+        if not self._responder.started:
+            content_type = ("content-type", "text/event-stream")
+            await self._responder.start(200, [content_type, *self._headers()])
+        await self._responder.send(data)
+        self._writing = False
+
+    async def _send_error(self, error: RequestError) -> None:
+        if self._writing:
+            raise OSError("a write to the caller was cut off") from error
+        body = msgspec.json.encode(error.to_body()).decode()
+        event_id = f"{self._call.request_id}:{self._cursor.next_token}"
+        async with curio.timeout_after(ERROR_EVENT_TIMEOUT_S):
+            await self._responder.send(format_event(Event(event_id, body, "error")))
+            await self._responder.finish()
--- /dev/null
+++ b/buckthorndeal/_standin_engine.py
@@ -0,0 +1,245 @@
+"""Stand-in model engine: queue, batch slots, prefix cache, streams, orders."""
+
+import collections
+import hashlib
+import itertools
+
+import curio
+import msgspec
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.streams import END_DATA, Event, format_event
+
+BLOCK_TOKENS = 16
+DEFAULT_MAX_TOKENS = 16
+MAX_TOKENS = 4096
+WORDS = (
+    "bell", "bronze", "cast", "clapper", "cord", "draft", "fair", "forge", "hill",
+    "market", "mould", "order", "pour", "ring", "strap", "tin",
+)  # fmt: skip
+
+
+class PrefixCache:
+    """Least recently used prompt blocks, up to a number of blocks."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._blocks: collections.OrderedDict[bytes, None] = collections.OrderedDict()
+
+    def touch(self, tokens: list[str]) -> int:
+        """Return how many leading tokens are cached, and cache the rest."""
+        covered = 0
+        hit = True
+        for block in _hash_blocks(tokens):
+            hit = hit and block in self._blocks
+            covered += BLOCK_TOKENS * hit
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return covered
+
+
+def _hash_blocks(tokens: list[str]) -> list[bytes]:
+    digest = hashlib.sha256()
+    blocks = []
+    for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+        digest.update("\0".join(tokens[start : start + BLOCK_TOKENS]).encode())
+        blocks.append(digest.digest())
+    return blocks
+
+
+class StandinEngine:
+    """Model engine whose answer depends on the prompt alone.
+
+    Every engine gives the same tokens for a prompt, so a stream can be resumed at
+    another engine.
+
+    Parameters
+    ----------
+    models : tuple of str
+        Models at the start.
+    slots : int
+        Requests that run at once.
+    max_queue : int
+        Requests that wait for a slot; more are refused.
+    token_s, prefill_s : float
+        Time for one generated and for one prompt token that is not cached.
+    cache_blocks : int
+        Blocks in the prefix cache.
+    checks_fencing : bool
+        Whether orders with an old fencing number are refused.
+    """
+
+    def __init__(
+        self,
+        models: tuple[str, ...],
+        slots: int = 8,
+        max_queue: int = 64,
+        token_s: float = 0.01,
+        prefill_s: float = 0.0002,
+        cache_blocks: int = 4096,
+        checks_fencing: bool = True,
+    ) -> None:
+        self.models = models
+        self.slots = slots
+        self.checks_fencing = checks_fencing
+        self.running = 0
+        self.queued = 0
+        self.cancelled: list[str] = []
+        self._max_queue = max_queue
+        self._token_s = token_s
+        self._prefill_s = prefill_s
+        self._cache = PrefixCache(cache_blocks)
+        self._batch = curio.Semaphore(slots)
+        self._tasks: dict[str, curio.Task] = {}
+        self._fencing = 0
+        self._orders: dict[str, dict] = {}
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request of an entry host."""
+        if request.method != "POST":
+            raise RequestError("method_not_allowed", 405, "use POST")
+        fields = msgspec.json.decode(request.body)
+        if request.path == "/v1/chat/completions":
+            request_id = request.headers.get("buckthorndeal-request-id", "")
+            await self._answer_chat(request_id, fields, responder)
+        elif request.path == "/cancel":
+            await self._cancel(fields["request_id"])
+            await responder.respond_json(200, {})
+        elif request.path == "/orders":
+            await responder.respond_json(200, self._execute_order(fields))
+        else:
+            raise RequestError("not_found", 404, "no such path")
+
+    async def _answer_chat(
+        self, request_id: str, fields: dict, responder: Responder
+    ) -> None:
+        if fields.get("model") not in self.models:
+            raise RequestError("model_not_found", 404, "the model is not loaded")
+        if self.running >= self.slots and self.queued >= self._max_queue:
+            raise RequestError("queue_full", 429, "the queue is full", retry_after_s=1)
+        self._tasks[request_id] = await curio.current_task()
+        try:
+            await self._wait_for_slot()
+            try:
+                await self._generate(request_id, fields, responder)
+            finally:
+                self.running -= 1
+                await self._batch.release()
+        except curio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+        finally:
+            self._tasks.pop(request_id, None)
+
+    async def _wait_for_slot(self) -> None:
+        self.queued += 1
+        try:
+            await self._batch.acquire()
+        finally:
+            self.queued -= 1
+        self.running += 1
+
+    async def _generate(
+        self, request_id: str, fields: dict, responder: Responder
+    ) -> None:
+        prompt = _read_prompt(fields)
+        tokens = prompt.split()
+        cached = self._cache.touch(tokens)
+        await curio.sleep((len(tokens) - cached) * self._prefill_s)
+        count = min(MAX_TOKENS, int(fields.get("max_tokens") or DEFAULT_MAX_TOKENS))
+        if fields.get("stream"):
+            start = int(fields.get("resume_from", 0))
+            await self._stream(request_id, fields, prompt, (start, count), responder)
+            return
+        await curio.sleep(count * self._token_s)
+        text = "".join(itertools.islice(iter_tokens(prompt), count))
+        await responder.respond_json(
+            200,
+            create_completion(fields["model"], text, len(tokens), count, cached),
+            [("buckthorndeal-request-id", request_id)],
+        )
+
+    async def _stream(
+        self,
+        request_id: str,
+        fields: dict,
+        prompt: str,
+        bounds: tuple[int, int],
+        responder: Responder,
+    ) -> None:
+        start, count = bounds
+        await responder.start(
+            200,
+            [
+                ("content-type", "text/event-stream"),
+                ("buckthorndeal-request-id", request_id),
+            ],
+        )
+        tokens = itertools.islice(iter_tokens(prompt), start, count)
+        for index, token in enumerate(tokens, start):
+            await curio.sleep(self._token_s)
+            data = msgspec.json.encode(create_chunk(fields["model"], token)).decode()
+            await responder.send(format_event(Event(f"{request_id}:{index}", data)))
+        end = Event(f"{request_id}:{max(start, count)}", END_DATA)
+        await responder.send(format_event(end))
+        await responder.finish()
+
+    async def _cancel(self, request_id: str) -> None:
+        task = self._tasks.get(request_id)
+        if task is not None:
+            await task.cancel(blocking=False)
+
+    def _execute_order(self, order: dict) -> dict:
+        if order["order_id"] in self._orders:
+            return self._orders[order["order_id"]]
+        fencing = order["fencing"]
+        if self.checks_fencing and fencing < self._fencing:
+            raise RequestError("old_fencing", 409, f"fencing is at {self._fencing}")
+        self._fencing = max(fencing, self._fencing)
+        model = order["model"]
+        if order["action"] == "load" and model not in self.models:
+            self.models = (*self.models, model)
+        elif order["action"] == "unload":
+            self.models = tuple(name for name in self.models if name != model)
+        result = {"models": self.models}
+        self._orders[order["order_id"]] = result
+        return result
+
+
+def _read_prompt(fields: dict) -> str:
+    messages = fields.get("messages") or []
+    return "\n".join(str(message.get("content", "")) for message in messages)
+
+
+def iter_tokens(prompt: str) -> collections.abc.Iterator[str]:
+    """Yield the answer to a prompt without an end."""
+    seed = hashlib.sha256(prompt.encode()).digest()
+    for index in itertools.count():
+        digest = hashlib.sha256(seed + index.to_bytes(8, "big")).digest()
+        yield WORDS[digest[0] % len(WORDS)] + " "
+
+
+def create_chunk(model: str, token: str) -> dict:
+    """Return the payload of one streamed token."""
+    choice = {"index": 0, "delta": {"content": token}, "finish_reason": None}
+    return {"object": "chat.completion.chunk", "model": model, "choices": [choice]}
+
+
+def create_completion(
+    model: str, text: str, prompt_tokens: int, completion_tokens: int, cached: int
+) -> dict:
+    """Return the payload of a whole answer."""
+    message = {"role": "assistant", "content": text}
+    return {
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": completion_tokens,
+            "prompt_tokens_details": {"cached_tokens": cached},
+        },
+    }
--- /dev/null
+++ b/buckthorndeal/_standin_plain.py
@@ -0,0 +1,62 @@
+"""Stand-in plain service: lookups with GET, bookings with POST."""
+
+import hashlib
+
+import curio
+import msgspec
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.http_server import Request, Responder
+
+MAX_STOCK = 40
+
+
+class StandinPlain:
+    """Plain service that records every booking it executes.
+
+    Parameters
+    ----------
+    slots : int
+        Reported number of calls that run at once.
+    service_s : float
+        Time for one call.
+    """
+
+    def __init__(self, slots: int = 16, service_s: float = 0.005) -> None:
+        self.models: tuple[str, ...] = ()
+        self.slots = slots
+        self.checks_fencing = False
+        self.running = 0
+        self.queued = 0
+        self.bookings: list[object] = []
+        self._service_s = service_s
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request of an entry host."""
+        if request.path == "/cancel":
+            # A call that has started runs to its end.
+            await responder.respond_json(200, {})
+            return
+        self.running += 1
+        try:
+            await curio.sleep(self._service_s)
+            status, body = self._execute(request)
+        finally:
+            self.running -= 1
+        request_id = request.headers.get("buckthorndeal-request-id", "")
+        headers = [("buckthorndeal-request-id", request_id)]
+        await responder.respond_json(status, body, headers)
+
+    def _execute(self, request: Request) -> tuple[int, dict]:
+        if request.method == "GET":
+            item = request.path.rpartition("/")[2]
+            stock = hashlib.sha256(item.encode()).digest()[0] % MAX_STOCK
+            return 200, {"item": item, "in_stock": stock}
+        if request.method != "POST":
+            raise RequestError("method_not_allowed", 405, "use GET or POST")
+        try:
+            booking = msgspec.json.decode(request.body)
+        except msgspec.DecodeError as error:
+            raise RequestError("bad_request", 400, str(error)) from error
+        self.bookings.append(booking)
+        return 201, {"number": len(self.bookings), "booked": booking}
--- /dev/null
+++ b/buckthorndeal/entry.py
@@ -0,0 +1,218 @@
+"""Entry host: serves callers and endpoints; composed of tasks with mailboxes."""
+
+import os
+import random
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal._entry_attempts import EntryContext
+from buckthorndeal._entry_calls import BookingRunner
+from buckthorndeal._entry_claims import ClaimPort, create_memory_claims
+from buckthorndeal._entry_document import (
+    create_empty_view,
+    load_document,
+    run_document,
+)
+from buckthorndeal._entry_front import EntryFront
+from buckthorndeal._entry_hosts import run_probes
+from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
+from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_router import RouterState, run_router
+from buckthorndeal.directory import HostRecord, create_directory
+from buckthorndeal.http_server import create_http_server
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.metrics import Metrics, create_metrics
+from buckthorndeal.settings import EntrySettings
+from buckthorndeal.transport import Transport
+
+__all__ = ["EntryHost", "create_entry_host"]
+
+TICK_S = 0.25
+DRAIN_POLL_S = 0.01
+METRICS = (
+    ("requests_total", "counter", "Requests of callers by outcome."),
+    ("attempts_total", "counter", "Attempts at endpoints and hosts by outcome."),
+    ("forwarded_total", "counter", "Requests sent to another entry host."),
+    ("tokens_total", "counter", "Tokens passed on to callers."),
+    ("endpoints", "gauge", "Endpoints that are known."),
+    ("bookings_running", "gauge", "Non-idempotent calls that are running."),
+    ("request_seconds", "summary", "Time from the request to the end of its answer."),
+    ("first_token_seconds", "summary", "Time from the attempt to its first token."),
+    ("token_gap_seconds", "summary", "Time between writes of a streamed answer."),
+)
+
+
+class EntryHost:
+    """One entry host.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Validated settings.
+    transport : Transport
+        Opens and accepts connections.
+    view : DocumentView
+        Sections in force at the start.
+    now : callable
+        Monotonic clock in seconds.
+    rng : random.Random
+        Source of ties and of the directory's order.
+    claims : ClaimPort or None
+        Claims of non-idempotent calls; None keeps them in memory.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        transport: Transport,
+        view: DocumentView,
+        now: Callable[[], float],
+        rng: random.Random,
+        claims: ClaimPort | None = None,
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._view = view
+        self._rng = rng
+        self._tasks: list[curio.Task] = []
+        self._ready = False
+        limits = settings.limits
+        self._context = EntryContext(
+            host=settings.host,
+            region=settings.region,
+            incarnation=os.urandom(6).hex(),
+            peer_keys=tuple(bytes.fromhex(key) for key in settings.peer_keys),
+            router=create_mailbox(),
+            document=create_mailbox(),
+            pools=Pools(transport, settings.host, limits.max_connections_per_endpoint),
+            metrics=_create_metrics(),
+            now=now,
+        )
+        claims = claims or create_memory_claims(settings.answer_retention_s, now)
+        self._bookings = BookingRunner(self._context, claims)
+        front = EntryFront(self._context, claims, self._bookings, lambda: self._ready)
+        self._server = create_http_server(front.handle, limits)
+
+    @property
+    def port(self) -> int:
+        """Bound port for callers and endpoints."""
+        return self._server.port
+
+    @property
+    def router(self) -> Mailbox:
+        """Mailbox of the router task."""
+        return self._context.router
+
+    @property
+    def document(self) -> Mailbox:
+        """Mailbox of the document task."""
+        return self._context.document
+
+    async def start(self) -> None:
+        """Listen and start the tasks."""
+        settings = self._settings
+        await self._server.start(
+            self._transport, settings.listen.address, settings.listen.port
+        )
+        context = self._context
+        state = RouterState(
+            settings.host,
+            settings.region,
+            self._create_directory(),
+            self._rng,
+            context.now,
+        )
+        self._tasks = [
+            await curio.spawn(run_router, context.router, state, daemon=True),
+            await curio.spawn(
+                run_document, context.document, self._view, settings.host, daemon=True
+            ),
+            await curio.spawn(_run_ticks, context.router, daemon=True),
+            await curio.spawn(
+                run_probes, settings, context.router, self._transport, daemon=True
+            ),
+        ]
+        self._ready = True
+        log_event("entry_started", host=settings.host, port=self.port)
+
+    def _create_directory(self) -> object:
+        settings = self._settings
+        records = [
+            HostRecord(entry.host, entry.region, entry.address, entry.port)
+            for entry in settings.entry_hosts
+        ]
+        if settings.host not in [record.host for record in records]:
+            own = HostRecord(
+                settings.host, settings.region, settings.listen.address, self.port
+            )
+            records.append(own)
+        return create_directory(records, self._rng)
+
+    async def drain(self) -> bool:
+        """Let running requests end; return whether all of them did.
+
+        The host accepts connections for the notice time, because callers use an
+        older answer of the directory until its lifetime ends.
+        """
+        settings = self._settings
+        self._ready = False
+        log_event("drain_started", host=settings.host)
+        await self._context.router.send(HostSeen(settings.host, "draining"))
+        self._server.announce_drain()
+        await curio.sleep(min(settings.drain_notice_s, settings.drain_timeout_s))
+        await self._server.drain()
+        left_s = settings.drain_timeout_s - settings.drain_notice_s
+        async with curio.ignore_after(max(0.0, left_s)) as timer:
+            while self._server.active_requests or self._bookings.running:
+                await curio.sleep(DRAIN_POLL_S)
+        log_event("drain_ended", host=settings.host, complete=not timer.expired)
+        return not timer.expired
+
+    async def close(self) -> None:
+        """Cancel what still runs and stop the tasks."""
+        self._ready = False
+        await self._server.close()
+        await self._context.pools.close()
+        for task in self._tasks:
+            await task.cancel()
+
+
+def _create_metrics() -> Metrics:
+    metrics = create_metrics()
+    for name, kind, text in METRICS:
+        metrics.describe(name, kind, text)
+    return metrics
+
+
+async def _run_ticks(router: Mailbox) -> None:
+    while True:
+        await curio.sleep(TICK_S)
+        await router.send(Tick())
+
+
+def create_entry_host(
+    settings: EntrySettings,
+    transport: Transport,
+    view: DocumentView | None = None,
+    now: Callable[[], float] = time.monotonic,
+    rng: random.Random | None = None,
+    claims: ClaimPort | None = None,
+) -> EntryHost:
+    """Return an entry host that is not started.
+
+    Without `view`, the sections are read from the document directory of the
+    settings; without one, the document is empty until it is delivered.
+    """
+    if view is None and settings.document_directory is not None:
+        view = load_document(settings.document_directory)
+    return EntryHost(
+        settings,
+        transport,
+        view or create_empty_view(),
+        now,
+        rng or random.Random(),
+        claims,
+    )
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client on h11: persistent bounded connections to one address."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -39,8 +39,8 @@
     headers: dict[str, str]
     _connection: _Connection = field(repr=False)
 
-    async def iter_body(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body as they arrive.
+    async def read_part(self) -> bytes:
+        """Return the next part of the body; empty at its end.
 
         Raises
         ------
@@ -49,16 +49,19 @@
         """
         while True:
             event = await _next_event(self._connection)
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
+            if isinstance(event, h11.EndOfMessage):
+                return b""
+            if not isinstance(event, h11.Data):
                 raise _create_broken("the answer ended early")
+            if event.data:
+                return bytes(event.data)
 
     async def read(self) -> bytes:
         """Return the whole body."""
-        return b"".join([part async for part in self.iter_body()])
+        parts = []
+        while part := await self.read_part():
+            parts.append(part)
+        return b"".join(parts)
 
 
 class HttpPool:
@@ -93,9 +96,12 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes = b"",
+        on_dispatch: Callable[[], None] | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
+        `on_dispatch` is called just before the first byte is handed to the kernel.
+
         The connection is kept if the body was read to its end, and closed
         otherwise. Closing it tells the endpoint that the work is cancelled.
 
@@ -108,6 +114,8 @@
         async with self._slots:
             connection = await self._acquire()
             try:
+                if on_dispatch is not None:
+                    on_dispatch()
                 await _send_request(
                     connection,
                     method,
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -54,11 +54,19 @@
         Connection of the caller.
     connection : h11.Connection
         Protocol state of the connection.
+    is_draining : callable
+        Whether the connection is to be closed after this response.
     """
 
-    def __init__(self, stream: Stream, connection: h11.Connection) -> None:
+    def __init__(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        is_draining: Callable[[], bool] = lambda: False,
+    ) -> None:
         self._stream = stream
         self._connection = connection
+        self._is_draining = is_draining
 
     @property
     def started(self) -> bool:
@@ -67,7 +75,9 @@
 
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the response head; without a length the body is chunked."""
-        event = h11.Response(status_code=status, headers=headers)
+        event = h11.Response(
+            status_code=status, headers=[*headers, *self._list_close_headers()]
+        )
         await self._stream.sendall(self._connection.send(event))
 
     async def send(self, data: bytes) -> None:
@@ -94,6 +104,7 @@
                 ("content-type", content_type),
                 ("content-length", str(len(body))),
                 *(headers or []),
+                *self._list_close_headers(),
             ],
         )
         send = self._connection.send
@@ -109,6 +120,11 @@
         """Send `value` as a whole JSON response."""
         await self.respond(status, msgspec.json.encode(value), headers=headers)
 
+    def _list_close_headers(self) -> list[tuple[str, str]]:
+        # A caller that is told of the close does not send its next request into
+        # a connection that is about to end.
+        return [("connection", "close")] if self._is_draining() else []
+
     async def respond_error(self, error: RequestError) -> None:
         """Send the body of a failure with its status."""
         headers = []
@@ -150,6 +166,10 @@
         """Listen on `address` and `port`."""
         self._listener = await transport.listen(address, port, self._serve)
 
+    def announce_drain(self) -> None:
+        """Close each connection after its next response; still accept others."""
+        self._draining = True
+
     async def drain(self) -> None:
         """Stop accepting and close connections after their current request."""
         self._draining = True
@@ -175,17 +195,13 @@
 
     async def _serve_requests(self, stream: Stream, connection: h11.Connection) -> None:
         while True:
-            responder = Responder(stream, connection)
-            try:
-                request = await _read_request(stream, connection, self._limits)
-            except RequestError as error:
-                await _respond_and_close(responder, connection, error)
-                return
-            if request is None:
+            if not await _wait_for_data(stream, connection, self._limits):
                 return
+            # A request counts from its first byte, so that a drain waits for it.
             self.active_requests += 1
             try:
-                await self._run_handler(request, responder, stream, connection)
+                if not await self._serve_request(stream, connection):
+                    return
             finally:
                 self.active_requests -= 1
             if connection.our_state is not h11.DONE or self._draining:
@@ -194,6 +210,18 @@
                 return
             connection.start_next_cycle()
 
+    async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
+        responder = Responder(stream, connection, lambda: self._draining)
+        try:
+            request = await _read_request(stream, connection, self._limits)
+        except RequestError as error:
+            await _respond_and_close(responder, connection, error)
+            return False
+        if request is None:
+            return False
+        await self._run_handler(request, responder, stream, connection)
+        return True
+
     async def _run_handler(
         self,
         request: Request,
@@ -294,14 +322,21 @@
     )
 
 
+async def _wait_for_data(
+    stream: Stream, connection: h11.Connection, limits: Limits
+) -> bool:
+    if connection.trailing_data[0]:
+        return True
+    data = await curio.ignore_after(limits.idle_timeout_s, stream.recv, READ_BYTES)
+    if not data:
+        return False
+    connection.receive_data(data)
+    return True
+
+
 async def _read_head(
     stream: Stream, connection: h11.Connection, limits: Limits
 ) -> h11.Request | None:
-    if not connection.trailing_data[0]:
-        data = await curio.ignore_after(limits.idle_timeout_s, stream.recv, READ_BYTES)
-        if not data:
-            return None
-        connection.receive_data(data)
     async with curio.timeout_after(limits.header_timeout_s):
         while True:
             event = connection.next_event()
--- /dev/null
+++ b/buckthorndeal/registry.py
@@ -0,0 +1,235 @@
+"""Endpoint table of one region, fed by announcements and heartbeats; no I/O."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from buckthorndeal.charts import load_chart
+from buckthorndeal.views import EndpointView
+
+__all__ = [
+    "Accepted",
+    "Announcement",
+    "DrainNotice",
+    "Heartbeat",
+    "LeaveNotice",
+    "Refused",
+    "Registry",
+    "create_registry",
+]
+
+EXPIRY_S = 3.0
+# Records of endpoints that left stay this long, so that a late announcement of
+# the same incarnation does not bring them back.
+LEFT_RETENTION_S = 600.0
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+Incarnation = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+
+
+class Announcement(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint offers to take requests."""
+
+    name: Name
+    incarnation: Incarnation
+    service: Name
+    region: Name
+    failure_domain: Name
+    address: Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+    port: Annotated[int, Meta(ge=1, le=65535)]
+    models: tuple[str, ...] = ()
+    versions: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = "serve"
+    slots: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    checks_fencing: bool = False
+
+
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint is alive and reports its load."""
+
+    name: Name
+    incarnation: Incarnation
+    running: Count = 0
+    queued: Count = 0
+    models: tuple[str, ...] | None = None
+
+
+class DrainNotice(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint finishes its requests and takes no new ones."""
+
+    name: Name
+    incarnation: Incarnation
+
+
+class LeaveNotice(msgspec.Struct, frozen=True, kw_only=True):
+    """An endpoint has stopped."""
+
+    name: Name
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The message took effect."""
+
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The message had no effect."""
+
+    reason: str
+
+
+@dataclass(slots=True)
+class _Record:
+    view: EndpointView
+    seen_s: float
+
+
+class Registry:
+    """Endpoints by name, each with its newest incarnation only."""
+
+    def __init__(self, expiry_s: float = EXPIRY_S) -> None:
+        self._expiry_s = expiry_s
+        self._records: dict[str, _Record] = {}
+        self._chart = load_chart("endpoint")
+
+    def announce(self, message: Announcement, now_s: float) -> Accepted | Refused:
+        """Add an endpoint or refresh its description."""
+        record = self._records.get(message.name)
+        if record is not None and record.view.incarnation > message.incarnation:
+            return Refused("a newer incarnation is known")
+        state = self._chart.initial
+        if record is not None and record.view.incarnation == message.incarnation:
+            state = record.view.state
+        if not self._chart.allows(state, "announce"):
+            return Refused(f"the endpoint is {state}")
+        view = _create_view(message, self._chart.advance(state, "announce"), now_s)
+        if state == "ready":
+            _keep_load(record.view, view)
+        self._records[message.name] = _Record(view, now_s)
+        return Accepted(view.state)
+
+    def heartbeat(self, message: Heartbeat, now_s: float) -> Accepted | Refused:
+        """Refresh an endpoint and its load."""
+        outcome = self._apply(message, "heartbeat", now_s)
+        if isinstance(outcome, Accepted):
+            view = self._records[message.name].view
+            view.running = message.running
+            view.queued = message.queued
+            view.own_since_report = 0
+            if message.models is not None:
+                view.models = message.models
+        return outcome
+
+    def drain(self, message: DrainNotice, now_s: float) -> Accepted | Refused:
+        """Stop offering an endpoint for new requests."""
+        if self._is_unknown(message):
+            # Nothing is known that could be drained; the record keeps a late
+            # announcement of this incarnation from making the endpoint ready.
+            return self.leave(message, now_s)
+        return self._apply(message, "drain", now_s)
+
+    def leave(
+        self, message: LeaveNotice | DrainNotice, now_s: float
+    ) -> Accepted | Refused:
+        """Forget an endpoint but keep its incarnation out."""
+        if self._is_unknown(message):
+            view = EndpointView(message.name, message.incarnation, "", "", "", "", 0)
+            view.state = self._chart.initial
+            self._records[message.name] = _Record(view, now_s)
+        return self._apply(message, "leave", now_s)
+
+    def expire(self, now_s: float) -> list[str]:
+        """Expire silent endpoints and return their names."""
+        expired = []
+        for name, record in list(self._records.items()):
+            silent_s = now_s - record.seen_s
+            state = record.view.state
+            if silent_s > LEFT_RETENTION_S and state in ("left", "expired"):
+                del self._records[name]
+            elif silent_s > self._expiry_s and self._chart.allows(state, "expire"):
+                record.view.state = self._chart.advance(state, "expire")
+                expired.append(name)
+        return expired
+
+    def candidates(
+        self, service: str, model: str | None, now_s: float
+    ) -> list[EndpointView]:
+        """Return the ready endpoints of a service that have `model`."""
+        found = []
+        for record in self._records.values():
+            view = record.view
+            if view.state != "ready" or view.service != service:
+                continue
+            if now_s - record.seen_s > self._expiry_s:
+                continue
+            if model is not None and model not in view.models:
+                continue
+            view.load_age_s = now_s - record.seen_s
+            found.append(view)
+        return found
+
+    def list_endpoints(self) -> list[EndpointView]:
+        """Return every known endpoint that has not left."""
+        return [
+            record.view
+            for record in self._records.values()
+            if record.view.state not in ("left", "expired")
+        ]
+
+    def record_start(self, name: str, incarnation: int) -> None:
+        """Count a request that this host sends to an endpoint."""
+        record = self._records.get(name)
+        if record is not None and record.view.incarnation == incarnation:
+            record.view.own_inflight += 1
+            record.view.own_since_report += 1
+
+    def record_end(self, name: str, incarnation: int) -> None:
+        """Count the end of a request that this host sent to an endpoint."""
+        record = self._records.get(name)
+        if record is not None and record.view.incarnation == incarnation:
+            record.view.own_inflight = max(0, record.view.own_inflight - 1)
+
+    def _is_unknown(self, message: LeaveNotice | DrainNotice) -> bool:
+        record = self._records.get(message.name)
+        return record is None or record.view.incarnation < message.incarnation
+
+    def _apply(
+        self,
+        message: Heartbeat | DrainNotice | LeaveNotice,
+        event: str,
+        now_s: float,
+    ) -> Accepted | Refused:
+        record = self._records.get(message.name)
+        if record is None or record.view.incarnation != message.incarnation:
+            return Refused("this incarnation is not announced")
+        if not self._chart.allows(record.view.state, event):
+            return Refused(f"the endpoint is {record.view.state}")
+        record.view.state = self._chart.advance(record.view.state, event)
+        record.seen_s = now_s
+        return Accepted(record.view.state)
+
+
+def _create_view(message: Announcement, state: str, now_s: float) -> EndpointView:
+    fields = msgspec.structs.asdict(message)
+    return EndpointView(**fields, ready_since_s=now_s, state=state)
+
+
+def _keep_load(old: EndpointView, new: EndpointView) -> None:
+    new.running = old.running
+    new.queued = old.queued
+    new.own_inflight = old.own_inflight
+    new.own_since_report = old.own_since_report
+    new.ready_since_s = old.ready_since_s
+
+
+def create_registry(expiry_s: float = EXPIRY_S) -> Registry:
+    """Return an empty endpoint table."""
+    return Registry(expiry_s)
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -12,6 +12,7 @@
 __all__ = [
     "Address",
     "ControlSettings",
+    "EntryHostAddress",
     "EntrySettings",
     "Limits",
     "PeerAddress",
@@ -45,6 +46,17 @@
     port: Port
 
 
+class EntryHostAddress(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """An entry host as callers and other entry hosts reach it over HTTP."""
+
+    host: Name
+    region: Name
+    address: IpAddress = "127.0.0.1"
+    port: Port
+
+
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Limits of the HTTP listener; sizes in bytes, times in seconds."""
 
@@ -60,7 +72,12 @@
 class EntrySettings(
     msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
 ):
-    """Settings of the entry host daemon."""
+    """Settings of the entry host daemon.
+
+    `entry_hosts` lists every entry host in a fixed order. While draining, the host
+    still accepts connections for `drain_notice_s`, so that callers holding an older
+    directory answer are served.
+    """
 
     host: Name
     region: Name
@@ -70,9 +87,12 @@
     control_hosts: Annotated[tuple[PeerAddress, ...], Meta(min_length=1)]
     seeds: tuple[Address, ...] = ()
     peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    entry_hosts: tuple[EntryHostAddress, ...] = ()
     data_directory: str | None = None
+    document_directory: str | None = None
     limits: Limits = Limits()
     drain_timeout_s: PositiveSeconds = 30.0
+    drain_notice_s: PositiveSeconds = 3.0
     answer_retention_s: PositiveSeconds = 86_400.0
 
 
--- /dev/null
+++ b/buckthorndeal/streams.py
@@ -0,0 +1,153 @@
+"""Server-sent events: parse, match to a request and resume at the next token."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.errors import WireError
+
+__all__ = [
+    "Event",
+    "EventParser",
+    "StreamCursor",
+    "StreamMismatchError",
+    "create_cursor",
+    "create_event_parser",
+    "format_event",
+]
+
+END_DATA = "[DONE]"
+MAX_EVENT_BYTES = 1 << 20
+
+
+class StreamMismatchError(WireError):
+    """An event does not continue the answer of this request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One server-sent event.
+
+    Parameters
+    ----------
+    id : str
+        ``<request id>:<token index>``.
+    data : str
+        Payload; several data lines are joined by line breaks.
+    kind : str
+        Event type; ``message`` unless the stream names another.
+    """
+
+    id: str
+    data: str
+    kind: str = "message"
+
+
+class EventParser:
+    """Cuts a byte stream into events.
+
+    An event that is not ended by an empty line is never returned, so a connection
+    cut within an event does not produce a part of a token.
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events completed by `data`.
+
+        Raises
+        ------
+        WireError
+            If an event is longer than `MAX_EVENT_BYTES` or is not UTF-8.
+        """
+        self._buffer += data
+        # A carriage return at the end may be half of a line break.
+        if self._buffer.endswith(b"\r"):
+            return []
+        *blocks, self._buffer = self._buffer.replace(b"\r\n", b"\n").split(b"\n\n")
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise WireError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        events = [_parse_block(block) for block in blocks]
+        return [event for event in events if event is not None]
+
+
+def _parse_block(block: bytes) -> Event | None:
+    try:
+        lines = block.decode("utf-8").split("\n")
+    except UnicodeDecodeError as error:
+        raise WireError("an event is not UTF-8") from error
+    fields: dict[str, list[str]] = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        fields.setdefault(name, []).append(value.removeprefix(" "))
+    if "data" not in fields:
+        return None
+    return Event(
+        fields.get("id", [""])[-1],
+        "\n".join(fields["data"]),
+        fields.get("event", ["message"])[-1],
+    )
+
+
+class StreamCursor:
+    """Position in the answer of one request, kept across attempts.
+
+    Parameters
+    ----------
+    next_token : int
+        Index of the token that continues the answer.
+    """
+
+    def __init__(self, next_token: int) -> None:
+        self.next_token = next_token
+        self.ended = False
+
+    def accept(self, event: Event, request_id: str) -> bool:
+        """Return whether `event` is to be passed on.
+
+        The end marker carries the index after the last token, so the end of
+        another answer, or an end before the last token, is not taken for the end
+        of this one. Tokens already passed on are left out.
+
+        Raises
+        ------
+        StreamMismatchError
+            If the event belongs to another request or leaves a gap.
+        """
+        owner, _, index = event.id.rpartition(":")
+        if owner != request_id or not (index.isascii() and index.isdigit()):
+            raise StreamMismatchError("an event belongs to another request")
+        if event.kind != "message":
+            raise StreamMismatchError("the endpoint reports an error")
+        token = int(index)
+        if self.ended or token > self.next_token:
+            raise StreamMismatchError(
+                f"token {token} arrived in place of {self.next_token}"
+            )
+        if event.data == END_DATA:
+            if token != self.next_token:
+                raise StreamMismatchError("the answer ended before its last token")
+            self.ended = True
+            return True
+        if token < self.next_token:
+            return False
+        self.next_token += 1
+        return True
+
+
+def format_event(event: Event) -> bytes:
+    """Return an event as it is sent."""
+    lines = [f"id: {event.id}"]
+    if event.kind != "message":
+        lines.append(f"event: {event.kind}")
+    lines.extend(f"data: {line}" for line in event.data.split("\n"))
+    return ("\n".join(lines) + "\n\n").encode()
+
+
+def create_event_parser() -> EventParser:
+    """Return a parser at the start of a stream."""
+    return EventParser()
+
+
+def create_cursor(next_token: int = 0) -> StreamCursor:
+    """Return a cursor that expects `next_token`."""
+    return StreamCursor(next_token)
