Bring about endpoint, caller and host failures in tests; fix what they found

Cause: the data path had no tests, and a drain could close connections that waited in the accept backlog or whose request was still arriving. Bookings use a fresh connection, so a connection closed by an idle endpoint is not reported as "may have run". The listener accepts its backlog before it closes. Running requests are never cut off by drain_timeout_s, they end or reach their deadline. Failed handlers no longer print a task crash beside the JSON log.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -26,6 +26,7 @@
 
 REQUEST_ID_HEADER = "buckthorndeal-request-id"
 VERDICT_HEADER = "buckthorndeal-verdict"
+PRIORITY_HEADER = "buckthorndeal-priority"
 MAX_ATTEMPTS = 4
 REFUSAL_STATUSES = (429, 503)
 
@@ -164,15 +165,19 @@
             progress.advance("answer")
             yield attempt
         outcome = attempt.outcome
-    except RequestError as error:
+    except PeerRefusalError:
+        outcome = AttemptOutcome.REFUSED
+        raise
+    except RequestError:
         outcome = AttemptOutcome.BROKEN
-        if error.code == "connect_failed" and progress.state in (
-            "connecting",
-            "reconnecting",
-        ):
+        if progress.state in ("connecting", "reconnecting"):
             outcome = AttemptOutcome.CONNECT_FAILED
             progress.advance("connect_failed")
         raise
+    except curio.CancelledError:
+        if context.now() >= call.deadline_s:
+            outcome = AttemptOutcome.TIMED_OUT
+        raise
     finally:
         result = _create_result(context, call, endpoint, attempt, outcome, started_s)
         await _close_attempt(context, call, attempt_id, endpoint, result, progress)
@@ -241,7 +246,11 @@
     if endpoint is not None:
         pool = await context.pools.get(endpoint.address, endpoint.port)
         target = call.endpoint_target
-        headers = [(REQUEST_ID_HEADER, attempt_id)]
+        priority = call.identity.workspace.priority
+        headers = [
+            (REQUEST_ID_HEADER, attempt_id),
+            (PRIORITY_HEADER, str(priority)),
+        ]
         if call.content_type:
             headers.append(("content-type", call.content_type))
     else:
@@ -249,7 +258,14 @@
         target = call.target
         headers = _sign_call(context, call, attempt_id, route.host)
     async with pool.request(
-        call.method, target, headers, call.body, on_dispatch
+        call.method,
+        target,
+        headers,
+        call.body,
+        on_dispatch,
+        # A peer may close an idle connection just as it is used again, and then a
+        # call that must not be repeated would end with "may have run".
+        fresh=not call.idempotent,
     ) as response:
         yield response
 
--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import curio
+from absl import logging
 
 from buckthorndeal._entry_attempts import (
     MAX_ATTEMPTS,
@@ -174,15 +175,19 @@
         except BaseException:
             self.running -= 1
             raise
-        task.report_crash = False
         await task.wait()
-        if task.exception is not None:
-            raise task.exception
+        if isinstance(task.result, RequestError):
+            raise task.result
         return task.result
 
-    async def _run_task(self, call: Call, progress: Progress) -> Answer:
+    async def _run_task(self, call: Call, progress: Progress) -> Answer | RequestError:
         try:
             return await self._run_booking(call, progress)
+        except RequestError as error:
+            return error
+        except Exception:
+            logging.exception("booking failed")
+            return RequestError("internal", 500, "internal error", Verdict.MAY_HAVE_RUN)
         finally:
             self.running -= 1
 
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -122,7 +122,9 @@
     async def _answer_hosts(self, request: Request, responder: Responder) -> None:
         query = parse_qs(request.target.partition("?")[2])
         region = query.get("region", [self._context.region])[0]
-        answer = await self._context.router.ask(ListHosts(region))
+        document = await self._context.document.ask(GetDocument())
+        drained = document.support.drained_hosts
+        answer = await self._context.router.ask(ListHosts(region, drained))
         hosts = [
             {
                 "host": record.host,
--- a/buckthorndeal/_entry_hosts.py
+++ b/buckthorndeal/_entry_hosts.py
@@ -6,10 +6,11 @@
 import curio
 
 from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.mailbox import Mailbox
-from buckthorndeal.settings import EntrySettings
+from buckthorndeal.settings import EntryHostAddress, EntrySettings
 from buckthorndeal.transport import Transport
 
 PROBE_INTERVAL_S = 0.5
@@ -25,18 +26,21 @@
     async with curio.TaskGroup() as group:
         for entry in others:
             pool = create_http_pool(transport, entry.address, entry.port, 1)
-            await group.spawn(_probe_host, entry.host, pool, router)
+            await group.spawn(_probe_host, entry, pool, router)
 
 
-async def _probe_host(host: str, pool: HttpPool, router: Mailbox) -> None:
+async def _probe_host(entry: EntryHostAddress, pool: HttpPool, router: Mailbox) -> None:
     failures = 0
     while True:
         state = await _probe(pool)
         failures = failures + 1 if state is None else 0
+        if failures >= LOST_AFTER_PROBES:
+            state = "lost"
         if state is not None:
-            await router.send(HostSeen(host, state))
-        elif failures >= LOST_AFTER_PROBES:
-            await router.send(HostSeen(host, "lost"))
+            record = HostRecord(
+                entry.host, entry.region, entry.address, entry.port, state
+            )
+            await router.send(HostSeen(record))
         await curio.sleep(PROBE_INTERVAL_S)
 
 
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -85,24 +85,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ListHosts:
-    """Asks the router task for a `DirectoryAnswer`."""
+    """Asks the router task for a `DirectoryAnswer` without the hosts in `drained`."""
 
     region: str
+    drained: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class ListRegionHosts:
-    """Asks the router task for every host of a region in the fixed order."""
+    """Asks the router task for every host of a region, by name."""
 
     region: str
 
 
 @dataclass(frozen=True, slots=True)
 class HostSeen:
-    """Tells the router task the state of an entry host."""
+    """Tells the router task of an entry host and its state."""
 
-    host: str
-    state: str
+    record: HostRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/_entry_pools.py
+++ b/buckthorndeal/_entry_pools.py
@@ -45,10 +45,7 @@
 
     async def cancel_later(self, address: str, port: int, attempt_id: str) -> None:
         """Tell an endpoint, in a task of its own, that an attempt is over."""
-        task = await curio.spawn(
-            self._send_cancel, address, port, attempt_id, daemon=True
-        )
-        task.report_crash = False
+        await curio.spawn(self._send_cancel, address, port, attempt_id, daemon=True)
 
     async def _send_cancel(self, address: str, port: int, attempt_id: str) -> None:
         task = await curio.current_task()
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -36,7 +36,6 @@
 from buckthorndeal.views import Decision, EndpointView, RouteRequest
 
 RETRY_AFTER_S = 1.0
-ALL_STATES = ("alive", "draining", "lost")
 
 
 class RouterState:
@@ -86,7 +85,7 @@
 
     @handle.register
     def _(self, message: HostSeen) -> None:
-        self._directory.set_state(message.host, message.state)
+        self._directory.update(message.record)
 
     @handle.register
     def _(self, message: ListEndpoints) -> object:
@@ -94,18 +93,17 @@
 
     @handle.register
     def _(self, message: ListHosts) -> object:
-        return self._directory.list_hosts(message.region)
+        return self._directory.list_hosts(message.region, message.drained)
 
     @handle.register
     def _(self, message: ListRegionHosts) -> object:
-        return self._directory.list_region(message.region, ALL_STATES)
+        return self._directory.list_region(message.region)
 
     @handle.register
     def _(self, message: FindOwner) -> HostRecord:
-        # Without a ledger view the first configured host owns the claims. It
-        # stays the owner while it is lost, because its claims are known nowhere
-        # else.
-        hosts = self._directory.list_region(message.region, ALL_STATES)
+        # Without a ledger view the first host by name owns the claims. It stays the
+        # owner while it is lost, because its claims are known nowhere else.
+        hosts = self._directory.list_region(message.region)
         if not hosts:
             raise RequestError(
                 "no_claim_owner", 503, f"no entry host of {message.region} is known"
@@ -154,14 +152,14 @@
                 candidates, key=lambda view: (scores[view.name], self._rng.random())
             )
             return Route(Decision(best, None, scores, "least load"))
-        return self._choose_region(request)
+        return self._choose_region(request, message.document.support.drained_hosts)
 
-    def _choose_region(self, request: RouteRequest) -> Route:
+    def _choose_region(self, request: RouteRequest, drained: tuple[str, ...]) -> Route:
         if request.bound or request.crossed_region:
             return _refuse("no endpoint in this region")
         hosts = [
             record
-            for record in self._directory.list_hosts(self._region).hosts
+            for record in self._directory.list_hosts(self._region, drained).hosts
             if record.region != self._region
             and record.host not in request.hops
             and record.host not in request.excluded
--- a/buckthorndeal/_standin_engine.py
+++ b/buckthorndeal/_standin_engine.py
@@ -2,6 +2,7 @@
 
 import collections
 import hashlib
+import heapq
 import itertools
 
 import curio
@@ -86,13 +87,13 @@
         self.slots = slots
         self.checks_fencing = checks_fencing
         self.running = 0
-        self.queued = 0
         self.cancelled: list[str] = []
         self._max_queue = max_queue
         self._token_s = token_s
         self._prefill_s = prefill_s
         self._cache = PrefixCache(cache_blocks)
-        self._batch = curio.Semaphore(slots)
+        self._waiting: list[tuple[int, int, curio.Event]] = []
+        self._sequence = itertools.count()
         self._tasks: dict[str, curio.Task] = {}
         self._fencing = 0
         self._orders: dict[str, dict] = {}
@@ -104,7 +105,8 @@
         fields = msgspec.json.decode(request.body)
         if request.path == "/v1/chat/completions":
             request_id = request.headers.get("buckthorndeal-request-id", "")
-            await self._answer_chat(request_id, fields, responder)
+            priority = int(request.headers.get("buckthorndeal-priority", "5"))
+            await self._answer_chat(request_id, priority, fields, responder)
         elif request.path == "/cancel":
             await self._cancel(fields["request_id"])
             await responder.respond_json(200, {})
@@ -114,7 +116,7 @@
             raise RequestError("not_found", 404, "no such path")
 
     async def _answer_chat(
-        self, request_id: str, fields: dict, responder: Responder
+        self, request_id: str, priority: int, fields: dict, responder: Responder
     ) -> None:
         if fields.get("model") not in self.models:
             raise RequestError("model_not_found", 404, "the model is not loaded")
@@ -122,25 +124,45 @@
             raise RequestError("queue_full", 429, "the queue is full", retry_after_s=1)
         self._tasks[request_id] = await curio.current_task()
         try:
-            await self._wait_for_slot()
+            await self._wait_for_slot(priority)
             try:
                 await self._generate(request_id, fields, responder)
             finally:
-                self.running -= 1
-                await self._batch.release()
+                await self._free_slot()
         except curio.CancelledError:
             self.cancelled.append(request_id)
             raise
         finally:
             self._tasks.pop(request_id, None)
 
-    async def _wait_for_slot(self) -> None:
-        self.queued += 1
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    async def _wait_for_slot(self, priority: int) -> None:
+        if self.running < self.slots:
+            self.running += 1
+            return
+        # A larger number is a higher priority; equal ones are served in order.
+        entry = (-priority, next(self._sequence), curio.Event())
+        heapq.heappush(self._waiting, entry)
         try:
-            await self._batch.acquire()
-        finally:
-            self.queued -= 1
-        self.running += 1
+            await entry[2].wait()
+        except curio.CancelledError:
+            if entry in self._waiting:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            else:
+                await self._free_slot()
+            raise
+
+    async def _free_slot(self) -> None:
+        if self._waiting:
+            # The slot passes to the next request, so `running` stays.
+            await heapq.heappop(self._waiting)[2].set()
+        else:
+            self.running -= 1
 
     async def _generate(
         self, request_id: str, fields: dict, responder: Responder
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from dataclasses import replace
 from importlib import resources
 
 import curio
@@ -9,15 +10,15 @@
 from absl import app, flags
 
 from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import DocumentView, ListEndpoints
+from buckthorndeal._entry_messages import DocumentView, HostSeen, ListEndpoints
 from buckthorndeal.command_entry import SETTINGS_STATUS, serve_until_signalled
+from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import EntryHost, create_entry_host
 from buckthorndeal.errors import DocumentError, SettingsError
 from buckthorndeal.logs import configure_logging
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import (
     Address,
-    EntryHostAddress,
     EntrySettings,
     PeerAddress,
     parse_settings,
@@ -35,6 +36,7 @@
 
 FLAGS = flags.FLAGS
 DEPLOYMENT = "kelawar"
+ADDRESS = "127.0.0.1"
 SECTIONS = ("platform", "accounts", "support")
 READY_TIMEOUT_S = 5.0
 READY_POLL_S = 0.02
@@ -111,6 +113,7 @@
         transport: SocketTransport,
     ) -> None:
         self._deployment = deployment
+        self._transport = transport
         peer_key = os.urandom(PEER_KEY_BYTES).hex()
         self.hosts = [
             create_entry_host(
@@ -120,15 +123,25 @@
             )
             for entry in deployment.entry_hosts
         ]
-        self.standins = [
-            _create_endpoint(deployment, endpoint, transport)
-            for endpoint in deployment.endpoints
-        ]
+        self.standins: list[Standin] = []
 
     async def start(self) -> None:
         """Start everything and wait until each endpoint is known to its region."""
-        for part in (*self.hosts, *self.standins):
-            await part.start()
+        for host in self.hosts:
+            await host.start()
+        records = [
+            HostRecord(entry.host, entry.region, ADDRESS, host.port)
+            for entry, host in zip(
+                self._deployment.entry_hosts, self.hosts, strict=True
+            )
+        ]
+        for host in self.hosts:
+            for record in records:
+                await host.router.send(HostSeen(replace(record)))
+        for endpoint in self._deployment.endpoints:
+            standin = _create_endpoint(endpoint, records, self._transport)
+            self.standins.append(standin)
+            await standin.start()
         async with curio.timeout_after(READY_TIMEOUT_S):
             while not await self._is_complete():
                 await curio.sleep(READY_POLL_S)
@@ -161,10 +174,6 @@
         listen=Address(port=entry.port),
         peer_listen=Address(port=entry.port + PEER_PORT_OFFSET),
         control_hosts=(PeerAddress(host="control-1", port=entry.port),),
-        entry_hosts=tuple(
-            EntryHostAddress(host=other.host, region=other.region, port=other.port)
-            for other in deployment.entry_hosts
-        ),
         peer_keys=(peer_key,),
         data_directory=os.path.join(data_directory, entry.host),
         drain_notice_s=DRAIN_NOTICE_S,
@@ -173,12 +182,12 @@
 
 
 def _create_endpoint(
-    deployment: Deployment, endpoint: LocalEndpoint, transport: SocketTransport
+    endpoint: LocalEndpoint, records: list[HostRecord], transport: SocketTransport
 ) -> Standin:
     entry_hosts = tuple(
-        ("127.0.0.1", entry.port)
-        for entry in deployment.entry_hosts
-        if entry.region == endpoint.region
+        (record.address, record.port)
+        for record in records
+        if record.region == endpoint.region
     )
     settings = StandinSettings(
         endpoint.name,
@@ -191,10 +200,26 @@
     return create_standin(settings, work, transport)
 
 
-def create_local_deployment(data_directory: str) -> LocalDeployment:
-    """Return Kelawar's deployment, not started."""
+def create_local_deployment(
+    data_directory: str, port: int | None = None
+) -> LocalDeployment:
+    """Return Kelawar's deployment, not started.
+
+    Parameters
+    ----------
+    data_directory : str
+        Directory of the state.
+    port : int or None
+        0 picks a free port for each host; None takes the ports of the deployment file.
+    """
     texts = {name: _read_file(f"{name}.jsonc") for name in (DEPLOYMENT, *SECTIONS)}
     deployment = parse_settings(texts[DEPLOYMENT], Deployment, f"{DEPLOYMENT}.jsonc")
+    if port is not None:
+        hosts = tuple(
+            msgspec.structs.replace(entry, port=port)
+            for entry in deployment.entry_hosts
+        )
+        deployment = msgspec.structs.replace(deployment, entry_hosts=hosts)
     view = create_document_view(
         *(parse_section(name, texts[name]) for name in SECTIONS)
     )
--- a/buckthorndeal/directory.py
+++ b/buckthorndeal/directory.py
@@ -5,7 +5,9 @@
 
 __all__ = ["Directory", "DirectoryAnswer", "HostRecord", "create_directory"]
 
-LIFETIME_S = 5.0
+# Shorter than the notice time of a draining host, so that callers have asked again
+# before the host stops accepting.
+LIFETIME_S = 2.0
 
 
 @dataclass(slots=True)
@@ -39,7 +41,7 @@
     Parameters
     ----------
     hosts : list of HostRecord
-        Every entry host, in a fixed order.
+        Entry hosts that are known at the start.
     rng : random.Random
         Spreads callers over the hosts of a region.
     """
@@ -51,12 +53,7 @@
         self._rng = rng
         self._lifetime_s = lifetime_s
 
-    def set_state(self, host: str, state: str) -> None:
-        """Record the state of a host; unknown hosts are ignored."""
-        if host in self._hosts:
-            self._hosts[host].state = state
-
-    def add(self, record: HostRecord) -> None:
+    def update(self, record: HostRecord) -> None:
         """Add or replace a host."""
         self._hosts[record.host] = record
 
@@ -64,30 +61,25 @@
         """Return a host."""
         return self._hosts.get(host)
 
-    def list_hosts(self, region: str) -> DirectoryAnswer:
+    def list_hosts(self, region: str, drained: tuple[str, ...] = ()) -> DirectoryAnswer:
         """Return the live hosts, those of `region` first, in random order.
 
         A caller uses the first host, so the order decides how callers spread.
+        Hosts in `drained` are left out.
         """
-        alive = [record for record in self._hosts.values() if record.state == "alive"]
-        self._rng.shuffle(alive)
-        alive.sort(key=lambda record: record.region != region)
-        return DirectoryAnswer(tuple(alive), self._lifetime_s)
-
-    def list_region(self, region: str, states: tuple[str, ...] = ("alive",)) -> list:
-        """Return the hosts of a region in one of `states`, in the fixed order."""
-        return [
+        alive = [
             record
             for record in self._hosts.values()
-            if record.region == region and record.state in states
+            if record.state == "alive" and record.host not in drained
         ]
+        self._rng.shuffle(alive)
+        alive.sort(key=lambda record: record.region != region)
+        return DirectoryAnswer(tuple(alive), self._lifetime_s)
 
-    def list_regions(self) -> list[str]:
-        """Return the regions that have a live host."""
-        regions = [
-            record.region for record in self._hosts.values() if record.state == "alive"
-        ]
-        return list(dict.fromkeys(regions))
+    def list_region(self, region: str) -> list[HostRecord]:
+        """Return the hosts of a region in any state, by name."""
+        found = [record for record in self._hosts.values() if record.region == region]
+        return sorted(found, key=lambda record: record.host)
 
 
 def create_directory(
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -20,7 +20,7 @@
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
 from buckthorndeal._entry_pools import Pools
 from buckthorndeal._entry_router import RouterState, run_router
-from buckthorndeal.directory import HostRecord, create_directory
+from buckthorndeal.directory import Directory, HostRecord, create_directory
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
@@ -138,21 +138,24 @@
         self._ready = True
         log_event("entry_started", host=settings.host, port=self.port)
 
-    def _create_directory(self) -> object:
+    def _create_directory(self) -> Directory:
         settings = self._settings
         records = [
             HostRecord(entry.host, entry.region, entry.address, entry.port)
             for entry in settings.entry_hosts
         ]
         if settings.host not in [record.host for record in records]:
-            own = HostRecord(
-                settings.host, settings.region, settings.listen.address, self.port
-            )
-            records.append(own)
+            records.append(self._create_record("alive"))
         return create_directory(records, self._rng)
 
-    async def drain(self) -> bool:
-        """Let running requests end; return whether all of them did.
+    def _create_record(self, state: str) -> HostRecord:
+        settings = self._settings
+        return HostRecord(
+            settings.host, settings.region, settings.listen.address, self.port, state
+        )
+
+    async def drain(self) -> None:
+        """Wait until every running request has ended or reached its deadline.
 
         The host accepts connections for the notice time, because callers use an
         older answer of the directory until its lifetime ends.
@@ -160,16 +163,25 @@
         settings = self._settings
         self._ready = False
         log_event("drain_started", host=settings.host)
-        await self._context.router.send(HostSeen(settings.host, "draining"))
+        await self._context.router.send(HostSeen(self._create_record("draining")))
         self._server.announce_drain()
-        await curio.sleep(min(settings.drain_notice_s, settings.drain_timeout_s))
+        await curio.sleep(settings.drain_notice_s)
         await self._server.drain()
-        left_s = settings.drain_timeout_s - settings.drain_notice_s
-        async with curio.ignore_after(max(0.0, left_s)) as timer:
-            while self._server.active_requests or self._bookings.running:
-                await curio.sleep(DRAIN_POLL_S)
-        log_event("drain_ended", host=settings.host, complete=not timer.expired)
-        return not timer.expired
+        async with curio.ignore_after(settings.drain_timeout_s) as timer:
+            await self._wait_until_idle()
+        if timer.expired:
+            log_event("drain_slow", host=settings.host, running=self.running_requests)
+            await self._wait_until_idle()
+        log_event("drain_ended", host=settings.host)
+
+    @property
+    def running_requests(self) -> int:
+        """Requests and bookings that have not ended."""
+        return self._server.active_requests + self._bookings.running
+
+    async def _wait_until_idle(self) -> None:
+        while self.running_requests:
+            await curio.sleep(DRAIN_POLL_S)
 
     async def close(self) -> None:
         """Cancel what still runs and stop the tasks."""
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -14,6 +14,7 @@
 
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+MAX_ANSWER_BYTES = 1 << 26
 CONNECT_TIMEOUT_S = 2.0
 
 
@@ -59,7 +60,11 @@
     async def read(self) -> bytes:
         """Return the whole body."""
         parts = []
+        size = 0
         while part := await self.read_part():
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise _create_broken(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
             parts.append(part)
         return b"".join(parts)
 
@@ -86,6 +91,7 @@
         self.port = port
         self._transport = transport
         self._slots = curio.Semaphore(max_connections)
+        self._max_idle = max_connections
         self._idle: list[_Connection] = []
         self._closed = False
 
@@ -97,10 +103,12 @@
         headers: list[tuple[str, str]],
         body: bytes = b"",
         on_dispatch: Callable[[], None] | None = None,
+        fresh: bool = False,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
         `on_dispatch` is called just before the first byte is handed to the kernel.
+        With `fresh` no idle connection is used.
 
         The connection is kept if the body was read to its end, and closed
         otherwise. Closing it tells the endpoint that the work is cancelled.
@@ -112,7 +120,7 @@
             ``MAY_HAVE_RUN`` for failures after bytes were handed to the kernel.
         """
         async with self._slots:
-            connection = await self._acquire()
+            connection = await self._acquire(fresh)
             try:
                 if on_dispatch is not None:
                     on_dispatch()
@@ -144,8 +152,8 @@
         while self._idle:
             await self._idle.pop().stream.close()
 
-    async def _acquire(self) -> _Connection:
-        while self._idle:
+    async def _acquire(self, fresh: bool) -> _Connection:
+        while self._idle and not fresh:
             connection = self._idle.pop()
             # A readable idle connection was closed by the peer, or holds bytes
             # of an answer that nobody asked for.
@@ -169,6 +177,7 @@
         protocol = connection.protocol
         reusable = (
             not self._closed
+            and len(self._idle) < self._max_idle
             and protocol.our_state is h11.DONE
             and protocol.their_state is h11.DONE
             and not protocol.trailing_data[0]
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -230,36 +230,40 @@
         connection: h11.Connection,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
-        handler.report_crash = False
         watcher = await curio.spawn(_cancel_on_disconnect, stream, connection, handler)
         try:
             await handler.wait()
         finally:
             await watcher.cancel()
             await handler.cancel()
-        error = handler.exception
-        if isinstance(error, Exception) and not isinstance(
-            error, (OSError, curio.TaskCancelled, curio.CancelledError)
-        ):
-            raise error
 
     async def _handle(self, request: Request, responder: Responder) -> None:
+        # A response that was started and not finished is cut off by closing the
+        # connection, which the caller of this task does.
         try:
             await self._handler(request, responder)
         except RequestError as error:
-            if responder.started:
-                raise OSError("response was cut off after it started") from error
-            await responder.respond_error(error)
-        except (OSError, curio.CancelledError):
+            if not responder.started:
+                await _respond_if_connected(responder, error)
+        except curio.CancelledError:
             raise
+        except OSError:
+            return
         except Exception:
             logging.exception("request handler failed")
-            if responder.started:
-                raise OSError("response was cut off after it started") from None
-            # The handler may have failed after it dispatched the request.
-            await responder.respond_error(
-                RequestError("internal", 500, "internal error", Verdict.MAY_HAVE_RUN)
-            )
+            if not responder.started:
+                # The handler may have failed after it dispatched the request.
+                error = RequestError(
+                    "internal", 500, "internal error", Verdict.MAY_HAVE_RUN
+                )
+                await _respond_if_connected(responder, error)
+
+
+async def _respond_if_connected(responder: Responder, error: RequestError) -> None:
+    try:
+        await responder.respond_error(error)
+    except OSError:
+        return
 
 
 async def _cancel_on_disconnect(
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -74,9 +74,10 @@
 ):
     """Settings of the entry host daemon.
 
-    `entry_hosts` lists every entry host in a fixed order. While draining, the host
-    still accepts connections for `drain_notice_s`, so that callers holding an older
-    directory answer are served.
+    `entry_hosts` lists every entry host. While draining, the host still accepts
+    connections for `drain_notice_s`, so that callers holding an older directory
+    answer are served. Running requests end or reach their deadlines; those that
+    take longer than `drain_timeout_s` are reported in the log and not cut off.
     """
 
     host: Name
--- a/buckthorndeal/transport.py
+++ b/buckthorndeal/transport.py
@@ -17,6 +17,7 @@
 ]
 
 ACCEPT_BACKLOG = 1024
+BACKLOG_WAIT_S = 0.001
 
 
 class Stream(abc.ABC):
@@ -137,12 +138,24 @@
     sock: socket.socket, handler: StreamHandler, tasks: set
 ) -> None:
     async with sock:
-        while True:
-            client, _ = await sock.accept()
-            task = await curio.spawn(
-                _run_handler, handler, _SocketStream(client), tasks, daemon=True
-            )
-            tasks.add(task)
+        try:
+            while True:
+                client, _ = await sock.accept()
+                await _spawn_handler(client, handler, tasks)
+        except curio.CancelledError:
+            # Closing the socket would reset connections that wait in its backlog.
+            while accepted := await curio.ignore_after(BACKLOG_WAIT_S, sock.accept):
+                await _spawn_handler(accepted[0], handler, tasks)
+            raise
+
+
+async def _spawn_handler(
+    client: socket.socket, handler: StreamHandler, tasks: set
+) -> None:
+    task = await curio.spawn(
+        _run_handler, handler, _SocketStream(client), tasks, daemon=True
+    )
+    tasks.add(task)
 
 
 async def _run_handler(handler: StreamHandler, stream: Stream, tasks: set) -> None:
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,215 @@
+"""Entry hosts and scripted endpoints on free ports for tests."""
+
+import logging
+import random
+import unittest
+from dataclasses import replace
+
+import curio
+import msgspec
+from absl import logging as absl_logging
+
+from buckthorndeal._entry_document import create_document_view
+from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal.authentication import hash_key
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry import create_entry_host
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.http_server import create_http_server
+from buckthorndeal.registry import Announcement
+from buckthorndeal.sections import parse_section
+from buckthorndeal.settings import Address, EntrySettings, Limits, PeerAddress
+from buckthorndeal.streams import Event, create_event_parser, format_event
+from buckthorndeal.transport import create_socket_transport
+
+PLATFORM = """{
+  "services": {
+    "llm": {"kind": "model", "models": ["m"], "default_deadline_s": 10},
+    "desk": {"kind": "plain", "default_deadline_s": 10,
+             "non_idempotent": [{"method": "POST", "path_prefix": "/book"}]}
+  },
+  "regions": {"r1": {"home": "h1", "failure_domains": ["r1-1"]},
+              "r2": {"home": "h2", "failure_domains": ["r2-1"]}}
+}"""
+WORKSPACES = {
+    "free": {"key_hashes": [hash_key("key-free")], "home_region": "r1"},
+    "bound": {
+        "key_hashes": [hash_key("key-bound")],
+        "home_region": "r1",
+        "bound": True,
+    },
+    "small": {
+        "key_hashes": [hash_key("key-small")],
+        "home_region": "r1",
+        "burst": 2,
+        "requests_per_s": 0.5,
+        "concurrency": 1,
+    },
+}
+REQUEST_ID = "buckthorndeal-request-id"
+TOKENS = 50
+
+
+class Cluster:
+    """Entry hosts named ``e1``, ``e2`` ... in the given regions."""
+
+    def __init__(self, regions, **settings):
+        self.transport = create_socket_transport()
+        self.regions = regions
+        self.servers = []
+        self.cancelled = []
+        self.pools = []
+        accounts = msgspec.json.encode({"workspaces": WORKSPACES}).decode()
+        view = create_document_view(
+            parse_section("platform", PLATFORM),
+            parse_section("accounts", accounts),
+            parse_section("support", "{}"),
+        )
+        self.hosts = [
+            create_entry_host(
+                EntrySettings(
+                    host=f"e{number}",
+                    region=region,
+                    failure_domain=f"{region}-1",
+                    listen=Address(port=0),
+                    peer_listen=Address(port=0),
+                    control_hosts=(PeerAddress(host="c1", port=1),),
+                    peer_keys=("00112233445566778899aabbccddeeff",),
+                    **{"drain_notice_s": 0.05, **settings},
+                ),
+                self.transport,
+                view,
+                rng=random.Random(number),
+            )
+            for number, region in enumerate(regions, 1)
+        ]
+
+    async def start(self):
+        for host in self.hosts:
+            await host.start()
+        self.records = [
+            HostRecord(f"e{number}", region, "127.0.0.1", host.port)
+            for number, (region, host) in enumerate(
+                zip(self.regions, self.hosts, strict=True), 1
+            )
+        ]
+        for host in self.hosts:
+            for record in self.records:
+                await host.router.ask(HostSeen(replace(record)))
+
+    async def close(self):
+        for part in (*self.pools, *self.servers, *self.hosts):
+            await part.close()
+
+    async def add_endpoint(self, name, service, handler, region="r1", port=None):
+        """Serve `handler` and announce it to the region's entry hosts."""
+        if port is None:
+            server = create_http_server(self._record_cancels(handler), Limits())
+            await server.start(self.transport, "127.0.0.1", 0)
+            self.servers.append(server)
+            port = server.port
+        message = Announcement(
+            name=name,
+            incarnation=1,
+            service=service,
+            region=region,
+            failure_domain=f"{region}-1",
+            address="127.0.0.1",
+            port=port,
+            models=("m",) if service == "llm" else (),
+            slots=64,
+        )
+        for host, host_region in zip(self.hosts, self.regions, strict=True):
+            if host_region == region:
+                await host.router.ask(message)
+
+    def _record_cancels(self, handler):
+        async def handle(request, responder):
+            if request.path == "/cancel":
+                self.cancelled.append(msgspec.json.decode(request.body)["request_id"])
+                await responder.respond_json(200, {})
+            else:
+                await handler(request, responder)
+
+        return handle
+
+    def create_pool(self, host=0):
+        port = self.hosts[host].port
+        pool = create_http_pool(self.transport, "127.0.0.1", port)
+        self.pools.append(pool)
+        return pool
+
+    async def fetch(
+        self, method, target, body=b"", host=0, key="key-free", headers=(), pool=None
+    ):
+        pool = pool or self.create_pool(host)
+        head = [("authorization", f"Bearer {key}"), *headers]
+        status, answer_headers, answer = await pool.fetch(method, target, head, body)
+        return status, answer_headers, answer
+
+    async def chat(self, host=0, **fields):
+        body = msgspec.json.encode({"model": "m", "messages": [], **fields})
+        return await self.fetch("POST", "/v1/chat/completions", body, host)
+
+    async def book(self, idempotency_key, body=b"{}", host=0, headers=()):
+        headers = [("idempotency-key", idempotency_key), *headers]
+        target = "/services/desk/book"
+        status, _, answer = await self.fetch(
+            "POST", target, body, host, "key-free", headers
+        )
+        return status, msgspec.json.decode(answer)
+
+
+class ClusterCase(unittest.TestCase):
+    """Runs scenarios against entry hosts and keeps their log records."""
+
+    def run_cluster(self, scenario, regions=("r1",), **settings):
+        async def main():
+            cluster = Cluster(regions, **settings)
+            await cluster.start()
+            try:
+                async with curio.timeout_after(20):
+                    return await scenario(cluster)
+            finally:
+                await cluster.close()
+
+        with self.assertLogs(absl_logging.get_absl_logger(), logging.INFO) as logs:
+            result = curio.run(main)
+        self.log_text = "\n".join(
+            f"{record.getMessage()} {getattr(record, 'buckthorndeal_fields', '')}"
+            for record in logs.records
+        )
+        return result
+
+
+def answer_with(body, status=200):
+    """Return a handler that echoes the request id and answers `body`."""
+
+    async def handle(request, responder):
+        headers = [(REQUEST_ID, request.headers.get(REQUEST_ID, ""))]
+        await responder.respond(status, body, headers=headers)
+
+    return handle
+
+
+async def send_tokens(request, responder, cut_at=None, wrong_at=None):
+    """Stream tokens ``t0`` to ``t49``; optionally cut off or send a foreign event."""
+    request_id = request.headers[REQUEST_ID]
+    start = msgspec.json.decode(request.body).get("resume_from", 0)
+    await responder.start(200, [(REQUEST_ID, request_id)])
+    for index in range(start, TOKENS + 1):
+        if index == cut_at:
+            raise OSError("cut off")
+        owner = "another-request" if index == wrong_at else request_id
+        data = f"t{index}" if index < TOKENS else "[DONE]"
+        await responder.send(format_event(Event(f"{owner}:{index}", data)))
+    await responder.finish()
+
+
+def read_tokens(body):
+    """Return ids and payloads of a streamed answer."""
+    events = create_event_parser().feed(body)
+    return [event.id for event in events], [event.data for event in events]
+
+
+EXPECTED_TOKENS = [*(f"t{index}" for index in range(TOKENS)), "[DONE]"]
--- /dev/null
+++ b/tests/test_entry_drain.py
@@ -0,0 +1,111 @@
+"""Tests of a drain under load: no request is cut off."""
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_messages import HostSeen, ListHosts
+from tests.support import (
+    EXPECTED_TOKENS,
+    ClusterCase,
+    answer_with,
+    read_tokens,
+    send_tokens,
+)
+
+CALLERS = 20
+
+
+class EntryDrainTest(ClusterCase):
+    """One of two entry hosts drains while callers use both."""
+
+    def test_no_request_is_cut_off_by_a_drain_under_load(self):
+        """Guards against requests lost when a host is stopped."""
+        outcomes = []
+
+        async def slow_tokens(request, responder):
+            await curio.sleep(0.03)
+            await send_tokens(request, responder)
+
+        async def slow_booking(request, responder):
+            await curio.sleep(0.03)
+            await answer_with(b"{}", 201)(request, responder)
+
+        async def call(cluster, number, stop):
+            # A caller asks the directory for each new connection, as it has to.
+            while not stop.is_set():
+                answer = await cluster.hosts[0].router.ask(ListHosts("r1"))
+                host = 0 if answer.hosts[0].host == "e1" else 1
+                if number % 2:
+                    _, _, body = await cluster.chat(host=host, stream=True)
+                    outcomes.append(read_tokens(body)[1] == EXPECTED_TOKENS)
+                else:
+                    key = f"{number}-{len(outcomes)}"
+                    outcomes.append((await cluster.book(key, host=host))[0] == 201)
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("m", "llm", slow_tokens)
+            await cluster.add_endpoint("d", "desk", slow_booking)
+            stop = curio.Event()
+            tasks = [
+                await curio.spawn(call, cluster, number, stop)
+                for number in range(CALLERS)
+            ]
+            await curio.sleep(0.2)
+            before = len(outcomes)
+            self.assertGreater(cluster.hosts[1].running_requests, 0)
+            # The directory of the other host learns of the drain in time.
+            record = cluster.records[1]
+            record.state = "draining"
+            await cluster.hosts[0].router.ask(HostSeen(record))
+            await cluster.hosts[1].drain()
+            running = cluster.hosts[1].running_requests
+            await cluster.hosts[1].close()
+            await curio.sleep(0.1)
+            await stop.set()
+            for task in tasks:
+                await task.join()
+            return before, running
+
+        before, running = self.run_cluster(scenario, ("r1", "r1"))
+        self.assertEqual(running, 0)
+        self.assertGreater(len(outcomes), before)
+        self.assertEqual(outcomes.count(False), 0)
+
+    def test_draining_host_is_not_ready_and_closes_after_each_answer(self):
+        """Guards against callers that keep a connection to a leaving host."""
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("d", "desk", answer_with(b"{}"))
+            pool = cluster.create_pool()
+            before = await cluster.fetch("GET", "/readyz", pool=pool)
+            drain = await curio.spawn(cluster.hosts[0].drain)
+            await curio.sleep(0.02)
+            ready = await cluster.fetch("GET", "/readyz")
+            served = await cluster.fetch("GET", "/services/desk/a", pool=pool)
+            answer = await cluster.fetch("GET", "/v1/entry-hosts")
+            await drain.join()
+            return before, ready, served, msgspec.json.decode(answer[2])["hosts"]
+
+        before, ready, served, hosts = self.run_cluster(scenario, drain_notice_s=0.3)
+        self.assertEqual((before[0], ready[0], served[0]), (200, 503, 200))
+        self.assertEqual(served[1]["connection"], "close")
+        self.assertEqual(hosts, [])
+
+    def test_drain_waits_for_a_request_that_is_still_arriving(self):
+        """Guards against a drain that cuts off a half received request."""
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("d", "desk", answer_with(b"done"))
+            port = cluster.hosts[0].port
+            stream = await cluster.transport.connect("127.0.0.1", port)
+            await stream.sendall(b"GET /services/desk/a HTTP/1.1\r\nhost: a\r\n")
+            await curio.sleep(0.02)
+            drain = await curio.spawn(cluster.hosts[0].drain)
+            await curio.sleep(0.1)
+            await stream.sendall(b"authorization: Bearer key-free\r\n\r\n")
+            data = await stream.recv(65536)
+            await drain.join()
+            await stream.close()
+            return data
+
+        self.assertIn(b"done", self.run_cluster(scenario))
--- /dev/null
+++ b/tests/test_entry_streams.py
@@ -0,0 +1,85 @@
+"""Tests of streamed answers: cuts at every token, swapped events, endings."""
+
+import functools
+import itertools
+
+import msgspec
+
+from tests.support import (
+    EXPECTED_TOKENS,
+    REQUEST_ID,
+    TOKENS,
+    ClusterCase,
+    answer_with,
+    read_tokens,
+    send_tokens,
+)
+
+
+class EntryStreamTest(ClusterCase):
+    """Streams that break are resumed without a gap and without a repeat."""
+
+    def check_resumed(self, regions=("r1",), endpoint_region="r1", **fault):
+        """Break the first attempt of each stream and compare the whole answer."""
+        attempts = itertools.count()
+        (name,) = fault
+
+        async def scenario(cluster):
+            for position in range(TOKENS + 1):
+
+                async def handle(request, responder, position=position):
+                    broken = next(attempts) % 2 == 0
+                    kind = {name: position} if broken else {}
+                    await send_tokens(request, responder, **kind)
+
+                for endpoint in ("a", "b"):
+                    await cluster.add_endpoint(endpoint, "llm", handle, endpoint_region)
+                answer = await cluster.chat(stream=True)
+                ids, tokens = read_tokens(answer[2])
+                self.assertEqual(tokens, EXPECTED_TOKENS, position)
+                request_id = answer[1][REQUEST_ID]
+                expected = [f"{request_id}:{index}" for index in range(TOKENS + 1)]
+                self.assertEqual(ids, expected)
+            self.assertEqual(next(attempts), 2 * (TOKENS + 1))
+
+        self.run_cluster(scenario, regions)
+
+    def test_stream_cut_at_each_token_is_resumed(self):
+        """Guards against lost or doubled tokens after an endpoint dies."""
+        self.check_resumed(cut_at=None)
+
+    def test_foreign_event_at_each_token_is_dropped(self):
+        """Guards against tokens of another request in an answer."""
+        self.check_resumed(wrong_at=None)
+
+    def test_forwarded_stream_is_resumed(self):
+        """Guards against a stream that breaks for good behind another host."""
+        self.check_resumed(("r1", "r2"), "r2", cut_at=None)
+
+    def test_stream_without_a_second_endpoint_ends_with_an_error_event(self):
+        """Guards against a cut answer that looks complete."""
+
+        async def scenario(cluster):
+            cut = functools.partial(send_tokens, cut_at=7)
+            await cluster.add_endpoint("a", "llm", cut)
+            return await cluster.chat(stream=True)
+
+        answer = self.run_cluster(scenario)
+        _, tokens = read_tokens(answer[2])
+        self.assertEqual(tokens[:-1], EXPECTED_TOKENS[:7])
+        error = msgspec.json.decode(tokens[-1])["error"]
+        self.assertEqual(error["verdict"], "may_have_run")
+
+    def test_refusal_before_the_first_token_is_retried_elsewhere(self):
+        """Guards against a full endpoint that fails a request others could run."""
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("full", "llm", answer_with(b"{}", 429))
+            refused = await cluster.chat(stream=True)
+            await cluster.add_endpoint("free", "llm", send_tokens)
+            return refused, [await cluster.chat(stream=True) for _ in range(6)]
+
+        refused, answers = self.run_cluster(scenario)
+        self.assertEqual(refused[0], 503)
+        for answer in answers:
+            self.assertEqual(read_tokens(answer[2])[1], EXPECTED_TOKENS)
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,102 @@
+"""Tests that every example file loads and that the local deployment runs."""
+
+import glob
+import logging
+import os
+import tempfile
+import unittest
+
+import curio
+from absl import logging as absl_logging
+
+from buckthorndeal._entry_document import load_document
+from buckthorndeal.command_local import create_local_deployment
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.sections import parse_section
+from buckthorndeal.settings import EntrySettings, load_settings
+from buckthorndeal.transport import create_socket_transport
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+
+def list_files(*pattern):
+    return sorted(glob.glob(os.path.join(ROOT, "examples", *pattern)))
+
+
+class ExamplesTest(unittest.TestCase):
+    """Settings and sections under ``examples/``."""
+
+    def test_every_settings_file_loads_and_agrees_with_the_document(self):
+        """Guards against examples that a new colleague cannot start."""
+        for deployment in ("kelawar", "brazos"):
+            files = list_files(deployment, "entry-*.jsonc")
+            self.assertEqual(len(files), 4)
+            regions = load_document(
+                os.path.join(ROOT, "examples", deployment, "document")
+            ).platform.regions
+            for file in files:
+                settings = load_settings(file, EntrySettings)
+                self.assertEqual(
+                    settings.document_directory, f"examples/{deployment}/document"
+                )
+                self.assertIn(
+                    settings.failure_domain, regions[settings.region].failure_domains
+                )
+                listed = {entry.host: entry for entry in settings.entry_hosts}
+                self.assertEqual(listed[settings.host].port, settings.listen.port)
+                self.assertEqual(len(listed), 4)
+
+    def test_every_section_loads(self):
+        """Guards against an example section that the document would refuse."""
+        files = list_files("*", "document", "*.jsonc")
+        self.assertEqual(len(files), 6)
+        for file in files:
+            with open(file, encoding="utf-8") as stream:
+                name = os.path.basename(file).removesuffix(".jsonc")
+                parse_section(name, stream.read())
+
+    def test_local_deployment_answers_its_three_commands(self):
+        """Guards against a first start that does not work."""
+
+        async def main(directory):
+            deployment = create_local_deployment(directory, port=0)
+            await deployment.start()
+            head = [("authorization", "Bearer kunci-loceng-timur")]
+            calls = [
+                (
+                    "POST",
+                    "/v1/chat/completions",
+                    head,
+                    b'{"model": "loceng-7b", "stream": true, "max_tokens": 3}',
+                ),
+                ("GET", "/services/aplikasi-bengkel/stock/a", head, b""),
+                (
+                    "POST",
+                    "/services/aplikasi-bengkel/deposits",
+                    [*head, ("idempotency-key", "1")],
+                    b"{}",
+                ),
+            ]
+            statuses = []
+            for host in deployment.hosts[:2]:
+                pool = create_http_pool(
+                    create_socket_transport(), "127.0.0.1", host.port
+                )
+                for call in calls:
+                    statuses.append((await pool.fetch(*call))[0])
+                await pool.close()
+            counts = (len(deployment.hosts), len(deployment.standins))
+            await deployment.close()
+            return statuses, counts
+
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            self.assertLogs(absl_logging.get_absl_logger(), logging.INFO),
+        ):
+            statuses, counts = curio.run(main, directory)
+        self.assertEqual(statuses, [200, 200, 201] * 2)
+        self.assertEqual(counts, (4, 12))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,73 @@
+"""Tests of signed headers and hop rules."""
+
+import random
+import unittest
+
+from buckthorndeal.errors import AuthenticationError, RequestError, Verdict
+from buckthorndeal.forwarding import (
+    MAX_HOPS,
+    ForwardedRequest,
+    check_next_hop,
+    sign_request,
+    verify_request,
+)
+
+REQUEST = ForwardedRequest(
+    "e1", ("e1", "e2"), True, 900, "id-1", "w", "application/json", "key-1"
+)
+KEY = b"k" * 16
+
+
+class ForwardingTest(unittest.TestCase):
+    """MAC over headers and body, and hops."""
+
+    def sign(self):
+        return dict(sign_request(REQUEST, "POST", "/x?y=1", b"body", KEY))
+
+    def test_signed_request_is_read_back_with_any_key_in_use(self):
+        """Guards against a key rotation that refuses valid requests."""
+        keys = (b"new" * 8, KEY)
+        read = verify_request(self.sign(), "POST", "/x?y=1", b"body", keys)
+        self.assertEqual(read, REQUEST)
+
+    def test_any_change_is_refused(self):
+        """Guards against a header, target or body that the MAC does not cover."""
+        for name in self.sign():
+            for value in ("0", "", "é", self.sign()[name] + "0"):
+                headers = {**self.sign(), name: value}
+                with self.assertRaises(AuthenticationError, msg=name):
+                    verify_request(headers, "POST", "/x?y=1", b"body", (KEY,))
+        for changed in (
+            ("GET", "/x?y=1", b"body"),
+            ("POST", "/x?y=2", b"body"),
+            ("POST", "/x?y=1", b"bodz"),
+        ):
+            with self.assertRaises(AuthenticationError, msg=changed):
+                verify_request(self.sign(), *changed, (KEY,))
+        with self.assertRaises(AuthenticationError):
+            verify_request(self.sign(), "POST", "/x?y=1", b"body", (b"z" * 16,))
+
+    def test_no_choice_of_next_hosts_makes_a_loop(self):
+        """Guards against loops and second region changes, whatever the routing does."""
+        rng = random.Random(7)
+        for _ in range(2000):
+            hosts = [(f"e{n}", rng.choice("abc")) for n in range(rng.randint(2, 6))]
+            host, region = rng.choice(hosts)
+            hops, crossings = (), 0
+            while len(hops) <= len(hosts) + 1:
+                hops = (*hops, host)
+                target, target_region = rng.choice(hosts)
+                try:
+                    check_next_hop(hops, crossings > 0, region, target, target_region)
+                except RequestError as error:
+                    self.assertIs(error.verdict, Verdict.NOT_RUN)
+                    break
+                crossings += target_region != region
+                host, region = target, target_region
+            self.assertEqual(len(set(hops)), len(hops))
+            self.assertLessEqual(len(hops), MAX_HOPS)
+            self.assertLessEqual(crossings, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
