End attempts at silent endpoints, and check promises under random faults

Cause: a request at an endpoint that fell silent was held to its deadline. A cancelled connection attempt left its socket to the garbage collector: curio's open_connection closes it only on OSError (found by the random faults test). Change: the client asks the router after 0.5 s of silence whether the target is still there. The transport closes the socket of a cancelled connection attempt. Stand-ins send heartbeats to their registrars in parallel.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -8,7 +8,14 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import Call, ChooseRoute, EndAttempt, Progress, Route
+from buckthorndeal._entry_messages import (
+    Call,
+    ChooseRoute,
+    EndAttempt,
+    IsLive,
+    Progress,
+    Route,
+)
 from buckthorndeal._entry_pools import Pools
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
@@ -266,10 +273,20 @@
         # A peer may close an idle connection just as it is used again, and then a
         # call that must not be repeated would end with "may have run".
         fresh=not call.idempotent,
+        check=lambda: _check_target(context, attempt_id, route),
     ) as response:
         yield response
 
 
+async def _check_target(context: EntryContext, attempt_id: str, route: Route) -> None:
+    host = route.host.host if route.host is not None else None
+    if not await context.router.ask(IsLive(attempt_id, host)):
+        # Waiting longer would hold the caller until its deadline.
+        raise RequestError(
+            "target_lost", 502, "the endpoint fell silent", Verdict.MAY_HAVE_RUN
+        )
+
+
 def _sign_call(
     context: EntryContext, call: Call, attempt_id: str, host: HostRecord
 ) -> list[tuple[str, str]]:
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -34,6 +34,7 @@
 )
 from buckthorndeal._entry_relay import StreamRelay
 from buckthorndeal.authentication import Identity
+from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest
 from buckthorndeal.http_server import Request, Responder
@@ -164,7 +165,7 @@
         hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
         registrars = [
             {"host": record.host, "address": record.address, "port": record.port}
-            for record in hosts[:MAX_REGISTRARS]
+            for record in sorted(hosts, key=_is_gone)[:MAX_REGISTRARS]
         ]
         await responder.respond_json(
             200, {"state": outcome.state, "registrars": registrars}
@@ -301,6 +302,10 @@
         return None
 
 
+def _is_gone(record: HostRecord) -> bool:
+    return record.state != "alive"
+
+
 def _get_end_event(progress: Progress) -> str:
     return "refuse" if progress.verdict is Verdict.NOT_RUN else "fail"
 
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -55,6 +55,14 @@
     region: str
 
 
+@dataclass(frozen=True, slots=True)
+class IsLive:
+    """Asks the router task whether the target of an attempt is still there."""
+
+    attempt_id: str
+    host: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class EndAttempt:
     """Tells the router task that an attempt ended; an unknown id is ignored."""
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -15,6 +15,7 @@
     EndAttempt,
     FindOwner,
     HostSeen,
+    IsLive,
     ListEndpoints,
     ListHosts,
     ListRegionHosts,
@@ -124,6 +125,14 @@
         if view is not None:
             self._registry.record_end(view.name, view.incarnation)
 
+    @handle.register
+    def _(self, message: IsLive) -> bool:
+        if message.host is not None:
+            record = self._directory.get(message.host)
+            return record is not None and record.state != "lost"
+        view = self._attempts.get(message.attempt_id)
+        return view is not None and self._registry.is_live(view.name, view.incarnation)
+
     @handle.register
     def _(self, message: ChooseRoute) -> Route:
         route = self._choose(message)
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client on h11: persistent bounded connections to one address."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -16,12 +16,16 @@
 MAX_HEADER_BYTES = 65_536
 MAX_ANSWER_BYTES = 1 << 26
 CONNECT_TIMEOUT_S = 2.0
+CHECK_INTERVAL_S = 0.5
+
+Check = Callable[[], Awaitable[None]]
 
 
 @dataclass(eq=False)
 class _Connection:
     stream: Stream
     protocol: h11.Connection
+    check: Check | None = None
 
 
 @dataclass(eq=False)
@@ -104,11 +108,13 @@
         body: bytes = b"",
         on_dispatch: Callable[[], None] | None = None,
         fresh: bool = False,
+        check: Check | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
         `on_dispatch` is called just before the first byte is handed to the kernel.
-        With `fresh` no idle connection is used.
+        With `fresh` no idle connection is used. `check` is awaited whenever the
+        peer has been silent for `CHECK_INTERVAL_S`; what it raises ends the request.
 
         The connection is kept if the body was read to its end, and closed
         otherwise. Closing it tells the endpoint that the work is cancelled.
@@ -121,6 +127,7 @@
         """
         async with self._slots:
             connection = await self._acquire(fresh)
+            connection.check = check
             try:
                 if on_dispatch is not None:
                     on_dispatch()
@@ -230,13 +237,25 @@
             event = protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            protocol.receive_data(await connection.stream.recv(READ_BYTES))
+            protocol.receive_data(await _receive(connection))
     except OSError as error:
         raise _create_broken(str(error)) from error
     except h11.RemoteProtocolError as error:
         raise _create_broken(f"malformed answer: {error}") from error
 
 
+async def _receive(connection: _Connection) -> bytes:
+    if connection.check is None:
+        return await connection.stream.recv(READ_BYTES)
+    while True:
+        data = await curio.ignore_after(
+            CHECK_INTERVAL_S, connection.stream.recv, READ_BYTES
+        )
+        if data is not None:
+            return data
+        await connection.check()
+
+
 def _create_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -184,6 +184,13 @@
             if record.view.state not in ("left", "expired")
         ]
 
+    def is_live(self, name: str, incarnation: int) -> bool:
+        """Return whether an incarnation is ready or draining."""
+        record = self._records.get(name)
+        if record is None or record.view.incarnation != incarnation:
+            return False
+        return record.view.state in ("ready", "draining")
+
     def record_start(self, name: str, incarnation: int) -> None:
         """Count a request that this host sends to an endpoint."""
         record = self._records.get(name)
--- a/buckthorndeal/standin.py
+++ b/buckthorndeal/standin.py
@@ -114,23 +114,26 @@
             status, reply = await self._post(address, "announce", self._describe())
             if status != 200:
                 continue
-            self._registrars = [
-                (entry["address"], entry["port"]) for entry in reply["registrars"]
-            ] or [address]
+            self._registrars = _read_registrars(reply) or [address]
             for other in self._registrars:
                 if other != address:
                     await self._post(other, "announce", self._describe())
             return
 
     async def _send_heartbeats(self) -> None:
-        reached = 0
-        for address in self._registrars:
-            status, _ = await self._post(address, "heartbeat", self._report())
-            if status == 409:
-                status, _ = await self._post(address, "announce", self._describe())
-            reached += status == 200
-        if not reached:
-            self._registrars = []
+        # A silent registrar must not delay the heartbeats to the other one.
+        async with curio.TaskGroup() as group:
+            for address in self._registrars:
+                await group.spawn(self._send_heartbeat, address)
+        replies = [reply for reply in group.results if reply is not None]
+        # Without an answer the known entry hosts are asked for registrars again.
+        self._registrars = _read_registrars(replies[0]) if replies else []
+
+    async def _send_heartbeat(self, address: Address) -> dict | None:
+        status, reply = await self._post(address, "heartbeat", self._report())
+        if status == 409:
+            status, reply = await self._post(address, "announce", self._describe())
+        return reply if status == 200 else None
 
     async def _notify_all(self, kind: str) -> None:
         for address in self._registrars:
@@ -183,6 +186,10 @@
             return 0, {}
 
 
+def _read_registrars(reply: dict) -> list[Address]:
+    return [(entry["address"], entry["port"]) for entry in reply["registrars"]]
+
+
 def create_standin(
     settings: StandinSettings,
     work: StandinEngine | StandinPlain,
--- a/buckthorndeal/transport.py
+++ b/buckthorndeal/transport.py
@@ -120,7 +120,16 @@
 
     async def connect(self, address: str, port: int) -> Stream:
         """Open a TCP connection."""
-        return _SocketStream(await curio.open_connection(address, port))
+        is_ipv6 = ":" in address
+        sock = socket.socket(socket.AF_INET6 if is_ipv6 else socket.AF_INET)
+        try:
+            await sock.connect((address, port))
+        except BaseException:
+            # A cancelled connection attempt would leave its socket open.
+            async with curio.disable_cancellation():
+                await sock.close()
+            raise
+        return _SocketStream(sock)
 
     async def listen(self, address: str, port: int, handler: StreamHandler) -> Listener:
         """Listen on a TCP port."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,6 +5,7 @@
 
 from buckthorndeal._entry_messages import ListEndpoints
 from buckthorndeal.forwarding import ForwardedRequest, sign_request
+from buckthorndeal.registry import LeaveNotice
 from buckthorndeal.streams import Event, format_event
 from tests.support import REQUEST_ID, ClusterCase, answer_with, send_tokens
 
@@ -111,6 +112,24 @@
         self.assertEqual(status, 504)
         self.assertEqual(read_error(body)["verdict"], "may_have_run")
 
+    def test_silent_endpoint_that_expires_does_not_hold_the_caller(self):
+        """Guards against a request held to its deadline by a cut-off endpoint."""
+
+        async def hang(request, responder):
+            await curio.sleep(30)
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("a", "desk", hang)
+            router = cluster.hosts[0].router
+            task = await curio.spawn(cluster.fetch, "GET", "/services/desk/a")
+            while not cluster.servers[0].active_requests:
+                await curio.sleep(0.001)
+            await cluster.add_endpoint("b", "desk", answer_with(b"1"))
+            await router.ask(LeaveNotice(name="a", incarnation=1))
+            return await task.join()
+
+        self.assertEqual(self.run_cluster(scenario)[0], 200)
+
     def test_caller_that_disconnects_cancels_at_the_endpoint(self):
         """Guards against work that goes on for a caller that has gone."""
         started, ended = [], []
--- a/tests/test_entry_bookings.py
+++ b/tests/test_entry_bookings.py
@@ -112,6 +112,51 @@
             self.assertIn(status, (409, 504))
             self.assertEqual(body["error"]["verdict"], "may_have_run")
 
+    def test_booking_does_not_use_an_idle_connection(self):
+        """Guards against "may have run" because an endpoint closed an idle one."""
+
+        async def serve(stream):
+            head = await stream.recv(65536)
+            request_id = head.lower().split(REQUEST_ID.encode() + b": ")[1]
+            request_id = request_id.split(b"\r\n")[0]
+            await stream.sendall(
+                b"HTTP/1.1 201 Created\r\ncontent-length: 2\r\n"
+                + REQUEST_ID.encode()
+                + b": "
+                + request_id
+                + b"\r\n\r\n{}"
+            )
+            await stream.recv(65536)
+
+        async def scenario(cluster):
+            listener = await cluster.transport.listen("127.0.0.1", 0, serve)
+            cluster.servers.append(listener)
+            await cluster.add_endpoint("a", "desk", None, port=listener.port)
+            await cluster.fetch("GET", "/services/desk/a")
+            return await cluster.book("k")
+
+        self.assertEqual(self.run_cluster(scenario), (201, {}))
+
+    def test_refused_resend_of_a_sent_booking_is_not_reported_as_not_run(self):
+        """Guards against "not run" from a limit after an attempt that may have run."""
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("a", "desk", self.die_after)
+            answers = []
+            for _ in range(3):
+                answer = await cluster.fetch(
+                    "POST",
+                    "/services/desk/book",
+                    b"{}",
+                    key="key-small",
+                    headers=[("idempotency-key", "k")],
+                )
+                answers.append((answer[0], b'"may_have_run"' in answer[2]))
+            return answers
+
+        answers = self.run_cluster(scenario)
+        self.assertEqual(answers, [(502, True), (409, True), (429, True)])
+
     def test_lost_owner_is_not_run_until_a_request_was_sent_to_it(self):
         """Guards against "not run" after a booking that the lost owner ran."""
 
--- /dev/null
+++ b/tests/test_entry_faults.py
@@ -0,0 +1,135 @@
+"""Seeded random faults: every request is answered in full or truthfully refused."""
+
+import collections
+import random
+
+import curio
+import msgspec
+
+from tests.support import (
+    EXPECTED_TOKENS,
+    REQUEST_ID,
+    ClusterCase,
+    read_tokens,
+    send_tokens,
+)
+
+SEEDS = range(6)
+KEYS = 40
+STREAMS = 40
+DEADLINE = ("buckthorndeal-deadline-ms", "300")
+FAULTS = ("none", "none", "none", "before", "during", "after", "swap", "full", "slow")
+
+
+class EntryFaultsTest(ClusterCase):
+    """Faulty endpoints behind three hosts of two regions."""
+
+    def create_endpoint(self, rng, executed):
+        async def handle(request, responder):
+            fault = rng.choice(FAULTS)
+            request_id = request.headers[REQUEST_ID]
+            if request.path != "/book":
+                await self.stream(request, responder, fault, rng)
+                return
+            if fault == "before":
+                raise OSError("killed before")
+            if fault == "slow":
+                await curio.sleep(0.4)
+            if fault != "full":
+                executed[request.body] += 1
+            if fault == "after":
+                raise OSError("killed after")
+            echoed = "another-request" if fault == "swap" else request_id
+            status = 503 if fault == "full" else 201
+            if fault == "during":
+                await responder.start(status, [(REQUEST_ID, echoed)])
+                raise OSError("killed during")
+            await responder.respond(
+                status, request.body, headers=[(REQUEST_ID, echoed)]
+            )
+
+        return handle
+
+    async def stream(self, request, responder, fault, rng):
+        if fault == "slow":
+            await curio.sleep(0.4)
+        position = rng.randrange(51)
+        kinds = {"before": "cut_at", "during": "cut_at", "swap": "wrong_at"}
+        kind = {kinds[fault]: position} if fault in kinds else {}
+        await send_tokens(request, responder, **kind)
+
+    async def run_booking(self, cluster, rng, number, executed):
+        key = str(number)
+        body = msgspec.json.encode({"key": key})
+        verdicts = []
+        for _ in range(3):
+            host = rng.randrange(3)
+            task = await curio.spawn(cluster.book, key, body, host, [DEADLINE])
+            if rng.random() < 0.2:
+                await curio.sleep(rng.random() * 0.02)
+                await task.cancel()
+                verdicts.append("unknown")
+                continue
+            status, answer = await task.join()
+            if "error" in answer:
+                verdicts.append(answer["error"]["verdict"])
+            else:
+                self.assertIn(status, (201, 503))
+                self.assertEqual(answer, {"key": key})
+                verdicts.append("ran")
+            if verdicts == ["not_run"] * len(verdicts):
+                self.assertEqual(executed[body], 0)
+        return body, verdicts
+
+    async def run_stream(self, cluster, rng):
+        body = b'{"model": "m", "stream": true}'
+        status, _, answer = await cluster.fetch(
+            "POST", "/v1/chat/completions", body, rng.randrange(3), headers=[DEADLINE]
+        )
+        if status != 200:
+            self.assertIn("verdict", msgspec.json.decode(answer)["error"])
+            return 0
+        ids, tokens = read_tokens(answer)
+        self.assertEqual(len({event.rpartition(":")[0] for event in ids}), 1)
+        if tokens != EXPECTED_TOKENS:
+            self.assertIn("verdict", msgspec.json.decode(tokens[-1])["error"])
+            self.assertEqual(tokens[:-1], EXPECTED_TOKENS[: len(tokens) - 1])
+        return tokens == EXPECTED_TOKENS
+
+    def test_random_faults_break_no_promise(self):
+        """Guards against doubled bookings, mixed answers and false "not run"."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                bookings, complete, executed = self.run_seed(seed)
+                self.assertLessEqual(max(executed.values()), 1)
+                for body, verdicts in bookings:
+                    if set(verdicts) == {"not_run"}:
+                        self.assertEqual(executed[body], 0)
+                self.assertGreater(complete, 0)
+
+    def run_seed(self, seed):
+        rng = random.Random(seed)
+        executed = collections.Counter()
+
+        async def scenario(cluster):
+            handler = self.create_endpoint(rng, executed)
+            for region in ("r1", "r2"):
+                for name in ("a", "b", "c"):
+                    await cluster.add_endpoint(
+                        f"{name}-{region}", "llm", handler, region
+                    )
+                await cluster.add_endpoint(f"d-{region}", "desk", handler, region)
+            bookings = [
+                await curio.spawn(self.run_booking, cluster, rng, number, executed)
+                for number in range(KEYS)
+            ]
+            streams = [
+                await curio.spawn(self.run_stream, cluster, rng) for _ in range(STREAMS)
+            ]
+            results = [await task.join() for task in bookings]
+            complete = sum([await task.join() for task in streams])
+            # A booking that was given up on may still end at its endpoint.
+            await curio.sleep(0.5)
+            return results, complete, executed
+
+        return self.run_cluster(scenario, ("r1", "r1", "r2"))
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -3,8 +3,10 @@
 import functools
 import itertools
 
+import curio
 import msgspec
 
+from buckthorndeal.streams import Event, format_event
 from tests.support import (
     EXPECTED_TOKENS,
     REQUEST_ID,
@@ -70,6 +72,28 @@
         error = msgspec.json.decode(tokens[-1])["error"]
         self.assertEqual(error["verdict"], "may_have_run")
 
+    def test_deadline_within_a_stream_ends_it_with_an_error_event(self):
+        """Guards against a stream that stalls beyond its deadline."""
+
+        async def stall(request, responder):
+            request_id = request.headers[REQUEST_ID]
+            await responder.start(200, [(REQUEST_ID, request_id)])
+            await responder.send(format_event(Event(f"{request_id}:0", "t0")))
+            await curio.sleep(30)
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("a", "llm", stall)
+            body = b'{"model": "m", "stream": true}'
+            headers = [("buckthorndeal-deadline-ms", "100")]
+            return await cluster.fetch(
+                "POST", "/v1/chat/completions", body, headers=headers
+            )
+
+        _, tokens = read_tokens(self.run_cluster(scenario)[2])
+        self.assertEqual(tokens[0], "t0")
+        code = msgspec.json.decode(tokens[1])["error"]["code"]
+        self.assertEqual(code, "deadline_exceeded")
+
     def test_refusal_before_the_first_token_is_retried_elsewhere(self):
         """Guards against a full endpoint that fails a request others could run."""
 
