--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 client on h11: persistent bounded connections to one address."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -14,13 +14,18 @@
 
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
+MAX_ANSWER_BYTES = 1 << 26
 CONNECT_TIMEOUT_S = 2.0
+CHECK_INTERVAL_S = 0.5
+
+Check = Callable[[], Awaitable[None]]
 
 
 @dataclass(eq=False)
 class _Connection:
     stream: Stream
     protocol: h11.Connection
+    check: Check | None = None
 
 
 @dataclass(eq=False)
@@ -59,7 +64,11 @@
     async def read(self) -> bytes:
         """Return the whole body."""
         parts = []
+        size = 0
         while part := await self.read_part():
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise _create_broken(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
             parts.append(part)
         return b"".join(parts)
 
@@ -86,6 +95,7 @@
         self.port = port
         self._transport = transport
         self._slots = curio.Semaphore(max_connections)
+        self._max_idle = max_connections
         self._idle: list[_Connection] = []
         self._closed = False
 
@@ -97,10 +107,14 @@
         headers: list[tuple[str, str]],
         body: bytes = b"",
         on_dispatch: Callable[[], None] | None = None,
+        fresh: bool = False,
+        check: Check | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
         `on_dispatch` is called just before the first byte is handed to the kernel.
+        With `fresh` no idle connection is used. `check` is awaited whenever the
+        peer has been silent for `CHECK_INTERVAL_S`; what it raises ends the request.
 
         The connection is kept if the body was read to its end, and closed
         otherwise. Closing it tells the endpoint that the work is cancelled.
@@ -112,7 +126,8 @@
             ``MAY_HAVE_RUN`` for failures after bytes were handed to the kernel.
         """
         async with self._slots:
-            connection = await self._acquire()
+            connection = await self._acquire(fresh)
+            connection.check = check
             try:
                 if on_dispatch is not None:
                     on_dispatch()
@@ -144,8 +159,8 @@
         while self._idle:
             await self._idle.pop().stream.close()
 
-    async def _acquire(self) -> _Connection:
-        while self._idle:
+    async def _acquire(self, fresh: bool) -> _Connection:
+        while self._idle and not fresh:
             connection = self._idle.pop()
             # A readable idle connection was closed by the peer, or holds bytes
             # of an answer that nobody asked for.
@@ -169,6 +184,7 @@
         protocol = connection.protocol
         reusable = (
             not self._closed
+            and len(self._idle) < self._max_idle
             and protocol.our_state is h11.DONE
             and protocol.their_state is h11.DONE
             and not protocol.trailing_data[0]
@@ -221,13 +237,25 @@
             event = protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            protocol.receive_data(await connection.stream.recv(READ_BYTES))
+            protocol.receive_data(await _receive(connection))
     except OSError as error:
         raise _create_broken(str(error)) from error
     except h11.RemoteProtocolError as error:
         raise _create_broken(f"malformed answer: {error}") from error
 
 
+async def _receive(connection: _Connection) -> bytes:
+    if connection.check is None:
+        return await connection.stream.recv(READ_BYTES)
+    while True:
+        data = await curio.ignore_after(
+            CHECK_INTERVAL_S, connection.stream.recv, READ_BYTES
+        )
+        if data is not None:
+            return data
+        await connection.check()
+
+
 def _create_protocol() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
--- a/buckthorndeal/transport.py
+++ b/buckthorndeal/transport.py
@@ -17,6 +17,7 @@
 ]
 
 ACCEPT_BACKLOG = 1024
+BACKLOG_WAIT_S = 0.001
 
 
 class Stream(abc.ABC):
@@ -119,7 +120,16 @@
 
     async def connect(self, address: str, port: int) -> Stream:
         """Open a TCP connection."""
-        return _SocketStream(await curio.open_connection(address, port))
+        is_ipv6 = ":" in address
+        sock = socket.socket(socket.AF_INET6 if is_ipv6 else socket.AF_INET)
+        try:
+            await sock.connect((address, port))
+        except BaseException:
+            # A cancelled connection attempt would leave its socket open.
+            async with curio.disable_cancellation():
+                await sock.close()
+            raise
+        return _SocketStream(sock)
 
     async def listen(self, address: str, port: int, handler: StreamHandler) -> Listener:
         """Listen on a TCP port."""
@@ -137,12 +147,24 @@
     sock: socket.socket, handler: StreamHandler, tasks: set
 ) -> None:
     async with sock:
-        while True:
-            client, _ = await sock.accept()
-            task = await curio.spawn(
-                _run_handler, handler, _SocketStream(client), tasks, daemon=True
-            )
-            tasks.add(task)
+        try:
+            while True:
+                client, _ = await sock.accept()
+                await _spawn_handler(client, handler, tasks)
+        except curio.CancelledError:
+            # Closing the socket would reset connections that wait in its backlog.
+            while accepted := await curio.ignore_after(BACKLOG_WAIT_S, sock.accept):
+                await _spawn_handler(accepted[0], handler, tasks)
+            raise
+
+
+async def _spawn_handler(
+    client: socket.socket, handler: StreamHandler, tasks: set
+) -> None:
+    task = await curio.spawn(
+        _run_handler, handler, _SocketStream(client), tasks, daemon=True
+    )
+    tasks.add(task)
 
 
 async def _run_handler(handler: StreamHandler, stream: Stream, tasks: set) -> None:
