Add the log stores: memory and disk form

Cause: the replicated log needs a store that is durable before anything is acknowledged, and that tells a torn tail from corruption. CorruptStoreError keeps its reason, and MembershipChangeError is new.

--- /dev/null
+++ b/buckthorndeal/_logstore_disk.py
@@ -0,0 +1,317 @@
+"""Disk form of the log store.
+
+The directory holds `identity`, `ballot` and `snapshot`, which are replaced
+atomically, and the segment file `log` with checksummed records. `identity` is
+written last when a store is created: without it the directory holds no store.
+"""
+
+import contextlib
+import fcntl
+import os
+import struct
+import zlib
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from buckthorndeal._consensus_records import Ballot, Entry, Snapshot, select_suffix
+from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.logstore import LogStore, StoredState
+
+FILE_HEADER = b"BDLOG\x00\x00\x01"
+# Length, checksum of length and offset, checksum of the payload. The offset is in
+# the first checksum so that a copy of a record inside another record's payload is
+# not taken for a record when the tail is examined.
+RECORD_HEADER = struct.Struct(">III")
+HEADER_INPUT = struct.Struct(">IQ")
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_record(payload: bytes, offset: int) -> bytes:
+    """Return `payload` framed as a record that starts at `offset`."""
+    header_sum = zlib.crc32(HEADER_INPUT.pack(len(payload), offset))
+    header = RECORD_HEADER.pack(len(payload), header_sum, zlib.crc32(payload))
+    return header + payload
+
+
+def read_record(content: memoryview, offset: int) -> bytes | None:
+    """Return the payload of the intact record at `offset`, or None."""
+    start = offset + RECORD_HEADER.size
+    if start > len(content):
+        return None
+    length, header_sum, payload_sum = RECORD_HEADER.unpack_from(content, offset)
+    if header_sum != zlib.crc32(HEADER_INPUT.pack(length, offset)):
+        return None
+    if start + length > len(content):
+        return None
+    payload = bytes(content[start : start + length])
+    return payload if zlib.crc32(payload) == payload_sum else None
+
+
+def scan_records(content: bytes, file: str) -> tuple[list[tuple[int, bytes]], int]:
+    """Return the records as (offset, payload) and the length of the intact part.
+
+    Raises
+    ------
+    CorruptStoreError
+        If the file header is damaged, or an intact record follows a damaged one.
+    """
+    if content[: len(FILE_HEADER)] != FILE_HEADER:
+        raise CorruptStoreError(file, 0, "file header is damaged")
+    view = memoryview(content)
+    records = []
+    offset = len(FILE_HEADER)
+    while offset < len(content):
+        payload = read_record(view, offset)
+        if payload is None:
+            _check_tail(view, offset, file)
+            break
+        records.append((offset, payload))
+        offset += RECORD_HEADER.size + len(payload)
+    return records, offset
+
+
+def _check_tail(view: memoryview, damaged: int, file: str) -> None:
+    """Raise if anything intact follows; then the damage is not a torn write."""
+    for offset in range(damaged + 1, len(view) - RECORD_HEADER.size + 1):
+        if read_record(view, offset) is not None:
+            raise CorruptStoreError(file, damaged, "record is damaged")
+
+
+class DiskLogStore(LogStore):
+    """Store in one directory; see the module's docstring for the files.
+
+    Parameters
+    ----------
+    directory : str
+        Data directory; created if it does not exist.
+    incarnation : int
+        Incarnation given to a new store; an existing one keeps its own.
+    """
+
+    def __init__(self, directory: str, incarnation: int) -> None:
+        self._directory = directory
+        self._failed = False
+        self._log: int | None = None
+        self._directory_fd = self._open_directory()
+        try:
+            if not os.path.exists(self._path("identity")):
+                self._create(incarnation)
+            self._incarnation = self._read_single("identity", int)
+            self._state = self._read_state()
+        except BaseException:
+            self.close()
+            raise
+
+    @property
+    def incarnation(self) -> int:
+        return self._incarnation
+
+    @property
+    def durable(self) -> bool:
+        return True
+
+    def load(self) -> StoredState:
+        state = self._state
+        return StoredState(state.ballot, state.snapshot, list(state.entries))
+
+    def save_ballot(self, ballot: Ballot) -> None:
+        with self._writing():
+            self._replace("ballot", [_ENCODER.encode(ballot)])
+        self._state.ballot = ballot
+
+    def append(self, entries: list[Entry]) -> None:
+        with self._writing():
+            offset = self._end
+            offsets = []
+            chunks = []
+            for entry in entries:
+                record = encode_record(_ENCODER.encode(entry), offset)
+                offsets.append(offset)
+                chunks.append(record)
+                offset += len(record)
+            self._write_all(self._log, b"".join(chunks), self._end)
+            self._end = offset
+        self._offsets.extend(offsets)
+        self._state.entries.extend(entries)
+
+    def truncate(self, first_index: int) -> None:
+        entries = self._state.entries
+        if not entries or first_index > entries[-1].index:
+            return
+        position = max(0, first_index - entries[0].index)
+        with self._writing():
+            os.ftruncate(self._log, self._offsets[position])
+            self._end = self._offsets[position]
+        del entries[position:]
+        del self._offsets[position:]
+
+    def sync(self) -> None:
+        with self._writing():
+            os.fsync(self._log)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        suffix = select_suffix(snapshot, self._state.entries)
+        with self._writing():
+            self._replace("snapshot", [_ENCODER.encode(snapshot)])
+            # A crash here leaves entries that the snapshot covers or contradicts;
+            # reading the store applies the same selection again.
+            self._replace("log", [_ENCODER.encode(entry) for entry in suffix])
+            self._state.snapshot = snapshot
+            self._open_log()
+
+    def close(self) -> None:
+        for descriptor in (self._log, self._directory_fd):
+            if descriptor is not None:
+                os.close(descriptor)
+        self._log = None
+        self._directory_fd = None
+        self._failed = True
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._directory, name)
+
+    def _open_directory(self) -> int:
+        try:
+            os.makedirs(self._directory, exist_ok=True)
+            descriptor = os.open(self._directory, os.O_RDONLY | os.O_DIRECTORY)
+        except OSError as error:
+            raise StoreError(f"{self._directory}: {error.strerror}") from error
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(descriptor)
+            raise StoreError(f"{self._directory}: used by another process") from error
+        return descriptor
+
+    def _create(self, incarnation: int) -> None:
+        log = self._path("log")
+        used = os.path.exists(log) and os.path.getsize(log) > len(FILE_HEADER)
+        if used or os.path.exists(self._path("snapshot")):
+            raise CorruptStoreError(self._path("identity"), 0, "file is missing")
+        with self._writing():
+            self._replace("log", [])
+            self._replace("ballot", [_ENCODER.encode(Ballot())])
+            self._replace("identity", [_ENCODER.encode(incarnation)])
+            # The directory's own entry must survive together with its content.
+            parent = os.open(
+                os.path.dirname(os.path.abspath(self._directory)), os.O_RDONLY
+            )
+            try:
+                os.fsync(parent)
+            finally:
+                os.close(parent)
+
+    def _read_state(self) -> StoredState:
+        ballot = self._read_single("ballot", Ballot)
+        snapshot = None
+        if os.path.exists(self._path("snapshot")):
+            snapshot = self._read_single("snapshot", Snapshot)
+        self._state = StoredState(ballot, snapshot)
+        self._open_log()
+        return self._state
+
+    def _open_log(self) -> None:
+        """Read the segment file, drop its torn tail and what the snapshot covers."""
+        if self._log is not None:
+            os.close(self._log)
+            self._log = None
+        file = self._path("log")
+        records, self._end = scan_records(self._read_file("log"), file)
+        entries = [_decode(payload, Entry, file, at) for at, payload in records]
+        offsets = [offset for offset, _ in records]
+        self._log = os.open(file, os.O_RDWR)
+        if self._end != os.fstat(self._log).st_size:
+            os.ftruncate(self._log, self._end)
+            os.fsync(self._log)
+        _check_sequence(entries, offsets, self._state.snapshot, file)
+        kept = entries
+        if self._state.snapshot is not None:
+            kept = select_suffix(self._state.snapshot, entries)
+        self._state.entries = kept
+        self._offsets = offsets[len(entries) - len(kept) :] if kept else []
+        if len(kept) != len(entries):
+            # Finishes a snapshot replacement that a crash interrupted.
+            self._replace("log", [_ENCODER.encode(entry) for entry in kept])
+            self._open_log()
+
+    def _read_file(self, name: str) -> bytes:
+        try:
+            with open(self._path(name), "rb") as stream:
+                return stream.read()
+        except FileNotFoundError:
+            raise CorruptStoreError(self._path(name), 0, "file is missing") from None
+        except OSError as error:
+            raise StoreError(f"{self._path(name)}: {error.strerror}") from error
+
+    def _read_single(self, name: str, model: type) -> Any:
+        file = self._path(name)
+        content = self._read_file(name)
+        records, end = scan_records(content, file)
+        if len(records) != 1 or end != len(content):
+            # The file is replaced atomically, so it has no torn tail.
+            raise CorruptStoreError(file, end, "record is damaged")
+        return _decode(records[0][1], model, file, records[0][0])
+
+    def _replace(self, name: str, payloads: list[bytes]) -> None:
+        """Replace a file atomically and durably."""
+        content = bytearray(FILE_HEADER)
+        for payload in payloads:
+            content += encode_record(payload, len(content))
+        temporary = self._path(name + ".new")
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        descriptor = os.open(temporary, flags, 0o600)
+        try:
+            self._write_all(descriptor, bytes(content), 0)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        os.rename(temporary, self._path(name))
+        os.fsync(self._directory_fd)
+
+    @staticmethod
+    def _write_all(descriptor: int, content: bytes, offset: int) -> None:
+        view = memoryview(content)
+        while view:
+            written = os.pwrite(descriptor, view, offset)
+            view = view[written:]
+            offset += written
+
+    @contextlib.contextmanager
+    def _writing(self) -> Iterator[None]:
+        """Refuse every write after a failed one.
+
+        After a failed fsync the kernel may have dropped the pages, and a second
+        fsync would succeed without them.
+        """
+        if self._failed:
+            raise StoreError(f"{self._directory}: closed after an earlier failure")
+        try:
+            yield
+        except OSError as error:
+            self._failed = True
+            raise StoreError(f"{self._directory}: {error.strerror}") from error
+
+
+def _decode(payload: bytes, model: type, file: str, offset: int) -> Any:
+    try:
+        return msgspec.msgpack.decode(payload, type=model)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CorruptStoreError(file, offset, f"record is invalid: {error}") from error
+
+
+def _check_sequence(
+    entries: list[Entry], offsets: list[int], snapshot: Snapshot | None, file: str
+) -> None:
+    """Raise unless indexes have no gap and terms never fall."""
+    if not entries:
+        return
+    base = snapshot.index if snapshot else 0
+    if entries[0].index > base + 1:
+        raise CorruptStoreError(file, offsets[0], "entries before it are missing")
+    for position in range(1, len(entries)):
+        previous, entry = entries[position - 1], entries[position]
+        if entry.index != previous.index + 1 or entry.term < previous.term:
+            raise CorruptStoreError(file, offsets[position], "entry is out of order")
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -11,6 +11,7 @@
     "DocumentError",
     "ForbiddenError",
     "FrameError",
+    "MembershipChangeError",
     "NotLeaderError",
     "RequestError",
     "SettingsError",
@@ -97,6 +98,7 @@
         super().__init__(f"{file}: offset {offset}: {reason}")
         self.file = file
         self.offset = offset
+        self.reason = reason
 
 
 class DocumentError(BuckthorndealError):
@@ -169,6 +171,10 @@
         self.leader = leader
 
 
+class MembershipChangeError(BuckthorndealError):
+    """A change to the voters or learners is not allowed now."""
+
+
 class RequestError(BuckthorndealError):
     """A caller's request ends with an error.
 
--- /dev/null
+++ b/buckthorndeal/logstore.py
@@ -0,0 +1,161 @@
+"""Stores of the replicated log: an abstract store, a memory and a disk form."""
+
+import abc
+import random
+from dataclasses import dataclass, field
+
+from buckthorndeal._consensus_records import Ballot, Entry, Snapshot, select_suffix
+
+__all__ = [
+    "LogStore",
+    "MemoryLogStore",
+    "StoredState",
+    "create_disk_log_store",
+    "create_memory_log_store",
+]
+
+INCARNATION_BITS = 63
+
+
+@dataclass
+class StoredState:
+    """What a store holds: the entries follow the snapshot without a gap."""
+
+    ballot: Ballot = field(default_factory=Ballot)
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = field(default_factory=list)
+
+
+class LogStore(abc.ABC):
+    """Store of one replica's ballot, snapshot and entries."""
+
+    @property
+    @abc.abstractmethod
+    def incarnation(self) -> int:
+        """Number created together with the empty store; never zero."""
+
+    @property
+    @abc.abstractmethod
+    def durable(self) -> bool:
+        """Whether synced writes survive a crash of the process and the host."""
+
+    @abc.abstractmethod
+    def load(self) -> StoredState:
+        """Return a copy of what the store holds."""
+
+    @abc.abstractmethod
+    def save_ballot(self, ballot: Ballot) -> None:
+        """Replace the ballot; it is durable on return."""
+
+    @abc.abstractmethod
+    def append(self, entries: list[Entry]) -> None:
+        """Add entries after the last one; durable after `sync`."""
+
+    @abc.abstractmethod
+    def truncate(self, first_index: int) -> None:
+        """Drop the entries from `first_index` on; durable after `sync`."""
+
+    @abc.abstractmethod
+    def sync(self) -> None:
+        """Make all earlier writes durable."""
+
+    @abc.abstractmethod
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot and drop what it covers; durable on return."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Release files; the store cannot be used afterwards."""
+
+
+class MemoryLogStore(LogStore):
+    """Store of a host without a disk.
+
+    Parameters
+    ----------
+    incarnation : int
+        Identity of this store, non-zero.
+    """
+
+    def __init__(self, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._state = StoredState()
+
+    @property
+    def incarnation(self) -> int:
+        """Number created together with the empty store."""
+        return self._incarnation
+
+    @property
+    def durable(self) -> bool:
+        """False: nothing survives the process."""
+        return False
+
+    def load(self) -> StoredState:
+        """Return a copy of what the store holds."""
+        state = self._state
+        return StoredState(state.ballot, state.snapshot, list(state.entries))
+
+    def save_ballot(self, ballot: Ballot) -> None:
+        """Replace the ballot."""
+        self._state.ballot = ballot
+
+    def append(self, entries: list[Entry]) -> None:
+        """Add entries after the last one."""
+        self._state.entries.extend(entries)
+
+    def truncate(self, first_index: int) -> None:
+        """Drop the entries from `first_index` on."""
+        entries = self._state.entries
+        if entries:
+            del entries[max(0, first_index - entries[0].index) :]
+
+    def sync(self) -> None:
+        """Do nothing; there is no slower medium."""
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot and drop what it covers."""
+        self._state.entries = select_suffix(snapshot, self._state.entries)
+        self._state.snapshot = snapshot
+
+    def close(self) -> None:
+        """Do nothing; there are no files."""
+
+
+def create_incarnation(rng: random.Random) -> int:
+    """Return a random non-zero incarnation."""
+    return rng.getrandbits(INCARNATION_BITS) | 1
+
+
+def create_memory_log_store(rng: random.Random) -> LogStore:
+    """Return an empty store that is lost with the process.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the incarnation; `random.SystemRandom` in production.
+    """
+    return MemoryLogStore(create_incarnation(rng))
+
+
+def create_disk_log_store(directory: str, rng: random.Random) -> LogStore:
+    """Open the store in `directory`, or create an empty one there.
+
+    Parameters
+    ----------
+    directory : str
+        Data directory of this replica; created if it does not exist.
+    rng : random.Random
+        Source of the incarnation of a new store; `random.SystemRandom` in
+        production.
+
+    Raises
+    ------
+    CorruptStoreError
+        If a file is damaged before its tail.
+    StoreError
+        If the directory cannot be used or another process uses it.
+    """
+    from buckthorndeal._logstore_disk import DiskLogStore
+
+    return DiskLogStore(directory, create_incarnation(rng))
