--- /dev/null
+++ b/buckthorndeal/_consensus_leader.py
@@ -0,0 +1,335 @@
+"""Leading: replication to the members, commitment, lease, reads."""
+
+from dataclasses import dataclass, field
+
+from buckthorndeal._consensus_core import Core, ReadIndex
+from buckthorndeal._consensus_messages import (
+    Append,
+    AppendReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    Join,
+)
+from buckthorndeal._consensus_records import (
+    Entry,
+    EntryKind,
+    MembershipChange,
+    PromoteLearner,
+    ReplicaId,
+    Snapshot,
+    apply_change,
+    encode_membership,
+)
+from buckthorndeal.errors import MembershipChangeError
+
+
+@dataclass
+class Progress:
+    """What the leader knows about one member."""
+
+    next_index: int
+    contact_s: float
+    match_index: int = 0
+    acked_round: int = 0
+    durable: bool = False
+    # Snapshot in transfer; it stays the same object while it is being sent.
+    snapshot: Snapshot | None = None
+    snapshot_offset: int = 0
+
+
+@dataclass(frozen=True)
+class PendingRead:
+    """A read that waits for a majority to answer `round`."""
+
+    read_id: int
+    round: int
+    index: int
+
+
+@dataclass
+class Candidate:
+    """A replica that asked to follow the log."""
+
+    durable: bool
+    seen_s: float
+
+
+@dataclass
+class Leadership:
+    """Volatile state of the leader of one term."""
+
+    core: Core
+    started_s: float
+    round: int = 0
+    progress: dict[ReplicaId, Progress] = field(default_factory=dict)
+    candidates: dict[ReplicaId, Candidate] = field(default_factory=dict)
+    reads: list[PendingRead] = field(default_factory=list)
+    next_read_id: int = 0
+    heartbeat_due_s: float = 0.0
+    # Index of the first entry of this term; once it is committed, the commit
+    # index covers everything that earlier leaders committed.
+    start_index: int = 0
+    round_sent_s: dict[int, float] = field(default_factory=dict)
+
+    def start(self, now_s: float) -> None:
+        """Append the first entry of the term."""
+        self.start_index = self.core.log.last_index + 1
+        self._update_progress(now_s)
+        self.append(EntryKind.NOOP, b"", now_s)
+
+    @property
+    def has_committed(self) -> bool:
+        return self.core.commit_index >= self.start_index
+
+    def append(self, kind: EntryKind, data: bytes, now_s: float) -> int:
+        """Append an entry, sync it and send it to the members."""
+        log = self.core.log
+        entry = Entry(log.last_index + 1, self.core.term, kind, data)
+        log.append([entry])
+        if kind is EntryKind.MEMBERSHIP:
+            self._update_progress(now_s)
+        self.broadcast(now_s)
+        self._advance_commit(now_s)
+        return entry.index
+
+    def change_membership(self, change: MembershipChange, now_s: float) -> None:
+        """Append a membership that differs by one replica.
+
+        Raises
+        ------
+        MembershipChangeError
+            If a change is in progress, nothing of this term is committed yet, or
+            the learner cannot vote.
+        """
+        log = self.core.log
+        # Without an entry of this term, an earlier leader's uncommitted change
+        # could still be committed by a majority that does not overlap with ours.
+        if not self.has_committed:
+            raise MembershipChangeError("no entry of this term is committed yet")
+        if log.membership_index > self.core.commit_index:
+            raise MembershipChangeError("another membership change is in progress")
+        membership = apply_change(change, log.membership)
+        if isinstance(change, PromoteLearner):
+            self._check_promotion(change.replica, now_s)
+        self.append(EntryKind.MEMBERSHIP, encode_membership(membership), now_s)
+
+    def _check_promotion(self, replica: ReplicaId, now_s: float) -> None:
+        if not self.progress[replica].durable:
+            raise MembershipChangeError(f"{replica} has no disk and cannot vote")
+        if not self.has_caught_up(replica, now_s):
+            raise MembershipChangeError(f"{replica} has not caught up")
+
+    def has_caught_up(self, replica: ReplicaId, now_s: float) -> bool:
+        """Return whether a member is in contact and near the end of the log."""
+        core = self.core
+        progress = self.progress[replica]
+        if now_s - progress.contact_s >= core.options.election_timeout_s:
+            return False
+        lag = core.log.last_index - progress.match_index
+        return progress.match_index > 0 and lag <= core.options.catch_up_entries
+
+    def tick(self, now_s: float) -> None:
+        """Step down without a majority, or send heartbeats."""
+        oldest_s = now_s - self.core.options.election_timeout_s
+        if self._find_quorum_contact(now_s) <= oldest_s:
+            self.core.step_down(now_s)
+            return
+        self._expire_candidates(oldest_s)
+        if now_s >= self.heartbeat_due_s:
+            self.broadcast(now_s)
+
+    def broadcast(self, now_s: float) -> None:
+        """Start a round: send every member what it lacks, or a heartbeat."""
+        self.round += 1
+        self.round_sent_s[self.round] = now_s
+        self.heartbeat_due_s = now_s + self.core.options.heartbeat_interval_s
+        for replica, progress in self.progress.items():
+            self._send(replica, progress)
+        self._finish_rounds(now_s)
+
+    def _send(self, replica: ReplicaId, progress: Progress) -> None:
+        log = self.core.log
+        prev_term = log.get_term(progress.next_index - 1)
+        if progress.snapshot is not None or prev_term is None:
+            self._send_chunk(replica, progress)
+            return
+        entries: tuple[Entry, ...] = ()
+        if self._has_window(progress):
+            max_bytes = self.core.options.max_append_bytes
+            entries = log.read_batch(progress.next_index, max_bytes)
+        self.core.send(
+            Append,
+            replica,
+            round=self.round,
+            prev_index=progress.next_index - 1,
+            prev_term=prev_term,
+            commit_index=self.core.commit_index,
+            entries=entries,
+        )
+        # Sent once: a loss shows in the refusal of the next message.
+        progress.next_index += len(entries)
+
+    def _has_window(self, progress: Progress) -> bool:
+        inflight = progress.next_index - 1 - progress.match_index
+        return inflight < self.core.options.max_inflight_entries
+
+    def _send_chunk(self, replica: ReplicaId, progress: Progress) -> None:
+        if progress.snapshot is None:
+            progress.snapshot = self.core.log.snapshot
+            progress.snapshot_offset = 0
+        snapshot = progress.snapshot
+        end = progress.snapshot_offset + self.core.options.snapshot_chunk_bytes
+        self.core.send(
+            InstallSnapshot,
+            replica,
+            round=self.round,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            membership=snapshot.membership,
+            offset=progress.snapshot_offset,
+            total_bytes=len(snapshot.data),
+            data=snapshot.data[progress.snapshot_offset : end],
+        )
+
+    def handle_append_reply(self, reply: AppendReply, now_s: float) -> None:
+        """Note what a member has synced, and send it what it lacks."""
+        progress = self.progress.get(reply.source)
+        if progress is None:
+            return
+        self._note_contact(progress, reply, now_s)
+        if not reply.success:
+            self._handle_refusal(reply, progress)
+            return
+        progress.match_index = max(progress.match_index, reply.match_index)
+        progress.next_index = max(progress.next_index, progress.match_index + 1)
+        snapshot = progress.snapshot
+        if snapshot is not None and progress.match_index >= snapshot.index:
+            progress.snapshot = None
+        self._advance_commit(now_s)
+        behind = progress.next_index <= self.core.log.last_index
+        if behind and self._has_window(progress):
+            self._send(reply.source, progress)
+
+    def _handle_refusal(self, reply: AppendReply, progress: Progress) -> None:
+        stale = reply.refused_index <= progress.match_index
+        if stale or progress.snapshot is not None:
+            return
+        hint = min(reply.match_index, reply.refused_index - 1)
+        progress.next_index = max(hint, progress.match_index) + 1
+        self._send(reply.source, progress)
+
+    def handle_snapshot_reply(self, reply: InstallSnapshotReply, now_s: float) -> None:
+        """Send the next chunk."""
+        progress = self.progress.get(reply.source)
+        if progress is None:
+            return
+        self._note_contact(progress, reply, now_s)
+        snapshot = progress.snapshot
+        if snapshot is None or snapshot.index != reply.index:
+            return
+        if reply.received_bytes == progress.snapshot_offset:
+            # A duplicate or lost chunk; the next heartbeat sends it again.
+            return
+        progress.snapshot_offset = reply.received_bytes
+        self._send(reply.source, progress)
+
+    def _note_contact(
+        self,
+        progress: Progress,
+        reply: AppendReply | InstallSnapshotReply,
+        now_s: float,
+    ) -> None:
+        progress.contact_s = now_s
+        progress.durable = reply.durable
+        if reply.round > progress.acked_round:
+            progress.acked_round = reply.round
+            self._finish_rounds(now_s)
+
+    def handle_join(self, request: Join, now_s: float) -> None:
+        """Remember a replica that asks to follow."""
+        if request.source not in self.core.log.membership.members:
+            candidate = Candidate(request.durable, now_s)
+            self.candidates[request.source] = candidate
+
+    def _expire_candidates(self, oldest_s: float) -> None:
+        members = self.core.log.membership.members
+        kept_s = oldest_s - self.core.options.join_interval_s
+        self.candidates = {
+            replica: candidate
+            for replica, candidate in self.candidates.items()
+            if candidate.seen_s > kept_s and replica not in members
+        }
+
+    def _update_progress(self, now_s: float) -> None:
+        core = self.core
+        members = [m for m in core.log.membership.members if m != core.identity]
+        self.progress = {
+            member: self.progress.get(member)
+            or Progress(next_index=core.log.last_index + 1, contact_s=now_s)
+            for member in members
+        }
+
+    def _find_quorum(self, own: float, values: dict[ReplicaId, float]) -> float:
+        """Return the largest value that a majority of the voters has reached."""
+        identity = self.core.identity
+        membership = self.core.log.membership
+        reached = [
+            own if voter == identity else values[voter] for voter in membership.voters
+        ]
+        reached.sort(reverse=True)
+        return reached[membership.quorum - 1]
+
+    def _find_quorum_contact(self, now_s: float) -> float:
+        contacts = {r: p.contact_s for r, p in self.progress.items()}
+        return self._find_quorum(now_s, contacts)
+
+    def _find_quorum_round(self) -> int:
+        rounds = {r: p.acked_round for r, p in self.progress.items()}
+        return self._find_quorum(self.round, rounds)
+
+    def _advance_commit(self, now_s: float) -> None:
+        core = self.core
+        matches = {r: p.match_index for r, p in self.progress.items()}
+        index = self._find_quorum(core.log.last_index, matches)
+        # Only an entry of this term commits by counting; it commits the earlier
+        # ones with it.
+        if index <= core.commit_index or core.log.get_term(index) != core.term:
+            return
+        core.advance_commit(index)
+        self._finish_rounds(now_s)
+        membership = core.log.get_membership(core.commit_index)
+        if core.identity not in membership.voters:
+            self.broadcast(now_s)
+            core.step_down(now_s)
+
+    def _finish_rounds(self, now_s: float) -> None:
+        """Confirm the reads whose round a majority has answered."""
+        acked = self._find_quorum_round()
+        for number in [number for number in self.round_sent_s if number < acked]:
+            del self.round_sent_s[number]
+        core = self.core
+        waiting = []
+        for read in self.reads:
+            if read.round <= acked and read.index <= core.commit_index:
+                confirmed = ReadIndex(read.read_id, read.index)
+                core.output.confirmed_reads.append(confirmed)
+            else:
+                waiting.append(read)
+        self.reads = waiting
+
+    def confirm(self, now_s: float) -> int:
+        """Start a read; a round sent after this call confirms it."""
+        self.next_read_id += 1
+        index = max(self.core.commit_index, self.start_index)
+        self.reads.append(PendingRead(self.next_read_id, self.round + 1, index))
+        self.broadcast(now_s)
+        return self.next_read_id
+
+    def has_lease(self, now_s: float) -> bool:
+        """Return whether no other replica can have become leader yet."""
+        if self.core.identity not in self.core.log.membership.voters:
+            return False
+        sent_s = self.round_sent_s.get(self._find_quorum_round())
+        if sent_s is None or not self.has_committed:
+            return False
+        return now_s < sent_s + self.core.options.lease_s
--- /dev/null
+++ b/buckthorndeal/consensus.py
@@ -0,0 +1,69 @@
+"""Replicated log: an embeddable replica without I/O besides its store."""
+
+from buckthorndeal._consensus_core import (
+    Output,
+    ProposalId,
+    ReadIndex,
+    ReplicaOptions,
+    RoleChange,
+)
+from buckthorndeal._consensus_messages import (
+    CONSENSUS_MESSAGES,
+    Append,
+    AppendReply,
+    ConsensusMessage,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    Join,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
+from buckthorndeal._consensus_policy import MembershipPolicy
+from buckthorndeal._consensus_records import (
+    AddLearner,
+    Ballot,
+    Entry,
+    EntryKind,
+    Membership,
+    MembershipChange,
+    PromoteLearner,
+    RemoveMember,
+    ReplicaId,
+    Snapshot,
+)
+from buckthorndeal._consensus_replica import MemberStatus, Replica, create_replica
+
+__all__ = [
+    "CONSENSUS_MESSAGES",
+    "AddLearner",
+    "Append",
+    "AppendReply",
+    "Ballot",
+    "ConsensusMessage",
+    "Entry",
+    "EntryKind",
+    "InstallSnapshot",
+    "InstallSnapshotReply",
+    "Join",
+    "MemberStatus",
+    "Membership",
+    "MembershipChange",
+    "MembershipPolicy",
+    "Output",
+    "PreVote",
+    "PreVoteReply",
+    "PromoteLearner",
+    "ProposalId",
+    "ReadIndex",
+    "RemoveMember",
+    "Replica",
+    "ReplicaId",
+    "ReplicaOptions",
+    "RoleChange",
+    "Snapshot",
+    "Vote",
+    "VoteReply",
+    "create_replica",
+]
--- a/tests/test_logstore.py
+++ b/tests/test_logstore.py
@@ -6,7 +6,8 @@
 import time
 import unittest
 
-from buckthorndeal._consensus_records import (
+from buckthorndeal._logstore_disk import FILE_HEADER
+from buckthorndeal.consensus import (
     Ballot,
     Entry,
     EntryKind,
@@ -14,7 +15,6 @@
     ReplicaId,
     Snapshot,
 )
-from buckthorndeal._logstore_disk import FILE_HEADER
 from buckthorndeal.errors import CorruptStoreError, StoreError
 from buckthorndeal.logstore import create_disk_log_store, create_memory_log_store
 
