Add peer links and the in-memory and shaped transports

Cause: daemons need authenticated links that notice silent partitions, and tests need delays and cuts without a real network. Change: a channel owned by one task per link with calls, notices, heartbeat and a bounded queue; a server; a client that reconnects with jittered backoff; verdicts on failed calls. The transport has socket, memory and shaped forms and datagrams.

--- /dev/null
+++ b/buckthorndeal/_transport_memory.py
@@ -0,0 +1,164 @@
+"""Transport between tasks of one process, without sockets."""
+
+import itertools
+from collections import deque
+
+import curio
+
+from buckthorndeal._transport_base import (
+    DatagramPort,
+    Listener,
+    Stream,
+    StreamHandler,
+    Transport,
+    run_handler,
+)
+
+__all__ = ["MemoryTransport", "create_memory_transport"]
+
+FIRST_FREE_PORT = 49_152
+PIPE_BYTES = 262_144
+DATAGRAM_QUEUE = 1_000
+
+
+class _Pipe:
+    """One direction of a stream: bounded bytes with an end."""
+
+    def __init__(self) -> None:
+        self._chunks: deque[bytes] = deque()
+        self._size = 0
+        self.closed = False
+        self._changed = curio.Condition()
+
+    @property
+    def readable(self) -> bool:
+        return self.closed or bool(self._chunks)
+
+    async def write(self, data: bytes) -> None:
+        async with self._changed:
+            while self._size >= PIPE_BYTES and not self.closed:
+                await self._changed.wait()
+            if self.closed:
+                raise BrokenPipeError("stream is closed")
+            if data:
+                self._chunks.append(bytes(data))
+                self._size += len(data)
+            await self._changed.notify_all()
+
+    async def read(self, max_bytes: int) -> bytes:
+        async with self._changed:
+            while not self.readable:
+                await self._changed.wait()
+            if not self._chunks:
+                return b""
+            chunk = self._chunks.popleft()
+            if len(chunk) > max_bytes:
+                self._chunks.appendleft(chunk[max_bytes:])
+                chunk = chunk[:max_bytes]
+            self._size -= len(chunk)
+            await self._changed.notify_all()
+            return chunk
+
+    async def close(self) -> None:
+        async with self._changed:
+            self.closed = True
+            await self._changed.notify_all()
+
+
+class _MemoryStream(Stream):
+    def __init__(self, incoming: _Pipe, outgoing: _Pipe) -> None:
+        self._incoming = incoming
+        self._outgoing = outgoing
+
+    async def recv(self, max_bytes: int) -> bytes:
+        return await self._incoming.read(max_bytes)
+
+    async def sendall(self, data: bytes) -> None:
+        await self._outgoing.write(data)
+
+    def is_readable(self) -> bool:
+        return self._incoming.readable
+
+    async def close(self) -> None:
+        await self._incoming.close()
+        await self._outgoing.close()
+
+
+class _MemoryDatagramPort(DatagramPort):
+    def __init__(self, transport: "MemoryTransport", address: str, port: int) -> None:
+        super().__init__(port)
+        self._transport = transport
+        self._address = address
+        self._queue = curio.Queue()
+
+    async def recvfrom(self) -> tuple[bytes, tuple[str, int]]:
+        return await self._queue.get()
+
+    async def sendto(self, data: bytes, address: str, port: int) -> None:
+        target = self._transport.datagram_ports.get((address, port))
+        if target is not None and target._queue.qsize() < DATAGRAM_QUEUE:
+            await target._queue.put((bytes(data), (self._address, self.port)))
+
+    async def close(self) -> None:
+        self._transport.datagram_ports.pop((self._address, self.port), None)
+
+
+class MemoryTransport(Transport):
+    """Streams and datagrams among the users of one instance."""
+
+    def __init__(self) -> None:
+        self._listeners: dict[tuple[str, int], curio.Queue] = {}
+        self.datagram_ports: dict[tuple[str, int], _MemoryDatagramPort] = {}
+        self._ports = itertools.count(FIRST_FREE_PORT)
+
+    async def connect(self, address: str, port: int) -> Stream:
+        """Open a stream to a listener of this instance."""
+        try:
+            queue = self._listeners[address, port]
+        except KeyError:
+            raise ConnectionRefusedError(f"nothing at {address}:{port}") from None
+        there, back = _Pipe(), _Pipe()
+        await queue.put(_MemoryStream(there, back))
+        return _MemoryStream(back, there)
+
+    async def listen(self, address: str, port: int, handler: StreamHandler) -> Listener:
+        """Accept streams of this instance."""
+        port = port or next(self._ports)
+        if (address, port) in self._listeners:
+            raise OSError(f"address {address}:{port} is in use")
+        tasks: set = set()
+        accept_task = await curio.spawn(
+            self._accept, (address, port), handler, tasks, daemon=True
+        )
+        self._listeners[address, port] = curio.Queue()
+        return Listener(port, accept_task, tasks)
+
+    async def _accept(
+        self, key: tuple[str, int], handler: StreamHandler, tasks: set
+    ) -> None:
+        try:
+            while True:
+                stream = await self._listeners[key].get()
+                task = await curio.spawn(
+                    run_handler, handler, stream, tasks, daemon=True
+                )
+                tasks.add(task)
+        finally:
+            queue = self._listeners.pop(key)
+            async with curio.disable_cancellation():
+                while not queue.empty():
+                    await (await queue.get()).close()
+
+    async def open_datagrams(self, address: str, port: int) -> DatagramPort:
+        """Bind a datagram port of this instance."""
+        port = port or next(self._ports)
+        if (address, port) in self.datagram_ports:
+            raise OSError(f"address {address}:{port} is in use")
+        datagram_port = _MemoryDatagramPort(self, address, port)
+        self.datagram_ports[address, port] = datagram_port
+        return datagram_port
+
+
+def create_memory_transport() -> MemoryTransport:
+    """Return a transport whose users reach only each other."""
+    return MemoryTransport()
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -12,6 +12,7 @@
     "ForbiddenError",
     "FrameError",
     "NotLeaderError",
+    "PeerError",
     "RequestError",
     "SettingsError",
     "StoreError",
@@ -76,6 +77,22 @@
     """A frame or a forwarded request does not carry a valid MAC."""
 
 
+class PeerError(BuckthorndealError):
+    """A message to another process was not answered.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    verdict : Verdict
+        ``NOT_RUN`` if no byte of it was sent, ``MAY_HAVE_RUN`` otherwise.
+    """
+
+    def __init__(self, message: str, verdict: Verdict) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+
+
 class StoreError(BuckthorndealError):
     """State on disk cannot be read or written."""
 
--- a/buckthorndeal/mailbox.py
+++ b/buckthorndeal/mailbox.py
@@ -51,6 +51,11 @@
     def __init__(self, capacity: int = DEFAULT_CAPACITY) -> None:
         self._queue = curio.Queue(maxsize=capacity)
 
+    @property
+    def size(self) -> int:
+        """Number of waiting messages."""
+        return self._queue.qsize()
+
     async def send(self, message: object) -> None:
         """Queue `message` without waiting for an answer."""
         await self._queue.put(Envelope(message))
--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -21,6 +21,7 @@
     "HELLO_BYTES",
     "MAX_DATAGRAM_BYTES",
     "MAX_FRAME_BYTES",
+    "NONCE_BYTES",
     "SERVER",
     "Codec",
     "DatagramCodec",
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,250 @@
+"""Tests of links between processes, over sockets and in memory."""
+
+import random
+import unittest
+
+import curio
+
+from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
+from buckthorndeal.transport import (
+    create_link_shape,
+    create_memory_transport,
+    create_shaped_transport,
+    create_socket_transport,
+)
+from buckthorndeal.wire import Message, create_codec
+
+KEYS = (b"k" * 32,)
+LIMIT_S = 20.0
+OPTIONS = LinkOptions(
+    heartbeat_s=0.02, silence_s=LIMIT_S, backoff_min_s=0.001, backoff_max_s=0.01
+)
+# Only for cases in which a connection that is given up too early does no harm.
+SHORT_SILENCE = LinkOptions(
+    heartbeat_s=0.02, silence_s=0.1, backoff_min_s=0.001, backoff_max_s=0.01
+)
+
+
+class Echo(Message):
+    text: str
+
+
+class Slow(Message):
+    pass
+
+
+CODEC = create_codec((Echo, Slow))
+
+
+class Scene:
+    """A server at place b and links to it from place a."""
+
+    def __init__(self, transport):
+        self.shape = create_link_shape()
+        self.client = create_shaped_transport(transport, self.shape, "a")
+        self.remote = create_shaped_transport(transport, self.shape, "b")
+        self.received = []
+        self.arrived = curio.Event()
+
+    async def handle(self, message, channel):
+        self.received.append((channel.host, message))
+        await self.arrived.set()
+        if isinstance(message, Slow):
+            await curio.sleep(LIMIT_S)
+        if message == Echo("fail"):
+            raise ValueError("broken")
+        if message == Echo("back"):
+            return await channel.call(Echo("from server"), LIMIT_S)
+        return message
+
+    async def start_server(self, port=0):
+        server = create_peer_server(self.handle, CODEC, KEYS, "server", OPTIONS)
+        await server.start(self.remote, "127.0.0.1", port)
+        return server
+
+    async def start_link(self, port, keys=KEYS, options=OPTIONS, **others):
+        link = create_peer_link(
+            self.client,
+            "127.0.0.1",
+            port,
+            CODEC,
+            keys,
+            "client",
+            options=options,
+            rng=random.Random(1),
+            **others,
+        )
+        await link.start()
+        return link
+
+
+async def call_until_answered(link, message):
+    while True:
+        try:
+            return await link.call(message, LIMIT_S)
+        except PeerError:
+            await curio.sleep(0.001)
+
+
+class PeerCases:
+    """Cases that hold over every transport."""
+
+    def run_scene(self, scenario):
+        async def main():
+            scene = Scene(self.create_transport())
+            server = await scene.start_server()
+            async with curio.timeout_after(LIMIT_S):
+                await scenario(scene, server)
+
+        curio.run(main)
+
+    def test_concurrent_calls_get_their_own_replies(self):
+        """Guards against replies given to another call."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port)
+            texts = [str(i) for i in range(100)]
+            tasks = [await curio.spawn(link.call, Echo(t), LIMIT_S) for t in texts]
+            replies = [await task.join() for task in tasks]
+            self.assertEqual(replies, [Echo(text) for text in texts])
+            self.assertEqual((scene.received[0][0], link.host), ("client", "server"))
+            await link.close()
+            await server.close()
+
+        self.run_scene(scenario)
+
+    def test_notices_arrive_in_order_and_the_server_can_call_back(self):
+        """Guards against reordering, and a link that works one way only."""
+
+        async def scenario(scene, server):
+            async def answer(message, channel):
+                return Echo(message.text + " answered")
+
+            link = await scene.start_link(server.port, handler=answer)
+            for i in range(50):
+                await link.send(Echo(str(i)))
+            reply = await link.call(Echo("back"), LIMIT_S)
+            self.assertEqual(reply, Echo("from server answered"))
+            texts = [message.text for _, message in scene.received]
+            self.assertEqual(texts, [str(i) for i in range(50)] + ["back"])
+            await link.close()
+
+        self.run_scene(scenario)
+
+    def test_wrong_key_gives_not_sent(self):
+        """Guards against a handler reached without the key."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port, keys=(b"x" * 32,))
+            await self.assert_fails(link, Echo("a"), Verdict.NOT_RUN)
+            self.assertEqual(scene.received, [])
+
+        self.run_scene(scenario)
+
+    def test_other_host_at_the_address_is_refused(self):
+        """Guards against a message to the host that took over an address."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port, expected_host="other")
+            await self.assert_fails(link, Echo("a"), Verdict.NOT_RUN)
+
+        self.run_scene(scenario)
+
+    def test_handler_error_and_lost_server_may_have_run(self):
+        """Guards against a call reported as not sent that reached the handler."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port)
+            with self.assertLogs(level="ERROR"):
+                await self.assert_fails(link, Echo("fail"), Verdict.MAY_HAVE_RUN)
+            scene.arrived.clear()
+            task = await curio.spawn(
+                self.assert_fails, link, Slow(), Verdict.MAY_HAVE_RUN
+            )
+            await scene.arrived.wait()
+            await server.close()
+            await task.join()
+            await self.assert_fails(link, Echo("a"), Verdict.NOT_RUN)
+
+        self.run_scene(scenario)
+
+    def test_link_reconnects_after_the_server_restarts(self):
+        """Guards against a link that stays down after one loss."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port)
+            await link.call(Echo("a"), LIMIT_S)
+            await server.close()
+            server = await scene.start_server(server.port)
+            self.assertEqual(await call_until_answered(link, Echo("b")), Echo("b"))
+
+        self.run_scene(scenario)
+
+    def test_silent_partition_is_noticed_and_healed(self):
+        """Guards against a link that waits for ever on a cut connection."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port, options=SHORT_SILENCE)
+            await call_until_answered(link, Echo("a"))
+            scene.shape.partition({"a"}, {"b"})
+            await self.assert_fails(link, Echo("b"), Verdict.MAY_HAVE_RUN)
+            while link.connected:
+                await curio.sleep(0.01)
+            scene.shape.heal_all()
+            self.assertEqual(await call_until_answered(link, Echo("c")), Echo("c"))
+
+        self.run_scene(scenario)
+
+    def test_time_out_tells_whether_the_call_was_sent(self):
+        """Guards against a queued call that is sent after its caller gave up."""
+
+        async def scenario(scene, server):
+            link = await scene.start_link(server.port, options=SHORT_SILENCE)
+            await call_until_answered(link, Echo("a"))
+            await self.assert_fails(link, Slow(), Verdict.MAY_HAVE_RUN, 0.5)
+            scene.shape.partition({"a"}, {"b"})
+            while link.connected:
+                await curio.sleep(0.01)
+            await self.assert_fails(link, Echo("late"), Verdict.NOT_RUN, 0.05)
+            scene.shape.heal_all()
+            await call_until_answered(link, Echo("next"))
+            self.assertNotIn(("client", Echo("late")), scene.received)
+
+        self.run_scene(scenario)
+
+    def test_send_queue_is_bounded(self):
+        """Guards against memory that grows while a peer is unreachable."""
+
+        async def scenario(scene, server):
+            scene.shape.partition({"a"}, {"b"})
+            options = LinkOptions(max_queued=3)
+            link = await scene.start_link(server.port, options=options)
+            for _ in range(3):
+                await link.send(Echo("a"))
+            await self.assert_fails(link, Echo("b"), Verdict.NOT_RUN)
+            await link.close()
+            await self.assert_fails(link, Echo("c"), Verdict.NOT_RUN)
+
+        self.run_scene(scenario)
+
+    async def assert_fails(self, link, message, verdict, timeout_s=LIMIT_S):
+        with self.assertRaises(PeerError) as caught:
+            await link.call(message, timeout_s)
+        self.assertIs(caught.exception.verdict, verdict)
+
+
+class SocketPeerTest(PeerCases, unittest.TestCase):
+    """Links over sockets."""
+
+    create_transport = staticmethod(create_socket_transport)
+
+
+class MemoryPeerTest(PeerCases, unittest.TestCase):
+    """Links in memory."""
+
+    create_transport = staticmethod(create_memory_transport)
+
+
+if __name__ == "__main__":
+    unittest.main()
