Add membership: failure detection and dissemination of host records

Cause: routing, the ledger and the directory need to know which hosts may be used, within the control budget of 2 KB/s and 1.2% of a core per node. A region that is cut off as a whole is noticed more slowly, because few probes cross regions.

--- /dev/null
+++ b/buckthorndeal/_membership_messages.py
@@ -0,0 +1,80 @@
+"""Datagrams of the membership protocol."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from buckthorndeal._membership_table import HostName, HostState, Rumor
+from buckthorndeal.wire import Message
+
+Rumors = tuple[Rumor, ...]
+Sequence = Annotated[int, Meta(ge=0)]
+
+
+class Ping(Message, tag="p"):
+    """Asks `target` for an `Ack`."""
+
+    sequence: Sequence
+    target: HostName
+    rumors: Rumors = ()
+
+
+class PingRequest(Message, tag="q"):
+    """Asks a helper to ping `target` and to pass on the `Ack`."""
+
+    sequence: Sequence
+    target: HostName
+    rumors: Rumors = ()
+
+
+class Ack(Message, tag="a"):
+    """Answers a `Ping` or a `PingRequest`."""
+
+    sequence: Sequence
+    rumors: Rumors = ()
+
+
+class Gossip(Message, tag="g"):
+    """Carries rumors alone."""
+
+    rumors: Rumors = ()
+
+
+class Digest(Message, tag="d"):
+    """Digests of the sender's table, one per bucket."""
+
+    digests: tuple[int, ...]
+    rumors: Rumors = ()
+
+
+class Entries(Message, tag="e"):
+    """Present hosts of the sender's table in buckets that differ."""
+
+    buckets: tuple[int, ...]
+    entries: tuple[HostState, ...]
+
+
+class Fetch(Message, tag="f"):
+    """Asks for the records of hosts."""
+
+    hosts: tuple[HostName, ...]
+
+
+MEMBERSHIP_MESSAGES = (Ping, PingRequest, Ack, Gossip, Digest, Entries, Fetch)
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to send.
+
+    Parameters
+    ----------
+    address : str
+        ``address:port`` of the receiver.
+    message : Message
+        One of `MEMBERSHIP_MESSAGES`.
+    """
+
+    address: str
+    message: Message
--- /dev/null
+++ b/buckthorndeal/_membership_probing.py
@@ -0,0 +1,134 @@
+"""Choice of the members to probe, to ask for help and to inform."""
+
+import random
+from collections.abc import Iterable
+
+from buckthorndeal._membership_table import PRESENT_STATES, HostRecord, HostTable
+
+# A member of a region with many hosts is watched by its neighbours. The probes
+# from other regions only have to notice that the region cannot be reached.
+REMOTE_RATE_BY_REGION_SIZE = {1: 1.0, 2: 0.5}
+REMOTE_RATE = 0.1
+COPIES_PER_RATE = 10
+
+
+class ProbeSchedule:
+    """Random order in which a host probes the others.
+
+    Every member is probed about once per period by somebody. Members of small
+    regions get more of their probes from other regions.
+
+    Parameters
+    ----------
+    table : HostTable
+        Known hosts.
+    own : str
+        Name of this host.
+    rng : random.Random
+        Source of the order.
+    """
+
+    def __init__(self, table: HostTable, own: str, rng: random.Random) -> None:
+        self._table = table
+        self._own = own
+        self._rng = rng
+        self._region = table.records[own].region
+        self._rounds: dict[bool, list[str]] = {True: [], False: []}
+        self._remote_share = 0.0
+
+    def insert(self, host: str) -> None:
+        """Add a new member at a random place of the current round."""
+        record = self._table.records[host]
+        names = self._rounds[record.region == self._region]
+        names.insert(self._rng.randint(0, len(names)), host)
+        self._remote_share = self._compute_remote_share()
+
+    def choose(self) -> HostRecord | None:
+        """Return the next member to probe, or None if there is none."""
+        is_local = self._rng.random() >= self._remote_share
+        return self._take(is_local) or self._take(not is_local)
+
+    def _take(self, is_local: bool) -> HostRecord | None:
+        for _ in range(2):
+            names = self._rounds[is_local]
+            while names:
+                record = self._table.records.get(names.pop())
+                if record is not None and record.state in PRESENT_STATES:
+                    return record
+            self._refill(is_local)
+        return None
+
+    def _refill(self, is_local: bool) -> None:
+        self._remote_share = self._compute_remote_share()
+        members = [
+            record
+            for record in self._list_others()
+            if (record.region == self._region) == is_local
+        ]
+        if is_local:
+            names = [record.host for record in members]
+        else:
+            sizes = self._count_regions()
+            names = [
+                record.host
+                for record in members
+                for _ in range(_count_copies(sizes[record.region]))
+            ]
+        self._rng.shuffle(names)
+        self._rounds[is_local] = names
+
+    def _compute_remote_share(self) -> float:
+        sizes = self._count_regions()
+        total = sum(sizes.values())
+        share = 0.0
+        for region, size in sizes.items():
+            if region != self._region:
+                share += size * _get_remote_rate(size) / (total - size)
+        return min(1.0, share)
+
+    def _count_regions(self) -> dict[str, int]:
+        sizes: dict[str, int] = {self._region: 1}
+        for record in self._list_others():
+            sizes[record.region] = sizes.get(record.region, 0) + 1
+        return sizes
+
+    def _list_others(self) -> list[HostRecord]:
+        return [
+            record
+            for record in self._table.records.values()
+            if record.host != self._own and record.state in PRESENT_STATES
+        ]
+
+    def choose_helpers(self, target: HostRecord, count: int) -> list[HostRecord]:
+        """Return members that can probe `target`, of its region if possible."""
+        others = [r for r in self._list_others() if r.host != target.host]
+        near = [r for r in others if r.region == target.region and r.state == "alive"]
+        helpers = self._sample(near, count)
+        if len(helpers) < count:
+            far = [r for r in others if r not in helpers]
+            helpers += self._sample(far, count - len(helpers))
+        return helpers
+
+    def choose_informed(self, local: int, remote: int) -> list[HostRecord]:
+        """Return members to inform of a change."""
+        others = self._list_others()
+        near = [record for record in others if record.region == self._region]
+        far = [record for record in others if record.region != self._region]
+        chosen = self._sample(near, local)
+        return chosen + self._sample(far, remote + local - len(chosen))
+
+    def choose_any(self, records: Iterable[HostRecord]) -> HostRecord | None:
+        """Return one of `records`, or None."""
+        records = list(records)
+        return self._rng.choice(records) if records else None
+
+    def _sample(self, records: list[HostRecord], count: int) -> list[HostRecord]:
+        return self._rng.sample(records, min(count, len(records)))
+
+
+def _get_remote_rate(size: int) -> float:
+    return REMOTE_RATE_BY_REGION_SIZE.get(size, REMOTE_RATE)
+
+
+def _count_copies(size: int) -> int:
+    return round(_get_remote_rate(size) * COPIES_PER_RATE)
--- /dev/null
+++ b/buckthorndeal/_membership_service.py
@@ -0,0 +1,150 @@
+"""Task that runs a member over datagrams."""
+
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal._membership_member import Membership
+from buckthorndeal._membership_messages import MEMBERSHIP_MESSAGES, Outgoing
+from buckthorndeal._membership_table import HostRecord
+from buckthorndeal.errors import WireError
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.transport import DatagramPort
+from buckthorndeal.wire import create_codec, create_datagram_codec
+
+LEAVE_REPEATS = 3
+LEAVE_PAUSE_S = 0.05
+# Curio logs a warning when an operation ends after its time-out has passed, which
+# happens with shorter waits.
+MIN_WAIT_S = 0.002
+
+
+class MembershipService:
+    """Owns the datagram port and the member of one host.
+
+    Parameters
+    ----------
+    member : Membership
+        Member of this host; other tasks only read its records.
+    port : DatagramPort
+        Bound port.
+    keys : tuple of bytes
+        Shared keys; the first one signs.
+    changes : Mailbox or None
+        Receives each changed `HostRecord`.
+    get_wall_s : callable
+        Returns the seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        member: Membership,
+        port: DatagramPort,
+        keys: tuple[bytes, ...],
+        changes: Mailbox | None,
+        get_wall_s: Callable[[], float],
+    ) -> None:
+        self.member = member
+        self._port = port
+        codec = create_codec(MEMBERSHIP_MESSAGES)
+        self._codec = create_datagram_codec(codec, keys, member.own.host)
+        self._changes = changes
+        self._get_wall_s = get_wall_s
+        self._mailbox = create_mailbox()
+        self._tasks: list[curio.Task] = []
+        self.refused_count = 0
+
+    async def start(self) -> None:
+        """Start the task that owns the member and its reader."""
+        self._tasks.append(await curio.spawn(self._run, daemon=True))
+        self._tasks.append(await curio.spawn(self._read, daemon=True))
+
+    async def drain(self) -> None:
+        """Announce that this host drains."""
+        await self._mailbox.ask(self.member.drain)
+
+    async def leave(self) -> None:
+        """Announce that this host leaves and stop."""
+        for _ in range(LEAVE_REPEATS):
+            await self._mailbox.ask(self.member.leave)
+            await curio.sleep(LEAVE_PAUSE_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop without an announcement, as in a crash."""
+        for task in self._tasks:
+            await task.cancel()
+        await self._port.close()
+
+    def list_records(self, states: tuple[str, ...] = ("alive",)) -> list[HostRecord]:
+        """Return the records in `states`; see `Membership.list_records`."""
+        return self.member.list_records(states)
+
+    async def _run(self) -> None:
+        while True:
+            wait_s = max(MIN_WAIT_S, self.member.next_due_s - time.monotonic())
+            envelope = await curio.ignore_after(wait_s, self._mailbox.receive)
+            if envelope is None:
+                await self._send_all(self.member.tick(time.monotonic()))
+            elif callable(envelope.message):
+                await self._send_all(envelope.message(time.monotonic()))
+                await envelope.reply()
+            else:
+                await self._receive(*envelope.message)
+            await self._report_changes()
+
+    async def _read(self) -> None:
+        while True:
+            await self._mailbox.send(await self._port.recvfrom())
+
+    async def _receive(self, data: bytes, source: tuple[str, int]) -> None:
+        now_s = time.monotonic()
+        try:
+            sender, message = self._codec.open(data, self._get_wall_s())
+            address = format_address(*source)
+            outgoing = self.member.receive(message, sender, address, now_s)
+        except WireError as error:
+            self.refused_count += 1
+            log_event("datagram_refused", source=source[0], reason=str(error))
+            return
+        await self._send_all(outgoing)
+
+    async def _send_all(self, outgoing: list[Outgoing]) -> None:
+        for item in outgoing:
+            data = self._codec.seal(item.message, self._get_wall_s())
+            await self._port.sendto(data, *parse_address(item.address))
+
+    async def _report_changes(self) -> None:
+        for record in self.member.take_changes():
+            log_event(
+                "host_changed",
+                subject=record.host,
+                incarnation=record.incarnation,
+                state=record.state,
+            )
+            if self._changes is not None:
+                await self._changes.send(record)
+
+
+def format_address(address: str, port: int) -> str:
+    """Return ``address:port``, with brackets around an IPv6 address."""
+    return f"[{address}]:{port}" if ":" in address else f"{address}:{port}"
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return the address and the port in ``address:port``."""
+    address, _, port = text.rpartition(":")
+    return address.strip("[]"), int(port)
+
+
+def create_membership_service(
+    member: Membership,
+    port: DatagramPort,
+    keys: tuple[bytes, ...],
+    changes: Mailbox | None = None,
+    get_wall_s: Callable[[], float] = time.time,
+) -> MembershipService:
+    """Return a service that is not started; see `MembershipService`."""
+    return MembershipService(member, port, keys, changes, get_wall_s)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -46,6 +46,7 @@
         self.remote = create_shaped_transport(transport, self.shape, "b")
         self.received = []
         self.arrived = curio.Event()
+        self.opened = []
 
     async def handle(self, message, channel):
         self.received.append((channel.host, message))
@@ -61,6 +62,7 @@
     async def start_server(self, port=0):
         server = create_peer_server(self.handle, CODEC, KEYS, "server", OPTIONS)
         await server.start(self.remote, "127.0.0.1", port)
+        self.opened.append(server)
         return server
 
     async def start_link(self, port, keys=KEYS, options=OPTIONS, **others):
@@ -76,6 +78,7 @@
             **others,
         )
         await link.start()
+        self.opened.append(link)
         return link
 
 
@@ -96,6 +99,8 @@
             server = await scene.start_server()
             async with curio.timeout_after(LIMIT_S):
                 await scenario(scene, server)
+            for opened in scene.opened:
+                await opened.close()
 
         curio.run(main)
 
@@ -109,8 +114,6 @@
             replies = [await task.join() for task in tasks]
             self.assertEqual(replies, [Echo(text) for text in texts])
             self.assertEqual((scene.received[0][0], link.host), ("client", "server"))
-            await link.close()
-            await server.close()
 
         self.run_scene(scenario)
 
@@ -128,7 +131,6 @@
             self.assertEqual(reply, Echo("from server answered"))
             texts = [message.text for _, message in scene.received]
             self.assertEqual(texts, [str(i) for i in range(50)] + ["back"])
-            await link.close()
 
         self.run_scene(scenario)
 
