--- /dev/null
+++ b/buckthorndeal/document.py
@@ -0,0 +1,339 @@
+"""The operating document: sections as text, validated models and revisions."""
+
+import difflib
+import hashlib
+import re
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from buckthorndeal.errors import DocumentError, ValidationError
+from buckthorndeal.sections import (
+    AccountsSection,
+    PlatformSection,
+    Section,
+    SupportSection,
+    TeamsSection,
+    parse_section,
+)
+
+__all__ = [
+    "Document",
+    "SectionText",
+    "Splice",
+    "apply_splice",
+    "create_diff",
+    "create_document",
+    "create_splice",
+    "hash_key",
+    "restore_document",
+]
+
+SECTION_NAME = re.compile(r"[a-z][a-z0-9_-]{0,62}")
+MAX_SECTION_CHARS = 2_000_000
+CONTEXT_LINES = 3
+# difflib compares line by line in quadratic time in the worst case; a larger
+# rewrite is shown as one replaced block.
+MAX_COMPARED_LINES = 2_000
+
+
+class Splice(msgspec.Struct, frozen=True, array_like=True):
+    """Replacement of the characters from `start` to `stop` of a text."""
+
+    start: int
+    stop: int
+    replacement: str
+
+
+def create_splice(old: str, new: str) -> Splice:
+    """Return the smallest single splice that makes `new` from `old`."""
+    start = _count_common(old, new)
+    limit = min(len(old), len(new)) - start
+    old_tail, new_tail = old[start:][::-1], new[start:][::-1]
+    tail = min(limit, _count_common(old_tail, new_tail))
+    return Splice(start, len(old) - tail, new[start : len(new) - tail])
+
+
+def _count_common(first: Sequence, second: Sequence) -> int:
+    # Bisection compares whole slices, which is fast also for long texts.
+    low, high = 0, min(len(first), len(second))
+    while low < high:
+        middle = (low + high + 1) // 2
+        if first[low:middle] == second[low:middle]:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def apply_splice(text: str, splice: Splice) -> str:
+    """Return `text` with `splice` applied.
+
+    Raises
+    ------
+    DocumentError
+        If the splice does not lie inside the text.
+    """
+    if not 0 <= splice.start <= splice.stop <= len(text):
+        raise DocumentError(
+            f"splice {splice.start}..{splice.stop} does not fit a text of "
+            f"{len(text)} characters"
+        )
+    return text[: splice.start] + splice.replacement + text[splice.stop :]
+
+
+def create_diff(old: str, new: str, old_name: str, new_name: str) -> str:
+    """Return a unified diff; empty if the texts have the same lines."""
+    old_lines, new_lines = old.splitlines(), new.splitlines()
+    head = _count_common(old_lines, new_lines)
+    limit = min(len(old_lines), len(new_lines)) - head
+    old_tail, new_tail = old_lines[head:][::-1], new_lines[head:][::-1]
+    tail = min(limit, _count_common(old_tail, new_tail))
+    if head == len(old_lines) == len(new_lines):
+        return ""
+    # Only the changed lines and their context are compared, which keeps small
+    # changes of large sections cheap.
+    first = max(0, head - CONTEXT_LINES)
+    spare = max(0, tail - CONTEXT_LINES)
+    old_part = old_lines[first : len(old_lines) - spare]
+    new_part = new_lines[first : len(new_lines) - spare]
+    if max(len(old_part), len(new_part)) > MAX_COMPARED_LINES:
+        lines = _replace_block(old_part, new_part, old_name, new_name)
+    else:
+        lines = difflib.unified_diff(
+            old_part, new_part, old_name, new_name, lineterm="", n=CONTEXT_LINES
+        )
+    return "".join(f"{_shift_header(line, first)}\n" for line in lines)
+
+
+def _replace_block(
+    old: list[str], new: list[str], old_name: str, new_name: str
+) -> Iterator[str]:
+    yield f"--- {old_name}"
+    yield f"+++ {new_name}"
+    yield f"@@ -1,{len(old)} +1,{len(new)} @@"
+    yield from (f"-{line}" for line in old)
+    yield from (f"+{line}" for line in new)
+
+
+def _shift_header(line: str, offset: int) -> str:
+    match = re.fullmatch(r"@@ -(\d+)(.*) \+(\d+)(.*) @@", line)
+    if match is None:
+        return line
+    old_start, old_count, new_start, new_count = match.groups()
+    return (
+        f"@@ -{int(old_start) + offset}{old_count} "
+        f"+{int(new_start) + offset}{new_count} @@"
+    )
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 hash of a key as it stands in the document."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class SectionText:
+    """One section: its text as written, its revision and its parsed model."""
+
+    text: str
+    revision: int
+    model: Section
+
+
+@dataclass(frozen=True)
+class Document:
+    """A version of the whole document. Changes return a new document.
+
+    Parameters
+    ----------
+    revision : int
+        Number of accepted changes.
+    sections : mapping of str to SectionText
+        Sections by name.
+    """
+
+    revision: int
+    sections: Mapping[str, SectionText]
+
+    @property
+    def platform(self) -> PlatformSection | None:
+        """Model of the `platform` section."""
+        return self._get_model("platform")
+
+    @property
+    def accounts(self) -> AccountsSection | None:
+        """Model of the `accounts` section."""
+        return self._get_model("accounts")
+
+    @property
+    def support(self) -> SupportSection | None:
+        """Model of the `support` section."""
+        return self._get_model("support")
+
+    @property
+    def teams(self) -> TeamsSection | None:
+        """Model of the `teams` section."""
+        return self._get_model("teams")
+
+    def get_text(self, section: str) -> str:
+        """Return the text of a section; empty if it does not exist."""
+        entry = self.sections.get(section)
+        return entry.text if entry else ""
+
+    def get_revision(self, section: str) -> int:
+        """Return the revision of a section; 0 if it does not exist."""
+        entry = self.sections.get(section)
+        return entry.revision if entry else 0
+
+    def find_team(self, key_hash: str) -> str | None:
+        """Return the team that holds the key with this hash."""
+        teams = self.teams.teams if self.teams else {}
+        for name, team in teams.items():
+            if key_hash in team.key_hashes:
+                return name
+        return None
+
+    def owns(self, team: str, section: str) -> bool:
+        """Return whether `team` owns `section`."""
+        teams = self.teams.teams if self.teams else {}
+        return team in teams and section in teams[team].sections
+
+    def replace_section(self, section: str, text: str) -> "Document":
+        """Return the document after an accepted change of one section.
+
+        Raises
+        ------
+        ValidationError
+            If the text or its relation to another section is not valid.
+        """
+        changed = _parse_entry(section, text, self.get_revision(section) + 1)
+        document = Document(self.revision + 1, {**self.sections, section: changed})
+        _check_relations(document)
+        return document
+
+    def apply_update(
+        self, section: str, splice: Splice, section_revision: int, revision: int
+    ) -> "Document":
+        """Return the document after an accepted change received as a splice.
+
+        Raises
+        ------
+        DocumentError
+            If the update does not follow this revision.
+        """
+        if revision != self.revision + 1:
+            raise DocumentError(f"update to {revision} does not follow {self.revision}")
+        if section_revision != self.get_revision(section) + 1:
+            raise DocumentError(f"section revision {section_revision} does not follow")
+        return self.replace_section(
+            section, apply_splice(self.get_text(section), splice)
+        )
+
+    def _get_model(self, section: str) -> Section | None:
+        entry = self.sections.get(section)
+        return entry.model if entry else None
+
+
+def create_document(texts: Mapping[str, str] | None = None) -> Document:
+    """Return a validated document; each given section has revision 1.
+
+    Raises
+    ------
+    ValidationError
+        If a text or the relation between two sections is not valid.
+    """
+    sections = {
+        name: _parse_entry(name, text, 1) for name, text in (texts or {}).items()
+    }
+    document = Document(1 if sections else 0, sections)
+    _check_relations(document)
+    return document
+
+
+def restore_document(
+    revision: int, sections: Mapping[str, tuple[str, int]]
+) -> Document:
+    """Return a document from stored texts and section revisions."""
+    entries = {
+        name: _parse_entry(name, text, section_revision)
+        for name, (text, section_revision) in sections.items()
+    }
+    return Document(revision, entries)
+
+
+def _parse_entry(section: str, text: str, revision: int) -> SectionText:
+    if not SECTION_NAME.fullmatch(section):
+        raise ValidationError(section, "$", "not a valid section name")
+    if len(text) > MAX_SECTION_CHARS:
+        raise ValidationError(
+            section, "$", f"longer than {MAX_SECTION_CHARS} characters"
+        )
+    return SectionText(text, revision, parse_section(section, text))
+
+
+def _check_relations(document: Document) -> None:
+    if not document.sections:
+        return
+    _check_teams(document)
+    if document.platform is not None:
+        _check_platform(document.platform)
+    if document.accounts is not None:
+        _check_accounts(document)
+
+
+def _check_teams(document: Document) -> None:
+    teams = document.teams.teams if document.teams else {}
+    owners: dict[str, str] = {}
+    holders: dict[str, str] = {}
+    for name, team in teams.items():
+        for section in team.sections:
+            _claim(owners, section, name, "teams", f"$.teams.{name}.sections")
+        for key_hash in team.key_hashes:
+            _claim(holders, key_hash, name, "teams", f"$.teams.{name}.key_hashes")
+    # Without an owner of `teams` nobody could ever change the teams again.
+    for section in sorted({"teams", *document.sections} - set(owners)):
+        raise ValidationError(
+            "teams", "$.teams", f"no team owns the section {section!r}"
+        )
+
+
+def _check_platform(platform: PlatformSection) -> None:
+    domains: dict[str, str] = {}
+    homes: dict[str, str] = {}
+    for name, region in platform.regions.items():
+        path = f"$.regions.{name}"
+        _claim(homes, region.home, name, "platform", f"{path}.home")
+        for domain in region.failure_domains:
+            _claim(domains, domain, name, "platform", f"{path}.failure_domains")
+    served = {model for each in platform.services.values() for model in each.models}
+    for name, limits in platform.placement.models.items():
+        path = f"$.placement.models.{name}"
+        if name not in served:
+            raise ValidationError("platform", path, "no service has this model")
+        if limits.min_copies > limits.max_copies:
+            raise ValidationError("platform", path, "min_copies exceeds max_copies")
+
+
+def _check_accounts(document: Document) -> None:
+    regions = document.platform.regions if document.platform else {}
+    holders: dict[str, str] = {}
+    for name, workspace in document.accounts.workspaces.items():
+        path = f"$.workspaces.{name}"
+        if workspace.home_region not in regions:
+            raise ValidationError(
+                "accounts",
+                f"{path}.home_region",
+                f"region {workspace.home_region!r} is not in section 'platform'",
+            )
+        for key_hash in workspace.key_hashes:
+            _claim(holders, key_hash, name, "accounts", f"{path}.key_hashes")
+
+
+def _claim(
+    owners: dict[str, str], item: str, owner: str, section: str, path: str
+) -> None:
+    other = owners.setdefault(item, owner)
+    if other != owner:
+        raise ValidationError(section, path, f"{item!r} already belongs to {other!r}")
--- /dev/null
+++ b/tests/test_statemachine.py
@@ -0,0 +1,162 @@
+"""Tests of the replicated control state."""
+
+import unittest
+
+from buckthorndeal import statemachine as sm
+from buckthorndeal.document import apply_splice, hash_key
+from tests.test_document import PLATFORM, TEAMS, TEXTS
+
+
+class StateMachineTest(unittest.TestCase):
+    """Drives one state machine with encoded commands."""
+
+    def setUp(self):
+        self.machine = sm.create_statemachine()
+        self.apply(sm.CreateDocument(time_s=1.0, sections=TEXTS))
+
+    def apply(self, command):
+        data = sm.encode_command(command)
+        return self.machine.apply(self.machine.applied_index + 1, data)
+
+    def create(self, team, section, base, change_id, text):
+        return self.machine.create_change(team, section, base, change_id, text, 2.0)
+
+    def restart(self):
+        data = self.machine.snapshot()
+        self.machine = sm.create_statemachine()
+        self.machine.restore(data)
+        self.assertEqual(self.machine.snapshot(), data)
+
+    def test_one_of_two_racing_changes_wins(self):
+        """Guards against a change that overwrites one it was not based on."""
+        first = self.create("accounts", "support", 0, "a", '{"contact": "one"}')
+        second = self.create("accounts", "support", 0, "b", '{"contact": "two"}')
+        self.assertIsInstance(self.apply(first), sm.ChangeAccepted)
+        conflict = self.apply(second)
+        self.assertIsInstance(conflict, sm.ChangeConflict)
+        self.assertEqual(conflict.winner_author, "accounts")
+        self.assertEqual(conflict.winner_revision, 1)
+        self.assertIn('-{"contact": "one"}\n+{"contact": "two"}', conflict.diff)
+        late = self.create("accounts", "support", 0, "c", '{"contact": "three"}')
+        self.assertIn('+{"contact": "three"}', self.apply(late).diff)
+        self.assertEqual(
+            self.machine.document.get_text("support"), '{"contact": "one"}'
+        )
+
+    def test_resend_gets_the_first_answer_also_after_restart(self):
+        """Guards against a second application after a lost answer."""
+        change = self.create("accounts", "support", 0, "a", "{}")
+        answer = self.apply(change)
+        again = self.create("accounts", "support", 0, "a", "{}")
+        self.assertEqual(self.apply(again), answer)
+        self.restart()
+        self.assertEqual(self.apply(again), answer)
+        other = self.create("accounts", "support", 0, "a", '{"contact": "x"}')
+        self.assertIsInstance(self.apply(other), sm.ChangeForbidden)
+        self.assertEqual(self.machine.document.revision, answer.revision)
+
+    def test_invalid_change_leaves_the_document_alone(self):
+        """Guards against a partly applied change."""
+        before = self.machine.document
+        text = PLATFORM.replace('"north":', '"west":')
+        answer = self.apply(self.create("platform", "platform", 1, "a", text))
+        self.assertIsInstance(answer, sm.ChangeInvalid)
+        self.assertEqual(answer.path, "$.workspaces.acme.home_region")
+        self.assertIs(self.machine.document, before)
+        self.assertEqual(self.machine.list_history(None, 10), [])
+
+    def test_team_changes_only_its_sections(self):
+        """Guards against ownership that is only checked before the log."""
+        change = self.create("accounts", "platform", 1, "a", PLATFORM + "\n")
+        self.assertIsInstance(self.apply(change), sm.ChangeForbidden)
+        moved = TEAMS.replace('"accounts", "support"', '"support"').replace(
+            '"teams", "platform"', '"teams", "platform", "accounts"'
+        )
+        pending = self.create("accounts", "accounts", 1, "b", TEXTS["accounts"] + "\n")
+        self.apply(self.create("platform", "teams", 1, "c", moved))
+        self.assertIsInstance(self.apply(pending), sm.ChangeForbidden)
+
+    def test_rotation_replaces_the_key_and_answers_a_resend(self):
+        """Guards against a lost answer that locks a team out."""
+        old, new = hash_key("accounts-key"), hash_key("new-key")
+        command = sm.RotateKey(change_id="r", time_s=3.0, old_hash=old, new_hash=new)
+        self.assertTrue(self.machine.accepts_rotation(command))
+        answer = self.apply(command)
+        self.assertIsInstance(answer, sm.ChangeAccepted)
+        self.assertIsNone(self.machine.document.find_team(old))
+        self.assertEqual(self.machine.document.find_team(new), "accounts")
+        self.assertIn("// Keys", self.machine.document.get_text("teams"))
+        self.restart()
+        self.assertTrue(self.machine.accepts_rotation(command))
+        self.assertEqual(self.apply(command), answer)
+        forged = sm.RotateKey(change_id="x", time_s=3.0, old_hash=old, new_hash=new)
+        self.assertFalse(self.machine.accepts_rotation(forged))
+        self.assertIsInstance(self.apply(forged), sm.ChangeForbidden)
+
+    def test_history_splices_rebuild_the_text(self):
+        """Guards against subscribers that drift from the document."""
+        text = ""
+        for number in range(5):
+            new = f'{{"contact": "{number * 7}"}}'
+            self.apply(self.create("accounts", "support", number, f"c{number}", new))
+        self.restart()
+        for entry in self.machine.list_changes_after(1):
+            text = apply_splice(text, entry.splice)
+        self.assertEqual(text, self.machine.document.get_text("support"))
+        self.assertEqual(len(self.machine.list_changes_after(4)), 2)
+        self.assertIsNone(self.machine.list_changes_after(0))
+        self.assertIsNone(self.machine.list_changes_after(99))
+
+    def test_fencing_numbers_increase(self):
+        """Guards against a reused fencing number and a late renewal."""
+
+        def grant(holder, version):
+            return self.apply(
+                sm.GrantLease(
+                    name="p", holder=holder, duration_s=5.0, expected_version=version
+                )
+            )
+
+        self.assertEqual(grant("a", 0).lease.fencing, 1)
+        renewal = sm.RenewLease(name="p", holder="a", fencing=1)
+        self.assertTrue(self.apply(renewal).granted)
+        self.assertFalse(grant("b", 1).granted, "renewed after the decision")
+        self.assertEqual(grant("b", 2).lease.fencing, 2)
+        self.assertFalse(self.apply(renewal).granted)
+        release = sm.ReleaseLease(name="p", holder="b", fencing=2)
+        self.assertTrue(self.apply(release).granted)
+        self.restart()
+        self.assertEqual(grant("a", 4).lease.fencing, 3)
+
+    def test_view_change_is_compare_and_set(self):
+        """Guards against two hosts that both become primary."""
+
+        def change(epoch, requester, primary, backup=None):
+            return self.apply(
+                sm.ChangeView(
+                    region="north",
+                    epoch=epoch,
+                    requester=requester,
+                    primary=primary,
+                    backup=backup,
+                )
+            )
+
+        self.assertTrue(change(0, "a", "a", "b").accepted)
+        self.assertTrue(change(0, "a", "a", "b").accepted, "resent")
+        self.assertFalse(change(0, "c", "c").accepted)
+        self.assertFalse(change(1, "c", "c").accepted)
+        self.assertTrue(change(1, "b", "b").accepted)
+        refused = change(1, "a", "a")
+        self.assertEqual((refused.accepted, refused.view.primary), (False, "b"))
+
+    def test_unreadable_command_is_refused_and_counted(self):
+        """Guards against replicas that stop or diverge on a bad entry."""
+        answer = self.machine.apply(2, b"\xff\x00")
+        self.assertIsInstance(answer, sm.CommandRefused)
+        self.assertIsNone(self.machine.apply(3, b""))
+        self.assertEqual(self.machine.applied_index, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
