--- /dev/null
+++ b/buckthorndeal/_placement_demand.py
@@ -0,0 +1,87 @@
+"""Wanted copies with hysteresis, and the weight store's token bucket."""
+
+import math
+from dataclasses import dataclass
+
+from buckthorndeal.sections import ModelPlacement
+
+# A copy is added above the first share of the copies' capacity and removed below
+# the second; the gap keeps a steady demand from moving copies back and forth.
+GROW_ABOVE_SHARE = 0.8
+SHRINK_BELOW_SHARE = 0.5
+SHRINK_AFTER_S = 120.0
+SECONDS_PER_MINUTE = 60.0
+
+
+@dataclass(slots=True)
+class _Wanted:
+    copies: int
+    low_since_s: float | None = None
+
+
+class DemandFilter:
+    """Turns the demand of each region and model into a steady number of copies."""
+
+    def __init__(self) -> None:
+        self._wanted: dict[tuple[str, str], _Wanted] = {}
+
+    def count_wanted(
+        self,
+        region: str,
+        model: str,
+        demand: float,
+        limits: ModelPlacement,
+        now_s: float,
+    ) -> int:
+        """Return the wanted number of copies.
+
+        Parameters
+        ----------
+        demand : float
+            Work in units of fully used copies.
+        """
+        key = (region, model)
+        wanted = self._wanted.setdefault(key, _Wanted(limits.min_copies))
+        wanted.copies = min(max(wanted.copies, limits.min_copies), limits.max_copies)
+        needed = math.ceil(demand / GROW_ABOVE_SHARE)
+        if needed > wanted.copies:
+            wanted.copies = min(needed, limits.max_copies)
+            wanted.low_since_s = None
+        elif demand >= (wanted.copies - 1) * SHRINK_BELOW_SHARE:
+            wanted.low_since_s = None
+        elif wanted.copies > limits.min_copies:
+            self._shrink(wanted, now_s)
+        return wanted.copies
+
+    def _shrink(self, wanted: _Wanted, now_s: float) -> None:
+        if wanted.low_since_s is None:
+            wanted.low_since_s = now_s
+        elif now_s - wanted.low_since_s >= SHRINK_AFTER_S:
+            wanted.copies -= 1
+            wanted.low_since_s = now_s
+
+
+class LoadBucket:
+    """Token bucket of loads from the weight store; starts empty.
+
+    A new holder doesn't know how many loads the previous one has just ordered.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self._tokens = 0.0
+        self._updated_s = now_s
+
+    def refill(self, loads_per_minute: float, now_s: float) -> None:
+        """Add the tokens since the last call, up to one."""
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        gained = elapsed_s * loads_per_minute / SECONDS_PER_MINUTE
+        self._tokens = min(1.0, self._tokens + gained)
+        self._updated_s = now_s
+
+    def has_token(self) -> bool:
+        """Return whether a load may be ordered now."""
+        return self._tokens >= 1.0
+
+    def take(self) -> None:
+        """Use one token."""
+        self._tokens -= 1.0
--- /dev/null
+++ b/buckthorndeal/_placement_models.py
@@ -0,0 +1,183 @@
+"""Endpoints, orders and outstanding orders of placement."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+ORDER_ID_HEX_DIGITS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementEndpoint:
+    """An endpoint as placement sees it.
+
+    Parameters
+    ----------
+    models : tuple of (str, str)
+        Loaded models with their versions.
+    model_slots : int
+        Number of models that fit at once.
+    ready : bool
+        Whether it takes new work: neither draining nor refused by operators.
+    checks_fencing : bool
+        Whether it refuses orders with an old fencing number.
+    """
+
+    name: str
+    incarnation: int
+    service: str
+    region: str
+    models: tuple[tuple[str, str], ...] = ()
+    adapters: tuple[str, ...] = ()
+    model_slots: int = 1
+    ready: bool = True
+    checks_fencing: bool = False
+
+    def has_model(self, model: str) -> bool:
+        """Return whether the model is loaded in any version."""
+        return any(name == model for name, _ in self.models)
+
+    def count_free_slots(self) -> int:
+        """Return how many models can still be loaded."""
+        return self.model_slots - len(self.models)
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True):
+    """An order to one endpoint, as sent to it."""
+
+    order_id: str
+    fencing: int
+    action: str
+    model: str
+    version: str
+    adapter: str = ""
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementDecision:
+    """An order, the endpoint it goes to and why."""
+
+    endpoint: PlacementEndpoint
+    order: Order
+    scores: dict[str, float]
+    reason: str
+
+
+@dataclass(frozen=True)
+class PlacementOptions:
+    """Times in seconds and limits of one planning round.
+
+    Parameters
+    ----------
+    longest_order_s : float
+        Longest time from sending an order to its end at the endpoint, with the
+        delay of the network.
+    handover_s : float
+        Longest time for which an old holder may still send orders: the lease
+        duration plus the drift bound.
+    orders_per_round : int
+        Largest number of orders that one round decides.
+    """
+
+    longest_order_s: float = 120.0
+    handover_s: float = 6.3
+    orders_per_round: int = 2
+
+
+@dataclass(slots=True)
+class _Outstanding:
+    order: Order
+    endpoint: PlacementEndpoint
+    ends_s: float
+
+
+class OrderTable:
+    """Orders that have not ended yet, at most one for each endpoint."""
+
+    def __init__(self, fencing: int, longest_order_s: float) -> None:
+        self._fencing = fencing
+        self._longest_order_s = longest_order_s
+        self._entries: dict[str, _Outstanding] = {}
+        self._sequences: dict[str, int] = {}
+
+    def list_orders(self) -> dict[str, Order]:
+        return {name: entry.order for name, entry in self._entries.items()}
+
+    def has_order(self, endpoint: str) -> bool:
+        return endpoint in self._entries
+
+    def create(
+        self,
+        endpoint: PlacementEndpoint,
+        action: str,
+        model: str,
+        version: str,
+        adapter: str,
+        now_s: float,
+    ) -> Order:
+        """Return a new order and keep it as outstanding."""
+        # The sequence number tells a later order from an equal earlier one, which
+        # the endpoint would otherwise take for a resend.
+        sequence = self._sequences.get(endpoint.name, 0) + 1
+        self._sequences[endpoint.name] = sequence
+        target = (endpoint.name, endpoint.incarnation, action, model, version, adapter)
+        content = msgspec.json.encode((self._fencing, sequence, *target))
+        order = Order(
+            order_id=hashlib.sha256(content).hexdigest()[:ORDER_ID_HEX_DIGITS],
+            fencing=self._fencing,
+            action=action,
+            model=model,
+            version=version,
+            adapter=adapter,
+        )
+        ends_s = now_s + self._longest_order_s
+        self._entries[endpoint.name] = _Outstanding(order, endpoint, ends_s)
+        return order
+
+    def end(self, endpoint: str, order_id: str) -> None:
+        entry = self._entries.get(endpoint)
+        if entry is not None and entry.order.order_id == order_id:
+            del self._entries[endpoint]
+
+    def settle(self, endpoints: Iterable[PlacementEndpoint], now_s: float) -> None:
+        """Drop the orders that reports show as ended and those out of time."""
+        by_name = {endpoint.name: endpoint for endpoint in endpoints}
+        for name, entry in list(self._entries.items()):
+            endpoint = by_name.get(name)
+            if now_s >= entry.ends_s or (endpoint and _has_ended(entry, endpoint)):
+                del self._entries[name]
+
+    def takes(self, endpoint: str, model: str) -> bool:
+        """Return whether an outstanding order takes this copy."""
+        entry = self._entries.get(endpoint)
+        if entry is None:
+            return False
+        return entry.order.action == "unload" and entry.order.model == model
+
+    def count_loads(self, region: str, model: str) -> int:
+        return sum(
+            entry.endpoint.region == region
+            and entry.order.action == "load"
+            and entry.order.model == model
+            for entry in self._entries.values()
+        )
+
+    def has_unload(self, region: str) -> bool:
+        return any(
+            entry.endpoint.region == region and entry.order.action == "unload"
+            for entry in self._entries.values()
+        )
+
+
+def _has_ended(entry: _Outstanding, endpoint: PlacementEndpoint) -> bool:
+    if endpoint.incarnation != entry.endpoint.incarnation:
+        return True
+    order = entry.order
+    if order.action == "load":
+        return (order.model, order.version) in endpoint.models
+    if order.action == "load_adapter":
+        return order.adapter in endpoint.adapters
+    return not endpoint.has_model(order.model)
