--- /dev/null
+++ b/buckthorndeal/hedging.py
@@ -0,0 +1,83 @@
+"""When a second attempt of an idempotent call is started."""
+
+from buckthorndeal._quantiles import QuantileTracker
+from buckthorndeal.budget import RetryBudget
+from buckthorndeal.sections import HedgePolicy, Weights
+from buckthorndeal.views import AttemptOutcome, AttemptResult, RouteRequest
+
+__all__ = ["Hedger", "create_hedger"]
+
+# Hedging later than most answers bounds the extra attempts to about 5%.
+HEDGE_QUANTILE = 0.95
+
+
+class Hedger:
+    """Decides on second attempts, within the retry budget.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Budget shared with the retries.
+    """
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self._budget = budget
+        self._trackers: dict[str, QuantileTracker] = {}
+
+    def observe(self, result: AttemptResult) -> None:
+        """Learn how long the service takes to the first byte of an answer."""
+        if result.outcome is not AttemptOutcome.SUCCEEDED:
+            return
+        waited_s = result.first_token_s
+        waited_s = result.total_s if waited_s is None else waited_s
+        tracker = self._trackers.get(result.service)
+        if tracker is None:
+            tracker = QuantileTracker(waited_s, HEDGE_QUANTILE)
+            self._trackers[result.service] = tracker
+        tracker.observe(waited_s)
+
+    def get_delay(
+        self,
+        request: RouteRequest,
+        weights: Weights,
+        policy: HedgePolicy,
+        now_s: float,
+    ) -> float | None:
+        """Return how long to wait for the first attempt before a second one.
+
+        Returns
+        -------
+        float or None
+            Delay in seconds; None if the request must not be hedged.
+        """
+        if not (policy.enabled and request.idempotent):
+            return None
+        if weights.tail_latency <= weights.cost:
+            return None
+        tracker = self._trackers.get(request.service)
+        delay_s = policy.after_s
+        if tracker is not None:
+            delay_s = max(delay_s, tracker.value)
+        return delay_s if now_s + delay_s < request.deadline_s else None
+
+    def try_start(self, request: RouteRequest, now_s: float) -> bool:
+        """Take the second attempt from the budget when the delay has passed."""
+        if not request.idempotent or now_s >= request.deadline_s:
+            return False
+        return self._budget.try_retry(request.workspace, now_s)
+
+
+def create_hedger(budget: RetryBudget) -> Hedger:
+    """Create a hedger.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+        Budget shared with the retries.
+
+    Returns
+    -------
+    Hedger
+        The hedger.
+    """
+    return Hedger(budget)
