Add the route choice and its baselines

Cause: hosts decide on load reports that lag, next to others with the same report, and caches are regional.

Change: `routing` samples a few candidates, adds those with the prompt's prefix cached, scores them in weighted seconds and decides between the local endpoint, another region with credits, and a refusal. The strategies ours, round_robin, random, least_load and local_only share one interface.

Result: tests cover stale reports and several hosts, cold caches, slow start, weights, spill hysteresis and requests that must not move.

--- /dev/null
+++ b/buckthorndeal/_scoring.py
@@ -0,0 +1,106 @@
+"""Score of an endpoint or a region for one request, in weighted seconds."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.estimates import Estimate
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import EndpointView, RegionView, RouteRequest
+
+__all__ = ["Score", "ScoreSettings", "estimate_load", "score_region", "score_view"]
+
+# A weight of 0.5, the document's default, leaves a term unchanged.
+NEUTRAL_WEIGHT = 0.5
+MIN_RAMP = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreSettings:
+    """Constants of the score.
+
+    Parameters
+    ----------
+    slow_start_s : float
+        Time over which a new endpoint's usable slots rise to all of them.
+    fill_cost : float
+        Share of the service time that a full batch adds to a request; spreads
+        load over endpoints that have free slots.
+    peer_requests : float
+        Requests of other hosts assumed for each own request since the report.
+    """
+
+    slow_start_s: float = 20.0
+    fill_cost: float = 0.2
+    peer_requests: float = 0.0
+
+
+@dataclass(slots=True)
+class Score:
+    """Score of one candidate; a lower value is better.
+
+    Parameters
+    ----------
+    value : float
+        Weighted seconds.
+    wait_s : float
+        Expected wait for a slot.
+    first_s : float
+        Expected time to the first token.
+    finish_s : float
+        Expected time to the end of the answer.
+    """
+
+    value: float
+    wait_s: float
+    first_s: float
+    finish_s: float
+
+
+def estimate_load(view: EndpointView, peer_requests: float = 0.0) -> float:
+    """Return the requests at an endpoint now, from a report that lags.
+
+    The report is corrected by this host's own requests since then. Own requests
+    still in flight are a lower bound whatever the report says.
+    """
+    since = view.own_since_report * (1.0 + peer_requests)
+    return max(view.own_inflight, view.running + view.queued + since)
+
+
+def score_view(
+    view: EndpointView,
+    request: RouteRequest,
+    estimate: Estimate,
+    weights: Weights,
+    cached_tokens: float,
+    settings: ScoreSettings,
+    now_s: float,
+) -> Score:
+    """Score one endpoint for a request."""
+    load = estimate_load(view, settings.peer_requests)
+    slots = view.slots * _get_ramp(view, settings, now_s)
+    service_s = estimate.service_s
+    wait_s = max(0.0, load + 1 - max(slots, 1.0)) * service_s / slots
+    uncached = max(0.0, request.prompt_tokens - cached_tokens)
+    prefill_s = uncached / estimate.prefill_tokens_per_s
+    fill_s = settings.fill_cost * service_s * min(1.0, load / slots)
+    value = (wait_s + fill_s) * (NEUTRAL_WEIGHT + weights.tail_latency)
+    value += prefill_s * (NEUTRAL_WEIGHT + weights.cost)
+    return Score(value, wait_s, wait_s + prefill_s, wait_s + service_s)
+
+
+def score_region(
+    region: RegionView, request: RouteRequest, estimate: Estimate, weights: Weights
+) -> Score:
+    """Score another region: two link delays, its wait, and a cold cache."""
+    wait_s = region.wait_s + 2 * region.link_delay_s
+    prefill_s = request.prompt_tokens / estimate.prefill_tokens_per_s
+    value = wait_s * (NEUTRAL_WEIGHT + weights.tail_latency)
+    value += prefill_s * (NEUTRAL_WEIGHT + weights.cost)
+    return Score(value, wait_s, wait_s + prefill_s, wait_s + estimate.service_s)
+
+
+def _get_ramp(view: EndpointView, settings: ScoreSettings, now_s: float) -> float:
+    """Return the usable share of a cold endpoint's slots."""
+    age_s = now_s - view.ready_since_s
+    if age_s >= settings.slow_start_s:
+        return 1.0
+    return max(MIN_RAMP, age_s / settings.slow_start_s)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,195 @@
+"""Tests of the route choice."""
+
+import random
+import unittest
+from collections import Counter
+
+from buckthorndeal.routing import STRATEGIES, create_router
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import (
+    AttemptOutcome,
+    AttemptResult,
+    EndpointView,
+    RegionView,
+    RouteRequest,
+)
+
+EVEN = Weights()
+COST = Weights(cost=1.0, tail_latency=0.0)
+TAIL = Weights(cost=0.0, tail_latency=1.0)
+PREFIXES = tuple(range(16))
+OTHERS = [RegionView("far", 5, 0.0, 0.08)]
+
+
+def _view(name, **fields):
+    fields = {"slots": 8, "models": ("m",), "ready_since_s": -1000.0} | fields
+    return EndpointView(name, 1, "s", "home", "d", "127.0.0.1", 1, **fields)
+
+
+def _views(count, **fields):
+    return [_view(f"e{number}", **fields) for number in range(count)]
+
+
+def _request(**fields):
+    fields = {"deadline_s": 1030.0, "prompt_tokens": 1024} | fields
+    return RouteRequest("r", "w", "s", "m", home_region="home", **fields)
+
+
+def _router(strategy="ours", seed=1):
+    return create_router("home", random.Random(seed), strategy)
+
+
+def _choose(router, views, request=None, regions=(), weights=EVEN, now_s=1000.0):
+    return router.choose(request or _request(), views, regions, weights, now_s)
+
+
+class FilterTest(unittest.TestCase):
+    def test_unsuitable_endpoints_are_left_out(self):
+        """Guards against work sent to a draining, excluded or wrong endpoint."""
+        views = [
+            _view("draining", state="draining"),
+            _view("excluded"),
+            _view("other-model", models=("n",)),
+            _view("good", running=8, queued=3),
+        ]
+        request = _request(excluded=frozenset(("excluded",)))
+        for strategy in STRATEGIES:
+            chosen = _choose(_router(strategy), views, request).endpoint
+            self.assertEqual(chosen.name, "good", strategy)
+
+    def test_few_eligible_among_many_are_found(self):
+        """Guards against a refusal because the samples missed the last one."""
+        views = [*_views(600, state="draining"), _view("good")]
+        self.assertEqual(_choose(_router(), views).endpoint.name, "good")
+
+    def test_refusals_say_why_and_when_to_return(self):
+        """Guards against callers that retry at once."""
+        decision = _choose(_router(), [])
+        self.assertEqual((decision.endpoint, decision.region), (None, None))
+        self.assertEqual(decision.reason, "no_endpoint")
+        self.assertGreater(decision.retry_after_s, 0)
+        late = _choose(_router(), _views(2, running=8, queued=900))
+        self.assertEqual(late.reason, "deadline")
+        self.assertGreater(late.retry_after_s, 0)
+
+    def test_all_copies_ejected_are_still_tried(self):
+        """Guards against refusing a model whose copies are all ejected."""
+        router = _router()
+        views = [*_views(4, models=("n",)), _view("only")]
+        _choose(router, views)
+        for _ in range(3):
+            result = AttemptResult("only", 1, "s", AttemptOutcome.BROKEN, 0.1)
+            router.observe(result, 1000.0)
+        self.assertEqual(_choose(router, views).endpoint.name, "only")
+
+
+class ScoreTest(unittest.TestCase):
+    def test_own_requests_correct_a_stale_report(self):
+        """Guards against sending a burst to the endpoint that reported least."""
+        idle = _view("idle", running=0, own_since_report=12, own_inflight=12)
+        busy = _view("busy", running=8)
+        self.assertEqual(_choose(_router(), [idle, busy]).endpoint.name, "busy")
+
+    def test_hosts_with_one_stale_report_spread(self):
+        """Guards against several hosts that all pick the least loaded endpoint."""
+        views = _views(12, running=7)
+        views[0] = _view("e0", running=0)
+        counts = Counter()
+        for seed in range(200):
+            counts[_choose(_router(seed=seed), views).endpoint.name] += 1
+        self.assertLess(counts["e0"], 100)
+
+    def test_cold_endpoint_starts_slowly(self):
+        """Guards against filling an endpoint that has just announced itself."""
+        cold = _view("cold", ready_since_s=999.0, running=2)
+        warm = _view("warm", running=5)
+        self.assertEqual(_choose(_router(), [cold, warm]).endpoint.name, "warm")
+        later = _choose(_router(), [cold, warm], now_s=1025.0)
+        self.assertEqual(later.endpoint.name, "cold")
+
+    def test_return_with_a_cold_cache_loses_the_preference(self):
+        """Guards against routing by the cache of an endpoint's old process."""
+        router = _router()
+        router.affinity.record_request("e0", 1, PREFIXES, 999.0)
+        request = _request(prefix_hashes=PREFIXES)
+        views = [_view("e0", running=2), _view("e1")]
+        self.assertEqual(_choose(router, views, request).endpoint.name, "e0")
+        router.affinity.record_request("e0", 2, (), 1000.0)
+        self.assertEqual(_choose(router, views, request).endpoint.name, "e1")
+
+    def test_weights_change_the_decision(self):
+        """Guards against document weights that have no effect."""
+        request = _request(prefix_hashes=PREFIXES)
+        views = [_view("cached", running=8, queued=2), _view("free")]
+        chosen = {}
+        for name, weights in (("cost", COST), ("tail", TAIL)):
+            router = _router()
+            router.affinity.record_request("cached", 1, PREFIXES, 1000.0)
+            chosen[name] = _choose(router, views, request, weights=weights)
+        self.assertEqual(chosen["cost"].endpoint.name, "cached")
+        self.assertEqual(chosen["tail"].endpoint.name, "free")
+
+
+class SpillTest(unittest.TestCase):
+    def _press(self, router, queued, now_s, request=None, regions=OTHERS):
+        """Decide 20 times within two seconds at one load."""
+        views = _views(3, running=8, queued=queued)
+        return [
+            _choose(router, views, request, regions, now_s=now_s + step / 10)
+            for step in range(20)
+        ]
+
+    def _count_moved(self, *args, **fields):
+        return sum(d.region is not None for d in self._press(*args, **fields))
+
+    def test_local_comes_first(self):
+        """Guards against work sent to a cold region while there is room here."""
+        self.assertEqual(self._count_moved(_router(), 0, 1000.0), 0)
+
+    def test_overloaded_region_spills_against_credits_only(self):
+        """Guards against a region that floods another one unasked."""
+        self.assertGreater(self._count_moved(_router(), 40, 1000.0), 10)
+        none = [RegionView("far", 0, 0.0, 0.08)]
+        self.assertEqual(self._count_moved(_router(), 40, 1000.0, regions=none), 0)
+        self.assertEqual(self._count_moved(_router("local_only"), 40, 1000.0), 0)
+
+    def test_spilling_has_hysteresis(self):
+        """Guards against flapping while the wait is near the bound."""
+        router = _router()
+        self._press(router, 4, 1000.0)
+        self.assertFalse(router.is_spilling("s"))
+        self._press(router, 40, 1002.0)
+        self.assertTrue(router.is_spilling("s"))
+        self._press(router, 4, 1004.0)
+        self._press(router, 4, 1006.0)
+        self.assertTrue(router.is_spilling("s"))
+        for start_s in (1008.0, 1010.0, 1012.0):
+            self._press(router, 0, start_s)
+        self.assertFalse(router.is_spilling("s"))
+
+    def test_bound_crossed_and_unrepeatable_requests_never_move(self):
+        """Guards against data that leaves its region, loops, and lost claims."""
+        for fields in (
+            {"bound": True},
+            {"crossed_region": True},
+            {"idempotent": False},
+        ):
+            request = _request(**fields)
+            self.assertEqual(
+                self._count_moved(_router(), 40, 1000.0, request=request), 0
+            )
+            empty = _choose(_router(), [], request, OTHERS)
+            self.assertIsNone(empty.region)
+
+    def test_bound_request_away_from_home_is_refused(self):
+        """Guards against bound data processed by endpoints of another region."""
+        request = _request(bound=True)
+        request.home_region = "far"
+        decision = _choose(_router(), _views(3), request, OTHERS)
+        self.assertEqual(decision.reason, "bound_elsewhere")
+        self.assertIsNone(decision.endpoint)
+        self.assertIsNone(decision.region)
+
+
+if __name__ == "__main__":
+    unittest.main()
