Add spill credits between regions

Cause: a region may send work to another one only from spare capacity that the other one lends, and shifting peaks must not make lending flap.

The borrower asks by smoothed demand and stays with its regions.

Result: with spare capacity that alternates between 20 and 0 each second for 300 s, lending opens at most 8 times (a test).

--- /dev/null
+++ b/tests/test_credits.py
@@ -0,0 +1,126 @@
+"""Tests of spill credits."""
+
+import unittest
+
+from buckthorndeal.credits import (
+    CreditGrant,
+    RegionSummary,
+    create_borrower,
+    create_grantor,
+    split_fairly,
+)
+
+
+class GrantorTest(unittest.TestCase):
+    def setUp(self):
+        self.grantor = create_grantor("a", headroom_share=0.25)
+
+    def _grant(self, spare, now_s, **requests):
+        grants = self.grantor.grant(spare, requests, now_s)
+        return {grant.borrower: grant.credits for grant in grants}
+
+    def test_spare_capacity_is_split_fairly_with_headroom(self):
+        """Guards against one region that borrows everything."""
+        self.assertEqual(
+            self._grant(16, 0.0, b=2, c=50, d=50), {"b": 2, "c": 5, "d": 5}
+        )
+        self.assertEqual(sum(split_fairly(7, {"b": 3, "c": 9, "d": 9}).values()), 7)
+
+    def test_region_at_a_tenth_of_capacity_takes_its_credits_back(self):
+        """Guards against own callers that wait behind another region's."""
+        self._grant(40, 0.0, b=10)
+        self.assertEqual(self._grant(1, 1.0, b=10), {"b": 0})
+        self.assertFalse(self.grantor.redeem("b", 1, 1.0))
+
+    def test_own_callers_come_before_granted_credits(self):
+        """Guards against honouring a credit when no slot is free any more."""
+        self._grant(40, 0.0, b=10)
+        self.assertFalse(self.grantor.redeem("b", 0, 0.1))
+        self.assertTrue(self.grantor.redeem("b", 5, 0.1))
+
+    def test_expired_and_used_credits_are_not_honoured(self):
+        """Guards against a partitioned borrower that spends old credits."""
+        self._grant(40, 0.0, b=2)
+        self.assertTrue(self.grantor.redeem("b", 5, 0.1))
+        self.assertTrue(self.grantor.redeem("b", 5, 0.1))
+        self.assertFalse(self.grantor.redeem("b", 5, 0.1))
+        self._grant(40, 1.0, b=2)
+        self.assertFalse(self.grantor.redeem("b", 5, 10.0))
+
+    def test_live_credits_of_others_are_not_lent_twice(self):
+        """Guards against promising one slot to two regions."""
+        self.assertEqual(self._grant(16, 0.0, b=12), {"b": 12})
+        self.assertEqual(self._grant(16, 0.5, c=12), {"c": 0})
+        self.assertEqual(self._grant(16, 5.0, c=12), {"c": 12})
+
+    def test_shifting_peak_does_not_flap(self):
+        """Guards against lending that opens and closes with each short dip."""
+        openings = 0
+        for second in range(300):
+            was_lending = self.grantor.is_lending
+            self._grant(20 if second % 2 else 0, float(second), b=5)
+            openings += self.grantor.is_lending and not was_lending
+        # Pauses of 10, 20 and 40 s, then of 60 s.
+        self.assertLessEqual(openings, 8)
+
+    def test_lending_resumes_after_a_long_peak(self):
+        """Guards against a pause that never ends."""
+        for second in range(20):
+            self._grant(20, float(second), b=5)
+        self._grant(0, 20.0, b=5)
+        for second in range(21, 30):
+            granted = self._grant(20, float(second), b=5)
+        self.assertEqual(granted, {"b": 5})
+
+
+class BorrowerTest(unittest.TestCase):
+    def setUp(self):
+        self.borrower = create_borrower("b", {"a": 0.08, "c": 0.01})
+        self.borrower.receive_summary(RegionSummary("a", 0.0, 20), 0.0)
+
+    def test_credits_expire(self):
+        """Guards against spilling on the word of a region that is out of reach."""
+        self.borrower.receive(CreditGrant("a", "b", 1, 2, 3.0), 0.0)
+        self.assertTrue(self.borrower.take("a", 2.9))
+        self.assertFalse(self.borrower.take("a", 3.0))
+        self.assertEqual(self.borrower.list_regions(3.0)[0].credits, 0)
+
+    def test_old_grant_does_not_replace_a_newer_one(self):
+        """Guards against a late grant that revives revoked credits."""
+        self.borrower.receive(CreditGrant("a", "b", 2, 0, 3.0), 0.0)
+        self.borrower.receive(CreditGrant("a", "b", 1, 9, 3.0), 0.0)
+        self.assertFalse(self.borrower.take("a", 0.1))
+
+    def test_unsent_request_returns_its_credit_once(self):
+        """Guards against lost credits, and against more than were granted."""
+        self.borrower.receive(CreditGrant("a", "b", 1, 1, 3.0), 0.0)
+        self.assertTrue(self.borrower.take("a", 0.1))
+        self.borrower.put_back("a", 0.2)
+        self.borrower.put_back("a", 0.2)
+        self.assertEqual(self.borrower.count("a", 0.3), 1)
+
+    def test_demand_asks_and_its_end_returns(self):
+        """Guards against credits kept idle after the peak."""
+        self.assertEqual(self.borrower.refresh(0.0), [])
+        for step in range(20):
+            self.borrower.record_demand(1, step / 10)
+        asked = self.borrower.refresh(2.0)
+        self.assertEqual([request.region for request in asked], ["a"])
+        self.assertGreater(asked[0].wanted, 5)
+        self.assertEqual(self.borrower.refresh(2.1), [])
+        self.borrower.receive_summary(RegionSummary("a", 0.0, 20), 29.0)
+        self.assertEqual([r.wanted for r in self.borrower.refresh(30.0)], [0])
+        self.assertEqual(self.borrower.refresh(32.0), [])
+
+    def test_borrower_stays_with_its_region(self):
+        """Guards against moving to another cold cache when summaries shift."""
+        self.borrower.record_demand(10, 0.0)
+        self.borrower.refresh(0.0)
+        self.borrower.receive_summary(RegionSummary("c", 0.0, 20), 1.0)
+        self.borrower.record_demand(10, 1.0)
+        asked = self.borrower.refresh(1.5)
+        self.assertEqual([request.region for request in asked], ["a"])
+
+
+if __name__ == "__main__":
+    unittest.main()
