Measure the CPU time of a decision and ignore old cache entries by epoch

Change: `bench_decision` measures 20, 120 and 600 candidates against the bound of 0.8 ms (1.2% of a core at 14.8 requests/s). Entries carry the epoch of their source in place of a search, and prefixes are stored in one loop.

--- /dev/null
+++ b/buckthorndeal/_bench_decision.py
@@ -0,0 +1,181 @@
+"""CPU time of one route decision by the number of candidates."""
+
+import random
+import time
+from dataclasses import dataclass
+
+from buckthorndeal._scoring import ScoreSettings
+from buckthorndeal.routing import Router, create_router
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import (
+    AttemptOutcome,
+    AttemptResult,
+    EndpointView,
+    RegionView,
+    RouteRequest,
+)
+
+__all__ = [
+    "MAX_DECISION_S",
+    "DecisionBench",
+    "DecisionCost",
+    "bench_decision",
+]
+
+# 1.2% of a core at 14.8 requests/s of the target size.
+MAX_DECISION_S = 0.0008
+CANDIDATES = (20, 120, 600)
+BOUND_CANDIDATES = 600
+DECISIONS = 2000
+PREFIXES_PER_REQUEST = 48
+SHARED_PREFIXES = 24
+# Of the candidates, so many are not eligible: draining, or without the model.
+DRAINING_SHARE = 0.1
+OTHER_MODEL_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """CPU time per decision with one number of candidates."""
+
+    candidates: int
+    cpu_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionBench:
+    """Result of `bench_decision`.
+
+    Parameters
+    ----------
+    costs : tuple of DecisionCost
+        One for each number of candidates.
+    slope_s : float
+        CPU time that each further candidate adds, by least squares.
+    bound_s : float
+        Bound for the largest number of candidates.
+    """
+
+    costs: tuple[DecisionCost, ...]
+    slope_s: float
+    bound_s: float
+
+    @property
+    def is_within_bound(self) -> bool:
+        """Whether every cost is within the bound."""
+        return all(cost.cpu_s <= self.bound_s for cost in self.costs)
+
+
+def bench_decision(
+    candidates: tuple[int, ...] = CANDIDATES,
+    decisions: int = DECISIONS,
+    seed: int = 1,
+    strategy: str = "ours",
+) -> DecisionBench:
+    """Measure the CPU time of route decisions, with their observation.
+
+    Parameters
+    ----------
+    candidates : tuple of int, optional
+        Numbers of candidates to measure.
+    decisions : int, optional
+        Decisions for each number.
+    seed : int, optional
+        Seed of the load and the samples.
+    strategy : str, optional
+        Name of the strategy.
+
+    Returns
+    -------
+    DecisionBench
+        Costs, slope and bound.
+    """
+    costs = tuple(
+        DecisionCost(count, _measure(count, decisions, seed, strategy))
+        for count in candidates
+    )
+    return DecisionBench(costs, _fit_slope(costs), MAX_DECISION_S)
+
+
+def _measure(count: int, decisions: int, seed: int, strategy: str) -> float:
+    rng = random.Random(seed)
+    views = [_create_view(number, rng) for number in range(count)]
+    router = create_router("home", rng, strategy)
+    regions = [RegionView(f"r{number}", 3, 0.1, 0.08) for number in range(4)]
+    requests = [_create_request(number, rng) for number in range(decisions)]
+    _run(router, requests[: decisions // 10], views, regions)
+    started_s = time.process_time()
+    _run(router, requests, views, regions)
+    return (time.process_time() - started_s) / decisions
+
+
+def _run(
+    router: Router,
+    requests: list[RouteRequest],
+    views: list[EndpointView],
+    regions: list[RegionView],
+) -> None:
+    weights = Weights()
+    for number, request in enumerate(requests):
+        now_s = 1000.0 + number / 100
+        decision = router.choose(request, views, regions, weights, now_s)
+        if decision.endpoint is not None:
+            router.observe(_create_result(decision.endpoint, number), now_s)
+
+
+def _create_view(number: int, rng: random.Random) -> EndpointView:
+    return EndpointView(
+        f"endpoint-{number}",
+        1,
+        "model",
+        "home",
+        f"domain-{number % 4}",
+        "127.0.0.1",
+        9000,
+        models=("m",) if rng.random() >= OTHER_MODEL_SHARE else ("n",),
+        slots=8,
+        running=rng.randrange(9),
+        queued=rng.randrange(12),
+        ready_since_s=1000.0 - ScoreSettings().slow_start_s * rng.random() * 10,
+        state="ready" if rng.random() >= DRAINING_SHARE else "draining",
+    )
+
+
+def _create_request(number: int, rng: random.Random) -> RouteRequest:
+    group = rng.randrange(200)
+    shared = tuple(group * 1000 + block for block in range(SHARED_PREFIXES))
+    own = tuple(
+        1_000_000 + number * 1000 + block
+        for block in range(PREFIXES_PER_REQUEST - SHARED_PREFIXES)
+    )
+    return RouteRequest(
+        f"request-{number}",
+        f"workspace-{rng.randrange(2000)}",
+        "model",
+        "m",
+        2000.0,
+        "home",
+        prefix_hashes=shared + own,
+        prompt_tokens=64 * PREFIXES_PER_REQUEST,
+        bound=rng.random() < 0.39,
+    )
+
+
+def _create_result(view: EndpointView, number: int) -> AttemptResult:
+    failed = number % 50 == 0
+    outcome = AttemptOutcome.BROKEN if failed else AttemptOutcome.SUCCEEDED
+    return AttemptResult(
+        view.name, view.incarnation, view.service, outcome, 2.0, 0.4, 3072, 60, 1024
+    )
+
+
+def _fit_slope(costs: tuple[DecisionCost, ...]) -> float:
+    mean_count = sum(cost.candidates for cost in costs) / len(costs)
+    mean_s = sum(cost.cpu_s for cost in costs) / len(costs)
+    spread = sum((cost.candidates - mean_count) ** 2 for cost in costs)
+    if not spread:
+        return 0.0
+    return (
+        sum((cost.candidates - mean_count) * (cost.cpu_s - mean_s) for cost in costs)
+        / spread
+    )
--- a/buckthorndeal/affinity.py
+++ b/buckthorndeal/affinity.py
@@ -1,5 +1,6 @@
 """Prefix-cache map: which endpoint probably holds which prompt prefix."""
 
+import itertools
 import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -22,6 +23,9 @@
 MIN_CONFIDENCE = 0.05
 MAX_MISSING_EVENTS = 64
 
+# Time of the last confirmation, confidence at that time, epoch of the source.
+_Entry = tuple[float, float, int]
+
 
 @dataclass(frozen=True, slots=True)
 class CacheEvent:
@@ -50,9 +54,14 @@
 
 @dataclass(slots=True)
 class _Source:
-    """What is known of one endpoint's event stream."""
+    """What is known of one endpoint's event stream.
+
+    Entries carry the source's epoch, so that those of an earlier incarnation are
+    ignored without a search for them.
+    """
 
     incarnation: int
+    epoch: int
     next_sequence: int | None = None
     missing: set[int] = field(default_factory=set)
     lost: bool = False
@@ -75,8 +84,9 @@
     def __init__(self, block_tokens: int, max_entries: int) -> None:
         self._block_tokens = block_tokens
         self._max_entries = max_entries
-        self._rows: OrderedDict[int, dict[str, tuple[float, float]]] = OrderedDict()
+        self._rows: OrderedDict[int, dict[str, _Entry]] = OrderedDict()
         self._sources: dict[str, _Source] = {}
+        self._epochs = itertools.count(1)
         self.entries = 0
 
     def apply(self, event: CacheEvent, now_s: float) -> None:
@@ -90,8 +100,8 @@
             source.cleared_s = max(source.cleared_s, event.created_s)
         for prefix in event.removed:
             self._remove(prefix, event.endpoint, event.created_s)
-        for prefix in event.stored:
-            self._store(prefix, event.endpoint, event.created_s, 1.0)
+        entry = (event.created_s, 1.0, source.epoch)
+        self._store(event.stored, event.endpoint, entry)
 
     def record_request(
         self,
@@ -101,10 +111,10 @@
         now_s: float,
     ) -> None:
         """Note that a request of this host filled the endpoint's cache."""
-        if self._get_source(endpoint, incarnation) is None:
-            return
-        for prefix in prefix_hashes:
-            self._store(prefix, endpoint, now_s, OWN_CONFIDENCE)
+        source = self._get_source(endpoint, incarnation)
+        if source is not None:
+            entry = (now_s, OWN_CONFIDENCE, source.epoch)
+            self._store(prefix_hashes, endpoint, entry)
 
     def estimate_tokens(
         self, prefix_hashes: tuple[int, ...], now_s: float
@@ -142,7 +152,7 @@
     def _add_row(
         self,
         found: dict[str, float],
-        row: dict[str, tuple[float, float]],
+        row: dict[str, _Entry],
         tokens: int,
         now_s: float,
     ) -> None:
@@ -167,37 +177,34 @@
 
     def _get_source(self, endpoint: str, incarnation: int) -> _Source | None:
         source = self._sources.get(endpoint)
-        if source is None:
-            source = self._sources[endpoint] = _Source(incarnation)
-            self._drop_entries(endpoint)
-        elif source.incarnation < incarnation:
-            source = self._sources[endpoint] = _Source(incarnation)
-            self._drop_entries(endpoint)
+        if source is None or source.incarnation < incarnation:
+            source = _Source(incarnation, next(self._epochs))
+            self._sources[endpoint] = source
         return source if source.incarnation == incarnation else None
 
-    def _drop_entries(self, endpoint: str) -> None:
-        for prefix in [key for key, row in self._rows.items() if endpoint in row]:
-            self._remove(prefix, endpoint, math.inf)
-
-    def _store(
-        self, prefix: int, endpoint: str, seen_s: float, confidence: float
-    ) -> None:
-        row = self._rows.get(prefix)
-        if row is None:
-            row = self._rows[prefix] = {}
-        self._rows.move_to_end(prefix)
-        known = row.get(endpoint)
-        if known is not None and known[0] > seen_s:
-            return
-        # The row keeps its entries in the order of their last confirmation.
-        self.entries += known is None
-        row.pop(endpoint, None)
-        row[endpoint] = (seen_s, confidence)
-        if len(row) > MAX_ENDPOINTS_PER_PREFIX:
-            del row[next(iter(row))]
-            self.entries -= 1
+    def _store(self, prefixes: tuple[int, ...], endpoint: str, entry: _Entry) -> None:
+        rows = self._rows
+        seen_s, _, epoch = entry
+        for prefix in prefixes:
+            row = rows.get(prefix)
+            if row is None:
+                rows[prefix] = {endpoint: entry}
+                self.entries += 1
+                continue
+            rows.move_to_end(prefix)
+            known = row.pop(endpoint, None)
+            if known is None:
+                self.entries += 1
+            elif known[2] == epoch and known[0] > seen_s:
+                row[endpoint] = known
+                continue
+            # The row keeps its entries in the order of their confirmation.
+            row[endpoint] = entry
+            if len(row) > MAX_ENDPOINTS_PER_PREFIX:
+                del row[next(iter(row))]
+                self.entries -= 1
         while self.entries > self._max_entries:
-            _, oldest = self._rows.popitem(last=False)
+            _, oldest = rows.popitem(last=False)
             self.entries -= len(oldest)
 
     def _remove(self, prefix: int, endpoint: str, created_s: float) -> None:
@@ -234,9 +241,9 @@
     return True
 
 
-def _get_confidence(source: _Source, entry: tuple[float, float], now_s: float) -> float:
-    seen_s, confidence = entry
-    if seen_s <= source.cleared_s:
+def _get_confidence(source: _Source, entry: _Entry, now_s: float) -> float:
+    seen_s, confidence, epoch = entry
+    if epoch != source.epoch or seen_s <= source.cleared_s:
         return 0.0
     if seen_s < source.gap_s:
         confidence *= GAP_CONFIDENCE
--- /dev/null
+++ b/tests/test_bench_decision.py
@@ -0,0 +1,29 @@
+"""Tests of the decision benchmark."""
+
+import unittest
+
+from buckthorndeal._bench_decision import (
+    MAX_DECISION_S,
+    DecisionBench,
+    DecisionCost,
+    bench_decision,
+)
+
+
+class DecisionBenchTest(unittest.TestCase):
+    def test_every_number_of_candidates_is_measured(self):
+        """Guards against a benchmark that stops measuring the target size."""
+        bench = bench_decision(decisions=20)
+        self.assertEqual([cost.candidates for cost in bench.costs], [20, 120, 600])
+        self.assertEqual(bench.bound_s, MAX_DECISION_S)
+        self.assertTrue(all(cost.cpu_s > 0 for cost in bench.costs))
+
+    def test_bound_is_applied(self):
+        """Guards against a bound that passes whatever was measured."""
+        costs = (DecisionCost(20, 0.0001), DecisionCost(600, 0.0009))
+        self.assertFalse(DecisionBench(costs, 0.0, MAX_DECISION_S).is_within_bound)
+        self.assertTrue(DecisionBench(costs[:1], 0.0, MAX_DECISION_S).is_within_bound)
+
+
+if __name__ == "__main__":
+    unittest.main()
