Measure policy quality over fake endpoints

Cause: the constants of the policy need figures under stale reports, several hosts, overload and failing endpoints.

Change: `bench_choice` runs 4 hosts over 6 fake endpoints (8 slots, queue, prefix cache) on an injected clock. Reports come each second and 0.5 to 2 s late, cache events up to 2 s late with 2% lost.

--- /dev/null
+++ b/buckthorndeal/_bench_choice.py
@@ -0,0 +1,219 @@
+"""Policy quality over a few fake endpoints on an injected clock."""
+
+import random
+from dataclasses import dataclass, field
+
+from buckthorndeal._fake_fleet import BLOCK_TOKENS, EventClock, FakeEndpoint
+from buckthorndeal._fake_host import FakeHost, FakeRequest, HostSettings
+from buckthorndeal.affinity import CacheEvent
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import RouteRequest
+
+__all__ = ["ChoiceResult", "Scenario", "bench_choice"]
+
+REPORT_INTERVAL_S = 1.0
+REPORT_LAG_S = (0.5, 2.0)
+EVENT_LAG_S = (0.1, 2.0)
+EVENT_LOSS = 0.02
+SHARED_BLOCKS = 24
+OWN_BLOCKS = 4
+GROUPS = 60
+WORKSPACES = 12
+MEAN_OUTPUT_TOKENS = 60
+# 60 output tokens at a full batch's 40 tokens/s take 1.5 s, and the prefill of
+# 1,792 tokens, about half of them cached, 0.25 s.
+NOMINAL_SERVICE_S = 1.75
+DEADLINE_S = 8.0
+WARMUP_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One run.
+
+    Parameters
+    ----------
+    load : float
+        Arrivals as a multiple of the nominal capacity.
+    failing : int
+        Number of endpoints that fail every request.
+    slots_factor : float
+        Requests that the hosts admit together for each slot.
+    """
+
+    strategy: str = "ours"
+    load: float = 1.0
+    endpoints: int = 6
+    slots: int = 8
+    hosts: int = 4
+    failing: int = 0
+    duration_s: float = 100.0
+    slots_factor: float = 1.25
+    weights: Weights = field(default_factory=Weights)
+    seed: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceResult:
+    """Measured quantities of one run, after the warm-up.
+
+    Parameters
+    ----------
+    p50_s, p95_s, p99_s : float
+        Time to the first token of the requests answered.
+    cost_s : float
+        Slot seconds per request answered.
+    refused_share : float
+        Requests refused or failed, of all.
+    goodput_per_s : float
+        Requests answered in full within the deadline.
+    attempts_per_request : float
+        Attempts sent to endpoints, by request that was admitted.
+    slowest_refusal_s : float
+        Longest time from arrival to a refusal.
+    """
+
+    scenario: Scenario
+    requests: int
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    cost_s: float
+    refused_share: float
+    goodput_per_s: float
+    attempts_per_request: float
+    slowest_refusal_s: float
+
+
+class _Run:
+    """The fleet, the hosts and the arrivals of one scenario."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self._scenario = scenario
+        self._rng = random.Random(scenario.seed)
+        self._clock = EventClock()
+        self._requests: list[FakeRequest] = []
+        self._endpoints = {
+            f"e{number}": FakeEndpoint(
+                f"e{number}",
+                scenario.slots,
+                self._clock,
+                self._rng,
+                self._publish_event,
+                fails=number < scenario.failing,
+            )
+            for number in range(scenario.endpoints)
+        }
+        total = scenario.endpoints * scenario.slots
+        self._rate_per_s = scenario.load * total / NOMINAL_SERVICE_S
+        capacity = max(1, round(total * scenario.slots_factor / scenario.hosts))
+        settings = HostSettings(scenario.strategy, capacity, scenario.weights)
+        self._hosts = [
+            FakeHost(
+                settings,
+                self._endpoints,
+                self._clock,
+                random.Random(self._rng.random()),
+            )
+            for _ in range(scenario.hosts)
+        ]
+
+    def run(self) -> list[FakeRequest]:
+        """Run to the end and return the requests after the warm-up."""
+        for endpoint in self._endpoints.values():
+            self._clock.call_later(self._rng.random(), self._report, endpoint)
+        self._clock.call_later(0.0, self._arrive)
+        end_s = WARMUP_S + self._scenario.duration_s
+        self._clock.run(end_s + DEADLINE_S * 4)
+        return [
+            request
+            for request in self._requests
+            if WARMUP_S <= request.arrived_s < end_s
+        ]
+
+    def _arrive(self) -> None:
+        now_s = self._clock.now_s
+        if now_s >= WARMUP_S + self._scenario.duration_s:
+            return
+        request = self._create_request(len(self._requests))
+        self._requests.append(request)
+        self._rng.choice(self._hosts).submit(request)
+        self._clock.call_later(self._rng.expovariate(self._rate_per_s), self._arrive)
+
+    def _create_request(self, number: int) -> FakeRequest:
+        # Squaring makes low groups frequent, like a few popular guides.
+        group = int(GROUPS * self._rng.random() ** 2)
+        shared = tuple(group * 1000 + block for block in range(SHARED_BLOCKS))
+        own = tuple(10**6 + number * 10 + block for block in range(OWN_BLOCKS))
+        tokens = (SHARED_BLOCKS + OWN_BLOCKS) * BLOCK_TOKENS
+        now_s = self._clock.now_s
+        route = RouteRequest(
+            f"r{number}",
+            f"w{self._rng.randrange(WORKSPACES)}",
+            "model",
+            None,
+            now_s + DEADLINE_S,
+            "home",
+            prefix_hashes=shared + own,
+            prompt_tokens=tokens,
+        )
+        output = 1 + int(self._rng.gammavariate(2.0, MEAN_OUTPUT_TOKENS / 2))
+        return FakeRequest(route, output, now_s)
+
+    def _report(self, endpoint: FakeEndpoint) -> None:
+        report = endpoint.report()
+        lag_s = self._rng.uniform(*REPORT_LAG_S)
+        for host in self._hosts:
+            self._clock.call_later(lag_s, host.receive_report, report)
+        self._clock.call_later(REPORT_INTERVAL_S, self._report, endpoint)
+
+    def _publish_event(self, event: CacheEvent) -> None:
+        for host in self._hosts:
+            if self._rng.random() >= EVENT_LOSS:
+                lag_s = self._rng.uniform(*EVENT_LAG_S)
+                self._clock.call_later(lag_s, self._deliver_event, host, event)
+
+    def _deliver_event(self, host: FakeHost, event: CacheEvent) -> None:
+        host.router.affinity.apply(event, self._clock.now_s)
+
+
+def bench_choice(scenario: Scenario) -> ChoiceResult:
+    """Run one scenario.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        Strategy, load, fleet and seed.
+
+    Returns
+    -------
+    ChoiceResult
+        The measured quantities.
+    """
+    requests = _Run(scenario).run()
+    answered = [request for request in requests if request.outcome == "answered"]
+    good = [
+        request for request in answered if request.ended_s <= request.route.deadline_s
+    ]
+    refused = [request for request in requests if request.outcome != "answered"]
+    firsts = sorted(request.answered_s - request.arrived_s for request in answered)
+    admitted = [request for request in requests if request.attempts]
+    attempts = sum(request.attempts for request in requests)
+    return ChoiceResult(
+        scenario,
+        len(requests),
+        _get_quantile(firsts, 0.5),
+        _get_quantile(firsts, 0.95),
+        _get_quantile(firsts, 0.99),
+        sum(request.busy_s for request in answered) / max(1, len(answered)),
+        len(refused) / max(1, len(requests)),
+        len(good) / scenario.duration_s,
+        attempts / max(1, len(admitted)),
+        max((request.ended_s - request.arrived_s for request in refused), default=0.0),
+    )
+
+
+def _get_quantile(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return float("nan")
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
--- /dev/null
+++ b/buckthorndeal/_fake_host.py
@@ -0,0 +1,223 @@
+"""An entry host's policy parts over fake endpoints, for the policy benchmark."""
+
+import random
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+
+from buckthorndeal._fake_fleet import (
+    BLOCK_TOKENS,
+    EventClock,
+    FakeEndpoint,
+    Job,
+    LoadReport,
+)
+from buckthorndeal.admission import AdmissionRequest, Refused, Ticket, create_admission
+from buckthorndeal.affinity import create_affinity
+from buckthorndeal.budget import create_budget
+from buckthorndeal.errors import RequestError
+from buckthorndeal.routing import create_router
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import (
+    AttemptOutcome,
+    AttemptResult,
+    EndpointView,
+    RouteRequest,
+)
+
+__all__ = ["FakeHost", "FakeRequest", "HostSettings"]
+
+EXPIRE_INTERVAL_S = 0.05
+
+
+@dataclass(slots=True)
+class FakeRequest:
+    """A caller's request and what became of it."""
+
+    route: RouteRequest
+    output_tokens: int
+    arrived_s: float
+    attempts: int = 0
+    outcome: str = "open"
+    answered_s: float = 0.0
+    ended_s: float = 0.0
+    busy_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """What the hosts of one run have in common."""
+
+    strategy: str
+    capacity: int
+    weights: Weights
+
+
+class FakeHost:
+    """Admission, routing and retries of one entry host."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        endpoints: Mapping[str, FakeEndpoint],
+        clock: EventClock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._endpoints = endpoints
+        self._clock = clock
+        self.router = create_router(
+            "home", rng, settings.strategy, create_affinity(BLOCK_TOKENS)
+        )
+        self._admission = create_admission(settings.capacity)
+        self._budget = create_budget()
+        self._views = {name: _create_view(endpoints[name]) for name in endpoints}
+        self._candidates = list(self._views.values())
+        self._sent: dict[str, deque[float]] = {name: deque() for name in endpoints}
+        self._waiting: dict[str, FakeRequest] = {}
+        clock.call_later(EXPIRE_INTERVAL_S, self._expire)
+
+    def submit(self, request: FakeRequest) -> None:
+        """Take a request from a caller."""
+        now_s = self._clock.now_s
+        route = request.route
+        service_s = self.router.estimates.get_service(route.service).service_s
+        wanted = AdmissionRequest(
+            route.request_id,
+            route.workspace,
+            route.deadline_s,
+            route.priority,
+            self.router.get_wait(route.service),
+            service_s,
+            requests_per_s=1000.0,
+            burst=1000,
+            concurrency=1000,
+        )
+        self._budget.record_request(route.workspace, now_s)
+        try:
+            admitted = self._admission.admit(wanted, now_s)
+        except RequestError as error:
+            self._end(request, error.code)
+            return
+        if isinstance(admitted, Ticket):
+            self._dispatch(request, admitted)
+            return
+        self._waiting[route.request_id] = request
+        self._refuse(admitted.displaced)
+
+    def receive_report(self, report: LoadReport) -> None:
+        """Take a load report that may be old."""
+        view = self._views[report.endpoint]
+        view.running = report.running
+        view.queued = report.queued
+        sent = self._sent[report.endpoint]
+        while sent and sent[0] <= report.measured_s:
+            sent.popleft()
+        view.own_since_report = len(sent)
+
+    def _dispatch(self, request: FakeRequest, ticket: Ticket) -> None:
+        now_s = self._clock.now_s
+        decision = self.router.choose(
+            request.route, self._candidates, (), self._settings.weights, now_s
+        )
+        if decision.endpoint is None:
+            self._end(request, decision.reason)
+            self._release(ticket)
+            return
+        view = decision.endpoint
+        request.attempts += 1
+        view.own_inflight += 1
+        view.own_since_report += 1
+        self._sent[view.name].append(now_s)
+        on_end = self._create_callback(request, ticket, view)
+        route = request.route
+        job = Job(
+            route.prefix_hashes,
+            route.prompt_tokens,
+            request.output_tokens,
+            on_end,
+            now_s,
+        )
+        self._endpoints[view.name].submit(job)
+
+    def _create_callback(
+        self, request: FakeRequest, ticket: Ticket, view: EndpointView
+    ) -> Callable[[Job, bool], None]:
+        def on_end(job: Job, succeeded: bool) -> None:
+            view.own_inflight -= 1
+            self.router.observe(
+                _create_result(view, job, succeeded, self._clock.now_s),
+                self._clock.now_s,
+            )
+            if succeeded:
+                request.answered_s = job.sent_s + job.first_token_s
+                request.busy_s = job.busy_s
+                self._end(request, "answered")
+                self._release(ticket)
+            else:
+                self._retry(request, ticket, view.name)
+
+        return on_end
+
+    def _retry(self, request: FakeRequest, ticket: Ticket, failed: str) -> None:
+        now_s = self._clock.now_s
+        if self._budget.try_retry(request.route.workspace, now_s):
+            excluded = request.route.excluded | {failed}
+            request.route = replace(request.route, excluded=excluded)
+            self._dispatch(request, ticket)
+            return
+        self._end(request, "failed")
+        self._release(ticket)
+
+    def _release(self, ticket: Ticket) -> None:
+        for granted in self._admission.release(ticket, self._clock.now_s):
+            request = self._waiting.pop(granted.request.request_id)
+            # Later, so that a row of refusals does not recurse.
+            self._clock.call_later(0.0, self._dispatch, request, granted)
+
+    def _expire(self) -> None:
+        self._refuse(self._admission.expire(self._clock.now_s))
+        self._clock.call_later(EXPIRE_INTERVAL_S, self._expire)
+
+    def _refuse(self, refused: list[Refused] | tuple[Refused, ...]) -> None:
+        for entry in refused:
+            request = self._waiting.pop(entry.request.request_id)
+            self._end(request, entry.error.code)
+
+    def _end(self, request: FakeRequest, outcome: str) -> None:
+        request.outcome = outcome
+        request.ended_s = self._clock.now_s
+
+
+def _create_view(endpoint: FakeEndpoint) -> EndpointView:
+    return EndpointView(
+        endpoint.name,
+        1,
+        "model",
+        "home",
+        "domain",
+        "127.0.0.1",
+        1,
+        slots=endpoint.slots,
+        ready_since_s=-1000.0,
+    )
+
+
+def _create_result(
+    view: EndpointView, job: Job, succeeded: bool, now_s: float
+) -> AttemptResult:
+    if not succeeded:
+        return AttemptResult(
+            view.name, 1, view.service, AttemptOutcome.BROKEN, now_s - job.sent_s
+        )
+    return AttemptResult(
+        view.name,
+        1,
+        view.service,
+        AttemptOutcome.SUCCEEDED,
+        now_s - job.sent_s,
+        job.first_token_s,
+        job.prompt_tokens,
+        job.output_tokens,
+        job.cached_tokens,
+    )
