--- a/buckthorndeal/_bench_choice.py
+++ b/buckthorndeal/_bench_choice.py
@@ -39,6 +39,9 @@
         Number of endpoints that fail every request.
     slots_factor : float
         Requests that the hosts admit together for each slot.
+    skew : float
+        Share of the requests that all come to the first host; the others come
+        to any host.
     """
 
     strategy: str = "ours"
@@ -49,6 +52,7 @@
     failing: int = 0
     duration_s: float = 100.0
     slots_factor: float = 1.25
+    skew: float = 0.0
     weights: Weights = field(default_factory=Weights)
     seed: int = 1
 
@@ -90,7 +94,9 @@
 
     def __init__(self, scenario: Scenario) -> None:
         self._scenario = scenario
-        self._rng = random.Random(scenario.seed)
+        # The arrivals have their own source, so that every strategy gets the same.
+        self._arrivals = random.Random(scenario.seed)
+        self._rng = random.Random(scenario.seed + 1000)
         self._clock = EventClock()
         self._requests: list[FakeRequest] = []
         self._endpoints = {
@@ -137,19 +143,26 @@
             return
         request = self._create_request(len(self._requests))
         self._requests.append(request)
-        self._rng.choice(self._hosts).submit(request)
-        self._clock.call_later(self._rng.expovariate(self._rate_per_s), self._arrive)
+        self._choose_host().submit(request)
+        self._clock.call_later(
+            self._arrivals.expovariate(self._rate_per_s), self._arrive
+        )
+
+    def _choose_host(self) -> FakeHost:
+        if self._arrivals.random() < self._scenario.skew:
+            return self._hosts[0]
+        return self._arrivals.choice(self._hosts)
 
     def _create_request(self, number: int) -> FakeRequest:
         # Squaring makes low groups frequent, like a few popular guides.
-        group = int(GROUPS * self._rng.random() ** 2)
+        group = int(GROUPS * self._arrivals.random() ** 2)
         shared = tuple(group * 1000 + block for block in range(SHARED_BLOCKS))
         own = tuple(10**6 + number * 10 + block for block in range(OWN_BLOCKS))
         tokens = (SHARED_BLOCKS + OWN_BLOCKS) * BLOCK_TOKENS
         now_s = self._clock.now_s
         route = RouteRequest(
             f"r{number}",
-            f"w{self._rng.randrange(WORKSPACES)}",
+            f"w{self._arrivals.randrange(WORKSPACES)}",
             "model",
             None,
             now_s + DEADLINE_S,
@@ -157,7 +170,7 @@
             prefix_hashes=shared + own,
             prompt_tokens=tokens,
         )
-        output = 1 + int(self._rng.gammavariate(2.0, MEAN_OUTPUT_TOKENS / 2))
+        output = 1 + int(self._arrivals.gammavariate(2.0, MEAN_OUTPUT_TOKENS / 2))
         return FakeRequest(route, output, now_s)
 
     def _report(self, endpoint: FakeEndpoint) -> None:
--- a/buckthorndeal/admission.py
+++ b/buckthorndeal/admission.py
@@ -19,6 +19,9 @@
 
 MAX_WAITERS = 256
 MAX_BUCKETS = 4096
+# A waiter gets its answer, at the latest, after this share of the time that was
+# left when it came; a longer wait would hold a refusal back.
+MAX_QUEUE_SHARE = 0.25
 START_HOLD_S = 0.5
 HOLD_SMOOTHING = 0.05
 MIN_RETRY_AFTER_S = 0.1
@@ -53,9 +56,11 @@
     burst: int = 100
     concurrency: int = 64
 
-    def get_latest_start(self) -> float:
-        """Return when it must be admitted at the latest to meet its deadline."""
-        return self.deadline_s - self.expected_wait_s - self.service_s
+    def get_latest_start(self, now_s: float) -> float:
+        """Return when it must leave the queue at the latest."""
+        patience_s = MAX_QUEUE_SHARE * (self.deadline_s - now_s)
+        start_s = self.deadline_s - self.expected_wait_s - self.service_s
+        return min(start_s, now_s + patience_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,7 +154,7 @@
         self._check_deadline(request, self._estimate_wait(ahead), now_s)
         displaced = self._make_room(request)
         bucket.tokens -= 1
-        self._queue.push(_create_waiter(request))
+        self._queue.push(_create_waiter(request, now_s))
         return Queued(request, ahead, displaced)
 
     def release(self, ticket: Ticket, now_s: float) -> list[Ticket]:
@@ -216,7 +221,7 @@
     def _check_deadline(
         self, request: AdmissionRequest, queue_s: float, now_s: float
     ) -> None:
-        late_s = now_s + queue_s - request.get_latest_start()
+        late_s = now_s + queue_s - request.get_latest_start(now_s)
         if late_s > 0:
             message = "the deadline can't be met"
             # Beyond what would be late, a free place appears once a request ends.
@@ -250,13 +255,13 @@
         return bucket
 
 
-def _create_waiter(request: AdmissionRequest) -> Waiter:
+def _create_waiter(request: AdmissionRequest, now_s: float) -> Waiter:
     return Waiter(
         request,
         request.request_id,
         request.workspace,
         request.priority,
-        request.get_latest_start(),
+        request.get_latest_start(now_s),
     )
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -101,15 +101,20 @@
 
     def test_waiters_are_refused_as_soon_as_they_are_late(self):
         """Guards against holding a refusal back until the deadline."""
-        request = _request("late", deadline_s=10.0, service_s=4.0)
+        request = _request("late", deadline_s=10.0, service_s=8.0)
         self.admission.admit(request, 0.0)
         self.admission.admit(_request("patient"), 0.0)
-        self.assertEqual(self.admission.get_next_expiry(), 6.0)
-        self.assertEqual(self.admission.expire(5.9), [])
-        refused = self.admission.expire(6.1)
+        self.assertEqual(self.admission.get_next_expiry(), 2.0)
+        self.assertEqual(self.admission.expire(1.9), [])
+        refused = self.admission.expire(2.1)
         self.assertEqual([entry.request.request_id for entry in refused], ["late"])
         self.assertGreater(refused[0].error.retry_after_s, 0)
 
+    def test_no_waiter_is_held_for_most_of_its_deadline(self):
+        """Guards against a refusal that comes near the deadline."""
+        self.admission.admit(_request("a", deadline_s=10.0), 0.0)
+        self.assertEqual(len(self.admission.expire(2.6)), 1)
+
     def test_late_waiter_gets_no_ticket(self):
         """Guards against running a request that is refused at the same time."""
         self.admission.admit(_request("late", deadline_s=10.0), 0.0)
