Test the accept backlog and a second dispatch of bookings

Cause: removing the break after a dispatched booking, or the accept of the backlog, left all tests green (mutation trial on a scratch copy). Change: tests with two dying booking endpoints and with a waiting connection.

--- a/tests/test_entry_bookings.py
+++ b/tests/test_entry_bookings.py
@@ -36,6 +36,7 @@
 
             async def scenario(cluster, die=die):
                 await cluster.add_endpoint("a", "desk", die)
+                await cluster.add_endpoint("b", "desk", die)
                 first = await cluster.book("k")
                 await cluster.add_endpoint("a", "desk", self.execute)
                 await cluster.add_endpoint("b", "desk", self.execute)
--- a/tests/test_entry_faults.py
+++ b/tests/test_entry_faults.py
@@ -118,7 +118,10 @@
                     await cluster.add_endpoint(
                         f"{name}-{region}", "llm", handler, region
                     )
-                await cluster.add_endpoint(f"d-{region}", "desk", handler, region)
+                for name in ("d", "e"):
+                    await cluster.add_endpoint(
+                        f"{name}-{region}", "desk", handler, region
+                    )
             bookings = [
                 await curio.spawn(self.run_booking, cluster, rng, number, executed)
                 for number in range(KEYS)
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,36 @@
+"""Tests of the socket transport."""
+
+import socket
+import unittest
+
+import curio
+
+from buckthorndeal.transport import create_socket_transport
+
+
+class SocketTransportTest(unittest.TestCase):
+    """TCP over loopback."""
+
+    def test_connection_in_the_backlog_is_served_when_accepting_stops(self):
+        """Guards against a drain that resets connections not yet accepted."""
+
+        async def echo(stream):
+            await stream.sendall(await stream.recv(100))
+
+        async def main():
+            listener = await create_socket_transport().listen("127.0.0.1", 0, echo)
+            await curio.sleep(0.01)
+            # The blocking calls keep the accepting task from running in between.
+            with socket.create_connection(("127.0.0.1", listener.port)) as client:
+                client.sendall(b"hello")
+                await listener.stop_accepting()
+                while listener.connection_count:
+                    await curio.sleep(0.001)
+                client.settimeout(5)
+                return client.recv(100)
+
+        self.assertEqual(curio.run(main), b"hello")
+
+
+if __name__ == "__main__":
+    unittest.main()
