--- a/buckthorndeal/_entry_parse.py
+++ b/buckthorndeal/_entry_parse.py
@@ -99,9 +99,8 @@
     try:
         fields = msgspec.json.decode(request.body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RequestError("bad_request", 400, f"the body is not JSON: {error}") from (
-            error
-        )
+        reason = f"the body is not JSON: {error}"
+        raise RequestError("bad_request", 400, reason) from error
     if not isinstance(fields, dict) or not isinstance(fields.get("model"), str):
         raise RequestError("bad_request", 400, "the body must name a model")
     stream = fields.get("stream", False)
