Add the control daemon, operator commands and examples

Cause: operators reach the document through control hosts, which may lose the leader, answers or their disks, and entry hosts follow the document. Change: control (owner tasks for replica, subscriptions and placement, operator API, bootstrap by the first voter only), operations and buckthorndealctl with the change id kept next to the edited text, settings of both deployments.

--- /dev/null
+++ b/buckthorndeal/_control_peers.py
@@ -0,0 +1,194 @@
+"""Links of a control host to the other control hosts and to entry hosts."""
+
+from collections.abc import Callable, Mapping
+from functools import singledispatchmethod
+
+from buckthorndeal import _control_messages as messages
+from buckthorndeal import _control_requests as requests
+from buckthorndeal._control_placement import ReportReceived
+from buckthorndeal._control_subscriptions import Reported, Subscription
+from buckthorndeal.errors import NotLeaderError, PeerError, Verdict
+from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.peers import Channel, PeerLink
+from buckthorndeal.statemachine import LeaseAnswer, LeaseState, ViewAnswer, ViewState
+from buckthorndeal.wire import Message
+
+CALL_TIMEOUT_S = 2.0
+
+
+class PeerCalls:
+    """Answers messages of other processes and reaches the other control hosts.
+
+    Parameters
+    ----------
+    links : mapping of str to PeerLink
+        Links to the other control hosts by name.
+    describe : callable
+        Returns the `ReplicaDescription` of this host.
+    """
+
+    def __init__(
+        self,
+        links: Mapping[str, PeerLink],
+        describe: Callable[[], messages.ReplicaDescription],
+    ) -> None:
+        self._links = links
+        self._describe = describe
+        self._replica: Mailbox | None = None
+        self._subscriptions: Mailbox | None = None
+        self._placement: Mailbox | None = None
+
+    def connect(
+        self, replica: Mailbox, subscriptions: Mailbox, placement: Mailbox
+    ) -> None:
+        """Hand messages to these owner tasks from now on."""
+        self._replica = replica
+        self._subscriptions = subscriptions
+        self._placement = placement
+
+    async def send_frame(self, host: str, frame: messages.ConsensusFrame) -> None:
+        """Send a consensus message; a lost one is repeated by the replica."""
+        link = self._links.get(host)
+        if link is None or not link.connected:
+            return
+        try:
+            await link.send(frame)
+        except PeerError:
+            return
+
+    async def ask_lease(self, name: str, holder: str) -> LeaseAnswer:
+        """Ask the leader for a lease; see `_control_requests.LeaseAsk`."""
+        leader = await self._find_leader()
+        if leader is None:
+            return await self._replica.ask(requests.LeaseAsk(name, holder))
+        message = messages.LeaseRequest(name, holder)
+        return _read_lease(name, await leader.call(message, CALL_TIMEOUT_S))
+
+    async def end_lease(self, name: str, holder: str, fencing: int) -> None:
+        """Give a lease back."""
+        leader = await self._find_leader()
+        if leader is None:
+            await self._replica.ask(requests.LeaseEnd(name, holder, fencing))
+            return
+        message = messages.LeaseRelease(name, holder, fencing)
+        await leader.call(message, CALL_TIMEOUT_S)
+
+    async def _find_leader(self) -> PeerLink | None:
+        """Return the link to the leader; None if this host leads."""
+        state: requests.ControlState = await self._replica.ask(requests.ReadState())
+        if state.role == "leader":
+            return None
+        if state.leader not in self._links:
+            raise NotLeaderError(state.leader)
+        return self._links[state.leader]
+
+    async def handle(self, message: Message, channel: Channel) -> Message | None:
+        """Answer a message that arrived over a link."""
+        if self._replica is None and not isinstance(message, messages.DescribeReplica):
+            raise PeerError("the replica has not started", Verdict.NOT_RUN)
+        try:
+            return await self._handle(message, channel)
+        except NotLeaderError as error:
+            return messages.LeaderHint(error.leader)
+
+    @singledispatchmethod
+    async def _handle(self, message: Message, channel: Channel) -> Message | None:
+        raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
+
+    @_handle.register
+    async def _(
+        self, message: messages.DescribeReplica, channel: Channel
+    ) -> Message | None:
+        return self._describe()
+
+    @_handle.register
+    async def _(
+        self, message: messages.ConsensusFrame, channel: Channel
+    ) -> Message | None:
+        if channel.host in self._links:
+            received = requests.ConsensusReceived(message.data, channel.host)
+            await self._replica.send(received)
+        return None
+
+    @_handle.register
+    async def _(self, message: messages.Subscribe, channel: Channel) -> Message | None:
+        return await self._subscriptions.ask(Subscription(channel, message.revision))
+
+    @_handle.register
+    async def _(self, message: messages.InForce, channel: Channel) -> Message | None:
+        await self._subscriptions.send(Reported(channel, message.revision))
+        return None
+
+    @_handle.register
+    async def _(
+        self, message: messages.PlacementReport, channel: Channel
+    ) -> Message | None:
+        await self._placement.send(ReportReceived(channel.host, message))
+        return None
+
+    @_handle.register
+    async def _(self, message: messages.GetView, channel: Channel) -> Message | None:
+        state: requests.ControlState = await self._replica.ask(requests.ReadState())
+        view = state.views.get(message.region)
+        return _create_view_reply(state.is_confirmed, view, "")
+
+    @_handle.register
+    async def _(self, message: messages.ChangeView, channel: Channel) -> Message | None:
+        answer: ViewAnswer = await self._replica.ask(
+            requests.ViewRequest(
+                region=message.region,
+                epoch=message.epoch,
+                requester=channel.host,
+                primary=message.primary,
+                backup=message.backup,
+            )
+        )
+        return _create_view_reply(answer.accepted, answer.view, answer.reason)
+
+    @_handle.register
+    async def _(
+        self, message: messages.LeaseRequest, channel: Channel
+    ) -> Message | None:
+        answer = await self._replica.ask(
+            requests.LeaseAsk(message.name, message.holder)
+        )
+        return _create_lease_reply(answer)
+
+    @_handle.register
+    async def _(
+        self, message: messages.LeaseRelease, channel: Channel
+    ) -> Message | None:
+        answer = await self._replica.ask(
+            requests.LeaseEnd(message.name, message.holder, message.fencing)
+        )
+        return _create_lease_reply(answer)
+
+
+def _create_view_reply(
+    accepted: bool, view: ViewState | None, reason: str
+) -> messages.ViewReply:
+    if view is None:
+        return messages.ViewReply(accepted, 0, "", None, reason)
+    return messages.ViewReply(accepted, view.epoch, view.primary, view.backup, reason)
+
+
+def _create_lease_reply(answer: LeaseAnswer) -> messages.LeaseReply:
+    lease = answer.lease
+    return messages.LeaseReply(
+        answer.granted, lease.holder, lease.fencing, lease.duration_s
+    )
+
+
+def _read_lease(name: str, reply: Message) -> LeaseAnswer:
+    if isinstance(reply, messages.LeaderHint):
+        raise NotLeaderError(reply.leader)
+    if not isinstance(reply, messages.LeaseReply):
+        raise PeerError(f"unexpected {type(reply).__name__}", Verdict.MAY_HAVE_RUN)
+    lease = LeaseState(
+        name=name,
+        holder=reply.holder,
+        fencing=reply.fencing,
+        duration_s=reply.duration_s,
+        version=0,
+    )
+    return LeaseAnswer(granted=reply.granted, lease=lease)
--- /dev/null
+++ b/buckthorndeal/command_control.py
@@ -0,0 +1,161 @@
+"""The command `buckthorndeal-control`: runs one control host."""
+
+import os
+import signal
+import socket
+import sys
+from glob import glob
+
+import curio
+from absl import app, flags
+
+from buckthorndeal.control import ControlDaemon, create_control
+from buckthorndeal.document import create_document
+from buckthorndeal.errors import SettingsError, StoreError, ValidationError
+from buckthorndeal.logs import configure_logging, log_event
+from buckthorndeal.settings import ControlSettings, load_settings
+from buckthorndeal.transport import create_socket_transport
+
+__all__ = ["define_flags", "load_initial_texts", "main", "run"]
+
+EXIT_STORE = 1
+EXIT_SETTINGS = 2
+SECTION_SUFFIX = ".jsonc"
+
+
+def define_flags() -> None:
+    """Define the flags of the command."""
+    flags.DEFINE_string("config", None, "Settings file.", required=True)
+
+
+def load_initial_texts(settings: ControlSettings, config: str) -> dict[str, str]:
+    """Return the sections in the settings' directory `initial_document`.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings; a relative directory is found next to the settings file.
+    config : str
+        Path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the directory has no sections or they are not valid.
+    """
+    if settings.initial_document is None:
+        return {}
+    directory = os.path.join(os.path.dirname(config), settings.initial_document)
+    texts = {}
+    for file in sorted(glob(os.path.join(directory, f"*{SECTION_SUFFIX}"))):
+        with open(file, encoding="utf-8") as stream:
+            texts[os.path.basename(file).removesuffix(SECTION_SUFFIX)] = stream.read()
+    allowed = "a directory of valid sections, <section>.jsonc"
+    if not texts:
+        raise SettingsError(config, "$.initial_document", directory, allowed)
+    try:
+        create_document(texts)
+    except ValidationError as error:
+        raise SettingsError(
+            config, "$.initial_document", directory, f"{allowed} ({error})"
+        ) from error
+    return texts
+
+
+def load(config: str) -> tuple[ControlSettings, dict[str, str]]:
+    """Return the settings and the initial sections.
+
+    Raises
+    ------
+    SettingsError
+        If anything in them is not allowed.
+    """
+    settings = load_settings(config, ControlSettings)
+    voters = [each.host for each in settings.voters]
+    if settings.host in voters and settings.data_directory is None:
+        raise SettingsError(
+            config, "$.data_directory", None, "a directory, because this host votes"
+        )
+    if settings.host not in (*voters, *(each.host for each in settings.learners)):
+        raise SettingsError(
+            config, "$.host", settings.host, "a host in voters or learners"
+        )
+    return settings, load_initial_texts(settings, config)
+
+
+class _Signals:
+    """Receives termination signals as messages, through a socket pair."""
+
+    def __init__(self) -> None:
+        self._reader, self._writer = socket.socketpair()
+        self._writer.setblocking(False)
+        self._stream = curio.io.Socket(self._reader)
+
+    def install(self) -> None:
+        signal.set_wakeup_fd(self._writer.fileno())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The wake-up file descriptor does the work.
+            signal.signal(number, lambda number, frame: None)
+
+    async def wait(self) -> None:
+        await self._stream.recv(1)
+
+
+async def _serve(daemon: ControlDaemon) -> None:
+    signals = _Signals()
+    signals.install()
+    starting = await curio.spawn(_start_and_wait, daemon)
+    stopping = await curio.spawn(signals.wait)
+    async with curio.TaskGroup([starting, stopping], wait=any) as group:
+        pass
+    if group.completed is starting:
+        raise starting.exception
+    draining = await curio.spawn(_drain, daemon)
+    second = await curio.spawn(signals.wait)
+    async with curio.TaskGroup([draining, second], wait=any):
+        pass
+
+
+async def _start_and_wait(daemon: ControlDaemon) -> None:
+    await daemon.start()
+    await daemon.wait()
+
+
+async def _drain(daemon: ControlDaemon) -> None:
+    log_event("control_draining")
+    await daemon.drain()
+
+
+async def _run(daemon: ControlDaemon) -> None:
+    try:
+        await _serve(daemon)
+    finally:
+        async with curio.disable_cancellation():
+            await daemon.close()
+
+
+def main(arguments: list[str]) -> int:
+    """Run a control host until it is told to stop; return the exit status."""
+    try:
+        settings, texts = load(flags.FLAGS.config)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logging(settings.host)
+    daemon = create_control(settings, texts, create_socket_transport())
+    try:
+        curio.run(_run, daemon)
+    except StoreError as error:
+        log_event("control_store_error", reason=str(error))
+        return EXIT_STORE
+    return 0
+
+
+def run() -> None:
+    """Parse the flags and run the command."""
+    define_flags()
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/buckthorndeal/document.py
+++ b/buckthorndeal/document.py
@@ -31,7 +31,10 @@
 ]
 
 SECTION_NAME = re.compile(r"[a-z][a-z0-9_-]{0,62}")
-MAX_SECTION_CHARS = 2_000_000
+MAX_SECTION_CHARS = 1_000_000
+# The whole document fits into one frame of the peer protocol, also if every
+# character takes four bytes.
+MAX_DOCUMENT_CHARS = 2_000_000
 CONTEXT_LINES = 3
 # difflib compares line by line in quadratic time in the worst case; a larger
 # rewrite is shown as one replaced block.
@@ -210,6 +213,7 @@
         """
         changed = _parse_entry(section, text, self.get_revision(section) + 1)
         document = Document(self.revision + 1, {**self.sections, section: changed})
+        _check_size(document, section)
         _check_relations(document)
         return document
 
@@ -273,6 +277,13 @@
     return SectionText(text, revision, parse_section(section, text))
 
 
+def _check_size(document: Document, section: str) -> None:
+    chars = sum(len(entry.text) for entry in document.sections.values())
+    if chars > MAX_DOCUMENT_CHARS:
+        reason = f"the document would exceed {MAX_DOCUMENT_CHARS} characters"
+        raise ValidationError(section, "$", reason)
+
+
 def _check_relations(document: Document) -> None:
     if not document.sections:
         return
--- /dev/null
+++ b/tests/control_harness.py
@@ -0,0 +1,109 @@
+"""A cluster of control hosts as processes on loopback, for tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+from buckthorndeal.operations import create_control_client
+from buckthorndeal.settings import PeerAddress
+from buckthorndeal.transport import create_socket_transport
+
+ROOT = Path(__file__).parent.parent
+DOCUMENT = ROOT / "examples" / "kelawar" / "document"
+HOSTS = ("control-1", "control-2", "control-3", "control-4")
+# Longest wait of a test for a state of the cluster; not a bound of the product.
+WAIT_S = 60.0
+
+
+def find_ports(count):
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+class Cluster:
+    """Three voters and a learner; processes are ended by their own handles."""
+
+    def __init__(self, directory, promote_after_s=2.0):
+        self.directory = Path(directory)
+        ports = find_ports(2 * len(HOSTS))
+        self.http_ports = dict(zip(HOSTS, ports[: len(HOSTS)], strict=True))
+        self.peer_ports = dict(zip(HOSTS, ports[len(HOSTS) :], strict=True))
+        self.promote_after_s = promote_after_s
+        self.processes = {}
+        self.logs = {}
+
+    def write_settings(self, host):
+        peers = [{"host": each, "port": self.peer_ports[each]} for each in HOSTS]
+        settings = {
+            "host": host,
+            "region": "shah-alam",
+            "failure_domain": "shah-alam-1",
+            "listen": {"port": self.http_ports[host]},
+            "peer_listen": {"port": self.peer_ports[host]},
+            "voters": peers[:3],
+            "learners": peers[3:],
+            "peer_keys": ["00112233445566778899aabbccddeeff"],
+            "data_directory": str(self.directory / host),
+            "initial_document": str(DOCUMENT),
+            "promote_after_s": self.promote_after_s,
+        }
+        file = self.directory / f"{host}.jsonc"
+        file.write_text(json.dumps(settings))
+        return file
+
+    def start(self, *hosts):
+        for host in hosts or HOSTS:
+            file = self.write_settings(host)
+            log = open(self.directory / f"{host}.log", "ab")
+            with log:
+                self.processes[host] = subprocess.Popen(
+                    [
+                        sys.executable,
+                        "-m",
+                        "buckthorndeal.command_control",
+                        f"--config={file}",
+                    ],
+                    cwd=ROOT,
+                    stderr=log,
+                    env={**os.environ, "PYTHONPATH": str(ROOT)},
+                )
+
+    def kill(self, *hosts):
+        for host in hosts or tuple(self.processes):
+            process = self.processes.pop(host)
+            process.kill()
+            process.wait()
+
+    def terminate(self, host):
+        process = self.processes.pop(host)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(WAIT_S)
+
+    def create_client(self, key="support-example-key", hosts=HOSTS, timeout_s=WAIT_S):
+        addresses = tuple(
+            PeerAddress(host=host, port=self.http_ports[host]) for host in hosts
+        )
+        transport = create_socket_transport()
+        return create_control_client(transport, addresses, key, timeout_s)
+
+    def read_log(self, host):
+        return (self.directory / f"{host}.log").read_text()
+
+
+def wait_until(check, what):
+    deadline = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline:
+        value = check()
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"not within {WAIT_S} s: {what}")
