--- a/buckthorndeal/_claim_records.py
+++ b/buckthorndeal/_claim_records.py
@@ -82,12 +82,14 @@
     identity: str
 
 
-class _Fingerprints(Message):
+class Fingerprints(Message):
+    """Concatenated fingerprints of expired keys."""
+
     data: bytes
 
 
-Record = ClaimEntry | ViewRecord
-_StoredRecord = ClaimEntry | ViewRecord | _Identity | _Fingerprints
+Record = ClaimEntry | ViewRecord | Fingerprints
+_StoredRecord = ClaimEntry | ViewRecord | _Identity | Fingerprints
 
 
 class FingerprintSet:
@@ -162,7 +164,7 @@
                 self.entries[record.fingerprint] = record
         elif isinstance(record, ViewRecord):
             self.record = record
-        elif isinstance(record, _Fingerprints):
+        elif isinstance(record, Fingerprints):
             self.expired.add_packed(record.data)
 
     def drop_old(self, oldest_wall_s: float) -> None:
@@ -184,7 +186,7 @@
     packed = snapshot.expired.pack()
     step = FINGERPRINTS_PER_FRAME * FINGERPRINT_BYTES
     for start in range(0, len(packed), step):
-        yield encode([_Fingerprints(packed[start : start + step])])
+        yield encode([Fingerprints(packed[start : start + step])])
     entries = list(snapshot.entries.values())
     for start in range(0, len(entries), ENTRIES_PER_FRAME):
         yield encode(entries[start : start + ENTRIES_PER_FRAME])
--- /dev/null
+++ b/buckthorndeal/ledger.py
@@ -0,0 +1,133 @@
+"""At-most-once claims with a primary and a backup under views with epochs.
+
+The ledger has no I/O. Its owner task hands it messages and a clock reading, and
+carries out the effects that it returns: it syncs the records of a `Persist` and
+answers with `Persisted`, sends each `SendTo` and `AskView`, and passes on the
+replies. Entries hold hashes and answers, never request bodies, and only go to hosts
+of the same region.
+"""
+
+import hashlib
+import random
+from collections.abc import Callable
+
+from buckthorndeal._ledger_claims import Ledger
+from buckthorndeal._ledger_messages import (
+    LEDGER_MESSAGES,
+    Abandon,
+    AnswerRecorded,
+    AskView,
+    Claim,
+    ClaimReply,
+    ClaimsCopied,
+    CopyClaims,
+    CopyRefused,
+    Effect,
+    FetchClaims,
+    Grant,
+    HostLost,
+    MarkDispatched,
+    Outcome,
+    Persist,
+    Persisted,
+    RecordAnswer,
+    Release,
+    SendTo,
+    ViewLearned,
+    get_host,
+    is_view_change_allowed,
+)
+from buckthorndeal._ledger_replica import LedgerOptions
+from buckthorndeal.claims import FINGERPRINT_BYTES, ClaimSnapshot, LedgerView
+
+__all__ = [
+    "LEDGER_MESSAGES",
+    "Abandon",
+    "AnswerRecorded",
+    "AskView",
+    "Claim",
+    "ClaimReply",
+    "ClaimsCopied",
+    "CopyClaims",
+    "CopyRefused",
+    "Effect",
+    "FetchClaims",
+    "Grant",
+    "HostLost",
+    "Ledger",
+    "LedgerOptions",
+    "LedgerView",
+    "MarkDispatched",
+    "Outcome",
+    "Persist",
+    "Persisted",
+    "RecordAnswer",
+    "Release",
+    "SendTo",
+    "ViewLearned",
+    "compute_digest",
+    "compute_fingerprint",
+    "create_ledger",
+    "get_host",
+    "is_view_change_allowed",
+]
+
+
+def compute_fingerprint(workspace: str, key: str) -> bytes:
+    """Return the fingerprint of an idempotency key of a workspace."""
+    workspace_bytes = workspace.encode()
+    length = len(workspace_bytes).to_bytes(4, "big")
+    data = length + workspace_bytes + key.encode()
+    return hashlib.sha256(data).digest()[:FINGERPRINT_BYTES]
+
+
+def compute_digest(method: str, target: str, body: bytes) -> bytes:
+    """Return the digest that a resend must match."""
+    head = f"{method} {target}\n".encode()
+    return hashlib.sha256(head + body).digest()
+
+
+def create_ledger(
+    host: str,
+    store_identity: str,
+    region: str,
+    get_region: Callable[[str], str | None],
+    snapshot: ClaimSnapshot,
+    rng: random.Random,
+    now_s: float,
+    wall_s: float,
+    options: LedgerOptions | None = None,
+) -> Ledger:
+    """Return the ledger of one host.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    store_identity : str
+        Identity of its claim store.
+    region : str
+        Region of this host.
+    get_region : callable
+        Returns the region of a host, or None if it is unknown.
+    snapshot : ClaimSnapshot
+        Content of the store, owned by the ledger from now on.
+    rng : random.Random
+        Source of batch numbers.
+    now_s : float
+        Monotonic time in seconds.
+    wall_s : float
+        Seconds since the epoch at `now_s`.
+    options : LedgerOptions or None
+        Times.
+    """
+    return Ledger(
+        f"{host}#{store_identity}",
+        region,
+        get_region,
+        snapshot,
+        rng,
+        now_s,
+        wall_s - now_s,
+        options or LedgerOptions(),
+    )
