Add the owner task of the ledger

Cause: the entry host needs the ledger behind a mailbox with its store in a thread. Change: LedgerService carries out the effects, syncs one batch at a time while claims go on to queue, compacts a large store, and stops with the error of a failed sync.

--- a/buckthorndeal/_claim_records.py
+++ b/buckthorndeal/_claim_records.py
@@ -128,6 +128,12 @@
         for start in range(0, len(data), FINGERPRINT_BYTES):
             self.add(data[start : start + FINGERPRINT_BYTES])
 
+    def freeze(self) -> "FingerprintSet":
+        """Return a copy for another thread; the packed part is shared."""
+        frozen = FingerprintSet()
+        frozen._sorted = self.pack()
+        return frozen
+
     def pack(self) -> bytes:
         """Return all fingerprints, sorted and concatenated."""
         if self._recent:
--- a/buckthorndeal/_claim_store.py
+++ b/buckthorndeal/_claim_store.py
@@ -55,6 +55,7 @@
         self.identity = secrets.token_hex(8)
         self._synced: list[bytes] = []
         self._appended: list[Record] = []
+        self._size = 0
 
     def load(self) -> ClaimSnapshot:
         """Return the synced content."""
@@ -71,16 +72,18 @@
         """Keep the appended records."""
         if self._appended:
             self._synced.append(msgspec.msgpack.encode(self._appended))
+            self._size += len(self._synced[-1])
             self._appended = []
 
     def compact(self, snapshot: ClaimSnapshot) -> None:
         """Replace the content."""
         self._synced = list(encode_snapshot(self.identity, snapshot))
+        self._size = sum(len(payload) for payload in self._synced)
         self._appended = []
 
     def measure(self) -> int:
         """Return the size in bytes."""
-        return sum(len(payload) for payload in self._synced)
+        return self._size
 
     def close(self) -> None:
         """Drop the records that are not synced."""
--- a/buckthorndeal/_ledger_claims.py
+++ b/buckthorndeal/_ledger_claims.py
@@ -98,7 +98,8 @@
         """Return the content for a compaction of the store."""
         snapshot = self._snapshot
         record = type(snapshot.record)(self.view, self.asked)
-        return ClaimSnapshot(dict(snapshot.entries), snapshot.expired, record)
+        expired = snapshot.expired.freeze()
+        return ClaimSnapshot(dict(snapshot.entries), expired, record)
 
     def _finish(self, now_s: float) -> list[Effect]:
         self.finish_join(self._pending, now_s)
--- a/buckthorndeal/ledger.py
+++ b/buckthorndeal/ledger.py
@@ -1,10 +1,10 @@
 """At-most-once claims with a primary and a backup under views with epochs.
 
-The ledger has no I/O. Its owner task hands it messages and a clock reading, and
-carries out the effects that it returns: it syncs the records of a `Persist` and
-answers with `Persisted`, sends each `SendTo` and `AskView`, and passes on the
-replies. Entries hold hashes and answers, never request bodies, and only go to hosts
-of the same region.
+`Ledger` has no I/O; `LedgerService` is its owner task. The owner hands it messages
+and a clock reading, and carries out the effects that it returns: it syncs the records
+of a `Persist` and answers with `Persisted`, sends each `SendTo` and `AskView`, and
+passes on the replies. Entries hold hashes and answers, never request bodies, and only
+go to hosts of the same region.
 """
 
 import hashlib
@@ -38,6 +38,7 @@
     is_view_change_allowed,
 )
 from buckthorndeal._ledger_replica import LedgerOptions
+from buckthorndeal._ledger_service import LedgerService, create_ledger_service
 from buckthorndeal.claims import FINGERPRINT_BYTES, ClaimSnapshot, LedgerView
 
 __all__ = [
@@ -56,6 +57,7 @@
     "HostLost",
     "Ledger",
     "LedgerOptions",
+    "LedgerService",
     "LedgerView",
     "MarkDispatched",
     "Outcome",
@@ -68,6 +70,7 @@
     "compute_digest",
     "compute_fingerprint",
     "create_ledger",
+    "create_ledger_service",
     "get_host",
     "is_view_change_allowed",
 ]
