Probe the neighbours of a suspected host

Cause: a region that was cut off was noticed host by host, and took about 12 s at 50 members, because few probes cross regions. Change: whoever suspects a host at first hand probes one more host of its failure domain and one of its region at once. The store in memory keeps records that are not synced through a compaction, and stores are compacted from 8 MB on.

--- a/buckthorndeal/_claim_store.py
+++ b/buckthorndeal/_claim_store.py
@@ -79,7 +79,6 @@
         """Replace the content."""
         self._synced = list(encode_snapshot(self.identity, snapshot))
         self._size = sum(len(payload) for payload in self._synced)
-        self._appended = []
 
     def measure(self) -> int:
         """Return the size in bytes."""
--- a/buckthorndeal/_ledger_service.py
+++ b/buckthorndeal/_ledger_service.py
@@ -33,7 +33,7 @@
 # Curio logs a warning when an operation ends after its time-out has passed, which
 # happens with shorter waits.
 MIN_WAIT_S = 0.002
-COMPACT_BYTES = 67_108_864
+COMPACT_BYTES = 8_388_608
 COMPACT_FACTOR = 2
 
 SendFunction = Callable[[str, Message], Awaitable[None]]
--- a/buckthorndeal/_membership_member.py
+++ b/buckthorndeal/_membership_member.py
@@ -33,6 +33,9 @@
 INFORMED_LOCAL = 3
 INFORMED_REMOTE = 1
 LEAVE_INFORMED = 8
+# Transmissions of a rumor per binary logarithm of the number of members. With 1,
+# the crash of 4 of 30 hosts took more than 3 s to reach everyone in 5 of 100 runs;
+# with 2, in none.
 RETRANSMIT_FACTOR = 2
 # A tick that is so late means that this process stood still; answers may wait
 # unread, so that deadlines are moved before anyone is suspected.
@@ -346,6 +349,9 @@
         if target.incarnation == incarnation and target.state in ("alive", "draining"):
             self.hear(rumor, "", now_s)
             self._send(target, Gossip((rumor,)))
+            # Racks, domains and links to a region fail as a whole.
+            for related in self._schedule.choose_related(target):
+                self.start_probe(related, now_s)
 
     def _end_suspicions(self, now_s: float) -> None:
         for host, end_s in list(self._suspicion_ends_s.items()):
--- a/buckthorndeal/_membership_probing.py
+++ b/buckthorndeal/_membership_probing.py
@@ -117,6 +117,13 @@
         chosen = self._sample(near, local)
         return chosen + self._sample(far, remote + local - len(chosen))
 
+    def choose_related(self, target: HostRecord) -> list[HostRecord]:
+        """Return members that may have failed together with `target`."""
+        trusted = [r for r in self._list_others() if r.state in ("alive", "draining")]
+        region = [r for r in trusted if r.region == target.region]
+        domain = [r for r in region if r.failure_domain == target.failure_domain]
+        return self._sample(domain, 1) + self._sample(region, 1)
+
     def choose_any(self, records: Iterable[HostRecord]) -> HostRecord | None:
         """Return one of `records`, or None."""
         records = list(records)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -103,6 +103,19 @@
             self.assertEqual(simulation.count_views("host-3", ("dead",)), 10, seed)
             self.assertEqual(simulation.count_views("host-4", ("left",)), 10, seed)
 
+    def test_failed_domain_goes_out_of_use_in_time(self):
+        """Guards against detection that finds the hosts of a rack one by one."""
+        for seed in SEEDS:
+            simulation = self.start(seed, size=30)
+            lost = [
+                r.host for r in simulation.records if r.failure_domain == "domain-0"
+            ]
+            for host in lost:
+                simulation.crash(host)
+            simulation.run(OUT_OF_USE_S)
+            for host in lost:
+                self.assertEqual(simulation.count_views(host, PRESENT), 0, seed)
+
     def test_loss_does_not_declare_hosts_dead(self):
         """Guards against failure detection that takes loss for a failure."""
         for seed in SEEDS:
