Connect entry hosts by membership and relay endpoint reports

Entry hosts knew each other from a static list, probed over HTTP, and each endpoint had to tell every host of its region.

The membership service now runs on the peer port; its records feed the router, the directory and forwarding. A draining host announces it and leaves at the end of the drain. Registrars relay what endpoints tell them over peer links of the region: loads in batches of 0.2 s to the hosts that follow the endpoint, drains and leaves at once to all. A host that gets the load of an unknown endpoint asks the sender for its description.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -59,6 +59,7 @@
     incarnation: str
     peer_keys: tuple[bytes, ...]
     router: Mailbox
+    reports: Mailbox
     document: Mailbox
     pools: Pools
     metrics: Metrics
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -33,6 +33,7 @@
     read_request_id,
 )
 from buckthorndeal._entry_relay import StreamRelay
+from buckthorndeal._entry_reports import EndpointTold
 from buckthorndeal.authentication import Identity
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
@@ -162,6 +163,7 @@
         outcome = await self._context.router.ask(message)
         if not isinstance(outcome, Accepted):
             raise RequestError("refused", 409, outcome.reason)
+        await self._context.reports.send(EndpointTold(message))
         hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
         registrars = [
             {"host": record.host, "address": record.address, "port": record.port}
--- /dev/null
+++ b/buckthorndeal/_entry_membership.py
@@ -0,0 +1,88 @@
+"""Membership of the entry host: its own record, and the records of the others."""
+
+import random
+import time
+
+import curio
+
+from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal._membership_service import format_address, parse_address
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.membership import HostRecord as MemberRecord
+from buckthorndeal.membership import (
+    MembershipService,
+    create_membership,
+    create_membership_service,
+)
+from buckthorndeal.settings import EntrySettings
+from buckthorndeal.transport import DatagramPort
+from buckthorndeal.wire import decode_keys
+
+HTTP_PURPOSE = "http"
+PEER_PURPOSE = "peer"
+# A suspected host gets no new work, but requests that it runs are not given up.
+DIRECTORY_STATES = {
+    "alive": "alive",
+    "draining": "draining",
+    "suspect": "suspect",
+    "dead": "lost",
+    "left": "lost",
+}
+
+
+def create_member_record(
+    settings: EntrySettings, peer_port: int, http_port: int
+) -> MemberRecord:
+    """Return the record of this host, newer than that of its former process."""
+    peer = format_address(settings.peer_listen.address, peer_port)
+    http = format_address(settings.listen.address, http_port)
+    return MemberRecord(
+        settings.host,
+        settings.region,
+        settings.failure_domain,
+        {"membership": peer, PEER_PURPOSE: peer, HTTP_PURPOSE: http},
+        time.time_ns() // 1_000_000,
+    )
+
+
+def create_service(
+    settings: EntrySettings,
+    record: MemberRecord,
+    port: DatagramPort,
+    changes: Mailbox,
+    rng: random.Random,
+) -> MembershipService:
+    """Return the membership service, not started."""
+    seeds = tuple(format_address(seed.address, seed.port) for seed in settings.seeds)
+    member = create_membership(record, seeds, rng, time.monotonic())
+    keys = decode_keys(settings.peer_keys)
+    return create_membership_service(member, port, keys, changes)
+
+
+async def run_changes(changes: Mailbox, receivers: tuple[Mailbox, ...]) -> None:
+    """Pass changed records on as `HostSeen`."""
+    async for envelope in changes:
+        record = read_record(envelope.message)
+        if record is not None:
+            for receiver in receivers:
+                await receiver.send(HostSeen(record))
+
+
+def read_record(member: MemberRecord) -> HostRecord | None:
+    """Return a member as the directory keeps it; None if it is no entry host."""
+    addresses = member.addresses
+    if HTTP_PURPOSE not in addresses or PEER_PURPOSE not in addresses:
+        return None
+    address, port = parse_address(addresses[HTTP_PURPOSE])
+    state = DIRECTORY_STATES[member.state]
+    return HostRecord(
+        member.host, member.region, address, port, state, addresses[PEER_PURPOSE]
+    )
+
+
+async def wait_for_others(service: MembershipService, timeout_s: float) -> None:
+    """Return once another host is known, or after `timeout_s`."""
+    async with curio.ignore_after(timeout_s):
+        while len(service.list_records(tuple(DIRECTORY_STATES))) < 2:
+            await curio.sleep(0.01)
--- /dev/null
+++ b/buckthorndeal/_entry_peers.py
@@ -0,0 +1,144 @@
+"""Peer task: owns the links to the other entry hosts of the region."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal._membership_service import parse_address
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.errors import PeerError
+from buckthorndeal.mailbox import create_mailbox
+from buckthorndeal.peers import (
+    Channel,
+    LinkOptions,
+    PeerLink,
+    PeerServer,
+    create_peer_link,
+    create_peer_server,
+)
+from buckthorndeal.settings import EntrySettings
+from buckthorndeal.transport import DatagramPort, Transport
+from buckthorndeal.wire import Codec, Message, create_codec, decode_keys
+
+# A reconnected host has to learn of a leave well within 3 s.
+LINK_OPTIONS = LinkOptions(connect_timeout_s=1.5, backoff_max_s=0.5)
+PORT_ATTEMPTS = 8
+
+Receive = Callable[[Message, str], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class SendToPeer:
+    """Tells the peer task to send a notice to an entry host of the region.
+
+    The notice is lost if the host is not known or cannot be reached.
+    """
+
+    host: str
+    message: Message
+
+
+class PeerTask:
+    """Sends notices to other entry hosts and receives theirs.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of this host.
+    transport : Transport
+        Opens and accepts connections.
+    receivers : dict of type to callable
+        Coroutine function for each message type, called with the message and the
+        name of the host that sent it.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        transport: Transport,
+        receivers: dict[type[Message], Receive],
+    ) -> None:
+        self.mailbox = create_mailbox()
+        self._settings = settings
+        self._transport = transport
+        self._receivers = receivers
+        self._codec: Codec = create_codec(tuple(receivers))
+        self._keys = decode_keys(settings.peer_keys)
+        self._records: dict[str, HostRecord] = {}
+        self._links: dict[str, tuple[str, PeerLink]] = {}
+        self._server: PeerServer = create_peer_server(
+            self._receive, self._codec, self._keys, settings.host, LINK_OPTIONS
+        )
+
+    @property
+    def port(self) -> int:
+        """Bound port of links and datagrams."""
+        return self._server.port
+
+    async def listen(self) -> DatagramPort:
+        """Listen for links; return the datagram port with the same number."""
+        listen = self._settings.peer_listen
+        for _ in range(PORT_ATTEMPTS):
+            await self._server.start(self._transport, listen.address, listen.port)
+            try:
+                return await self._transport.open_datagrams(listen.address, self.port)
+            except OSError:
+                await self._server.close()
+                if listen.port:
+                    raise
+        raise OSError(f"no port of {listen.address} is free for links and datagrams")
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        async for envelope in self.mailbox:
+            message = envelope.message
+            if isinstance(message, HostSeen):
+                await self._note_host(message.record)
+            else:
+                await self._send(message)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for _, link in self._links.values():
+            await link.close()
+        await self._server.close()
+
+    async def _note_host(self, record: HostRecord) -> None:
+        self._records[record.host] = record
+        address, link = self._links.get(record.host, ("", None))
+        is_gone = record.state == "lost" or record.peer_address != address
+        if link is not None and is_gone:
+            del self._links[record.host]
+            await link.close()
+
+    async def _send(self, message: SendToPeer) -> None:
+        record = self._records.get(message.host)
+        if record is None or record.region != self._settings.region:
+            return
+        if record.state == "lost" or not record.peer_address:
+            return
+        if message.host not in self._links:
+            self._links[message.host] = await self._open_link(record)
+        try:
+            await self._links[message.host][1].send(message.message)
+        except PeerError:
+            # Senders repeat what must arrive.
+            return
+
+    async def _open_link(self, record: HostRecord) -> tuple[str, PeerLink]:
+        address, port = parse_address(record.peer_address)
+        link = create_peer_link(
+            self._transport,
+            address,
+            port,
+            self._codec,
+            self._keys,
+            self._settings.host,
+            expected_host=record.host,
+            options=LINK_OPTIONS,
+        )
+        await link.start()
+        return record.peer_address, link
+
+    async def _receive(self, message: Message, channel: Channel) -> None:
+        await self._receivers[type(message)](message, channel.host)
--- /dev/null
+++ b/buckthorndeal/_entry_reports.py
@@ -0,0 +1,239 @@
+"""Endpoint reports between the entry hosts of a region.
+
+A registrar sends what its endpoints tell it to the hosts that follow them. Loads are
+sent in batches; a drain or leave is sent to every host of the region at once.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_messages import ListEndpoints, ListRegionHosts
+from buckthorndeal._entry_peers import SendToPeer
+from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.registry import (
+    Announcement,
+    DrainNotice,
+    Heartbeat,
+    LeaveNotice,
+    Refused,
+)
+from buckthorndeal.subsetting import assign_subsets
+from buckthorndeal.views import EndpointView
+from buckthorndeal.wire import Message
+
+BATCH_S = 0.2
+# Curio logs a warning when an operation ends after its time-out has passed, which
+# happens with shorter waits.
+MIN_WAIT_S = 0.002
+# Endpoints whose load a host follows; above today's sizes, so that all are followed.
+FOLLOWED_ENDPOINTS = 64
+
+
+class EndpointAnnounced(Message, tag="a"):
+    """Description of an endpoint."""
+
+    name: str
+    incarnation: int
+    service: str
+    region: str
+    failure_domain: str
+    address: str
+    port: int
+    models: tuple[str, ...]
+    versions: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+    slots: int
+    checks_fencing: bool
+
+
+class EndpointLoad(Message, tag="h"):
+    """Load of an endpoint."""
+
+    name: str
+    incarnation: int
+    running: int
+    queued: int
+    models: tuple[str, ...] | None
+
+
+class EndpointDrained(Message, tag="d"):
+    """The endpoint takes no new requests."""
+
+    name: str
+    incarnation: int
+
+
+class EndpointLeft(Message, tag="l"):
+    """The endpoint has stopped."""
+
+    name: str
+    incarnation: int
+
+
+Report = EndpointAnnounced | EndpointLoad | EndpointDrained | EndpointLeft
+
+
+class EndpointReports(Message):
+    """Notice: what endpoints told the sender, oldest first."""
+
+    reports: tuple[Report, ...]
+
+
+class FetchEndpoints(Message):
+    """Notice: asks for the descriptions of endpoints that the sender lacks."""
+
+    names: tuple[str, ...]
+
+
+REPORT_MESSAGES = (EndpointReports, FetchEndpoints)
+REPORT_TYPES: dict[type, type] = {
+    Announcement: EndpointAnnounced,
+    Heartbeat: EndpointLoad,
+    DrainNotice: EndpointDrained,
+    LeaveNotice: EndpointLeft,
+}
+REGISTRY_TYPES = {report: model for model, report in REPORT_TYPES.items()}
+URGENT_TYPES = (EndpointDrained, EndpointLeft)
+
+
+@dataclass(frozen=True)
+class EndpointTold:
+    """Tells the relay of a message that an endpoint sent to this host."""
+
+    message: Announcement | Heartbeat | DrainNotice | LeaveNotice
+
+
+@dataclass(frozen=True)
+class ReportsReceived:
+    """Tells the relay of a message of another entry host."""
+
+    message: EndpointReports | FetchEndpoints
+    host: str
+
+
+class ReportRelay:
+    """Owner task of the reports that wait to be sent.
+
+    Parameters
+    ----------
+    host, region : str
+        Name and region of this host.
+    router : Mailbox
+        Mailbox of the router task.
+    peers : Mailbox
+        Mailbox of the peer task.
+    now : callable
+        Monotonic clock in seconds.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        region: str,
+        router: Mailbox,
+        peers: Mailbox,
+        now: Callable[[], float],
+    ) -> None:
+        self.mailbox = create_mailbox()
+        self._host = host
+        self._region = region
+        self._router = router
+        self._peers = peers
+        self._now = now
+        self._waiting: dict[tuple[str, type], Report] = {}
+        self._due_s = 0.0
+        self._assigned: tuple[tuple, dict[str, tuple[str, ...]]] = ((), {})
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        while True:
+            envelope = await self._receive()
+            if envelope is not None:
+                await self._handle(envelope.message)
+            if self._waiting and self._now() >= self._due_s:
+                await self._flush()
+
+    async def _receive(self) -> object:
+        if not self._waiting:
+            return await self.mailbox.receive()
+        wait_s = max(MIN_WAIT_S, self._due_s - self._now())
+        return await curio.ignore_after(wait_s, self.mailbox.receive)
+
+    async def _handle(self, message: object) -> None:
+        if isinstance(message, EndpointTold):
+            self._store(_create_report(message.message))
+        elif isinstance(message.message, FetchEndpoints):
+            await self._send_descriptions(message.message, message.host)
+        else:
+            await self._apply(message.message, message.host)
+
+    def _store(self, report: Report) -> None:
+        if not self._waiting:
+            self._due_s = self._now() + BATCH_S
+        if isinstance(report, URGENT_TYPES):
+            self._due_s = self._now()
+        key = (report.name, type(report))
+        self._waiting.pop(key, None)
+        self._waiting[key] = report
+
+    async def _flush(self) -> None:
+        reports, self._waiting = list(self._waiting.values()), {}
+        records = await self._router.ask(ListRegionHosts(self._region))
+        hosts = [record.host for record in records if record.state != "lost"]
+        views = await self._router.ask(ListEndpoints())
+        subsets = self._assign({*hosts, self._host}, {view.name for view in views})
+        for host in hosts:
+            followed = set(subsets[host])
+            chosen = tuple(
+                report
+                for report in reports
+                if report.name in followed or isinstance(report, URGENT_TYPES)
+            )
+            if chosen and host != self._host:
+                await self._peers.send(SendToPeer(host, EndpointReports(chosen)))
+
+    def _assign(self, hosts: set[str], names: set[str]) -> dict[str, tuple[str, ...]]:
+        key = (frozenset(hosts), frozenset(names))
+        if self._assigned[0] != key:
+            self._assigned = key, assign_subsets(hosts, names, FOLLOWED_ENDPOINTS)
+        return self._assigned[1]
+
+    async def _apply(self, message: EndpointReports, host: str) -> None:
+        if not await self._is_neighbour(host):
+            return
+        unknown = []
+        for report in message.reports:
+            model = REGISTRY_TYPES[type(report)]
+            told = model(**msgspec.structs.asdict(report))
+            outcome = await self._router.ask(told)
+            if isinstance(outcome, Refused) and isinstance(report, EndpointLoad):
+                unknown.append(report.name)
+        if unknown:
+            await self._peers.send(SendToPeer(host, FetchEndpoints(tuple(unknown))))
+
+    async def _is_neighbour(self, host: str) -> bool:
+        records = await self._router.ask(ListRegionHosts(self._region))
+        return host in [record.host for record in records]
+
+    async def _send_descriptions(self, message: FetchEndpoints, host: str) -> None:
+        views = await self._router.ask(ListEndpoints())
+        reports = tuple(
+            _describe(view)
+            for view in views
+            if view.name in message.names and view.state == "ready"
+        )
+        if reports and await self._is_neighbour(host):
+            await self._peers.send(SendToPeer(host, EndpointReports(reports)))
+
+
+def _create_report(message: msgspec.Struct) -> Report:
+    return REPORT_TYPES[type(message)](**msgspec.structs.asdict(message))
+
+
+def _describe(view: EndpointView) -> EndpointAnnounced:
+    names = EndpointAnnounced.__struct_fields__
+    return EndpointAnnounced(*(getattr(view, name) for name in names))
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -1,7 +1,7 @@
 """Router task: owns the endpoint table, the directory and admission.
 
 `_choose` is the place of the `routing` module; `WorkspaceLimits` that of
-`admission`; `HostSeen` messages come from `membership` in place of probes.
+`admission`.
 """
 
 import functools
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -1,8 +1,9 @@
 """Command that runs a whole deployment with stand-in endpoints in one process."""
 
 import os
+import socket
 import sys
-from dataclasses import replace
+from contextlib import ExitStack
 from importlib import resources
 
 import curio
@@ -10,9 +11,8 @@
 from absl import app, flags
 
 from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import DocumentView, HostSeen, ListEndpoints
+from buckthorndeal._entry_messages import DocumentView, ListEndpoints, ListHosts
 from buckthorndeal.command_entry import SETTINGS_STATUS, serve_until_signalled
-from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import EntryHost, create_entry_host
 from buckthorndeal.errors import DocumentError, SettingsError
 from buckthorndeal.logs import configure_logging
@@ -43,7 +43,6 @@
 # Nothing else is told of an answer of the directory in this process.
 DRAIN_NOTICE_S = 0.2
 DRAIN_TIMEOUT_S = 30.0
-PEER_PORT_OFFSET = 1000
 PEER_KEY_BYTES = 16
 COMMANDS = """\
 Ready. Try in another terminal:
@@ -69,6 +68,7 @@
     region: str
     failure_domain: str
     port: int
+    peer_port: int
 
 
 class LocalEndpoint(
@@ -129,17 +129,9 @@
         """Start everything and wait until each endpoint is known to its region."""
         for host in self.hosts:
             await host.start()
-        records = [
-            HostRecord(entry.host, entry.region, ADDRESS, host.port)
-            for entry, host in zip(
-                self._deployment.entry_hosts, self.hosts, strict=True
-            )
-        ]
-        for host in self.hosts:
-            for record in records:
-                await host.router.send(HostSeen(replace(record)))
         for endpoint in self._deployment.endpoints:
-            standin = _create_endpoint(endpoint, records, self._transport)
+            addresses = self._list_addresses(endpoint.region)
+            standin = _create_endpoint(endpoint, addresses, self._transport)
             self.standins.append(standin)
             await standin.start()
         async with curio.timeout_after(READY_TIMEOUT_S):
@@ -151,6 +143,12 @@
         for part in (*self.standins, *self.hosts):
             await part.close()
 
+    def _list_addresses(self, region: str) -> tuple[tuple[str, int], ...]:
+        entries = zip(self._deployment.entry_hosts, self.hosts, strict=True)
+        return tuple(
+            (ADDRESS, host.port) for entry, host in entries if entry.region == region
+        )
+
     async def _is_complete(self) -> bool:
         for host, entry in zip(self.hosts, self._deployment.entry_hosts, strict=True):
             known = len(await host.router.ask(ListEndpoints()))
@@ -159,7 +157,8 @@
                 for endpoint in self._deployment.endpoints
                 if endpoint.region == entry.region
             ]
-            if known < len(expected):
+            answer = await host.router.ask(ListHosts(entry.region))
+            if known < len(expected) or len(answer.hosts) < len(self.hosts):
                 return False
         return True
 
@@ -172,7 +171,8 @@
         region=entry.region,
         failure_domain=entry.failure_domain,
         listen=Address(port=entry.port),
-        peer_listen=Address(port=entry.port + PEER_PORT_OFFSET),
+        peer_listen=Address(port=entry.peer_port),
+        seeds=tuple(Address(port=each.peer_port) for each in deployment.entry_hosts),
         control_hosts=(PeerAddress(host="control-1", port=entry.port),),
         peer_keys=(peer_key,),
         data_directory=os.path.join(data_directory, entry.host),
@@ -182,13 +182,10 @@
 
 
 def _create_endpoint(
-    endpoint: LocalEndpoint, records: list[HostRecord], transport: SocketTransport
+    endpoint: LocalEndpoint,
+    entry_hosts: tuple[tuple[str, int], ...],
+    transport: SocketTransport,
 ) -> Standin:
-    entry_hosts = tuple(
-        (record.address, record.port)
-        for record in records
-        if record.region == endpoint.region
-    )
     settings = StandinSettings(
         endpoint.name,
         endpoint.service,
@@ -215,9 +212,10 @@
     texts = {name: _read_file(f"{name}.jsonc") for name in (DEPLOYMENT, *SECTIONS)}
     deployment = parse_settings(texts[DEPLOYMENT], Deployment, f"{DEPLOYMENT}.jsonc")
     if port is not None:
+        peer_ports = _find_free_ports(len(deployment.entry_hosts))
         hosts = tuple(
-            msgspec.structs.replace(entry, port=port)
-            for entry in deployment.entry_hosts
+            msgspec.structs.replace(entry, port=port, peer_port=peer_port)
+            for entry, peer_port in zip(deployment.entry_hosts, peer_ports, strict=True)
         )
         deployment = msgspec.structs.replace(deployment, entry_hosts=hosts)
     view = create_document_view(
@@ -226,6 +224,15 @@
     return LocalDeployment(deployment, view, data_directory, create_socket_transport())
 
 
+def _find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now, for hosts that have to know each other's."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((ADDRESS, 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
 def _read_file(name: str) -> str:
     file = resources.files("buckthorndeal") / "deployments" / name
     return file.read_text(encoding="utf-8")
--- a/buckthorndeal/directory.py
+++ b/buckthorndeal/directory.py
@@ -17,7 +17,9 @@
     Parameters
     ----------
     state : str
-        ``alive``, ``draining`` or ``lost``.
+        ``alive``, ``draining``, ``suspect`` or ``lost``.
+    peer_address : str
+        ``address:port`` of its peer links; empty if it has none.
     """
 
     host: str
@@ -25,6 +27,7 @@
     address: str
     port: int
     state: str = "alive"
+    peer_address: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -16,17 +16,31 @@
     run_document,
 )
 from buckthorndeal._entry_front import EntryFront
-from buckthorndeal._entry_hosts import run_probes
+from buckthorndeal._entry_membership import (
+    create_member_record,
+    create_service,
+    read_record,
+    run_changes,
+)
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
+from buckthorndeal._entry_peers import PeerTask
 from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_reports import (
+    REPORT_MESSAGES,
+    ReportRelay,
+    ReportsReceived,
+)
 from buckthorndeal._entry_router import RouterState, run_router
-from buckthorndeal.directory import Directory, HostRecord, create_directory
+from buckthorndeal.directory import create_directory
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.membership import HostRecord as MemberRecord
+from buckthorndeal.membership import MembershipService
 from buckthorndeal.metrics import Metrics, create_metrics
 from buckthorndeal.settings import EntrySettings
-from buckthorndeal.transport import Transport
+from buckthorndeal.transport import DatagramPort, Transport
+from buckthorndeal.wire import Message
 
 __all__ = ["EntryHost", "create_entry_host"]
 
@@ -79,13 +93,20 @@
         self._rng = rng
         self._tasks: list[curio.Task] = []
         self._ready = False
+        self._membership: MembershipService | None = None
         limits = settings.limits
+        router = create_mailbox()
+        self._peers = PeerTask(settings, transport, self._create_receivers())
+        self._relay = ReportRelay(
+            settings.host, settings.region, router, self._peers.mailbox, now
+        )
         self._context = EntryContext(
             host=settings.host,
             region=settings.region,
             incarnation=os.urandom(6).hex(),
             peer_keys=tuple(bytes.fromhex(key) for key in settings.peer_keys),
-            router=create_mailbox(),
+            router=router,
+            reports=self._relay.mailbox,
             document=create_mailbox(),
             pools=Pools(transport, settings.host, limits.max_connections_per_endpoint),
             metrics=_create_metrics(),
@@ -101,6 +122,11 @@
         """Bound port for callers and endpoints."""
         return self._server.port
 
+    @property
+    def peer_port(self) -> int:
+        """Bound port for the other processes of the system."""
+        return self._peers.port
+
     @property
     def router(self) -> Mailbox:
         """Mailbox of the router task."""
@@ -111,9 +137,16 @@
         """Mailbox of the document task."""
         return self._context.document
 
+    def _create_receivers(self) -> dict:
+        async def receive_reports(message: Message, host: str) -> None:
+            await self._relay.mailbox.send(ReportsReceived(message, host))
+
+        return dict.fromkeys(REPORT_MESSAGES, receive_reports)
+
     async def start(self) -> None:
         """Listen and start the tasks."""
         settings = self._settings
+        datagrams = await self._peers.listen()
         await self._server.start(
             self._transport, settings.listen.address, settings.listen.port
         )
@@ -121,7 +154,7 @@
         state = RouterState(
             settings.host,
             settings.region,
-            self._create_directory(),
+            create_directory([], self._rng),
             self._rng,
             context.now,
         )
@@ -131,28 +164,28 @@
                 run_document, context.document, self._view, settings.host, daemon=True
             ),
             await curio.spawn(_run_ticks, context.router, daemon=True),
-            await curio.spawn(
-                run_probes, settings, context.router, self._transport, daemon=True
-            ),
+            await curio.spawn(self._peers.run, daemon=True),
+            await curio.spawn(self._relay.run, daemon=True),
         ]
+        await self._join(datagrams)
         self._ready = True
         log_event("entry_started", host=settings.host, port=self.port)
 
-    def _create_directory(self) -> Directory:
-        settings = self._settings
-        records = [
-            HostRecord(entry.host, entry.region, entry.address, entry.port)
-            for entry in settings.entry_hosts
-        ]
-        if settings.host not in [record.host for record in records]:
-            records.append(self._create_record("alive"))
-        return create_directory(records, self._rng)
-
-    def _create_record(self, state: str) -> HostRecord:
-        settings = self._settings
-        return HostRecord(
-            settings.host, settings.region, settings.listen.address, self.port, state
+    async def _join(self, datagrams: DatagramPort) -> None:
+        """Announce this host to the others."""
+        changes = create_mailbox()
+        record = create_member_record(self._settings, self.peer_port, self.port)
+        self._membership = create_service(
+            self._settings, record, datagrams, changes, self._rng
         )
+        receivers = (self._context.router, self._peers.mailbox)
+        task = await curio.spawn(run_changes, changes, receivers, daemon=True)
+        self._tasks.append(task)
+        await self._note_own_record(record)
+        await self._membership.start()
+
+    async def _note_own_record(self, record: MemberRecord) -> None:
+        await self._context.router.ask(HostSeen(read_record(record)))
 
     async def drain(self) -> None:
         """Wait until every running request has ended or reached its deadline.
@@ -163,7 +196,8 @@
         settings = self._settings
         self._ready = False
         log_event("drain_started", host=settings.host)
-        await self._context.router.send(HostSeen(self._create_record("draining")))
+        await self._membership.drain()
+        await self._note_own_record(self._membership.member.own)
         self._server.announce_drain()
         await curio.sleep(settings.drain_notice_s)
         await self._server.drain()
@@ -172,6 +206,7 @@
         if timer.expired:
             log_event("drain_slow", host=settings.host, running=self.running_requests)
             await self._wait_until_idle()
+        await self._membership.leave()
         log_event("drain_ended", host=settings.host)
 
     @property
@@ -188,8 +223,11 @@
         self._ready = False
         await self._server.close()
         await self._context.pools.close()
+        if self._membership is not None:
+            await self._membership.close()
         for task in self._tasks:
             await task.cancel()
+        await self._peers.close()
 
 
 def _create_metrics() -> Metrics:
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -12,7 +12,6 @@
 __all__ = [
     "Address",
     "ControlSettings",
-    "EntryHostAddress",
     "EntrySettings",
     "Limits",
     "PeerAddress",
@@ -46,17 +45,6 @@
     port: Port
 
 
-class EntryHostAddress(
-    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
-):
-    """An entry host as callers and other entry hosts reach it over HTTP."""
-
-    host: Name
-    region: Name
-    address: IpAddress = "127.0.0.1"
-    port: Port
-
-
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Limits of the HTTP listener; sizes in bytes, times in seconds."""
 
@@ -74,10 +62,11 @@
 ):
     """Settings of the entry host daemon.
 
-    `entry_hosts` lists every entry host. While draining, the host still accepts
-    connections for `drain_notice_s`, so that callers holding an older directory
-    answer are served. Running requests end or reach their deadlines; those that
-    take longer than `drain_timeout_s` are reported in the log and not cut off.
+    `seeds` are peer addresses of entry hosts to contact first; the others are found
+    through them. While draining, the host still accepts connections for
+    `drain_notice_s`, so that callers holding an older directory answer are served.
+    Running requests end or reach their deadlines; those that take longer than
+    `drain_timeout_s` are reported in the log and not cut off.
     """
 
     host: Name
@@ -88,7 +77,6 @@
     control_hosts: Annotated[tuple[PeerAddress, ...], Meta(min_length=1)]
     seeds: tuple[Address, ...] = ()
     peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
-    entry_hosts: tuple[EntryHostAddress, ...] = ()
     data_directory: str | None = None
     document_directory: str | None = None
     limits: Limits = Limits()
