Use the ledger's rule and types for views in the control state

Cause: the ledger relies on stricter view changes than the control state made: the requester leads the next view, and a takeover has no backup. Change: the state machine applies ledger.is_view_change_allowed; views are ledger.LedgerView; a host may only ask for its own replica.

--- a/buckthorndeal/_control_api.py
+++ b/buckthorndeal/_control_api.py
@@ -198,7 +198,15 @@
             hosts=[own, *subscribers],
             members=state.members,
             leases=list(state.leases.values()),
-            views=list(state.views.values()),
+            views=[
+                models.ViewBody(
+                    region=region,
+                    epoch=view.epoch,
+                    primary=view.primary,
+                    backup=view.backup,
+                )
+                for region, view in sorted(state.views.items())
+            ],
         )
         await responder.respond_json(200, body)
 
--- a/buckthorndeal/_control_messages.py
+++ b/buckthorndeal/_control_messages.py
@@ -4,6 +4,7 @@
 
 from buckthorndeal.document import Document, Splice, restore_document
 from buckthorndeal.errors import DocumentError
+from buckthorndeal.ledger import LedgerView
 from buckthorndeal.wire import Message, create_codec
 
 
@@ -75,25 +76,23 @@
 
 
 class ChangeView(Message):
-    """Call: asks for a new ledger view if `epoch` is the current one."""
+    """Call: asks to replace the view of epoch `base`; see `ledger.AskView`."""
 
     region: str
-    epoch: int
-    primary: str
-    backup: str | None
+    base: int
+    requester: str
+    view: LedgerView
 
 
 class ViewReply(Message):
-    """Reply: current view; epoch 0 if the region has none.
+    """Reply: the region's view, with epoch 0 if it has none.
 
-    For `GetView`, `accepted` tells whether the view is confirmed by the leader.
+    `accepted` is the outcome of `ChangeView`. For `GetView` it tells whether the
+    leader has confirmed that the view is the newest one.
     """
 
     accepted: bool
-    epoch: int
-    primary: str
-    backup: str | None
-    reason: str = ""
+    view: LedgerView
 
 
 class LeaseRequest(Message):
--- a/buckthorndeal/_control_models.py
+++ b/buckthorndeal/_control_models.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from buckthorndeal.statemachine import LeaseState, ViewState
+from buckthorndeal.statemachine import LeaseState
 
 
 class ChangeBody(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -96,6 +96,15 @@
     silent_s: float
 
 
+class ViewBody(msgspec.Struct, kw_only=True):
+    """Ledger view of a region."""
+
+    region: str
+    epoch: int
+    primary: str | None
+    backup: str | None
+
+
 class StatusBody(msgspec.Struct, kw_only=True):
     """Answer: state of one control host and of what it knows of others."""
 
@@ -107,7 +116,7 @@
     hosts: list[HostStatus]
     members: list[MemberBody]
     leases: list[LeaseState]
-    views: list[ViewState]
+    views: list[ViewBody]
 
 
 class ApiError(msgspec.Struct, kw_only=True):
--- a/buckthorndeal/_control_peers.py
+++ b/buckthorndeal/_control_peers.py
@@ -8,9 +8,15 @@
 from buckthorndeal._control_placement import ReportReceived
 from buckthorndeal._control_subscriptions import Reported, Subscription
 from buckthorndeal.errors import NotLeaderError, PeerError, Verdict
+from buckthorndeal.ledger import LedgerView, get_host
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.peers import Channel, PeerLink
-from buckthorndeal.statemachine import LeaseAnswer, LeaseState, ViewAnswer, ViewState
+from buckthorndeal.statemachine import (
+    ChangeView,
+    LeaseAnswer,
+    LeaseState,
+    ViewAnswer,
+)
 from buckthorndeal.wire import Message
 
 CALL_TIMEOUT_S = 2.0
@@ -129,21 +135,22 @@
     @_handle.register
     async def _(self, message: messages.GetView, channel: Channel) -> Message | None:
         state: requests.ControlState = await self._replica.ask(requests.ReadState())
-        view = state.views.get(message.region)
-        return _create_view_reply(state.is_confirmed, view, "")
+        view = state.views.get(message.region, LedgerView())
+        return messages.ViewReply(state.is_confirmed, view)
 
     @_handle.register
     async def _(self, message: messages.ChangeView, channel: Channel) -> Message | None:
-        answer: ViewAnswer = await self._replica.ask(
-            requests.ViewRequest(
-                region=message.region,
-                epoch=message.epoch,
-                requester=channel.host,
-                primary=message.primary,
-                backup=message.backup,
-            )
+        if get_host(message.requester) != channel.host:
+            reason = f"{message.requester} is not a replica of {channel.host}"
+            raise PeerError(reason, Verdict.NOT_RUN)
+        command = ChangeView(
+            region=message.region,
+            base=message.base,
+            requester=message.requester,
+            view=message.view,
         )
-        return _create_view_reply(answer.accepted, answer.view, answer.reason)
+        answer: ViewAnswer = await self._replica.ask(command)
+        return messages.ViewReply(answer.accepted, answer.view)
 
     @_handle.register
     async def _(
@@ -164,14 +171,6 @@
         return _create_lease_reply(answer)
 
 
-def _create_view_reply(
-    accepted: bool, view: ViewState | None, reason: str
-) -> messages.ViewReply:
-    if view is None:
-        return messages.ViewReply(accepted, 0, "", None, reason)
-    return messages.ViewReply(accepted, view.epoch, view.primary, view.backup, reason)
-
-
 def _create_lease_reply(answer: LeaseAnswer) -> messages.LeaseReply:
     lease = answer.lease
     return messages.LeaseReply(
--- a/buckthorndeal/_control_replica.py
+++ b/buckthorndeal/_control_replica.py
@@ -192,15 +192,8 @@
         await self._propose(command, envelope)
 
     @_handle.register
-    async def _(self, message: requests.ViewRequest, envelope: Envelope) -> None:
-        command = ChangeView(
-            region=message.region,
-            epoch=message.epoch,
-            requester=message.requester,
-            primary=message.primary,
-            backup=message.backup,
-        )
-        await self._propose(command, envelope)
+    async def _(self, message: ChangeView, envelope: Envelope) -> None:
+        await self._propose(message, envelope)
 
     @_handle.register
     async def _(self, message: requests.ReadState, envelope: Envelope) -> None:
--- a/buckthorndeal/_control_requests.py
+++ b/buckthorndeal/_control_requests.py
@@ -4,7 +4,8 @@
 
 from buckthorndeal._control_models import MemberBody
 from buckthorndeal.document import Document
-from buckthorndeal.statemachine import HistoryEntry, LeaseState, ViewState
+from buckthorndeal.ledger import LedgerView
+from buckthorndeal.statemachine import HistoryEntry, LeaseState
 
 
 @dataclass(frozen=True)
@@ -52,17 +53,6 @@
     fencing: int
 
 
-@dataclass(frozen=True)
-class ViewRequest:
-    """Ask: compare-and-set of a ledger view."""
-
-    region: str
-    epoch: int
-    requester: str
-    primary: str
-    backup: str | None
-
-
 @dataclass(frozen=True)
 class ReadState:
     """Ask: state of this host; `confirmed` requires the leader's lease."""
@@ -95,7 +85,7 @@
     is_confirmed: bool
     document: Document
     leases: dict[str, LeaseState]
-    views: dict[str, ViewState]
+    views: dict[str, LedgerView]
     members: list[MemberBody]
 
 
--- a/buckthorndeal/_statemachine_messages.py
+++ b/buckthorndeal/_statemachine_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from buckthorndeal.document import Splice
+from buckthorndeal.ledger import LedgerView
 
 
 class ApplyChange(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -68,13 +69,12 @@
 
 
 class ChangeView(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Compare-and-set of a region's ledger view on its epoch (0 for no view)."""
+    """Replacement of the ledger view of epoch `base` (0 for none) in a region."""
 
     region: str
-    epoch: int
+    base: int
     requester: str
-    primary: str
-    backup: str | None = None
+    view: LedgerView
 
 
 Command = (
@@ -136,21 +136,11 @@
     lease: LeaseState
 
 
-class ViewState(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Ledger view of a region."""
-
-    region: str
-    epoch: int
-    primary: str
-    backup: str | None = None
-
-
 class ViewAnswer(msgspec.Struct, tag=True, frozen=True, kw_only=True):
-    """Outcome of `ChangeView` and the view after it (None if there is none)."""
+    """Outcome of `ChangeView` and the view after it (epoch 0 if there is none)."""
 
     accepted: bool
-    view: ViewState | None
-    reason: str = ""
+    view: LedgerView
 
 
 class CommandRefused(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -198,4 +188,4 @@
     history: list[HistoryEntry]
     answers: dict[str, StoredAnswer]
     leases: dict[str, LeaseState]
-    views: dict[str, ViewState]
+    views: dict[str, LedgerView]
--- a/buckthorndeal/_statemachine_registers.py
+++ b/buckthorndeal/_statemachine_registers.py
@@ -8,8 +8,8 @@
     ReleaseLease,
     RenewLease,
     ViewAnswer,
-    ViewState,
 )
+from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
 
 
 class LeaseTable:
@@ -58,34 +58,17 @@
 class ViewTable:
     """Ledger views by region."""
 
-    def __init__(self, views: dict[str, ViewState] | None = None) -> None:
+    def __init__(self, views: dict[str, LedgerView] | None = None) -> None:
         self.views = dict(views or {})
 
     def change(self, command: ChangeView) -> ViewAnswer:
-        """Set the view if the epoch is the current one and the requester is in it."""
-        current = self.views.get(command.region)
-        wanted = ViewState(
-            region=command.region,
-            epoch=command.epoch + 1,
-            primary=command.primary,
-            backup=command.backup,
-        )
-        if current == wanted:
+        """Replace the view if the ledger's rule allows it."""
+        current = self.views.get(command.region, LedgerView())
+        if current == command.view:
             # A resend after a lost answer.
             return ViewAnswer(accepted=True, view=current)
-        reason = _find_refusal(command, current)
-        if reason:
-            return ViewAnswer(accepted=False, view=current, reason=reason)
-        self.views[command.region] = wanted
-        return ViewAnswer(accepted=True, view=wanted)
-
-
-def _find_refusal(command: ChangeView, current: ViewState | None) -> str:
-    epoch = current.epoch if current else 0
-    if command.epoch != epoch:
-        return f"the epoch is {epoch}"
-    if command.primary == command.backup:
-        return "primary and backup are the same host"
-    if current and command.requester not in (current.primary, current.backup):
-        return "the requester is not in the current view"
-    return ""
+        ask = AskView(command.base, command.requester, command.view)
+        if not is_view_change_allowed(current, ask):
+            return ViewAnswer(accepted=False, view=current)
+        self.views[command.region] = command.view
+        return ViewAnswer(accepted=True, view=command.view)
--- a/buckthorndeal/statemachine.py
+++ b/buckthorndeal/statemachine.py
@@ -34,10 +34,10 @@
     RotateKey,
     Snapshot,
     ViewAnswer,
-    ViewState,
 )
 from buckthorndeal._statemachine_registers import LeaseTable, ViewTable
 from buckthorndeal.document import Document, create_splice, restore_document
+from buckthorndeal.ledger import LedgerView
 
 __all__ = [
     "Answer",
@@ -60,7 +60,6 @@
     "RotateKey",
     "StateMachine",
     "ViewAnswer",
-    "ViewState",
     "create_statemachine",
     "encode_command",
 ]
@@ -91,7 +90,7 @@
         return dict(self._leases.leases)
 
     @property
-    def views(self) -> dict[str, ViewState]:
+    def views(self) -> dict[str, LedgerView]:
         """Ledger views by region."""
         return dict(self._views.views)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -16,16 +16,21 @@
 from buckthorndeal._control_models import ChangeBody
 from buckthorndeal.control import (
     CONTROL_CODEC,
+    ChangeView,
     EndpointReport,
+    GetView,
     InForce,
+    LeaderHint,
     PlacementReport,
     SourceStatus,
     Subscribe,
+    ViewReply,
     apply_document_notice,
 )
 from buckthorndeal.document import create_document, hash_key
-from buckthorndeal.errors import RequestError
+from buckthorndeal.errors import PeerError, RequestError
 from buckthorndeal.http_server import create_http_server
+from buckthorndeal.ledger import LedgerView
 from buckthorndeal.peers import create_peer_link
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import create_socket_transport
@@ -374,6 +379,31 @@
         self.assertEqual(document.get_text("support"), TEXT.format(3))
         self.assertEqual(document.revision, 4)
 
+    def test_ledger_view_needs_its_own_replica_and_the_leader(self):
+        """Guards against a host that speaks for another, or a lost referral."""
+        leader = self.find_leader()
+        follower = next(host for host in HOSTS if host != leader)
+        view = LedgerView(1, "entry-1#a")
+
+        async def ask():
+            link = await self.open_link(None, leader)
+            other = await self.open_link(None, follower)
+            change = ChangeView("kuching", 0, "entry-1#a", view)
+            replies = [
+                await other.call(change, WAIT_S),
+                await link.call(change, WAIT_S),
+                await link.call(GetView("kuching"), WAIT_S),
+            ]
+            foreign = ChangeView("kuching", 1, "entry-2#a", LedgerView(2, "entry-2#a"))
+            with self.assertRaises(PeerError):
+                await link.call(foreign, WAIT_S)
+            await link.close()
+            await other.close()
+            return replies
+
+        accepted = ViewReply(True, view)
+        self.assertEqual(curio.run(ask), [LeaderHint(leader), accepted, accepted])
+
     def test_placement_orders_a_missing_copy(self):
         """Guards against a lease holder that never reaches the endpoint."""
         orders = curio.Queue()
--- a/tests/test_statemachine.py
+++ b/tests/test_statemachine.py
@@ -4,6 +4,7 @@
 
 from buckthorndeal import statemachine as sm
 from buckthorndeal.document import apply_splice, hash_key
+from buckthorndeal.ledger import LedgerView
 from tests.test_document import PLATFORM, TEAMS, TEXTS
 
 
@@ -131,23 +132,21 @@
     def test_view_change_is_compare_and_set(self):
         """Guards against two hosts that both become primary."""
 
-        def change(epoch, requester, primary, backup=None):
+        def change(base, requester, primary, backup=None):
+            view = LedgerView(base + 1, primary, backup)
             return self.apply(
-                sm.ChangeView(
-                    region="north",
-                    epoch=epoch,
-                    requester=requester,
-                    primary=primary,
-                    backup=backup,
-                )
+                sm.ChangeView(region="r", base=base, requester=requester, view=view)
             )
 
-        self.assertTrue(change(0, "a", "a", "b").accepted)
-        self.assertTrue(change(0, "a", "a", "b").accepted, "resent")
-        self.assertFalse(change(0, "c", "c").accepted)
-        self.assertFalse(change(1, "c", "c").accepted)
-        self.assertTrue(change(1, "b", "b").accepted)
-        refused = change(1, "a", "a")
+        self.assertTrue(change(0, "a", "a").accepted)
+        self.assertTrue(change(0, "a", "a").accepted, "resent")
+        self.assertFalse(change(0, "b", "b").accepted)
+        self.assertTrue(change(1, "a", "a", "b").accepted)
+        self.restart()
+        self.assertFalse(change(2, "c", "c").accepted, "not in the view")
+        self.assertFalse(change(2, "b", "a").accepted, "for another host")
+        self.assertTrue(change(2, "b", "b").accepted)
+        refused = change(2, "a", "a")
         self.assertEqual((refused.accepted, refused.view.primary), (False, "b"))
 
     def test_unreadable_command_is_refused_and_counted(self):
