Follow the document of the control hosts

Entry hosts read the sections from files once, at the start.

At the start a host asks all control hosts and takes the newest answer; it serves the stored document when none can be reached, and waits for one when it has none. Sections from files have revision 0. A store that fails ends the process with status 1.

--- a/buckthorndeal/_entry_document.py
+++ b/buckthorndeal/_entry_document.py
@@ -1,13 +1,14 @@
 """Document task: owns the sections in force.
 
-The sections come from files until the control hosts deliver them; a subscriber
-sends `PutDocument` to this task.
+The subscriber task sends `PutDocument` to it. Sections from files serve until then;
+they have revision 0, so that any delivered document replaces them.
 """
 
 import os
 
 from buckthorndeal._entry_messages import DocumentView, GetDocument, PutDocument
 from buckthorndeal.authentication import create_authenticator
+from buckthorndeal.document import Document
 from buckthorndeal.errors import SettingsError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox
@@ -40,7 +41,18 @@
 def load_document(directory: str) -> DocumentView:
     """Read ``platform.jsonc``, ``accounts.jsonc`` and ``support.jsonc``."""
     sections = [_load_section(directory, name) for name in SECTIONS]
-    return create_document_view(*sections)
+    return create_document_view(*sections, revision=0)
+
+
+def create_view_of(document: Document) -> DocumentView:
+    """Return the sections of a document; an absent one is empty."""
+    empty = create_empty_view()
+    return create_document_view(
+        document.platform or empty.platform,
+        document.accounts or empty.accounts,
+        document.support or empty.support,
+        document.revision,
+    )
 
 
 def _load_section(directory: str, name: str) -> object:
--- /dev/null
+++ b/buckthorndeal/_entry_store.py
@@ -0,0 +1,103 @@
+"""Newest document of the entry host on disk."""
+
+import os
+import zlib
+
+import msgspec
+
+from buckthorndeal._control_messages import DocumentContent
+from buckthorndeal.document import Document, create_document, restore_document
+from buckthorndeal.errors import CorruptStoreError, StoreError, ValidationError
+
+FILE_NAME = "document"
+NEW_FILE_NAME = "document.new"
+MAGIC = b"BKDDOC1\n"
+CHECKSUM_BYTES = 4
+
+
+def read_content(content: DocumentContent) -> Document:
+    """Return the validated document of a message or a file.
+
+    Raises
+    ------
+    ValidationError
+        If a section or the relation between two sections is not valid.
+    """
+    create_document({name: text for name, (text, _) in content.sections.items()})
+    return restore_document(content.revision, content.sections)
+
+
+def create_content(document: Document) -> DocumentContent:
+    """Return the whole document as a message."""
+    sections = {
+        name: (entry.text, entry.revision) for name, entry in document.sections.items()
+    }
+    return DocumentContent(document.revision, sections)
+
+
+class DocumentStore:
+    """One file that is replaced as a whole.
+
+    Parameters
+    ----------
+    directory : str
+        Directory of the file; created if needed.
+    """
+
+    def __init__(self, directory: str) -> None:
+        os.makedirs(directory, exist_ok=True)
+        self._directory = directory
+        self._path = os.path.join(directory, FILE_NAME)
+
+    def load(self) -> Document | None:
+        """Return the stored document, or None if there is none.
+
+        Raises
+        ------
+        CorruptStoreError
+            If the file is damaged. Serving without it could bring back an older
+            revision.
+        """
+        if not os.path.exists(self._path):
+            return None
+        with open(self._path, "rb") as file:
+            data = file.read()
+        start = len(MAGIC) + CHECKSUM_BYTES
+        payload = data[start:]
+        checksum = zlib.crc32(payload).to_bytes(CHECKSUM_BYTES, "big")
+        if data[:start] != MAGIC + checksum:
+            raise CorruptStoreError(self._path, 0, "wrong checksum")
+        try:
+            content = msgspec.msgpack.decode(payload, type=DocumentContent)
+            return read_content(content)
+        except (msgspec.DecodeError, ValidationError) as error:
+            raise CorruptStoreError(self._path, start, str(error)) from error
+
+    def save(self, document: Document) -> None:
+        """Replace the stored document; it is durable afterwards.
+
+        Raises
+        ------
+        StoreError
+            If the file cannot be written.
+        """
+        payload = msgspec.msgpack.encode(create_content(document))
+        checksum = zlib.crc32(payload).to_bytes(CHECKSUM_BYTES, "big")
+        new_path = os.path.join(self._directory, NEW_FILE_NAME)
+        try:
+            with open(new_path, "wb") as file:
+                file.write(MAGIC + checksum + payload)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(new_path, self._path)
+            _sync_directory(self._directory)
+        except OSError as error:
+            raise StoreError(f"{self._path}: {error}") from error
+
+
+def _sync_directory(directory: str) -> None:
+    descriptor = os.open(directory, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/buckthorndeal/command_entry.py
+++ b/buckthorndeal/command_entry.py
@@ -8,13 +8,14 @@
 from absl import app, flags
 
 from buckthorndeal.entry import EntryHost, create_entry_host
-from buckthorndeal.errors import DocumentError, SettingsError
-from buckthorndeal.logs import configure_logging
+from buckthorndeal.errors import DocumentError, SettingsError, StoreError
+from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import EntrySettings, load_settings
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["run", "serve_until_signalled"]
 
+STORE_STATUS = 1
 SETTINGS_STATUS = 2
 KILLED_STATUS = 128 + signal.SIGTERM
 FLAGS = flags.FLAGS
@@ -47,10 +48,21 @@
 
 
 async def serve_until_signalled(hosts: list[EntryHost]) -> None:
-    """Wait for SIGTERM or SIGINT and drain; a second signal ends the process."""
+    """Wait for SIGTERM or SIGINT and drain; a second signal ends the process.
+
+    Raises
+    ------
+    StoreError
+        If the store of a host fails; the host cannot go on.
+    """
     signals = DrainSignals()
     signals.install()
-    await signals.event.wait()
+    waiting = await curio.spawn(signals.event.wait)
+    failures = [await curio.spawn(host.wait) for host in hosts]
+    async with curio.TaskGroup([waiting, *failures], wait=any) as tasks:
+        pass
+    if tasks.completed is not waiting:
+        raise tasks.completed.exception
     async with curio.TaskGroup() as group:
         for host in hosts:
             await group.spawn(host.drain)
@@ -72,6 +84,9 @@
     except (SettingsError, DocumentError) as error:
         print(error, file=sys.stderr)
         return SETTINGS_STATUS
+    except StoreError as error:
+        log_event("entry_store_error", reason=str(error))
+        return STORE_STATUS
     return None
 
 
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -10,8 +10,10 @@
 from buckthorndeal._entry_attempts import EntryContext
 from buckthorndeal._entry_calls import BookingRunner
 from buckthorndeal._entry_claims import ClaimPort, create_memory_claims
+from buckthorndeal._entry_control import ControlLinks
 from buckthorndeal._entry_document import (
     create_empty_view,
+    create_view_of,
     load_document,
     run_document,
 )
@@ -31,7 +33,10 @@
     ReportsReceived,
 )
 from buckthorndeal._entry_router import RouterState, run_router
+from buckthorndeal._entry_store import DocumentStore
+from buckthorndeal._entry_subscriber import SubscriberTask
 from buckthorndeal.directory import create_directory
+from buckthorndeal.document import Document, create_document
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
@@ -46,6 +51,8 @@
 
 TICK_S = 0.25
 DRAIN_POLL_S = 0.01
+# Bounds the wait for control hosts that do not answer when the host starts.
+SETTLE_TIMEOUT_S = 2.0
 METRICS = (
     ("requests_total", "counter", "Requests of callers by outcome."),
     ("attempts_total", "counter", "Attempts at endpoints and hosts by outcome."),
@@ -68,21 +75,27 @@
         Validated settings.
     transport : Transport
         Opens and accepts connections.
-    view : DocumentView
-        Sections in force at the start.
+    view : DocumentView or None
+        Sections in force until the control hosts deliver the document; without
+        them, the host waits for it before it serves.
     now : callable
         Monotonic clock in seconds.
     rng : random.Random
         Source of ties and of the directory's order.
     claims : ClaimPort or None
         Claims of non-idempotent calls; None keeps them in memory.
+
+    Raises
+    ------
+    CorruptStoreError
+        If the stored document is damaged.
     """
 
     def __init__(
         self,
         settings: EntrySettings,
         transport: Transport,
-        view: DocumentView,
+        view: DocumentView | None,
         now: Callable[[], float],
         rng: random.Random,
         claims: ClaimPort | None = None,
@@ -92,6 +105,7 @@
         self._view = view
         self._rng = rng
         self._tasks: list[curio.Task] = []
+        self._owners = curio.TaskGroup()
         self._ready = False
         self._membership: MembershipService | None = None
         limits = settings.limits
@@ -112,11 +126,30 @@
             metrics=_create_metrics(),
             now=now,
         )
+        self._links = ControlLinks(settings, transport, self._receive_notice)
+        self._subscriber = self._create_subscriber()
         claims = claims or create_memory_claims(settings.answer_retention_s, now)
         self._bookings = BookingRunner(self._context, claims)
         front = EntryFront(self._context, claims, self._bookings, lambda: self._ready)
         self._server = create_http_server(front.handle, limits)
 
+    def _create_subscriber(self) -> SubscriberTask:
+        directory = self._settings.data_directory
+        store = DocumentStore(directory) if directory is not None else None
+        document: Document | None = store.load() if store is not None else None
+        if document is not None:
+            self._view = create_view_of(document)
+        return SubscriberTask(
+            self._links,
+            self._context.document,
+            store,
+            document or create_document(),
+            self._context.now,
+        )
+
+    async def _receive_notice(self, message: Message, host: str) -> None:
+        await self._subscriber.receive(message, host)
+
     @property
     def port(self) -> int:
         """Bound port for callers and endpoints."""
@@ -147,6 +180,7 @@
         """Listen and start the tasks."""
         settings = self._settings
         datagrams = await self._peers.listen()
+        await self._start_document()
         await self._server.start(
             self._transport, settings.listen.address, settings.listen.port
         )
@@ -158,11 +192,8 @@
             self._rng,
             context.now,
         )
-        self._tasks = [
+        self._tasks += [
             await curio.spawn(run_router, context.router, state, daemon=True),
-            await curio.spawn(
-                run_document, context.document, self._view, settings.host, daemon=True
-            ),
             await curio.spawn(_run_ticks, context.router, daemon=True),
             await curio.spawn(self._peers.run, daemon=True),
             await curio.spawn(self._relay.run, daemon=True),
@@ -171,6 +202,24 @@
         self._ready = True
         log_event("entry_started", host=settings.host, port=self.port)
 
+    async def _start_document(self) -> None:
+        """Follow the control hosts and wait for the newest document."""
+        view = self._view or create_empty_view()
+        task = await curio.spawn(
+            run_document, self._context.document, view, self._settings.host, daemon=True
+        )
+        self._tasks.append(task)
+        await self._links.start()
+        await self._owners.spawn(self._subscriber.run)
+        await self._subscriber.wait_until_settled(SETTLE_TIMEOUT_S)
+        if self._view is None:
+            await self._subscriber.wait_for_document()
+
+    async def wait(self) -> None:
+        """Raise the error of the first owner task that fails."""
+        task = await self._owners.next_done()
+        raise task.exception or RuntimeError(f"task {task.name} has ended")
+
     async def _join(self, datagrams: DatagramPort) -> None:
         """Announce this host to the others."""
         changes = create_mailbox()
@@ -225,8 +274,10 @@
         await self._context.pools.close()
         if self._membership is not None:
             await self._membership.close()
+        await self._owners.cancel_remaining()
         for task in self._tasks:
             await task.cancel()
+        await self._links.close()
         await self._peers.close()
 
 
@@ -254,14 +305,14 @@
     """Return an entry host that is not started.
 
     Without `view`, the sections are read from the document directory of the
-    settings; without one, the document is empty until it is delivered.
+    settings, if it is set. A stored document takes the place of both.
     """
     if view is None and settings.document_directory is not None:
         view = load_document(settings.document_directory)
     return EntryHost(
         settings,
         transport,
-        view or create_empty_view(),
+        view,
         now,
         rng or random.Random(),
         claims,
--- /dev/null
+++ b/tests/test_entry_document.py
@@ -0,0 +1,92 @@
+"""Tests of the document at entry hosts: distribution, restarts, isolation."""
+
+import tempfile
+import unittest
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_store import DocumentStore
+from buckthorndeal.document import create_document
+from buckthorndeal.errors import CorruptStoreError
+from tests.system import TEXTS, System, SystemCase
+
+FORCE_BOUND_S = 3.0
+
+
+async def change_support(system, base_revision, contact, place="c1", hosts=None):
+    """Change the section `support` at the control leader."""
+    client = system.create_client(place, hosts)
+    body = {
+        "base_revision": base_revision,
+        "change_id": f"change-{base_revision}-{contact}",
+        "text": msgspec.json.encode({"contact": contact}).decode(),
+    }
+    try:
+        target = "/v1/document/support/changes"
+        status, answer = await client.ask("POST", target, body)
+        assert status == 200, answer
+    finally:
+        await client.close()
+
+
+async def wait_for_revision(system, hosts, revision):
+    started_s = await curio.clock()
+    for host in hosts:
+        while await system.get_revision(host) < revision:
+            await curio.sleep(0.01)
+    return await curio.clock() - started_s
+
+
+class EntryDocumentTest(SystemCase):
+    """The document in force on entry hosts with real control hosts."""
+
+    def test_change_reaches_all_hosts_and_survives_restart_without_control(self):
+        """Guards against a change that is late or is gone after a restart."""
+
+        async def scenario(system):
+            await change_support(system, 1, "desk")
+            took_s = await wait_for_revision(system, system.hosts, 2)
+            for host in list(system.controls):
+                await system.stop_control(host)
+            await system.stop_host("e4")
+            await system.start_host("e4")
+            return took_s, await system.get_revision("e4")
+
+        took_s, revision = self.run_system(scenario, System(control=True))
+        self.assertLess(took_s, FORCE_BOUND_S)
+        self.assertEqual(revision, 2)
+
+    def test_host_does_not_follow_a_source_that_is_behind(self):
+        """Guards against an older revision from an isolated control host."""
+
+        async def scenario(system):
+            system.shape.partition({"c1"}, {"c2", "c3", "e1", "e2", "e3", "e4"})
+            await change_support(system, 1, "new", "c2", ("c2", "c3"))
+            await wait_for_revision(system, system.hosts, 2)
+            await system.stop_host("e1")
+            system.shape.heal_all()
+            system.shape.partition({"e1"}, {"c2", "c3"})
+            system.shape.partition({"c1"}, {"c2", "c3"})
+            await system.start_host("e1")
+            return await system.get_revision("e1")
+
+        self.assertEqual(self.run_system(scenario, System(control=True)), 2)
+
+
+class DocumentStoreTest(unittest.TestCase):
+    """File of the newest document."""
+
+    def test_document_is_read_back_and_damage_is_found(self):
+        """Guards against a start from a damaged file."""
+        with tempfile.TemporaryDirectory() as directory:
+            store = DocumentStore(directory)
+            self.assertIsNone(store.load())
+            document = create_document(TEXTS)
+            store.save(document)
+            self.assertEqual(store.load(), document)
+            with open(f"{directory}/document", "r+b") as file:
+                file.seek(40)
+                file.write(b"\xff")
+            with self.assertRaises(CorruptStoreError):
+                store.load()
