--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,7 +1,6 @@
 """Tests of control hosts as processes on loopback."""
 
 import itertools
-import os
 import shutil
 import signal
 import subprocess
@@ -453,5 +452,4 @@
 
 
 if __name__ == "__main__":
-    os.environ.setdefault("PYTHONUNBUFFERED", "1")
     unittest.main()
