Keep claims in the region's ledger and run the whole deployment locally

Claims were kept in the memory of one process, held by the first host by name.

Each entry host now runs the claim ledger of its region with its store in the data directory. The primary by the newest view claims, syncs, copies to the backup and dispatches; other hosts of the region pass bookings on to it, hosts of other regions to any host of the home region. Views are asked for and read over the links to the control hosts; the stored view lets an isolated region go on booking. A host that does not lead the ledger refuses with "not run" unless it knows of the key. A store that fails ends the process. Stopping a host cancels its bookings without a record, so that their claims answer "may have run".

The members of a stored view are taken for hosts of the region until membership says otherwise: without this a restarted primary copied nothing to its backup, which then took over.

buckthorndeal-local runs 4 entry hosts and 4 control hosts with their state in the data directory. The in-memory claims are removed.

--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -17,12 +17,11 @@
     open_attempt,
 )
 from buckthorndeal._entry_claims import (
-    ClaimPort,
-    compute_fingerprint,
+    Claims,
     create_may_have_run,
     get_claim_key,
 )
-from buckthorndeal._entry_messages import Answer, Call, FindOwner, Progress, Route
+from buckthorndeal._entry_messages import Answer, Call, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.views import AttemptOutcome, Decision
 
@@ -163,24 +162,30 @@
     gives that resend the recorded answer in place of "may have run".
     """
 
-    def __init__(self, context: EntryContext, claims: ClaimPort) -> None:
+    def __init__(self, context: EntryContext, claims: Claims) -> None:
         self._context = context
         self._claims = claims
-        self.running = 0
+        self._tasks: set[curio.Task] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of bookings that have not ended."""
+        return len(self._tasks)
+
+    async def close(self) -> None:
+        """Cancel the running bookings; their claims answer "may have run"."""
+        for task in list(self._tasks):
+            await task.cancel()
 
     async def run(self, call: Call, progress: Progress) -> Answer:
-        self.running += 1
-        try:
-            task = await curio.spawn(self._run_task, call, progress, daemon=True)
-        except BaseException:
-            self.running -= 1
-            raise
+        task = await curio.spawn(self._run_task, call, progress, daemon=True)
         await task.wait()
         if isinstance(task.result, RequestError):
             raise task.result
         return task.result
 
     async def _run_task(self, call: Call, progress: Progress) -> Answer | RequestError:
+        self._tasks.add(await curio.current_task())
         try:
             return await self._run_booking(call, progress)
         except RequestError as error:
@@ -189,23 +194,15 @@
             logging.exception("booking failed")
             return RequestError("internal", 500, "internal error", Verdict.MAY_HAVE_RUN)
         finally:
-            self.running -= 1
+            self._tasks.discard(await curio.current_task())
 
     async def _run_booking(self, call: Call, progress: Progress) -> Answer:
         home = call.identity.workspace.home_region
-        owner = await self._context.router.ask(FindOwner(home))
+        owner = await self._claims.find_owner(home)
         if owner.host != self._context.host:
             return await self._forward(call, progress, owner)
-        key = get_claim_key(call)
-        try:
-            async with curio.timeout_after(
-                max(0.0, call.deadline_s - self._context.now())
-            ):
-                recorded = await self._claims.claim(key, compute_fingerprint(call))
-        except curio.TaskTimeout:
-            raise create_may_have_run(
-                "another request with this key is still running"
-            ) from None
+        timeout_s = max(0.0, call.deadline_s - self._context.now())
+        recorded = await self._claims.claim(call, timeout_s)
         if recorded is not None:
             return recorded
         progress.advance("claim")
@@ -213,7 +210,6 @@
 
     async def _run_claimed(self, call: Call, progress: Progress) -> Answer:
         key = get_claim_key(call)
-        await self._claims.record_dispatch(key)
         try:
             answer = await run_with_deadline(
                 self._context,
@@ -223,7 +219,10 @@
                     self._context, call, progress, _read_answer, lambda: call
                 ),
             )
-        except BaseException:
+        except curio.CancelledError:
+            # The host stops, and the ledger with it.
+            raise
+        except Exception:
             if progress.verdict is Verdict.NOT_RUN:
                 await self._claims.record_not_run(key)
             else:
--- a/buckthorndeal/_entry_claims.py
+++ b/buckthorndeal/_entry_claims.py
@@ -1,19 +1,47 @@
-"""Claims of non-idempotent calls: the interface and its in-memory form.
+"""Claims of non-idempotent calls: the ledger of the region as bookings see it."""
 
-The in-memory form keeps claims of one process only. The durable ledger takes its
-place behind `ClaimPort`.
-"""
-
-import abc
 import collections
-import hashlib
-from collections.abc import Callable
-from dataclasses import dataclass
+import os
+import random
+import time
 
 import curio
-
-from buckthorndeal._entry_messages import Answer, Call
+import msgspec
+
+from buckthorndeal._entry_messages import Answer, Call, FindOwner, HostSeen
+from buckthorndeal._entry_peers import SendToPeer
+from buckthorndeal._entry_views import ViewSource, run_views
+from buckthorndeal.claims import (
+    ViewRecord,
+    open_disk_claim_store,
+    open_memory_claim_store,
+)
+from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.ledger import (
+    ClaimReply,
+    Grant,
+    HostLost,
+    LedgerOptions,
+    Outcome,
+    compute_digest,
+    compute_fingerprint,
+    create_ledger,
+    create_ledger_service,
+    get_host,
+)
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.settings import EntrySettings
+from buckthorndeal.wire import Message
+
+STORE_DIRECTORY = "claims"
+RETRY_AFTER_S = 1.0
+# The answer of a booking is true as soon as it is there, and the caller gets it
+# after this time even if the backup has not recorded it yet.
+RECORD_TIMEOUT_S = 2.0
+# A larger answer would not fit into a frame to the backup.
+MAX_RECORDED_BYTES = 4_194_304
 
 ClaimKey = tuple[str, str]
 
@@ -22,136 +50,223 @@
     return call.identity.name, call.idempotency_key
 
 
-def compute_fingerprint(call: Call) -> bytes:
-    digest = hashlib.sha256()
-    for part in (call.method.encode(), call.target.encode("latin-1"), call.body):
-        digest.update(hashlib.sha256(part).digest())
-    return digest.digest()
-
+class Claims:
+    """At-most-once claims by (workspace, idempotency key).
 
-class ClaimPort(abc.ABC):
-    """At-most-once claims by (workspace, idempotency key)."""
-
-    @abc.abstractmethod
-    async def claim(self, key: ClaimKey, fingerprint: bytes) -> Answer | None:
-        """Claim a key, or return the answer recorded under it.
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of this host.
+    views : ViewSource
+        Decides which host leads the ledger of the region.
+    peers, router : Mailbox
+        Mailboxes of the peer task and of the router task.
+    rng : random.Random
+        Source of batch numbers.
+    """
 
-        Waits while another request holds the claim. Raises RequestError with
-        status 422 if the key was used with another fingerprint, and with verdict
-        ``MAY_HAVE_RUN`` if a dispatch under the key has no known outcome.
+    def __init__(
+        self,
+        settings: EntrySettings,
+        views: ViewSource,
+        peers: Mailbox,
+        router: Mailbox,
+        rng: random.Random,
+    ) -> None:
+        self._host = settings.host
+        self._region = settings.region
+        self._views = views
+        self._peers = peers
+        self._router = router
+        self._asks = create_mailbox()
+        self._grants: dict[ClaimKey, Grant] = {}
+        self._forwarded: collections.Counter[ClaimKey] = collections.Counter()
+        if settings.data_directory is None:
+            store = open_memory_claim_store()
+        else:
+            directory = os.path.join(settings.data_directory, STORE_DIRECTORY)
+            store = open_disk_claim_store(directory)
+        snapshot = store.load()
+        self._regions = dict.fromkeys(_list_members(snapshot.record), settings.region)
+        self._regions[settings.host] = settings.region
+        self._ledger = create_ledger(
+            settings.host,
+            store.identity,
+            settings.region,
+            self._regions.get,
+            snapshot,
+            rng,
+            time.monotonic(),
+            time.time(),
+            LedgerOptions(answer_retention_s=settings.answer_retention_s),
+        )
+        self._service = create_ledger_service(
+            self._ledger, store, self._send, self._asks.send
+        )
+
+    async def start(self, owners: curio.TaskGroup) -> None:
+        """Start the tasks; `owners` gets those whose failure ends the process."""
+        await self._service.start()
+        await owners.spawn(self._service.join)
+        await owners.spawn(
+            run_views, self._region, self._views, self._asks, self._service
+        )
+
+    async def close(self) -> None:
+        """Stop the ledger and close its store."""
+        await self._service.close()
+
+    async def _send(self, host: str, message: Message) -> None:
+        await self._peers.send(SendToPeer(host, message))
+
+    async def receive(self, message: Message, host: str) -> None:
+        """Handle a message of another host's ledger."""
+        await self._service.receive(message, host)
+
+    async def note_host(self, message: HostSeen) -> None:
+        """Note the region of a host, and its loss."""
+        record = message.record
+        self._regions[record.host] = record.region
+        if record.state == "lost" and record.region == self._region:
+            await self._service.handle(HostLost(record.host))
+
+    @property
+    def primary(self) -> str | None:
+        """Host that leads the ledger of the region by the newest view known here."""
+        replica = self._ledger.view.primary
+        return get_host(replica) if replica is not None else None
+
+    def describe(self) -> dict[str, object]:
+        """Return figures of the ledger."""
+        return self._ledger.describe()
+
+    async def find_owner(self, region: str) -> HostRecord:
+        """Return the host that takes bookings of a home region.
+
+        The view of another region is not known here. Each of its hosts passes a
+        booking on to the primary.
+
+        Raises
+        ------
+        RequestError
+            If no such host can be reached.
         """
+        if region != self._region:
+            return await self._router.ask(FindOwner(region, None))
+        if self.primary is None:
+            raise _create_refusal("no host leads the claims of the region")
+        return await self._router.ask(FindOwner(region, self.primary))
+
+    async def claim(self, call: Call, timeout_s: float) -> Answer | None:
+        """Claim the key of a call, or return the answer recorded under it.
+
+        Waits while another request holds the claim.
+
+        Raises
+        ------
+        RequestError
+            With status 422 if the key was used with another request, with verdict
+            ``MAY_HAVE_RUN`` if an earlier dispatch has no known outcome, and with
+            ``NOT_RUN`` if this host does not lead the ledger.
+        """
+        key = get_claim_key(call)
+        digest = compute_digest(call.method, call.target, call.body)
+        reply = await self._service.claim(
+            compute_fingerprint(*key), digest, call.request_id, timeout_s
+        )
+        if reply.outcome is Outcome.GRANTED:
+            self._grants[key] = reply.grant
+            return None
+        if reply.outcome is Outcome.ANSWERED:
+            return _decode_answer(reply)
+        raise _create_error(reply)
 
-    @abc.abstractmethod
-    async def record_dispatch(self, key: ClaimKey) -> None:
-        """Record that a byte may be handed to an endpoint from now on."""
-
-    @abc.abstractmethod
     async def record_answer(self, key: ClaimKey, answer: Answer) -> None:
         """Record the answer and release waiting requests."""
+        grant = self._grants.pop(key)
+        body = msgspec.msgpack.encode((answer.content_type, answer.body))
+        if len(body) > MAX_RECORDED_BYTES:
+            await self._service.abandon(grant)
+            return
+        recorded = await curio.ignore_after(
+            RECORD_TIMEOUT_S, self._service.record_answer, grant, answer.status, body
+        )
+        if recorded is None or not recorded.stored:
+            log_event("answer_not_recorded", host=self._host, workspace=key[0])
 
-    @abc.abstractmethod
     async def record_not_run(self, key: ClaimKey) -> None:
         """Give up a claim of which it is proved that nothing was dispatched."""
+        await self._service.release(self._grants.pop(key))
 
-    @abc.abstractmethod
     async def record_unknown(self, key: ClaimKey) -> None:
         """Record that a dispatch ended without a known outcome."""
+        await self._service.abandon(self._grants.pop(key))
 
-    @abc.abstractmethod
     def record_forward(self, key: ClaimKey) -> None:
         """Record that a request under the key was sent to the claim's owner."""
+        self._forwarded[key] += 1
 
-    @abc.abstractmethod
     def withdraw_forward(self, key: ClaimKey) -> None:
         """Record that the owner proved a forwarded request not run."""
+        self._forwarded[key] -= 1
+        if self._forwarded[key] <= 0:
+            del self._forwarded[key]
 
-    @abc.abstractmethod
     def knows(self, key: ClaimKey) -> bool:
         """Return whether a request under the key may have run before."""
+        return key in self._forwarded or self._ledger.knows(compute_fingerprint(*key))
 
 
-@dataclass(slots=True)
-class _Claim:
-    fingerprint: bytes
-    ended: curio.Event
-    state: str = "claimed"
-    answer: Answer | None = None
-    answered_s: float = 0.0
+def _list_members(record: ViewRecord) -> list[str]:
+    """Return the hosts of a stored view, which are of this region.
 
-
-class MemoryClaims(ClaimPort):
-    """Claims of one process.
-
-    Parameters
-    ----------
-    retention_s : float
-        Time for which answers are kept; fingerprints are kept for good.
-    now : callable
-        Monotonic clock in seconds.
+    A primary that has just started must copy to its backup before membership has
+    found it. A host that turns out to be elsewhere is sent nothing by the peer task.
     """
+    views = [view for view in (record.view, record.asked) if view is not None]
+    replicas = [each for view in views for each in (view.primary, view.backup)]
+    return [get_host(replica) for replica in replicas if replica is not None]
 
-    def __init__(self, retention_s: float, now: Callable[[], float]) -> None:
-        self._retention_s = retention_s
-        self._now = now
-        self._claims: dict[ClaimKey, _Claim] = {}
-        self._forwarded: collections.Counter[ClaimKey] = collections.Counter()
 
-    async def claim(self, key: ClaimKey, fingerprint: bytes) -> Answer | None:
-        while (claim := self._claims.get(key)) is not None:
-            if claim.fingerprint != fingerprint:
-                raise RequestError(
-                    "idempotency_key_reused",
-                    422,
-                    "the idempotency key was used with another request",
-                )
-            if claim.state == "answered":
-                return self._get_answer(claim)
-            if claim.state == "unknown":
-                raise create_may_have_run("an earlier attempt has no known outcome")
-            await claim.ended.wait()
-        self._claims[key] = _Claim(fingerprint, curio.Event())
-        return None
-
-    def _get_answer(self, claim: _Claim) -> Answer:
-        if self._now() - claim.answered_s > self._retention_s:
-            claim.answer = None
-        if claim.answer is None:
-            raise create_may_have_run("the recorded answer is no longer kept")
-        return claim.answer
-
-    async def record_dispatch(self, key: ClaimKey) -> None:
-        self._claims[key].state = "dispatched"
+def create_may_have_run(reason: str) -> RequestError:
+    return RequestError("outcome_unknown", 409, reason, Verdict.MAY_HAVE_RUN)
 
-    async def record_answer(self, key: ClaimKey, answer: Answer) -> None:
-        claim = self._claims[key]
-        claim.state = "answered"
-        claim.answer = answer
-        claim.answered_s = self._now()
-        await claim.ended.set()
 
-    async def record_not_run(self, key: ClaimKey) -> None:
-        await self._claims.pop(key).ended.set()
+def _create_refusal(reason: str) -> RequestError:
+    return RequestError("claims_unavailable", 503, reason, retry_after_s=RETRY_AFTER_S)
 
-    async def record_unknown(self, key: ClaimKey) -> None:
-        claim = self._claims[key]
-        claim.state = "unknown"
-        await claim.ended.set()
 
-    def record_forward(self, key: ClaimKey) -> None:
-        self._forwarded[key] += 1
+def _decode_answer(reply: ClaimReply) -> Answer:
+    content_type, body = msgspec.msgpack.decode(reply.body, type=tuple[str, bytes])
+    return Answer(reply.status, content_type, body)
 
-    def withdraw_forward(self, key: ClaimKey) -> None:
-        self._forwarded[key] -= 1
-        if self._forwarded[key] <= 0:
-            del self._forwarded[key]
-
-    def knows(self, key: ClaimKey) -> bool:
-        return key in self._claims or key in self._forwarded
 
+def _create_error(reply: ClaimReply) -> RequestError:
+    if reply.outcome is Outcome.KEY_REUSED:
+        return RequestError(
+            "idempotency_key_reused",
+            422,
+            "the idempotency key was used with another request",
+        )
+    if reply.outcome is Outcome.MAY_HAVE_RUN:
+        return create_may_have_run("an earlier attempt has no known outcome")
+    if reply.outcome is Outcome.NOT_OWNER:
+        return _create_refusal("this host does not lead the claims of the region")
+    return _create_refusal("the claim could not be recorded")
 
-def create_may_have_run(reason: str) -> RequestError:
-    return RequestError("outcome_unknown", 409, reason, Verdict.MAY_HAVE_RUN)
 
+def create_claims(
+    settings: EntrySettings,
+    views: ViewSource,
+    peers: Mailbox,
+    router: Mailbox,
+    rng: random.Random,
+) -> Claims:
+    """Return claims that are not started.
 
-def create_memory_claims(retention_s: float, now: Callable[[], float]) -> MemoryClaims:
-    return MemoryClaims(retention_s, now)
+    Raises
+    ------
+    CorruptStoreError
+        If the claim store is damaged.
+    """
+    return Claims(settings, views, peers, router, rng)
--- a/buckthorndeal/_entry_control.py
+++ b/buckthorndeal/_entry_control.py
@@ -69,7 +69,7 @@
             if name in tried or not self.links[name].connected:
                 continue
             tried.add(name)
-            reply = await self._call(name, message)
+            reply = await self.call(name, message)
             if isinstance(reply, LeaderHint):
                 names = [reply.leader, *names] if reply.leader in self.links else names
             elif reply is not None:
@@ -77,7 +77,8 @@
                 return reply
         return None
 
-    async def _call(self, name: str, message: Message) -> Message | None:
+    async def call(self, name: str, message: Message) -> Message | None:
+        """Return the reply of one control host; None if there is none."""
         try:
             return await self.links[name].call(message, CALL_TIMEOUT_S)
         except PeerError:
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -12,7 +12,7 @@
     EntryContext,
 )
 from buckthorndeal._entry_calls import BookingRunner, run_unary
-from buckthorndeal._entry_claims import ClaimPort, get_claim_key
+from buckthorndeal._entry_claims import Claims, get_claim_key
 from buckthorndeal._entry_messages import (
     Admit,
     Answer,
@@ -65,7 +65,7 @@
     ----------
     context : EntryContext
         Shared parts of the entry host.
-    claims : ClaimPort
+    claims : Claims
         Claims of non-idempotent calls.
     bookings : BookingRunner
         Runs non-idempotent calls.
@@ -76,7 +76,7 @@
     def __init__(
         self,
         context: EntryContext,
-        claims: ClaimPort,
+        claims: Claims,
         bookings: BookingRunner,
         is_ready: Callable[[], bool],
     ) -> None:
--- a/buckthorndeal/_entry_membership.py
+++ b/buckthorndeal/_entry_membership.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -19,6 +20,8 @@
 from buckthorndeal.transport import DatagramPort
 from buckthorndeal.wire import decode_keys
 
+Receiver = Callable[[HostSeen], Awaitable[None]]
+
 HTTP_PURPOSE = "http"
 PEER_PURPOSE = "peer"
 # A suspected host gets no new work, but requests that it runs are not given up.
@@ -60,13 +63,13 @@
     return create_membership_service(member, port, keys, changes)
 
 
-async def run_changes(changes: Mailbox, receivers: tuple[Mailbox, ...]) -> None:
+async def run_changes(changes: Mailbox, receivers: tuple[Receiver, ...]) -> None:
     """Pass changed records on as `HostSeen`."""
     async for envelope in changes:
         record = read_record(envelope.message)
         if record is not None:
             for receiver in receivers:
-                await receiver.send(HostSeen(record))
+                await receiver(HostSeen(record))
 
 
 def read_record(member: MemberRecord) -> HostRecord | None:
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -50,9 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FindOwner:
-    """Asks the router task for the host that holds a region's claims."""
+    """Asks the router task for the host that takes a region's bookings.
+
+    Without `host` this is any host of the region.
+    """
 
     region: str
+    host: str | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -102,14 +102,17 @@
 
     @handle.register
     def _(self, message: FindOwner) -> HostRecord:
-        # Without a ledger view the first host by name owns the claims. It stays the
-        # owner while it is lost, because its claims are known nowhere else.
-        hosts = self._directory.list_region(message.region)
+        hosts = [
+            record
+            for record in self._directory.list_region(message.region)
+            if record.state != "lost" and message.host in (None, record.host)
+        ]
         if not hosts:
+            reason = f"the claims of {message.region} cannot be reached"
             raise RequestError(
-                "no_claim_owner", 503, f"no entry host of {message.region} is known"
+                "no_claim_owner", 503, reason, retry_after_s=RETRY_AFTER_S
             )
-        return hosts[0]
+        return min(hosts, key=lambda record: record.state != "alive")
 
     @handle.register
     def _(self, message: Admit) -> None:
--- a/buckthorndeal/_ledger_claims.py
+++ b/buckthorndeal/_ledger_claims.py
@@ -94,6 +94,13 @@
             self._drop_old(now_s)
         return self._finish(now_s)
 
+    def knows(self, fingerprint: bytes) -> bool:
+        """Return whether a request with the key may have run."""
+        entry = self._snapshot.entries.get(fingerprint)
+        if entry is None:
+            return fingerprint in self._snapshot.expired
+        return entry.state != "released"
+
     def take_snapshot(self) -> ClaimSnapshot:
         """Return the content for a compaction of the store."""
         snapshot = self._snapshot
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -10,15 +10,20 @@
 import msgspec
 from absl import app, flags
 
-from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import DocumentView, ListEndpoints, ListHosts
-from buckthorndeal.command_entry import SETTINGS_STATUS, serve_until_signalled
+from buckthorndeal._entry_messages import ListEndpoints, ListHosts
+from buckthorndeal.command_entry import (
+    SETTINGS_STATUS,
+    STORE_STATUS,
+    serve_until_signalled,
+)
+from buckthorndeal.control import ControlDaemon, create_control
+from buckthorndeal.document import create_document
 from buckthorndeal.entry import EntryHost, create_entry_host
-from buckthorndeal.errors import DocumentError, SettingsError
-from buckthorndeal.logs import configure_logging
-from buckthorndeal.sections import parse_section
+from buckthorndeal.errors import DocumentError, SettingsError, StoreError
+from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import (
     Address,
+    ControlSettings,
     EntrySettings,
     PeerAddress,
     parse_settings,
@@ -37,7 +42,8 @@
 FLAGS = flags.FLAGS
 DEPLOYMENT = "kelawar"
 ADDRESS = "127.0.0.1"
-SECTIONS = ("platform", "accounts", "support")
+SECTIONS = ("teams", "platform", "accounts", "support")
+VOTERS = 3
 READY_TIMEOUT_S = 5.0
 READY_POLL_S = 0.02
 # Nothing else is told of an answer of the directory in this process.
@@ -62,7 +68,7 @@
 
 
 class LocalHost(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """An entry host of the deployment."""
+    """An entry host or a control host of the deployment."""
 
     host: str
     region: str
@@ -87,6 +93,7 @@
     """Hosts and endpoints of a deployment."""
 
     entry_hosts: tuple[LocalHost, ...]
+    control_hosts: tuple[LocalHost, ...]
     endpoints: tuple[LocalEndpoint, ...]
 
 
@@ -97,8 +104,8 @@
     ----------
     deployment : Deployment
         Hosts and endpoints.
-    view : DocumentView
-        Sections in force.
+    texts : dict of str to str
+        Sections of a new document.
     data_directory : str
         Directory of the state.
     transport : SocketTransport
@@ -108,7 +115,7 @@
     def __init__(
         self,
         deployment: Deployment,
-        view: DocumentView,
+        texts: dict[str, str],
         data_directory: str,
         transport: SocketTransport,
     ) -> None:
@@ -119,16 +126,22 @@
             create_entry_host(
                 _create_settings(deployment, entry, data_directory, peer_key),
                 transport,
-                view,
             )
             for entry in deployment.entry_hosts
         ]
+        self.controls = [
+            _create_control(
+                deployment, entry, data_directory, peer_key, texts, transport
+            )
+            for entry in deployment.control_hosts
+        ]
         self.standins: list[Standin] = []
 
     async def start(self) -> None:
         """Start everything and wait until each endpoint is known to its region."""
-        for host in self.hosts:
-            await host.start()
+        async with curio.TaskGroup() as group:
+            for part in (*self.controls, *self.hosts):
+                await group.spawn(part.start)
         for endpoint in self._deployment.endpoints:
             addresses = self._list_addresses(endpoint.region)
             standin = _create_endpoint(endpoint, addresses, self._transport)
@@ -140,7 +153,7 @@
 
     async def close(self) -> None:
         """Stop everything at once."""
-        for part in (*self.standins, *self.hosts):
+        for part in (*self.standins, *self.hosts, *self.controls):
             await part.close()
 
     def _list_addresses(self, region: str) -> tuple[tuple[str, int], ...]:
@@ -160,7 +173,18 @@
             answer = await host.router.ask(ListHosts(entry.region))
             if known < len(expected) or len(answer.hosts) < len(self.hosts):
                 return False
-        return True
+        regions = {entry.region for entry in self._deployment.entry_hosts}
+        return all(self._has_full_view(region) for region in regions)
+
+    def _has_full_view(self, region: str) -> bool:
+        """Return whether the hosts of a region agree on primary and backup."""
+        entries = zip(self._deployment.entry_hosts, self.hosts, strict=True)
+        claims = [host.claims for entry, host in entries if entry.region == region]
+        views = [each.describe() for each in claims]
+        members = {(view["epoch"], view["primary"], view["backup"]) for view in views}
+        if len(members) > 1 or views[0]["primary"] is None:
+            return False
+        return len(claims) == 1 or views[0]["backup"] is not None
 
 
 def _create_settings(
@@ -173,7 +197,7 @@
         listen=Address(port=entry.port),
         peer_listen=Address(port=entry.peer_port),
         seeds=tuple(Address(port=each.peer_port) for each in deployment.entry_hosts),
-        control_hosts=(PeerAddress(host="control-1", port=entry.port),),
+        control_hosts=_list_peers(deployment.control_hosts),
         peer_keys=(peer_key,),
         data_directory=os.path.join(data_directory, entry.host),
         drain_notice_s=DRAIN_NOTICE_S,
@@ -181,6 +205,32 @@
     )
 
 
+def _list_peers(hosts: tuple[LocalHost, ...]) -> tuple[PeerAddress, ...]:
+    return tuple(PeerAddress(host=each.host, port=each.peer_port) for each in hosts)
+
+
+def _create_control(
+    deployment: Deployment,
+    entry: LocalHost,
+    data_directory: str,
+    peer_key: str,
+    texts: dict[str, str],
+    transport: SocketTransport,
+) -> ControlDaemon:
+    settings = ControlSettings(
+        host=entry.host,
+        region=entry.region,
+        failure_domain=entry.failure_domain,
+        listen=Address(port=entry.port),
+        peer_listen=Address(port=entry.peer_port),
+        voters=_list_peers(deployment.control_hosts[:VOTERS]),
+        learners=_list_peers(deployment.control_hosts[VOTERS:]),
+        peer_keys=(peer_key,),
+        data_directory=os.path.join(data_directory, entry.host),
+    )
+    return create_control(settings, texts, transport)
+
+
 def _create_endpoint(
     endpoint: LocalEndpoint,
     entry_hosts: tuple[tuple[str, int], ...],
@@ -212,16 +262,25 @@
     texts = {name: _read_file(f"{name}.jsonc") for name in (DEPLOYMENT, *SECTIONS)}
     deployment = parse_settings(texts[DEPLOYMENT], Deployment, f"{DEPLOYMENT}.jsonc")
     if port is not None:
-        peer_ports = _find_free_ports(len(deployment.entry_hosts))
-        hosts = tuple(
-            msgspec.structs.replace(entry, port=port, peer_port=peer_port)
-            for entry, peer_port in zip(deployment.entry_hosts, peer_ports, strict=True)
-        )
-        deployment = msgspec.structs.replace(deployment, entry_hosts=hosts)
-    view = create_document_view(
-        *(parse_section(name, texts[name]) for name in SECTIONS)
+        deployment = _replace_ports(deployment, port)
+    sections = {name: texts[name] for name in SECTIONS}
+    create_document(sections)
+    return LocalDeployment(
+        deployment, sections, data_directory, create_socket_transport()
+    )
+
+
+def _replace_ports(deployment: Deployment, port: int) -> Deployment:
+    hosts = (*deployment.entry_hosts, *deployment.control_hosts)
+    peer_ports = _find_free_ports(len(hosts))
+    replaced = tuple(
+        msgspec.structs.replace(host, port=port, peer_port=peer_port)
+        for host, peer_port in zip(hosts, peer_ports, strict=True)
+    )
+    count = len(deployment.entry_hosts)
+    return msgspec.structs.replace(
+        deployment, entry_hosts=replaced[:count], control_hosts=replaced[count:]
     )
-    return LocalDeployment(deployment, view, data_directory, create_socket_transport())
 
 
 def _find_free_ports(count: int) -> list[int]:
@@ -258,6 +317,9 @@
     except (SettingsError, DocumentError) as error:
         print(error, file=sys.stderr)
         return SETTINGS_STATUS
+    except StoreError as error:
+        log_event("local_store_error", reason=str(error))
+        return STORE_STATUS
     return None
 
 
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -9,7 +9,7 @@
 
 from buckthorndeal._entry_attempts import EntryContext
 from buckthorndeal._entry_calls import BookingRunner
-from buckthorndeal._entry_claims import ClaimPort, create_memory_claims
+from buckthorndeal._entry_claims import create_claims
 from buckthorndeal._entry_control import ControlLinks
 from buckthorndeal._entry_document import (
     create_empty_view,
@@ -23,6 +23,7 @@
     create_service,
     read_record,
     run_changes,
+    wait_for_others,
 )
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
@@ -35,9 +36,11 @@
 from buckthorndeal._entry_router import RouterState, run_router
 from buckthorndeal._entry_store import DocumentStore
 from buckthorndeal._entry_subscriber import SubscriberTask
+from buckthorndeal._entry_views import ControlViews, ViewSource
 from buckthorndeal.directory import create_directory
 from buckthorndeal.document import Document, create_document
 from buckthorndeal.http_server import create_http_server
+from buckthorndeal.ledger import LEDGER_MESSAGES
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
 from buckthorndeal.membership import HostRecord as MemberRecord
@@ -53,6 +56,7 @@
 DRAIN_POLL_S = 0.01
 # Bounds the wait for control hosts that do not answer when the host starts.
 SETTLE_TIMEOUT_S = 2.0
+JOIN_TIMEOUT_S = 1.0
 METRICS = (
     ("requests_total", "counter", "Requests of callers by outcome."),
     ("attempts_total", "counter", "Attempts at endpoints and hosts by outcome."),
@@ -82,13 +86,13 @@
         Monotonic clock in seconds.
     rng : random.Random
         Source of ties and of the directory's order.
-    claims : ClaimPort or None
-        Claims of non-idempotent calls; None keeps them in memory.
+    views : ViewSource or None
+        Decides on the ledger views; None leaves it to the control hosts.
 
     Raises
     ------
     CorruptStoreError
-        If the stored document is damaged.
+        If the stored document or the claim store is damaged.
     """
 
     def __init__(
@@ -98,7 +102,7 @@
         view: DocumentView | None,
         now: Callable[[], float],
         rng: random.Random,
-        claims: ClaimPort | None = None,
+        views: ViewSource | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
@@ -128,9 +132,17 @@
         )
         self._links = ControlLinks(settings, transport, self._receive_notice)
         self._subscriber = self._create_subscriber()
-        claims = claims or create_memory_claims(settings.answer_retention_s, now)
-        self._bookings = BookingRunner(self._context, claims)
-        front = EntryFront(self._context, claims, self._bookings, lambda: self._ready)
+        self.claims = create_claims(
+            settings,
+            views or ControlViews(self._links),
+            self._peers.mailbox,
+            router,
+            rng,
+        )
+        self._bookings = BookingRunner(self._context, self.claims)
+        front = EntryFront(
+            self._context, self.claims, self._bookings, lambda: self._ready
+        )
         self._server = create_http_server(front.handle, limits)
 
     def _create_subscriber(self) -> SubscriberTask:
@@ -174,7 +186,11 @@
         async def receive_reports(message: Message, host: str) -> None:
             await self._relay.mailbox.send(ReportsReceived(message, host))
 
-        return dict.fromkeys(REPORT_MESSAGES, receive_reports)
+        async def receive_claims(message: Message, host: str) -> None:
+            await self.claims.receive(message, host)
+
+        receivers = dict.fromkeys(REPORT_MESSAGES, receive_reports)
+        return receivers | dict.fromkeys(LEDGER_MESSAGES, receive_claims)
 
     async def start(self) -> None:
         """Listen and start the tasks."""
@@ -199,6 +215,7 @@
             await curio.spawn(self._relay.run, daemon=True),
         ]
         await self._join(datagrams)
+        await self.claims.start(self._owners)
         self._ready = True
         log_event("entry_started", host=settings.host, port=self.port)
 
@@ -227,11 +244,18 @@
         self._membership = create_service(
             self._settings, record, datagrams, changes, self._rng
         )
-        receivers = (self._context.router, self._peers.mailbox)
+        receivers = (
+            self._context.router.send,
+            self._peers.mailbox.send,
+            self.claims.note_host,
+        )
         task = await curio.spawn(run_changes, changes, receivers, daemon=True)
         self._tasks.append(task)
         await self._note_own_record(record)
         await self._membership.start()
+        if self._settings.seeds:
+            # The ledger gives a backup up that does not answer for a second.
+            await wait_for_others(self._membership, JOIN_TIMEOUT_S)
 
     async def _note_own_record(self, record: MemberRecord) -> None:
         await self._context.router.ask(HostSeen(read_record(record)))
@@ -271,12 +295,14 @@
         """Cancel what still runs and stop the tasks."""
         self._ready = False
         await self._server.close()
+        await self._bookings.close()
         await self._context.pools.close()
         if self._membership is not None:
             await self._membership.close()
         await self._owners.cancel_remaining()
         for task in self._tasks:
             await task.cancel()
+        await self.claims.close()
         await self._links.close()
         await self._peers.close()
 
@@ -300,7 +326,7 @@
     view: DocumentView | None = None,
     now: Callable[[], float] = time.monotonic,
     rng: random.Random | None = None,
-    claims: ClaimPort | None = None,
+    views: ViewSource | None = None,
 ) -> EntryHost:
     """Return an entry host that is not started.
 
@@ -315,5 +341,5 @@
         view,
         now,
         rng or random.Random(),
-        claims,
+        views,
     )
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,11 +11,13 @@
 
 from buckthorndeal._entry_document import create_document_view
 from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal._entry_views import ViewSource
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import create_entry_host
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.http_server import create_http_server
+from buckthorndeal.ledger import LedgerView, is_view_change_allowed
 from buckthorndeal.registry import Announcement
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import Address, EntrySettings, Limits, PeerAddress
@@ -38,6 +40,7 @@
         "home_region": "r1",
         "bound": True,
     },
+    "east": {"key_hashes": [hash_key("key-east")], "home_region": "r2"},
     "small": {
         "key_hashes": [hash_key("key-small")],
         "home_region": "r1",
@@ -52,6 +55,22 @@
 HANG_TIMEOUT_S = 120
 
 
+class MemoryViews(ViewSource):
+    """Ledger views of all regions, kept by the test."""
+
+    def __init__(self):
+        self.views = {}
+
+    async def get(self, region):
+        return self.views.get(region, LedgerView())
+
+    async def change(self, region, ask):
+        current = await self.get(region)
+        if is_view_change_allowed(current, ask):
+            self.views[region] = ask.view
+        return await self.get(region)
+
+
 class Cluster:
     """Entry hosts named ``e1``, ``e2`` ... in the given regions."""
 
@@ -67,6 +86,7 @@
             parse_section("accounts", accounts),
             parse_section("support", "{}"),
         )
+        views = MemoryViews()
         self.hosts = [
             create_entry_host(
                 EntrySettings(
@@ -82,6 +102,7 @@
                 self.transport,
                 view,
                 rng=random.Random(number),
+                views=views,
             )
             for number, region in enumerate(regions, 1)
         ]
@@ -89,6 +110,8 @@
     async def start(self):
         for host in self.hosts:
             await host.start()
+            while host.claims.primary is None:
+                await curio.sleep(0.001)
         self.records = [
             HostRecord(f"e{number}", region, "127.0.0.1", host.port)
             for number, (region, host) in enumerate(
--- a/tests/system.py
+++ b/tests/system.py
@@ -26,9 +26,9 @@
     PeerAddress,
 )
 from buckthorndeal.transport import (
+    ShapedTransport,
     create_link_shape,
     create_memory_transport,
-    create_shaped_transport,
 )
 from tests.support import PLATFORM, WORKSPACES
 
@@ -57,6 +57,26 @@
 }
 
 
+class RecordingTransport(ShapedTransport):
+    """Notes the bytes that connecting places send, with both places."""
+
+    def __init__(self, inner, shape, place, sent):
+        super().__init__(inner, shape, place)
+        self._sent = sent
+
+    async def connect(self, address, port):
+        stream = await super().connect(address, port)
+        link = (self._place, self._shape.get_place(address, port))
+        send = stream.sendall
+
+        async def sendall(data):
+            self._sent.append((link, bytes(data)))
+            await send(data)
+
+        stream.sendall = sendall
+        return stream
+
+
 class System:
     """Entry hosts on one in-memory network; the place of a host is its name.
 
@@ -72,9 +92,10 @@
         self.memory = create_memory_transport()
         self.hosts = {}
         self.parts = []
+        self.sent = []
 
     def create_transport(self, place):
-        return create_shaped_transport(self.memory, self.shape, place)
+        return RecordingTransport(self.memory, self.shape, place, self.sent)
 
     async def start(self):
         if self.directory is not None:
@@ -180,7 +201,11 @@
         """Send a message of an endpoint to a host; return status and answer."""
         pool = self.create_pool(host)
         body = msgspec.json.encode({"incarnation": 1, **fields})
-        status, _, answer = await pool.fetch("POST", f"/v1/endpoints/{kind}", [], body)
+        target = f"/v1/endpoints/{kind}"
+        try:
+            status, _, answer = await pool.fetch("POST", target, [], body)
+        finally:
+            await pool.close()
         return status, msgspec.json.decode(answer)
 
     async def announce(self, host, name, handler=None, service="desk", place=None):
@@ -201,6 +226,28 @@
         }
         return await self.tell(host, "announce", **description)
 
+    async def keep_alive(self, region, *names):
+        """Send heartbeats of endpoints to the hosts of their region."""
+        while True:
+            for host in list(self.hosts):
+                if self.regions[host] == region:
+                    for name in names:
+                        async with curio.ignore_after(0.5):
+                            await self.tell(host, "heartbeat", name=name)
+            await curio.sleep(0.5)
+
+    async def wait_for_ledgers(self):
+        """Wait until the hosts of each region agree on a full view."""
+        for region in set(self.regions.values()):
+            hosts = [each for each in self.hosts if self.regions[each] == region]
+            while not self._agree(hosts):
+                await curio.sleep(0.01)
+
+    def _agree(self, hosts):
+        views = [self.hosts[host].claims.describe() for host in hosts]
+        members = {(view["primary"], view["backup"]) for view in views}
+        return len(members) == 1 and set(members.pop()) - {None} == set(hosts)
+
     def create_pool(self, host, place=None):
         transport = self.create_transport(place or host)
         number = int(host.removeprefix("e"))
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -78,25 +78,30 @@
                     b"{}",
                 ),
             ]
-            statuses = []
+            statuses, answers = [], []
             for host in deployment.hosts[:2]:
                 pool = create_http_pool(
                     create_socket_transport(), "127.0.0.1", host.port
                 )
                 for call in calls:
-                    statuses.append((await pool.fetch(*call))[0])
+                    status, _, answer = await pool.fetch(*call)
+                    statuses.append(status)
+                answers.append(answer)
                 await pool.close()
             counts = (len(deployment.hosts), len(deployment.standins))
             await deployment.close()
-            return statuses, counts
+            return statuses, counts, answers
 
         with (
             tempfile.TemporaryDirectory() as directory,
             self.assertLogs(absl_logging.get_absl_logger(), logging.INFO),
         ):
-            statuses, counts = curio.run(main, directory)
-        self.assertEqual(statuses, [200, 200, 201] * 2)
-        self.assertEqual(counts, (4, 12))
+            runs = [curio.run(main, directory) for _ in range(2)]
+        for statuses, counts, answers in runs:
+            self.assertEqual(statuses, [200, 200, 201] * 2)
+            self.assertEqual(counts, (4, 12))
+            # The booking has one key and is recorded once, also over a restart.
+            self.assertEqual(answers, [runs[0][2][0]] * 2)
 
 
 class ControlExamplesTest(unittest.TestCase):
