Let a service demand keys from its endpoints

Whoever reached an entry host could announce an endpoint or make one leave.

The platform section takes optional endpoint_key_hashes for a service. Where they are given, the calls under /v1/endpoints need a matching bearer key, and are refused with 401 otherwise. A known endpoint is checked against its service, so that a service without keys does not open the way to it; an unknown one needs a key of any service.

--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -34,7 +34,7 @@
 )
 from buckthorndeal._entry_relay import StreamRelay
 from buckthorndeal._entry_reports import EndpointTold
-from buckthorndeal.authentication import Identity
+from buckthorndeal.authentication import Identity, check_endpoint_key
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest
@@ -160,6 +160,7 @@
             raise RequestError("bad_request", 400, str(error)) from error
         if isinstance(message, Announcement) and message.region != self._context.region:
             raise RequestError("wrong_region", 409, "announce in the endpoint's region")
+        await self._check_endpoint(message, request.headers.get("authorization"))
         outcome = await self._context.router.ask(message)
         if not isinstance(outcome, Accepted):
             raise RequestError("refused", 409, outcome.reason)
@@ -173,6 +174,16 @@
             200, {"state": outcome.state, "registrars": registrars}
         )
 
+    async def _check_endpoint(self, message: object, header: str | None) -> None:
+        document = await self._context.document.ask(GetDocument())
+        views = await self._context.router.ask(ListEndpoints())
+        services = [view.service for view in views if view.name == message.name]
+        if isinstance(message, Announcement):
+            # The service of a known endpoint must not be changed with another key.
+            services.append(message.service)
+        for service in services or [None]:
+            check_endpoint_key(header, document.platform.services, service)
+
     async def _answer_call(self, request: Request, responder: Responder) -> None:
         context = self._context
         started_s = context.now()
--- a/buckthorndeal/sections.py
+++ b/buckthorndeal/sections.py
@@ -63,7 +63,11 @@
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A service that the gateway routes to."""
+    """A service that the gateway routes to.
+
+    With `endpoint_key_hashes`, endpoints of the service have to present a bearer key
+    with one of these SHA-256 hashes.
+    """
 
     kind: Literal["model", "plain"]
     models: tuple[Name, ...] = ()
@@ -71,6 +75,7 @@
     weights: Weights = Weights()
     non_idempotent: tuple[NonIdempotentCall, ...] = ()
     hedge: HedgePolicy = HedgePolicy()
+    endpoint_key_hashes: tuple[KeyHash, ...] = ()
 
     def is_idempotent(self, method: str, path: str) -> bool:
         """Return whether a call may run more than once."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -81,7 +81,7 @@
         self.cancelled = []
         self.pools = []
         accounts = msgspec.json.encode({"workspaces": WORKSPACES}).decode()
-        view = create_document_view(
+        self.view = create_document_view(
             parse_section("platform", PLATFORM),
             parse_section("accounts", accounts),
             parse_section("support", "{}"),
@@ -100,7 +100,7 @@
                     **{"drain_notice_s": 0.05, **settings},
                 ),
                 self.transport,
-                view,
+                self.view,
                 rng=random.Random(number),
                 views=views,
             )
