--- a/buckthorndeal/metrics.py
+++ b/buckthorndeal/metrics.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self.sum_s = 0.0
-        self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+        self._histogram: HdrHistogram | None = None
         self._pending: dict[int, int] = {}
 
     def record(self, seconds: float) -> None:
@@ -43,6 +43,8 @@
         return self._histogram
 
     def _move_pending(self) -> None:
+        if self._histogram is None:
+            self._histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         for tenths_ms, count in self._pending.items():
             value_us = min(MAX_LATENCY_US, max(1, tenths_ms * 100))
             self._histogram.record_value(value_us, count)
