Test rules that mutations of the replicated log escaped

Cause: with a rule broken on a scratch copy, the tests missed stale replies, a membership kept after its entry was overwritten, and a change proposed before an entry of the term was committed. Change: one test for each, the last one replaced by a stricter form, and a test of replicas that restart from disk.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,6 +1,8 @@
 """Tests of the replicated log: its rules one by one, and seeded random runs."""
 
+import os
 import random
+import tempfile
 import unittest
 
 from buckthorndeal.consensus import (
@@ -22,7 +24,7 @@
     create_replica,
 )
 from buckthorndeal.errors import MembershipChangeError, NotLeaderError, StoreError
-from buckthorndeal.logstore import MemoryLogStore
+from buckthorndeal.logstore import MemoryLogStore, create_disk_log_store
 from tests.consensus_harness import SimulatedDisk, run_seeds
 
 TIMEOUT_S = 1.0
@@ -341,6 +343,52 @@
         output = receive(AppendReply, match_index=3, **reply)
         self.assertEqual([entry.index for entry in output.committed], [2, 3])
 
+    def test_overwritten_membership_is_forgotten(self):
+        """Guards against votes counted under a change that never committed."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        cluster.propose(b"x")
+        everyone = set("abc")
+        cluster.down = everyone - {leader}
+        cluster.change(RemoveMember(cluster.identify(leader)))
+        replica = cluster.replicas[leader]
+        self.assertEqual(len(replica.membership.voters), 2)
+        cluster.down = {leader}
+        cluster.run(TIMEOUT_S + 0.3)
+        self.assertTrue(cluster.propose(b"y"))
+        cluster.down = set()
+        cluster.run(1)
+        self.assertEqual(replica.membership, cluster.bootstrap)
+        self.assertEqual(replica.role, "follower")
+        self.assertEqual(cluster.committed[leader], [b"x", b"y"])
+
+    def test_replies_of_an_earlier_term_are_not_counted(self):
+        """Guards against an old answer that commits or elects in a new term."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        replica = cluster.replicas[leader]
+        cluster.down = set("abc") - {leader}
+        follower = min(cluster.down)
+        cluster.propose(b"x")
+        names = {
+            "source": cluster.identify(follower),
+            "target": cluster.identify(leader),
+        }
+        term = replica.term - 1
+        commit_index = replica.commit_index
+        reply = AppendReply(
+            **names, term=term, round=1, success=True, match_index=replica.last_index
+        )
+        cluster.receive(leader, reply)
+        self.assertEqual(replica.commit_index, commit_index)
+        core = cluster.replicas[leader]._core
+        core.step_down(cluster.now_s)
+        core.advance_role("time_out")
+        core.advance_role("win_pre_vote")
+        core.votes = {core.identity}
+        cluster.receive(leader, VoteReply(**names, term=term, granted=True))
+        self.assertEqual(replica.role, "candidate")
+
     def test_snapshot_reaches_a_new_learner_in_chunks(self):
         """Guards against a learner that starts from part of a snapshot."""
         cluster = Cluster()
@@ -402,6 +450,32 @@
         cluster.run(0.5)
         self.assertEqual(cluster.committed["a"], [b"y"])
 
+    def test_restart_from_disk(self):
+        """Guards against a disk form that the replicas cannot continue from."""
+        with tempfile.TemporaryDirectory() as directory:
+            cluster = Cluster("")
+            for restart in range(3):
+                for host in "abc":
+                    path = os.path.join(directory, host)
+                    store = create_disk_log_store(path, random.Random(host))
+                    cluster.stores[host] = store
+                voters = Membership(tuple(cluster.identify(host) for host in "abc"))
+                for host in "abc":
+                    cluster.start(host, voters)
+                self.assertTrue(cluster.propose(b"%d" % restart))
+                cluster.run(0.5)
+                for host in "abc":
+                    # The first entry is compacted before the first restart.
+                    expected = [b"1", b"2"][:restart] or [b"0"]
+                    self.assertEqual(cluster.committed[host], expected)
+                    replica = cluster.replicas[host]
+                    if restart == 0:
+                        replica.compact(replica.commit_index, b"state")
+                    self.assertEqual(replica.snapshot.data, b"state")
+                    cluster.stores[host].close()
+                for host in "abc":
+                    del cluster.replicas[host]
+
     def test_store_of_another_incarnation_is_refused(self):
         """Guards against an identity used with a disk that is not its own."""
         store = SimulatedDisk(2, random.Random(1))
@@ -485,8 +559,14 @@
     def test_no_change_before_an_entry_of_the_term_is_committed(self):
         """Guards against a change that competes with one of an earlier leader."""
         cluster = Cluster()
+        old = cluster.elect()
+        cluster.propose(b"x")
+        cluster.run(0.5)
+        cluster.down = {old}
         cluster.drop = lambda message: type(message) is AppendReply
-        cluster.elect()
+        cluster.run(TIMEOUT_S + 0.3)
+        new = cluster.replicas[cluster.elect()]
+        self.assertGreater(new.commit_index, 1)
         change = AddLearner(ReplicaId("d", 9))
         with self.assertRaises(MembershipChangeError):
             cluster.change(change)
