--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -10,6 +10,7 @@
 from absl import logging as absl_logging
 
 from buckthorndeal._entry_document import load_document
+from buckthorndeal.command_control import load
 from buckthorndeal.command_local import create_local_deployment
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.sections import parse_section
@@ -49,7 +50,7 @@
     def test_every_section_loads(self):
         """Guards against an example section that the document would refuse."""
         files = list_files("*", "document", "*.jsonc")
-        self.assertEqual(len(files), 6)
+        self.assertEqual(len(files), 8)
         for file in files:
             with open(file, encoding="utf-8") as stream:
                 name = os.path.basename(file).removesuffix(".jsonc")
@@ -98,5 +99,24 @@
         self.assertEqual(counts, (4, 12))
 
 
+class ControlExamplesTest(unittest.TestCase):
+    """Loads the control settings of each deployment."""
+
+    def test_every_control_host_loads(self):
+        """Guards against examples that the daemon would refuse."""
+        for deployment in ("kelawar", "brazos"):
+            files = list_files(deployment, "control-*.jsonc")
+            self.assertEqual(len(files), 4)
+            for file in files:
+                with self.subTest(file=file):
+                    settings, texts = load(file)
+                    name = os.path.basename(file).removesuffix(".jsonc")
+                    self.assertEqual(settings.host, name)
+                    self.assertEqual(len(settings.voters), 3)
+                    self.assertEqual(
+                        set(texts), {"teams", "platform", "accounts", "support"}
+                    )
+
+
 if __name__ == "__main__":
     unittest.main()
