--- a/buckthorndeal/credits.py
+++ b/buckthorndeal/credits.py
@@ -151,10 +151,13 @@
         allowance.credits -= 1
         return True
 
-    def summarize(self, wait_s: float, spare: int) -> RegionSummary:
-        """Return the summary for the other regions."""
-        lent = self._count_usable(spare) if self._open else 0
-        return RegionSummary(self._region, wait_s, lent)
+    def summarize(self, wait_s: float, spare: int, now_s: float) -> RegionSummary:
+        """Return the summary for the other regions; called at each interval.
+
+        Lending opens here: a region is only asked once its summary shows spare
+        capacity.
+        """
+        return RegionSummary(self._region, wait_s, self._update_spare(spare, now_s))
 
     def _create_grant(self, region: str, amount: int, now_s: float) -> CreditGrant:
         self._number += 1
