--- a/buckthorndeal/_scoring.py
+++ b/buckthorndeal/_scoring.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Score", "ScoreSettings", "estimate_load", "score_region", "score_view"]
 
-# A weight of 0.5, the document's default, leaves a term unchanged.
+# A wait counts in full at the document's default weight of 0.5.
 NEUTRAL_WEIGHT = 0.5
 MIN_RAMP = 0.1
 # The report's part in the load estimate. Lower values do as well with callers
@@ -96,8 +96,7 @@
     uncached = max(0.0, request.prompt_tokens - cached_tokens)
     prefill_s = uncached / estimate.prefill_tokens_per_s
     fill_s = settings.fill_cost * service_s * min(1.0, load / slots)
-    value = (wait_s + fill_s) * (NEUTRAL_WEIGHT + weights.tail_latency)
-    value += prefill_s * (NEUTRAL_WEIGHT + weights.cost)
+    value = _weigh(wait_s + fill_s, prefill_s, weights)
     return Score(value, wait_s, wait_s + prefill_s, wait_s + service_s)
 
 
@@ -107,11 +106,22 @@
     """Score another region: two link delays, its wait, and a cold cache."""
     wait_s = region.wait_s + 2 * region.link_delay_s
     prefill_s = request.prompt_tokens / estimate.prefill_tokens_per_s
-    value = wait_s * (NEUTRAL_WEIGHT + weights.tail_latency)
-    value += prefill_s * (NEUTRAL_WEIGHT + weights.cost)
+    value = _weigh(wait_s, prefill_s, weights)
     return Score(value, wait_s, wait_s + prefill_s, wait_s + estimate.service_s)
 
 
+def _weigh(wait_s: float, prefill_s: float, weights: Weights) -> float:
+    """Return weighted seconds.
+
+    An uncached prompt holds a slot and delays the first token, so both weights
+    count it. The ratio of a prefilled to a waited second is 3 with the whole weight
+    on cost, 1.5 with even weights and 1 with the whole weight on tail latency.
+    """
+    wait_factor = NEUTRAL_WEIGHT + weights.tail_latency
+    prefill_factor = 1.0 + (weights.cost + weights.tail_latency) / 2
+    return wait_s * wait_factor + prefill_s * prefill_factor
+
+
 def _get_ramp(view: EndpointView, settings: ScoreSettings, now_s: float) -> float:
     """Return the usable share of a cold endpoint's slots."""
     age_s = now_s - view.ready_since_s
