--- a/buckthorndeal/_control_api.py
+++ b/buckthorndeal/_control_api.py
@@ -198,7 +198,15 @@
             hosts=[own, *subscribers],
             members=state.members,
             leases=list(state.leases.values()),
-            views=list(state.views.values()),
+            views=[
+                models.ViewBody(
+                    region=region,
+                    epoch=view.epoch,
+                    primary=view.primary,
+                    backup=view.backup,
+                )
+                for region, view in sorted(state.views.items())
+            ],
         )
         await responder.respond_json(200, body)
 
@@ -252,7 +260,7 @@
     key_hash = _read_key_hash(request)
     if state.document.find_team(key_hash) is not None:
         return
-    if not state.is_confirmed:
+    if not (state.is_confirmed and state.document.revision):
         # This host may lack a change that made the key valid.
         raise NotLeaderError(state.leader)
     raise ForbiddenError("the key is not valid")
