--- /dev/null
+++ b/buckthorndeal/_bench_control.py
@@ -0,0 +1,393 @@
+"""Benchmark `control`: CPU, memory and traffic of control hosts, and their slopes."""
+
+import pathlib
+import signal
+import tempfile
+import time
+from dataclasses import dataclass, replace
+
+import curio
+import msgspec
+
+from buckthorndeal._bench_control_host import Counters
+from buckthorndeal._bench_process import DaemonProcess, find_free_port, start_module
+from buckthorndeal.bench import Measurement
+from buckthorndeal.control import (
+    CONTROL_CODEC,
+    EndpointReport,
+    InForce,
+    PlacementReport,
+    Subscribe,
+)
+from buckthorndeal.document import hash_key
+from buckthorndeal.errors import BuckthorndealError, PeerError, RequestError
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.peers import Channel, PeerLink, create_peer_link
+from buckthorndeal.transport import create_socket_transport
+from buckthorndeal.wire import decode_keys
+
+__all__ = ["measure_control"]
+
+HOST_MODULE = "buckthorndeal._bench_control_host"
+HOSTS = ("control-1", "control-2", "control-3", "control-4")
+VOTERS = HOSTS[:3]
+KEY = "bench-team-key"
+PEER_KEY = "5a" * 16
+WORKSPACES = 200
+REPORT_INTERVAL_S = 1.0
+MEASURE_S = 8.0
+START_TIMEOUT_S = 20.0
+SETTLE_S = 3.0
+POLL_S = 0.1
+FOLLOWERS = 40
+ENDPOINTS = 60
+CHANGES = 40
+
+
+@dataclass(frozen=True)
+class _Load:
+    """Load of one phase."""
+
+    name: str
+    followers: int = 0
+    endpoints: int = 0
+    changes: int = 0
+
+
+@dataclass(frozen=True)
+class _Cost:
+    """Cost of one host during one phase."""
+
+    cpu_s: float
+    sent: int
+    received: int
+    rss_mb: float
+    elapsed_s: float
+
+    @property
+    def core_share(self) -> float:
+        return self.cpu_s / self.elapsed_s
+
+    @property
+    def bytes_per_s(self) -> float:
+        return (self.sent + self.received) / self.elapsed_s
+
+
+@dataclass(frozen=True)
+class _Host:
+    """A control host process."""
+
+    name: str
+    process: DaemonProcess
+    counters: pathlib.Path
+    port: int
+    peer_port: int
+
+    def read_counters(self) -> Counters:
+        self.counters.unlink(missing_ok=True)
+        self.process.send_signal(signal.SIGUSR1)
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            if self.counters.exists() and (data := self.counters.read_bytes()):
+                return msgspec.json.decode(data, type=Counters)
+            time.sleep(0.01)
+        raise BuckthorndealError(f"{self.name} does not write its counters")
+
+
+def _create_document() -> dict[str, dict]:
+    key_hash = hash_key(KEY)
+    workspaces = {
+        f"workspace-{number}": {
+            "key_hashes": [hash_key(f"workspace-{number}")],
+            "home_region": "here",
+        }
+        for number in range(WORKSPACES)
+    }
+    return {
+        "teams": {
+            "teams": {
+                "platform": {
+                    "key_hashes": [key_hash],
+                    "sections": ["teams", "platform", "accounts", "support"],
+                }
+            }
+        },
+        "platform": {
+            "services": {"engine": {"kind": "model", "models": ["bench"]}},
+            "regions": {"here": {"home": "here", "failure_domains": ["here-a"]}},
+            "placement": {"models": {"bench": {"version": "1", "max_copies": 100}}},
+        },
+        "accounts": {"workspaces": workspaces},
+        "support": {"contact": ""},
+    }
+
+
+def _start_hosts(directory: pathlib.Path) -> list[_Host]:
+    document = directory / "document"
+    document.mkdir()
+    for name, section in _create_document().items():
+        data = msgspec.json.format(msgspec.json.encode(section))
+        (document / f"{name}.jsonc").write_bytes(data)
+    ports = {host: (find_free_port(), find_free_port()) for host in HOSTS}
+    return [_start_host(directory, host, ports) for host in HOSTS]
+
+
+def _start_host(
+    directory: pathlib.Path, host: str, ports: dict[str, tuple[int, int]]
+) -> _Host:
+    members = [{"host": each, "port": ports[each][1]} for each in HOSTS]
+    settings = {
+        "host": host,
+        "region": "here",
+        "failure_domain": "here-a",
+        "listen": {"port": ports[host][0]},
+        "peer_listen": {"port": ports[host][1]},
+        "voters": members[: len(VOTERS)],
+        "learners": members[len(VOTERS) :],
+        "peer_keys": [PEER_KEY],
+        "data_directory": str(directory / host),
+        "initial_document": str(directory / "document"),
+    }
+    file = directory / f"{host}.jsonc"
+    file.write_bytes(msgspec.json.encode(settings))
+    counters = directory / f"{host}.counters"
+    arguments = [str(file), str(counters)]
+    process = start_module(HOST_MODULE, arguments, directory / f"{host}.log")
+    return _Host(host, process, counters, *ports[host])
+
+
+async def _wait_for_leader(hosts: list[_Host]) -> _Host:
+    async with curio.timeout_after(START_TIMEOUT_S):
+        while True:
+            for host in hosts:
+                status = await _ask(host, "GET", "/v1/status")
+                if status is not None and status["role"] == "leader":
+                    if status["revision"] > 0:
+                        return host
+            await curio.sleep(POLL_S)
+
+
+async def _ask(
+    host: _Host, method: str, target: str, body: object = None
+) -> dict | None:
+    pool = create_http_pool(create_socket_transport(), "127.0.0.1", host.port, 1)
+    headers = [("authorization", f"Bearer {KEY}")]
+    data = b"" if body is None else msgspec.json.encode(body)
+    try:
+        status, _, answer = await pool.fetch(method, target, headers, data)
+    except RequestError:
+        return None
+    finally:
+        await pool.close()
+    return msgspec.json.decode(answer) if status == 200 else None
+
+
+class _Follower:
+    """A subscriber of the document that reports what is in force."""
+
+    def __init__(self, host: _Host, name: str) -> None:
+        self.revision = 0
+        self.link: PeerLink = create_peer_link(
+            create_socket_transport(),
+            "127.0.0.1",
+            host.peer_port,
+            CONTROL_CODEC,
+            decode_keys((PEER_KEY,)),
+            name,
+            handler=self._receive,
+        )
+
+    async def start(self) -> None:
+        await self.link.start()
+        async with curio.timeout_after(START_TIMEOUT_S):
+            while not self.link.connected:
+                await curio.sleep(POLL_S)
+        await self.link.call(Subscribe(0), REPORT_INTERVAL_S)
+
+    async def _receive(self, message: object, channel: Channel) -> None:
+        self.revision = max(self.revision, getattr(message, "revision", 0))
+
+    async def report(self, endpoints: tuple[EndpointReport, ...]) -> None:
+        try:
+            await self.link.send(InForce(self.revision))
+            if endpoints:
+                await self.link.send(PlacementReport(endpoints))
+        except PeerError as error:
+            raise BuckthorndealError("a follower lost its control host") from error
+
+
+def _create_reports(count: int) -> tuple[EndpointReport, ...]:
+    return tuple(
+        EndpointReport(
+            f"engine-{number}",
+            1,
+            "engine",
+            "here",
+            "127.0.0.1",
+            1,
+            ("bench",),
+            ("1",),
+            (),
+            1,
+            True,
+            True,
+            8,
+            4,
+            0,
+        )
+        for number in range(count)
+    )
+
+
+async def _run_reports(followers: list[_Follower], endpoints: int) -> None:
+    while True:
+        for number, follower in enumerate(followers):
+            reports = _create_reports(endpoints) if number == 0 else ()
+            await follower.report(reports)
+        await curio.sleep(REPORT_INTERVAL_S)
+
+
+async def _run_changes(leader: _Host, count: int, pause_s: float) -> None:
+    section = await _ask(leader, "GET", "/v1/document/accounts")
+    revision = section["revision"]
+    for number in range(count):
+        text = f"{section['text']}\n// Change {number} of the benchmark.\n"
+        change = {
+            "base_revision": revision,
+            "change_id": f"bench-change-{revision:06}",
+            "text": text,
+        }
+        answer = await _ask(leader, "POST", "/v1/document/accounts/changes", change)
+        if answer is None:
+            raise BuckthorndealError("a change was not accepted")
+        revision += 1
+        await curio.sleep(pause_s)
+
+
+async def _measure_phase(
+    hosts: list[_Host], leader: _Host, load: _Load
+) -> dict[str, _Cost]:
+    followers = [_Follower(leader, f"entry-{n}") for n in range(load.followers)]
+    for follower in followers:
+        await follower.start()
+    reports = await curio.spawn(_run_reports, followers, load.endpoints, daemon=True)
+    await curio.sleep(REPORT_INTERVAL_S)
+    start_s = time.monotonic()
+    before = {host.name: _read_cost(host, 0.0) for host in hosts}
+    if load.changes:
+        await _run_changes(leader, load.changes, MEASURE_S / load.changes)
+    remaining_s = MEASURE_S - (time.monotonic() - start_s)
+    await curio.sleep(max(0.0, remaining_s))
+    elapsed_s = time.monotonic() - start_s
+    costs = {
+        host.name: _subtract(_read_cost(host, elapsed_s), before[host.name])
+        for host in hosts
+    }
+    await reports.cancel()
+    if any(follower.revision == 0 for follower in followers):
+        raise BuckthorndealError("a follower did not receive the document")
+    for follower in followers:
+        await follower.link.close()
+    return costs
+
+
+def _read_cost(host: _Host, elapsed_s: float) -> _Cost:
+    counters = host.read_counters()
+    return _Cost(
+        counters.cpu_s,
+        counters.sent,
+        counters.received,
+        host.process.read_rss_mb(),
+        elapsed_s,
+    )
+
+
+def _subtract(after: _Cost, before: _Cost) -> _Cost:
+    return replace(
+        after,
+        cpu_s=after.cpu_s - before.cpu_s,
+        sent=after.sent - before.sent,
+        received=after.received - before.received,
+    )
+
+
+def _list_costs(phase: str, role: str, cost: _Cost) -> list[Measurement]:
+    prefix = f"control.{phase}.{role}"
+    return [
+        Measurement(f"{prefix}.core_share", cost.core_share, "ratio"),
+        Measurement(f"{prefix}.bytes_per_s", cost.bytes_per_s, "B/s"),
+        Measurement(f"{prefix}.rss_mb", cost.rss_mb, "MB"),
+    ]
+
+
+def _list_slopes(costs: dict[str, _Cost]) -> list[Measurement]:
+    """Return the cost at the leader of one more follower, endpoint and change."""
+    steps = (
+        ("follower", costs["idle"], costs["followers"], FOLLOWERS),
+        ("endpoint", costs["one"], costs["endpoints"], ENDPOINTS),
+    )
+    measurements = []
+    for name, before, after, count in steps:
+        cpu_share = (after.core_share - before.core_share) / count
+        rate = (after.bytes_per_s - before.bytes_per_s) / count
+        prefix = f"control.slope.{name}"
+        measurements += [
+            Measurement(f"{prefix}.core_share", cpu_share, "ratio"),
+            Measurement(f"{prefix}.bytes_per_s", rate, "B/s"),
+        ]
+    idle, changing = costs["idle"], costs["changes"]
+    cpu_s = (changing.core_share - idle.core_share) * changing.elapsed_s / CHANGES
+    size = (changing.bytes_per_s - idle.bytes_per_s) * changing.elapsed_s / CHANGES
+    return [
+        *measurements,
+        Measurement("control.slope.change.cpu_s", cpu_s, "s"),
+        Measurement("control.slope.change.bytes", size, "B"),
+    ]
+
+
+PHASES = (
+    _Load("idle"),
+    _Load("changes", changes=CHANGES),
+    _Load("one", followers=1),
+    _Load("followers", followers=FOLLOWERS),
+    _Load("endpoints", followers=1, endpoints=ENDPOINTS),
+)
+
+
+async def _run(directory: pathlib.Path) -> list[Measurement]:
+    hosts = _start_hosts(directory)
+    try:
+        leader = await _wait_for_leader(hosts)
+        # The learner copies the log first.
+        await curio.sleep(SETTLE_S)
+        follower = next(host for host in hosts if host is not leader)
+        measurements = []
+        leader_costs = {}
+        for load in PHASES:
+            costs = await _measure_phase(hosts, leader, load)
+            leader_costs[load.name] = costs[leader.name]
+            measurements += _list_costs(load.name, "leader", costs[leader.name])
+            measurements += _list_costs(load.name, "replica", costs[follower.name])
+        return measurements + _list_slopes(leader_costs)
+    finally:
+        for host in hosts:
+            host.process.kill()
+
+
+def measure_control() -> list[Measurement]:
+    """Run 4 control hosts as processes under rising load.
+
+    Returns
+    -------
+    list of Measurement
+        For each phase, the share of a core, the bytes sent and received a second
+        and the resident memory of the leader and of another replica; and the
+        slopes per follower, per endpoint and per change at the leader.
+
+    Raises
+    ------
+    BuckthorndealError
+        If a control host does not answer.
+    """
+    with tempfile.TemporaryDirectory(prefix="buckthorndeal-bench-") as directory:
+        return curio.run(_run, pathlib.Path(directory))
--- /dev/null
+++ b/buckthorndeal/_bench_control_host.py
@@ -0,0 +1,118 @@
+"""A control host that counts its peer traffic, for the control benchmark.
+
+Run as ``python -m buckthorndeal._bench_control_host SETTINGS COUNTERS``; SIGUSR1
+writes the CPU time and the bytes sent and received since the start to the file
+COUNTERS. Calls of operators over HTTP are not counted.
+"""
+
+import pathlib
+import signal
+import sys
+import time
+
+import curio
+import msgspec
+
+from buckthorndeal.command_control import load
+from buckthorndeal.control import create_control
+from buckthorndeal.transport import (
+    DatagramPort,
+    Listener,
+    Stream,
+    StreamHandler,
+    Transport,
+    create_socket_transport,
+)
+
+__all__ = ["Counters", "CountingTransport"]
+
+LIFETIME_S = 300
+
+
+class Counters(msgspec.Struct):
+    """Payload bytes of all streams, and the CPU time of the process."""
+
+    sent: int = 0
+    received: int = 0
+    cpu_s: float = 0.0
+
+
+class _CountingStream(Stream):
+    def __init__(self, inner: Stream, counters: Counters) -> None:
+        self._inner = inner
+        self._counters = counters
+
+    async def recv(self, max_bytes: int) -> bytes:
+        data = await self._inner.recv(max_bytes)
+        self._counters.received += len(data)
+        return data
+
+    async def sendall(self, data: bytes) -> None:
+        self._counters.sent += len(data)
+        await self._inner.sendall(data)
+
+    def is_readable(self) -> bool:
+        return self._inner.is_readable()
+
+    async def close(self) -> None:
+        await self._inner.close()
+
+
+class CountingTransport(Transport):
+    """Counts the bytes of streams that are opened, and of those accepted on a port.
+
+    Parameters
+    ----------
+    inner : Transport
+        Opens and accepts the streams.
+    """
+
+    def __init__(self, inner: Transport) -> None:
+        self.counters = Counters()
+        self.counted_port: int | None = None
+        self._inner = inner
+
+    async def connect(self, address: str, port: int) -> Stream:
+        """Open a counted stream."""
+        return _CountingStream(await self._inner.connect(address, port), self.counters)
+
+    async def listen(self, address: str, port: int, handler: StreamHandler) -> Listener:
+        """Accept streams, counted on the counted port."""
+        if port != self.counted_port:
+            return await self._inner.listen(address, port, handler)
+
+        async def handle(stream: Stream) -> None:
+            await handler(_CountingStream(stream, self.counters))
+
+        return await self._inner.listen(address, port, handle)
+
+    async def open_datagrams(self, address: str, port: int) -> DatagramPort:
+        """Open a datagram port, which is not counted."""
+        return await self._inner.open_datagrams(address, port)
+
+
+async def _run(settings_file: str) -> None:
+    settings, texts = load(settings_file)
+    TRANSPORT.counted_port = settings.peer_listen.port
+    daemon = create_control(settings, texts, TRANSPORT)
+    await daemon.start()
+    await curio.ignore_after(LIFETIME_S, daemon.wait)
+
+
+TRANSPORT = CountingTransport(create_socket_transport())
+
+
+def main(settings_file: str, counters_file: str) -> None:
+    """Run the control host until it is ended."""
+
+    def write_counters(number: int, frame: object) -> None:
+        TRANSPORT.counters.cpu_s = time.process_time()
+        data = msgspec.json.encode(TRANSPORT.counters)
+        pathlib.Path(counters_file).write_bytes(data)
+
+    signal.signal(signal.SIGUSR1, write_counters)
+    curio.run(_run, settings_file)
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/buckthorndeal/_bench_process.py
+++ b/buckthorndeal/_bench_process.py
@@ -41,6 +41,10 @@
         """Return the exit status, or None while the process runs."""
         return self._process.poll()
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
     def kill(self) -> None:
         """End the process without notice."""
         self._process.kill()
--- a/buckthorndeal/_consensus_core.py
+++ b/buckthorndeal/_consensus_core.py
@@ -43,7 +43,9 @@
     """
 
     election_timeout_s: float = 1.5
-    heartbeat_interval_s: float = 0.3
+    # A leader with 3 followers at 0.3 s sends and receives 2.9 KB/s; the budget of a
+    # node is 2 KB/s.
+    heartbeat_interval_s: float = 0.45
     clock_drift_bound: float = 0.01
     join_interval_s: float = 1.0
     contacts: tuple[str, ...] = ()
--- a/buckthorndeal/_consensus_messages.py
+++ b/buckthorndeal/_consensus_messages.py
@@ -5,7 +5,7 @@
 from buckthorndeal._consensus_records import Entry, Membership, ReplicaId
 
 
-class ConsensusMessage(msgspec.Struct, frozen=True, kw_only=True):
+class ConsensusMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Fields of every message.
 
     The target's incarnation is part of the message, so a host that returned with
--- a/buckthorndeal/logs.py
+++ b/buckthorndeal/logs.py
@@ -45,6 +45,8 @@
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(host))
     logging.use_absl_handler()
+    # Curio warns when an operation ends just after its timeout, which is normal.
+    stdlib_logging.getLogger("curio.time").setLevel(stdlib_logging.ERROR)
     logging.set_verbosity(logging.INFO)
 
 
