Choose routes with the policy parts in the router task

The router task picked the least reported load itself and used none of routing, affinity, estimates and ejection.

It now owns them with the document's weights of the service; the setting strategy selects a baseline for benchmarks. Ends of attempts feed estimates, ejection and the hedger. Model requests carry prefix hashes in steps of the affinity map's blocks, keyed with a secret of the process, the workspace and the model, and a token estimate. Heartbeats may carry cache reports, which name prompts by request id because endpoints can't compute the hashes; the stand-in engine publishes them.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -17,6 +17,7 @@
     Route,
 )
 from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_prompts import PromptHasher
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
@@ -64,6 +65,7 @@
     pools: Pools
     metrics: Metrics
     now: Callable[[], float]
+    hasher: PromptHasher
     counter: itertools.count = field(default_factory=itertools.count)
 
     def create_id(self) -> str:
@@ -80,6 +82,7 @@
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
     first_token_s: float | None = None
     output_tokens: int = 0
+    cached_tokens: int | None = None
     started_s: float = 0.0
 
 
@@ -102,6 +105,8 @@
         hops=call.hops,
         crossed_region=call.crossed,
         excluded=excluded,
+        prefix_hashes=call.prefix_hashes,
+        prompt_tokens=call.prompt_tokens,
     )
     try:
         route = await context.router.ask(
@@ -211,7 +216,9 @@
         outcome,
         context.now() - started_s,
         attempt.first_token_s if attempt is not None else None,
-        output_tokens=attempt.output_tokens if attempt is not None else 0,
+        call.prompt_tokens,
+        attempt.output_tokens if attempt is not None else 0,
+        attempt.cached_tokens if attempt is not None else None,
     )
 
 
--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import curio
+import msgspec
 from absl import logging
 
 from buckthorndeal._entry_attempts import (
@@ -138,7 +139,10 @@
         if attempt.response.status in REFUSAL_STATUSES:
             attempt.outcome = AttemptOutcome.REFUSED
             return None
-        return await _read_answer(attempt)
+        answer = await _read_answer(attempt)
+        if call.fields is not None:
+            _read_usage(attempt, answer)
+        return answer
 
     return await run_with_deadline(
         context,
@@ -156,6 +160,35 @@
     return Answer(response.status, content_type, body)
 
 
+class _CachedTokens(msgspec.Struct):
+    cached_tokens: int | None = None
+
+
+class _Usage(msgspec.Struct):
+    completion_tokens: int = 0
+    prompt_tokens_details: _CachedTokens | None = None
+
+
+class _Completion(msgspec.Struct):
+    usage: _Usage | None = None
+
+
+_COMPLETION_DECODER = msgspec.json.Decoder(_Completion)
+
+
+def _read_usage(attempt: Attempt, answer: Answer) -> None:
+    """Note the tokens that a model's answer tells of; other answers have none."""
+    try:
+        usage = _COMPLETION_DECODER.decode(answer.body).usage
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return
+    if usage is None:
+        return
+    attempt.output_tokens = usage.completion_tokens
+    if usage.prompt_tokens_details is not None:
+        attempt.cached_tokens = usage.prompt_tokens_details.cached_tokens
+
+
 class BookingRunner:
     """Runs non-idempotent calls in tasks that outlive a disconnected caller.
 
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -282,6 +282,7 @@
             if forwarded is None:
                 await self._context.router.ask(Admit(ticket_id, call.identity))
             progress.advance("admit")
+            call = self._context.hasher.describe(call)
             return await self._dispatch_call(call, progress, responder)
         finally:
             async with curio.disable_cancellation():
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -140,6 +140,8 @@
         Path and query towards an endpoint.
     fields : dict or None
         Decoded body of a model request.
+    prefix_hashes, prompt_tokens
+        Hashes of the prompt's prefixes and the estimate of its length.
     hops : tuple of str
         Hosts passed before this one.
     """
@@ -159,6 +161,8 @@
     idempotent: bool = True
     idempotency_key: str = ""
     fields: dict[str, Any] | None = None
+    prefix_hashes: tuple[int, ...] = ()
+    prompt_tokens: int = 0
     stream: bool = False
     resume_from: int = 0
     origin: str = ""
--- /dev/null
+++ b/buckthorndeal/_entry_policy.py
@@ -0,0 +1,103 @@
+"""Policy parts of the router task, behind the messages of the entry host; no I/O."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from buckthorndeal._entry_messages import ChooseRoute
+from buckthorndeal.affinity import CacheEvent
+from buckthorndeal.budget import RetryBudget, create_budget
+from buckthorndeal.hedging import Hedger, create_hedger
+from buckthorndeal.registry import CacheReport, Heartbeat
+from buckthorndeal.routing import Router, create_router
+from buckthorndeal.sections import Weights
+from buckthorndeal.views import (
+    AttemptResult,
+    Decision,
+    EndpointView,
+    RegionView,
+    RouteRequest,
+)
+
+# Bounds what is kept for cache reports to about 2 MB.
+MAX_SENT_HASHES = 32_768
+
+
+class RoutePolicy:
+    """Routing with what it learns, retries and hedges of one entry host."""
+
+    def __init__(self, router: Router, budget: RetryBudget, hedger: Hedger) -> None:
+        self.router = router
+        self.budget = budget
+        self.hedger = hedger
+        self._sent: OrderedDict[str, tuple[int, ...]] = OrderedDict()
+        self._sent_hashes = 0
+
+    def choose(
+        self,
+        message: ChooseRoute,
+        candidates: Sequence[EndpointView],
+        regions: Sequence[RegionView],
+        now_s: float,
+    ) -> Decision:
+        """Choose a route with the weights of the document."""
+        request = message.request
+        weights = get_weights(message)
+        decision = self.router.choose(request, candidates, regions, weights, now_s)
+        if decision.endpoint is not None:
+            self._record_prefixes(message.attempt_id, request)
+        return decision
+
+    def observe(self, result: AttemptResult, now_s: float) -> None:
+        """Learn from the end of an attempt."""
+        self.router.observe(result, now_s)
+        self.hedger.observe(result)
+
+    def apply_cache(self, message: Heartbeat, now_s: float) -> None:
+        """Apply an endpoint's reports about prompts that this host sent."""
+        for report in message.cache:
+            event = self._create_event(message, report, now_s)
+            self.router.affinity.apply(event, now_s)
+
+    def _create_event(
+        self, message: Heartbeat, report: CacheReport, now_s: float
+    ) -> CacheEvent:
+        stored: list[int] = []
+        removed: list[int] = []
+        for prefix in report.prefixes:
+            hashes = self._sent.get(prefix.request_id, ())
+            kept = int(len(hashes) * prefix.kept)
+            stored.extend(hashes[:kept])
+            removed.extend(hashes[kept:])
+        return CacheEvent(
+            message.name,
+            message.incarnation,
+            report.sequence,
+            now_s - report.age_s,
+            tuple(stored),
+            tuple(removed),
+            report.cleared,
+        )
+
+    def _record_prefixes(self, attempt_id: str, request: RouteRequest) -> None:
+        if not request.prefix_hashes:
+            return
+        self._sent[attempt_id] = request.prefix_hashes
+        self._sent_hashes += len(request.prefix_hashes)
+        while self._sent_hashes > MAX_SENT_HASHES:
+            _, oldest = self._sent.popitem(last=False)
+            self._sent_hashes -= len(oldest)
+
+
+def get_weights(message: ChooseRoute) -> Weights:
+    service = message.document.platform.services.get(message.request.service)
+    return service.weights if service is not None else Weights()
+
+
+def create_policy(
+    region: str, rng: random.Random, strategy: str = "ours"
+) -> RoutePolicy:
+    """Create the policy parts of one entry host."""
+    budget = create_budget()
+    router = create_router(region, rng, strategy)
+    return RoutePolicy(router, budget, create_hedger(budget))
--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/_entry_reports.py
@@ -15,6 +15,7 @@
 from buckthorndeal.mailbox import Mailbox, create_mailbox
 from buckthorndeal.registry import (
     Announcement,
+    CacheReport,
     DrainNotice,
     Heartbeat,
     LeaveNotice,
@@ -58,6 +59,7 @@
     running: int
     queued: int
     models: tuple[str, ...] | None
+    cache: tuple[CacheReport, ...] = ()
 
 
 class EndpointDrained(Message, tag="d"):
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -1,11 +1,6 @@
-"""Router task: owns the endpoint table, the directory and admission.
-
-`_choose` is the place of the `routing` module; `WorkspaceLimits` that of
-`admission`.
-"""
+"""Router task: owns the endpoint table, the directory and the policy parts."""
 
 import functools
-import random
 from collections.abc import Callable
 
 from buckthorndeal._entry_admission import WorkspaceLimits
@@ -23,20 +18,20 @@
     Route,
     Tick,
 )
+from buckthorndeal._entry_policy import RoutePolicy
 from buckthorndeal.directory import Directory, HostRecord
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.registry import (
+    Accepted,
     Announcement,
     DrainNotice,
     Heartbeat,
     LeaveNotice,
     create_registry,
 )
-from buckthorndeal.views import Decision, EndpointView, RouteRequest
-
-RETRY_AFTER_S = 1.0
+from buckthorndeal.views import EndpointView, RegionView
 
 
 class RouterState:
@@ -47,17 +42,19 @@
         host: str,
         region: str,
         directory: Directory,
-        rng: random.Random,
+        policy: RoutePolicy,
         now: Callable[[], float],
     ) -> None:
         self._host = host
         self._region = region
         self._directory = directory
-        self._rng = rng
+        self._policy = policy
         self._now = now
         self._registry = create_registry()
         self._limits = WorkspaceLimits()
         self._attempts: dict[str, EndpointView] = {}
+        # Endpoints by service; built again after an endpoint came or went.
+        self._candidates: dict[str, list[EndpointView]] = {}
 
     @functools.singledispatchmethod
     def handle(self, message: object) -> object:
@@ -65,11 +62,16 @@
 
     @handle.register
     def _(self, message: Announcement) -> object:
+        self._candidates.clear()
         return self._registry.announce(message, self._now())
 
     @handle.register
     def _(self, message: Heartbeat) -> object:
-        return self._registry.heartbeat(message, self._now())
+        now_s = self._now()
+        outcome = self._registry.heartbeat(message, now_s)
+        if message.cache and isinstance(outcome, Accepted):
+            self._policy.apply_cache(message, now_s)
+        return outcome
 
     @handle.register
     def _(self, message: DrainNotice) -> object:
@@ -77,16 +79,23 @@
 
     @handle.register
     def _(self, message: LeaveNotice) -> object:
-        return self._registry.leave(message, self._now())
+        outcome = self._registry.leave(message, self._now())
+        if isinstance(outcome, Accepted):
+            self._forget(message.name)
+        return outcome
 
     @handle.register
     def _(self, message: Tick) -> None:
         for name in self._registry.expire(self._now()):
             log_event("endpoint_expired", host=self._host, endpoint=name)
+            self._forget(name)
 
     @handle.register
     def _(self, message: HostSeen) -> None:
         self._directory.update(message.record)
+        hosts = self._directory.list_region(self._region)
+        alive = sum(record.state == "alive" for record in hosts)
+        self._policy.router.set_peers(max(0, alive - 1))
 
     @handle.register
     def _(self, message: ListEndpoints) -> object:
@@ -124,6 +133,8 @@
         view = self._attempts.pop(message.attempt_id, None)
         if view is not None:
             self._registry.record_end(view.name, view.incarnation)
+            if message.result is not None:
+                self._policy.observe(message.result, self._now())
 
     @handle.register
     def _(self, message: IsLive) -> bool:
@@ -142,50 +153,53 @@
             self._registry.record_start(endpoint.name, endpoint.incarnation)
         return route
 
+    def _forget(self, endpoint: str) -> None:
+        self._candidates.clear()
+        self._policy.router.forget(endpoint)
+
     def _choose(self, message: ChooseRoute) -> Route:
-        request = message.request
+        candidates = self._list_candidates(message)
+        hosts = self._list_hosts(message)
+        regions = [RegionView(name, 1, 0.0, 0.0) for name in sorted(hosts)]
+        decision = self._policy.choose(message, candidates, regions, self._now())
+        return Route(decision, hosts.get(decision.region))
+
+    def _list_candidates(self, message: ChooseRoute) -> list[EndpointView]:
+        service = message.request.service
         refused = message.document.support.refused_endpoints
-        candidates = [
-            view
-            for view in self._registry.candidates(
-                request.service, request.model, self._now()
-            )
-            if view.region == self._region
+        found = self._candidates.get(service)
+        if found is None:
+            found = [
+                view
+                for view in self._registry.list_endpoints()
+                if view.service == service and view.region == self._region
+            ]
+            self._candidates[service] = found
+        if refused:
+            return [view for view in found if view.name not in refused]
+        return found
+
+    def _list_hosts(self, message: ChooseRoute) -> dict[str, HostRecord]:
+        """Return a host of each other region that the request may go to.
+
+        Without credits a request leaves only when no local endpoint can take it.
+        """
+        request = message.request
+        if any(
+            view.state == "ready"
             and view.name not in request.excluded
-            and view.name not in refused
-        ]
-        scores = {view.name: _compute_load(view) for view in candidates}
-        if candidates:
-            # The random part spreads equal scores over endpoints.
-            best = min(
-                candidates, key=lambda view: (scores[view.name], self._rng.random())
-            )
-            return Route(Decision(best, None, scores, "least load"))
-        return self._choose_region(request, message.document.support.drained_hosts)
-
-    def _choose_region(self, request: RouteRequest, drained: tuple[str, ...]) -> Route:
-        if request.bound or request.crossed_region:
-            return _refuse("no endpoint in this region")
-        hosts = [
-            record
+            and (request.model is None or request.model in view.models)
+            for view in self._list_candidates(message)
+        ):
+            return {}
+        drained = message.document.support.drained_hosts
+        return {
+            record.region: record
             for record in self._directory.list_hosts(self._region, drained).hosts
             if record.region != self._region
             and record.host not in request.hops
             and record.host not in request.excluded
-        ]
-        if not hosts:
-            return _refuse("no endpoint in this region and no other region")
-        reason = "no endpoint in this region"
-        return Route(Decision(None, hosts[0].region, {}, reason), hosts[0])
-
-
-def _compute_load(view: EndpointView) -> float:
-    reported = view.running + view.queued + view.own_since_report
-    return max(reported, view.own_inflight) / view.slots
-
-
-def _refuse(reason: str) -> Route:
-    return Route(Decision(None, None, {}, reason, RETRY_AFTER_S))
+        }
 
 
 async def run_router(mailbox: Mailbox, state: RouterState) -> None:
--- a/buckthorndeal/_standin_engine.py
+++ b/buckthorndeal/_standin_engine.py
@@ -15,6 +15,7 @@
 BLOCK_TOKENS = 16
 DEFAULT_MAX_TOKENS = 16
 MAX_TOKENS = 4096
+MAX_REPORTED = 256
 WORDS = (
     "bell", "bronze", "cast", "clapper", "cord", "draft", "fair", "forge", "hill",
     "market", "mould", "order", "pour", "ring", "strap", "tin",
@@ -26,21 +27,37 @@
 
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
-        self._blocks: collections.OrderedDict[bytes, None] = collections.OrderedDict()
+        self._blocks: collections.OrderedDict[bytes, tuple[str, float]]
+        self._blocks = collections.OrderedDict()
+        self._changes: dict[str, float] = {}
+        self._reports = itertools.count(1)
 
-    def touch(self, tokens: list[str]) -> int:
+    def touch(self, request_id: str, tokens: list[str]) -> int:
         """Return how many leading tokens are cached, and cache the rest."""
         covered = 0
         hit = True
-        for block in _hash_blocks(tokens):
+        blocks = _hash_blocks(tokens)
+        for index, block in enumerate(blocks):
             hit = hit and block in self._blocks
             covered += BLOCK_TOKENS * hit
-            self._blocks[block] = None
+            self._blocks[block] = (request_id, index / len(blocks))
             self._blocks.move_to_end(block)
+        if blocks:
+            self._changes[request_id] = 1.0
         while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
+            _, (owner, kept) = self._blocks.popitem(last=False)
+            self._changes[owner] = min(kept, self._changes.get(owner, 1.0))
         return covered
 
+    def take_reports(self) -> list[dict]:
+        """Return what changed since the last call, for a heartbeat."""
+        if not self._changes:
+            return []
+        changes = list(self._changes.items())[-MAX_REPORTED:]
+        self._changes.clear()
+        prefixes = [{"request_id": name, "kept": kept} for name, kept in changes]
+        return [{"sequence": next(self._reports), "prefixes": prefixes}]
+
 
 def _hash_blocks(tokens: list[str]) -> list[bytes]:
     digest = hashlib.sha256()
@@ -135,6 +152,10 @@
         finally:
             self._tasks.pop(request_id, None)
 
+    def take_cache_reports(self) -> list[dict]:
+        """Return what changed in the prefix cache since the last call."""
+        return self._cache.take_reports()
+
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
@@ -169,7 +190,7 @@
     ) -> None:
         prompt = _read_prompt(fields)
         tokens = prompt.split()
-        cached = self._cache.touch(tokens)
+        cached = self._cache.touch(request_id, tokens)
         await curio.sleep((len(tokens) - cached) * self._prefill_s)
         count = min(MAX_TOKENS, int(fields.get("max_tokens") or DEFAULT_MAX_TOKENS))
         if fields.get("stream"):
--- a/buckthorndeal/_standin_plain.py
+++ b/buckthorndeal/_standin_plain.py
@@ -47,6 +47,10 @@
         headers = [("buckthorndeal-request-id", request_id)]
         await responder.respond_json(status, body, headers)
 
+    def take_cache_reports(self) -> list[dict]:
+        """Return nothing; a plain service has no prefix cache."""
+        return []
+
     def _execute(self, request: Request) -> tuple[int, dict]:
         if request.method == "GET":
             item = request.path.rpartition("/")[2]
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -24,7 +24,9 @@
 )
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
+from buckthorndeal._entry_policy import RoutePolicy, create_policy
 from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_prompts import create_prompt_hasher
 from buckthorndeal._entry_reports import (
     REPORT_MESSAGES,
     ReportRelay,
@@ -76,6 +78,8 @@
         Source of ties and of the directory's order.
     claims : ClaimPort or None
         Claims of non-idempotent calls; None keeps them in memory.
+    policy : RoutePolicy or None
+        Policy parts of the router task; None creates them.
     """
 
     def __init__(
@@ -86,11 +90,13 @@
         now: Callable[[], float],
         rng: random.Random,
         claims: ClaimPort | None = None,
+        policy: RoutePolicy | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
         self._view = view
         self._rng = rng
+        self._policy = policy or create_policy(settings.region, rng, settings.strategy)
         self._tasks: list[curio.Task] = []
         self._ready = False
         self._membership: MembershipService | None = None
@@ -111,6 +117,7 @@
             pools=Pools(transport, settings.host, limits.max_connections_per_endpoint),
             metrics=_create_metrics(),
             now=now,
+            hasher=create_prompt_hasher(),
         )
         claims = claims or create_memory_claims(settings.answer_retention_s, now)
         self._bookings = BookingRunner(self._context, claims)
@@ -132,6 +139,11 @@
         """Mailbox of the router task."""
         return self._context.router
 
+    @property
+    def policy(self) -> RoutePolicy:
+        """Policy parts; only the router task changes them."""
+        return self._policy
+
     @property
     def document(self) -> Mailbox:
         """Mailbox of the document task."""
@@ -155,7 +167,7 @@
             settings.host,
             settings.region,
             create_directory([], self._rng),
-            self._rng,
+            self._policy,
             context.now,
         )
         self._tasks = [
@@ -250,6 +262,7 @@
     now: Callable[[], float] = time.monotonic,
     rng: random.Random | None = None,
     claims: ClaimPort | None = None,
+    policy: RoutePolicy | None = None,
 ) -> EntryHost:
     """Return an entry host that is not started.
 
@@ -265,4 +278,5 @@
         now,
         rng or random.Random(),
         claims,
+        policy,
     )
--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -12,9 +12,11 @@
 __all__ = [
     "Accepted",
     "Announcement",
+    "CacheReport",
     "DrainNotice",
     "Heartbeat",
     "LeaveNotice",
+    "PrefixReport",
     "Refused",
     "Registry",
     "create_registry",
@@ -48,6 +50,43 @@
     checks_fencing: bool = False
 
 
+class PrefixReport(msgspec.Struct, frozen=True, kw_only=True):
+    """How much of a request's prompt is in the prefix cache now.
+
+    Parameters
+    ----------
+    request_id : str
+        Value of the request's ``Buckthorndeal-Request-Id``.
+    kept : float
+        Leading share of the prompt.
+    """
+
+    request_id: Annotated[str, Meta(max_length=256)]
+    kept: Annotated[float, Meta(ge=0, le=1)]
+
+
+class CacheReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What changed in an endpoint's prefix cache.
+
+    Prompts are named by the request that brought them, because the hosts' prefix
+    hashes are keyed with secrets that endpoints don't have.
+
+    Parameters
+    ----------
+    sequence : int
+        Rises by one with each report of the incarnation.
+    age_s : float
+        Time since the endpoint made the report.
+    cleared : bool
+        Whether the cache was emptied first.
+    """
+
+    sequence: Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+    age_s: Annotated[float, Meta(ge=0, le=3600)] = 0.0
+    cleared: bool = False
+    prefixes: Annotated[tuple[PrefixReport, ...], Meta(max_length=256)] = ()
+
+
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """An endpoint is alive and reports its load."""
 
@@ -56,6 +95,7 @@
     running: Count = 0
     queued: Count = 0
     models: tuple[str, ...] | None = None
+    cache: Annotated[tuple[CacheReport, ...], Meta(max_length=16)] = ()
 
 
 class DrainNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -1,7 +1,7 @@
 """Settings of the programs: validated models of files in JSON with comments."""
 
 import re
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import jsonc
 import msgspec
@@ -24,6 +24,8 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 PeerKey = Annotated[str, Meta(pattern=r"^[0-9a-f]{32,128}$")]
 PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
+# All but "ours" are baselines for benchmarks.
+Strategy = Literal["ours", "round_robin", "random", "least_load", "local_only"]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
 ByteCount = Annotated[int, Meta(ge=1, le=1 << 30)]
 
@@ -83,6 +85,7 @@
     drain_timeout_s: PositiveSeconds = 30.0
     drain_notice_s: PositiveSeconds = 3.0
     answer_retention_s: PositiveSeconds = 86_400.0
+    strategy: Strategy = "ours"
 
 
 class ControlSettings(
--- a/buckthorndeal/standin.py
+++ b/buckthorndeal/standin.py
@@ -121,16 +121,17 @@
             return
 
     async def _send_heartbeats(self) -> None:
+        report = self._report()
         # A silent registrar must not delay the heartbeats to the other one.
         async with curio.TaskGroup() as group:
             for address in self._registrars:
-                await group.spawn(self._send_heartbeat, address)
+                await group.spawn(self._send_heartbeat, address, report)
         replies = [reply for reply in group.results if reply is not None]
         # Without an answer the known entry hosts are asked for registrars again.
         self._registrars = _read_registrars(replies[0]) if replies else []
 
-    async def _send_heartbeat(self, address: Address) -> dict | None:
-        status, reply = await self._post(address, "heartbeat", self._report())
+    async def _send_heartbeat(self, address: Address, report: dict) -> dict | None:
+        status, reply = await self._post(address, "heartbeat", report)
         if status == 409:
             status, reply = await self._post(address, "announce", self._describe())
         return reply if status == 200 else None
@@ -147,6 +148,7 @@
             "running": self.work.running,
             "queued": self.work.queued,
             "models": self.work.models,
+            "cache": self.work.take_cache_reports(),
         }
 
     def _describe(self) -> dict:
