Admit requests through the admission module and its queue

Only a workspace's rate and concurrency were checked; overload reached the endpoints, and callers waited there until their deadlines.

Each service of a host now has an admission with the host's share of the local slots, adapted to the reported load. Waiting requests are answered by the router task on a release, a change of the slots, a tick or a caller's leave. A workspace's limits hold over all services of the host.

--- a/buckthorndeal/_entry_admission.py
+++ b/buckthorndeal/_entry_admission.py
@@ -1,14 +1,34 @@
-"""Minimal admission: request rate and concurrency of each workspace.
+"""Admission in the router task: workspace limits, then a queue for each service.
 
-The `admission` module takes its place in the router task.
+A workspace's rate and concurrency hold over all services of this host; capacity
+and the queue belong to one service, because its slots are of no use to another.
 """
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from buckthorndeal._entry_messages import Admit
+from buckthorndeal.admission import (
+    Admission,
+    AdmissionRequest,
+    Refused,
+    Ticket,
+    create_admission,
+)
 from buckthorndeal.authentication import Identity
 from buckthorndeal.errors import RequestError
+from buckthorndeal.views import EndpointView
 
 CONCURRENCY_RETRY_S = 1.0
+# Endpoints keep a short queue, so that a slot that becomes free is used before the
+# next report; the policy benchmark runs with the same factor.
+SLOTS_FACTOR = 1.25
+# Above any number of requests that a host can hold.
+NO_LIMIT = 1_000_000
+
+# The answer to a request that waited; None admits it.
+Answer = tuple[str, RequestError | None]
 
 
 @dataclass(slots=True)
@@ -57,3 +77,146 @@
         f"the workspace has reached its {limit} limit",
         retry_after_s=round(retry_after_s, 3),
     )
+
+
+@dataclass(slots=True)
+class _Place:
+    """Where a request is: it waits until it has a ticket."""
+
+    admission: Admission
+    ticket: Ticket | None = None
+
+
+class AdmissionControl:
+    """Admits the requests of one entry host."""
+
+    def __init__(self) -> None:
+        self._limits = WorkspaceLimits()
+        self._services: dict[str, Admission] = {}
+        self._shares: dict[str, tuple[int, int]] = {}
+        self._places: dict[str, _Place] = {}
+        self._answers: list[Answer] = []
+
+    def admit(
+        self, message: Admit, wait_s: float, service_s: float, now_s: float
+    ) -> bool:
+        """Admit a request, or queue it and return False.
+
+        Parameters
+        ----------
+        message : Admit
+            The request. One that another host forwarded was counted there.
+        wait_s, service_s : float
+            Expected wait and service time at the endpoints.
+        now_s : float
+            Clock reading.
+
+        Raises
+        ------
+        RequestError
+            With ``NOT_RUN``, if the request is refused at once.
+        """
+        if not message.forwarded:
+            self._limits.admit(message.ticket_id, message.identity, now_s)
+        admission = self._services.get(message.service)
+        if admission is None:
+            # Without endpoints there is nothing to wait for; routing decides.
+            return True
+        if admission.has_room:
+            # A free place is always used: a service time that was learned too
+            # high would otherwise refuse everything and never be corrected.
+            wait_s = service_s = 0.0
+        wanted = _create_request(message, wait_s, service_s)
+        admitted = admission.admit(wanted, now_s)
+        place = self._places[message.ticket_id] = _Place(admission)
+        if isinstance(admitted, Ticket):
+            place.ticket = admitted
+            return True
+        self._refuse(admitted.displaced)
+        return False
+
+    def release(self, ticket_id: str, now_s: float) -> None:
+        """End a request in any state; an unknown id is ignored."""
+        self._limits.release(ticket_id)
+        place = self._places.pop(ticket_id, None)
+        if place is None:
+            return
+        if place.ticket is None:
+            place.admission.cancel(ticket_id)
+        else:
+            self._grant(place.admission.release(place.ticket, now_s))
+
+    def expire(self, now_s: float) -> None:
+        """Refuse the waiters that can't meet their deadline any more."""
+        for admission in self._services.values():
+            if admission.waiting:
+                self._refuse(admission.expire(now_s))
+
+    def update(
+        self, service: str, views: Iterable[EndpointView], hosts: int, now_s: float
+    ) -> None:
+        """Follow the slots and the reported load of a service's endpoints."""
+        slots = load = 0
+        for view in views:
+            if view.state == "ready":
+                slots += view.slots
+                load += view.running + view.queued
+        bound = round(slots * SLOTS_FACTOR)
+        share = max(1, math.ceil(bound / max(1, hosts))) if slots else 0
+        admission = self._services.get(service)
+        if admission is None:
+            if slots:
+                self._services[service] = create_admission(share, bound)
+                self._shares[service] = (share, bound)
+            return
+        if self._shares[service] != (share, bound):
+            # Without a slot left the waiters are let through: routing refuses
+            # them or sends them to another region.
+            self._shares[service] = (share, bound)
+            granted = admission.set_capacity(share or NO_LIMIT, bound, now_s)
+            self._grant(granted)
+        elif slots:
+            self._grant(admission.adapt(load / slots, now_s))
+
+    def take_answers(self) -> list[Answer]:
+        """Return the answers to waiters since the last call."""
+        answers, self._answers = self._answers, []
+        return answers
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return the waiters of each service."""
+        return {name: part.waiting for name, part in self._services.items()}
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any request waits."""
+        return any(part.waiting for part in self._services.values())
+
+    def _grant(self, tickets: list[Ticket]) -> None:
+        for ticket in tickets:
+            ticket_id = ticket.request.request_id
+            self._places[ticket_id].ticket = ticket
+            self._answers.append((ticket_id, None))
+
+    def _refuse(self, refused: Iterable[Refused]) -> None:
+        for entry in refused:
+            ticket_id = entry.request.request_id
+            del self._places[ticket_id]
+            self._answers.append((ticket_id, entry.error))
+
+
+def _create_request(
+    message: Admit, wait_s: float, service_s: float
+) -> AdmissionRequest:
+    workspace = message.identity.workspace
+    return AdmissionRequest(
+        message.ticket_id,
+        message.identity.name,
+        message.deadline_s,
+        workspace.priority,
+        wait_s,
+        service_s,
+        workspace.requests_per_s,
+        workspace.burst,
+        workspace.concurrency,
+    )
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -278,9 +278,15 @@
     ) -> RequestError | None:
         ticket_id = self._context.create_id()
         try:
-            # The origin has admitted a forwarded request already.
-            if forwarded is None:
-                await self._context.router.ask(Admit(ticket_id, call.identity))
+            await self._context.router.ask(
+                Admit(
+                    ticket_id,
+                    call.identity,
+                    call.service_name,
+                    call.deadline_s,
+                    forwarded is not None,
+                )
+            )
             progress.advance("admit")
             call = self._context.hasher.describe(call)
             return await self._dispatch_call(call, progress, responder)
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -73,10 +73,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Admit:
-    """Asks the router task to admit a request; raises RequestError if refused."""
+    """Asks the router task to admit a request; raises RequestError if refused.
+
+    The answer comes when the request may run, so an asker may wait in the queue.
+    `forwarded` names a request that another host has counted already.
+    """
 
     ticket_id: str
     identity: Identity
+    service: str
+    deadline_s: float
+    forwarded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +122,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Tells the router task to expire what is silent."""
+    """Tells the router task to expire what is silent or late.
+
+    The answer says whether requests wait in a queue.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -3,7 +3,7 @@
 import functools
 from collections.abc import Callable
 
-from buckthorndeal._entry_admission import WorkspaceLimits
+from buckthorndeal._entry_admission import AdmissionControl, Answer
 from buckthorndeal._entry_messages import (
     Admit,
     ChooseRoute,
@@ -22,7 +22,7 @@
 from buckthorndeal.directory import Directory, HostRecord
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import log_event
-from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.mailbox import Envelope, Mailbox
 from buckthorndeal.registry import (
     Accepted,
     Announcement,
@@ -33,6 +33,9 @@
 )
 from buckthorndeal.views import EndpointView, RegionView
 
+# Result of a message that is answered later.
+WAITING = object()
+
 
 class RouterState:
     """State of the router task and one handler for each message type."""
@@ -51,7 +54,8 @@
         self._policy = policy
         self._now = now
         self._registry = create_registry()
-        self._limits = WorkspaceLimits()
+        self._admission = AdmissionControl()
+        self._host_count = 1
         self._attempts: dict[str, EndpointView] = {}
         # Endpoints by service; built again after an endpoint came or went.
         self._candidates: dict[str, list[EndpointView]] = {}
@@ -62,8 +66,11 @@
 
     @handle.register
     def _(self, message: Announcement) -> object:
+        now_s = self._now()
+        outcome = self._registry.announce(message, now_s)
         self._candidates.clear()
-        return self._registry.announce(message, self._now())
+        self._update_capacity(now_s)
+        return outcome
 
     @handle.register
     def _(self, message: Heartbeat) -> object:
@@ -85,17 +92,22 @@
         return outcome
 
     @handle.register
-    def _(self, message: Tick) -> None:
-        for name in self._registry.expire(self._now()):
+    def _(self, message: Tick) -> bool:
+        now_s = self._now()
+        for name in self._registry.expire(now_s):
             log_event("endpoint_expired", host=self._host, endpoint=name)
             self._forget(name)
+        self._admission.expire(now_s)
+        self._update_capacity(now_s)
+        return self._admission.is_waiting
 
     @handle.register
     def _(self, message: HostSeen) -> None:
         self._directory.update(message.record)
         hosts = self._directory.list_region(self._region)
         alive = sum(record.state == "alive" for record in hosts)
-        self._policy.router.set_peers(max(0, alive - 1))
+        self._host_count = max(1, alive)
+        self._policy.router.set_peers(self._host_count - 1)
 
     @handle.register
     def _(self, message: ListEndpoints) -> object:
@@ -121,12 +133,17 @@
         return hosts[0]
 
     @handle.register
-    def _(self, message: Admit) -> None:
-        self._limits.admit(message.ticket_id, message.identity, self._now())
+    def _(self, message: Admit) -> object:
+        now_s = self._now()
+        router = self._policy.router
+        service_s = router.estimates.get_service(message.service).service_s
+        wait_s = router.get_wait(message.service)
+        admitted = self._admission.admit(message, wait_s, service_s, now_s)
+        return None if admitted else WAITING
 
     @handle.register
     def _(self, message: Release) -> None:
-        self._limits.release(message.ticket_id)
+        self._admission.release(message.ticket_id, self._now())
 
     @handle.register
     def _(self, message: EndAttempt) -> None:
@@ -153,6 +170,18 @@
             self._registry.record_start(endpoint.name, endpoint.incarnation)
         return route
 
+    def take_answers(self) -> list[Answer]:
+        """Return the answers to waiting `Admit` messages since the last call."""
+        return self._admission.take_answers()
+
+    def _update_capacity(self, now_s: float) -> None:
+        services: dict[str, list[EndpointView]] = {}
+        for view in self._registry.list_endpoints():
+            services.setdefault(view.service, []).append(view)
+        for service in {*services, *self._admission.count_waiting()}:
+            views = services.get(service, ())
+            self._admission.update(service, views, self._host_count, now_s)
+
     def _forget(self, endpoint: str) -> None:
         self._candidates.clear()
         self._policy.router.forget(endpoint)
@@ -203,10 +232,26 @@
 
 
 async def run_router(mailbox: Mailbox, state: RouterState) -> None:
+    waiting: dict[str, Envelope] = {}
     async for envelope in mailbox:
+        message = envelope.message
         try:
-            result = state.handle(envelope.message)
+            result = state.handle(message)
         except Exception as error:
             await envelope.fail(error)
         else:
-            await envelope.reply(result)
+            if result is WAITING:
+                waiting[message.ticket_id] = envelope
+            else:
+                await envelope.reply(result)
+        if type(message) is Release:
+            waiting.pop(message.ticket_id, None)
+        for ticket_id, error in state.take_answers():
+            await _answer(waiting.pop(ticket_id), error)
+
+
+async def _answer(envelope: Envelope, error: RequestError | None) -> None:
+    if error is None:
+        await envelope.reply()
+    else:
+        await envelope.fail(error)
--- a/buckthorndeal/admission.py
+++ b/buckthorndeal/admission.py
@@ -143,6 +143,11 @@
         """Number of tickets that are not released."""
         return len(self._running)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the next request is admitted without a wait."""
+        return len(self._running) < self._capacity and not self._queue
+
     @property
     def waiting(self) -> int:
         """Number of waiters."""
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -47,6 +47,8 @@
 __all__ = ["EntryHost", "create_entry_host"]
 
 TICK_S = 0.25
+# Refusals of waiting requests are at most this late.
+QUEUE_TICK_S = 0.05
 DRAIN_POLL_S = 0.01
 METRICS = (
     ("requests_total", "counter", "Requests of callers by outcome."),
@@ -250,9 +252,10 @@
 
 
 async def _run_ticks(router: Mailbox) -> None:
+    is_waiting = False
     while True:
-        await curio.sleep(TICK_S)
-        await router.send(Tick())
+        await curio.sleep(QUEUE_TICK_S if is_waiting else TICK_S)
+        is_waiting = await router.ask(Tick())
 
 
 def create_entry_host(
--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -243,6 +243,10 @@
         record = self._records.get(name)
         if record is not None and record.view.incarnation == incarnation:
             record.view.own_inflight = max(0, record.view.own_inflight - 1)
+            # A request that ended is gone from the load, whether the report counted
+            # it or not. With calls much shorter than the report interval, the load
+            # would otherwise grow to all calls of the interval.
+            record.view.own_since_report -= 1
 
     def _is_unknown(self, message: LeaveNotice | DrainNotice) -> bool:
         record = self._records.get(message.name)
--- a/buckthorndeal/views.py
+++ b/buckthorndeal/views.py
@@ -32,7 +32,8 @@
     own_inflight : int
         Requests of this host that are at the endpoint now.
     own_since_report : int
-        Requests that this host sent since the last report.
+        Requests that this host sent since the last report, less those of its
+        requests that ended since; may be negative.
     ready_since_s : float
         Monotonic time of the announcement in seconds.
     state : str
--- a/tests/support.py
+++ b/tests/support.py
@@ -103,7 +103,9 @@
         for part in (*self.pools, *self.servers, *self.hosts):
             await part.close()
 
-    async def add_endpoint(self, name, service, handler, region="r1", port=None):
+    async def add_endpoint(
+        self, name, service, handler, region="r1", port=None, slots=64
+    ):
         """Serve `handler` and announce it to the region's entry hosts."""
         if port is None:
             server = create_http_server(self._record_cancels(handler), Limits())
@@ -119,7 +121,7 @@
             address="127.0.0.1",
             port=port,
             models=("m",) if service == "llm" else (),
-            slots=64,
+            slots=slots,
         )
         for host, host_region in zip(self.hosts, self.regions, strict=True):
             if host_region == region:
--- /dev/null
+++ b/tests/test_entry_admission.py
@@ -0,0 +1,205 @@
+"""Tests of admission in the router task: overload, queueing and release."""
+
+import collections
+import heapq
+import itertools
+import unittest
+
+import curio
+import msgspec
+
+from buckthorndeal._entry_messages import Admit, Release, Tick
+from buckthorndeal._entry_router import WAITING
+from buckthorndeal.authentication import Identity
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.registry import LeaveNotice
+from buckthorndeal.sections import Workspace
+from tests.policy_harness import Host
+from tests.support import ClusterCase, answer_with
+
+SERVICE_S = 0.1
+SLOTS = 4
+ENDPOINTS = ("x", "y")
+DEADLINE_S = 1.0
+WORKSPACE = Workspace(
+    key_hashes=("0" * 64,),
+    home_region="r1",
+    requests_per_s=1e6,
+    burst=100_000,
+    concurrency=100_000,
+)
+
+
+class _Overload:
+    """Callers of one host whose endpoints serve `SLOTS` requests at a time."""
+
+    def __init__(self):
+        self.host = Host()
+        self.host.announce(*ENDPOINTS, service="desk", slots=SLOTS)
+        self.events = []
+        self.order = itertools.count()
+        self.free_s = {name: [0.0] * SLOTS for name in ENDPOINTS}
+        self.sent_s = {}
+        self.attempts = {}
+        self.answered = 0
+        self.refusals = []
+
+    def call_at(self, time_s, function, *arguments):
+        event = (time_s, next(self.order), function, arguments)
+        heapq.heappush(self.events, event)
+
+    def run(self, rate_per_s, duration_s):
+        start_s = self.host.now_s
+        for number in range(int(rate_per_s * duration_s)):
+            self.call_at(start_s + number / rate_per_s, self.arrive, str(number))
+        for number in range(int((duration_s + DEADLINE_S) / 0.05)):
+            self.call_at(start_s + number * 0.05, self.tick, number)
+        while self.events:
+            self.host.now_s, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+            for ticket_id, error in self.host.state.take_answers():
+                self.start(ticket_id) if error is None else self.refuse(
+                    ticket_id, error
+                )
+
+    def tick(self, number):
+        if number % 20 == 0:
+            for name, slots in self.free_s.items():
+                running = sum(time_s > self.host.now_s for time_s in slots)
+                self.host.report(name, running=running)
+        self.host.state.handle(Tick())
+
+    def arrive(self, ticket_id):
+        now_s = self.host.now_s
+        self.sent_s[ticket_id] = now_s
+        identity = Identity("free", WORKSPACE)
+        message = Admit(ticket_id, identity, "desk", now_s + DEADLINE_S)
+        try:
+            if self.host.state.handle(message) is not WAITING:
+                self.start(ticket_id)
+        except RequestError as error:
+            self.refuse(ticket_id, error)
+
+    def start(self, ticket_id):
+        deadline_s = self.sent_s[ticket_id] + DEADLINE_S
+        attempt = self.host.choose("desk", deadline_s=deadline_s)
+        endpoint = attempt[1].decision.endpoint
+        if endpoint is None:
+            self.refuse(ticket_id, None)
+            return
+        slots = self.free_s[endpoint.name]
+        start_s = max(self.host.now_s, heapq.heappop(slots))
+        heapq.heappush(slots, start_s + SERVICE_S)
+        sent_s = self.host.now_s
+        self.call_at(start_s + SERVICE_S, self.end, ticket_id, attempt, sent_s)
+
+    def end(self, ticket_id, attempt, sent_s):
+        now_s = self.host.now_s
+        self.host.end(*attempt, total_s=now_s - sent_s)
+        self.answered += now_s <= self.sent_s[ticket_id] + DEADLINE_S
+        self.host.state.handle(Release(ticket_id))
+
+    def refuse(self, ticket_id, error):
+        self.refusals.append((self.host.now_s - self.sent_s[ticket_id], error))
+        self.host.state.handle(Release(ticket_id))
+
+
+class OverloadTest(unittest.TestCase):
+    """Three times the capacity."""
+
+    def test_overload_is_refused_early_and_keeps_goodput(self):
+        """Guards against overload that makes every request late."""
+        load = _Overload()
+        capacity_per_s = SLOTS * len(ENDPOINTS) / SERVICE_S
+        duration_s = 10
+        load.run(3 * capacity_per_s, duration_s)
+        self.assertGreaterEqual(load.answered, 0.9 * capacity_per_s * duration_s)
+        total = load.answered + len(load.refusals)
+        self.assertEqual(total, 3 * capacity_per_s * duration_s)
+        for waited_s, error in load.refusals:
+            # A quarter of the deadline, and one tick.
+            self.assertLessEqual(waited_s, 0.25 * DEADLINE_S + 0.05 + 1e-6)
+            self.assertIs(error.verdict, Verdict.NOT_RUN)
+            self.assertGreater(error.retry_after_s, 0)
+        self.assertEqual(load.host.state.handle(Tick()), False)
+
+    def test_waiters_are_let_through_when_the_last_endpoint_has_left(self):
+        """Guards against callers who wait for endpoints that do not come back."""
+        load = _Overload()
+        for number in range(20):
+            load.arrive(str(number))
+        waiting = 20 - 10 - len(load.refusals)
+        self.assertGreater(waiting, 0)
+        for name in ENDPOINTS:
+            load.host.state.handle(LeaveNotice(name=name, incarnation=1))
+        load.host.state.handle(Tick())
+        answers = load.host.state.take_answers()
+        self.assertEqual(len(answers), waiting)
+        self.assertEqual({error for _, error in answers}, {None})
+
+
+class QueueTest(ClusterCase):
+    """Waiters of a host on real sockets."""
+
+    def test_waiter_whose_caller_leaves_is_dropped_from_the_queue(self):
+        """Guards against places and tickets held for callers that have gone."""
+        go_on = curio.Event()
+        served = collections.Counter()
+
+        async def hold(request, responder):
+            served[request.path] += 1
+            await go_on.wait()
+            await answer_with(b"1")(request, responder)
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("e", "desk", hold, slots=1)
+            router = cluster.hosts[0].router
+            # The slots' factor makes one place of one slot.
+            first = await curio.spawn(cluster.fetch, "GET", "/services/desk/1")
+            while not served:
+                await curio.sleep(0.002)
+            leaving = await curio.spawn(cluster.fetch, "GET", "/services/desk/2")
+            while not await router.ask(Tick()):
+                await curio.sleep(0.002)
+            staying = await curio.spawn(cluster.fetch, "GET", "/services/desk/3")
+            await curio.sleep(0.05)
+            await leaving.cancel()
+            while cluster.hosts[0].running_requests > 2:
+                await curio.sleep(0.002)
+            await go_on.set()
+            answers = [await first.join(), await staying.join()]
+            while cluster.hosts[0].running_requests:
+                await curio.sleep(0.002)
+            state = await router.ask(Tick())
+            last = await cluster.fetch("GET", "/services/desk/4")
+            return [status for status, *_ in (*answers, last)], state
+
+        self.assertEqual(self.run_cluster(scenario), ([200] * 3, False))
+        self.assertEqual(served, {"/1": 1, "/3": 1, "/4": 1})
+
+    def test_waiter_without_a_place_is_refused_within_a_quarter_of_its_time(self):
+        """Guards against a refusal that is held back until the deadline."""
+        go_on = curio.Event()
+
+        async def hold(request, responder):
+            await go_on.wait()
+            await answer_with(b"1")(request, responder)
+
+        async def scenario(cluster):
+            await cluster.add_endpoint("e", "desk", hold, slots=1)
+            first = await curio.spawn(cluster.fetch, "GET", "/services/desk/1")
+            while not cluster.servers[0].active_requests:
+                await curio.sleep(0.002)
+            headers = [("buckthorndeal-deadline-ms", "8000")]
+            answer = await cluster.fetch("GET", "/services/desk/2", headers=headers)
+            still_held = cluster.servers[0].active_requests
+            await go_on.set()
+            await first.join()
+            return answer, still_held
+
+        (status, headers, body), still_held = self.run_cluster(scenario)
+        error = msgspec.json.decode(body)["error"]
+        self.assertEqual((status, error["verdict"]), (503, "not_run"))
+        self.assertGreater(error["retry_after_s"], 0)
+        self.assertEqual(still_held, 1)
+        self.assertIn("retry-after", headers)
