Bound retries by the budget and hedge idempotent lookups

Each request had up to four attempts, so failing endpoints multiplied the load, and a slow endpoint decided the latency of a lookup.

An attempt after a failed one now takes a retry from the budget, which fills with first attempts; a retry that finds no endpoint is refunded. A plain idempotent call of a service with hedging enabled and the greater weight on tail latency gets a second attempt after the usual latency, also from the budget; the slower one is cancelled at its endpoint. The verdict of such a call covers both attempts. Tests of resumed and retried calls set a larger share, which gives each request the four attempts that they assume; they check what they did before.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -87,9 +87,15 @@
 
 
 async def choose_route(
-    context: EntryContext, call: Call, excluded: frozenset[str]
+    context: EntryContext,
+    call: Call,
+    excluded: frozenset[str],
+    may_hedge: bool = False,
 ) -> tuple[str, Route]:
-    """Return a new attempt id and its route; log the decision in one line."""
+    """Return a new attempt id and its route; log the decision in one line.
+
+    With names in `excluded` the attempt is a retry, which needs budget.
+    """
     attempt_id = context.create_id()
     workspace = call.identity.workspace
     request = RouteRequest(
@@ -110,7 +116,7 @@
     )
     try:
         route = await context.router.ask(
-            ChooseRoute(attempt_id, request, call.document)
+            ChooseRoute(attempt_id, request, call.document, bool(excluded), may_hedge)
         )
     except curio.CancelledError:
         # The router may have counted the attempt already.
--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -1,6 +1,6 @@
 """Running calls: attempts in turn, bookings under a claim, forwarding to owners."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import curio
 import msgspec
@@ -23,14 +23,18 @@
     create_may_have_run,
     get_claim_key,
 )
+from buckthorndeal._entry_hedging import (
+    AttemptStep,
+    UseAttempt,
+    run_hedged,
+    run_step,
+)
 from buckthorndeal._entry_messages import Answer, Call, FindOwner, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.views import AttemptOutcome, Decision
 
 RETRY_AFTER_S = 1.0
 
-UseAttempt = Callable[[Attempt], Awaitable[Answer | None]]
-
 
 async def run_with_deadline(
     context: EntryContext, call: Call, progress: Progress, work: Callable
@@ -73,56 +77,43 @@
     """
     excluded: frozenset[str] = frozenset()
     last_error: RequestError | None = None
+    may_hedge = call.fields is None and call.idempotent
     for _ in range(MAX_ATTEMPTS):
-        attempt_id, route = await choose_route(context, call, excluded)
+        attempt_id, route = await choose_route(context, call, excluded, may_hedge)
         name = get_target_name(route)
         if name is None:
+            last_error = last_error or _create_refusal(call, route.decision, progress)
             break
+        if excluded:
+            context.metrics.count("retries_total", service=call.service_name)
         excluded |= {name}
+        step = AttemptStep(context, get_call(), progress, use, attempt_id, route)
+        run = run_hedged if route.hedge_after_s is not None else run_step
         try:
-            async with open_attempt(
-                context, get_call(), progress, attempt_id, route
-            ) as attempt:
-                answer = await use(attempt)
-            if attempt.outcome is AttemptOutcome.SUCCEEDED:
-                return answer
-            last_error = _create_overloaded(progress)
+            return await run(step)
         except PeerRefusalError as error:
             raise _with_verdict(error, progress) from error
         except RequestError as error:
             last_error = error
+        excluded |= step.hedged
         if progress.verdict is Verdict.MAY_HAVE_RUN:
             if not call.idempotent:
                 break
             # A failed connection after an earlier dispatch is in "retrying" already.
             progress.advance_if_allowed("retry")
-    raise _create_failure(last_error, progress, call)
+    raise _with_verdict(last_error, progress)
 
 
-def _create_overloaded(progress: Progress) -> RequestError:
+def _create_refusal(call: Call, decision: Decision, progress: Progress) -> RequestError:
     return RequestError(
-        "endpoint_overloaded",
+        decision.reason,
         503,
-        "the endpoint has no room",
+        f"no endpoint of {call.service_name} can take the request",
         progress.verdict,
-        RETRY_AFTER_S,
+        decision.retry_after_s or RETRY_AFTER_S,
     )
 
 
-def _create_failure(
-    last_error: RequestError | None, progress: Progress, call: Call
-) -> RequestError:
-    if last_error is None:
-        return RequestError(
-            "no_endpoint",
-            503,
-            f"no endpoint of {call.service_name} can take the request",
-            progress.verdict,
-            RETRY_AFTER_S,
-        )
-    return _with_verdict(last_error, progress)
-
-
 def _with_verdict(error: RequestError, progress: Progress) -> RequestError:
     retry_after_s = error.retry_after_s
     if retry_after_s is None and error.status in (502, 503, 504):
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -41,11 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ChooseRoute:
-    """Asks the router task for a `Route`; counts the attempt until it ends."""
+    """Asks the router task for a `Route`; counts the attempt until it ends.
+
+    Parameters
+    ----------
+    is_retry : bool
+        Whether the request has had an attempt before; a retry is taken from the
+        budget.
+    may_hedge : bool
+        Whether a second attempt may run beside this one.
+    """
 
     attempt_id: str
     request: RouteRequest
     document: DocumentView
+    is_retry: bool = False
+    may_hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,10 +141,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """A decision, with the host to forward to if the region is another one."""
+    """A decision, with the host to forward to if the region is another one.
+
+    Parameters
+    ----------
+    hedge_after_s : float or None
+        When to start a second attempt beside this one; None for never.
+    """
 
     decision: Decision
     host: HostRecord | None = None
+    hedge_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,10 +212,13 @@
         Chart that gives the verdict of each state.
     state : str
         Current state.
+    hedge : Progress or None
+        State of a second attempt that runs beside the first one.
     """
 
     chart: Chart = field(default_factory=lambda: load_chart("request"))
     state: str = "received"
+    hedge: "Progress | None" = None
 
     def advance(self, event: str) -> None:
         """Move to the next state."""
@@ -211,7 +232,10 @@
     @property
     def verdict(self) -> Verdict:
         """Verdict of a failure in the current state."""
-        return self.chart.get_verdict(self.state)
+        verdict = self.chart.get_verdict(self.state)
+        if verdict is Verdict.NOT_RUN and self.hedge is not None:
+            return self.hedge.verdict
+        return verdict
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/_entry_policy.py
+++ b/buckthorndeal/_entry_policy.py
@@ -10,7 +10,7 @@
 from buckthorndeal.hedging import Hedger, create_hedger
 from buckthorndeal.registry import CacheReport, Heartbeat
 from buckthorndeal.routing import Router, create_router
-from buckthorndeal.sections import Weights
+from buckthorndeal.sections import Service
 from buckthorndeal.views import (
     AttemptResult,
     Decision,
@@ -21,6 +21,8 @@
 
 # Bounds what is kept for cache reports to about 2 MB.
 MAX_SENT_HASHES = 32_768
+# The budget fills with requests, so no time can be computed.
+RETRY_AFTER_S = 1.0
 
 
 class RoutePolicy:
@@ -42,12 +44,27 @@
     ) -> Decision:
         """Choose a route with the weights of the document."""
         request = message.request
-        weights = get_weights(message)
+        if not message.is_retry:
+            self.budget.record_request(request.workspace, now_s)
+        elif not self.budget.try_retry(request.workspace, now_s):
+            return Decision(None, None, {}, "retry_budget", RETRY_AFTER_S)
+        weights = _get_service(message).weights
         decision = self.router.choose(request, candidates, regions, weights, now_s)
         if decision.endpoint is not None:
             self._record_prefixes(message.attempt_id, request)
+        elif decision.region is None and message.is_retry:
+            self.budget.refund(request.workspace)
         return decision
 
+    def get_hedge_delay(self, message: ChooseRoute, now_s: float) -> float | None:
+        """Return when a second attempt may start; None for never."""
+        service = _get_service(message)
+        if not (message.may_hedge and service.hedge.enabled):
+            return None
+        return self.hedger.get_delay(
+            message.request, service.weights, service.hedge, now_s
+        )
+
     def observe(self, result: AttemptResult, now_s: float) -> None:
         """Learn from the end of an attempt."""
         self.router.observe(result, now_s)
@@ -89,15 +106,17 @@
             self._sent_hashes -= len(oldest)
 
 
-def get_weights(message: ChooseRoute) -> Weights:
-    service = message.document.platform.services.get(message.request.service)
-    return service.weights if service is not None else Weights()
+def _get_service(message: ChooseRoute) -> Service:
+    return message.document.platform.services[message.request.service]
 
 
 def create_policy(
-    region: str, rng: random.Random, strategy: str = "ours"
+    region: str,
+    rng: random.Random,
+    strategy: str = "ours",
+    budget: RetryBudget | None = None,
 ) -> RoutePolicy:
     """Create the policy parts of one entry host."""
-    budget = create_budget()
+    budget = budget or create_budget()
     router = create_router(region, rng, strategy)
     return RoutePolicy(router, budget, create_hedger(budget))
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -190,8 +190,12 @@
         candidates = self._list_candidates(message)
         hosts = self._list_hosts(message)
         regions = [RegionView(name, 1, 0.0, 0.0) for name in sorted(hosts)]
-        decision = self._policy.choose(message, candidates, regions, self._now())
-        return Route(decision, hosts.get(decision.region))
+        now_s = self._now()
+        decision = self._policy.choose(message, candidates, regions, now_s)
+        hedge_after_s = None
+        if decision.endpoint is not None:
+            hedge_after_s = self._policy.get_hedge_delay(message, now_s)
+        return Route(decision, hosts.get(decision.region), hedge_after_s)
 
     def _list_candidates(self, message: ChooseRoute) -> list[EndpointView]:
         service = message.request.service
--- a/buckthorndeal/budget.py
+++ b/buckthorndeal/budget.py
@@ -55,6 +55,12 @@
         self.retries += 1
         return True
 
+    def refund(self, workspace: str) -> None:
+        """Return a retry that found no endpoint."""
+        self._host += 1
+        self._workspaces[workspace] = self._workspaces.get(workspace, 0.0) + 1
+        self.retries -= 1
+
 
 def create_budget(share: float = RETRY_SHARE) -> RetryBudget:
     """Create an empty budget.
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -53,6 +53,8 @@
 METRICS = (
     ("requests_total", "counter", "Requests of callers by outcome."),
     ("attempts_total", "counter", "Attempts at endpoints and hosts by outcome."),
+    ("retries_total", "counter", "Attempts after a failed one."),
+    ("hedges_total", "counter", "Second attempts beside a slow one."),
     ("forwarded_total", "counter", "Requests sent to another entry host."),
     ("tokens_total", "counter", "Tokens passed on to callers."),
     ("endpoints", "gauge", "Endpoints that are known."),
@@ -141,6 +143,11 @@
         """Mailbox of the router task."""
         return self._context.router
 
+    @property
+    def metrics(self) -> Metrics:
+        """Figures of this host."""
+        return self._context.metrics
+
     @property
     def policy(self) -> RoutePolicy:
         """Policy parts; only the router task changes them."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,7 +11,9 @@
 
 from buckthorndeal._entry_document import create_document_view
 from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal._entry_policy import create_policy
 from buckthorndeal.authentication import hash_key
+from buckthorndeal.budget import create_budget
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import create_entry_host
 from buckthorndeal.http_client import create_http_pool
@@ -38,6 +40,12 @@
         "home_region": "r1",
         "bound": True,
     },
+    "many": {
+        "key_hashes": [hash_key("key-many")],
+        "home_region": "r1",
+        "requests_per_s": 10_000,
+        "burst": 10_000,
+    },
     "small": {
         "key_hashes": [hash_key("key-small")],
         "home_region": "r1",
@@ -48,6 +56,9 @@
 }
 REQUEST_ID = "buckthorndeal-request-id"
 TOKENS = 50
+# Pays for the retries of every request, so that tests of failed attempts don't
+# depend on how many requests came before. Tests of the budget set the product's.
+RETRY_SHARE = 3.0
 # Ends a test that hangs; far above what any test takes on a busy machine.
 HANG_TIMEOUT_S = 120
 
@@ -55,7 +66,7 @@
 class Cluster:
     """Entry hosts named ``e1``, ``e2`` ... in the given regions."""
 
-    def __init__(self, regions, **settings):
+    def __init__(self, regions, retry_share=RETRY_SHARE, platform=PLATFORM, **settings):
         self.transport = create_socket_transport()
         self.regions = regions
         self.servers = []
@@ -63,7 +74,7 @@
         self.pools = []
         accounts = msgspec.json.encode({"workspaces": WORKSPACES}).decode()
         view = create_document_view(
-            parse_section("platform", PLATFORM),
+            parse_section("platform", platform),
             parse_section("accounts", accounts),
             parse_section("support", "{}"),
         )
@@ -82,6 +93,9 @@
                 self.transport,
                 view,
                 rng=random.Random(number),
+                policy=create_policy(
+                    region, random.Random(number), budget=create_budget(retry_share)
+                ),
             )
             for number, region in enumerate(regions, 1)
         ]
