--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -319,6 +319,10 @@
     context.metrics.count(
         "forwarded_total", service=call.service_name, region=host.region
     )
+    if host.region != context.region and call.idempotent:
+        context.metrics.count(
+            "spilled_total", service=call.service_name, region=host.region
+        )
     return sign_request(
         request, call.method, call.target, call.body, context.peer_keys[0]
     )
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -18,6 +18,7 @@
     Answer,
     Call,
     GetDocument,
+    GetFigures,
     ListEndpoints,
     ListHosts,
     ListRegionHosts,
@@ -119,6 +120,11 @@
         endpoints = await self._context.router.ask(ListEndpoints())
         metrics.set_gauge("endpoints", len(endpoints))
         metrics.set_gauge("bookings_running", self._bookings.running)
+        figures = await self._context.router.ask(GetFigures())
+        for service, count in figures.waiting.items():
+            metrics.set_gauge("queue_length", count, service=service)
+        for service, count in figures.ejected.items():
+            metrics.set_gauge("ejected_endpoints", count, service=service)
         await responder.respond(200, metrics.render().encode(), CONTENT_TYPE)
 
     async def _answer_hosts(self, request: Request, responder: Responder) -> None:
@@ -217,6 +223,8 @@
             # A recorded answer is given without a dispatch of its own.
             verdict = Verdict.RAN
         context.metrics.count("requests_total", service=service, outcome=status)
+        if error is not None and verdict is Verdict.NOT_RUN:
+            context.metrics.count("refusals_total", service=service, reason=error.code)
         context.metrics.observe("request_seconds", total_s, service=service)
         log_event(
             "request_end",
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -143,6 +143,25 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class GetFigures:
+    """Asks the router task for its `PolicyFigures`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyFigures:
+    """Gauges of the router task.
+
+    Parameters
+    ----------
+    waiting, ejected : dict of str to int
+        Waiting requests and ejected endpoints of each service.
+    """
+
+    waiting: dict[str, int]
+    ejected: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """A decision, with the host to forward to if the region is another one.
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -9,11 +9,13 @@
     ChooseRoute,
     EndAttempt,
     FindOwner,
+    GetFigures,
     HostSeen,
     IsLive,
     ListEndpoints,
     ListHosts,
     ListRegionHosts,
+    PolicyFigures,
     Release,
     Route,
     Tick,
@@ -114,6 +116,13 @@
     def _(self, message: ListEndpoints) -> object:
         return self._registry.list_endpoints()
 
+    @handle.register
+    def _(self, message: GetFigures) -> PolicyFigures:
+        ejection = self._policy.router.ejection
+        waiting = self._admission.count_waiting()
+        ejected = {name: ejection.count_ejected(name) for name in waiting}
+        return PolicyFigures(waiting, ejected)
+
     @handle.register
     def _(self, message: ListHosts) -> object:
         return self._directory.list_hosts(message.region, message.drained)
--- a/buckthorndeal/ejection.py
+++ b/buckthorndeal/ejection.py
@@ -107,6 +107,10 @@
         records = self._services[service]
         return frozenset(name for name in ejected if _is_out(records[name], now_s))
 
+    def count_ejected(self, service: str) -> int:
+        """Return how many endpoints of a service are ejected."""
+        return len(self._ejected.get(service, ()))
+
     def start_probe(self, service: str, endpoint: str, now_s: float) -> None:
         """Note that the chosen endpoint, if it was ejected, is being tested."""
         if endpoint in self._ejected.get(service, ()):
--- a/tests/test_entry_admission.py
+++ b/tests/test_entry_admission.py
@@ -193,6 +193,11 @@
             headers = [("buckthorndeal-deadline-ms", "8000")]
             answer = await cluster.fetch("GET", "/services/desk/2", headers=headers)
             still_held = cluster.servers[0].active_requests
+            metrics = (await cluster.fetch("GET", "/metrics"))[2]
+            refused = b'refusals_total{reason="deadline",service="desk"} 1'
+            self.assertIn(refused, metrics)
+            self.assertIn(b'queue_length{service="desk"} 0', metrics)
+            self.assertIn(b'ejected_endpoints{service="desk"} 0', metrics)
             await go_on.set()
             await first.join()
             return answer, still_held
