--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -17,6 +17,7 @@
     Route,
 )
 from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_prompts import PromptHasher
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
@@ -59,10 +60,12 @@
     incarnation: str
     peer_keys: tuple[bytes, ...]
     router: Mailbox
+    reports: Mailbox
     document: Mailbox
     pools: Pools
     metrics: Metrics
     now: Callable[[], float]
+    hasher: PromptHasher
     counter: itertools.count = field(default_factory=itertools.count)
 
     def create_id(self) -> str:
@@ -79,13 +82,20 @@
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
     first_token_s: float | None = None
     output_tokens: int = 0
+    cached_tokens: int | None = None
     started_s: float = 0.0
 
 
 async def choose_route(
-    context: EntryContext, call: Call, excluded: frozenset[str]
+    context: EntryContext,
+    call: Call,
+    excluded: frozenset[str],
+    may_hedge: bool = False,
 ) -> tuple[str, Route]:
-    """Return a new attempt id and its route; log the decision in one line."""
+    """Return a new attempt id and its route; log the decision in one line.
+
+    With names in `excluded` the attempt is a retry, which needs budget.
+    """
     attempt_id = context.create_id()
     workspace = call.identity.workspace
     request = RouteRequest(
@@ -101,10 +111,12 @@
         hops=call.hops,
         crossed_region=call.crossed,
         excluded=excluded,
+        prefix_hashes=call.prefix_hashes,
+        prompt_tokens=call.prompt_tokens,
     )
     try:
         route = await context.router.ask(
-            ChooseRoute(attempt_id, request, call.document)
+            ChooseRoute(attempt_id, request, call.document, bool(excluded), may_hedge)
         )
     except curio.CancelledError:
         # The router may have counted the attempt already.
@@ -210,7 +222,9 @@
         outcome,
         context.now() - started_s,
         attempt.first_token_s if attempt is not None else None,
-        output_tokens=attempt.output_tokens if attempt is not None else 0,
+        call.prompt_tokens,
+        attempt.output_tokens if attempt is not None else 0,
+        attempt.cached_tokens if attempt is not None else None,
     )
 
 
@@ -305,6 +319,10 @@
     context.metrics.count(
         "forwarded_total", service=call.service_name, region=host.region
     )
+    if host.region != context.region and call.idempotent:
+        context.metrics.count(
+            "spilled_total", service=call.service_name, region=host.region
+        )
     return sign_request(
         request, call.method, call.target, call.body, context.peer_keys[0]
     )
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -12,12 +12,13 @@
     EntryContext,
 )
 from buckthorndeal._entry_calls import BookingRunner, run_unary
-from buckthorndeal._entry_claims import ClaimPort, get_claim_key
+from buckthorndeal._entry_claims import Claims, get_claim_key
 from buckthorndeal._entry_messages import (
     Admit,
     Answer,
     Call,
     GetDocument,
+    GetFigures,
     ListEndpoints,
     ListHosts,
     ListRegionHosts,
@@ -33,6 +34,7 @@
     read_request_id,
 )
 from buckthorndeal._entry_relay import StreamRelay
+from buckthorndeal._entry_reports import EndpointTold
 from buckthorndeal.authentication import Identity
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
@@ -64,7 +66,7 @@
     ----------
     context : EntryContext
         Shared parts of the entry host.
-    claims : ClaimPort
+    claims : Claims
         Claims of non-idempotent calls.
     bookings : BookingRunner
         Runs non-idempotent calls.
@@ -75,7 +77,7 @@
     def __init__(
         self,
         context: EntryContext,
-        claims: ClaimPort,
+        claims: Claims,
         bookings: BookingRunner,
         is_ready: Callable[[], bool],
     ) -> None:
@@ -118,6 +120,11 @@
         endpoints = await self._context.router.ask(ListEndpoints())
         metrics.set_gauge("endpoints", len(endpoints))
         metrics.set_gauge("bookings_running", self._bookings.running)
+        figures = await self._context.router.ask(GetFigures())
+        for service, count in figures.waiting.items():
+            metrics.set_gauge("queue_length", count, service=service)
+        for service, count in figures.ejected.items():
+            metrics.set_gauge("ejected_endpoints", count, service=service)
         await responder.respond(200, metrics.render().encode(), CONTENT_TYPE)
 
     async def _answer_hosts(self, request: Request, responder: Responder) -> None:
@@ -162,6 +169,7 @@
         outcome = await self._context.router.ask(message)
         if not isinstance(outcome, Accepted):
             raise RequestError("refused", 409, outcome.reason)
+        await self._context.reports.send(EndpointTold(message))
         hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
         registrars = [
             {"host": record.host, "address": record.address, "port": record.port}
@@ -215,6 +223,8 @@
             # A recorded answer is given without a dispatch of its own.
             verdict = Verdict.RAN
         context.metrics.count("requests_total", service=service, outcome=status)
+        if error is not None and verdict is Verdict.NOT_RUN:
+            context.metrics.count("refusals_total", service=service, reason=error.code)
         context.metrics.observe("request_seconds", total_s, service=service)
         log_event(
             "request_end",
@@ -276,10 +286,17 @@
     ) -> RequestError | None:
         ticket_id = self._context.create_id()
         try:
-            # The origin has admitted a forwarded request already.
-            if forwarded is None:
-                await self._context.router.ask(Admit(ticket_id, call.identity))
+            await self._context.router.ask(
+                Admit(
+                    ticket_id,
+                    call.identity,
+                    call.service_name,
+                    call.deadline_s,
+                    forwarded is not None,
+                )
+            )
             progress.advance("admit")
+            call = self._context.hasher.describe(call)
             return await self._dispatch_call(call, progress, responder)
         finally:
             async with curio.disable_cancellation():
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -1,7 +1,7 @@
 """Settings of the programs: validated models of files in JSON with comments."""
 
 import re
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import jsonc
 import msgspec
@@ -12,7 +12,6 @@
 __all__ = [
     "Address",
     "ControlSettings",
-    "EntryHostAddress",
     "EntrySettings",
     "Limits",
     "PeerAddress",
@@ -25,6 +24,8 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 PeerKey = Annotated[str, Meta(pattern=r"^[0-9a-f]{32,128}$")]
 PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
+# All but "ours" are baselines for benchmarks.
+Strategy = Literal["ours", "round_robin", "random", "least_load", "local_only"]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
 ByteCount = Annotated[int, Meta(ge=1, le=1 << 30)]
 
@@ -46,17 +47,6 @@
     port: Port
 
 
-class EntryHostAddress(
-    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
-):
-    """An entry host as callers and other entry hosts reach it over HTTP."""
-
-    host: Name
-    region: Name
-    address: IpAddress = "127.0.0.1"
-    port: Port
-
-
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Limits of the HTTP listener; sizes in bytes, times in seconds."""
 
@@ -74,10 +64,11 @@
 ):
     """Settings of the entry host daemon.
 
-    `entry_hosts` lists every entry host. While draining, the host still accepts
-    connections for `drain_notice_s`, so that callers holding an older directory
-    answer are served. Running requests end or reach their deadlines; those that
-    take longer than `drain_timeout_s` are reported in the log and not cut off.
+    `seeds` are peer addresses of entry hosts to contact first; the others are found
+    through them. While draining, the host still accepts connections for
+    `drain_notice_s`, so that callers holding an older directory answer are served.
+    Running requests end or reach their deadlines; those that take longer than
+    `drain_timeout_s` are reported in the log and not cut off.
     """
 
     host: Name
@@ -88,13 +79,13 @@
     control_hosts: Annotated[tuple[PeerAddress, ...], Meta(min_length=1)]
     seeds: tuple[Address, ...] = ()
     peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
-    entry_hosts: tuple[EntryHostAddress, ...] = ()
     data_directory: str | None = None
     document_directory: str | None = None
     limits: Limits = Limits()
     drain_timeout_s: PositiveSeconds = 30.0
     drain_notice_s: PositiveSeconds = 3.0
     answer_retention_s: PositiveSeconds = 86_400.0
+    strategy: Strategy = "ours"
 
 
 class ControlSettings(
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,11 +11,15 @@
 
 from buckthorndeal._entry_document import create_document_view
 from buckthorndeal._entry_messages import HostSeen
+from buckthorndeal._entry_policy import create_policy
+from buckthorndeal._entry_views import ViewSource
 from buckthorndeal.authentication import hash_key
+from buckthorndeal.budget import create_budget
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import create_entry_host
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.http_server import create_http_server
+from buckthorndeal.ledger import LedgerView, is_view_change_allowed
 from buckthorndeal.registry import Announcement
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import Address, EntrySettings, Limits, PeerAddress
@@ -38,6 +42,13 @@
         "home_region": "r1",
         "bound": True,
     },
+    "many": {
+        "key_hashes": [hash_key("key-many")],
+        "home_region": "r1",
+        "requests_per_s": 10_000,
+        "burst": 10_000,
+    },
+    "east": {"key_hashes": [hash_key("key-east")], "home_region": "r2"},
     "small": {
         "key_hashes": [hash_key("key-small")],
         "home_region": "r1",
@@ -48,14 +59,33 @@
 }
 REQUEST_ID = "buckthorndeal-request-id"
 TOKENS = 50
+# Pays for the retries of every request, so that tests of failed attempts don't
+# depend on how many requests came before. Tests of the budget set the product's.
+RETRY_SHARE = 3.0
 # Ends a test that hangs; far above what any test takes on a busy machine.
 HANG_TIMEOUT_S = 120
 
 
+class MemoryViews(ViewSource):
+    """Ledger views of all regions, kept by the test."""
+
+    def __init__(self):
+        self.views = {}
+
+    async def get(self, region):
+        return self.views.get(region, LedgerView())
+
+    async def change(self, region, ask):
+        current = await self.get(region)
+        if is_view_change_allowed(current, ask):
+            self.views[region] = ask.view
+        return await self.get(region)
+
+
 class Cluster:
     """Entry hosts named ``e1``, ``e2`` ... in the given regions."""
 
-    def __init__(self, regions, **settings):
+    def __init__(self, regions, retry_share=RETRY_SHARE, platform=PLATFORM, **settings):
         self.transport = create_socket_transport()
         self.regions = regions
         self.servers = []
@@ -63,10 +93,11 @@
         self.pools = []
         accounts = msgspec.json.encode({"workspaces": WORKSPACES}).decode()
         view = create_document_view(
-            parse_section("platform", PLATFORM),
+            parse_section("platform", platform),
             parse_section("accounts", accounts),
             parse_section("support", "{}"),
         )
+        views = MemoryViews()
         self.hosts = [
             create_entry_host(
                 EntrySettings(
@@ -82,6 +113,10 @@
                 self.transport,
                 view,
                 rng=random.Random(number),
+                policy=create_policy(
+                    region, random.Random(number), budget=create_budget(retry_share)
+                ),
+                views=views,
             )
             for number, region in enumerate(regions, 1)
         ]
@@ -89,6 +124,8 @@
     async def start(self):
         for host in self.hosts:
             await host.start()
+            while host.claims.primary is None:
+                await curio.sleep(0.001)
         self.records = [
             HostRecord(f"e{number}", region, "127.0.0.1", host.port)
             for number, (region, host) in enumerate(
@@ -103,7 +140,9 @@
         for part in (*self.pools, *self.servers, *self.hosts):
             await part.close()
 
-    async def add_endpoint(self, name, service, handler, region="r1", port=None):
+    async def add_endpoint(
+        self, name, service, handler, region="r1", port=None, slots=64
+    ):
         """Serve `handler` and announce it to the region's entry hosts."""
         if port is None:
             server = create_http_server(self._record_cancels(handler), Limits())
@@ -119,7 +158,7 @@
             address="127.0.0.1",
             port=port,
             models=("m",) if service == "llm" else (),
-            slots=64,
+            slots=slots,
         )
         for host, host_region in zip(self.hosts, self.regions, strict=True):
             if host_region == region:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -35,17 +35,17 @@
             regions = load_document(
                 os.path.join(ROOT, "examples", deployment, "document")
             ).platform.regions
-            for file in files:
-                settings = load_settings(file, EntrySettings)
+            loaded = [load_settings(file, EntrySettings) for file in files]
+            peer_ports = [settings.peer_listen.port for settings in loaded]
+            self.assertEqual(len(set(peer_ports)), 4)
+            for settings in loaded:
                 self.assertEqual(
                     settings.document_directory, f"examples/{deployment}/document"
                 )
                 self.assertIn(
                     settings.failure_domain, regions[settings.region].failure_domains
                 )
-                listed = {entry.host: entry for entry in settings.entry_hosts}
-                self.assertEqual(listed[settings.host].port, settings.listen.port)
-                self.assertEqual(len(listed), 4)
+                self.assertEqual([seed.port for seed in settings.seeds], peer_ports[:2])
 
     def test_every_section_loads(self):
         """Guards against an example section that the document would refuse."""
@@ -78,25 +78,30 @@
                     b"{}",
                 ),
             ]
-            statuses = []
+            statuses, answers = [], []
             for host in deployment.hosts[:2]:
                 pool = create_http_pool(
                     create_socket_transport(), "127.0.0.1", host.port
                 )
                 for call in calls:
-                    statuses.append((await pool.fetch(*call))[0])
+                    status, _, answer = await pool.fetch(*call)
+                    statuses.append(status)
+                answers.append(answer)
                 await pool.close()
             counts = (len(deployment.hosts), len(deployment.standins))
             await deployment.close()
-            return statuses, counts
+            return statuses, counts, answers
 
         with (
             tempfile.TemporaryDirectory() as directory,
             self.assertLogs(absl_logging.get_absl_logger(), logging.INFO),
         ):
-            statuses, counts = curio.run(main, directory)
-        self.assertEqual(statuses, [200, 200, 201] * 2)
-        self.assertEqual(counts, (4, 12))
+            runs = [curio.run(main, directory) for _ in range(2)]
+        for statuses, counts, answers in runs:
+            self.assertEqual(statuses, [200, 200, 201] * 2)
+            self.assertEqual(counts, (4, 12))
+            # The booking has one key and is recorded once, also over a restart.
+            self.assertEqual(answers, [runs[0][2][0]] * 2)
 
 
 class ControlExamplesTest(unittest.TestCase):
@@ -110,8 +115,7 @@
             for file in files:
                 with self.subTest(file=file):
                     settings, texts = load(file)
-                    name = os.path.basename(file).removesuffix(".jsonc")
-                    self.assertEqual(settings.host, name)
+                    self.assertEqual(f"{settings.host}.jsonc", os.path.basename(file))
                     self.assertEqual(len(settings.voters), 3)
                     self.assertEqual(
                         set(texts), {"teams", "platform", "accounts", "support"}
