--- a/buckthorndeal/command_ctl.py
+++ b/buckthorndeal/command_ctl.py
@@ -8,6 +8,7 @@
 from absl import app, flags
 
 from buckthorndeal import operations
+from buckthorndeal._control_models import StatusBody
 from buckthorndeal.errors import RequestError
 from buckthorndeal.operations import ControlClient
 from buckthorndeal.settings import PeerAddress
@@ -130,9 +131,26 @@
         for host in status.hosts:
             reach = "" if host.reachable else f"\tsilent for {host.silent_s:.0f} s"
             print(f"  {host.host}\t{host.kind}\trevision {host.revision}{reach}")
+    _print_leader_status(list(statuses.values()))
     return 0 if any(statuses.values()) else EXIT_REFUSED
 
 
+def _print_leader_status(statuses: list[StatusBody | None]) -> None:
+    leading = [each for each in statuses if each and each.role == "leader"]
+    if not leading:
+        print("no leader answers: changes cannot be accepted")
+        return
+    # A host that was cut off may still say that it leads an older term.
+    newest = max(leading, key=lambda each: each.term)
+    for member in newest.members:
+        print(f"replica {member.host}\t{member.standing}")
+    for view in newest.views:
+        backup = view.backup or "none"
+        print(f"claims of {view.region}\tprimary {view.primary}\tbackup {backup}")
+    for lease in newest.leases:
+        print(f"lease {lease.name}\tholder {lease.holder or 'none'}")
+
+
 def _print_answer(answer: ChangeAnswer) -> int:
     if isinstance(answer, ChangeAccepted):
         print(
@@ -208,6 +226,8 @@
 def run() -> None:
     """Parse the flags and run the command."""
     define_flags()
+    # absl shows the docstring of the main module as the help text.
+    sys.modules["__main__"].__doc__ = f"Usage: buckthorndealctl COMMAND\n\n{USAGE}"
     app.run(main)
 
 
