Search prefix keys for bound data, and free the drain test from rate limits

The drain test sends 110 to 160 requests in about one second as a workspace with a burst of 100 and 50 requests/s. One sequential run of all tests failed with 30 refused requests; with 0.8 s before the drain the refusals are 429 of the request rate, which the test is not about.

The test of bound data also sends prompts and searches the prefix keys.

--- a/tests/support.py
+++ b/tests/support.py
@@ -36,7 +36,13 @@
               "r2": {"home": "h2", "failure_domains": ["r2-1"]}}
 }"""
 WORKSPACES = {
-    "free": {"key_hashes": [hash_key("key-free")], "home_region": "r1"},
+    # Far above the load of any test; "small" is there for the limits.
+    "free": {
+        "key_hashes": [hash_key("key-free")],
+        "home_region": "r1",
+        "requests_per_s": 10_000,
+        "burst": 10_000,
+    },
     "bound": {
         "key_hashes": [hash_key("key-bound")],
         "home_region": "r1",
--- a/tests/system.py
+++ b/tests/system.py
@@ -222,6 +222,7 @@
             "failure_domain": f"{region}-1",
             "address": "127.0.0.1",
             "port": server.port,
+            "models": ["m"] if service == "llm" else [],
             "slots": 64,
         }
         return await self.tell(host, "announce", **description)
@@ -255,6 +256,14 @@
         self.parts.append(pool)
         return pool
 
+    async def chat(self, host, workspace, prompt):
+        """Ask the model for a whole answer."""
+        head = [("authorization", f"Bearer key-{workspace}")]
+        messages = [{"role": "user", "content": prompt}]
+        body = msgspec.json.encode({"model": "m", "messages": messages})
+        pool = self.create_pool(host)
+        return await pool.fetch("POST", "/v1/chat/completions", head, body)
+
     async def book(self, host, key, workspace="free", body=b"{}", headers=()):
         head = [
             ("authorization", f"Bearer key-{workspace}"),
--- a/tests/test_entry_ledger.py
+++ b/tests/test_entry_ledger.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from tests.support import REQUEST_ID
+from tests.support import REQUEST_ID, answer_with
 from tests.system import System, SystemCase
 
 MARKER = "marker-permit-4711"
@@ -143,7 +143,7 @@
         self.assertLess(took_s, ANSWER_BOUND_S)
 
     def test_bound_data_stays_in_its_region(self):
-        """Guards against permit data in forwarded bytes, copies and log lines."""
+        """Guards against permit data in forwarded bytes, copies, keys and logs."""
         body = b'{"permit": "%s"}' % MARKER.encode()
 
         async def scenario(system):
@@ -151,6 +151,13 @@
                 await system.book(host, f"key-{MARKER}-{host}", "bound", body)
                 for host in sorted(system.hosts)
             ]
+            await system.announce("e1", "llm", answer_with(b"{}"), "llm")
+            chats = [
+                (await system.chat(host, "bound", 400 * MARKER))[0]
+                for host in ("e1", "e3")
+            ]
+            sent = system.hosts["e1"].policy._sent
+            self.assertTrue(any(sent.values()), "no prefix keys")
             # A forwarded booking of a workspace that is not bound, for contrast.
             answers.append(await system.book("e3", "contrast", body=b"contrast-1"))
             await curio.sleep(1.0)
@@ -166,11 +173,12 @@
                 for (source, target), data in system.sent
                 if regions.get(source) != regions.get(target)
             ]
-            return answers, b"".join(files), b"".join(crossed)
+            return answers, chats, repr(sent), b"".join(files), b"".join(crossed)
 
-        answers, files, crossed = self.run_booking(scenario)
+        answers, chats, sent, files, crossed = self.run_booking(scenario)
         statuses = [status for status, _ in answers]
         self.assertEqual(statuses, [201, 201, 421, 421, 201])
         self.assertIn(b"contrast-1", crossed)
-        for text in (files, crossed, self.log_text.encode()):
+        self.assertEqual(chats, [200, 421])
+        for text in (files, crossed, sent.encode(), self.log_text.encode()):
             self.assertNotIn(MARKER.encode(), text)
