Run the daemons through one function

Cause: the entry host and the control host handled signals in two ways. The local deployment uses it too.

--- a/buckthorndeal/command_control.py
+++ b/buckthorndeal/command_control.py
@@ -1,15 +1,14 @@
 """The command `buckthorndeal-control`: runs one control host."""
 
 import os
-import signal
-import socket
 import sys
 from glob import glob
 
 import curio
 from absl import app, flags
 
-from buckthorndeal.control import ControlDaemon, create_control
+from buckthorndeal.control import create_control
+from buckthorndeal.daemons import run_daemon
 from buckthorndeal.document import create_document
 from buckthorndeal.errors import SettingsError, StoreError, ValidationError
 from buckthorndeal.logs import configure_logging, log_event
@@ -83,57 +82,6 @@
     return settings, load_initial_texts(settings, config)
 
 
-class _Signals:
-    """Receives termination signals as messages, through a socket pair."""
-
-    def __init__(self) -> None:
-        self._reader, self._writer = socket.socketpair()
-        self._writer.setblocking(False)
-        self._stream = curio.io.Socket(self._reader)
-
-    def install(self) -> None:
-        signal.set_wakeup_fd(self._writer.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
-            # The wake-up file descriptor does the work.
-            signal.signal(number, lambda number, frame: None)
-
-    async def wait(self) -> None:
-        await self._stream.recv(1)
-
-
-async def _serve(daemon: ControlDaemon) -> None:
-    signals = _Signals()
-    signals.install()
-    starting = await curio.spawn(_start_and_wait, daemon)
-    stopping = await curio.spawn(signals.wait)
-    async with curio.TaskGroup([starting, stopping], wait=any) as group:
-        pass
-    if group.completed is starting:
-        raise starting.exception
-    draining = await curio.spawn(_drain, daemon)
-    second = await curio.spawn(signals.wait)
-    async with curio.TaskGroup([draining, second], wait=any):
-        pass
-
-
-async def _start_and_wait(daemon: ControlDaemon) -> None:
-    await daemon.start()
-    await daemon.wait()
-
-
-async def _drain(daemon: ControlDaemon) -> None:
-    log_event("control_draining")
-    await daemon.drain()
-
-
-async def _run(daemon: ControlDaemon) -> None:
-    try:
-        await _serve(daemon)
-    finally:
-        async with curio.disable_cancellation():
-            await daemon.close()
-
-
 def main(arguments: list[str]) -> int:
     """Run a control host until it is told to stop; return the exit status."""
     try:
@@ -144,7 +92,7 @@
     configure_logging(settings.host)
     daemon = create_control(settings, texts, create_socket_transport())
     try:
-        curio.run(_run, daemon)
+        curio.run(run_daemon, daemon)
     except StoreError as error:
         log_event("control_store_error", reason=str(error))
         return EXIT_STORE
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -11,12 +11,9 @@
 from absl import app, flags
 
 from buckthorndeal._entry_messages import ListEndpoints, ListHosts
-from buckthorndeal.command_entry import (
-    SETTINGS_STATUS,
-    STORE_STATUS,
-    serve_until_signalled,
-)
+from buckthorndeal.command_entry import SETTINGS_STATUS, STORE_STATUS
 from buckthorndeal.control import ControlDaemon, create_control
+from buckthorndeal.daemons import run_daemon
 from buckthorndeal.document import create_document
 from buckthorndeal.entry import EntryHost, create_entry_host
 from buckthorndeal.errors import DocumentError, SettingsError, StoreError
@@ -151,6 +148,19 @@
             while not await self._is_complete():
                 await curio.sleep(READY_POLL_S)
 
+    async def wait(self) -> None:
+        """Raise as soon as a host cannot go on."""
+        async with curio.TaskGroup(wait=any) as group:
+            for part in (*self.hosts, *self.controls):
+                await group.spawn(part.wait)
+        raise group.completed.exception
+
+    async def drain(self) -> None:
+        """Let the entry hosts end what is running."""
+        async with curio.TaskGroup() as group:
+            for host in self.hosts:
+                await group.spawn(host.drain)
+
     async def close(self) -> None:
         """Stop everything at once."""
         for part in (*self.standins, *self.hosts, *self.controls):
@@ -301,11 +311,11 @@
     return f"127.0.0.1:{hosts[0].port}"
 
 
-async def _serve(deployment: LocalDeployment) -> None:
-    await deployment.start()
-    print(COMMANDS.format(address=_get_address(deployment.hosts)), flush=True)
-    await serve_until_signalled(deployment.hosts)
-    await deployment.close()
+async def _run(deployment: LocalDeployment) -> None:
+    def print_commands() -> None:
+        print(COMMANDS.format(address=_get_address(deployment.hosts)), flush=True)
+
+    await run_daemon(deployment, print_commands)
 
 
 def main(_: list[str]) -> int | None:
@@ -313,7 +323,7 @@
     configure_logging("local")
     os.makedirs(FLAGS.data_directory, exist_ok=True)
     try:
-        curio.run(_serve, create_local_deployment(FLAGS.data_directory))
+        curio.run(_run, create_local_deployment(FLAGS.data_directory))
     except (SettingsError, DocumentError) as error:
         print(error, file=sys.stderr)
         return SETTINGS_STATUS
--- /dev/null
+++ b/buckthorndeal/daemons.py
@@ -0,0 +1,99 @@
+"""Running a daemon until the process is told to end."""
+
+import os
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+import curio
+
+from buckthorndeal.logs import log_event
+
+__all__ = ["Daemon", "run_daemon"]
+
+KILLED_STATUS = 128 + signal.SIGTERM
+
+
+class Daemon(Protocol):
+    """What `run_daemon` needs of a daemon."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def wait(self) -> None:
+        """Raise as soon as the daemon cannot go on."""
+
+    async def drain(self) -> None:
+        """Take no new work and end what is running."""
+
+    async def close(self) -> None:
+        """Stop everything."""
+
+
+class _DrainSignals:
+    """Event set by the first SIGTERM or SIGINT; the second ends the process."""
+
+    def __init__(self) -> None:
+        self._received = False
+        self.event = curio.UniversalEvent()
+
+    def install(self) -> None:
+        signal.signal(signal.SIGTERM, self._handle)
+        signal.signal(signal.SIGINT, self._handle)
+
+    def _handle(self, number: int, frame: object) -> None:
+        if self._received:
+            os._exit(KILLED_STATUS)
+        self._received = True
+        self.event.set()
+
+
+async def run_daemon(
+    daemon: Daemon, on_ready: Callable[[], None] | None = None
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then drain and close it.
+
+    A second signal ends the process at once with status 143. A signal that comes
+    before the daemon serves ends the run without draining.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        Daemon that is not started.
+    on_ready : callable or None
+        Called when the daemon serves.
+
+    Raises
+    ------
+    BuckthorndealError
+        If the daemon cannot start or cannot go on.
+    """
+    signals = _DrainSignals()
+    signals.install()
+    stopping = await curio.spawn(signals.event.wait)
+    starting = await curio.spawn(daemon.start)
+    if await _is_first(stopping, starting):
+        log_event("start_interrupted")
+        return
+    if on_ready is not None:
+        on_ready()
+    try:
+        stopping = await curio.spawn(signals.event.wait)
+        waiting = await curio.spawn(daemon.wait)
+        if await _is_first(stopping, waiting):
+            await daemon.drain()
+    finally:
+        async with curio.disable_cancellation():
+            await daemon.close()
+
+
+async def _is_first(stopping: curio.Task, working: curio.Task) -> bool:
+    """Return whether `stopping` ends first; raise the error of `working`."""
+    working.report_crash = False
+    async with curio.TaskGroup([stopping, working], wait=any) as group:
+        pass
+    if group.completed is stopping:
+        return True
+    if working.exception is not None:
+        raise working.exception
+    return False
