Send requests to other regions against spill credits only

A request left its region whenever no local endpoint was known, without asking whether the other region had room, and never when the local ones were full.

Each host now has one partner host in every other region and exchanges summaries, credit requests and grants with it once a second over the peer links. A request that would wait for admission, or finds no local endpoint, goes to the partner if a credit is held and the gain is worth it; the partner redeems the credit or refuses with not_run, after which the request is tried at home. Bound requests and bookings stay. A host lends at most its share of the slots times the document's spill_share.

--- a/buckthorndeal/_entry_admission.py
+++ b/buckthorndeal/_entry_admission.py
@@ -97,6 +97,10 @@
         self._places: dict[str, _Place] = {}
         self._answers: list[Answer] = []
 
+    def check_limits(self, message: Admit, now_s: float) -> None:
+        """Count a request against its workspace's limits, or refuse it."""
+        self._limits.admit(message.ticket_id, message.identity, now_s)
+
     def admit(
         self, message: Admit, wait_s: float, service_s: float, now_s: float
     ) -> bool:
@@ -105,7 +109,7 @@
         Parameters
         ----------
         message : Admit
-            The request. One that another host forwarded was counted there.
+            The request.
         wait_s, service_s : float
             Expected wait and service time at the endpoints.
         now_s : float
@@ -116,8 +120,6 @@
         RequestError
             With ``NOT_RUN``, if the request is refused at once.
         """
-        if not message.forwarded:
-            self._limits.admit(message.ticket_id, message.identity, now_s)
         admission = self._services.get(message.service)
         if admission is None:
             # Without endpoints there is nothing to wait for; routing decides.
@@ -135,6 +137,21 @@
         self._refuse(admitted.displaced)
         return False
 
+    def get_wait(self, service: str, priority: int) -> float:
+        """Return the expected wait for a place."""
+        admission = self._services.get(service)
+        return 0.0 if admission is None else admission.get_wait(priority)
+
+    def get_spare(self, service: str) -> int:
+        """Return how many requests more this host may run now."""
+        admission = self._services.get(service)
+        slots = self._shares.get(service, (0, 0))[1]
+        return 0 if admission is None or not slots else admission.get_spare()
+
+    def get_share(self, service: str) -> int:
+        """Return this host's share of the service's slots."""
+        return self._shares.get(service, (0, 0))[0]
+
     def release(self, ticket_id: str, now_s: float) -> None:
         """End a request in any state; an unknown id is ignored."""
         self._limits.release(ticket_id)
--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -97,8 +97,27 @@
     With names in `excluded` the attempt is a retry, which needs budget.
     """
     attempt_id = context.create_id()
+    if call.route is not None and not excluded:
+        log_route(context, call, attempt_id, call.route)
+        return attempt_id, call.route
+    request = create_route_request(call, excluded)
+    try:
+        route = await context.router.ask(
+            ChooseRoute(attempt_id, request, call.document, bool(excluded), may_hedge)
+        )
+    except curio.CancelledError:
+        # The router may have counted the attempt already.
+        await _end_attempt(context, EndAttempt(attempt_id))
+        raise
+    log_route(context, call, attempt_id, route)
+    return attempt_id, route
+
+
+def create_route_request(
+    call: Call, excluded: frozenset[str] = frozenset()
+) -> RouteRequest:
     workspace = call.identity.workspace
-    request = RouteRequest(
+    return RouteRequest(
         request_id=call.request_id,
         workspace=call.identity.name,
         service=call.service_name,
@@ -114,16 +133,6 @@
         prefix_hashes=call.prefix_hashes,
         prompt_tokens=call.prompt_tokens,
     )
-    try:
-        route = await context.router.ask(
-            ChooseRoute(attempt_id, request, call.document, bool(excluded), may_hedge)
-        )
-    except curio.CancelledError:
-        # The router may have counted the attempt already.
-        await _end_attempt(context, EndAttempt(attempt_id))
-        raise
-    log_route(context, call, attempt_id, route)
-    return attempt_id, route
 
 
 def log_route(context: EntryContext, call: Call, attempt_id: str, route: Route) -> None:
--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -28,7 +28,7 @@
     run_hedged,
     run_step,
 )
-from buckthorndeal._entry_messages import Answer, Call, Progress, Route
+from buckthorndeal._entry_messages import NO_CREDIT, Answer, Call, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.views import AttemptOutcome, Decision
 
@@ -91,7 +91,10 @@
         try:
             return await run(step)
         except PeerRefusalError as error:
-            raise _with_verdict(error, progress) from error
+            # The credit expired on the way; the request may still run here.
+            if error.code != NO_CREDIT:
+                raise _with_verdict(error, progress) from error
+            last_error = error
         except RequestError as error:
             last_error = error
         excluded |= step.hedged
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -1,6 +1,7 @@
 """HTTP of the entry host: callers, forwarded requests, endpoints and operators."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 import curio
@@ -10,6 +11,7 @@
     REQUEST_ID_HEADER,
     VERDICT_HEADER,
     EntryContext,
+    create_route_request,
 )
 from buckthorndeal._entry_calls import BookingRunner, run_unary
 from buckthorndeal._entry_claims import Claims, get_claim_key
@@ -17,6 +19,7 @@
     Admit,
     Answer,
     Call,
+    ChooseRoute,
     GetDocument,
     GetFigures,
     ListEndpoints,
@@ -49,6 +52,7 @@
     Heartbeat,
     LeaveNotice,
 )
+from buckthorndeal.routing import may_leave
 
 MAX_REGISTRARS = 2
 ENDPOINT_MESSAGES = {
@@ -286,15 +290,11 @@
     ) -> RequestError | None:
         ticket_id = self._context.create_id()
         try:
-            await self._context.router.ask(
-                Admit(
-                    ticket_id,
-                    call.identity,
-                    call.service_name,
-                    call.deadline_s,
-                    forwarded is not None,
-                )
+            route = await self._context.router.ask(
+                _create_admit(ticket_id, call, forwarded)
             )
+            if route is not None:
+                call = replace(call, route=route)
             progress.advance("admit")
             call = self._context.hasher.describe(call)
             return await self._dispatch_call(call, progress, responder)
@@ -319,6 +319,24 @@
         return None
 
 
+def _create_admit(
+    ticket_id: str, call: Call, forwarded: ForwardedRequest | None
+) -> Admit:
+    borrower = ""
+    if forwarded is not None and call.crossed and call.idempotent:
+        borrower = forwarded.hops[-1]
+    request = create_route_request(call)
+    return Admit(
+        ticket_id,
+        call.identity,
+        call.service_name,
+        call.deadline_s,
+        forwarded is not None,
+        borrower,
+        ChooseRoute("", request, call.document) if may_leave(request) else None,
+    )
+
+
 def _is_gone(record: HostRecord) -> bool:
     return record.state != "alive"
 
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -15,6 +15,9 @@
 )
 from buckthorndeal.views import AttemptResult, Decision, RouteRequest
 
+# Code of the refusal of a request from another region without a credit.
+NO_CREDIT = "no_credit"
+
 
 @dataclass(frozen=True, slots=True)
 class DocumentView:
@@ -90,8 +93,17 @@
 class Admit:
     """Asks the router task to admit a request; raises RequestError if refused.
 
-    The answer comes when the request may run, so an asker may wait in the queue.
-    `forwarded` names a request that another host has counted already.
+    The answer comes when the request may run, so an asker may wait in the queue. It
+    is a `Route` if the request goes to another region instead, and else None.
+
+    Parameters
+    ----------
+    forwarded : bool
+        Whether another host has counted the request already.
+    borrower : str
+        Host of another region that pays with a credit for the request.
+    route : ChooseRoute or None
+        The request for a route, if the request may leave the region.
     """
 
     ticket_id: str
@@ -99,6 +111,8 @@
     service: str
     deadline_s: float
     forwarded: bool = False
+    borrower: str = ""
+    route: ChooseRoute | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,9 +153,12 @@
 class Tick:
     """Tells the router task to expire what is silent or late.
 
-    The answer says whether requests wait in a queue.
+    The answer says whether requests wait in a queue. `document` gives the shares of
+    the capacity that may be lent.
     """
 
+    document: DocumentView | None = None
+
 
 @dataclass(frozen=True, slots=True)
 class GetFigures:
@@ -195,6 +212,8 @@
         Hashes of the prompt's prefixes and the estimate of its length.
     hops : tuple of str
         Hosts passed before this one.
+    route : Route or None
+        Route of the first attempt, if admission has chosen it.
     """
 
     request_id: str
@@ -219,6 +238,7 @@
     origin: str = ""
     hops: tuple[str, ...] = ()
     crossed: bool = False
+    route: "Route | None" = None
 
     def replace_body(self, body: bytes) -> "Call":
         """Return the same call with another body."""
--- a/buckthorndeal/_entry_peers.py
+++ b/buckthorndeal/_entry_peers.py
@@ -29,13 +29,15 @@
 
 @dataclass(frozen=True)
 class SendToPeer:
-    """Tells the peer task to send a notice to an entry host of the region.
+    """Tells the peer task to send a notice to an entry host.
 
-    The notice is lost if the host is not known or cannot be reached.
+    The notice is lost if the host is not known or cannot be reached. Without
+    `any_region` it is lost too if the host is in another region.
     """
 
     host: str
     message: Message
+    any_region: bool = False
 
 
 class PeerTask:
@@ -113,7 +115,9 @@
 
     async def _send(self, message: SendToPeer) -> None:
         record = self._records.get(message.host)
-        if record is None or record.region != self._settings.region:
+        if record is None:
+            return
+        if record.region != self._settings.region and not message.any_region:
             return
         if record.state == "lost" or not record.peer_address:
             return
--- a/buckthorndeal/_entry_policy.py
+++ b/buckthorndeal/_entry_policy.py
@@ -40,6 +40,7 @@
         message: ChooseRoute,
         candidates: Sequence[EndpointView],
         regions: Sequence[RegionView],
+        queue_s: float,
         now_s: float,
     ) -> Decision:
         """Choose a route with the weights of the document."""
@@ -49,13 +50,30 @@
         elif not self.budget.try_retry(request.workspace, now_s):
             return Decision(None, None, {}, "retry_budget", RETRY_AFTER_S)
         weights = _get_service(message).weights
-        decision = self.router.choose(request, candidates, regions, weights, now_s)
+        decision = self.router.choose(
+            request, candidates, regions, weights, now_s, queue_s
+        )
         if decision.endpoint is not None:
             self._record_prefixes(message.attempt_id, request)
         elif decision.region is None and message.is_retry:
             self.budget.refund(request.workspace)
         return decision
 
+    def choose_region(
+        self,
+        message: ChooseRoute,
+        regions: Sequence[RegionView],
+        wait_s: float,
+        now_s: float,
+    ) -> Decision | None:
+        """Choose another region for a request that would wait; None to stay."""
+        request = message.request
+        weights = _get_service(message).weights
+        decision = self.router.choose_region(request, regions, weights, wait_s, now_s)
+        if decision is not None:
+            self.budget.record_request(request.workspace, now_s)
+        return decision
+
     def get_hedge_delay(self, message: ChooseRoute, now_s: float) -> float | None:
         """Return when a second attempt may start; None for never."""
         service = _get_service(message)
--- /dev/null
+++ b/buckthorndeal/_entry_regions.py
@@ -0,0 +1,245 @@
+"""Spill credits between entry hosts of different regions; no I/O.
+
+Each host has one partner host in each other region. It asks the partner for
+credits and sends it the requests that they pay for. A host lends its own share of
+the local slots, so no region needs a host that speaks for it.
+"""
+
+import hashlib
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from buckthorndeal.credits import (
+    Borrower,
+    CreditGrant,
+    Grantor,
+    RegionSummary,
+    create_borrower,
+    create_grantor,
+)
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.views import RegionView
+from buckthorndeal.wire import Message
+
+EXCHANGE_S = 1.0
+# Taken off a grant's lifetime, which runs from receipt, so that the lender still
+# honours a credit used at its end.
+TRANSIT_S = 0.75
+# One way, until a delay is measured on the link.
+LINK_DELAY_S = 0.08
+
+
+class CreditsWanted(msgspec.Struct, frozen=True, array_like=True):
+    """Credits that the sender wants for a service."""
+
+    service: str
+    amount: int
+
+
+class SpillAsk(Message):
+    """Notice: asks the partner for summaries and credits."""
+
+    wants: tuple[CreditsWanted, ...]
+
+
+class ServiceOffer(msgspec.Struct, frozen=True, array_like=True):
+    """Summary of a service and the credits that replace those of before.
+
+    Parameters
+    ----------
+    number : int
+        Rises with each grant; zero without one.
+    """
+
+    service: str
+    wait_s: float
+    spare: int
+    number: int = 0
+    credits: int = 0
+    lifetime_s: float = 0.0
+
+
+class SpillOffer(Message):
+    """Notice: answer to `SpillAsk`."""
+
+    offers: tuple[ServiceOffer, ...]
+
+
+REGION_MESSAGES = (SpillAsk, SpillOffer)
+
+
+@dataclass(frozen=True, slots=True)
+class SpillReceived:
+    """Tells the router task of a notice of a host in another region."""
+
+    message: SpillAsk | SpillOffer
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Spare capacity of this host for a service, and its callers' wait."""
+
+    spare: int
+    wait_s: float
+
+
+class RegionExchange:
+    """Credits that one host lends to hosts of other regions and holds from them."""
+
+    def __init__(self, host: str, region: str) -> None:
+        self._host = host
+        self._region = region
+        self._grantors: dict[str, Grantor] = {}
+        self._borrowers: dict[str, Borrower] = {}
+        self._partners: dict[str, HostRecord] = {}
+        self._asks: dict[str, dict[str, int]] = {}
+        self._exchanged_s = float("-inf")
+
+    def step(
+        self,
+        loads: Mapping[str, ServiceLoad],
+        hosts: Iterable[HostRecord],
+        now_s: float,
+    ) -> list[tuple[str, Message]]:
+        """Return the notices to send now, each with the host that it goes to."""
+        if now_s - self._exchanged_s < EXCHANGE_S:
+            return []
+        self._exchanged_s = now_s
+        self._choose_partners(hosts)
+        asks = self._create_asks(now_s)
+        return asks + self._create_offers(loads, now_s)
+
+    def receive(
+        self, message: SpillAsk | SpillOffer, record: HostRecord, now_s: float
+    ) -> None:
+        """Apply a notice of another host."""
+        if isinstance(message, SpillAsk):
+            wants = {want.service: max(0, want.amount) for want in message.wants}
+            self._asks[record.host] = wants
+        elif self._get_partner(record.region) == record.host:
+            for offer in message.offers:
+                self._apply_offer(offer, record.region, now_s)
+
+    def record_demand(self, service: str, now_s: float) -> None:
+        """Count a request that could have used another region."""
+        self._get_borrower(service).record_demand(1, now_s)
+
+    def list_regions(self, service: str, now_s: float) -> list[RegionView]:
+        """Return the regions whose credits this host holds."""
+        borrower = self._borrowers.get(service)
+        return [] if borrower is None else borrower.list_regions(now_s)
+
+    def may_use(self, region: str, names: Collection[str]) -> bool:
+        """Return whether the region's partner is none of the named hosts."""
+        partner = self._get_partner(region)
+        return partner is not None and partner not in names
+
+    def take(self, service: str, region: str, now_s: float) -> HostRecord | None:
+        """Take a credit; return the host that honours it, or None without one."""
+        partner = self._partners.get(region)
+        if partner is None or not self._get_borrower(service).take(region, now_s):
+            return None
+        return partner
+
+    def redeem(self, service: str, host: str, spare: int, now_s: float) -> bool:
+        """Accept a request of another host against its credits."""
+        grantor = self._grantors.get(service)
+        return grantor is not None and grantor.redeem(host, spare, now_s)
+
+    def _get_partner(self, region: str) -> str | None:
+        partner = self._partners.get(region)
+        return partner.host if partner is not None else None
+
+    def _get_borrower(self, service: str) -> Borrower:
+        if service not in self._borrowers:
+            self._borrowers[service] = create_borrower(
+                self._region, default_delay_s=LINK_DELAY_S
+            )
+        return self._borrowers[service]
+
+    def _choose_partners(self, hosts: Iterable[HostRecord]) -> None:
+        regions: dict[str, list[HostRecord]] = {}
+        for record in hosts:
+            if record.region != self._region and record.state == "alive":
+                regions.setdefault(record.region, []).append(record)
+        for region in {*regions, *self._partners}:
+            partner = min(regions.get(region, ()), key=self._rank, default=None)
+            if self._get_partner(region) != (partner and partner.host):
+                for borrower in self._borrowers.values():
+                    borrower.forget(region)
+            if partner is None:
+                del self._partners[region]
+            else:
+                self._partners[region] = partner
+
+    def _rank(self, record: HostRecord) -> bytes:
+        pair = f"{self._host}\0{record.host}".encode()
+        return hashlib.blake2b(pair, digest_size=8).digest()
+
+    def _create_asks(self, now_s: float) -> list[tuple[str, Message]]:
+        wants: dict[str, list[CreditsWanted]] = {name: [] for name in self._partners}
+        for service, borrower in self._borrowers.items():
+            for request in borrower.refresh(now_s):
+                if request.region in wants:
+                    want = CreditsWanted(service, request.wanted)
+                    wants[request.region].append(want)
+        return [
+            (self._partners[region].host, SpillAsk(tuple(wanted)))
+            for region, wanted in sorted(wants.items())
+        ]
+
+    def _create_offers(
+        self, loads: Mapping[str, ServiceLoad], now_s: float
+    ) -> list[tuple[str, Message]]:
+        asks, self._asks = self._asks, {}
+        offers: dict[str, list[ServiceOffer]] = {host: [] for host in asks}
+        for service, load in loads.items():
+            if service not in self._grantors:
+                self._grantors[service] = create_grantor(self._region)
+            grantor = self._grantors[service]
+            summary = grantor.summarize(load.wait_s, load.spare, now_s)
+            wants = {
+                host: wanted[service]
+                for host, wanted in asks.items()
+                if service in wanted
+            }
+            grants = {
+                grant.borrower: grant
+                for grant in grantor.grant(load.spare, wants, now_s)
+            }
+            for host in offers:
+                offers[host].append(_create_offer(service, summary, grants.get(host)))
+        return [(host, SpillOffer(tuple(offered))) for host, offered in offers.items()]
+
+    def _apply_offer(self, offer: ServiceOffer, region: str, now_s: float) -> None:
+        borrower = self._get_borrower(offer.service)
+        summary = RegionSummary(region, offer.wait_s, offer.spare)
+        borrower.receive_summary(summary, now_s)
+        if offer.number:
+            grant = CreditGrant(
+                region, self._region, offer.number, offer.credits, offer.lifetime_s
+            )
+            borrower.receive(grant, now_s)
+
+
+def _create_offer(
+    service: str, summary: RegionSummary, grant: CreditGrant | None
+) -> ServiceOffer:
+    if grant is None:
+        return ServiceOffer(service, summary.wait_s, summary.spare)
+    return ServiceOffer(
+        service,
+        summary.wait_s,
+        summary.spare,
+        grant.number,
+        grant.credits,
+        max(0.0, grant.lifetime_s - TRANSIT_S),
+    )
+
+
+def create_region_exchange(host: str, region: str) -> RegionExchange:
+    """Create the exchange of one host, with nothing lent or held."""
+    return RegionExchange(host, region)
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -5,8 +5,10 @@
 
 from buckthorndeal._entry_admission import AdmissionControl, Answer
 from buckthorndeal._entry_messages import (
+    NO_CREDIT,
     Admit,
     ChooseRoute,
+    DocumentView,
     EndAttempt,
     FindOwner,
     GetFigures,
@@ -20,7 +22,13 @@
     Route,
     Tick,
 )
+from buckthorndeal._entry_peers import SendToPeer
 from buckthorndeal._entry_policy import RoutePolicy
+from buckthorndeal._entry_regions import (
+    ServiceLoad,
+    SpillReceived,
+    create_region_exchange,
+)
 from buckthorndeal.directory import Directory, HostRecord
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import log_event
@@ -33,7 +41,9 @@
     LeaveNotice,
     create_registry,
 )
-from buckthorndeal.views import EndpointView, RegionView
+from buckthorndeal.routing import may_leave
+from buckthorndeal.views import Decision, EndpointView, RegionView, RouteRequest
+from buckthorndeal.wire import Message
 
 RETRY_AFTER_S = 1.0
 # Result of a message that is answered later.
@@ -59,6 +69,8 @@
         self._registry = create_registry()
         self._admission = AdmissionControl()
         self._host_count = 1
+        self._exchange = create_region_exchange(host, region)
+        self._notices: list[tuple[str, Message]] = []
         self._attempts: dict[str, EndpointView] = {}
         # Endpoints by service; built again after an endpoint came or went.
         self._candidates: dict[str, list[EndpointView]] = {}
@@ -102,8 +114,16 @@
             self._forget(name)
         self._admission.expire(now_s)
         self._update_capacity(now_s)
+        if message.document is not None:
+            self._exchange_credits(message.document, now_s)
         return self._admission.is_waiting
 
+    @handle.register
+    def _(self, message: SpillReceived) -> None:
+        record = self._directory.get(message.host)
+        if record is not None and record.region != self._region:
+            self._exchange.receive(message.message, record, self._now())
+
     @handle.register
     def _(self, message: HostSeen) -> None:
         self._directory.update(message.record)
@@ -148,6 +168,14 @@
     @handle.register
     def _(self, message: Admit) -> object:
         now_s = self._now()
+        if message.borrower:
+            self._redeem(message, now_s)
+        elif not message.forwarded:
+            self._admission.check_limits(message, now_s)
+        if message.route is not None:
+            spill = self._find_spill(message.route, now_s)
+            if spill is not None:
+                return spill
         router = self._policy.router
         service_s = router.estimates.get_service(message.service).service_s
         wait_s = router.get_wait(message.service)
@@ -187,6 +215,11 @@
         """Return the answers to waiting `Admit` messages since the last call."""
         return self._admission.take_answers()
 
+    def take_notices(self) -> list[tuple[str, Message]]:
+        """Return the notices to other hosts since the last call."""
+        notices, self._notices = self._notices, []
+        return notices
+
     def _update_capacity(self, now_s: float) -> None:
         services: dict[str, list[EndpointView]] = {}
         for view in self._registry.list_endpoints():
@@ -200,15 +233,65 @@
         self._policy.router.forget(endpoint)
 
     def _choose(self, message: ChooseRoute) -> Route:
-        candidates = self._list_candidates(message)
-        hosts = self._list_hosts(message)
-        regions = [RegionView(name, 1, 0.0, 0.0) for name in sorted(hosts)]
         now_s = self._now()
-        decision = self._policy.choose(message, candidates, regions, now_s)
+        request = message.request
+        candidates = self._list_candidates(message)
+        regions = self._list_regions(message, now_s)
+        queue_s = self._admission.get_wait(request.service, request.priority)
+        decision = self._policy.choose(message, candidates, regions, queue_s, now_s)
+        if decision.endpoint is None and may_leave(request):
+            self._exchange.record_demand(request.service, now_s)
+        if decision.region is not None:
+            return self._spill(request, decision, now_s)
         hedge_after_s = None
         if decision.endpoint is not None:
             hedge_after_s = self._policy.get_hedge_delay(message, now_s)
-        return Route(decision, hosts.get(decision.region), hedge_after_s)
+        return Route(decision, None, hedge_after_s)
+
+    def _find_spill(self, message: ChooseRoute, now_s: float) -> Route | None:
+        """Return a route to another region for a request that would wait here."""
+        request = message.request
+        wait_s = self._admission.get_wait(request.service, request.priority)
+        if not wait_s:
+            return None
+        self._exchange.record_demand(request.service, now_s)
+        regions = self._list_regions(message, now_s)
+        decision = self._policy.choose_region(message, regions, wait_s, now_s)
+        return None if decision is None else self._spill(request, decision, now_s)
+
+    def _spill(self, request: RouteRequest, decision: Decision, now_s: float) -> Route:
+        return Route(
+            decision, self._exchange.take(request.service, decision.region, now_s)
+        )
+
+    def _redeem(self, message: Admit, now_s: float) -> None:
+        spare = self._admission.get_spare(message.service)
+        if self._exchange.redeem(message.service, message.borrower, spare, now_s):
+            return
+        raise RequestError(
+            NO_CREDIT,
+            503,
+            "the region has no capacity for requests of others",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def _exchange_credits(self, document: DocumentView, now_s: float) -> None:
+        region = document.platform.regions.get(self._region)
+        lent = region.spill_share if region is not None else 0.0
+        loads = {
+            service: ServiceLoad(
+                min(
+                    self._admission.get_spare(service),
+                    int(lent * self._admission.get_share(service)),
+                ),
+                self._policy.router.get_wait(service),
+            )
+            for service in document.platform.services
+        }
+        hosts = self._directory.list_hosts(
+            self._region, document.support.drained_hosts
+        ).hosts
+        self._notices += self._exchange.step(loads, hosts, now_s)
 
     def _list_candidates(self, message: ChooseRoute) -> list[EndpointView]:
         service = message.request.service
@@ -225,30 +308,19 @@
             return [view for view in found if view.name not in refused]
         return found
 
-    def _list_hosts(self, message: ChooseRoute) -> dict[str, HostRecord]:
-        """Return a host of each other region that the request may go to.
-
-        Without credits a request leaves only when no local endpoint can take it.
-        """
+    def _list_regions(self, message: ChooseRoute, now_s: float) -> list[RegionView]:
+        """Return the regions whose credits the request may use."""
         request = message.request
-        if any(
-            view.state == "ready"
-            and view.name not in request.excluded
-            and (request.model is None or request.model in view.models)
-            for view in self._list_candidates(message)
-        ):
-            return {}
-        drained = message.document.support.drained_hosts
-        return {
-            record.region: record
-            for record in self._directory.list_hosts(self._region, drained).hosts
-            if record.region != self._region
-            and record.host not in request.hops
-            and record.host not in request.excluded
-        }
+        if not may_leave(request):
+            return []
+        return [
+            view
+            for view in self._exchange.list_regions(request.service, now_s)
+            if self._exchange.may_use(view.region, (*request.hops, *request.excluded))
+        ]
 
 
-async def run_router(mailbox: Mailbox, state: RouterState) -> None:
+async def run_router(mailbox: Mailbox, state: RouterState, peers: Mailbox) -> None:
     waiting: dict[str, Envelope] = {}
     async for envelope in mailbox:
         message = envelope.message
@@ -265,6 +337,8 @@
             waiting.pop(message.ticket_id, None)
         for ticket_id, error in state.take_answers():
             await _answer(waiting.pop(ticket_id), error)
+        for host, notice in state.take_notices():
+            await peers.send(SendToPeer(host, notice, any_region=True))
 
 
 async def _answer(envelope: Envelope, error: RequestError | None) -> None:
--- a/buckthorndeal/admission.py
+++ b/buckthorndeal/admission.py
@@ -153,6 +153,16 @@
         """Number of waiters."""
         return len(self._queue)
 
+    def get_wait(self, priority: int) -> float:
+        """Return the expected wait of a newcomer in the queue."""
+        if self.has_room:
+            return 0.0
+        return self._estimate_wait(self._queue.count_ahead(priority))
+
+    def get_spare(self) -> int:
+        """Return how many requests more may run now."""
+        return 0 if self._queue else max(0, self._capacity - len(self._running))
+
     def admit(self, request: AdmissionRequest, now_s: float) -> Ticket | Queued:
         """Admit a request, queue it, or refuse it at once.
 
--- a/buckthorndeal/credits.py
+++ b/buckthorndeal/credits.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from buckthorndeal._credit_messages import CreditGrant, CreditRequest, RegionSummary
 from buckthorndeal.views import RegionView
 
 __all__ = [
@@ -37,53 +38,6 @@
 SUMMARY_LIFETIME_S = 6.0
 
 
-@dataclass(frozen=True, slots=True)
-class CreditRequest:
-    """A borrower asks `region` for credits; zero returns those it has."""
-
-    region: str
-    borrower: str
-    wanted: int
-
-
-@dataclass(frozen=True, slots=True)
-class CreditGrant:
-    """Credits that replace those of the earlier grant.
-
-    Parameters
-    ----------
-    number : int
-        Rises with each grant, so that a late one is recognized.
-    credits : int
-        Requests that the borrower may send within the lifetime.
-    lifetime_s : float
-        Validity from receipt; hosts do not share a clock.
-    """
-
-    region: str
-    borrower: str
-    number: int
-    credits: int
-    lifetime_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class RegionSummary:
-    """What a region tells the others of itself.
-
-    Parameters
-    ----------
-    wait_s : float
-        Queueing delay of its own callers in seconds.
-    spare : int
-        Requests that it could take on now.
-    """
-
-    region: str
-    wait_s: float
-    spare: int
-
-
 @dataclass(slots=True)
 class _Allowance:
     credits: int
@@ -204,8 +158,11 @@
 class Borrower:
     """Credits that this region holds from others."""
 
-    def __init__(self, region: str, link_delays_s: Mapping[str, float]) -> None:
+    def __init__(
+        self, region: str, link_delays_s: Mapping[str, float], default_delay_s: float
+    ) -> None:
         self._region = region
+        self._default_delay_s = default_delay_s
         self._link_delays_s = dict(link_delays_s)
         self._held: dict[str, tuple[CreditGrant, int, float]] = {}
         self._summaries: dict[str, tuple[RegionSummary, float]] = {}
@@ -230,6 +187,12 @@
         """Note what another region tells of itself."""
         self._summaries[summary.region] = (summary, now_s)
 
+    def forget(self, region: str) -> None:
+        """Drop what came from a region whose lending host has changed."""
+        self._held.pop(region, None)
+        self._summaries.pop(region, None)
+        self._asked.discard(region)
+
     def count(self, region: str, now_s: float) -> int:
         """Return the unused credits of a region."""
         held = self._held.get(region)
@@ -272,7 +235,7 @@
         views = []
         for region, (summary, received_s) in sorted(self._summaries.items()):
             if now_s - received_s < SUMMARY_LIFETIME_S:
-                delay_s = self._link_delays_s.get(region, 0.0)
+                delay_s = self._link_delays_s.get(region, self._default_delay_s)
                 left = self.count(region, now_s)
                 views.append(RegionView(region, left, summary.wait_s, delay_s))
         return views
@@ -368,7 +331,9 @@
 
 
 def create_borrower(
-    region: str, link_delays_s: Mapping[str, float] | None = None
+    region: str,
+    link_delays_s: Mapping[str, float] | None = None,
+    default_delay_s: float = 0.0,
 ) -> Borrower:
     """Create the borrowing side of a region.
 
@@ -378,10 +343,12 @@
         The region that borrows.
     link_delays_s : mapping of str to float, optional
         One-way delay of the link to each region.
+    default_delay_s : float, optional
+        Delay of the links that are not named.
 
     Returns
     -------
     Borrower
         The borrowing side, with no credits.
     """
-    return Borrower(region, link_delays_s or {})
+    return Borrower(region, link_delays_s or {}, default_delay_s)
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -25,11 +25,12 @@
     run_changes,
     wait_for_others,
 )
-from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
+from buckthorndeal._entry_messages import DocumentView, GetDocument, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
 from buckthorndeal._entry_policy import RoutePolicy, create_policy
 from buckthorndeal._entry_pools import Pools
 from buckthorndeal._entry_prompts import create_prompt_hasher
+from buckthorndeal._entry_regions import REGION_MESSAGES, SpillReceived
 from buckthorndeal._entry_reports import (
     REPORT_MESSAGES,
     ReportRelay,
@@ -192,6 +193,11 @@
         """Mailbox of the router task."""
         return self._context.router
 
+    @property
+    def peers(self) -> Mailbox:
+        """Mailbox of the peer task."""
+        return self._peers.mailbox
+
     @property
     def metrics(self) -> Metrics:
         """Figures of this host."""
@@ -214,7 +220,11 @@
         async def receive_claims(message: Message, host: str) -> None:
             await self.claims.receive(message, host)
 
+        async def receive_regions(message: Message, host: str) -> None:
+            await self._context.router.send(SpillReceived(message, host))
+
         receivers = dict.fromkeys(REPORT_MESSAGES, receive_reports)
+        receivers |= dict.fromkeys(REGION_MESSAGES, receive_regions)
         return receivers | dict.fromkeys(LEDGER_MESSAGES, receive_claims)
 
     async def start(self) -> None:
@@ -234,8 +244,12 @@
             context.now,
         )
         self._tasks += [
-            await curio.spawn(run_router, context.router, state, daemon=True),
-            await curio.spawn(_run_ticks, context.router, daemon=True),
+            await curio.spawn(
+                run_router, context.router, state, self._peers.mailbox, daemon=True
+            ),
+            await curio.spawn(
+                _run_ticks, context.router, context.document, daemon=True
+            ),
             await curio.spawn(self._peers.run, daemon=True),
             await curio.spawn(self._relay.run, daemon=True),
         ]
@@ -339,11 +353,11 @@
     return metrics
 
 
-async def _run_ticks(router: Mailbox) -> None:
+async def _run_ticks(router: Mailbox, document: Mailbox) -> None:
     is_waiting = False
     while True:
         await curio.sleep(QUEUE_TICK_S if is_waiting else TICK_S)
-        is_waiting = await router.ask(Tick())
+        is_waiting = await router.ask(Tick(await document.ask(GetDocument())))
 
 
 def create_entry_host(
--- a/buckthorndeal/routing.py
+++ b/buckthorndeal/routing.py
@@ -28,7 +28,7 @@
     RouteRequest,
 )
 
-__all__ = ["STRATEGIES", "Router", "create_router"]
+__all__ = ["STRATEGIES", "Router", "create_router", "may_leave"]
 
 STRATEGIES: dict[str, Callable[[], object]] = {
     "ours": Ours,
@@ -105,6 +105,7 @@
         regions: Sequence[RegionView],
         weights: Weights,
         now_s: float,
+        queue_s: float = 0.0,
     ) -> Decision:
         """Choose a local endpoint or another region, or refuse.
 
@@ -120,6 +121,9 @@
             The service's weights from the document.
         now_s : float
             Clock reading.
+        queue_s : float, optional
+            Wait of requests that come now until they are admitted; it counts
+            for whether the service spills.
 
         Returns
         -------
@@ -133,8 +137,11 @@
             return _refuse("bound_elsewhere", None)
         self._populations[request.service] = len(candidates)
         pick = self._pick(request, candidates, weights, now_s)
-        pressure = self._update_pressure(request.service, pick, now_s)
-        spill = self._find_spill(request, regions, weights, pick, pressure)
+        wait_s = None if pick is None else pick.score.wait_s + queue_s
+        pressure = self._update_pressure(request.service, wait_s, now_s)
+        local = None if pick is None else pick.score
+        scores = {} if pick is None else pick.scores
+        spill = self._find_spill(request, regions, weights, local, scores, pressure)
         if spill is not None:
             return spill
         if pick is None:
@@ -147,6 +154,33 @@
             return _refuse("deadline", retry_s, pick.scores)
         return self._dispatch(request, pick, now_s)
 
+    def choose_region(
+        self,
+        request: RouteRequest,
+        regions: Sequence[RegionView],
+        weights: Weights,
+        wait_s: float,
+        now_s: float,
+    ) -> Decision | None:
+        """Choose another region for a request that would wait for admission.
+
+        Parameters
+        ----------
+        wait_s : float
+            Expected wait until a local slot is free.
+
+        Returns
+        -------
+        Decision or None
+            None if the request stays.
+        """
+        pressure = self._update_pressure(request.service, wait_s, now_s)
+        estimate = self.estimates.get_service(request.service)
+        # A local request as from a region without a link, with a cold cache too.
+        local = RegionView(self._region, 0, wait_s, 0.0)
+        score = score_region(local, request, estimate, weights)
+        return self._find_spill(request, regions, weights, score, {}, pressure)
+
     def set_peers(self, count: int) -> None:
         """Set how many other hosts send to the same endpoints."""
         self._peers = count
@@ -213,16 +247,16 @@
         return Decision(view, None, pick.scores, "local")
 
     def _update_pressure(
-        self, service: str, pick: Pick | None, now_s: float
+        self, service: str, wait_s: float | None, now_s: float
     ) -> _Pressure:
         pressure = self._pressures.setdefault(service, _Pressure())
-        if pick is None:
+        if wait_s is None:
             return pressure
         elapsed_s = now_s - pressure.updated_s
         share = 1.0 - math.exp(-elapsed_s / WAIT_SMOOTHING_S)
         # Decisions at one instant still count a little.
         share = max(share, 0.02)
-        pressure.wait_s += share * (pick.score.wait_s - pressure.wait_s)
+        pressure.wait_s += share * (wait_s - pressure.wait_s)
         pressure.updated_s = now_s
         bound_s = SPILL_STOP_S if pressure.spilling else SPILL_START_S
         pressure.spilling = pressure.wait_s > bound_s
@@ -233,13 +267,14 @@
         request: RouteRequest,
         regions: Sequence[RegionView],
         weights: Weights,
-        pick: Pick | None,
+        local: Score | None,
+        local_scores: dict[str, float],
         pressure: _Pressure,
     ) -> Decision | None:
         """Return a decision for another region if that is allowed and better."""
-        if not _may_leave(request) or isinstance(self._strategy, LocalOnly):
+        if not may_leave(request) or isinstance(self._strategy, LocalOnly):
             return None
-        if pick is not None and not pressure.spilling:
+        if local is not None and not pressure.spilling:
             return None
         estimate = self.estimates.get_service(request.service)
         scored = [
@@ -250,15 +285,15 @@
         if not scored:
             return None
         score, region = min(scored, key=lambda entry: (entry[0].value, entry[1]))
-        if pick is not None and not _is_worth_leaving(score, pick.score, weights):
+        if local is not None and not _is_worth_leaving(score, local, weights):
             return None
-        scores = {} if pick is None else dict(pick.scores)
+        scores = dict(local_scores)
         scores.update((name, entry.value) for entry, name in scored)
-        reason = "no_local_endpoint" if pick is None else "spill"
+        reason = "no_local_endpoint" if local is None else "spill"
         return Decision(None, region, scores, reason)
 
 
-def _may_leave(request: RouteRequest) -> bool:
+def may_leave(request: RouteRequest) -> bool:
     """Return whether a request may go to another region.
 
     A claim belongs to the ledger of the home region, so a call that must not be
--- /dev/null
+++ b/tests/test_entry_regions.py
@@ -0,0 +1,135 @@
+"""Tests of spilling between two entry hosts of two regions, on an injected clock."""
+
+import unittest
+
+from buckthorndeal._entry_messages import NO_CREDIT, Admit, ChooseRoute, Release, Tick
+from buckthorndeal._entry_regions import SpillReceived
+from buckthorndeal._entry_router import WAITING
+from buckthorndeal.authentication import Identity
+from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.routing import may_leave
+from buckthorndeal.sections import Workspace
+from buckthorndeal.views import RouteRequest
+from tests.policy_harness import VIEW, Host
+
+STEP_S = 0.25
+WORKSPACE = Workspace(
+    key_hashes=("0" * 64,),
+    home_region="r1",
+    requests_per_s=1e6,
+    burst=100_000,
+    concurrency=100_000,
+)
+
+
+class _Pair:
+    """Host ``e1`` in region ``r1`` without spare slots, and ``e2`` in ``r2``."""
+
+    def __init__(self):
+        hosts = (("e1", "r1"), ("e2", "r2"))
+        self.full = Host("e1", hosts, region="r1")
+        self.spare = Host("e2", hosts, region="r2")
+        self.full.announce("x", service="desk", slots=1)
+        self.spare.announce("y", service="desk", slots=64)
+        self.is_cut = False
+        self.count = 0
+
+    def step(self, duration_s):
+        for _ in range(int(duration_s / STEP_S)):
+            for host, name in ((self.full, "x"), (self.spare, "y")):
+                host.now_s += STEP_S
+                host.report(name)
+                host.state.handle(Tick(VIEW))
+            for host, other in ((self.full, self.spare), (self.spare, self.full)):
+                for target, notice in host.state.take_notices():
+                    if not self.is_cut:
+                        assert target == other.name
+                        other.state.handle(SpillReceived(notice, host.name))
+
+    def admit(self, host, bound=False, idempotent=True, borrower="", deadline_s=60):
+        """Return the answer of admission and the ticket."""
+        self.count += 1
+        ticket_id = str(self.count)
+        deadline_s += host.now_s
+        request = RouteRequest(
+            ticket_id, "free", "desk", None, deadline_s, "r1", bound, idempotent
+        )
+        message = Admit(
+            ticket_id,
+            Identity("free", WORKSPACE),
+            "desk",
+            deadline_s,
+            bool(borrower),
+            borrower,
+            ChooseRoute("", request, VIEW) if may_leave(request) else None,
+        )
+        return host.state.handle(message), ticket_id
+
+    def press(self, duration_s, **fields):
+        """Send 8 requests a second to the full host; return the regions used."""
+        regions = []
+        for _ in range(int(duration_s / STEP_S)):
+            for _ in range(2):
+                try:
+                    answer, _ = self.admit(self.full, **fields)
+                except RequestError as error:
+                    assert error.verdict is Verdict.NOT_RUN
+                    continue
+                if answer not in (None, WAITING):
+                    regions.append(answer.decision.region)
+            self.step(STEP_S)
+        return regions
+
+
+class RegionSpillTest(unittest.TestCase):
+    """Requests leave a full region against credits only."""
+
+    def test_spill_starts_with_credits_and_stops_when_they_expire(self):
+        """Guards against work sent to a region that has not lent capacity."""
+        pair = _Pair()
+        pair.is_cut = True
+        self.assertEqual(pair.press(6), [])
+        pair.is_cut = False
+        spilled = pair.press(6)
+        self.assertEqual(set(spilled), {"r2"})
+        pair.is_cut = True
+        # Credits live for less than 3 s without a renewal.
+        pair.press(3)
+        self.assertEqual(pair.press(3), [])
+
+    def test_bound_request_and_booking_are_never_moved(self):
+        """Guards against permit data and claims that leave their home."""
+        pair = _Pair()
+        self.assertTrue(pair.press(8))
+        self.assertEqual(pair.press(4, bound=True), [])
+        self.assertEqual(pair.press(4, idempotent=False), [])
+        _, route = pair.full.choose("desk", bound=True, excluded=frozenset({"x"}))
+        self.assertEqual((route.decision.region, route.host), (None, None))
+
+    def test_lender_takes_no_more_than_it_has_granted(self):
+        """Guards against a borrower that sends without credits."""
+        pair = _Pair()
+        with self.assertRaises(RequestError) as caught:
+            pair.admit(pair.spare, borrower="e1")
+        self.assertEqual(caught.exception.code, NO_CREDIT)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        pair.press(6)
+        granted = 0
+        with self.assertRaises(RequestError):
+            for _ in range(100):
+                answer, ticket_id = pair.admit(pair.spare, borrower="e1")
+                self.assertIsNone(answer)
+                pair.spare.state.handle(Release(ticket_id))
+                granted += 1
+        # 64 slots with the factor 1.25, a fifth of them lent.
+        self.assertIn(granted, range(1, 17))
+
+    def test_spilled_route_names_the_partner_once(self):
+        """Guards against a request that goes back to a host that it passed."""
+        pair = _Pair()
+        pair.press(8)
+        _, route = pair.full.choose("desk", excluded=frozenset({"x"}))
+        self.assertEqual((route.decision.region, route.host.host), ("r2", "e2"))
+        for fields in ({"hops": ("e2",)}, {"crossed_region": True}):
+            _, route = pair.full.choose("desk", excluded=frozenset({"x"}), **fields)
+            self.assertEqual((route.decision.region, route.host), (None, None))
