Accept the grants of a restarted lender after the old grant has expired

A borrower ignored every grant with a number below the last one it had seen, so a lender that was restarted was not heard again until its count had caught up. An expired grant no longer counts; a late grant within the lifetime is still ignored. The new test fails without the change.

--- a/buckthorndeal/credits.py
+++ b/buckthorndeal/credits.py
@@ -177,9 +177,14 @@
         self._demand_per_s += count / DEMAND_SMOOTHING_S
 
     def receive(self, grant: CreditGrant, now_s: float) -> None:
-        """Replace the credits of the granting region, unless the grant is old."""
+        """Replace the credits of the granting region, unless the grant is old.
+
+        After the held grant has expired any number is new: a lender that was
+        restarted counts from one again.
+        """
         held = self._held.get(grant.region)
-        if held is not None and held[0].number >= grant.number:
+        is_held = held is not None and now_s < held[2]
+        if is_held and held[0].number >= grant.number:
             return
         self._held[grant.region] = (grant, grant.credits, now_s + grant.lifetime_s)
 
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -78,6 +78,15 @@
         self.borrower = create_borrower("b", {"a": 0.08, "c": 0.01})
         self.borrower.receive_summary(RegionSummary("a", 0.0, 20), 0.0)
 
+    def test_restarted_lender_is_heard_once_its_old_grant_has_expired(self):
+        """Guards against a lender ignored because its numbers begin again."""
+        borrower = create_borrower("b")
+        borrower.receive(CreditGrant("a", "b", 900, 5, 3.0), 0.0)
+        borrower.receive(CreditGrant("a", "b", 1, 7, 3.0), 1.0)
+        self.assertEqual(borrower.count("a", 1.0), 5)
+        borrower.receive(CreditGrant("a", "b", 2, 7, 3.0), 3.0)
+        self.assertEqual(borrower.count("a", 3.0), 7)
+
     def test_credits_expire(self):
         """Guards against spilling on the word of a region that is out of reach."""
         self.borrower.receive(CreditGrant("a", "b", 1, 2, 3.0), 0.0)
