Run the decision and membership benchmarks from the command

The measurements existed but only their own module could start them, so nothing compared them with the target of a node.

--- /dev/null
+++ b/buckthorndeal/_bench_control.py
@@ -0,0 +1,46 @@
+"""Benchmarks `decision` and `membership`: the cost of control on one node."""
+
+from buckthorndeal._bench_decision import bench_decision
+from buckthorndeal._bench_membership import MembershipResult
+from buckthorndeal._bench_membership import measure_membership as measure_sizes
+from buckthorndeal.bench import Measurement
+
+__all__ = ["measure_decision", "measure_membership"]
+
+
+def measure_decision() -> list[Measurement]:
+    """Measure the CPU time of a route decision by the number of candidates."""
+    result = bench_decision()
+    figures = [
+        Measurement(f"decision.cpu_s_at_{cost.candidates}", cost.cpu_s, "s")
+        for cost in result.costs
+    ]
+    scarce = result.scarce
+    return [
+        *figures,
+        Measurement(f"decision.scarce_cpu_s_at_{scarce.candidates}", scarce.cpu_s, "s"),
+        Measurement("decision.slope_s", result.slope_s, "s/candidate"),
+    ]
+
+
+def measure_membership() -> list[Measurement]:
+    """Measure traffic, CPU time and detection of membership by its size."""
+    return [
+        measurement
+        for result in measure_sizes()
+        for measurement in _list_figures(result)
+    ]
+
+
+def _list_figures(result: MembershipResult) -> list[Measurement]:
+    prefix = f"membership.{result.members}"
+    return [
+        Measurement(f"{prefix}.bytes_per_s", result.bytes_per_s, "B/s"),
+        Measurement(f"{prefix}.cpu_share", result.cpu_share, "ratio"),
+        Measurement(f"{prefix}.remote_share", result.remote_share, "ratio"),
+        Measurement(
+            f"{prefix}.crash_out_of_use_s", max(result.crash_out_of_use_s), "s"
+        ),
+        Measurement(f"{prefix}.crash_dead_s", max(result.crash_dead_s), "s"),
+        Measurement(f"{prefix}.leave_s", result.leave_s, "s"),
+    ]
--- a/buckthorndeal/command_bench.py
+++ b/buckthorndeal/command_bench.py
@@ -6,6 +6,7 @@
 
 from absl import app, flags
 
+from buckthorndeal._bench_control import measure_decision, measure_membership
 from buckthorndeal._bench_relay import measure_relay
 from buckthorndeal.bench import Measurement, check_bounds, load_bounds
 from buckthorndeal.reports import format_measurements, write_json
@@ -13,7 +14,11 @@
 __all__ = ["run"]
 
 FLAGS = flags.FLAGS
-BENCHMARKS: dict[str, Callable[[], list[Measurement]]] = {"relay": measure_relay}
+BENCHMARKS: dict[str, Callable[[], list[Measurement]]] = {
+    "decision": measure_decision,
+    "membership": measure_membership,
+    "relay": measure_relay,
+}
 USAGE_STATUS = 2
 
 
