Benchmark whole deployments under load and faults

Routing was measured on injected clocks only; nothing showed what callers of the real entry hosts see while a region, a host or endpoints fail.

The hosts have no setting for the strategy yet, so there are no baselines and the comparisons are reported as not measured.

--- /dev/null
+++ b/buckthorndeal/_bench_engine.py
@@ -0,0 +1,174 @@
+"""Endpoints of the policy benchmark, on top of the stand-ins.
+
+Their service time depends on the queue, the occupancy of the batch and prefix
+hits; their load reports lag; they record what they execute.
+"""
+
+import collections
+import re
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal._bench_policy_audit import Audit
+from buckthorndeal._bench_policy_plan import BATCH_SLOWDOWN, PREFILL_S, TOKEN_S
+from buckthorndeal._standin_engine import PrefixCache, StandinEngine
+from buckthorndeal._standin_plain import StandinPlain
+from buckthorndeal.errors import RequestError
+from buckthorndeal.http_server import Request, Responder
+
+__all__ = ["BenchEngine", "ObservedWork"]
+
+REQUEST_ID_HEADER = "buckthorndeal-request-id"
+MARKER = re.compile(rb"call-[0-9]+x")
+# A failing endpoint takes a request and breaks off after this time.
+FAILURE_DELAY_S = 0.01
+
+
+class BenchEngine(StandinEngine):
+    """Engine whose tokens take longer the fuller its batch is.
+
+    Parameters
+    ----------
+    model : str
+        The model that it has.
+    slots : int
+        Requests in a batch.
+    cache_blocks : int
+        Blocks in the prefix cache.
+    """
+
+    def __init__(self, model: str, slots: int, cache_blocks: int) -> None:
+        super().__init__(
+            (model,),
+            slots=slots,
+            token_s=TOKEN_S,
+            prefill_s=PREFILL_S,
+            cache_blocks=cache_blocks,
+        )
+        self._cache_blocks = cache_blocks
+        self.busy_s = 0.0
+
+    def clear_cache(self) -> None:
+        """Forget all prompt prefixes, as after a restart of the engine."""
+        self._cache = PrefixCache(self._cache_blocks)
+
+    def get_token_s(self) -> float:
+        """Return the time of the next token of each running request."""
+        others = max(0, self.running - 1)
+        return TOKEN_S * (1 + BATCH_SLOWDOWN * others / max(1, self.slots - 1))
+
+    async def _generate(
+        self, request_id: str, fields: dict, responder: Responder
+    ) -> None:
+        started_s = time.monotonic()
+        try:
+            await super()._generate(request_id, fields, responder)
+        finally:
+            self.busy_s += time.monotonic() - started_s
+
+
+class ObservedWork:
+    """Work of an endpoint as its announcements describe it, with an audit.
+
+    Parameters
+    ----------
+    work : StandinEngine or StandinPlain
+        Handles the requests.
+    name, region : str
+        Endpoint and its region.
+    audit : Audit
+        Told of each request that starts to execute.
+    report_lag_s : float
+        Age of the load in the reports.
+    """
+
+    def __init__(
+        self,
+        work: StandinEngine | StandinPlain,
+        name: str,
+        region: str,
+        audit: Audit,
+        report_lag_s: float,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.work = work
+        self.name = name
+        self.region = region
+        self.fails = False
+        self._audit = audit
+        self._report_lag_s = report_lag_s
+        self._now = now
+        self._inside = 0
+        self._history: collections.deque[tuple[float, int, int]] = collections.deque()
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Models of the endpoint."""
+        return self.work.models
+
+    @property
+    def slots(self) -> int:
+        """Requests that run at once."""
+        return self.work.slots
+
+    @property
+    def checks_fencing(self) -> bool:
+        """Whether orders with an old fencing number are refused."""
+        return self.work.checks_fencing
+
+    @property
+    def running(self) -> int:
+        """Running requests a moment ago."""
+        return self._read_history()[0]
+
+    @property
+    def queued(self) -> int:
+        """Waiting requests a moment ago."""
+        return self._read_history()[1]
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer one request, or break off if the endpoint fails."""
+        if request.path == "/cancel":
+            await self.work.handle(request, responder)
+            return
+        marker = _find_marker(request)
+        self._audit.record_arrival(marker, self.name, self.region)
+        self._note_load(1)
+        try:
+            if self.fails:
+                await curio.sleep(FAILURE_DELAY_S)
+                raise OSError("the endpoint fails")
+            await self.work.handle(request, responder)
+        except RequestError as error:
+            self._audit.record_refusal(marker, self.name)
+            await _refuse(request, responder, error)
+        finally:
+            self._note_load(-1)
+
+    def _note_load(self, change: int) -> None:
+        self._inside += change
+        running = min(self._inside, self.slots)
+        self._history.append((self._now(), running, self._inside - running))
+
+    def _read_history(self) -> tuple[int, int]:
+        history = self._history
+        seen_s = self._now() - self._report_lag_s
+        while len(history) > 1 and history[1][0] <= seen_s:
+            history.popleft()
+        if not history or history[0][0] > seen_s:
+            return 0, 0
+        return history[0][1:]
+
+
+def _find_marker(request: Request) -> str:
+    found = MARKER.search(request.body) or MARKER.search(request.target.encode())
+    return found.group().decode() if found is not None else ""
+
+
+async def _refuse(request: Request, responder: Responder, error: RequestError) -> None:
+    """Refuse with the id that an entry host expects in every answer."""
+    request_id = request.headers.get(REQUEST_ID_HEADER, "")
+    headers = [(REQUEST_ID_HEADER, request_id)]
+    await responder.respond_json(error.status, error.to_body(), headers)
--- /dev/null
+++ b/buckthorndeal/_bench_policy.py
@@ -0,0 +1,102 @@
+"""Benchmark `policy`: the strategies on real entry hosts under load and faults."""
+
+import concurrent.futures
+import json
+import pathlib
+import tempfile
+import time
+
+import msgspec
+
+from buckthorndeal._bench_policy_figures import Figures
+from buckthorndeal._bench_policy_plan import DEPLOYMENTS, RunSpec
+from buckthorndeal._bench_policy_report import create_measurements, write_report
+from buckthorndeal._bench_process import start_module
+from buckthorndeal.bench import Measurement
+from buckthorndeal.errors import BuckthorndealError
+
+__all__ = ["COMPARED", "STRATEGIES", "list_specs", "measure_policy"]
+
+STRATEGIES = ("ours",)
+COMPARED = (
+    "normal",
+    "endpoint_lost",
+    "host_lost",
+    "region_isolated",
+    "region_tenth",
+    "double_load",
+    "tenth_and_host_lost",
+)
+OURS_ONLY = ("capacity", "triple_capacity", "half_failing")
+RUN_MODULE = "buckthorndeal._bench_policy_run"
+# Each run keeps most of a core busy; more at once would delay one another.
+PROCESSES = 6
+RUN_TIMEOUT_S = 90.0
+POLL_S = 0.1
+
+
+def list_specs(seed: int) -> list[RunSpec]:
+    """Return the runs of one invocation, the busiest first."""
+    pairs = [(scenario, "ours") for scenario in OURS_ONLY]
+    pairs += [(scenario, strategy) for scenario in COMPARED for strategy in STRATEGIES]
+    return [
+        RunSpec(deployment=deployment, strategy=strategy, scenario=scenario, seed=seed)
+        for scenario, strategy in pairs
+        for deployment in DEPLOYMENTS
+    ]
+
+
+def run_spec(directory: pathlib.Path, spec: RunSpec) -> Figures:
+    """Run one spec in a child process."""
+    file = directory / f"{spec.name}.json"
+    argument = msgspec.json.encode(spec).decode()
+    process = start_module(RUN_MODULE, [argument], file)
+    end_s = time.monotonic() + RUN_TIMEOUT_S
+    while process.poll() is None and time.monotonic() < end_s:
+        time.sleep(POLL_S)
+    if process.poll() is None:
+        process.kill()
+    if process.poll() != 0:
+        text = file.read_text(errors="replace")[-2000:]
+        raise BuckthorndealError(f"run {spec.name} failed: {text}")
+    # Warnings may come before the last line.
+    figures = json.loads(file.read_text().splitlines()[-1])
+    return msgspec.convert(figures, Figures, strict=False)
+
+
+def run_specs(specs: list[RunSpec]) -> dict[str, Figures]:
+    """Run all specs, a few at a time, and return their figures by name."""
+    with (
+        tempfile.TemporaryDirectory(prefix="buckthorndeal-bench-") as directory,
+        concurrent.futures.ThreadPoolExecutor(PROCESSES) as executor,
+    ):
+        path = pathlib.Path(directory)
+        figures = executor.map(lambda spec: run_spec(path, spec), specs)
+        return {spec.name: item for spec, item in zip(specs, figures, strict=True)}
+
+
+def measure_policy(
+    report_directory: pathlib.Path | None = None, seed: int = 1
+) -> list[Measurement]:
+    """Compare the strategies in every scenario and check the invariants.
+
+    Parameters
+    ----------
+    report_directory : pathlib.Path, optional
+        Directory for the figures of each run and the plots.
+    seed : int, optional
+        Seed of the workload.
+
+    Returns
+    -------
+    list of Measurement
+        Ratios and differences between the strategies, and counts.
+
+    Raises
+    ------
+    BuckthorndealError
+        If a run fails.
+    """
+    figures = run_specs(list_specs(seed))
+    write_report(figures, COMPARED, STRATEGIES, report_directory)
+    return create_measurements(figures, COMPARED, STRATEGIES)
--- /dev/null
+++ b/buckthorndeal/_bench_policy_audit.py
@@ -0,0 +1,161 @@
+"""Checks of the invariants during a run of the policy benchmark."""
+
+import collections
+import logging
+from dataclasses import dataclass, field
+
+from buckthorndeal._bench_policy_plan import BOOKING, PlannedCall
+from buckthorndeal.logs import EXTRA_FIELD
+
+__all__ = ["INVARIANTS", "Answered", "Audit", "Hop", "RouteRecorder"]
+
+INVARIANTS = (
+    "booked_twice",
+    "wrong_answer",
+    "bound_abroad",
+    "looped",
+    "not_run_executed",
+)
+# What a caller was told: a verdict of a refusal, ``whole``, ``wrong`` or ``broken``.
+WHOLE, WRONG, BROKEN, NOT_RUN = "whole", "wrong", "broken", "not_run"
+
+
+@dataclass(slots=True)
+class Answered:
+    """What the caller of one call was told, in order; resent calls are told twice."""
+
+    call: PlannedCall
+    told: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """One route decision of an entry host.
+
+    Parameters
+    ----------
+    host, host_region : str
+        Host that decided, and its region.
+    request_id : str
+        Id under which the host got the request.
+    attempt_id : str
+        Id under which it sent the request on.
+    chosen : str or None
+        Endpoint or host; None for a refusal.
+    """
+
+    host: str
+    host_region: str
+    request_id: str
+    attempt_id: str
+    chosen: str | None
+
+
+class RouteRecorder(logging.Handler):
+    """Collects the route decisions from the log.
+
+    Parameters
+    ----------
+    host_regions : dict of str to str
+        Region of each entry host.
+    """
+
+    def __init__(self, host_regions: dict[str, str]) -> None:
+        super().__init__()
+        self._host_regions = host_regions
+        self.hops: list[Hop] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a route decision."""
+        if record.getMessage() != "route_decision":
+            return
+        fields = getattr(record, EXTRA_FIELD)
+        host = fields["host"]
+        self.hops.append(
+            Hop(
+                host,
+                self._host_regions[host],
+                fields["request_id"],
+                fields["attempt_id"],
+                fields["chosen"],
+            )
+        )
+
+
+class Audit:
+    """What endpoints saw and callers were told, and the violations in it."""
+
+    def __init__(self) -> None:
+        self._arrivals: dict[str, list[tuple[str, str]]] = collections.defaultdict(list)
+        self._refusals: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.answers: list[Answered] = []
+
+    def record_arrival(self, marker: str, endpoint: str, region: str) -> None:
+        """Note that a request arrived at an endpoint."""
+        self._arrivals[marker].append((endpoint, region))
+
+    def record_refusal(self, marker: str, endpoint: str) -> None:
+        """Note that an endpoint refused a request that had arrived."""
+        self._refusals[marker, endpoint] += 1
+
+    def list_regions(self, marker: str) -> list[str]:
+        """Return the regions of the endpoints that saw a call, in order."""
+        return [region for _, region in self._arrivals[marker]]
+
+    def count_executions(self, marker: str) -> int:
+        """Return how many endpoints may have executed a call."""
+        arrivals = self._arrivals[marker]
+        refused = sum(self._refusals[marker, name] for name, _ in set(arrivals))
+        return len(arrivals) - refused
+
+    def count_violations(self, hops: list[Hop]) -> dict[str, int]:
+        """Return the number of violations of each invariant."""
+        return {
+            "booked_twice": sum(map(self._is_booked_twice, self.answers)),
+            "wrong_answer": sum(WRONG in answer.told for answer in self.answers),
+            "bound_abroad": sum(map(self._is_abroad, self.answers)),
+            "looped": count_loops(hops),
+            "not_run_executed": sum(map(self._is_untrue, self.answers)),
+        }
+
+    def _is_booked_twice(self, answer: Answered) -> bool:
+        call = answer.call
+        return call.kind == BOOKING and self.count_executions(call.marker) > 1
+
+    def _is_abroad(self, answer: Answered) -> bool:
+        call = answer.call
+        regions = self.list_regions(call.marker)
+        return call.bound and any(region != call.region for region in regions)
+
+    def _is_untrue(self, answer: Answered) -> bool:
+        # A refusal of a resent call is about the second sending alone.
+        told_not_run = bool(answer.told) and set(answer.told) == {NOT_RUN}
+        return told_not_run and self.count_executions(answer.call.marker) > 0
+
+
+def count_loops(hops: list[Hop]) -> int:
+    """Return the requests that visited a host twice or changed region twice."""
+    senders = {hop.attempt_id: hop for hop in hops}
+    visits: dict[str, set[tuple[str, str]]] = collections.defaultdict(set)
+    changes: dict[str, set[str]] = collections.defaultdict(set)
+    for hop in hops:
+        root = find_root(hop, senders)
+        visits[root].add((hop.host, hop.request_id))
+        sender = senders.get(hop.request_id)
+        if sender is not None and sender.host_region != hop.host_region:
+            changes[root].add(hop.request_id)
+    return sum(
+        len({host for host, _ in visited}) < len(visited) or len(changes[root]) > 1
+        for root, visited in visits.items()
+    )
+
+
+def find_root(hop: Hop, senders: dict[str, Hop]) -> str:
+    """Return the caller's request id of a decision."""
+    seen = {hop.request_id}
+    while (sender := senders.get(hop.request_id)) is not None:
+        if sender.request_id in seen:
+            break
+        hop = sender
+        seen.add(hop.request_id)
+    return hop.request_id
--- /dev/null
+++ b/buckthorndeal/_bench_policy_plan.py
@@ -0,0 +1,284 @@
+"""Workload of the policy benchmark: deployments, runs and seeded arrivals."""
+
+import hashlib
+import itertools
+import math
+import random
+from dataclasses import dataclass
+
+import msgspec
+
+__all__ = [
+    "DEPLOYMENTS",
+    "SCENARIOS",
+    "BenchRegion",
+    "Deployment",
+    "PlannedCall",
+    "RunSpec",
+    "Scenario",
+    "compute_capacity",
+    "create_plan",
+]
+
+MODEL, LOOKUP, BOOKING = "model", "lookup", "booking"
+BOUND_SHARE = 0.39
+WORKSPACES_PER_REGION = 4
+# Share of bookings that are sent again under the same key.
+RESEND_SHARE = 0.1
+# The rate of a region swings by this share of its mean.
+PEAK_SWING = 0.35
+ANSWER_TOKENS = 10
+# Answers of a few seconds are scaled down about four times, and in fewer tokens so
+# that one process carries the load.
+TOKEN_S = 0.05
+# A full batch generates each token this much slower than a single request.
+BATCH_SLOWDOWN = 0.5
+PREFILL_S = 0.0004
+# About half of the shared words are found in the caches.
+EXPECTED_HIT_SHARE = 0.5
+WORDS = ("bell", "bronze", "ice", "lantern", "mould", "pour", "strap", "wax")
+
+
+@dataclass(frozen=True, slots=True)
+class BenchRegion:
+    """A region, its engines and its share of the callers."""
+
+    name: str
+    home: str
+    engines: int
+    call_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What differs between the deployments.
+
+    Parameters
+    ----------
+    shared_words, own_words : int
+        Words of a prompt that many requests share, and the rest.
+    groups : int
+        Different shared prefixes; low ones are more frequent.
+    owned_prefixes : bool
+        Whether each workspace has prefixes of its own, such as its catalogue.
+    cache_blocks : int
+        Blocks of 16 words in the prefix cache of an engine.
+    rates : dict of str to float
+        Calls to the plain service per second at any load, by kind.
+    """
+
+    name: str
+    model_service: str
+    model: str
+    plain_service: str
+    lookup_path: str
+    booking_paths: tuple[str, ...]
+    regions: tuple[BenchRegion, ...]
+    slots: int
+    shared_words: int
+    own_words: int
+    groups: int
+    owned_prefixes: bool
+    cache_blocks: int
+    cost_weight: float
+    tail_weight: float
+    client_delay_s: float
+    rates: dict[str, float]
+
+
+DEPLOYMENTS = {
+    "kelawar": Deployment(
+        "kelawar",
+        "pelayan-bahasa",
+        "loceng-7b",
+        "aplikasi-bengkel",
+        "/stock",
+        ("/orders", "/deposits"),
+        (
+            BenchRegion("shah-alam", "semenanjung", 4, 0.40),
+            BenchRegion("kota-kinabalu", "sabah", 3, 0.32),
+            BenchRegion("kuching", "sarawak", 2, 0.28),
+        ),
+        slots=3,
+        shared_words=192,
+        own_words=32,
+        groups=6,
+        owned_prefixes=True,
+        cache_blocks=160,
+        cost_weight=0.8,
+        tail_weight=0.2,
+        client_delay_s=0.001,
+        rates={LOOKUP: 14.0, BOOKING: 6.0},
+    ),
+    "brazos": Deployment(
+        "brazos",
+        "lantern-llm",
+        "lantern-9b",
+        "loan-desk",
+        "/loans",
+        ("/reservations", "/loans"),
+        (
+            BenchRegion("gulf-a", "gulf", 3, 0.45),
+            BenchRegion("hill-a", "hill", 2, 0.30),
+            BenchRegion("plains-a", "plains", 1, 0.25),
+        ),
+        slots=4,
+        shared_words=640,
+        own_words=32,
+        groups=24,
+        owned_prefixes=False,
+        cache_blocks=320,
+        cost_weight=0.2,
+        tail_weight=0.8,
+        client_delay_s=0.003,
+        rates={LOOKUP: 6.0, BOOKING: 6.0},
+    ),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Load as a share of the nominal capacity, and what fails."""
+
+    load: float = 0.6
+    faults: tuple[str, ...] = ()
+
+
+SCENARIOS = {
+    "normal": Scenario(),
+    "endpoint_lost": Scenario(faults=("endpoint_lost",)),
+    "host_lost": Scenario(faults=("host_lost",)),
+    "region_isolated": Scenario(faults=("region_isolated",)),
+    "region_tenth": Scenario(faults=("region_tenth",)),
+    "double_load": Scenario(1.2),
+    "tenth_and_host_lost": Scenario(faults=("region_tenth", "host_lost")),
+    "capacity": Scenario(1.0),
+    "triple_capacity": Scenario(3.0),
+    "half_failing": Scenario(faults=("half_failing",)),
+}
+
+
+class RunSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One run: a deployment, a strategy and a scenario."""
+
+    deployment: str
+    strategy: str
+    scenario: str
+    seed: int = 1
+    duration_s: float = 12.0
+
+    @property
+    def name(self) -> str:
+        """Name in reports and of the run's files."""
+        return f"{self.deployment}.{self.scenario}.{self.strategy}"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedCall:
+    """A call of the open-loop workload.
+
+    Parameters
+    ----------
+    marker : str
+        Occurs in the request and nowhere else, so that endpoints and answers can
+        be matched with the call.
+    at_s : float
+        Time of the call after the start of the workload.
+    prompt : str
+        Prompt of a model call; empty for others.
+    path : str
+        Path of a plain call behind the service's name.
+    resent : bool
+        Whether the caller sends the call again under the same key.
+    """
+
+    marker: str
+    at_s: float
+    kind: str
+    region: str
+    workspace: str
+    bound: bool
+    prompt: str = ""
+    path: str = ""
+    resent: bool = False
+
+
+def compute_capacity(deployment: Deployment) -> float:
+    """Return the nominal model calls per second of all engines together."""
+    words = deployment.own_words + deployment.shared_words * (1 - EXPECTED_HIT_SHARE)
+    decode_s = ANSWER_TOKENS * TOKEN_S * (1 + BATCH_SLOWDOWN)
+    slots = deployment.slots * sum(region.engines for region in deployment.regions)
+    return slots / (decode_s + words * PREFILL_S)
+
+
+def create_plan(spec: RunSpec) -> list[PlannedCall]:
+    """Return the calls of a run by time; the same for every strategy."""
+    deployment = DEPLOYMENTS[spec.deployment]
+    # Runs that are compared differ in nothing but the strategy.
+    rng = random.Random(f"{spec.seed} {spec.deployment} {spec.scenario}")
+    rates = dict(deployment.rates)
+    rates[MODEL] = SCENARIOS[spec.scenario].load * compute_capacity(deployment)
+    numbers = itertools.count()
+    calls = []
+    for phase, region in enumerate(deployment.regions):
+        for kind, rate in rates.items():
+            for at_s in _draw_times(rng, spec, rate * region.call_share, phase):
+                number = next(numbers)
+                calls.append(
+                    _create_call(rng, deployment, region.name, kind, at_s, number)
+                )
+    return sorted(calls, key=lambda call: call.at_s)
+
+
+def _draw_times(
+    rng: random.Random, spec: RunSpec, mean_rate: float, phase: int
+) -> list[float]:
+    """Return Poisson arrivals whose peak is offset between the regions."""
+    regions = len(DEPLOYMENTS[spec.deployment].regions)
+    top_rate = mean_rate * (1 + PEAK_SWING)
+    times = []
+    now_s = rng.expovariate(top_rate)
+    while now_s < spec.duration_s:
+        angle = 2 * math.pi * (now_s / spec.duration_s + phase / regions)
+        rate = mean_rate * (1 + PEAK_SWING * math.sin(angle))
+        if rng.random() * top_rate < rate:
+            times.append(now_s)
+        now_s += rng.expovariate(top_rate)
+    return times
+
+
+def _create_call(
+    rng: random.Random,
+    deployment: Deployment,
+    region: str,
+    kind: str,
+    at_s: float,
+    number: int,
+) -> PlannedCall:
+    marker = f"call-{number}x"
+    bound = rng.random() < BOUND_SHARE
+    kinds = "bound" if bound else "free"
+    workspace = f"{region}-{kinds}-{rng.randrange(WORKSPACES_PER_REGION // 2)}"
+    prompt, path, resent = "", "", False
+    if kind == MODEL:
+        prompt = _create_prompt(rng, deployment, workspace, marker)
+    elif kind == LOOKUP:
+        path = f"{deployment.lookup_path}/{marker}"
+    else:
+        path = rng.choice(deployment.booking_paths)
+        resent = rng.random() < RESEND_SHARE
+    return PlannedCall(
+        marker, at_s, kind, region, workspace, bound, prompt, path, resent
+    )
+
+
+def _create_prompt(
+    rng: random.Random, deployment: Deployment, workspace: str, marker: str
+) -> str:
+    # Squaring makes low groups frequent, like a few popular guides.
+    group = int(deployment.groups * rng.random() ** 2)
+    owner = workspace if deployment.owned_prefixes else ""
+    seed = hashlib.sha256(f"{deployment.name} {owner} {group}".encode()).digest()
+    shared = random.Random(seed).choices(WORDS, k=deployment.shared_words)
+    own = rng.choices(WORDS, k=deployment.own_words - 1)
+    return " ".join([*shared, marker, *own])
--- /dev/null
+++ b/buckthorndeal/_bench_policy_world.py
@@ -0,0 +1,327 @@
+"""A deployment in one process: entry hosts, endpoints, links and faults."""
+
+import hashlib
+import itertools
+import math
+import random
+
+import curio
+import msgspec
+
+from buckthorndeal._bench_engine import BenchEngine, ObservedWork
+from buckthorndeal._bench_policy_audit import Audit
+from buckthorndeal._bench_policy_plan import (
+    DEPLOYMENTS,
+    SCENARIOS,
+    WORKSPACES_PER_REGION,
+    BenchRegion,
+    Deployment,
+    RunSpec,
+)
+from buckthorndeal._bench_traffic import MeteredTransport
+from buckthorndeal._entry_document import create_document_view
+from buckthorndeal._entry_messages import DocumentView, ListEndpoints, ListHosts
+from buckthorndeal._standin_plain import StandinPlain
+from buckthorndeal.entry import EntryHost, create_entry_host
+from buckthorndeal.errors import BuckthorndealError
+from buckthorndeal.sections import parse_section
+from buckthorndeal.settings import (
+    Address,
+    EntrySettings,
+    Limits,
+    PeerAddress,
+)
+from buckthorndeal.standin import Standin, StandinSettings, create_standin
+from buckthorndeal.transport import create_link_shape, create_memory_transport
+
+__all__ = ["World", "get_key"]
+
+ADDRESS = "127.0.0.1"
+HTTP_PORT = 8080
+PEER_PORT = 9080
+DOMAIN_DELAY_S = 0.0015
+REGION_DELAY_S = 0.080
+DOMAINS_PER_REGION = 2
+BOOKING_SERVERS_PER_REGION = 1
+BOOKING_SLOTS = 8
+BOOKING_S = 0.02
+# Reports lag like those of engines that publish their load with a delay.
+REPORT_LAG_S = (0.1, 0.4)
+HEARTBEAT_S = 0.5
+READY_TIMEOUT_S = 10.0
+READY_POLL_S = 0.05
+TENTH = 0.1
+
+
+def get_key(workspace: str) -> str:
+    """Return the caller's key of a workspace."""
+    return f"key-{workspace}"
+
+
+def get_caller_place(region: str) -> str:
+    return f"{region}-callers"
+
+
+class World:
+    """One deployment with the faults of a run.
+
+    Parameters
+    ----------
+    spec : RunSpec
+        Deployment, strategy and scenario.
+    """
+
+    def __init__(self, spec: RunSpec) -> None:
+        self.spec = spec
+        self.deployment = DEPLOYMENTS[spec.deployment]
+        self.audit = Audit()
+        self._rng = random.Random(f"{spec.seed} world")
+        self._inner = create_memory_transport()
+        self.shape = create_link_shape()
+        self.crossed_bytes = 0
+        # The first region has two entry hosts, as the deployments have.
+        regions = self.deployment.regions
+        self.host_regions = {
+            f"entry-{number}": region.name
+            for number, region in enumerate((regions[0], *regions), 1)
+        }
+        self.hosts: dict[str, EntryHost] = {}
+        self.works: list[ObservedWork] = []
+        self._standins: dict[str, Standin] = {}
+        self._set_delays()
+
+    def create_transport(self, place: str) -> MeteredTransport:
+        """Return the transport of a place, which counts bytes between regions."""
+        return MeteredTransport(self._inner, self.shape, place, self._count_bytes)
+
+    def _count_bytes(self, place: str, other: str, size: int) -> None:
+        if get_region(place) != get_region(other):
+            self.crossed_bytes += size
+
+    def _set_delays(self) -> None:
+        places = [
+            place for region in self.deployment.regions for place in _list(region)
+        ]
+        for one, other in itertools.product(places, places):
+            delay_s = 0.0 if one == other else DOMAIN_DELAY_S
+            if get_region(one) != get_region(other):
+                delay_s = REGION_DELAY_S
+            if is_caller(one) or is_caller(other):
+                delay_s = max(0.0, delay_s - DOMAIN_DELAY_S)
+                delay_s += self.deployment.client_delay_s
+            self.shape.set_delay(one, other, delay_s)
+
+    async def start(self) -> None:
+        """Start everything and wait until hosts and endpoints know each other."""
+        view = create_view(self.deployment)
+        for number, host in enumerate(self.host_regions):
+            await self._start_host(number, host, view)
+        for region in self.deployment.regions:
+            await self._start_endpoints(region)
+        try:
+            async with curio.timeout_after(READY_TIMEOUT_S):
+                while not await self._is_complete():
+                    await curio.sleep(READY_POLL_S)
+        except curio.TaskTimeout:
+            raise BuckthorndealError("the deployment did not get ready") from None
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        for part in (*self._standins.values(), *self.hosts.values()):
+            await part.close()
+
+    async def _start_host(self, number: int, host: str, view: DocumentView) -> None:
+        region = self.host_regions[host]
+        domain = f"{region}-{number % DOMAINS_PER_REGION + 1}"
+        settings = self._create_settings(number, host, region, domain)
+        transport = self.create_transport(domain)
+        rng = random.Random(f"{self.spec.seed} {host}")
+        self.hosts[host] = create_entry_host(settings, transport, view, rng=rng)
+        await self.hosts[host].start()
+
+    def _create_settings(
+        self, number: int, host: str, region: str, domain: str
+    ) -> EntrySettings:
+        ports = range(PEER_PORT, PEER_PORT + len(self.host_regions))
+        seeds = tuple(
+            Address(port=port) for port in ports if port != PEER_PORT + number
+        )
+        return EntrySettings(
+            host=host,
+            region=region,
+            failure_domain=domain,
+            listen=Address(port=HTTP_PORT + number),
+            peer_listen=Address(port=PEER_PORT + number),
+            control_hosts=(PeerAddress(host="control-1", port=1),),
+            peer_keys=("00112233445566778899aabbccddeeff",),
+            seeds=seeds,
+            limits=Limits(max_connections=100_000),
+        )
+
+    async def _start_endpoints(self, region: BenchRegion) -> None:
+        deployment = self.deployment
+        for number in range(region.engines):
+            slots = deployment.slots
+            if self._is_reduced(region):
+                slots = compute_reduced_slots(region, deployment.slots, number)
+            if slots:
+                engine = BenchEngine(deployment.model, slots, deployment.cache_blocks)
+                await self._start_endpoint(
+                    region, deployment.model_service, number, engine
+                )
+        for number in range(BOOKING_SERVERS_PER_REGION):
+            plain = StandinPlain(BOOKING_SLOTS, BOOKING_S)
+            await self._start_endpoint(region, deployment.plain_service, number, plain)
+
+    def _is_reduced(self, region: BenchRegion) -> bool:
+        faults = SCENARIOS[self.spec.scenario].faults
+        return "region_tenth" in faults and region == self.deployment.regions[1]
+
+    async def _start_endpoint(
+        self,
+        region: BenchRegion,
+        service: str,
+        number: int,
+        work: BenchEngine | StandinPlain,
+    ) -> None:
+        name = f"{service}-{region.name}-{number}"
+        lag_s = self._rng.uniform(*REPORT_LAG_S)
+        observed = ObservedWork(work, name, region.name, self.audit, lag_s)
+        self.works.append(observed)
+        domain = f"{region.name}-{number % DOMAINS_PER_REGION + 1}"
+        registrars = tuple(
+            (ADDRESS, HTTP_PORT + index)
+            for index, place in enumerate(self.host_regions.values())
+            if place == region.name
+        )
+        settings = StandinSettings(
+            name, service, region.name, domain, registrars, heartbeat_s=HEARTBEAT_S
+        )
+        standin = create_standin(settings, observed, self.create_transport(domain), 1)
+        self._standins[name] = standin
+        await standin.start()
+
+    async def _is_complete(self) -> bool:
+        for host, region in self.host_regions.items():
+            router = self.hosts[host].router
+            expected = sum(work.region == region for work in self.works)
+            if len(await router.ask(ListEndpoints())) < expected:
+                return False
+            if len((await router.ask(ListHosts(region))).hosts) < len(self.hosts):
+                return False
+        return True
+
+    async def run_faults(self) -> None:
+        """Cause the faults of the scenario during the workload."""
+        duration_s = self.spec.duration_s
+        faults = SCENARIOS[self.spec.scenario].faults
+        if "half_failing" in faults:
+            self._fail_half()
+        await curio.sleep(0.25 * duration_s)
+        if "endpoint_lost" in faults:
+            await self._lose_endpoint()
+        if "host_lost" in faults:
+            await self.hosts["entry-1"].close()
+        if "region_isolated" in faults:
+            self._isolate()
+            await curio.sleep(0.4 * duration_s)
+            self._return()
+
+    def _fail_half(self) -> None:
+        for service in (self.deployment.model_service, self.deployment.plain_service):
+            works = [work for work in self.works if work.name.startswith(service)]
+            for work in works[::2]:
+                work.fails = True
+
+    async def _lose_endpoint(self) -> None:
+        region = self.deployment.regions[0].name
+        name = f"{self.deployment.model_service}-{region}-0"
+        await self._standins.pop(name).close()
+
+    def _isolate(self) -> None:
+        one, *others = sorted(
+            self.deployment.regions, key=lambda region: region.call_share, reverse=True
+        )
+        rest = {place for region in others for place in _list(region)}
+        self.shape.partition(set(_list(one)), rest)
+
+    def _return(self) -> None:
+        self.shape.heal_all()
+        largest = max(self.deployment.regions, key=lambda region: region.call_share)
+        for work in self.works:
+            if work.region == largest.name and isinstance(work.work, BenchEngine):
+                work.work.clear_cache()
+
+
+def _list(region: BenchRegion) -> list[str]:
+    domains = [f"{region.name}-{number + 1}" for number in range(DOMAINS_PER_REGION)]
+    return [*domains, get_caller_place(region.name)]
+
+
+def get_region(place: str) -> str:
+    """Return the region of a place."""
+    return place.rpartition("-")[0]
+
+
+def is_caller(place: str) -> bool:
+    return place.endswith("-callers")
+
+
+def compute_reduced_slots(region: BenchRegion, slots: int, number: int) -> int:
+    """Return the slots that an engine keeps in a region at a tenth of its capacity."""
+    total = max(1, math.ceil(TENTH * region.engines * slots))
+    return min(slots, max(0, total - number * slots))
+
+
+def create_view(deployment: Deployment) -> DocumentView:
+    """Return the document of a deployment."""
+    weights = {"cost": deployment.cost_weight, "tail_latency": deployment.tail_weight}
+    services = {
+        deployment.model_service: {
+            "kind": "model",
+            "models": [deployment.model],
+            "default_deadline_s": 4,
+            "weights": weights,
+        },
+        deployment.plain_service: {
+            "kind": "plain",
+            "default_deadline_s": 3,
+            "weights": weights,
+            "non_idempotent": [
+                {"method": "POST", "path_prefix": path}
+                for path in deployment.booking_paths
+            ],
+        },
+    }
+    regions = {
+        region.name: {"home": region.home, "failure_domains": _list(region)[:-1]}
+        for region in deployment.regions
+    }
+    sections = {
+        "platform": {"services": services, "regions": regions},
+        "accounts": {"workspaces": _create_workspaces(deployment)},
+        "support": {},
+    }
+    return create_document_view(
+        *(
+            parse_section(name, msgspec.json.encode(value).decode())
+            for name, value in sections.items()
+        )
+    )
+
+
+def _create_workspaces(deployment: Deployment) -> dict[str, dict]:
+    workspaces = {}
+    for region in deployment.regions:
+        for number in range(WORKSPACES_PER_REGION // 2):
+            for kind in ("bound", "free"):
+                name = f"{region.name}-{kind}-{number}"
+                workspaces[name] = {
+                    "key_hashes": [hashlib.sha256(get_key(name).encode()).hexdigest()],
+                    "home_region": region.name,
+                    "bound": kind == "bound",
+                    "requests_per_s": 1000,
+                    "burst": 1000,
+                    "concurrency": 1000,
+                }
+    return workspaces
--- a/buckthorndeal/_standin_engine.py
+++ b/buckthorndeal/_standin_engine.py
@@ -140,6 +140,10 @@
         """Requests that wait for a slot."""
         return len(self._waiting)
 
+    def get_token_s(self) -> float:
+        """Return the time for the next generated token."""
+        return self._token_s
+
     async def _wait_for_slot(self, priority: int) -> None:
         if self.running < self.slots:
             self.running += 1
@@ -176,7 +180,7 @@
             start = int(fields.get("resume_from", 0))
             await self._stream(request_id, fields, prompt, (start, count), responder)
             return
-        await curio.sleep(count * self._token_s)
+        await curio.sleep(count * self.get_token_s())
         text = "".join(itertools.islice(iter_tokens(prompt), count))
         await responder.respond_json(
             200,
@@ -202,7 +206,7 @@
         )
         tokens = itertools.islice(iter_tokens(prompt), start, count)
         for index, token in enumerate(tokens, start):
-            await curio.sleep(self._token_s)
+            await curio.sleep(self.get_token_s())
             data = msgspec.json.encode(create_chunk(fields["model"], token)).decode()
             await responder.send(format_event(Event(f"{request_id}:{index}", data)))
         end = Event(f"{request_id}:{max(start, count)}", END_DATA)
--- a/buckthorndeal/_standin_plain.py
+++ b/buckthorndeal/_standin_plain.py
@@ -50,8 +50,7 @@
     def _execute(self, request: Request) -> tuple[int, dict]:
         if request.method == "GET":
             item = request.path.rpartition("/")[2]
-            stock = hashlib.sha256(item.encode()).digest()[0] % MAX_STOCK
-            return 200, {"item": item, "in_stock": stock}
+            return 200, {"item": item, "in_stock": compute_stock(item)}
         if request.method != "POST":
             raise RequestError("method_not_allowed", 405, "use GET or POST")
         try:
@@ -60,3 +59,8 @@
             raise RequestError("bad_request", 400, str(error)) from error
         self.bookings.append(booking)
         return 201, {"number": len(self.bookings), "booked": booking}
+
+
+def compute_stock(item: str) -> int:
+    """Return the stock of an item, which depends on its name alone."""
+    return hashlib.sha256(item.encode()).digest()[0] % MAX_STOCK
--- a/buckthorndeal/command_bench.py
+++ b/buckthorndeal/command_bench.py
@@ -7,6 +7,7 @@
 from absl import app, flags
 
 from buckthorndeal._bench_control import measure_decision, measure_membership
+from buckthorndeal._bench_policy import measure_policy
 from buckthorndeal._bench_relay import measure_relay
 from buckthorndeal.bench import Measurement, check_bounds, load_bounds
 from buckthorndeal.reports import format_measurements, write_json
@@ -14,20 +15,22 @@
 __all__ = ["run"]
 
 FLAGS = flags.FLAGS
-BENCHMARKS: dict[str, Callable[[], list[Measurement]]] = {
-    "decision": measure_decision,
-    "membership": measure_membership,
-    "relay": measure_relay,
+BENCHMARKS: dict[str, Callable[[pathlib.Path | None], list[Measurement]]] = {
+    "decision": lambda _: measure_decision(),
+    "membership": lambda _: measure_membership(),
+    "policy": measure_policy,
+    "relay": lambda _: measure_relay(),
 }
 USAGE_STATUS = 2
 
 
 def run_benchmark(name: str, report_directory: str | None) -> bool:
     """Run one benchmark, print its figures and return whether its bounds hold."""
-    measurements = BENCHMARKS[name]()
+    directory = None if report_directory is None else pathlib.Path(report_directory)
+    measurements = BENCHMARKS[name](directory)
     print(f"{name}:\n{format_measurements(measurements)}")
-    if report_directory is not None:
-        write_json(pathlib.Path(report_directory) / f"{name}.json", measurements)
+    if directory is not None:
+        write_json(directory / f"{name}.json", measurements)
     violations = check_bounds(measurements, load_bounds(), f"{name}.")
     for violation in violations:
         print(f"outside its bound: {violation}")
