--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -26,7 +26,9 @@
 )
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
+from buckthorndeal._entry_policy import RoutePolicy, create_policy
 from buckthorndeal._entry_pools import Pools
+from buckthorndeal._entry_prompts import create_prompt_hasher
 from buckthorndeal._entry_reports import (
     REPORT_MESSAGES,
     ReportRelay,
@@ -50,6 +52,8 @@
 __all__ = ["EntryHost", "create_entry_host"]
 
 TICK_S = 0.25
+# Refusals of waiting requests are at most this late.
+QUEUE_TICK_S = 0.05
 DRAIN_POLL_S = 0.01
 # Bounds the wait for control hosts that do not answer when the host starts.
 SETTLE_TIMEOUT_S = 2.0
@@ -84,6 +88,8 @@
         Source of ties and of the directory's order.
     claims : ClaimPort or None
         Claims of non-idempotent calls; None keeps them in memory.
+    policy : RoutePolicy or None
+        Policy parts of the router task; None creates them.
 
     Raises
     ------
@@ -99,11 +105,13 @@
         now: Callable[[], float],
         rng: random.Random,
         claims: ClaimPort | None = None,
+        policy: RoutePolicy | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
         self._view = view
         self._rng = rng
+        self._policy = policy or create_policy(settings.region, rng, settings.strategy)
         self._tasks: list[curio.Task] = []
         self._owners = curio.TaskGroup()
         self._ready = False
@@ -125,6 +133,7 @@
             pools=Pools(transport, settings.host, limits.max_connections_per_endpoint),
             metrics=_create_metrics(),
             now=now,
+            hasher=create_prompt_hasher(),
         )
         self._links = ControlLinks(settings, transport, self._receive_notice)
         self._subscriber = self._create_subscriber()
@@ -165,6 +174,11 @@
         """Mailbox of the router task."""
         return self._context.router
 
+    @property
+    def policy(self) -> RoutePolicy:
+        """Policy parts; only the router task changes them."""
+        return self._policy
+
     @property
     def document(self) -> Mailbox:
         """Mailbox of the document task."""
@@ -189,7 +203,7 @@
             settings.host,
             settings.region,
             create_directory([], self._rng),
-            self._rng,
+            self._policy,
             context.now,
         )
         self._tasks += [
@@ -289,9 +303,10 @@
 
 
 async def _run_ticks(router: Mailbox) -> None:
+    is_waiting = False
     while True:
-        await curio.sleep(TICK_S)
-        await router.send(Tick())
+        await curio.sleep(QUEUE_TICK_S if is_waiting else TICK_S)
+        is_waiting = await router.ask(Tick())
 
 
 def create_entry_host(
@@ -301,6 +316,7 @@
     now: Callable[[], float] = time.monotonic,
     rng: random.Random | None = None,
     claims: ClaimPort | None = None,
+    policy: RoutePolicy | None = None,
 ) -> EntryHost:
     """Return an entry host that is not started.
 
@@ -316,4 +332,5 @@
         now,
         rng or random.Random(),
         claims,
+        policy,
     )
