--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/_entry_calls.py
@@ -1,6 +1,6 @@
 """Running calls: attempts in turn, bookings under a claim, forwarding to owners."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import curio
 import msgspec
@@ -18,19 +18,22 @@
     open_attempt,
 )
 from buckthorndeal._entry_claims import (
-    ClaimPort,
-    compute_fingerprint,
+    Claims,
     create_may_have_run,
     get_claim_key,
 )
-from buckthorndeal._entry_messages import Answer, Call, FindOwner, Progress, Route
+from buckthorndeal._entry_hedging import (
+    AttemptStep,
+    UseAttempt,
+    run_hedged,
+    run_step,
+)
+from buckthorndeal._entry_messages import Answer, Call, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.views import AttemptOutcome, Decision
 
 RETRY_AFTER_S = 1.0
 
-UseAttempt = Callable[[Attempt], Awaitable[Answer | None]]
-
 
 async def run_with_deadline(
     context: EntryContext, call: Call, progress: Progress, work: Callable
@@ -73,56 +76,43 @@
     """
     excluded: frozenset[str] = frozenset()
     last_error: RequestError | None = None
+    may_hedge = call.fields is None and call.idempotent
     for _ in range(MAX_ATTEMPTS):
-        attempt_id, route = await choose_route(context, call, excluded)
+        attempt_id, route = await choose_route(context, call, excluded, may_hedge)
         name = get_target_name(route)
         if name is None:
+            last_error = last_error or _create_refusal(call, route.decision, progress)
             break
+        if excluded:
+            context.metrics.count("retries_total", service=call.service_name)
         excluded |= {name}
+        step = AttemptStep(context, get_call(), progress, use, attempt_id, route)
+        run = run_hedged if route.hedge_after_s is not None else run_step
         try:
-            async with open_attempt(
-                context, get_call(), progress, attempt_id, route
-            ) as attempt:
-                answer = await use(attempt)
-            if attempt.outcome is AttemptOutcome.SUCCEEDED:
-                return answer
-            last_error = _create_overloaded(progress)
+            return await run(step)
         except PeerRefusalError as error:
             raise _with_verdict(error, progress) from error
         except RequestError as error:
             last_error = error
+        excluded |= step.hedged
         if progress.verdict is Verdict.MAY_HAVE_RUN:
             if not call.idempotent:
                 break
             # A failed connection after an earlier dispatch is in "retrying" already.
             progress.advance_if_allowed("retry")
-    raise _create_failure(last_error, progress, call)
+    raise _with_verdict(last_error, progress)
 
 
-def _create_overloaded(progress: Progress) -> RequestError:
+def _create_refusal(call: Call, decision: Decision, progress: Progress) -> RequestError:
     return RequestError(
-        "endpoint_overloaded",
+        decision.reason,
         503,
-        "the endpoint has no room",
+        f"no endpoint of {call.service_name} can take the request",
         progress.verdict,
-        RETRY_AFTER_S,
+        decision.retry_after_s or RETRY_AFTER_S,
     )
 
 
-def _create_failure(
-    last_error: RequestError | None, progress: Progress, call: Call
-) -> RequestError:
-    if last_error is None:
-        return RequestError(
-            "no_endpoint",
-            503,
-            f"no endpoint of {call.service_name} can take the request",
-            progress.verdict,
-            RETRY_AFTER_S,
-        )
-    return _with_verdict(last_error, progress)
-
-
 def _with_verdict(error: RequestError, progress: Progress) -> RequestError:
     retry_after_s = error.retry_after_s
     if retry_after_s is None and error.status in (502, 503, 504):
@@ -196,24 +186,30 @@
     gives that resend the recorded answer in place of "may have run".
     """
 
-    def __init__(self, context: EntryContext, claims: ClaimPort) -> None:
+    def __init__(self, context: EntryContext, claims: Claims) -> None:
         self._context = context
         self._claims = claims
-        self.running = 0
+        self._tasks: set[curio.Task] = set()
+
+    @property
+    def running(self) -> int:
+        """Number of bookings that have not ended."""
+        return len(self._tasks)
+
+    async def close(self) -> None:
+        """Cancel the running bookings; their claims answer "may have run"."""
+        for task in list(self._tasks):
+            await task.cancel()
 
     async def run(self, call: Call, progress: Progress) -> Answer:
-        self.running += 1
-        try:
-            task = await curio.spawn(self._run_task, call, progress, daemon=True)
-        except BaseException:
-            self.running -= 1
-            raise
+        task = await curio.spawn(self._run_task, call, progress, daemon=True)
         await task.wait()
         if isinstance(task.result, RequestError):
             raise task.result
         return task.result
 
     async def _run_task(self, call: Call, progress: Progress) -> Answer | RequestError:
+        self._tasks.add(await curio.current_task())
         try:
             return await self._run_booking(call, progress)
         except RequestError as error:
@@ -222,23 +218,15 @@
             logging.exception("booking failed")
             return RequestError("internal", 500, "internal error", Verdict.MAY_HAVE_RUN)
         finally:
-            self.running -= 1
+            self._tasks.discard(await curio.current_task())
 
     async def _run_booking(self, call: Call, progress: Progress) -> Answer:
         home = call.identity.workspace.home_region
-        owner = await self._context.router.ask(FindOwner(home))
+        owner = await self._claims.find_owner(home)
         if owner.host != self._context.host:
             return await self._forward(call, progress, owner)
-        key = get_claim_key(call)
-        try:
-            async with curio.timeout_after(
-                max(0.0, call.deadline_s - self._context.now())
-            ):
-                recorded = await self._claims.claim(key, compute_fingerprint(call))
-        except curio.TaskTimeout:
-            raise create_may_have_run(
-                "another request with this key is still running"
-            ) from None
+        timeout_s = max(0.0, call.deadline_s - self._context.now())
+        recorded = await self._claims.claim(call, timeout_s)
         if recorded is not None:
             return recorded
         progress.advance("claim")
@@ -246,7 +234,6 @@
 
     async def _run_claimed(self, call: Call, progress: Progress) -> Answer:
         key = get_claim_key(call)
-        await self._claims.record_dispatch(key)
         try:
             answer = await run_with_deadline(
                 self._context,
@@ -256,7 +243,10 @@
                     self._context, call, progress, _read_answer, lambda: call
                 ),
             )
-        except BaseException:
+        except curio.CancelledError:
+            # The host stops, and the ledger with it.
+            raise
+        except Exception:
             if progress.verdict is Verdict.NOT_RUN:
                 await self._claims.record_not_run(key)
             else:
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -9,11 +9,13 @@
     ChooseRoute,
     EndAttempt,
     FindOwner,
+    GetFigures,
     HostSeen,
     IsLive,
     ListEndpoints,
     ListHosts,
     ListRegionHosts,
+    PolicyFigures,
     Release,
     Route,
     Tick,
@@ -33,6 +35,7 @@
 )
 from buckthorndeal.views import EndpointView, RegionView
 
+RETRY_AFTER_S = 1.0
 # Result of a message that is answered later.
 WAITING = object()
 
@@ -113,6 +116,13 @@
     def _(self, message: ListEndpoints) -> object:
         return self._registry.list_endpoints()
 
+    @handle.register
+    def _(self, message: GetFigures) -> PolicyFigures:
+        ejection = self._policy.router.ejection
+        waiting = self._admission.count_waiting()
+        ejected = {name: ejection.count_ejected(name) for name in waiting}
+        return PolicyFigures(waiting, ejected)
+
     @handle.register
     def _(self, message: ListHosts) -> object:
         return self._directory.list_hosts(message.region, message.drained)
@@ -123,14 +133,17 @@
 
     @handle.register
     def _(self, message: FindOwner) -> HostRecord:
-        # Without a ledger view the first host by name owns the claims. It stays the
-        # owner while it is lost, because its claims are known nowhere else.
-        hosts = self._directory.list_region(message.region)
+        hosts = [
+            record
+            for record in self._directory.list_region(message.region)
+            if record.state != "lost" and message.host in (None, record.host)
+        ]
         if not hosts:
+            reason = f"the claims of {message.region} cannot be reached"
             raise RequestError(
-                "no_claim_owner", 503, f"no entry host of {message.region} is known"
+                "no_claim_owner", 503, reason, retry_after_s=RETRY_AFTER_S
             )
-        return hosts[0]
+        return min(hosts, key=lambda record: record.state != "alive")
 
     @handle.register
     def _(self, message: Admit) -> object:
@@ -190,8 +203,12 @@
         candidates = self._list_candidates(message)
         hosts = self._list_hosts(message)
         regions = [RegionView(name, 1, 0.0, 0.0) for name in sorted(hosts)]
-        decision = self._policy.choose(message, candidates, regions, self._now())
-        return Route(decision, hosts.get(decision.region))
+        now_s = self._now()
+        decision = self._policy.choose(message, candidates, regions, now_s)
+        hedge_after_s = None
+        if decision.endpoint is not None:
+            hedge_after_s = self._policy.get_hedge_delay(message, now_s)
+        return Route(decision, hosts.get(decision.region), hedge_after_s)
 
     def _list_candidates(self, message: ChooseRoute) -> list[EndpointView]:
         service = message.request.service
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -9,7 +9,7 @@
 
 from buckthorndeal._entry_attempts import EntryContext
 from buckthorndeal._entry_calls import BookingRunner
-from buckthorndeal._entry_claims import ClaimPort, create_memory_claims
+from buckthorndeal._entry_claims import create_claims
 from buckthorndeal._entry_control import ControlLinks
 from buckthorndeal._entry_document import (
     create_empty_view,
@@ -23,6 +23,7 @@
     create_service,
     read_record,
     run_changes,
+    wait_for_others,
 )
 from buckthorndeal._entry_messages import DocumentView, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
@@ -37,9 +38,11 @@
 from buckthorndeal._entry_router import RouterState, run_router
 from buckthorndeal._entry_store import DocumentStore
 from buckthorndeal._entry_subscriber import SubscriberTask
+from buckthorndeal._entry_views import ControlViews, ViewSource
 from buckthorndeal.directory import create_directory
 from buckthorndeal.document import Document, create_document
 from buckthorndeal.http_server import create_http_server
+from buckthorndeal.ledger import LEDGER_MESSAGES
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
 from buckthorndeal.membership import HostRecord as MemberRecord
@@ -57,10 +60,17 @@
 DRAIN_POLL_S = 0.01
 # Bounds the wait for control hosts that do not answer when the host starts.
 SETTLE_TIMEOUT_S = 2.0
+JOIN_TIMEOUT_S = 1.0
 METRICS = (
     ("requests_total", "counter", "Requests of callers by outcome."),
     ("attempts_total", "counter", "Attempts at endpoints and hosts by outcome."),
+    ("retries_total", "counter", "Attempts after a failed one."),
+    ("hedges_total", "counter", "Second attempts beside a slow one."),
     ("forwarded_total", "counter", "Requests sent to another entry host."),
+    ("spilled_total", "counter", "Requests sent to another region."),
+    ("refusals_total", "counter", "Requests that were not run, by reason."),
+    ("queue_length", "gauge", "Requests that wait for admission."),
+    ("ejected_endpoints", "gauge", "Endpoints that are kept out of the choice."),
     ("tokens_total", "counter", "Tokens passed on to callers."),
     ("endpoints", "gauge", "Endpoints that are known."),
     ("bookings_running", "gauge", "Non-idempotent calls that are running."),
@@ -86,15 +96,15 @@
         Monotonic clock in seconds.
     rng : random.Random
         Source of ties and of the directory's order.
-    claims : ClaimPort or None
-        Claims of non-idempotent calls; None keeps them in memory.
     policy : RoutePolicy or None
         Policy parts of the router task; None creates them.
+    views : ViewSource or None
+        Decides on the ledger views; None leaves it to the control hosts.
 
     Raises
     ------
     CorruptStoreError
-        If the stored document is damaged.
+        If the stored document or the claim store is damaged.
     """
 
     def __init__(
@@ -104,7 +114,7 @@
         view: DocumentView | None,
         now: Callable[[], float],
         rng: random.Random,
-        claims: ClaimPort | None = None,
+        views: ViewSource | None = None,
         policy: RoutePolicy | None = None,
     ) -> None:
         self._settings = settings
@@ -137,9 +147,17 @@
         )
         self._links = ControlLinks(settings, transport, self._receive_notice)
         self._subscriber = self._create_subscriber()
-        claims = claims or create_memory_claims(settings.answer_retention_s, now)
-        self._bookings = BookingRunner(self._context, claims)
-        front = EntryFront(self._context, claims, self._bookings, lambda: self._ready)
+        self.claims = create_claims(
+            settings,
+            views or ControlViews(self._links),
+            self._peers.mailbox,
+            router,
+            rng,
+        )
+        self._bookings = BookingRunner(self._context, self.claims)
+        front = EntryFront(
+            self._context, self.claims, self._bookings, lambda: self._ready
+        )
         self._server = create_http_server(front.handle, limits)
 
     def _create_subscriber(self) -> SubscriberTask:
@@ -174,6 +192,11 @@
         """Mailbox of the router task."""
         return self._context.router
 
+    @property
+    def metrics(self) -> Metrics:
+        """Figures of this host."""
+        return self._context.metrics
+
     @property
     def policy(self) -> RoutePolicy:
         """Policy parts; only the router task changes them."""
@@ -188,7 +211,11 @@
         async def receive_reports(message: Message, host: str) -> None:
             await self._relay.mailbox.send(ReportsReceived(message, host))
 
-        return dict.fromkeys(REPORT_MESSAGES, receive_reports)
+        async def receive_claims(message: Message, host: str) -> None:
+            await self.claims.receive(message, host)
+
+        receivers = dict.fromkeys(REPORT_MESSAGES, receive_reports)
+        return receivers | dict.fromkeys(LEDGER_MESSAGES, receive_claims)
 
     async def start(self) -> None:
         """Listen and start the tasks."""
@@ -213,6 +240,7 @@
             await curio.spawn(self._relay.run, daemon=True),
         ]
         await self._join(datagrams)
+        await self.claims.start(self._owners)
         self._ready = True
         log_event("entry_started", host=settings.host, port=self.port)
 
@@ -241,11 +269,18 @@
         self._membership = create_service(
             self._settings, record, datagrams, changes, self._rng
         )
-        receivers = (self._context.router, self._peers.mailbox)
+        receivers = (
+            self._context.router.send,
+            self._peers.mailbox.send,
+            self.claims.note_host,
+        )
         task = await curio.spawn(run_changes, changes, receivers, daemon=True)
         self._tasks.append(task)
         await self._note_own_record(record)
         await self._membership.start()
+        if self._settings.seeds:
+            # The ledger gives a backup up that does not answer for a second.
+            await wait_for_others(self._membership, JOIN_TIMEOUT_S)
 
     async def _note_own_record(self, record: MemberRecord) -> None:
         await self._context.router.ask(HostSeen(read_record(record)))
@@ -285,12 +320,14 @@
         """Cancel what still runs and stop the tasks."""
         self._ready = False
         await self._server.close()
+        await self._bookings.close()
         await self._context.pools.close()
         if self._membership is not None:
             await self._membership.close()
         await self._owners.cancel_remaining()
         for task in self._tasks:
             await task.cancel()
+        await self.claims.close()
         await self._links.close()
         await self._peers.close()
 
@@ -315,7 +352,7 @@
     view: DocumentView | None = None,
     now: Callable[[], float] = time.monotonic,
     rng: random.Random | None = None,
-    claims: ClaimPort | None = None,
+    views: ViewSource | None = None,
     policy: RoutePolicy | None = None,
 ) -> EntryHost:
     """Return an entry host that is not started.
@@ -331,6 +368,6 @@
         view,
         now,
         rng or random.Random(),
-        claims,
+        views,
         policy,
     )
