Compare the strategies of the entry hosts in the policy benchmark

The entry hosts have a setting for the strategy now, and claims in a ledger whose views come from control hosts.

The benchmark runs each scenario with every strategy and reports ours relative to the best baseline. Hosts get their ledger views from a table that is out of reach of an isolated region. Engines report their prefix caches late and with gaps. Endpoints are made a minute old before the workload starts, because the slow start of 20 s would otherwise last for the whole run.

--- a/buckthorndeal/_bench_engine.py
+++ b/buckthorndeal/_bench_engine.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import random
 import re
 import time
 from collections.abc import Callable
@@ -13,7 +14,7 @@
 
 from buckthorndeal._bench_policy_audit import Audit
 from buckthorndeal._bench_policy_plan import BATCH_SLOWDOWN, PREFILL_S, TOKEN_S
-from buckthorndeal._standin_engine import PrefixCache, StandinEngine
+from buckthorndeal._standin_engine import StandinEngine
 from buckthorndeal._standin_plain import StandinPlain
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_server import Request, Responder
@@ -21,6 +22,10 @@
 __all__ = ["BenchEngine", "ObservedWork"]
 
 REQUEST_ID_HEADER = "buckthorndeal-request-id"
+CACHE_REPORT_LAG_S = (0.0, 1.5)
+CACHE_REPORT_LOSS = 0.03
+# A heartbeat holds no more.
+MAX_CACHE_REPORTS = 16
 MARKER = re.compile(rb"call-[0-9]+x")
 # A failing endpoint takes a request and breaks off after this time.
 FAILURE_DELAY_S = 0.01
@@ -47,13 +52,8 @@
             prefill_s=PREFILL_S,
             cache_blocks=cache_blocks,
         )
-        self._cache_blocks = cache_blocks
         self.busy_s = 0.0
 
-    def clear_cache(self) -> None:
-        """Forget all prompt prefixes, as after a restart of the engine."""
-        self._cache = PrefixCache(self._cache_blocks)
-
     def get_token_s(self) -> float:
         """Return the time of the next token of each running request."""
         others = max(0, self.running - 1)
@@ -82,6 +82,8 @@
         Told of each request that starts to execute.
     report_lag_s : float
         Age of the load in the reports.
+    rng : random.Random
+        Decides which cache reports are late or lost.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         region: str,
         audit: Audit,
         report_lag_s: float,
+        rng: random.Random,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.work = work
@@ -99,7 +102,9 @@
         self.fails = False
         self._audit = audit
         self._report_lag_s = report_lag_s
+        self._rng = rng
         self._now = now
+        self._cache_reports: list[tuple[float, float, dict]] = []
         self._inside = 0
         self._history: collections.deque[tuple[float, int, int]] = collections.deque()
 
@@ -128,6 +133,22 @@
         """Waiting requests a moment ago."""
         return self._read_history()[1]
 
+    def take_cache_reports(self) -> list[dict]:
+        """Return the cache reports that are due; some are late, some are lost."""
+        now_s = self._now()
+        for report in self.work.take_cache_reports():
+            if self._rng.random() >= CACHE_REPORT_LOSS:
+                due_s = now_s + self._rng.uniform(*CACHE_REPORT_LAG_S)
+                self._cache_reports.append((due_s, now_s, report))
+        due = [entry for entry in self._cache_reports if entry[0] <= now_s]
+        self._cache_reports = [
+            entry for entry in self._cache_reports if entry[0] > now_s
+        ]
+        return [
+            {**report, "age_s": now_s - made_s}
+            for _, made_s, report in due[:MAX_CACHE_REPORTS]
+        ]
+
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer one request, or break off if the endpoint fails."""
         if request.path == "/cancel":
--- a/buckthorndeal/_bench_policy.py
+++ b/buckthorndeal/_bench_policy.py
@@ -17,7 +17,7 @@
 
 __all__ = ["COMPARED", "STRATEGIES", "list_specs", "measure_policy"]
 
-STRATEGIES = ("ours",)
+STRATEGIES = ("ours", "round_robin", "random", "least_load", "local_only")
 COMPARED = (
     "normal",
     "endpoint_lost",
--- /dev/null
+++ b/buckthorndeal/_bench_policy_views.py
@@ -0,0 +1,46 @@
+"""Ledger views of the policy benchmark, in place of the control hosts."""
+
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal._entry_views import ViewSource
+from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
+
+__all__ = ["TableViews"]
+
+
+class TableViews(ViewSource):
+    """Views in a table that all hosts share.
+
+    Parameters
+    ----------
+    table : dict of str to LedgerView
+        Views by region.
+    round_trip_s : float
+        Time of one call, as to a control host of another region.
+    is_reachable : callable
+        Whether a majority of the control hosts can be reached.
+    """
+
+    def __init__(
+        self,
+        table: dict[str, LedgerView],
+        round_trip_s: float,
+        is_reachable: Callable[[], bool],
+    ) -> None:
+        self._table = table
+        self._round_trip_s = round_trip_s
+        self._is_reachable = is_reachable
+
+    async def get(self, region: str) -> LedgerView | None:
+        """Return the view, or None while no majority is reachable."""
+        await curio.sleep(self._round_trip_s)
+        return self._table.get(region, LedgerView()) if self._is_reachable() else None
+
+    async def change(self, region: str, ask: AskView) -> LedgerView | None:
+        """Change the view if the ledger's rule allows it."""
+        current = await self.get(region)
+        if current is not None and is_view_change_allowed(current, ask):
+            self._table[region] = ask.view
+        return self._table.get(region, LedgerView()) if self._is_reachable() else None
--- a/buckthorndeal/_bench_policy_world.py
+++ b/buckthorndeal/_bench_policy_world.py
@@ -18,12 +18,14 @@
     Deployment,
     RunSpec,
 )
+from buckthorndeal._bench_policy_views import TableViews
 from buckthorndeal._bench_traffic import MeteredTransport
 from buckthorndeal._entry_document import create_document_view
 from buckthorndeal._entry_messages import DocumentView, ListEndpoints, ListHosts
 from buckthorndeal._standin_plain import StandinPlain
 from buckthorndeal.entry import EntryHost, create_entry_host
 from buckthorndeal.errors import BuckthorndealError
+from buckthorndeal.ledger import LedgerView
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import (
     Address,
@@ -51,6 +53,7 @@
 READY_TIMEOUT_S = 10.0
 READY_POLL_S = 0.05
 TENTH = 0.1
+AGE_S = 60.0
 
 
 def get_key(workspace: str) -> str:
@@ -79,6 +82,8 @@
         self._inner = create_memory_transport()
         self.shape = create_link_shape()
         self.crossed_bytes = 0
+        self._views: dict[str, LedgerView] = {}
+        self._isolated: str | None = None
         # The first region has two entry hosts, as the deployments have.
         regions = self.deployment.regions
         self.host_regions = {
@@ -124,6 +129,16 @@
                     await curio.sleep(READY_POLL_S)
         except curio.TaskTimeout:
             raise BuckthorndealError("the deployment did not get ready") from None
+        await self._age_endpoints()
+
+    async def _age_endpoints(self) -> None:
+        """Make the endpoints as old as those of a deployment that has run on.
+
+        Otherwise the slow start of new endpoints would last for the whole run.
+        """
+        for host in self.hosts.values():
+            for view in await host.router.ask(ListEndpoints()):
+                view.ready_since_s -= AGE_S
 
     async def close(self) -> None:
         """Stop everything at once."""
@@ -136,7 +151,12 @@
         settings = self._create_settings(number, host, region, domain)
         transport = self.create_transport(domain)
         rng = random.Random(f"{self.spec.seed} {host}")
-        self.hosts[host] = create_entry_host(settings, transport, view, rng=rng)
+        views = TableViews(
+            self._views, 2 * REGION_DELAY_S, lambda: self._isolated != region
+        )
+        self.hosts[host] = create_entry_host(
+            settings, transport, view, rng=rng, views=views
+        )
         await self.hosts[host].start()
 
     def _create_settings(
@@ -155,6 +175,7 @@
             control_hosts=(PeerAddress(host="control-1", port=1),),
             peer_keys=("00112233445566778899aabbccddeeff",),
             seeds=seeds,
+            strategy=self.spec.strategy,
             limits=Limits(max_connections=100_000),
         )
 
@@ -186,7 +207,9 @@
     ) -> None:
         name = f"{service}-{region.name}-{number}"
         lag_s = self._rng.uniform(*REPORT_LAG_S)
-        observed = ObservedWork(work, name, region.name, self.audit, lag_s)
+        observed = ObservedWork(
+            work, name, region.name, self.audit, lag_s, random.Random(name)
+        )
         self.works.append(observed)
         domain = f"{region.name}-{number % DOMAINS_PER_REGION + 1}"
         registrars = tuple(
@@ -209,6 +232,10 @@
                 return False
             if len((await router.ask(ListHosts(region))).hosts) < len(self.hosts):
                 return False
+            view = self.hosts[host].claims.describe()
+            has_peer = list(self.host_regions.values()).count(region) > 1
+            if view["primary"] is None or (has_peer and view["backup"] is None):
+                return False
         return True
 
     async def run_faults(self) -> None:
@@ -242,15 +269,16 @@
         one, *others = sorted(
             self.deployment.regions, key=lambda region: region.call_share, reverse=True
         )
+        self._isolated = one.name
         rest = {place for region in others for place in _list(region)}
         self.shape.partition(set(_list(one)), rest)
 
     def _return(self) -> None:
         self.shape.heal_all()
-        largest = max(self.deployment.regions, key=lambda region: region.call_share)
         for work in self.works:
-            if work.region == largest.name and isinstance(work.work, BenchEngine):
+            if work.region == self._isolated and isinstance(work.work, BenchEngine):
                 work.work.clear_cache()
+        self._isolated = None
 
 
 def _list(region: BenchRegion) -> list[str]:
--- a/buckthorndeal/_standin_engine.py
+++ b/buckthorndeal/_standin_engine.py
@@ -31,6 +31,7 @@
         self._blocks = collections.OrderedDict()
         self._changes: dict[str, float] = {}
         self._reports = itertools.count(1)
+        self._cleared = False
 
     def touch(self, request_id: str, tokens: list[str]) -> int:
         """Return how many leading tokens are cached, and cache the rest."""
@@ -49,14 +50,25 @@
             self._changes[owner] = min(kept, self._changes.get(owner, 1.0))
         return covered
 
+    def clear(self) -> None:
+        """Forget all prompts."""
+        self._blocks.clear()
+        self._changes.clear()
+        self._cleared = True
+
     def take_reports(self) -> list[dict]:
         """Return what changed since the last call, for a heartbeat."""
-        if not self._changes:
+        if not self._changes and not self._cleared:
             return []
         changes = list(self._changes.items())[-MAX_REPORTED:]
+        report = {
+            "sequence": next(self._reports),
+            "cleared": self._cleared,
+            "prefixes": [{"request_id": name, "kept": kept} for name, kept in changes],
+        }
         self._changes.clear()
-        prefixes = [{"request_id": name, "kept": kept} for name, kept in changes]
-        return [{"sequence": next(self._reports), "prefixes": prefixes}]
+        self._cleared = False
+        return [report]
 
 
 def _hash_blocks(tokens: list[str]) -> list[bytes]:
@@ -152,6 +164,10 @@
         finally:
             self._tasks.pop(request_id, None)
 
+    def clear_cache(self) -> None:
+        """Forget all prompt prefixes."""
+        self._cache.clear()
+
     def take_cache_reports(self) -> list[dict]:
         """Return what changed in the prefix cache since the last call."""
         return self._cache.take_reports()
--- a/tests/test_bench_policy.py
+++ b/tests/test_bench_policy.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import random
 import unittest
 
 import curio
@@ -285,7 +286,9 @@
         """Guards against reports that are better than those of real engines."""
         now_s = [0.0]
         engine = BenchEngine("m", 1, 10)
-        work = ObservedWork(engine, "e", "a", Audit(), 0.5, lambda: now_s[0])
+        work = ObservedWork(
+            engine, "e", "a", Audit(), 0.5, random.Random(1), lambda: now_s[0]
+        )
         work._note_load(1)
         work._note_load(1)
         self.assertEqual((work.running, work.queued), (0, 0))
@@ -311,7 +314,7 @@
 
         answers = []
         audit = Audit()
-        work = ObservedWork(Work(), "e", "a", audit, 0.0)
+        work = ObservedWork(Work(), "e", "a", audit, 0.0, random.Random(1))
         curio.run(work.handle, Request, Responder())
         self.assertEqual(answers, [(429, [("buckthorndeal-request-id", "r")])])
         self.assertEqual(audit.list_regions("call-1x"), ["a"])
