Leave slow start out of the expected wait of an endpoint

A host that has just learned of its endpoints, after a restart or in a new deployment, counted a tenth of their slots. The expected wait behind two running requests was then several service times, and requests were refused for their deadline while slots were free; the same wait starts spilling.

Slow start now changes the comparison of endpoints only. The wait that decides on refusal and on spilling uses all slots.

--- a/buckthorndeal/_scoring.py
+++ b/buckthorndeal/_scoring.py
@@ -90,16 +90,23 @@
 ) -> Score:
     """Score one endpoint for a request."""
     load = estimate_load(view, peers)
-    slots = view.slots * _get_ramp(view, settings, now_s)
     service_s = estimate.service_s
-    wait_s = max(0.0, load + 1 - max(slots, 1.0)) * service_s / slots
+    wait_s = _compute_wait(load, view.slots, service_s)
+    # Slow start only steers the choice. In the expected wait it would refuse
+    # requests, and lend them to other regions, while slots are free.
+    slots = view.slots * _get_ramp(view, settings, now_s)
+    steered_s = _compute_wait(load, slots, service_s)
     uncached = max(0.0, request.prompt_tokens - cached_tokens)
     prefill_s = uncached / estimate.prefill_tokens_per_s
     fill_s = settings.fill_cost * service_s * min(1.0, load / slots)
-    value = _weigh(wait_s + fill_s, prefill_s, weights)
+    value = _weigh(steered_s + fill_s, prefill_s, weights)
     return Score(value, wait_s, wait_s + prefill_s, wait_s + service_s)
 
 
+def _compute_wait(load: float, slots: float, service_s: float) -> float:
+    return max(0.0, load + 1 - max(slots, 1.0)) * service_s / slots
+
+
 def score_region(
     region: RegionView, request: RouteRequest, estimate: Estimate, weights: Weights
 ) -> Score:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -115,6 +115,17 @@
         later = _choose(_router(), [cold, warm], now_s=1025.0)
         self.assertEqual(later.endpoint.name, "cold")
 
+    def test_cold_endpoints_with_free_slots_are_used(self):
+        """Guards against refusals by hosts that have just learned all endpoints."""
+        views = _views(3, ready_since_s=999.9, running=2)
+        request = _request(deadline_s=1001.0)
+        router = _router()
+        for strategy in STRATEGIES:
+            chosen = _choose(_router(strategy), views, request)
+            self.assertIsNotNone(chosen.endpoint, strategy)
+        _choose(router, views, request)
+        self.assertEqual(router.get_wait("s"), 0.0)
+
     def test_return_with_a_cold_cache_loses_the_preference(self):
         """Guards against routing by the cache of an endpoint's old process."""
         router = _router()
