--- a/buckthorndeal/command_bench.py
+++ b/buckthorndeal/command_bench.py
@@ -7,26 +7,34 @@
 from absl import app, flags
 
 from buckthorndeal._bench_control import measure_control
+from buckthorndeal._bench_node import measure_decision, measure_membership
+from buckthorndeal._bench_policy import measure_policy
 from buckthorndeal._bench_relay import measure_relay
+from buckthorndeal._bench_state import measure_state
 from buckthorndeal.bench import Measurement, check_bounds, load_bounds
 from buckthorndeal.reports import format_measurements, write_json
 
 __all__ = ["run"]
 
 FLAGS = flags.FLAGS
-BENCHMARKS: dict[str, Callable[[], list[Measurement]]] = {
-    "relay": measure_relay,
-    "control": measure_control,
+BENCHMARKS: dict[str, Callable[[pathlib.Path | None], list[Measurement]]] = {
+    "decision": lambda _: measure_decision(),
+    "state": lambda _: measure_state(),
+    "membership": lambda _: measure_membership(),
+    "relay": lambda _: measure_relay(),
+    "control": lambda _: measure_control(),
+    "policy": measure_policy,
 }
 USAGE_STATUS = 2
 
 
 def run_benchmark(name: str, report_directory: str | None) -> bool:
     """Run one benchmark, print its figures and return whether its bounds hold."""
-    measurements = BENCHMARKS[name]()
+    directory = None if report_directory is None else pathlib.Path(report_directory)
+    measurements = BENCHMARKS[name](directory)
     print(f"{name}:\n{format_measurements(measurements)}")
-    if report_directory is not None:
-        write_json(pathlib.Path(report_directory) / f"{name}.json", measurements)
+    if directory is not None:
+        write_json(directory / f"{name}.json", measurements)
     violations = check_bounds(measurements, load_bounds(), f"{name}.")
     for violation in violations:
         print(f"outside its bound: {violation}")
