Choose an endpoint's registrars by rendezvous hashing

The first two hosts of a region by name received the heartbeats of all its endpoints. Each endpoint now reports to up to two live hosts of its own, in different failure domains where possible. Stand-ins keep their period while a registrar does not answer.

--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -49,8 +49,8 @@
     Heartbeat,
     LeaveNotice,
 )
+from buckthorndeal.subsetting import choose_registrars
 
-MAX_REGISTRARS = 2
 ENDPOINT_MESSAGES = {
     "/v1/endpoints/announce": Announcement,
     "/v1/endpoints/heartbeat": Heartbeat,
@@ -174,7 +174,7 @@
         hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
         registrars = [
             {"host": record.host, "address": record.address, "port": record.port}
-            for record in sorted(hosts, key=_is_gone)[:MAX_REGISTRARS]
+            for record in _choose_registrars(message.name, hosts)
         ]
         await responder.respond_json(
             200, {"state": outcome.state, "registrars": registrars}
@@ -330,8 +330,17 @@
         return None
 
 
-def _is_gone(record: HostRecord) -> bool:
-    return record.state != "alive"
+def _choose_registrars(endpoint: str, hosts: list[HostRecord]) -> list[HostRecord]:
+    """Return the registrars among the live hosts of the region.
+
+    Without a live one, an endpoint goes on reporting to hosts that are draining
+    or suspected.
+    """
+    alive = [record for record in hosts if record.state == "alive"]
+    present = [record for record in hosts if record.state != "lost"]
+    eligible = {record.host: record for record in alive or present}
+    domains = {host: record.failure_domain for host, record in eligible.items()}
+    return [eligible[host] for host in choose_registrars(endpoint, domains)]
 
 
 def _get_end_event(progress: Progress) -> str:
--- a/buckthorndeal/_entry_membership.py
+++ b/buckthorndeal/_entry_membership.py
@@ -80,7 +80,13 @@
     address, port = parse_address(addresses[HTTP_PURPOSE])
     state = DIRECTORY_STATES[member.state]
     return HostRecord(
-        member.host, member.region, address, port, state, addresses[PEER_PURPOSE]
+        member.host,
+        member.region,
+        address,
+        port,
+        state,
+        addresses[PEER_PURPOSE],
+        member.failure_domain,
     )
 
 
--- a/buckthorndeal/directory.py
+++ b/buckthorndeal/directory.py
@@ -20,6 +20,8 @@
         ``alive``, ``draining``, ``suspect`` or ``lost``.
     peer_address : str
         ``address:port`` of its peer links; empty if it has none.
+    failure_domain : str
+        Empty if it is unknown.
     """
 
     host: str
@@ -28,6 +30,7 @@
     port: int
     state: str = "alive"
     peer_address: str = ""
+    failure_domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/standin.py
+++ b/buckthorndeal/standin.py
@@ -103,11 +103,13 @@
 
     async def _run_reports(self) -> None:
         while True:
+            next_s = await curio.clock() + self.settings.heartbeat_s
             if not self._registrars:
                 await self._find_registrars()
             else:
                 await self._send_heartbeats()
-            await curio.sleep(self.settings.heartbeat_s)
+            # The wait for a silent registrar must not add to the period.
+            await curio.sleep(max(0.0, next_s - await curio.clock()))
 
     async def _find_registrars(self) -> None:
         for address in self.settings.entry_hosts:
--- a/buckthorndeal/subsetting.py
+++ b/buckthorndeal/subsetting.py
@@ -1,10 +1,10 @@
-"""Deterministic subset of a region's endpoints for each entry host."""
+"""Deterministic assignment of a region's endpoints to its entry hosts."""
 
 import hashlib
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
-__all__ = ["assign_subsets", "choose_subset"]
+__all__ = ["assign_subsets", "choose_registrars", "choose_subset"]
 
 # An endpoint takes between these multiples of the mean number of hosts. With both
 # at 1 a change of one name ripples on and replaces up to 19% of the pairs.
@@ -12,10 +12,42 @@
 MOST_SHARE = 1.2
 # Each host considers this many times the subset's size of its best-ranked pairs.
 RANKED_FACTOR = 4
+MAX_REGISTRARS = 2
 _MASK = (1 << 64) - 1
 _MULTIPLIER = 0x9E3779B97F4A7C15
 
 
+def choose_registrars(endpoint: str, failure_domains: Mapping[str, str]) -> list[str]:
+    """Return the hosts that an endpoint sends its heartbeats to.
+
+    The hosts are ranked by a hash of both names (rendezvous hashing), so a host
+    that comes or goes moves only the endpoints that it serves.
+
+    Parameters
+    ----------
+    endpoint : str
+        The endpoint.
+    failure_domains : mapping of str to str
+        Failure domain of each eligible host.
+
+    Returns
+    -------
+    list of str
+        Up to `MAX_REGISTRARS` hosts, best first, in different failure domains
+        where there are enough.
+    """
+    key = _hash_name(endpoint)
+    ranked = sorted(
+        failure_domains, key=lambda host: (_mix(_hash_name(host), key), host)
+    )
+    best_of_domain: dict[str, str] = {}
+    for host in ranked:
+        best_of_domain.setdefault(failure_domains[host], host)
+    preferred = list(best_of_domain.values())
+    others = [host for host in ranked if host not in preferred]
+    return [*preferred, *others][:MAX_REGISTRARS]
+
+
 def choose_subset(
     host: str, hosts: Collection[str], endpoints: Collection[str], size: int
 ) -> tuple[str, ...]:
--- /dev/null
+++ b/tests/test_entry_registrars.py
@@ -0,0 +1,103 @@
+"""Tests of the registrars that entry hosts name to endpoints."""
+
+import curio
+
+from buckthorndeal.registry import EXPIRY_S
+from buckthorndeal.standin import StandinPlain, StandinSettings, create_standin
+from buckthorndeal.subsetting import choose_registrars
+from tests.system import System, SystemCase
+
+REGIONS = {"e1": "r1", "e2": "r1", "e3": "r1"}
+POLL_S = 0.02
+
+
+def choose_hosts(hosts):
+    return choose_registrars("d", {host: f"r1-{host[1:]}" for host in hosts})
+
+
+def list_registrars(standin):
+    return [f"e{port - 8000}" for _, port in standin._registrars]
+
+
+async def start_standin(system):
+    settings = StandinSettings(
+        "d",
+        "desk",
+        "r1",
+        "r1-1",
+        tuple(("127.0.0.1", 8000 + int(host[1:])) for host in sorted(system.hosts)),
+    )
+    standin = create_standin(settings, StandinPlain(), system.create_transport("d"))
+    await standin.start()
+    system.parts.append(standin)
+    while not await is_known(system):
+        await curio.sleep(POLL_S)
+    return standin
+
+
+async def is_known(system):
+    states = [await system.list_endpoints(host) for host in system.hosts]
+    return all(each.get("d") == "ready" for each in states)
+
+
+class EntryRegistrarsTest(SystemCase):
+    """An endpoint moves with the hosts of its region."""
+
+    def run_move(self, remove):
+        """Return the registrars before and after, and the longest absence."""
+
+        async def scenario(system):
+            standin = await start_standin(system)
+            while list_registrars(standin) != choose_hosts(REGIONS):
+                await curio.sleep(POLL_S)
+            first = list_registrars(standin)[0]
+            await remove(system, first)
+            left = choose_hosts(set(REGIONS) - {first})
+            absent = dict.fromkeys(left, 0.0)
+            longest_s = 0.0
+            moved_s = None
+            last_s = started_s = await curio.clock()
+            while moved_s is None or last_s - moved_s < 2 * EXPIRY_S:
+                await curio.sleep(POLL_S)
+                now_s = await curio.clock()
+                for host in left:
+                    state = (await system.list_endpoints(host)).get("d")
+                    spent_s = absent[host] + now_s - last_s
+                    absent[host] = 0.0 if state == "ready" else spent_s
+                    longest_s = max(longest_s, absent[host])
+                last_s = now_s
+                if moved_s is None and list_registrars(standin) == left:
+                    moved_s = now_s
+            self.assertEqual(list_registrars(standin), left)
+            return moved_s - started_s, longest_s
+
+        return self.run_system(scenario, System(REGIONS))
+
+    def test_endpoint_moves_when_its_registrar_dies(self):
+        """Guards against an endpoint that stays lost with its registrar."""
+
+        async def stop(system, host):
+            await system.stop_host(host)
+
+        _, longest_s = self.run_move(stop)
+        self.assertLess(longest_s, EXPIRY_S)
+
+    def test_endpoint_moves_when_its_registrar_is_cut_off(self):
+        """Guards against heartbeats held up by a host that does not answer."""
+
+        async def cut(system, host):
+            system.shape.partition({host}, {"d", *set(REGIONS) - {host}})
+
+        _, longest_s = self.run_move(cut)
+        self.assertLess(longest_s, EXPIRY_S)
+
+    def test_endpoint_moves_within_a_heartbeat_when_its_registrar_drains(self):
+        """Guards against a leaving host that gets heartbeats until it is gone."""
+
+        async def drain(system, host):
+            await curio.spawn(system.hosts[host].drain, daemon=True)
+
+        moved_s, longest_s = self.run_move(drain)
+        # One period, and the news of the drain has to reach the other hosts.
+        self.assertLess(moved_s, EXPIRY_S)
+        self.assertLess(longest_s, EXPIRY_S)
--- a/tests/test_subsetting.py
+++ b/tests/test_subsetting.py
@@ -3,7 +3,11 @@
 import unittest
 from collections import Counter
 
-from buckthorndeal.subsetting import assign_subsets, choose_subset
+from buckthorndeal.subsetting import (
+    assign_subsets,
+    choose_registrars,
+    choose_subset,
+)
 
 HOSTS = [f"host-{number}" for number in range(330)]
 ENDPOINTS = [f"endpoint-{number}" for number in range(600)]
@@ -54,5 +58,52 @@
         )
 
 
+class RegistrarsTest(unittest.TestCase):
+    """Which hosts the endpoints of a region report to."""
+
+    def setUp(self):
+        self.domains = {host: f"d{number % 3}" for number, host in enumerate(HOSTS)}
+        self.region = {host: self.domains[host] for host in HOSTS[:66]}
+
+    def choose_all(self, domains, endpoints):
+        return {name: choose_registrars(name, domains) for name in endpoints}
+
+    def count_loads(self, chosen):
+        return Counter(host for hosts in chosen.values() for host in hosts)
+
+    def test_load_is_even_at_target_size(self):
+        """Guards against heartbeats that all go to a few hosts."""
+        counts = self.count_loads(self.choose_all(self.region, ENDPOINTS[:120]))
+        # The mean is 3.6; a host with a fair share of random choices has up to 11.
+        self.assertLess(max(counts.values()), 12)
+        many = [f"endpoint-{number}" for number in range(120 * 66)]
+        counts = self.count_loads(self.choose_all(self.region, many))
+        self.assertEqual(len(counts), 66)
+        self.assertGreater(min(counts.values()), 0.75 * 240)
+        self.assertLess(max(counts.values()), 1.25 * 240)
+
+    def test_host_that_comes_or_goes_moves_only_its_share(self):
+        """Guards against endpoints that all move when one host restarts."""
+        before = self.choose_all(self.region, ENDPOINTS)
+        for gone in HOSTS[:66]:
+            left = {host: each for host, each in self.region.items() if host != gone}
+            after = self.choose_all(left, ENDPOINTS)
+            for name in ENDPOINTS:
+                kept = [host for host in before[name] if host != gone]
+                self.assertLessEqual(set(kept), set(after[name]))
+                if gone not in before[name]:
+                    self.assertEqual(after[name], before[name])
+
+    def test_registrars_are_in_different_failure_domains_where_possible(self):
+        """Guards against both registrars of an endpoint lost with one domain."""
+        for hosts in self.choose_all(self.region, ENDPOINTS).values():
+            self.assertEqual(len({self.region[host] for host in hosts}), 2)
+        alone = dict.fromkeys(HOSTS[:5], "d")
+        for hosts in self.choose_all(alone, ENDPOINTS).values():
+            self.assertEqual(len(set(hosts)), 2)
+        self.assertEqual(choose_registrars("endpoint-1", {"host-1": "d"}), ["host-1"])
+        self.assertEqual(choose_registrars("endpoint-1", {}), [])
+
+
 if __name__ == "__main__":
     unittest.main()
