Tell the control hosts of endpoints, so that placement runs

Cause: no entry host sent placement reports; placement held its lease and never gave an order in a running deployment. Change: each host reports the endpoints it is a registrar of and the requests that found no copy; endpoints announce their model slots and the versions of their models; the stand-in engine refuses a load without a free slot.

--- a/buckthorndeal/_bench_engine.py
+++ b/buckthorndeal/_bench_engine.py
@@ -113,6 +113,16 @@
         """Models of the endpoint."""
         return self.work.models
 
+    @property
+    def versions(self) -> tuple[str, ...]:
+        """Versions of the models, in the same order."""
+        return self.work.versions
+
+    @property
+    def model_slots(self) -> int:
+        """Models that fit at once."""
+        return self.work.model_slots
+
     @property
     def slots(self) -> int:
         """Requests that run at once."""
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/_entry_messages.py
@@ -127,6 +127,11 @@
     """Asks the router task for every endpoint that has not left."""
 
 
+@dataclass(frozen=True, slots=True)
+class TakeUnserved:
+    """Asks for the requests that found no copy since the last call, by model."""
+
+
 @dataclass(frozen=True, slots=True)
 class ListHosts:
     """Asks the router task for a `DirectoryAnswer` without the hosts in `drained`."""
--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/_entry_reports.py
@@ -48,6 +48,7 @@
     adapters: tuple[str, ...]
     role: str
     slots: int
+    model_slots: int
     checks_fencing: bool
 
 
@@ -59,6 +60,7 @@
     running: int
     queued: int
     models: tuple[str, ...] | None
+    versions: tuple[str, ...] | None = None
     cache: tuple[CacheReport, ...] = ()
 
 
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -20,6 +20,7 @@
     PolicyFigures,
     Release,
     Route,
+    TakeUnserved,
     Tick,
 )
 from buckthorndeal._entry_peers import SendToPeer
@@ -72,6 +73,7 @@
         self._exchange = create_region_exchange(host, region)
         self._notices: list[tuple[str, Message]] = []
         self._attempts: dict[str, EndpointView] = {}
+        self._unserved: dict[str, int] = {}
         # Endpoints by service; built again after an endpoint came or went.
         self._candidates: dict[str, list[EndpointView]] = {}
 
@@ -136,6 +138,11 @@
     def _(self, message: ListEndpoints) -> object:
         return self._registry.list_endpoints()
 
+    @handle.register
+    def _(self, message: TakeUnserved) -> dict[str, int]:
+        unserved, self._unserved = self._unserved, {}
+        return unserved
+
     @handle.register
     def _(self, message: GetFigures) -> PolicyFigures:
         ejection = self._policy.router.ejection
@@ -239,6 +246,9 @@
         regions = self._list_regions(message, now_s)
         queue_s = self._admission.get_wait(request.service, request.priority)
         decision = self._policy.choose(message, candidates, regions, queue_s, now_s)
+        if not candidates and request.model is not None:
+            count = self._unserved.get(request.model, 0)
+            self._unserved[request.model] = count + 1
         if decision.endpoint is None and may_leave(request):
             self._exchange.record_demand(request.service, now_s)
         if decision.region is not None:
--- a/buckthorndeal/_standin_engine.py
+++ b/buckthorndeal/_standin_engine.py
@@ -100,6 +100,8 @@
         Blocks in the prefix cache.
     checks_fencing : bool
         Whether orders with an old fencing number are refused.
+    model_slots : int or None
+        Models that fit at once; None for as many as there are at the start.
     """
 
     def __init__(
@@ -111,8 +113,10 @@
         prefill_s: float = 0.0002,
         cache_blocks: int = 4096,
         checks_fencing: bool = True,
+        model_slots: int | None = None,
     ) -> None:
-        self.models = models
+        self.model_slots = max(1, len(models)) if model_slots is None else model_slots
+        self._versions = dict.fromkeys(models, "1")
         self.slots = slots
         self.checks_fencing = checks_fencing
         self.running = 0
@@ -172,6 +176,16 @@
         """Return what changed in the prefix cache since the last call."""
         return self._cache.take_reports()
 
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Loaded models."""
+        return tuple(self._versions)
+
+    @property
+    def versions(self) -> tuple[str, ...]:
+        """Versions of the loaded models, in the same order."""
+        return tuple(self._versions.values())
+
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
@@ -263,10 +277,12 @@
             raise RequestError("old_fencing", 409, f"fencing is at {self._fencing}")
         self._fencing = max(fencing, self._fencing)
         model = order["model"]
-        if order["action"] == "load" and model not in self.models:
-            self.models = (*self.models, model)
+        if order["action"] == "load" and model not in self._versions:
+            if len(self._versions) >= self.model_slots:
+                raise RequestError("no_model_slot", 409, "no model slot is free")
+            self._versions[model] = order["version"]
         elif order["action"] == "unload":
-            self.models = tuple(name for name in self.models if name != model)
+            self._versions.pop(model, None)
         result = {"models": self.models}
         self._orders[order["order_id"]] = result
         return result
--- a/buckthorndeal/_standin_plain.py
+++ b/buckthorndeal/_standin_plain.py
@@ -24,6 +24,8 @@
 
     def __init__(self, slots: int = 16, service_s: float = 0.005) -> None:
         self.models: tuple[str, ...] = ()
+        self.versions: tuple[str, ...] = ()
+        self.model_slots = 1
         self.slots = slots
         self.checks_fencing = False
         self.running = 0
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -77,13 +77,17 @@
 class LocalEndpoint(
     msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
 ):
-    """A stand-in endpoint; one with models is a model engine."""
+    """A stand-in endpoint; one with models is a model engine.
+
+    Without `model_slots` an engine has room for the models it starts with.
+    """
 
     name: str
     service: str
     region: str
     failure_domain: str
     models: tuple[str, ...] = ()
+    model_slots: int | None = None
 
 
 class Deployment(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -253,7 +257,9 @@
         endpoint.failure_domain,
         entry_hosts,
     )
-    work = StandinEngine(endpoint.models) if endpoint.models else StandinPlain()
+    work = StandinPlain()
+    if endpoint.models:
+        work = StandinEngine(endpoint.models, model_slots=endpoint.model_slots)
     return create_standin(settings, work, transport)
 
 
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -27,6 +27,7 @@
 )
 from buckthorndeal._entry_messages import DocumentView, GetDocument, HostSeen, Tick
 from buckthorndeal._entry_peers import PeerTask
+from buckthorndeal._entry_placement import PlacementReporter
 from buckthorndeal._entry_policy import RoutePolicy, create_policy
 from buckthorndeal._entry_pools import Pools
 from buckthorndeal._entry_prompts import create_prompt_hasher
@@ -253,6 +254,10 @@
             await curio.spawn(self._peers.run, daemon=True),
             await curio.spawn(self._relay.run, daemon=True),
         ]
+        reporter = PlacementReporter(
+            settings.host, settings.region, context.router, self._links
+        )
+        await self._owners.spawn(reporter.run)
         await self._join(datagrams)
         await self.claims.start(self._owners)
         self._ready = True
--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -47,6 +47,7 @@
     adapters: tuple[str, ...] = ()
     role: str = "serve"
     slots: Annotated[int, Meta(ge=1, le=100_000)] = 1
+    model_slots: Annotated[int, Meta(ge=1, le=1_000)] = 1
     checks_fencing: bool = False
 
 
@@ -95,6 +96,7 @@
     running: Count = 0
     queued: Count = 0
     models: tuple[str, ...] | None = None
+    versions: tuple[str, ...] | None = None
     cache: Annotated[tuple[CacheReport, ...], Meta(max_length=16)] = ()
 
 
@@ -166,6 +168,8 @@
             view.own_since_report = 0
             if message.models is not None:
                 view.models = message.models
+            if message.versions is not None:
+                view.versions = message.versions
         return outcome
 
     def drain(self, message: DrainNotice, now_s: float) -> Accepted | Refused:
--- a/buckthorndeal/standin.py
+++ b/buckthorndeal/standin.py
@@ -150,6 +150,7 @@
             "running": self.work.running,
             "queued": self.work.queued,
             "models": self.work.models,
+            "versions": self.work.versions,
             "cache": self.work.take_cache_reports(),
         }
 
@@ -162,6 +163,8 @@
             "address": settings.address,
             "port": self.port,
             "models": self.work.models,
+            "versions": self.work.versions,
+            "model_slots": self.work.model_slots,
             "slots": self.work.slots,
             "checks_fencing": self.work.checks_fencing,
         }
--- a/buckthorndeal/views.py
+++ b/buckthorndeal/views.py
@@ -23,6 +23,8 @@
         Endpoint name, unique in the deployment.
     incarnation : int
         Rises each time the endpoint process starts.
+    model_slots : int
+        Models that fit at once.
     slots : int
         Requests that the endpoint runs at once.
     running, queued : int
@@ -52,6 +54,7 @@
     versions: tuple[str, ...] = ()
     role: str = "serve"
     checks_fencing: bool = False
+    model_slots: int = 1
     slots: int = 1
     running: int = 0
     queued: int = 0
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -144,6 +144,7 @@
                     fencing=fencing,
                     action=action,
                     model="n",
+                    version="1",
                 )
 
             statuses = [
@@ -157,7 +158,22 @@
             ]
             return statuses, engine.models
 
-        self.assertEqual(self.run_engine(scenario), ([200, 409, 200, 200], ("m",)))
+        result = self.run_engine(scenario, model_slots=2)
+        self.assertEqual(result, ([200, 409, 200, 200], ("m",)))
+
+    def test_load_without_a_free_model_slot_is_refused(self):
+        """Guards against a load that takes the last copy of another model."""
+
+        async def scenario(engine, chat, post):
+            fields = {"fencing": 1, "model": "n", "version": "2"}
+            full, _ = await post("/orders", order_id="1", action="load", **fields)
+            order = {"order_id": "2", "action": "unload", "fencing": 1, "model": "m"}
+            await post("/orders", **order)
+            freed, _ = await post("/orders", order_id="3", action="load", **fields)
+            return full, freed, engine.models, engine.versions
+
+        result = self.run_engine(scenario)
+        self.assertEqual(result, (409, 200, ("n",), ("2",)))
 
 
 class StandinAnnounceTest(ClusterCase):
