Measure the size of the messages that are sent every second

Cause: docs/CAPACITY.md needs the bytes of reports; expired claims were counted with the table that they left behind. Change: bench state encodes reports and offers, and packs expired fingerprints.

--- a/buckthorndeal/_bench_state.py
+++ b/buckthorndeal/_bench_state.py
@@ -8,12 +8,18 @@
 
 import msgspec
 
+from buckthorndeal._control_messages import CONTROL_CODEC, PlacementReport
+from buckthorndeal._entry_placement import create_report
+from buckthorndeal._entry_regions import ServiceOffer, SpillOffer
+from buckthorndeal._entry_reports import EndpointLoad, EndpointReports
 from buckthorndeal.affinity import create_affinity
 from buckthorndeal.bench import Measurement
 from buckthorndeal.claims import ClaimEntry, ClaimSnapshot
 from buckthorndeal.document import create_document, hash_key
 from buckthorndeal.membership import HostRecord
 from buckthorndeal.registry import Announcement, create_registry
+from buckthorndeal.views import EndpointView
+from buckthorndeal.wire import create_codec
 
 __all__ = ["measure_state"]
 
@@ -24,6 +30,7 @@
 PREFIXES = 5_000
 PREFIX_BLOCKS = 8
 ANSWER_BYTES = 200
+FOLLOWED = 20
 REPEATS = 3
 
 
@@ -129,10 +136,10 @@
     return snapshot
 
 
-def _expire_claims() -> ClaimSnapshot:
+def _expire_claims() -> bytes:
     snapshot = _fill_claims()
     snapshot.drop_old(1.0)
-    return snapshot
+    return snapshot.expired.pack()
 
 
 def _fill_affinity() -> object:
@@ -144,6 +151,44 @@
     return affinity
 
 
+def _measure_messages() -> list[Measurement]:
+    """Return the encoded size of what is sent every second, without frames."""
+    loads = tuple(
+        EndpointLoad(f"engine-{number:03}", 1_764_800_000, 5, 2, ("model-12",), ("1",))
+        for number in range(FOLLOWED)
+    )
+    view = EndpointView(
+        "engine-001",
+        1_764_800_000,
+        "engine",
+        "region-1",
+        "domain-1",
+        "127.0.0.1",
+        9_000,
+        models=("model-12",),
+        versions=("1",),
+    )
+    offer = ServiceOffer("engine", 0.25, 12, 100, 3, 3.0)
+    codec = create_codec((EndpointReports, SpillOffer))
+    return [
+        Measurement(
+            "state.endpoint_load_message_bytes",
+            len(codec.encode(EndpointReports(loads))) / FOLLOWED,
+            "B",
+        ),
+        Measurement(
+            "state.placement_report_message_bytes",
+            len(CONTROL_CODEC.encode(PlacementReport((create_report(view),)))),
+            "B",
+        ),
+        Measurement(
+            "state.spill_offer_message_bytes",
+            len(codec.encode(SpillOffer((offer,)))),
+            "B",
+        ),
+    ]
+
+
 def measure_state() -> list[Measurement]:
     """Measure the state that grows with the deployment.
 
@@ -181,4 +226,5 @@
             _measure_bytes(_fill_affinity, PREFIXES * PREFIX_BLOCKS),
             "B",
         ),
+        *_measure_messages(),
     ]
