Tell the hosts of a region the names of all its endpoints

With registrars spread over the hosts, no host knows all endpoints of a large region. Registrars then chose different followers for an endpoint, and the others saw endpoints expire and return every few seconds. Each host now tells the others the names of the endpoints that report to it.

--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/_entry_reports.py
@@ -14,6 +14,7 @@
 from buckthorndeal._entry_peers import SendToPeer
 from buckthorndeal.mailbox import Mailbox, create_mailbox
 from buckthorndeal.registry import (
+    EXPIRY_S,
     Announcement,
     CacheReport,
     DrainNotice,
@@ -31,6 +32,10 @@
 MIN_WAIT_S = 0.002
 # Endpoints whose load a host follows; above today's sizes, so that all are followed.
 FOLLOWED_ENDPOINTS = 64
+# The hosts have to agree on who follows which endpoint, so each one tells the others
+# the names of the endpoints that report to it. Names outlast two lost notices.
+NAMES_S = 20.0
+NAME_RETENTION_S = 50.0
 
 
 class EndpointAnnounced(Message, tag="a"):
@@ -91,7 +96,13 @@
     names: tuple[str, ...]
 
 
-REPORT_MESSAGES = (EndpointReports, FetchEndpoints)
+class EndpointNames(Message):
+    """Notice: the endpoints that report to the sender."""
+
+    names: tuple[str, ...]
+
+
+REPORT_MESSAGES = (EndpointReports, FetchEndpoints, EndpointNames)
 REPORT_TYPES: dict[type, type] = {
     Announcement: EndpointAnnounced,
     Heartbeat: EndpointLoad,
@@ -113,7 +124,7 @@
 class ReportsReceived:
     """Tells the relay of a message of another entry host."""
 
-    message: EndpointReports | FetchEndpoints
+    message: EndpointReports | FetchEndpoints | EndpointNames
     host: str
 
 
@@ -148,6 +159,11 @@
         self._now = now
         self._waiting: dict[tuple[str, type], Report] = {}
         self._due_s = 0.0
+        # Endpoints that report to this host, and all that hosts of the region name;
+        # with the time of the last news.
+        self._own: dict[str, float] = {}
+        self._named: dict[str, float] = {}
+        self._names_due_s = 0.0
         self._assigned: tuple[tuple, dict[str, tuple[str, ...]]] = ((), {})
 
     async def run(self) -> None:
@@ -168,8 +184,11 @@
     async def _handle(self, message: object) -> None:
         if isinstance(message, EndpointTold):
             self._store(_create_report(message.message))
+            self._note_own(message.message)
         elif isinstance(message.message, FetchEndpoints):
             await self._send_descriptions(message.message, message.host)
+        elif isinstance(message.message, EndpointNames):
+            await self._note_names(message.message, message.host)
         else:
             await self._apply(message.message, message.host)
 
@@ -182,12 +201,46 @@
         self._waiting.pop(key, None)
         self._waiting[key] = report
 
+    def _note_own(
+        self, message: Announcement | Heartbeat | DrainNotice | LeaveNotice
+    ) -> None:
+        now_s = self._now()
+        if isinstance(message, LeaveNotice):
+            self._own.pop(message.name, None)
+            self._named.pop(message.name, None)
+            return
+        if message.name not in self._own:
+            self._names_due_s = now_s
+        self._own[message.name] = now_s
+
+    async def _note_names(self, message: EndpointNames, host: str) -> None:
+        if await self._is_neighbour(host):
+            self._named |= dict.fromkeys(message.names, self._now())
+
+    async def _send_names(self, hosts: list[str]) -> None:
+        now_s = self._now()
+        self._names_due_s = now_s + NAMES_S
+        names = EndpointNames(tuple(self._own))
+        for host in hosts:
+            if host != self._host:
+                await self._peers.send(SendToPeer(host, names))
+
+    def _drop_old_names(self) -> None:
+        now_s = self._now()
+        for seen, limit_s in ((self._own, EXPIRY_S), (self._named, NAME_RETENTION_S)):
+            for name in [each for each in seen if now_s - seen[each] > limit_s]:
+                del seen[name]
+
     async def _flush(self) -> None:
         reports, self._waiting = list(self._waiting.values()), {}
         records = await self._router.ask(ListRegionHosts(self._region))
         hosts = [record.host for record in records if record.state != "lost"]
+        self._drop_old_names()
+        if self._own and self._now() >= self._names_due_s:
+            await self._send_names(hosts)
         views = await self._router.ask(ListEndpoints())
-        subsets = self._assign({*hosts, self._host}, {view.name for view in views})
+        names = {view.name for view in views} | {*self._own} | {*self._named}
+        subsets = self._assign({*hosts, self._host}, names)
         for host in hosts:
             followed = set(subsets[host])
             chosen = tuple(
@@ -209,6 +262,8 @@
             return
         unknown = []
         for report in message.reports:
+            if isinstance(report, EndpointLeft):
+                self._named.pop(report.name, None)
             model = REGISTRY_TYPES[type(report)]
             told = model(**msgspec.structs.asdict(report))
             outcome = await self._router.ask(told)
