Lend spill credits at small sizes

What may be lent is now computed for the whole region, rounded once and divided between its hosts. Headroom and hysteresis apply to the free slots before that limit, so that a limit of one credit can be lent.

--- a/buckthorndeal/_entry_admission.py
+++ b/buckthorndeal/_entry_admission.py
@@ -148,9 +148,9 @@
         slots = self._shares.get(service, (0, 0))[1]
         return 0 if admission is None or not slots else admission.get_spare()
 
-    def get_share(self, service: str) -> int:
-        """Return this host's share of the service's slots."""
-        return self._shares.get(service, (0, 0))[0]
+    def get_bound(self, service: str) -> int:
+        """Return how many requests the region's hosts may run together."""
+        return self._shares.get(service, (0, 0))[1]
 
     def release(self, ticket_id: str, now_s: float) -> None:
         """End a request in any state; an unknown id is ignored."""
--- a/buckthorndeal/_entry_regions.py
+++ b/buckthorndeal/_entry_regions.py
@@ -80,9 +80,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceLoad:
-    """Spare capacity of this host for a service, and its callers' wait."""
+    """Spare capacity of this host for a service, and its callers' wait.
+
+    Parameters
+    ----------
+    spare : int
+        Free slots of this host.
+    limit : int
+        This host's part of what the region may lend.
+    """
 
     spare: int
+    limit: int
     wait_s: float
 
 
@@ -200,7 +209,7 @@
             if service not in self._grantors:
                 self._grantors[service] = create_grantor(self._region)
             grantor = self._grantors[service]
-            summary = grantor.summarize(load.wait_s, load.spare, now_s)
+            summary = grantor.summarize(load.wait_s, load.spare, now_s, load.limit)
             wants = {
                 host: wanted[service]
                 for host, wanted in asks.items()
@@ -208,7 +217,7 @@
             }
             grants = {
                 grant.borrower: grant
-                for grant in grantor.grant(load.spare, wants, now_s)
+                for grant in grantor.grant(load.spare, wants, now_s, load.limit)
             }
             for host in offers:
                 offers[host].append(_create_offer(service, summary, grants.get(host)))
@@ -240,6 +249,31 @@
     )
 
 
+def compute_limit(slots: int, spill_share: float, position: int, hosts: int) -> int:
+    """Return one host's part of the slots that a region may lend.
+
+    The parts of all hosts add up to the region's whole number, so that small
+    parts are not all rounded down to zero.
+
+    Parameters
+    ----------
+    slots : int
+        Slots of the whole region.
+    spill_share : float
+        Share of them that may be lent.
+    position, hosts : int
+        Position of the host among the region's hosts, and their number.
+
+    Returns
+    -------
+    int
+        Slots that this host may lend.
+    """
+    # The tolerance keeps a product such as 0.29 x 100 from losing a whole slot.
+    total = int(spill_share * slots + 1e-9)
+    return total * (position + 1) // hosts - total * position // hosts
+
+
 def create_region_exchange(host: str, region: str) -> RegionExchange:
     """Create the exchange of one host, with nothing lent or held."""
     return RegionExchange(host, region)
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/_entry_router.py
@@ -27,6 +27,7 @@
 from buckthorndeal._entry_regions import (
     ServiceLoad,
     SpillReceived,
+    compute_limit,
     create_region_exchange,
 )
 from buckthorndeal.directory import Directory, HostRecord
@@ -278,11 +279,12 @@
     def _exchange_credits(self, document: DocumentView, now_s: float) -> None:
         region = document.platform.regions.get(self._region)
         lent = region.spill_share if region is not None else 0.0
+        position, count = self._find_position()
         loads = {
             service: ServiceLoad(
-                min(
-                    self._admission.get_spare(service),
-                    int(lent * self._admission.get_share(service)),
+                self._admission.get_spare(service),
+                compute_limit(
+                    self._admission.get_bound(service), lent, position, count
                 ),
                 self._policy.router.get_wait(service),
             )
@@ -293,6 +295,16 @@
         ).hosts
         self._notices += self._exchange.step(loads, hosts, now_s)
 
+    def _find_position(self) -> tuple[int, int]:
+        """Return this host's position among the region's hosts, and their number."""
+        names = {
+            record.host
+            for record in self._directory.list_region(self._region)
+            if record.state == "alive"
+        }
+        ordered = sorted(names | {self._host})
+        return ordered.index(self._host), len(ordered)
+
     def _list_candidates(self, message: ChooseRoute) -> list[EndpointView]:
         service = message.request.service
         refused = message.document.support.refused_endpoints
--- a/buckthorndeal/credits.py
+++ b/buckthorndeal/credits.py
@@ -66,7 +66,11 @@
         return self._open
 
     def grant(
-        self, spare: int, requests: Mapping[str, int], now_s: float
+        self,
+        spare: int,
+        requests: Mapping[str, int],
+        now_s: float,
+        limit: int | None = None,
     ) -> list[CreditGrant]:
         """Split the spare capacity between the regions that ask.
 
@@ -78,13 +82,15 @@
             Credits wanted by each region in this round.
         now_s : float
             Clock reading.
+        limit : int, optional
+            Largest number of credits that may be lent.
 
         Returns
         -------
         list of CreditGrant
             One for each region that asked, also with zero credits.
         """
-        usable = self._update_spare(spare, now_s)
+        usable = self._update_spare(spare, now_s, limit)
         usable -= self._count_others(requests, now_s)
         shares = split_fairly(max(0, usable), requests, self._number)
         return [
@@ -105,21 +111,28 @@
         allowance.credits -= 1
         return True
 
-    def summarize(self, wait_s: float, spare: int, now_s: float) -> RegionSummary:
+    def summarize(
+        self, wait_s: float, spare: int, now_s: float, limit: int | None = None
+    ) -> RegionSummary:
         """Return the summary for the other regions; called at each interval.
 
         Lending opens here: a region is only asked once its summary shows spare
         capacity.
         """
-        return RegionSummary(self._region, wait_s, self._update_spare(spare, now_s))
+        usable = self._update_spare(spare, now_s, limit)
+        return RegionSummary(self._region, wait_s, usable)
 
     def _create_grant(self, region: str, amount: int, now_s: float) -> CreditGrant:
         self._number += 1
         self._allowances[region] = _Allowance(amount, now_s + self._lifetime_s)
         return CreditGrant(self._region, region, self._number, amount, self._lifetime_s)
 
-    def _update_spare(self, spare: int, now_s: float) -> int:
-        """Return what may be lent; a fall counts at once, a rise slowly."""
+    def _update_spare(self, spare: int, now_s: float, limit: int | None) -> int:
+        """Return what may be lent; a fall counts at once, a rise slowly.
+
+        Lending opens and closes by the spare capacity before the limit, so that
+        a limit of one credit can be lent at all and keeps the hysteresis.
+        """
         elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
         first = self._updated_s is None
         self._updated_s = now_s
@@ -132,7 +145,9 @@
         elif not self._open and now_s >= self._closed_until_s:
             self._open = usable >= OPEN_CREDITS
             self._opened_s = now_s
-        return usable if self._open else 0
+        if not self._open:
+            return 0
+        return usable if limit is None else min(usable, limit)
 
     def _close(self, now_s: float) -> None:
         short = now_s - self._opened_s < SHORT_OPEN_S
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -72,6 +72,16 @@
             granted = self._grant(20, float(second), b=5)
         self.assertEqual(granted, {"b": 5})
 
+    def test_limit_of_one_credit_is_lent_with_hysteresis(self):
+        """Guards against a small region that never lends, or flaps when it does."""
+        for spare, second, credits in ((2, 0, 0), (3, 1, 0), (5, 9, 1), (2, 10, 1)):
+            grants = self.grantor.grant(spare, {"b": 4}, float(second), limit=1)
+            self.assertEqual([grant.credits for grant in grants], [credits])
+        self.assertFalse(self.grantor.redeem("b", 0, 10.1))
+        self.assertTrue(self.grantor.redeem("b", 1, 10.1))
+        self.assertEqual(self.grantor.grant(1, {"b": 4}, 11.0, limit=1)[0].credits, 0)
+        self.assertEqual(self.grantor.grant(5, {"b": 4}, 12.0, limit=1)[0].credits, 0)
+
 
 class BorrowerTest(unittest.TestCase):
     def setUp(self):
--- a/tests/test_entry_regions.py
+++ b/tests/test_entry_regions.py
@@ -3,7 +3,7 @@
 import unittest
 
 from buckthorndeal._entry_messages import NO_CREDIT, Admit, ChooseRoute, Release, Tick
-from buckthorndeal._entry_regions import SpillReceived
+from buckthorndeal._entry_regions import SpillReceived, compute_limit
 from buckthorndeal._entry_router import WAITING
 from buckthorndeal.authentication import Identity
 from buckthorndeal.errors import RequestError, Verdict
@@ -25,12 +25,12 @@
 class _Pair:
     """Host ``e1`` in region ``r1`` without spare slots, and ``e2`` in ``r2``."""
 
-    def __init__(self):
+    def __init__(self, spare_slots=64):
         hosts = (("e1", "r1"), ("e2", "r2"))
         self.full = Host("e1", hosts, region="r1")
         self.spare = Host("e2", hosts, region="r2")
         self.full.announce("x", service="desk", slots=1)
-        self.spare.announce("y", service="desk", slots=64)
+        self.spare.announce("y", service="desk", slots=spare_slots)
         self.is_cut = False
         self.count = 0
 
@@ -97,6 +97,19 @@
         pair.press(3)
         self.assertEqual(pair.press(3), [])
 
+    def test_region_with_four_slots_lends_one(self):
+        """Guards against spill credits that are rounded down to none."""
+        pair = _Pair(spare_slots=4)
+        self.assertEqual(set(pair.press(8)), {"r2"})
+        self.assertEqual(pair.press(4, bound=True), [])
+
+    def test_parts_of_the_hosts_add_up_to_the_share_of_the_region(self):
+        """Guards against slots lost, or lent twice, by rounding on each host."""
+        for slots, hosts, total in ((15, 2, 3), (5, 1, 1), (5, 3, 1), (64, 7, 12)):
+            parts = [compute_limit(slots, 0.2, host, hosts) for host in range(hosts)]
+            self.assertEqual(sum(parts), total)
+            self.assertLessEqual(max(parts) - min(parts), 1)
+
     def test_bound_request_and_booking_are_never_moved(self):
         """Guards against permit data and claims that leave their home."""
         pair = _Pair()
