Say why a daemon cannot start

Cause: a port in use ended the local deployment with an AttributeError, because a task group does not raise the error of its tasks. Change: StartError with the reason, status 1, in the three daemons' commands. Measured: the new test of a port in use fails without the change.

--- a/buckthorndeal/command_control.py
+++ b/buckthorndeal/command_control.py
@@ -10,14 +10,14 @@
 from buckthorndeal.control import create_control
 from buckthorndeal.daemons import run_daemon
 from buckthorndeal.document import create_document
-from buckthorndeal.errors import SettingsError, StoreError, ValidationError
+from buckthorndeal.errors import SettingsError, StartError, StoreError, ValidationError
 from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import ControlSettings, load_settings
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["define_flags", "load_initial_texts", "main", "run"]
 
-EXIT_STORE = 1
+EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 SECTION_SUFFIX = ".jsonc"
 
@@ -93,9 +93,9 @@
     daemon = create_control(settings, texts, create_socket_transport())
     try:
         curio.run(run_daemon, daemon)
-    except StoreError as error:
-        log_event("control_store_error", reason=str(error))
-        return EXIT_STORE
+    except (StartError, StoreError) as error:
+        log_event("control_failed", reason=str(error))
+        return EXIT_FAILURE
     return 0
 
 
--- a/buckthorndeal/command_entry.py
+++ b/buckthorndeal/command_entry.py
@@ -7,14 +7,14 @@
 
 from buckthorndeal.daemons import run_daemon
 from buckthorndeal.entry import create_entry_host
-from buckthorndeal.errors import DocumentError, SettingsError, StoreError
+from buckthorndeal.errors import DocumentError, SettingsError, StartError, StoreError
 from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import EntrySettings, load_settings
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["run"]
 
-STORE_STATUS = 1
+FAILURE_STATUS = 1
 SETTINGS_STATUS = 2
 FLAGS = flags.FLAGS
 
@@ -39,9 +39,9 @@
     except (SettingsError, DocumentError) as error:
         print(error, file=sys.stderr)
         return SETTINGS_STATUS
-    except StoreError as error:
-        log_event("entry_store_error", reason=str(error))
-        return STORE_STATUS
+    except (StartError, StoreError) as error:
+        log_event("entry_failed", reason=str(error))
+        return FAILURE_STATUS
     return None
 
 
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -11,12 +11,12 @@
 from absl import app, flags
 
 from buckthorndeal._entry_messages import ListEndpoints, ListHosts
-from buckthorndeal.command_entry import SETTINGS_STATUS, STORE_STATUS
+from buckthorndeal.command_entry import FAILURE_STATUS, SETTINGS_STATUS
 from buckthorndeal.control import ControlDaemon, create_control
 from buckthorndeal.daemons import run_daemon
 from buckthorndeal.document import create_document
 from buckthorndeal.entry import EntryHost, create_entry_host
-from buckthorndeal.errors import DocumentError, SettingsError, StoreError
+from buckthorndeal.errors import DocumentError, SettingsError, StartError, StoreError
 from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import (
     Address,
@@ -143,6 +143,9 @@
         async with curio.TaskGroup() as group:
             for part in (*self.controls, *self.hosts):
                 await group.spawn(part.start)
+        failed = [error for error in group.exceptions if error is not None]
+        if failed:
+            raise failed[0]
         for endpoint in self._deployment.endpoints:
             addresses = self._list_addresses(endpoint.region)
             standin = _create_endpoint(endpoint, addresses, self._transport)
@@ -333,9 +336,9 @@
     except (SettingsError, DocumentError) as error:
         print(error, file=sys.stderr)
         return SETTINGS_STATUS
-    except StoreError as error:
-        log_event("local_store_error", reason=str(error))
-        return STORE_STATUS
+    except (StartError, StoreError) as error:
+        log_event("local_failed", reason=str(error))
+        return FAILURE_STATUS
     return None
 
 
--- a/buckthorndeal/daemons.py
+++ b/buckthorndeal/daemons.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from buckthorndeal.errors import StartError
 from buckthorndeal.logs import log_event
 
 __all__ = ["Daemon", "run_daemon"]
@@ -65,14 +66,20 @@
 
     Raises
     ------
+    StartError
+        If an address cannot be used.
     BuckthorndealError
-        If the daemon cannot start or cannot go on.
+        If the daemon cannot start for another reason, or cannot go on.
     """
     signals = _DrainSignals()
     signals.install()
     stopping = await curio.spawn(signals.event.wait)
     starting = await curio.spawn(daemon.start)
-    if await _is_first(stopping, starting):
+    try:
+        interrupted = await _is_first(stopping, starting)
+    except OSError as error:
+        raise StartError(f"cannot start: {error}") from error
+    if interrupted:
         log_event("start_interrupted")
         return
     if on_ready is not None:
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -16,6 +16,7 @@
     "PeerError",
     "RequestError",
     "SettingsError",
+    "StartError",
     "StoreError",
     "ValidationError",
     "Verdict",
@@ -66,6 +67,10 @@
         self.allowed = allowed
 
 
+class StartError(BuckthorndealError):
+    """A daemon cannot start, for example because its port is in use."""
+
+
 class WireError(BuckthorndealError):
     """A message of the peer protocol cannot be used."""
 
--- a/tests/test_command_entry.py
+++ b/tests/test_command_entry.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -128,6 +129,20 @@
         self.assertIn("services", process.stderr.read())
         self.assertEqual(process.wait(timeout=10), 2)
 
+    def test_port_in_use_ends_the_start_with_a_clear_reason(self):
+        """Guards against a start that fails with an unrelated error."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            with open(self.config, encoding="utf-8") as stream:
+                settings = json.load(stream)
+            settings["listen"]["port"] = listener.getsockname()[1]
+            self.config = self.write("entry.jsonc", json.dumps(settings))
+            process = self.start()
+            _, output = process.communicate(timeout=20)
+        self.assertEqual(process.returncode, 1)
+        event = json.loads(output.splitlines()[-1])
+        self.assertEqual(event["event"], "entry_failed")
+        self.assertIn("in use", event["reason"])
+
 
 if __name__ == "__main__":
     unittest.main()
