Make new data directories durable, with one set of file functions

Cause: the claim store and the entry host's document store synced their files but not the entry of a directory that they had made, so a power failure could remove it with its claims; four modules replaced files in their own ways. Change: _files.make_directory, sync_directory and replace_file, used by all.

--- a/buckthorndeal/_claim_disk.py
+++ b/buckthorndeal/_claim_disk.py
@@ -1,5 +1,6 @@
 """Disk form of the claim store."""
 
+import itertools
 import os
 import secrets
 import zlib
@@ -14,10 +15,10 @@
     encode_snapshot,
 )
 from buckthorndeal._claim_store import ClaimStore
+from buckthorndeal._files import make_directory, replace_file
 from buckthorndeal.errors import CorruptStoreError, StoreError
 
 FILE_NAME = "claims.log"
-NEW_FILE_NAME = "claims.new"
 MAGIC = b"BKDCLM1\n"
 LENGTH_BYTES = 4
 CHECKSUM_BYTES = 4
@@ -38,8 +39,7 @@
     """
 
     def __init__(self, directory: str) -> None:
-        os.makedirs(directory, exist_ok=True)
-        self._directory = directory
+        make_directory(directory)
         self._path = os.path.join(directory, FILE_NAME)
         self._appended: list[Record] = []
         self._failed = False
@@ -99,14 +99,8 @@
             raise StoreError(f"{self._path}: store is closed or failed before")
 
     def _replace_file(self, payloads: Iterable[bytes]) -> None:
-        new_path = os.path.join(self._directory, NEW_FILE_NAME)
-        with open(new_path, "wb", buffering=0) as file:
-            _write_all(file, MAGIC)
-            for payload in payloads:
-                _write_all(file, _create_frame(payload))
-            os.fsync(file.fileno())
-        os.replace(new_path, self._path)
-        _sync_directory(self._directory)
+        frames = (_create_frame(payload) for payload in payloads)
+        replace_file(self._path, itertools.chain((MAGIC,), frames))
 
     def _read(self) -> ClaimSnapshot:
         with open(self._path, "rb") as file:
@@ -163,11 +157,3 @@
     view = memoryview(data)
     while view:
         view = view[file.write(view) :]
-
-
-def _sync_directory(directory: str) -> None:
-    descriptor = os.open(directory, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
--- a/buckthorndeal/_entry_store.py
+++ b/buckthorndeal/_entry_store.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from buckthorndeal._control_messages import DocumentContent
+from buckthorndeal._files import make_directory, replace_file
 from buckthorndeal.document import Document, create_document, restore_document
 from buckthorndeal.errors import CorruptStoreError, StoreError, ValidationError
 
 FILE_NAME = "document"
-NEW_FILE_NAME = "document.new"
 MAGIC = b"BKDDOC1\n"
 CHECKSUM_BYTES = 4
 
@@ -45,8 +45,7 @@
     """
 
     def __init__(self, directory: str) -> None:
-        os.makedirs(directory, exist_ok=True)
-        self._directory = directory
+        make_directory(directory)
         self._path = os.path.join(directory, FILE_NAME)
 
     def load(self) -> Document | None:
@@ -83,21 +82,7 @@
         """
         payload = msgspec.msgpack.encode(create_content(document))
         checksum = zlib.crc32(payload).to_bytes(CHECKSUM_BYTES, "big")
-        new_path = os.path.join(self._directory, NEW_FILE_NAME)
         try:
-            with open(new_path, "wb") as file:
-                file.write(MAGIC + checksum + payload)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(new_path, self._path)
-            _sync_directory(self._directory)
+            replace_file(self._path, [MAGIC, checksum, payload])
         except OSError as error:
             raise StoreError(f"{self._path}: {error}") from error
-
-
-def _sync_directory(directory: str) -> None:
-    descriptor = os.open(directory, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
--- /dev/null
+++ b/buckthorndeal/_files.py
@@ -0,0 +1,56 @@
+"""Durable changes of files and directories."""
+
+import os
+from collections.abc import Iterable
+
+__all__ = ["make_directory", "replace_file", "sync_directory"]
+
+TEMPORARY_SUFFIX = ".new"
+
+
+def make_directory(path: str) -> None:
+    """Make a directory and its parents; their entries are durable on return."""
+    path = os.path.abspath(path)
+    if os.path.isdir(path):
+        return
+    parent = os.path.dirname(path)
+    make_directory(parent)
+    os.makedirs(path, exist_ok=True)
+    sync_directory(parent)
+
+
+def sync_directory(path: str) -> None:
+    """Make the entries of a directory durable."""
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: str, parts: Iterable[bytes], mode: int = 0o644) -> None:
+    """Replace a file as a whole; its content is durable on return.
+
+    Parameters
+    ----------
+    path : str
+        The file; a crash leaves either the old or the new content.
+    parts : iterable of bytes
+        The content, one part after the other.
+    mode : int
+        Permissions of a new file.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be written.
+    """
+    temporary = path + TEMPORARY_SUFFIX
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    with os.fdopen(os.open(temporary, flags, mode), "wb") as stream:
+        for part in parts:
+            stream.write(part)
+        stream.flush()
+        os.fsync(stream.fileno())
+    os.replace(temporary, path)
+    sync_directory(os.path.dirname(path) or ".")
--- a/buckthorndeal/_logstore_disk.py
+++ b/buckthorndeal/_logstore_disk.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from buckthorndeal._consensus_records import Ballot, Entry, Snapshot, select_suffix
+from buckthorndeal._files import make_directory, sync_directory
 from buckthorndeal.errors import CorruptStoreError, StoreError
 from buckthorndeal.logstore import LogStore, StoredState
 
@@ -175,7 +176,7 @@
 
     def _open_directory(self) -> int:
         try:
-            os.makedirs(self._directory, exist_ok=True)
+            make_directory(self._directory)
             descriptor = os.open(self._directory, os.O_RDONLY | os.O_DIRECTORY)
         except OSError as error:
             raise StoreError(f"{self._directory}: {error.strerror}") from error
@@ -196,13 +197,7 @@
             self._replace("ballot", [_ENCODER.encode(Ballot())])
             self._replace("identity", [_ENCODER.encode(incarnation)])
             # The directory's own entry must survive together with its content.
-            parent = os.open(
-                os.path.dirname(os.path.abspath(self._directory)), os.O_RDONLY
-            )
-            try:
-                os.fsync(parent)
-            finally:
-                os.close(parent)
+            sync_directory(os.path.dirname(os.path.abspath(self._directory)))
 
     def _read_state(self) -> StoredState:
         ballot = self._read_single("ballot", Ballot)
--- a/buckthorndeal/operations.py
+++ b/buckthorndeal/operations.py
@@ -22,6 +22,7 @@
     SectionBody,
     StatusBody,
 )
+from buckthorndeal._files import replace_file
 from buckthorndeal._operations_client import (
     ControlClient,
     create_control_client,
@@ -132,8 +133,8 @@
     """Write a section's text to `file`, and its revision next to it."""
     body = await get_section(client, section)
     pending = _PendingChange(section=section, base_revision=body.revision)
-    _write_file(_name_pending(file), msgspec.json.encode(pending))
-    _write_file(file, body.text.encode())
+    replace_file(_name_pending(file), [msgspec.json.encode(pending)])
+    replace_file(file, [body.text.encode()])
     return body
 
 
@@ -155,7 +156,7 @@
     if not pending.change_id or pending.text_hash != text_hash:
         pending.change_id = secrets.token_hex(16)
         pending.text_hash = text_hash
-        _write_file(_name_pending(file), msgspec.json.encode(pending))
+        replace_file(_name_pending(file), [msgspec.json.encode(pending)])
     body = ChangeBody(
         base_revision=pending.base_revision, change_id=pending.change_id, text=text
     )
@@ -170,7 +171,7 @@
     if isinstance(answer, ChangeAccepted):
         pending.base_revision = answer.section_revision
     pending.change_id = ""
-    _write_file(_name_pending(file), msgspec.json.encode(pending))
+    replace_file(_name_pending(file), [msgspec.json.encode(pending)])
 
 
 async def rotate_key(
@@ -199,7 +200,7 @@
     finally:
         await client.close()
     if isinstance(answer, ChangeAccepted):
-        _write_file(key_file, f"{content['key']}\n".encode(), KEY_FILE_MODE)
+        replace_file(key_file, [f"{content['key']}\n".encode()], KEY_FILE_MODE)
     os.remove(f"{key_file}.pending")
     return answer
 
@@ -215,7 +216,7 @@
         "change_id": secrets.token_hex(16),
         "key": secrets.token_hex(KEY_BYTES),
     }
-    _write_file(file, json.dumps(content).encode(), KEY_FILE_MODE)
+    replace_file(file, [json.dumps(content).encode()], KEY_FILE_MODE)
     return content
 
 
@@ -303,22 +304,6 @@
     return f"{file}.change"
 
 
-def _write_file(file: str, data: bytes, mode: int = 0o644) -> None:
-    """Replace a file; its content is durable on return."""
-    temporary = f"{file}.tmp"
-    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, mode)
-    with os.fdopen(descriptor, "wb") as stream:
-        stream.write(data)
-        stream.flush()
-        os.fsync(stream.fileno())
-    os.replace(temporary, file)
-    directory = os.open(os.path.dirname(file) or ".", os.O_RDONLY)
-    try:
-        os.fsync(directory)
-    finally:
-        os.close(directory)
-
-
 def _quote(section: str) -> str:
     return quote(section, safe="")
 
