Hand the claims over before a primary stops

Bookings of a region paused for the takeover silence at each planned restart of the primary of its claims. A draining primary now refuses new claims until the granted ones have ended, offers the lead to its backup, gives up its lease and tells the backup to take over at once. The backup's token is void after another copy of entries, so that a late message of a former process cannot end the lease of the present one.

--- a/buckthorndeal/_entry_claims.py
+++ b/buckthorndeal/_entry_claims.py
@@ -21,6 +21,7 @@
 from buckthorndeal.ledger import (
     ClaimReply,
     Grant,
+    HandOver,
     HostLost,
     LedgerOptions,
     Outcome,
@@ -43,6 +44,10 @@
 # A larger answer would not fit into a frame to the backup.
 MAX_RECORDED_BYTES = 4_194_304
 
+# The ledger gives up a handover after 1 s; the rest is for the reply.
+HANDOVER_TIMEOUT_S = 1.5
+HANDOVER_POLL_S = 0.02
+
 ClaimKey = tuple[str, str]
 
 
@@ -116,6 +121,16 @@
         """Stop the ledger and close its store."""
         await self._service.close()
 
+    async def hand_over(self) -> None:
+        """Let the backup lead before this host stops; wait until it does.
+
+        Without a backup, or if it does not take over in time, nothing changes.
+        """
+        await self._service.handle(HandOver())
+        async with curio.ignore_after(HANDOVER_TIMEOUT_S):
+            while self.primary == self._host and self._ledger.view.backup:
+                await curio.sleep(HANDOVER_POLL_S)
+
     async def _send(self, host: str, message: Message) -> None:
         await self._peers.send(SendToPeer(host, message))
 
--- a/buckthorndeal/_ledger_claims.py
+++ b/buckthorndeal/_ledger_claims.py
@@ -15,6 +15,7 @@
     ClaimReply,
     Effect,
     Grant,
+    HandOver,
     HostLost,
     MarkDispatched,
     Outcome,
@@ -24,7 +25,8 @@
     ViewLearned,
     get_host,
 )
-from buckthorndeal._ledger_replica import LedgerOptions, Replica
+from buckthorndeal._ledger_options import LedgerOptions
+from buckthorndeal._ledger_replica import Replica
 from buckthorndeal.wire import Message
 
 
@@ -89,6 +91,7 @@
         self._refuse_due(now_s)
         self._end_waits(now_s)
         self.tick_view(now_s)
+        self._hand_over(now_s)
         if now_s - self._expired_s >= self._options.expire_every_s:
             self._expired_s = now_s
             self._drop_old(now_s)
@@ -134,6 +137,17 @@
     def _(self, message: HostLost, now_s: float) -> None:
         self.handle_lost_host(message, now_s)
 
+    @_handle.register
+    def _(self, message: HandOver, now_s: float) -> None:
+        self.start_handover(now_s)
+        self._hand_over(now_s)
+
+    def _hand_over(self, now_s: float) -> None:
+        """Hand over once no answer of a granted claim is outstanding."""
+        is_idle = not (self._pending or self._running or self._recording)
+        if is_idle and self.is_handing_over(now_s):
+            self.tick_handover(now_s)
+
     @_handle.register
     def _(self, message: Persisted, now_s: float) -> None:
         synced, effects = self._writer.finish(message.batch)
@@ -174,6 +188,9 @@
         self._reply(claim, Outcome.ANSWERED, status=entry.status, body=entry.body)
 
     def _start_attempt(self, claim: Claim, attempt: int, now_s: float) -> None:
+        if self.is_handing_over(now_s):
+            self._redirect(claim)
+            return
         if len(self._pending) >= self._options.max_pending:
             self._reply(claim, self._get_refusal(now_s))
             return
--- a/buckthorndeal/_ledger_messages.py
+++ b/buckthorndeal/_ledger_messages.py
@@ -44,7 +44,43 @@
     sender: str
 
 
-LEDGER_MESSAGES = (CopyClaims, ClaimsCopied, CopyRefused, FetchClaims)
+class OfferHandover(Message):
+    """The primary is about to stop and its backup has everything."""
+
+    view: LedgerView
+    sender: str
+
+
+class HandoverAccepted(Message):
+    """The backup is ready to take over; `token` is good for one attempt."""
+
+    view: LedgerView
+    sender: str
+    token: int
+
+
+class TakeOver(Message):
+    """Asks the backup to take over at once; the primary has given up its lease.
+
+    The token is void once the backup receives another `CopyClaims`. A late message
+    of a former process of the primary therefore has no effect on the lease of the
+    present one.
+    """
+
+    view: LedgerView
+    sender: str
+    token: int
+
+
+LEDGER_MESSAGES = (
+    CopyClaims,
+    ClaimsCopied,
+    CopyRefused,
+    FetchClaims,
+    OfferHandover,
+    HandoverAccepted,
+    TakeOver,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +162,11 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Tells that the host stops soon; the backup has to take over if it leads."""
+
+
 @dataclass(frozen=True, slots=True)
 class Persisted:
     """The records of a `Persist` are synced."""
--- a/buckthorndeal/_ledger_replica.py
+++ b/buckthorndeal/_ledger_replica.py
@@ -3,7 +3,6 @@
 import functools
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from absl import logging
 
@@ -22,61 +21,19 @@
     CopyRefused,
     Effect,
     FetchClaims,
+    HandoverAccepted,
     HostLost,
+    OfferHandover,
     SendTo,
+    TakeOver,
     ViewLearned,
     get_host,
 )
+from buckthorndeal._ledger_options import LedgerOptions
 from buckthorndeal._ledger_writer import Writer
 from buckthorndeal.wire import Message
 
 
-@dataclass(frozen=True)
-class LedgerOptions:
-    """Times of the ledger in seconds.
-
-    Parameters
-    ----------
-    backup_timeout_s : float
-        Wait for an acknowledgement before a view without the backup is asked for.
-    takeover_silence_s : float
-        Silence of the primary before the backup asks to take over.
-    lease_s : float
-        Time after sending an acknowledged message in which the primary is sure to
-        be the owner. It is shorter than the silence by the drift of the clocks.
-    refuse_before_s : float
-        How long before the end of the lease waiting claims are refused.
-    grant_timeout_s : float
-        Longest wait of a claim.
-    ask_retry_s, join_retry_s : float
-        Time between repetitions.
-    resume_s : float
-        Time after its last request to take over in which a backup acknowledges
-        nothing.
-    join_timeout_s : float
-        Silence after which a joining replica is given up.
-    answer_retention_s : float
-        Age at which entries are reduced to their fingerprint.
-    expire_every_s : float
-        Time between searches for old entries.
-    max_pending : int
-        Claims that wait at once.
-    """
-
-    backup_timeout_s: float = 1.0
-    takeover_silence_s: float = 2.5
-    lease_s: float = 2.0
-    refuse_before_s: float = 0.3
-    grant_timeout_s: float = 5.0
-    ask_retry_s: float = 1.0
-    join_retry_s: float = 1.0
-    resume_s: float = 3.0
-    join_timeout_s: float = 5.0
-    answer_retention_s: float = 86_400.0
-    expire_every_s: float = 60.0
-    max_pending: int = 10_000
-
-
 class Replica:
     """Keeps the entries on one host and, as the primary, on its backup.
 
@@ -86,6 +43,8 @@
       backup, synced there.
     * A primary that has asked for a view with a new backup needs that backup from
       then on, also after a restart, because the view may be in force already.
+    * A primary that has told its backup to take over is not confirmed until it
+      learns a newer view, because the backup may lead already.
     * A replica that knows a newer view refuses the entries of an older one. The
       view is synced before anything is committed under it.
 
@@ -132,6 +91,11 @@
         self._asked_s = now_s
         self._fetched_s = float("-inf")
         self._lease_end_s = float("-inf")
+        self._rng = rng
+        self._token: int | None = None
+        self._gave_up_lease = False
+        self._is_leaving = False
+        self._handover_end_s = float("-inf")
         self._retarget()
 
     @property
@@ -150,7 +114,9 @@
         """Return whether no other replica can lead a newer view at `now_s`."""
         if not self.is_primary:
             return False
-        return self.required is None or now_s < self._lease_end_s
+        if self.required is None:
+            return True
+        return not self._gave_up_lease and now_s < self._lease_end_s
 
     def is_committed(self, fingerprint: bytes) -> bool:
         """Return whether the newest entry of a key is durable as the view demands."""
@@ -188,6 +154,7 @@
             self._out.append(SendTo(host, CopyRefused(self.view)))
             return
         self._heard_s = now_s
+        self._token = None
         if self._is_fenced(now_s):
             self._out.append(SendTo(host, CopyRefused(self.view)))
             return
@@ -235,6 +202,31 @@
     def _(self, message: CopyRefused, host: str, now_s: float) -> None:
         self.learn(message.view, now_s)
 
+    @_handle_peer.register
+    def _(self, message: OfferHandover, host: str, now_s: float) -> None:
+        if self._is_offer_valid(message):
+            self._token = self._rng.getrandbits(48)
+            accepted = HandoverAccepted(self.view, self.replica, self._token)
+            self._out.append(SendTo(host, accepted))
+
+    @_handle_peer.register
+    def _(self, message: HandoverAccepted, host: str, now_s: float) -> None:
+        is_current = (message.view, message.sender) == (self.view, self.view.backup)
+        if is_current and self.asked is None and self.is_handing_over(now_s):
+            self._gave_up_lease = True
+            take_over = TakeOver(self.view, self.replica, message.token)
+            self._out.append(SendTo(host, take_over))
+
+    @_handle_peer.register
+    def _(self, message: TakeOver, host: str, now_s: float) -> None:
+        if self._is_offer_valid(message) and message.token == self._token:
+            self._ask(self.replica, None, now_s)
+
+    def _is_offer_valid(self, message: OfferHandover | TakeOver) -> bool:
+        is_backup = self.view.backup == self.replica and self.asked is None
+        is_current = (message.view, message.sender) == (self.view, self.view.primary)
+        return is_backup and is_current
+
     @_handle_peer.register
     def _(self, message: FetchClaims, host: str, now_s: float) -> None:
         is_alone = self.view.backup is None and self.asked is None
@@ -255,6 +247,8 @@
         self._writer.add(ViewRecord(view))
         self._heard_s = now_s
         self._lease_end_s = float("-inf")
+        self._token = None
+        self._gave_up_lease = False
         if view.backup == self._joining or not self.is_primary:
             self._joining = None
         self._retarget()
@@ -306,13 +300,30 @@
             if self.asked is None:
                 self._ask(self.replica, None, now_s)
 
+    def start_handover(self, now_s: float) -> None:
+        """Let the backup take over, and don't become a backup again."""
+        self._is_leaving = True
+        self._handover_end_s = now_s + self._options.handover_s
+
+    def is_handing_over(self, now_s: float) -> bool:
+        """Return whether nothing new is granted in favour of the backup."""
+        is_possible = self.is_primary and self.view.backup is not None
+        return is_possible and now_s < self._handover_end_s
+
+    def tick_handover(self, now_s: float) -> None:
+        """Offer the lead to the backup if it has everything."""
+        is_target = self._copier.target == self.view.backup
+        if self.asked is None and is_target and self._copier.is_complete({}):
+            offer = OfferHandover(self.view, self.replica)
+            self._out.append(SendTo(get_host(self.view.backup), offer))
+
     def tick_view(self, now_s: float) -> None:
         """Do what is due for the view."""
         if self.is_primary:
             self._tick_primary(now_s)
         elif self.view.backup == self.replica:
             self._tick_backup(now_s)
-        else:
+        elif not self._is_leaving:
             self._tick_outsider(now_s)
 
     def _tick_primary(self, now_s: float) -> None:
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -288,6 +288,7 @@
     async def drain(self) -> None:
         """Wait until every running request has ended or reached its deadline.
 
+        The backup of the region's claims takes over first if this host leads them.
         The host accepts connections for the notice time, because callers use an
         older answer of the directory until its lifetime ends.
         """
@@ -297,6 +298,7 @@
         await self._membership.drain()
         await self._note_own_record(self._membership.member.own)
         self._server.announce_drain()
+        await self.claims.hand_over()
         await curio.sleep(settings.drain_notice_s)
         await self._server.drain()
         async with curio.ignore_after(settings.drain_timeout_s) as timer:
--- a/buckthorndeal/ledger.py
+++ b/buckthorndeal/ledger.py
@@ -25,6 +25,7 @@
     Effect,
     FetchClaims,
     Grant,
+    HandOver,
     HostLost,
     MarkDispatched,
     Outcome,
@@ -37,7 +38,7 @@
     get_host,
     is_view_change_allowed,
 )
-from buckthorndeal._ledger_replica import LedgerOptions
+from buckthorndeal._ledger_options import LedgerOptions
 from buckthorndeal._ledger_service import LedgerService, create_ledger_service
 from buckthorndeal.claims import FINGERPRINT_BYTES, ClaimSnapshot, LedgerView
 
@@ -54,6 +55,7 @@
     "Effect",
     "FetchClaims",
     "Grant",
+    "HandOver",
     "HostLost",
     "Ledger",
     "LedgerOptions",
--- a/tests/_ledger_world.py
+++ b/tests/_ledger_world.py
@@ -13,6 +13,7 @@
     AskView,
     Claim,
     ClaimReply,
+    HandOver,
     LedgerView,
     MarkDispatched,
     Outcome,
@@ -30,6 +31,7 @@
 KEYS = 10
 CLAIMS = 60
 FAULTS = 16
+HANDOVERS = 4
 # Crashes within a few milliseconds of an effect find what random times miss.
 CRASH_AFTER_EFFECT = 0.006
 SHORT_S = 0.03
@@ -95,6 +97,8 @@
             self.after(self.rng.uniform(1, FAULTS_END_S + 4), self.submit_random)
         for _ in range(FAULTS):
             self.after(self.rng.uniform(1.5, FAULTS_END_S), self.fail)
+        for _ in range(HANDOVERS):
+            self.after(self.rng.uniform(1.5, FAULTS_END_S), self.drain)
         self.after(FAULTS_END_S, self.calm)
         self.after(CALM_END_S - 6, self.submit_last)
         while self.events and self.events[0][0] <= CALM_END_S:
@@ -220,6 +224,14 @@
         self.crash(name)
         self.after(self.rng.choice((SHORT_S, 1, 4)), self.start, name)
 
+    def drain(self):
+        """Drain a host, the primary as a rule, and restart it soon after."""
+        name = self.rng.choice(HOSTS)
+        if self.view.primary and self.rng.random() < 0.8:
+            name = self.view.primary.partition("#")[0]
+        self.deliver_local(name, HandOver())
+        self.after(self.rng.choice((SHORT_S, 1, 2)), self.crash_and_return, name)
+
     def calm(self):
         self.lossy = False
         self.cuts.clear()
--- a/tests/test_entry_ledger.py
+++ b/tests/test_entry_ledger.py
@@ -1,9 +1,12 @@
 """Tests of bookings over four entry hosts with their ledgers and control hosts."""
 
+import collections
+import itertools
 import os
 
 import curio
 
+from buckthorndeal.ledger import LedgerOptions
 from tests.support import REQUEST_ID, answer_with
 from tests.system import System, SystemCase
 
@@ -114,6 +117,57 @@
         self.assertEqual(other[0], 201)
         self.assertEqual(len(self.executed), 2)
 
+    def test_drain_of_the_primary_does_not_pause_bookings_for_a_takeover(self):
+        """Guards against a pause, or a doubled booking, at each planned restart."""
+        done = []
+
+        async def book_all(system, host, number, stop):
+            while not stop.is_set():
+                key = f"{number}-{len(done)}"
+                body = b'"%s"' % key.encode()
+                status, answer = await system.book(host, key, body=body)
+                while answer.get("error", {}).get("verdict") == "not_run":
+                    await curio.sleep(0.05)
+                    status, answer = await system.book(host, key, body=body)
+                done.append((await curio.clock(), status))
+
+        async def keep_alive(system, host):
+            while True:
+                await system.tell(host, "heartbeat", name="a")
+                await curio.sleep(0.5)
+
+        async def scenario(system):
+            await system.wait_for_ledgers()
+            primary = system.hosts["e1"].claims.primary
+            backup = "e2" if primary == "e1" else "e1"
+            await system.announce(backup, "a", self.execute)
+            await curio.spawn(keep_alive, system, backup, daemon=True)
+            while (await system.list_endpoints(primary)).get("a") != "ready":
+                await curio.sleep(0.01)
+            stop = curio.Event()
+            tasks = [
+                await curio.spawn(book_all, system, backup, number, stop)
+                for number in range(4)
+            ]
+            await curio.sleep(1.0)
+            await system.hosts[primary].drain()
+            await system.stop_host(primary)
+            # Longer than a takeover takes after the loss of a primary.
+            await curio.sleep(2 * LOSS_BOUND_S)
+            await stop.set()
+            for task in tasks:
+                await task.join()
+            return backup, system.hosts[backup].claims.primary
+
+        backup, primary = self.run_system(scenario, System(control=True), LIMIT_S)
+        self.assertEqual(primary, backup)
+        self.assertEqual({status for _, status in done}, {201})
+        self.assertEqual(set(collections.Counter(self.executed).values()), {1})
+        self.assertEqual(len(self.executed), len(done))
+        times = sorted(time_s for time_s, _ in done)
+        pauses = [after - before for before, after in itertools.pairwise(times)]
+        self.assertLess(max(pauses), LedgerOptions().takeover_silence_s)
+
     def test_cut_regions_go_on_serving_their_own_callers(self):
         """Guards against a region that stops when it is isolated."""
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -13,6 +13,7 @@
     CopyClaims,
     CopyRefused,
     FetchClaims,
+    HandOver,
     LedgerOptions,
     MarkDispatched,
     Outcome,
@@ -178,6 +179,83 @@
         self.assertEqual(self.ledger.describe()["entries"], 0)
 
 
+class HandoverTest(unittest.TestCase):
+    """A primary that is about to stop lets its backup take over."""
+
+    def setUp(self):
+        self.ledgers = {"a": create(), "b": create("b")}
+        self.run_messages("a", self.ledgers["a"].tick(0.0))
+
+    def run_messages(self, host, effects, now_s=0.0, held=()):
+        """Deliver messages until none is left; return the other effects."""
+        others = []
+        queue = [(host, effect) for effect in effects]
+        while queue:
+            source, effect = queue.pop(0)
+            ledger = self.ledgers[source]
+            if isinstance(effect, Persist):
+                new = ledger.handle(Persisted(effect.batch), now_s)
+                queue += [(source, each) for each in new]
+            elif isinstance(effect, SendTo) and type(effect.message).__name__ in held:
+                others.append(effect)
+            elif isinstance(effect, SendTo):
+                target = self.ledgers[effect.host]
+                new = target.handle_peer(effect.message, source, now_s)
+                queue += [(effect.host, each) for each in new]
+            else:
+                others.append(effect)
+        return others
+
+    def run_on(self, host, message, **options):
+        return self.run_messages(
+            host, self.ledgers[host].handle(message, 0.0), **options
+        )
+
+    def test_backup_asks_at_once_and_the_primary_gives_up_its_lease(self):
+        """Guards against "not run" for a key that the new primary has run."""
+        self.assertTrue(self.ledgers["a"].is_confirmed(0.1))
+        asks = self.run_on("a", HandOver())
+        self.assertEqual([ask.view for ask in asks], [LedgerView(2, "b#1")])
+        self.assertFalse(self.ledgers["a"].is_confirmed(0.1))
+        refused = self.run_on("a", create_claim(1))
+        self.assertEqual([reply.outcome for reply in refused], [Outcome.NOT_OWNER])
+        self.run_on("b", ViewLearned(asks[0].view))
+        granted = self.run_on("b", create_claim(2))
+        self.assertEqual([reply.outcome for reply in granted], [Outcome.GRANTED])
+        self.run_on("a", ViewLearned(asks[0].view))
+        self.assertEqual(self.run_messages("a", self.ledgers["a"].tick(9.0)), [])
+
+    def test_late_request_to_take_over_has_no_effect(self):
+        """Guards against a takeover under the lease of a restarted primary."""
+        late = self.run_on("a", HandOver(), held=("TakeOver",))[0].message
+        snapshot = self.ledgers["a"].take_snapshot()
+        self.ledgers["a"] = create(snapshot=snapshot)
+        self.run_messages("a", self.ledgers["a"].tick(0.0))
+        self.assertTrue(self.ledgers["a"].is_confirmed(0.1))
+        self.assertEqual(self.ledgers["b"].handle_peer(late, "a", 0.0), [])
+        self.assertIsNone(self.ledgers["b"].asked)
+
+    def test_handover_waits_for_the_answers_of_granted_claims(self):
+        """Guards against an answer that the new primary does not know."""
+        grant = self.run_on("a", create_claim(1))[0].grant
+        self.assertEqual(self.run_on("a", HandOver()), [])
+        effects = self.run_on("a", RecordAnswer(2, grant, 201, b"done"))
+        effects += self.run_messages("a", self.ledgers["a"].tick(0.1), 0.1)
+        view = LedgerView(2, "b#1")
+        self.assertEqual([each.view for each in effects[1:]], [view])
+        self.run_on("b", ViewLearned(view))
+        repeated = self.run_on("b", create_claim(3))
+        self.assertEqual(repeated[0].body, b"done")
+
+    def test_primary_whose_handover_fails_grants_again(self):
+        """Guards against bookings that stop until the host ends."""
+        self.run_on("a", HandOver(), held=("OfferHandover",))
+        self.assertEqual(self.ledgers["b"].asked, None)
+        effects = self.ledgers["a"].handle(create_claim(1), 1.1)
+        granted = self.run_messages("a", effects, 1.1)
+        self.assertEqual([reply.outcome for reply in granted], [Outcome.GRANTED])
+
+
 class RegionTest(unittest.TestCase):
     """Bound data stays in its region."""
 
