Wait for messages with a time limit in one place

Cause: eight owner tasks had the same wait, five of them with the same constant and comment. Change: Mailbox.receive_within.

--- a/buckthorndeal/_control_placement.py
+++ b/buckthorndeal/_control_placement.py
@@ -103,8 +103,8 @@
     async def run(self) -> None:
         """Handle messages and rounds until cancelled."""
         while True:
-            delay_s = max(0.0, self._round_due_s - self._clock())
-            envelope = await curio.ignore_after(delay_s, self.mailbox.receive)
+            delay_s = self._round_due_s - self._clock()
+            envelope = await self.mailbox.receive_within(delay_s)
             if envelope is not None:
                 await self._handle(envelope.message, envelope)
             if self._clock() >= self._round_due_s:
--- a/buckthorndeal/_control_replica.py
+++ b/buckthorndeal/_control_replica.py
@@ -4,7 +4,6 @@
 from functools import singledispatchmethod
 from typing import Union
 
-import curio
 import msgspec
 
 from buckthorndeal import _control_requests as requests
@@ -112,8 +111,8 @@
             self._machine.restore(self._replica.snapshot.data)
             self._note_compacted()
         while True:
-            delay_s = max(0.0, self._replica.next_wakeup_s - self._clock())
-            envelope = await curio.ignore_after(delay_s, self.mailbox.receive)
+            delay_s = self._replica.next_wakeup_s - self._clock()
+            envelope = await self.mailbox.receive_within(delay_s)
             if envelope is not None:
                 await self._answer(envelope)
             if self._clock() >= self._replica.next_wakeup_s:
--- a/buckthorndeal/_control_subscriptions.py
+++ b/buckthorndeal/_control_subscriptions.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-import curio
-
 from buckthorndeal._control_messages import (
     DocumentContent,
     DocumentUpdate,
@@ -83,8 +81,8 @@
     async def run(self) -> None:
         """Handle messages until cancelled."""
         while True:
-            delay_s = max(0.0, self._status_due_s - self._clock())
-            envelope = await curio.ignore_after(delay_s, self.mailbox.receive)
+            delay_s = self._status_due_s - self._clock()
+            envelope = await self.mailbox.receive_within(delay_s)
             if envelope is not None:
                 await self._handle(envelope.message, envelope)
             if self._clock() >= self._status_due_s:
--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/_entry_reports.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import curio
 import msgspec
 
 from buckthorndeal._entry_messages import ListEndpoints, ListRegionHosts
@@ -27,9 +26,6 @@
 from buckthorndeal.wire import Message
 
 BATCH_S = 0.2
-# Curio logs a warning when an operation ends after its time-out has passed, which
-# happens with shorter waits.
-MIN_WAIT_S = 0.002
 # Endpoints whose load a host follows; above today's sizes, so that all are followed.
 FOLLOWED_ENDPOINTS = 64
 # The hosts have to agree on who follows which endpoint, so each one tells the others
@@ -180,8 +176,7 @@
     async def _receive(self) -> object:
         if not self._waiting:
             return await self.mailbox.receive()
-        wait_s = max(MIN_WAIT_S, self._due_s - self._now())
-        return await curio.ignore_after(wait_s, self.mailbox.receive)
+        return await self.mailbox.receive_within(self._due_s - self._now())
 
     async def _handle(self, message: object) -> None:
         if isinstance(message, EndpointTold):
--- a/buckthorndeal/_entry_subscriber.py
+++ b/buckthorndeal/_entry_subscriber.py
@@ -24,9 +24,6 @@
 from buckthorndeal.wire import Message
 
 TICK_S = 0.5
-# Curio logs a warning when an operation ends after its time-out has passed, which
-# happens with shorter waits.
-MIN_WAIT_S = 0.002
 # A source sends its status every second. The connection may have been replaced
 # without a notice here, and then the source sends nothing until asked again.
 SILENCE_S = 1.6
@@ -120,8 +117,8 @@
                 self._due_s = self._now() + TICK_S
                 await self._subscribe_where_silent()
                 await self._report_in_force()
-            wait_s = max(MIN_WAIT_S, self._due_s - self._now())
-            envelope = await curio.ignore_after(wait_s, self.mailbox.receive)
+            wait_s = self._due_s - self._now()
+            envelope = await self.mailbox.receive_within(wait_s)
             if envelope is None:
                 continue
             await self._handle(envelope.message)
@@ -168,7 +165,7 @@
         except DocumentError:
             # Changes are missing; the source is asked again.
             self._sources[host].heard_s = float("-inf")
-            self._due_s = min(self._due_s, self._now() + MIN_WAIT_S)
+            self._due_s = min(self._due_s, self._now())
 
     async def _put_in_force(self) -> None:
         document = self._document
--- a/buckthorndeal/_entry_views.py
+++ b/buckthorndeal/_entry_views.py
@@ -2,8 +2,6 @@
 
 import abc
 
-import curio
-
 from buckthorndeal._control_messages import ChangeView, GetView, ViewReply
 from buckthorndeal._entry_control import ControlLinks
 from buckthorndeal.ledger import AskView, LedgerService, LedgerView, ViewLearned
@@ -60,7 +58,7 @@
     """Pass requests for views on, and tell the ledger of every view seen."""
     poll_s = 0.0
     while True:
-        envelope = await curio.ignore_after(poll_s, asks.receive)
+        envelope = await asks.receive_within(poll_s)
         if envelope is None:
             view = await source.get(region)
         else:
--- a/buckthorndeal/_ledger_service.py
+++ b/buckthorndeal/_ledger_service.py
@@ -30,9 +30,6 @@
 from buckthorndeal.wire import Message
 
 TICK_S = 0.1
-# Curio logs a warning when an operation ends after its time-out has passed, which
-# happens with shorter waits.
-MIN_WAIT_S = 0.002
 COMPACT_BYTES = 8_388_608
 COMPACT_FACTOR = 2
 
@@ -142,8 +139,8 @@
 
     async def _run(self) -> None:
         while True:
-            wait_s = max(MIN_WAIT_S, self._next_tick_s - time.monotonic())
-            envelope = await curio.ignore_after(wait_s, self._mailbox.receive)
+            wait_s = self._next_tick_s - time.monotonic()
+            envelope = await self._mailbox.receive_within(wait_s)
             now_s = time.monotonic()
             if envelope is not None:
                 await self._handle_envelope(envelope, now_s)
--- a/buckthorndeal/_membership_service.py
+++ b/buckthorndeal/_membership_service.py
@@ -16,9 +16,6 @@
 
 LEAVE_REPEATS = 3
 LEAVE_PAUSE_S = 0.05
-# Curio logs a warning when an operation ends after its time-out has passed, which
-# happens with shorter waits.
-MIN_WAIT_S = 0.002
 
 
 class MembershipService:
@@ -84,8 +81,8 @@
 
     async def _run(self) -> None:
         while True:
-            wait_s = max(MIN_WAIT_S, self.member.next_due_s - time.monotonic())
-            envelope = await curio.ignore_after(wait_s, self._mailbox.receive)
+            wait_s = self.member.next_due_s - time.monotonic()
+            envelope = await self._mailbox.receive_within(wait_s)
             if envelope is None:
                 await self._send_all(self.member.tick(time.monotonic()))
             elif callable(envelope.message):
--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -14,9 +14,6 @@
 from buckthorndeal.wire import Codec, Message, Session, create_codec
 
 READ_BYTES = 65_536
-# Curio logs a warning when an operation ends after its time-out has passed, which
-# happens with shorter waits.
-MIN_WAIT_S = 0.002
 
 
 @dataclass(frozen=True)
@@ -266,8 +263,8 @@
     async def _receive_or_heartbeat(self, connection: _Connection) -> Envelope | None:
         now_s = await curio.clock()
         idle_s = connection.last_sent_s + self._options.heartbeat_s - now_s
-        if idle_s > MIN_WAIT_S:
-            envelope = await curio.ignore_after(idle_s, self._mailbox.receive)
+        if idle_s > 0:
+            envelope = await self._mailbox.receive_within(idle_s)
             if envelope is not None:
                 return envelope
         self._drop_abandoned()
--- a/buckthorndeal/mailbox.py
+++ b/buckthorndeal/mailbox.py
@@ -9,6 +9,9 @@
 __all__ = ["Envelope", "Mailbox", "create_mailbox"]
 
 DEFAULT_CAPACITY = 10_000
+# Curio logs a warning when an operation ends after its timeout has passed, which
+# happens with shorter waits.
+MIN_WAIT_S = 0.002
 
 
 @dataclass(eq=False)
@@ -79,6 +82,10 @@
         """Return the next envelope; only the owner task calls this."""
         return await self._queue.get()
 
+    async def receive_within(self, wait_s: float) -> Envelope | None:
+        """Return the next envelope, or None if none comes in `wait_s` seconds."""
+        return await curio.ignore_after(max(MIN_WAIT_S, wait_s), self._queue.get)
+
     async def __aiter__(self) -> AsyncIterator[Envelope]:
         while True:
             yield await self._queue.get()
