--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -231,7 +231,7 @@
     async def restore(self):
         """Start what a test left stopped, and wait until all hosts serve."""
         for host in HOSTS:
-            if host not in self.processes:
+            if host not in self.processes or self.processes[host].poll() is not None:
                 self.start_process(host)
             self.signal(host, signal.SIGCONT)
         await self.wait_until_served(ENTRY_REGIONS)
@@ -336,6 +336,7 @@
         async with curio.TaskGroup() as group:
             for host, workspace in itertools.product(hosts, WORKSPACES):
                 await group.spawn(self._wait_until_host_serves, host, workspace)
+        raise_failure(group)
 
     async def _wait_until_host_serves(self, host, workspace):
         async def is_served():
@@ -350,6 +351,13 @@
         await self.wait_until(is_served, f"{host} serves {workspace}")
 
 
+def raise_failure(group):
+    """Raise the first error of a task group, which keeps it to itself."""
+    for error in group.exceptions:
+        if error is not None:
+            raise error
+
+
 class Load:
     """Callers that book and look up through several hosts and resend with the key.
 
@@ -370,6 +378,11 @@
             rng = random.Random(f"{self._seed}-{number}")
             self._tasks.append(await curio.spawn(self._call, number, rng))
 
+    async def cancel(self):
+        """End what a failed test left running."""
+        for task in self._tasks:
+            await task.cancel()
+
     async def stop(self):
         """Let the callers finish their bookings."""
         self._stopping = True
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,7 @@
 from absl import logging as absl_logging
 
 from buckthorndeal.errors import RequestError
-from tests.process_harness import ENTRY_REGIONS, Deployment, Load
+from tests.process_harness import ENTRY_REGIONS, Deployment, Load, raise_failure
 
 FREEZE_S = 6.0
 SLOW_LOOKUPS = 4
@@ -39,9 +39,13 @@
         cls.addClassCleanup(cls.kernel.run, cls.deployment.close)
         cls.kernel.run(cls.deployment.start)
 
-    def run_scenario(self, scenario):
+    def run_scenario(self, scenario, seed):
         self.kernel.run(self.deployment.restore)
-        self.kernel.run(scenario, self.deployment)
+        load = Load(self.deployment, seed)
+        try:
+            self.kernel.run(scenario, self.deployment, load)
+        finally:
+            self.kernel.run(load.cancel)
 
     async def check(self, deployment, load):
         """Check the executions under all keys, and resend what was answered."""
@@ -74,13 +78,13 @@
         async with curio.TaskGroup() as group:
             for number in range(RESENDERS):
                 await group.spawn(resend, load.answered[number::RESENDERS])
+        raise_failure(group)
         self.assertEqual(different, [])
 
     def test_primary_is_killed_and_returns(self):
         """Guards against a booking run again by the host that takes over."""
 
-        async def scenario(deployment):
-            load = Load(deployment, seed=1)
+        async def scenario(deployment, load):
             await load.start()
             await load.wait_for_answers()
             primary, backup = await deployment.wait_for_full_view()
@@ -99,13 +103,12 @@
             self.assertEqual([each for each in slow if each.answer is not None], [])
             await self.check(deployment, load)
 
-        self.run_scenario(scenario)
+        self.run_scenario(scenario, seed=1)
 
     def test_frozen_primary_returns(self):
         """Guards against a booking run by a host that believes it is primary."""
 
-        async def scenario(deployment):
-            load = Load(deployment, seed=2)
+        async def scenario(deployment, load):
             await load.start()
             await load.wait_for_answers()
             primary, backup = await deployment.wait_for_full_view()
@@ -121,13 +124,12 @@
             await load.stop()
             await self.check(deployment, load)
 
-        self.run_scenario(scenario)
+        self.run_scenario(scenario, seed=2)
 
     def test_backup_returns_with_an_empty_disk(self):
         """Guards against a backup that vouches for claims that it has lost."""
 
-        async def scenario(deployment):
-            load = Load(deployment, seed=3)
+        async def scenario(deployment, load):
             await load.start()
             await load.wait_for_answers()
             primary, backup = await deployment.wait_for_full_view()
@@ -146,13 +148,12 @@
             await load.stop()
             await self.check(deployment, load)
 
-        self.run_scenario(scenario)
+        self.run_scenario(scenario, seed=3)
 
     def test_control_leader_is_killed(self):
         """Guards against bookings that depend on the control leader."""
 
-        async def scenario(deployment):
-            load = Load(deployment, seed=4)
+        async def scenario(deployment, load):
             await load.start()
             await load.wait_for_answers()
             view = await deployment.wait_for_full_view()
@@ -170,13 +171,12 @@
             self.assertEqual(refused, [])
             self.assertEqual({status for _, status in load.lookups}, {200})
 
-        self.run_scenario(scenario)
+        self.run_scenario(scenario, seed=4)
 
     def test_drained_host_cuts_off_no_request(self):
         """Guards against a request in progress that a restart cuts off."""
 
-        async def scenario(deployment):
-            load = Load(deployment, seed=5)
+        async def scenario(deployment, load):
             await load.start()
             await load.wait_for_answers()
             primary, _ = await deployment.wait_for_full_view()
@@ -206,7 +206,7 @@
             }
             self.assertLessEqual(outcomes, {"not_run"})
 
-        self.run_scenario(scenario)
+        self.run_scenario(scenario, seed=5)
 
     async def follow_readiness(self, deployment, host):
         """Wait until a host tells that it is not ready, as its callers do."""
