Penalize failing endpoints that the ejection cap keeps in

The cap leaves one failing endpoint in the choice where two of three fail. It looked idle and drew the requests of the healthy one. After three failures in a row its score now has a penalty of 1 s, until a success or 5 s without a failure. The penalty is bounded, so that failures under overload don't put all load on the other endpoints.

--- a/buckthorndeal/_strategies.py
+++ b/buckthorndeal/_strategies.py
@@ -23,6 +23,9 @@
     "pick_endpoint",
 ]
 
+# A failing endpoint looks idle and would draw the requests of the others. The
+# penalty is bounded, so that failures under overload don't put all load on the rest.
+FAILING_PENALTY_S = 1.0
 # Tries for each wanted sample before all candidates are filtered.
 MAX_TRIES_PER_SAMPLE = 4
 
@@ -81,6 +84,7 @@
     rng: random.Random
     peers: int
     now_s: float
+    is_failing: Callable[[str], bool]
 
 
 @dataclass(slots=True)
@@ -126,6 +130,8 @@
             context.peers,
             context.now_s,
         )
+        if context.is_failing(view.name):
+            score.value += FAILING_PENALTY_S
         scores[view.name] = score.value
         if best is None or score.value < best.score.value:
             best = Pick(view, score, scores)
--- a/buckthorndeal/ejection.py
+++ b/buckthorndeal/ejection.py
@@ -1,5 +1,6 @@
 """Outlier ejection with a capped share and a probe on return."""
 
+import math
 import statistics
 from dataclasses import dataclass
 
@@ -16,6 +17,9 @@
 FORGIVE_AFTER_S = 120.0
 # A lost probe result must not keep an endpoint out for ever.
 PROBE_TIMEOUT_S = 10.0
+# An endpoint that the cap keeps in the choice is avoided for this long after its
+# last failure; then a request tests it again.
+AVOID_S = 5.0
 LATENCY_FACTOR = 4.0
 MIN_LATENCY_SAMPLES = 20
 MIN_LATENCY_PEERS = 3
@@ -36,6 +40,7 @@
     incarnation: int
     latency: QuantileTracker
     failures: int = 0
+    failed_at_s: float = -math.inf
     ejections: int = 0
     ejected_at_s: float = 0.0
     until_s: float | None = None
@@ -111,6 +116,14 @@
         """Return how many endpoints of a service are ejected."""
         return len(self._ejected.get(service, ()))
 
+    def is_failing(self, service: str, endpoint: str, now_s: float) -> bool:
+        """Return whether an endpoint fails but is not ejected, due to the cap."""
+        record = self._services.get(service, {}).get(endpoint)
+        if record is None or record.until_s is not None:
+            return False
+        recent = now_s - record.failed_at_s < AVOID_S
+        return recent and record.failures >= FAILURES_TO_EJECT
+
     def start_probe(self, service: str, endpoint: str, now_s: float) -> None:
         """Note that the chosen endpoint, if it was ejected, is being tested."""
         if endpoint in self._ejected.get(service, ()):
@@ -126,6 +139,7 @@
         self, result: AttemptResult, record: _Record, population: int, now_s: float
     ) -> None:
         record.failures += 1
+        record.failed_at_s = now_s
         returning = record.until_s is not None
         if returning and now_s < record.until_s:
             return
--- a/buckthorndeal/routing.py
+++ b/buckthorndeal/routing.py
@@ -227,6 +227,7 @@
             self._rng,
             self._peers,
             now_s,
+            lambda name: self.ejection.is_failing(request.service, name, now_s),
         )
         pick = pick_endpoint(self._strategy, context)
         if pick is None and ejected:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -43,6 +43,34 @@
     return router.choose(request or _request(), views, regions, weights, now_s)
 
 
+class FailingTest(unittest.TestCase):
+    def test_failing_endpoint_that_the_cap_keeps_in_draws_no_requests(self):
+        """Guards against an idle-looking endpoint that breaks off what it gets."""
+        router = _router()
+        views = _views(3, running=6)
+        _choose(router, views)
+        failing = ("e0", "e1")
+        for name in failing * 3:
+            result = AttemptResult(name, 1, "s", AttemptOutcome.BROKEN, 0.02)
+            router.observe(result, 1000.0)
+        for view in views[:2]:
+            view.running = 0
+        chosen = Counter(_choose(router, views).endpoint.name for _ in range(50))
+        self.assertEqual(chosen, {"e2": 50})
+        # A success, or time without a failure, makes it eligible as before.
+        later = Counter(
+            _choose(
+                router, views, _request(deadline_s=1030.0), now_s=1010.0
+            ).endpoint.name
+            for _ in range(50)
+        )
+        self.assertGreater(later["e0"] + later["e1"], 0)
+        # The penalty is bounded: a long queue elsewhere outweighs it.
+        views[2].queued = 40
+        chosen = _choose(router, views, now_s=1001.0).endpoint.name
+        self.assertIn(chosen, failing)
+
+
 class FilterTest(unittest.TestCase):
     def test_unsuitable_endpoints_are_left_out(self):
         """Guards against work sent to a draining, excluded or wrong endpoint."""
