Refuse a forwarded request that is replayed

Cause: the MAC of a forwarded request covered no time and nothing that is used once, so a captured request could be sent again. Change: the sender's wall clock is signed, and a host accepts an attempt once and within 30 s. Measured: the replay in tests/test_entry.py got 200 before and gets 403 now.

--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/_entry_attempts.py
@@ -53,6 +53,8 @@
         Random text that makes attempt ids unique across restarts.
     peer_keys : tuple of bytes
         Keys of forwarded requests; the first one signs.
+    now, wall : callable
+        Monotonic clock, and seconds since the epoch.
     """
 
     host: str
@@ -65,6 +67,7 @@
     pools: Pools
     metrics: Metrics
     now: Callable[[], float]
+    wall: Callable[[], float]
     hasher: PromptHasher
     counter: itertools.count = field(default_factory=itertools.count)
 
@@ -321,6 +324,7 @@
         crossed=call.crossed or host.region != context.region,
         deadline_ms=max(0, int((call.deadline_s - context.now()) * 1000)),
         request_id=attempt_id,
+        sent_ms=int(context.wall() * 1000),
         workspace=call.identity.name,
         content_type=call.content_type,
         idempotency_key=call.idempotency_key,
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -41,7 +41,7 @@
 from buckthorndeal.authentication import Identity, check_endpoint_key
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
-from buckthorndeal.forwarding import ForwardedRequest
+from buckthorndeal.forwarding import ForwardedRequest, ReplayGuard
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import CONTENT_TYPE
@@ -86,6 +86,7 @@
         is_ready: Callable[[], bool],
     ) -> None:
         self._context = context
+        self._replay_guard = ReplayGuard()
         self._claims = claims
         self._bookings = bookings
         self._is_ready = is_ready
@@ -203,7 +204,9 @@
         error: RequestError | None = None
         status = "cancelled"
         try:
-            forwarded = read_forwarding(request, context.peer_keys)
+            forwarded = read_forwarding(
+                request, context.peer_keys, self._replay_guard, context.wall()
+            )
             request_id = read_request_id(request, lambda: request_id)
             document = await context.document.ask(GetDocument())
             identity = identify(request, forwarded, document)
--- a/buckthorndeal/_entry_parse.py
+++ b/buckthorndeal/_entry_parse.py
@@ -8,7 +8,12 @@
 from buckthorndeal._entry_messages import Call, DocumentView
 from buckthorndeal.authentication import Identity
 from buckthorndeal.errors import AuthenticationError, RequestError
-from buckthorndeal.forwarding import ForwardedRequest, is_forwarded, verify_request
+from buckthorndeal.forwarding import (
+    ForwardedRequest,
+    ReplayGuard,
+    is_forwarded,
+    verify_request,
+)
 from buckthorndeal.http_server import Request
 from buckthorndeal.sections import Service
 
@@ -21,17 +26,19 @@
 
 
 def read_forwarding(
-    request: Request, keys: tuple[bytes, ...]
+    request: Request, keys: tuple[bytes, ...], guard: ReplayGuard, wall_s: float
 ) -> ForwardedRequest | None:
     """Verify a request of another entry host; None for a caller's request."""
     if not is_forwarded(request.headers):
         return None
     try:
-        return verify_request(
+        forwarded = verify_request(
             request.headers, request.method, request.target, request.body, keys
         )
+        guard.check(forwarded, wall_s)
     except AuthenticationError as error:
         raise RequestError("forbidden", 403, str(error)) from error
+    return forwarded
 
 
 def read_request_id(request: Request, create_id: Callable[[], str]) -> str:
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry.py
@@ -145,6 +145,7 @@
             pools=Pools(transport, settings.host, limits.max_connections_per_endpoint),
             metrics=_create_metrics(),
             now=now,
+            wall=time.time,
             hasher=create_prompt_hasher(),
         )
         self._links = ControlLinks(settings, transport, self._receive_notice)
--- a/buckthorndeal/forwarding.py
+++ b/buckthorndeal/forwarding.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "ForwardedRequest",
+    "ReplayGuard",
     "check_next_hop",
     "is_forwarded",
     "sign_request",
@@ -18,12 +19,15 @@
 # A request passes at most the host that the caller chose, the first host of
 # another region and that region's claim owner.
 MAX_HOPS = 3
+# Hosts' wall clocks have to agree within this, as for datagrams.
+REPLAY_WINDOW_S = 30.0
 SIGNED_HEADERS = (
     "buckthorndeal-origin",
     "buckthorndeal-hops",
     "buckthorndeal-crossed",
     "buckthorndeal-deadline-ms",
     "buckthorndeal-request-id",
+    "buckthorndeal-sent-ms",
     "buckthorndeal-workspace",
     "content-type",
     "idempotency-key",
@@ -45,7 +49,9 @@
     deadline_ms : int
         Time left when the request was sent.
     request_id : str
-        Id that the answer must carry.
+        Id that the answer must carry; unique for each attempt.
+    sent_ms : int
+        Wall clock of the sender in milliseconds since the epoch.
     workspace : str
         Workspace that the origin authenticated.
     """
@@ -55,6 +61,7 @@
     crossed: bool
     deadline_ms: int
     request_id: str
+    sent_ms: int
     workspace: str
     content_type: str = ""
     idempotency_key: str = ""
@@ -75,6 +82,7 @@
         "1" if request.crossed else "0",
         str(request.deadline_ms),
         request.request_id,
+        str(request.sent_ms),
         request.workspace,
         request.content_type,
         request.idempotency_key,
@@ -114,6 +122,46 @@
     raise AuthenticationError("the forwarded request does not carry a valid MAC")
 
 
+class ReplayGuard:
+    """Refuses a forwarded request that arrives a second time, or too late."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, float] = {}
+
+    def check(self, request: ForwardedRequest, wall_s: float) -> None:
+        """Accept `request` once.
+
+        Parameters
+        ----------
+        request : ForwardedRequest
+            Request whose MAC is valid.
+        wall_s : float
+            Wall clock in seconds since the epoch.
+
+        Raises
+        ------
+        AuthenticationError
+            If the request was seen before, or if the clocks of the two hosts
+            differ by more than `REPLAY_WINDOW_S`.
+        """
+        if abs(wall_s - request.sent_ms / 1000) > REPLAY_WINDOW_S:
+            raise AuthenticationError(
+                f"the forwarded request was not sent within {REPLAY_WINDOW_S:g} s"
+            )
+        self._forget(wall_s)
+        if request.request_id in self._seen:
+            raise AuthenticationError("the forwarded request is replayed")
+        self._seen[request.request_id] = wall_s
+
+    def _forget(self, wall_s: float) -> None:
+        # A request that is received early stays valid for twice the window.
+        oldest_s = wall_s - 2 * REPLAY_WINDOW_S
+        for request_id, seen_s in list(self._seen.items()):
+            if seen_s >= oldest_s:
+                return
+            del self._seen[request_id]
+
+
 def check_next_hop(
     hops: tuple[str, ...], crossed: bool, own_region: str, host: str, region: str
 ) -> None:
@@ -148,14 +196,16 @@
 
 def _parse_headers(headers: dict[str, str]) -> ForwardedRequest:
     deadline = headers.get("buckthorndeal-deadline-ms", "")
-    if not deadline.isdecimal():
-        raise AuthenticationError("the forwarded deadline is not a number")
+    sent = headers.get("buckthorndeal-sent-ms", "")
+    if not (deadline.isdecimal() and sent.isdecimal()):
+        raise AuthenticationError("a forwarded time is not a number")
     return ForwardedRequest(
         headers.get("buckthorndeal-origin", ""),
         tuple(headers.get("buckthorndeal-hops", "").split(",")),
         headers.get("buckthorndeal-crossed") == "1",
         int(deadline),
         headers.get("buckthorndeal-request-id", ""),
+        int(sent),
         headers.get("buckthorndeal-workspace", ""),
         headers.get("content-type", ""),
         headers.get("idempotency-key", ""),
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,5 +1,7 @@
 """Tests of an entry host with scripted endpoints: whole answers and limits."""
 
+import time
+
 import curio
 import msgspec
 
@@ -326,13 +328,18 @@
         async def scenario(cluster):
             await cluster.add_endpoint("far", "desk", answer_with(b"1"), "r2")
             statuses = []
-            for workspace, key, crossed in (
-                ("free", b"k" * 16, True),
-                ("bound", None, True),
-                ("free", None, True),
-                ("free", None, False),
+            for request_id, workspace, key, crossed in (
+                ("id-1", "free", b"k" * 16, True),
+                ("id-2", "bound", None, True),
+                ("id-3", "free", None, True),
+                ("id-4", "free", None, False),
+                # The last request again, as somebody on the network could send it.
+                ("id-4", "free", None, False),
             ):
-                request = ForwardedRequest("e1", ("e1",), crossed, 900, "id", workspace)
+                sent_ms = int(time.time() * 1000)
+                request = ForwardedRequest(
+                    "e1", ("e1",), crossed, 900, request_id, sent_ms, workspace
+                )
                 key = key or bytes.fromhex("00112233445566778899aabbccddeeff")
                 head = sign_request(request, "GET", "/services/desk/a", b"", key)
                 answer = await cluster.create_pool(1).fetch(
@@ -343,4 +350,4 @@
 
         statuses = self.run_cluster(scenario, ("r1", "r2"))
         # A request of another region needs a credit too.
-        self.assertEqual(statuses, [403, 421, 503, 200])
+        self.assertEqual(statuses, [403, 421, 503, 200, 403])
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Tests of signed headers and hop rules."""
 
+import dataclasses
 import random
 import unittest
 
@@ -7,13 +8,14 @@
 from buckthorndeal.forwarding import (
     MAX_HOPS,
     ForwardedRequest,
+    ReplayGuard,
     check_next_hop,
     sign_request,
     verify_request,
 )
 
 REQUEST = ForwardedRequest(
-    "e1", ("e1", "e2"), True, 900, "id-1", "w", "application/json", "key-1"
+    "e1", ("e1", "e2"), True, 900, "id-1", 1_000_000, "w", "application/json", "key-1"
 )
 KEY = b"k" * 16
 
@@ -30,6 +32,27 @@
         read = verify_request(self.sign(), "POST", "/x?y=1", b"body", keys)
         self.assertEqual(read, REQUEST)
 
+    def test_request_is_accepted_once_and_in_time_only(self):
+        """Guards against a captured request that is sent again."""
+        guard = ReplayGuard()
+        for wall_s in (900.0, 1100.0):
+            with self.assertRaises(AuthenticationError):
+                guard.check(REQUEST, wall_s)
+        guard.check(REQUEST, 990.0)
+        for wall_s in (991.0, 1029.0):
+            with self.assertRaises(AuthenticationError):
+                guard.check(REQUEST, wall_s)
+
+    def test_replay_guard_forgets_what_is_too_old_to_be_replayed(self):
+        """Guards against memory that grows with every forwarded request."""
+        guard = ReplayGuard()
+        for number in range(100):
+            request = dataclasses.replace(
+                REQUEST, request_id=f"id-{number}", sent_ms=number * 10_000
+            )
+            guard.check(request, number * 10.0)
+        self.assertLessEqual(len(guard._seen), 7)
+
     def test_any_change_is_refused(self):
         """Guards against a header, target or body that the MAC does not cover."""
         for name in self.sign():
