Split the tests of the replicated log

Change: the cluster of replicas, and the tests of log and membership, are files of their own; no test changed.

--- /dev/null
+++ b/tests/test_consensus_log.py
@@ -0,0 +1,330 @@
+"""Tests of the replicated log: entries, snapshots and membership changes."""
+
+import os
+import random
+import tempfile
+import unittest
+
+from buckthorndeal.consensus import (
+    AddLearner,
+    Append,
+    AppendReply,
+    Entry,
+    EntryKind,
+    Membership,
+    PromoteLearner,
+    RemoveMember,
+    ReplicaId,
+    Vote,
+    VoteReply,
+    create_replica,
+)
+from buckthorndeal.errors import MembershipChangeError, StoreError
+from buckthorndeal.logstore import create_disk_log_store
+from tests.consensus_cluster import OPTIONS, POLICY, REPLIES, TIMEOUT_S, Cluster
+from tests.consensus_harness import SimulatedDisk
+
+
+class LogTest(unittest.TestCase):
+    """Commitment, snapshots and compaction."""
+
+    def test_entry_of_an_earlier_term_does_not_commit_by_counting(self):
+        """Guards against a committed entry that a later leader can overwrite."""
+        store = SimulatedDisk(1, random.Random(1))
+        ids = tuple(ReplicaId(host, 1) for host in "abc")
+        replica = create_replica(
+            ids[0], store, random.Random(1), OPTIONS, Membership(ids), 0.0
+        )
+
+        def receive(kind, **fields):
+            message = kind(source=ids[1], target=ids[0], **fields)
+            return replica.receive(message, ids[1], 0.0)
+
+        entries = (Entry(2, 2, EntryKind.DATA, b"old"),)
+        receive(
+            Append,
+            term=2,
+            round=1,
+            prev_index=1,
+            prev_term=1,
+            commit_index=1,
+            entries=entries,
+        )
+        output = replica.tick(5.0)
+        for _ in range(2):
+            answers = []
+            for target, request in output.messages:
+                if target == ids[1]:
+                    kind = type(request).__name__ + "Reply"
+                    answers.append((kind, request.term))
+            name, term = answers[0]
+            output = receive(REPLIES[name], term=term, granted=True)
+        self.assertEqual(replica.role, "leader")
+        reply = {"term": replica.term, "round": 1, "success": True}
+        self.assertEqual(receive(AppendReply, match_index=2, **reply).committed, [])
+        output = receive(AppendReply, match_index=3, **reply)
+        self.assertEqual([entry.index for entry in output.committed], [2, 3])
+
+    def test_overwritten_membership_is_forgotten(self):
+        """Guards against votes counted under a change that never committed."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        cluster.propose(b"x")
+        everyone = set("abc")
+        cluster.down = everyone - {leader}
+        cluster.change(RemoveMember(cluster.identify(leader)))
+        replica = cluster.replicas[leader]
+        self.assertEqual(len(replica.membership.voters), 2)
+        cluster.down = {leader}
+        cluster.run(TIMEOUT_S + 0.3)
+        self.assertTrue(cluster.propose(b"y"))
+        cluster.down = set()
+        cluster.run(1)
+        self.assertEqual(replica.membership, cluster.bootstrap)
+        self.assertEqual(replica.role, "follower")
+        self.assertEqual(cluster.committed[leader], [b"x", b"y"])
+
+    def test_replies_of_an_earlier_term_are_not_counted(self):
+        """Guards against an old answer that commits or elects in a new term."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        replica = cluster.replicas[leader]
+        cluster.down = set("abc") - {leader}
+        follower = min(cluster.down)
+        cluster.propose(b"x")
+        names = {
+            "source": cluster.identify(follower),
+            "target": cluster.identify(leader),
+        }
+        term = replica.term - 1
+        commit_index = replica.commit_index
+        reply = AppendReply(
+            **names, term=term, round=1, success=True, match_index=replica.last_index
+        )
+        cluster.receive(leader, reply)
+        self.assertEqual(replica.commit_index, commit_index)
+        core = cluster.replicas[leader]._core
+        core.step_down(cluster.now_s)
+        core.advance_role("time_out")
+        core.advance_role("win_pre_vote")
+        core.votes = {core.identity}
+        cluster.receive(leader, VoteReply(**names, term=term, granted=True))
+        self.assertEqual(replica.role, "candidate")
+
+    def test_snapshot_reaches_a_new_learner_in_chunks(self):
+        """Guards against a learner that starts from part of a snapshot."""
+        cluster = Cluster()
+        for number in range(5):
+            self.assertTrue(cluster.propose(b"%d" % number))
+        replica = cluster.replicas[cluster.elect()]
+        replica.compact(replica.commit_index, b"state of five")
+        cluster.add_learner("d")
+        cluster.propose(b"after")
+        cluster.run(1)
+        self.assertEqual(cluster.committed["d"], [b"state of five", b"after"])
+        state = cluster.stores["d"].load()
+        self.assertEqual(state.snapshot.data, b"state of five")
+        self.assertEqual(state.snapshot.membership, cluster.bootstrap)
+        self.assertEqual(cluster.replicas["d"].membership, replica.membership)
+
+    def test_snapshot_transfer_survives_a_restart_of_the_learner(self):
+        """Guards against a transfer that waits for chunks sent before a loss."""
+        cluster = Cluster()
+        cluster.propose(b"x")
+        replica = cluster.replicas[cluster.elect()]
+        replica.compact(replica.commit_index, b"a longer state")
+        cluster.create_store("d")
+        cluster.start("d")
+        cluster.drop = lambda message: getattr(message, "offset", 0) >= 8
+        cluster.change(AddLearner(cluster.identify("d")))
+        cluster.run(0.5)
+        self.assertEqual(cluster.committed["d"], [])
+        cluster.start("d")
+        cluster.drop = lambda message: False
+        cluster.run(1)
+        self.assertEqual(cluster.committed["d"], [b"a longer state"])
+
+    def test_snapshot_holds_the_membership_of_its_index(self):
+        """Guards against a snapshot with a membership from a later entry."""
+        cluster = Cluster()
+        cluster.propose(b"x")
+        replica = cluster.replicas[cluster.elect()]
+        index = replica.commit_index
+        cluster.add_learner("d")
+        replica.compact(index, b"state")
+        self.assertEqual(replica.snapshot.membership, cluster.bootstrap)
+        self.assertEqual(len(replica.membership.learners), 1)
+        with self.assertRaises(ValueError):
+            replica.compact(replica.last_index + 1, b"state")
+
+    def test_restart_keeps_committed_entries(self):
+        """Guards against entries or a snapshot lost when all replicas restart."""
+        cluster = Cluster()
+        cluster.propose(b"x")
+        replica = cluster.replicas["a"]
+        cluster.run(0.5)
+        replica.compact(replica.commit_index, b"state")
+        for host in "abc":
+            cluster.stores[host].crash()
+            cluster.start(host)
+        self.assertEqual(cluster.replicas["a"].snapshot.data, b"state")
+        self.assertTrue(cluster.propose(b"y"))
+        cluster.run(0.5)
+        self.assertEqual(cluster.committed["a"], [b"y"])
+
+    def test_restart_from_disk(self):
+        """Guards against a disk form that the replicas cannot continue from."""
+        with tempfile.TemporaryDirectory() as directory:
+            cluster = Cluster("")
+            for restart in range(3):
+                for host in "abc":
+                    path = os.path.join(directory, host)
+                    store = create_disk_log_store(path, random.Random(host))
+                    cluster.stores[host] = store
+                voters = Membership(tuple(cluster.identify(host) for host in "abc"))
+                for host in "abc":
+                    cluster.start(host, voters)
+                self.assertTrue(cluster.propose(b"%d" % restart))
+                cluster.run(0.5)
+                for host in "abc":
+                    # The first entry is compacted before the first restart.
+                    expected = [b"1", b"2"][:restart] or [b"0"]
+                    self.assertEqual(cluster.committed[host], expected)
+                    replica = cluster.replicas[host]
+                    if restart == 0:
+                        replica.compact(replica.commit_index, b"state")
+                    self.assertEqual(replica.snapshot.data, b"state")
+                    cluster.stores[host].close()
+                for host in "abc":
+                    del cluster.replicas[host]
+
+    def test_store_of_another_incarnation_is_refused(self):
+        """Guards against an identity used with a disk that is not its own."""
+        store = SimulatedDisk(2, random.Random(1))
+        with self.assertRaises(StoreError):
+            create_replica(
+                ReplicaId("a", 1), store, random.Random(1), OPTIONS, None, 0.0
+            )
+
+
+class MembershipTest(unittest.TestCase):
+    """Membership changes, repair, and hosts that return."""
+
+    def setUp(self):
+        self.cluster = Cluster(policy=POLICY)
+        self.cluster.create_store("d")
+        self.cluster.start("d")
+        self.cluster.run(4)
+
+    def lose(self, host):
+        self.cluster.down.add(host)
+        self.cluster.run(POLICY.promote_after_s + 3)
+
+    def test_second_loss_after_repair_leaves_a_majority(self):
+        """Guards against a cluster that one more loss stops after the repair."""
+        for first in "abc":
+            with self.subTest(first):
+                self.setUp()
+                cluster = self.cluster
+                self.assertEqual(cluster.get_voters(), {"a", "b", "c"})
+                self.lose(first)
+                self.assertEqual(cluster.get_voters(), set("abcd") - {first})
+                cluster.down.add(cluster.elect())
+                self.assertTrue(cluster.propose(b"after second loss"))
+
+    def test_old_disk_returns_as_learner(self):
+        """Guards against a replaced voter that still votes or disturbs."""
+        cluster = self.cluster
+        self.lose("a")
+        term = cluster.replicas[cluster.elect()].term
+        cluster.stores["a"].crash()
+        cluster.start("a")
+        cluster.down = set()
+        cluster.run(4)
+        self.assertEqual(cluster.replicas["a"].role, "learner")
+        self.assertIn(cluster.identify("a"), cluster.replicas["b"].membership.learners)
+        self.assertEqual(cluster.replicas[cluster.elect()].term, term)
+
+    def test_empty_disk_returns_as_learner_and_is_promoted(self):
+        """Guards against an emptied host that keeps the vote it lost."""
+        cluster = self.cluster
+        old = cluster.identify("a")
+        cluster.create_store("a")
+        cluster.start("a")
+        cluster.run(0.3)
+        request = Vote(
+            source=cluster.identify("b"), target=old, term=99, last_index=0, last_term=0
+        )
+        cluster.now_s += 2
+        self.assertEqual(cluster.receive("a", request).messages, [])
+        self.assertLess(cluster.replicas["a"].term, 99)
+        cluster.run(POLICY.promote_after_s + 4)
+        membership = cluster.replicas[cluster.elect()].membership
+        self.assertNotIn(old, membership.members)
+        self.assertIn(cluster.identify("a"), membership.members)
+        self.assertEqual(len(membership.voters), 3)
+        self.assertTrue(cluster.propose(b"x"))
+
+    def test_only_one_change_at_a_time(self):
+        """Guards against two majorities that do not overlap."""
+        cluster = self.cluster
+        leader = cluster.elect()
+        replica = cluster.replicas[leader]
+        victim = min(replica.membership.voters)
+        cluster.down = set("abcd") - {leader}
+        cluster.policy = None
+        promotion = PromoteLearner(cluster.identify("d"))
+        replica.propose_membership(promotion, cluster.now_s)
+        with self.assertRaises(MembershipChangeError):
+            replica.propose_membership(RemoveMember(victim), cluster.now_s)
+
+    def test_no_change_before_an_entry_of_the_term_is_committed(self):
+        """Guards against a change that competes with one of an earlier leader."""
+        cluster = Cluster()
+        old = cluster.elect()
+        cluster.propose(b"x")
+        cluster.run(0.5)
+        cluster.down = {old}
+        cluster.drop = lambda message: type(message) is AppendReply
+        cluster.run(TIMEOUT_S + 0.3)
+        new = cluster.replicas[cluster.elect()]
+        self.assertGreater(new.commit_index, 1)
+        change = AddLearner(ReplicaId("d", 9))
+        with self.assertRaises(MembershipChangeError):
+            cluster.change(change)
+        cluster.drop = lambda message: False
+        cluster.run(0.5)
+        cluster.change(change)
+
+    def test_learner_is_promoted_only_after_it_has_caught_up(self):
+        """Guards against a quorum that waits for an empty or diskless voter."""
+        cluster = Cluster()
+        for number in range(50):
+            cluster.propose(b"%d" % number)
+        cluster.add_learner("d", durable=False)
+        with self.assertRaises(MembershipChangeError):
+            cluster.change(PromoteLearner(cluster.identify("d")))
+        cluster.down = {"d"}
+        cluster.create_store("d")
+        cluster.start("d")
+        cluster.change(AddLearner(cluster.identify("d")))
+        with self.assertRaises(MembershipChangeError):
+            cluster.change(PromoteLearner(cluster.identify("d")))
+        cluster.down = set()
+        cluster.run(1)
+        cluster.change(PromoteLearner(cluster.identify("d")))
+        self.assertEqual(cluster.get_voters(), {"a", "b", "c", "d"})
+
+    def test_removed_leader_steps_down(self):
+        """Guards against a leader that goes on after its own removal."""
+        cluster = Cluster()
+        leader = cluster.elect()
+        cluster.change(RemoveMember(cluster.identify(leader)))
+        self.assertEqual(cluster.replicas[leader].role, "learner")
+        cluster.run(4)
+        self.assertNotEqual(cluster.elect(), leader)
+        self.assertTrue(cluster.propose(b"x"))
+
+
+if __name__ == "__main__":
+    unittest.main()
