--- /dev/null
+++ b/tests/process_load.py
@@ -0,0 +1,156 @@
+"""Callers of the process tests: bookings that are resent with their key."""
+
+import collections
+import random
+from dataclasses import dataclass, field
+
+import curio
+import msgspec
+
+from buckthorndeal.errors import RequestError, Verdict
+from tests.process_harness import ENTRY_REGIONS, SLOW_PATH
+
+# Through each host.
+SLOW_BOOKINGS = 2
+CALLERS = 8
+BOOKINGS_PER_CALLER = 400
+BOOKING_PAUSE_S = 0.01
+ATTEMPTS = 60
+RESEND_PAUSE_S = 0.1
+
+
+@dataclass
+class Booking:
+    """What a caller sent under one key, and what each attempt came to."""
+
+    key: str
+    workspace: str
+    path: str = "/book"
+    attempts: list = field(default_factory=list)
+    answer: tuple | None = None
+
+    @property
+    def is_not_run(self):
+        """Whether the system refused every attempt as not run."""
+        outcomes = {outcome for _, outcome in self.attempts}
+        return self.answer is None and outcomes == {"not_run"}
+
+
+class Load:
+    """Callers that book and look up through several hosts and resend with the key.
+
+    `hosts` may be changed while the load runs.
+    """
+
+    def __init__(self, deployment, seed, hosts=tuple(ENTRY_REGIONS)):
+        self.deployment = deployment
+        self.hosts = list(hosts)
+        self.bookings = []
+        self.lookups = collections.Counter()
+        self._seed = seed
+        self._stopping = False
+        self._tasks = []
+
+    async def start(self):
+        for number in range(CALLERS):
+            rng = random.Random(f"{self._seed}-{number}")
+            self._tasks.append(await curio.spawn(self._call, number, rng))
+
+    async def cancel(self):
+        """End what a failed test left running."""
+        for task in self._tasks:
+            await task.cancel()
+
+    async def stop(self):
+        """Let the callers finish their bookings."""
+        self._stopping = True
+        for task in self._tasks:
+            await task.join()
+
+    async def start_slow(self, host):
+        """Start slow bookings of the region with two hosts, first through `host`."""
+        bookings = []
+        for _ in range(SLOW_BOOKINGS):
+            key = f"{self._seed}-slow-{len(self.bookings)}"
+            booking = Booking(key, "w1", SLOW_PATH)
+            bookings.append(booking)
+            self.bookings.append(booking)
+            rng = random.Random(key)
+            task = await curio.spawn(self._book, booking, rng, False, host)
+            self._tasks.append(task)
+        return bookings
+
+    async def start_slow_everywhere(self):
+        """Start slow bookings through all hosts, and wait until they run."""
+        bookings = []
+        for host in self.hosts:
+            bookings += await self.start_slow(host)
+        await self.deployment.wait_until(
+            lambda: all(self.deployment.executions[each.key] for each in bookings),
+            "the slow bookings are running",
+        )
+        return bookings
+
+    @property
+    def answered(self):
+        return [each for each in self.bookings if each.answer is not None]
+
+    async def wait_for_answers(self, count=30):
+        """Wait until `count` more bookings than now are answered."""
+        expected = len(self.answered) + count
+        await self.deployment.wait_until(
+            lambda: len(self.answered) >= expected, f"{expected} answered bookings"
+        )
+
+    async def _call(self, number, rng):
+        for index in range(BOOKINGS_PER_CALLER):
+            if self._stopping:
+                return
+            workspace = rng.choice(("w1", "w1", "w2", "w3"))
+            booking = Booking(f"{self._seed}-{number}-{index}", workspace)
+            self.bookings.append(booking)
+            await self._book(booking, rng, gives_up=rng.random() < 0.5)
+            await self._look_up(rng)
+            await curio.sleep(BOOKING_PAUSE_S)
+
+    async def _look_up(self, rng):
+        host = rng.choice(self.hosts)
+        try:
+            status, _ = await self.deployment.look_up(host, rng.choice(("w1", "w2")))
+        except RequestError as error:
+            status = error.verdict.value
+        self.lookups[(host, status)] += 1
+
+    async def _book(self, booking, rng, gives_up, first_host=None):
+        refusals = 0
+        for number in range(ATTEMPTS):
+            host = first_host if number == 0 and first_host else rng.choice(self.hosts)
+            outcome = await self._send(booking, host)
+            if outcome == "answered":
+                return
+            booking.attempts.append((host, outcome))
+            refusals += outcome in ("not_run", "may_have_run")
+            # The system's word on the outcome; half of the callers ask no further.
+            if outcome == "not_run" and gives_up:
+                return
+            if outcome == "may_have_run" and refusals > 3:
+                return
+            await curio.sleep(RESEND_PAUSE_S)
+
+    async def _send(self, booking, host):
+        """Send the booking once and return its outcome.
+
+        `unsent` and `broken` are the caller's own findings; the others are told by
+        the system.
+        """
+        try:
+            status, data = await self.deployment.book(
+                host, booking.workspace, booking.key, booking.path
+            )
+        except RequestError as error:
+            return "unsent" if error.verdict is Verdict.NOT_RUN else "broken"
+        body = msgspec.json.decode(data)
+        if status == 200:
+            booking.answer = (status, body)
+            return "answered"
+        return body["error"]["verdict"]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,8 @@
 from absl import logging as absl_logging
 
 from buckthorndeal.errors import RequestError
-from tests.process_harness import ENTRY_REGIONS, Deployment, Load, raise_failure
+from tests.process_harness import ENTRY_REGIONS, Deployment, raise_failure
+from tests.process_load import Load
 
 FREEZE_S = 6.0
 SLOW_LOOKUPS = 4
