--- a/buckthorndeal/_bench_control.py
+++ b/buckthorndeal/_bench_control.py
@@ -11,6 +11,7 @@
 
 from buckthorndeal._bench_control_host import Counters
 from buckthorndeal._bench_process import DaemonProcess, find_free_port, start_module
+from buckthorndeal.authentication import hash_key
 from buckthorndeal.bench import Measurement
 from buckthorndeal.control import (
     CONTROL_CODEC,
@@ -19,7 +20,6 @@
     PlacementReport,
     Subscribe,
 )
-from buckthorndeal.document import hash_key
 from buckthorndeal.errors import BuckthorndealError, PeerError, RequestError
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.peers import Channel, PeerLink, create_peer_link
--- a/buckthorndeal/_bench_state.py
+++ b/buckthorndeal/_bench_state.py
@@ -13,9 +13,10 @@
 from buckthorndeal._entry_regions import ServiceOffer, SpillOffer
 from buckthorndeal._entry_reports import EndpointLoad, EndpointReports
 from buckthorndeal.affinity import create_affinity
+from buckthorndeal.authentication import hash_key
 from buckthorndeal.bench import Measurement
 from buckthorndeal.claims import ClaimEntry, ClaimSnapshot
-from buckthorndeal.document import create_document, hash_key
+from buckthorndeal.document import create_document
 from buckthorndeal.membership import HostRecord
 from buckthorndeal.registry import Announcement, create_registry
 from buckthorndeal.views import EndpointView
--- a/buckthorndeal/_control_api.py
+++ b/buckthorndeal/_control_api.py
@@ -12,7 +12,8 @@
 from buckthorndeal import _control_models as models
 from buckthorndeal import _control_requests as requests
 from buckthorndeal._control_subscriptions import ListSubscribers
-from buckthorndeal.document import Document, create_diff, hash_key
+from buckthorndeal.authentication import hash_bearer
+from buckthorndeal.document import Document, create_diff
 from buckthorndeal.errors import (
     ForbiddenError,
     NotLeaderError,
@@ -131,7 +132,7 @@
     async def _change_section(
         self, request: Request, responder: Responder, section: str
     ) -> None:
-        key_hash = _read_key_hash(request)
+        key_hash = hash_bearer(request.headers.get("authorization"))
         body = _decode(request.body, models.ChangeBody)
         _check_change_id(body.change_id)
         answer = await self._commit(
@@ -211,7 +212,7 @@
         await responder.respond_json(200, body)
 
     async def _rotate_key(self, request: Request, responder: Responder) -> None:
-        old_hash = _read_key_hash(request)
+        old_hash = hash_bearer(request.headers.get("authorization"))
         body = _decode(request.body, models.RotationBody)
         _check_change_id(body.change_id)
         if not re.fullmatch(r"[0-9a-f]{64}", body.new_hash):
@@ -257,7 +258,7 @@
 
 
 def _authenticate(request: Request, state: requests.ControlState) -> None:
-    key_hash = _read_key_hash(request)
+    key_hash = hash_bearer(request.headers.get("authorization"))
     if state.document.find_team(key_hash) is not None:
         return
     if not (state.is_confirmed and state.document.revision):
@@ -266,13 +267,6 @@
     raise ForbiddenError("the key is not valid")
 
 
-def _read_key_hash(request: Request) -> str:
-    scheme, _, key = request.headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not key:
-        raise ForbiddenError("a bearer key is required")
-    return hash_key(key.strip())
-
-
 def _read_query(request: Request, name: str) -> str:
     values = parse_qs(request.target.partition("?")[2]).get(name, [""])
     return values[0]
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/_entry_front.py
@@ -37,7 +37,7 @@
     read_request_id,
 )
 from buckthorndeal._entry_relay import StreamRelay
-from buckthorndeal._entry_reports import EndpointTold
+from buckthorndeal._entry_reports import EndpointReported
 from buckthorndeal.authentication import Identity, check_endpoint_key
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import RequestError, Verdict
@@ -175,7 +175,7 @@
         outcome = await self._context.router.ask(message)
         if not isinstance(outcome, Accepted):
             raise RequestError("refused", 409, outcome.reason)
-        await self._context.reports.send(EndpointTold(message))
+        await self._context.reports.send(EndpointReported(message))
         hosts = await self._context.router.ask(ListRegionHosts(self._context.region))
         registrars = [
             {"host": record.host, "address": record.address, "port": record.port}
--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/_entry_reports.py
@@ -112,7 +112,7 @@
 
 
 @dataclass(frozen=True)
-class EndpointTold:
+class EndpointReported:
     """Tells the relay of a message that an endpoint sent to this host."""
 
     message: Announcement | Heartbeat | DrainNotice | LeaveNotice
@@ -179,7 +179,7 @@
         return await self.mailbox.receive_within(self._due_s - self._now())
 
     async def _handle(self, message: object) -> None:
-        if isinstance(message, EndpointTold):
+        if isinstance(message, EndpointReported):
             self._store(_create_report(message.message))
             self._note_own(message.message)
         elif isinstance(message.message, FetchEndpoints):
--- a/buckthorndeal/authentication.py
+++ b/buckthorndeal/authentication.py
@@ -118,7 +118,7 @@
 
 
 def hash_key(key: str) -> str:
-    """Return the hash of a key as the accounts section holds it."""
+    """Return the SHA-256 hash of a key as the document holds it."""
     return hashlib.sha256(key.encode("utf-8")).hexdigest()
 
 
--- a/buckthorndeal/document.py
+++ b/buckthorndeal/document.py
@@ -1,7 +1,6 @@
 """The operating document: sections as text, validated models and revisions."""
 
 import difflib
-import hashlib
 import re
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
@@ -26,7 +25,6 @@
     "create_diff",
     "create_document",
     "create_splice",
-    "hash_key",
     "restore_document",
 ]
 
@@ -131,11 +129,6 @@
     )
 
 
-def hash_key(key: str) -> str:
-    """Return the SHA-256 hash of a key as it stands in the document."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 @dataclass(frozen=True, slots=True)
 class SectionText:
     """One section: its text as written, its revision and its parsed model."""
--- a/buckthorndeal/operations.py
+++ b/buckthorndeal/operations.py
@@ -28,7 +28,7 @@
     create_control_client,
     decode_error,
 )
-from buckthorndeal.document import hash_key
+from buckthorndeal.authentication import hash_key
 from buckthorndeal.errors import RequestError
 from buckthorndeal.statemachine import (
     ChangeAccepted,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,6 +13,7 @@
 
 from buckthorndeal import operations
 from buckthorndeal._control_models import ChangeBody
+from buckthorndeal.authentication import hash_key
 from buckthorndeal.control import (
     CONTROL_CODEC,
     ChangeView,
@@ -26,7 +27,7 @@
     ViewReply,
     apply_document_notice,
 )
-from buckthorndeal.document import create_document, hash_key
+from buckthorndeal.document import create_document
 from buckthorndeal.errors import PeerError, RequestError
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.ledger import LedgerView
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -3,13 +3,13 @@
 import random
 import unittest
 
+from buckthorndeal.authentication import hash_key
 from buckthorndeal.document import (
     Splice,
     apply_splice,
     create_diff,
     create_document,
     create_splice,
-    hash_key,
     restore_document,
 )
 from buckthorndeal.errors import DocumentError, ValidationError
--- a/tests/test_statemachine.py
+++ b/tests/test_statemachine.py
@@ -3,7 +3,8 @@
 import unittest
 
 from buckthorndeal import statemachine as sm
-from buckthorndeal.document import apply_splice, hash_key
+from buckthorndeal.authentication import hash_key
+from buckthorndeal.document import apply_splice
 from buckthorndeal.ledger import LedgerView
 from tests.test_document import PLATFORM, TEAMS, TEXTS
 
