Shorten the tags of frequent messages between control hosts

Cause: an idle leader of 3 replicas used 2,378 B/s, above the 2 KB/s for control; the tags of nested messages took about 36 bytes of each frame. Change: one-letter tags for the log's messages, their frame and the link's own.

--- a/buckthorndeal/_consensus_messages.py
+++ b/buckthorndeal/_consensus_messages.py
@@ -5,6 +5,7 @@
 from buckthorndeal._consensus_records import Entry, Membership, ReplicaId
 
 
+# Tags of one letter: heartbeats make most of a control host's traffic.
 class ConsensusMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Fields of every message.
 
@@ -17,37 +18,33 @@
     term: int
 
 
-class PreVote(ConsensusMessage, frozen=True, kw_only=True, tag="consensus.pre_vote"):
+class PreVote(ConsensusMessage, frozen=True, kw_only=True, tag="p"):
     """Asks whether the target would vote for the source in `term`."""
 
     last_index: int
     last_term: int
 
 
-class PreVoteReply(
-    ConsensusMessage, frozen=True, kw_only=True, tag="consensus.pre_vote_reply"
-):
+class PreVoteReply(ConsensusMessage, frozen=True, kw_only=True, tag="q"):
     """Answers a `PreVote`; `term` is the proposed term if granted."""
 
     granted: bool
 
 
-class Vote(ConsensusMessage, frozen=True, kw_only=True, tag="consensus.vote"):
+class Vote(ConsensusMessage, frozen=True, kw_only=True, tag="v"):
     """Asks for the target's vote in `term`."""
 
     last_index: int
     last_term: int
 
 
-class VoteReply(
-    ConsensusMessage, frozen=True, kw_only=True, tag="consensus.vote_reply"
-):
+class VoteReply(ConsensusMessage, frozen=True, kw_only=True, tag="w"):
     """Answers a `Vote`."""
 
     granted: bool
 
 
-class Append(ConsensusMessage, frozen=True, kw_only=True, tag="consensus.append"):
+class Append(ConsensusMessage, frozen=True, kw_only=True, tag="a"):
     """Entries after `prev_index`; without entries a heartbeat."""
 
     round: int
@@ -57,9 +54,7 @@
     entries: tuple[Entry, ...] = ()
 
 
-class AppendReply(
-    ConsensusMessage, frozen=True, kw_only=True, tag="consensus.append_reply"
-):
+class AppendReply(ConsensusMessage, frozen=True, kw_only=True, tag="b"):
     """Answers an `Append`.
 
     `match_index` is the last index known to agree and synced; in a refusal it is
@@ -73,9 +68,7 @@
     durable: bool = True
 
 
-class InstallSnapshot(
-    ConsensusMessage, frozen=True, kw_only=True, tag="consensus.install_snapshot"
-):
+class InstallSnapshot(ConsensusMessage, frozen=True, kw_only=True, tag="s"):
     """One chunk of the snapshot at `index`."""
 
     round: int
@@ -91,7 +84,7 @@
     ConsensusMessage,
     frozen=True,
     kw_only=True,
-    tag="consensus.install_snapshot_reply",
+    tag="t",
 ):
     """Answers a chunk; the next chunk starts at `received_bytes`."""
 
@@ -101,7 +94,7 @@
     durable: bool = True
 
 
-class Join(ConsensusMessage, frozen=True, kw_only=True, tag="consensus.join"):
+class Join(ConsensusMessage, frozen=True, kw_only=True, tag="j"):
     """Sent by a replica without a leader that wants to follow the log."""
 
     durable: bool
--- a/buckthorndeal/_control_messages.py
+++ b/buckthorndeal/_control_messages.py
@@ -8,7 +8,7 @@
 from buckthorndeal.wire import Message, create_codec
 
 
-class ConsensusFrame(Message):
+class ConsensusFrame(Message, tag="c"):
     """Notice: one encoded message of the replicated log."""
 
     data: bytes
--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -51,34 +51,34 @@
     host: str
 
 
-class Call(Message):
+class Call(Message, tag="c"):
     """A message that expects a reply."""
 
     call_id: int
     body: msgspec.Raw
 
 
-class Reply(Message):
+class Reply(Message, tag="r"):
     """The reply to a call."""
 
     call_id: int
     body: msgspec.Raw
 
 
-class Failure(Message):
+class Failure(Message, tag="f"):
     """The handler of a call raised an error."""
 
     call_id: int
     reason: str
 
 
-class Notice(Message):
+class Notice(Message, tag="n"):
     """A message without a reply."""
 
     body: msgspec.Raw
 
 
-class Heartbeat(Message):
+class Heartbeat(Message, tag="h"):
     """Shows that the sender is alive and reachable."""
 
 
