--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 check: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/python -m unittest discover -s tests -t .
+	$(BIN)/python -m tests.parallel
 
 $(VENV)/.bench: $(VENV)/.installed requirements-bench.lock
 	$(BIN)/pip install --quiet -r requirements-bench.lock
--- a/buckthorndeal/_operations_client.py
+++ b/buckthorndeal/_operations_client.py
@@ -3,7 +3,7 @@
 import curio
 import msgspec
 
-from buckthorndeal._control_models import ApiError, ApiErrorBody
+from buckthorndeal.control._models import ApiError, ApiErrorBody
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.settings import PeerAddress
--- a/buckthorndeal/_bench_choice.py
+++ b/buckthorndeal/bench/_choice.py
@@ -3,11 +3,11 @@
 import random
 from dataclasses import dataclass, field
 
-from buckthorndeal._fake_fleet import BLOCK_TOKENS, EventClock, FakeEndpoint
-from buckthorndeal._fake_host import FakeHost, FakeRequest, HostSettings
-from buckthorndeal.affinity import CacheEvent
+from buckthorndeal.bench._fake_fleet import BLOCK_TOKENS, EventClock, FakeEndpoint
+from buckthorndeal.bench._fake_host import FakeHost, FakeRequest, HostSettings
+from buckthorndeal.policy.affinity import CacheEvent
+from buckthorndeal.policy.views import RouteRequest
 from buckthorndeal.sections import Weights
-from buckthorndeal.views import RouteRequest
 
 __all__ = ["ChoiceResult", "Scenario", "bench_choice"]
 
--- a/buckthorndeal/_bench_control.py
+++ b/buckthorndeal/bench/_control.py
@@ -9,10 +9,10 @@
 import curio
 import msgspec
 
-from buckthorndeal._bench_control_host import Counters
-from buckthorndeal._bench_process import DaemonProcess, find_free_port, start_module
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._control_host import Counters
+from buckthorndeal.bench._process import DaemonProcess, find_free_port, start_module
 from buckthorndeal.control import (
     CONTROL_CODEC,
     EndpointReport,
@@ -28,7 +28,7 @@
 
 __all__ = ["measure_control"]
 
-HOST_MODULE = "buckthorndeal._bench_control_host"
+HOST_MODULE = "buckthorndeal.bench._control_host"
 HOSTS = ("control-1", "control-2", "control-3", "control-4")
 VOTERS = HOSTS[:3]
 KEY = "bench-team-key"
--- a/buckthorndeal/_bench_control_host.py
+++ b/buckthorndeal/bench/_control_host.py
@@ -1,6 +1,6 @@
 """A control host that counts its peer traffic, for the control benchmark.
 
-Run as ``python -m buckthorndeal._bench_control_host SETTINGS COUNTERS``; SIGUSR1
+Run as ``python -m buckthorndeal.bench._control_host SETTINGS COUNTERS``; SIGUSR1
 writes the CPU time and the bytes sent and received since the start to the file
 COUNTERS. Calls of operators over HTTP are not counted.
 """
--- a/buckthorndeal/_bench_decision.py
+++ b/buckthorndeal/bench/_decision.py
@@ -4,16 +4,16 @@
 import time
 from dataclasses import dataclass
 
-from buckthorndeal._scoring import ScoreSettings
-from buckthorndeal.routing import Router, create_router
-from buckthorndeal.sections import Weights
-from buckthorndeal.views import (
+from buckthorndeal.policy._scoring import ScoreSettings
+from buckthorndeal.policy.routing import Router, create_router
+from buckthorndeal.policy.views import (
     AttemptOutcome,
     AttemptResult,
     EndpointView,
     RegionView,
     RouteRequest,
 )
+from buckthorndeal.sections import Weights
 
 __all__ = [
     "MAX_DECISION_S",
--- a/buckthorndeal/_bench_engine.py
+++ b/buckthorndeal/bench/_engine.py
@@ -12,12 +12,12 @@
 
 import curio
 
-from buckthorndeal._bench_policy_audit import Audit
-from buckthorndeal._bench_policy_plan import BATCH_SLOWDOWN, PREFILL_S, TOKEN_S
-from buckthorndeal._standin_engine import StandinEngine
-from buckthorndeal._standin_plain import StandinPlain
+from buckthorndeal.bench._policy_audit import Audit
+from buckthorndeal.bench._policy_plan import BATCH_SLOWDOWN, PREFILL_S, TOKEN_S
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.standin._engine import StandinEngine
+from buckthorndeal.standin._plain import StandinPlain
 
 __all__ = ["BenchEngine", "ObservedWork"]
 
--- a/buckthorndeal/_fake_fleet.py
+++ b/buckthorndeal/bench/_fake_fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from buckthorndeal.affinity import CacheEvent
+from buckthorndeal.policy.affinity import CacheEvent
 
 __all__ = ["BLOCK_TOKENS", "EventClock", "FakeEndpoint", "Job", "LoadReport"]
 
--- a/buckthorndeal/_fake_host.py
+++ b/buckthorndeal/bench/_fake_host.py
@@ -5,25 +5,30 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
-from buckthorndeal._fake_fleet import (
+from buckthorndeal.bench._fake_fleet import (
     BLOCK_TOKENS,
     EventClock,
     FakeEndpoint,
     Job,
     LoadReport,
 )
-from buckthorndeal.admission import AdmissionRequest, Refused, Ticket, create_admission
-from buckthorndeal.affinity import create_affinity
-from buckthorndeal.budget import create_budget
 from buckthorndeal.errors import RequestError
-from buckthorndeal.routing import create_router
-from buckthorndeal.sections import Weights
-from buckthorndeal.views import (
+from buckthorndeal.policy.admission import (
+    AdmissionRequest,
+    Refused,
+    Ticket,
+    create_admission,
+)
+from buckthorndeal.policy.affinity import create_affinity
+from buckthorndeal.policy.budget import create_budget
+from buckthorndeal.policy.routing import create_router
+from buckthorndeal.policy.views import (
     AttemptOutcome,
     AttemptResult,
     EndpointView,
     RouteRequest,
 )
+from buckthorndeal.sections import Weights
 
 __all__ = ["FakeHost", "FakeRequest", "HostSettings"]
 
--- a/buckthorndeal/_bench_node.py
+++ b/buckthorndeal/bench/_node.py
@@ -1,9 +1,9 @@
 """Benchmarks `decision` and `membership`: the cost of control on one node."""
 
-from buckthorndeal._bench_decision import bench_decision
-from buckthorndeal._bench_membership import MembershipResult
-from buckthorndeal._bench_membership import measure_membership as measure_sizes
 from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._decision import bench_decision
+from buckthorndeal.bench._membership import MembershipResult
+from buckthorndeal.bench._membership import measure_membership as measure_sizes
 
 __all__ = ["measure_decision", "measure_membership"]
 
--- a/buckthorndeal/_bench_policy.py
+++ b/buckthorndeal/bench/_policy.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from buckthorndeal._bench_policy_figures import Figures
-from buckthorndeal._bench_policy_plan import DEPLOYMENTS, RunSpec
-from buckthorndeal._bench_policy_report import create_measurements, write_report
-from buckthorndeal._bench_process import start_module
 from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._policy_figures import Figures
+from buckthorndeal.bench._policy_plan import DEPLOYMENTS, RunSpec
+from buckthorndeal.bench._policy_report import create_measurements, write_report
+from buckthorndeal.bench._process import start_module
 from buckthorndeal.errors import BuckthorndealError
 
 __all__ = ["COMPARED", "STRATEGIES", "list_specs", "measure_policy"]
@@ -28,7 +28,7 @@
     "tenth_and_host_lost",
 )
 OURS_ONLY = ("capacity", "triple_capacity", "half_failing")
-RUN_MODULE = "buckthorndeal._bench_policy_run"
+RUN_MODULE = "buckthorndeal.bench._policy_run"
 # Each run keeps most of a core busy; more at once would delay one another.
 PROCESSES = 6
 RUN_TIMEOUT_S = 90.0
--- a/buckthorndeal/_bench_policy_audit.py
+++ b/buckthorndeal/bench/_policy_audit.py
@@ -4,7 +4,7 @@
 import logging
 from dataclasses import dataclass, field
 
-from buckthorndeal._bench_policy_plan import BOOKING, PlannedCall
+from buckthorndeal.bench._policy_plan import BOOKING, PlannedCall
 from buckthorndeal.logs import EXTRA_FIELD
 
 __all__ = ["INVARIANTS", "Answered", "Audit", "Hop", "RouteRecorder"]
--- a/buckthorndeal/_bench_policy_callers.py
+++ b/buckthorndeal/bench/_policy_callers.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from buckthorndeal._bench_policy_audit import (
+from buckthorndeal.bench._policy_audit import (
     BROKEN,
     NOT_RUN,
     WHOLE,
@@ -14,25 +14,25 @@
     Answered,
     Audit,
 )
-from buckthorndeal._bench_policy_figures import Outcome
-from buckthorndeal._bench_policy_plan import (
+from buckthorndeal.bench._policy_figures import Outcome
+from buckthorndeal.bench._policy_plan import (
     ANSWER_TOKENS,
     BOOKING,
     LOOKUP,
     MODEL,
     PlannedCall,
 )
-from buckthorndeal._bench_policy_world import (
+from buckthorndeal.bench._policy_world import (
     ADDRESS,
     HTTP_PORT,
     World,
     get_caller_place,
     get_key,
 )
-from buckthorndeal._standin_engine import iter_tokens
-from buckthorndeal._standin_plain import compute_stock
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import ClientResponse, HttpPool, create_http_pool
+from buckthorndeal.standin._engine import iter_tokens
+from buckthorndeal.standin._plain import compute_stock
 from buckthorndeal.streams import END_DATA, Event, create_event_parser
 
 __all__ = ["Callers"]
--- a/buckthorndeal/_bench_policy_figures.py
+++ b/buckthorndeal/bench/_policy_figures.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from buckthorndeal._bench_policy_audit import Hop, find_root
-from buckthorndeal._bench_policy_plan import MODEL
+from buckthorndeal.bench._policy_audit import Hop, find_root
+from buckthorndeal.bench._policy_plan import MODEL
 
 __all__ = [
     "Figures",
--- a/buckthorndeal/_bench_policy_report.py
+++ b/buckthorndeal/bench/_policy_report.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from buckthorndeal._bench_policy_audit import INVARIANTS
-from buckthorndeal._bench_policy_figures import Figures
-from buckthorndeal._bench_policy_plan import DEPLOYMENTS
 from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._policy_audit import INVARIANTS
+from buckthorndeal.bench._policy_figures import Figures
+from buckthorndeal.bench._policy_plan import DEPLOYMENTS
 from buckthorndeal.reports import format_table, plot_bars, write_json
 
 __all__ = ["create_measurements", "format_runs", "write_report"]
--- a/buckthorndeal/_bench_policy_run.py
+++ b/buckthorndeal/bench/_policy_run.py
@@ -1,6 +1,6 @@
 """One run of the policy benchmark.
 
-Run as ``python -m buckthorndeal._bench_policy_run SPEC`` with a `RunSpec` as JSON;
+Run as ``python -m buckthorndeal.bench._policy_run SPEC`` with a `RunSpec` as JSON;
 prints the `Figures` as JSON.
 """
 
@@ -11,12 +11,12 @@
 import msgspec
 from absl import logging
 
-from buckthorndeal._bench_engine import BenchEngine
-from buckthorndeal._bench_policy_audit import RouteRecorder
-from buckthorndeal._bench_policy_callers import Callers
-from buckthorndeal._bench_policy_figures import Figures, compute_figures
-from buckthorndeal._bench_policy_plan import RunSpec, create_plan
-from buckthorndeal._bench_policy_world import World
+from buckthorndeal.bench._engine import BenchEngine
+from buckthorndeal.bench._policy_audit import RouteRecorder
+from buckthorndeal.bench._policy_callers import Callers
+from buckthorndeal.bench._policy_figures import Figures, compute_figures
+from buckthorndeal.bench._policy_plan import RunSpec, create_plan
+from buckthorndeal.bench._policy_world import World
 
 __all__ = ["run_policy"]
 
--- a/buckthorndeal/_bench_policy_views.py
+++ b/buckthorndeal/bench/_policy_views.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from buckthorndeal._entry_views import ViewSource
+from buckthorndeal.entry._views import ViewSource
 from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
 
 __all__ = ["TableViews"]
--- a/buckthorndeal/_bench_policy_world.py
+++ b/buckthorndeal/bench/_policy_world.py
@@ -8,9 +8,9 @@
 import curio
 import msgspec
 
-from buckthorndeal._bench_engine import BenchEngine, ObservedWork
-from buckthorndeal._bench_policy_audit import Audit
-from buckthorndeal._bench_policy_plan import (
+from buckthorndeal.bench._engine import BenchEngine, ObservedWork
+from buckthorndeal.bench._policy_audit import Audit
+from buckthorndeal.bench._policy_plan import (
     DEPLOYMENTS,
     SCENARIOS,
     WORKSPACES_PER_REGION,
@@ -18,12 +18,11 @@
     Deployment,
     RunSpec,
 )
-from buckthorndeal._bench_policy_views import TableViews
-from buckthorndeal._bench_traffic import MeteredTransport
-from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import DocumentView, ListEndpoints, ListHosts
-from buckthorndeal._standin_plain import StandinPlain
+from buckthorndeal.bench._policy_views import TableViews
+from buckthorndeal.bench._traffic import MeteredTransport
 from buckthorndeal.entry import EntryHost, create_entry_host
+from buckthorndeal.entry._document import create_document_view
+from buckthorndeal.entry._messages import DocumentView, ListEndpoints, ListHosts
 from buckthorndeal.errors import BuckthorndealError
 from buckthorndeal.ledger import LedgerView
 from buckthorndeal.sections import parse_section
@@ -34,6 +33,7 @@
     PeerAddress,
 )
 from buckthorndeal.standin import Standin, StandinSettings, create_standin
+from buckthorndeal.standin._plain import StandinPlain
 from buckthorndeal.transport import create_link_shape, create_memory_transport
 
 __all__ = ["World", "get_key"]
--- a/buckthorndeal/_bench_relay.py
+++ b/buckthorndeal/bench/_relay.py
@@ -8,21 +8,21 @@
 import curio
 import msgspec
 
-from buckthorndeal._bench_process import (
+from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._process import (
     DaemonProcess,
     find_free_port,
     start_daemon,
     start_module,
 )
-from buckthorndeal._bench_relay_load import HEADERS, KEY, CallerReport
-from buckthorndeal.bench import Measurement
+from buckthorndeal.bench._relay_load import HEADERS, KEY, CallerReport
 from buckthorndeal.errors import BuckthorndealError, RequestError
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["measure_relay"]
 
-LOAD_MODULE = "buckthorndeal._bench_relay_load"
+LOAD_MODULE = "buckthorndeal.bench._relay_load"
 # The endpoints send a token each 30 ms: 100 streams make 3,333 tokens/s, the mean
 # of one node at the target size (3,030) and a tenth more.
 MEAN_STREAMS = 100
--- a/buckthorndeal/_bench_relay_load.py
+++ b/buckthorndeal/bench/_relay_load.py
@@ -1,6 +1,6 @@
 """Load of the relay benchmark: a paced endpoint, and callers that read streams.
 
-Run as ``python -m buckthorndeal._bench_relay_load endpoint`` or
+Run as ``python -m buckthorndeal.bench._relay_load endpoint`` or
 ``... callers PORT COUNT STREAMS``, so that neither shares a core with the entry
 host that is measured.
 """
--- a/buckthorndeal/_bench_state.py
+++ b/buckthorndeal/bench/_state.py
@@ -8,18 +8,18 @@
 
 import msgspec
 
-from buckthorndeal._control_messages import CONTROL_CODEC, PlacementReport
-from buckthorndeal._entry_placement import create_report
-from buckthorndeal._entry_regions import ServiceOffer, SpillOffer
-from buckthorndeal._entry_reports import EndpointLoad, EndpointReports
-from buckthorndeal.affinity import create_affinity
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.bench import Measurement
-from buckthorndeal.claims import ClaimEntry, ClaimSnapshot
+from buckthorndeal.control._messages import CONTROL_CODEC, PlacementReport
 from buckthorndeal.document import create_document
+from buckthorndeal.entry._placement import create_report
+from buckthorndeal.entry._regions import ServiceOffer, SpillOffer
+from buckthorndeal.entry._reports import EndpointLoad, EndpointReports
+from buckthorndeal.ledger.claims import ClaimEntry, ClaimSnapshot
 from buckthorndeal.membership import HostRecord
+from buckthorndeal.policy.affinity import create_affinity
+from buckthorndeal.policy.views import EndpointView
 from buckthorndeal.registry import Announcement, create_registry
-from buckthorndeal.views import EndpointView
 from buckthorndeal.wire import create_codec
 
 __all__ = ["measure_state"]
--- a/buckthorndeal/command_bench.py
+++ b/buckthorndeal/command_bench.py
@@ -6,12 +6,12 @@
 
 from absl import app, flags
 
-from buckthorndeal._bench_control import measure_control
-from buckthorndeal._bench_node import measure_decision, measure_membership
-from buckthorndeal._bench_policy import measure_policy
-from buckthorndeal._bench_relay import measure_relay
-from buckthorndeal._bench_state import measure_state
 from buckthorndeal.bench import Measurement, check_bounds, load_bounds
+from buckthorndeal.bench._control import measure_control
+from buckthorndeal.bench._node import measure_decision, measure_membership
+from buckthorndeal.bench._policy import measure_policy
+from buckthorndeal.bench._relay import measure_relay
+from buckthorndeal.bench._state import measure_state
 from buckthorndeal.reports import format_measurements, write_json
 
 __all__ = ["run"]
--- a/buckthorndeal/command_ctl.py
+++ b/buckthorndeal/command_ctl.py
@@ -8,7 +8,7 @@
 from absl import app, flags
 
 from buckthorndeal import operations
-from buckthorndeal._control_models import StatusBody
+from buckthorndeal.control._models import StatusBody
 from buckthorndeal.errors import RequestError
 from buckthorndeal.operations import ControlClient
 from buckthorndeal.settings import PeerAddress
--- a/buckthorndeal/command_local.py
+++ b/buckthorndeal/command_local.py
@@ -10,12 +10,12 @@
 import msgspec
 from absl import app, flags
 
-from buckthorndeal._entry_messages import ListEndpoints, ListHosts
 from buckthorndeal.command_entry import FAILURE_STATUS, SETTINGS_STATUS
 from buckthorndeal.control import ControlDaemon, create_control
 from buckthorndeal.daemons import run_daemon
 from buckthorndeal.document import create_document
 from buckthorndeal.entry import EntryHost, create_entry_host
+from buckthorndeal.entry._messages import ListEndpoints, ListHosts
 from buckthorndeal.errors import DocumentError, SettingsError, StartError, StoreError
 from buckthorndeal.logs import configure_logging, log_event
 from buckthorndeal.settings import (
--- a/buckthorndeal/consensus.py
+++ b/buckthorndeal/consensus/__init__.py
@@ -1,13 +1,13 @@
 """Replicated log: an embeddable replica without I/O besides its store."""
 
-from buckthorndeal._consensus_core import (
+from buckthorndeal.consensus._core import (
     Output,
     ProposalId,
     ReadIndex,
     ReplicaOptions,
     RoleChange,
 )
-from buckthorndeal._consensus_messages import (
+from buckthorndeal.consensus._messages import (
     CONSENSUS_MESSAGES,
     Append,
     AppendReply,
@@ -20,8 +20,8 @@
     Vote,
     VoteReply,
 )
-from buckthorndeal._consensus_policy import MembershipPolicy
-from buckthorndeal._consensus_records import (
+from buckthorndeal.consensus._policy import MembershipPolicy
+from buckthorndeal.consensus._records import (
     AddLearner,
     Ballot,
     Entry,
@@ -33,7 +33,7 @@
     ReplicaId,
     Snapshot,
 )
-from buckthorndeal._consensus_replica import MemberStatus, Replica, create_replica
+from buckthorndeal.consensus._replica import MemberStatus, Replica, create_replica
 
 __all__ = [
     "CONSENSUS_MESSAGES",
--- a/buckthorndeal/_consensus_core.py
+++ b/buckthorndeal/consensus/_core.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from buckthorndeal._consensus_log import ReplicaLog
-from buckthorndeal._consensus_messages import ConsensusMessage
-from buckthorndeal._consensus_records import Ballot, Entry, ReplicaId
 from buckthorndeal.charts import load_chart
-from buckthorndeal.logstore import LogStore
+from buckthorndeal.consensus._log import ReplicaLog
+from buckthorndeal.consensus._messages import ConsensusMessage
+from buckthorndeal.consensus._records import Ballot, Entry, ReplicaId
+from buckthorndeal.consensus.logstore import LogStore
 
 # A replica without a vote campaigns after this many election timeouts without a
 # leader; long enough that the voters have had several elections.
--- a/buckthorndeal/_consensus_dispatch.py
+++ b/buckthorndeal/consensus/_dispatch.py
@@ -2,11 +2,11 @@
 
 import functools
 
-from buckthorndeal import _consensus_election as election
-from buckthorndeal import _consensus_follower as follower
-from buckthorndeal import _consensus_messages as messages
-from buckthorndeal._consensus_core import Core
-from buckthorndeal._consensus_messages import ConsensusMessage
+from buckthorndeal.consensus import _election as election
+from buckthorndeal.consensus import _follower as follower
+from buckthorndeal.consensus import _messages as messages
+from buckthorndeal.consensus._core import Core
+from buckthorndeal.consensus._messages import ConsensusMessage
 
 
 @functools.singledispatch
--- a/buckthorndeal/_consensus_election.py
+++ b/buckthorndeal/consensus/_election.py
@@ -1,9 +1,9 @@
 """Elections: pre-vote, vote, and the rules for granting either."""
 
-from buckthorndeal._consensus_core import Core
-from buckthorndeal._consensus_leader import Leadership
-from buckthorndeal._consensus_messages import PreVote, PreVoteReply, Vote, VoteReply
-from buckthorndeal._consensus_records import Ballot
+from buckthorndeal.consensus._core import Core
+from buckthorndeal.consensus._leader import Leadership
+from buckthorndeal.consensus._messages import PreVote, PreVoteReply, Vote, VoteReply
+from buckthorndeal.consensus._records import Ballot
 
 
 def start_pre_vote(core: Core, now_s: float) -> None:
--- a/buckthorndeal/_consensus_follower.py
+++ b/buckthorndeal/consensus/_follower.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from buckthorndeal._consensus_core import Core
-from buckthorndeal._consensus_messages import (
+from buckthorndeal.consensus._core import Core
+from buckthorndeal.consensus._messages import (
     Append,
     AppendReply,
     InstallSnapshot,
     InstallSnapshotReply,
 )
-from buckthorndeal._consensus_records import Entry, ReplicaId, Snapshot
+from buckthorndeal.consensus._records import Entry, ReplicaId, Snapshot
 from buckthorndeal.errors import StoreError
 
 
--- a/buckthorndeal/_consensus_leader.py
+++ b/buckthorndeal/consensus/_leader.py
@@ -2,15 +2,15 @@
 
 from dataclasses import dataclass, field
 
-from buckthorndeal._consensus_core import Core, ReadIndex
-from buckthorndeal._consensus_messages import (
+from buckthorndeal.consensus._core import Core, ReadIndex
+from buckthorndeal.consensus._messages import (
     Append,
     AppendReply,
     InstallSnapshot,
     InstallSnapshotReply,
     Join,
 )
-from buckthorndeal._consensus_records import (
+from buckthorndeal.consensus._records import (
     Entry,
     EntryKind,
     MembershipChange,
--- a/buckthorndeal/_consensus_log.py
+++ b/buckthorndeal/consensus/_log.py
@@ -1,6 +1,6 @@
 """The log of one replica in memory, written through to its store."""
 
-from buckthorndeal._consensus_records import (
+from buckthorndeal.consensus._records import (
     Entry,
     EntryKind,
     Membership,
@@ -8,7 +8,7 @@
     decode_membership,
     select_suffix,
 )
-from buckthorndeal.logstore import LogStore
+from buckthorndeal.consensus.logstore import LogStore
 
 
 class ReplicaLog:
--- a/buckthorndeal/_logstore_disk.py
+++ b/buckthorndeal/consensus/_logstore_disk.py
@@ -15,10 +15,10 @@
 
 import msgspec
 
-from buckthorndeal._consensus_records import Ballot, Entry, Snapshot, select_suffix
 from buckthorndeal._files import make_directory, sync_directory
+from buckthorndeal.consensus._records import Ballot, Entry, Snapshot, select_suffix
+from buckthorndeal.consensus.logstore import LogStore, StoredState
 from buckthorndeal.errors import CorruptStoreError, StoreError
-from buckthorndeal.logstore import LogStore, StoredState
 
 FILE_HEADER = b"BDLOG\x00\x00\x01"
 # Length, checksum of length and offset, checksum of the payload. The offset is in
--- a/buckthorndeal/_consensus_messages.py
+++ b/buckthorndeal/consensus/_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from buckthorndeal._consensus_records import Entry, Membership, ReplicaId
+from buckthorndeal.consensus._records import Entry, Membership, ReplicaId
 
 
 # Tags of one letter: heartbeats make most of a control host's traffic.
--- a/buckthorndeal/_consensus_policy.py
+++ b/buckthorndeal/consensus/_policy.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal._consensus_records import (
+from buckthorndeal.consensus._records import (
     AddLearner,
     MembershipChange,
     PromoteLearner,
     RemoveMember,
 )
-from buckthorndeal._consensus_replica import MemberStatus
+from buckthorndeal.consensus._replica import MemberStatus
 
 
 @dataclass(frozen=True)
--- a/buckthorndeal/_consensus_replica.py
+++ b/buckthorndeal/consensus/_replica.py
@@ -3,12 +3,12 @@
 import random
 from dataclasses import dataclass
 
-from buckthorndeal import _consensus_election as election
-from buckthorndeal._consensus_core import Core, Output, ProposalId, ReplicaOptions
-from buckthorndeal._consensus_dispatch import handle_message
-from buckthorndeal._consensus_leader import Leadership
-from buckthorndeal._consensus_messages import ConsensusMessage, Join
-from buckthorndeal._consensus_records import (
+from buckthorndeal.consensus import _election as election
+from buckthorndeal.consensus._core import Core, Output, ProposalId, ReplicaOptions
+from buckthorndeal.consensus._dispatch import handle_message
+from buckthorndeal.consensus._leader import Leadership
+from buckthorndeal.consensus._messages import ConsensusMessage, Join
+from buckthorndeal.consensus._records import (
     ANY_INCARNATION,
     Ballot,
     Entry,
@@ -19,8 +19,8 @@
     Snapshot,
     encode_membership,
 )
+from buckthorndeal.consensus.logstore import LogStore
 from buckthorndeal.errors import NotLeaderError, StoreError
-from buckthorndeal.logstore import LogStore
 
 BOOTSTRAP_INDEX = 1
 BOOTSTRAP_TERM = 1
--- a/buckthorndeal/logstore.py
+++ b/buckthorndeal/consensus/logstore.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass, field
 
-from buckthorndeal._consensus_records import Ballot, Entry, Snapshot, select_suffix
+from buckthorndeal.consensus._records import Ballot, Entry, Snapshot, select_suffix
 
 __all__ = [
     "LogStore",
@@ -156,6 +156,6 @@
     StoreError
         If the directory cannot be used or another process uses it.
     """
-    from buckthorndeal._logstore_disk import DiskLogStore
+    from buckthorndeal.consensus._logstore_disk import DiskLogStore
 
     return DiskLogStore(directory, create_incarnation(rng))
--- a/buckthorndeal/control.py
+++ b/buckthorndeal/control/__init__.py
@@ -8,9 +8,21 @@
 
 import curio
 
-from buckthorndeal._control_api import ControlApi
-from buckthorndeal._control_bootstrap import choose_membership, is_empty
-from buckthorndeal._control_messages import (
+from buckthorndeal.consensus import (
+    Membership,
+    MembershipPolicy,
+    ReplicaId,
+    ReplicaOptions,
+    create_replica,
+)
+from buckthorndeal.consensus.logstore import (
+    LogStore,
+    create_disk_log_store,
+    create_memory_log_store,
+)
+from buckthorndeal.control._api import ControlApi
+from buckthorndeal.control._bootstrap import choose_membership, is_empty
+from buckthorndeal.control._messages import (
     CONTROL_CODEC,
     ChangeView,
     DocumentContent,
@@ -29,18 +41,11 @@
     ViewReply,
     apply_document_notice,
 )
-from buckthorndeal._control_peers import PeerCalls
-from buckthorndeal._control_placement import LEASE_NAME, PlacementTask, Stop
-from buckthorndeal._control_replica import ReplicaTask
-from buckthorndeal._control_requests import DocumentChanged
-from buckthorndeal._control_subscriptions import SubscriptionTask
-from buckthorndeal.consensus import (
-    Membership,
-    MembershipPolicy,
-    ReplicaId,
-    ReplicaOptions,
-    create_replica,
-)
+from buckthorndeal.control._peers import PeerCalls
+from buckthorndeal.control._placement import LEASE_NAME, PlacementTask, Stop
+from buckthorndeal.control._replica import ReplicaTask
+from buckthorndeal.control._requests import DocumentChanged
+from buckthorndeal.control._subscriptions import SubscriptionTask
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.leases import (
     LeaseOptions,
@@ -48,11 +53,6 @@
     create_lease_holder,
 )
 from buckthorndeal.logs import log_event
-from buckthorndeal.logstore import (
-    LogStore,
-    create_disk_log_store,
-    create_memory_log_store,
-)
 from buckthorndeal.peers import (
     LinkOptions,
     PeerLink,
--- a/buckthorndeal/_control_api.py
+++ b/buckthorndeal/control/_api.py
@@ -9,10 +9,10 @@
 import curio
 import msgspec
 
-from buckthorndeal import _control_models as models
-from buckthorndeal import _control_requests as requests
-from buckthorndeal._control_subscriptions import ListSubscribers
 from buckthorndeal.authentication import hash_bearer
+from buckthorndeal.control import _models as models
+from buckthorndeal.control import _requests as requests
+from buckthorndeal.control._subscriptions import ListSubscribers
 from buckthorndeal.document import Document, create_diff
 from buckthorndeal.errors import (
     ForbiddenError,
--- a/buckthorndeal/_control_bootstrap.py
+++ b/buckthorndeal/control/_bootstrap.py
@@ -4,11 +4,11 @@
 
 import curio
 
-from buckthorndeal._control_messages import DescribeReplica, ReplicaDescription
 from buckthorndeal.consensus import Membership, ReplicaId
+from buckthorndeal.consensus.logstore import LogStore
+from buckthorndeal.control._messages import DescribeReplica, ReplicaDescription
 from buckthorndeal.errors import PeerError
 from buckthorndeal.logs import log_event
-from buckthorndeal.logstore import LogStore
 from buckthorndeal.peers import PeerLink
 
 CALL_TIMEOUT_S = 1.0
--- a/buckthorndeal/_control_peers.py
+++ b/buckthorndeal/control/_peers.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 
-from buckthorndeal import _control_messages as messages
-from buckthorndeal import _control_requests as requests
-from buckthorndeal._control_placement import ReportReceived
-from buckthorndeal._control_subscriptions import Reported, Subscription
+from buckthorndeal.control import _messages as messages
+from buckthorndeal.control import _requests as requests
+from buckthorndeal.control._placement import ReportReceived
+from buckthorndeal.control._subscriptions import Reported, Subscription
 from buckthorndeal.errors import NotLeaderError, PeerError, Verdict
 from buckthorndeal.ledger import LedgerView, get_host
 from buckthorndeal.mailbox import Mailbox
--- a/buckthorndeal/_control_placement.py
+++ b/buckthorndeal/control/_placement.py
@@ -7,8 +7,8 @@
 import curio
 import msgspec
 
-from buckthorndeal._control_messages import EndpointReport, PlacementReport
-from buckthorndeal._control_requests import ControlState, ReadState
+from buckthorndeal.control._messages import EndpointReport, PlacementReport
+from buckthorndeal.control._requests import ControlState, ReadState
 from buckthorndeal.errors import BuckthorndealError, RequestError, Verdict
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.leases import LeaseHolder
--- a/buckthorndeal/_control_replica.py
+++ b/buckthorndeal/control/_replica.py
@@ -6,9 +6,6 @@
 
 import msgspec
 
-from buckthorndeal import _control_requests as requests
-from buckthorndeal._control_messages import ConsensusFrame
-from buckthorndeal._control_models import MemberBody
 from buckthorndeal.consensus import (
     CONSENSUS_MESSAGES,
     ConsensusMessage,
@@ -20,6 +17,9 @@
     Replica,
     ReplicaId,
 )
+from buckthorndeal.control import _requests as requests
+from buckthorndeal.control._messages import ConsensusFrame
+from buckthorndeal.control._models import MemberBody
 from buckthorndeal.errors import (
     ForbiddenError,
     MembershipChangeError,
--- a/buckthorndeal/_control_requests.py
+++ b/buckthorndeal/control/_requests.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal._control_models import MemberBody
+from buckthorndeal.control._models import MemberBody
 from buckthorndeal.document import Document
 from buckthorndeal.ledger import LedgerView
 from buckthorndeal.statemachine import HistoryEntry, LeaseState
--- a/buckthorndeal/_control_subscriptions.py
+++ b/buckthorndeal/control/_subscriptions.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from buckthorndeal._control_messages import (
+from buckthorndeal.control._messages import (
     DocumentContent,
     DocumentUpdate,
     SourceStatus,
 )
-from buckthorndeal._control_models import HostStatus
-from buckthorndeal._control_requests import (
+from buckthorndeal.control._models import HostStatus
+from buckthorndeal.control._requests import (
     ChangeList,
     ControlState,
     DocumentChanged,
--- a/buckthorndeal/entry.py
+++ b/buckthorndeal/entry/__init__.py
@@ -7,42 +7,42 @@
 
 import curio
 
-from buckthorndeal._entry_attempts import EntryContext
-from buckthorndeal._entry_calls import BookingRunner
-from buckthorndeal._entry_claims import create_claims
-from buckthorndeal._entry_control import ControlLinks
-from buckthorndeal._entry_document import (
+from buckthorndeal.directory import create_directory
+from buckthorndeal.document import Document, create_document
+from buckthorndeal.entry._attempts import EntryContext
+from buckthorndeal.entry._calls import BookingRunner
+from buckthorndeal.entry._claims import create_claims
+from buckthorndeal.entry._control import ControlLinks
+from buckthorndeal.entry._document import (
     create_empty_view,
     create_view_of,
     load_document,
     run_document,
 )
-from buckthorndeal._entry_front import EntryFront
-from buckthorndeal._entry_membership import (
+from buckthorndeal.entry._front import EntryFront
+from buckthorndeal.entry._membership import (
     create_member_record,
     create_service,
     read_record,
     run_changes,
     wait_for_others,
 )
-from buckthorndeal._entry_messages import DocumentView, GetDocument, HostSeen, Tick
-from buckthorndeal._entry_peers import PeerTask
-from buckthorndeal._entry_placement import PlacementReporter
-from buckthorndeal._entry_policy import RoutePolicy, create_policy
-from buckthorndeal._entry_pools import Pools
-from buckthorndeal._entry_prompts import create_prompt_hasher
-from buckthorndeal._entry_regions import REGION_MESSAGES, SpillReceived
-from buckthorndeal._entry_reports import (
+from buckthorndeal.entry._messages import DocumentView, GetDocument, HostSeen, Tick
+from buckthorndeal.entry._peers import PeerTask
+from buckthorndeal.entry._placement import PlacementReporter
+from buckthorndeal.entry._policy import RoutePolicy, create_policy
+from buckthorndeal.entry._pools import Pools
+from buckthorndeal.entry._prompts import create_prompt_hasher
+from buckthorndeal.entry._regions import REGION_MESSAGES, SpillReceived
+from buckthorndeal.entry._reports import (
     REPORT_MESSAGES,
     ReportRelay,
     ReportsReceived,
 )
-from buckthorndeal._entry_router import RouterState, run_router
-from buckthorndeal._entry_store import DocumentStore
-from buckthorndeal._entry_subscriber import SubscriberTask
-from buckthorndeal._entry_views import ControlViews, ViewSource
-from buckthorndeal.directory import create_directory
-from buckthorndeal.document import Document, create_document
+from buckthorndeal.entry._router import RouterState, run_router
+from buckthorndeal.entry._store import DocumentStore
+from buckthorndeal.entry._subscriber import SubscriberTask
+from buckthorndeal.entry._views import ControlViews, ViewSource
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.ledger import LEDGER_MESSAGES
 from buckthorndeal.logs import log_event
--- a/buckthorndeal/_entry_admission.py
+++ b/buckthorndeal/entry/_admission.py
@@ -8,17 +8,17 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from buckthorndeal._entry_messages import Admit
-from buckthorndeal.admission import (
+from buckthorndeal.authentication import Identity
+from buckthorndeal.entry._messages import Admit
+from buckthorndeal.errors import RequestError
+from buckthorndeal.policy.admission import (
     Admission,
     AdmissionRequest,
     Refused,
     Ticket,
     create_admission,
 )
-from buckthorndeal.authentication import Identity
-from buckthorndeal.errors import RequestError
-from buckthorndeal.views import EndpointView
+from buckthorndeal.policy.views import EndpointView
 
 CONCURRENCY_RETRY_S = 1.0
 # Endpoints keep a short queue, so that a slot that becomes free is used before the
--- a/buckthorndeal/_entry_attempts.py
+++ b/buckthorndeal/entry/_attempts.py
@@ -8,7 +8,8 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import (
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._messages import (
     Call,
     ChooseRoute,
     EndAttempt,
@@ -16,16 +17,15 @@
     Progress,
     Route,
 )
-from buckthorndeal._entry_pools import Pools
-from buckthorndeal._entry_prompts import PromptHasher
-from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._pools import Pools
+from buckthorndeal.entry._prompts import PromptHasher
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.http_client import ClientResponse
 from buckthorndeal.logs import log_decision
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.views import (
+from buckthorndeal.policy.views import (
     AttemptOutcome,
     AttemptResult,
     EndpointView,
--- a/buckthorndeal/_entry_calls.py
+++ b/buckthorndeal/entry/_calls.py
@@ -6,7 +6,7 @@
 import msgspec
 from absl import logging
 
-from buckthorndeal._entry_attempts import (
+from buckthorndeal.entry._attempts import (
     MAX_ATTEMPTS,
     REFUSAL_STATUSES,
     Attempt,
@@ -17,20 +17,20 @@
     log_route,
     open_attempt,
 )
-from buckthorndeal._entry_claims import (
+from buckthorndeal.entry._claims import (
     Claims,
     create_may_have_run,
     get_claim_key,
 )
-from buckthorndeal._entry_hedging import (
+from buckthorndeal.entry._hedging import (
     AttemptStep,
     UseAttempt,
     run_hedged,
     run_step,
 )
-from buckthorndeal._entry_messages import NO_CREDIT, Answer, Call, Progress, Route
+from buckthorndeal.entry._messages import NO_CREDIT, Answer, Call, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
-from buckthorndeal.views import AttemptOutcome, Decision
+from buckthorndeal.policy.views import AttemptOutcome, Decision
 
 RETRY_AFTER_S = 1.0
 
--- a/buckthorndeal/_entry_claims.py
+++ b/buckthorndeal/entry/_claims.py
@@ -8,15 +8,10 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import Answer, Call, FindOwner, HostSeen
-from buckthorndeal._entry_peers import SendToPeer
-from buckthorndeal._entry_views import ViewSource, run_views
-from buckthorndeal.claims import (
-    ViewRecord,
-    open_disk_claim_store,
-    open_memory_claim_store,
-)
 from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._messages import Answer, Call, FindOwner, HostSeen
+from buckthorndeal.entry._peers import SendToPeer
+from buckthorndeal.entry._views import ViewSource, run_views
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.ledger import (
     ClaimReply,
@@ -31,6 +26,11 @@
     create_ledger_service,
     get_host,
 )
+from buckthorndeal.ledger.claims import (
+    ViewRecord,
+    open_disk_claim_store,
+    open_memory_claim_store,
+)
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
 from buckthorndeal.settings import EntrySettings
--- a/buckthorndeal/_entry_control.py
+++ b/buckthorndeal/entry/_control.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from buckthorndeal._control_messages import CONTROL_CODEC, LeaderHint
+from buckthorndeal.control._messages import CONTROL_CODEC, LeaderHint
 from buckthorndeal.errors import PeerError
 from buckthorndeal.peers import Channel, LinkOptions, PeerLink, create_peer_link
 from buckthorndeal.settings import EntrySettings
--- a/buckthorndeal/_entry_document.py
+++ b/buckthorndeal/entry/_document.py
@@ -6,9 +6,9 @@
 
 import os
 
-from buckthorndeal._entry_messages import DocumentView, GetDocument, PutDocument
 from buckthorndeal.authentication import create_authenticator
 from buckthorndeal.document import Document
+from buckthorndeal.entry._messages import DocumentView, GetDocument, PutDocument
 from buckthorndeal.errors import SettingsError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox
--- a/buckthorndeal/_entry_front.py
+++ b/buckthorndeal/entry/_front.py
@@ -7,15 +7,17 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_attempts import (
+from buckthorndeal.authentication import Identity, check_endpoint_key
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._attempts import (
     REQUEST_ID_HEADER,
     VERDICT_HEADER,
     EntryContext,
     create_route_request,
 )
-from buckthorndeal._entry_calls import BookingRunner, run_unary
-from buckthorndeal._entry_claims import Claims, get_claim_key
-from buckthorndeal._entry_messages import (
+from buckthorndeal.entry._calls import BookingRunner, run_unary
+from buckthorndeal.entry._claims import Claims, get_claim_key
+from buckthorndeal.entry._messages import (
     Admit,
     Answer,
     Call,
@@ -28,7 +30,7 @@
     Progress,
     Release,
 )
-from buckthorndeal._entry_parse import (
+from buckthorndeal.entry._parse import (
     CHAT_PATH,
     SERVICE_PREFIX,
     identify,
@@ -36,15 +38,14 @@
     read_forwarding,
     read_request_id,
 )
-from buckthorndeal._entry_relay import StreamRelay
-from buckthorndeal._entry_reports import EndpointReported
-from buckthorndeal.authentication import Identity, check_endpoint_key
-from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._relay import StreamRelay
+from buckthorndeal.entry._reports import EndpointReported
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, ReplayGuard
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import CONTENT_TYPE
+from buckthorndeal.policy.routing import may_leave
 from buckthorndeal.registry import (
     Accepted,
     Announcement,
@@ -52,7 +53,6 @@
     Heartbeat,
     LeaveNotice,
 )
-from buckthorndeal.routing import may_leave
 from buckthorndeal.subsetting import choose_registrars
 
 ENDPOINT_MESSAGES = {
--- a/buckthorndeal/_entry_hedging.py
+++ b/buckthorndeal/entry/_hedging.py
@@ -5,16 +5,16 @@
 
 import curio
 
-from buckthorndeal._entry_attempts import (
+from buckthorndeal.entry._attempts import (
     Attempt,
     EntryContext,
     choose_route,
     get_target_name,
     open_attempt,
 )
-from buckthorndeal._entry_messages import Answer, Call, Progress, Route
+from buckthorndeal.entry._messages import Answer, Call, Progress, Route
 from buckthorndeal.errors import RequestError, Verdict
-from buckthorndeal.views import AttemptOutcome
+from buckthorndeal.policy.views import AttemptOutcome
 
 RETRY_AFTER_S = 1.0
 
--- a/buckthorndeal/_entry_membership.py
+++ b/buckthorndeal/entry/_membership.py
@@ -6,9 +6,8 @@
 
 import curio
 
-from buckthorndeal._entry_messages import HostSeen
-from buckthorndeal._membership_service import format_address, parse_address
 from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._messages import HostSeen
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.membership import HostRecord as MemberRecord
 from buckthorndeal.membership import (
@@ -16,6 +15,7 @@
     create_membership,
     create_membership_service,
 )
+from buckthorndeal.membership._service import format_address, parse_address
 from buckthorndeal.settings import EntrySettings
 from buckthorndeal.transport import DatagramPort
 from buckthorndeal.wire import decode_keys
--- a/buckthorndeal/_entry_messages.py
+++ b/buckthorndeal/entry/_messages.py
@@ -7,13 +7,13 @@
 from buckthorndeal.charts import Chart, load_chart
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import Verdict
+from buckthorndeal.policy.views import AttemptResult, Decision, RouteRequest
 from buckthorndeal.sections import (
     AccountsSection,
     PlatformSection,
     Service,
     SupportSection,
 )
-from buckthorndeal.views import AttemptResult, Decision, RouteRequest
 
 # Code of the refusal of a request from another region without a credit.
 NO_CREDIT = "no_credit"
--- a/buckthorndeal/_entry_parse.py
+++ b/buckthorndeal/entry/_parse.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from buckthorndeal._entry_messages import Call, DocumentView
 from buckthorndeal.authentication import Identity
+from buckthorndeal.entry._messages import Call, DocumentView
 from buckthorndeal.errors import AuthenticationError, RequestError
 from buckthorndeal.forwarding import (
     ForwardedRequest,
--- a/buckthorndeal/_entry_peers.py
+++ b/buckthorndeal/entry/_peers.py
@@ -3,11 +3,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from buckthorndeal._entry_messages import HostSeen
-from buckthorndeal._membership_service import parse_address
 from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._messages import HostSeen
 from buckthorndeal.errors import PeerError
 from buckthorndeal.mailbox import create_mailbox
+from buckthorndeal.membership._service import parse_address
 from buckthorndeal.peers import (
     Channel,
     LinkOptions,
--- a/buckthorndeal/_entry_placement.py
+++ b/buckthorndeal/entry/_placement.py
@@ -2,18 +2,18 @@
 
 import curio
 
-from buckthorndeal._control_messages import EndpointReport, PlacementReport
-from buckthorndeal._entry_control import ControlLinks
-from buckthorndeal._entry_messages import (
+from buckthorndeal.control._messages import EndpointReport, PlacementReport
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.entry._control import ControlLinks
+from buckthorndeal.entry._messages import (
     ListEndpoints,
     ListRegionHosts,
     TakeUnserved,
 )
-from buckthorndeal.directory import HostRecord
 from buckthorndeal.errors import PeerError
 from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.policy.views import EndpointView
 from buckthorndeal.subsetting import choose_registrars
-from buckthorndeal.views import EndpointView
 
 REPORT_INTERVAL_S = 1.0
 
--- a/buckthorndeal/_entry_policy.py
+++ b/buckthorndeal/entry/_policy.py
@@ -4,20 +4,20 @@
 from collections import OrderedDict
 from collections.abc import Sequence
 
-from buckthorndeal._entry_messages import ChooseRoute
-from buckthorndeal.affinity import CacheEvent
-from buckthorndeal.budget import RetryBudget, create_budget
-from buckthorndeal.hedging import Hedger, create_hedger
-from buckthorndeal.registry import CacheReport, Heartbeat
-from buckthorndeal.routing import Router, create_router
-from buckthorndeal.sections import Service
-from buckthorndeal.views import (
+from buckthorndeal.entry._messages import ChooseRoute
+from buckthorndeal.policy.affinity import CacheEvent
+from buckthorndeal.policy.budget import RetryBudget, create_budget
+from buckthorndeal.policy.hedging import Hedger, create_hedger
+from buckthorndeal.policy.routing import Router, create_router
+from buckthorndeal.policy.views import (
     AttemptResult,
     Decision,
     EndpointView,
     RegionView,
     RouteRequest,
 )
+from buckthorndeal.registry import CacheReport, Heartbeat
+from buckthorndeal.sections import Service
 
 # Bounds what is kept for cache reports to about 2 MB.
 MAX_SENT_HASHES = 32_768
--- a/buckthorndeal/_entry_prompts.py
+++ b/buckthorndeal/entry/_prompts.py
@@ -10,8 +10,8 @@
 from dataclasses import replace
 from typing import Any
 
-from buckthorndeal._entry_messages import Call
-from buckthorndeal.affinity import BLOCK_TOKENS
+from buckthorndeal.entry._messages import Call
+from buckthorndeal.policy.affinity import BLOCK_TOKENS
 
 SECRET_BYTES = 32
 HASH_BYTES = 8
--- a/buckthorndeal/_entry_regions.py
+++ b/buckthorndeal/entry/_regions.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from buckthorndeal.credits import (
+from buckthorndeal.directory import HostRecord
+from buckthorndeal.policy.credits import (
     Borrower,
     CreditGrant,
     Grantor,
@@ -19,8 +20,7 @@
     create_borrower,
     create_grantor,
 )
-from buckthorndeal.directory import HostRecord
-from buckthorndeal.views import RegionView
+from buckthorndeal.policy.views import RegionView
 from buckthorndeal.wire import Message
 
 EXCHANGE_S = 1.0
--- a/buckthorndeal/_entry_relay.py
+++ b/buckthorndeal/entry/_relay.py
@@ -3,23 +3,23 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_attempts import (
+from buckthorndeal.entry._attempts import (
     REFUSAL_STATUSES,
     Attempt,
     EntryContext,
     create_mismatch,
 )
-from buckthorndeal._entry_calls import run_attempts, run_with_deadline
-from buckthorndeal._entry_messages import Answer, Call, Progress
+from buckthorndeal.entry._calls import run_attempts, run_with_deadline
+from buckthorndeal.entry._messages import Answer, Call, Progress
 from buckthorndeal.errors import RequestError, WireError
 from buckthorndeal.http_server import Responder
+from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.streams import (
     Event,
     create_cursor,
     create_event_parser,
     format_event,
 )
-from buckthorndeal.views import AttemptOutcome
 
 # The end marker has been passed on already; the rest of the response is only read
 # so that the connection can be used again.
--- a/buckthorndeal/_entry_reports.py
+++ b/buckthorndeal/entry/_reports.py
@@ -9,9 +9,10 @@
 
 import msgspec
 
-from buckthorndeal._entry_messages import ListEndpoints, ListRegionHosts
-from buckthorndeal._entry_peers import SendToPeer
+from buckthorndeal.entry._messages import ListEndpoints, ListRegionHosts
+from buckthorndeal.entry._peers import SendToPeer
 from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.policy.views import EndpointView
 from buckthorndeal.registry import (
     EXPIRY_S,
     Announcement,
@@ -22,7 +23,6 @@
     Refused,
 )
 from buckthorndeal.subsetting import assign_subsets
-from buckthorndeal.views import EndpointView
 from buckthorndeal.wire import Message
 
 BATCH_S = 0.2
--- a/buckthorndeal/_entry_router.py
+++ b/buckthorndeal/entry/_router.py
@@ -3,8 +3,9 @@
 import functools
 from collections.abc import Callable
 
-from buckthorndeal._entry_admission import AdmissionControl, Answer
-from buckthorndeal._entry_messages import (
+from buckthorndeal.directory import Directory, HostRecord
+from buckthorndeal.entry._admission import AdmissionControl, Answer
+from buckthorndeal.entry._messages import (
     NO_CREDIT,
     Admit,
     ChooseRoute,
@@ -23,18 +24,19 @@
     TakeUnserved,
     Tick,
 )
-from buckthorndeal._entry_peers import SendToPeer
-from buckthorndeal._entry_policy import RoutePolicy
-from buckthorndeal._entry_regions import (
+from buckthorndeal.entry._peers import SendToPeer
+from buckthorndeal.entry._policy import RoutePolicy
+from buckthorndeal.entry._regions import (
     ServiceLoad,
     SpillReceived,
     compute_limit,
     create_region_exchange,
 )
-from buckthorndeal.directory import Directory, HostRecord
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, Mailbox
+from buckthorndeal.policy.routing import may_leave
+from buckthorndeal.policy.views import Decision, EndpointView, RegionView, RouteRequest
 from buckthorndeal.registry import (
     Accepted,
     Announcement,
@@ -43,8 +45,6 @@
     LeaveNotice,
     create_registry,
 )
-from buckthorndeal.routing import may_leave
-from buckthorndeal.views import Decision, EndpointView, RegionView, RouteRequest
 from buckthorndeal.wire import Message
 
 RETRY_AFTER_S = 1.0
--- a/buckthorndeal/_entry_store.py
+++ b/buckthorndeal/entry/_store.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from buckthorndeal._control_messages import DocumentContent
 from buckthorndeal._files import make_directory, replace_file
+from buckthorndeal.control._messages import DocumentContent
 from buckthorndeal.document import Document, create_document, restore_document
 from buckthorndeal.errors import CorruptStoreError, StoreError, ValidationError
 
--- a/buckthorndeal/_entry_subscriber.py
+++ b/buckthorndeal/entry/_subscriber.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from buckthorndeal._control_messages import (
+from buckthorndeal.control._messages import (
     DocumentContent,
     DocumentUpdate,
     InForce,
@@ -13,11 +13,11 @@
     Subscribe,
     apply_document_notice,
 )
-from buckthorndeal._entry_control import ControlLinks
-from buckthorndeal._entry_document import create_view_of
-from buckthorndeal._entry_messages import PutDocument
-from buckthorndeal._entry_store import DocumentStore, read_content
 from buckthorndeal.document import Document
+from buckthorndeal.entry._control import ControlLinks
+from buckthorndeal.entry._document import create_view_of
+from buckthorndeal.entry._messages import PutDocument
+from buckthorndeal.entry._store import DocumentStore, read_content
 from buckthorndeal.errors import DocumentError, PeerError, ValidationError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
--- a/buckthorndeal/_entry_views.py
+++ b/buckthorndeal/entry/_views.py
@@ -2,8 +2,8 @@
 
 import abc
 
-from buckthorndeal._control_messages import ChangeView, GetView, ViewReply
-from buckthorndeal._entry_control import ControlLinks
+from buckthorndeal.control._messages import ChangeView, GetView, ViewReply
+from buckthorndeal.entry._control import ControlLinks
 from buckthorndeal.ledger import AskView, LedgerService, LedgerView, ViewLearned
 from buckthorndeal.mailbox import Mailbox
 
--- a/buckthorndeal/ledger.py
+++ b/buckthorndeal/ledger/__init__.py
@@ -11,8 +11,8 @@
 import random
 from collections.abc import Callable
 
-from buckthorndeal._ledger_claims import Ledger
-from buckthorndeal._ledger_messages import (
+from buckthorndeal.ledger._claims import Ledger
+from buckthorndeal.ledger._messages import (
     LEDGER_MESSAGES,
     Abandon,
     AnswerRecorded,
@@ -38,9 +38,9 @@
     get_host,
     is_view_change_allowed,
 )
-from buckthorndeal._ledger_options import LedgerOptions
-from buckthorndeal._ledger_service import LedgerService, create_ledger_service
-from buckthorndeal.claims import FINGERPRINT_BYTES, ClaimSnapshot, LedgerView
+from buckthorndeal.ledger._options import LedgerOptions
+from buckthorndeal.ledger._service import LedgerService, create_ledger_service
+from buckthorndeal.ledger.claims import FINGERPRINT_BYTES, ClaimSnapshot, LedgerView
 
 __all__ = [
     "LEDGER_MESSAGES",
--- a/buckthorndeal/_claim_disk.py
+++ b/buckthorndeal/ledger/_claim_disk.py
@@ -8,15 +8,15 @@
 
 import msgspec
 
-from buckthorndeal._claim_records import (
+from buckthorndeal._files import make_directory, replace_file
+from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.ledger._claim_records import (
     ClaimSnapshot,
     Record,
     apply_payload,
     encode_snapshot,
 )
-from buckthorndeal._claim_store import ClaimStore
-from buckthorndeal._files import make_directory, replace_file
-from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.ledger._claim_store import ClaimStore
 
 FILE_NAME = "claims.log"
 MAGIC = b"BKDCLM1\n"
--- a/buckthorndeal/_claim_store.py
+++ b/buckthorndeal/ledger/_claim_store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from buckthorndeal._claim_records import (
+from buckthorndeal.ledger._claim_records import (
     ClaimSnapshot,
     Record,
     apply_payload,
--- a/buckthorndeal/_ledger_claims.py
+++ b/buckthorndeal/ledger/_claims.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from buckthorndeal._claim_records import ClaimEntry, ClaimSnapshot
-from buckthorndeal._ledger_messages import (
+from buckthorndeal.ledger._claim_records import ClaimEntry, ClaimSnapshot
+from buckthorndeal.ledger._messages import (
     Abandon,
     AnswerRecorded,
     Claim,
@@ -25,8 +25,8 @@
     ViewLearned,
     get_host,
 )
-from buckthorndeal._ledger_options import LedgerOptions
-from buckthorndeal._ledger_replica import Replica
+from buckthorndeal.ledger._options import LedgerOptions
+from buckthorndeal.ledger._replica import Replica
 from buckthorndeal.wire import Message
 
 
--- a/buckthorndeal/_ledger_copier.py
+++ b/buckthorndeal/ledger/_copier.py
@@ -4,13 +4,13 @@
 import random
 from dataclasses import dataclass
 
-from buckthorndeal._claim_records import (
+from buckthorndeal.ledger._claim_records import (
     FINGERPRINT_BYTES,
     ClaimEntry,
     ClaimSnapshot,
     LedgerView,
 )
-from buckthorndeal._ledger_messages import CopyClaims
+from buckthorndeal.ledger._messages import CopyClaims
 
 MAX_ENTRIES = 256
 MAX_BYTES = 524_288
--- a/buckthorndeal/_ledger_messages.py
+++ b/buckthorndeal/ledger/_messages.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from buckthorndeal._claim_records import ClaimEntry, LedgerView, Record
+from buckthorndeal.ledger._claim_records import ClaimEntry, LedgerView, Record
 from buckthorndeal.wire import Message
 
 
--- a/buckthorndeal/_ledger_replica.py
+++ b/buckthorndeal/ledger/_replica.py
@@ -6,15 +6,15 @@
 
 from absl import logging
 
-from buckthorndeal._claim_records import (
+from buckthorndeal.ledger._claim_records import (
     ClaimEntry,
     ClaimSnapshot,
     Fingerprints,
     LedgerView,
     ViewRecord,
 )
-from buckthorndeal._ledger_copier import Copier
-from buckthorndeal._ledger_messages import (
+from buckthorndeal.ledger._copier import Copier
+from buckthorndeal.ledger._messages import (
     AskView,
     ClaimsCopied,
     CopyClaims,
@@ -29,8 +29,8 @@
     ViewLearned,
     get_host,
 )
-from buckthorndeal._ledger_options import LedgerOptions
-from buckthorndeal._ledger_writer import Writer
+from buckthorndeal.ledger._options import LedgerOptions
+from buckthorndeal.ledger._writer import Writer
 from buckthorndeal.wire import Message
 
 
--- a/buckthorndeal/_ledger_service.py
+++ b/buckthorndeal/ledger/_service.py
@@ -8,10 +8,10 @@
 
 import curio
 
-from buckthorndeal._claim_records import ClaimSnapshot
-from buckthorndeal._claim_store import ClaimStore
-from buckthorndeal._ledger_claims import Ledger
-from buckthorndeal._ledger_messages import (
+from buckthorndeal.ledger._claim_records import ClaimSnapshot
+from buckthorndeal.ledger._claim_store import ClaimStore
+from buckthorndeal.ledger._claims import Ledger
+from buckthorndeal.ledger._messages import (
     Abandon,
     AnswerRecorded,
     AskView,
--- a/buckthorndeal/_ledger_writer.py
+++ b/buckthorndeal/ledger/_writer.py
@@ -1,7 +1,7 @@
 """Group commit: records wait for one sync at a time."""
 
-from buckthorndeal._claim_records import ClaimEntry, Record
-from buckthorndeal._ledger_messages import Effect, Persist
+from buckthorndeal.ledger._claim_records import ClaimEntry, Record
+from buckthorndeal.ledger._messages import Effect, Persist
 
 
 class Writer:
--- a/buckthorndeal/claims.py
+++ b/buckthorndeal/ledger/claims.py
@@ -1,7 +1,7 @@
 """Stores of the claim ledger: records, an abstract store, memory and disk forms."""
 
-from buckthorndeal._claim_disk import DiskClaimStore
-from buckthorndeal._claim_records import (
+from buckthorndeal.ledger._claim_disk import DiskClaimStore
+from buckthorndeal.ledger._claim_records import (
     FINGERPRINT_BYTES,
     ClaimEntry,
     ClaimSnapshot,
@@ -9,7 +9,7 @@
     LedgerView,
     ViewRecord,
 )
-from buckthorndeal._claim_store import ClaimStore, MemoryClaimStore
+from buckthorndeal.ledger._claim_store import ClaimStore, MemoryClaimStore
 
 __all__ = [
     "FINGERPRINT_BYTES",
--- a/buckthorndeal/membership.py
+++ b/buckthorndeal/membership/__init__.py
@@ -11,14 +11,14 @@
 
 import random
 
-from buckthorndeal._membership_member import Membership
-from buckthorndeal._membership_messages import MEMBERSHIP_MESSAGES, Outgoing
-from buckthorndeal._membership_options import MembershipOptions
-from buckthorndeal._membership_service import (
+from buckthorndeal.membership._member import Membership
+from buckthorndeal.membership._messages import MEMBERSHIP_MESSAGES, Outgoing
+from buckthorndeal.membership._options import MembershipOptions
+from buckthorndeal.membership._service import (
     MembershipService,
     create_membership_service,
 )
-from buckthorndeal._membership_table import HostRecord, HostState
+from buckthorndeal.membership._table import HostRecord, HostState
 
 __all__ = [
     "MEMBERSHIP_MESSAGES",
--- a/buckthorndeal/_membership_handlers.py
+++ b/buckthorndeal/membership/_handlers.py
@@ -3,7 +3,7 @@
 import functools
 from typing import TYPE_CHECKING
 
-from buckthorndeal._membership_messages import (
+from buckthorndeal.membership._messages import (
     Ack,
     Digest,
     Entries,
@@ -11,11 +11,11 @@
     Ping,
     PingRequest,
 )
-from buckthorndeal._membership_sync import compare_entries, pack_entries, pack_rumors
-from buckthorndeal._membership_table import BUCKETS
+from buckthorndeal.membership._sync import compare_entries, pack_entries, pack_rumors
+from buckthorndeal.membership._table import BUCKETS
 
 if TYPE_CHECKING:
-    from buckthorndeal._membership_member import Membership
+    from buckthorndeal.membership._member import Membership
 
 
 @functools.singledispatch
--- a/buckthorndeal/_membership_member.py
+++ b/buckthorndeal/membership/_member.py
@@ -6,17 +6,17 @@
 
 import msgspec
 
-from buckthorndeal._membership_handlers import handle_message
-from buckthorndeal._membership_messages import (
+from buckthorndeal.membership._handlers import handle_message
+from buckthorndeal.membership._messages import (
     Digest,
     Gossip,
     Outgoing,
     Ping,
     PingRequest,
 )
-from buckthorndeal._membership_options import MembershipOptions
-from buckthorndeal._membership_probing import ProbeSchedule
-from buckthorndeal._membership_table import (
+from buckthorndeal.membership._options import MembershipOptions
+from buckthorndeal.membership._probing import ProbeSchedule
+from buckthorndeal.membership._table import (
     PRESENT_STATES,
     HostRecord,
     HostState,
--- a/buckthorndeal/_membership_messages.py
+++ b/buckthorndeal/membership/_messages.py
@@ -5,7 +5,7 @@
 
 from msgspec import Meta
 
-from buckthorndeal._membership_table import HostName, HostState, Rumor
+from buckthorndeal.membership._table import HostName, HostState, Rumor
 from buckthorndeal.wire import Message
 
 Rumors = tuple[Rumor, ...]
--- a/buckthorndeal/_membership_probing.py
+++ b/buckthorndeal/membership/_probing.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterable
 
-from buckthorndeal._membership_table import PRESENT_STATES, HostRecord, HostTable
+from buckthorndeal.membership._table import PRESENT_STATES, HostRecord, HostTable
 
 # A member of a region with many hosts is watched by its neighbours. The probes
 # from other regions only have to notice that the region cannot be reached.
--- a/buckthorndeal/_membership_service.py
+++ b/buckthorndeal/membership/_service.py
@@ -5,12 +5,12 @@
 
 import curio
 
-from buckthorndeal._membership_member import Membership
-from buckthorndeal._membership_messages import MEMBERSHIP_MESSAGES, Outgoing
-from buckthorndeal._membership_table import HostRecord
 from buckthorndeal.errors import WireError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox, create_mailbox
+from buckthorndeal.membership._member import Membership
+from buckthorndeal.membership._messages import MEMBERSHIP_MESSAGES, Outgoing
+from buckthorndeal.membership._table import HostRecord
 from buckthorndeal.transport import DatagramPort
 from buckthorndeal.wire import create_codec, create_datagram_codec
 
--- a/buckthorndeal/_membership_sync.py
+++ b/buckthorndeal/membership/_sync.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from buckthorndeal._membership_messages import Entries, Gossip
-from buckthorndeal._membership_table import (
+from buckthorndeal.membership._messages import Entries, Gossip
+from buckthorndeal.membership._table import (
     MAX_RUMOR_BYTES,
     HostRecord,
     HostState,
--- a/buckthorndeal/operations.py
+++ b/buckthorndeal/operations.py
@@ -11,7 +11,14 @@
 import curio
 import msgspec
 
-from buckthorndeal._control_models import (
+from buckthorndeal._files import replace_file
+from buckthorndeal._operations_client import (
+    ControlClient,
+    create_control_client,
+    decode_error,
+)
+from buckthorndeal.authentication import hash_key
+from buckthorndeal.control._models import (
     ChangeBody,
     DiffAnswer,
     DiffBody,
@@ -22,13 +29,6 @@
     SectionBody,
     StatusBody,
 )
-from buckthorndeal._files import replace_file
-from buckthorndeal._operations_client import (
-    ControlClient,
-    create_control_client,
-    decode_error,
-)
-from buckthorndeal.authentication import hash_key
 from buckthorndeal.errors import RequestError
 from buckthorndeal.statemachine import (
     ChangeAccepted,
--- a/buckthorndeal/placement.py
+++ b/buckthorndeal/placement/__init__.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from buckthorndeal._placement_demand import DemandFilter, LoadBucket
-from buckthorndeal._placement_models import (
+from buckthorndeal.placement._demand import DemandFilter, LoadBucket
+from buckthorndeal.placement._models import (
     Order,
     OrderTable,
     PlacementDecision,
--- /dev/null
+++ b/buckthorndeal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an entry host: route choice, admission, budgets and credits."""
--- a/buckthorndeal/_scoring.py
+++ b/buckthorndeal/policy/_scoring.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.estimates import Estimate
+from buckthorndeal.policy.estimates import Estimate
+from buckthorndeal.policy.views import EndpointView, RegionView, RouteRequest
 from buckthorndeal.sections import Weights
-from buckthorndeal.views import EndpointView, RegionView, RouteRequest
 
 __all__ = ["Score", "ScoreSettings", "estimate_load", "score_region", "score_view"]
 
--- a/buckthorndeal/_strategies.py
+++ b/buckthorndeal/policy/_strategies.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from buckthorndeal._scoring import Score, ScoreSettings, score_view
-from buckthorndeal.affinity import AffinityMap
-from buckthorndeal.estimates import Estimates
+from buckthorndeal.policy._scoring import Score, ScoreSettings, score_view
+from buckthorndeal.policy.affinity import AffinityMap
+from buckthorndeal.policy.estimates import Estimates
+from buckthorndeal.policy.views import EndpointView, RouteRequest
 from buckthorndeal.sections import Weights
-from buckthorndeal.views import EndpointView, RouteRequest
 
 __all__ = [
     "Context",
--- a/buckthorndeal/credits.py
+++ b/buckthorndeal/policy/credits.py
@@ -4,8 +4,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from buckthorndeal._credit_messages import CreditGrant, CreditRequest, RegionSummary
-from buckthorndeal.views import RegionView
+from buckthorndeal.policy._credit_messages import (
+    CreditGrant,
+    CreditRequest,
+    RegionSummary,
+)
+from buckthorndeal.policy.views import RegionView
 
 __all__ = [
     "Borrower",
--- a/buckthorndeal/ejection.py
+++ b/buckthorndeal/policy/ejection.py
@@ -4,8 +4,8 @@
 import statistics
 from dataclasses import dataclass
 
-from buckthorndeal._quantiles import QuantileTracker
-from buckthorndeal.views import AttemptOutcome, AttemptResult
+from buckthorndeal.policy._quantiles import QuantileTracker
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
 __all__ = ["Ejection", "create_ejection"]
 
--- a/buckthorndeal/estimates.py
+++ b/buckthorndeal/policy/estimates.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal._quantiles import QuantileTracker
-from buckthorndeal.views import AttemptOutcome, AttemptResult
+from buckthorndeal.policy._quantiles import QuantileTracker
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
 __all__ = ["Estimate", "Estimates", "create_estimates"]
 
--- a/buckthorndeal/hedging.py
+++ b/buckthorndeal/policy/hedging.py
@@ -1,9 +1,9 @@
 """When a second attempt of an idempotent call is started."""
 
-from buckthorndeal._quantiles import QuantileTracker
-from buckthorndeal.budget import RetryBudget
+from buckthorndeal.policy._quantiles import QuantileTracker
+from buckthorndeal.policy.budget import RetryBudget
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult, RouteRequest
 from buckthorndeal.sections import HedgePolicy, Weights
-from buckthorndeal.views import AttemptOutcome, AttemptResult, RouteRequest
 
 __all__ = ["Hedger", "create_hedger"]
 
--- a/buckthorndeal/routing.py
+++ b/buckthorndeal/policy/routing.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from buckthorndeal._scoring import Score, score_region
-from buckthorndeal._strategies import (
+from buckthorndeal.policy._scoring import Score, score_region
+from buckthorndeal.policy._strategies import (
     Context,
     LeastLoad,
     LocalOnly,
@@ -16,17 +16,17 @@
     RoundRobin,
     pick_endpoint,
 )
-from buckthorndeal.affinity import AffinityMap, create_affinity
-from buckthorndeal.ejection import Ejection, create_ejection
-from buckthorndeal.estimates import Estimates, create_estimates
-from buckthorndeal.sections import Weights
-from buckthorndeal.views import (
+from buckthorndeal.policy.affinity import AffinityMap, create_affinity
+from buckthorndeal.policy.ejection import Ejection, create_ejection
+from buckthorndeal.policy.estimates import Estimates, create_estimates
+from buckthorndeal.policy.views import (
     AttemptResult,
     Decision,
     EndpointView,
     RegionView,
     RouteRequest,
 )
+from buckthorndeal.sections import Weights
 
 __all__ = ["STRATEGIES", "Router", "create_router", "may_leave"]
 
--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -7,7 +7,7 @@
 from msgspec import Meta
 
 from buckthorndeal.charts import load_chart
-from buckthorndeal.views import EndpointView
+from buckthorndeal.policy.views import EndpointView
 
 __all__ = [
     "Accepted",
--- a/buckthorndeal/standin.py
+++ b/buckthorndeal/standin/__init__.py
@@ -6,13 +6,13 @@
 import curio
 import msgspec
 
-from buckthorndeal._standin_engine import StandinEngine, iter_tokens
-from buckthorndeal._standin_plain import StandinPlain
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.logs import log_event
 from buckthorndeal.settings import Limits
+from buckthorndeal.standin._engine import StandinEngine, iter_tokens
+from buckthorndeal.standin._plain import StandinPlain
 from buckthorndeal.transport import Transport
 
 __all__ = [
--- a/buckthorndeal/statemachine.py
+++ b/buckthorndeal/statemachine/__init__.py
@@ -8,12 +8,14 @@
 
 import msgspec
 
-from buckthorndeal._statemachine_changes import (
+from buckthorndeal.document import Document, create_splice, restore_document
+from buckthorndeal.ledger import LedgerView
+from buckthorndeal.statemachine._changes import (
     ChangeTable,
     compute_digest,
     compute_rotation_digest,
 )
-from buckthorndeal._statemachine_messages import (
+from buckthorndeal.statemachine._messages import (
     Answer,
     ApplyChange,
     ChangeAccepted,
@@ -35,9 +37,7 @@
     Snapshot,
     ViewAnswer,
 )
-from buckthorndeal._statemachine_registers import LeaseTable, ViewTable
-from buckthorndeal.document import Document, create_splice, restore_document
-from buckthorndeal.ledger import LedgerView
+from buckthorndeal.statemachine._registers import LeaseTable, ViewTable
 
 __all__ = [
     "Answer",
--- a/buckthorndeal/_statemachine_changes.py
+++ b/buckthorndeal/statemachine/_changes.py
@@ -4,7 +4,15 @@
 
 import msgspec
 
-from buckthorndeal._statemachine_messages import (
+from buckthorndeal.document import (
+    Document,
+    apply_splice,
+    create_diff,
+    create_document,
+    create_splice,
+)
+from buckthorndeal.errors import DocumentError, ValidationError
+from buckthorndeal.statemachine._messages import (
     ApplyChange,
     ChangeAccepted,
     ChangeAnswer,
@@ -16,14 +24,6 @@
     RotateKey,
     StoredAnswer,
 )
-from buckthorndeal.document import (
-    Document,
-    apply_splice,
-    create_diff,
-    create_document,
-    create_splice,
-)
-from buckthorndeal.errors import DocumentError, ValidationError
 
 INITIAL_AUTHOR = "initial-document"
 MAX_HISTORY_ENTRIES = 1_000
--- a/buckthorndeal/_statemachine_registers.py
+++ b/buckthorndeal/statemachine/_registers.py
@@ -1,6 +1,7 @@
 """Leases and ledger views of the replicated control state."""
 
-from buckthorndeal._statemachine_messages import (
+from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
+from buckthorndeal.statemachine._messages import (
     ChangeView,
     GrantLease,
     LeaseAnswer,
@@ -9,7 +10,6 @@
     RenewLease,
     ViewAnswer,
 )
-from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
 
 
 class LeaseTable:
--- a/buckthorndeal/transport.py
+++ b/buckthorndeal/transport/__init__.py
@@ -4,21 +4,21 @@
 delays and cuts to either of them for tests and benchmarks.
 """
 
-from buckthorndeal._transport_base import (
+from buckthorndeal.transport._base import (
     DatagramPort,
     Listener,
     Stream,
     StreamHandler,
     Transport,
 )
-from buckthorndeal._transport_memory import MemoryTransport, create_memory_transport
-from buckthorndeal._transport_shaped import (
+from buckthorndeal.transport._memory import MemoryTransport, create_memory_transport
+from buckthorndeal.transport._shaped import (
     LinkShape,
     ShapedTransport,
     create_link_shape,
     create_shaped_transport,
 )
-from buckthorndeal._transport_socket import SocketTransport, create_socket_transport
+from buckthorndeal.transport._socket import SocketTransport, create_socket_transport
 
 __all__ = [
     "DatagramPort",
--- a/buckthorndeal/_transport_shaped.py
+++ b/buckthorndeal/transport/_shaped.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from buckthorndeal._transport_base import (
+from buckthorndeal.transport._base import (
     DatagramPort,
     Listener,
     Stream,
--- a/buckthorndeal/_transport_socket.py
+++ b/buckthorndeal/transport/_socket.py
@@ -5,7 +5,7 @@
 import curio
 from curio import socket
 
-from buckthorndeal._transport_base import (
+from buckthorndeal.transport._base import (
     DatagramPort,
     Listener,
     Stream,
--- a/tests/_ledger_world.py
+++ b/tests/_ledger_world.py
@@ -6,7 +6,6 @@
 import sys
 from dataclasses import dataclass, field
 
-from buckthorndeal.claims import ClaimSnapshot
 from buckthorndeal.ledger import (
     Abandon,
     AnswerRecorded,
@@ -26,6 +25,7 @@
     create_ledger,
     is_view_change_allowed,
 )
+from buckthorndeal.ledger.claims import ClaimSnapshot
 
 HOSTS = ("a", "b")
 KEYS = 10
--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -13,7 +13,7 @@
     VoteReply,
     create_replica,
 )
-from buckthorndeal.logstore import MemoryLogStore
+from buckthorndeal.consensus.logstore import MemoryLogStore
 from tests.consensus_harness import SimulatedDisk
 
 TIMEOUT_S = 1.0
--- a/tests/consensus_harness.py
+++ b/tests/consensus_harness.py
@@ -13,7 +13,6 @@
 
 import msgspec
 
-from buckthorndeal._consensus_log import ReplicaLog
 from buckthorndeal.consensus import (
     CONSENSUS_MESSAGES,
     Membership,
@@ -24,8 +23,9 @@
     ReplicaOptions,
     create_replica,
 )
+from buckthorndeal.consensus._log import ReplicaLog
+from buckthorndeal.consensus.logstore import MemoryLogStore
 from buckthorndeal.errors import MembershipChangeError
-from buckthorndeal.logstore import MemoryLogStore
 
 HOSTS = ("a", "b", "c", "d", "e")
 DISKLESS = "e"
--- a/tests/policy_harness.py
+++ b/tests/policy_harness.py
@@ -3,14 +3,14 @@
 import itertools
 import random
 
-from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import ChooseRoute, EndAttempt, HostSeen
-from buckthorndeal._entry_policy import create_policy
-from buckthorndeal._entry_router import RouterState
 from buckthorndeal.directory import HostRecord, create_directory
+from buckthorndeal.entry._document import create_document_view
+from buckthorndeal.entry._messages import ChooseRoute, EndAttempt, HostSeen
+from buckthorndeal.entry._policy import create_policy
+from buckthorndeal.entry._router import RouterState
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult, RouteRequest
 from buckthorndeal.registry import Announcement, Heartbeat
 from buckthorndeal.sections import parse_section
-from buckthorndeal.views import AttemptOutcome, AttemptResult, RouteRequest
 from tests.support import PLATFORM
 
 VIEW = create_document_view(
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -15,13 +15,13 @@
 import msgspec
 
 from buckthorndeal import operations
-from buckthorndeal._standin_plain import StandinPlain
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.errors import BuckthorndealError, RequestError, Verdict
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.ledger import get_host
 from buckthorndeal.settings import PeerAddress
 from buckthorndeal.standin import StandinSettings, create_standin
+from buckthorndeal.standin._plain import StandinPlain
 from buckthorndeal.transport import create_socket_transport
 from tests.control_harness import ROOT, find_ports
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,17 +9,17 @@
 import msgspec
 from absl import logging as absl_logging
 
-from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import HostSeen
-from buckthorndeal._entry_policy import create_policy
-from buckthorndeal._entry_views import ViewSource
 from buckthorndeal.authentication import hash_key
-from buckthorndeal.budget import create_budget
 from buckthorndeal.directory import HostRecord
 from buckthorndeal.entry import create_entry_host
+from buckthorndeal.entry._document import create_document_view
+from buckthorndeal.entry._messages import HostSeen
+from buckthorndeal.entry._policy import create_policy
+from buckthorndeal.entry._views import ViewSource
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.ledger import LedgerView, is_view_change_allowed
+from buckthorndeal.policy.budget import create_budget
 from buckthorndeal.registry import Announcement, Heartbeat
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import Address, EntrySettings, Limits, PeerAddress
--- a/tests/system.py
+++ b/tests/system.py
@@ -9,11 +9,11 @@
 import msgspec
 from absl import logging as absl_logging
 
-from buckthorndeal._entry_document import create_document_view
-from buckthorndeal._entry_messages import GetDocument, ListEndpoints, ListHosts
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.control import create_control
 from buckthorndeal.entry import create_entry_host
+from buckthorndeal.entry._document import create_document_view
+from buckthorndeal.entry._messages import GetDocument, ListEndpoints, ListHosts
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.operations import create_control_client
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,8 +2,13 @@
 
 import unittest
 
-from buckthorndeal.admission import AdmissionRequest, Queued, Ticket, create_admission
 from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.policy.admission import (
+    AdmissionRequest,
+    Queued,
+    Ticket,
+    create_admission,
+)
 
 
 def _request(name="r", workspace="w", **fields):
--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from buckthorndeal.affinity import CacheEvent, create_affinity
+from buckthorndeal.policy.affinity import CacheEvent, create_affinity
 
 PREFIXES = tuple(range(100, 110))
 
--- a/tests/test_bench_choice.py
+++ b/tests/test_bench_choice.py
@@ -3,7 +3,7 @@
 import functools
 import unittest
 
-from buckthorndeal._bench_choice import DEADLINE_S, Scenario, bench_choice
+from buckthorndeal.bench._choice import DEADLINE_S, Scenario, bench_choice
 
 DURATION_S = 60.0
 
--- a/tests/test_bench_decision.py
+++ b/tests/test_bench_decision.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from buckthorndeal._bench_decision import (
+from buckthorndeal.bench._decision import (
     MAX_DECISION_S,
     DecisionBench,
     DecisionCost,
--- a/tests/test_bench_policy.py
+++ b/tests/test_bench_policy.py
@@ -8,16 +8,17 @@
 import curio
 import msgspec
 
-from buckthorndeal._bench_engine import BenchEngine, ObservedWork
-from buckthorndeal._bench_policy_audit import (
+from buckthorndeal.bench import load_bounds
+from buckthorndeal.bench._engine import BenchEngine, ObservedWork
+from buckthorndeal.bench._policy_audit import (
     Answered,
     Audit,
     Hop,
     RouteRecorder,
     count_loops,
 )
-from buckthorndeal._bench_policy_callers import is_own_stream, is_whole
-from buckthorndeal._bench_policy_figures import (
+from buckthorndeal.bench._policy_callers import is_own_stream, is_whole
+from buckthorndeal.bench._policy_figures import (
     Figures,
     Outcome,
     compute_cost,
@@ -25,7 +26,7 @@
     compute_quantile,
     count_attempts,
 )
-from buckthorndeal._bench_policy_plan import (
+from buckthorndeal.bench._policy_plan import (
     ANSWER_TOKENS,
     BOOKING,
     BOUND_SHARE,
@@ -36,12 +37,11 @@
     RunSpec,
     create_plan,
 )
-from buckthorndeal._bench_policy_report import compare_runs
-from buckthorndeal._bench_policy_world import compute_reduced_slots
-from buckthorndeal._standin_engine import iter_tokens
-from buckthorndeal.bench import load_bounds
+from buckthorndeal.bench._policy_report import compare_runs
+from buckthorndeal.bench._policy_world import compute_reduced_slots
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import EXTRA_FIELD
+from buckthorndeal.standin._engine import iter_tokens
 from buckthorndeal.streams import END_DATA, Event
 
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from buckthorndeal.budget import create_budget
+from buckthorndeal.policy.budget import create_budget
 
 
 class BudgetTest(unittest.TestCase):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,8 @@
 import tempfile
 import unittest
 
-from buckthorndeal.claims import (
+from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.ledger.claims import (
     ClaimEntry,
     ClaimSnapshot,
     FingerprintSet,
@@ -13,7 +14,6 @@
     open_disk_claim_store,
     open_memory_claim_store,
 )
-from buckthorndeal.errors import CorruptStoreError, StoreError
 
 
 def create_entry(number, state="claimed", wall_s=100.0):
--- a/tests/test_consensus_log.py
+++ b/tests/test_consensus_log.py
@@ -19,8 +19,8 @@
     VoteReply,
     create_replica,
 )
+from buckthorndeal.consensus.logstore import create_disk_log_store
 from buckthorndeal.errors import MembershipChangeError, StoreError
-from buckthorndeal.logstore import create_disk_log_store
 from tests.consensus_cluster import OPTIONS, POLICY, REPLIES, TIMEOUT_S, Cluster
 from tests.consensus_harness import SimulatedDisk
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,7 +12,6 @@
 import msgspec
 
 from buckthorndeal import operations
-from buckthorndeal._control_models import ChangeBody
 from buckthorndeal.authentication import hash_key
 from buckthorndeal.control import (
     CONTROL_CODEC,
@@ -27,6 +26,7 @@
     ViewReply,
     apply_document_notice,
 )
+from buckthorndeal.control._models import ChangeBody
 from buckthorndeal.document import create_document
 from buckthorndeal.errors import PeerError, RequestError
 from buckthorndeal.http_server import create_http_server
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from buckthorndeal.credits import (
+from buckthorndeal.policy.credits import (
     CreditGrant,
     RegionSummary,
     create_borrower,
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from buckthorndeal.ejection import BASE_EJECTION_S, create_ejection
-from buckthorndeal.views import AttemptOutcome, AttemptResult
+from buckthorndeal.policy.ejection import BASE_EJECTION_S, create_ejection
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
 
 class EjectionTest(unittest.TestCase):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,7 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import ListEndpoints
+from buckthorndeal.entry._messages import ListEndpoints
 from buckthorndeal.forwarding import ForwardedRequest, sign_request
 from buckthorndeal.registry import LeaveNotice
 from buckthorndeal.streams import Event, format_event
--- a/tests/test_entry_admission.py
+++ b/tests/test_entry_admission.py
@@ -8,9 +8,9 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import Admit, Release, Tick
-from buckthorndeal._entry_router import WAITING
 from buckthorndeal.authentication import Identity
+from buckthorndeal.entry._messages import Admit, Release, Tick
+from buckthorndeal.entry._router import WAITING
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.registry import LeaveNotice
 from buckthorndeal.sections import Workspace
--- a/tests/test_entry_document.py
+++ b/tests/test_entry_document.py
@@ -6,8 +6,8 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_store import DocumentStore
 from buckthorndeal.document import create_document
+from buckthorndeal.entry._store import DocumentStore
 from buckthorndeal.errors import CorruptStoreError
 from tests.system import TEXTS, System, SystemCase
 
--- a/tests/test_entry_drain.py
+++ b/tests/test_entry_drain.py
@@ -3,7 +3,7 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import HostSeen, ListHosts
+from buckthorndeal.entry._messages import HostSeen, ListHosts
 from tests.support import (
     EXPECTED_TOKENS,
     ClusterCase,
--- a/tests/test_entry_endpoints.py
+++ b/tests/test_entry_endpoints.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from buckthorndeal._entry_messages import ListEndpoints, PutDocument
 from buckthorndeal.authentication import hash_key
+from buckthorndeal.entry._messages import ListEndpoints, PutDocument
 from buckthorndeal.sections import parse_section
 from tests.support import ClusterCase
 from tests.system import TEXTS
--- a/tests/test_entry_policy.py
+++ b/tests/test_entry_policy.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from buckthorndeal._entry_prompts import create_prompt_hasher
+from buckthorndeal.entry._prompts import create_prompt_hasher
+from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.registry import CacheReport, PrefixReport
-from buckthorndeal.views import AttemptOutcome
 from tests.policy_harness import Host
 from tests.support import ClusterCase, answer_with, send_tokens
 
--- a/tests/test_entry_regions.py
+++ b/tests/test_entry_regions.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from buckthorndeal._entry_messages import NO_CREDIT, Admit, ChooseRoute, Release, Tick
-from buckthorndeal._entry_regions import SpillReceived, compute_limit
-from buckthorndeal._entry_router import WAITING
 from buckthorndeal.authentication import Identity
+from buckthorndeal.entry._messages import NO_CREDIT, Admit, ChooseRoute, Release, Tick
+from buckthorndeal.entry._regions import SpillReceived, compute_limit
+from buckthorndeal.entry._router import WAITING
 from buckthorndeal.errors import RequestError, Verdict
-from buckthorndeal.routing import may_leave
+from buckthorndeal.policy.routing import may_leave
+from buckthorndeal.policy.views import RouteRequest
 from buckthorndeal.sections import Workspace
-from buckthorndeal.views import RouteRequest
 from tests.policy_harness import VIEW, Host
 
 STEP_S = 0.25
--- a/tests/test_entry_registrars.py
+++ b/tests/test_entry_registrars.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from buckthorndeal import _entry_reports
+from buckthorndeal.entry import _reports as _entry_reports
 from buckthorndeal.registry import EXPIRY_S
 from buckthorndeal.standin import StandinPlain, StandinSettings, create_standin
 from buckthorndeal.subsetting import choose_registrars
--- a/tests/test_entry_retries.py
+++ b/tests/test_entry_retries.py
@@ -6,9 +6,9 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import Progress
-from buckthorndeal.budget import RETRY_SHARE
+from buckthorndeal.entry._messages import Progress
 from buckthorndeal.errors import Verdict
+from buckthorndeal.policy.budget import RETRY_SHARE
 from tests.support import PLATFORM, REQUEST_ID, ClusterCase, answer_with
 
 HEDGED = PLATFORM.replace(
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from buckthorndeal.estimates import create_estimates
-from buckthorndeal.views import AttemptOutcome, AttemptResult
+from buckthorndeal.policy.estimates import create_estimates
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
 
 def _result(total_s=1.5, first_token_s=0.5, incarnation=1, outcome="succeeded"):
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -9,9 +9,9 @@
 import curio
 from absl import logging as absl_logging
 
-from buckthorndeal._entry_document import load_document
 from buckthorndeal.command_control import load
 from buckthorndeal.command_local import create_local_deployment
+from buckthorndeal.entry._document import load_document
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import EntrySettings, load_settings
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from buckthorndeal.budget import create_budget
-from buckthorndeal.hedging import create_hedger
+from buckthorndeal.policy.budget import create_budget
+from buckthorndeal.policy.hedging import create_hedger
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult, RouteRequest
 from buckthorndeal.sections import HedgePolicy, Weights
-from buckthorndeal.views import AttemptOutcome, AttemptResult, RouteRequest
 
 POLICY = HedgePolicy(enabled=True, after_s=0.5)
 TAIL = Weights(cost=0.2, tail_latency=0.8)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from buckthorndeal.claims import ClaimSnapshot, LedgerView, ViewRecord
 from buckthorndeal.ledger import (
     Claim,
     ClaimReply,
@@ -27,6 +26,7 @@
     compute_fingerprint,
     create_ledger,
 )
+from buckthorndeal.ledger.claims import ClaimSnapshot, LedgerView, ViewRecord
 from tests._ledger_world import run_seed
 
 SEEDS = 1_000
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -7,11 +7,6 @@
 
 import curio
 
-from buckthorndeal.claims import (
-    LedgerView,
-    open_disk_claim_store,
-    open_memory_claim_store,
-)
 from buckthorndeal.errors import StoreError
 from buckthorndeal.ledger import (
     Outcome,
@@ -20,6 +15,11 @@
     create_ledger_service,
     is_view_change_allowed,
 )
+from buckthorndeal.ledger.claims import (
+    LedgerView,
+    open_disk_claim_store,
+    open_memory_claim_store,
+)
 
 LIMIT_S = 20.0
 
--- a/tests/test_logstore.py
+++ b/tests/test_logstore.py
@@ -6,7 +6,6 @@
 import time
 import unittest
 
-from buckthorndeal._logstore_disk import FILE_HEADER
 from buckthorndeal.consensus import (
     Ballot,
     Entry,
@@ -15,8 +14,12 @@
     ReplicaId,
     Snapshot,
 )
+from buckthorndeal.consensus._logstore_disk import FILE_HEADER
+from buckthorndeal.consensus.logstore import (
+    create_disk_log_store,
+    create_memory_log_store,
+)
 from buckthorndeal.errors import CorruptStoreError, StoreError
-from buckthorndeal.logstore import create_disk_log_store, create_memory_log_store
 
 REPLICA = ReplicaId("a", 1)
 MEMBERSHIP = Membership((REPLICA,))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,8 +6,7 @@
 
 import curio
 
-from buckthorndeal._bench_membership import MemberSimulation
-from buckthorndeal._membership_table import HostTable, RumorQueue
+from buckthorndeal.bench._membership import MemberSimulation
 from buckthorndeal.mailbox import create_mailbox
 from buckthorndeal.membership import (
     MEMBERSHIP_MESSAGES,
@@ -16,6 +15,7 @@
     create_membership,
     create_membership_service,
 )
+from buckthorndeal.membership._table import HostTable, RumorQueue
 from buckthorndeal.transport import create_memory_transport, create_socket_transport
 from buckthorndeal.wire import MAX_DATAGRAM_BYTES, create_codec, create_datagram_codec
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -155,7 +155,7 @@
         if not cut:
             self.later(self.rng.uniform(0.0, host.delay_s), action, *args)
 
-    @unittest.mock.patch("buckthorndeal._placement_demand.SHRINK_AFTER_S", 1.0)
+    @unittest.mock.patch("buckthorndeal.placement._demand.SHRINK_AFTER_S", 1.0)
     def run(self, until_s):
         self.later(0.0, self.disturb)
         self.later(0.0, self.shift_demand, "a", "b")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,15 +4,15 @@
 import unittest
 from collections import Counter
 
-from buckthorndeal.routing import STRATEGIES, create_router
-from buckthorndeal.sections import Weights
-from buckthorndeal.views import (
+from buckthorndeal.policy.routing import STRATEGIES, create_router
+from buckthorndeal.policy.views import (
     AttemptOutcome,
     AttemptResult,
     EndpointView,
     RegionView,
     RouteRequest,
 )
+from buckthorndeal.sections import Weights
 
 EVEN = Weights()
 COST = Weights(cost=1.0, tail_latency=0.0)
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -5,10 +5,10 @@
 import random
 import unittest
 
-from buckthorndeal.credits import create_borrower, create_grantor
-from buckthorndeal.routing import create_router
+from buckthorndeal.policy.credits import create_borrower, create_grantor
+from buckthorndeal.policy.routing import create_router
+from buckthorndeal.policy.views import EndpointView, RouteRequest
 from buckthorndeal.sections import Weights
-from buckthorndeal.views import EndpointView, RouteRequest
 
 SERVICE_S = 0.5
 STEP_S = 0.1
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from buckthorndeal._entry_messages import ListEndpoints
+from buckthorndeal.entry._messages import ListEndpoints
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.http_server import create_http_server
