--- a/buckthorndeal/consensus/_logstore_disk.py
+++ b/buckthorndeal/consensus/_logstore_disk.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from buckthorndeal._files import make_directory, sync_directory
+from buckthorndeal.consensus._logstore_base import LogStore, StoredState
 from buckthorndeal.consensus._records import Ballot, Entry, Snapshot, select_suffix
-from buckthorndeal.consensus.logstore import LogStore, StoredState
 from buckthorndeal.errors import CorruptStoreError, StoreError
 
 FILE_HEADER = b"BDLOG\x00\x00\x01"
--- a/buckthorndeal/consensus/logstore.py
+++ b/buckthorndeal/consensus/logstore.py
@@ -1,9 +1,9 @@
 """Stores of the replicated log: an abstract store, a memory and a disk form."""
 
-import abc
 import random
-from dataclasses import dataclass, field
 
+from buckthorndeal.consensus._logstore_base import LogStore, StoredState
+from buckthorndeal.consensus._logstore_disk import DiskLogStore
 from buckthorndeal.consensus._records import Ballot, Entry, Snapshot, select_suffix
 
 __all__ = [
@@ -17,57 +17,6 @@
 INCARNATION_BITS = 63
 
 
-@dataclass
-class StoredState:
-    """What a store holds: the entries follow the snapshot without a gap."""
-
-    ballot: Ballot = field(default_factory=Ballot)
-    snapshot: Snapshot | None = None
-    entries: list[Entry] = field(default_factory=list)
-
-
-class LogStore(abc.ABC):
-    """Store of one replica's ballot, snapshot and entries."""
-
-    @property
-    @abc.abstractmethod
-    def incarnation(self) -> int:
-        """Number created together with the empty store; never zero."""
-
-    @property
-    @abc.abstractmethod
-    def durable(self) -> bool:
-        """Whether synced writes survive a crash of the process and the host."""
-
-    @abc.abstractmethod
-    def load(self) -> StoredState:
-        """Return a copy of what the store holds."""
-
-    @abc.abstractmethod
-    def save_ballot(self, ballot: Ballot) -> None:
-        """Replace the ballot; it is durable on return."""
-
-    @abc.abstractmethod
-    def append(self, entries: list[Entry]) -> None:
-        """Add entries after the last one; durable after `sync`."""
-
-    @abc.abstractmethod
-    def truncate(self, first_index: int) -> None:
-        """Drop the entries from `first_index` on; durable after `sync`."""
-
-    @abc.abstractmethod
-    def sync(self) -> None:
-        """Make all earlier writes durable."""
-
-    @abc.abstractmethod
-    def save_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace the snapshot and drop what it covers; durable on return."""
-
-    @abc.abstractmethod
-    def close(self) -> None:
-        """Release files; the store cannot be used afterwards."""
-
-
 class MemoryLogStore(LogStore):
     """Store of a host without a disk.
 
@@ -156,6 +105,4 @@
     StoreError
         If the directory cannot be used or another process uses it.
     """
-    from buckthorndeal.consensus._logstore_disk import DiskLogStore
-
     return DiskLogStore(directory, create_incarnation(rng))
