--- a/buckthorndeal/consensus/__init__.py
+++ b/buckthorndeal/consensus/__init__.py
@@ -7,6 +7,11 @@
     ReplicaOptions,
     RoleChange,
 )
+from buckthorndeal.consensus._frames import (
+    ConsensusFrame,
+    DescribeReplica,
+    ReplicaDescription,
+)
 from buckthorndeal.consensus._messages import (
     CONSENSUS_MESSAGES,
     Append,
@@ -20,7 +25,7 @@
     Vote,
     VoteReply,
 )
-from buckthorndeal.consensus._policy import MembershipPolicy
+from buckthorndeal.consensus._policy import ElasticPolicy, MembershipPolicy
 from buckthorndeal.consensus._records import (
     AddLearner,
     Ballot,
@@ -41,7 +46,10 @@
     "Append",
     "AppendReply",
     "Ballot",
+    "ConsensusFrame",
     "ConsensusMessage",
+    "DescribeReplica",
+    "ElasticPolicy",
     "Entry",
     "EntryKind",
     "InstallSnapshot",
@@ -59,6 +67,7 @@
     "ReadIndex",
     "RemoveMember",
     "Replica",
+    "ReplicaDescription",
     "ReplicaId",
     "ReplicaOptions",
     "RoleChange",
--- a/buckthorndeal/consensus/_policy.py
+++ b/buckthorndeal/consensus/_policy.py
@@ -102,3 +102,75 @@
             if member.standing == "learner" and silent:
                 return RemoveMember(member.replica)
         return None
+
+
+@dataclass(frozen=True)
+class ElasticPolicy:
+    """Gives every durable host a vote, for clusters without a fixed size.
+
+    A lost voter is removed when a spare can take its place, or after a long
+    silence; the removal comes first, so that the lost vote never counts beside
+    that of its replacement.
+
+    Parameters
+    ----------
+    replace_after_s : float
+        Silence after which a voter gives its place to a waiting learner.
+    remove_after_s : float
+        Silence after which a voter is removed without a replacement.
+    forget_after_s : float
+        Silence after which a learner is removed; it may join again.
+    max_voters : int
+        Most voters.
+    """
+
+    replace_after_s: float = 2.0
+    remove_after_s: float = 20.0
+    forget_after_s: float = 10.0
+    max_voters: int = 9
+
+    def choose_change(self, members: list[MemberStatus]) -> MembershipChange | None:
+        """Return the next change, or None if there is nothing to do.
+
+        Parameters
+        ----------
+        members : list of MemberStatus
+            Result of `Replica.list_members`.
+        """
+        voters = [member for member in members if member.standing == "voter"]
+        spares = [member for member in members if _is_spare(member)]
+        lost = self._list_lost(voters, spares)
+        if lost and _keeps_quorum(voters):
+            return RemoveMember(lost[0].replica)
+        if spares and not lost and len(voters) < self.max_voters:
+            return PromoteLearner(spares[0].replica)
+        for member in members:
+            if member.standing == "candidate":
+                return AddLearner(member.replica)
+            silent = member.silent_s >= self.forget_after_s
+            if member.standing == "learner" and silent:
+                return RemoveMember(member.replica)
+        return None
+
+    def _list_lost(
+        self, voters: list[MemberStatus], spares: list[MemberStatus]
+    ) -> list[MemberStatus]:
+        hosts = {spare.replica.host for spare in spares}
+        limit_s = self.replace_after_s if spares else self.remove_after_s
+        lost = [
+            voter
+            for voter in voters
+            if voter.silent_s >= limit_s
+            or (voter.replica.host in hosts and not voter.active)
+        ]
+        return sorted(lost, key=lambda voter: voter.replica.host not in hosts)
+
+
+def _is_spare(member: MemberStatus) -> bool:
+    return member.standing == "learner" and member.durable and member.caught_up
+
+
+def _keeps_quorum(voters: list[MemberStatus]) -> bool:
+    """Return whether the active voters are a majority without one lost voter."""
+    active = sum(voter.active for voter in voters)
+    return active > (len(voters) - 1) // 2
--- a/buckthorndeal/control/_bootstrap.py
+++ b/buckthorndeal/consensus/bootstrap.py
@@ -1,20 +1,34 @@
 """First membership of a new cluster of control hosts."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Sequence
+from typing import Protocol
 
 import curio
 
-from buckthorndeal.consensus import Membership, ReplicaId
+from buckthorndeal.consensus import (
+    DescribeReplica,
+    Membership,
+    ReplicaDescription,
+    ReplicaId,
+)
 from buckthorndeal.consensus.logstore import LogStore
-from buckthorndeal.control._messages import DescribeReplica, ReplicaDescription
 from buckthorndeal.errors import PeerError
 from buckthorndeal.logs import log_event
 from buckthorndeal.peers import PeerLink
 
+__all__ = ["LinkSource", "choose_membership", "is_empty"]
+
 CALL_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.2
 
 
+class LinkSource(Protocol):
+    """Links by the name of the host."""
+
+    def get(self, host: str) -> PeerLink | None:
+        """Return the link to a host, or None."""
+
+
 def is_empty(store: LogStore) -> bool:
     """Return whether a log has no content; a ballot alone acknowledges nothing."""
     state = store.load()
@@ -24,7 +38,8 @@
 async def choose_membership(
     own: ReplicaDescription,
     voters: Sequence[str],
-    links: Mapping[str, PeerLink],
+    others: Iterable[str],
+    links: LinkSource,
 ) -> Membership | None:
     """Return the first membership, or None if the host has to follow others.
 
@@ -38,16 +53,19 @@
         Replica of this host.
     voters : sequence of str
         Hosts that vote in a new cluster.
-    links : mapping of str to PeerLink
-        Links to the other control hosts.
+    others : iterable of str
+        All other hosts that are known.
+    links : LinkSource
+        Links to the other control hosts by name, such as a dictionary.
     """
     if own.host != voters[0] or not own.empty:
         return None
     log_event("control_bootstrap", waits_for=list(voters))
     while True:
         found = {own.host: own}
-        for host, link in links.items():
-            description = await _describe(link)
+        for host in others:
+            link = links.get(host)
+            description = None if link is None else await _describe(link)
             if description is not None:
                 found[host] = description
         if any(not each.empty for each in found.values()):
--- a/buckthorndeal/control/__init__.py
+++ b/buckthorndeal/control/__init__.py
@@ -15,13 +15,13 @@
     ReplicaOptions,
     create_replica,
 )
+from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import (
     LogStore,
     create_disk_log_store,
     create_memory_log_store,
 )
 from buckthorndeal.control._api import ControlApi
-from buckthorndeal.control._bootstrap import choose_membership, is_empty
 from buckthorndeal.control._messages import (
     CONTROL_CODEC,
     ChangeView,
@@ -168,7 +168,9 @@
             await link.start()
             self._started_links.append(link)
         voters = [each.host for each in settings.voters]
-        membership = await choose_membership(self._describe(), voters, self._links)
+        membership = await choose_membership(
+            self._describe(), voters, list(self._links), self._links
+        )
         await self._start_tasks(membership)
         self._server = create_http_server(self._api.handle, settings.limits)
         listen = settings.listen
--- a/buckthorndeal/control/_messages.py
+++ b/buckthorndeal/control/_messages.py
@@ -2,30 +2,17 @@
 
 import msgspec
 
+from buckthorndeal.consensus import (
+    ConsensusFrame,
+    DescribeReplica,
+    ReplicaDescription,
+)
 from buckthorndeal.document import Document, Splice, restore_document
 from buckthorndeal.errors import DocumentError
 from buckthorndeal.ledger import LedgerView
 from buckthorndeal.wire import Message, create_codec
 
 
-class ConsensusFrame(Message, tag="c"):
-    """Notice: one encoded message of the replicated log."""
-
-    data: bytes
-
-
-class DescribeReplica(Message):
-    """Call: asks for the identity of the host's replica."""
-
-
-class ReplicaDescription(Message):
-    """Reply: identity of a replica, and whether its log is empty."""
-
-    host: str
-    incarnation: int
-    empty: bool
-
-
 class Subscribe(Message):
     """Call: asks for document changes after `revision` (0 for nothing yet).
 
--- a/buckthorndeal/control/_peers.py
+++ b/buckthorndeal/control/_peers.py
@@ -11,6 +11,7 @@
 from buckthorndeal.ledger import LedgerView, get_host
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.peers import Channel, PeerLink
+from buckthorndeal.replication import ConsensusReceived
 from buckthorndeal.statemachine import (
     ChangeView,
     LeaseAnswer,
@@ -112,7 +113,7 @@
         self, message: messages.ConsensusFrame, channel: Channel
     ) -> Message | None:
         if channel.host in self._links:
-            received = requests.ConsensusReceived(message.data, channel.host)
+            received = ConsensusReceived(message.data, channel.host)
             await self._replica.send(received)
         return None
 
--- a/buckthorndeal/control/_requests.py
+++ b/buckthorndeal/control/_requests.py
@@ -8,14 +8,6 @@
 from buckthorndeal.statemachine import HistoryEntry, LeaseState
 
 
-@dataclass(frozen=True)
-class ConsensusReceived:
-    """A message of the replicated log, still encoded, from `sender`."""
-
-    data: bytes
-    sender: str
-
-
 @dataclass(frozen=True)
 class ChangeRequest:
     """Ask: change a section; answered once the change is committed."""
--- /dev/null
+++ b/buckthorndeal/coordinator/__init__.py
@@ -0,0 +1,6 @@
+"""Coordinator: configuration by version, endpoint heartbeats and the directory."""
+
+from buckthorndeal.coordinator._daemon import Coordinator, create_coordinator
+from buckthorndeal.coordinator._service import CoordinatorService
+
+__all__ = ["Coordinator", "CoordinatorService", "create_coordinator"]
--- /dev/null
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -0,0 +1,280 @@
+"""Coordinator daemon: configuration, endpoint heartbeats and the directory."""
+
+import os
+import random
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal.configuration import ConfigurationCodec
+from buckthorndeal.consensus import (
+    ConsensusFrame,
+    DescribeReplica,
+    ElasticPolicy,
+    ReplicaDescription,
+    ReplicaId,
+    ReplicaOptions,
+    create_replica,
+)
+from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
+from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
+from buckthorndeal.coordinator._fleet_task import (
+    ClusterChanged,
+    ControlHeard,
+    EntryHeard,
+    FleetTask,
+    RecordRelayed,
+)
+from buckthorndeal.coordinator._replica import ReplicaTask
+from buckthorndeal.coordinator._requests import ClusterState, ReadConfiguration
+from buckthorndeal.coordinator._service import CoordinatorService, _reply_content
+from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.fleet import (
+    FLEET_CODEC,
+    LINK_OPTIONS,
+    ControlHost,
+    ControlStatus,
+    EntryStatus,
+    FetchConfiguration,
+    Received,
+    RelayEndpoint,
+    create_host_links,
+)
+from buckthorndeal.http_server import Handler, HttpServer, create_http_server
+from buckthorndeal.logs import log_event
+from buckthorndeal.metrics import create_metrics, serve_metrics
+from buckthorndeal.peers import Channel, create_peer_server
+from buckthorndeal.replication import ConsensusReceived
+from buckthorndeal.settings import Address, CoordinatorSettings
+from buckthorndeal.statemachine import create_statemachine
+from buckthorndeal.transport import Transport
+from buckthorndeal.wire import Message, decode_keys
+
+STORE_DIRECTORY = "log"
+DRAIN_POLL_S = 0.05
+# Across regions a round takes 160 ms, and a disk may take some 100 ms to sync.
+ELECTION_TIMEOUT_S = 1.2
+HEARTBEAT_INTERVAL_S = 0.4
+JOIN_INTERVAL_S = 0.4
+
+CreateHandlers = Callable[[CoordinatorService], tuple[Handler, Handler]]
+
+
+def read_clock() -> float:
+    """Return seconds of a clock that goes on while the host is suspended.
+
+    A leader that is woken after its lease must notice that the lease has ended.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Coordinator:
+    """One coordinator.
+
+    Parameters
+    ----------
+    settings : CoordinatorSettings
+        Settings of this host.
+    transport : Transport
+        Transport of all connections.
+    codec : ConfigurationCodec
+        Reads the operator's configuration.
+    create_handlers : callable
+        Returns the HTTP handlers of the API and of the directory for a service.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: CoordinatorSettings,
+        transport: Transport,
+        codec: ConfigurationCodec,
+        create_handlers: CreateHandlers,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._clock = clock
+        self._own_address = settings.peer_listen.address
+        self._keys = decode_keys(settings.peer_keys)
+        self._links = create_host_links(
+            transport,
+            self._keys,
+            self._own_address,
+            settings.peer_listen.port,
+            self._handle,
+        )
+        api = settings.api_listen
+        own = ControlHost(
+            self._own_address,
+            settings.region,
+            settings.failure_domain,
+            f"{api.address}:{api.port}",
+        )
+        self._fleet = FleetTask(own, self._links, settings.endpoint_silence_s, clock)
+        self.service = CoordinatorService(codec, self._links, self._fleet.mailbox)
+        self.metrics = create_metrics()
+        self._create_handlers = create_handlers
+        self._replica: ReplicaTask | None = None
+        self._contacts = [seed.address for seed in settings.seeds]
+        self._store: LogStore | None = None
+        self._tasks = curio.TaskGroup(wait=any)
+        self._servers: list[HttpServer] = []
+        self._peer_server = create_peer_server(
+            self._handle, FLEET_CODEC, self._keys, self._own_address, LINK_OPTIONS
+        )
+
+    async def start(self) -> None:
+        """Open the store, reach the other hosts and serve.
+
+        Raises
+        ------
+        StoreError
+            If the store is damaged or cannot be used.
+        """
+        settings = self._settings
+        directory = os.path.join(settings.data_directory, STORE_DIRECTORY)
+        self._store = create_disk_log_store(directory, random.SystemRandom())
+        listen = settings.peer_listen
+        await self._peer_server.start(self._transport, listen.address, listen.port)
+        await self._links.ensure(seed.address for seed in settings.seeds)
+        await self._tasks.spawn(self._fleet.run)
+        await self._tasks.spawn(self._run_replica)
+        api, directory_handler = self._create_handlers(self.service)
+        await self._serve(api, settings.api_listen)
+        await self._serve(directory_handler, settings.directory_listen)
+        if settings.metrics_listen is not None:
+            handler = serve_metrics(self.metrics)
+            await self._serve(handler, settings.metrics_listen)
+        log_event("coordinator_started", incarnation=f"{self._store.incarnation:x}")
+
+    async def wait(self) -> None:
+        """Return or raise as soon as an owner task ends, which is an error."""
+        task = await self._tasks.next_done()
+        if task.exception is not None:
+            raise task.exception
+
+    async def drain(self) -> None:
+        """Refuse new connections and end running requests."""
+        log_event("coordinator_draining")
+        for server in self._servers:
+            await server.drain()
+        while any(server.active_requests for server in self._servers):
+            await curio.sleep(DRAIN_POLL_S)
+
+    async def close(self) -> None:
+        """Stop all tasks and close the store."""
+        for server in self._servers:
+            await server.close()
+        await self._tasks.cancel_remaining()
+        await self._links.close()
+        await self._peer_server.close()
+        if self._store is not None:
+            self._store.close()
+
+    async def _serve(self, handler: Handler, listen: Address) -> None:
+        server = create_http_server(handler, self._settings.limits)
+        await server.start(self._transport, listen.address, listen.port)
+        self._servers.append(server)
+
+    async def _run_replica(self) -> None:
+        settings = self._settings
+        membership = None
+        if settings.bootstrap:
+            seeds = [seed.address for seed in settings.seeds]
+            membership = await choose_membership(
+                self._describe(), seeds, self._links.hosts, self._links
+            )
+        identity = ReplicaId(self._own_address, self._store.incarnation)
+        replica = create_replica(
+            identity,
+            self._store,
+            random.Random(),
+            ReplicaOptions(
+                election_timeout_s=ELECTION_TIMEOUT_S,
+                heartbeat_interval_s=HEARTBEAT_INTERVAL_S,
+                join_interval_s=JOIN_INTERVAL_S,
+                contacts=self._contacts,
+            ),
+            membership,
+            self._clock(),
+        )
+        task = ReplicaTask(
+            replica,
+            create_statemachine(),
+            ElasticPolicy(),
+            self._send_frame,
+            self._publish,
+            self._clock,
+        )
+        self._replica = task
+        self.service.connect(task.mailbox)
+        await task.run()
+
+    async def _send_frame(self, host: str, frame: ConsensusFrame) -> None:
+        if self._links.get(host) is None:
+            await self._links.ensure([host])
+        await self._links.send(host, frame)
+
+    async def _publish(self, state: ClusterState) -> None:
+        self.service.note_cluster(state)
+        self._note_contacts(state.members)
+        await self._fleet.mailbox.send(ClusterChanged(state))
+
+    def _note_contacts(self, hosts: tuple[str, ...]) -> None:
+        for host in hosts:
+            if host not in self._contacts:
+                self._contacts.append(host)
+
+    def _describe(self) -> ReplicaDescription:
+        return ReplicaDescription(
+            self._own_address, self._store.incarnation, is_empty(self._store)
+        )
+
+    async def _handle(self, message: Message, channel: Channel) -> Message | None:
+        if isinstance(message, ConsensusFrame):
+            if self._replica is not None:
+                received = ConsensusReceived(message.data, channel.host)
+                await self._replica.mailbox.send(received)
+            return None
+        if isinstance(message, EntryStatus):
+            await self._fleet.mailbox.send(EntryHeard(channel, message))
+            return None
+        if isinstance(message, ControlStatus):
+            self._note_contacts(tuple(host.host for host in message.hosts))
+            await self._fleet.mailbox.send(ControlHeard(channel.host, message))
+            return None
+        return await self._answer(message)
+
+    async def _answer(self, message: Message) -> Message:
+        if isinstance(message, DescribeReplica):
+            return self._describe()
+        if isinstance(message, RelayEndpoint):
+            await self._fleet.mailbox.ask(RecordRelayed(message.record))
+            return Received()
+        if isinstance(message, FetchConfiguration):
+            return await self._fetch_configuration()
+        reply = await self.service.answer(message)
+        if reply is None:
+            name = type(message).__name__
+            raise PeerError(f"unexpected {name}", Verdict.NOT_RUN)
+        return reply
+
+    async def _fetch_configuration(self) -> Message:
+        if self._replica is None:
+            return _reply_content(None)
+        stored = await self._replica.mailbox.ask(ReadConfiguration(False))
+        return _reply_content(stored)
+
+
+def create_coordinator(
+    settings: CoordinatorSettings,
+    transport: Transport,
+    codec: ConfigurationCodec,
+    create_handlers: CreateHandlers,
+    clock: Callable[[], float] = read_clock,
+) -> Coordinator:
+    """Return a coordinator that is not started yet."""
+    return Coordinator(settings, transport, codec, create_handlers, clock)
--- /dev/null
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -0,0 +1,443 @@
+"""Owner task of the soft state: endpoints, entry hosts and coordinators."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+import curio
+
+from buckthorndeal.coordinator._directory import EntryView, choose_entry_hosts
+from buckthorndeal.coordinator._requests import ClusterState
+from buckthorndeal.coordinator._spread import Spread, spread_record
+from buckthorndeal.errors import PeerError
+from buckthorndeal.fleet import (
+    ClusterNotice,
+    ControlHost,
+    ControlStatus,
+    EndpointNews,
+    EndpointRecord,
+    EndpointState,
+    EntryHost,
+    EntryHosts,
+    EntryStatus,
+    HostLinks,
+    create_endpoint_table,
+)
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.peers import Channel
+from buckthorndeal.wire import Message
+
+FLUSH_INTERVAL_S = 0.2
+STATUS_INTERVAL_S = 1.0
+# Two lost status messages.
+CONTROL_SILENCE_S = 2.5
+ENTRY_FORGET_S = 30.0
+CONTROL_FORGET_S = 30.0
+
+
+@dataclass(frozen=True)
+class HeartbeatReceived:
+    """Ask: a heartbeat of an endpoint; True once it may be acknowledged."""
+
+    record: EndpointRecord
+
+
+@dataclass(frozen=True)
+class LeaveReceived:
+    """Ask: an endpoint leaves; True once it may be acknowledged."""
+
+    endpoint: str
+    incarnation: int | None
+
+
+@dataclass(frozen=True)
+class RecordRelayed:
+    """Notice: a record that another coordinator received."""
+
+    record: EndpointRecord
+
+
+@dataclass(frozen=True)
+class EntryHeard:
+    """Notice: heartbeat of an entry host."""
+
+    channel: Channel
+    status: EntryStatus
+
+
+@dataclass(frozen=True)
+class ControlHeard:
+    """Notice: heartbeat of another coordinator."""
+
+    host: str
+    status: ControlStatus
+
+
+@dataclass(frozen=True)
+class ClusterChanged:
+    """Notice: the replicated state has changed."""
+
+    state: ClusterState
+
+
+@dataclass(frozen=True)
+class ChooseEntryHosts:
+    """Ask: entry hosts for a caller."""
+
+    region: str
+    failure_domain: str
+
+
+@dataclass(frozen=True)
+class ChooseRegistrar:
+    """Ask: API address of the coordinator nearest to an endpoint, or None."""
+
+    region: str
+    failure_domain: str
+
+
+@dataclass(eq=False)
+class _Entry:
+    host: EntryHost
+    channel: Channel
+    heard_s: float
+    greeted: Channel | None = None
+    seen_entries: tuple[EntryHost, ...] = ()
+    seen_controls: tuple[ControlHost, ...] = ()
+
+
+@dataclass(eq=False)
+class _Control:
+    host: ControlHost
+    heard_s: float
+
+
+class FleetTask:
+    """Passes heartbeats on to entry hosts and answers who is where.
+
+    Parameters
+    ----------
+    own : ControlHost
+        This host.
+    links : HostLinks
+        Links to the other coordinators.
+    endpoint_silence_s : float
+        Time without heartbeats after which an endpoint is forgotten.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        own: ControlHost,
+        links: HostLinks,
+        endpoint_silence_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self.mailbox = create_mailbox()
+        self._own = own
+        self._links = links
+        self._endpoint_silence_s = endpoint_silence_s
+        self._clock = clock
+        self._endpoints = create_endpoint_table()
+        self._entries: dict[str, _Entry] = {}
+        self._controls: dict[str, _Control] = {}
+        self._cluster: ClusterState | None = None
+        self._changed: dict[str, EndpointRecord] = {}
+        self._alive: dict[str, str] = {}
+        self._flush_due_s = clock()
+        self._status_due_s = clock()
+
+    async def run(self) -> None:
+        """Handle messages and timers until cancelled."""
+        while True:
+            delay_s = self._flush_due_s - self._clock()
+            envelope = await self.mailbox.receive_within(delay_s)
+            if envelope is not None:
+                await self._handle(envelope.message, envelope)
+            now_s = self._clock()
+            if now_s >= self._flush_due_s:
+                self._flush_due_s = now_s + FLUSH_INTERVAL_S
+                await self._flush(now_s)
+            if now_s >= self._status_due_s:
+                self._status_due_s = now_s + STATUS_INTERVAL_S
+                await self._send_status(now_s)
+
+    @singledispatchmethod
+    async def _handle(self, message: object, envelope: Envelope) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_handle.register
+    async def _(self, message: HeartbeatReceived, envelope: Envelope) -> None:
+        now_s = self._clock()
+        record = message.record
+        known = self._endpoints.get(record.endpoint)
+        merged = self._endpoints.update(record, now_s)
+        if merged is None:
+            log_event(
+                "heartbeat_out_of_date",
+                endpoint=record.endpoint,
+                incarnation=record.incarnation,
+                sequence=record.sequence,
+            )
+            await envelope.reply(True)
+            return
+        changed = known is None or _describe(known.record) != _describe(merged)
+        if changed:
+            _log_change(merged, known.record if known else None)
+            self._changed[merged.endpoint] = merged
+        else:
+            self._alive[merged.endpoint] = merged.region
+        if merged.state is EndpointState.READY:
+            await envelope.reply(self._may_acknowledge(merged.region))
+        elif changed or not known:
+            await self._spread(merged, envelope)
+        else:
+            await envelope.reply(self._reaches_majority())
+
+    @_handle.register
+    async def _(self, message: LeaveReceived, envelope: Envelope) -> None:
+        now_s = self._clock()
+        known = self._endpoints.get(message.endpoint)
+        left = self._endpoints.leave(message.endpoint, message.incarnation, now_s)
+        if not left:
+            log_event("leave_of_unknown_endpoint", endpoint=message.endpoint)
+            await envelope.reply(self._reaches_majority())
+            return
+        record = known.record
+        _log_change(record, None)
+        self._changed[record.endpoint] = record
+        await self._spread(record, envelope)
+
+    @_handle.register
+    async def _(self, message: RecordRelayed, envelope: Envelope) -> None:
+        record = self._endpoints.update(message.record, self._clock())
+        if record is not None:
+            self._changed[record.endpoint] = record
+            await self._flush_endpoints()
+
+    @_handle.register
+    async def _(self, message: EntryHeard, envelope: Envelope) -> None:
+        host = message.status.entry
+        entry = self._entries.get(host.host)
+        if entry is None or entry.channel is not message.channel:
+            entry = _Entry(host, message.channel, self._clock())
+            self._entries[host.host] = entry
+            log_event("entry_host_connected", peer=host.host, state=host.state.name)
+        if entry.host.state is not host.state:
+            log_event("entry_host_changed", peer=host.host, state=host.state.name)
+        changed = entry.host != host
+        entry.host = host
+        entry.heard_s = self._clock()
+        if entry.greeted is not message.channel:
+            entry.greeted = message.channel
+            await self._greet(entry)
+        elif changed:
+            await self._send_hosts()
+
+    @_handle.register
+    async def _(self, message: ControlHeard, envelope: Envelope) -> None:
+        now_s = self._clock()
+        hosts = [each.host for each in message.status.hosts]
+        for each in message.status.hosts:
+            known = self._controls.get(each.host)
+            if each.host == message.host:
+                self._controls[each.host] = _Control(each, now_s)
+            elif known is None and each.host != self._own.host:
+                self._controls[each.host] = _Control(each, now_s - CONTROL_SILENCE_S)
+        await self._links.ensure(hosts)
+
+    @_handle.register
+    async def _(self, message: ClusterChanged, envelope: Envelope) -> None:
+        self._cluster = message.state
+        await self._links.ensure(message.state.members)
+        notice = self._create_notice()
+        for entry in self._entries.values():
+            await self._send(entry, notice)
+
+    @_handle.register
+    async def _(self, message: ChooseEntryHosts, envelope: Envelope) -> None:
+        views = self._list_entry_views()
+        chosen = choose_entry_hosts(views, message.region, message.failure_domain)
+        await envelope.reply(chosen)
+
+    @_handle.register
+    async def _(self, message: ChooseRegistrar, envelope: Envelope) -> None:
+        await envelope.reply(
+            self._choose_registrar(message.region, message.failure_domain)
+        )
+
+    def _choose_registrar(self, region: str, failure_domain: str) -> str | None:
+        if self._own.failure_domain == failure_domain:
+            return None
+        near = [host for host in self._list_controls() if host.region == region]
+        if self._own.region == region:
+            near = [each for each in near if each.failure_domain == failure_domain]
+        near.sort(key=lambda each: (each.failure_domain != failure_domain, each.host))
+        return near[0].api_address if near else None
+
+    def _list_controls(self) -> list[ControlHost]:
+        """Return the other coordinators that were heard from of late."""
+        now_s = self._clock()
+        return [
+            control.host
+            for control in self._controls.values()
+            if now_s - control.heard_s < CONTROL_SILENCE_S
+        ]
+
+    def _list_entry_views(self) -> list[EntryView]:
+        now_s = self._clock()
+        return [
+            EntryView(entry.host, entry.channel.connected, now_s - entry.heard_s)
+            for entry in self._entries.values()
+        ]
+
+    def _count_reached_voters(self) -> int:
+        heard = {host.host for host in self._list_controls()}
+        heard.add(self._own.host)
+        return sum(voter in heard for voter in self._cluster.voters)
+
+    def _reaches_majority(self) -> bool:
+        if self._cluster is None or not self._cluster.voters:
+            return False
+        return self._count_reached_voters() > len(self._cluster.voters) // 2
+
+    def _may_acknowledge(self, region: str) -> bool:
+        """Return whether a heartbeat that changes nothing reaches an entry host."""
+        reached = any(
+            entry.channel.connected and entry.host.region == region
+            for entry in self._entries.values()
+        )
+        return reached or self._reaches_majority()
+
+    async def _spread(self, record: EndpointRecord, envelope: Envelope) -> None:
+        """Acknowledge a drain or leave once a majority passes it on."""
+        self._changed.pop(record.endpoint, None)
+        voters = self._cluster.voters if self._cluster else ()
+        plan = Spread(
+            record=record,
+            channels=[
+                entry.channel
+                for entry in self._entries.values()
+                if entry.host.region == record.region and entry.channel.connected
+            ],
+            voters=[voter for voter in voters if voter != self._own.host],
+            needed=len(voters) // 2 if self._own.host in voters else len(voters),
+        )
+        await curio.spawn(spread_record, plan, self._links, envelope, daemon=True)
+
+    async def _greet(self, entry: _Entry) -> None:
+        await self._send(entry, ControlStatus(self._describe_controls()))
+        await self._send(entry, self._create_notice())
+        region = entry.host.region
+        records = tuple(
+            each.record
+            for each in self._endpoints.list_all()
+            if each.record.region == region
+        )
+        if records:
+            await self._send(entry, EndpointNews(records))
+        await self._send_hosts()
+
+    def _create_notice(self) -> ClusterNotice:
+        state = self._cluster
+        if state is None:
+            return ClusterNotice(0, None, ())
+        return ClusterNotice(state.index, state.version, tuple(state.evacuated))
+
+    def _describe_controls(self) -> tuple[ControlHost, ...]:
+        return (self._own, *sorted(self._list_controls()))
+
+    async def _flush(self, now_s: float) -> None:
+        for record in self._endpoints.expire(self._endpoint_silence_s, now_s):
+            log_event("endpoint_silent", endpoint=record.endpoint)
+        await self._flush_endpoints()
+        await self._send_hosts()
+
+    async def _flush_endpoints(self) -> None:
+        changed, self._changed = self._changed, {}
+        alive, self._alive = self._alive, {}
+        if not changed and not alive:
+            return
+        for entry in self._entries.values():
+            region = entry.host.region
+            records = tuple(each for each in changed.values() if each.region == region)
+            names = tuple(
+                name
+                for name, place in alive.items()
+                if place == region and name not in changed
+            )
+            if records or names:
+                await self._send(entry, EndpointNews(records, names))
+
+    async def _send_hosts(self) -> None:
+        """Tell entry hosts of changes among entry hosts and coordinators."""
+        entries = tuple(
+            sorted(
+                (
+                    view.entry
+                    for view in self._list_entry_views()
+                    if view.connected and view.silent_s < CONTROL_SILENCE_S
+                ),
+                key=lambda each: each.host,
+            )
+        )
+        controls = self._describe_controls()
+        for entry in self._entries.values():
+            if entry.greeted is None:
+                continue
+            if entry.seen_entries != entries:
+                entry.seen_entries = entries
+                await self._send(entry, EntryHosts(entries))
+            if entry.seen_controls != controls:
+                entry.seen_controls = controls
+                await self._send(entry, ControlStatus(controls))
+
+    async def _send_status(self, now_s: float) -> None:
+        status = ControlStatus(self._describe_controls())
+        for host in self._links.list_connected():
+            await self._links.send(host, status)
+        for host, entry in list(self._entries.items()):
+            if now_s - entry.heard_s > ENTRY_FORGET_S:
+                del self._entries[host]
+        members = self._cluster.members if self._cluster else ()
+        for host, control in list(self._controls.items()):
+            if now_s - control.heard_s > CONTROL_FORGET_S and host not in members:
+                del self._controls[host]
+
+    async def _send(self, entry: _Entry, message: Message) -> None:
+        if not entry.channel.connected:
+            return
+        try:
+            await entry.channel.send(message)
+        except PeerError as error:
+            log_event("notice_lost", peer=entry.host.host, reason=str(error))
+
+
+def _describe(record: EndpointRecord) -> tuple:
+    """Return what entry hosts must be told when it changes."""
+    return (
+        record.incarnation,
+        record.service,
+        record.address,
+        record.slots,
+        record.state,
+        record.cold_s > 0,
+        record.leaves_in_s is not None,
+    )
+
+
+def _log_change(record: EndpointRecord, known: EndpointRecord | None) -> None:
+    log_event(
+        "endpoint_changed",
+        endpoint=record.endpoint,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        service=record.service,
+        address=record.address,
+        state=record.state.name,
+        before=known.state.name if known else None,
+        cold_s=record.cold_s,
+        leaves_in_s=record.leaves_in_s,
+    )
--- /dev/null
+++ b/buckthorndeal/coordinator/_replica.py
@@ -0,0 +1,109 @@
+"""Owner task of the replica that holds the configuration and the evacuations."""
+
+from collections.abc import Awaitable, Callable
+from functools import singledispatchmethod
+
+from buckthorndeal.consensus import ElasticPolicy, MembershipPolicy, Replica
+from buckthorndeal.coordinator._requests import (
+    ChangeEvacuation,
+    ClusterState,
+    ReadConfiguration,
+    StoreConfiguration,
+)
+from buckthorndeal.errors import NotLeaderError
+from buckthorndeal.mailbox import Envelope
+from buckthorndeal.replication import LogTask, SendFrame
+from buckthorndeal.statemachine import (
+    Answer,
+    ConfigurationAnswer,
+    SetEvacuation,
+    StateMachine,
+)
+
+# A replaced host counts as lost until it votes, so repair follows quickly.
+REPAIR_INTERVAL_S = 0.25
+
+Publish = Callable[[ClusterState], Awaitable[None]]
+
+
+class ReplicaTask(LogTask):
+    """Runs the replica; see `LogTask`.
+
+    Parameters
+    ----------
+    publish : callable
+        Coroutine function called with each new `ClusterState`.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        machine: StateMachine,
+        policy: MembershipPolicy | ElasticPolicy,
+        send: SendFrame,
+        publish: Publish,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__(replica, machine, policy, send, clock, REPAIR_INTERVAL_S)
+        self._publish_state = publish
+        self._published: ClusterState | None = None
+
+    @singledispatchmethod
+    async def _handle(self, message: object, envelope: Envelope) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_handle.register
+    async def _(self, message: StoreConfiguration, envelope: Envelope) -> None:
+        self._require_leader()
+        stored = self._machine.configuration
+        if self._is_confirmed() and stored is not None:
+            if stored.version >= message.command.version:
+                answer = ConfigurationAnswer(version=stored.version, changed=False)
+                await envelope.reply(answer)
+                return
+        await self._propose(message.command, envelope)
+
+    @_handle.register
+    async def _(self, message: ChangeEvacuation, envelope: Envelope) -> None:
+        self._require_leader()
+        command = SetEvacuation(
+            failure_domain=message.failure_domain, active=message.active
+        )
+        await self._propose(command, envelope)
+
+    @_handle.register
+    async def _(self, message: ReadConfiguration, envelope: Envelope) -> None:
+        if message.confirmed:
+            self._require_leader()
+            if not self._is_confirmed():
+                raise NotLeaderError(None)
+        await envelope.reply(self._machine.configuration)
+
+    def _is_confirmed(self) -> bool:
+        return self._replica.has_lease(self._clock())
+
+    def _observe(self, answer: Answer | None) -> None:
+        del answer
+
+    async def _note_role(self, role: str, term: int) -> None:
+        del role, term
+
+    async def _publish(self) -> None:
+        state = self._describe()
+        if state != self._published:
+            self._published = state
+            await self._publish_state(state)
+
+    def _describe(self) -> ClusterState:
+        machine = self._machine
+        stored = machine.configuration
+        leader = self._replica.leader
+        membership = self._replica.membership
+        return ClusterState(
+            machine.applied_index,
+            stored.version if stored else None,
+            machine.evacuated,
+            leader.host if leader else None,
+            tuple(each.host for each in membership.voters),
+            tuple(each.host for each in membership.members),
+        )
--- /dev/null
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -0,0 +1,149 @@
+"""Table of endpoints from heartbeats that arrive late, twice or out of order."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from buckthorndeal.fleet._messages import EndpointRecord, EndpointState
+
+# A record that arrives late must not bring an endpoint back that has left.
+TOMBSTONE_S = 60.0
+
+
+@dataclass(slots=True)
+class EndpointEntry:
+    """An endpoint and when its last heartbeat was received."""
+
+    record: EndpointRecord
+    heard_s: float
+    cold_until_s: float
+    leaves_at_s: float | None
+
+
+class EndpointTable:
+    """Endpoints by id; the newest incarnation and heartbeat of each."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, EndpointEntry] = {}
+        self._owners: dict[str, str] = {}
+
+    def get(self, endpoint: str) -> EndpointEntry | None:
+        """Return an endpoint, also one that has left, or None."""
+        return self._entries.get(endpoint)
+
+    def list_present(self) -> list[EndpointEntry]:
+        """Return the endpoints that have not left."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.record.state is not EndpointState.LEFT
+        ]
+
+    def list_all(self) -> list[EndpointEntry]:
+        """Return all endpoints, with those that have left."""
+        return list(self._entries.values())
+
+    def update(self, record: EndpointRecord, now_s: float) -> EndpointRecord | None:
+        """Merge a heartbeat.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The heartbeat.
+        now_s : float
+            Clock reading.
+
+        Returns
+        -------
+        EndpointRecord or None
+            The record in force, or None if the heartbeat is out of date.
+        """
+        known = self._entries.get(record.endpoint)
+        if known is not None:
+            merged = _merge(known.record, record)
+            if merged is None:
+                return None
+            record = merged
+        if not self._claim_address(record):
+            return None
+        leaves_at_s = None
+        if record.leaves_in_s is not None:
+            leaves_at_s = now_s + record.leaves_in_s
+        self._entries[record.endpoint] = EndpointEntry(
+            record, now_s, now_s + record.cold_s, leaves_at_s
+        )
+        return record
+
+    def touch(self, endpoint: str, now_s: float) -> bool:
+        """Note that the last record of an endpoint holds; False if unknown."""
+        entry = self._entries.get(endpoint)
+        if entry is None:
+            return False
+        entry.heard_s = now_s
+        return True
+
+    def leave(self, endpoint: str, incarnation: int | None, now_s: float) -> bool:
+        """Mark an endpoint as left; False if it is unknown or has restarted."""
+        entry = self._entries.get(endpoint)
+        if entry is None:
+            return False
+        record = entry.record
+        if incarnation is not None and incarnation < record.incarnation:
+            return False
+        entry.record = msgspec.structs.replace(record, state=EndpointState.LEFT)
+        entry.heard_s = now_s
+        self._release_address(record)
+        return True
+
+    def expire(self, silence_s: float, now_s: float) -> list[EndpointRecord]:
+        """Drop endpoints that are silent, and return those that had not left."""
+        gone = []
+        for endpoint, entry in list(self._entries.items()):
+            left = entry.record.state is EndpointState.LEFT
+            if now_s - entry.heard_s < (TOMBSTONE_S if left else silence_s):
+                continue
+            del self._entries[endpoint]
+            self._release_address(entry.record)
+            if not left:
+                gone.append(entry.record)
+        return gone
+
+    def _claim_address(self, record: EndpointRecord) -> bool:
+        """Give an address to the latest incarnation that reported it."""
+        owner = self._owners.get(record.address)
+        if record.state is EndpointState.LEFT:
+            self._release_address(record)
+            return True
+        if owner is not None and owner != record.endpoint:
+            other = self._entries[owner]
+            if other.record.incarnation > record.incarnation:
+                return False
+            other.record = msgspec.structs.replace(
+                other.record, state=EndpointState.LEFT
+            )
+        self._owners[record.address] = record.endpoint
+        return True
+
+    def _release_address(self, record: EndpointRecord) -> None:
+        if self._owners.get(record.address) == record.endpoint:
+            del self._owners[record.address]
+
+
+def _merge(known: EndpointRecord, new: EndpointRecord) -> EndpointRecord | None:
+    """Return the record in force after `new`, or None if `new` is out of date."""
+    if new.incarnation != known.incarnation:
+        return new if new.incarnation > known.incarnation else None
+    if known.state is EndpointState.LEFT:
+        return None
+    if new.state is EndpointState.LEFT:
+        return new
+    if new.sequence < known.sequence:
+        return None
+    if known.state is EndpointState.DRAINING:
+        return msgspec.structs.replace(new, state=EndpointState.DRAINING)
+    return new
+
+
+def create_endpoint_table() -> EndpointTable:
+    """Return an empty table."""
+    return EndpointTable()
--- /dev/null
+++ b/buckthorndeal/fleet/_links.py
@@ -0,0 +1,130 @@
+"""Links to coordinators that become known one after another."""
+
+import random
+from collections.abc import Iterable
+
+from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.fleet._messages import FLEET_CODEC
+from buckthorndeal.logs import log_event
+from buckthorndeal.peers import Handler, LinkOptions, PeerLink, create_peer_link
+from buckthorndeal.transport import Transport
+from buckthorndeal.wire import Message
+
+# A drain has to reach every entry host within seconds, so a silent connection is
+# given up before two notices are overdue.
+LINK_OPTIONS = LinkOptions(
+    heartbeat_s=0.8,
+    silence_s=2.0,
+    connect_timeout_s=1.0,
+    backoff_min_s=0.05,
+    backoff_max_s=0.5,
+)
+
+
+class HostLinks:
+    """Links by the IP address of the peer, which is also its host name.
+
+    Parameters
+    ----------
+    transport : Transport
+        Opens the connections.
+    keys : tuple of bytes
+        Shared keys.
+    own : str
+        IP address of this host; never linked.
+    port : int
+        Peer port, the same on every host.
+    handler : callable
+        Called with each message that a peer sends over a link.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        keys: tuple[bytes, ...],
+        own: str,
+        port: int,
+        handler: Handler,
+    ) -> None:
+        self._transport = transport
+        self._keys = keys
+        self._own = own
+        self._port = port
+        self._handler = handler
+        self._links: dict[str, PeerLink] = {}
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Hosts that a link is kept to."""
+        return tuple(self._links)
+
+    def get(self, host: str) -> PeerLink | None:
+        """Return the link to a host, or None."""
+        return self._links.get(host)
+
+    def list_connected(self) -> list[str]:
+        """Return the hosts that are connected now."""
+        return [host for host, link in self._links.items() if link.connected]
+
+    async def ensure(self, hosts: Iterable[str]) -> None:
+        """Keep links to these hosts as well."""
+        for host in hosts:
+            if host == self._own or host in self._links:
+                continue
+            link = create_peer_link(
+                self._transport,
+                host,
+                self._port,
+                FLEET_CODEC,
+                self._keys,
+                self._own,
+                self._handler,
+                expected_host=host,
+                options=LINK_OPTIONS,
+                rng=random.Random(),
+            )
+            self._links[host] = link
+            await link.start()
+            log_event("link_added", peer=host)
+
+    async def drop(self, host: str) -> None:
+        """Close the link to a host."""
+        link = self._links.pop(host, None)
+        if link is not None:
+            await link.close()
+            log_event("link_dropped", peer=host)
+
+    async def send(self, host: str, message: Message) -> bool:
+        """Send a notice; return False if the host is not connected."""
+        link = self._links.get(host)
+        if link is None or not link.connected:
+            return False
+        try:
+            await link.send(message)
+        except PeerError as error:
+            log_event("notice_lost", peer=host, reason=str(error))
+            return False
+        return True
+
+    async def call(self, host: str, message: Message, timeout_s: float) -> Message:
+        """Return the reply of a host; raise `PeerError` if there is none."""
+        link = self._links.get(host)
+        if link is None:
+            raise PeerError(f"no link to {host}", Verdict.NOT_RUN)
+        return await link.call(message, timeout_s)
+
+    async def close(self) -> None:
+        """Close all links."""
+        for host in list(self._links):
+            await self.drop(host)
+
+
+def create_host_links(
+    transport: Transport,
+    keys: tuple[bytes, ...],
+    own: str,
+    port: int,
+    handler: Handler,
+) -> HostLinks:
+    """Return an empty set of links."""
+    return HostLinks(transport, keys, own, port, handler)
--- /dev/null
+++ b/buckthorndeal/gateway/__init__.py
@@ -0,0 +1,6 @@
+"""Gateway: an entry host that routes callers' requests by a configuration."""
+
+from buckthorndeal.gateway._daemon import Gateway, create_gateway
+from buckthorndeal.gateway._messages import LoadReport, Prompt, PromptPart
+
+__all__ = ["Gateway", "LoadReport", "Prompt", "PromptPart", "create_gateway"]
--- /dev/null
+++ b/buckthorndeal/gateway/_control.py
@@ -0,0 +1,338 @@
+"""Owner task of a gateway's view of the coordinators and of the configuration."""
+
+import zlib
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+import curio
+
+from buckthorndeal.configuration import (
+    Configuration,
+    ConfigurationCodec,
+    ConfigurationError,
+)
+from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.fleet import (
+    ClusterNotice,
+    ConfigurationContent,
+    ControlHost,
+    ControlStatus,
+    EndpointNews,
+    EntryHost,
+    EntryHosts,
+    EntryState,
+    EntryStatus,
+    FetchConfiguration,
+    Received,
+    RelayEndpoint,
+    create_host_links,
+)
+from buckthorndeal.gateway._messages import EndpointsHeard, FleetChanged
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Envelope, Mailbox, create_mailbox
+from buckthorndeal.peers import Channel
+from buckthorndeal.settings import GatewaySettings
+from buckthorndeal.transport import Transport
+from buckthorndeal.wire import Message, decode_keys
+
+STATUS_INTERVAL_S = 1.0
+TICK_S = 0.1
+FETCH_TIMEOUT_S = 1.0
+# A coordinator that is neither listed nor reached for this long is forgotten.
+CONTROL_FORGET_S = 30.0
+
+Apply = Callable[[Configuration], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class _Heard:
+    host: str
+    message: Message
+
+
+@dataclass(frozen=True)
+class SetState:
+    """Notice: this host takes new callers, or drains."""
+
+    state: EntryState
+
+
+@dataclass(frozen=True)
+class ListEntryHosts:
+    """Ask: entry hosts of all regions."""
+
+
+class ControlTask:
+    """Keeps links to all coordinators and acts on what they tell.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of this host.
+    transport : Transport
+        Opens connections.
+    codec : ConfigurationCodec
+        Reads the operator's configuration.
+    dispatch : Mailbox
+        Mailbox of the dispatch task.
+    apply : callable
+        Puts a newer configuration in force on this host.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        transport: Transport,
+        codec: ConfigurationCodec,
+        dispatch: Mailbox,
+        apply: Apply,
+        clock: Callable[[], float],
+    ) -> None:
+        self.mailbox = create_mailbox()
+        self._settings = settings
+        self._codec = codec
+        self._dispatch = dispatch
+        self._apply = apply
+        self._clock = clock
+        self._own = settings.peer_listen.address
+        self._links = create_host_links(
+            transport,
+            decode_keys(settings.peer_keys),
+            self._own,
+            settings.peer_listen.port,
+            self._receive,
+        )
+        self._state = EntryState.READY
+        self._connected: set[str] = set()
+        self._controls: dict[str, ControlHost] = {}
+        self._entries: dict[str, tuple[EntryHost, ...]] = {}
+        self._seen_s: dict[str, float] = {}
+        self._index = 0
+        self._version: int | None = None
+        self._wanted: dict[str, int] = {}
+        self._evacuated: frozenset[str] = frozenset()
+        self._fleet: FleetChanged | None = None
+        self._fetching = False
+        self._status_due_s = clock()
+
+    async def run(self) -> None:
+        """Handle messages and timers until cancelled."""
+        seeds = [seed.address for seed in self._settings.seeds]
+        await self._links.ensure(seeds)
+        try:
+            await self._run()
+        finally:
+            async with curio.disable_cancellation():
+                await self._links.close()
+
+    async def _run(self) -> None:
+        while True:
+            envelope = await self.mailbox.receive_within(TICK_S)
+            if envelope is not None:
+                await self._handle(envelope.message, envelope)
+            await self._note_connections()
+            if self._clock() >= self._status_due_s:
+                await self._send_status()
+
+    async def _receive(self, message: Message, channel: Channel) -> Message | None:
+        if isinstance(message, RelayEndpoint):
+            await self._dispatch.ask(EndpointsHeard((message.record,)))
+            return Received()
+        if isinstance(message, EndpointNews):
+            await self._dispatch.send(EndpointsHeard(message.records, message.alive))
+            return None
+        if isinstance(message, ClusterNotice | ControlStatus | EntryHosts):
+            await self.mailbox.send(_Heard(channel.host, message))
+            return None
+        raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
+
+    @singledispatchmethod
+    async def _handle(self, message: object, envelope: Envelope) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_handle.register
+    async def _(self, message: _Heard, envelope: Envelope) -> None:
+        await self._hear(message.message, message.host)
+
+    @_handle.register
+    async def _(self, message: SetState, envelope: Envelope) -> None:
+        self._state = message.state
+        await self._send_status()
+
+    @_handle.register
+    async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
+        await envelope.reply(self._list_entries())
+
+    @_handle.register
+    async def _(self, message: ConfigurationContent, envelope: Envelope) -> None:
+        await self._apply_content(message)
+
+    @singledispatchmethod
+    async def _hear(self, message: Message, host: str) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_hear.register
+    async def _(self, message: ClusterNotice, host: str) -> None:
+        if message.version is not None:
+            self._wanted[host] = message.version
+        if message.index >= self._index:
+            self._index = message.index
+            evacuated = frozenset(message.evacuated)
+            if evacuated != self._evacuated:
+                log_event(
+                    "evacuations_changed",
+                    evacuated=sorted(evacuated),
+                    index=message.index,
+                    source=host,
+                )
+                self._evacuated = evacuated
+                await self._update_fleet()
+        await self._fetch_if_newer()
+
+    @_hear.register
+    async def _(self, message: ControlStatus, host: str) -> None:
+        now_s = self._clock()
+        for control in message.hosts:
+            self._controls[control.host] = control
+            self._seen_s[control.host] = now_s
+        await self._links.ensure(control.host for control in message.hosts)
+
+    @_hear.register
+    async def _(self, message: EntryHosts, host: str) -> None:
+        self._entries[host] = message.entries
+        await self._update_fleet()
+
+    async def _note_connections(self) -> None:
+        connected = set(self._links.list_connected())
+        for host in connected - self._connected:
+            log_event("coordinator_connected", peer=host)
+            await self._links.send(host, self._create_status())
+        for host in self._connected - connected:
+            log_event("coordinator_lost", peer=host)
+            self._entries.pop(host, None)
+        changed = connected != self._connected
+        self._connected = connected
+        if changed:
+            await self._update_fleet()
+            await self._fetch_if_newer()
+
+    async def _send_status(self) -> None:
+        now_s = self._clock()
+        self._status_due_s = now_s + STATUS_INTERVAL_S
+        status = self._create_status()
+        for host in self._links.list_connected():
+            await self._links.send(host, status)
+        await self._forget_lost(now_s)
+
+    async def _forget_lost(self, now_s: float) -> None:
+        seeds = {seed.address for seed in self._settings.seeds}
+        for host in self._links.hosts:
+            seen_s = self._seen_s.setdefault(host, now_s)
+            silent = now_s - seen_s > CONTROL_FORGET_S
+            if silent and host not in self._connected and host not in seeds:
+                await self._links.drop(host)
+
+    def _create_status(self) -> EntryStatus:
+        settings = self._settings
+        entry = EntryHost(
+            self._own,
+            settings.region,
+            settings.failure_domain,
+            f"{settings.listen.address}:{settings.listen.port}",
+            self._state,
+        )
+        return EntryStatus(entry, self._index, self._version)
+
+    def _list_entries(self) -> tuple[EntryHost, ...]:
+        """Return the entry hosts that any coordinator knows to be alive."""
+        found = {
+            entry.host: entry for entries in self._entries.values() for entry in entries
+        }
+        return tuple(found[host] for host in sorted(found))
+
+    async def _update_fleet(self) -> None:
+        entries = self._list_entries()
+        region_hosts = tuple(
+            entry.host
+            for entry in entries
+            if entry.region == self._settings.region and entry.state is EntryState.READY
+        )
+        total = max(1, len(entries))
+        fleet = FleetChanged(region_hosts or (self._own,), total, self._evacuated)
+        if fleet != self._fleet:
+            self._fleet = fleet
+            log_event(
+                "fleet_changed",
+                region_hosts=list(region_hosts),
+                total_hosts=total,
+                evacuated=sorted(self._evacuated),
+            )
+            await self._dispatch.send(fleet)
+
+    async def _fetch_if_newer(self) -> None:
+        """Fetch the newest known version from the nearest host that has it."""
+        newest = max(self._wanted.values(), default=None)
+        if newest is None or self._fetching:
+            return
+        if self._version is not None and newest <= self._version:
+            return
+        hosts = [
+            host
+            for host, version in self._wanted.items()
+            if version == newest and host in self._connected
+        ]
+        if hosts:
+            self._fetching = True
+            hosts.sort(key=self._rank_distance)
+            await curio.spawn(self._fetch, hosts, newest, daemon=True)
+
+    def _rank_distance(self, host: str) -> tuple[bool, bool, str]:
+        control = self._controls.get(host)
+        if control is None:
+            return (True, True, host)
+        return (
+            control.region != self._settings.region,
+            control.failure_domain != self._settings.failure_domain,
+            host,
+        )
+
+    async def _fetch(self, hosts: list[str], version: int) -> None:
+        message = FetchConfiguration(version)
+        for host in hosts:
+            try:
+                reply = await self._links.call(host, message, FETCH_TIMEOUT_S)
+            except PeerError as error:
+                log_event("configuration_fetch_failed", peer=host, reason=str(error))
+                continue
+            if isinstance(reply, ConfigurationContent):
+                await self.mailbox.send(reply)
+                return
+        await self.mailbox.send(ConfigurationContent(None, b""))
+
+    async def _apply_content(self, content: ConfigurationContent) -> None:
+        self._fetching = False
+        newer = content.version is not None and (
+            self._version is None or content.version > self._version
+        )
+        if newer:
+            try:
+                configuration = self._codec.decode(zlib.decompress(content.content))
+            except (ConfigurationError, zlib.error) as error:
+                log_event(
+                    "configuration_unreadable",
+                    version=content.version,
+                    reason=str(error),
+                )
+                return
+            before, self._version = self._version, content.version
+            await self._apply(configuration)
+            log_event(
+                "configuration_in_force",
+                version=content.version,
+                before=before,
+                routes=len(configuration.routes),
+            )
+        await self._fetch_if_newer()
--- /dev/null
+++ b/buckthorndeal/gateway/_daemon.py
@@ -0,0 +1,214 @@
+"""Gateway daemon: callers, endpoints and other entry hosts."""
+
+import random
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal.configuration import (
+    Configuration,
+    ConfigurationCodec,
+    create_route_table,
+)
+from buckthorndeal.fleet import EntryState
+from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._control import ControlTask, SetState
+from buckthorndeal.gateway._dispatch_task import DispatchTask
+from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
+from buckthorndeal.gateway._handler import GatewayHandler
+from buckthorndeal.gateway._pools import create_pools
+from buckthorndeal.gateway._region_links import RegionTask
+from buckthorndeal.gateway.dialect import Dialect
+from buckthorndeal.http_server import (
+    Handler,
+    HttpServer,
+    Request,
+    Responder,
+    create_http_server,
+)
+from buckthorndeal.logs import log_event
+from buckthorndeal.metrics import create_metrics, serve_metrics
+from buckthorndeal.policy.ejection import create_ejection
+from buckthorndeal.settings import Address, GatewaySettings, Limits
+from buckthorndeal.transport import Transport
+from buckthorndeal.wire import decode_keys
+
+DRAIN_POLL_S = 0.05
+CLEAN_INTERVAL_S = 10.0
+
+
+class Gateway:
+    """One entry host that routes by a configuration.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of this host.
+    transport : Transport
+        Transport of all connections.
+    codec : ConfigurationCodec
+        Reads the operator's configuration.
+    dialect : Dialect
+        Header names of callers and endpoints.
+    ready_path : str
+        Path of the readiness check.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        transport: Transport,
+        codec: ConfigurationCodec,
+        dialect: Dialect,
+        ready_path: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._ready_path = ready_path
+        self._clock = clock
+        self._draining = False
+        self.metrics = create_metrics()
+        host = settings.peer_listen.address
+        budget = settings.retry_budget
+        dispatcher = Dispatcher(
+            host,
+            settings.region,
+            DispatchOptions(
+                budget.share,
+                budget.slack,
+                budget.window_s,
+                settings.heartbeat_interval_s,
+            ),
+            create_ejection(),
+            random.Random(),
+        )
+        self._dispatch = DispatchTask(dispatcher, self.metrics, clock)
+        self._control = ControlTask(
+            settings, transport, codec, self._dispatch.mailbox, self._apply, clock
+        )
+        self._regions = RegionTask(
+            settings, transport, self._control.mailbox, self._dispatch.mailbox, clock
+        )
+        self._pools = create_pools(transport, settings.forward_listen.port)
+        self._context = GatewayContext(
+            host=host,
+            region=settings.region,
+            keys=decode_keys(settings.peer_keys),
+            dialect=dialect,
+            dispatch=self._dispatch.mailbox,
+            pools=self._pools,
+            metrics=self.metrics,
+            now=clock,
+            wall=time.time,
+        )
+        self._servers: list[HttpServer] = []
+        self._ready_server: HttpServer | None = None
+        self._tasks = curio.TaskGroup(wait=any)
+
+    async def start(self) -> None:
+        """Reach the coordinators and serve."""
+        settings = self._settings
+        await self._regions.start()
+        for task in (self._dispatch, self._control, self._regions):
+            await self._tasks.spawn(task.run)
+        await self._tasks.spawn(self._clean)
+        handler = GatewayHandler(self._context)
+        await self._serve(handler.handle_caller, settings.listen)
+        await self._serve(handler.handle_forwarded, settings.forward_listen)
+        self._ready_server = create_http_server(self._answer_ready, Limits())
+        listen = settings.ready_listen
+        await self._ready_server.start(self._transport, listen.address, listen.port)
+        if settings.metrics_listen is not None:
+            listen = settings.metrics_listen
+            server = create_http_server(serve_metrics(self.metrics), Limits())
+            await server.start(self._transport, listen.address, listen.port)
+        log_event("gateway_started", region=settings.region)
+
+    async def wait(self) -> None:
+        """Return or raise as soon as an owner task ends, which is an error."""
+        task = await self._tasks.next_done()
+        if task.exception is not None:
+            raise task.exception
+
+    async def drain(self) -> None:
+        """Tell that this host leaves, and end when its requests have ended.
+
+        Callers that know the host from an older answer of the directory are served
+        for the time of notice.
+        """
+        started_s = self._clock()
+        self._draining = True
+        await self._control.mailbox.send(SetState(EntryState.DRAINING))
+        log_event("gateway_draining", active=self._count_active())
+        for server in self._servers:
+            server.announce_drain()
+        await curio.sleep(self._settings.drain_notice_s)
+        while self._count_active():
+            if self._clock() - started_s > self._settings.drain_timeout_s:
+                log_event("gateway_drain_overdue", active=self._count_active())
+                break
+            await curio.sleep(DRAIN_POLL_S)
+        for server in self._servers:
+            await server.drain()
+        log_event("gateway_stopped", active=self._count_active())
+
+    async def close(self) -> None:
+        """Stop all tasks and close all connections."""
+        for server in [*self._servers, self._ready_server]:
+            if server is not None:
+                await server.close()
+        await self._tasks.cancel_remaining()
+        await self._pools.close()
+
+    def _count_active(self) -> int:
+        return sum(server.active_requests for server in self._servers)
+
+    async def _serve(self, handler: Handler, listen: Address) -> None:
+        limits = Limits(max_connections=self._settings.max_connections)
+        server = create_http_server(handler, limits)
+        await server.start(self._transport, listen.address, listen.port)
+        self._servers.append(server)
+
+    async def _clean(self) -> None:
+        while True:
+            await curio.sleep(CLEAN_INTERVAL_S)
+            await self._pools.close_unused(self._clock())
+
+    async def _apply(self, configuration: Configuration) -> None:
+        """Put a newer configuration in force."""
+        routes = create_route_table(configuration)
+        self._dispatch.set_services(routes.services)
+        self._context.routes = routes
+        told = configuration.limits
+        limits = Limits(
+            max_header_bytes=told.max_header_bytes,
+            max_body_bytes=told.max_body_bytes,
+            header_timeout_s=told.header_timeout_s,
+            idle_timeout_s=told.idle_timeout_s,
+            max_connections=self._settings.max_connections,
+        )
+        for server in self._servers:
+            server.set_limits(limits)
+
+    async def _answer_ready(self, request: Request, responder: Responder) -> None:
+        if request.path != self._ready_path:
+            await responder.respond_json(404, {"error": "unknown path"})
+            return
+        ready = not self._draining and self._context.routes is not None
+        await responder.respond_json(200 if ready else 503, {"ready": ready})
+
+
+def create_gateway(
+    settings: GatewaySettings,
+    transport: Transport,
+    codec: ConfigurationCodec,
+    dialect: Dialect,
+    ready_path: str = "/readyz",
+    clock: Callable[[], float] = time.monotonic,
+) -> Gateway:
+    """Return a gateway that is not started yet."""
+    return Gateway(settings, transport, codec, dialect, ready_path, clock)
--- /dev/null
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -0,0 +1,166 @@
+"""Owner task of the dispatcher: answers when a decision has been made."""
+
+from collections.abc import Callable, Mapping
+from functools import singledispatchmethod
+
+from buckthorndeal.configuration import ServiceDescription
+from buckthorndeal.gateway._dispatcher import Dispatcher
+from buckthorndeal.gateway._messages import (
+    Decision,
+    DescribeLoad,
+    Dispatch,
+    EndpointsHeard,
+    Finished,
+    FirstAnswer,
+    FleetChanged,
+    Forward,
+    Grant,
+    Refusal,
+    RegionHeard,
+)
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.metrics import Metrics
+
+IDLE_INTERVAL_S = 1.0
+# A waiting request must be refused soon after its time has passed.
+WAITING_INTERVAL_S = 0.02
+ENDPOINT_FORGET_S = 10.0
+
+
+class DispatchTask:
+    """Runs the dispatcher; other tasks reach it through its mailbox.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decisions.
+    metrics : Metrics
+        Figures of the daemon.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, metrics: Metrics, clock: Callable[[], float]
+    ) -> None:
+        self.mailbox = create_mailbox()
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._clock = clock
+        self._waiting: dict[int, Envelope] = {}
+        self._expire_due_s = clock()
+
+    async def run(self) -> None:
+        """Handle messages and timers until cancelled."""
+        while True:
+            waiting = self._dispatcher.has_waiting
+            wait_s = WAITING_INTERVAL_S if waiting else IDLE_INTERVAL_S
+            envelope = await self.mailbox.receive_within(wait_s)
+            now_s = self._clock()
+            if envelope is not None:
+                await self._handle(envelope.message, envelope, now_s)
+            if self._dispatcher.has_waiting:
+                await self._decide_waiting(now_s)
+            if now_s >= self._expire_due_s:
+                self._expire_due_s = now_s + IDLE_INTERVAL_S
+                self._dispatcher.expire(ENDPOINT_FORGET_S, now_s)
+
+    @singledispatchmethod
+    async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_handle.register
+    async def _(self, message: Dispatch, envelope: Envelope, now_s: float) -> None:
+        if not message.repeat and not message.call.hops and not message.excluded:
+            self._dispatcher.record_request(message.call.service, now_s)
+        decision = self._dispatcher.submit(message, now_s)
+        if decision is None:
+            self._waiting[message.ticket] = envelope
+            return
+        await self._answer(envelope, decision, now_s)
+
+    @_handle.register
+    async def _(self, message: FirstAnswer, envelope: Envelope, now_s: float) -> None:
+        self._dispatcher.start(message.ticket, message.load, now_s)
+
+    @_handle.register
+    async def _(self, message: Finished, envelope: Envelope, now_s: float) -> None:
+        self._waiting.pop(message.ticket, None)
+        self._dispatcher.finish(message.ticket, message.outcome, now_s)
+
+    @_handle.register
+    async def _(
+        self, message: EndpointsHeard, envelope: Envelope, now_s: float
+    ) -> None:
+        for record in message.records:
+            self._dispatcher.hear(record, now_s)
+        for endpoint in message.alive:
+            self._dispatcher.touch(endpoint, now_s)
+        await envelope.reply()
+
+    @_handle.register
+    async def _(self, message: RegionHeard, envelope: Envelope, now_s: float) -> None:
+        self._dispatcher.set_region(message, now_s)
+
+    @_handle.register
+    async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
+        self._dispatcher.set_fleet(message)
+
+    @_handle.register
+    async def _(self, message: DescribeLoad, envelope: Envelope, now_s: float) -> None:
+        await envelope.reply(self._dispatcher.describe_loads(now_s))
+
+    def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
+        """Use the services of a newer configuration."""
+        self._dispatcher.set_services(services)
+
+    async def _decide_waiting(self, now_s: float) -> None:
+        for ticket, decision in self._dispatcher.take_ready(now_s):
+            envelope = self._waiting.pop(ticket, None)
+            if envelope is not None:
+                await self._answer(envelope, decision, now_s)
+
+    async def _answer(
+        self, envelope: Envelope, decision: Decision, now_s: float
+    ) -> None:
+        message: Dispatch = envelope.message
+        call = message.call
+        waited_s = now_s - call.arrived_s
+        self._metrics.count("decisions", kind=type(decision).__name__.lower())
+        self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
+        log_event(
+            "dispatch_decision",
+            request_id=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            repeat=message.repeat,
+            left_ms=round((call.deadline_s - now_s) * 1000),
+            waited_ms=round(waited_s * 1000),
+            **_describe(decision),
+        )
+        await envelope.reply(decision)
+
+
+def _describe(decision: Decision) -> dict[str, object]:
+    if isinstance(decision, Grant):
+        record = decision.endpoint
+        return {
+            "chosen": record.endpoint,
+            "address": record.address,
+            "heartbeat": record.sequence,
+            "predicted_ms": round(decision.predicted_s * 1000),
+        }
+    if isinstance(decision, Forward):
+        return {
+            "chosen": decision.host,
+            "region": decision.region,
+            "predicted_ms": round(decision.predicted_s * 1000),
+        }
+    if isinstance(decision, Refusal):
+        return {
+            "chosen": None,
+            "reason": decision.reason.value,
+            "retry_after_ms": round(decision.retry_after_s * 1000),
+        }
+    raise TypeError(f"unknown decision {decision!r}")
--- /dev/null
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -0,0 +1,478 @@
+"""Where each attempt of a request goes: placing, queueing and refusing.
+
+No I/O: calls take a clock reading and return decisions, so that tests can play a
+load against it.
+"""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from buckthorndeal.configuration import ServiceDescription
+from buckthorndeal.fleet import EndpointRecord, create_endpoint_table
+from buckthorndeal.gateway._engine import PrefixCache
+from buckthorndeal.gateway._limits import RetryShare
+from buckthorndeal.gateway._loads import EndpointLoad, Ticket, get_capacity
+from buckthorndeal.gateway._messages import (
+    Call,
+    Decision,
+    Dispatch,
+    FleetChanged,
+    Forward,
+    Grant,
+    LoadReport,
+    Refusal,
+    RefusalReason,
+    RegionHeard,
+)
+from buckthorndeal.gateway._regions import RegionTable
+from buckthorndeal.policy.ejection import Ejection
+from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
+from buckthorndeal.subsetting import choose_registrars
+
+# Heartbeats come every second or so; an endpoint is avoided after two lost ones.
+ENDPOINT_SILENCE_S = 3.0
+# What a request gains from another region, so that small differences don't move
+# work to a cold cache.
+FORWARD_MARGIN_S = 0.15
+# A local wait below this share of the objective is never worth a hop.
+LOCAL_SHARE = 0.35
+MIN_RETRY_AFTER_S = 0.2
+NO_ENDPOINT_RETRY_S = 1.0
+# Share of the wanted connections of an endpoint that the hosts divide.
+CONNECTION_SHARE = 0.8
+COLD_SHARE = 0.9
+MAX_URGENCY = 9
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request that waits for room at an endpoint."""
+
+    dispatch: Dispatch
+    since_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchOptions:
+    """Limits that all hosts keep together.
+
+    Parameters
+    ----------
+    retry_share, retry_slack, retry_window_s : float
+        See `RetryShare`.
+    heartbeat_interval_s : float
+        Time between the heartbeats of an endpoint.
+    """
+
+    retry_share: float = 0.2
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+    heartbeat_interval_s: float = 1.0
+
+
+@dataclass(slots=True)
+class _Queue:
+    """Waiting requests of one service, most urgent first."""
+
+    waiting: dict[int, Waiting] = field(default_factory=dict)
+
+    def list_in_order(self) -> list[tuple[int, Waiting]]:
+        return sorted(
+            self.waiting.items(),
+            key=lambda item: (item[1].dispatch.call.route.priority, item[0]),
+        )
+
+
+class Dispatcher:
+    """Decides for one entry host.
+
+    Parameters
+    ----------
+    host, region : str
+        This host and its region.
+    options : DispatchOptions
+        Shared limits.
+    ejection : Ejection
+        Endpoints that are kept out after failures.
+    rng : random.Random
+        Source of the jitter.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        region: str,
+        options: DispatchOptions,
+        ejection: Ejection,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._region = region
+        self._options = options
+        self._ejection = ejection
+        self._rng = rng
+        self._table = create_endpoint_table()
+        self._loads: dict[str, EndpointLoad] = {}
+        self._services: Mapping[str, ServiceDescription] = {}
+        self._fleet = FleetChanged((host,), 1, frozenset())
+        self._regions = RegionTable()
+        self._budgets: dict[str, RetryShare] = {}
+        self._queues: dict[str, _Queue] = {}
+        self._granted: dict[int, str] = {}
+        self._heard_s = 0.0
+
+    # What is known of the fleet
+
+    def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
+        """Use the services of a newer configuration."""
+        self._services = services
+
+    def set_fleet(self, message: FleetChanged) -> None:
+        """Use a newer list of entry hosts and evacuations."""
+        self._fleet = message
+
+    def set_region(self, message: RegionHeard, now_s: float) -> None:
+        """Use a newer load of another region."""
+        self._regions.update(message, now_s)
+
+    def hear(self, record: EndpointRecord, now_s: float) -> None:
+        """Take a heartbeat."""
+        self._heard_s = now_s
+        before = self._table.get(record.endpoint)
+        if self._table.update(record, now_s) is None:
+            return
+        entry = self._table.get(record.endpoint)
+        load = self._loads.get(record.endpoint)
+        restarted = (
+            before is not None and before.record.incarnation != record.incarnation
+        )
+        if load is None or restarted:
+            cache = PrefixCache(get_capacity(self._services.get(record.service)))
+            self._loads[record.endpoint] = EndpointLoad(entry, cache)
+        else:
+            load.entry = entry
+
+    def touch(self, endpoint: str, now_s: float) -> None:
+        """Note that an endpoint's last heartbeat was repeated."""
+        self._heard_s = now_s
+        self._table.touch(endpoint, now_s)
+
+    def expire(self, silence_s: float, now_s: float) -> None:
+        """Forget endpoints that have been silent for long, while others are heard."""
+        if now_s - self._heard_s > ENDPOINT_SILENCE_S:
+            return
+        for record in self._table.expire(silence_s, now_s):
+            self._loads.pop(record.endpoint, None)
+            self._ejection.forget(record.endpoint)
+
+    # Requests
+
+    def record_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request for the retry budget."""
+        self._get_budget(service).record_request(now_s)
+
+    def submit(self, dispatch: Dispatch, now_s: float) -> Decision | None:
+        """Decide, or return None if the request has to wait for room."""
+        call = dispatch.call
+        if not call.route.may_run_in(self._region):
+            return self._leave_region(dispatch, now_s)
+        candidates = self._list_candidates(dispatch, now_s)
+        best = self._choose_local(dispatch, candidates, now_s)
+        remote = self._choose_region(dispatch, best, now_s)
+        if remote is not None:
+            return self._take(dispatch, remote, now_s)
+        if best is not None and best.predicted_s <= self._get_limit_s(call, now_s):
+            return self._take(dispatch, best, now_s)
+        if best is None and candidates and self._may_wait(dispatch, now_s):
+            queue = self._queues.setdefault(call.service, _Queue())
+            queue.waiting[dispatch.ticket] = Waiting(dispatch, now_s)
+            return None
+        if best is None and not candidates:
+            return Refusal(RefusalReason.NO_ENDPOINT, self._jitter(NO_ENDPOINT_RETRY_S))
+        wait_s = best.predicted_s if best else call.route.latency_objective_s
+        return self._refuse(call, wait_s)
+
+    def start(self, ticket: int, report: LoadReport | None, now_s: float) -> None:
+        """Note that the answer to an attempt has begun."""
+        load = self._loads.get(self._granted.get(ticket, ""))
+        if load is None:
+            return
+        load.note_start(ticket, now_s)
+        if report is not None:
+            load.note_report(report, now_s)
+
+    def finish(self, ticket: int, outcome: AttemptOutcome | None, now_s: float) -> None:
+        """Note that an attempt has ended or was withdrawn."""
+        for queue in self._queues.values():
+            queue.waiting.pop(ticket, None)
+        endpoint = self._granted.pop(ticket, None)
+        load = self._loads.get(endpoint or "")
+        if load is None:
+            return
+        ended = load.remove(ticket)
+        if ended is None or outcome is None:
+            return
+        record = load.entry.record
+        result = AttemptResult(
+            endpoint,
+            record.incarnation,
+            record.service,
+            outcome,
+            now_s - ended.granted_s,
+        )
+        population = sum(
+            other.entry.record.service == record.service
+            for other in self._loads.values()
+        )
+        self._ejection.observe(result, population, now_s)
+
+    def take_ready(self, now_s: float) -> list[tuple[int, Decision]]:
+        """Return the decisions for waiting requests that can be made now."""
+        decided: list[tuple[int, Decision]] = []
+        for queue in self._queues.values():
+            for ticket, waiting in queue.list_in_order():
+                del queue.waiting[ticket]
+                if not self._may_wait_on(waiting, now_s):
+                    refusal = self._refuse(
+                        waiting.dispatch.call,
+                        waiting.dispatch.call.route.latency_objective_s,
+                    )
+                    decided.append((ticket, refusal))
+                    continue
+                decision = self.submit(waiting.dispatch, now_s)
+                if decision is None:
+                    queue.waiting[ticket] = waiting
+                    break
+                decided.append((ticket, decision))
+        return decided
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any request waits for room."""
+        return any(queue.waiting for queue in self._queues.values())
+
+    def describe_loads(self, now_s: float) -> dict[str, tuple[float, int]]:
+        """Return the wait and the free places of each service of this region."""
+        found: dict[str, tuple[float, int]] = {}
+        for name, service in self._services.items():
+            loads = [
+                load
+                for load in self._loads.values()
+                if load.entry.record.service == name
+                and load.is_ready(now_s)
+                and not load.is_cold(now_s)
+                and not self._is_evacuated(load)
+                and now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
+            ]
+            if loads:
+                found[name] = self._describe_load(service, loads, now_s)
+        return found
+
+    def _describe_load(
+        self, service: ServiceDescription, loads: list[EndpointLoad], now_s: float
+    ) -> tuple[float, int]:
+        hosts = max(1, len(self._fleet.region_hosts))
+        waits = []
+        places = 0
+        for load in loads:
+            busy = load.inflight + load.count_others(now_s)
+            places += max(0, load.entry.record.slots - busy)
+            if service.engine is not None:
+                waits.append(load.speed.predict(load.count_queued_tokens(now_s)))
+            else:
+                over = max(0, busy + 1 - load.entry.record.slots)
+                slots = max(1, load.entry.record.slots)
+                waits.append(load.service_time_s * (1 + over / slots))
+        return min(waits), places // hosts
+
+    # Choice
+
+    def _list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
+        service = dispatch.call.service
+        ready = [
+            load
+            for load in self._loads.values()
+            if load.entry.record.service == service
+            and load.name not in dispatch.excluded
+            and load.is_ready(now_s)
+            and not self._is_evacuated(load)
+        ]
+        if now_s - self._heard_s <= ENDPOINT_SILENCE_S:
+            heard = [
+                load
+                for load in ready
+                if now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
+            ]
+            ready = heard or ready
+        ejected = self._ejection.list_excluded(
+            service, now_s, dispatch.call.route.repeatable
+        )
+        healthy = [load for load in ready if load.name not in ejected]
+        return healthy or ready
+
+    def _is_evacuated(self, load: EndpointLoad) -> bool:
+        return load.entry.record.failure_domain in self._fleet.evacuated
+
+    def _choose_local(
+        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
+    ) -> "_Local | None":
+        call = dispatch.call
+        service = self._services.get(call.service)
+        if service is None:
+            return None
+        hosts = len(self._fleet.region_hosts)
+        best: _Local | None = None
+        for load in candidates:
+            cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
+            if cold and not self._may_use_cold(load, now_s):
+                continue
+            if not load.has_room(call, service, hosts, now_s):
+                continue
+            predicted_s = load.predict_first_s(call, load.entry.record.slots, now_s)
+            if best is None or (cold, predicted_s) < (best.cold, best.predicted_s):
+                best = _Local(load, predicted_s, cold)
+        return best
+
+    def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
+        """Return whether this host is the one that warms an endpoint up."""
+        hosts = dict.fromkeys((*self._fleet.region_hosts, self._host), "")
+        if choose_registrars(load.name, hosts)[0] != self._host:
+            return False
+        return load.spacing.is_due(now_s)
+
+    def _choose_region(
+        self, dispatch: Dispatch, best: "_Local | None", now_s: float
+    ) -> "_Remote | None":
+        call = dispatch.call
+        if call.hops:
+            return None
+        local_s = best.predicted_s if best else None
+        if local_s is not None:
+            if local_s < LOCAL_SHARE * call.route.latency_objective_s:
+                return None
+        found = self._find_region(dispatch, now_s)
+        if found is None:
+            return None
+        if local_s is None or found.predicted_s + FORWARD_MARGIN_S < local_s:
+            return found
+        return None
+
+    def _find_region(self, dispatch: Dispatch, now_s: float) -> "_Remote | None":
+        call = dispatch.call
+        work_s = 0.0
+        if call.prompt is not None:
+            work_s = call.prompt.tokens / self._get_speed(call.service)
+        choice = self._regions.choose(
+            call.service, call.route, dispatch.excluded, now_s
+        )
+        if choice is None:
+            return None
+        return _Remote(choice.region, choice.host, choice.wait_s + work_s)
+
+    def _get_speed(self, service: str) -> float:
+        speeds = [
+            load.speed.tokens_per_s
+            for load in self._loads.values()
+            if load.entry.record.service == service
+        ]
+        return max(speeds, default=50_000.0)
+
+    def _leave_region(self, dispatch: Dispatch, now_s: float) -> Decision:
+        if not dispatch.call.hops:
+            remote = self._find_region(dispatch, now_s)
+            if remote is not None:
+                return self._take(dispatch, remote, now_s)
+        return Refusal(
+            RefusalReason.HOME_UNREACHABLE, self._jitter(NO_ENDPOINT_RETRY_S)
+        )
+
+    def _take(
+        self, dispatch: Dispatch, choice: "_Local | _Remote", now_s: float
+    ) -> Decision:
+        call = dispatch.call
+        if dispatch.repeat:
+            budget = self._get_budget(call.service)
+            if not budget.try_repeat(self._fleet.total_hosts, now_s):
+                retry_s = self._jitter(NO_ENDPOINT_RETRY_S)
+                return Refusal(RefusalReason.RETRY_BUDGET, retry_s)
+        if isinstance(choice, _Remote):
+            self._regions.take(choice.region, call.service)
+            return Forward(choice.region, choice.host, choice.predicted_s)
+        return self._grant(dispatch, choice, now_s)
+
+    def _grant(self, dispatch: Dispatch, choice: "_Local", now_s: float) -> Grant:
+        call, load = dispatch.call, choice.load
+        service = self._services[call.service]
+        uncached = memory = 0
+        if call.prompt is not None:
+            uncached = call.prompt.tokens - load.cache.count_cached(call.prompt)
+            memory = call.prompt.tokens + call.prompt.max_output_tokens
+        queued = load.count_queued_tokens(now_s)
+        ticket = Ticket(call, load.name, now_s, uncached, queued, memory)
+        load.add(dispatch.ticket, ticket)
+        self._granted[dispatch.ticket] = load.name
+        if choice.cold:
+            load.spacing.take(service.cold_rate_per_s * COLD_SHARE, now_s)
+        self._ejection.start_probe(call.service, load.name, now_s)
+        hosts = max(1, len(self._fleet.region_hosts))
+        connections = max(2, int(service.max_connections * CONNECTION_SHARE) // hosts)
+        urgency = min(MAX_URGENCY, call.route.priority)
+        record = load.entry.record
+        return Grant(record, urgency, choice.predicted_s, connections)
+
+    # Waiting and refusing
+
+    def _get_limit_s(self, call: Call, now_s: float) -> float:
+        """Return the longest predicted time to an answer that is worth starting.
+
+        An answer after the objective takes the place of one within it, so a
+        backlog is kept below the objective and the rest is refused at once.
+        """
+        spent_s = now_s - call.arrived_s
+        return min(
+            call.route.latency_objective_s, call.deadline_s - call.arrived_s
+        ) - min(spent_s, call.route.latency_objective_s / 2)
+
+    def _may_wait(self, dispatch: Dispatch, now_s: float) -> bool:
+        return now_s - dispatch.call.arrived_s < (
+            dispatch.call.route.latency_objective_s / 4
+        )
+
+    def _may_wait_on(self, waiting: Waiting, now_s: float) -> bool:
+        objective_s = waiting.dispatch.call.route.latency_objective_s
+        return now_s - waiting.since_s < objective_s / 4
+
+    def _refuse(self, call: Call, wait_s: float) -> Refusal:
+        excess_s = wait_s - call.route.latency_objective_s / 2
+        return Refusal(
+            RefusalReason.OVERLOADED, self._jitter(max(MIN_RETRY_AFTER_S, excess_s))
+        )
+
+    def _jitter(self, seconds: float) -> float:
+        """Spread the return of callers that are refused together."""
+        return seconds * self._rng.uniform(0.75, 1.5)
+
+    def _get_budget(self, service: str) -> RetryShare:
+        budget = self._budgets.get(service)
+        if budget is None:
+            options = self._options
+            budget = RetryShare(
+                options.retry_share, options.retry_slack, options.retry_window_s
+            )
+            self._budgets[service] = budget
+        return budget
+
+
+@dataclass(frozen=True, slots=True)
+class _Local:
+    load: EndpointLoad
+    predicted_s: float
+    cold: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Remote:
+    region: str
+    host: str
+    predicted_s: float
--- /dev/null
+++ b/buckthorndeal/gateway/_handler.py
@@ -0,0 +1,157 @@
+"""HTTP handlers of a gateway: callers, other entry hosts, readiness."""
+
+from buckthorndeal.configuration import Route, choose_service
+from buckthorndeal.errors import AuthenticationError, RequestError
+from buckthorndeal.forwarding import (
+    ForwardedRequest,
+    ReplayGuard,
+    is_forwarded,
+    verify_request,
+)
+from buckthorndeal.gateway._attempt import VERDICT_HEADER
+from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._exchange import Exchange
+from buckthorndeal.gateway._messages import Call
+from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.logs import log_event
+
+# A host that has just started hears of the configuration within this time.
+NOT_READY_RETRY_S = 0.5
+
+
+class GatewayHandler:
+    """Answers callers and other entry hosts.
+
+    Parameters
+    ----------
+    context : GatewayContext
+        Shared parts.
+    """
+
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._replays = ReplayGuard()
+
+    async def handle_caller(self, request: Request, responder: Responder) -> None:
+        """Answer a request of a caller."""
+        await self._handle(request, responder, None)
+
+    async def handle_forwarded(self, request: Request, responder: Responder) -> None:
+        """Answer a request that another entry host passes on."""
+        try:
+            forwarded = self._verify(request)
+        except AuthenticationError as error:
+            refused = RequestError("forbidden", 403, str(error))
+            await self._respond_error(refused, responder)
+            return
+        await self._handle(request, responder, forwarded)
+
+    def _verify(self, request: Request) -> ForwardedRequest:
+        if not is_forwarded(request.headers):
+            raise AuthenticationError("the request is not signed")
+        forwarded = verify_request(
+            request.headers,
+            request.method,
+            request.target,
+            request.body,
+            self._context.keys,
+        )
+        self._replays.check(forwarded, self._context.wall())
+        return forwarded
+
+    async def _handle(
+        self,
+        request: Request,
+        responder: Responder,
+        forwarded: ForwardedRequest | None,
+    ) -> None:
+        arrived_s = self._context.now()
+        exchange = None
+        request_id = ""
+        error: RequestError | None = None
+        ended = False
+        try:
+            call = self._create_call(request, forwarded, arrived_s)
+            request_id = call.request_id
+            exchange = Exchange(self._context, call, request, responder)
+            await exchange.run()
+            ended = True
+        except RequestError as raised:
+            error = raised
+            ended = True
+            if not responder.started:
+                await self._respond_error(raised, responder)
+        finally:
+            self._log_end(request_id, arrived_s, exchange, error, ended, responder)
+
+    def _log_end(
+        self,
+        request_id: str,
+        arrived_s: float,
+        exchange: Exchange | None,
+        error: RequestError | None,
+        ended: bool,
+        responder: Responder,
+    ) -> None:
+        total_s = self._context.now() - arrived_s
+        outcome = "answered"
+        if error is not None:
+            outcome = error.code
+        elif not ended:
+            outcome = "caller_gone"
+        progress = exchange.progress if exchange is not None else None
+        self._context.metrics.count("requests", outcome=outcome)
+        self._context.metrics.observe("request_seconds", total_s)
+        log_event(
+            "request_ended",
+            request_id=request_id,
+            outcome=outcome,
+            status=error.status if error is not None else None,
+            verdict=error.verdict.value if error is not None else None,
+            reason=error.message if error is not None else None,
+            begun=responder.started,
+            runs=progress.runs if progress is not None else 0,
+            events=progress.events if progress is not None else 0,
+            total_ms=round(total_s * 1000),
+        )
+
+    def _create_call(
+        self, request: Request, forwarded: ForwardedRequest | None, arrived_s: float
+    ) -> Call:
+        head = self._context.dialect.read_call(request)
+        route = self._find_route(request)
+        timeout_s = route.timeout_s
+        if head.timeout_s is not None:
+            timeout_s = min(timeout_s, head.timeout_s)
+        return Call(
+            request_id=head.request_id,
+            route=route,
+            service=choose_service(route, head.request_id),
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + timeout_s,
+            prompt=head.prompt,
+            resume_after=head.resume_after,
+            hops=forwarded.hops if forwarded is not None else (),
+            crossed=forwarded.crossed if forwarded is not None else False,
+        )
+
+    def _find_route(self, request: Request) -> Route:
+        routes = self._context.routes
+        if routes is None:
+            raise RequestError(
+                "not_ready",
+                503,
+                "no configuration is in force yet",
+                retry_after_s=NOT_READY_RETRY_S,
+            )
+        route = routes.find(request.headers.get("host", ""), request.path)
+        if route is None:
+            raise RequestError("not_found", 404, "no route matches")
+        return route
+
+    async def _respond_error(self, error: RequestError, responder: Responder) -> None:
+        headers = [(VERDICT_HEADER, error.verdict.value)]
+        if error.retry_after_s is not None:
+            value = self._context.dialect.format_retry_after(error.retry_after_s)
+            headers.append(("retry-after", value))
+        await responder.respond_json(error.status, error.to_body(), headers)
--- /dev/null
+++ b/buckthorndeal/gateway/_headers.py
@@ -0,0 +1,36 @@
+"""End-to-end headers of requests and answers."""
+
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# Between entry hosts only; a caller that sends them does not get them through.
+HOST_HEADERS = frozenset(
+    (
+        "buckthorndeal-crossed",
+        "buckthorndeal-hops",
+        "buckthorndeal-mac",
+        "buckthorndeal-origin",
+        "buckthorndeal-sent-ms",
+        "buckthorndeal-verdict",
+        "buckthorndeal-workspace",
+    )
+)
+
+
+def keep_end_to_end(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers that concern more than one connection."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    dropped = HOP_HEADERS | HOST_HEADERS | named
+    return {name: value for name, value in headers.items() if name not in dropped}
--- /dev/null
+++ b/buckthorndeal/gateway/_limits.py
@@ -0,0 +1,70 @@
+"""Shares of limits that all entry hosts keep together; no I/O."""
+
+from collections import deque
+
+# Room for the time in which hosts have different views of how many there are.
+SHARE_MARGIN = 0.8
+
+
+class RetryShare:
+    """Part of one host in the retry budget of one service.
+
+    Parameters
+    ----------
+    share : float
+        Repeats allowed for each request in a window.
+    slack : float
+        Further repeats that all hosts together may add in a window.
+    window_s : float
+        Length of the sliding window.
+    """
+
+    def __init__(self, share: float, slack: float, window_s: float) -> None:
+        self._share = share
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def record_request(self, now_s: float) -> None:
+        """Count a caller's request."""
+        self._requests.append(now_s)
+        self._forget(now_s)
+
+    def try_repeat(self, hosts: int, now_s: float) -> bool:
+        """Take one repeat, if this host's part allows it.
+
+        Parameters
+        ----------
+        hosts : int
+            Entry hosts that share the slack.
+        now_s : float
+            Clock reading.
+        """
+        self._forget(now_s)
+        own = self._share * len(self._requests) + self._slack / max(1, hosts)
+        if len(self._repeats) + 1 > SHARE_MARGIN * own:
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        oldest_s = now_s - self._window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest_s:
+                times.popleft()
+
+
+class RequestSpacing:
+    """Spacing of requests to a cold endpoint, so that no second has too many."""
+
+    def __init__(self) -> None:
+        self._next_s = 0.0
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether a request may be sent."""
+        return now_s >= self._next_s
+
+    def take(self, rate_per_s: float, now_s: float) -> None:
+        """Note that a request is sent."""
+        self._next_s = now_s + 1.0 / rate_per_s
--- /dev/null
+++ b/buckthorndeal/gateway/_pools.py
@@ -0,0 +1,91 @@
+"""Connections to endpoints and to other entry hosts."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.http_client import HttpPool, create_http_pool
+from buckthorndeal.transport import Transport
+
+# Two round trips within a region; an endpoint that takes longer is avoided.
+ENDPOINT_CONNECT_TIMEOUT_S = 0.4
+ENDPOINT_IDLE_S = 4.0
+# Three round trips between regions.
+HOST_CONNECT_TIMEOUT_S = 0.6
+HOST_IDLE_S = 10.0
+HOST_CONNECTIONS = 512
+UNUSED_POOL_S = 20.0
+
+
+@dataclass(eq=False)
+class _Pool:
+    pool: HttpPool
+    used_s: float
+
+
+class Pools:
+    """Connection pools by address.
+
+    Parameters
+    ----------
+    transport : Transport
+        Opens connections.
+    forward_port : int
+        Port at which other entry hosts take forwarded requests.
+    """
+
+    def __init__(self, transport: Transport, forward_port: int) -> None:
+        self._transport = transport
+        self._forward_port = forward_port
+        self._endpoints: dict[str, _Pool] = {}
+        self._hosts: dict[str, _Pool] = {}
+
+    def get_endpoint(self, address: str, connections: int, now_s: float) -> HttpPool:
+        """Return the pool of an endpoint at ``IP:port``."""
+        found = self._endpoints.get(address)
+        if found is None:
+            ip, _, port = address.rpartition(":")
+            pool = create_http_pool(
+                self._transport,
+                ip,
+                int(port),
+                connections,
+                ENDPOINT_CONNECT_TIMEOUT_S,
+                ENDPOINT_IDLE_S,
+            )
+            found = self._endpoints[address] = _Pool(pool, now_s)
+        found.used_s = now_s
+        return found.pool
+
+    def get_host(self, host: str, now_s: float) -> HttpPool:
+        """Return the pool of another entry host."""
+        found = self._hosts.get(host)
+        if found is None:
+            pool = create_http_pool(
+                self._transport,
+                host,
+                self._forward_port,
+                HOST_CONNECTIONS,
+                HOST_CONNECT_TIMEOUT_S,
+                HOST_IDLE_S,
+            )
+            found = self._hosts[host] = _Pool(pool, now_s)
+        found.used_s = now_s
+        return found.pool
+
+    async def close_unused(self, now_s: float) -> None:
+        """Close the pools that have not been used for some time."""
+        for pools in (self._endpoints, self._hosts):
+            for address, pool in list(pools.items()):
+                if now_s - pool.used_s > UNUSED_POOL_S:
+                    del pools[address]
+                    await pool.pool.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for pools in (self._endpoints, self._hosts):
+            for pool in pools.values():
+                await pool.pool.close()
+
+
+def create_pools(transport: Transport, forward_port: int) -> Pools:
+    """Return pools without open connections."""
+    return Pools(transport, forward_port)
--- /dev/null
+++ b/buckthorndeal/gateway/_region_links.py
@@ -0,0 +1,164 @@
+"""Owner task of the exchange of loads with entry hosts of other regions."""
+
+import hashlib
+import random
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.fleet import (
+    FLEET_CODEC,
+    LINK_OPTIONS,
+    EntryHost,
+    EntryState,
+    RegionLoad,
+    ServiceLoad,
+    create_host_links,
+)
+from buckthorndeal.gateway._control import ListEntryHosts
+from buckthorndeal.gateway._messages import DescribeLoad, RegionHeard
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Mailbox
+from buckthorndeal.peers import Channel, create_peer_server
+from buckthorndeal.settings import GatewaySettings
+from buckthorndeal.transport import Transport
+from buckthorndeal.wire import Message, decode_keys
+
+EXCHANGE_INTERVAL_S = 0.4
+CALL_TIMEOUT_S = 0.8
+LINKS_PER_REGION = 2
+
+
+class RegionTask:
+    """Asks one entry host of each other region for its load.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings of this host.
+    transport : Transport
+        Opens connections.
+    control : Mailbox
+        Mailbox of the control task, which knows the entry hosts.
+    dispatch : Mailbox
+        Mailbox of the dispatch task.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        transport: Transport,
+        control: Mailbox,
+        dispatch: Mailbox,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._control = control
+        self._dispatch = dispatch
+        self._clock = clock
+        self._own = settings.peer_listen.address
+        keys = decode_keys(settings.peer_keys)
+        self._links = create_host_links(
+            transport, keys, self._own, settings.peer_listen.port, self._refuse
+        )
+        self._server = create_peer_server(
+            self._answer, FLEET_CODEC, keys, self._own, LINK_OPTIONS
+        )
+        self._partners: dict[str, str] = {}
+        self._rng = random.Random()
+
+    async def start(self) -> None:
+        """Listen for the entry hosts of other regions."""
+        listen = self._settings.peer_listen
+        await self._server.start(self._transport, listen.address, listen.port)
+
+    async def run(self) -> None:
+        """Exchange loads until cancelled."""
+        try:
+            while True:
+                await self._exchange()
+                await curio.sleep(EXCHANGE_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+        finally:
+            async with curio.disable_cancellation():
+                await self._links.close()
+                await self._server.close()
+
+    async def _exchange(self) -> None:
+        entries = await self._control.ask(ListEntryHosts())
+        regions = {each.region for each in entries} - {self._settings.region}
+        for region in sorted(regions | set(self._partners)):
+            hosts = [
+                entry
+                for entry in entries
+                if entry.region == region and entry.state is EntryState.READY
+            ]
+            await self._exchange_with(region, hosts)
+
+    async def _exchange_with(self, region: str, hosts: list[EntryHost]) -> None:
+        # Two links a region, so that the loss of one host leaves the other.
+        ranked = self._rank(hosts)
+        await self._links.ensure(ranked[:LINKS_PER_REGION])
+        partner = self._choose_partner(ranked)
+        if partner is None:
+            if self._partners.pop(region, None) is not None:
+                log_event("region_lost", region=region, known_hosts=len(hosts))
+                await self._dispatch.send(RegionHeard(region, None))
+            return
+        if self._partners.get(region) != partner:
+            before = self._partners.get(region)
+            self._partners[region] = partner
+            log_event("region_partner", region=region, peer=partner, before=before)
+        await curio.spawn(self._ask_load, region, partner, daemon=True)
+
+    def _rank(self, hosts: list[EntryHost]) -> list[str]:
+        """Return the hosts in an order of this host's own."""
+        return sorted(
+            (entry.host for entry in hosts),
+            key=lambda host: hashlib.blake2b(f"{self._own} {host}".encode()).digest(),
+        )
+
+    def _choose_partner(self, ranked: list[str]) -> str | None:
+        """Return the first host that is connected, or None."""
+        for host in ranked:
+            link = self._links.get(host)
+            if link is not None and link.connected:
+                return host
+        return None
+
+    async def _ask_load(self, region: str, partner: str) -> None:
+        try:
+            reply = await self._links.call(
+                partner, await self._describe(), CALL_TIMEOUT_S
+            )
+        except PeerError as error:
+            log_event("region_load_missing", region=region, reason=str(error))
+            return
+        if isinstance(reply, RegionLoad):
+            await self._dispatch.send(
+                RegionHeard(
+                    region,
+                    partner,
+                    {each.service: each.wait_s for each in reply.services},
+                    {each.service: each.free for each in reply.services},
+                )
+            )
+
+    async def _describe(self) -> RegionLoad:
+        loads = await self._dispatch.ask(DescribeLoad())
+        services = tuple(
+            ServiceLoad(service, round(wait_s, 4), free)
+            for service, (wait_s, free) in loads.items()
+        )
+        return RegionLoad(self._settings.region, services)
+
+    async def _answer(self, message: Message, channel: Channel) -> Message:
+        if isinstance(message, RegionLoad):
+            return await self._describe()
+        raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
+
+    async def _refuse(self, message: Message, channel: Channel) -> None:
+        raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
--- /dev/null
+++ b/buckthorndeal/gateway/dialect.py
@@ -0,0 +1,178 @@
+"""Header names that callers and endpoints use, behind one interface."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.gateway._messages import LoadReport, Prompt
+from buckthorndeal.http_server import Request
+
+__all__ = ["AnswerHead", "CallHead", "Dialect", "OwnDialect", "create_own_dialect"]
+
+REQUEST_ID = "buckthorndeal-request-id"
+DEADLINE_MS = "buckthorndeal-deadline-ms"
+RESUME_AFTER = "last-event-id"
+
+
+@dataclass(frozen=True, slots=True)
+class CallHead:
+    """What a caller says of a request in its head.
+
+    Parameters
+    ----------
+    timeout_s : float or None
+        How long the caller waits.
+    resume_after : int or None
+        Last event that it has received of a stream.
+    """
+
+    request_id: str
+    timeout_s: float | None
+    prompt: Prompt | None = None
+    resume_after: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What an endpoint says in the head of an answer.
+
+    Parameters
+    ----------
+    request_id : str or None
+        Request that the answer belongs to.
+    authentic : bool
+        Whether the answer comes from an endpoint that has seen the request.
+    not_run : bool
+        Whether the endpoint states that it has not run the request.
+    other_endpoint : bool
+        Whether another endpoint has the address now.
+    cold_s : float or None
+        How long the endpoint stays cold.
+    """
+
+    request_id: str | None
+    authentic: bool
+    not_run: bool
+    other_endpoint: bool = False
+    load: LoadReport | None = None
+    cold_s: float | None = None
+
+
+class Dialect(Protocol):
+    """Reads and writes the heads of requests and answers."""
+
+    def read_call(self, request: Request) -> CallHead:
+        """Return what the caller says; raise `RequestError` if it is malformed."""
+
+    def write_call(
+        self,
+        headers: dict[str, str],
+        remaining_s: float,
+        endpoint: str | None,
+        urgency: int | None,
+        resume_after: int | None,
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an attempt.
+
+        Parameters
+        ----------
+        headers : dict of str to str
+            End-to-end headers of the caller.
+        remaining_s : float
+            Time until the deadline.
+        endpoint : str or None
+            Endpoint that must answer; None for another entry host.
+        urgency : int or None
+            Rank at the endpoint, 0 for the most urgent.
+        resume_after : int or None
+            Event after which a stream goes on.
+        """
+
+    def read_answer(self, status: int, headers: dict[str, str]) -> AnswerHead:
+        """Return what an endpoint says."""
+
+    def format_retry_after(self, seconds: float) -> str:
+        """Return the value of ``Retry-After``."""
+
+
+class OwnDialect:
+    """The project's own header names."""
+
+    def read_call(self, request: Request) -> CallHead:
+        """Return what the caller says; raise `RequestError` if it is malformed."""
+        headers = request.headers
+        return CallHead(
+            headers.get(REQUEST_ID, ""),
+            read_milliseconds(headers, DEADLINE_MS),
+            None,
+            read_event_id(headers, RESUME_AFTER),
+        )
+
+    def write_call(
+        self,
+        headers: dict[str, str],
+        remaining_s: float,
+        endpoint: str | None,
+        urgency: int | None,
+        resume_after: int | None,
+    ) -> list[tuple[str, str]]:
+        """Return the headers of an attempt."""
+        sent = dict(headers)
+        sent[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
+        if endpoint is not None:
+            sent["buckthorndeal-endpoint"] = endpoint
+        if urgency is not None:
+            sent["buckthorndeal-urgency"] = str(urgency)
+        if resume_after is not None:
+            sent[RESUME_AFTER] = str(resume_after)
+        return list(sent.items())
+
+    def read_answer(self, status: int, headers: dict[str, str]) -> AnswerHead:
+        """Return what an endpoint says."""
+        return AnswerHead(
+            headers.get(REQUEST_ID),
+            True,
+            headers.get("buckthorndeal-verdict") == "not_run",
+            status == 421,
+        )
+
+    def format_retry_after(self, seconds: float) -> str:
+        """Return the value of ``Retry-After`` in whole seconds."""
+        return str(max(1, round(seconds)))
+
+
+def read_milliseconds(headers: dict[str, str], name: str) -> float | None:
+    """Return a header of milliseconds in seconds, or None if it is missing.
+
+    Raises
+    ------
+    RequestError
+        With status 400 if it is no positive number.
+    """
+    value = headers.get(name)
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdecimal()):
+        raise RequestError("bad_request", 400, f"{name} is not a number")
+    return int(value) / 1000
+
+
+def read_event_id(headers: dict[str, str], name: str) -> int | None:
+    """Return a header that holds the number of an event, or None.
+
+    Raises
+    ------
+    RequestError
+        With status 400 if it is no number.
+    """
+    value = headers.get(name)
+    if value is None:
+        return None
+    if not (value.isascii() and value.isdecimal()):
+        raise RequestError("bad_request", 400, f"{name} is not a number")
+    return int(value)
+
+
+def create_own_dialect() -> Dialect:
+    """Return the project's own header names."""
+    return OwnDialect()
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 client on h11: persistent bounded connections to one address."""
 
+import math
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -17,6 +19,8 @@
 MAX_ANSWER_BYTES = 1 << 26
 CONNECT_TIMEOUT_S = 2.0
 CHECK_INTERVAL_S = 0.5
+# The peer may close an idle connection a little before the time that it told.
+KEEP_ALIVE_SHARE = 0.6
 
 Check = Callable[[], Awaitable[None]]
 
@@ -29,6 +33,8 @@
     reads: int = 0
     waiting: bool = False
     failure: Exception | None = None
+    keep_alive_s: float | None = None
+    idle_since_s: float = 0.0
 
 
 @dataclass(eq=False)
@@ -111,10 +117,20 @@
         Port.
     max_connections : int
         Largest number of open connections.
+    connect_timeout_s : float
+        Longest time to open a connection.
+    max_idle_s : float
+        Longest time that an idle connection is kept.
     """
 
     def __init__(
-        self, transport: Transport, address: str, port: int, max_connections: int
+        self,
+        transport: Transport,
+        address: str,
+        port: int,
+        max_connections: int,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_idle_s: float = math.inf,
     ) -> None:
         self.address = address
         self.port = port
@@ -123,6 +139,9 @@
         self._max_idle = max_connections
         self._idle: list[_Connection] = []
         self._closed = False
+        self._connect_timeout_s = connect_timeout_s
+        self._max_idle_s = max_idle_s
+        self.opened = 0
 
     @asynccontextmanager
     async def request(
@@ -160,7 +179,7 @@
                     connection,
                     method,
                     target,
-                    [("host", f"{self.address}:{self.port}"), *headers],
+                    self._add_host(headers),
                     body,
                 )
                 yield await _read_head(connection)
@@ -189,13 +208,16 @@
     async def _acquire(self, fresh: bool) -> _Connection:
         while self._idle and not fresh:
             connection = self._idle.pop()
+            if await self._is_stale(connection):
+                await connection.stream.close()
+                continue
             # A readable idle connection was closed by the peer, or holds bytes
             # of an answer that nobody asked for.
             if not connection.stream.is_readable():
                 return connection
             await connection.stream.close()
         try:
-            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+            async with curio.timeout_after(self._connect_timeout_s):
                 stream = await self._transport.connect(self.address, self.port)
         except (OSError, curio.TaskTimeout) as error:
             raise RequestError(
@@ -205,8 +227,20 @@
                 Verdict.NOT_RUN,
                 retry_after_s=1.0,
             ) from error
+        self.opened += 1
         return _Connection(stream, _create_protocol())
 
+    async def _is_stale(self, connection: _Connection) -> bool:
+        limit_s = self._max_idle_s
+        if connection.keep_alive_s is not None:
+            limit_s = min(limit_s, connection.keep_alive_s * KEEP_ALIVE_SHARE)
+        return await curio.clock() - connection.idle_since_s > limit_s
+
+    def _add_host(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        if any(name == "host" for name, _ in headers):
+            return headers
+        return [("host", f"{self.address}:{self.port}"), *headers]
+
     async def _release(self, connection: _Connection) -> None:
         protocol = connection.protocol
         reusable = (
@@ -218,6 +252,7 @@
         )
         if reusable:
             protocol.start_next_cycle()
+            connection.idle_since_s = await curio.clock()
             self._idle.append(connection)
             return
         async with curio.disable_cancellation():
@@ -252,11 +287,18 @@
                 name.decode("ascii"): value.decode("latin-1")
                 for name, value in event.headers
             }
+            connection.keep_alive_s = _parse_keep_alive(headers.get("keep-alive", ""))
             return ClientResponse(event.status_code, headers, connection)
         if not isinstance(event, h11.InformationalResponse):
             raise _create_broken("the connection closed before an answer")
 
 
+def _parse_keep_alive(value: str) -> float | None:
+    """Return the idle time that the peer tells, or None."""
+    match = re.search(r"timeout=(\d+)", value)
+    return float(match.group(1)) if match else None
+
+
 async def _next_event(connection: _Connection) -> object:
     protocol = connection.protocol
     try:
@@ -322,7 +364,14 @@
 
 
 def create_http_pool(
-    transport: Transport, address: str, port: int, max_connections: int = 64
+    transport: Transport,
+    address: str,
+    port: int,
+    max_connections: int = 64,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    max_idle_s: float = math.inf,
 ) -> HttpPool:
-    """Return a pool without open connections."""
-    return HttpPool(transport, address, port, max_connections)
+    """Return a pool without open connections; see `HttpPool`."""
+    return HttpPool(
+        transport, address, port, max_connections, connect_timeout_s, max_idle_s
+    )
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -98,12 +98,19 @@
         headers: list[tuple[str, str]] | None = None,
     ) -> None:
         """Send a whole response in one write."""
+        await self.respond_whole(
+            status, [("content-type", content_type), *(headers or [])], body
+        )
+
+    async def respond_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole response with just these headers and its length."""
         head = h11.Response(
             status_code=status,
             headers=[
-                ("content-type", content_type),
+                *headers,
                 ("content-length", str(len(body))),
-                *(headers or []),
                 *self._list_close_headers(),
             ],
         )
@@ -166,6 +173,10 @@
         """Listen on `address` and `port`."""
         self._listener = await transport.listen(address, port, self._serve)
 
+    def set_limits(self, limits: Limits) -> None:
+        """Use other limits from the next request on."""
+        self._limits = limits
+
     def announce_drain(self) -> None:
         """Close each connection after its next response; still accept others."""
         self._draining = True
@@ -307,6 +318,7 @@
         if head is None:
             return None
         headers = _join_headers(head.headers)
+        _check_framing(headers)
         _check_length(headers, limits.max_body_bytes)
         async with curio.timeout_after(limits.body_timeout_s):
             if connection.they_are_waiting_for_100_continue:
@@ -371,6 +383,14 @@
             raise RequestError("bad_request", 400, "the request ended early")
 
 
+def _check_framing(headers: dict[str, str]) -> None:
+    """Refuse a body with two lengths, which two servers may read differently."""
+    if "transfer-encoding" in headers and "content-length" in headers:
+        raise RequestError(
+            "bad_request", 400, "both content-length and transfer-encoding"
+        )
+
+
 def _check_length(headers: dict[str, str], max_bytes: int) -> None:
     length = headers.get("content-length", "")
     if length.isdigit() and int(length) > max_bytes:
--- a/buckthorndeal/metrics.py
+++ b/buckthorndeal/metrics.py
@@ -2,7 +2,15 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ["CONTENT_TYPE", "LatencyRecorder", "Metrics", "create_metrics"]
+from buckthorndeal.http_server import Handler, Request, Responder
+
+__all__ = [
+    "CONTENT_TYPE",
+    "LatencyRecorder",
+    "Metrics",
+    "create_metrics",
+    "serve_metrics",
+]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "buckthorndeal_"
@@ -145,3 +153,13 @@
 def create_metrics() -> Metrics:
     """Return an empty set of figures."""
     return Metrics()
+
+
+def serve_metrics(metrics: Metrics) -> Handler:
+    """Return an HTTP handler that answers every path with the figures."""
+
+    async def handle(request: Request, responder: Responder) -> None:
+        del request
+        await responder.respond(200, metrics.render().encode(), CONTENT_TYPE)
+
+    return handle
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -12,9 +12,12 @@
 __all__ = [
     "Address",
     "ControlSettings",
+    "CoordinatorSettings",
     "EntrySettings",
+    "GatewaySettings",
     "Limits",
     "PeerAddress",
+    "RetryBudgetSettings",
     "load_settings",
     "parse_settings",
 ]
@@ -111,6 +114,76 @@
     promote_after_s: PositiveSeconds = 30.0
 
 
+class CoordinatorSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of the coordinator daemon.
+
+    `seeds` are peer addresses of coordinators to contact first; the others are
+    found through them. With `bootstrap` the seeds create a new cluster; it must be
+    false for a host that has lost its store. `regions` names the region of each
+    failure domain. `endpoint_silence_s` is the time without heartbeats after which
+    an endpoint is forgotten.
+    """
+
+    host: Name
+    region: Name
+    failure_domain: Name
+    peer_listen: Address
+    api_listen: Address
+    directory_listen: Address
+    metrics_listen: Address | None = None
+    seeds: tuple[Address, ...]
+    regions: dict[Name, Name]
+    bootstrap: bool = False
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    data_directory: str | None = None
+    limits: Limits = Limits()
+    endpoint_silence_s: PositiveSeconds = 6.0
+    directory_lifetime_s: PositiveSeconds = 1.5
+
+
+class RetryBudgetSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Attempts beyond the first that all hosts together may add to a service.
+
+    In each `window_s` seconds they may be `share` of the requests and `slack` more.
+    """
+
+    share: Annotated[float, Meta(ge=0, le=10)] = 0.2
+    slack: Annotated[float, Meta(ge=0, le=1_000_000)] = 50.0
+    window_s: PositiveSeconds = 10.0
+
+
+class GatewaySettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Settings of the gateway daemon.
+
+    `seeds` are peer addresses of coordinators to contact first. `forward_port` is
+    the port at which entry hosts take requests and load reports from each other.
+    `cold_factor` and `cold_slack` say by how much all hosts together may exceed
+    the request rate of a cold endpoint in a second.
+    """
+
+    host: Name
+    region: Name
+    failure_domain: Name
+    listen: Address
+    ready_listen: Address
+    forward_listen: Address
+    peer_listen: Address
+    metrics_listen: Address | None = None
+    seeds: Annotated[tuple[Address, ...], Meta(min_length=1)]
+    peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
+    heartbeat_interval_s: PositiveSeconds = 1.0
+    retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    drain_timeout_s: PositiveSeconds = 30.0
+    drain_notice_s: PositiveSeconds = 3.0
+    max_connections: PositiveCount = 4096
+
+
 ModelT = TypeVar("ModelT")
 
 
--- a/buckthorndeal/statemachine/__init__.py
+++ b/buckthorndeal/statemachine/__init__.py
@@ -26,18 +26,27 @@
     ChangeView,
     Command,
     CommandRefused,
+    ConfigurationAnswer,
     CreateDocument,
+    EvacuationAnswer,
     GrantLease,
     HistoryEntry,
     LeaseAnswer,
     LeaseState,
+    PutConfiguration,
     ReleaseLease,
     RenewLease,
     RotateKey,
+    SetEvacuation,
     Snapshot,
     ViewAnswer,
 )
-from buckthorndeal.statemachine._registers import LeaseTable, ViewTable
+from buckthorndeal.statemachine._registers import (
+    ConfigurationRegister,
+    EvacuationSet,
+    LeaseTable,
+    ViewTable,
+)
 
 __all__ = [
     "Answer",
@@ -50,14 +59,18 @@
     "ChangeView",
     "Command",
     "CommandRefused",
+    "ConfigurationAnswer",
     "CreateDocument",
+    "EvacuationAnswer",
     "GrantLease",
     "HistoryEntry",
     "LeaseAnswer",
     "LeaseState",
+    "PutConfiguration",
     "ReleaseLease",
     "RenewLease",
     "RotateKey",
+    "SetEvacuation",
     "StateMachine",
     "ViewAnswer",
     "create_statemachine",
@@ -78,6 +91,8 @@
         self._changes = ChangeTable()
         self._leases = LeaseTable()
         self._views = ViewTable()
+        self._configuration = ConfigurationRegister()
+        self._evacuations = EvacuationSet()
 
     @property
     def document(self) -> Document:
@@ -94,6 +109,16 @@
         """Ledger views by region."""
         return dict(self._views.views)
 
+    @property
+    def configuration(self) -> PutConfiguration | None:
+        """Configuration in force; None before the first one."""
+        return self._configuration.stored
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains that are evacuated."""
+        return self._evacuations.evacuated
+
     @property
     def parsed_chars(self) -> int:
         """Characters of sections parsed since the start or the last restore.
@@ -207,6 +232,8 @@
             answers=self._changes.answers,
             leases=self._leases.leases,
             views=self._views.views,
+            configuration=self._configuration.stored,
+            evacuated=tuple(sorted(self._evacuations.evacuated)),
         )
         return msgspec.msgpack.encode(state)
 
@@ -220,6 +247,8 @@
         )
         self._leases = LeaseTable(state.leases)
         self._views = ViewTable(state.views)
+        self._configuration = ConfigurationRegister(state.configuration)
+        self._evacuations = EvacuationSet(state.evacuated)
 
     @singledispatchmethod
     def _apply(self, command: Command) -> Answer:
@@ -253,6 +282,14 @@
     def _(self, command: ChangeView) -> Answer:
         return self._views.change(command)
 
+    @_apply.register
+    def _(self, command: PutConfiguration) -> Answer:
+        return self._configuration.put(command)
+
+    @_apply.register
+    def _(self, command: SetEvacuation) -> Answer:
+        return self._evacuations.set(command)
+
 
 def create_statemachine() -> StateMachine:
     """Return an empty state machine."""
--- a/buckthorndeal/statemachine/_messages.py
+++ b/buckthorndeal/statemachine/_messages.py
@@ -77,6 +77,23 @@
     view: LedgerView
 
 
+class PutConfiguration(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Configuration of an outside operator; the highest version is in force.
+
+    `content` is compressed, as the operator wrote it, and was validated before.
+    """
+
+    version: int
+    content: bytes
+
+
+class SetEvacuation(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Start or end of the evacuation of a failure domain."""
+
+    failure_domain: str
+    active: bool
+
+
 Command = (
     ApplyChange
     | CreateDocument
@@ -85,6 +102,8 @@
     | RenewLease
     | ReleaseLease
     | ChangeView
+    | PutConfiguration
+    | SetEvacuation
 )
 
 
@@ -143,6 +162,19 @@
     view: LedgerView
 
 
+class ConfigurationAnswer(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Version in force after `PutConfiguration`; `changed` if it was this one."""
+
+    version: int
+    changed: bool
+
+
+class EvacuationAnswer(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Failure domains that are evacuated after `SetEvacuation`."""
+
+    evacuated: tuple[str, ...]
+
+
 class CommandRefused(msgspec.Struct, tag=True, frozen=True, kw_only=True):
     """The command could not be read."""
 
@@ -150,7 +182,14 @@
 
 
 ChangeAnswer = ChangeAccepted | ChangeConflict | ChangeInvalid | ChangeForbidden
-Answer = ChangeAnswer | LeaseAnswer | ViewAnswer | CommandRefused
+Answer = (
+    ChangeAnswer
+    | LeaseAnswer
+    | ViewAnswer
+    | ConfigurationAnswer
+    | EvacuationAnswer
+    | CommandRefused
+)
 
 
 class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -189,3 +228,5 @@
     answers: dict[str, StoredAnswer]
     leases: dict[str, LeaseState]
     views: dict[str, LedgerView]
+    configuration: PutConfiguration | None = None
+    evacuated: tuple[str, ...] = ()
--- a/buckthorndeal/statemachine/_registers.py
+++ b/buckthorndeal/statemachine/_registers.py
@@ -3,11 +3,15 @@
 from buckthorndeal.ledger import AskView, LedgerView, is_view_change_allowed
 from buckthorndeal.statemachine._messages import (
     ChangeView,
+    ConfigurationAnswer,
+    EvacuationAnswer,
     GrantLease,
     LeaseAnswer,
     LeaseState,
+    PutConfiguration,
     ReleaseLease,
     RenewLease,
+    SetEvacuation,
     ViewAnswer,
 )
 
@@ -72,3 +76,39 @@
             return ViewAnswer(accepted=False, view=current)
         self.views[command.region] = command.view
         return ViewAnswer(accepted=True, view=command.view)
+
+
+class ConfigurationRegister:
+    """The outside operator's configuration; only a higher version replaces it."""
+
+    def __init__(self, stored: PutConfiguration | None = None) -> None:
+        self.stored = stored
+
+    @property
+    def version(self) -> int | None:
+        """Version in force; None before the first one."""
+        return None if self.stored is None else self.stored.version
+
+    def put(self, command: PutConfiguration) -> ConfigurationAnswer:
+        """Store a higher version; a resend or an overtaken version changes nothing."""
+        current = self.version
+        if current is not None and command.version <= current:
+            return ConfigurationAnswer(version=current, changed=False)
+        self.stored = command
+        return ConfigurationAnswer(version=command.version, changed=True)
+
+
+class EvacuationSet:
+    """Failure domains whose endpoints get nothing."""
+
+    def __init__(self, evacuated: tuple[str, ...] = ()) -> None:
+        self.evacuated = frozenset(evacuated)
+
+    def set(self, command: SetEvacuation) -> EvacuationAnswer:
+        """Start or end an evacuation; a resend changes nothing."""
+        change = {command.failure_domain}
+        if command.active:
+            self.evacuated |= change
+        else:
+            self.evacuated -= change
+        return EvacuationAnswer(evacuated=tuple(sorted(self.evacuated)))
