--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -54,8 +54,8 @@
 STORE_DIRECTORY = "log"
 DRAIN_POLL_S = 0.05
 # Across regions a round takes 160 ms, and a disk may take some 100 ms to sync.
-ELECTION_TIMEOUT_S = 1.2
-HEARTBEAT_INTERVAL_S = 0.4
+ELECTION_TIMEOUT_S = 0.9
+HEARTBEAT_INTERVAL_S = 0.3
 JOIN_INTERVAL_S = 0.4
 
 CreateHandlers = Callable[[CoordinatorService], tuple[Handler, Handler]]
@@ -164,6 +164,12 @@
         while any(server.active_requests for server in self._servers):
             await curio.sleep(DRAIN_POLL_S)
 
+    async def reload(self, settings: CoordinatorSettings) -> None:
+        """Use the seeds of newer settings; the rest needs a restart."""
+        seeds = tuple(seed.address for seed in settings.seeds)
+        self._note_contacts(seeds)
+        await self._links.ensure(seeds)
+
     async def close(self) -> None:
         """Stop all tasks and close the store."""
         for server in self._servers:
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True)
 class RecordRelayed:
-    """Notice: a record that another coordinator received."""
+    """Ask: take a record that another coordinator received."""
 
     record: EndpointRecord
 
@@ -200,14 +200,15 @@
     async def _(self, message: LeaveReceived, envelope: Envelope) -> None:
         now_s = self._clock()
         known = self._endpoints.get(message.endpoint)
+        before = known.record if known else None
         left = self._endpoints.leave(message.endpoint, message.incarnation, now_s)
         if not left:
             log_event("leave_of_unknown_endpoint", endpoint=message.endpoint)
             await envelope.reply(self._reaches_majority())
             return
         record = known.record
-        _log_change(record, None)
-        self._changed[record.endpoint] = record
+        if before.state is not EndpointState.LEFT:
+            _log_change(record, before)
         await self._spread(record, envelope)
 
     @_handle.register
@@ -216,6 +217,7 @@
         if record is not None:
             self._changed[record.endpoint] = record
             await self._flush_endpoints()
+        await envelope.reply()
 
     @_handle.register
     async def _(self, message: EntryHeard, envelope: Envelope) -> None:
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -47,6 +47,7 @@
         super().__init__(replica, machine, policy, send, clock, REPAIR_INTERVAL_S)
         self._publish_state = publish
         self._published: ClusterState | None = None
+        self._snapshot_version: int | None = None
 
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope) -> None:
@@ -79,6 +80,21 @@
                 raise NotLeaderError(None)
         await envelope.reply(self._machine.configuration)
 
+    def _is_compaction_due(self) -> bool:
+        """Return whether a restart would serve an older configuration.
+
+        After a restart the snapshot is in force before a leader is elected.
+        """
+        version = self._get_version()
+        if version != self._snapshot_version:
+            self._snapshot_version = version
+            return True
+        return super()._is_compaction_due()
+
+    def _get_version(self) -> int | None:
+        stored = self._machine.configuration
+        return stored.version if stored else None
+
     def _is_confirmed(self) -> bool:
         return self._replica.has_lease(self._clock())
 
@@ -96,12 +112,11 @@
 
     def _describe(self) -> ClusterState:
         machine = self._machine
-        stored = machine.configuration
         leader = self._replica.leader
         membership = self._replica.membership
         return ClusterState(
             machine.applied_index,
-            stored.version if stored else None,
+            self._get_version(),
             machine.evacuated,
             leader.host if leader else None,
             tuple(each.host for each in membership.voters),
--- a/buckthorndeal/daemons.py
+++ b/buckthorndeal/daemons.py
@@ -2,12 +2,12 @@
 
 import os
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import curio
 
-from buckthorndeal.errors import StartError
+from buckthorndeal.errors import BuckthorndealError, StartError
 from buckthorndeal.logs import log_event
 
 __all__ = ["Daemon", "run_daemon"]
@@ -31,6 +31,9 @@
         """Stop everything."""
 
 
+Reload = Callable[[], Awaitable[None]]
+
+
 class _DrainSignals:
     """Event set by the first SIGTERM or SIGINT; the second ends the process."""
 
@@ -49,8 +52,33 @@
         self.event.set()
 
 
+class _ReloadSignal:
+    """Calls a function after each SIGHUP, one call at a time."""
+
+    def __init__(self, reload: Reload) -> None:
+        self._reload = reload
+        self._event = curio.UniversalEvent()
+
+    def install(self) -> None:
+        signal.signal(signal.SIGHUP, lambda number, frame: self._event.set())
+
+    async def run(self) -> None:
+        while True:
+            await self._event.wait()
+            self._event.clear()
+            try:
+                await self._reload()
+            except BuckthorndealError as error:
+                # The settings in force stay in force.
+                log_event("reload_failed", reason=str(error))
+            else:
+                log_event("reloaded")
+
+
 async def run_daemon(
-    daemon: Daemon, on_ready: Callable[[], None] | None = None
+    daemon: Daemon,
+    on_ready: Callable[[], None] | None = None,
+    reload: Reload | None = None,
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain and close it.
 
@@ -63,6 +91,8 @@
         Daemon that is not started.
     on_ready : callable or None
         Called when the daemon serves.
+    reload : callable or None
+        Coroutine function called after SIGHUP.
 
     Raises
     ------
@@ -73,6 +103,9 @@
     """
     signals = _DrainSignals()
     signals.install()
+    if reload is not None:
+        reload_signal = _ReloadSignal(reload)
+        reload_signal.install()
     stopping = await curio.spawn(signals.event.wait)
     starting = await curio.spawn(daemon.start)
     try:
@@ -84,6 +117,8 @@
         return
     if on_ready is not None:
         on_ready()
+    if reload is not None:
+        await curio.spawn(reload_signal.run, daemon=True)
     try:
         stopping = await curio.spawn(signals.event.wait)
         waiting = await curio.spawn(daemon.wait)
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -32,7 +32,7 @@
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, Mailbox, create_mailbox
 from buckthorndeal.peers import Channel
-from buckthorndeal.settings import GatewaySettings
+from buckthorndeal.settings import Address, GatewaySettings
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import Message, decode_keys
 
@@ -58,6 +58,13 @@
     state: EntryState
 
 
+@dataclass(frozen=True)
+class AddSeeds:
+    """Notice: the settings name these coordinators."""
+
+    seeds: tuple[Address, ...]
+
+
 @dataclass(frozen=True)
 class ListEntryHosts:
     """Ask: entry hosts of all regions."""
@@ -162,6 +169,10 @@
         self._state = message.state
         await self._send_status()
 
+    @_handle.register
+    async def _(self, message: AddSeeds, envelope: Envelope) -> None:
+        await self._links.ensure(seed.address for seed in message.seeds)
+
     @_handle.register
     async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
         await envelope.reply(self._list_entries())
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -13,7 +13,7 @@
 )
 from buckthorndeal.fleet import EntryState
 from buckthorndeal.gateway._context import GatewayContext
-from buckthorndeal.gateway._control import ControlTask, SetState
+from buckthorndeal.gateway._control import AddSeeds, ControlTask, SetState
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
 from buckthorndeal.gateway._handler import GatewayHandler
@@ -147,15 +147,19 @@
         for server in self._servers:
             server.announce_drain()
         await curio.sleep(self._settings.drain_notice_s)
+        for server in self._servers:
+            await server.drain()
         while self._count_active():
             if self._clock() - started_s > self._settings.drain_timeout_s:
                 log_event("gateway_drain_overdue", active=self._count_active())
                 break
             await curio.sleep(DRAIN_POLL_S)
-        for server in self._servers:
-            await server.drain()
         log_event("gateway_stopped", active=self._count_active())
 
+    async def reload(self, settings: GatewaySettings) -> None:
+        """Use the seeds of newer settings; the rest needs a restart."""
+        await self._control.mailbox.send(AddSeeds(settings.seeds))
+
     async def close(self) -> None:
         """Stop all tasks and close all connections."""
         for server in [*self._servers, self._ready_server]:
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -100,6 +100,8 @@
         self._responder = responder
         self.progress = Progress(last_event=call.resume_after)
         self._fallback: WholeAnswer | None = None
+        # Only the host that the caller chose counts how often a request has run.
+        self._max_runs = 1 if call.hops else call.route.max_attempts
 
     async def run(self) -> None:
         """Answer the request.
@@ -212,8 +214,7 @@
                 raise self._create_error("not_accepted", 503, error.reason, 0.5)
             return
         progress.runs += 1
-        route = self._call.route
-        if not route.repeatable or progress.runs >= route.max_attempts:
+        if not self._call.route.repeatable or progress.runs >= self._max_runs:
             raise self._create_error("attempt_failed", 502, error.reason)
 
     async def _use(self, attempt: Attempt) -> bool:
@@ -240,8 +241,8 @@
         return True
 
     def _may_repeat_failure(self) -> bool:
-        route = self._call.route
-        return route.repeatable and self.progress.runs + 1 < route.max_attempts
+        repeatable = self._call.route.repeatable
+        return repeatable and self.progress.runs + 1 < self._max_runs
 
     async def _respond(self, answer: WholeAnswer) -> None:
         if self._responder.started:
--- a/buckthorndeal/gateway/_region_links.py
+++ b/buckthorndeal/gateway/_region_links.py
@@ -91,11 +91,7 @@
         entries = await self._control.ask(ListEntryHosts())
         regions = {each.region for each in entries} - {self._settings.region}
         for region in sorted(regions | set(self._partners)):
-            hosts = [
-                entry
-                for entry in entries
-                if entry.region == region and entry.state is EntryState.READY
-            ]
+            hosts = [entry for entry in entries if entry.region == region]
             await self._exchange_with(region, hosts)
 
     async def _exchange_with(self, region: str, hosts: list[EntryHost]) -> None:
@@ -115,11 +111,15 @@
         await curio.spawn(self._ask_load, region, partner, daemon=True)
 
     def _rank(self, hosts: list[EntryHost]) -> list[str]:
-        """Return the hosts in an order of this host's own."""
-        return sorted(
-            (entry.host for entry in hosts),
-            key=lambda host: hashlib.blake2b(f"{self._own} {host}".encode()).digest(),
+        """Return the hosts in an order of this host's own, draining ones last."""
+        ranked = sorted(
+            hosts,
+            key=lambda each: (
+                each.state is not EntryState.READY,
+                hashlib.blake2b(f"{self._own} {each.host}".encode()).digest(),
+            ),
         )
+        return [each.host for each in ranked]
 
     def _choose_partner(self, ranked: list[str]) -> str | None:
         """Return the first host that is connected, or None."""
--- a/buckthorndeal/replication.py
+++ b/buckthorndeal/replication.py
@@ -216,13 +216,16 @@
 
     def _compact(self) -> None:
         machine = self._machine
-        entries = machine.applied_index - self._compacted_index
-        chars = machine.parsed_chars - self._compacted_chars
-        if entries < COMPACT_AFTER_ENTRIES and chars < COMPACT_AFTER_CHARS:
+        if not self._is_compaction_due():
             return
         self._replica.compact(machine.applied_index, machine.snapshot())
         self._note_compacted()
 
+    def _is_compaction_due(self) -> bool:
+        entries = self._machine.applied_index - self._compacted_index
+        chars = self._machine.parsed_chars - self._compacted_chars
+        return entries >= COMPACT_AFTER_ENTRIES or chars >= COMPACT_AFTER_CHARS
+
     def _note_compacted(self) -> None:
         self._compacted_index = self._machine.applied_index
         self._compacted_chars = self._machine.parsed_chars
