--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,134 @@
+"""Tests of the route configuration."""
+
+import unittest
+from dataclasses import replace
+
+from buckthorndeal.configuration import (
+    Configuration,
+    ConfigurationError,
+    RequestKind,
+    Route,
+    ServiceDescription,
+    WeightedService,
+    check_configuration,
+    choose_service,
+    create_route_table,
+)
+from buckthorndeal.routeformat import create_route_format
+
+SERVICE = ServiceDescription("s", "/health", 8)
+ROUTE = Route(
+    "r",
+    "a.example",
+    "/x/",
+    RequestKind.IDEMPOTENT,
+    1.0,
+    0.5,
+    0,
+    (WeightedService("s", 1.0),),
+)
+
+
+def create(*routes):
+    return Configuration(1, routes, (SERVICE,))
+
+
+class CheckTest(unittest.TestCase):
+    """An invalid configuration is never put in force."""
+
+    def assert_refused(self, *routes):
+        with self.assertRaises(ConfigurationError):
+            check_configuration(create(*routes))
+
+    def test_valid(self):
+        check_configuration(create(ROUTE, replace(ROUTE, path_prefix="/x/y/")))
+
+    def test_unknown_service(self):
+        self.assert_refused(replace(ROUTE, services=(WeightedService("t", 1.0),)))
+
+    def test_same_place(self):
+        self.assert_refused(ROUTE, replace(ROUTE, name="other"))
+
+    def test_weights_add_up_to_nothing(self):
+        self.assert_refused(replace(ROUTE, services=(WeightedService("s", 0.0),)))
+
+    def test_no_time(self):
+        self.assert_refused(replace(ROUTE, timeout_s=0.0))
+
+    def test_prefix_without_slash(self):
+        self.assert_refused(replace(ROUTE, path_prefix="/x"))
+
+
+class RouteTableTest(unittest.TestCase):
+    """A request is routed by the longest prefix that ends at a slash."""
+
+    def setUp(self):
+        self.table = create_route_table(
+            create(
+                ROUTE,
+                replace(ROUTE, name="deep", path_prefix="/x/y/"),
+                replace(ROUTE, name="root", host="b.example", path_prefix="/"),
+            )
+        )
+
+    def find(self, host, path):
+        route = self.table.find(host, path)
+        return route and route.name
+
+    def test_longest_prefix(self):
+        self.assertEqual(self.find("a.example", "/x/y/z"), "deep")
+        self.assertEqual(self.find("a.example", "/x/yz"), "r")
+
+    def test_prefix_ends_at_slash(self):
+        self.assertIsNone(self.find("a.example", "/xy"))
+        self.assertIsNone(self.find("a.example", "/x"))
+
+    def test_host_with_port_and_case(self):
+        self.assertEqual(self.find("A.example:80", "/x/"), "r")
+
+    def test_unknown_host(self):
+        self.assertIsNone(self.find("c.example", "/x/"))
+
+    def test_root(self):
+        self.assertEqual(self.find("b.example", "/anything"), "root")
+
+
+class ChooseServiceTest(unittest.TestCase):
+    """All hosts split a route in the same way, by its weights."""
+
+    def test_weights(self):
+        split = (WeightedService("s", 90), WeightedService("t", 10))
+        route = replace(ROUTE, services=split)
+        chosen = [choose_service(route, f"id-{number}") for number in range(2000)]
+        self.assertAlmostEqual(chosen.count("t") / 2000, 0.1, delta=0.03)
+        self.assertEqual(chosen[7], choose_service(route, "id-7"))
+
+    def test_zero_weight_gets_nothing(self):
+        split = (WeightedService("s", 0), WeightedService("t", 1))
+        route = replace(ROUTE, services=split)
+        chosen = {choose_service(route, f"id-{number}") for number in range(200)}
+        self.assertEqual(chosen, {"t"})
+
+
+class RouteFormatTest(unittest.TestCase):
+    """The project's own form is JSON with comments and validated."""
+
+    def test_reads_comments(self):
+        text = b"""{
+          "version": 3, // rises
+          "routes": [{"name": "r", "host": "a.example", "path_prefix": "/",
+            "kind": "stream", "timeout_s": 2, "latency_objective_s": 1,
+            "priority": 0, "services": [{"service": "s", "weight": 1}]}],
+          "services": [{"name": "s", "health_path": "/h", "max_connections": 4}]
+        }"""
+        configuration = create_route_format().decode(text)
+        self.assertEqual(configuration.version, 3)
+        self.assertIs(configuration.routes[0].kind, RequestKind.STREAM)
+
+    def test_truncated(self):
+        with self.assertRaises(ConfigurationError):
+            create_route_format().decode(b'{"version": 3, "routes": [')
+
+    def test_wrong_type(self):
+        with self.assertRaises(ConfigurationError):
+            create_route_format().decode(b'{"version": "x"}')
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,76 @@
+"""Tests of the table of endpoints."""
+
+import unittest
+
+from buckthorndeal.fleet import EndpointRecord, EndpointState, create_endpoint_table
+
+
+def create_record(endpoint="e1", incarnation=100, sequence=1, **fields):
+    values = {
+        "service": "s",
+        "region": "r1",
+        "failure_domain": "d1",
+        "address": "10.0.0.1:80",
+        "slots": 4,
+        "state": EndpointState.READY,
+        **fields,
+    }
+    return EndpointRecord(endpoint, incarnation, sequence, **values)
+
+
+class EndpointTableTest(unittest.TestCase):
+    """Heartbeats that are late, crossed or of an earlier life change nothing."""
+
+    def setUp(self):
+        self.table = create_endpoint_table()
+
+    def get_state(self, endpoint="e1"):
+        return self.table.get(endpoint).record.state
+
+    def test_late_heartbeat(self):
+        self.table.update(create_record(sequence=5, slots=8), 0.0)
+        self.assertIsNone(self.table.update(create_record(sequence=4), 1.0))
+        self.assertEqual(self.table.get("e1").record.slots, 8)
+
+    def test_draining_is_final_within_a_life(self):
+        draining = create_record(sequence=2, state=EndpointState.DRAINING)
+        self.table.update(draining, 0.0)
+        self.table.update(create_record(sequence=3), 1.0)
+        self.assertIs(self.get_state(), EndpointState.DRAINING)
+
+    def test_leave_outlives_late_heartbeats(self):
+        self.table.update(create_record(), 0.0)
+        self.assertTrue(self.table.leave("e1", 100, 1.0))
+        self.assertIsNone(self.table.update(create_record(sequence=9), 2.0))
+        self.assertIs(self.get_state(), EndpointState.LEFT)
+
+    def test_restart_under_the_same_id(self):
+        self.table.update(create_record(sequence=50), 0.0)
+        self.table.leave("e1", 100, 1.0)
+        self.table.update(create_record(incarnation=200, sequence=1), 2.0)
+        self.assertIs(self.get_state(), EndpointState.READY)
+        self.assertFalse(self.table.leave("e1", 100, 3.0))
+        self.assertIs(self.get_state(), EndpointState.READY)
+
+    def test_heartbeat_of_an_earlier_life(self):
+        self.table.update(create_record(incarnation=200, sequence=1), 0.0)
+        late = create_record(incarnation=100, sequence=99)
+        self.assertIsNone(self.table.update(late, 1.0))
+
+    def test_address_is_used_again(self):
+        self.table.update(create_record("old", 100), 0.0)
+        self.table.update(create_record("new", 200, service="t"), 1.0)
+        self.assertIs(self.get_state("old"), EndpointState.LEFT)
+        late = create_record("old2", 150, sequence=9)
+        self.assertIsNone(self.table.update(late, 2.0))
+        self.assertIs(self.get_state("new"), EndpointState.READY)
+
+    def test_expire(self):
+        self.table.update(create_record(), 0.0)
+        self.table.touch("e1", 3.0)
+        self.assertEqual(self.table.expire(5.0, 7.0), [])
+        self.assertEqual(len(self.table.expire(5.0, 8.0)), 1)
+        self.assertIsNone(self.table.get("e1"))
+
+    def test_leave_of_unknown(self):
+        self.assertFalse(self.table.leave("nobody", None, 0.0))
