--- a/buckthorndeal/consensus/__init__.py
+++ b/buckthorndeal/consensus/__init__.py
@@ -25,7 +25,7 @@
     Vote,
     VoteReply,
 )
-from buckthorndeal.consensus._policy import ElasticPolicy, MembershipPolicy
+from buckthorndeal.consensus._policy import ElasticPolicy, MembershipPolicy, may_leave
 from buckthorndeal.consensus._records import (
     AddLearner,
     Ballot,
@@ -75,4 +75,5 @@
     "Vote",
     "VoteReply",
     "create_replica",
+    "may_leave",
 ]
--- a/buckthorndeal/consensus/_policy.py
+++ b/buckthorndeal/consensus/_policy.py
@@ -10,6 +10,9 @@
 )
 from buckthorndeal.consensus._replica import MemberStatus
 
+# The fewest voters that bear the loss of one.
+MIN_VOTERS = 3
+
 
 @dataclass(frozen=True)
 class MembershipPolicy:
@@ -108,9 +111,9 @@
 class ElasticPolicy:
     """Gives every durable host a vote, for clusters without a fixed size.
 
-    A lost voter is removed when a spare can take its place, or after a long
-    silence; the removal comes first, so that the lost vote never counts beside
-    that of its replacement.
+    A lost voter is removed when a spare can take its place, when the number of
+    voters is even, or after a long silence. The removal comes before the promotion
+    of the spare, so that the lost vote never counts beside that of its replacement.
 
     Parameters
     ----------
@@ -142,7 +145,9 @@
         lost = self._list_lost(voters, spares)
         if lost and _keeps_quorum(voters):
             return RemoveMember(lost[0].replica)
-        if spares and not lost and len(voters) < self.max_voters:
+        # A voter that has just fallen silent is replaced, not added to.
+        settled = all(voter.active for voter in voters)
+        if spares and settled and len(voters) < self.max_voters:
             return PromoteLearner(spares[0].replica)
         for member in members:
             if member.standing == "candidate":
@@ -156,16 +161,37 @@
         self, voters: list[MemberStatus], spares: list[MemberStatus]
     ) -> list[MemberStatus]:
         hosts = {spare.replica.host for spare in spares}
-        limit_s = self.replace_after_s if spares else self.remove_after_s
+        # Without one voter of an even number the rest bears as many losses or more.
+        hasty = bool(spares) or len(voters) % 2 == 0
+        limit_s = self.replace_after_s if hasty else self.remove_after_s
         lost = [
             voter
             for voter in voters
-            if voter.silent_s >= limit_s
-            or (voter.replica.host in hosts and not voter.active)
+            if voter.silent_s >= limit_s or voter.replica.host in hosts
         ]
         return sorted(lost, key=lambda voter: voter.replica.host not in hosts)
 
 
+def may_leave(host: str, members: list[MemberStatus]) -> MembershipChange | None:
+    """Return the removal of a host that stops, or None if its vote is needed.
+
+    The voters that remain must all be active and enough to bear the next loss.
+
+    Parameters
+    ----------
+    host : str
+        Host that stops.
+    members : list of MemberStatus
+        Result of `Replica.list_members`.
+    """
+    voters = [member for member in members if member.standing == "voter"]
+    leaving = [voter for voter in voters if voter.replica.host == host]
+    others = [voter for voter in voters if voter.replica.host != host]
+    if len(others) < MIN_VOTERS or not all(voter.active for voter in others):
+        return None
+    return RemoveMember(leaving[0].replica) if leaving else None
+
+
 def _is_spare(member: MemberStatus) -> bool:
     return member.standing == "learner" and member.durable and member.caught_up
 
--- a/buckthorndeal/coordinator/__init__.py
+++ b/buckthorndeal/coordinator/__init__.py
@@ -1,6 +1,12 @@
 """Coordinator: configuration by version, endpoint heartbeats and the directory."""
 
+from buckthorndeal.coordinator._api import create_own_handlers
 from buckthorndeal.coordinator._daemon import Coordinator, create_coordinator
 from buckthorndeal.coordinator._service import CoordinatorService
 
-__all__ = ["Coordinator", "CoordinatorService", "create_coordinator"]
+__all__ = [
+    "Coordinator",
+    "CoordinatorService",
+    "create_coordinator",
+    "create_own_handlers",
+]
--- /dev/null
+++ b/buckthorndeal/coordinator/_api.py
@@ -0,0 +1,130 @@
+"""The project's own HTTP interface of a coordinator."""
+
+import urllib.parse
+
+import msgspec
+
+from buckthorndeal.configuration import ConfigurationError
+from buckthorndeal.coordinator._service import CoordinatorService
+from buckthorndeal.errors import RequestError
+from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.http_server import Handler, Request, Responder
+
+LIFETIME_S = 1.0
+RETRY_AFTER_S = 0.5
+
+
+class HeartbeatBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Heartbeat of an endpoint; see `EndpointRecord`."""
+
+    incarnation: int
+    sequence: int
+    service: str
+    region: str
+    failure_domain: str
+    address: str
+    slots: int
+    draining: bool = False
+    cold_s: float = 0.0
+    leaves_in_s: float | None = None
+
+
+class LeaveBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Notice that an endpoint leaves."""
+
+    incarnation: int
+
+
+class CoordinatorApi:
+    """Answers endpoints, operators and callers.
+
+    Parameters
+    ----------
+    service : CoordinatorService
+        Calls of the coordinator.
+    """
+
+    def __init__(self, service: CoordinatorService) -> None:
+        self._service = service
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer endpoints and operators."""
+        try:
+            await self._handle(request, responder)
+        except msgspec.MsgspecError as error:
+            message = f"malformed body: {error}"
+            raise RequestError("bad_request", 400, message) from error
+        except ConfigurationError as error:
+            raise RequestError("invalid_configuration", 400, str(error)) from error
+
+    async def handle_directory(self, request: Request, responder: Responder) -> None:
+        """Answer callers that ask which entry hosts to use."""
+        query = dict(urllib.parse.parse_qsl(request.target.partition("?")[2]))
+        entries = await self._service.choose_entry_hosts(
+            query.get("name", ""),
+            query.get("region", ""),
+            query.get("failure_domain", ""),
+        )
+        hosts = [entry.caller_address for entry in entries]
+        await responder.respond_json(200, {"hosts": hosts, "lifetime_s": LIFETIME_S})
+
+    async def _handle(self, request: Request, responder: Responder) -> None:
+        service = self._service
+        match (request.method, *request.path.strip("/").split("/")):
+            case ("POST", "v1", "endpoints", endpoint, "heartbeat"):
+                body = msgspec.json.decode(request.body, type=HeartbeatBody)
+                accepted = await service.report_heartbeat(_read(endpoint, body))
+                await _acknowledge(accepted, responder)
+            case ("POST", "v1", "endpoints", endpoint, "leave"):
+                body = msgspec.json.decode(request.body, type=LeaveBody)
+                accepted = await service.report_leave(endpoint, body.incarnation)
+                await _acknowledge(accepted, responder)
+            case ("PUT", "v1", "configuration"):
+                version = await service.put_configuration(request.body)
+                await responder.respond_json(200, {"version": version})
+            case ("GET", "v1", "configuration"):
+                await self._get_configuration(responder)
+            case ("PUT" | "DELETE" as method, "v1", "evacuations", domain):
+                await service.change_evacuation(domain, method == "PUT")
+                await responder.respond_json(200, {})
+            case _:
+                raise RequestError("not_found", 404, "unknown path")
+
+    async def _get_configuration(self, responder: Responder) -> None:
+        content = await self._service.get_configuration()
+        if content is None:
+            raise RequestError("no_configuration", 404, "there is none yet")
+        await responder.respond(200, content)
+
+
+def _read(endpoint: str, body: HeartbeatBody) -> EndpointRecord:
+    return EndpointRecord(
+        endpoint,
+        body.incarnation,
+        body.sequence,
+        body.service,
+        body.region,
+        body.failure_domain,
+        body.address,
+        body.slots,
+        EndpointState.DRAINING if body.draining else EndpointState.READY,
+        body.cold_s,
+        body.leaves_in_s,
+    )
+
+
+async def _acknowledge(accepted: bool, responder: Responder) -> None:
+    if not accepted:
+        raise RequestError(
+            "unavailable",
+            503,
+            "too few coordinators have heard of it",
+            retry_after_s=RETRY_AFTER_S,
+        )
+    await responder.respond_json(200, {})
+
+
+def create_own_handlers(service: CoordinatorService) -> tuple[Handler, Handler]:
+    """Return the handlers of the API and of the directory."""
+    api = CoordinatorApi(service)
+    return api.handle, api.handle_directory
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from buckthorndeal.configuration import ConfigurationCodec
+from buckthorndeal.configuration import ConfigurationCodec, ConfigurationError
 from buckthorndeal.consensus import (
     ConsensusFrame,
     DescribeReplica,
@@ -19,11 +19,13 @@
 )
 from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
+from buckthorndeal.coordinator._directory import count_homes
 from buckthorndeal.coordinator._fleet_task import (
     ClusterChanged,
     ControlHeard,
     EntryHeard,
     FleetTask,
+    HomesChanged,
     RecordRelayed,
 )
 from buckthorndeal.coordinator._replica import ReplicaTask
@@ -97,6 +99,8 @@
         self._settings = settings
         self._transport = transport
         self._clock = clock
+        self._codec = codec
+        self._homes_version: int | None = None
         self._own_address = settings.peer_listen.address
         self._keys = decode_keys(settings.peer_keys)
         self._links = create_host_links(
@@ -159,6 +163,7 @@
     async def drain(self) -> None:
         """Refuse new connections and end running requests."""
         log_event("coordinator_draining")
+        await self.service.leave_cluster(self._own_address)
         for server in self._servers:
             await server.drain()
         while any(server.active_requests for server in self._servers):
@@ -225,9 +230,23 @@
         await self._links.send(host, frame)
 
     async def _publish(self, state: ClusterState) -> None:
-        self.service.note_cluster(state)
         self._note_contacts(state.members)
         await self._fleet.mailbox.send(ClusterChanged(state))
+        await self._note_homes(state.version)
+
+    async def _note_homes(self, version: int | None) -> None:
+        """Tell the directory which regions the routes of a name may run in."""
+        if version is None or version == self._homes_version:
+            return
+        self._homes_version = version
+        content = self._replica.read_content()
+        try:
+            configuration = self._codec.decode(content)
+        except ConfigurationError as error:
+            log_event("configuration_unreadable", version=version, reason=str(error))
+            return
+        homes = count_homes(configuration)
+        await self._fleet.mailbox.send(HomesChanged(homes))
 
     def _note_contacts(self, hosts: tuple[str, ...]) -> None:
         for host in hosts:
--- a/buckthorndeal/coordinator/_directory.py
+++ b/buckthorndeal/coordinator/_directory.py
@@ -1,8 +1,9 @@
 """Choice of the entry hosts that a caller is told to use; no I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from buckthorndeal.configuration import Configuration
 from buckthorndeal.fleet import EntryHost, EntryState
 
 MAX_ADDRESSES = 64
@@ -31,13 +32,28 @@
 LAST_KNOWN_S = 10.0
 
 
+def count_homes(configuration: Configuration) -> dict[str, dict[str, int]]:
+    """Return for each host name how many of its routes have a region as a home."""
+    homes: dict[str, dict[str, int]] = {}
+    for route in configuration.routes:
+        regions = homes.setdefault(route.host, {})
+        for region in route.home_regions:
+            regions[region] = regions.get(region, 0) + 1
+    return {host: regions for host, regions in homes.items() if regions}
+
+
 def choose_entry_hosts(
-    views: Iterable[EntryView], region: str, failure_domain: str
+    views: Iterable[EntryView],
+    region: str,
+    failure_domain: str,
+    homes: Mapping[str, int] | None = None,
 ) -> list[EntryHost]:
     """Return the entry hosts for a caller, all of them equally good.
 
-    Callers spread over all that are named. Hosts of the caller's failure domain are
-    named alone where there are any, then those of its region, then all others.
+    Callers spread over all that are named. The first of these groups that is not
+    empty is named: ready hosts of the failure domain, of the region, and of the
+    regions that most routes of the host name call home; then, if there are homes,
+    draining hosts of these regions, which still serve for a moment; then all others.
 
     Parameters
     ----------
@@ -45,13 +61,33 @@
         Known entry hosts.
     region, failure_domain : str
         Place of the caller; empty if unknown.
+    homes : mapping of str to int
+        Routes that have each region as a home.
     """
-    known = [view for view in views if view.entry.state is EntryState.READY]
-    alive = [view for view in known if view.connected and view.silent_s < SILENCE_S]
+    entries = _list_alive(list(views))
+    ready = [each for each in entries if each.state is EntryState.READY]
+    draining = [each for each in entries if each.state is EntryState.DRAINING]
+    preferred = _list_home_regions(entries, homes or {}) | {region}
+    groups = (
+        [each for each in ready if each.failure_domain == failure_domain],
+        [each for each in ready if each.region == region],
+        [each for each in ready if each.region in preferred],
+        [each for each in draining if homes and each.region in preferred],
+        ready,
+        draining,
+    )
+    return next((group for group in groups if group), [])[:MAX_ADDRESSES]
+
+
+def _list_alive(views: list[EntryView]) -> list[EntryHost]:
+    alive = [view for view in views if view.connected and view.silent_s < SILENCE_S]
     if not alive:
-        alive = [view for view in known if view.silent_s < LAST_KNOWN_S]
-    entries = [view.entry for view in alive]
-    near = [entry for entry in entries if entry.failure_domain == failure_domain]
-    if not near:
-        near = [entry for entry in entries if entry.region == region]
-    return (near or entries)[:MAX_ADDRESSES]
+        alive = [view for view in views if view.silent_s < LAST_KNOWN_S]
+    return [view.entry for view in alive]
+
+
+def _list_home_regions(entries: list[EntryHost], homes: Mapping[str, int]) -> set[str]:
+    """Return the regions with entry hosts that most routes call home."""
+    counts = {entry.region: homes.get(entry.region, 0) for entry in entries}
+    most = max(counts.values(), default=0)
+    return {region for region, count in counts.items() if most and count == most}
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -1,6 +1,6 @@
 """Owner task of the soft state: endpoints, entry hosts and coordinators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -83,12 +83,20 @@
 
 @dataclass(frozen=True)
 class ChooseEntryHosts:
-    """Ask: entry hosts for a caller."""
+    """Ask: entry hosts for a caller of a host name."""
 
+    name: str
     region: str
     failure_domain: str
 
 
+@dataclass(frozen=True)
+class HomesChanged:
+    """Notice: for each host name, how many routes have a region as a home."""
+
+    homes: Mapping[str, Mapping[str, int]]
+
+
 @dataclass(frozen=True)
 class ChooseRegistrar:
     """Ask: API address of the coordinator nearest to an endpoint, or None."""
@@ -144,6 +152,8 @@
         self._entries: dict[str, _Entry] = {}
         self._controls: dict[str, _Control] = {}
         self._cluster: ClusterState | None = None
+        self._homes: Mapping[str, Mapping[str, int]] = {}
+        self._remote_choices: dict[tuple[str, str], tuple[str, ...]] = {}
         self._changed: dict[str, EndpointRecord] = {}
         self._alive: dict[str, str] = {}
         self._flush_due_s = clock()
@@ -261,15 +271,50 @@
     @_handle.register
     async def _(self, message: ChooseEntryHosts, envelope: Envelope) -> None:
         views = self._list_entry_views()
-        chosen = choose_entry_hosts(views, message.region, message.failure_domain)
+        chosen = choose_entry_hosts(
+            views,
+            message.region,
+            message.failure_domain,
+            self._homes.get(message.name.lower()),
+        )
+        self._log_remote_choice(message, chosen)
         await envelope.reply(chosen)
 
+    @_handle.register
+    async def _(self, message: HomesChanged, envelope: Envelope) -> None:
+        self._homes = message.homes
+        log_event(
+            "homes_changed",
+            names=len(message.homes),
+        )
+
     @_handle.register
     async def _(self, message: ChooseRegistrar, envelope: Envelope) -> None:
         await envelope.reply(
             self._choose_registrar(message.region, message.failure_domain)
         )
 
+    def _log_remote_choice(
+        self, message: ChooseEntryHosts, chosen: list[EntryHost]
+    ) -> None:
+        """Log a choice of another region, once for each change of it."""
+        hosts = tuple(entry.host for entry in chosen)
+        remote = all(entry.region != message.region for entry in chosen)
+        key = (message.name, message.region)
+        if remote and self._remote_choices.get(key) != hosts:
+            log_event(
+                "directory_decision",
+                name=message.name,
+                region=message.region,
+                chosen=list(hosts),
+                known=len(self._entries),
+                reason="no entry host of the region is ready",
+            )
+        if remote:
+            self._remote_choices[key] = hosts
+        else:
+            self._remote_choices.pop(key, None)
+
     def _choose_registrar(self, region: str, failure_domain: str) -> str | None:
         if self._own.failure_domain == failure_domain:
             return None
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -1,16 +1,19 @@
 """Owner task of the replica that holds the configuration and the evacuations."""
 
+import zlib
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 
-from buckthorndeal.consensus import ElasticPolicy, MembershipPolicy, Replica
+from buckthorndeal.consensus import ElasticPolicy, MembershipPolicy, Replica, may_leave
 from buckthorndeal.coordinator._requests import (
     ChangeEvacuation,
     ClusterState,
     ReadConfiguration,
+    RemoveHost,
     StoreConfiguration,
 )
-from buckthorndeal.errors import NotLeaderError
+from buckthorndeal.errors import MembershipChangeError, NotLeaderError
+from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope
 from buckthorndeal.replication import LogTask, SendFrame
 from buckthorndeal.statemachine import (
@@ -80,6 +83,20 @@
                 raise NotLeaderError(None)
         await envelope.reply(self._machine.configuration)
 
+    @_handle.register
+    async def _(self, message: RemoveHost, envelope: Envelope) -> None:
+        self._require_leader()
+        now_s = self._clock()
+        change = may_leave(message.host, self._replica.list_members(now_s))
+        if change is not None and message.host != self._replica.identity.host:
+            try:
+                await self._process(self._replica.propose_membership(change, now_s))
+            except MembershipChangeError as error:
+                log_event("membership_change_refused", reason=str(error))
+                change = None
+        log_event("host_leaves", peer=message.host, removed=change is not None)
+        await envelope.reply(change is not None)
+
     def _is_compaction_due(self) -> bool:
         """Return whether a restart would serve an older configuration.
 
@@ -91,6 +108,11 @@
             return True
         return super()._is_compaction_due()
 
+    def read_content(self) -> bytes:
+        """Return the configuration as the operator wrote it; empty before one."""
+        stored = self._machine.configuration
+        return zlib.decompress(stored.content) if stored else b""
+
     def _get_version(self) -> int | None:
         stored = self._machine.configuration
         return stored.version if stored else None
--- a/buckthorndeal/coordinator/_requests.py
+++ b/buckthorndeal/coordinator/_requests.py
@@ -27,6 +27,13 @@
     confirmed: bool
 
 
+@dataclass(frozen=True)
+class RemoveHost:
+    """Ask: take the vote of a host that stops; needs leadership."""
+
+    host: str
+
+
 @dataclass(frozen=True)
 class ClusterState:
     """What a replica has applied, and the members that it knows.
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -11,8 +11,8 @@
 )
 from buckthorndeal.coordinator._requests import (
     ChangeEvacuation,
-    ClusterState,
     ReadConfiguration,
+    RemoveHost,
     StoreConfiguration,
 )
 from buckthorndeal.errors import NotLeaderError, PeerError, RequestError, Verdict
@@ -23,9 +23,11 @@
     EntryHost,
     EvacuationReply,
     HostLinks,
+    LeaveCluster,
     ProposeConfiguration,
     ProposeEvacuation,
     ReadConfirmed,
+    Received,
     Unavailable,
 )
 from buckthorndeal.logs import log_event
@@ -58,16 +60,11 @@
         self._links = links
         self._fleet = fleet
         self._replica: Mailbox | None = None
-        self._cluster: ClusterState | None = None
 
     def connect(self, replica: Mailbox) -> None:
         """Use the replica from now on."""
         self._replica = replica
 
-    def note_cluster(self, state: ClusterState) -> None:
-        """Note who leads."""
-        self._cluster = state
-
     async def report_heartbeat(self, record: EndpointRecord) -> bool:
         """Take a heartbeat; return whether it may be acknowledged."""
         return await self._fleet.ask(HeartbeatReceived(record))
@@ -81,10 +78,11 @@
         return await self._fleet.ask(ChooseRegistrar(region, failure_domain))
 
     async def choose_entry_hosts(
-        self, region: str, failure_domain: str
+        self, name: str, region: str, failure_domain: str
     ) -> list[EntryHost]:
-        """Return the entry hosts that a caller may use."""
-        return await self._fleet.ask(ChooseEntryHosts(region, failure_domain))
+        """Return the entry hosts that a caller of a host name may use."""
+        message = ChooseEntryHosts(name, region, failure_domain)
+        return await self._fleet.ask(message)
 
     async def put_configuration(self, content: bytes) -> int:
         """Validate a configuration and put it in force everywhere.
@@ -140,6 +138,13 @@
             return None
         return zlib.decompress(reply.content)
 
+    async def leave_cluster(self, host: str) -> None:
+        """Give the vote of this host back, if the others are enough."""
+        try:
+            await self._ask_leader(RemoveHost(host), LeaveCluster(host))
+        except RequestError as error:
+            log_event("vote_kept", reason=str(error))
+
     async def answer(self, message: Message) -> Message | None:
         """Answer a call of another host; None if it is no call of this kind."""
         local = _LOCAL_CALLS.get(type(message))
@@ -191,10 +196,12 @@
     ProposeEvacuation: lambda message: ChangeEvacuation(
         message.failure_domain, message.active
     ),
+    LeaveCluster: lambda message: RemoveHost(message.host),
     ReadConfirmed: lambda message: ReadConfiguration(True),
 }
 _REPLIES = {
     ProposeConfiguration: lambda answer: ConfigurationReply(answer.version),
     ProposeEvacuation: lambda answer: EvacuationReply(),
+    LeaveCluster: lambda answer: Received(),
     ReadConfirmed: _reply_content,
 }
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -21,10 +21,14 @@
 
 
 class EntryState(enum.Enum):
-    """Whether an entry host takes new connections of callers."""
+    """Whether an entry host takes new callers.
+
+    A draining host still serves those that come; a closing one ends.
+    """
 
     READY = "r"
     DRAINING = "d"
+    CLOSING = "c"
 
 
 class EndpointRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -165,6 +169,12 @@
     """Reply: the change of the evacuation is committed."""
 
 
+class LeaveCluster(Message, tag="lc"):
+    """Call to the leader: the sender stops and gives its vote back."""
+
+    host: str
+
+
 class ReadConfirmed(Message, tag="rc"):
     """Call to the leader: the newest committed configuration."""
 
@@ -216,6 +226,7 @@
         ConfigurationReply,
         ProposeEvacuation,
         EvacuationReply,
+        LeaveCluster,
         ReadConfirmed,
         Unavailable,
         RegionLoad,
--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -37,4 +37,6 @@
     now: Callable[[], float]
     wall: Callable[[], float]
     routes: RouteTable | None = None
+    # Set once a draining host has too little time left for a stream.
+    refuses_streams: bool = False
     tickets: itertools.count = field(default_factory=lambda: itertools.count(1))
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -138,7 +138,8 @@
         """Tell that this host leaves, and end when its requests have ended.
 
         Callers that know the host from an older answer of the directory are served
-        for the time of notice.
+        for the time of notice. After it, open connections get no new stream, which
+        might not end in time.
         """
         started_s = self._clock()
         self._draining = True
@@ -147,14 +148,22 @@
         for server in self._servers:
             server.announce_drain()
         await curio.sleep(self._settings.drain_notice_s)
+        self._context.refuses_streams = True
+        await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
             await server.drain()
+        timeout_s = self._settings.drain_timeout_s
+        if not await self._wait_for_requests(started_s + timeout_s):
+            log_event("gateway_drain_overdue", active=self._count_active())
+        log_event("gateway_stopped", active=self._count_active())
+
+    async def _wait_for_requests(self, until_s: float) -> bool:
+        """Wait until no request is running; return False if the time is over."""
         while self._count_active():
-            if self._clock() - started_s > self._settings.drain_timeout_s:
-                log_event("gateway_drain_overdue", active=self._count_active())
-                break
+            if self._clock() > until_s:
+                return False
             await curio.sleep(DRAIN_POLL_S)
-        log_event("gateway_stopped", active=self._count_active())
+        return True
 
     async def reload(self, settings: GatewaySettings) -> None:
         """Use the seeds of newer settings; the rest needs a restart."""
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -1,6 +1,6 @@
 """HTTP handlers of a gateway: callers, other entry hosts, readiness."""
 
-from buckthorndeal.configuration import Route, choose_service
+from buckthorndeal.configuration import RequestKind, Route, choose_service
 from buckthorndeal.errors import AuthenticationError, RequestError
 from buckthorndeal.forwarding import (
     ForwardedRequest,
@@ -17,6 +17,8 @@
 
 # A host that has just started hears of the configuration within this time.
 NOT_READY_RETRY_S = 0.5
+# The directory names another host already.
+DRAINING_RETRY_S = 0.1
 
 
 class GatewayHandler:
@@ -120,6 +122,15 @@
     ) -> Call:
         head = self._context.dialect.read_call(request)
         route = self._find_route(request)
+        if self._context.refuses_streams and (
+            forwarded is not None or route.kind is RequestKind.STREAM
+        ):
+            raise RequestError(
+                "draining",
+                503,
+                "this host is about to stop",
+                retry_after_s=DRAINING_RETRY_S,
+            )
         timeout_s = route.timeout_s
         if head.timeout_s is not None:
             timeout_s = min(timeout_s, head.timeout_s)
--- a/buckthorndeal/gateway/_region_links.py
+++ b/buckthorndeal/gateway/_region_links.py
@@ -28,6 +28,7 @@
 EXCHANGE_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 0.8
 LINKS_PER_REGION = 2
+_RANKS = {EntryState.READY: 0, EntryState.DRAINING: 1, EntryState.CLOSING: 2}
 
 
 class RegionTask:
@@ -111,11 +112,11 @@
         await curio.spawn(self._ask_load, region, partner, daemon=True)
 
     def _rank(self, hosts: list[EntryHost]) -> list[str]:
-        """Return the hosts in an order of this host's own, draining ones last."""
+        """Return the hosts in an order of this host's own, those that end last."""
         ranked = sorted(
             hosts,
             key=lambda each: (
-                each.state is not EntryState.READY,
+                _RANKS[each.state],
                 hashlib.blake2b(f"{self._own} {each.host}".encode()).digest(),
             ),
         )
--- /dev/null
+++ b/buckthorndeal/routeformat.py
@@ -0,0 +1,37 @@
+"""The project's own text form of a route configuration: JSON with comments."""
+
+import jsonc
+import msgspec
+
+from buckthorndeal.configuration import (
+    Configuration,
+    ConfigurationCodec,
+    ConfigurationError,
+    check_configuration,
+)
+from buckthorndeal.settings import split_validation_error
+
+__all__ = ["RouteFormat", "create_route_format"]
+
+
+class RouteFormat:
+    """Codec whose field names are those of `Configuration`."""
+
+    def decode(self, content: bytes) -> Configuration:
+        """Return a validated configuration; raise `ConfigurationError`."""
+        try:
+            raw = jsonc.loads(content.decode("utf-8"))
+        except ValueError as error:
+            raise ConfigurationError("$", f"not JSON: {error}") from error
+        try:
+            configuration = msgspec.convert(raw, Configuration)
+        except msgspec.ValidationError as error:
+            reason, path = split_validation_error(str(error))
+            raise ConfigurationError(path, reason) from error
+        check_configuration(configuration)
+        return configuration
+
+
+def create_route_format() -> ConfigurationCodec:
+    """Return the codec of the project's own form."""
+    return RouteFormat()
--- /dev/null
+++ b/tests/test_coordinator_directory.py
@@ -0,0 +1,98 @@
+"""Tests of the choice of entry hosts for callers."""
+
+import unittest
+
+from buckthorndeal.configuration import (
+    Configuration,
+    RequestKind,
+    Route,
+    WeightedService,
+)
+from buckthorndeal.coordinator._directory import (
+    EntryView,
+    choose_entry_hosts,
+    count_homes,
+)
+from buckthorndeal.fleet import EntryHost, EntryState
+
+
+def create_view(
+    host, region, domain, state=EntryState.READY, connected=True, silent_s=0.5
+):
+    entry = EntryHost(host, region, domain, f"{host}:80", state)
+    return EntryView(entry, connected, silent_s)
+
+
+class ChooseTest(unittest.TestCase):
+    """Callers are sent to live hosts, as near as possible."""
+
+    def setUp(self):
+        self.views = [
+            create_view("a1", "a", "a-1"),
+            create_view("a2", "a", "a-2"),
+            create_view("b1", "b", "b-1"),
+            create_view("c1", "c", "c-1"),
+        ]
+
+    def choose(self, region, domain="", homes=None):
+        chosen = choose_entry_hosts(self.views, region, domain, homes)
+        return [entry.host for entry in chosen]
+
+    def replace(self, number, **fields):
+        entry = self.views[number].entry
+        self.views[number] = create_view(
+            entry.host, entry.region, entry.failure_domain, **fields
+        )
+
+    def test_own_failure_domain(self):
+        self.assertEqual(self.choose("a", "a-2"), ["a2"])
+
+    def test_own_region(self):
+        self.assertEqual(self.choose("a", "a-3"), ["a1", "a2"])
+
+    def test_lost_and_draining_hosts(self):
+        self.replace(0, connected=False)
+        self.replace(1, state=EntryState.DRAINING)
+        self.assertEqual(self.choose("a", "a-1"), ["b1", "c1"])
+
+    def test_home_regions_before_others(self):
+        self.replace(2, state=EntryState.DRAINING)
+        self.assertEqual(self.choose("b", "b-1", {"a": 2, "b": 2}), ["a1", "a2"])
+
+    def test_draining_home_before_ready_stranger(self):
+        self.views[0] = create_view("a1", "a", "a-1", EntryState.DRAINING)
+        self.views[1] = create_view("a2", "a", "a-2", EntryState.CLOSING)
+        self.replace(2, state=EntryState.CLOSING)
+        self.assertEqual(self.choose("b", "b-1", {"a": 2, "b": 2}), ["a1"])
+        self.assertEqual(self.choose("b", "b-1"), ["c1"])
+
+    def test_silent_hosts(self):
+        self.replace(2, silent_s=3.0)
+        self.assertEqual(self.choose("b", "b-1"), ["a1", "a2", "c1"])
+
+    def test_isolated_coordinator_keeps_what_it_knew(self):
+        for number in range(4):
+            self.replace(number, connected=False, silent_s=4.0)
+        self.assertEqual(self.choose("b", "b-1"), ["b1"])
+
+
+class CountHomesTest(unittest.TestCase):
+    """Routes that have been added for tests don't outvote the homes of a name."""
+
+    def test_counts(self):
+        def create(number, homes):
+            return Route(
+                f"r{number}",
+                "x.example",
+                f"/{number}/",
+                RequestKind.IDEMPOTENT,
+                1.0,
+                1.0,
+                0,
+                (WeightedService("s", 1),),
+                home_regions=frozenset(homes),
+            )
+
+        routes = (create(1, "ab"), create(2, "b"), create(3, ""), create(4, "a"))
+        homes = count_homes(Configuration(1, routes))
+        self.assertEqual(homes, {"x.example": {"a": 2, "b": 2}})
