Test gateways, coordinators and the adapter; pass on what precedes a gap

Found by the new tests: events before a gap were counted as passed on but dropped; a failed lookup at a region's only endpoint was repeated in another region.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -308,8 +308,9 @@
         ejected = self._ejection.list_excluded(
             service, now_s, dispatch.call.route.repeatable
         )
-        healthy = [load for load in ready if load.name not in ejected]
-        return healthy or ready
+        healthy = [load for load in ready if load.name not in ejected] or ready
+        fresh = [load for load in healthy if load.name not in dispatch.avoided]
+        return fresh or healthy
 
     def _is_evacuated(self, load: EndpointLoad) -> bool:
         return load.entry.record.failure_domain in self._fleet.evacuated
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -58,6 +58,7 @@
     unrun: int = 0
     arrived: bool = False
     excluded: set[str] = field(default_factory=set)
+    avoided: set[str] = field(default_factory=set)
     last_event: int | None = None
     events: int = 0
     reason: str = ""
@@ -143,7 +144,11 @@
     async def _decide(self, ticket: int) -> Decision:
         progress = self.progress
         dispatch = Dispatch(
-            ticket, self._call, progress.arrived, frozenset(progress.excluded)
+            ticket,
+            self._call,
+            progress.arrived,
+            frozenset(progress.excluded),
+            frozenset(progress.avoided),
         )
         decided = False
         try:
@@ -235,7 +240,7 @@
             self._fallback = answer
             self.progress.runs += 1
             self.progress.arrived = True
-            self.progress.excluded.add(attempt.target)
+            self.progress.avoided.add(attempt.target)
             return False
         await self._respond(answer)
         return True
@@ -253,14 +258,15 @@
         splitter = EventSplitter()
         noted = False
         while part := await attempt.response.read_part():
-            data = self._select(splitter.feed(part))
-            if not data:
-                continue
-            if not noted:
+            data, fault = self._select(splitter.feed(part))
+            if data and not noted:
                 noted = True
                 await note_first_answer(self._context, attempt)
-            await self._start(attempt)
-            await self._responder.send(data)
+            if data:
+                await self._start(attempt)
+                await self._responder.send(data)
+            if fault is not None:
+                raise _create_broken(fault)
         if not splitter.is_between_events:
             raise _create_broken("the stream ended within an event")
         await self._start(attempt)
@@ -272,8 +278,8 @@
             headers = list(keep_end_to_end(attempt.response.headers).items())
             await self._responder.start(attempt.response.status, headers)
 
-    def _select(self, events: list[RawEvent]) -> bytes:
-        """Return the events that follow the last one that was passed on."""
+    def _select(self, events: list[RawEvent]) -> tuple[bytes, str | None]:
+        """Return the events that continue the stream, and what is wrong after them."""
         progress = self.progress
         parts = []
         for event in events:
@@ -282,14 +288,13 @@
                 if number <= progress.last_event:
                     continue
                 if number != progress.last_event + 1:
-                    raise _create_broken(
-                        f"event {number} follows {progress.last_event}"
-                    )
+                    fault = f"event {number} follows {progress.last_event}"
+                    return b"".join(parts), fault
             if number is not None:
                 progress.last_event = number
             progress.events += 1
             parts.append(event.data)
-        return b"".join(parts)
+        return b"".join(parts), None
 
 
 def _create_broken(reason: str) -> AttemptError:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -132,13 +132,16 @@
     repeat : bool
         Whether an earlier attempt of the request has reached an endpoint.
     excluded : frozenset of str
-        Endpoints and regions that earlier attempts have tried.
+        Endpoints and regions that earlier attempts have tried in vain.
+    avoided : frozenset of str
+        Endpoints that answered with a failure; used if there is no other here.
     """
 
     ticket: int
     call: Call
     repeat: bool = False
     excluded: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -9,8 +9,9 @@
 
 __all__ = ["AnswerHead", "CallHead", "Dialect", "OwnDialect", "create_own_dialect"]
 
-REQUEST_ID = "buckthorndeal-request-id"
-DEADLINE_MS = "buckthorndeal-deadline-ms"
+# Forwarded requests carry the id and the time of an attempt under similar names.
+REQUEST_ID = "buckthorndeal-call-id"
+DEADLINE_MS = "buckthorndeal-timeout-ms"
 RESUME_AFTER = "last-event-id"
 
 
--- /dev/null
+++ b/tests/fleet_harness.py
@@ -0,0 +1,275 @@
+"""Coordinators, gateways and scripted endpoints on one transport for tests."""
+
+import json
+import tempfile
+
+import curio
+import msgspec
+
+from buckthorndeal.coordinator import create_coordinator, create_own_handlers
+from buckthorndeal.gateway import create_gateway
+from buckthorndeal.gateway.dialect import create_own_dialect
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.http_server import create_http_server
+from buckthorndeal.routeformat import create_route_format
+from buckthorndeal.settings import Address, CoordinatorSettings, GatewaySettings, Limits
+from buckthorndeal.transport import create_memory_transport
+
+KEYS = ("00112233445566778899aabbccddeeff",)
+PEER_PORT = 7000
+FORWARD_PORT = 7001
+API_PORT = 8000
+DIRECTORY_PORT = 8001
+CALLER_PORT = 9000
+READY_PORT = 9001
+ENDPOINT_PORT = 80
+REGIONS = {"a-1": "a", "b-1": "b", "c-1": "c"}
+# Far above what any test takes on a busy machine.
+HANG_TIMEOUT_S = 60
+REQUEST_ID = "buckthorndeal-call-id"
+
+
+def create_configuration(version=1, **changes):
+    """Return a configuration with one route of each kind, as JSON."""
+    route = {
+        "host": "x.example",
+        "timeout_s": 5.0,
+        "latency_objective_s": 1.0,
+        "priority": 0,
+        "services": [{"service": "s", "weight": 1}],
+        **changes,
+    }
+    kinds = ("idempotent", "non_idempotent", "stream")
+    routes = [
+        {**route, "name": kind, "path_prefix": f"/{kind}/", "kind": kind}
+        for kind in kinds
+    ]
+    for each in routes:
+        each["max_attempts"] = 1 if each["kind"] == "non_idempotent" else 2
+        each["resumable"] = each["kind"] == "stream"
+    services = [{"name": "s", "health_path": "/h", "max_connections": 64}]
+    body = {"version": version, "routes": routes, "services": services}
+    return json.dumps(body).encode()
+
+
+class Fleet:
+    """A deployment in one process; hosts are named by their IP addresses."""
+
+    def __init__(self, coordinators=("10.1.0.1", "10.2.0.1", "10.3.0.1")):
+        self.transport = create_memory_transport()
+        self.seeds = tuple(
+            Address(address=each, port=PEER_PORT) for each in coordinators
+        )
+        self.directories = {}
+        self.coordinators = {}
+        self.gateways = {}
+        self.endpoints = {}
+        self.pools = []
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        async with curio.disable_cancellation():
+            for endpoint in self.endpoints.values():
+                await endpoint.close()
+            for daemon in [*self.gateways.values(), *self.coordinators.values()]:
+                await daemon.close()
+            for pool in self.pools:
+                await pool.close()
+            for directory in self.directories.values():
+                directory.cleanup()
+
+    async def start_coordinators(self):
+        for seed in self.seeds:
+            await self.start_coordinator(seed.address, bootstrap=True)
+
+    async def start_coordinator(self, host, bootstrap=False):
+        if host not in self.directories:
+            self.directories[host] = tempfile.TemporaryDirectory()
+        domain = list(REGIONS)[int(host.split(".")[1]) - 1]
+        settings = CoordinatorSettings(
+            host=host,
+            region=REGIONS[domain],
+            failure_domain=domain,
+            peer_listen=Address(address=host, port=PEER_PORT),
+            api_listen=Address(address=host, port=API_PORT),
+            directory_listen=Address(address=host, port=DIRECTORY_PORT),
+            seeds=self.seeds,
+            regions=REGIONS,
+            bootstrap=bootstrap,
+            peer_keys=KEYS,
+            data_directory=self.directories[host].name,
+        )
+        daemon = create_coordinator(
+            settings, self.transport, create_route_format(), create_own_handlers
+        )
+        await daemon.start()
+        self.coordinators[host] = daemon
+
+    async def stop_coordinator(self, host, wipe=False):
+        await self.coordinators.pop(host).close()
+        if wipe:
+            self.directories.pop(host).cleanup()
+
+    async def start_gateway(self, host, **fields):
+        domain = list(REGIONS)[int(host.split(".")[1]) - 1]
+        settings = GatewaySettings(
+            host=host,
+            region=REGIONS[domain],
+            failure_domain=domain,
+            listen=Address(address=host, port=CALLER_PORT),
+            ready_listen=Address(address=host, port=READY_PORT),
+            forward_listen=Address(address=host, port=FORWARD_PORT),
+            peer_listen=Address(address=host, port=PEER_PORT),
+            seeds=self.seeds,
+            peer_keys=KEYS,
+            **{"drain_notice_s": 0.2, "drain_timeout_s": 5.0, **fields},
+        )
+        gateway = create_gateway(
+            settings, self.transport, create_route_format(), create_own_dialect()
+        )
+        await gateway.start()
+        self.gateways[host] = gateway
+        return gateway
+
+    async def start_endpoint(self, name, domain, script, service="s", **fields):
+        endpoint = Endpoint(self, name, domain, script, service, fields)
+        await endpoint.start()
+        self.endpoints[name] = endpoint
+        return endpoint
+
+    def create_pool(self, host, port):
+        pool = create_http_pool(self.transport, host, port)
+        self.pools.append(pool)
+        return pool
+
+    async def call_api(self, host, method, target, body=b""):
+        status, _, answer = await self.create_pool(host, API_PORT).fetch(
+            method, target, [], body
+        )
+        return status, answer
+
+    async def put(self, host, content):
+        """Send a configuration until it is acknowledged or refused."""
+        while True:
+            status, answer = await self.call_api(
+                host, "PUT", "/v1/configuration", content
+            )
+            if status != 503:
+                return status, answer
+            await curio.sleep(0.1)
+
+    async def get(self, host):
+        """Read the configuration until the answer is certain."""
+        while True:
+            status, answer = await self.call_api(host, "GET", "/v1/configuration")
+            if status != 503:
+                return answer
+            await curio.sleep(0.1)
+
+    async def ask(self, host, target, headers=(), method="POST", body=b"x"):
+        """Send a caller's request to a gateway."""
+        pool = self.create_pool(host, CALLER_PORT)
+        given = [("host", "x.example"), (REQUEST_ID, "q1"), *headers]
+        return await pool.fetch(method, target, given, body)
+
+    async def wait_ready(self, host, path="/idempotent/ready"):
+        """Wait until a gateway serves a request."""
+        while True:
+            status, _, _ = await self.ask(host, path, [(REQUEST_ID + "-x", "warm")])
+            if status == 200:
+                return
+            await curio.sleep(0.05)
+
+
+class Endpoint:
+    """Endpoint whose answers come from a script.
+
+    `script` is a coroutine function called with the endpoint, a request and its
+    responder. Requests under ``/ready`` are answered at once.
+    """
+
+    def __init__(self, fleet, name, domain, script, service, fields):
+        self.fleet = fleet
+        self.name = name
+        self.domain = domain
+        self.script = script
+        self.fields = {"service": service, **fields}
+        self.address = f"10.{list(REGIONS).index(domain) + 1}.9.{len(fleet.endpoints)}"
+        self.incarnation = 1
+        self.sequence = 0
+        self.requests = []
+        self.cancelled = []
+        self.state = {}
+        self._server = create_http_server(self._handle, Limits())
+        self._task = None
+
+    async def start(self):
+        await self._server.start(self.fleet.transport, self.address, ENDPOINT_PORT)
+        self._task = await curio.spawn(self._beat_forever, daemon=True)
+
+    async def close(self):
+        await self._task.cancel()
+        await self._server.close()
+
+    async def beat(self, host=None):
+        """Send a heartbeat; return whether any coordinator acknowledged it."""
+        self.sequence += 1
+        body = {
+            "incarnation": self.incarnation,
+            "sequence": self.sequence,
+            "region": REGIONS[self.domain],
+            "failure_domain": self.domain,
+            "address": f"{self.address}:{ENDPOINT_PORT}",
+            "slots": 4,
+            **self.fields,
+            **self.state,
+        }
+        for each in [host] if host else list(self.fleet.coordinators):
+            status, _ = await self.fleet.call_api(
+                each,
+                "POST",
+                f"/v1/endpoints/{self.name}/heartbeat",
+                msgspec.json.encode(body),
+            )
+            if status == 200:
+                return True
+        return False
+
+    async def _beat_forever(self):
+        while True:
+            await self.beat()
+            await curio.sleep(0.3)
+
+    async def _handle(self, request, responder):
+        if request.path.endswith("/ready"):
+            await self.answer(request, responder)
+            return
+        self.requests.append(request)
+        try:
+            await self.script(self, request, responder)
+        except curio.CancelledError:
+            self.cancelled.append(request)
+            raise
+
+    async def answer(self, request, responder, status=200, body=b"ok", headers=()):
+        given = [(REQUEST_ID, request.headers.get(REQUEST_ID, "")), *headers]
+        await responder.respond_whole(status, given, body)
+
+    async def start_stream(self, request, responder):
+        headers = [
+            (REQUEST_ID, request.headers.get(REQUEST_ID, "")),
+            ("content-type", "text/event-stream"),
+        ]
+        await responder.start(200, headers)
+
+
+def run_fleet(function, *args):
+    """Run a coroutine function within the time limit of a test."""
+
+    async def main():
+        async with curio.timeout_after(HANG_TIMEOUT_S):
+            await function(*args)
+
+    curio.run(main)
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,160 @@
+"""Tests of coordinators that share one replicated state."""
+
+import unittest
+
+import curio
+
+from tests.fleet_harness import (
+    DIRECTORY_PORT,
+    Fleet,
+    create_configuration,
+    run_fleet,
+)
+
+HOSTS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
+
+
+async def ignore(endpoint, request, responder):
+    await endpoint.answer(request, responder)
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The highest acknowledged version is in force everywhere and never reverts."""
+
+    def test_versions(self):
+        run_fleet(self._test_versions)
+
+    async def _test_versions(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            second = create_configuration(2)
+            self.assertEqual((await fleet.put(HOSTS[0], second))[0], 200)
+            for host in HOSTS:
+                self.assertEqual(await fleet.get(host), second)
+            with self.subTest("an overtaken version is acknowledged, not in force"):
+                status, _ = await fleet.put(HOSTS[1], create_configuration(1))
+                self.assertEqual(status, 200)
+                self.assertEqual(await fleet.get(HOSTS[2]), second)
+            with self.subTest("other content under the same version"):
+                other = create_configuration(2, priority=7)
+                await fleet.put(HOSTS[2], other)
+                self.assertEqual(await fleet.get(HOSTS[0]), second)
+            with self.subTest("an invalid configuration"):
+                invalid = create_configuration(3, timeout_s=0)
+                self.assertEqual((await fleet.put(HOSTS[0], invalid))[0], 400)
+                self.assertEqual(await fleet.get(HOSTS[1]), second)
+
+    def test_restart_of_all(self):
+        """What was acknowledged survives the end of all processes."""
+        run_fleet(self._test_restart_of_all)
+
+    async def _test_restart_of_all(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            content = create_configuration(5)
+            await fleet.put(HOSTS[0], content)
+            await fleet.call_api(HOSTS[0], "PUT", "/v1/evacuations/a-1")
+            for host in HOSTS:
+                await fleet.stop_coordinator(host)
+            for host in HOSTS:
+                await fleet.start_coordinator(host)
+            self.assertEqual(await fleet.get(HOSTS[1]), content)
+
+    def test_lost_disk(self):
+        """A host that lost its disk gets a vote again, and nothing is lost."""
+        run_fleet(self._test_lost_disk)
+
+    async def _test_lost_disk(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            content = create_configuration(5)
+            await fleet.put(HOSTS[0], content)
+            await fleet.stop_coordinator(HOSTS[0], wipe=True)
+            await fleet.start_coordinator(HOSTS[0])
+            await curio.sleep(5)
+            await fleet.stop_coordinator(HOSTS[1])
+            self.assertEqual(await fleet.get(HOSTS[0]), content)
+
+    def test_no_majority(self):
+        """Without a majority nothing is acknowledged and nothing is read."""
+        run_fleet(self._test_no_majority)
+
+    async def _test_no_majority(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put(HOSTS[0], create_configuration(1))
+            await fleet.stop_coordinator(HOSTS[1])
+            await fleet.stop_coordinator(HOSTS[2])
+            await curio.sleep(1.5)
+            status, _ = await fleet.call_api(HOSTS[0], "GET", "/v1/configuration")
+            self.assertEqual(status, 503)
+            status, _ = await fleet.call_api(
+                HOSTS[0], "PUT", "/v1/configuration", create_configuration(2)
+            )
+            self.assertEqual(status, 503)
+
+
+class DrainTest(unittest.TestCase):
+    """A drain is acknowledged only once a majority passes it on."""
+
+    def test_drain(self):
+        run_fleet(self._test_drain)
+
+    async def _test_drain(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put(HOSTS[0], create_configuration(1))
+            gateway = await fleet.start_gateway("10.1.0.9")
+            endpoint = await fleet.start_endpoint("e1", "a-1", ignore)
+            await fleet.wait_ready("10.1.0.9")
+            endpoint.state["draining"] = True
+            while not await endpoint.beat(HOSTS[2]):
+                await curio.sleep(0.1)
+            # The acknowledgement came after the gateway had heard of the drain.
+            status, headers, _ = await fleet.ask("10.1.0.9", "/idempotent/")
+            self.assertEqual(status, 503)
+            self.assertEqual(endpoint.requests, [])
+            self.assertIn("retry-after", headers)
+            del gateway
+
+    def test_isolated_coordinator(self):
+        run_fleet(self._test_isolated_coordinator)
+
+    async def _test_isolated_coordinator(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put(HOSTS[0], create_configuration(1))
+            endpoint = await fleet.start_endpoint("e1", "a-1", ignore)
+            while not await endpoint.beat(HOSTS[0]):
+                await curio.sleep(0.1)
+            await fleet.stop_coordinator(HOSTS[1])
+            await fleet.stop_coordinator(HOSTS[2])
+            endpoint.state["draining"] = True
+            self.assertFalse(await endpoint.beat(HOSTS[0]))
+
+
+class DirectoryTest(unittest.TestCase):
+    """The directory names entry hosts that take callers."""
+
+    def test_draining_gateway(self):
+        run_fleet(self._test_draining_gateway)
+
+    async def _list_hosts(self, fleet):
+        pool = fleet.create_pool(HOSTS[1], DIRECTORY_PORT)
+        target = "/v1/entry-hosts?name=x.example&region=a&failure_domain=a-1"
+        _, _, body = await pool.fetch("GET", target, [])
+        return body
+
+    async def _test_draining_gateway(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put(HOSTS[0], create_configuration(1))
+            await fleet.start_gateway("10.1.0.9")
+            await fleet.start_gateway("10.2.0.9")
+            while b"10.1.0.9" not in await self._list_hosts(fleet):
+                await curio.sleep(0.1)
+            draining = await curio.spawn(fleet.gateways["10.1.0.9"].drain)
+            while b"10.2.0.9" not in await self._list_hosts(fleet):
+                await curio.sleep(0.02)
+            self.assertNotIn(b"10.1.0.9", await self._list_hosts(fleet))
+            await draining.join()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,327 @@
+"""Tests of a gateway between callers, endpoints and other entry hosts."""
+
+import unittest
+
+import curio
+
+from buckthorndeal.errors import RequestError
+from tests.fleet_harness import (
+    CALLER_PORT,
+    REQUEST_ID,
+    Fleet,
+    create_configuration,
+    run_fleet,
+)
+
+HOST = "10.1.0.9"
+OTHER = "10.2.0.9"
+
+
+def create_events(first, last):
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(first, last + 1))
+
+
+async def start(fleet, script, endpoints=1, **changes):
+    """Start coordinators, one gateway and endpoints, and wait until they serve."""
+    await fleet.start_coordinators()
+    await fleet.put("10.1.0.1", create_configuration(1, **changes))
+    await fleet.start_gateway(HOST)
+    for number in range(endpoints):
+        await fleet.start_endpoint(f"e{number}", "a-1", script)
+    await fleet.wait_ready(HOST)
+    await curio.sleep(0.6)
+
+
+def count_requests(fleet):
+    return sum(len(each.requests) for each in fleet.endpoints.values())
+
+
+class PlainTest(unittest.TestCase):
+    """Requests run as often as their route allows, and failures tell the truth."""
+
+    def test_answers_are_passed_on(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder, 418, b"tea", [("x-own", "1")])
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                status, headers, body = await fleet.ask(HOST, "/non_idempotent/")
+                self.assertEqual((status, body), (418, b"tea"))
+                self.assertEqual(headers["x-own"], "1")
+
+        run_fleet(test)
+
+    def test_broken_booking_is_not_repeated(self):
+        async def script(endpoint, request, responder):
+            raise OSError
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, endpoints=2)
+                status, headers, _ = await fleet.ask(HOST, "/non_idempotent/")
+                self.assertEqual(status, 502)
+                self.assertEqual(headers["buckthorndeal-verdict"], "may_have_run")
+                self.assertEqual(count_requests(fleet), 1)
+
+        run_fleet(test)
+
+    def test_booking_that_was_not_run_goes_elsewhere(self):
+        async def script(endpoint, request, responder):
+            if count_requests(endpoint.fleet) == 1:
+                headers = [("buckthorndeal-verdict", "not_run")]
+                await endpoint.answer(request, responder, 503, b"", headers)
+            else:
+                await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, endpoints=2)
+                status, _, _ = await fleet.ask(HOST, "/non_idempotent/")
+                self.assertEqual(status, 200)
+                self.assertEqual(count_requests(fleet), 2)
+
+        run_fleet(test)
+
+    def test_failed_lookup_is_repeated(self):
+        async def script(endpoint, request, responder):
+            failed = count_requests(endpoint.fleet) == 1
+            await endpoint.answer(request, responder, 500 if failed else 200)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, endpoints=2)
+                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual(status, 200)
+
+        run_fleet(test)
+
+    def test_failure_of_a_lone_endpoint_is_repeated_there(self):
+        async def script(endpoint, request, responder):
+            failed = count_requests(endpoint.fleet) == 1
+            await endpoint.answer(request, responder, 500 if failed else 200)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual(status, 200)
+
+        run_fleet(test)
+
+    def test_answer_to_another_request(self):
+        async def script(endpoint, request, responder):
+            await responder.respond_whole(200, [(REQUEST_ID, "other")], b"wrong")
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                status, _, body = await fleet.ask(HOST, "/non_idempotent/")
+                self.assertEqual(status, 502)
+                self.assertNotIn(b"wrong", body)
+
+        run_fleet(test)
+
+    def test_timeout_of_the_route(self):
+        async def script(endpoint, request, responder):
+            await curio.sleep(30)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, timeout_s=0.5)
+                status, _, _ = await fleet.ask(HOST, "/non_idempotent/")
+                self.assertEqual(status, 504)
+                await curio.sleep(0.2)
+                self.assertEqual(len(fleet.endpoints["e0"].cancelled), 1)
+
+        run_fleet(test)
+
+    def test_unknown_route(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                await fleet.start_gateway(HOST)
+                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual(status, 503, "no configuration is known yet")
+                await fleet.put("10.1.0.1", create_configuration(1))
+                await fleet.start_endpoint("e0", "a-1", script)
+                await fleet.wait_ready(HOST)
+                status, _, _ = await fleet.ask(HOST, "/nothing/")
+                self.assertEqual(status, 404)
+
+        run_fleet(test)
+
+
+class StreamTest(unittest.TestCase):
+    """A stream has no gap and no repeat, and one that breaks never looks whole."""
+
+    def test_resumed_elsewhere(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            after = request.headers.get("last-event-id")
+            if after is None:
+                await responder.send(create_events(0, 2) + b"id: 3\nda")
+                raise OSError
+            await responder.send(create_events(int(after) + 1, 5))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, endpoints=2)
+                status, _, body = await fleet.ask(HOST, "/stream/")
+                self.assertEqual((status, body), (200, create_events(0, 5)))
+
+        run_fleet(test)
+
+    def test_gap(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 1) + create_events(3, 4))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script, endpoints=2)
+                with self.assertRaises(RequestError):
+                    await fleet.ask(HOST, "/stream/")
+
+        run_fleet(test)
+
+    def test_end_within_an_event(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 1) + b"id: 2\ndata: t")
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                with self.assertRaises(RequestError):
+                    await fleet.ask(HOST, "/stream/")
+
+        run_fleet(test)
+
+    def test_caller_leaves(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 0))
+            await curio.sleep(30)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                pool = fleet.create_pool(HOST, CALLER_PORT)
+                headers = [("host", "x.example"), (REQUEST_ID, "q1")]
+                async with pool.request("POST", "/stream/", headers, b"") as response:
+                    await response.read_part()
+                await curio.sleep(0.3)
+                self.assertEqual(len(fleet.endpoints["e0"].cancelled), 1)
+
+        run_fleet(test)
+
+
+class RegionTest(unittest.TestCase):
+    """Requests cross regions once at most, and only where their homes allow it."""
+
+    async def _start(self, fleet, script, **changes):
+        await fleet.start_coordinators()
+        await fleet.put("10.1.0.1", create_configuration(1, **changes))
+        await fleet.start_gateway(HOST)
+        await fleet.start_gateway(OTHER)
+        await fleet.start_endpoint("e0", "b-1", script)
+
+    def test_forwarded_to_the_other_region(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await self._start(fleet, script)
+                await fleet.wait_ready(HOST)
+                status, _, body = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual((status, body), (200, b"ok"))
+                sent = fleet.endpoints["e0"].requests[-1].headers
+                self.assertFalse([each for each in sent if "mac" in each])
+
+        run_fleet(test)
+
+    def test_homes_bind(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await self._start(fleet, script, home_regions=["a"])
+                await curio.sleep(2)
+                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual(status, 503)
+                status, _, _ = await fleet.ask(OTHER, "/idempotent/")
+                self.assertEqual(status, 503)
+                self.assertEqual(fleet.endpoints["e0"].requests, [])
+
+        run_fleet(test)
+
+    def test_unsigned_request_is_not_taken_for_a_forwarded_one(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await self._start(fleet, script)
+                await fleet.wait_ready(OTHER)
+                pool = fleet.create_pool(OTHER, 7001)
+                headers = [("host", "x.example"), (REQUEST_ID, "q1")]
+                status, _, _ = await pool.fetch("POST", "/idempotent/", headers, b"x")
+                self.assertEqual(status, 403)
+                self.assertEqual(fleet.endpoints["e0"].requests, [])
+
+        run_fleet(test)
+
+
+class DrainTest(unittest.TestCase):
+    """A stopping gateway breaks off nothing that it has taken."""
+
+    def test_running_stream_ends(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 0))
+            await curio.sleep(1)
+            await responder.send(create_events(1, 1))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                asking = await curio.spawn(fleet.ask, HOST, "/stream/")
+                await curio.sleep(0.3)
+                await fleet.gateways[HOST].drain()
+                status, _, body = await asking.join()
+                self.assertEqual((status, body), (200, create_events(0, 1)))
+
+        run_fleet(test)
+
+    def test_new_stream_is_refused_after_the_notice(self):
+        async def script(endpoint, request, responder):
+            await curio.sleep(1)
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                pool = fleet.create_pool(HOST, CALLER_PORT)
+                headers = [("host", "x.example"), (REQUEST_ID, "q1")]
+                await pool.fetch("POST", "/idempotent/ready", headers, b"x")
+                asking = await curio.spawn(fleet.ask, HOST, "/idempotent/")
+                await curio.sleep(0.1)
+                draining = await curio.spawn(fleet.gateways[HOST].drain)
+                await curio.sleep(0.4)
+                status, answer, _ = await pool.fetch("POST", "/stream/", headers, b"x")
+                self.assertEqual(status, 503)
+                self.assertEqual(answer["buckthorndeal-verdict"], "not_run")
+                self.assertEqual((await asking.join())[0], 200)
+                await draining.join()
+
+        run_fleet(test)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -44,6 +44,53 @@
         result = self.run_with_server(scenario)
         self.assertEqual(result, (b"/a", b"body", 1))
 
+    def send_raw(self, data):
+        """Return the answer to raw bytes, and whether the connection was closed."""
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(data)
+            answer = b""
+            closed = False
+            while not closed:
+                part = await curio.ignore_after(0.3, stream.recv, 4096)
+                if part is None:
+                    break
+                answer += part
+                closed = not part
+            await stream.close()
+            return answer, closed
+
+        return self.run_with_server(scenario)
+
+    def test_ambiguous_framing_is_refused(self):
+        """Guards against requests that two servers would cut in different places."""
+        cases = {
+            "both lengths": b"content-length: 3\r\ntransfer-encoding: chunked\r\n",
+            "two lengths": b"content-length: 3\r\ncontent-length: 4\r\n",
+            "signed length": b"content-length: +3\r\n",
+            "list of lengths": b"content-length: 3, 4\r\n",
+            "space before colon": b"content-length : 3\r\n",
+            "unknown coding": b"transfer-encoding: gzip, chunked\r\n",
+            "bare carriage return": b"x: a\rb\r\n",
+        }
+        for name, header in cases.items():
+            data = b"POST / HTTP/1.1\r\nhost: a\r\n" + header + b"\r\n0\r\n\r\n"
+            with self.subTest(name):
+                answer, closed = self.send_raw(data)
+                self.assertRegex(answer[:12], rb"HTTP/1.1 (400|501)")
+                self.assertTrue(closed)
+                self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+
+    def test_malformed_chunks_are_refused(self):
+        """Guards against chunk sizes that are read in two ways."""
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        for size in (b"+3", b"-1", b"0x3", b"f" * 40, b"3 3"):
+            with self.subTest(size):
+                answer, closed = self.send_raw(head + size + b"\r\nabc\r\n0\r\n\r\n")
+                self.assertEqual(answer[:12], b"HTTP/1.1 400")
+                self.assertTrue(closed)
+
     def test_slow_header_client_gets_408_and_frees_its_task(self):
         """Guards against clients that hold a task by never ending their headers."""
 
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,342 @@
+"""Tests of the adapter to the users' platform and of its boundary."""
+
+import json
+import pathlib
+import re
+import sys
+import unittest
+
+import curio
+import h11
+
+from buckthorndeal.configuration import ConfigurationError, RequestKind
+from buckthorndeal.errors import RequestError
+from buckthorndeal.fleet import EndpointState
+from buckthorndeal.http_server import Request, Responder
+
+ROOT = pathlib.Path(__file__).parent.parent
+ADAPTER = ROOT / "platform"
+sys.path.append(str(ADAPTER))
+
+import controlapi  # noqa: E402
+import headnames  # noqa: E402
+import nodefile  # noqa: E402
+import routecodec  # noqa: E402
+
+# Names that only the adapter may know.
+WIRE_NAMES = re.compile(
+    r"x-(server-stamp|expect-instance|not-executed|server-load|cold-ms|kv-backup"
+    r"|prompt-prefix|deadline-ms|token-count|cache-hold|pin-ms|request-urgency)"
+    r"|kv-from|kv-fetch|node_file|target_latency_ms|gap_aim_ms|max_attempts_"
+    r"|path_prefix_|heartbeat_ms|cold_remaining_ms|internal_ports|loss_counted",
+    re.IGNORECASE,
+)
+MAX_ADAPTER_LINES = 1_500
+
+DOCUMENT = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Ficu.example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 800,
+            "priority": 1,
+            "split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 400,
+            "home_regions": ["gulf"],
+        }
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "health_path": "/health",
+            "max_connections": 370,
+            "protocol": "h1",
+            "tls": False,
+            "cold_start_s": 3.0,
+            "cold_per_s": 2.9,
+            "engine": {"slots": 64, "kv_capacity_tokens": 9000, "moves": True},
+        },
+        {"name": "s2", "max_connections": 110},
+    ],
+    "limits": {"max_body_bytes": 99, "idle_timeout_ms": 15000},
+}
+
+NODE = """
+node_name = "front-gulf-a-1"
+ip = "10.1.0.35"
+zone = "gulf-a"
+region = "gulf"
+internal_ports = [7660,7675]
+seeds = ["10.1.0.37:8146","10.2.0.29:8146"]
+bootstrap = true
+unknown_field = 1
+heartbeat_ms = 1200
+data_dir = "/data/x"
+[zones]
+gulf-a = "gulf"
+[listen]
+front = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+directory = "10.1.0.35:8143"
+[limits]
+max_fds = 8200
+[bounds]
+grace_s = 8
+budget_slack = 58
+"""
+
+
+def encode(**changes):
+    return json.dumps({**DOCUMENT, **changes}).encode()
+
+
+class BoundaryTest(unittest.TestCase):
+    """The platform's names stay in one small folder."""
+
+    def test_names(self):
+        for file in (ROOT / "buckthorndeal").rglob("*.py"):
+            found = WIRE_NAMES.search(file.read_text(encoding="utf-8"))
+            self.assertIsNone(found, f"{file}: {found}")
+
+    def test_size(self):
+        lines = sum(
+            len(file.read_text(encoding="utf-8").splitlines())
+            for file in ADAPTER.glob("*.py")
+        )
+        self.assertLess(lines, MAX_ADAPTER_LINES)
+
+    def test_module_names_hide_nothing(self):
+        names = {file.stem for file in ADAPTER.glob("*.py")}
+        self.assertFalse(names & set(sys.stdlib_module_names))
+        self.assertFalse((ADAPTER / "__init__.py").exists())
+
+
+class DocumentCodecTest(unittest.TestCase):
+    """The operator's document becomes typed fields, or is refused."""
+
+    def setUp(self):
+        self.codec = routecodec.DocumentCodec()
+
+    def test_fields(self):
+        configuration = self.codec.decode(encode())
+        route = configuration.routes[0]
+        self.assertIs(route.kind, RequestKind.STREAM)
+        self.assertEqual(route.host, "ficu.example")
+        self.assertEqual((route.timeout_s, route.latency_objective_s), (4.0, 0.8))
+        self.assertTrue(route.repeatable)
+        self.assertEqual(route.home_regions, frozenset({"gulf"}))
+        self.assertEqual(configuration.services[0].engine.kv_capacity_tokens, 9000)
+        self.assertEqual(configuration.limits.idle_timeout_s, 15.0)
+
+    def test_invalid(self):
+        route = DOCUMENT["routes"][0]
+        cases = {
+            "truncated": encode()[:-20],
+            "no time": encode(routes=[{**route, "timeout_ms": 0}]),
+            "same place": encode(routes=[route, {**route, "name": "r2"}]),
+            "unknown service": encode(
+                routes=[{**route, "split": None, "service": "s9"}]
+            ),
+            "no weight": encode(
+                routes=[{**route, "split": [{"service": "s1", "weight": 0}]}]
+            ),
+            "unknown kind": encode(routes=[{**route, "kind": "odd"}]),
+            "no service": encode(routes=[{**route, "split": None}]),
+            "version of another type": encode(version="7"),
+        }
+        for name, content in cases.items():
+            with self.subTest(name), self.assertRaises(ConfigurationError):
+                self.codec.decode(content)
+
+
+class HeadDialectTest(unittest.TestCase):
+    """Heads are read into typed fields; callers cannot set the gateway's headers."""
+
+    def setUp(self):
+        self.dialect = headnames.HeadDialect()
+
+    def test_call(self):
+        headers = {
+            "x-request-id": "q",
+            "x-deadline-ms": "4000",
+            "last-event-id": "12",
+            "x-model": "m",
+            "x-token-count": "1460,80",
+            "x-prompt-prefix": "5c1e:800, 91bd:410",
+        }
+        head = self.dialect.read_call(Request("POST", "/", headers))
+        self.assertEqual((head.timeout_s, head.resume_after), (4.0, 12))
+        self.assertEqual(
+            (head.prompt.tokens, head.prompt.max_output_tokens), (1460, 80)
+        )
+        self.assertEqual(head.prompt.parts[1].tokens, 410)
+
+    def test_malformed_call(self):
+        for name, value in (
+            ("x-deadline-ms", "-1"),
+            ("last-event-id", "x"),
+            ("x-token-count", "12"),
+        ):
+            headers = {"x-model": "m", "x-token-count": "1,2", name: value}
+            with self.subTest(name), self.assertRaises(RequestError):
+                self.dialect.read_call(Request("POST", "/", headers))
+
+    def test_gateway_headers_of_callers_are_dropped(self):
+        headers = {"kv-from": "x", "x-cache-hold": "h", "x-own": "kept"}
+        sent = dict(self.dialect.write_call(headers, 1.5, "i-1", None, None))
+        self.assertEqual(
+            sent,
+            {"x-own": "kept", "x-deadline-ms": "1500", "x-expect-instance": "i-1"},
+        )
+
+    def test_answer(self):
+        head = self.dialect.read_answer(
+            503, {"x-not-executed": "1", "x-server-load": "3,1,8"}
+        )
+        self.assertTrue(head.not_run)
+        self.assertFalse(head.authentic)
+        self.assertEqual(head.load.waiting, 1)
+        self.assertIsNone(self.dialect.read_answer(200, {"x-server-load": "3"}).load)
+
+    def test_retry_after_has_fractions(self):
+        self.assertEqual(self.dialect.format_retry_after(0.254), "0.26")
+
+
+class NodeFileTest(unittest.TestCase):
+    """The settings file is read into the product's settings."""
+
+    def setUp(self):
+        import tomllib
+
+        import msgspec
+
+        self.node = msgspec.convert(tomllib.loads(NODE), nodefile.NodeFile)
+
+    def test_gateway(self):
+        settings = nodefile.create_gateway_settings(self.node)
+        self.assertEqual(settings.listen.port, 8144)
+        self.assertEqual(settings.seeds[1].address, "10.2.0.29")
+        self.assertEqual(settings.seeds[1].port, settings.peer_listen.port)
+        self.assertEqual(settings.retry_budget.slack, 58)
+        self.assertLess(settings.drain_timeout_s, 8)
+
+    def test_coordinator(self):
+        settings = nodefile.create_coordinator_settings(self.node)
+        self.assertEqual(settings.api_listen.port, 8146)
+        self.assertTrue(settings.bootstrap)
+        self.assertEqual(settings.regions, {"gulf-a": "gulf"})
+
+
+class FakeService:
+    """Notes the calls of the interface."""
+
+    def __init__(self):
+        self.records = []
+        self.accepts = True
+
+    async def report_heartbeat(self, record):
+        self.records.append(record)
+        return self.accepts
+
+    async def report_leave(self, endpoint, incarnation):
+        self.records.append((endpoint, incarnation))
+        return self.accepts
+
+    async def choose_registrar(self, region, failure_domain):
+        return "10.1.0.9:8146"
+
+    async def choose_entry_hosts(self, name, region, failure_domain):
+        return []
+
+
+class BytesStream:
+    """Collects what is sent."""
+
+    def __init__(self):
+        self.sent = b""
+
+    async def sendall(self, data):
+        self.sent += data
+
+
+class ControlApiTest(unittest.TestCase):
+    """Heartbeats of other writers name no endpoint; all others are translated."""
+
+    HEARTBEAT = {
+        "service": "s1",
+        "address": "10.128.0.9:8080",
+        "zone": "gulf-a",
+        "version": "v1",
+        "slots": 64,
+        "state": "draining",
+        "cold_remaining_ms": 1500,
+        "sequence": 4,
+        "born": 1700000000000,
+        "remaining_ms": 2000,
+    }
+
+    def call(self, method, target, body=b"", service=None, directory=False):
+        service = service or FakeService()
+        handlers = controlapi.create_handlers(service, {"gulf-a": "gulf"})
+        stream = BytesStream()
+        connection = h11.Connection(h11.SERVER)
+        connection.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        connection.next_event()
+        request = Request(method, target, {}, body)
+        handler = handlers[1] if directory else handlers[0]
+        curio.run(handler, request, Responder(stream, connection))
+        return int(stream.sent.split()[1]), stream.sent, service
+
+    def test_heartbeat(self):
+        body = json.dumps(self.HEARTBEAT).encode()
+        status, sent, service = self.call("POST", "/instances/i-1/heartbeat", body)
+        self.assertEqual(status, 200)
+        self.assertIn(b'"heartbeat_address":"10.1.0.9:8146"', sent)
+        record = service.records[0]
+        self.assertIs(record.state, EndpointState.DRAINING)
+        self.assertEqual((record.region, record.incarnation), ("gulf", 1700000000000))
+        self.assertEqual((record.cold_s, record.leaves_in_s), (1.5, 2.0))
+
+    def test_heartbeat_that_may_not_be_acknowledged(self):
+        service = FakeService()
+        service.accepts = False
+        body = json.dumps(self.HEARTBEAT).encode()
+        status, _, _ = self.call("POST", "/instances/i/heartbeat", body, service)
+        self.assertEqual(status, 503)
+
+    def test_malformed_heartbeats(self):
+        for change in (
+            {"state": "odd"},
+            {"slots": "many"},
+            {"zone": "nowhere"},
+            {"address": "10.0.0.1"},
+            {"sequence": None},
+        ):
+            body = json.dumps({**self.HEARTBEAT, **change}).encode()
+            with self.subTest(change):
+                status, _, service = self.call("POST", "/instances/i/heartbeat", body)
+                self.assertEqual((status, service.records), (400, []))
+        status, _, _ = self.call("POST", "/instances/i/heartbeat", b"\xff\x00")
+        self.assertEqual(status, 400)
+
+    def test_leave_without_body(self):
+        status, _, service = self.call("POST", "/instances/i-1/leave")
+        self.assertEqual((status, service.records), (200, [("i-1", None)]))
+
+    def test_directory_without_entry_hosts(self):
+        status, _, _ = self.call("GET", "/resolve?name=x&region=gulf", directory=True)
+        self.assertEqual(status, 503)
+
+    def test_unknown_call(self):
+        self.assertEqual(self.call("GET", "/other")[0], 404)
