Serve sooner after all processes were down, and keep shared texts in one place

Ruled out: start-up time (0.25 s), missing capacity (slots were free). Change: opening a connection has a timeout of 0.35 s and retries after 0.15 s; a host that has just started lets requests wait for part of their objective; the keeper of a shared text is chosen by rendezvous hashing and a second copy costs.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -28,6 +28,8 @@
         Time without receiving anything after which the connection is given up.
     connect_timeout_s : float
         Time for the connection and its handshake.
+    open_timeout_s : float
+        Time for the connection alone; a host without power does not answer.
     backoff_min_s, backoff_max_s : float
         First and longest mean wait between attempts to connect.
     max_queued : int
@@ -39,6 +41,7 @@
     heartbeat_s: float = 1.0
     silence_s: float = 3.0
     connect_timeout_s: float = 3.0
+    open_timeout_s: float = 3.0
     backoff_min_s: float = 0.05
     backoff_max_s: float = 2.0
     max_queued: int = 1_000
--- a/buckthorndeal/fleet/_links.py
+++ b/buckthorndeal/fleet/_links.py
@@ -15,9 +15,10 @@
 LINK_OPTIONS = LinkOptions(
     heartbeat_s=0.8,
     silence_s=2.0,
-    connect_timeout_s=1.0,
+    connect_timeout_s=0.9,
+    open_timeout_s=0.35,
     backoff_min_s=0.05,
-    backoff_max_s=0.5,
+    backoff_max_s=0.15,
 )
 
 
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -12,7 +12,7 @@
 from buckthorndeal.fleet import EndpointRecord, create_endpoint_table
 from buckthorndeal.gateway._engine import PrefixCache
 from buckthorndeal.gateway._limits import RetryShare
-from buckthorndeal.gateway._loads import EndpointLoad, Ticket, get_capacity
+from buckthorndeal.gateway._loads import EndpointLoad, Ticket, get_cache_tokens
 from buckthorndeal.gateway._messages import (
     Call,
     Decision,
@@ -42,6 +42,13 @@
 # Share of the wanted connections of an endpoint that the hosts divide.
 CONNECTION_SHARE = 0.8
 COLD_SHARE = 0.9
+# Parts of the latency objective that a request waits at most: for room at an
+# endpoint, and on a host that has just started.
+WAITING_SHARE = 0.25
+STARTING_SHARE = 0.6
+STARTING_HEARTBEATS = 1.5
+# Later time that a second copy of a shared text costs, for each second of reading.
+COPY_WEIGHT = 1.5
 MAX_URGENCY = 9
 
 
@@ -121,6 +128,7 @@
         self._queues: dict[str, _Queue] = {}
         self._granted: dict[int, str] = {}
         self._heard_s = 0.0
+        self._started_s: float | None = None
 
     # What is known of the fleet
 
@@ -148,7 +156,7 @@
             before is not None and before.record.incarnation != record.incarnation
         )
         if load is None or restarted:
-            cache = PrefixCache(get_capacity(self._services.get(record.service)))
+            cache = PrefixCache(get_cache_tokens(self._services.get(record.service)))
             self._loads[record.endpoint] = EndpointLoad(entry, cache)
         else:
             load.entry = entry
@@ -184,7 +192,8 @@
             return self._take(dispatch, remote, now_s)
         if best is not None and best.predicted_s <= self._get_limit_s(call, now_s):
             return self._take(dispatch, best, now_s)
-        if best is None and candidates and self._may_wait(dispatch, now_s):
+        expected = bool(candidates) or self._is_starting(now_s)
+        if best is None and expected and self._may_wait(dispatch, now_s):
             queue = self._queues.setdefault(call.service, _Queue())
             queue.waiting[dispatch.ticket] = Waiting(dispatch, now_s)
             return None
@@ -323,6 +332,7 @@
         if service is None:
             return None
         hosts = len(self._fleet.region_hosts)
+        keeper = _find_keeper(call, candidates)
         best: _Local | None = None
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
@@ -331,8 +341,11 @@
             if not load.has_room(call, service, hosts, now_s):
                 continue
             predicted_s = load.predict_first_s(call, load.entry.record.slots, now_s)
-            if best is None or (cold, predicted_s) < (best.cold, best.predicted_s):
-                best = _Local(load, predicted_s, cold)
+            cost_s = predicted_s
+            if load is not keeper:
+                cost_s += _compute_copy_cost_s(load, call)
+            if best is None or (cold, cost_s) < (best.cold, best.cost_s):
+                best = _Local(load, predicted_s, cost_s, cold)
         return best
 
     def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
@@ -435,14 +448,27 @@
             call.route.latency_objective_s, call.deadline_s - call.arrived_s
         ) - min(spent_s, call.route.latency_objective_s / 2)
 
+    def _is_starting(self, now_s: float) -> bool:
+        """Return whether heartbeats of endpoints are still to come for the first time.
+
+        After a restart of all hosts each endpoint is heard of within a heartbeat.
+        """
+        if self._started_s is None:
+            self._started_s = now_s
+        interval_s = self._options.heartbeat_interval_s
+        return now_s - self._started_s < STARTING_HEARTBEATS * interval_s
+
     def _may_wait(self, dispatch: Dispatch, now_s: float) -> bool:
-        return now_s - dispatch.call.arrived_s < (
-            dispatch.call.route.latency_objective_s / 4
-        )
+        return now_s - dispatch.call.arrived_s < self._get_patience_s(dispatch, now_s)
 
     def _may_wait_on(self, waiting: Waiting, now_s: float) -> bool:
-        objective_s = waiting.dispatch.call.route.latency_objective_s
-        return now_s - waiting.since_s < objective_s / 4
+        patience_s = self._get_patience_s(waiting.dispatch, now_s)
+        return now_s - waiting.since_s < patience_s
+
+    def _get_patience_s(self, dispatch: Dispatch, now_s: float) -> float:
+        """Return how long a request waits for room or for the first endpoint."""
+        share = STARTING_SHARE if self._is_starting(now_s) else WAITING_SHARE
+        return dispatch.call.route.latency_objective_s * share
 
     def _refuse(self, call: Call, wait_s: float) -> Refusal:
         excess_s = wait_s - call.route.latency_objective_s / 2
@@ -469,9 +495,31 @@
 class _Local:
     load: EndpointLoad
     predicted_s: float
+    cost_s: float
     cold: bool
 
 
+def _find_keeper(call: Call, candidates: list[EndpointLoad]) -> EndpointLoad | None:
+    """Return the endpoint that keeps the shared text of a prompt, for all hosts."""
+    if call.prompt is None or call.prompt.shared_key is None or not candidates:
+        return None
+    names = {load.name: load.name for load in candidates}
+    chosen = choose_registrars(call.prompt.shared_key, names)[0]
+    return next(load for load in candidates if load.name == chosen)
+
+
+def _compute_copy_cost_s(load: EndpointLoad, call: Call) -> float:
+    """Return what one more copy of a shared text costs others.
+
+    It takes memory from other texts, which have to be read again, besides the time
+    of this request.
+    """
+    if call.prompt is None:
+        return 0.0
+    missing = call.prompt.shared_tokens - load.cache.count_cached(call.prompt)
+    return COPY_WEIGHT * max(0, missing) / load.speed.tokens_per_s
+
+
 @dataclass(frozen=True, slots=True)
 class _Remote:
     region: str
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -1,6 +1,8 @@
 """HTTP handlers of a gateway: callers, other entry hosts, readiness."""
 
-from buckthorndeal.configuration import RequestKind, Route, choose_service
+import curio
+
+from buckthorndeal.configuration import RequestKind, Route, RouteTable, choose_service
 from buckthorndeal.errors import AuthenticationError, RequestError
 from buckthorndeal.forwarding import (
     ForwardedRequest,
@@ -17,6 +19,8 @@
 
 # A host that has just started hears of the configuration within this time.
 NOT_READY_RETRY_S = 0.5
+STARTING_WAIT_S = 0.4
+STARTING_POLL_S = 0.05
 # The directory names another host already.
 DRAINING_RETRY_S = 0.1
 
@@ -73,7 +77,7 @@
         error: RequestError | None = None
         ended = False
         try:
-            call = self._create_call(request, forwarded, arrived_s)
+            call = await self._create_call(request, forwarded, arrived_s)
             request_id = call.request_id
             exchange = Exchange(self._context, call, request, responder)
             await exchange.run()
@@ -117,11 +121,11 @@
             total_ms=round(total_s * 1000),
         )
 
-    def _create_call(
+    async def _create_call(
         self, request: Request, forwarded: ForwardedRequest | None, arrived_s: float
     ) -> Call:
         head = self._context.dialect.read_call(request)
-        route = self._find_route(request)
+        route = await self._find_route(request)
         if self._context.refuses_streams and (
             forwarded is not None or route.kind is RequestKind.STREAM
         ):
@@ -146,8 +150,16 @@
             crossed=forwarded.crossed if forwarded is not None else False,
         )
 
-    def _find_route(self, request: Request) -> Route:
-        routes = self._context.routes
+    async def _wait_for_routes(self) -> RouteTable | None:
+        """Return the routes in force; a host that has just started waits for them."""
+        waited_s = 0.0
+        while self._context.routes is None and waited_s < STARTING_WAIT_S:
+            await curio.sleep(STARTING_POLL_S)
+            waited_s += STARTING_POLL_S
+        return self._context.routes
+
+    async def _find_route(self, request: Request) -> Route:
+        routes = await self._wait_for_routes()
         if routes is None:
             raise RequestError(
                 "not_ready",
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -16,6 +16,8 @@
 # other requests need the rest.
 MEMORY_SHARE = 0.9
 DEFAULT_CAPACITY_TOKENS = 1_000_000
+# Share of an engine's memory that is left for prompts of earlier requests.
+CACHE_SHARE = 0.6
 
 
 @dataclass(slots=True)
@@ -163,6 +165,11 @@
         return ticket
 
 
+def get_cache_tokens(service: ServiceDescription | None) -> int:
+    """Return the tokens of earlier prompts that an endpoint is expected to keep."""
+    return int(get_capacity(service) * CACHE_SHARE)
+
+
 def get_capacity(service: ServiceDescription | None) -> int:
     """Return the tokens that fit into an endpoint's memory."""
     if service is None or service.engine is None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -45,6 +45,16 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def shared_key(self) -> str | None:
+        """Key of the longest leading text that other requests may share."""
+        return self.parts[-2].key if len(self.parts) > 1 else None
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
 
 @dataclass(slots=True)
 class Call:
--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -224,7 +224,7 @@
         try:
             try:
                 async with curio.timeout_after(self._options.connect_timeout_s):
-                    stream = await self._transport.connect(self._address, self._port)
+                    stream = await self._open()
                     session, first = await self._handshake(stream)
             except (OSError, WireError, curio.TaskTimeout) as error:
                 return repr(error)
@@ -236,6 +236,14 @@
                 async with curio.disable_cancellation():
                     await stream.close()
 
+    async def _open(self) -> Stream:
+        # Curio does not let a timeout pass through the block of an outer one.
+        try:
+            async with curio.timeout_after(self._options.open_timeout_s):
+                return await self._transport.connect(self._address, self._port)
+        except curio.TaskTimeout:
+            raise ConnectionError("the host does not answer") from None
+
     async def _handshake(self, stream: Stream) -> tuple[Session, list[Message]]:
         client_nonce = secrets.token_bytes(NONCE_BYTES)
         await stream.sendall(create_hello(client_nonce))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -236,6 +236,40 @@
         self.assertIs(caught.exception.verdict, verdict)
 
 
+class DeadHostTransport:
+    """Transport to a host without power: a connection is never opened."""
+
+    def __init__(self):
+        self.attempts = 0
+
+    async def connect(self, address, port):
+        self.attempts += 1
+        await curio.sleep(LIMIT_S)
+
+
+class DeadHostTest(unittest.TestCase):
+    """Guards against a link that ends for good when a host does not answer."""
+
+    def test_link_goes_on_trying(self):
+        async def main():
+            transport = DeadHostTransport()
+            options = LinkOptions(
+                connect_timeout_s=LIMIT_S,
+                open_timeout_s=0.01,
+                backoff_min_s=0.001,
+                backoff_max_s=0.01,
+            )
+            link = create_peer_link(
+                transport, "a", 1, CODEC, KEYS, "own", options=options
+            )
+            await link.start()
+            while transport.attempts < 5:
+                await curio.sleep(0.01)
+            await link.close()
+
+        curio.run(curio.timeout_after, LIMIT_S, main)
+
+
 class SocketPeerTest(PeerCases, unittest.TestCase):
     """Links over sockets."""
 
