--- a/buckthorndeal/command_ctl.py
+++ b/buckthorndeal/command_ctl.py
@@ -19,6 +19,7 @@
     ChangeForbidden,
     ChangeInvalid,
 )
+from buckthorndeal.traces import format_trace, read_lines, select_trace
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["define_flags", "main", "run"]
@@ -35,6 +36,7 @@
   history [SECTION]       list accepted changes
   status                  list hosts and the revision in force on them
   rotate-key              replace the key in --key_file
+  trace ID FILE...        join the log lines of a request from several hosts
 """
 
 
@@ -206,9 +208,29 @@
         await client.close()
 
 
+def _trace(request_id: str, files: list[str]) -> int:
+    """Print the timeline of a request from the logs of several hosts."""
+    lines = []
+    for file in files:
+        try:
+            with open(file, encoding="utf-8", errors="replace") as stream:
+                lines.extend(read_lines(stream))
+        except OSError as error:
+            print(f"{file}: {error.strerror}", file=sys.stderr)
+            return EXIT_USAGE
+    trace = select_trace(lines, request_id)
+    if not any(line.fields.get("request_id") == request_id for line in trace):
+        print(f"no line names request {request_id}", file=sys.stderr)
+        return EXIT_REFUSED
+    print("\n".join(format_trace(trace, request_id)))
+    return 0
+
+
 def main(arguments: list[str]) -> int:
     """Run one command and return the exit status."""
     name, *rest = arguments[1:] or [""]
+    if name == "trace" and len(rest) > 1:
+        return _trace(rest[0], rest[1:])
     _, least, most = COMMANDS.get(name, (None, 0, 0))
     known = name in COMMANDS or name == "rotate-key"
     if not known or not least <= len(rest) <= most:
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -18,7 +18,7 @@
     Refusal,
     RegionHeard,
 )
-from buckthorndeal.logs import log_event
+from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.mailbox import Envelope, create_mailbox
 from buckthorndeal.metrics import Metrics
 
@@ -129,7 +129,9 @@
         waited_s = now_s - call.arrived_s
         self._metrics.count("decisions", kind=type(decision).__name__.lower())
         self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
-        log_event(
+        refused = isinstance(decision, Refusal)
+        write = log_event if refused else log_routine
+        write(
             "dispatch_decision",
             request_id=call.request_id,
             route=call.route.name,
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -52,6 +52,10 @@
         Whether any attempt has reached an endpoint.
     last_event : int or None
         Last event that was passed on.
+    first_s : float or None
+        When the first part of the answer was passed on.
+    longest_pause_s : float
+        Longest time between two parts of the answer.
     """
 
     runs: int = 0
@@ -62,6 +66,17 @@
     last_event: int | None = None
     events: int = 0
     reason: str = ""
+    first_s: float | None = None
+    last_s: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def note_answer(self, now_s: float) -> None:
+        """Note that a part of the answer is passed on."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_s)
+        self.last_s = now_s
 
 
 @dataclass(frozen=True)
@@ -236,6 +251,7 @@
         )
         failed = response.status >= SERVER_ERROR
         attempt.outcome = AttemptOutcome.SUCCEEDED
+        self.progress.note_answer(self._context.now())
         if failed and self._may_repeat_failure():
             self._fallback = answer
             self.progress.runs += 1
@@ -263,6 +279,7 @@
                 noted = True
                 await note_first_answer(self._context, attempt)
             if data:
+                self.progress.note_answer(self._context.now())
                 await self._start(attempt)
                 await self._responder.send(data)
             if fault is not None:
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -12,10 +12,10 @@
 )
 from buckthorndeal.gateway._attempt import VERDICT_HEADER
 from buckthorndeal.gateway._context import GatewayContext
-from buckthorndeal.gateway._exchange import Exchange
+from buckthorndeal.gateway._exchange import Exchange, Progress
 from buckthorndeal.gateway._messages import Call
 from buckthorndeal.http_server import Request, Responder
-from buckthorndeal.logs import log_event
+from buckthorndeal.logs import log_event, log_routine
 
 # A host that has just started hears of the configuration within this time.
 NOT_READY_RETRY_S = 0.5
@@ -108,7 +108,10 @@
         progress = exchange.progress if exchange is not None else None
         self._context.metrics.count("requests", outcome=outcome)
         self._context.metrics.observe("request_seconds", total_s)
-        log_event(
+        if progress is not None:
+            self._observe(progress, arrived_s)
+        write = log_event if outcome != "answered" else log_routine
+        write(
             "request_ended",
             request_id=request_id,
             outcome=outcome,
@@ -118,6 +121,8 @@
             begun=responder.started,
             runs=progress.runs if progress is not None else 0,
             events=progress.events if progress is not None else 0,
+            first_ms=_round_first(progress, arrived_s),
+            pause_ms=round(progress.longest_pause_s * 1000) if progress else 0,
             total_ms=round(total_s * 1000),
         )
 
@@ -172,9 +177,22 @@
             raise RequestError("not_found", 404, "no route matches")
         return route
 
+    def _observe(self, progress: Progress, arrived_s: float) -> None:
+        metrics = self._context.metrics
+        if progress.first_s is not None:
+            metrics.observe("first_answer_seconds", progress.first_s - arrived_s)
+            metrics.observe("longest_pause_seconds", progress.longest_pause_s)
+
     async def _respond_error(self, error: RequestError, responder: Responder) -> None:
         headers = [(VERDICT_HEADER, error.verdict.value)]
         if error.retry_after_s is not None:
             value = self._context.dialect.format_retry_after(error.retry_after_s)
             headers.append(("retry-after", value))
         await responder.respond_json(error.status, error.to_body(), headers)
+
+
+def _round_first(progress: Progress | None, arrived_s: float) -> int | None:
+    """Return the milliseconds until the answer began, or None if it did not."""
+    if progress is None or progress.first_s is None:
+        return None
+    return round((progress.first_s - arrived_s) * 1000)
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from glob import glob
 
-MODULE_TIMEOUT_S = 600
+MODULE_TIMEOUT_S = 240
 # Each module mostly waits for timers, so more run at once than there are cores.
 WORKERS_PER_CORE = 1.5
 # Modules that take longest start first.
--- a/tests/test_command_entry.py
+++ b/tests/test_command_entry.py
@@ -58,9 +58,11 @@
         process = subprocess.Popen(
             [*command, "--config", self.config],
             cwd=ROOT,
+            stdout=subprocess.PIPE,
             stderr=subprocess.PIPE,
             text=True,
         )
+        self.addCleanup(process.stdout.close)
         self.addCleanup(process.stderr.close)
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
@@ -109,7 +111,7 @@
     def test_sigterm_lets_a_stream_end_and_exits_with_0(self):
         """Guards against a restart that cuts off an answer."""
         process = self.start()
-        port = json.loads(process.stderr.readline())["port"]
+        port = json.loads(process.stdout.readline())["port"]
         answer = self.run_stream(process, port, signals=1)
         self.assertEqual(read_tokens(answer[2])[1], EXPECTED_TOKENS)
         self.assertEqual(process.wait(timeout=10), 0)
@@ -117,7 +119,7 @@
     def test_second_sigterm_ends_at_once(self):
         """Guards against a process that cannot be stopped while it drains."""
         process = self.start()
-        port = json.loads(process.stderr.readline())["port"]
+        port = json.loads(process.stdout.readline())["port"]
         with self.assertRaises(RequestError):
             self.run_stream(process, port, signals=2)
         self.assertEqual(process.wait(timeout=10), 128 + signal.SIGTERM)
@@ -137,7 +139,7 @@
             settings["listen"]["port"] = listener.getsockname()[1]
             self.config = self.write("entry.jsonc", json.dumps(settings))
             process = self.start()
-            _, output = process.communicate(timeout=20)
+            output, _ = process.communicate(timeout=20)
         self.assertEqual(process.returncode, 1)
         event = json.loads(output.splitlines()[-1])
         self.assertEqual(event["event"], "entry_failed")
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,84 @@
+"""Tests of the structured logs."""
+
+import json
+import logging
+import os
+import unittest
+
+from buckthorndeal import logs
+
+
+def create_record(event, routine=False, **fields):
+    record = logging.LogRecord("absl", logging.INFO, "", 0, event, (), None)
+    setattr(record, logs.EXTRA_FIELD, fields)
+    setattr(record, logs.ROUTINE_FIELD, routine)
+    return record
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    """The volume is bounded, and a failure is never what is left out first."""
+
+    def setUp(self):
+        self.now_s = 0.0
+        self.read_fd, write_fd = os.pipe()
+        os.set_blocking(write_fd, False)
+        os.set_blocking(self.read_fd, False)
+        self.addCleanup(os.close, self.read_fd)
+        self.addCleanup(os.close, write_fd)
+        self.handler = logs.BoundedHandler(
+            logs.LineWriter(write_fd), lambda: self.now_s
+        )
+        self.handler.setFormatter(logs.JsonFormatter("h1"))
+
+    def read(self):
+        data = b""
+        while True:
+            try:
+                data += os.read(self.read_fd, 1 << 20)
+            except BlockingIOError:
+                return [json.loads(line) for line in data.splitlines()]
+            self.handler._writer.flush()
+
+    def test_routine_lines_give_way(self):
+        for number in range(2000):
+            self.handler.emit(create_record("request_ended", True, number=number))
+        self.handler.emit(create_record("request_failed", request_id="q"))
+        lines = self.read()
+        limit = logs.ROUTINE_LINES_PER_S * logs.BURST_S
+        self.assertEqual(len(lines), limit + 1)
+        self.assertEqual(lines[-1]["request_id"], "q")
+
+    def test_left_out_lines_are_counted(self):
+        for _ in range(1000):
+            self.handler.emit(create_record("request_ended", True))
+        self.read()
+        self.now_s = logs.LEFT_OUT_INTERVAL_S
+        self.handler.emit(create_record("other"))
+        told = self.read()[-1]
+        self.assertEqual(told["event"], logs.LEFT_OUT_EVENT)
+        left = 1000 - logs.ROUTINE_LINES_PER_S * logs.BURST_S
+        self.assertEqual(told["counts"], {"request_ended": left})
+
+    def test_blocked_reader(self):
+        """Guards against a daemon that waits for the reader of its logs."""
+        for number in range(20_000):
+            self.now_s += 0.01
+            self.handler.emit(create_record("event", text="x" * 200, number=number))
+        lines = self.read()
+        self.assertLess(len(lines), 20_000)
+        self.assertEqual([line["number"] for line in lines], list(range(len(lines))))
+
+    def test_reader_that_is_gone(self):
+        os.close(self.read_fd)
+        self.read_fd = os.open(os.devnull, os.O_RDONLY)
+        self.handler.emit(create_record("event"))
+
+
+class FormatterTest(unittest.TestCase):
+    """A line is one JSON object, whatever the fields hold."""
+
+    def test_fields(self):
+        record = create_record("e", value={"a": 1}, text="two\nlines", odd=object())
+        line = logs.JsonFormatter("h1").format(record)
+        self.assertNotIn("\n", line)
+        self.assertEqual(json.loads(line)["value"], {"a": 1})
