Split the dispatcher and the fleet task, and play loads against the dispatcher

Change: the view of the fleet, the choice of a place and the task's messages are modules of their own; unused constants are gone. Tests play bursts, overload, cold and silent endpoints, regions, queues and retry budgets on an injected clock.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -20,14 +20,14 @@
 from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
 from buckthorndeal.coordinator._directory import count_homes
-from buckthorndeal.coordinator._fleet_task import (
+from buckthorndeal.coordinator._fleet_messages import (
     ClusterChanged,
     ControlHeard,
     EntryHeard,
-    FleetTask,
     HomesChanged,
     RecordRelayed,
 )
+from buckthorndeal.coordinator._fleet_task import FleetTask
 from buckthorndeal.coordinator._replica import ReplicaTask
 from buckthorndeal.coordinator._requests import ClusterState, ReadConfiguration
 from buckthorndeal.coordinator._service import CoordinatorService, _reply_content
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -7,6 +7,17 @@
 import curio
 
 from buckthorndeal.coordinator._directory import EntryView, choose_entry_hosts
+from buckthorndeal.coordinator._fleet_messages import (
+    ChooseEntryHosts,
+    ChooseRegistrar,
+    ClusterChanged,
+    ControlHeard,
+    EntryHeard,
+    HeartbeatReceived,
+    HomesChanged,
+    LeaveReceived,
+    RecordRelayed,
+)
 from buckthorndeal.coordinator._requests import ClusterState
 from buckthorndeal.coordinator._spread import Spread, spread_record
 from buckthorndeal.errors import PeerError
@@ -19,7 +30,6 @@
     EndpointState,
     EntryHost,
     EntryHosts,
-    EntryStatus,
     HostLinks,
     create_endpoint_table,
 )
@@ -36,75 +46,6 @@
 CONTROL_FORGET_S = 30.0
 
 
-@dataclass(frozen=True)
-class HeartbeatReceived:
-    """Ask: a heartbeat of an endpoint; True once it may be acknowledged."""
-
-    record: EndpointRecord
-
-
-@dataclass(frozen=True)
-class LeaveReceived:
-    """Ask: an endpoint leaves; True once it may be acknowledged."""
-
-    endpoint: str
-    incarnation: int | None
-
-
-@dataclass(frozen=True)
-class RecordRelayed:
-    """Ask: take a record that another coordinator received."""
-
-    record: EndpointRecord
-
-
-@dataclass(frozen=True)
-class EntryHeard:
-    """Notice: heartbeat of an entry host."""
-
-    channel: Channel
-    status: EntryStatus
-
-
-@dataclass(frozen=True)
-class ControlHeard:
-    """Notice: heartbeat of another coordinator."""
-
-    host: str
-    status: ControlStatus
-
-
-@dataclass(frozen=True)
-class ClusterChanged:
-    """Notice: the replicated state has changed."""
-
-    state: ClusterState
-
-
-@dataclass(frozen=True)
-class ChooseEntryHosts:
-    """Ask: entry hosts for a caller of a host name."""
-
-    name: str
-    region: str
-    failure_domain: str
-
-
-@dataclass(frozen=True)
-class HomesChanged:
-    """Notice: for each host name, how many routes have a region as a home."""
-
-    homes: Mapping[str, Mapping[str, int]]
-
-
-@dataclass(frozen=True)
-class ChooseRegistrar:
-    """Ask: API address of the coordinator nearest to an endpoint, or None."""
-
-    region: str
-    failure_domain: str
-
-
 @dataclass(eq=False)
 class _Entry:
     host: EntryHost
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -3,7 +3,7 @@
 import zlib
 
 from buckthorndeal.configuration import ConfigurationCodec
-from buckthorndeal.coordinator._fleet_task import (
+from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
     HeartbeatReceived,
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -77,7 +77,6 @@
     request: Request,
     decision: Grant | Forward,
     ticket: int,
-    first_timeout_s: float,
 ) -> AsyncIterator[Attempt]:
     """Send one attempt and yield it once the head of its answer has been checked.
 
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -16,6 +16,7 @@
 from buckthorndeal.gateway._control import AddSeeds, ControlTask, SetState
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
+from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.gateway._pools import create_pools
 from buckthorndeal.gateway._region_links import RegionTask
@@ -77,6 +78,7 @@
         dispatcher = Dispatcher(
             host,
             settings.region,
+            FleetView(host),
             DispatchOptions(
                 budget.share,
                 budget.slack,
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -94,9 +94,9 @@
         self, message: EndpointsHeard, envelope: Envelope, now_s: float
     ) -> None:
         for record in message.records:
-            self._dispatcher.hear(record, now_s)
+            self._dispatcher.view.hear(record, now_s)
         for endpoint in message.alive:
-            self._dispatcher.touch(endpoint, now_s)
+            self._dispatcher.view.touch(endpoint, now_s)
         await envelope.reply()
 
     @_handle.register
@@ -105,15 +105,15 @@
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
-        self._dispatcher.set_fleet(message)
+        self._dispatcher.view.set_fleet(message)
 
     @_handle.register
     async def _(self, message: DescribeLoad, envelope: Envelope, now_s: float) -> None:
-        await envelope.reply(self._dispatcher.describe_loads(now_s))
+        await envelope.reply(self._dispatcher.view.describe_loads(now_s))
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Use the services of a newer configuration."""
-        self._dispatcher.set_services(services)
+        self._dispatcher.view.set_services(services)
 
     async def _decide_waiting(self, now_s: float) -> None:
         for ticket, decision in self._dispatcher.take_ready(now_s):
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -5,19 +5,15 @@
 """
 
 import random
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from buckthorndeal.configuration import ServiceDescription
-from buckthorndeal.fleet import EndpointRecord, create_endpoint_table
-from buckthorndeal.gateway._engine import PrefixCache
+from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._limits import RetryShare
-from buckthorndeal.gateway._loads import EndpointLoad, Ticket, get_cache_tokens
+from buckthorndeal.gateway._loads import EndpointLoad, Ticket
 from buckthorndeal.gateway._messages import (
     Call,
     Decision,
     Dispatch,
-    FleetChanged,
     Forward,
     Grant,
     LoadReport,
@@ -25,13 +21,17 @@
     RefusalReason,
     RegionHeard,
 )
+from buckthorndeal.gateway._placing import (
+    LocalChoice,
+    RemoteChoice,
+    compute_copy_cost_s,
+    find_keeper,
+)
 from buckthorndeal.gateway._regions import RegionTable
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 from buckthorndeal.subsetting import choose_registrars
 
-# Heartbeats come every second or so; an endpoint is avoided after two lost ones.
-ENDPOINT_SILENCE_S = 3.0
 # What a request gains from another region, so that small differences don't move
 # work to a cold cache.
 FORWARD_MARGIN_S = 0.15
@@ -47,8 +47,6 @@
 WAITING_SHARE = 0.25
 STARTING_SHARE = 0.6
 STARTING_HEARTBEATS = 1.5
-# Later time that a second copy of a shared text costs, for each second of reading.
-COPY_WEIGHT = 1.5
 MAX_URGENCY = 9
 
 
@@ -98,6 +96,8 @@
     ----------
     host, region : str
         This host and its region.
+    view : FleetView
+        What the host knows of endpoints and entry hosts.
     options : DispatchOptions
         Shared limits.
     ejection : Ejection
@@ -110,6 +110,7 @@
         self,
         host: str,
         region: str,
+        view: FleetView,
         options: DispatchOptions,
         ejection: Ejection,
         rng: random.Random,
@@ -119,62 +120,21 @@
         self._options = options
         self._ejection = ejection
         self._rng = rng
-        self._table = create_endpoint_table()
-        self._loads: dict[str, EndpointLoad] = {}
-        self._services: Mapping[str, ServiceDescription] = {}
-        self._fleet = FleetChanged((host,), 1, frozenset())
+        self.view = view
         self._regions = RegionTable()
         self._budgets: dict[str, RetryShare] = {}
         self._queues: dict[str, _Queue] = {}
         self._granted: dict[int, str] = {}
-        self._heard_s = 0.0
         self._started_s: float | None = None
 
-    # What is known of the fleet
-
-    def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
-        """Use the services of a newer configuration."""
-        self._services = services
-
-    def set_fleet(self, message: FleetChanged) -> None:
-        """Use a newer list of entry hosts and evacuations."""
-        self._fleet = message
-
     def set_region(self, message: RegionHeard, now_s: float) -> None:
         """Use a newer load of another region."""
         self._regions.update(message, now_s)
 
-    def hear(self, record: EndpointRecord, now_s: float) -> None:
-        """Take a heartbeat."""
-        self._heard_s = now_s
-        before = self._table.get(record.endpoint)
-        if self._table.update(record, now_s) is None:
-            return
-        entry = self._table.get(record.endpoint)
-        load = self._loads.get(record.endpoint)
-        restarted = (
-            before is not None and before.record.incarnation != record.incarnation
-        )
-        if load is None or restarted:
-            cache = PrefixCache(get_cache_tokens(self._services.get(record.service)))
-            self._loads[record.endpoint] = EndpointLoad(entry, cache)
-        else:
-            load.entry = entry
-
-    def touch(self, endpoint: str, now_s: float) -> None:
-        """Note that an endpoint's last heartbeat was repeated."""
-        self._heard_s = now_s
-        self._table.touch(endpoint, now_s)
-
     def expire(self, silence_s: float, now_s: float) -> None:
-        """Forget endpoints that have been silent for long, while others are heard."""
-        if now_s - self._heard_s > ENDPOINT_SILENCE_S:
-            return
-        for record in self._table.expire(silence_s, now_s):
-            self._loads.pop(record.endpoint, None)
-            self._ejection.forget(record.endpoint)
-
-    # Requests
+        """Forget endpoints that have been silent for long."""
+        for endpoint in self.view.expire(silence_s, now_s):
+            self._ejection.forget(endpoint)
 
     def record_request(self, service: str, now_s: float) -> None:
         """Count a caller's request for the retry budget."""
@@ -204,7 +164,7 @@
 
     def start(self, ticket: int, report: LoadReport | None, now_s: float) -> None:
         """Note that the answer to an attempt has begun."""
-        load = self._loads.get(self._granted.get(ticket, ""))
+        load = self.view.loads.get(self._granted.get(ticket, ""))
         if load is None:
             return
         load.note_start(ticket, now_s)
@@ -216,7 +176,7 @@
         for queue in self._queues.values():
             queue.waiting.pop(ticket, None)
         endpoint = self._granted.pop(ticket, None)
-        load = self._loads.get(endpoint or "")
+        load = self.view.loads.get(endpoint or "")
         if load is None:
             return
         ended = load.remove(ticket)
@@ -230,10 +190,7 @@
             outcome,
             now_s - ended.granted_s,
         )
-        population = sum(
-            other.entry.record.service == record.service
-            for other in self._loads.values()
-        )
+        population = self.view.count_endpoints(record.service)
         self._ejection.observe(result, population, now_s)
 
     def take_ready(self, now_s: float) -> list[tuple[int, Decision]]:
@@ -261,59 +218,13 @@
         """Whether any request waits for room."""
         return any(queue.waiting for queue in self._queues.values())
 
-    def describe_loads(self, now_s: float) -> dict[str, tuple[float, int]]:
-        """Return the wait and the free places of each service of this region."""
-        found: dict[str, tuple[float, int]] = {}
-        for name, service in self._services.items():
-            loads = [
-                load
-                for load in self._loads.values()
-                if load.entry.record.service == name
-                and load.is_ready(now_s)
-                and not load.is_cold(now_s)
-                and not self._is_evacuated(load)
-                and now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
-            ]
-            if loads:
-                found[name] = self._describe_load(service, loads, now_s)
-        return found
-
-    def _describe_load(
-        self, service: ServiceDescription, loads: list[EndpointLoad], now_s: float
-    ) -> tuple[float, int]:
-        hosts = max(1, len(self._fleet.region_hosts))
-        waits = []
-        places = 0
-        for load in loads:
-            busy = load.inflight + load.count_others(now_s)
-            places += max(0, load.entry.record.slots - busy)
-            if service.engine is not None:
-                waits.append(load.speed.predict(load.count_queued_tokens(now_s)))
-            else:
-                over = max(0, busy + 1 - load.entry.record.slots)
-                slots = max(1, load.entry.record.slots)
-                waits.append(load.service_time_s * (1 + over / slots))
-        return min(waits), places // hosts
-
-    # Choice
-
     def _list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
         service = dispatch.call.service
         ready = [
             load
-            for load in self._loads.values()
-            if load.entry.record.service == service
-            and load.name not in dispatch.excluded
-            and load.is_ready(now_s)
-            and not self._is_evacuated(load)
+            for load in self.view.list_ready(service, now_s)
+            if load.name not in dispatch.excluded
         ]
-        if now_s - self._heard_s <= ENDPOINT_SILENCE_S:
-            heard = [
-                load
-                for load in ready
-                if now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
-            ]
-            ready = heard or ready
         ejected = self._ejection.list_excluded(
             service, now_s, dispatch.call.route.repeatable
         )
@@ -321,19 +232,16 @@
         fresh = [load for load in healthy if load.name not in dispatch.avoided]
         return fresh or healthy
 
-    def _is_evacuated(self, load: EndpointLoad) -> bool:
-        return load.entry.record.failure_domain in self._fleet.evacuated
-
     def _choose_local(
         self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
-    ) -> "_Local | None":
+    ) -> LocalChoice | None:
         call = dispatch.call
-        service = self._services.get(call.service)
+        service = self.view.services.get(call.service)
         if service is None:
             return None
-        hosts = len(self._fleet.region_hosts)
-        keeper = _find_keeper(call, candidates)
-        best: _Local | None = None
+        hosts = len(self.view.fleet.region_hosts)
+        keeper = find_keeper(call, candidates)
+        best: LocalChoice | None = None
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
             if cold and not self._may_use_cold(load, now_s):
@@ -343,21 +251,21 @@
             predicted_s = load.predict_first_s(call, load.entry.record.slots, now_s)
             cost_s = predicted_s
             if load is not keeper:
-                cost_s += _compute_copy_cost_s(load, call)
+                cost_s += compute_copy_cost_s(load, call)
             if best is None or (cold, cost_s) < (best.cold, best.cost_s):
-                best = _Local(load, predicted_s, cost_s, cold)
+                best = LocalChoice(load, predicted_s, cost_s, cold)
         return best
 
     def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
         """Return whether this host is the one that warms an endpoint up."""
-        hosts = dict.fromkeys((*self._fleet.region_hosts, self._host), "")
+        hosts = dict.fromkeys((*self.view.fleet.region_hosts, self._host), "")
         if choose_registrars(load.name, hosts)[0] != self._host:
             return False
         return load.spacing.is_due(now_s)
 
     def _choose_region(
-        self, dispatch: Dispatch, best: "_Local | None", now_s: float
-    ) -> "_Remote | None":
+        self, dispatch: Dispatch, best: LocalChoice | None, now_s: float
+    ) -> RemoteChoice | None:
         call = dispatch.call
         if call.hops:
             return None
@@ -372,25 +280,17 @@
             return found
         return None
 
-    def _find_region(self, dispatch: Dispatch, now_s: float) -> "_Remote | None":
+    def _find_region(self, dispatch: Dispatch, now_s: float) -> RemoteChoice | None:
         call = dispatch.call
         work_s = 0.0
         if call.prompt is not None:
-            work_s = call.prompt.tokens / self._get_speed(call.service)
+            work_s = call.prompt.tokens / self.view.get_speed(call.service)
         choice = self._regions.choose(
             call.service, call.route, dispatch.excluded, now_s
         )
         if choice is None:
             return None
-        return _Remote(choice.region, choice.host, choice.wait_s + work_s)
-
-    def _get_speed(self, service: str) -> float:
-        speeds = [
-            load.speed.tokens_per_s
-            for load in self._loads.values()
-            if load.entry.record.service == service
-        ]
-        return max(speeds, default=50_000.0)
+        return RemoteChoice(choice.region, choice.host, choice.wait_s + work_s)
 
     def _leave_region(self, dispatch: Dispatch, now_s: float) -> Decision:
         if not dispatch.call.hops:
@@ -402,22 +302,22 @@
         )
 
     def _take(
-        self, dispatch: Dispatch, choice: "_Local | _Remote", now_s: float
+        self, dispatch: Dispatch, choice: LocalChoice | RemoteChoice, now_s: float
     ) -> Decision:
         call = dispatch.call
         if dispatch.repeat:
             budget = self._get_budget(call.service)
-            if not budget.try_repeat(self._fleet.total_hosts, now_s):
+            if not budget.try_repeat(self.view.fleet.total_hosts, now_s):
                 retry_s = self._jitter(NO_ENDPOINT_RETRY_S)
                 return Refusal(RefusalReason.RETRY_BUDGET, retry_s)
-        if isinstance(choice, _Remote):
+        if isinstance(choice, RemoteChoice):
             self._regions.take(choice.region, call.service)
             return Forward(choice.region, choice.host, choice.predicted_s)
         return self._grant(dispatch, choice, now_s)
 
-    def _grant(self, dispatch: Dispatch, choice: "_Local", now_s: float) -> Grant:
+    def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
         call, load = dispatch.call, choice.load
-        service = self._services[call.service]
+        service = self.view.services[call.service]
         uncached = memory = 0
         if call.prompt is not None:
             uncached = call.prompt.tokens - load.cache.count_cached(call.prompt)
@@ -429,14 +329,12 @@
         if choice.cold:
             load.spacing.take(service.cold_rate_per_s * COLD_SHARE, now_s)
         self._ejection.start_probe(call.service, load.name, now_s)
-        hosts = max(1, len(self._fleet.region_hosts))
+        hosts = max(1, len(self.view.fleet.region_hosts))
         connections = max(2, int(service.max_connections * CONNECTION_SHARE) // hosts)
         urgency = min(MAX_URGENCY, call.route.priority)
         record = load.entry.record
         return Grant(record, urgency, choice.predicted_s, connections)
 
-    # Waiting and refusing
-
     def _get_limit_s(self, call: Call, now_s: float) -> float:
         """Return the longest predicted time to an answer that is worth starting.
 
@@ -489,39 +387,3 @@
             )
             self._budgets[service] = budget
         return budget
-
-
-@dataclass(frozen=True, slots=True)
-class _Local:
-    load: EndpointLoad
-    predicted_s: float
-    cost_s: float
-    cold: bool
-
-
-def _find_keeper(call: Call, candidates: list[EndpointLoad]) -> EndpointLoad | None:
-    """Return the endpoint that keeps the shared text of a prompt, for all hosts."""
-    if call.prompt is None or call.prompt.shared_key is None or not candidates:
-        return None
-    names = {load.name: load.name for load in candidates}
-    chosen = choose_registrars(call.prompt.shared_key, names)[0]
-    return next(load for load in candidates if load.name == chosen)
-
-
-def _compute_copy_cost_s(load: EndpointLoad, call: Call) -> float:
-    """Return what one more copy of a shared text costs others.
-
-    It takes memory from other texts, which have to be read again, besides the time
-    of this request.
-    """
-    if call.prompt is None:
-        return 0.0
-    missing = call.prompt.shared_tokens - load.cache.count_cached(call.prompt)
-    return COPY_WEIGHT * max(0, missing) / load.speed.tokens_per_s
-
-
-@dataclass(frozen=True, slots=True)
-class _Remote:
-    region: str
-    host: str
-    predicted_s: float
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -31,11 +31,6 @@
 SERVER_ERROR = 500
 # Attempts that endpoints refused; each takes a round trip.
 MAX_UNRUN_ATTEMPTS = 3
-# A repeatable request is given up on at an endpoint after this multiple of what
-# was expected, and tried at another.
-FIRST_ANSWER_FACTOR = 3.0
-MIN_FIRST_ANSWER_S = 0.5
-OBJECTIVE_FACTOR = 1.5
 
 
 @dataclass(eq=False)
@@ -149,7 +144,6 @@
                     self._request,
                     decision,
                     ticket,
-                    0.0,
                 ) as attempt:
                     if await self._use(attempt):
                         return
--- /dev/null
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -0,0 +1,138 @@
+"""What one entry host knows of its region's endpoints and of the fleet; no I/O."""
+
+from collections.abc import Mapping
+
+from buckthorndeal.configuration import ServiceDescription
+from buckthorndeal.fleet import EndpointRecord, create_endpoint_table
+from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
+from buckthorndeal.gateway._loads import EndpointLoad, get_cache_tokens
+from buckthorndeal.gateway._messages import FleetChanged
+
+# Heartbeats come every second or so; an endpoint is avoided after two lost ones.
+ENDPOINT_SILENCE_S = 3.0
+
+
+class FleetView:
+    """Endpoints with their loads, services and entry hosts.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    """
+
+    def __init__(self, host: str) -> None:
+        self._table = create_endpoint_table()
+        self._heard_s = 0.0
+        self.loads: dict[str, EndpointLoad] = {}
+        self.services: Mapping[str, ServiceDescription] = {}
+        self.fleet = FleetChanged((host,), 1, frozenset())
+
+    def list_ready(self, service: str, now_s: float) -> list[EndpointLoad]:
+        """Return the endpoints of a service that take new requests.
+
+        Silent ones are left out while others are heard; if all are silent, the
+        heartbeats themselves are missing and all are returned.
+        """
+        ready = [
+            load
+            for load in self.loads.values()
+            if load.entry.record.service == service
+            and load.is_ready(now_s)
+            and not self._is_evacuated(load)
+        ]
+        if now_s - self._heard_s > ENDPOINT_SILENCE_S:
+            return ready
+        heard = [
+            load for load in ready if now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
+        ]
+        return heard or ready
+
+    def count_endpoints(self, service: str) -> int:
+        """Return how many endpoints of a service are known."""
+        return sum(load.entry.record.service == service for load in self.loads.values())
+
+    def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
+        """Use the services of a newer configuration."""
+        self.services = services
+
+    def set_fleet(self, message: FleetChanged) -> None:
+        """Use a newer list of entry hosts and evacuations."""
+        self.fleet = message
+
+    def hear(self, record: EndpointRecord, now_s: float) -> None:
+        """Take a heartbeat."""
+        self._heard_s = now_s
+        before = self._table.get(record.endpoint)
+        if self._table.update(record, now_s) is None:
+            return
+        entry = self._table.get(record.endpoint)
+        load = self.loads.get(record.endpoint)
+        restarted = (
+            before is not None and before.record.incarnation != record.incarnation
+        )
+        if load is None or restarted:
+            cache = PrefixCache(get_cache_tokens(self.services.get(record.service)))
+            self.loads[record.endpoint] = EndpointLoad(entry, cache)
+        else:
+            load.entry = entry
+
+    def touch(self, endpoint: str, now_s: float) -> None:
+        """Note that an endpoint's last heartbeat was repeated."""
+        self._heard_s = now_s
+        self._table.touch(endpoint, now_s)
+
+    def expire(self, silence_s: float, now_s: float) -> list[str]:
+        """Forget and return endpoints that are silent for long while others are not."""
+        if now_s - self._heard_s > ENDPOINT_SILENCE_S:
+            return []
+        gone = [record.endpoint for record in self._table.expire(silence_s, now_s)]
+        for endpoint in gone:
+            self.loads.pop(endpoint, None)
+        return gone
+
+    def get_speed(self, service: str) -> float:
+        """Return the highest reading speed of a service, in tokens a second."""
+        speeds = [
+            load.speed.tokens_per_s
+            for load in self.loads.values()
+            if load.entry.record.service == service
+        ]
+        return max(speeds, default=INITIAL_TOKENS_PER_S)
+
+    def describe_loads(self, now_s: float) -> dict[str, tuple[float, int]]:
+        """Return the wait and the free places of each service of this region."""
+        found: dict[str, tuple[float, int]] = {}
+        for name, service in self.services.items():
+            loads = [
+                load
+                for load in self.loads.values()
+                if load.entry.record.service == name
+                and load.is_ready(now_s)
+                and not load.is_cold(now_s)
+                and not self._is_evacuated(load)
+                and now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
+            ]
+            if loads:
+                found[name] = self._describe_load(service, loads, now_s)
+        return found
+
+    def _describe_load(
+        self, service: ServiceDescription, loads: list[EndpointLoad], now_s: float
+    ) -> tuple[float, int]:
+        hosts = max(1, len(self.fleet.region_hosts))
+        waits = []
+        places = 0
+        for load in loads:
+            busy = load.inflight + load.count_others(now_s)
+            places += max(0, load.entry.record.slots - busy)
+            if service.engine is not None:
+                waits.append(load.speed.predict(load.count_queued_tokens(now_s)))
+            else:
+                over = max(0, busy + 1 - load.entry.record.slots)
+                slots = max(1, load.entry.record.slots)
+                waits.append(load.service_time_s * (1 + over / slots))
+        return min(waits), places // hosts
+
+    def _is_evacuated(self, load: EndpointLoad) -> bool:
+        return load.entry.record.failure_domain in self.fleet.evacuated
--- /dev/null
+++ b/buckthorndeal/gateway/_placing.py
@@ -0,0 +1,50 @@
+"""Choices of a place for a request, and where shared texts are kept; no I/O."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.gateway._loads import EndpointLoad
+from buckthorndeal.gateway._messages import Call
+from buckthorndeal.subsetting import choose_registrars
+
+# Later time that a second copy of a shared text costs, for each second of reading.
+COPY_WEIGHT = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class LocalChoice:
+    """An endpoint of this region, and what sending a request there takes."""
+
+    load: EndpointLoad
+    predicted_s: float
+    cost_s: float
+    cold: bool
+
+
+def find_keeper(call: Call, candidates: list[EndpointLoad]) -> EndpointLoad | None:
+    """Return the endpoint that keeps the shared text of a prompt, for all hosts."""
+    if call.prompt is None or call.prompt.shared_key is None or not candidates:
+        return None
+    names = {load.name: load.name for load in candidates}
+    chosen = choose_registrars(call.prompt.shared_key, names)[0]
+    return next(load for load in candidates if load.name == chosen)
+
+
+def compute_copy_cost_s(load: EndpointLoad, call: Call) -> float:
+    """Return what one more copy of a shared text costs others.
+
+    It takes memory from other texts, which have to be read again, besides the time
+    of this request.
+    """
+    if call.prompt is None:
+        return 0.0
+    missing = call.prompt.shared_tokens - load.cache.count_cached(call.prompt)
+    return COPY_WEIGHT * max(0, missing) / load.speed.tokens_per_s
+
+
+@dataclass(frozen=True, slots=True)
+class RemoteChoice:
+    """An entry host of another region."""
+
+    region: str
+    host: str
+    predicted_s: float
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -161,10 +161,8 @@
 ):
     """Settings of the gateway daemon.
 
-    `seeds` are peer addresses of coordinators to contact first. `forward_port` is
-    the port at which entry hosts take requests and load reports from each other.
-    `cold_factor` and `cold_slack` say by how much all hosts together may exceed
-    the request rate of a cold endpoint in a second.
+    `seeds` are peer addresses of coordinators to contact first. `forward_listen` is
+    the address at which entry hosts take requests from each other.
     """
 
     host: Name
--- /dev/null
+++ b/tests/test_gateway_dispatcher.py
@@ -0,0 +1,323 @@
+"""Tests that play requests against the dispatcher, without a network."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from buckthorndeal.configuration import (
+    EngineDescription,
+    RequestKind,
+    Route,
+    ServiceDescription,
+    WeightedService,
+)
+from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
+from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._messages import (
+    Call,
+    Dispatch,
+    FleetChanged,
+    Forward,
+    Grant,
+    Prompt,
+    PromptPart,
+    Refusal,
+    RefusalReason,
+    RegionHeard,
+)
+from buckthorndeal.policy.ejection import create_ejection
+from buckthorndeal.policy.views import AttemptOutcome
+
+ENGINE = ServiceDescription("llm", "/h", 100, 3.0, 2.9, EngineDescription(64, 300_000))
+DESK = ServiceDescription("desk", "/h", 100)
+ROUTE = Route(
+    "r",
+    "x",
+    "/",
+    RequestKind.STREAM,
+    4.0,
+    0.8,
+    1,
+    (WeightedService("llm", 1),),
+)
+
+
+class Game:
+    """A dispatcher of region ``a`` on an injected clock."""
+
+    def __init__(self, endpoints=3, service="llm", slots=64, **options):
+        self.now_s = 100.0
+        self.dispatcher = Dispatcher(
+            "h1",
+            "a",
+            FleetView("h1"),
+            DispatchOptions(**options),
+            create_ejection(),
+            random.Random(1),
+        )
+        self.view = self.dispatcher.view
+        self.view.set_services({"llm": ENGINE, "desk": DESK})
+        self.sequence = 0
+        self.ticket = 0
+        self.names = [f"e{number}" for number in range(endpoints)]
+        self.service = service
+        self.slots = slots
+        self.beat()
+        # Past the time in which a host waits for the first heartbeats.
+        self.dispatcher._is_starting(0.0)
+
+    def beat(self, names=None, **fields):
+        self.sequence += 1
+        for name in names if names is not None else self.names:
+            values = {
+                "endpoint": name,
+                "incarnation": 1,
+                "sequence": self.sequence,
+                "service": self.service,
+                "region": "a",
+                "failure_domain": "a-1",
+                "address": f"10.0.0.{name[1:]}:80",
+                "slots": self.slots,
+                "state": EndpointState.READY,
+                **fields,
+            }
+            self.view.hear(EndpointRecord(**values), self.now_s)
+
+    def ask(self, prompt=None, route=ROUTE, hops=(), **fields):
+        self.ticket += 1
+        service = self.service
+        call = Call(
+            f"q{self.ticket}",
+            route,
+            service,
+            self.now_s,
+            self.now_s + route.timeout_s,
+            prompt,
+            hops=hops,
+        )
+        return self.dispatcher.submit(Dispatch(self.ticket, call, **fields), self.now_s)
+
+    def end(self, ticket, outcome=AttemptOutcome.SUCCEEDED):
+        self.dispatcher.finish(ticket, outcome, self.now_s)
+
+
+def create_prompt(text, number, tokens=1000):
+    parts = (
+        PromptPart("root", 2500),
+        PromptPart(f"text{text}", 3800),
+        PromptPart(f"own{number}", tokens),
+    )
+    return Prompt("m", 6300 + tokens, 50, parts)
+
+
+class PlacingTest(unittest.TestCase):
+    """Requests go where they wait least and where their text is kept."""
+
+    def test_shared_texts_stay_in_one_place(self):
+        """Light load: two hosts keep each text at the same single endpoint."""
+        places = {}
+        for host in range(2):
+            game = Game()
+            rng = random.Random(host)
+            for number in range(300):
+                text = rng.randrange(20)
+                decision = game.ask(create_prompt(text, number))
+                places.setdefault(text, set()).add(decision.endpoint.endpoint)
+                game.now_s += 0.2
+                game.beat()
+                game.dispatcher.start(game.ticket, None, game.now_s)
+                game.end(game.ticket)
+        self.assertEqual([len(each) for each in places.values()], [1] * 20)
+
+    def test_hot_text_overflows(self):
+        """A burst on one text is spread once its endpoint is busy."""
+        game = Game()
+        chosen = [game.ask(create_prompt(1, number)) for number in range(40)]
+        names = {each.endpoint.endpoint for each in chosen if isinstance(each, Grant)}
+        self.assertEqual(len(names), 3)
+
+    def test_backlog_stays_within_the_objective(self):
+        """Three times the capacity: what would come late is refused at once."""
+        game = Game(endpoints=1)
+        decisions = [game.ask(create_prompt(n, n)) for n in range(60)]
+        granted = [each for each in decisions if isinstance(each, Grant)]
+        refused = [each for each in decisions if isinstance(each, Refusal)]
+        self.assertTrue(granted)
+        self.assertTrue(refused)
+        for each in granted:
+            self.assertLessEqual(each.predicted_s, ROUTE.latency_objective_s)
+        for each in refused:
+            self.assertIs(each.reason, RefusalReason.OVERLOADED)
+            self.assertGreater(each.retry_after_s, 0)
+
+    def test_draining_silent_and_evacuated_endpoints(self):
+        game = Game()
+        game.beat(["e0"], state=EndpointState.DRAINING)
+        game.beat(["e1"], failure_domain="a-2")
+        game.view.set_fleet(FleetChanged(("h1",), 1, frozenset({"a-2"})))
+        for number in range(5):
+            chosen = game.ask(create_prompt(number, number))
+            self.assertEqual(chosen.endpoint.endpoint, "e2")
+
+    def test_silent_endpoint(self):
+        game = Game()
+        for _ in range(4):
+            game.now_s += 1
+            game.beat(["e0", "e1"])
+        names = {game.ask(create_prompt(n, n)).endpoint.endpoint for n in range(10)}
+        self.assertEqual(names, {"e0", "e1"})
+
+    def test_lost_coordinators_make_no_endpoint_silent(self):
+        """Guards against refusing all when only the heartbeats are missing."""
+        game = Game()
+        game.now_s += 20
+        self.assertIsInstance(game.ask(create_prompt(1, 1)), Grant)
+
+    def test_cold_endpoint_gets_few_requests_in_any_second(self):
+        game = Game(endpoints=1)
+        times = []
+        for _ in range(400):
+            game.now_s += 0.01
+            game.beat(cold_s=3.0)
+            if isinstance(game.ask(create_prompt(1, 1)), Grant):
+                times.append(game.now_s)
+        for start in times:
+            within = [each for each in times if start <= each < start + 1]
+            self.assertLessEqual(len(within), 3)
+        self.assertGreater(len(times), 5)
+
+    def test_only_one_host_warms_an_endpoint_up(self):
+        granted = 0
+        for host in ("h1", "h2", "h3"):
+            game = Game(endpoints=1)
+            game.dispatcher._host = host
+            hosts = FleetChanged(("h1", "h2", "h3"), 3, frozenset())
+            game.view.set_fleet(hosts)
+            game.beat(cold_s=3.0)
+            granted += isinstance(game.ask(create_prompt(1, 1)), Grant)
+        self.assertEqual(granted, 1)
+
+
+class RegionTest(unittest.TestCase):
+    """Another region is used when it answers sooner, and never against homes."""
+
+    def setUp(self):
+        self.game = Game(endpoints=1)
+        heard = RegionHeard("b", "h9", {"llm": 0.05}, {"llm": 5})
+        self.game.dispatcher.set_region(heard, self.game.now_s)
+
+    def fill(self, route=ROUTE, hops=()):
+        game = self.game
+        return [game.ask(create_prompt(n, n), route, hops) for n in range(40)]
+
+    def test_overflow_goes_to_the_other_region(self):
+        decisions = self.fill()
+        self.assertIsInstance(decisions[0], Grant)
+        self.assertTrue([each for each in decisions if isinstance(each, Forward)])
+
+    def test_a_request_crosses_once(self):
+        decisions = self.fill(hops=("h9",))
+        self.assertFalse([each for each in decisions if isinstance(each, Forward)])
+
+    def test_homes(self):
+        at_home = replace(ROUTE, home_regions=frozenset("a"))
+        decisions = self.fill(at_home)
+        self.assertFalse([each for each in decisions if isinstance(each, Forward)])
+        abroad = replace(ROUTE, home_regions=frozenset("b"))
+        self.assertIsInstance(self.game.ask(None, abroad), Forward)
+        unreached = replace(ROUTE, home_regions=frozenset("c"))
+        refusal = self.game.ask(None, unreached)
+        self.assertIs(refusal.reason, RefusalReason.HOME_UNREACHABLE)
+
+    def test_stale_load_is_not_used(self):
+        self.game.now_s += 3
+        self.game.beat()
+        decisions = self.fill()
+        self.assertFalse([each for each in decisions if isinstance(each, Forward)])
+
+
+class QueueTest(unittest.TestCase):
+    """Requests wait for a slot in order of urgency, and not for long."""
+
+    def create_game(self):
+        return Game(endpoints=1, service="desk", slots=3)
+
+    def test_urgent_first(self):
+        game = self.create_game()
+        calm = replace(ROUTE, priority=2, kind=RequestKind.IDEMPOTENT)
+        urgent = replace(calm, priority=0)
+        running = []
+        while isinstance(game.ask(None, calm), Grant):
+            running.append(game.ticket)
+        game.ask(None, urgent)
+        last = game.ticket
+        game.end(running[0])
+        decided = game.dispatcher.take_ready(game.now_s)
+        self.assertEqual([ticket for ticket, _ in decided], [last])
+
+    def test_waiting_ends_with_a_refusal(self):
+        game = self.create_game()
+        calm = replace(ROUTE, kind=RequestKind.IDEMPOTENT)
+        while isinstance(game.ask(None, calm), Grant):
+            pass
+        game.now_s += calm.latency_objective_s / 3
+        decided = game.dispatcher.take_ready(game.now_s)
+        self.assertIsInstance(decided[0][1], Refusal)
+
+    def test_withdrawn_request_is_forgotten(self):
+        game = self.create_game()
+        while isinstance(game.ask(None), Grant):
+            pass
+        game.dispatcher.finish(game.ticket, None, game.now_s)
+        self.assertFalse(game.dispatcher.has_waiting)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """All hosts together keep the budget of repeats in every window."""
+
+    def test_sum_over_hosts(self):
+        hosts, requests, window_s = 4, 200, 10.0
+        games = [
+            Game(retry_share=0.2, retry_slack=50.0, retry_window_s=window_s)
+            for _ in range(hosts)
+        ]
+        repeats = 0
+        for game in games:
+            names = tuple(f"h{n}" for n in range(hosts))
+            game.view.set_fleet(FleetChanged(names, hosts, frozenset()))
+            for number in range(requests):
+                game.dispatcher.record_request("llm", game.now_s)
+                decision = game.ask(create_prompt(number, number), repeat=True)
+                game.end(game.ticket)
+                if isinstance(decision, Refusal):
+                    self.assertIs(decision.reason, RefusalReason.RETRY_BUDGET)
+                repeats += isinstance(decision, Grant)
+        self.assertLessEqual(repeats, 0.2 * requests * hosts + 50)
+        self.assertGreater(repeats, 0.1 * requests * hosts)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Failures of requests keep an endpoint out, but never all of them."""
+
+    def test_failing_endpoint_is_avoided(self):
+        game = Game()
+        failing = None
+        for number in range(60):
+            decision = game.ask(create_prompt(number, number))
+            name = decision.endpoint.endpoint
+            failing = failing or name
+            bad = name == failing
+            outcome = AttemptOutcome.BROKEN if bad else AttemptOutcome.SUCCEEDED
+            game.end(game.ticket, outcome)
+        names = [
+            game.ask(create_prompt(n, n)).endpoint.endpoint for n in range(100, 110)
+        ]
+        self.assertNotIn(failing, names)
+
+    def test_last_endpoint_is_used_though_it_fails(self):
+        game = Game(endpoints=1)
+        for number in range(10):
+            decision = game.ask(create_prompt(number, number))
+            self.assertIsInstance(decision, Grant)
+            game.end(game.ticket, AttemptOutcome.BROKEN)
