--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -14,6 +14,7 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._exchange import Exchange, Progress
 from buckthorndeal.gateway._messages import Call
+from buckthorndeal.gateway.dialect import CallHead
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event, log_routine
 
@@ -77,8 +78,9 @@
         error: RequestError | None = None
         ended = False
         try:
-            call = await self._create_call(request, forwarded, arrived_s)
-            request_id = call.request_id
+            head = self._context.dialect.read_call(request)
+            request_id = head.request_id
+            call = await self._create_call(request, head, forwarded, arrived_s)
             exchange = Exchange(self._context, call, request, responder)
             await exchange.run()
             ended = True
@@ -127,9 +129,12 @@
         )
 
     async def _create_call(
-        self, request: Request, forwarded: ForwardedRequest | None, arrived_s: float
+        self,
+        request: Request,
+        head: CallHead,
+        forwarded: ForwardedRequest | None,
+        arrived_s: float,
     ) -> Call:
-        head = self._context.dialect.read_call(request)
         route = await self._find_route(request)
         if self._context.refuses_streams and (
             forwarded is not None or route.kind is RequestKind.STREAM
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import curio
 
 from buckthorndeal.errors import RequestError
+from buckthorndeal.logs import EXTRA_FIELD
 from tests.fleet_harness import (
     CALLER_PORT,
     REQUEST_ID,
@@ -155,6 +156,26 @@
         run_fleet(test)
 
 
+class LogTest(unittest.TestCase):
+    """Every refused request is found in the log by its id."""
+
+    def test_request_without_a_route(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                with self.assertLogs("absl") as logs:
+                    await fleet.ask(HOST, "/nothing/")
+                ended = [each for each in logs.records if each.msg == "request_ended"]
+                fields = getattr(ended[-1], EXTRA_FIELD)
+                self.assertEqual(fields["request_id"], "q1")
+                self.assertEqual(fields["outcome"], "not_found")
+
+        run_fleet(test)
+
+
 class StreamTest(unittest.TestCase):
     """A stream has no gap and no repeat, and one that breaks never looks whole."""
 
