Refuse a request at once that another region cannot answer in time

Change: another region is chosen only if the answer is expected before the deadline; the line of a decision tells the age of the heartbeat, and of a refusal what was considered. A test fails without it.

--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -151,6 +151,7 @@
             "chosen": record.endpoint,
             "address": record.address,
             "heartbeat": record.sequence,
+            "heartbeat_age_ms": round(decision.heard_age_s * 1000),
             "predicted_ms": round(decision.predicted_s * 1000),
         }
     if isinstance(decision, Forward):
@@ -164,5 +165,11 @@
             "chosen": None,
             "reason": decision.reason.value,
             "retry_after_ms": round(decision.retry_after_s * 1000),
+            "candidates": decision.candidates,
+            "predicted_ms": _round_ms(decision.predicted_s),
         }
     raise TypeError(f"unknown decision {decision!r}")
+
+
+def _round_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -159,8 +159,7 @@
             return None
         if best is None and not candidates:
             return Refusal(RefusalReason.NO_ENDPOINT, self._jitter(NO_ENDPOINT_RETRY_S))
-        wait_s = best.predicted_s if best else call.route.latency_objective_s
-        return self._refuse(call, wait_s)
+        return self._refuse(call, len(candidates), best)
 
     def start(self, ticket: int, report: LoadReport | None, now_s: float) -> None:
         """Note that the answer to an attempt has begun."""
@@ -200,10 +199,7 @@
             for ticket, waiting in queue.list_in_order():
                 del queue.waiting[ticket]
                 if not self._may_wait_on(waiting, now_s):
-                    refusal = self._refuse(
-                        waiting.dispatch.call,
-                        waiting.dispatch.call.route.latency_objective_s,
-                    )
+                    refusal = self._refuse(waiting.dispatch.call, 0, None)
                     decided.append((ticket, refusal))
                     continue
                 decision = self.submit(waiting.dispatch, now_s)
@@ -290,7 +286,10 @@
         )
         if choice is None:
             return None
-        return RemoteChoice(choice.region, choice.host, choice.wait_s + work_s)
+        predicted_s = choice.wait_s + work_s
+        if now_s + predicted_s > call.deadline_s:
+            return None
+        return RemoteChoice(choice.region, choice.host, predicted_s)
 
     def _leave_region(self, dispatch: Dispatch, now_s: float) -> Decision:
         if not dispatch.call.hops:
@@ -333,7 +332,8 @@
         connections = max(2, int(service.max_connections * CONNECTION_SHARE) // hosts)
         urgency = min(MAX_URGENCY, call.route.priority)
         record = load.entry.record
-        return Grant(record, urgency, choice.predicted_s, connections)
+        age_s = now_s - load.entry.heard_s
+        return Grant(record, urgency, choice.predicted_s, connections, age_s)
 
     def _get_limit_s(self, call: Call, now_s: float) -> float:
         """Return the longest predicted time to an answer that is worth starting.
@@ -368,11 +368,12 @@
         share = STARTING_SHARE if self._is_starting(now_s) else WAITING_SHARE
         return dispatch.call.route.latency_objective_s * share
 
-    def _refuse(self, call: Call, wait_s: float) -> Refusal:
-        excess_s = wait_s - call.route.latency_objective_s / 2
-        return Refusal(
-            RefusalReason.OVERLOADED, self._jitter(max(MIN_RETRY_AFTER_S, excess_s))
-        )
+    def _refuse(self, call: Call, candidates: int, best: LocalChoice | None) -> Refusal:
+        objective_s = call.route.latency_objective_s
+        wait_s = best.predicted_s if best else objective_s
+        retry_s = self._jitter(max(MIN_RETRY_AFTER_S, wait_s - objective_s / 2))
+        predicted_s = best.predicted_s if best else None
+        return Refusal(RefusalReason.OVERLOADED, retry_s, candidates, predicted_s)
 
     def _jitter(self, seconds: float) -> float:
         """Spread the return of callers that are refused together."""
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -100,6 +100,7 @@
     urgency: int
     predicted_s: float
     connections: int
+    heard_age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,10 +123,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Decision: refuse the request, which has not run in this attempt."""
+    """Decision: refuse the request, which has not run in this attempt.
+
+    Parameters
+    ----------
+    candidates : int
+        Endpoints of this region that were considered.
+    predicted_s : float or None
+        Time to the answer at the best of them that had room.
+    """
 
     reason: RefusalReason
     retry_after_s: float
+    candidates: int = 0
+    predicted_s: float | None = None
 
 
 Decision = Grant | Forward | Refusal
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -230,6 +230,11 @@
         refusal = self.game.ask(None, unreached)
         self.assertIs(refusal.reason, RefusalReason.HOME_UNREACHABLE)
 
+    def test_too_late_for_the_other_region(self):
+        """Guards against sending a request that cannot be answered in time."""
+        short = replace(ROUTE, timeout_s=0.2, home_regions=frozenset("b"))
+        self.assertIsInstance(self.game.ask(None, short), Refusal)
+
     def test_stale_load_is_not_used(self):
         self.game.now_s += 3
         self.game.beat()
