--- a/buckthorndeal/logs.py
+++ b/buckthorndeal/logs.py
@@ -9,6 +9,7 @@
 import collections
 import logging as stdlib_logging
 import os
+import stat
 import time
 from collections.abc import Callable
 
@@ -193,9 +194,13 @@
 def _open_nonblocking(fd: int) -> int:
     """Return a descriptor of the same file whose writes don't wait.
 
-    The mode belongs to the open file, which other processes may share, so the file
-    is opened once more where the system allows it.
+    The mode belongs to the open file, which other processes may share, so a pipe or
+    a terminal is opened once more where the system allows it. A regular file never
+    waits for a reader, and a second offset into it would overwrite what others write.
     """
+    mode = os.fstat(fd).st_mode
+    if stat.S_ISREG(mode):
+        return fd
     try:
         return os.open(f"/proc/self/fd/{fd}", os.O_WRONLY | os.O_APPEND | os.O_NONBLOCK)
     except OSError:
--- a/tests/control_harness.py
+++ b/tests/control_harness.py
@@ -73,6 +73,7 @@
                         f"--config={file}",
                     ],
                     cwd=ROOT,
+                    stdout=log,
                     stderr=log,
                     env={**os.environ, "PYTHONPATH": str(ROOT)},
                 )
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,6 +3,9 @@
 import json
 import logging
 import os
+import subprocess
+import sys
+import tempfile
 import unittest
 
 from buckthorndeal import logs
@@ -74,6 +77,25 @@
         self.handler.emit(create_record("event"))
 
 
+class FileTest(unittest.TestCase):
+    """Guards against lines that overwrite others in a plain file."""
+
+    def test_shared_file(self):
+        script = (
+            "import sys; from buckthorndeal.logs import *; configure_logging('h');"
+            "log_event('first'); print('a trace', file=sys.stderr, flush=True);"
+            "log_event('last')"
+        )
+        with tempfile.TemporaryFile() as file:
+            command = [sys.executable, "-c", script]
+            subprocess.run(command, stdout=file, stderr=file, check=True)
+            file.seek(0)
+            lines = file.read().decode().splitlines()
+        self.assertEqual(len(lines), 3)
+        self.assertEqual(lines[1], "a trace")
+        self.assertEqual(json.loads(lines[2])["event"], "last")
+
+
 class FormatterTest(unittest.TestCase):
     """A line is one JSON object, whatever the fields hold."""
 
