Run the gateway and coordinator commands through one function

Change: _command_daemon holds the flag, the settings, the reload on SIGHUP and the exit statuses; the commands name their daemon. Behaviour stays as it is; the programs of the platform don't use these commands.

--- a/buckthorndeal/command_coordinator.py
+++ b/buckthorndeal/command_coordinator.py
@@ -1,51 +1,29 @@
 """The command `buckthorndeal-coordinator`: runs one coordinator."""
 
-import sys
-
-import curio
-from absl import app, flags
-
-from buckthorndeal.coordinator import create_coordinator, create_own_handlers
-from buckthorndeal.daemons import run_daemon
-from buckthorndeal.errors import SettingsError, StartError, StoreError
-from buckthorndeal.logs import configure_logging, log_event
+from absl import app
+
+from buckthorndeal._command_daemon import define_flags, run_configured
+from buckthorndeal.coordinator import (
+    Coordinator,
+    create_coordinator,
+    create_own_handlers,
+)
 from buckthorndeal.routeformat import create_route_format
-from buckthorndeal.settings import CoordinatorSettings, load_settings
+from buckthorndeal.settings import CoordinatorSettings
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["define_flags", "main", "run"]
 
-EXIT_FAILURE = 1
-EXIT_SETTINGS = 2
-
-
-def define_flags() -> None:
-    """Define the flags of the command."""
-    flags.DEFINE_string("config", None, "Settings file.", required=True)
-
 
-def main(arguments: list[str]) -> int:
-    """Run until told to stop; return the exit status."""
-    config = flags.FLAGS.config
-    try:
-        settings = load_settings(config, CoordinatorSettings)
-    except SettingsError as error:
-        print(error, file=sys.stderr)
-        return EXIT_SETTINGS
-    configure_logging(settings.host)
-    daemon = create_coordinator(
+def _create(settings: CoordinatorSettings) -> Coordinator:
+    return create_coordinator(
         settings, create_socket_transport(), create_route_format(), create_own_handlers
     )
 
-    async def reload() -> None:
-        await daemon.reload(load_settings(config, CoordinatorSettings))
 
-    try:
-        curio.run(run_daemon, daemon, None, reload)
-    except (StartError, StoreError) as error:
-        log_event("coordinator_failed", reason=str(error))
-        return EXIT_FAILURE
-    return 0
+def main(arguments: list[str]) -> int:
+    """Run until told to stop; return the exit status."""
+    return run_configured("coordinator", CoordinatorSettings, _create)
 
 
 def run() -> None:
