Let the last host of the home regions serve on while it drains

Change: a draining host asks the directory's own choice whether callers are still sent to it, and takes them (new streams excepted) until drain_alone_s. The choice moves to the fleet package, as both sides use it.

Tests: a lone host of the home region serves after its notice (no connection without the change); the question by itself.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -6,7 +6,6 @@
 
 import curio
 
-from buckthorndeal.coordinator._directory import EntryView, choose_entry_hosts
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -30,7 +29,9 @@
     EndpointState,
     EntryHost,
     EntryHosts,
+    EntryView,
     HostLinks,
+    choose_entry_hosts,
     create_endpoint_table,
 )
 from buckthorndeal.logs import log_event
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -1,5 +1,11 @@
 """Soft state of endpoints, entry hosts and control hosts, and its messages."""
 
+from buckthorndeal.fleet._directory import (
+    EntryView,
+    choose_entry_hosts,
+    count_homes,
+    is_needed,
+)
 from buckthorndeal.fleet._endpoints import (
     EndpointEntry,
     EndpointTable,
@@ -50,6 +56,7 @@
     "EntryHosts",
     "EntryState",
     "EntryStatus",
+    "EntryView",
     "EvacuationReply",
     "FetchConfiguration",
     "HostLinks",
@@ -62,6 +69,9 @@
     "RelayEndpoint",
     "ServiceLoad",
     "Unavailable",
+    "choose_entry_hosts",
+    "count_homes",
     "create_endpoint_table",
     "create_host_links",
+    "is_needed",
 ]
--- a/buckthorndeal/coordinator/_directory.py
+++ b/buckthorndeal/fleet/_directory.py
@@ -1,10 +1,14 @@
-"""Choice of the entry hosts that a caller is told to use; no I/O."""
+"""Choice of the entry hosts that a caller is told to use; no I/O.
+
+Coordinators answer callers by it. A draining entry host asks it whether callers
+are still sent to this host.
+"""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from buckthorndeal.configuration import Configuration
-from buckthorndeal.fleet import EntryHost, EntryState
+from buckthorndeal.fleet._messages import EntryHost, EntryState
 
 MAX_ADDRESSES = 64
 
@@ -79,6 +83,32 @@
     return next((group for group in groups if group), [])[:MAX_ADDRESSES]
 
 
+def is_needed(
+    host: str,
+    entries: Iterable[EntryHost],
+    homes: Mapping[str, Mapping[str, int]],
+) -> bool:
+    """Return whether callers of any region are sent to a host that drains.
+
+    Parameters
+    ----------
+    host : str
+        The draining host.
+    entries : iterable of EntryHost
+        All entry hosts that are alive.
+    homes : mapping of str to mapping
+        Result of `count_homes`.
+    """
+    entries = list(entries)
+    views = [EntryView(entry, connected=True, silent_s=0.0) for entry in entries]
+    places = {(entry.region, entry.failure_domain) for entry in entries}
+    return any(
+        host in (entry.host for entry in choose_entry_hosts(views, *place, counts))
+        for place in places
+        for counts in homes.values()
+    )
+
+
 def _list_alive(views: list[EntryView]) -> list[EntryHost]:
     alive = [view for view in views if view.connected and view.silent_s < SILENCE_S]
     if not alive:
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import curio
 
@@ -11,9 +11,14 @@
     ConfigurationCodec,
     create_route_table,
 )
-from buckthorndeal.fleet import EntryState
+from buckthorndeal.fleet import EntryState, count_homes, is_needed
 from buckthorndeal.gateway._context import GatewayContext
-from buckthorndeal.gateway._control import AddSeeds, ControlTask, SetState
+from buckthorndeal.gateway._control import (
+    AddSeeds,
+    ControlTask,
+    ListEntryHosts,
+    SetState,
+)
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
 from buckthorndeal.gateway._fleet_view import FleetView
@@ -107,6 +112,7 @@
             now=clock,
             wall=time.time,
         )
+        self._homes: Mapping[str, Mapping[str, int]] = {}
         self._servers: list[HttpServer] = []
         self._ready_server: HttpServer | None = None
         self._tasks = curio.TaskGroup(wait=any)
@@ -140,8 +146,8 @@
         """Tell that this host leaves, and end when its requests have ended.
 
         Callers that know the host from an older answer of the directory are served
-        for the time of notice. After it, open connections get no new stream, which
-        might not end in time.
+        for the time of notice, and longer if there is no other host for them. After
+        the notice there is no new stream, which might not end in time.
         """
         started_s = self._clock()
         self._draining = True
@@ -151,6 +157,7 @@
             server.announce_drain()
         await curio.sleep(self._settings.drain_notice_s)
         self._context.refuses_streams = True
+        await self._wait_for_substitute(started_s + self._settings.drain_alone_s)
         await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
             await server.drain()
@@ -159,6 +166,18 @@
             log_event("gateway_drain_overdue", active=self._count_active())
         log_event("gateway_stopped", active=self._count_active())
 
+    async def _wait_for_substitute(self, until_s: float) -> None:
+        """Wait while callers with a home region are sent to no other host."""
+        alone = False
+        while self._clock() < until_s:
+            entries = await self._control.mailbox.ask(ListEntryHosts())
+            if not is_needed(self._context.host, entries, self._homes):
+                break
+            if not alone:
+                log_event("gateway_drain_alone", entry_hosts=len(entries))
+            alone = True
+            await curio.sleep(DRAIN_POLL_S)
+
     async def _wait_for_requests(self, until_s: float) -> bool:
         """Wait until no request is running; return False if the time is over."""
         while self._count_active():
@@ -198,6 +217,7 @@
         routes = create_route_table(configuration)
         self._dispatch.set_services(routes.services)
         self._context.routes = routes
+        self._homes = count_homes(configuration)
         told = configuration.limits
         limits = Limits(
             max_header_bytes=told.max_header_bytes,
--- a/tests/test_coordinator_directory.py
+++ b/tests/test_fleet_directory.py
@@ -8,12 +8,14 @@
     Route,
     WeightedService,
 )
-from buckthorndeal.coordinator._directory import (
+from buckthorndeal.fleet import (
+    EntryHost,
+    EntryState,
     EntryView,
     choose_entry_hosts,
     count_homes,
+    is_needed,
 )
-from buckthorndeal.fleet import EntryHost, EntryState
 
 
 def create_view(
@@ -96,3 +98,29 @@
         routes = (create(1, "ab"), create(2, "b"), create(3, ""), create(4, "a"))
         homes = count_homes(Configuration(1, routes))
         self.assertEqual(homes, {"x.example": {"a": 2, "b": 2}})
+
+
+class NeededTest(unittest.TestCase):
+    """A draining host knows whether callers are still sent to it."""
+
+    def check(self, *states, homes):
+        regions = ("a", "a", "b")
+        entries = [
+            create_view(f"h{number}", regions[number], f"{regions[number]}-1", state)
+            for number, state in enumerate(states)
+        ]
+        return is_needed("h0", [view.entry for view in entries], homes)
+
+    def test_last_host_of_the_home_regions(self):
+        states = (EntryState.DRAINING, EntryState.CLOSING, EntryState.READY)
+        self.assertTrue(self.check(*states, homes={"x": {"a": 1}}))
+
+    def test_other_host_of_the_home_regions(self):
+        states = (EntryState.DRAINING, EntryState.CLOSING, EntryState.READY)
+        self.assertFalse(self.check(*states, homes={"x": {"a": 1, "b": 1}}))
+        states = (EntryState.DRAINING, EntryState.READY, EntryState.READY)
+        self.assertFalse(self.check(*states, homes={"x": {"a": 1}}))
+
+    def test_no_homes(self):
+        states = (EntryState.DRAINING, EntryState.CLOSING, EntryState.READY)
+        self.assertFalse(self.check(*states, homes={}))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
 
 HOST = "10.1.0.9"
 OTHER = "10.2.0.9"
+SUBSTITUTE = "10.1.0.8"
 
 
 def create_events(first, last):
@@ -324,6 +325,24 @@
 
         run_fleet(test)
 
+    def test_last_host_of_the_home_regions_serves_on(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_gateway(OTHER)
+                await start(fleet, script, home_regions=["a"])
+                draining = await curio.spawn(fleet.gateways[HOST].drain)
+                # Far longer than the notice.
+                await curio.sleep(1)
+                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                self.assertEqual(status, 200)
+                await fleet.start_gateway(SUBSTITUTE)
+                await draining.join()
+
+        run_fleet(test)
+
     def test_new_stream_is_refused_after_the_notice(self):
         async def script(endpoint, request, responder):
             await curio.sleep(1)
