--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -50,7 +50,7 @@
         super().__init__(replica, machine, policy, send, clock, REPAIR_INTERVAL_S)
         self._publish_state = publish
         self._published: ClusterState | None = None
-        self._snapshot_version: int | None = None
+        self._snapshot_state: tuple[int | None, frozenset[str]] | None = None
 
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope) -> None:
@@ -87,8 +87,11 @@
     async def _(self, message: RemoveHost, envelope: Envelope) -> None:
         self._require_leader()
         now_s = self._clock()
-        change = may_leave(message.host, self._replica.list_members(now_s))
-        if change is not None and message.host != self._replica.identity.host:
+        change = None
+        # A leader that stops keeps its vote; the others elect a new one.
+        if message.host != self._replica.identity.host:
+            change = may_leave(message.host, self._replica.list_members(now_s))
+        if change is not None:
             try:
                 await self._process(self._replica.propose_membership(change, now_s))
             except MembershipChangeError as error:
@@ -98,13 +101,13 @@
         await envelope.reply(change is not None)
 
     def _is_compaction_due(self) -> bool:
-        """Return whether a restart would serve an older configuration.
+        """Return whether a restart would go by an older state.
 
         After a restart the snapshot is in force before a leader is elected.
         """
-        version = self._get_version()
-        if version != self._snapshot_version:
-            self._snapshot_version = version
+        state = (self._get_version(), self._machine.evacuated)
+        if state != self._snapshot_state:
+            self._snapshot_state = state
             return True
         return super()._is_compaction_due()
 
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -12,6 +12,7 @@
 )
 
 HOSTS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
+GATEWAY = "10.1.0.9"
 
 
 async def ignore(endpoint, request, responder):
@@ -60,6 +61,35 @@
                 await fleet.start_coordinator(host)
             self.assertEqual(await fleet.get(HOSTS[1]), content)
 
+    def test_evacuation_is_known_before_a_leader(self):
+        """A restarted host without a majority still tells of an evacuation."""
+        run_fleet(self._test_evacuation_is_known)
+
+    async def _test_evacuation_is_known(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put(HOSTS[0], create_configuration(5))
+            await fleet.start_gateway(GATEWAY)
+            await fleet.start_endpoint("e", "a-1", script)
+            await fleet.wait_ready(GATEWAY)
+            status = 503
+            while status == 503:
+                status, _ = await fleet.call_api(HOSTS[0], "PUT", "/v1/evacuations/a-1")
+            self.assertEqual(status, 200)
+            await fleet.gateways.pop(GATEWAY).close()
+            for host in HOSTS:
+                await fleet.stop_coordinator(host)
+            await fleet.start_coordinator(HOSTS[0])
+            await fleet.start_gateway(GATEWAY)
+            await curio.sleep(1.5)
+            status, _, body = await fleet.ask(GATEWAY, "/idempotent/")
+            self.assertEqual(status, 503)
+            self.assertNotIn(b"not_ready", body)
+            self.assertEqual(fleet.endpoints["e"].requests, [])
+
     def test_lost_disk(self):
         """A host that lost its disk gets a vote again, and nothing is lost."""
         run_fleet(self._test_lost_disk)
