Use the directory's lifetime of the settings, and drop what nothing reads

Both handlers of the directory had a lifetime of their own, so that the setting had no effect. Removed: the count of opened connections, the cold time of an answer's head, the last reason of a request's progress, a second comparison with 421, equal branches in the creation of errors, and the import of a private name.

--- a/buckthorndeal/coordinator/_api.py
+++ b/buckthorndeal/coordinator/_api.py
@@ -10,7 +10,6 @@
 from buckthorndeal.fleet import EndpointRecord, EndpointState
 from buckthorndeal.http_server import Handler, Request, Responder
 
-LIFETIME_S = 1.0
 RETRY_AFTER_S = 0.5
 
 
@@ -42,10 +41,13 @@
     ----------
     service : CoordinatorService
         Calls of the coordinator.
+    lifetime_s : float
+        How long callers may use an answer of the directory.
     """
 
-    def __init__(self, service: CoordinatorService) -> None:
+    def __init__(self, service: CoordinatorService, lifetime_s: float) -> None:
         self._service = service
+        self._lifetime_s = lifetime_s
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer endpoints and operators."""
@@ -66,7 +68,8 @@
             query.get("failure_domain", ""),
         )
         hosts = [entry.caller_address for entry in entries]
-        await responder.respond_json(200, {"hosts": hosts, "lifetime_s": LIFETIME_S})
+        body = {"hosts": hosts, "lifetime_s": self._lifetime_s}
+        await responder.respond_json(200, body)
 
     async def _handle(self, request: Request, responder: Responder) -> None:
         service = self._service
@@ -124,7 +127,9 @@
     await responder.respond_json(200, {})
 
 
-def create_own_handlers(service: CoordinatorService) -> tuple[Handler, Handler]:
+def create_own_handlers(
+    service: CoordinatorService, lifetime_s: float
+) -> tuple[Handler, Handler]:
     """Return the handlers of the API and of the directory."""
-    api = CoordinatorApi(service)
+    api = CoordinatorApi(service, lifetime_s)
     return api.handle, api.handle_directory
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -19,7 +19,6 @@
 )
 from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
-from buckthorndeal.coordinator._directory import count_homes
 from buckthorndeal.coordinator._fleet_messages import (
     ClusterChanged,
     ControlHeard,
@@ -30,7 +29,7 @@
 from buckthorndeal.coordinator._fleet_task import FleetTask
 from buckthorndeal.coordinator._replica import ReplicaTask
 from buckthorndeal.coordinator._requests import ClusterState, ReadConfiguration
-from buckthorndeal.coordinator._service import CoordinatorService, _reply_content
+from buckthorndeal.coordinator._service import CoordinatorService, create_content
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     FLEET_CODEC,
@@ -41,6 +40,7 @@
     FetchConfiguration,
     Received,
     RelayEndpoint,
+    count_homes,
     create_host_links,
 )
 from buckthorndeal.http_server import Handler, HttpServer, create_http_server
@@ -60,7 +60,7 @@
 HEARTBEAT_INTERVAL_S = 0.3
 JOIN_INTERVAL_S = 0.4
 
-CreateHandlers = Callable[[CoordinatorService], tuple[Handler, Handler]]
+CreateHandlers = Callable[[CoordinatorService, float], tuple[Handler, Handler]]
 
 
 def read_clock() -> float:
@@ -146,7 +146,9 @@
         await self._links.ensure(seed.address for seed in settings.seeds)
         await self._tasks.spawn(self._fleet.run)
         await self._tasks.spawn(self._run_replica)
-        api, directory_handler = self._create_handlers(self.service)
+        api, directory_handler = self._create_handlers(
+            self.service, self._settings.directory_lifetime_s
+        )
         await self._serve(api, settings.api_listen)
         await self._serve(directory_handler, settings.directory_listen)
         if settings.metrics_listen is not None:
@@ -289,9 +291,9 @@
 
     async def _fetch_configuration(self) -> Message:
         if self._replica is None:
-            return _reply_content(None)
+            return create_content(None)
         stored = await self._replica.mailbox.ask(ReadConfiguration(False))
-        return _reply_content(stored)
+        return create_content(stored)
 
 
 def create_coordinator(
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -183,7 +183,8 @@
     )
 
 
-def _reply_content(stored: PutConfiguration | None) -> ConfigurationContent:
+def create_content(stored: PutConfiguration | None) -> ConfigurationContent:
+    """Return the message that carries a stored configuration, or none."""
     if stored is None:
         return ConfigurationContent(None, b"")
     return ConfigurationContent(stored.version, stored.content)
@@ -203,5 +204,5 @@
     ProposeConfiguration: lambda answer: ConfigurationReply(answer.version),
     ProposeEvacuation: lambda answer: EvacuationReply(),
     LeaveCluster: lambda answer: Received(),
-    ReadConfirmed: _reply_content,
+    ReadConfirmed: create_content,
 }
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -23,7 +23,6 @@
 from buckthorndeal.policy.views import AttemptOutcome
 
 VERDICT_HEADER = "buckthorndeal-verdict"
-MISDIRECTED = 421
 
 
 class AttemptError(Exception):
@@ -196,7 +195,7 @@
             AttemptOutcome.REFUSED,
         )
     head = context.dialect.read_answer(response.status, response.headers)
-    if head.not_run or response.status == MISDIRECTED:
+    if head.not_run or head.other_endpoint:
         raise AttemptError(
             f"the endpoint answered {response.status} without running the request",
             Verdict.NOT_RUN,
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -60,7 +60,6 @@
     avoided: set[str] = field(default_factory=set)
     last_event: int | None = None
     events: int = 0
-    reason: str = ""
     first_s: float | None = None
     last_s: float = 0.0
     longest_pause_s: float = 0.0
@@ -193,11 +192,9 @@
         message: str,
         retry_after_s: float | None = None,
     ) -> RequestError:
-        if self.progress.runs:
-            status = 504 if status == 504 else 502
-            return RequestError(code, status, message, Verdict.MAY_HAVE_RUN)
-        if status == 504:
-            return RequestError(code, status, message, Verdict.MAY_HAVE_RUN)
+        if self.progress.runs or status == 504:
+            told = 504 if status == 504 else 502
+            return RequestError(code, told, message, Verdict.MAY_HAVE_RUN)
         return RequestError(
             code, status, message, Verdict.NOT_RUN, retry_after_s=retry_after_s
         )
@@ -212,7 +209,6 @@
         )
         progress.excluded.add(target)
         progress.arrived = progress.arrived or error.arrived
-        progress.reason = error.reason
         log_event(
             "attempt_failed",
             request_id=self._call.request_id,
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -47,8 +47,6 @@
         Whether the endpoint states that it has not run the request.
     other_endpoint : bool
         Whether another endpoint has the address now.
-    cold_s : float or None
-        How long the endpoint stays cold.
     """
 
     request_id: str | None
@@ -56,7 +54,6 @@
     not_run: bool
     other_endpoint: bool = False
     load: LoadReport | None = None
-    cold_s: float | None = None
 
 
 class Dialect(Protocol):
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -141,7 +141,6 @@
         self._closed = False
         self._connect_timeout_s = connect_timeout_s
         self._max_idle_s = max_idle_s
-        self.opened = 0
 
     @asynccontextmanager
     async def request(
@@ -227,7 +226,6 @@
                 Verdict.NOT_RUN,
                 retry_after_s=1.0,
             ) from error
-        self.opened += 1
         return _Connection(stream, _create_protocol())
 
     async def _is_stale(self, connection: _Connection) -> bool:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -288,7 +288,7 @@
 
     def call(self, method, target, body=b"", service=None, directory=False):
         service = service or FakeService()
-        handlers = controlapi.create_handlers(service, {"gulf-a": "gulf"})
+        handlers = controlapi.create_handlers(service, {"gulf-a": "gulf"}, 0.5)
         stream = BytesStream()
         connection = h11.Connection(h11.SERVER)
         connection.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
