Refuse waiting requests in time, also behind more urgent ones

Waiting requests were looked at in order of urgency up to the first without room, so those behind it were neither served nor refused: 448 callers waited until they gave up after 3.2 s. Ruled out: the time between regions (the host that took the request had it after 0.1 s) and the endpoints (no attempt was made).

Change: each waiting request is refused when its patience is over. A request that would wait longer than its patience, by the places that became free in the last second, is refused at once. Queueing moves to a module of its own.

Tests: a less urgent request behind a waiting one is refused in time (held without the change); at three times the capacity of a service ten times as many are refused at once as after waiting.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._limits import RetryShare
@@ -27,6 +27,7 @@
     compute_copy_cost_s,
     find_keeper,
 )
+from buckthorndeal.gateway._queue import Waiting, WaitingQueue
 from buckthorndeal.gateway._regions import RegionTable
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
@@ -50,14 +51,6 @@
 MAX_URGENCY = 9
 
 
-@dataclass(slots=True)
-class Waiting:
-    """A request that waits for room at an endpoint."""
-
-    dispatch: Dispatch
-    since_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class DispatchOptions:
     """Limits that all hosts keep together.
@@ -76,19 +69,6 @@
     heartbeat_interval_s: float = 1.0
 
 
-@dataclass(slots=True)
-class _Queue:
-    """Waiting requests of one service, most urgent first."""
-
-    waiting: dict[int, Waiting] = field(default_factory=dict)
-
-    def list_in_order(self) -> list[tuple[int, Waiting]]:
-        return sorted(
-            self.waiting.items(),
-            key=lambda item: (item[1].dispatch.call.route.priority, item[0]),
-        )
-
-
 class Dispatcher:
     """Decides for one entry host.
 
@@ -123,7 +103,7 @@
         self.view = view
         self._regions = RegionTable()
         self._budgets: dict[str, RetryShare] = {}
-        self._queues: dict[str, _Queue] = {}
+        self._queues: dict[str, WaitingQueue] = {}
         self._granted: dict[int, str] = {}
         self._started_s: float | None = None
 
@@ -142,6 +122,20 @@
 
     def submit(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Decide, or return None if the request has to wait for room."""
+        decision = self._decide(dispatch, now_s)
+        if decision is not None:
+            return decision
+        queue = self._queues.setdefault(dispatch.call.service, WaitingQueue())
+        waits_s = now_s - dispatch.call.arrived_s
+        if not self._is_starting(now_s):
+            waits_s += queue.predict_wait_s(dispatch, now_s)
+        if waits_s >= self._get_patience_s(dispatch, now_s):
+            return self._refuse(dispatch.call, 0, None)
+        queue.add(dispatch, now_s)
+        return None
+
+    def _decide(self, dispatch: Dispatch, now_s: float) -> Decision | None:
+        """Decide by what is known now; return None if there may be room soon."""
         call = dispatch.call
         if not call.route.may_run_in(self._region):
             return self._leave_region(dispatch, now_s)
@@ -150,16 +144,13 @@
         remote = self._choose_region(dispatch, best, now_s)
         if remote is not None:
             return self._take(dispatch, remote, now_s)
-        if best is not None and best.predicted_s <= self._get_limit_s(call, now_s):
-            return self._take(dispatch, best, now_s)
-        expected = bool(candidates) or self._is_starting(now_s)
-        if best is None and expected and self._may_wait(dispatch, now_s):
-            queue = self._queues.setdefault(call.service, _Queue())
-            queue.waiting[dispatch.ticket] = Waiting(dispatch, now_s)
+        if best is not None:
+            if best.predicted_s <= self._get_limit_s(call, now_s):
+                return self._take(dispatch, best, now_s)
+            return self._refuse(call, len(candidates), best)
+        if candidates or self._is_starting(now_s):
             return None
-        if best is None and not candidates:
-            return Refusal(RefusalReason.NO_ENDPOINT, self._jitter(NO_ENDPOINT_RETRY_S))
-        return self._refuse(call, len(candidates), best)
+        return Refusal(RefusalReason.NO_ENDPOINT, self._jitter(NO_ENDPOINT_RETRY_S))
 
     def start(self, ticket: int, report: LoadReport | None, now_s: float) -> None:
         """Note that the answer to an attempt has begun."""
@@ -173,12 +164,15 @@
     def finish(self, ticket: int, outcome: AttemptOutcome | None, now_s: float) -> None:
         """Note that an attempt has ended or was withdrawn."""
         for queue in self._queues.values():
-            queue.waiting.pop(ticket, None)
+            queue.remove(ticket)
         endpoint = self._granted.pop(ticket, None)
         load = self.view.loads.get(endpoint or "")
         if load is None:
             return
         ended = load.remove(ticket)
+        queue = self._queues.get(load.entry.record.service)
+        if queue is not None:
+            queue.note_end(now_s)
         if ended is None or outcome is None:
             return
         record = load.entry.record
@@ -196,23 +190,25 @@
         """Return the decisions for waiting requests that can be made now."""
         decided: list[tuple[int, Decision]] = []
         for queue in self._queues.values():
-            for ticket, waiting in queue.list_in_order():
-                del queue.waiting[ticket]
+            full = False
+            for waiting in queue.list_in_order():
+                decision = None
                 if not self._may_wait_on(waiting, now_s):
-                    refusal = self._refuse(waiting.dispatch.call, 0, None)
-                    decided.append((ticket, refusal))
-                    continue
-                decision = self.submit(waiting.dispatch, now_s)
-                if decision is None:
-                    queue.waiting[ticket] = waiting
-                    break
-                decided.append((ticket, decision))
+                    decision = self._refuse(waiting.dispatch.call, 0, None)
+                elif not full:
+                    decision = self._decide(waiting.dispatch, now_s)
+                    # Room goes to the most urgent request, however large it is.
+                    full = decision is None
+                if decision is not None:
+                    ticket = waiting.dispatch.ticket
+                    queue.remove(ticket)
+                    decided.append((ticket, decision))
         return decided
 
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for room."""
-        return any(queue.waiting for queue in self._queues.values())
+        return any(self._queues.values())
 
     def _list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
         service = dispatch.call.service
@@ -356,9 +352,6 @@
         interval_s = self._options.heartbeat_interval_s
         return now_s - self._started_s < STARTING_HEARTBEATS * interval_s
 
-    def _may_wait(self, dispatch: Dispatch, now_s: float) -> bool:
-        return now_s - dispatch.call.arrived_s < self._get_patience_s(dispatch, now_s)
-
     def _may_wait_on(self, waiting: Waiting, now_s: float) -> bool:
         patience_s = self._get_patience_s(waiting.dispatch, now_s)
         return now_s - waiting.since_s < patience_s
--- /dev/null
+++ b/buckthorndeal/gateway/_queue.py
@@ -0,0 +1,76 @@
+"""Requests of one service that wait for room at an endpoint; no I/O."""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+from buckthorndeal.gateway._messages import Dispatch
+
+# Time over which the places that become free are counted.
+RATE_WINDOW_S = 1.0
+# Places become free unevenly.
+WAIT_MARGIN = 1.3
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request that waits for room at an endpoint."""
+
+    dispatch: Dispatch
+    since_s: float
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Order of serving: by priority, then by arrival."""
+        return (self.dispatch.call.route.priority, self.dispatch.ticket)
+
+
+class WaitingQueue:
+    """Waiting requests, and how soon places become free for them."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, Waiting] = {}
+        self._ends: deque[float] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, dispatch: Dispatch, now_s: float) -> None:
+        """Let a request wait."""
+        self._waiting[dispatch.ticket] = Waiting(dispatch, now_s)
+
+    def remove(self, ticket: int) -> None:
+        """Forget a request; it is no error if it does not wait."""
+        self._waiting.pop(ticket, None)
+
+    def list_in_order(self) -> list[Waiting]:
+        """Return the waiting requests, most urgent first."""
+        return sorted(self._waiting.values(), key=lambda waiting: waiting.rank)
+
+    def note_end(self, now_s: float) -> None:
+        """Note that an attempt of the service has ended and its place is free."""
+        self._ends.append(now_s)
+        self._forget(now_s)
+
+    def predict_wait_s(self, dispatch: Dispatch, now_s: float) -> float:
+        """Return how long a new request would wait; 0 if nothing tells.
+
+        Parameters
+        ----------
+        dispatch : Dispatch
+            The request, which does not wait yet.
+        now_s : float
+            Clock reading.
+        """
+        self._forget(now_s)
+        rank = Waiting(dispatch, now_s).rank
+        ahead = sum(waiting.rank < rank for waiting in self._waiting.values())
+        if not ahead:
+            return 0.0
+        if not self._ends:
+            return math.inf
+        return WAIT_MARGIN * ahead * RATE_WINDOW_S / len(self._ends)
+
+    def _forget(self, now_s: float) -> None:
+        while self._ends and self._ends[0] < now_s - RATE_WINDOW_S:
+            self._ends.popleft()
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -270,6 +270,50 @@
         decided = game.dispatcher.take_ready(game.now_s)
         self.assertIsInstance(decided[0][1], Refusal)
 
+    def test_waiting_behind_more_urgent_ones_ends_too(self):
+        """Guards against holding less urgent requests until their callers leave."""
+        game = self.create_game()
+        calm = replace(ROUTE, priority=2, kind=RequestKind.IDEMPOTENT)
+        urgent = replace(calm, priority=0)
+        while isinstance(game.ask(None, calm), Grant):
+            pass
+        held = game.ticket
+        game.now_s += calm.latency_objective_s / 5
+        game.ask(None, urgent)
+        game.now_s += calm.latency_objective_s / 10
+        decided = dict(game.dispatcher.take_ready(game.now_s))
+        self.assertIsInstance(decided[held], Refusal)
+        self.assertEqual(list(decided), [held])
+
+    def test_full_queue_refuses_at_once(self):
+        """Three times the capacity: nobody waits for a place that won't come."""
+        game = self.create_game()
+        calm = replace(ROUTE, kind=RequestKind.IDEMPOTENT)
+        running, waiting, since = [], set(), {}
+        waits, refused_at_once = [], 0
+        for step in range(2000):
+            game.now_s += 0.005
+            if step % 20 == 0:
+                game.beat()
+            # Each place is free again after 50 ms: 80 requests a second.
+            while running and running[0][0] <= game.now_s - 0.05:
+                game.end(running.pop(0)[1])
+            for ticket, decision in game.dispatcher.take_ready(game.now_s):
+                waiting.discard(ticket)
+                if isinstance(decision, Grant):
+                    running.append((game.now_s, ticket))
+                else:
+                    waits.append(game.now_s - since[ticket])
+            decision = game.ask(None, calm) if step % 5 else None
+            if isinstance(decision, Grant):
+                running.append((game.now_s, game.ticket))
+            elif isinstance(decision, Refusal):
+                refused_at_once += 1
+            elif step % 5:
+                waiting.add(game.ticket)
+                since[game.ticket] = game.now_s
+        self.assertGreater(refused_at_once, 10 * len(waits))
+
     def test_withdrawn_request_is_forgotten(self):
         game = self.create_game()
         while isinstance(game.ask(None), Grant):
