Take streams for longer on a draining host that callers need

Each draining host refused them 1.7 s after its signal, needed or not. Ruled out: the endpoints (half of the places free) and the directory (it named the hosts).

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -146,8 +146,8 @@
         """Tell that this host leaves, and end when its requests have ended.
 
         Callers that know the host from an older answer of the directory are served
-        for the time of notice, and longer if there is no other host for them. After
-        the notice there is no new stream, which might not end in time.
+        for the time of notice, and longer if there is no other host for them; the
+        time for new streams ends sooner, as they might not end before the process.
         """
         started_s = self._clock()
         self._draining = True
@@ -156,8 +156,10 @@
         for server in self._servers:
             server.announce_drain()
         await curio.sleep(self._settings.drain_notice_s)
+        settings = self._settings
+        await self._wait_for_substitute(started_s + settings.drain_stream_s)
         self._context.refuses_streams = True
-        await self._wait_for_substitute(started_s + self._settings.drain_alone_s)
+        await self._wait_for_substitute(started_s + settings.drain_alone_s)
         await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
             await server.drain()
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -164,7 +164,8 @@
     `seeds` are peer addresses of coordinators to contact first. `forward_listen` is
     the address at which entry hosts take requests from each other. A draining host
     takes new callers for `drain_notice_s`, or for `drain_alone_s` while callers with
-    a home region are sent to no other host.
+    a home region are sent to no other host; new streams at most for
+    `drain_stream_s`.
     """
 
     host: Name
@@ -181,6 +182,7 @@
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
     drain_timeout_s: PositiveSeconds = 30.0
     drain_notice_s: PositiveSeconds = 3.0
+    drain_stream_s: PositiveSeconds = 8.0
     drain_alone_s: PositiveSeconds = 15.0
     max_connections: PositiveCount = 4096
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -327,7 +327,9 @@
 
     def test_last_host_of_the_home_regions_serves_on(self):
         async def script(endpoint, request, responder):
-            await endpoint.answer(request, responder)
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 1))
+            await responder.finish()
 
         async def test():
             async with Fleet() as fleet:
@@ -336,8 +338,9 @@
                 draining = await curio.spawn(fleet.gateways[HOST].drain)
                 # Far longer than the notice.
                 await curio.sleep(1)
-                status, _, _ = await fleet.ask(HOST, "/idempotent/")
-                self.assertEqual(status, 200)
+                for path in ("/idempotent/", "/stream/"):
+                    status, _, _ = await fleet.ask(HOST, path)
+                    self.assertEqual(status, 200)
                 await fleet.start_gateway(SUBSTITUTE)
                 await draining.join()
 
