Copy shared texts from their keeper instead of reading them again

A text that overflows to a second endpoint was read there in full, and on 31 hosts each host saw a text too rarely to know that its keeper has it, so predictions counted it as unread.

Change: an attempt away from the keeper names the keeper as the source of a copy, and the keeper is believed to have the text for all hosts.

Test: overflow names the keeper as its source, the keeper none.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -17,7 +17,7 @@
     Forward,
     Grant,
 )
-from buckthorndeal.gateway.dialect import AnswerHead
+from buckthorndeal.gateway.dialect import AnswerHead, Placement
 from buckthorndeal.http_client import ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
 from buckthorndeal.policy.views import AttemptOutcome
@@ -146,9 +146,11 @@
     kept = keep_end_to_end(request.headers)
     write = context.dialect.write_call
     if isinstance(decision, Grant):
-        endpoint = decision.endpoint.endpoint
-        return write(kept, remaining_s, endpoint, decision.urgency, call.resume_after)
-    headers = write(kept, remaining_s, None, None, call.resume_after)
+        placement = Placement(
+            decision.endpoint.endpoint, decision.urgency, decision.cache_source
+        )
+        return write(kept, remaining_s, placement, call.resume_after)
+    headers = write(kept, remaining_s, None, call.resume_after)
     return [*headers, *_sign(context, call, request, decision, ticket, remaining_s)]
 
 
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -25,6 +25,7 @@
     LocalChoice,
     RemoteChoice,
     compute_copy_cost_s,
+    count_unread,
     find_keeper,
 )
 from buckthorndeal.gateway._queue import Waiting, WaitingQueue
@@ -240,12 +241,14 @@
                 continue
             if not load.has_room(call, service, hosts, now_s):
                 continue
-            predicted_s = load.predict_first_s(call, load.entry.record.slots, now_s)
-            cost_s = predicted_s
+            unread = count_unread(load, call, keeper)
+            predicted_s = load.predict_first_s(call, unread, now_s)
+            cost_s, source = predicted_s, None
             if load is not keeper:
                 cost_s += compute_copy_cost_s(load, call)
+                source = keeper
             if best is None or (cold, cost_s) < (best.cold, best.cost_s):
-                best = LocalChoice(load, predicted_s, cost_s, cold)
+                best = LocalChoice(load, unread, predicted_s, cost_s, cold, source)
         return best
 
     def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
@@ -313,12 +316,11 @@
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
         call, load = dispatch.call, choice.load
         service = self.view.services[call.service]
-        uncached = memory = 0
+        memory = 0
         if call.prompt is not None:
-            uncached = call.prompt.tokens - load.cache.count_cached(call.prompt)
             memory = call.prompt.tokens + call.prompt.max_output_tokens
         queued = load.count_queued_tokens(now_s)
-        ticket = Ticket(call, load.name, now_s, uncached, queued, memory)
+        ticket = Ticket(call, load.name, now_s, choice.unread_tokens, queued, memory)
         load.add(dispatch.ticket, ticket)
         self._granted[dispatch.ticket] = load.name
         if choice.cold:
@@ -329,7 +331,8 @@
         urgency = min(MAX_URGENCY, call.route.priority)
         record = load.entry.record
         age_s = now_s - load.entry.heard_s
-        return Grant(record, urgency, choice.predicted_s, connections, age_s)
+        source = choice.source.entry.record.address if choice.source else None
+        return Grant(record, urgency, choice.predicted_s, connections, age_s, source)
 
     def _get_limit_s(self, call: Call, now_s: float) -> float:
         """Return the longest predicted time to an answer that is worth starting.
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -99,13 +99,13 @@
         self.reported_s = now_s
         self.own_at_report = self.inflight
 
-    def predict_first_s(self, call: Call, slots: int, now_s: float) -> float:
+    def predict_first_s(self, call: Call, unread_tokens: int, now_s: float) -> float:
         """Return the expected time until the answer begins."""
+        slots = self.entry.record.slots
         if call.prompt is None:
             waiting = self.inflight + self.count_others(now_s) + 1 - slots
             return self.service_time_s * (1 + max(0, waiting) / max(1, slots))
-        uncached = call.prompt.tokens - self.cache.count_cached(call.prompt)
-        return self.speed.predict(self.count_queued_tokens(now_s) + uncached)
+        return self.speed.predict(self.count_queued_tokens(now_s) + unread_tokens)
 
     def count_queued_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that the engine has still to read."""
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -94,13 +94,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Decision: send the request to an endpoint of this region."""
+    """Decision: send the request to an endpoint of this region.
+
+    Parameters
+    ----------
+    cache_source : str or None
+        Address of another endpoint, whose copy of the prompt's shared text this one
+        may fetch.
+    """
 
     endpoint: EndpointRecord
     urgency: int
     predicted_s: float
     connections: int
     heard_age_s: float = 0.0
+    cache_source: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_placing.py
+++ b/buckthorndeal/gateway/_placing.py
@@ -6,18 +6,29 @@
 from buckthorndeal.gateway._messages import Call
 from buckthorndeal.subsetting import choose_registrars
 
-# Later time that a second copy of a shared text costs, for each second of reading.
-COPY_WEIGHT = 1.5
+# Later time that a second copy of a shared text costs, for each second that reading
+# it takes. The copy itself is fetched, but it takes memory from other texts.
+COPY_WEIGHT = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class LocalChoice:
-    """An endpoint of this region, and what sending a request there takes."""
+    """An endpoint of this region, and what sending a request there takes.
+
+    Parameters
+    ----------
+    unread_tokens : int
+        Tokens of the prompt that the endpoint has to read.
+    source : EndpointLoad or None
+        Endpoint from which it can copy what it does not keep.
+    """
 
     load: EndpointLoad
+    unread_tokens: int
     predicted_s: float
     cost_s: float
     cold: bool
+    source: EndpointLoad | None = None
 
 
 def find_keeper(call: Call, candidates: list[EndpointLoad]) -> EndpointLoad | None:
@@ -29,11 +40,25 @@
     return next(load for load in candidates if load.name == chosen)
 
 
+def count_unread(load: EndpointLoad, call: Call, keeper: EndpointLoad | None) -> int:
+    """Return the tokens of a prompt that an endpoint has to read.
+
+    The keeper of the shared text has it for all hosts, although this host may not
+    have sent it there; others copy it from the keeper.
+    """
+    if call.prompt is None:
+        return 0
+    cached = load.cache.count_cached(call.prompt)
+    if keeper is not None:
+        cached = max(cached, call.prompt.shared_tokens)
+    return call.prompt.tokens - cached
+
+
 def compute_copy_cost_s(load: EndpointLoad, call: Call) -> float:
     """Return what one more copy of a shared text costs others.
 
-    It takes memory from other texts, which have to be read again, besides the time
-    of this request.
+    It takes memory from other texts, which have to be copied or read again, besides
+    the time of this request.
     """
     if call.prompt is None:
         return 0.0
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -56,6 +56,25 @@
     load: LoadReport | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """What an attempt tells the endpoint that was chosen for it.
+
+    Parameters
+    ----------
+    endpoint : str
+        Endpoint that must answer.
+    urgency : int
+        Rank at the endpoint, 0 for the most urgent.
+    cache_source : str or None
+        Address of an endpoint from which it may fetch the shared part of the prompt.
+    """
+
+    endpoint: str
+    urgency: int
+    cache_source: str | None = None
+
+
 class Dialect(Protocol):
     """Reads and writes the heads of requests and answers."""
 
@@ -66,8 +85,7 @@
         self,
         headers: dict[str, str],
         remaining_s: float,
-        endpoint: str | None,
-        urgency: int | None,
+        placement: Placement | None,
         resume_after: int | None,
     ) -> list[tuple[str, str]]:
         """Return the headers of an attempt.
@@ -78,10 +96,8 @@
             End-to-end headers of the caller.
         remaining_s : float
             Time until the deadline.
-        endpoint : str or None
-            Endpoint that must answer; None for another entry host.
-        urgency : int or None
-            Rank at the endpoint, 0 for the most urgent.
+        placement : Placement or None
+            What the endpoint is told; None for another entry host.
         resume_after : int or None
             Event after which a stream goes on.
         """
@@ -110,17 +126,17 @@
         self,
         headers: dict[str, str],
         remaining_s: float,
-        endpoint: str | None,
-        urgency: int | None,
+        placement: Placement | None,
         resume_after: int | None,
     ) -> list[tuple[str, str]]:
         """Return the headers of an attempt."""
         sent = dict(headers)
         sent[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
-        if endpoint is not None:
-            sent["buckthorndeal-endpoint"] = endpoint
-        if urgency is not None:
-            sent["buckthorndeal-urgency"] = str(urgency)
+        if placement is not None:
+            sent["buckthorndeal-endpoint"] = placement.endpoint
+            sent["buckthorndeal-urgency"] = str(placement.urgency)
+            if placement.cache_source is not None:
+                sent["buckthorndeal-cache-source"] = placement.cache_source
         if resume_after is not None:
             sent[RESUME_AFTER] = str(resume_after)
         return list(sent.items())
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -137,6 +137,16 @@
         names = {each.endpoint.endpoint for each in chosen if isinstance(each, Grant)}
         self.assertEqual(len(names), 3)
 
+    def test_overflow_copies_from_the_keeper(self):
+        """What overflows is not read again; the keeper itself copies from nobody."""
+        game = Game()
+        chosen = [game.ask(create_prompt(1, number)) for number in range(40)]
+        granted = [each for each in chosen if isinstance(each, Grant)]
+        keeper = granted[0].endpoint
+        for each in granted:
+            expected = None if each.endpoint == keeper else keeper.address
+            self.assertEqual(each.cache_source, expected)
+
     def test_backlog_stays_within_the_objective(self):
         """Three times the capacity: what would come late is refused at once."""
         game = Game(endpoints=1)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from buckthorndeal.configuration import ConfigurationError, RequestKind
 from buckthorndeal.errors import RequestError
 from buckthorndeal.fleet import EndpointState
+from buckthorndeal.gateway.dialect import Placement
 from buckthorndeal.http_server import Request, Responder
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -194,12 +195,20 @@
 
     def test_gateway_headers_of_callers_are_dropped(self):
         headers = {"kv-from": "x", "x-cache-hold": "h", "x-own": "kept"}
-        sent = dict(self.dialect.write_call(headers, 1.5, "i-1", None, None))
+        placement = Placement("i-1", 3)
+        sent = dict(self.dialect.write_call(headers, 1.5, placement, None))
         self.assertEqual(
             sent,
             {"x-own": "kept", "x-deadline-ms": "1500", "x-expect-instance": "i-1"},
         )
 
+    def test_copy_of_a_shared_text(self):
+        headers = {"x-model": "m", "kv-fetch": "10.9.9.9:80"}
+        placement = Placement("i-1", 3, "10.0.0.9:80")
+        sent = dict(self.dialect.write_call(headers, 1.5, placement, None))
+        self.assertEqual(sent["kv-fetch"], "10.0.0.9:80")
+        self.assertEqual(sent["x-request-urgency"], "3")
+
     def test_answer(self):
         head = self.dialect.read_answer(
             503, {"x-not-executed": "1", "x-server-load": "3,1,8"}
