Leave room in engines, by the requests of all hosts

Cause: reports count the requests of all hosts, but memory was estimated as the own requests times the number of hosts, and places were filled to the last one. With 12 hosts a report of 60 of 64 places let each of them send four more: answers began after 2 to 4 s where 0.6 s was predicted.

Change: an engine gets requests up to 0.65 of its places and memory; memory of other hosts' requests is their number times the mean. Reports hold for 2 s.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -232,14 +232,13 @@
         service = self.view.services.get(call.service)
         if service is None:
             return None
-        hosts = len(self.view.fleet.region_hosts)
         keeper = find_keeper(call, candidates)
         best: LocalChoice | None = None
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
             if cold and not self._may_use_cold(load, now_s):
                 continue
-            if not load.has_room(call, service, hosts, now_s):
+            if not load.has_room(call, service, now_s):
                 continue
             unread = count_unread(load, call, keeper)
             predicted_s = load.predict_first_s(call, unread, now_s)
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -9,12 +9,14 @@
 from buckthorndeal.gateway._messages import Call, LoadReport
 
 # A report says little about the load after this time.
-REPORT_LIFETIME_S = 1.0
+REPORT_LIFETIME_S = 2.0
 INITIAL_SERVICE_TIME_S = 0.05
 SERVICE_TIME_WEIGHT = 0.1
-# Share of an engine's memory that running requests may take; cached prompts of
-# other requests need the rest.
-MEMORY_SHARE = 0.9
+# Shares of an engine's places and memory that running requests may take. An engine
+# that is full evicts the prompts of earlier requests and delays every token, and
+# reports of it are never quite up to date.
+ENGINE_SLOT_SHARE = 0.65
+MEMORY_SHARE = 0.65
 DEFAULT_CAPACITY_TOKENS = 1_000_000
 # Share of an engine's memory that is left for prompts of earlier requests.
 CACHE_SHARE = 0.6
@@ -55,6 +57,7 @@
     memory_tokens: int = 0
     service_time_s: float = INITIAL_SERVICE_TIME_S
     mean_tokens: float = 0.0
+    mean_memory: float = 0.0
     report: LoadReport | None = None
     reported_s: float = 0.0
     own_at_report: int = 0
@@ -112,19 +115,20 @@
         others = self.count_others_queued(now_s) * self.mean_tokens
         return self.queued_tokens + others
 
-    def has_room(
-        self, call: Call, service: ServiceDescription, hosts: int, now_s: float
-    ) -> bool:
+    def has_room(self, call: Call, service: ServiceDescription, now_s: float) -> bool:
         """Return whether one more request gets a slot and memory soon."""
         slots = self.entry.record.slots
-        busy = self.inflight + self.count_others(now_s)
+        others = self.count_others(now_s)
+        busy = self.inflight + others
         if call.prompt is None:
             return busy < slots + max(1, slots // 3)
-        if busy >= slots:
+        if not busy:
+            return True
+        if busy >= slots * ENGINE_SLOT_SHARE:
             return False
-        capacity = get_capacity(service) * MEMORY_SHARE
+        taken = self.memory_tokens + others * self.mean_memory
         need = call.prompt.tokens + call.prompt.max_output_tokens
-        return self.memory_tokens * max(1, hosts) + need <= capacity or not busy
+        return taken + need <= get_capacity(service) * MEMORY_SHARE
 
     def add(self, number: int, ticket: Ticket) -> None:
         """Count an attempt that is about to be sent."""
@@ -135,6 +139,7 @@
         if ticket.call.prompt is not None:
             weight = SERVICE_TIME_WEIGHT
             self.mean_tokens += weight * (ticket.uncached_tokens - self.mean_tokens)
+            self.mean_memory += weight * (ticket.memory_tokens - self.mean_memory)
             self.cache.record(ticket.call.prompt)
 
     def note_start(self, number: int, now_s: float) -> None:
