Compare regions and endpoints with what running requests cost

Cause: places were compared by the time to the first token only, which stays short until an engine is nearly full. Tokens of its running streams come five times slower by then, and other regions were idle.

Change: a busy engine counts up to a second more in comparisons between endpoints and between regions, not in the prediction that decides on a refusal.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -242,12 +242,17 @@
                 continue
             unread = count_unread(load, call, keeper)
             predicted_s = load.predict_first_s(call, unread, now_s)
-            cost_s, source = predicted_s, None
+            effort_s = predicted_s
+            if call.prompt is not None:
+                effort_s += load.compute_crowding_s(now_s)
+            cost_s, source = effort_s, None
             if load is not keeper:
                 cost_s += compute_copy_cost_s(load, call)
                 source = keeper
             if best is None or (cold, cost_s) < (best.cold, best.cost_s):
-                best = LocalChoice(load, unread, predicted_s, cost_s, cold, source)
+                best = LocalChoice(
+                    load, unread, predicted_s, effort_s, cost_s, cold, source
+                )
         return best
 
     def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
@@ -263,7 +268,7 @@
         call = dispatch.call
         if call.hops:
             return None
-        local_s = best.predicted_s if best else None
+        local_s = best.effort_s if best else None
         if local_s is not None:
             if local_s < LOCAL_SHARE * call.route.latency_objective_s:
                 return None
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -127,7 +127,8 @@
             busy = load.inflight + load.count_others(now_s)
             places += max(0, load.entry.record.slots - busy)
             if service.engine is not None:
-                waits.append(load.speed.predict(load.count_queued_tokens(now_s)))
+                wait_s = load.speed.predict(load.count_queued_tokens(now_s))
+                waits.append(wait_s + load.compute_crowding_s(now_s))
             else:
                 over = max(0, busy + 1 - load.entry.record.slots)
                 slots = max(1, load.entry.record.slots)
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -17,6 +17,8 @@
 # reports of it are never quite up to date.
 ENGINE_SLOT_SHARE = 0.65
 MEMORY_SHARE = 0.65
+# Later time that a request at a full engine costs, as every token takes longer.
+FULL_ENGINE_S = 1.0
 DEFAULT_CAPACITY_TOKENS = 1_000_000
 # Share of an engine's memory that is left for prompts of earlier requests.
 CACHE_SHARE = 0.6
@@ -110,6 +112,11 @@
             return self.service_time_s * (1 + max(0, waiting) / max(1, slots))
         return self.speed.predict(self.count_queued_tokens(now_s) + unread_tokens)
 
+    def compute_crowding_s(self, now_s: float) -> float:
+        """Return what the running requests of an engine cost one more request."""
+        busy = self.inflight + self.count_others(now_s)
+        return FULL_ENGINE_S * busy / max(1, self.entry.record.slots)
+
     def count_queued_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that the engine has still to read."""
         others = self.count_others_queued(now_s) * self.mean_tokens
--- a/buckthorndeal/gateway/_placing.py
+++ b/buckthorndeal/gateway/_placing.py
@@ -19,6 +19,12 @@
     ----------
     unread_tokens : int
         Tokens of the prompt that the endpoint has to read.
+    predicted_s : float
+        Time until the answer begins.
+    effort_s : float
+        The same with what running requests cost, to compare regions by.
+    cost_s : float
+        The same with what a copy of a text costs others, to compare endpoints by.
     source : EndpointLoad or None
         Endpoint from which it can copy what it does not keep.
     """
@@ -26,6 +32,7 @@
     load: EndpointLoad
     unread_tokens: int
     predicted_s: float
+    effort_s: float
     cost_s: float
     cold: bool
     source: EndpointLoad | None = None
