Use more of an engine's places

Fewer running requests do not shorten pauses enough to make up for what is refused or sent away; 0.8 is taken.

--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -15,7 +15,7 @@
 # Shares of an engine's places and memory that running requests may take. An engine
 # that is full evicts the prompts of earlier requests and delays every token, and
 # reports of it are never quite up to date.
-ENGINE_SLOT_SHARE = 0.65
+ENGINE_SLOT_SHARE = 0.8
 MEMORY_SHARE = 0.65
 # Later time that a request at a full engine costs, as every token takes longer.
 FULL_ENGINE_S = 1.0
