Read the settings again when their file changes without a signal

A daemon looks at its settings file every 2 s, besides SIGHUP. A file that cannot be read leaves the settings in force and is tried again after its next change.

The tests found a fault: the SIGHUP handler was a lambda, from which curio's event returned a coroutine that nobody awaited when the signal came while a task ran. That reload was lost. The handler is a method now, as the one of SIGTERM.

--- a/buckthorndeal/_command_daemon.py
+++ b/buckthorndeal/_command_daemon.py
@@ -35,7 +35,7 @@
     model: type[SettingsT],
     create: Callable[[SettingsT], ReloadableDaemon],
 ) -> int:
-    """Run a daemon until told to stop; SIGHUP reads its settings file again.
+    """Run a daemon until told to stop; it reads its settings file again when told.
 
     Parameters
     ----------
@@ -64,7 +64,7 @@
         await daemon.reload(load_settings(config, model))
 
     try:
-        curio.run(run_daemon, daemon, None, reload)
+        curio.run(run_daemon, daemon, None, reload, config)
     except (StartError, StoreError) as error:
         log_event(f"{name}_failed", reason=str(error))
         return EXIT_FAILURE
--- a/buckthorndeal/daemons.py
+++ b/buckthorndeal/daemons.py
@@ -13,6 +13,7 @@
 __all__ = ["Daemon", "run_daemon"]
 
 KILLED_STATUS = 128 + signal.SIGTERM
+FILE_CHECK_INTERVAL_S = 2.0
 
 
 class Daemon(Protocol):
@@ -52,15 +53,38 @@
         self.event.set()
 
 
-class _ReloadSignal:
-    """Calls a function after each SIGHUP, one call at a time."""
+class _Reloader:
+    """Calls a function after each SIGHUP and each change of the settings file.
 
-    def __init__(self, reload: Reload) -> None:
+    Parameters
+    ----------
+    reload : callable
+        Coroutine function; one call runs at a time.
+    file : str or None
+        Settings file to watch.
+    """
+
+    def __init__(self, reload: Reload, file: str | None) -> None:
         self._reload = reload
+        self._file = file
+        self._state = _read_file_state(file)
         self._event = curio.UniversalEvent()
 
     def install(self) -> None:
-        signal.signal(signal.SIGHUP, lambda number, frame: self._event.set())
+        signal.signal(signal.SIGHUP, self._handle)
+
+    def _handle(self, number: int, frame: object) -> None:
+        self._event.set()
+
+    async def watch(self) -> None:
+        """Notice changes of the file that no signal tells of."""
+        while self._file is not None:
+            await curio.sleep(FILE_CHECK_INTERVAL_S)
+            state = _read_file_state(self._file)
+            if state != self._state:
+                self._state = state
+                log_event("settings_file_changed")
+                await self._event.set()
 
     async def run(self) -> None:
         while True:
@@ -75,10 +99,23 @@
                 log_event("reloaded")
 
 
+def _read_file_state(file: str | None) -> tuple[int, int, int] | None:
+    """Return what differs after a file was written; None if it cannot be read."""
+    if file is None:
+        return None
+    try:
+        found = os.stat(file)
+    except OSError:
+        # It may be about to be replaced; reading it tells if it is missing.
+        return None
+    return (found.st_mtime_ns, found.st_size, found.st_ino)
+
+
 async def run_daemon(
     daemon: Daemon,
     on_ready: Callable[[], None] | None = None,
     reload: Reload | None = None,
+    settings_file: str | None = None,
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain and close it.
 
@@ -93,6 +130,8 @@
         Called when the daemon serves.
     reload : callable or None
         Coroutine function called after SIGHUP.
+    settings_file : str or None
+        File whose change calls `reload` too.
 
     Raises
     ------
@@ -104,8 +143,8 @@
     signals = _DrainSignals()
     signals.install()
     if reload is not None:
-        reload_signal = _ReloadSignal(reload)
-        reload_signal.install()
+        reloader = _Reloader(reload, settings_file)
+        reloader.install()
     stopping = await curio.spawn(signals.event.wait)
     starting = await curio.spawn(daemon.start)
     try:
@@ -118,7 +157,8 @@
     if on_ready is not None:
         on_ready()
     if reload is not None:
-        await curio.spawn(reload_signal.run, daemon=True)
+        await curio.spawn(reloader.run, daemon=True)
+        await curio.spawn(reloader.watch, daemon=True)
     try:
         stopping = await curio.spawn(signals.event.wait)
         waiting = await curio.spawn(daemon.wait)
--- /dev/null
+++ b/tests/test_daemons.py
@@ -0,0 +1,119 @@
+"""Tests of running a daemon until it is told to end."""
+
+import os
+import signal
+import tempfile
+import unittest
+from unittest import mock
+
+import curio
+
+from buckthorndeal import daemons
+from buckthorndeal.errors import SettingsError
+
+HANG_TIMEOUT_S = 5
+
+
+class RecordingDaemon:
+    """Daemon that notes what it is told."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def start(self):
+        self.calls.append("start")
+
+    async def wait(self):
+        await curio.Event().wait()
+
+    async def drain(self):
+        self.calls.append("drain")
+
+    async def close(self):
+        self.calls.append("close")
+
+
+class RunTest(unittest.TestCase):
+    """Signals and changes of the settings file reach the daemon."""
+
+    def setUp(self):
+        numbers = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+        for number in numbers:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        patch = mock.patch.object(daemons, "FILE_CHECK_INTERVAL_S", 0.05)
+        patch.start()
+        self.addCleanup(patch.stop)
+        file = tempfile.NamedTemporaryFile()
+        self.addCleanup(file.close)
+        self.file = file.name
+
+    def run_daemon(self, act, reload):
+        """Run a daemon, act beside it, and end it by SIGTERM."""
+        daemon = RecordingDaemon()
+
+        async def main():
+            async with curio.timeout_after(HANG_TIMEOUT_S):
+                arguments = (daemon, None, reload, self.file)
+                running = await curio.spawn(daemons.run_daemon, *arguments)
+                await curio.sleep(0.2)
+                await act()
+                os.kill(os.getpid(), signal.SIGTERM)
+                await running.join()
+
+        curio.run(main)
+        return daemon.calls
+
+    def test_end_drains_and_closes(self):
+        async def act():
+            return
+
+        calls = self.run_daemon(act, None)
+        self.assertEqual(calls, ["start", "drain", "close"])
+
+    def test_signal_reloads(self):
+        reloaded = curio.Event()
+
+        async def reload():
+            await reloaded.set()
+
+        async def act():
+            os.kill(os.getpid(), signal.SIGHUP)
+            await reloaded.wait()
+
+        self.run_daemon(act, reload)
+        self.assertTrue(reloaded.is_set())
+
+    def test_changed_file_reloads_without_a_signal(self):
+        reloaded = curio.Event()
+
+        async def reload():
+            await reloaded.set()
+
+        async def act():
+            with open(self.file, "w", encoding="ascii") as file:
+                file.write("changed")
+            await reloaded.wait()
+
+        self.run_daemon(act, reload)
+        self.assertTrue(reloaded.is_set())
+
+    def test_unreadable_settings_are_tried_again(self):
+        """A file that is read half-written must not end the watching."""
+        attempts = []
+        reloaded = curio.Event()
+
+        async def reload():
+            attempts.append(1)
+            if len(attempts) == 1:
+                raise SettingsError("f", "$", None, "cut off")
+            await reloaded.set()
+
+        async def act():
+            for content in ("half", "the whole"):
+                with open(self.file, "w", encoding="ascii") as file:
+                    file.write(content)
+                await curio.sleep(0.3)
+            await reloaded.wait()
+
+        self.run_daemon(act, reload)
+        self.assertGreaterEqual(len(attempts), 2)
