Show loop lag, memory, lines left out, endpoints and retry shares as metrics

Gateways: endpoints of each service by condition, waiting requests, repeats and this host's part of the retry budget, version in force. Coordinators: version, voters, term, leadership, endpoints, entry hosts, other coordinators. Both: memory, delay of the loop, log lines left out.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -47,6 +47,7 @@
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.peers import Channel, create_peer_server
+from buckthorndeal.processmetrics import watch_process
 from buckthorndeal.replication import ConsensusReceived
 from buckthorndeal.settings import Address, CoordinatorSettings
 from buckthorndeal.statemachine import create_statemachine
@@ -59,6 +60,15 @@
 ELECTION_TIMEOUT_S = 0.9
 HEARTBEAT_INTERVAL_S = 0.3
 JOIN_INTERVAL_S = 0.4
+GAUGES = {
+    "configuration_version": "Version of the configuration in force.",
+    "voters": "Hosts that vote on changes.",
+    "term": "Term of the replicated log.",
+    "leads": "1 on the leader of the replicated log, 0 on the others.",
+    "endpoints": "Endpoints known.",
+    "entry_hosts": "Entry hosts with an open connection.",
+    "coordinators": "Other coordinators heard from of late.",
+}
 
 CreateHandlers = Callable[[CoordinatorService, float], tuple[Handler, Handler]]
 
@@ -117,9 +127,13 @@
             settings.failure_domain,
             f"{api.address}:{api.port}",
         )
-        self._fleet = FleetTask(own, self._links, settings.endpoint_silence_s, clock)
-        self.service = CoordinatorService(codec, self._links, self._fleet.mailbox)
         self.metrics = create_metrics()
+        for name, text in GAUGES.items():
+            self.metrics.describe(name, "gauge", text)
+        self._fleet = FleetTask(
+            own, self._links, settings.endpoint_silence_s, clock, self.metrics
+        )
+        self.service = CoordinatorService(codec, self._links, self._fleet.mailbox)
         self._create_handlers = create_handlers
         self._replica: ReplicaTask | None = None
         self._contacts = [seed.address for seed in settings.seeds]
@@ -146,6 +160,7 @@
         await self._links.ensure(seed.address for seed in settings.seeds)
         await self._tasks.spawn(self._fleet.run)
         await self._tasks.spawn(self._run_replica)
+        await self._tasks.spawn(watch_process, self.metrics)
         api, directory_handler = self._create_handlers(
             self.service, self._settings.directory_lifetime_s
         )
@@ -221,6 +236,7 @@
             self._send_frame,
             self._publish,
             self._clock,
+            self.metrics,
         )
         self._replica = task
         self.service.connect(task.mailbox)
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -36,6 +36,7 @@
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.metrics import Metrics
 from buckthorndeal.peers import Channel
 from buckthorndeal.wire import Message
 
@@ -76,6 +77,8 @@
         Time without heartbeats after which an endpoint is forgotten.
     clock : callable
         Returns monotonic seconds.
+    metrics : Metrics
+        Figures of the daemon.
     """
 
     def __init__(
@@ -84,12 +87,14 @@
         links: HostLinks,
         endpoint_silence_s: float,
         clock: Callable[[], float],
+        metrics: Metrics,
     ) -> None:
         self.mailbox = create_mailbox()
         self._own = own
         self._links = links
         self._endpoint_silence_s = endpoint_silence_s
         self._clock = clock
+        self._metrics = metrics
         self._endpoints = create_endpoint_table()
         self._entries: dict[str, _Entry] = {}
         self._controls: dict[str, _Control] = {}
@@ -394,6 +399,13 @@
         for host, control in list(self._controls.items()):
             if now_s - control.heard_s > CONTROL_FORGET_S and host not in members:
                 del self._controls[host]
+        self._record_state()
+
+    def _record_state(self) -> None:
+        connected = sum(view.connected for view in self._list_entry_views())
+        self._metrics.set_gauge("endpoints", len(self._endpoints.list_all()))
+        self._metrics.set_gauge("entry_hosts", connected)
+        self._metrics.set_gauge("coordinators", len(self._list_controls()))
 
     async def _send(self, entry: _Entry, message: Message) -> None:
         if not entry.channel.connected:
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -15,6 +15,7 @@
 from buckthorndeal.errors import MembershipChangeError, NotLeaderError
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope
+from buckthorndeal.metrics import Metrics
 from buckthorndeal.replication import LogTask, SendFrame
 from buckthorndeal.statemachine import (
     Answer,
@@ -36,6 +37,8 @@
     ----------
     publish : callable
         Coroutine function called with each new `ClusterState`.
+    metrics : Metrics
+        Figures of the daemon.
     """
 
     def __init__(
@@ -46,9 +49,11 @@
         send: SendFrame,
         publish: Publish,
         clock: Callable[[], float],
+        metrics: Metrics,
     ) -> None:
         super().__init__(replica, machine, policy, send, clock, REPAIR_INTERVAL_S)
         self._publish_state = publish
+        self._metrics = metrics
         self._published: ClusterState | None = None
         self._snapshot_state: tuple[int | None, frozenset[str]] | None = None
 
@@ -127,12 +132,15 @@
         del answer
 
     async def _note_role(self, role: str, term: int) -> None:
-        del role, term
+        self._metrics.set_gauge("term", term)
+        self._metrics.set_gauge("leads", role == "leader")
 
     async def _publish(self) -> None:
         state = self._describe()
         if state != self._published:
             self._published = state
+            self._metrics.set_gauge("configuration_version", state.version or 0)
+            self._metrics.set_gauge("voters", len(state.voters))
             await self._publish_state(state)
 
     def _describe(self) -> ClusterState:
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -36,6 +36,7 @@
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.policy.ejection import create_ejection
+from buckthorndeal.processmetrics import watch_process
 from buckthorndeal.settings import Address, GatewaySettings, Limits
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import decode_keys
@@ -78,6 +79,9 @@
         self._clock = clock
         self._draining = False
         self.metrics = create_metrics()
+        self.metrics.describe(
+            "configuration_version", "gauge", "Version of the configuration in force."
+        )
         host = settings.peer_listen.address
         budget = settings.retry_budget
         dispatcher = Dispatcher(
@@ -124,6 +128,7 @@
         for task in (self._dispatch, self._control, self._regions):
             await self._tasks.spawn(task.run)
         await self._tasks.spawn(self._clean)
+        await self._tasks.spawn(watch_process, self.metrics, self._clock)
         handler = GatewayHandler(self._context)
         await self._serve(handler.handle_caller, settings.listen)
         await self._serve(handler.handle_forwarded, settings.forward_listen)
@@ -220,6 +225,7 @@
         self._dispatch.set_services(routes.services)
         self._context.routes = routes
         self._homes = count_homes(configuration)
+        self.metrics.set_gauge("configuration_version", configuration.version)
         told = configuration.limits
         limits = Limits(
             max_header_bytes=told.max_header_bytes,
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -26,6 +26,12 @@
 # A waiting request must be refused soon after its time has passed.
 WAITING_INTERVAL_S = 0.02
 ENDPOINT_FORGET_S = 10.0
+GAUGES = {
+    "endpoints": "Endpoints of the region by condition.",
+    "waiting_requests": "Requests that wait for room at an endpoint.",
+    "retries_in_window": "Repeats in the window of the retry budget.",
+    "retries_allowed": "Part of this host in the retry budget.",
+}
 
 
 class DispatchTask:
@@ -48,6 +54,8 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
+        for name, text in GAUGES.items():
+            metrics.describe(name, "gauge", text)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
 
@@ -65,6 +73,7 @@
             if now_s >= self._expire_due_s:
                 self._expire_due_s = now_s + IDLE_INTERVAL_S
                 self._dispatcher.expire(ENDPOINT_FORGET_S, now_s)
+                self._record_state(now_s)
 
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
@@ -115,6 +124,19 @@
         """Use the services of a newer configuration."""
         self._dispatcher.view.set_services(services)
 
+    def _record_state(self, now_s: float) -> None:
+        for service in self._dispatcher.view.services:
+            state = self._dispatcher.describe_service(service, now_s)
+            for condition, count in state.endpoints.items():
+                self._metrics.set_gauge(
+                    "endpoints", count, service=service, condition=condition.value
+                )
+            self._metrics.set_gauge("waiting_requests", state.waiting, service=service)
+            self._metrics.set_gauge("retries_in_window", state.retries, service=service)
+            self._metrics.set_gauge(
+                "retries_allowed", state.retries_allowed, service=service
+            )
+
     async def _decide_waiting(self, now_s: float) -> None:
         for ticket, decision in self._dispatcher.take_ready(now_s):
             envelope = self._waiting.pop(ticket, None)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass
 
-from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView
 from buckthorndeal.gateway._limits import RetryShare
 from buckthorndeal.gateway._loads import EndpointLoad, Ticket
 from buckthorndeal.gateway._messages import (
@@ -70,6 +70,28 @@
     heartbeat_interval_s: float = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceState:
+    """Figures of one service on this host.
+
+    Parameters
+    ----------
+    endpoints : dict of EndpointCondition to int
+        Endpoints in each condition.
+    waiting : int
+        Requests that wait for room.
+    retries : int
+        Repeats in the window of the retry budget.
+    retries_allowed : float
+        This host's part of the retry budget now.
+    """
+
+    endpoints: dict[EndpointCondition, int]
+    waiting: int
+    retries: int
+    retries_allowed: float
+
+
 class Dispatcher:
     """Decides for one entry host.
 
@@ -211,6 +233,17 @@
         """Whether any request waits for room."""
         return any(self._queues.values())
 
+    def describe_service(self, service: str, now_s: float) -> ServiceState:
+        """Return the figures of one service for the metrics."""
+        hosts = self.view.fleet.total_hosts
+        budget = self._get_budget(service)
+        return ServiceState(
+            self.view.count_conditions(service, now_s),
+            len(self._queues.get(service, ())),
+            budget.count_repeats(now_s),
+            budget.compute_limit(hosts, now_s),
+        )
+
     def _list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
         service = dispatch.call.service
         ready = [
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -1,5 +1,6 @@
 """What one entry host knows of its region's endpoints and of the fleet; no I/O."""
 
+import enum
 from collections.abc import Mapping
 
 from buckthorndeal.configuration import ServiceDescription
@@ -12,6 +13,16 @@
 ENDPOINT_SILENCE_S = 3.0
 
 
+class EndpointCondition(enum.Enum):
+    """Whether an endpoint takes requests, or why it does not."""
+
+    READY = "ready"
+    COLD = "cold"
+    SILENT = "silent"
+    EVACUATED = "evacuated"
+    LEAVING = "leaving"
+
+
 class FleetView:
     """Endpoints with their loads, services and entry hosts.
 
@@ -52,6 +63,27 @@
         """Return how many endpoints of a service are known."""
         return sum(load.entry.record.service == service for load in self.loads.values())
 
+    def count_conditions(
+        self, service: str, now_s: float
+    ) -> dict[EndpointCondition, int]:
+        """Return how many endpoints of a service are usable, or why they are not."""
+        counts = dict.fromkeys(EndpointCondition, 0)
+        for load in self.loads.values():
+            if load.entry.record.service == service:
+                counts[self._get_condition(load, now_s)] += 1
+        return counts
+
+    def _get_condition(self, load: EndpointLoad, now_s: float) -> EndpointCondition:
+        if not load.is_ready(now_s):
+            return EndpointCondition.LEAVING
+        if self._is_evacuated(load):
+            return EndpointCondition.EVACUATED
+        if now_s - load.entry.heard_s >= ENDPOINT_SILENCE_S:
+            return EndpointCondition.SILENT
+        if load.is_cold(now_s):
+            return EndpointCondition.COLD
+        return EndpointCondition.READY
+
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Use the services of a newer configuration."""
         self.services = services
--- a/buckthorndeal/gateway/_limits.py
+++ b/buckthorndeal/gateway/_limits.py
@@ -41,13 +41,22 @@
         now_s : float
             Clock reading.
         """
-        self._forget(now_s)
-        own = self._share * len(self._requests) + self._slack / max(1, hosts)
-        if len(self._repeats) + 1 > SHARE_MARGIN * own:
+        if self.count_repeats(now_s) + 1 > self.compute_limit(hosts, now_s):
             return False
         self._repeats.append(now_s)
         return True
 
+    def count_repeats(self, now_s: float) -> int:
+        """Return the repeats taken in the window."""
+        self._forget(now_s)
+        return len(self._repeats)
+
+    def compute_limit(self, hosts: int, now_s: float) -> float:
+        """Return the repeats that this host may take in the window."""
+        self._forget(now_s)
+        own = self._share * len(self._requests) + self._slack / max(1, hosts)
+        return SHARE_MARGIN * own
+
     def _forget(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
         for times in (self._requests, self._repeats):
--- a/buckthorndeal/logs.py
+++ b/buckthorndeal/logs.py
@@ -21,6 +21,7 @@
     "LineBudget",
     "LineWriter",
     "configure_logging",
+    "count_left_out",
     "log_decision",
     "log_event",
     "log_routine",
@@ -152,6 +153,7 @@
         self._other = LineBudget(OTHER_LINES_PER_S)
         self._left_out: collections.Counter[str] = collections.Counter()
         self._told_s = clock()
+        self.left_out = 0
 
     def emit(self, record: stdlib_logging.LogRecord) -> None:
         """Write a record, or count it as left out."""
@@ -160,6 +162,7 @@
         budget = self._routine if routine else self._other
         if not budget.take(now_s) or not self._write(record):
             self._left_out[record.getMessage()] += 1
+            self.left_out += 1
         if self._left_out and now_s - self._told_s >= LEFT_OUT_INTERVAL_S:
             self._tell(now_s)
 
@@ -191,6 +194,14 @@
     logging.get_absl_logger().setLevel(stdlib_logging.INFO)
 
 
+def count_left_out() -> int:
+    """Return the lines that this process has left out of its log so far."""
+    handlers = stdlib_logging.getLogger().handlers
+    return sum(
+        handler.left_out for handler in handlers if isinstance(handler, BoundedHandler)
+    )
+
+
 def _open_nonblocking(fd: int) -> int:
     """Return a descriptor of the same file whose writes don't wait.
 
--- /dev/null
+++ b/buckthorndeal/processmetrics.py
@@ -0,0 +1,51 @@
+"""Figures of the process itself: memory, delay of its loop, log lines left out."""
+
+import os
+import time
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal.logs import count_left_out
+from buckthorndeal.metrics import Metrics
+
+__all__ = ["read_resident_bytes", "watch_process"]
+
+INTERVAL_S = 1.0
+STATM_FILE = "/proc/self/statm"
+RESIDENT_FIELD = 1
+
+
+def read_resident_bytes() -> int:
+    """Return the resident memory of this process, or 0 where it is not told."""
+    try:
+        with open(STATM_FILE, encoding="ascii") as file:
+            pages = int(file.read().split()[RESIDENT_FIELD])
+    except OSError:
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+async def watch_process(
+    metrics: Metrics, clock: Callable[[], float] = time.monotonic
+) -> None:
+    """Record the figures once a second until cancelled.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Where they go.
+    clock : callable
+        Returns monotonic seconds.
+    """
+    metrics.describe("memory_bytes", "gauge", "Resident memory.")
+    metrics.describe(
+        "log_lines_left_out", "counter", "Log lines over their budget or not read."
+    )
+    metrics.describe("loop_lag_seconds", "summary", "Time by which timers are late.")
+    while True:
+        due_s = clock() + INTERVAL_S
+        await curio.sleep(INTERVAL_S)
+        metrics.observe("loop_lag_seconds", max(0.0, clock() - due_s))
+        metrics.set_gauge("memory_bytes", read_resident_bytes())
+        metrics.set_gauge("log_lines_left_out", count_left_out())
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -380,3 +380,28 @@
             decision = game.ask(create_prompt(number, number))
             self.assertIsInstance(decision, Grant)
             game.end(game.ticket, AttemptOutcome.BROKEN)
+
+
+class StateTest(unittest.TestCase):
+    """The metrics say why endpoints are not used."""
+
+    def test_conditions_of_endpoints(self):
+        game = Game(endpoints=5)
+        game.now_s += 10
+        game.beat(["e0", "e1", "e2", "e3"])
+        game.beat(["e1"], state=EndpointState.DRAINING)
+        game.beat(["e2"], cold_s=3.0)
+        game.beat(["e3"], failure_domain="a-2")
+        game.view.set_fleet(FleetChanged(("h1",), 1, frozenset({"a-2"})))
+        state = game.dispatcher.describe_service("llm", game.now_s)
+        counts = {each.value: count for each, count in state.endpoints.items()}
+        expected = dict.fromkeys(("ready", "cold", "silent", "evacuated", "leaving"), 1)
+        self.assertEqual(counts, expected)
+
+    def test_retries_and_waiting(self):
+        game = Game(endpoints=1, service="desk", slots=3, retry_slack=10.0)
+        while isinstance(game.ask(), Grant):
+            pass
+        state = game.dispatcher.describe_service("desk", game.now_s)
+        self.assertEqual((state.waiting, state.retries), (1, 0))
+        self.assertAlmostEqual(state.retries_allowed, 8.0)
