--- /dev/null
+++ b/buckthorndeal/bench/_logging.py
@@ -0,0 +1,224 @@
+"""Benchmark `logging`: what the log adds to a gateway's CPU time per request."""
+
+import logging as stdlib_logging
+import os
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import curio
+import msgspec
+from absl import logging
+
+from buckthorndeal.bench import Measurement
+from buckthorndeal.coordinator import create_coordinator, create_own_handlers
+from buckthorndeal.errors import RequestError
+from buckthorndeal.gateway import create_gateway
+from buckthorndeal.gateway.dialect import create_own_dialect
+from buckthorndeal.http_client import HttpPool, create_http_pool
+from buckthorndeal.http_server import Request, Responder, create_http_server
+from buckthorndeal.logs import configure_logging
+from buckthorndeal.routeformat import create_route_format
+from buckthorndeal.settings import Address, CoordinatorSettings, GatewaySettings, Limits
+from buckthorndeal.transport import Transport, create_memory_transport
+
+__all__ = ["measure_logging"]
+
+COORDINATOR, GATEWAY, ENDPOINT = "10.1.0.1", "10.1.0.9", "10.1.9.1"
+PEER_PORT, FORWARD_PORT, API_PORT, CALLER_PORT = 7000, 7001, 8000, 9000
+KEY = "00" * 16
+REGIONS = {"a-1": "a"}
+EVENTS = 30
+EVENT = b"id: %d\ndata: token\n\n"
+# Three of each in turn, so that a change of the machine's speed meets all of them.
+ROUNDS = 3
+REQUESTS_PER_ROUND = 100
+# Below the budget of routine lines, so that none is left out of the figure.
+REQUEST_INTERVAL_S = 0.02
+START_TIMEOUT_S = 20.0
+POLL_S = 0.1
+
+
+def _create_configuration() -> bytes:
+    route = {
+        "name": "stream",
+        "host": "bench",
+        "path_prefix": "/",
+        "kind": "stream",
+        "timeout_s": 10.0,
+        "latency_objective_s": 5.0,
+        "priority": 0,
+        "services": [{"service": "s", "weight": 1}],
+        "max_attempts": 2,
+        "resumable": True,
+    }
+    service = {"name": "s", "health_path": "/h", "max_connections": 64}
+    body = {"version": 1, "routes": [route], "services": [service]}
+    return msgspec.json.encode(body)
+
+
+async def _answer(request: Request, responder: Responder) -> None:
+    given = {"buckthorndeal-call-id": request.headers.get("buckthorndeal-call-id", "")}
+    headers = [*given.items(), ("content-type", "text/event-stream")]
+    await responder.start(200, headers)
+    for number in range(EVENTS):
+        await responder.send(EVENT % number)
+    await responder.finish()
+
+
+async def _send(pool: HttpPool, number: int) -> int:
+    headers = [("host", "bench"), ("buckthorndeal-call-id", f"q{number}")]
+    status, _, _ = await pool.fetch("POST", "/x", headers, b"x" * 1000)
+    return status
+
+
+async def _measure_round(pool: HttpPool) -> float:
+    """Return the CPU time per request, callers and endpoint included."""
+    used_s = 0.0
+    for number in range(REQUESTS_PER_ROUND):
+        started_s = time.process_time()
+        await _send(pool, number)
+        used_s += time.process_time() - started_s
+        await curio.sleep(REQUEST_INTERVAL_S)
+    return used_s / REQUESTS_PER_ROUND
+
+
+@contextmanager
+def _write_no_logs() -> Iterator[None]:
+    logger = logging.get_absl_logger()
+    level = logger.level
+    logger.setLevel(stdlib_logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+
+
+async def _call_until(pool: HttpPool, accept: Callable[[], object]) -> None:
+    async with curio.timeout_after(START_TIMEOUT_S):
+        while True:
+            try:
+                if await accept() == 200:
+                    return
+            except RequestError:
+                pass
+            await curio.sleep(POLL_S)
+
+
+async def _report_endpoint(pool: HttpPool) -> int:
+    body = {
+        "incarnation": 1,
+        "sequence": time.monotonic_ns(),
+        "service": "s",
+        "region": "a",
+        "failure_domain": "a-1",
+        "address": f"{ENDPOINT}:80",
+        "slots": 64,
+    }
+    target = "/v1/endpoints/e/heartbeat"
+    status, _, _ = await pool.fetch("POST", target, [], msgspec.json.encode(body))
+    return status
+
+
+async def _report_forever(pool: HttpPool) -> None:
+    while True:
+        await _report_endpoint(pool)
+        await curio.sleep(1.0)
+
+
+async def _start(transport: Transport, directory: str) -> list[object]:
+    seeds = (Address(address=COORDINATOR, port=PEER_PORT),)
+    coordinator = create_coordinator(
+        CoordinatorSettings(
+            host="coordinator",
+            region="a",
+            failure_domain="a-1",
+            peer_listen=seeds[0],
+            api_listen=Address(address=COORDINATOR, port=API_PORT),
+            directory_listen=Address(address=COORDINATOR, port=API_PORT + 1),
+            seeds=seeds,
+            regions=REGIONS,
+            bootstrap=True,
+            peer_keys=(KEY,),
+            data_directory=directory,
+        ),
+        transport,
+        create_route_format(),
+        create_own_handlers,
+    )
+    gateway = create_gateway(
+        GatewaySettings(
+            host="gateway",
+            region="a",
+            failure_domain="a-1",
+            listen=Address(address=GATEWAY, port=CALLER_PORT),
+            ready_listen=Address(address=GATEWAY, port=CALLER_PORT + 1),
+            forward_listen=Address(address=GATEWAY, port=FORWARD_PORT),
+            peer_listen=Address(address=GATEWAY, port=PEER_PORT),
+            seeds=seeds,
+            peer_keys=(KEY,),
+        ),
+        transport,
+        create_route_format(),
+        create_own_dialect(),
+    )
+    endpoint = create_http_server(_answer, Limits())
+    await endpoint.start(transport, ENDPOINT, 80)
+    await coordinator.start()
+    await gateway.start()
+    return [gateway, coordinator, endpoint]
+
+
+async def _measure(directory: str) -> tuple[float, float, float]:
+    """Return the mean CPU seconds direct, without logs and with logs."""
+    transport = create_memory_transport()
+    daemons = await _start(transport, directory)
+    api = create_http_pool(transport, COORDINATOR, API_PORT)
+    callers = create_http_pool(transport, GATEWAY, CALLER_PORT)
+    direct = create_http_pool(transport, ENDPOINT, 80)
+
+    async def put() -> int:
+        target = "/v1/configuration"
+        return (await api.fetch("PUT", target, [], _create_configuration()))[0]
+
+    await _call_until(api, put)
+    reporting = await curio.spawn(_report_forever, api)
+    await _call_until(callers, lambda: _send(callers, 0))
+    used_s = [0.0, 0.0, 0.0]
+    for _ in range(ROUNDS):
+        used_s[0] += await _measure_round(direct)
+        with _write_no_logs():
+            used_s[1] += await _measure_round(callers)
+        used_s[2] += await _measure_round(callers)
+    await reporting.cancel()
+    for each in (*daemons, api, callers, direct):
+        await each.close()
+    return tuple(each / ROUNDS for each in used_s)
+
+
+def measure_logging() -> list[Measurement]:
+    """Return the CPU time per request with the log over that without.
+
+    Caller, gateway and endpoint share a process; what caller and endpoint need by
+    themselves is taken off both.
+    """
+    handlers = list(stdlib_logging.getLogger().handlers)
+    with tempfile.TemporaryDirectory() as directory:
+        file = os.path.join(directory, "lines")
+        fd = os.open(file, os.O_CREAT | os.O_WRONLY)
+        try:
+            configure_logging("gateway", fd)
+            before = os.stat(file).st_size
+            direct_s, silent_s, logged_s = curio.run(_measure, directory)
+            written = os.stat(file).st_size - before
+        finally:
+            os.close(fd)
+            stdlib_logging.getLogger().handlers = handlers
+    ratio = (logged_s - direct_s) / (silent_s - direct_s)
+    requests = ROUNDS * REQUESTS_PER_ROUND
+    return [
+        Measurement("logging.cpu_ratio", ratio, "ratio"),
+        Measurement("logging.request_cpu_s", silent_s - direct_s, "s"),
+        Measurement("logging.bytes_per_request", written / requests, "B"),
+    ]
--- a/buckthorndeal/command_bench.py
+++ b/buckthorndeal/command_bench.py
@@ -8,6 +8,7 @@
 
 from buckthorndeal.bench import Measurement, check_bounds, load_bounds
 from buckthorndeal.bench._control import measure_control
+from buckthorndeal.bench._logging import measure_logging
 from buckthorndeal.bench._node import measure_decision, measure_membership
 from buckthorndeal.bench._policy import measure_policy
 from buckthorndeal.bench._relay import measure_relay
@@ -22,6 +23,7 @@
     "state": lambda _: measure_state(),
     "membership": lambda _: measure_membership(),
     "relay": lambda _: measure_relay(),
+    "logging": lambda _: measure_logging(),
     "control": lambda _: measure_control(),
     "policy": measure_policy,
 }
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,11 +1,13 @@
 """Tests of a gateway between callers, endpoints and other entry hosts."""
 
+import logging
+import os
 import unittest
 
 import curio
 
 from buckthorndeal.errors import RequestError
-from buckthorndeal.logs import EXTRA_FIELD
+from buckthorndeal.logs import EXTRA_FIELD, configure_logging
 from tests.fleet_harness import (
     CALLER_PORT,
     REQUEST_ID,
@@ -177,6 +179,37 @@
         run_fleet(test)
 
 
+class BlockedLogTest(unittest.TestCase):
+    """Nobody reads standard output: requests are served all the same."""
+
+    # More lines than a pipe holds; a writer that waits would hang.
+    REQUESTS = 300
+
+    def setUp(self):
+        root = logging.getLogger()
+        for name in ("handlers", "level"):
+            self.addCleanup(setattr, root, name, getattr(root, name))
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        configure_logging("h", writer)
+
+    def test_requests_are_served(self):
+        async def script(endpoint, request, responder):
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start(fleet, script)
+                pool = fleet.create_pool(HOST, CALLER_PORT)
+                for number in range(self.REQUESTS):
+                    headers = [("host", "x.example"), (REQUEST_ID, f"q{number}")]
+                    answer = await pool.fetch("POST", "/idempotent/", headers, b"x")
+                    self.assertEqual(answer[0], 200)
+
+        run_fleet(test)
+
+
 class StreamTest(unittest.TestCase):
     """A stream has no gap and no repeat, and one that breaks never looks whole."""
 
