--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from buckthorndeal.coordinator._control_table import CONTROL_SILENCE_S, ControlTable
+from buckthorndeal.coordinator._endpoint_changes import is_news, log_change
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -42,10 +44,7 @@
 
 FLUSH_INTERVAL_S = 0.2
 STATUS_INTERVAL_S = 1.0
-# Two lost status messages.
-CONTROL_SILENCE_S = 2.5
 ENTRY_FORGET_S = 30.0
-CONTROL_FORGET_S = 30.0
 
 
 @dataclass(eq=False)
@@ -58,12 +57,6 @@
     seen_controls: tuple[ControlHost, ...] = ()
 
 
-@dataclass(eq=False)
-class _Control:
-    host: ControlHost
-    heard_s: float
-
-
 class FleetTask:
     """Passes heartbeats on to entry hosts and answers who is where.
 
@@ -97,7 +90,7 @@
         self._metrics = metrics
         self._endpoints = create_endpoint_table()
         self._entries: dict[str, _Entry] = {}
-        self._controls: dict[str, _Control] = {}
+        self._controls = ControlTable(own)
         self._cluster: ClusterState | None = None
         self._homes: Mapping[str, Mapping[str, int]] = {}
         self._remote_choices: dict[tuple[str, str], tuple[str, ...]] = {}
@@ -140,9 +133,9 @@
             )
             await envelope.reply(True)
             return
-        changed = known is None or _describe(known.record) != _describe(merged)
+        changed = known is None or is_news(known.record, merged)
         if changed:
-            _log_change(merged, known.record if known else None)
+            log_change(merged, known.record if known else None)
             self._changed[merged.endpoint] = merged
         else:
             self._alive[merged.endpoint] = merged.region
@@ -165,7 +158,7 @@
             return
         record = known.record
         if before.state is not EndpointState.LEFT:
-            _log_change(record, before)
+            log_change(record, before)
         await self._spread(record, envelope)
 
     @_handle.register
@@ -197,14 +190,8 @@
 
     @_handle.register
     async def _(self, message: ControlHeard, envelope: Envelope) -> None:
-        now_s = self._clock()
         hosts = [each.host for each in message.status.hosts]
-        for each in message.status.hosts:
-            known = self._controls.get(each.host)
-            if each.host == message.host:
-                self._controls[each.host] = _Control(each, now_s)
-            elif known is None and each.host != self._own.host:
-                self._controls[each.host] = _Control(each, now_s - CONTROL_SILENCE_S)
+        self._controls.hear(message.host, message.status.hosts, self._clock())
         await self._links.ensure(hosts)
 
     @_handle.register
@@ -237,9 +224,10 @@
 
     @_handle.register
     async def _(self, message: ChooseRegistrar, envelope: Envelope) -> None:
-        await envelope.reply(
-            self._choose_registrar(message.region, message.failure_domain)
+        chosen = self._controls.choose_registrar(
+            message.region, message.failure_domain, self._clock()
         )
+        await envelope.reply(chosen)
 
     def _log_remote_choice(
         self, message: ChooseEntryHosts, chosen: list[EntryHost]
@@ -262,24 +250,6 @@
         else:
             self._remote_choices.pop(key, None)
 
-    def _choose_registrar(self, region: str, failure_domain: str) -> str | None:
-        if self._own.failure_domain == failure_domain:
-            return None
-        near = [host for host in self._list_controls() if host.region == region]
-        if self._own.region == region:
-            near = [each for each in near if each.failure_domain == failure_domain]
-        near.sort(key=lambda each: (each.failure_domain != failure_domain, each.host))
-        return near[0].api_address if near else None
-
-    def _list_controls(self) -> list[ControlHost]:
-        """Return the other coordinators that were heard from of late."""
-        now_s = self._clock()
-        return [
-            control.host
-            for control in self._controls.values()
-            if now_s - control.heard_s < CONTROL_SILENCE_S
-        ]
-
     def _list_entry_views(self) -> list[EntryView]:
         now_s = self._clock()
         return [
@@ -287,15 +257,12 @@
             for entry in self._entries.values()
         ]
 
-    def _count_reached_voters(self) -> int:
-        heard = {host.host for host in self._list_controls()}
-        heard.add(self._own.host)
-        return sum(voter in heard for voter in self._cluster.voters)
-
     def _reaches_majority(self) -> bool:
         if self._cluster is None or not self._cluster.voters:
             return False
-        return self._count_reached_voters() > len(self._cluster.voters) // 2
+        voters = self._cluster.voters
+        reached = self._controls.count_reached(voters, self._clock())
+        return reached > len(voters) // 2
 
     def _may_acknowledge(self, region: str) -> bool:
         """Return whether a heartbeat that changes nothing reaches an entry host."""
@@ -322,7 +289,7 @@
         await curio.spawn(spread_record, plan, self._links, envelope, daemon=True)
 
     async def _greet(self, entry: _Entry) -> None:
-        await self._send(entry, ControlStatus(self._describe_controls()))
+        await self._send(entry, ControlStatus(self._controls.describe(self._clock())))
         await self._send(entry, self._create_notice())
         region = entry.host.region
         records = tuple(
@@ -340,9 +307,6 @@
             return ClusterNotice(0, None, ())
         return ClusterNotice(state.index, state.version, tuple(state.evacuated))
 
-    def _describe_controls(self) -> tuple[ControlHost, ...]:
-        return (self._own, *sorted(self._list_controls()))
-
     async def _flush(self, now_s: float) -> None:
         for record in self._endpoints.expire(self._endpoint_silence_s, now_s):
             log_event("endpoint_silent", endpoint=record.endpoint)
@@ -377,7 +341,7 @@
                 key=lambda each: each.host,
             )
         )
-        controls = self._describe_controls()
+        controls = self._controls.describe(self._clock())
         for entry in self._entries.values():
             if entry.greeted is None:
                 continue
@@ -389,23 +353,23 @@
                 await self._send(entry, ControlStatus(controls))
 
     async def _send_status(self, now_s: float) -> None:
-        status = ControlStatus(self._describe_controls())
+        status = ControlStatus(self._controls.describe(self._clock()))
         for host in self._links.list_connected():
             await self._links.send(host, status)
         for host, entry in list(self._entries.items()):
             if now_s - entry.heard_s > ENTRY_FORGET_S:
                 del self._entries[host]
         members = self._cluster.members if self._cluster else ()
-        for host, control in list(self._controls.items()):
-            if now_s - control.heard_s > CONTROL_FORGET_S and host not in members:
-                del self._controls[host]
+        self._controls.forget_silent(members, now_s)
         self._record_state()
 
     def _record_state(self) -> None:
         connected = sum(view.connected for view in self._list_entry_views())
         self._metrics.set_gauge("endpoints", len(self._endpoints.list_all()))
         self._metrics.set_gauge("entry_hosts", connected)
-        self._metrics.set_gauge("coordinators", len(self._list_controls()))
+        self._metrics.set_gauge(
+            "coordinators", len(self._controls.list_alive(self._clock()))
+        )
 
     async def _send(self, entry: _Entry, message: Message) -> None:
         if not entry.channel.connected:
@@ -414,31 +378,3 @@
             await entry.channel.send(message)
         except PeerError as error:
             log_event("notice_lost", peer=entry.host.host, reason=str(error))
-
-
-def _describe(record: EndpointRecord) -> tuple:
-    """Return what entry hosts must be told when it changes."""
-    return (
-        record.incarnation,
-        record.service,
-        record.address,
-        record.slots,
-        record.state,
-        record.cold_s > 0,
-        record.leaves_in_s is not None,
-    )
-
-
-def _log_change(record: EndpointRecord, known: EndpointRecord | None) -> None:
-    log_event(
-        "endpoint_changed",
-        endpoint=record.endpoint,
-        incarnation=record.incarnation,
-        sequence=record.sequence,
-        service=record.service,
-        address=record.address,
-        state=record.state.name,
-        before=known.state.name if known else None,
-        cold_s=record.cold_s,
-        leaves_in_s=record.leaves_in_s,
-    )
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -7,7 +7,7 @@
 import random
 from dataclasses import dataclass
 
-from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView
+from buckthorndeal.gateway._fleet_view import FleetView, ServiceState
 from buckthorndeal.gateway._limits import RetryShare
 from buckthorndeal.gateway._loads import EndpointLoad, Ticket
 from buckthorndeal.gateway._messages import (
@@ -21,6 +21,7 @@
     RefusalReason,
     RegionHeard,
 )
+from buckthorndeal.gateway._patience import compute_limit_s, compute_patience_s
 from buckthorndeal.gateway._placing import (
     LocalChoice,
     RemoteChoice,
@@ -44,10 +45,6 @@
 # Share of the wanted connections of an endpoint that the hosts divide.
 CONNECTION_SHARE = 0.8
 COLD_SHARE = 0.9
-# Parts of the latency objective that a request waits at most: for room at an
-# endpoint, and on a host that has just started.
-WAITING_SHARE = 0.25
-STARTING_SHARE = 0.6
 STARTING_HEARTBEATS = 1.5
 MAX_URGENCY = 9
 
@@ -70,28 +67,6 @@
     heartbeat_interval_s: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceState:
-    """Figures of one service on this host.
-
-    Parameters
-    ----------
-    endpoints : dict of EndpointCondition to int
-        Endpoints in each condition.
-    waiting : int
-        Requests that wait for room.
-    retries : int
-        Repeats in the window of the retry budget.
-    retries_allowed : float
-        This host's part of the retry budget now.
-    """
-
-    endpoints: dict[EndpointCondition, int]
-    waiting: int
-    retries: int
-    retries_allowed: float
-
-
 class Dispatcher:
     """Decides for one entry host.
 
@@ -152,7 +127,7 @@
         waits_s = now_s - dispatch.call.arrived_s
         if not self._is_starting(now_s):
             waits_s += queue.predict_wait_s(dispatch, now_s)
-        if waits_s >= self._get_patience_s(dispatch, now_s):
+        if waits_s >= compute_patience_s(dispatch.call, self._is_starting(now_s)):
             return self._refuse(dispatch.call, 0, None)
         queue.add(dispatch, now_s)
         return None
@@ -168,7 +143,7 @@
         if remote is not None:
             return self._take(dispatch, remote, now_s)
         if best is not None:
-            if best.predicted_s <= self._get_limit_s(call, now_s):
+            if best.predicted_s <= compute_limit_s(call, now_s):
                 return self._take(dispatch, best, now_s)
             return self._refuse(call, len(candidates), best)
         if candidates or self._is_starting(now_s):
@@ -371,17 +346,6 @@
         source = choice.source.entry.record.address if choice.source else None
         return Grant(record, urgency, choice.predicted_s, connections, age_s, source)
 
-    def _get_limit_s(self, call: Call, now_s: float) -> float:
-        """Return the longest predicted time to an answer that is worth starting.
-
-        An answer after the objective takes the place of one within it, so a
-        backlog is kept below the objective and the rest is refused at once.
-        """
-        spent_s = now_s - call.arrived_s
-        return min(
-            call.route.latency_objective_s, call.deadline_s - call.arrived_s
-        ) - min(spent_s, call.route.latency_objective_s / 2)
-
     def _is_starting(self, now_s: float) -> bool:
         """Return whether heartbeats of endpoints are still to come for the first time.
 
@@ -393,14 +357,9 @@
         return now_s - self._started_s < STARTING_HEARTBEATS * interval_s
 
     def _may_wait_on(self, waiting: Waiting, now_s: float) -> bool:
-        patience_s = self._get_patience_s(waiting.dispatch, now_s)
+        patience_s = compute_patience_s(waiting.dispatch.call, self._is_starting(now_s))
         return now_s - waiting.since_s < patience_s
 
-    def _get_patience_s(self, dispatch: Dispatch, now_s: float) -> float:
-        """Return how long a request waits for room or for the first endpoint."""
-        share = STARTING_SHARE if self._is_starting(now_s) else WAITING_SHARE
-        return dispatch.call.route.latency_objective_s * share
-
     def _refuse(self, call: Call, candidates: int, best: LocalChoice | None) -> Refusal:
         objective_s = call.route.latency_objective_s
         wait_s = best.predicted_s if best else objective_s
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, create_endpoint_table
@@ -23,6 +24,28 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceState:
+    """Figures of one service on this host.
+
+    Parameters
+    ----------
+    endpoints : dict of EndpointCondition to int
+        Endpoints in each condition.
+    waiting : int
+        Requests that wait for room.
+    retries : int
+        Repeats in the window of the retry budget.
+    retries_allowed : float
+        This host's part of the retry budget now.
+    """
+
+    endpoints: dict[EndpointCondition, int]
+    waiting: int
+    retries: int
+    retries_allowed: float
+
+
 class FleetView:
     """Endpoints with their loads, services and entry hosts.
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -1,50 +1,22 @@
 """HTTP/1.1 server on h11: limits, timeouts and detection of gone callers."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 
 import curio
 import h11
 import msgspec
 from absl import logging
 
+from buckthorndeal._http_reading import READ_BYTES, Request, read_request
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
 
 __all__ = ["Handler", "HttpServer", "Request", "Responder", "create_http_server"]
 
-READ_BYTES = 65_536
 MAX_PIPELINED_BYTES = 65_536
 
 
-@dataclass
-class Request:
-    """A received request.
-
-    Parameters
-    ----------
-    method : str
-        Upper-case method.
-    target : str
-        Path with query string.
-    headers : dict of str to str
-        Values by lower-case name; repeated headers are joined by commas.
-    body : bytes
-        Whole body.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
-
-    @property
-    def path(self) -> str:
-        """Target without the query string."""
-        return self.target.partition("?")[0]
-
-
 class Responder:
     """Writes the response to one request.
 
@@ -224,7 +196,7 @@
     async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
         responder = Responder(stream, connection, lambda: self._draining)
         try:
-            request = await _read_request(stream, connection, self._limits)
+            request = await read_request(stream, connection, self._limits)
         except RequestError as error:
             await _respond_and_close(responder, connection, error)
             return False
@@ -310,34 +282,6 @@
     )
 
 
-async def _read_request(
-    stream: Stream, connection: h11.Connection, limits: Limits
-) -> Request | None:
-    try:
-        head = await _read_head(stream, connection, limits)
-        if head is None:
-            return None
-        headers = _join_headers(head.headers)
-        _check_framing(headers)
-        _check_length(headers, limits.max_body_bytes)
-        async with curio.timeout_after(limits.body_timeout_s):
-            if connection.they_are_waiting_for_100_continue:
-                reply = h11.InformationalResponse(status_code=100, headers=[])
-                await stream.sendall(connection.send(reply))
-            body = await _read_body(stream, connection, limits.max_body_bytes)
-    except curio.TaskTimeout:
-        raise RequestError(
-            "request_timeout", 408, "the request was not received in time"
-        ) from None
-    except h11.RemoteProtocolError as error:
-        status = error.error_status_hint
-        code = "header_too_large" if status == 431 else "bad_request"
-        raise RequestError(code, status, str(error)) from error
-    return Request(
-        head.method.decode("ascii"), head.target.decode("latin-1"), headers, body
-    )
-
-
 async def _wait_for_data(
     stream: Stream, connection: h11.Connection, limits: Limits
 ) -> bool:
@@ -350,68 +294,6 @@
     return True
 
 
-async def _read_head(
-    stream: Stream, connection: h11.Connection, limits: Limits
-) -> h11.Request | None:
-    async with curio.timeout_after(limits.header_timeout_s):
-        while True:
-            event = connection.next_event()
-            if isinstance(event, h11.Request):
-                return event
-            if event is not h11.NEED_DATA:
-                return None
-            connection.receive_data(await stream.recv(READ_BYTES))
-
-
-async def _read_body(
-    stream: Stream, connection: h11.Connection, max_bytes: int
-) -> bytes:
-    parts = []
-    size = 0
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.recv(READ_BYTES))
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > max_bytes:
-                raise _create_too_large(max_bytes)
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        else:
-            raise RequestError("bad_request", 400, "the request ended early")
-
-
-def _check_framing(headers: dict[str, str]) -> None:
-    """Refuse a body with two lengths, which two servers may read differently."""
-    if "transfer-encoding" in headers and "content-length" in headers:
-        raise RequestError(
-            "bad_request", 400, "both content-length and transfer-encoding"
-        )
-
-
-def _check_length(headers: dict[str, str], max_bytes: int) -> None:
-    length = headers.get("content-length", "")
-    if length.isdigit() and int(length) > max_bytes:
-        raise _create_too_large(max_bytes)
-
-
-def _create_too_large(max_bytes: int) -> RequestError:
-    return RequestError(
-        "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
-    )
-
-
-def _join_headers(pairs: h11._headers.Headers) -> dict[str, str]:
-    headers: dict[str, str] = {}
-    for raw_name, raw_value in pairs:
-        name = raw_name.decode("ascii")
-        value = raw_value.decode("latin-1")
-        headers[name] = f"{headers[name]},{value}" if name in headers else value
-    return headers
-
-
 def create_http_server(handler: Handler, limits: Limits) -> HttpServer:
     """Return a server that is not listening yet."""
     return HttpServer(handler, limits)
