--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -240,6 +240,19 @@
         self.assertEqual(settings.retry_budget.slack, 58)
         self.assertLess(settings.drain_timeout_s, 8)
 
+    def test_drain_of_a_host_without_a_substitute(self):
+        """Another host of the region may have stopped 4 s before and be back late.
+
+        It takes the whole grace time, 0.7 s to start and 0.5 s to be heard of. A
+        request taken last still has a second, and streams have half of the time.
+        """
+        settings = nodefile.create_gateway_settings(self.node)
+        back_s = self.node.bounds.grace_s + 0.7 + 0.5 - 4.0
+        self.assertGreater(settings.drain_alone_s, back_s)
+        self.assertLess(settings.drain_alone_s, settings.drain_timeout_s - 1.0)
+        self.assertLess(settings.drain_notice_s, settings.drain_stream_s)
+        self.assertLess(settings.drain_stream_s, settings.drain_timeout_s / 2)
+
     def test_coordinator(self):
         settings = nodefile.create_coordinator_settings(self.node)
         self.assertEqual(settings.api_listen.port, 8146)
