Leave a needed host's place only when every coordinator knows the substitute

Change: the question is put to the list of each coordinator in reach, not to their union.

Test: a host that one of two coordinators does not know is no substitute yet.

--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -70,6 +70,11 @@
     """Ask: entry hosts of all regions."""
 
 
+@dataclass(frozen=True)
+class ListDirectories:
+    """Ask: entry hosts as each coordinator in reach knows them, one tuple for each."""
+
+
 class ControlTask:
     """Keeps links to all coordinators and acts on what they tell.
 
@@ -177,6 +182,10 @@
     async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
         await envelope.reply(self._list_entries())
 
+    @_handle.register
+    async def _(self, message: ListDirectories, envelope: Envelope) -> None:
+        await envelope.reply(tuple(self._entries.values()))
+
     @_handle.register
     async def _(self, message: ConfigurationContent, envelope: Envelope) -> None:
         await self._apply_content(message)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -16,7 +16,7 @@
 from buckthorndeal.gateway._control import (
     AddSeeds,
     ControlTask,
-    ListEntryHosts,
+    ListDirectories,
     SetState,
 )
 from buckthorndeal.gateway._dispatch_task import DispatchTask
@@ -174,14 +174,21 @@
         log_event("gateway_stopped", active=self._count_active())
 
     async def _wait_for_substitute(self, until_s: float) -> None:
-        """Wait while callers with a home region are sent to no other host."""
+        """Wait while any coordinator sends callers with a home region to this host."""
         alone = False
         while self._clock() < until_s:
-            entries = await self._control.mailbox.ask(ListEntryHosts())
-            if not is_needed(self._context.host, entries, self._homes):
+            # A coordinator far away hears of a substitute later than a near one.
+            directories = await self._control.mailbox.ask(ListDirectories())
+            needing = sum(
+                is_needed(self._context.host, entries, self._homes)
+                for entries in directories
+            )
+            if not needing:
                 break
             if not alone:
-                log_event("gateway_drain_alone", entry_hosts=len(entries))
+                log_event(
+                    "gateway_drain_alone", coordinators=needing, of=len(directories)
+                )
             alone = True
             await curio.sleep(DRAIN_POLL_S)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,11 +2,14 @@
 
 import logging
 import os
+import time
 import unittest
 
 import curio
 
 from buckthorndeal.errors import RequestError
+from buckthorndeal.fleet import EntryHost, EntryHosts, EntryState
+from buckthorndeal.gateway._control import _Heard
 from buckthorndeal.logs import EXTRA_FIELD, configure_logging
 from tests.fleet_harness import (
     CALLER_PORT,
@@ -379,6 +382,29 @@
 
         run_fleet(test)
 
+    def test_substitute_must_be_known_to_all_coordinators(self):
+        """A far coordinator still sends callers here when a near one does not."""
+        mine = EntryHost(HOST, "a", "a-1", f"{HOST}:9000", EntryState.DRAINING)
+        other = EntryHost(SUBSTITUTE, "a", "a-1", "x:1", EntryState.READY)
+        homes = {"x.example": {"a": 1}}
+
+        async def test():
+            async with Fleet() as fleet:
+                gateway = await fleet.start_gateway(HOST)
+                gateway._homes = homes
+                mailbox = gateway._control.mailbox
+                for host, entries in (("near", (mine, other)), ("far", (mine,))):
+                    await mailbox.send(_Heard(host, EntryHosts(entries)))
+                waiting = await curio.spawn(
+                    gateway._wait_for_substitute, time.monotonic() + 30
+                )
+                await curio.sleep(0.5)
+                self.assertFalse(waiting.terminated)
+                await mailbox.send(_Heard("far", EntryHosts((mine, other))))
+                await waiting.join()
+
+        run_fleet(test)
+
     def test_new_stream_is_refused_after_the_notice(self):
         async def script(endpoint, request, responder):
             await curio.sleep(1)
