State choices, conditions and waiting ranks of a gateway once

Found on reading the whole change again; decisions stay as they are.

- Keepers and the host that warms an endpoint were chosen by choose_registrars, with made-up failure domains and the first of its result. choose_keeper is that choice; choose_registrars and the subsets rank by the same function.
- Each candidate's cache was looked up twice a decision. assess_endpoint looks once and builds the whole choice, which _choose_local put together by hand.
- Ready, silent, evacuated and cold were told apart in three places of FleetView; all use _get_condition.
The case of missing heartbeats needs no branch: every endpoint is silent then.
- The rank of a waiting request needs no Waiting; gauges are described by one call.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -128,8 +128,7 @@
             f"{api.address}:{api.port}",
         )
         self.metrics = create_metrics()
-        for name, text in GAUGES.items():
-            self.metrics.describe(name, "gauge", text)
+        self.metrics.describe_gauges(GAUGES)
         self._fleet = FleetTask(
             own, self._links, settings.endpoint_silence_s, clock, self.metrics
         )
--- a/buckthorndeal/fleet/_directory.py
+++ b/buckthorndeal/fleet/_directory.py
@@ -102,10 +102,12 @@
     entries = list(entries)
     views = [EntryView(entry, connected=True, silent_s=0.0) for entry in entries]
     places = {(entry.region, entry.failure_domain) for entry in entries}
+    # Many names have the same homes.
+    distinct = {frozenset(counts.items()): counts for counts in homes.values()}
     return any(
         host in (entry.host for entry in choose_entry_hosts(views, *place, counts))
         for place in places
-        for counts in homes.values()
+        for counts in distinct.values()
     )
 
 
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -154,22 +154,21 @@
         for the time of notice, and longer if there is no other host for them; the
         time for new streams ends sooner, as they might not end before the process.
         """
+        settings = self._settings
         started_s = self._clock()
         self._draining = True
         await self._control.mailbox.send(SetState(EntryState.DRAINING))
         log_event("gateway_draining", active=self._count_active())
         for server in self._servers:
             server.announce_drain()
-        await curio.sleep(self._settings.drain_notice_s)
-        settings = self._settings
+        await curio.sleep(settings.drain_notice_s)
         await self._wait_for_substitute(started_s + settings.drain_stream_s)
         self._context.refuses_streams = True
         await self._wait_for_substitute(started_s + settings.drain_alone_s)
         await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
             await server.drain()
-        timeout_s = self._settings.drain_timeout_s
-        if not await self._wait_for_requests(started_s + timeout_s):
+        if not await self._wait_for_requests(started_s + settings.drain_timeout_s):
             log_event("gateway_drain_overdue", active=self._count_active())
         log_event("gateway_stopped", active=self._count_active())
 
@@ -179,16 +178,13 @@
         while self._clock() < until_s:
             # A coordinator far away hears of a substitute later than a near one.
             directories = await self._control.mailbox.ask(ListDirectories())
-            needing = sum(
+            if not any(
                 is_needed(self._context.host, entries, self._homes)
-                for entries in directories
-            )
-            if not needing:
+                for entries in set(directories)
+            ):
                 break
             if not alone:
-                log_event(
-                    "gateway_drain_alone", coordinators=needing, of=len(directories)
-                )
+                log_event("gateway_drain_alone", coordinators=len(directories))
             alone = True
             await curio.sleep(DRAIN_POLL_S)
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -54,8 +54,7 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
-        for name, text in GAUGES.items():
-            metrics.describe(name, "gauge", text)
+        metrics.describe_gauges(GAUGES)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
 
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -25,15 +25,14 @@
 from buckthorndeal.gateway._placing import (
     LocalChoice,
     RemoteChoice,
-    compute_copy_cost_s,
-    count_unread,
+    assess_endpoint,
     find_keeper,
 )
 from buckthorndeal.gateway._queue import Waiting, WaitingQueue
 from buckthorndeal.gateway._regions import RegionTable
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
-from buckthorndeal.subsetting import choose_registrars
+from buckthorndeal.subsetting import choose_keeper
 
 # What a request gains from another region, so that small differences don't move
 # work to a cold cache.
@@ -248,27 +247,16 @@
                 continue
             if not load.has_room(call, service, now_s):
                 continue
-            unread = count_unread(load, call, keeper)
-            predicted_s = load.predict_first_s(call, unread, now_s)
-            effort_s = predicted_s
-            if call.prompt is not None:
-                effort_s += load.compute_crowding_s(now_s)
-            cost_s, source = effort_s, None
-            if load is not keeper:
-                cost_s += compute_copy_cost_s(load, call)
-                source = keeper
-            if best is None or (cold, cost_s) < (best.cold, best.cost_s):
-                best = LocalChoice(
-                    load, unread, predicted_s, effort_s, cost_s, cold, source
-                )
+            choice = assess_endpoint(load, call, keeper, cold, now_s)
+            if best is None or (cold, choice.cost_s) < (best.cold, best.cost_s):
+                best = choice
         return best
 
     def _may_use_cold(self, load: EndpointLoad, now_s: float) -> bool:
         """Return whether this host is the one that warms an endpoint up."""
-        hosts = dict.fromkeys((*self.view.fleet.region_hosts, self._host), "")
-        if choose_registrars(load.name, hosts)[0] != self._host:
-            return False
-        return load.spacing.is_due(now_s)
+        hosts = (*self.view.fleet.region_hosts, self._host)
+        warms = choose_keeper(load.name, hosts) == self._host
+        return warms and load.spacing.is_due(now_s)
 
     def _choose_region(
         self, dispatch: Dispatch, best: LocalChoice | None, now_s: float
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -24,6 +24,9 @@
     LEAVING = "leaving"
 
 
+USABLE = (EndpointCondition.READY, EndpointCondition.COLD)
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceState:
     """Figures of one service on this host.
@@ -68,34 +71,33 @@
         Silent ones are left out while others are heard; if all are silent, the
         heartbeats themselves are missing and all are returned.
         """
-        ready = [
-            load
-            for load in self.loads.values()
-            if load.entry.record.service == service
-            and load.is_ready(now_s)
-            and not self._is_evacuated(load)
-        ]
-        if now_s - self._heard_s > ENDPOINT_SILENCE_S:
-            return ready
-        heard = [
-            load for load in ready if now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
-        ]
-        return heard or ready
+        heard, silent = [], []
+        for load in self._list_loads(service):
+            condition = self._get_condition(load, now_s)
+            if condition in USABLE:
+                heard.append(load)
+            elif condition is EndpointCondition.SILENT:
+                silent.append(load)
+        return heard or silent
 
     def count_endpoints(self, service: str) -> int:
         """Return how many endpoints of a service are known."""
-        return sum(load.entry.record.service == service for load in self.loads.values())
+        return len(self._list_loads(service))
 
     def count_conditions(
         self, service: str, now_s: float
     ) -> dict[EndpointCondition, int]:
         """Return how many endpoints of a service are usable, or why they are not."""
         counts = dict.fromkeys(EndpointCondition, 0)
-        for load in self.loads.values():
-            if load.entry.record.service == service:
-                counts[self._get_condition(load, now_s)] += 1
+        for load in self._list_loads(service):
+            counts[self._get_condition(load, now_s)] += 1
         return counts
 
+    def _list_loads(self, service: str) -> list[EndpointLoad]:
+        return [
+            load for load in self.loads.values() if load.entry.record.service == service
+        ]
+
     def _get_condition(self, load: EndpointLoad, now_s: float) -> EndpointCondition:
         if not load.is_ready(now_s):
             return EndpointCondition.LEAVING
@@ -148,11 +150,7 @@
 
     def get_speed(self, service: str) -> float:
         """Return the highest reading speed of a service, in tokens a second."""
-        speeds = [
-            load.speed.tokens_per_s
-            for load in self.loads.values()
-            if load.entry.record.service == service
-        ]
+        speeds = [load.speed.tokens_per_s for load in self._list_loads(service)]
         return max(speeds, default=INITIAL_TOKENS_PER_S)
 
     def describe_loads(self, now_s: float) -> dict[str, tuple[float, int]]:
@@ -161,12 +159,8 @@
         for name, service in self.services.items():
             loads = [
                 load
-                for load in self.loads.values()
-                if load.entry.record.service == name
-                and load.is_ready(now_s)
-                and not load.is_cold(now_s)
-                and not self._is_evacuated(load)
-                and now_s - load.entry.heard_s < ENDPOINT_SILENCE_S
+                for load in self._list_loads(name)
+                if self._get_condition(load, now_s) is EndpointCondition.READY
             ]
             if loads:
                 found[name] = self._describe_load(service, loads, now_s)
--- a/buckthorndeal/gateway/_placing.py
+++ b/buckthorndeal/gateway/_placing.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from buckthorndeal.gateway._loads import EndpointLoad
-from buckthorndeal.gateway._messages import Call
-from buckthorndeal.subsetting import choose_registrars
+from buckthorndeal.gateway._messages import Call, Prompt
+from buckthorndeal.subsetting import choose_keeper
 
 # Later time that a second copy of a shared text costs, for each second that reading
 # it takes. The copy itself is fetched, but it takes memory from other texts.
@@ -42,35 +42,57 @@
     """Return the endpoint that keeps the shared text of a prompt, for all hosts."""
     if call.prompt is None or call.prompt.shared_key is None or not candidates:
         return None
-    names = {load.name: load.name for load in candidates}
-    chosen = choose_registrars(call.prompt.shared_key, names)[0]
-    return next(load for load in candidates if load.name == chosen)
+    loads = {load.name: load for load in candidates}
+    return loads[choose_keeper(call.prompt.shared_key, loads)]
 
 
-def count_unread(load: EndpointLoad, call: Call, keeper: EndpointLoad | None) -> int:
-    """Return the tokens of a prompt that an endpoint has to read.
+def assess_endpoint(
+    load: EndpointLoad,
+    call: Call,
+    keeper: EndpointLoad | None,
+    cold: bool,
+    now_s: float,
+) -> LocalChoice:
+    """Return what sending a request to an endpoint takes.
 
-    The keeper of the shared text has it for all hosts, although this host may not
-    have sent it there; others copy it from the keeper.
+    Parameters
+    ----------
+    load : EndpointLoad
+        The endpoint.
+    call : Call
+        The request.
+    keeper : EndpointLoad or None
+        Keeper of the shared text of its prompt.
+    cold : bool
+        Whether the endpoint bears few requests now.
+    now_s : float
+        Clock reading.
     """
     if call.prompt is None:
-        return 0
+        predicted_s = load.predict_first_s(call, 0, now_s)
+        return LocalChoice(load, 0, predicted_s, predicted_s, predicted_s, cold)
     cached = load.cache.count_cached(call.prompt)
-    if keeper is not None:
-        cached = max(cached, call.prompt.shared_tokens)
-    return call.prompt.tokens - cached
-
-
-def compute_copy_cost_s(load: EndpointLoad, call: Call) -> float:
-    """Return what one more copy of a shared text costs others.
+    unread = _count_unread(call.prompt, cached, keeper)
+    predicted_s = load.predict_first_s(call, unread, now_s)
+    effort_s = predicted_s + load.compute_crowding_s(now_s)
+    if load is keeper:
+        return LocalChoice(load, unread, predicted_s, effort_s, effort_s, cold)
+    missing = max(0, call.prompt.shared_tokens - cached)
+    # One more copy takes memory from other texts, which have to be copied or read
+    # again, besides the time of this request.
+    cost_s = effort_s + COPY_WEIGHT * missing / load.speed.tokens_per_s
+    return LocalChoice(load, unread, predicted_s, effort_s, cost_s, cold, keeper)
+
+
+def _count_unread(prompt: Prompt, cached: int, keeper: EndpointLoad | None) -> int:
+    """Return the tokens of a prompt that an endpoint has to read.
 
-    It takes memory from other texts, which have to be copied or read again, besides
-    the time of this request.
+    The keeper of the shared text has it for all hosts, although this host may not
+    have sent it there; others copy it from the keeper.
     """
-    if call.prompt is None:
-        return 0.0
-    missing = call.prompt.shared_tokens - load.cache.count_cached(call.prompt)
-    return COPY_WEIGHT * max(0, missing) / load.speed.tokens_per_s
+    if keeper is not None:
+        cached = max(cached, prompt.shared_tokens)
+    return prompt.tokens - cached
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -19,11 +19,6 @@
     dispatch: Dispatch
     since_s: float
 
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Order of serving: by priority, then by arrival."""
-        return (self.dispatch.call.route.priority, self.dispatch.ticket)
-
 
 class WaitingQueue:
     """Waiting requests, and how soon places become free for them."""
@@ -45,7 +40,9 @@
 
     def list_in_order(self) -> list[Waiting]:
         """Return the waiting requests, most urgent first."""
-        return sorted(self._waiting.values(), key=lambda waiting: waiting.rank)
+        return sorted(
+            self._waiting.values(), key=lambda waiting: _get_rank(waiting.dispatch)
+        )
 
     def note_end(self, now_s: float) -> None:
         """Note that an attempt of the service has ended and its place is free."""
@@ -63,8 +60,10 @@
             Clock reading.
         """
         self._forget(now_s)
-        rank = Waiting(dispatch, now_s).rank
-        ahead = sum(waiting.rank < rank for waiting in self._waiting.values())
+        rank = _get_rank(dispatch)
+        ahead = sum(
+            _get_rank(waiting.dispatch) < rank for waiting in self._waiting.values()
+        )
         if not ahead:
             return 0.0
         if not self._ends:
@@ -74,3 +73,8 @@
     def _forget(self, now_s: float) -> None:
         while self._ends and self._ends[0] < now_s - RATE_WINDOW_S:
             self._ends.popleft()
+
+
+def _get_rank(dispatch: Dispatch) -> tuple[int, int]:
+    """Return the order of serving: by priority, then by arrival."""
+    return (dispatch.call.route.priority, dispatch.ticket)
--- a/buckthorndeal/metrics.py
+++ b/buckthorndeal/metrics.py
@@ -1,5 +1,7 @@
 """Counters, gauges and latency summaries in the Prometheus text format."""
 
+from collections.abc import Mapping
+
 from hdrh.histogram import HdrHistogram
 
 from buckthorndeal.http_server import Handler, Request, Responder
@@ -71,6 +73,11 @@
         """Set the type and the help text of a metric."""
         self._help[name] = (kind, text)
 
+    def describe_gauges(self, texts: Mapping[str, str]) -> None:
+        """Set the help texts of several gauges by name."""
+        for name, text in texts.items():
+            self.describe(name, "gauge", text)
+
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add `amount` to a counter."""
         series = self._values.setdefault(name, {})
--- a/buckthorndeal/subsetting.py
+++ b/buckthorndeal/subsetting.py
@@ -2,9 +2,9 @@
 
 import hashlib
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
-__all__ = ["assign_subsets", "choose_registrars", "choose_subset"]
+__all__ = ["assign_subsets", "choose_keeper", "choose_registrars", "choose_subset"]
 
 # An endpoint takes between these multiples of the mean number of hosts. With both
 # at 1 a change of one name ripples on and replaces up to 19% of the pairs.
@@ -17,6 +17,22 @@
 _MULTIPLIER = 0x9E3779B97F4A7C15
 
 
+def choose_keeper(key: str, names: Iterable[str]) -> str:
+    """Return the one of several hosts or endpoints that keeps something, for all.
+
+    Every host makes the same choice from the same names (rendezvous hashing); a name
+    that comes or goes moves only what it keeps.
+
+    Parameters
+    ----------
+    key : str
+        What is kept.
+    names : iterable of str
+        At least one name.
+    """
+    return min(names, key=_create_ranking(key))
+
+
 def choose_registrars(endpoint: str, failure_domains: Mapping[str, str]) -> list[str]:
     """Return the hosts that an endpoint sends its heartbeats to.
 
@@ -36,10 +52,7 @@
         Up to `MAX_REGISTRARS` hosts, best first, in different failure domains
         where there are enough.
     """
-    key = _hash_name(endpoint)
-    ranked = sorted(
-        failure_domains, key=lambda host: (_mix(_hash_name(host), key), host)
-    )
+    ranked = sorted(failure_domains, key=_create_ranking(endpoint))
     best_of_domain: dict[str, str] = {}
     for host in ranked:
         best_of_domain.setdefault(failure_domains[host], host)
@@ -159,9 +172,13 @@
     """Give each endpoint without a host to the host that ranks it best."""
     for endpoint, count in counts.items():
         if not count:
-            key = _hash_name(endpoint)
-            host = min(chosen, key=lambda name: (_mix(_hash_name(name), key), name))
-            chosen[host].append(endpoint)
+            chosen[choose_keeper(endpoint, chosen)].append(endpoint)
+
+
+def _create_ranking(key: str) -> Callable[[str], tuple[int, str]]:
+    """Return the sort key of names by a hash of each with `key`."""
+    hashed = _hash_name(key)
+    return lambda name: (_mix(_hash_name(name), hashed), name)
 
 
 def _hash_name(name: str) -> int:
