--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -27,6 +27,8 @@
 # Far above what any test takes on a busy machine.
 HANG_TIMEOUT_S = 60
 REQUEST_ID = "buckthorndeal-call-id"
+# Gateway of the tests that need only one.
+GATEWAY = "10.1.0.9"
 
 
 def create_configuration(version=1, **changes):
@@ -265,6 +267,21 @@
         await responder.start(200, headers)
 
 
+def create_events(first, last):
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(first, last + 1))
+
+
+async def start_serving(fleet, script, endpoints=1, **changes):
+    """Start coordinators, one gateway and endpoints, and wait until they serve."""
+    await fleet.start_coordinators()
+    await fleet.put("10.1.0.1", create_configuration(1, **changes))
+    await fleet.start_gateway(GATEWAY)
+    for number in range(endpoints):
+        await fleet.start_endpoint(f"e{number}", "a-1", script)
+    await fleet.wait_ready(GATEWAY)
+    await curio.sleep(0.6)
+
+
 def run_fleet(function, *args):
     """Run a coroutine function within the time limit of a test."""
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,41 +2,24 @@
 
 import logging
 import os
-import time
 import unittest
 
 import curio
 
 from buckthorndeal.errors import RequestError
-from buckthorndeal.fleet import EntryHost, EntryHosts, EntryState
-from buckthorndeal.gateway._control import _Heard
 from buckthorndeal.logs import EXTRA_FIELD, configure_logging
 from tests.fleet_harness import (
     CALLER_PORT,
+    GATEWAY,
     REQUEST_ID,
     Fleet,
     create_configuration,
+    create_events,
     run_fleet,
+    start_serving,
 )
 
-HOST = "10.1.0.9"
 OTHER = "10.2.0.9"
-SUBSTITUTE = "10.1.0.8"
-
-
-def create_events(first, last):
-    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(first, last + 1))
-
-
-async def start(fleet, script, endpoints=1, **changes):
-    """Start coordinators, one gateway and endpoints, and wait until they serve."""
-    await fleet.start_coordinators()
-    await fleet.put("10.1.0.1", create_configuration(1, **changes))
-    await fleet.start_gateway(HOST)
-    for number in range(endpoints):
-        await fleet.start_endpoint(f"e{number}", "a-1", script)
-    await fleet.wait_ready(HOST)
-    await curio.sleep(0.6)
 
 
 def count_requests(fleet):
@@ -52,8 +35,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
-                status, headers, body = await fleet.ask(HOST, "/non_idempotent/")
+                await start_serving(fleet, script)
+                status, headers, body = await fleet.ask(GATEWAY, "/non_idempotent/")
                 self.assertEqual((status, body), (418, b"tea"))
                 self.assertEqual(headers["x-own"], "1")
 
@@ -65,8 +48,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, endpoints=2)
-                status, headers, _ = await fleet.ask(HOST, "/non_idempotent/")
+                await start_serving(fleet, script, endpoints=2)
+                status, headers, _ = await fleet.ask(GATEWAY, "/non_idempotent/")
                 self.assertEqual(status, 502)
                 self.assertEqual(headers["buckthorndeal-verdict"], "may_have_run")
                 self.assertEqual(count_requests(fleet), 1)
@@ -83,8 +66,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, endpoints=2)
-                status, _, _ = await fleet.ask(HOST, "/non_idempotent/")
+                await start_serving(fleet, script, endpoints=2)
+                status, _, _ = await fleet.ask(GATEWAY, "/non_idempotent/")
                 self.assertEqual(status, 200)
                 self.assertEqual(count_requests(fleet), 2)
 
@@ -97,8 +80,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, endpoints=2)
-                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                await start_serving(fleet, script, endpoints=2)
+                status, _, _ = await fleet.ask(GATEWAY, "/idempotent/")
                 self.assertEqual(status, 200)
 
         run_fleet(test)
@@ -110,8 +93,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
-                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                await start_serving(fleet, script)
+                status, _, _ = await fleet.ask(GATEWAY, "/idempotent/")
                 self.assertEqual(status, 200)
 
         run_fleet(test)
@@ -122,8 +105,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
-                status, _, body = await fleet.ask(HOST, "/non_idempotent/")
+                await start_serving(fleet, script)
+                status, _, body = await fleet.ask(GATEWAY, "/non_idempotent/")
                 self.assertEqual(status, 502)
                 self.assertNotIn(b"wrong", body)
 
@@ -135,8 +118,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, timeout_s=0.5)
-                status, _, _ = await fleet.ask(HOST, "/non_idempotent/")
+                await start_serving(fleet, script, timeout_s=0.5)
+                status, _, _ = await fleet.ask(GATEWAY, "/non_idempotent/")
                 self.assertEqual(status, 504)
                 await curio.sleep(0.2)
                 self.assertEqual(len(fleet.endpoints["e0"].cancelled), 1)
@@ -150,13 +133,13 @@
         async def test():
             async with Fleet() as fleet:
                 await fleet.start_coordinators()
-                await fleet.start_gateway(HOST)
-                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                await fleet.start_gateway(GATEWAY)
+                status, _, _ = await fleet.ask(GATEWAY, "/idempotent/")
                 self.assertEqual(status, 503, "no configuration is known yet")
                 await fleet.put("10.1.0.1", create_configuration(1))
                 await fleet.start_endpoint("e0", "a-1", script)
-                await fleet.wait_ready(HOST)
-                status, _, _ = await fleet.ask(HOST, "/nothing/")
+                await fleet.wait_ready(GATEWAY)
+                status, _, _ = await fleet.ask(GATEWAY, "/nothing/")
                 self.assertEqual(status, 404)
 
         run_fleet(test)
@@ -171,9 +154,9 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
+                await start_serving(fleet, script)
                 with self.assertLogs("absl") as logs:
-                    await fleet.ask(HOST, "/nothing/")
+                    await fleet.ask(GATEWAY, "/nothing/")
                 ended = [each for each in logs.records if each.msg == "request_ended"]
                 fields = getattr(ended[-1], EXTRA_FIELD)
                 self.assertEqual(fields["request_id"], "q1")
@@ -203,8 +186,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
-                pool = fleet.create_pool(HOST, CALLER_PORT)
+                await start_serving(fleet, script)
+                pool = fleet.create_pool(GATEWAY, CALLER_PORT)
                 for number in range(self.REQUESTS):
                     headers = [("host", "x.example"), (REQUEST_ID, f"q{number}")]
                     answer = await pool.fetch("POST", "/idempotent/", headers, b"x")
@@ -228,8 +211,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, endpoints=2)
-                status, _, body = await fleet.ask(HOST, "/stream/")
+                await start_serving(fleet, script, endpoints=2)
+                status, _, body = await fleet.ask(GATEWAY, "/stream/")
                 self.assertEqual((status, body), (200, create_events(0, 5)))
 
         run_fleet(test)
@@ -242,9 +225,9 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script, endpoints=2)
+                await start_serving(fleet, script, endpoints=2)
                 with self.assertRaises(RequestError):
-                    await fleet.ask(HOST, "/stream/")
+                    await fleet.ask(GATEWAY, "/stream/")
 
         run_fleet(test)
 
@@ -256,9 +239,9 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
+                await start_serving(fleet, script)
                 with self.assertRaises(RequestError):
-                    await fleet.ask(HOST, "/stream/")
+                    await fleet.ask(GATEWAY, "/stream/")
 
         run_fleet(test)
 
@@ -270,8 +253,8 @@
 
         async def test():
             async with Fleet() as fleet:
-                await start(fleet, script)
-                pool = fleet.create_pool(HOST, CALLER_PORT)
+                await start_serving(fleet, script)
+                pool = fleet.create_pool(GATEWAY, CALLER_PORT)
                 headers = [("host", "x.example"), (REQUEST_ID, "q1")]
                 async with pool.request("POST", "/stream/", headers, b"") as response:
                     await response.read_part()
@@ -287,7 +270,7 @@
     async def _start(self, fleet, script, **changes):
         await fleet.start_coordinators()
         await fleet.put("10.1.0.1", create_configuration(1, **changes))
-        await fleet.start_gateway(HOST)
+        await fleet.start_gateway(GATEWAY)
         await fleet.start_gateway(OTHER)
         await fleet.start_endpoint("e0", "b-1", script)
 
@@ -298,8 +281,8 @@
         async def test():
             async with Fleet() as fleet:
                 await self._start(fleet, script)
-                await fleet.wait_ready(HOST)
-                status, _, body = await fleet.ask(HOST, "/idempotent/")
+                await fleet.wait_ready(GATEWAY)
+                status, _, body = await fleet.ask(GATEWAY, "/idempotent/")
                 self.assertEqual((status, body), (200, b"ok"))
                 sent = fleet.endpoints["e0"].requests[-1].headers
                 self.assertFalse([each for each in sent if "mac" in each])
@@ -314,7 +297,7 @@
             async with Fleet() as fleet:
                 await self._start(fleet, script, home_regions=["a"])
                 await curio.sleep(2)
-                status, _, _ = await fleet.ask(HOST, "/idempotent/")
+                status, _, _ = await fleet.ask(GATEWAY, "/idempotent/")
                 self.assertEqual(status, 503)
                 status, _, _ = await fleet.ask(OTHER, "/idempotent/")
                 self.assertEqual(status, 503)
@@ -337,93 +320,3 @@
                 self.assertEqual(fleet.endpoints["e0"].requests, [])
 
         run_fleet(test)
-
-
-class DrainTest(unittest.TestCase):
-    """A stopping gateway breaks off nothing that it has taken."""
-
-    def test_running_stream_ends(self):
-        async def script(endpoint, request, responder):
-            await endpoint.start_stream(request, responder)
-            await responder.send(create_events(0, 0))
-            await curio.sleep(1)
-            await responder.send(create_events(1, 1))
-            await responder.finish()
-
-        async def test():
-            async with Fleet() as fleet:
-                await start(fleet, script)
-                asking = await curio.spawn(fleet.ask, HOST, "/stream/")
-                await curio.sleep(0.3)
-                await fleet.gateways[HOST].drain()
-                status, _, body = await asking.join()
-                self.assertEqual((status, body), (200, create_events(0, 1)))
-
-        run_fleet(test)
-
-    def test_last_host_of_the_home_regions_serves_on(self):
-        async def script(endpoint, request, responder):
-            await endpoint.start_stream(request, responder)
-            await responder.send(create_events(0, 1))
-            await responder.finish()
-
-        async def test():
-            async with Fleet() as fleet:
-                await fleet.start_gateway(OTHER)
-                await start(fleet, script, home_regions=["a"])
-                draining = await curio.spawn(fleet.gateways[HOST].drain)
-                # Far longer than the notice.
-                await curio.sleep(1)
-                for path in ("/idempotent/", "/stream/"):
-                    status, _, _ = await fleet.ask(HOST, path)
-                    self.assertEqual(status, 200)
-                await fleet.start_gateway(SUBSTITUTE)
-                await draining.join()
-
-        run_fleet(test)
-
-    def test_substitute_must_be_known_to_all_coordinators(self):
-        """A far coordinator still sends callers here when a near one does not."""
-        mine = EntryHost(HOST, "a", "a-1", f"{HOST}:9000", EntryState.DRAINING)
-        other = EntryHost(SUBSTITUTE, "a", "a-1", "x:1", EntryState.READY)
-        homes = {"x.example": {"a": 1}}
-
-        async def test():
-            async with Fleet() as fleet:
-                gateway = await fleet.start_gateway(HOST)
-                gateway._homes = homes
-                mailbox = gateway._control.mailbox
-                for host, entries in (("near", (mine, other)), ("far", (mine,))):
-                    await mailbox.send(_Heard(host, EntryHosts(entries)))
-                waiting = await curio.spawn(
-                    gateway._wait_for_substitute, time.monotonic() + 30
-                )
-                await curio.sleep(0.5)
-                self.assertFalse(waiting.terminated)
-                await mailbox.send(_Heard("far", EntryHosts((mine, other))))
-                await waiting.join()
-
-        run_fleet(test)
-
-    def test_new_stream_is_refused_after_the_notice(self):
-        async def script(endpoint, request, responder):
-            await curio.sleep(1)
-            await endpoint.answer(request, responder)
-
-        async def test():
-            async with Fleet() as fleet:
-                await start(fleet, script)
-                pool = fleet.create_pool(HOST, CALLER_PORT)
-                headers = [("host", "x.example"), (REQUEST_ID, "q1")]
-                await pool.fetch("POST", "/idempotent/ready", headers, b"x")
-                asking = await curio.spawn(fleet.ask, HOST, "/idempotent/")
-                await curio.sleep(0.1)
-                draining = await curio.spawn(fleet.gateways[HOST].drain)
-                await curio.sleep(0.4)
-                status, answer, _ = await pool.fetch("POST", "/stream/", headers, b"x")
-                self.assertEqual(status, 503)
-                self.assertEqual(answer["buckthorndeal-verdict"], "not_run")
-                self.assertEqual((await asking.join())[0], 200)
-                await draining.join()
-
-        run_fleet(test)
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -5,110 +5,19 @@
 from dataclasses import replace
 
 from buckthorndeal.configuration import (
-    EngineDescription,
     RequestKind,
-    Route,
-    ServiceDescription,
-    WeightedService,
 )
-from buckthorndeal.fleet import EndpointRecord, EndpointState
-from buckthorndeal.gateway._dispatcher import Dispatcher, DispatchOptions
-from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.fleet import EndpointState
 from buckthorndeal.gateway._messages import (
-    Call,
-    Dispatch,
     FleetChanged,
     Forward,
     Grant,
-    Prompt,
-    PromptPart,
     Refusal,
     RefusalReason,
     RegionHeard,
 )
-from buckthorndeal.policy.ejection import create_ejection
 from buckthorndeal.policy.views import AttemptOutcome
-
-ENGINE = ServiceDescription("llm", "/h", 100, 3.0, 2.9, EngineDescription(64, 300_000))
-DESK = ServiceDescription("desk", "/h", 100)
-ROUTE = Route(
-    "r",
-    "x",
-    "/",
-    RequestKind.STREAM,
-    4.0,
-    0.8,
-    1,
-    (WeightedService("llm", 1),),
-)
-
-
-class Game:
-    """A dispatcher of region ``a`` on an injected clock."""
-
-    def __init__(self, endpoints=3, service="llm", slots=64, **options):
-        self.now_s = 100.0
-        self.dispatcher = Dispatcher(
-            "h1",
-            "a",
-            FleetView("h1"),
-            DispatchOptions(**options),
-            create_ejection(),
-            random.Random(1),
-        )
-        self.view = self.dispatcher.view
-        self.view.set_services({"llm": ENGINE, "desk": DESK})
-        self.sequence = 0
-        self.ticket = 0
-        self.names = [f"e{number}" for number in range(endpoints)]
-        self.service = service
-        self.slots = slots
-        self.beat()
-        # Past the time in which a host waits for the first heartbeats.
-        self.dispatcher._is_starting(0.0)
-
-    def beat(self, names=None, **fields):
-        self.sequence += 1
-        for name in names if names is not None else self.names:
-            values = {
-                "endpoint": name,
-                "incarnation": 1,
-                "sequence": self.sequence,
-                "service": self.service,
-                "region": "a",
-                "failure_domain": "a-1",
-                "address": f"10.0.0.{name[1:]}:80",
-                "slots": self.slots,
-                "state": EndpointState.READY,
-                **fields,
-            }
-            self.view.hear(EndpointRecord(**values), self.now_s)
-
-    def ask(self, prompt=None, route=ROUTE, hops=(), **fields):
-        self.ticket += 1
-        service = self.service
-        call = Call(
-            f"q{self.ticket}",
-            route,
-            service,
-            self.now_s,
-            self.now_s + route.timeout_s,
-            prompt,
-            hops=hops,
-        )
-        return self.dispatcher.submit(Dispatch(self.ticket, call, **fields), self.now_s)
-
-    def end(self, ticket, outcome=AttemptOutcome.SUCCEEDED):
-        self.dispatcher.finish(ticket, outcome, self.now_s)
-
-
-def create_prompt(text, number, tokens=1000):
-    parts = (
-        PromptPart("root", 2500),
-        PromptPart(f"text{text}", 3800),
-        PromptPart(f"own{number}", tokens),
-    )
-    return Prompt("m", 6300 + tokens, 50, parts)
+from tests.dispatcher_harness import ROUTE, Game, create_prompt
 
 
 class PlacingTest(unittest.TestCase):
--- /dev/null
+++ b/tests/test_gateway_drain.py
@@ -0,0 +1,111 @@
+"""Tests of a gateway that is told to stop."""
+
+import time
+import unittest
+
+import curio
+
+from buckthorndeal.fleet import EntryHost, EntryHosts, EntryState
+from buckthorndeal.gateway._control import _Heard
+from tests.fleet_harness import (
+    CALLER_PORT,
+    GATEWAY,
+    REQUEST_ID,
+    Fleet,
+    create_events,
+    run_fleet,
+    start_serving,
+)
+
+OTHER = "10.2.0.9"
+SUBSTITUTE = "10.1.0.8"
+
+
+class DrainTest(unittest.TestCase):
+    """A stopping gateway breaks off nothing that it has taken."""
+
+    def test_running_stream_ends(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 0))
+            await curio.sleep(1)
+            await responder.send(create_events(1, 1))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, script)
+                asking = await curio.spawn(fleet.ask, GATEWAY, "/stream/")
+                await curio.sleep(0.3)
+                await fleet.gateways[GATEWAY].drain()
+                status, _, body = await asking.join()
+                self.assertEqual((status, body), (200, create_events(0, 1)))
+
+        run_fleet(test)
+
+    def test_last_host_of_the_home_regions_serves_on(self):
+        async def script(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_events(0, 1))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_gateway(OTHER)
+                await start_serving(fleet, script, home_regions=["a"])
+                draining = await curio.spawn(fleet.gateways[GATEWAY].drain)
+                # Far longer than the notice.
+                await curio.sleep(1)
+                for path in ("/idempotent/", "/stream/"):
+                    status, _, _ = await fleet.ask(GATEWAY, path)
+                    self.assertEqual(status, 200)
+                await fleet.start_gateway(SUBSTITUTE)
+                await draining.join()
+
+        run_fleet(test)
+
+    def test_substitute_must_be_known_to_all_coordinators(self):
+        """A far coordinator still sends callers here when a near one does not."""
+        mine = EntryHost(GATEWAY, "a", "a-1", f"{GATEWAY}:9000", EntryState.DRAINING)
+        other = EntryHost(SUBSTITUTE, "a", "a-1", "x:1", EntryState.READY)
+        homes = {"x.example": {"a": 1}}
+
+        async def test():
+            async with Fleet() as fleet:
+                gateway = await fleet.start_gateway(GATEWAY)
+                gateway._homes = homes
+                mailbox = gateway._control.mailbox
+                for host, entries in (("near", (mine, other)), ("far", (mine,))):
+                    await mailbox.send(_Heard(host, EntryHosts(entries)))
+                waiting = await curio.spawn(
+                    gateway._wait_for_substitute, time.monotonic() + 30
+                )
+                await curio.sleep(0.5)
+                self.assertFalse(waiting.terminated)
+                await mailbox.send(_Heard("far", EntryHosts((mine, other))))
+                await waiting.join()
+
+        run_fleet(test)
+
+    def test_new_stream_is_refused_after_the_notice(self):
+        async def script(endpoint, request, responder):
+            await curio.sleep(1)
+            await endpoint.answer(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, script)
+                pool = fleet.create_pool(GATEWAY, CALLER_PORT)
+                headers = [("host", "x.example"), (REQUEST_ID, "q1")]
+                await pool.fetch("POST", "/idempotent/ready", headers, b"x")
+                asking = await curio.spawn(fleet.ask, GATEWAY, "/idempotent/")
+                await curio.sleep(0.1)
+                draining = await curio.spawn(fleet.gateways[GATEWAY].drain)
+                await curio.sleep(0.4)
+                status, answer, _ = await pool.fetch("POST", "/stream/", headers, b"x")
+                self.assertEqual(status, 503)
+                self.assertEqual(answer["buckthorndeal-verdict"], "not_run")
+                self.assertEqual((await asking.join())[0], 200)
+                await draining.join()
+
+        run_fleet(test)
