Give test processes ports that no outgoing connection takes

Cause: the setup of tests.test_processes failed once in the whole suite on an idle machine, with "not within 30 s: e3 is ready". Ports were taken from the range of outgoing connections and released, and modules run side by side: a connection of another module can get one before the daemon listens. The log of that run is lost; a run with a connection bound to e3's port ends in the same failure, with "address already in use" in e3's log.

Change: ports below that range; a process that has ended by itself fails the wait at once, with the end of its log.

--- a/tests/control_harness.py
+++ b/tests/control_harness.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,14 +20,32 @@
 HOSTS = ("control-1", "control-2", "control-3", "control-4")
 # Longest wait of a test for a state of the cluster; not a bound of the product.
 WAIT_S = 60.0
+FIRST_PORT = 10_000
+OUTGOING_PORTS_FILE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+
+
+def read_outgoing_ports():
+    """Return the ports that the system gives to outgoing connections."""
+    first, last = OUTGOING_PORTS_FILE.read_text().split()
+    return range(int(first), int(last) + 1)
 
 
 def find_ports(count):
+    """Return free ports that no outgoing connection takes before they are used."""
+    candidates = list(range(FIRST_PORT, read_outgoing_ports().start))
+    random.shuffle(candidates)
+    ports = []
     with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
+        while len(ports) < count:
+            port = candidates.pop()
+            probe = stack.enter_context(socket.socket())
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Another program listens there.
+                continue
+            ports.append(port)
+    return ports
 
 
 class Cluster:
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -296,8 +296,16 @@
 
         return await self.wait_until(read, "primary and backup")
 
+    def require_running(self, host):
+        """Fail with the end of a host's log if its process has ended by itself."""
+        status = self.processes[host].poll()
+        if status is not None:
+            log = (self.directory / f"{host}.log").read_text()
+            raise AssertionError(f"{host} ended with status {status}: {log[-500:]}")
+
     async def wait_until_ready(self, host):
         async def is_ready():
+            self.require_running(host)
             try:
                 return (await self.fetch(host, "GET", "/readyz"))[0] == 200
             except RequestError:
