Release the old address of a restarted endpoint, and keep late drains

Cause: an endpoint that restarted under its id at another address stayed the owner of its old one. The next endpoint there marked it as left, although it ran; once it had expired, `_claim_address` raised KeyError, which ended the task that owns the table and so the process. A drain that arrived behind a newer heartbeat was dropped, although an incarnation that drains is never ready again.

Change: a new address releases the old one; a drain holds whatever its sequence. `mark_draining` serves endpoints that announce a drain outside their heartbeats.

Result: the four new tests fail before (LEFT is not READY, KeyError 'e1', unexpectedly None, no such method) and pass now.

--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -78,6 +78,8 @@
             record = merged
         if not self._claim_address(record):
             return None
+        if known is not None and known.record.address != record.address:
+            self._release_address(known.record)
         leaves_at_s = None
         if record.leaves_in_s is not None:
             leaves_at_s = now_s + record.leaves_in_s
@@ -107,6 +109,31 @@
         self._release_address(record)
         return True
 
+    def mark_draining(self, endpoint: str, incarnation: int) -> EndpointRecord | None:
+        """Mark an endpoint as draining, because it has said so outside its heartbeats.
+
+        Parameters
+        ----------
+        endpoint : str
+            Id of the endpoint.
+        incarnation : int
+            The incarnation that drains; another one is left as it is.
+
+        Returns
+        -------
+        EndpointRecord or None
+            The changed record; None if this was known or concerns another incarnation.
+        """
+        entry = self._entries.get(endpoint)
+        if entry is None or entry.record.incarnation != incarnation:
+            return None
+        if entry.record.state is not EndpointState.READY:
+            return None
+        entry.record = msgspec.structs.replace(
+            entry.record, state=EndpointState.DRAINING
+        )
+        return entry.record
+
     def expire(self, silence_s: float, now_s: float) -> list[EndpointRecord]:
         """Remove endpoints without heartbeats for `silence_s` seconds and return them.
 
@@ -157,6 +184,9 @@
     if new.state is EndpointState.LEFT:
         return new
     if new.sequence < known.sequence:
+        # An incarnation that drains is never ready again, so a late drain holds.
+        if new.state is EndpointState.DRAINING and known.state is EndpointState.READY:
+            return msgspec.structs.replace(known, state=EndpointState.DRAINING)
         return None
     if known.state is EndpointState.DRAINING:
         return msgspec.structs.replace(new, state=EndpointState.DRAINING)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -65,6 +65,47 @@
         self.assertIsNone(self.table.update(late, 2.0))
         self.assertIs(self.get_state("new"), EndpointState.READY)
 
+    def test_restart_at_another_address(self):
+        """Guards against an endpoint that loses its place to a user of its old address.
+
+        Before, the old address stayed with the restarted endpoint.
+        """
+        self.table.update(create_record(incarnation=100), 0.0)
+        moved = create_record(incarnation=200, address="10.0.0.2:80")
+        self.table.update(moved, 1.0)
+        self.table.update(create_record("new", 300), 2.0)
+        self.assertIs(self.get_state("e1"), EndpointState.READY)
+        self.assertIs(self.get_state("new"), EndpointState.READY)
+
+    def test_old_address_of_an_expired_endpoint(self):
+        """Guards against an error that ends the task which owns the table."""
+        self.table.update(create_record(incarnation=100), 0.0)
+        moved = create_record(incarnation=200, address="10.0.0.2:80")
+        self.table.update(moved, 1.0)
+        self.table.expire(5.0, 10.0)
+        self.table.update(create_record("new", 300), 11.0)
+        self.assertIs(self.get_state("new"), EndpointState.READY)
+
+    def test_late_drain_holds(self):
+        """Guards against a drain that is lost behind a newer heartbeat."""
+        self.table.update(create_record(sequence=5), 0.0)
+        late = create_record(sequence=3, state=EndpointState.DRAINING)
+        self.assertIsNotNone(self.table.update(late, 1.0))
+        self.assertIs(self.get_state(), EndpointState.DRAINING)
+        self.assertEqual(self.table.get("e1").record.sequence, 5)
+
+    def test_mark_draining(self):
+        self.table.update(create_record(incarnation=200), 0.0)
+        self.assertIsNone(self.table.mark_draining("e1", 100))
+        self.assertIsNone(self.table.mark_draining("nobody", 200))
+        self.assertIs(self.get_state(), EndpointState.READY)
+        self.assertIsNotNone(self.table.mark_draining("e1", 200))
+        self.assertIsNone(self.table.mark_draining("e1", 200))
+        self.table.update(create_record(incarnation=200, sequence=9), 1.0)
+        self.assertIs(self.get_state(), EndpointState.DRAINING)
+        self.table.update(create_record(incarnation=300), 2.0)
+        self.assertIs(self.get_state(), EndpointState.READY)
+
     def test_expire(self):
         self.table.update(create_record(), 0.0)
         self.table.touch("e1", 3.0)
