Use equal endpoints of a plain service evenly

Cause: all hosts know the endpoints in the same order, and a tie went to the first one. An endpoint of which a host had seen no response counted as 50 ms, so it got either all of its requests or none for good; small differences of measured times had the same effect. Ruled out: load reports, which these hosts do not have at a tenth of a request a second for each endpoint.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -253,6 +253,7 @@
             return None
         prefix_owner = find_prefix_owner(call, candidates)
         best: LocalChoice | None = None
+        best_rank: tuple[bool, float, float] | None = None
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
             if cold and not self._may_warm_up(load, now_s):
@@ -260,11 +261,11 @@
             if not load.has_capacity(call, service, now_s):
                 continue
             choice = score_endpoint(load, call, prefix_owner, cold, now_s)
-            if best is None or (cold, choice.endpoint_cost_s) < (
-                best.cold,
-                best.endpoint_cost_s,
-            ):
-                best = choice
+            # Hosts that know nothing to tell two endpoints apart choose at random, as
+            # all of them would otherwise send to the same one.
+            rank = (cold, choice.endpoint_cost_s, self._rng.random())
+            if best_rank is None or rank < best_rank:
+                best, best_rank = choice, rank
         return best
 
     def _may_warm_up(self, load: EndpointLoad, now_s: float) -> bool:
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -9,6 +9,7 @@
 from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._messages import FleetChanged
+from buckthorndeal.gateway._service_time import ServiceTime
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
 HEARTBEAT_TIMEOUT_S = 3.0
@@ -61,6 +62,7 @@
     def __init__(self, host: str) -> None:
         self._table = create_endpoint_table()
         self._last_heartbeat_s = 0.0
+        self._service_times: dict[str, ServiceTime] = {}
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
         self.fleet = FleetChanged((host,), 1, frozenset())
@@ -130,7 +132,12 @@
         )
         if load is None or restarted:
             cache = PrefixCache(compute_cache_tokens(self.services.get(record.service)))
-            self.loads[record.endpoint] = EndpointLoad(entry, cache)
+            service_time = ServiceTime(
+                self._service_times.setdefault(record.service, ServiceTime())
+            )
+            self.loads[record.endpoint] = EndpointLoad(
+                entry, cache, service_time=service_time
+            )
         else:
             load.entry = entry
 
@@ -187,7 +194,8 @@
             else:
                 excess = max(0, total_inflight + 1 - load.entry.record.slots)
                 slots = max(1, load.entry.record.slots)
-                waits.append(load.service_time_s * (1 + excess / slots))
+                service_s = load.service_time.get_seconds(now_s)
+                waits.append(service_s * (1 + excess / slots))
         return min(waits), free_slots // hosts
 
     def _is_evacuated(self, load: EndpointLoad) -> bool:
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -7,10 +7,10 @@
 from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache
 from buckthorndeal.gateway._limits import RequestPacer
 from buckthorndeal.gateway._messages import Call, LoadReport
+from buckthorndeal.gateway._service_time import ServiceTime
 
 # Older load reports are ignored.
 REPORT_LIFETIME_S = 2.0
-INITIAL_SERVICE_TIME_S = 0.05
 MOVING_AVERAGE_WEIGHT = 0.1
 # Shares of an engine's slots and memory that running requests may use. A full engine
 # evicts cached prompts of earlier requests and delays every token, and its load
@@ -71,9 +71,8 @@
         Uncached tokens and number of attempts whose response has not started.
     memory_tokens : int
         Sum of the memory that the attempts need.
-    service_time_s : float
-        Moving average of the time until a response starts, for requests without a
-        prompt.
+    service_time : ServiceTime
+        Time until a response starts, for requests without a prompt.
     mean_uncached_tokens, mean_memory_tokens : float
         Moving averages of the attempts of this host, also assumed for other hosts.
     report : LoadReport or None
@@ -90,7 +89,7 @@
     queued_tokens: int = 0
     queued_count: int = 0
     memory_tokens: int = 0
-    service_time_s: float = INITIAL_SERVICE_TIME_S
+    service_time: ServiceTime = field(default_factory=ServiceTime)
     mean_uncached_tokens: float = 0.0
     mean_memory_tokens: float = 0.0
     report: LoadReport | None = None
@@ -150,15 +149,20 @@
         slots = self.entry.record.slots
         if call.prompt is None:
             waiting = self.inflight + self.count_other_inflight(now_s) + 1 - slots
-            return self.service_time_s * (1 + max(0, waiting) / max(1, slots))
+            service_s = self.service_time.get_seconds(now_s)
+            return service_s * (1 + max(0, waiting) / max(1, slots))
         return self.prefill_speed.predict(
             self.count_queued_tokens(now_s) + uncached_tokens
         )
 
     def compute_load_penalty_s(self, now_s: float) -> float:
         """Return the penalty of the engine's load for one more request, in seconds."""
+        return FULL_ENGINE_PENALTY_S * self.compute_utilization(now_s)
+
+    def compute_utilization(self, now_s: float) -> float:
+        """Return the known requests as a share of the slots; above 1 if some wait."""
         total_inflight = self.inflight + self.count_other_inflight(now_s)
-        return FULL_ENGINE_PENALTY_S * total_inflight / max(1, self.entry.record.slots)
+        return total_inflight / max(1, self.entry.record.slots)
 
     def count_queued_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that are queued for prefill at the engine."""
@@ -211,8 +215,7 @@
         self.queued_count -= 1
         latency_s = now_s - attempt.granted_s
         if attempt.call.prompt is None:
-            error_s = latency_s - self.service_time_s
-            self.service_time_s += MOVING_AVERAGE_WEIGHT * error_s
+            self.service_time.observe(latency_s, now_s)
         else:
             prefilled_tokens = attempt.queued_tokens + attempt.uncached_tokens
             self.prefill_speed.observe(prefilled_tokens, latency_s)
--- a/buckthorndeal/gateway/_scoring.py
+++ b/buckthorndeal/gateway/_scoring.py
@@ -75,7 +75,10 @@
     """
     if call.prompt is None:
         predicted_s = load.predict_first_response_s(call, 0, now_s)
-        return LocalChoice(load, 0, predicted_s, predicted_s, predicted_s, cold)
+        # Free slots are used evenly: the requests of other hosts come on top of those
+        # known here.
+        endpoint_cost_s = predicted_s * (1 + load.compute_utilization(now_s))
+        return LocalChoice(load, 0, predicted_s, predicted_s, endpoint_cost_s, cold)
     cached_tokens = load.cache.count_cached(call.prompt)
     uncached = _count_uncached(call.prompt, cached_tokens, prefix_owner)
     predicted_s = load.predict_first_response_s(call, uncached, now_s)
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -74,6 +74,51 @@
             self.assertIs(each.reason, RefusalReason.OVERLOADED)
             self.assertGreater(each.retry_after_s, 0)
 
+    def test_equal_endpoints_are_used_evenly(self):
+        """Guards against all hosts sending to the same one of several free endpoints.
+
+        Forty hosts with few requests each know too little to tell endpoints apart.
+        """
+        counts = dict.fromkeys(("e0", "e1", "e2"), 0)
+        for seed in range(40):
+            harness = DispatcherHarness(service="desk", slots=6)
+            harness.dispatcher._rng = random.Random(seed)
+            for _ in range(6):
+                decision = harness.submit()
+                counts[decision.record.endpoint] += 1
+        self.assertLess(max(counts.values()), 1.25 * 80)
+
+    def test_unknown_endpoint_is_used(self):
+        """Guards against an endpoint that stays idle because nothing is known of it."""
+        for latency_s in (0.01, 0.1):
+            harness = DispatcherHarness(endpoints=2, service="desk", slots=6)
+            names = []
+            for _ in range(60):
+                decision = harness.submit()
+                names.append(decision.record.endpoint)
+                harness.now_s += latency_s
+                harness.dispatcher.record_response_start(
+                    harness.attempt_id, None, harness.now_s
+                )
+                harness.finish(harness.attempt_id)
+                harness.send_heartbeats()
+            self.assertGreater(min(names.count("e0"), names.count("e1")), 15)
+
+    def test_slow_endpoint_is_avoided_and_tried_again(self):
+        harness = DispatcherHarness(endpoints=2, service="desk", slots=6)
+        names = []
+        for _ in range(240):
+            decision = harness.submit()
+            names.append(decision.record.endpoint)
+            harness.now_s += 0.4 if decision.record.endpoint == "e0" else 0.05
+            harness.dispatcher.record_response_start(
+                harness.attempt_id, None, harness.now_s
+            )
+            harness.finish(harness.attempt_id)
+            harness.send_heartbeats()
+        self.assertLess(names.count("e0"), 40)
+        self.assertIn("e0", names[120:])
+
     def test_draining_and_evacuated_endpoints(self):
         harness = DispatcherHarness()
         harness.send_heartbeats(["e0"], state=EndpointState.DRAINING)
@@ -312,7 +357,8 @@
         harness.view.set_fleet(FleetChanged(("h1",), 1, frozenset({"a-2"})))
         state = harness.dispatcher.describe_service("llm", harness.now_s)
         counts = {each.value: count for each, count in state.endpoints.items()}
-        expected = dict.fromkeys(("ready", "cold", "silent", "evacuated", "leaving"), 1)
+        conditions = ("ready", "cold", "silent", "evacuated", "leaving")
+        expected = dict.fromkeys(conditions, 1)
         self.assertEqual(counts, expected)
 
     def test_retries_and_waiting(self):
