Obey endpoints that leave or ask for a pause in their responses

Neither header was read: a host went on sending until a heartbeat said the same, or for good.

Change: a response with the leave header marks this incarnation as draining on this host at once, and the nearest coordinator passes it on to the other hosts of the region. Requests that have no other endpoint are refused at once, with a `Retry-After` after the end of the shortest pause, spread by a half. Malformed values and dates start no pause, as clocks differ.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -9,10 +9,12 @@
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._control import AnnounceDrain
 from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
     Call,
+    EndpointNotice,
     Forward,
     Grant,
     ResponseStarted,
@@ -119,7 +121,9 @@
         async with pool.request(
             request.method, request.target, headers, request.body, mark_request_sent
         ) as response:
-            metadata = _check_response(context, call, decision, response)
+            metadata = context.dialect.parse_response(response.status, response.headers)
+            await _report_notice(context, call, decision, metadata)
+            _check_response(call, decision, response, metadata)
             attempt = Attempt(
                 attempt_id, _get_target_name(decision), response, metadata
             )
@@ -149,6 +153,25 @@
     )
 
 
+async def _report_notice(
+    context: GatewayContext,
+    call: Call,
+    decision: Grant | Forward,
+    metadata: ResponseMetadata,
+) -> None:
+    """Report that the endpoint leaves or wants a pause, if its response says so."""
+    if not metadata.leaving and metadata.pause_s is None:
+        return
+    if isinstance(decision, Forward) or metadata.misdirected:
+        return
+    if metadata.request_id not in (None, call.request_id):
+        return
+    notice = EndpointNotice(decision.record, metadata.leaving, metadata.pause_s)
+    changed = await context.dispatch_mailbox.ask(notice)
+    if changed is not None:
+        await context.control_mailbox.send(AnnounceDrain(changed))
+
+
 def _get_pool(context: GatewayContext, decision: Grant | Forward) -> HttpPool:
     now_s = context.clock()
     if isinstance(decision, Forward):
@@ -217,11 +240,12 @@
 
 
 def _check_response(
-    context: GatewayContext,
     call: Call,
     decision: Grant | Forward,
     response: ClientResponse,
-) -> ResponseMetadata:
+    metadata: ResponseMetadata,
+) -> None:
+    """Raise `AttemptError` unless the response can be relayed."""
     verdict = response.headers.get(VERDICT_HEADER)
     if isinstance(decision, Forward) and verdict is not None:
         raise AttemptError(
@@ -230,7 +254,6 @@
             verdict != Verdict.NOT_RUN.value,
             AttemptOutcome.REFUSED,
         )
-    metadata = context.dialect.parse_response(response.status, response.headers)
     if metadata.not_run or metadata.misdirected:
         raise AttemptError(
             f"the endpoint did not run the request: status {response.status}",
@@ -241,7 +264,6 @@
     reason = _find_mismatch(call, response, metadata)
     if reason is not None:
         raise AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
-    return metadata
 
 
 def _find_mismatch(
--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -25,6 +25,8 @@
         Header names of callers and endpoints.
     dispatch_mailbox : Mailbox
         Mailbox of the dispatch task.
+    control_mailbox : Mailbox
+        Mailbox of the control task.
     pools : Pools
         Connections to endpoints and other entry hosts.
     metrics : Metrics
@@ -47,6 +49,7 @@
     keys: tuple[bytes, ...]
     dialect: Dialect
     dispatch_mailbox: Mailbox
+    control_mailbox: Mailbox
     pools: Pools
     metrics: Metrics
     clock: Callable[[], float]
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -20,6 +20,7 @@
     ControlHost,
     ControlStatus,
     EndpointHeartbeats,
+    EndpointRecord,
     EntryHost,
     EntryHosts,
     EntryState,
@@ -39,6 +40,7 @@
 STATUS_INTERVAL_S = 1.0
 POLL_INTERVAL_S = 0.1
 FETCH_TIMEOUT_S = 1.0
+RELAY_TIMEOUT_S = 0.7
 # A coordinator that no status message has listed for this long is removed, unless it
 # is connected or a seed.
 CONTROL_HOST_EXPIRY_S = 30.0
@@ -66,6 +68,13 @@
     seeds: tuple[Address, ...]
 
 
+@dataclass(frozen=True)
+class AnnounceDrain:
+    """Notification: tells a coordinator that an endpoint drains."""
+
+    record: EndpointRecord
+
+
 @dataclass(frozen=True)
 class ListEntryHosts:
     """Query: entry hosts of all regions."""
@@ -181,6 +190,25 @@
     async def _(self, message: AddSeeds, envelope: Envelope) -> None:
         await self._links.ensure(seed.address for seed in message.seeds)
 
+    @_handle.register
+    async def _(self, message: AnnounceDrain, envelope: Envelope) -> None:
+        hosts = sorted(self._connected, key=self._get_distance)
+        await curio.spawn(self._announce_drain, hosts, message.record, daemon=True)
+
+    async def _announce_drain(self, hosts: list[str], record: EndpointRecord) -> None:
+        """Pass the record of a draining endpoint to the nearest coordinator possible.
+
+        It tells the other entry hosts of the region.
+        """
+        for host in hosts:
+            try:
+                await self._links.call(host, RelayEndpoint(record), RELAY_TIMEOUT_S)
+            except PeerError as error:
+                log_event("drain_not_announced", peer=host, reason=str(error))
+                continue
+            log_event("drain_announced", endpoint=record.endpoint, peer=host)
+            return
+
     @_handle.register
     async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
         await envelope.reply(self._list_entry_hosts())
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -116,6 +116,7 @@
             keys=derive_keys(settings.peer_keys),
             dialect=dialect,
             dispatch_mailbox=self._dispatch.mailbox,
+            control_mailbox=self._control.mailbox,
             pools=self._pools,
             metrics=self.metrics,
             clock=clock,
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -10,6 +10,7 @@
     Decision,
     DescribeRegionLoad,
     Dispatch,
+    EndpointNotice,
     FleetChanged,
     Forward,
     Grant,
@@ -99,6 +100,12 @@
         self._waiting.pop(message.attempt_id, None)
         self._dispatcher.finish_attempt(message.attempt_id, message.outcome, now_s)
 
+    @_handle.register
+    async def _(
+        self, message: EndpointNotice, envelope: Envelope, now_s: float
+    ) -> None:
+        await envelope.reply(self._dispatcher.record_notice(message, now_s))
+
     @_handle.register
     async def _(
         self, message: HeartbeatsReceived, envelope: Envelope, now_s: float
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import dataclass
 
+from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.gateway._fleet_view import FleetView, ServiceState
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
@@ -18,6 +19,7 @@
     Call,
     Decision,
     Dispatch,
+    EndpointNotice,
     Forward,
     Grant,
     LoadReport,
@@ -152,10 +154,31 @@
             if best.predicted_s <= compute_latency_budget_s(call, now_s):
                 return self._accept(dispatch, best, now_s)
             return self._refuse_overload(call, len(candidates), best)
-        if candidates or self._is_starting(now_s):
+        if candidates:
+            return None
+        pause_s = self.view.get_shortest_pause_s(call.service, now_s)
+        if pause_s is not None:
+            return self._refuse_paused(pause_s)
+        if self._is_starting(now_s):
             return None
         return Refusal(RefusalReason.NO_ENDPOINT, self._jitter(NO_ENDPOINT_RETRY_S))
 
+    def _refuse_paused(self, pause_s: float) -> Refusal:
+        """Return a refusal until after the pause of the endpoints.
+
+        Callers return after it, not during it, and not all at its end.
+        """
+        retry_s = max(MIN_RETRY_AFTER_S, pause_s) * self._rng.uniform(1.0, 1.5)
+        return Refusal(RefusalReason.ENDPOINTS_PAUSED, retry_s)
+
+    def record_notice(
+        self, notice: EndpointNotice, now_s: float
+    ) -> EndpointRecord | None:
+        """Apply a notice; return the changed record if the endpoint newly leaves."""
+        if notice.pause_s is not None:
+            self.view.record_pause(notice.record, notice.pause_s, now_s)
+        return self.view.record_leaving(notice.record) if notice.leaving else None
+
     def record_response_start(
         self, attempt_id: int, report: LoadReport | None, now_s: float
     ) -> None:
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -9,6 +9,7 @@
 from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._messages import FleetChanged
+from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._service_time import ServiceTime
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
@@ -23,6 +24,7 @@
     SILENT = "silent"
     EVACUATED = "evacuated"
     LEAVING = "leaving"
+    PAUSED = "paused"
 
 
 USABLE_CONDITIONS = (EndpointCondition.READY, EndpointCondition.COLD)
@@ -62,6 +64,7 @@
     def __init__(self, host: str) -> None:
         self._table = create_endpoint_table()
         self._last_heartbeat_s = 0.0
+        self._pauses = EndpointPauses()
         self._service_times: dict[str, ServiceTime] = {}
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
@@ -105,12 +108,40 @@
             return EndpointCondition.LEAVING
         if self._is_evacuated(load):
             return EndpointCondition.EVACUATED
+        if self._get_pause_s(load, now_s) > 0:
+            return EndpointCondition.PAUSED
         if now_s - load.entry.last_heartbeat_s >= HEARTBEAT_TIMEOUT_S:
             return EndpointCondition.SILENT
         if load.is_cold(now_s):
             return EndpointCondition.COLD
         return EndpointCondition.READY
 
+    def get_shortest_pause_s(self, service: str, now_s: float) -> float | None:
+        """Return the seconds until the first paused endpoint takes requests again.
+
+        None if no endpoint of the service is paused.
+        """
+        pauses_s = [
+            self._get_pause_s(load, now_s)
+            for load in self._list_loads(service)
+            if self._get_condition(load, now_s) is EndpointCondition.PAUSED
+        ]
+        return min(pauses_s, default=None)
+
+    def _get_pause_s(self, load: EndpointLoad, now_s: float) -> float:
+        record = load.entry.record
+        return self._pauses.get_remaining_s(record.endpoint, record.incarnation, now_s)
+
+    def record_pause(
+        self, record: EndpointRecord, pause_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint wants no requests for `pause_s` seconds."""
+        self._pauses.record(record.endpoint, record.incarnation, pause_s, now_s)
+
+    def record_leaving(self, record: EndpointRecord) -> EndpointRecord | None:
+        """Record that an endpoint leaves; return its changed record if this is new."""
+        return self._table.mark_draining(record.endpoint, record.incarnation)
+
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
         self.services = services
@@ -151,6 +182,7 @@
 
         Nothing is removed while no heartbeats arrive at all.
         """
+        self._pauses.expire(now_s)
         if now_s - self._last_heartbeat_s > HEARTBEAT_TIMEOUT_S:
             return []
         expired = [record.endpoint for record in self._table.expire(silence_s, now_s)]
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -136,6 +136,7 @@
     """Reason for which a request is refused."""
 
     NO_ENDPOINT = "no_endpoint"
+    ENDPOINTS_PAUSED = "endpoints_paused"
     OVERLOADED = "overloaded"
     RETRY_BUDGET = "retry_budget"
     HOME_UNREACHABLE = "home_unreachable"
@@ -193,6 +194,28 @@
     load: LoadReport | None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointNotice:
+    """Query: apply what an endpoint has announced in the headers of a response.
+
+    The reply is the changed record if this host first learns that the endpoint
+    leaves, and None otherwise.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        The endpoint, in the incarnation to which the request was sent.
+    leaving : bool
+        Whether the endpoint is about to stop.
+    pause_s : float or None
+        Time in seconds for which it wants no requests from this host.
+    """
+
+    record: EndpointRecord
+    leaving: bool
+    pause_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """Notification: an attempt has ended or was withdrawn while it waited.
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -1,5 +1,6 @@
 """Interface to the HTTP headers of callers and endpoints, and its default."""
 
+import re
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -20,6 +21,11 @@
 REQUEST_ID = "buckthorndeal-call-id"
 TIMEOUT_MS = "buckthorndeal-timeout-ms"
 RESUME_AFTER = "last-event-id"
+LEAVING = "buckthorndeal-leaving"
+RETRY_AFTER = "retry-after"
+UNAVAILABLE = 503
+# Digits with an optional fraction; a value with a sign or an exponent is malformed.
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +60,12 @@
         Whether the endpoint reports that it has not run the request.
     misdirected : bool
         Whether a different endpoint now listens on the address.
+    load : LoadReport or None
+        Load of the endpoint, if it reports it.
+    leaving : bool
+        Whether the endpoint announces that it is about to stop.
+    pause_s : float or None
+        Time in seconds for which an overloaded endpoint wants no more requests.
     """
 
     request_id: str | None
@@ -61,6 +73,8 @@
     not_run: bool
     misdirected: bool = False
     load: LoadReport | None = None
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +181,8 @@
             True,
             headers.get("buckthorndeal-verdict") == "not_run",
             status == 421,
+            leaving=headers.get(LEAVING) == "1",
+            pause_s=read_pause_s(status, headers),
         )
 
     def format_retry_after(self, seconds: float) -> str:
@@ -206,6 +222,18 @@
     return int(value)
 
 
+def read_pause_s(status: int, headers: dict[str, str]) -> float | None:
+    """Return the seconds after which an overloaded endpoint takes requests again.
+
+    None if the status is not 503, or if ``Retry-After`` is missing, malformed or a
+    date: the clocks of an endpoint and of this host may differ by seconds.
+    """
+    value = headers.get(RETRY_AFTER, "").strip()
+    if status != UNAVAILABLE or _SECONDS.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
 def create_default_dialect() -> Dialect:
     """Return the dialect with the default header names."""
     return DefaultDialect()
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -348,16 +348,18 @@
     """The metrics show why endpoints are not used."""
 
     def test_conditions_of_endpoints(self):
-        harness = DispatcherHarness(endpoints=5)
+        harness = DispatcherHarness(endpoints=6)
         harness.now_s += 10
-        harness.send_heartbeats(["e0", "e1", "e2", "e3"])
+        harness.send_heartbeats(["e0", "e1", "e2", "e3", "e5"])
+        paused = harness.view.loads["e5"].entry.record
+        harness.view.record_pause(paused, 3.0, harness.now_s)
         harness.send_heartbeats(["e1"], state=EndpointState.DRAINING)
         harness.send_heartbeats(["e2"], cold_s=3.0)
         harness.send_heartbeats(["e3"], failure_domain="a-2")
         harness.view.set_fleet(FleetChanged(("h1",), 1, frozenset({"a-2"})))
         state = harness.dispatcher.describe_service("llm", harness.now_s)
         counts = {each.value: count for each, count in state.endpoints.items()}
-        conditions = ("ready", "cold", "silent", "evacuated", "leaving")
+        conditions = ("ready", "cold", "silent", "evacuated", "leaving", "paused")
         expected = dict.fromkeys(conditions, 1)
         self.assertEqual(counts, expected)
 
