Send changes of entry hosts only, and less often; bound fetches of configurations

Cause: a coordinator sent its whole list of entry hosts to all of them whenever one had connected or changed. Counted on the first 14 s of the large deployment: 388 lists and 0.93 MB at one of 76 entry hosts, 5.2 s of processor time at a coordinator of 0.645 cores. Ruled out: heartbeats of links (174 and 152 messages of two kinds, 8 kB). Besides, by reading: a configuration whose fetch fails at once was fetched in a loop without a delay, one that cannot be decoded at every notice; a drain was acknowledged while no voters were known; callers' forged `buckthorndeal-deadline-ms` and `buckthorndeal-request-id` were passed on.

Change: an entry host gets the whole list once for each connection, then only changes, at most every 0.2 s; a host that misses one is sent everything again. Heartbeats that say nothing new are listed every 0.5 s. The control task looks at its connections every 0.5 s once all are open. A failed fetch waits 0.2 s, an unreadable version is fetched once, drains need voters. The tables of entry hosts are modules of their own.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -1,19 +1,16 @@
 """Task that owns the soft state of endpoints, entry hosts and coordinators."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import curio
 
-from buckthorndeal.coordinator._coordinator_table import (
-    HEARTBEAT_TIMEOUT_S,
-    CoordinatorTable,
-)
+from buckthorndeal.coordinator._coordinator_table import CoordinatorTable
 from buckthorndeal.coordinator._endpoint_changes import (
     is_significant_change,
     log_endpoint_change,
 )
+from buckthorndeal.coordinator._entry_table import EntryTable, KnownEntryHost
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -36,8 +33,6 @@
     EndpointRecord,
     EndpointState,
     EntryHost,
-    EntryHostLiveness,
-    EntryHosts,
     HostLinks,
     choose_entry_hosts,
     create_endpoint_table,
@@ -45,24 +40,13 @@
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, create_mailbox
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.peers import Channel
 from buckthorndeal.wire import Message
 
 FLUSH_INTERVAL_S = 0.2
+# Endpoints whose record still holds are listed less often: their heartbeats say
+# nothing new, and each list goes to all entry hosts of a region.
+REFRESH_INTERVAL_S = 0.5
 STATUS_INTERVAL_S = 1.0
-ENTRY_HOST_RETENTION_S = 30.0
-
-
-@dataclass(eq=False)
-class _Entry:
-    """Entry host, its connection, and what was last sent over it."""
-
-    host: EntryHost
-    channel: Channel
-    last_heartbeat_s: float
-    initialized_channel: Channel | None = None
-    sent_entries: tuple[EntryHost, ...] = ()
-    sent_coordinators: tuple[ControlHost, ...] = ()
 
 
 class FleetTask:
@@ -99,7 +83,7 @@
         self._clock = clock
         self._metrics = metrics
         self._endpoints = create_endpoint_table()
-        self._entries: dict[str, _Entry] = {}
+        self._entries = EntryTable()
         self._coordinators = CoordinatorTable(own)
         self._cluster: ClusterState | None = None
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
@@ -109,6 +93,7 @@
         self._changed_records: dict[str, EndpointRecord] = {}
         self._refreshed_regions: dict[str, str] = {}
         self._flush_due_s = clock()
+        self._refresh_due_s = clock()
         self._status_due_s = clock()
 
     async def run(self) -> None:
@@ -178,7 +163,7 @@
         record = self._endpoints.update(message.record, self._clock())
         if record is not None:
             self._changed_records[record.endpoint] = record
-            await self._flush_endpoints()
+            await self._flush_endpoints(self._clock())
         await envelope.reply()
 
     @_handle.register
@@ -186,19 +171,15 @@
         host = message.status.entry
         entry = self._entries.get(host.host)
         if entry is None or entry.channel is not message.channel:
-            entry = _Entry(host, message.channel, self._clock())
-            self._entries[host.host] = entry
+            entry = self._entries.add(host, message.channel, self._clock())
             log_event("entry_host_connected", peer=host.host, state=host.state.name)
         if entry.host.state is not host.state:
             log_event("entry_host_changed", peer=host.host, state=host.state.name)
-        changed = entry.host != host
         entry.host = host
         entry.last_heartbeat_s = self._clock()
         if entry.initialized_channel is not message.channel:
             entry.initialized_channel = message.channel
             await self._send_initial_state(entry)
-        elif changed:
-            await self._send_host_changes()
 
     @_handle.register
     async def _(self, message: ControlStatusReceived, envelope: Envelope) -> None:
@@ -211,12 +192,12 @@
         self._cluster = message.state
         await self._links.ensure(message.state.members)
         notice = self._create_notice()
-        for entry in self._entries.values():
+        for entry in self._entries:
             await self._send(entry, notice)
 
     @_handle.register
     async def _(self, message: ChooseEntryHosts, envelope: Envelope) -> None:
-        candidates = self._list_entry_liveness()
+        candidates = self._entries.list_liveness(self._clock())
         chosen = choose_entry_hosts(
             candidates,
             message.region,
@@ -262,15 +243,6 @@
         else:
             self._logged_remote_choices.pop(key, None)
 
-    def _list_entry_liveness(self) -> list[EntryHostLiveness]:
-        now_s = self._clock()
-        return [
-            EntryHostLiveness(
-                entry.host, entry.channel.connected, now_s - entry.last_heartbeat_s
-            )
-            for entry in self._entries.values()
-        ]
-
     def _reaches_majority(self) -> bool:
         """Return whether a majority of the voters, including this host, is alive."""
         if self._cluster is None or not self._cluster.voters:
@@ -287,7 +259,7 @@
         """
         reached = any(
             entry.channel.connected and entry.host.region == region
-            for entry in self._entries.values()
+            for entry in self._entries
         )
         return reached or self._reaches_majority()
 
@@ -295,13 +267,17 @@
         self, record: EndpointRecord, envelope: Envelope
     ) -> None:
         """Relay a drain or leave, and acknowledge it once a majority has it."""
-        self._changed_records.pop(record.endpoint, None)
         voters = self._cluster.voters if self._cluster else ()
+        if not voters:
+            # Nobody could confirm that the other coordinators know of it.
+            await envelope.reply(False)
+            return
+        self._changed_records.pop(record.endpoint, None)
         plan = RelayPlan(
             record=record,
             entry_channels=[
                 entry.channel
-                for entry in self._entries.values()
+                for entry in self._entries
                 if entry.host.region == record.region and entry.channel.connected
             ],
             other_voters=[voter for voter in voters if voter != self._own.host],
@@ -309,11 +285,11 @@
         )
         await curio.spawn(relay_record, plan, self._links, envelope, daemon=True)
 
-    async def _send_initial_state(self, entry: _Entry) -> None:
-        await self._send(
-            entry, ControlStatus(self._coordinators.list_with_self(self._clock()))
-        )
+    async def _send_initial_state(self, entry: KnownEntryHost) -> None:
+        entry.sent_coordinators = self._coordinators.list_with_self(self._clock())
+        await self._send(entry, ControlStatus(entry.sent_coordinators))
         await self._send(entry, self._create_notice())
+        await self._send(entry, self._entries.create_published_list())
         region = entry.host.region
         records = tuple(
             each.record
@@ -322,7 +298,6 @@
         )
         if records:
             await self._send(entry, EndpointHeartbeats(records))
-        await self._send_host_changes()
 
     def _create_notice(self) -> ClusterNotice:
         state = self._cluster
@@ -334,44 +309,45 @@
         """Remove silent endpoints and send the changes since the last flush."""
         for record in self._endpoints.expire(self._endpoint_silence_s, now_s):
             log_event("endpoint_silent", endpoint=record.endpoint)
-        await self._flush_endpoints()
+        await self._flush_endpoints(now_s)
         await self._send_host_changes()
 
-    async def _flush_endpoints(self) -> None:
+    async def _flush_endpoints(self, now_s: float) -> None:
+        """Send the heartbeats since the last flush to the entry hosts of each region.
+
+        Those that say nothing new wait for the next refresh.
+        """
         changed, self._changed_records = self._changed_records, {}
-        refreshed, self._refreshed_regions = self._refreshed_regions, {}
-        if not changed and not refreshed:
-            return
-        for entry in self._entries.values():
-            region = entry.host.region
+        refreshed: dict[str, str] = {}
+        if now_s >= self._refresh_due_s:
+            self._refresh_due_s = now_s + REFRESH_INTERVAL_S
+            refreshed, self._refreshed_regions = self._refreshed_regions, {}
+        messages: dict[str, EndpointHeartbeats] = {}
+        for region in {
+            *refreshed.values(),
+            *(each.region for each in changed.values()),
+        }:
             records = tuple(each for each in changed.values() if each.region == region)
             names = tuple(
                 name
                 for name, endpoint_region in refreshed.items()
                 if endpoint_region == region and name not in changed
             )
-            if records or names:
-                await self._send(entry, EndpointHeartbeats(records, names))
+            messages[region] = EndpointHeartbeats(records, names)
+        for entry in self._entries:
+            message = messages.get(entry.host.region)
+            if message is not None:
+                await self._send(entry, message)
 
     async def _send_host_changes(self) -> None:
-        """Send all entry hosts the lists of live hosts that have changed."""
-        entries = tuple(
-            sorted(
-                (
-                    each.entry
-                    for each in self._list_entry_liveness()
-                    if each.connected and each.silent_s < HEARTBEAT_TIMEOUT_S
-                ),
-                key=lambda each: each.host,
-            )
-        )
+        """Send all entry hosts the changes in the live hosts since the last call."""
+        changes = self._entries.take_changes(self._clock())
         coordinators = self._coordinators.list_with_self(self._clock())
-        for entry in self._entries.values():
+        for entry in self._entries:
             if entry.initialized_channel is None:
                 continue
-            if entry.sent_entries != entries:
-                entry.sent_entries = entries
-                await self._send(entry, EntryHosts(entries))
+            if changes is not None:
+                await self._send(entry, changes)
             if entry.sent_coordinators != coordinators:
                 entry.sent_coordinators = coordinators
                 await self._send(entry, ControlStatus(coordinators))
@@ -380,25 +356,26 @@
         status = ControlStatus(self._coordinators.list_with_self(self._clock()))
         for host in self._links.list_connected():
             await self._links.send(host, status)
-        for host, entry in list(self._entries.items()):
-            if now_s - entry.last_heartbeat_s > ENTRY_HOST_RETENTION_S:
-                del self._entries[host]
+        self._entries.remove_expired(now_s)
         members = self._cluster.members if self._cluster else ()
         self._coordinators.remove_expired(members, now_s)
         self._update_gauges()
 
     def _update_gauges(self) -> None:
-        connected = sum(each.connected for each in self._list_entry_liveness())
+        liveness = self._entries.list_liveness(self._clock())
+        connected = sum(each.connected for each in liveness)
         self._metrics.set_gauge("endpoints", len(self._endpoints.list_all()))
         self._metrics.set_gauge("entry_hosts", connected)
         self._metrics.set_gauge(
             "coordinators", len(self._coordinators.list_alive(self._clock()))
         )
 
-    async def _send(self, entry: _Entry, message: Message) -> None:
+    async def _send(self, entry: KnownEntryHost, message: Message) -> None:
         if not entry.channel.connected:
             return
         try:
             await entry.channel.send(message)
         except PeerError as error:
             log_event("notice_lost", peer=entry.host.host, reason=str(error))
+            # Changes build on each other, so the host is sent everything again.
+            entry.initialized_channel = None
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Soft state of endpoints, entry hosts and coordinators, and its messages."""
 
 from buckthorndeal.fleet._directory import (
+    HEARTBEAT_TIMEOUT_S,
     EntryHostLiveness,
     choose_entry_hosts,
     count_home_routes,
@@ -24,6 +25,7 @@
     EndpointRecord,
     EndpointState,
     EntryHost,
+    EntryHostChanges,
     EntryHosts,
     EntryState,
     EntryStatus,
@@ -41,6 +43,7 @@
 
 __all__ = [
     "FLEET_CODEC",
+    "HEARTBEAT_TIMEOUT_S",
     "LINK_OPTIONS",
     "Acknowledged",
     "ClusterNotice",
@@ -54,6 +57,7 @@
     "EndpointState",
     "EndpointTable",
     "EntryHost",
+    "EntryHostChanges",
     "EntryHostLiveness",
     "EntryHosts",
     "EntryState",
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -109,6 +109,21 @@
     entries: tuple[EntryHost, ...]
 
 
+class EntryHostChanges(Message, tag="ec"):
+    """Changes since the last `EntryHosts` or `EntryHostChanges` of a connection.
+
+    Parameters
+    ----------
+    changed : tuple of EntryHost
+        Entry hosts that are new or whose record has changed.
+    removed : tuple of str
+        Entry hosts that are no longer alive.
+    """
+
+    changed: tuple[EntryHost, ...]
+    removed: tuple[str, ...]
+
+
 class ControlStatus(Message, tag="cs"):
     """Heartbeat between coordinators, which also announces them to entry hosts."""
 
@@ -231,6 +246,7 @@
         ReplicaDescription,
         EntryStatus,
         EntryHosts,
+        EntryHostChanges,
         ControlStatus,
         ClusterNotice,
         EndpointHeartbeats,
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -22,6 +22,7 @@
     EndpointHeartbeats,
     EndpointRecord,
     EntryHost,
+    EntryHostChanges,
     EntryHosts,
     EntryState,
     EntryStatus,
@@ -29,6 +30,7 @@
     RelayEndpoint,
     create_host_links,
 )
+from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._messages import FleetChanged, HeartbeatsReceived
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, Mailbox, create_mailbox
@@ -39,12 +41,17 @@
 
 STATUS_INTERVAL_S = 1.0
 POLL_INTERVAL_S = 0.1
+CONNECTED_POLL_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 1.0
+# Wait after no coordinator has returned the configuration that it announces.
+FETCH_RETRY_S = 0.2
 RELAY_TIMEOUT_S = 0.7
 # A coordinator that no status message has listed for this long is removed, unless it
 # is connected or a seed.
 CONTROL_HOST_EXPIRY_S = 30.0
 
+_HOST_NOTICES = (ClusterNotice, ControlStatus, EntryHosts, EntryHostChanges)
+
 ApplyConfiguration = Callable[[Configuration], Awaitable[None]]
 
 
@@ -130,14 +137,17 @@
         self._entry_state = EntryState.READY
         self._connected: set[str] = set()
         self._control_hosts: dict[str, ControlHost] = {}
-        self._entry_hosts_by_coordinator: dict[str, tuple[EntryHost, ...]] = {}
+        self._entry_hosts = EntryHostLists()
         self._last_listed_s: dict[str, float] = {}
         self._log_index = 0
         self._configuration_version: int | None = None
         self._announced_versions: dict[str, int] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._fleet: FleetChanged | None = None
+        # Newest version that was fetched, whether it could be decoded or not.
+        self._read_version: int | None = None
         self._fetching = False
+        self._fetch_due_s = clock()
         self._status_due_s = clock()
 
     async def run(self) -> None:
@@ -152,13 +162,22 @@
 
     async def _run(self) -> None:
         while True:
-            envelope = await self.mailbox.receive_within(POLL_INTERVAL_S)
+            envelope = await self.mailbox.receive_within(self._get_poll_interval_s())
             if envelope is not None:
                 await self._handle(envelope.message, envelope)
             await self._update_connections()
+            await self._fetch_if_newer()
             if self._clock() >= self._status_due_s:
                 await self._send_status()
 
+    def _get_poll_interval_s(self) -> float:
+        """Return how soon connections are checked: sooner while any is missing."""
+        if len(self._connected) < len(self._links.hosts):
+            return POLL_INTERVAL_S
+        return min(
+            CONNECTED_POLL_INTERVAL_S, max(0.0, self._status_due_s - self._clock())
+        )
+
     async def _receive(self, message: Message, channel: Channel) -> Message | None:
         if isinstance(message, RelayEndpoint):
             await self._dispatch.ask(HeartbeatsReceived((message.record,)))
@@ -168,7 +187,7 @@
                 HeartbeatsReceived(message.records, message.alive)
             )
             return None
-        if isinstance(message, ClusterNotice | ControlStatus | EntryHosts):
+        if isinstance(message, _HOST_NOTICES):
             await self.mailbox.send(_PeerMessage(channel.host, message))
             return None
         raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
@@ -211,11 +230,11 @@
 
     @_handle.register
     async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
-        await envelope.reply(self._list_entry_hosts())
+        await envelope.reply(self._entry_hosts.list_all())
 
     @_handle.register
     async def _(self, message: ListEntryHostsByCoordinator, envelope: Envelope) -> None:
-        await envelope.reply(tuple(self._entry_hosts_by_coordinator.values()))
+        await envelope.reply(self._entry_hosts.list_by_coordinator())
 
     @_handle.register
     async def _(self, message: ConfigurationContent, envelope: Envelope) -> None:
@@ -253,7 +272,12 @@
 
     @_handle_peer_message.register
     async def _(self, message: EntryHosts, host: str) -> None:
-        self._entry_hosts_by_coordinator[host] = message.entries
+        self._entry_hosts.replace(host, message.entries)
+        await self._update_fleet()
+
+    @_handle_peer_message.register
+    async def _(self, message: EntryHostChanges, host: str) -> None:
+        self._entry_hosts.apply(host, message)
         await self._update_fleet()
 
     async def _update_connections(self) -> None:
@@ -264,7 +288,7 @@
             await self._links.send(host, self._create_status())
         for host in self._connected - connected:
             log_event("coordinator_lost", peer=host)
-            self._entry_hosts_by_coordinator.pop(host, None)
+            self._entry_hosts.drop(host)
         changed = connected != self._connected
         self._connected = connected
         if changed:
@@ -298,17 +322,8 @@
         )
         return EntryStatus(entry, self._log_index, self._configuration_version)
 
-    def _list_entry_hosts(self) -> tuple[EntryHost, ...]:
-        """Return the entry hosts that at least one coordinator reports as alive."""
-        found = {
-            entry.host: entry
-            for entries in self._entry_hosts_by_coordinator.values()
-            for entry in entries
-        }
-        return tuple(found[host] for host in sorted(found))
-
     async def _update_fleet(self) -> None:
-        entries = self._list_entry_hosts()
+        entries = self._entry_hosts.list_all()
         region_hosts = tuple(
             entry.host
             for entry in entries
@@ -334,12 +349,9 @@
         The coordinators that have announced it are tried in turn, nearest first.
         """
         newest = max(self._announced_versions.values(), default=None)
-        if newest is None or self._fetching:
+        if newest is None or self._fetching or self._clock() < self._fetch_due_s:
             return
-        if (
-            self._configuration_version is not None
-            and newest <= self._configuration_version
-        ):
+        if self._read_version is not None and newest <= self._read_version:
             return
         hosts = [
             host
@@ -377,11 +389,11 @@
 
     async def _apply_content(self, content: ConfigurationContent) -> None:
         self._fetching = False
-        newer = content.version is not None and (
-            self._configuration_version is None
-            or content.version > self._configuration_version
-        )
-        if newer:
+        if content.version is None:
+            self._fetch_due_s = self._clock() + FETCH_RETRY_S
+            return
+        if self._read_version is None or content.version > self._read_version:
+            self._read_version = content.version
             try:
                 configuration = self._codec.decode(zlib.decompress(content.content))
             except (ConfigurationError, zlib.error) as error:
--- a/buckthorndeal/gateway/_events.py
+++ b/buckthorndeal/gateway/_events.py
@@ -2,9 +2,8 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.errors import WireError
+from buckthorndeal._event_buffer import EventBuffer, parse_event_index
 
-MAX_EVENT_BYTES = 1 << 20
 ID_FIELD = b"id:"
 
 
@@ -28,12 +27,12 @@
     """Incremental parser that returns only complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = EventBuffer()
 
     @property
     def is_at_event_boundary(self) -> bool:
         """Whether the received data ends with a complete event."""
-        return not self._buffer.strip(b"\r\n")
+        return self._buffer.is_at_event_boundary
 
     def feed(self, data: bytes) -> list[RawEvent]:
         """Add received data and return the events that it completes.
@@ -41,37 +40,15 @@
         Raises
         ------
         WireError
-            If an event is longer than `MAX_EVENT_BYTES`.
+            If an event or its id is too long.
         """
-        buffer = self._buffer + data
-        events = []
-        start = 0
-        while True:
-            end = _find_end(buffer, start)
-            if end < 0:
-                break
-            events.append(
-                RawEvent(buffer[start:end], _find_event_id(buffer[start:end]))
-            )
-            start = end
-        self._buffer = buffer[start:]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise WireError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        return events
-
-
-def _find_end(buffer: bytes, start: int) -> int:
-    """Return the end of the event that begins at `start`, or -1 if incomplete."""
-    lf = buffer.find(b"\n\n", start)
-    crlf = buffer.find(b"\r\n\r\n", start)
-    if crlf >= 0 and (lf < 0 or crlf < lf):
-        return crlf + 4
-    return lf + 2 if lf >= 0 else -1
+        return [
+            RawEvent(event, _find_event_id(event)) for event in self._buffer.feed(data)
+        ]
 
 
 def _find_event_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
-            value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return parse_event_index(line[len(ID_FIELD) :].strip())
     return None
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -5,7 +5,7 @@
 import curio
 
 from buckthorndeal.configuration import RequestKind
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import RequestError, Verdict, WireError
 from buckthorndeal.gateway._attempt import (
     Attempt,
     AttemptError,
@@ -287,7 +287,11 @@
         splitter = EventSplitter()
         reported = False
         while part := await attempt.response.read_part():
-            data, fault = self._select_new_events(splitter.feed(part))
+            try:
+                events = splitter.feed(part)
+            except WireError as error:
+                raise _create_stream_error(str(error)) from error
+            data, fault = self._select_new_events(events)
             if data and not reported:
                 reported = True
                 await report_response_start(self._context, attempt)
--- a/buckthorndeal/gateway/_headers.py
+++ b/buckthorndeal/gateway/_headers.py
@@ -19,9 +19,11 @@
 FORWARDING_HEADERS = frozenset(
     (
         "buckthorndeal-crossed",
+        "buckthorndeal-deadline-ms",
         "buckthorndeal-hops",
         "buckthorndeal-mac",
         "buckthorndeal-origin",
+        "buckthorndeal-request-id",
         "buckthorndeal-sent-ms",
         "buckthorndeal-verdict",
         "buckthorndeal-workspace",
--- a/buckthorndeal/streams.py
+++ b/buckthorndeal/streams.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from buckthorndeal._event_buffer import EventBuffer, parse_event_index
 from buckthorndeal.errors import WireError
 
 __all__ = [
@@ -15,7 +16,6 @@
 ]
 
 END_DATA = "[DONE]"
-MAX_EVENT_BYTES = 1 << 20
 
 
 class StreamMismatchError(WireError):
@@ -50,7 +50,7 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = EventBuffer()
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
@@ -58,24 +58,15 @@
         Raises
         ------
         WireError
-            If an event is longer than `MAX_EVENT_BYTES` or is not UTF-8.
+            If an event is too long or is not UTF-8.
         """
-        self._buffer += data
-        # A carriage return at the end may be the first half of a line break.
-        if self._buffer.endswith(b"\r"):
-            return []
-        if b"\r" in self._buffer:
-            self._buffer = self._buffer.replace(b"\r\n", b"\n")
-        *blocks, self._buffer = self._buffer.split(b"\n\n")
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise WireError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        events = [_parse_block(block) for block in blocks]
+        events = [_parse_block(block) for block in self._buffer.feed(data)]
         return [event for event in events if event is not None]
 
 
 def _parse_block(block: bytes) -> Event | None:
     try:
-        lines = block.decode("utf-8").split("\n")
+        lines = block.decode("utf-8").replace("\r\n", "\n").split("\n")
     except UnicodeDecodeError as error:
         raise WireError("an event is not UTF-8") from error
     event_id, kind, data = "", "", None
@@ -116,15 +107,17 @@
         StreamMismatchError
             If the event belongs to another request, reports an error, comes after
             the end or leaves a gap.
+        WireError
+            If the index of the event is too long.
         """
         event_request_id, _, index = event.id.rpartition(":")
-        if event_request_id != request_id or not (index.isascii() and index.isdigit()):
+        token = parse_event_index(index)
+        if event_request_id != request_id or token is None:
             raise StreamMismatchError(
                 f"an event does not belong to request {request_id!r}"
             )
         if event.kind != "message":
             raise StreamMismatchError("the endpoint reported an error")
-        token = int(index)
         if self.ended or token > self.next_token:
             raise StreamMismatchError(
                 f"received token {token} instead of {self.next_token}"
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -170,6 +170,19 @@
             endpoint.state["draining"] = True
             self.assertFalse(await endpoint.send_heartbeat(HOSTS[0]))
 
+    def test_coordinator_that_knows_no_voters(self):
+        """Guards against a drain that is acknowledged without any confirmation."""
+        run_fleet(self._test_coordinator_that_knows_no_voters)
+
+    async def _test_coordinator_that_knows_no_voters(self):
+        async with Fleet() as fleet:
+            await fleet.start_coordinator(HOSTS[0], bootstrap=True)
+            endpoint = await fleet.start_endpoint("e1", "a-1", respond)
+            endpoint.state["draining"] = True
+            for _ in range(5):
+                self.assertFalse(await endpoint.send_heartbeat(HOSTS[0]))
+                await curio.sleep(0.1)
+
 
 class DirectoryTest(unittest.TestCase):
     """The directory lists entry hosts that accept new callers."""
