Bound what endpoints can cost, end stalled streams, survive unexpected errors

Cause, each seen on the landed code: the splitter of events searched its whole buffer again at each piece; an event over 1 MiB or an id of over 4,300 digits raised an error that no attempt catches; informational responses were skipped without a limit and without letting other tasks run; a stalled stream lasted until its deadline, also if it sent a byte now and then; an unexpected error while handling one message ended the task that owns dispatch, control or the fleet, and so the process.

At most 16 informational responses; other tasks run after each full read or 32 reads; whole bodies are bounded to 16 MiB. A stream without an event for the longest of 2 s, 4 objectives and 8 allowed pauses ends (after half of it, if it can continue elsewhere); comments and bytes are no progress, and time in which the caller does not read is not counted. Unexpected errors are logged with the message, counted, and fail that message only. A refusal by a full endpoint tells its load.

Tried and not kept: exchanging the loads of endpoints over the coordinators every 0.2 s.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -38,7 +38,7 @@
     create_endpoint_table,
 )
 from buckthorndeal.logs import log_event
-from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.wire import Message
 
@@ -102,7 +102,10 @@
             delay_s = self._flush_due_s - self._clock()
             envelope = await self.mailbox.receive_within(delay_s)
             if envelope is not None:
-                await self._handle(envelope.message, envelope)
+                try:
+                    await self._handle(envelope.message, envelope)
+                except Exception as error:
+                    await fail_unexpectedly(envelope, error, self._metrics)
             now_s = self._clock()
             if now_s >= self._flush_due_s:
                 self._flush_due_s = now_s + FLUSH_INTERVAL_S
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -159,14 +159,18 @@
     decision: Grant | Forward,
     metadata: ResponseMetadata,
 ) -> None:
-    """Report that the endpoint leaves or wants a pause, if its response says so."""
-    if not metadata.leaving and metadata.pause_s is None:
+    """Report that the endpoint leaves or wants a pause, if its response says so.
+
+    The load of an endpoint that has not run the request is reported too.
+    """
+    load = metadata.load if metadata.not_run else None
+    if not metadata.leaving and metadata.pause_s is None and load is None:
         return
     if isinstance(decision, Forward) or metadata.misdirected:
         return
     if metadata.request_id not in (None, call.request_id):
         return
-    notice = EndpointNotice(decision.record, metadata.leaving, metadata.pause_s)
+    notice = EndpointNotice(decision.record, metadata.leaving, metadata.pause_s, load)
     changed = await context.dispatch_mailbox.ask(notice)
     if changed is not None:
         await context.control_mailbox.send(AnnounceDrain(changed))
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -33,7 +33,13 @@
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._messages import FleetChanged, HeartbeatsReceived
 from buckthorndeal.logs import log_event
-from buckthorndeal.mailbox import Envelope, Mailbox, create_mailbox
+from buckthorndeal.mailbox import (
+    Envelope,
+    Mailbox,
+    create_mailbox,
+    fail_unexpectedly,
+)
+from buckthorndeal.metrics import Metrics
 from buckthorndeal.peers import Channel
 from buckthorndeal.settings import Address, GatewaySettings
 from buckthorndeal.transport import Transport
@@ -107,6 +113,8 @@
         Mailbox of the dispatch task.
     apply_configuration : callable
         Activates a newer configuration on this host.
+    metrics : Metrics
+        Metrics of the daemon.
     clock : callable
         Returns monotonic seconds.
     """
@@ -118,6 +126,7 @@
         codec: ConfigurationCodec,
         dispatch: Mailbox,
         apply_configuration: ApplyConfiguration,
+        metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
         self.mailbox = create_mailbox()
@@ -125,6 +134,7 @@
         self._codec = codec
         self._dispatch = dispatch
         self._apply_configuration = apply_configuration
+        self._metrics = metrics
         self._clock = clock
         self._own_address = settings.peer_listen.address
         self._links = create_host_links(
@@ -164,7 +174,10 @@
         while True:
             envelope = await self.mailbox.receive_within(self._get_poll_interval_s())
             if envelope is not None:
-                await self._handle(envelope.message, envelope)
+                try:
+                    await self._handle(envelope.message, envelope)
+                except Exception as error:
+                    await fail_unexpectedly(envelope, error, self._metrics)
             await self._update_connections()
             await self._fetch_if_newer()
             if self._clock() >= self._status_due_s:
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -104,6 +104,7 @@
             codec,
             self._dispatch.mailbox,
             self._apply_configuration,
+            self.metrics,
             clock,
         )
         self._regions = RegionLoadTask(
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -20,7 +20,7 @@
     ResponseStarted,
 )
 from buckthorndeal.logs import log_event, log_routine
-from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
 from buckthorndeal.metrics import Metrics
 
 IDLE_INTERVAL_S = 1.0
@@ -67,7 +67,10 @@
             envelope = await self.mailbox.receive_within(wait_s)
             now_s = self._clock()
             if envelope is not None:
-                await self._handle(envelope.message, envelope, now_s)
+                try:
+                    await self._handle(envelope.message, envelope, now_s)
+                except Exception as error:
+                    await fail_unexpectedly(envelope, error, self._metrics)
             if self._dispatcher.has_waiting:
                 await self._decide_waiting(now_s)
             if now_s >= self._expire_due_s:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -175,6 +175,9 @@
         self, notice: EndpointNotice, now_s: float
     ) -> EndpointRecord | None:
         """Apply a notice; return the changed record if the endpoint newly leaves."""
+        load = self.view.loads.get(notice.record.endpoint)
+        if load is not None and notice.load is not None:
+            load.record_report(notice.load, now_s)
         if notice.pause_s is not None:
             self.view.record_pause(notice.record, notice.pause_s, now_s)
         return self.view.record_leaving(notice.record) if notice.leaving else None
--- a/buckthorndeal/gateway/_events.py
+++ b/buckthorndeal/gateway/_events.py
@@ -5,6 +5,7 @@
 from buckthorndeal._event_buffer import EventBuffer, parse_event_index
 
 ID_FIELD = b"id:"
+DATA_FIELD = b"data:"
 
 
 @dataclass(slots=True)
@@ -22,6 +23,11 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def carries_data(self) -> bool:
+        """Whether it is more than comments."""
+        return self.event_id is not None or DATA_FIELD in self.data
+
 
 class EventSplitter:
     """Incremental parser that returns only complete events."""
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -23,8 +23,14 @@
     Forward,
     Refusal,
 )
+from buckthorndeal.gateway._stalls import (
+    StallWatch,
+    compute_stall_limit_s,
+    watch_stalls,
+)
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import MailboxError
 from buckthorndeal.policy.views import AttemptOutcome
 
 OK = 200
@@ -175,6 +181,8 @@
             decision = await self._context.dispatch_mailbox.ask(dispatch)
             decided = True
             return decision
+        except MailboxError as error:
+            raise self._create_error("internal", 503, str(error), 1.0) from error
         finally:
             if not decided:
                 # Releases what the dispatcher may still grant to this attempt.
@@ -261,7 +269,7 @@
         failed = response.status >= SERVER_ERROR
         attempt.outcome = AttemptOutcome.SUCCEEDED
         self.progress.record_response_part(self._context.clock())
-        if failed and self._may_retry_failure():
+        if failed and self._may_retry_run():
             self._failed_response = buffered
             self.progress.runs += 1
             self.progress.request_sent = True
@@ -270,7 +278,7 @@
         await self._respond(buffered)
         return True
 
-    def _may_retry_failure(self) -> bool:
+    def _may_retry_run(self) -> bool:
         retryable = self._call.route.retryable
         return retryable and self.progress.runs + 1 < self._max_runs
 
@@ -284,6 +292,12 @@
         )
 
     async def _relay_events(self, attempt: Attempt) -> None:
+        limit_s = compute_stall_limit_s(self._call.route, self._may_retry_run())
+        clock = self._context.clock
+        async with watch_stalls(attempt.response, limit_s, clock) as watch:
+            await self._relay_watched_events(attempt, watch)
+
+    async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
         splitter = EventSplitter()
         reported = False
         while part := await attempt.response.read_part():
@@ -295,6 +309,8 @@
             if data and not reported:
                 reported = True
                 await report_response_start(self._context, attempt)
+            if any(event.carries_data for event in events):
+                watch.record_event()
             if data:
                 self.progress.record_response_part(self._context.clock())
                 await self._start_response(attempt)
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -209,11 +209,14 @@
         Whether the endpoint is about to stop.
     pause_s : float or None
         Time in seconds for which it wants no requests from this host.
+    load : LoadReport or None
+        Load of an endpoint that has not run the request.
     """
 
     record: EndpointRecord
     leaving: bool
     pause_s: float | None
+    load: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -14,9 +14,13 @@
 
 __all__ = ["ClientResponse", "HttpPool", "create_http_pool"]
 
-READ_BYTES = 65_536
+# Small, because all of the data is parsed before other tasks run again.
+READ_BYTES = 16_384
+# Reads after which other tasks run, even if the next read would not wait.
+MAX_UNYIELDED_READS = 32
+MAX_INFORMATIONAL_RESPONSES = 16
 MAX_HEADER_BYTES = 65_536
-MAX_RESPONSE_BYTES = 1 << 26
+MAX_RESPONSE_BYTES = 1 << 24
 CONNECT_TIMEOUT_S = 2.0
 CHECK_INTERVAL_S = 0.5
 # An idle connection is reused for this share of the keep-alive timeout that the peer
@@ -32,6 +36,7 @@
     protocol: h11.Connection
     needs_data: bool = False
     read_count: int = 0
+    unyielded_reads: int = 0
     is_reading: bool = False
     failure: Exception | None = None
     keep_alive_s: float | None = None
@@ -93,6 +98,16 @@
             parts.append(event.data)
         return b"".join(parts)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a read waits for the endpoint."""
+        return self._connection.is_reading
+
+    async def abort(self, error: RequestError) -> None:
+        """End the response; the read that waits for it raises `error`."""
+        self._connection.failure = error
+        await self._connection.stream.abort()
+
     async def read(self) -> bytes:
         """Return the complete body."""
         parts = []
@@ -287,7 +302,7 @@
 
 
 async def _read_head(connection: _Connection) -> ClientResponse:
-    while True:
+    for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
         event = await _next_event(connection)
         if isinstance(event, h11.Response):
             headers = {
@@ -298,6 +313,9 @@
             return ClientResponse(event.status_code, headers, connection)
         if not isinstance(event, h11.InformationalResponse):
             raise _create_broken_error("the connection was closed before a response")
+    raise _create_broken_error(
+        f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
+    )
 
 
 def _parse_keep_alive(value: str) -> float | None:
@@ -328,6 +346,11 @@
     data = await connection.stream.recv(READ_BYTES)
     connection.is_reading = False
     connection.read_count += 1
+    connection.unyielded_reads += 1
+    if len(data) == READ_BYTES or connection.unyielded_reads >= MAX_UNYIELDED_READS:
+        # A peer that sends without end never lets a read wait.
+        connection.unyielded_reads = 0
+        await curio.sleep(0)
     if connection.failure is not None:
         raise connection.failure
     return data
--- a/buckthorndeal/mailbox.py
+++ b/buckthorndeal/mailbox.py
@@ -5,8 +5,17 @@
 from typing import Any
 
 import curio
+from absl import logging
 
-__all__ = ["Envelope", "Mailbox", "create_mailbox"]
+from buckthorndeal.metrics import Metrics
+
+__all__ = [
+    "Envelope",
+    "Mailbox",
+    "MailboxError",
+    "create_mailbox",
+    "fail_unexpectedly",
+]
 
 DEFAULT_CAPACITY = 10_000
 # Curio logs a warning when an operation completes after its timeout has passed, which
@@ -42,6 +51,24 @@
             await self.done.set()
 
 
+class MailboxError(Exception):
+    """The owner of a mailbox failed to handle a message, for an unexpected reason."""
+
+
+async def fail_unexpectedly(
+    envelope: Envelope, error: Exception, metrics: Metrics
+) -> None:
+    """Log and count an unexpected error, and reply with `MailboxError`.
+
+    The task that owns the mailbox goes on with the next message: one message that it
+    cannot handle must not stop all others.
+    """
+    kind = type(envelope.message).__name__
+    logging.exception("handling %s failed", kind)
+    metrics.count("message_failures", kind=kind)
+    await envelope.fail(MailboxError(f"{kind}: {error!r}"))
+
+
 class Mailbox:
     """Bounded queue of messages to the task that owns it.
 
--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,88 @@
+"""Tests that an unexpected error ends neither a process nor a task others need."""
+
+import unittest
+
+import curio
+
+from tests.fleet_harness import GATEWAY, Fleet, run_fleet, start_serving
+
+COORDINATOR = "10.1.0.1"
+
+
+async def respond(endpoint, request, responder):
+    await endpoint.respond(request, responder)
+
+
+def fail_once(function):
+    """Return a function that raises at its first call, and then calls `function`."""
+    state = {"failed": False}
+
+    def call(*args, **kwargs):
+        if not state["failed"]:
+            state["failed"] = True
+            raise KeyError("unexpected")
+        return function(*args, **kwargs)
+
+    return call
+
+
+class UnexpectedErrorTest(unittest.TestCase):
+    """The message fails, and the task handles the next one."""
+
+    def run_serving(self, scenario):
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, respond)
+                with self.assertLogs("absl", "ERROR"):
+                    await scenario(fleet, fleet.gateways[GATEWAY])
+
+        run_fleet(test)
+
+    def test_choice_of_an_endpoint(self):
+        """The caller is told at once, truthfully, and the next one is served."""
+
+        async def scenario(fleet, gateway):
+            dispatcher = gateway._dispatch._dispatcher
+            dispatcher.submit = fail_once(dispatcher.submit)
+            status, headers, _ = await fleet.send_request(GATEWAY, "/non_idempotent/")
+            self.assertEqual(status, 503)
+            self.assertEqual(headers["buckthorndeal-verdict"], "not_run")
+            status, _, _ = await fleet.send_request(GATEWAY, "/non_idempotent/")
+            self.assertEqual(status, 200)
+            self.assertEqual(len(fleet.endpoints["e0"].requests), 1)
+
+        self.run_serving(scenario)
+
+    def test_heartbeat_at_an_entry_host(self):
+        async def scenario(fleet, gateway):
+            view = gateway._dispatch._dispatcher.view
+            view.touch = fail_once(view.touch)
+            await curio.sleep(2.0)
+            status, _, _ = await fleet.send_request(GATEWAY, "/non_idempotent/")
+            self.assertEqual(status, 200)
+
+        self.run_serving(scenario)
+
+    def test_heartbeat_at_a_coordinator(self):
+        async def scenario(fleet, gateway):
+            table = fleet.coordinators[COORDINATOR]._fleet._endpoints
+            table.update = fail_once(table.update)
+            await curio.sleep(1.0)
+            self.assertTrue(await fleet.endpoints["e0"].send_heartbeat(COORDINATOR))
+
+        self.run_serving(scenario)
+
+    def test_notice_at_the_control_task(self):
+        async def scenario(fleet, gateway):
+            control = gateway._control
+            control._entry_hosts.apply = fail_once(control._entry_hosts.apply)
+            await fleet.start_gateway("10.1.0.8")
+            await curio.sleep(1.0)
+            status, _, _ = await fleet.send_request(GATEWAY, "/non_idempotent/")
+            self.assertEqual(status, 200)
+
+        self.run_serving(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
