--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -202,7 +202,9 @@
     end_to_end = remove_hop_by_hop(request.headers)
     build_headers = context.dialect.build_headers
     if isinstance(decision, Grant):
-        hints = EndpointHints(decision.record.endpoint, decision.cache_source)
+        hints = EndpointHints(
+            decision.record.endpoint, decision.urgency, decision.cache_source
+        )
         return build_headers(end_to_end, remaining_s, hints, call.resume_after)
     headers = build_headers(end_to_end, remaining_s, None, call.resume_after)
     return [
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -53,6 +53,8 @@
 COLD_RATE_SHARE = 0.9
 # Length of the startup phase, in heartbeat intervals.
 STARTUP_HEARTBEAT_INTERVALS = 1.5
+# Value for the least urgent requests; 0 is the most urgent.
+MAX_URGENCY = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -384,12 +386,15 @@
         connection_limit = max(
             2, int(service.max_connections * CONNECTION_SHARE) // hosts
         )
+        urgency = min(MAX_URGENCY, call.route.priority)
         record = load.entry.record
         age_s = now_s - load.entry.last_heartbeat_s
         cache_source = (
             choice.cache_source.entry.record.address if choice.cache_source else None
         )
-        return Grant(record, choice.predicted_s, connection_limit, age_s, cache_source)
+        return Grant(
+            record, urgency, choice.predicted_s, connection_limit, age_s, cache_source
+        )
 
     def _is_starting(self, now_s: float) -> bool:
         """Return whether first heartbeats of endpoints may still be outstanding.
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -102,6 +102,8 @@
     ----------
     record : EndpointRecord
         The endpoint.
+    urgency : int
+        Priority at the endpoint, 0 for the most urgent.
     predicted_s : float
         Predicted time until the response starts.
     connection_limit : int
@@ -114,6 +116,7 @@
     """
 
     record: EndpointRecord
+    urgency: int
     predicted_s: float
     connection_limit: int
     heartbeat_age_s: float = 0.0
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -81,19 +81,18 @@
 class EndpointHints:
     """Values that an attempt passes to its endpoint in headers.
 
-    Priorities are not among them. Engines preempt running requests for more urgent
-    ones, which have to be prefilled again and may never end while others arrive; the
-    queue of the gateway orders requests before they cost anything.
-
     Parameters
     ----------
     endpoint : str
         Id of the endpoint that must respond.
+    urgency : int
+        Priority at the endpoint, 0 for the most urgent.
     cache_source : str or None
         Address of an endpoint from which it may fetch the shared prefix.
     """
 
     endpoint: str
+    urgency: int
     cache_source: str | None = None
 
 
@@ -168,6 +167,7 @@
         sent[TIMEOUT_MS] = str(max(1, int(remaining_s * 1000)))
         if hints is not None:
             sent["buckthorndeal-endpoint"] = hints.endpoint
+            sent["buckthorndeal-urgency"] = str(hints.urgency)
             if hints.cache_source is not None:
                 sent["buckthorndeal-cache-source"] = hints.cache_source
         if resume_after is not None:
