Send priorities only to engines with many slots

Cause: see: an engine of 16 slots preempts running drafts for each reply.

Change: engines of fewer than 32 slots are sent no priority.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -55,6 +55,9 @@
 STARTUP_HEARTBEAT_INTERVALS = 1.5
 # Value for the least urgent requests; 0 is the most urgent.
 MAX_URGENCY = 9
+# Engines with fewer slots are often full. They would preempt a running request for each
+# more urgent one, and prefill it again, so they are sent no priorities.
+MIN_PRIORITY_SLOTS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -386,7 +389,9 @@
         connection_limit = max(
             2, int(service.max_connections * CONNECTION_SHARE) // hosts
         )
-        urgency = min(MAX_URGENCY, call.route.priority)
+        urgency = None
+        if load.entry.record.slots >= MIN_PRIORITY_SLOTS:
+            urgency = min(MAX_URGENCY, call.route.priority)
         record = load.entry.record
         age_s = now_s - load.entry.last_heartbeat_s
         cache_source = (
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -102,8 +102,8 @@
     ----------
     record : EndpointRecord
         The endpoint.
-    urgency : int
-        Priority at the endpoint, 0 for the most urgent.
+    urgency : int or None
+        Priority at the endpoint, 0 for the most urgent; None if requests are equal.
     predicted_s : float
         Predicted time until the response starts.
     connection_limit : int
@@ -116,7 +116,7 @@
     """
 
     record: EndpointRecord
-    urgency: int
+    urgency: int | None
     predicted_s: float
     connection_limit: int
     heartbeat_age_s: float = 0.0
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -85,14 +85,14 @@
     ----------
     endpoint : str
         Id of the endpoint that must respond.
-    urgency : int
-        Priority at the endpoint, 0 for the most urgent.
+    urgency : int or None
+        Priority at the endpoint, 0 for the most urgent; None if requests are equal.
     cache_source : str or None
         Address of an endpoint from which it may fetch the shared prefix.
     """
 
     endpoint: str
-    urgency: int
+    urgency: int | None
     cache_source: str | None = None
 
 
@@ -167,7 +167,8 @@
         sent[TIMEOUT_MS] = str(max(1, int(remaining_s * 1000)))
         if hints is not None:
             sent["buckthorndeal-endpoint"] = hints.endpoint
-            sent["buckthorndeal-urgency"] = str(hints.urgency)
+            if hints.urgency is not None:
+                sent["buckthorndeal-urgency"] = str(hints.urgency)
             if hints.cache_source is not None:
                 sent["buckthorndeal-cache-source"] = hints.cache_source
         if resume_after is not None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -209,6 +209,13 @@
         self.assertEqual(sent["kv-fetch"], "10.0.0.9:80")
         self.assertEqual(sent["x-request-urgency"], "3")
 
+    def test_requests_without_priority(self):
+        """A priority that a caller sends does not count either."""
+        headers = {"x-model": "m", "x-request-urgency": "0"}
+        hints = EndpointHints("i-1", None)
+        sent = dict(self.dialect.build_headers(headers, 1.5, hints, None))
+        self.assertNotIn("x-request-urgency", sent)
+
     def test_response(self):
         metadata = self.dialect.parse_response(
             503, {"x-not-executed": "1", "x-server-load": "3,1,8"}
