Do not forward to entry hosts that refuse requests

A draining host reported the free capacity of its region all the same, a closing one was still chosen as the partner, and a failed forward held back no other request. Ruled out: endpoints, which had free slots, and the directory.

Change: a host that refuses forwarded requests reports no capacity; closing hosts are no partners; a region that has not run a forwarded request is not tried before its next report.

Both new tests fail before (1 is not 0 requests, 20 is not under 10 attempts).

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -175,6 +175,7 @@
         await curio.sleep(settings.drain_notice_s)
         await self._wait_for_replacement(started_s + settings.drain_stream_s)
         self._context.refuse_new_streams = True
+        self._regions.refuse_requests()
         await self._wait_for_replacement(started_s + settings.drain_alone_s)
         await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -22,6 +22,7 @@
     Dispatch,
     Forward,
     Refusal,
+    RegionUpdate,
 )
 from buckthorndeal.gateway._stalls import (
     StallWatch,
@@ -165,6 +166,10 @@
                     if await self._relay_response(attempt):
                         return
             except AttemptError as error:
+                if isinstance(decision, Forward) and error.verdict is Verdict.NOT_RUN:
+                    # Other requests do not try the region before its next report.
+                    lost = RegionUpdate(decision.region, None)
+                    await self._context.dispatch_mailbox.send(lost)
                 self._record_failure(decision, error)
 
     async def _request_decision(self, attempt_id: int) -> Decision:
--- a/buckthorndeal/gateway/_region_links.py
+++ b/buckthorndeal/gateway/_region_links.py
@@ -28,7 +28,7 @@
 EXCHANGE_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 0.8
 LINKS_PER_REGION = 2
-_STATE_RANKS = {EntryState.READY: 0, EntryState.DRAINING: 1, EntryState.CLOSING: 2}
+_STATE_RANKS = {EntryState.READY: 0, EntryState.DRAINING: 1}
 
 
 class RegionLoadTask:
@@ -76,12 +76,17 @@
         # Entry host of each other region that is asked for its load.
         self._partners: dict[str, str] = {}
         self._rng = random.Random()
+        self._refuses_requests = False
 
     async def start(self) -> None:
         """Listen for the entry hosts of other regions."""
         listen = self._settings.peer_listen
         await self._server.start(self._transport, listen.address, listen.port)
 
+    def refuse_requests(self) -> None:
+        """Report no capacity from now on, because this host drains."""
+        self._refuses_requests = True
+
     async def run(self) -> None:
         """Exchange load reports until cancelled."""
         try:
@@ -97,7 +102,11 @@
         entries = await self._control.ask(ListEntryHosts())
         regions = {each.region for each in entries} - {self._settings.region}
         for region in sorted(regions | set(self._partners)):
-            hosts = [entry for entry in entries if entry.region == region]
+            hosts = [
+                entry
+                for entry in entries
+                if entry.region == region and entry.state is not EntryState.CLOSING
+            ]
             await self._exchange_with_region(region, hosts)
 
     async def _exchange_with_region(self, region: str, hosts: list[EntryHost]) -> None:
@@ -158,6 +167,8 @@
             )
 
     async def _create_region_load(self) -> RegionLoad:
+        if self._refuses_requests:
+            return RegionLoad(self._settings.region, ())
         loads = await self._dispatch.ask(DescribeRegionLoad())
         services = tuple(
             ServiceLoad(service, round(wait_s, 4), free)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from buckthorndeal.errors import RequestError
 from buckthorndeal.logs import EXTRA_FIELD, configure_logging
@@ -295,6 +296,66 @@
 
         run_fleet(test)
 
+    async def _get_refusal_code(self, fleet):
+        """Return the code of a refusal by the first gateway, sent with no endpoint."""
+        status, headers, body = await fleet.send_request(GATEWAY, "/non_idempotent/")
+        self.assertEqual(status, 503)
+        self.assertEqual(headers["buckthorndeal-verdict"], "not_run")
+        return msgspec.json.decode(body)["error"]["code"]
+
+    def test_draining_host_gets_no_forwarded_requests(self):
+        """Guards against a round trip to a host that refuses what it is sent."""
+
+        async def script(endpoint, request, responder):
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await self._start(fleet, script)
+                await fleet.wait_until_ready(GATEWAY)
+                other = fleet.gateways[OTHER]
+                other._context.refuse_new_streams = True
+                other._regions.refuse_requests()
+                await curio.sleep(1.5)
+                ended = "requests"
+                before = other.metrics.get_value(ended, outcome="draining")
+                self.assertEqual(await self._get_refusal_code(fleet), "no_endpoint")
+                self.assertEqual(
+                    other.metrics.get_value(ended, outcome="draining"), before
+                )
+
+        run_fleet(test)
+
+    def test_unreachable_host_is_tried_once(self):
+        """Guards against a failed connection for each request until a report is old."""
+
+        async def script(endpoint, request, responder):
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await self._start(fleet, script)
+                await fleet.wait_until_ready(GATEWAY)
+                for server in fleet.gateways[OTHER]._servers:
+                    await server.drain()
+                pools = fleet.gateways[GATEWAY]._context.pools
+                pool = pools.get_host_pool(OTHER, 0.0)
+                await pool.close()
+                attempts = []
+                original = pool._acquire
+
+                async def acquire(fresh):
+                    attempts.append(fresh)
+                    return await original(fresh)
+
+                pool._acquire = acquire
+                for _ in range(20):
+                    await self._get_refusal_code(fleet)
+                # One attempt after each report of the region at most.
+                self.assertLess(len(attempts), 10)
+
+        run_fleet(test)
+
     def test_home_regions_are_respected(self):
         async def script(endpoint, request, responder):
             await endpoint.respond(request, responder)
