--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import sys
 import unittest
 from dataclasses import replace
 
@@ -65,6 +66,8 @@
 }
 REQUEST_ID = "buckthorndeal-request-id"
 TOKENS = 50
+# Log lines that are printed when a scenario fails.
+FAILURE_LOG_LINES = 60
 # Allows several retries per request, so that tests of failed attempts don't depend on
 # the number of earlier requests. Tests of the retry budget set the default ratio.
 AMPLE_RETRY_RATIO = 3.0
@@ -264,7 +267,14 @@
                 await cluster.close()
 
         with self.assertLogs(absl_logging.get_absl_logger(), logging.INFO) as logs:
-            result = curio.run(main)
+            try:
+                result = curio.run(main)
+            except BaseException:
+                # A failure that shows once cannot be traced without the decisions.
+                for record in logs.records[-FAILURE_LOG_LINES:]:
+                    fields = getattr(record, "buckthorndeal_fields", "")
+                    print(record.getMessage(), fields, file=sys.stderr)
+                raise
         self.log_text = "\n".join(
             f"{record.getMessage()} {getattr(record, 'buckthorndeal_fields', '')}"
             for record in logs.records
