--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -143,6 +143,13 @@
     headers: list[tuple[str, str]],
     body: bytes,
 ) -> None:
+    """Send a request with its whole body.
+
+    Raises
+    ------
+    RequestError
+        With verdict ``MAY_HAVE_RUN`` if the connection breaks.
+    """
     send = connection.protocol.send
     head = h11.Request(
         method=method,
@@ -157,6 +164,13 @@
 
 
 async def read_head(connection: ClientConnection) -> ClientResponse:
+    """Return the response once its head has arrived.
+
+    Raises
+    ------
+    RequestError
+        With verdict ``MAY_HAVE_RUN`` if the head is malformed or does not come.
+    """
     for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
         event = await _next_event(connection)
         if isinstance(event, h11.Response):
@@ -214,6 +228,7 @@
 async def start_watcher(
     connection: ClientConnection, check: LivenessCheck | None
 ) -> curio.Task | None:
+    """Start to call `check` while the server is silent; return the task, if any."""
     if check is None:
         return None
     return await curio.spawn(_check_silent_peer, connection, check, daemon=True)
@@ -241,6 +256,7 @@
 
 
 def create_protocol() -> h11.Connection:
+    """Return the state of the protocol for a new connection."""
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
 
