Log which part of a prompt an attempt had and whether its endpoint closed the connection

Change: attempt_failed has closed, head and the digests of the shared parts; the metric attempts_failed counts outcomes. A connection that the peer has closed is told apart from bytes that are no response.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -18,6 +18,9 @@
 MAX_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 1 << 24
 CHECK_INTERVAL_S = 0.5
+# Codes of errors: bytes that are no valid response, and a peer that is gone.
+CONNECTION_BROKEN = "connection_broken"
+CONNECTION_CLOSED = "connection_closed"
 
 LivenessCheck = Callable[[], Awaitable[None]]
 
@@ -38,6 +41,8 @@
         Number of reads, and of those since other tasks could run.
     is_reading : bool
         Whether a read waits for the server.
+    closed_by_peer : bool
+        Whether the last read met the end of the connection.
     failure : Exception or None
         Error that the next read raises.
     keep_alive_s : float or None
@@ -52,6 +57,7 @@
     read_count: int = 0
     unyielded_reads: int = 0
     is_reading: bool = False
+    closed_by_peer: bool = False
     failure: Exception | None = None
     keep_alive_s: float | None = None
     idle_since_s: float = 0.0
@@ -90,7 +96,9 @@
             if isinstance(event, h11.EndOfMessage):
                 self._ended = True
             elif not isinstance(event, h11.Data):
-                raise _create_broken_error("the response ended early")
+                raise _create_broken_error(
+                    "the response ended early", CONNECTION_CLOSED
+                )
             elif event.data:
                 return bytes(event.data) + self._take_buffered()
         return b""
@@ -160,7 +168,7 @@
     try:
         await connection.stream.sendall(data)
     except OSError as error:
-        raise _create_broken_error(str(error)) from error
+        raise _create_broken_error(str(error), CONNECTION_CLOSED) from error
 
 
 async def read_head(connection: ClientConnection) -> ClientResponse:
@@ -181,7 +189,9 @@
             connection.keep_alive_s = _parse_keep_alive(headers.get("keep-alive", ""))
             return ClientResponse(event.status_code, headers, connection)
         if not isinstance(event, h11.InformationalResponse):
-            raise _create_broken_error("the connection was closed before a response")
+            raise _create_broken_error(
+                "the connection was closed before a response", CONNECTION_CLOSED
+            )
     raise _create_broken_error(
         f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
     )
@@ -205,15 +215,17 @@
             protocol.receive_data(await _receive(connection))
             connection.needs_data = False
     except OSError as error:
-        raise _create_broken_error(str(error)) from error
+        raise _create_broken_error(str(error), CONNECTION_CLOSED) from error
     except h11.RemoteProtocolError as error:
-        raise _create_broken_error(f"malformed response: {error}") from error
+        code = CONNECTION_CLOSED if connection.closed_by_peer else CONNECTION_BROKEN
+        raise _create_broken_error(f"malformed response: {error}", code) from error
 
 
 async def _receive(connection: ClientConnection) -> bytes:
     connection.is_reading = True
     data = await connection.stream.recv(READ_BYTES)
     connection.is_reading = False
+    connection.closed_by_peer = not data
     connection.read_count += 1
     connection.unyielded_reads += 1
     if len(data) == READ_BYTES or connection.unyielded_reads >= MAX_UNYIELDED_READS:
@@ -260,7 +272,5 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
 
 
-def _create_broken_error(reason: str) -> RequestError:
-    return RequestError(
-        "connection_broken", 502, f"connection broken: {reason}", Verdict.MAY_HAVE_RUN
-    )
+def _create_broken_error(reason: str, code: str = CONNECTION_BROKEN) -> RequestError:
+    return RequestError(code, 502, f"connection broken: {reason}", Verdict.MAY_HAVE_RUN)
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -20,7 +20,7 @@
     ResponseStarted,
 )
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
-from buckthorndeal.http_client import ClientResponse, HttpPool
+from buckthorndeal.http_client import CONNECTION_CLOSED, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
 from buckthorndeal.policy.views import AttemptOutcome
 
@@ -40,16 +40,30 @@
         Whether any bytes of the request were sent.
     outcome : AttemptOutcome
         Outcome that is counted for the endpoint.
+    closed : bool
+        Whether the endpoint has closed the connection before the response was complete.
+
+    Attributes
+    ----------
+    head_received : bool
+        Whether the head of a response had arrived.
     """
 
     def __init__(
-        self, reason: str, verdict: Verdict, request_sent: bool, outcome: AttemptOutcome
+        self,
+        reason: str,
+        verdict: Verdict,
+        request_sent: bool,
+        outcome: AttemptOutcome,
+        closed: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.verdict = verdict
         self.request_sent = request_sent
         self.outcome = outcome
+        self.closed = closed
+        self.head_received = False
 
 
 @dataclass(eq=False)
@@ -130,15 +144,19 @@
             yield attempt
     except AttemptError as error:
         outcome = error.outcome
+        error.head_received = attempt is not None
         raise
     except RequestError as error:
         failed = (
             AttemptOutcome.BROKEN if request_sent else AttemptOutcome.CONNECT_FAILED
         )
         outcome = failed
-        raise AttemptError(
-            error.message, error.verdict, request_sent, failed
-        ) from error
+        closed = error.code == CONNECTION_CLOSED
+        raised = AttemptError(
+            error.message, error.verdict, request_sent, failed, closed
+        )
+        raised.head_received = attempt is not None
+        raise raised from error
     finally:
         if attempt is not None and attempt.outcome is AttemptOutcome.SUCCEEDED:
             outcome = AttemptOutcome.SUCCEEDED
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -33,6 +33,7 @@
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import MailboxError
 from buckthorndeal.policy.views import AttemptOutcome
+from buckthorndeal.quarantine import list_shared_parts
 
 OK = 200
 SERVER_ERROR = 500
@@ -249,6 +250,14 @@
             verdict=error.verdict.value,
             arrived=error.request_sent,
             events=progress.events,
+            closed=error.closed,
+            head=error.head_received,
+            parts=list_shared_parts(self._call.prompt),
+        )
+        self._context.metrics.count(
+            "attempts_failed",
+            outcome=error.outcome.value,
+            closed=str(error.closed).lower(),
         )
         if error.verdict is Verdict.NOT_RUN:
             progress.not_run_attempts += 1
@@ -323,7 +332,9 @@
             if fault is not None:
                 raise _create_stream_error(fault)
         if not splitter.is_at_event_boundary:
-            raise _create_stream_error("the stream ended in the middle of an event")
+            raise _create_stream_error(
+                "the stream ended in the middle of an event", closed=True
+            )
         await self._start_response(attempt)
         attempt.outcome = AttemptOutcome.SUCCEEDED
         await self._responder.finish()
@@ -355,5 +366,7 @@
         return b"".join(parts), None
 
 
-def _create_stream_error(reason: str) -> AttemptError:
-    return AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
+def _create_stream_error(reason: str, closed: bool = False) -> AttemptError:
+    return AttemptError(
+        reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN, closed
+    )
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -8,6 +8,7 @@
 import h11
 
 from buckthorndeal._http_connection import (
+    CONNECTION_CLOSED,
     ClientConnection,
     ClientResponse,
     LivenessCheck,
@@ -19,7 +20,7 @@
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.transport import Transport
 
-__all__ = ["ClientResponse", "HttpPool", "create_http_pool"]
+__all__ = ["CONNECTION_CLOSED", "ClientResponse", "HttpPool", "create_http_pool"]
 
 CONNECT_TIMEOUT_S = 2.0
 # An idle connection is reused for this share of the keep-alive timeout that the peer
