--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -114,7 +114,7 @@
         if wipe:
             self.directories.pop(host).cleanup()
 
-    async def start_gateway(self, host, **fields):
+    async def start_gateway(self, host, dialect=None, **fields):
         domain = list(REGIONS)[int(host.split(".")[1]) - 1]
         settings = GatewaySettings(
             host=host,
@@ -129,7 +129,10 @@
             **{"drain_notice_s": 0.2, "drain_timeout_s": 5.0, **fields},
         )
         gateway = create_gateway(
-            settings, self.transport, create_route_format(), create_default_dialect()
+            settings,
+            self.transport,
+            create_route_format(),
+            dialect or create_default_dialect(),
         )
         await gateway.start()
         self.gateways[host] = gateway
@@ -217,6 +220,15 @@
         await self._task.cancel()
         await self._server.close()
 
+    async def crash(self, down_s):
+        """Close all connections, and start again as a new incarnation."""
+        await self.close()
+        await curio.sleep(down_s)
+        self.incarnation += 1
+        self.sequence = 0
+        self._server = create_http_server(self._handle, Limits())
+        await self.start()
+
     async def send_heartbeat(self, host=None):
         """Send a heartbeat; return whether any coordinator acknowledged it."""
         self.sequence += 1
--- /dev/null
+++ b/tests/test_gateway_quarantine.py
@@ -0,0 +1,114 @@
+"""Tests of prompts that crash endpoints, over coordinators and gateways."""
+
+import unittest
+from dataclasses import replace
+
+import curio
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.gateway import Prompt, PromptPart
+from buckthorndeal.gateway.dialect import DefaultDialect
+from tests.fleet_harness import (
+    REQUEST_ID,
+    Fleet,
+    create_configuration,
+    create_stream_events,
+    run_fleet,
+)
+
+HOSTS = ("10.1.0.8", "10.1.0.9")
+PARTS = "test-parts"
+CRASHING = "root,crash,own{}"
+SOUND = "root,text,own{}"
+# Time within which all hosts of a deployment have to know of five crashes.
+NOTICE_S = 6.0
+# Crashing requests that may reach endpoints after that time.
+MAX_EXCESS = 3
+
+
+class PromptDialect(DefaultDialect):
+    """Default dialect with a header that lists the parts of a prompt."""
+
+    def parse_request(self, request):
+        metadata = super().parse_request(request)
+        keys = request.headers.get(PARTS)
+        if keys is None:
+            return metadata
+        parts = tuple(PromptPart(key, 100) for key in keys.split(","))
+        return replace(metadata, prompt=Prompt("m", 100 * len(parts), 10, parts))
+
+
+class Crashes:
+    """Script of endpoints that crash as they begin to answer a crashing prompt."""
+
+    def __init__(self):
+        self.arrivals = 0
+        self.crashes = 0
+
+    async def answer(self, endpoint, request, responder):
+        await endpoint.start_stream(request, responder)
+        if "crash" in request.headers[PARTS]:
+            self.arrivals += 1
+            self.crashes += 1
+            await curio.spawn(endpoint.crash, 0.2, daemon=True)
+            await curio.sleep(10)
+        await responder.send(create_stream_events(1, 3))
+        await responder.finish()
+
+
+async def start_crashing_fleet(fleet, script, endpoints=3):
+    """Start coordinators, two gateways and endpoints; wait until they serve."""
+    await fleet.start_coordinators()
+    await fleet.put_configuration("10.1.0.1", create_configuration(1))
+    for host in HOSTS:
+        await fleet.start_gateway(host, PromptDialect())
+    for number in range(endpoints):
+        await fleet.start_endpoint(f"e{number}", "a-1", script)
+    for host in HOSTS:
+        await fleet.wait_until_ready(host)
+    await curio.sleep(0.6)
+
+
+async def send_prompt(fleet, host, parts, number):
+    """Send a request with a prompt; return its status, 0 for a broken response."""
+    headers = [(REQUEST_ID, f"q{number}"), (PARTS, parts.format(number))]
+    try:
+        status, _, _ = await fleet.send_request(host, "/stream/x", headers)
+    except RequestError:
+        return 0
+    return status
+
+
+class CrashingPromptTest(unittest.TestCase):
+    """A part of a prompt under which endpoints have crashed is sent to none."""
+
+    def test_part_that_crashed_five_endpoints_stops_at_all_hosts(self):
+        async def check():
+            script = Crashes()
+            async with Fleet() as fleet:
+                await start_crashing_fleet(fleet, script.answer)
+                for number in range(4):
+                    self.assertEqual(
+                        await send_prompt(fleet, HOSTS[number % 2], SOUND, number), 200
+                    )
+                number = 100
+                while script.crashes < 5 and number < 120:
+                    number += 1
+                    await send_prompt(fleet, HOSTS[number % 2], CRASHING, number)
+                    await curio.sleep(0.4)
+                await curio.sleep(NOTICE_S)
+                before = script.arrivals
+                for number in range(200, 212):
+                    await send_prompt(fleet, HOSTS[number % 2], CRASHING, number)
+                    await curio.sleep(0.1)
+                self.assertLessEqual(script.arrivals - before, MAX_EXCESS)
+                await curio.sleep(1.0)
+                for number in range(300, 304):
+                    host = HOSTS[number % 2]
+                    self.assertEqual(await send_prompt(fleet, host, SOUND, number), 200)
+
+        run_fleet(check)
+
+
+if __name__ == "__main__":
+    unittest.main()
