Treat a stream without a length that ends before any event as broken off

The gateway relayed the head as a complete stream without any event.

Change: such a stream is broken off, and repeated or answered as failed. One that resumes after the last event may end without a new one.

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -335,6 +335,9 @@
             raise _create_stream_error(
                 "the stream ended in the middle of an event", closed=True
             )
+        nothing_new = not self.progress.events and self._call.resume_after is None
+        if attempt.response.ends_with_connection and nothing_new:
+            raise _create_stream_error("the stream ended before any event", closed=True)
         await self._start_response(attempt)
         attempt.outcome = AttemptOutcome.SUCCEEDED
         await self._responder.finish()
--- a/tests/test_misbehaving_endpoints.py
+++ b/tests/test_misbehaving_endpoints.py
@@ -292,6 +292,16 @@
             ),
         )
 
+    def test_stream_without_a_length_that_ends_before_any_event(self):
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: "
+        self.check_incomplete("/stream/", lambda name: f"{head}{name}\r\n\r\n".encode())
+
+    def test_stream_without_a_length_that_ends_inside_an_event(self):
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: "
+        self.check_incomplete(
+            "/stream/", lambda name: f"{head}{name}\r\n\r\nid: 0\nda".encode()
+        )
+
     def test_body_that_ends_with_its_connection(self):
         """Its end is the orderly end of the connection, which is not used again."""
 
