Log the rate limits that endpoints name, and which requests are forwarded ones

Change: the header is read, and logged with the id of the request; dispatch_decision tells forwarded requests from others. No decision changes.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -22,6 +22,7 @@
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
 from buckthorndeal.http_client import CONNECTION_CLOSED, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
+from buckthorndeal.logs import log_routine
 from buckthorndeal.policy.views import AttemptOutcome
 
 VERDICT_HEADER = "buckthorndeal-verdict"
@@ -186,6 +187,13 @@
 
     The load of an endpoint that has not run the request is reported too.
     """
+    if metadata.rate_limit is not None:
+        log_routine(
+            "rate_limit_named",
+            request_id=call.request_id,
+            target=_get_target_name(decision),
+            per_s=metadata.rate_limit,
+        )
     load = metadata.load if metadata.not_run else None
     if not metadata.leaving and metadata.pause_s is None and load is None:
         return
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -255,6 +255,7 @@
             route=call.route.name,
             service=call.service,
             repeat=message.is_retry,
+            forwarded=bool(call.hops),
             left_ms=round((call.deadline_s - now_s) * 1000),
             waited_ms=round(waited_s * 1000),
             **_describe(decision),
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -23,9 +23,10 @@
 RESUME_AFTER = "last-event-id"
 LEAVING = "buckthorndeal-leaving"
 RETRY_AFTER = "retry-after"
+RATE_LIMIT = "buckthorndeal-rate-limit"
 UNAVAILABLE = 503
 # Digits with an optional fraction; a value with a sign or an exponent is malformed.
-_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +67,8 @@
         Whether the endpoint announces that it is about to stop.
     pause_s : float or None
         Time in seconds for which an overloaded endpoint wants no more requests.
+    rate_limit : float or None
+        Requests per second that the endpoint takes from all hosts together.
     """
 
     request_id: str | None
@@ -75,6 +78,7 @@
     load: LoadReport | None = None
     leaving: bool = False
     pause_s: float | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +188,7 @@
             status == 421,
             leaving=headers.get(LEAVING) == "1",
             pause_s=read_pause_s(status, headers),
+            rate_limit=read_rate_limit(headers, RATE_LIMIT),
         )
 
     def format_retry_after(self, seconds: float) -> str:
@@ -230,7 +235,18 @@
     date: the clocks of an endpoint and of this host may differ by seconds.
     """
     value = headers.get(RETRY_AFTER, "").strip()
-    if status != UNAVAILABLE or _SECONDS.fullmatch(value) is None:
+    if status != UNAVAILABLE or _DECIMAL.fullmatch(value) is None:
+        return None
+    return float(value)
+
+
+def read_rate_limit(headers: dict[str, str], name: str) -> float | None:
+    """Return the requests per second that a header names.
+
+    None if it is missing, or malformed: then the endpoint names no limit.
+    """
+    value = headers.get(name, "").strip()
+    if _DECIMAL.fullmatch(value) is None:
         return None
     return float(value)
 
