Keep the rate limits that endpoints name, for all hosts together

What the platform saw: an endpoint that had named a limit of one request a second got 53 in 4 s, where 11 are allowed. Arrivals grew after it had named the limit, as other regions took the region of the two limited engines for idle.

Class: a limit of all hosts together that no host knows of, next to retry budgets, cold starts and connections, which are shared.

Change: a host that reads a limit, or reads that it is gone, tells all coordinators, which pass it on to the hosts of the region and to hosts that connect later; the newest revision holds. A few hosts, chosen by hash, share the limit, at most one for each request a second and two more; the others send nothing. New, forwarded and repeated requests count. What the limit leaves over goes to other endpoints; what none can take is refused at once, or waits if a turn is near. Limited endpoints are no free capacity for other regions. A host that is cut off keeps its share.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -25,6 +25,7 @@
     EntryStatusReceived,
     EvidenceReceived,
     HomeRegionsChanged,
+    RateLimitsReceived,
     RelayedRecordReceived,
 )
 from buckthorndeal.coordinator._fleet_task import FleetTask
@@ -47,6 +48,7 @@
     EntryStatus,
     EvidenceUpdate,
     FetchConfiguration,
+    RateLimitUpdate,
     RelayEndpoint,
     count_home_routes,
     create_host_links,
@@ -314,6 +316,9 @@
         if isinstance(message, EvidenceUpdate):
             await self._fleet.mailbox.ask(EvidenceReceived(message.evidence))
             return Acknowledged()
+        if isinstance(message, RateLimitUpdate):
+            await self._fleet.mailbox.ask(RateLimitsReceived(message.limits))
+            return Acknowledged()
         if isinstance(message, FetchConfiguration):
             return await self._fetch_configuration()
         reply = await self.service.handle_call(message)
--- a/buckthorndeal/coordinator/_fleet_messages.py
+++ b/buckthorndeal/coordinator/_fleet_messages.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from buckthorndeal.coordinator._requests import ClusterState
-from buckthorndeal.fleet import ControlStatus, EndpointRecord, EntryStatus
+from buckthorndeal.fleet import (
+    ControlStatus,
+    EndpointRecord,
+    EntryStatus,
+    RateLimit,
+)
 from buckthorndeal.peers import Channel
 from buckthorndeal.quarantine import Evidence
 
@@ -38,6 +43,13 @@
     evidence: Evidence
 
 
+@dataclass(frozen=True)
+class RateLimitsReceived:
+    """Request: merge rate limits that endpoints have named."""
+
+    limits: tuple[RateLimit, ...]
+
+
 @dataclass(frozen=True)
 class EntryStatusReceived:
     """Notification: an entry host sent a heartbeat."""
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -22,6 +22,7 @@
     HeartbeatReceived,
     HomeRegionsChanged,
     LeaveReceived,
+    RateLimitsReceived,
     RelayedRecordReceived,
 )
 from buckthorndeal.coordinator._quarantine_store import QuarantineStore
@@ -38,8 +39,11 @@
     EntryHost,
     EvidenceUpdate,
     HostLinks,
+    RateLimit,
+    RateLimitUpdate,
     choose_entry_hosts,
     create_endpoint_table,
+    create_rate_limit_table,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
@@ -90,6 +94,8 @@
         self._clock = clock
         self._metrics = metrics
         self._evidence = EvidenceRelay(quarantine_store, clock())
+        self._rate_limits = create_rate_limit_table()
+        self._new_rate_limits: list[RateLimit] = []
         self._endpoints = create_endpoint_table()
         self._entries = EntryTable()
         self._coordinators = CoordinatorTable(own)
@@ -182,6 +188,12 @@
         self._evidence.receive(message.evidence, self._clock())
         await envelope.reply()
 
+    @_handle.register
+    async def _(self, message: RateLimitsReceived, envelope: Envelope) -> None:
+        new = self._rate_limits.merge(message.limits, self._clock())
+        self._new_rate_limits.extend(new)
+        await envelope.reply()
+
     @_handle.register
     async def _(self, message: EntryStatusReceived, envelope: Envelope) -> None:
         host = message.status.entry
@@ -317,6 +329,7 @@
         evidence = self._evidence.export(self._clock())
         if evidence:
             await self._send(entry, EvidenceUpdate(evidence))
+        await self._send_rate_limits(entry, self._rate_limits.export())
 
     def _create_notice(self) -> ClusterNotice:
         state = self._cluster
@@ -331,6 +344,7 @@
         await self._flush_endpoints(now_s)
         await self._send_host_changes()
         await self._flush_evidence(now_s)
+        await self._flush_rate_limits()
 
     async def _flush_evidence(self, now_s: float) -> None:
         """Send new evidence to all entry hosts and coordinators."""
@@ -342,7 +356,29 @@
             if entry.initialized_channel is not None:
                 await self._send(entry, EvidenceUpdate(new))
         for host in self._links.list_connected():
-            await curio.spawn(self._links.share_evidence, host, new, daemon=True)
+            update = EvidenceUpdate(new)
+            await curio.spawn(self._links.deliver, host, update, daemon=True)
+
+    async def _flush_rate_limits(self) -> None:
+        """Send new rate limits to the entry hosts concerned and all coordinators."""
+        new, self._new_rate_limits = tuple(self._new_rate_limits), []
+        if not new:
+            return
+        for entry in self._entries:
+            if entry.initialized_channel is not None:
+                await self._send_rate_limits(entry, new)
+        for host in self._links.list_connected():
+            update = RateLimitUpdate(new)
+            await curio.spawn(self._links.deliver, host, update, daemon=True)
+
+    async def _send_rate_limits(
+        self, entry: KnownEntryHost, limits: tuple[RateLimit, ...]
+    ) -> None:
+        """Send an entry host the limits of the endpoints of its region."""
+        region = entry.host.region
+        own = tuple(limit for limit in limits if limit.region == region)
+        if own:
+            await self._send(entry, RateLimitUpdate(own))
 
     async def _flush_endpoints(self, now_s: float) -> None:
         """Send the heartbeats since the last flush to the entry hosts of each region.
@@ -390,6 +426,7 @@
             await self._links.send(host, status)
         self._entries.remove_expired(now_s)
         self._evidence.expire(now_s)
+        self._rate_limits.expire(now_s)
         members = self._cluster.members if self._cluster else ()
         self._coordinators.remove_expired(members, now_s)
         self._update_gauges()
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -35,12 +35,18 @@
     LeaveCluster,
     ProposeConfiguration,
     ProposeEvacuation,
+    RateLimitUpdate,
     ReadCommittedConfiguration,
     RegionLoad,
     RelayEndpoint,
     ServiceLoad,
     Unavailable,
 )
+from buckthorndeal.fleet._rate_limits import (
+    RateLimit,
+    RateLimitTable,
+    create_rate_limit_table,
+)
 
 __all__ = [
     "FLEET_CODEC",
@@ -70,6 +76,9 @@
     "LeaveCluster",
     "ProposeConfiguration",
     "ProposeEvacuation",
+    "RateLimit",
+    "RateLimitTable",
+    "RateLimitUpdate",
     "ReadCommittedConfiguration",
     "RegionLoad",
     "RelayEndpoint",
@@ -79,5 +88,6 @@
     "count_home_routes",
     "create_endpoint_table",
     "create_host_links",
+    "create_rate_limit_table",
     "is_advertised",
 ]
--- a/buckthorndeal/fleet/_links.py
+++ b/buckthorndeal/fleet/_links.py
@@ -6,10 +6,9 @@
 import curio
 
 from buckthorndeal.errors import PeerError, Verdict
-from buckthorndeal.fleet._messages import FLEET_CODEC, EvidenceUpdate
+from buckthorndeal.fleet._messages import FLEET_CODEC
 from buckthorndeal.logs import log_event
 from buckthorndeal.peers import Handler, LinkOptions, PeerLink, create_peer_link
-from buckthorndeal.quarantine import Evidence
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import Message
 
@@ -24,9 +23,9 @@
     backoff_max_s=0.15,
 )
 
-EVIDENCE_ATTEMPTS = 3
-EVIDENCE_TIMEOUT_S = 0.7
-EVIDENCE_RETRY_S = 0.3
+DELIVERY_ATTEMPTS = 3
+DELIVERY_TIMEOUT_S = 0.7
+DELIVERY_RETRY_S = 0.3
 
 
 class HostLinks:
@@ -127,18 +126,16 @@
             raise PeerError(f"no link to host {host}", Verdict.NOT_RUN)
         return await link.call(message, timeout_s)
 
-    async def share_evidence(self, host: str, evidence: Evidence) -> None:
-        """Send evidence until the host confirms it, a few times at most.
-
-        A host that connects again later is sent all evidence.
-        """
-        for _ in range(EVIDENCE_ATTEMPTS):
+    async def deliver(self, host: str, message: Message) -> None:
+        """Send a message until the host confirms it, a few times at most."""
+        for _ in range(DELIVERY_ATTEMPTS):
             try:
-                await self.call(host, EvidenceUpdate(evidence), EVIDENCE_TIMEOUT_S)
+                await self.call(host, message, DELIVERY_TIMEOUT_S)
                 return
             except PeerError as error:
-                log_event("evidence_not_shared", peer=host, reason=str(error))
-                await curio.sleep(EVIDENCE_RETRY_S)
+                kind = type(message).__name__
+                log_event("not_delivered", peer=host, kind=kind, reason=str(error))
+                await curio.sleep(DELIVERY_RETRY_S)
 
     async def close(self) -> None:
         """Close all links."""
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -9,6 +9,7 @@
     DescribeReplica,
     ReplicaDescription,
 )
+from buckthorndeal.fleet._rate_limits import RateLimit
 from buckthorndeal.quarantine import Evidence
 from buckthorndeal.wire import Message, create_codec
 
@@ -170,6 +171,12 @@
     evidence: Evidence
 
 
+class RateLimitUpdate(Message, tag="ru"):
+    """Call or notification: rate limits that endpoints name in their responses."""
+
+    limits: tuple[RateLimit, ...]
+
+
 class FetchConfiguration(Message, tag="fc"):
     """Call: fetch the configuration of `version` or a newer one."""
 
@@ -270,5 +277,6 @@
         Unavailable,
         RegionLoad,
         EvidenceUpdate,
+        RateLimitUpdate,
     )
 )
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -194,14 +194,27 @@
             target=_get_target_name(decision),
             per_s=metadata.rate_limit,
         )
-    load = metadata.load if metadata.not_run else None
-    if not metadata.leaving and metadata.pause_s is None and load is None:
-        return
     if isinstance(decision, Forward) or metadata.misdirected:
         return
+    load = metadata.load if metadata.not_run else None
+    # A response without a proof or a run says nothing by naming no limit.
+    is_rate_known = metadata.rate_limit is not None or (
+        metadata.authentic and not metadata.not_run
+    )
+    is_rate_new = is_rate_known and metadata.rate_limit != decision.rate_limit
+    announces = metadata.leaving or metadata.pause_s is not None or load is not None
+    if not announces and not is_rate_new:
+        return
     if metadata.request_id not in (None, call.request_id):
         return
-    notice = EndpointNotice(decision.record, metadata.leaving, metadata.pause_s, load)
+    notice = EndpointNotice(
+        decision.record,
+        metadata.leaving,
+        metadata.pause_s,
+        load,
+        metadata.rate_limit,
+        is_rate_known,
+    )
     changed = await context.dispatch_mailbox.ask(notice)
     if changed is not None:
         await context.control_mailbox.send(AnnounceDrain(changed))
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -28,6 +28,7 @@
     EntryStatus,
     EvidenceUpdate,
     FetchConfiguration,
+    RateLimitUpdate,
     RelayEndpoint,
     create_host_links,
 )
@@ -37,14 +38,15 @@
     ListEntryHosts,
     ListEntryHostsByCoordinator,
     SetState,
-    ShareEvidence,
+    TellCoordinators,
 )
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._messages import (
-    DescribeEvidence,
+    DescribeSharedState,
     EvidenceReceived,
     FleetChanged,
     HeartbeatsReceived,
+    RateLimitsReceived,
 )
 from buckthorndeal.gateway._versions import AnnouncedVersions
 from buckthorndeal.logs import log_event
@@ -182,6 +184,9 @@
         if isinstance(message, EvidenceUpdate):
             await self._dispatch.send(EvidenceReceived(message.evidence))
             return Acknowledged()
+        if isinstance(message, RateLimitUpdate):
+            await self._dispatch.send(RateLimitsReceived(message.limits))
+            return Acknowledged()
         if isinstance(message, _HOST_NOTICES):
             await self.mailbox.send(_PeerMessage(channel.host, message))
             return None
@@ -224,11 +229,9 @@
             return
 
     @_handle.register
-    async def _(self, message: ShareEvidence, envelope: Envelope) -> None:
+    async def _(self, message: TellCoordinators, envelope: Envelope) -> None:
         for host in self._connected:
-            await curio.spawn(
-                self._links.share_evidence, host, message.evidence, daemon=True
-            )
+            await curio.spawn(self._links.deliver, host, message.message, daemon=True)
 
     @_handle.register
     async def _(self, message: ListEntryHosts, envelope: Envelope) -> None:
@@ -288,7 +291,7 @@
         for host in connected - self._connected:
             log_event("coordinator_connected", peer=host)
             await self._links.send(host, self._create_status())
-            await curio.spawn(self._share_all_evidence, host, daemon=True)
+            await curio.spawn(self._deliver_shared_state, host, daemon=True)
         for host in self._connected - connected:
             log_event("coordinator_lost", peer=host)
             self._entry_hosts.drop(host)
@@ -298,10 +301,9 @@
             await self._update_fleet()
             await self._fetch_if_newer()
 
-    async def _share_all_evidence(self, host: str) -> None:
-        evidence = await self._dispatch.ask(DescribeEvidence())
-        if evidence:
-            await self._links.share_evidence(host, evidence)
+    async def _deliver_shared_state(self, host: str) -> None:
+        for message in await self._dispatch.ask(DescribeSharedState()):
+            await self._links.deliver(host, message)
 
     async def _send_status(self) -> None:
         now_s = self._clock()
--- a/buckthorndeal/gateway/_control_messages.py
+++ b/buckthorndeal/gateway/_control_messages.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from buckthorndeal.fleet import EndpointRecord, EntryState
-from buckthorndeal.quarantine import Evidence
 from buckthorndeal.settings import Address
+from buckthorndeal.wire import Message
 
 
 @dataclass(frozen=True)
@@ -29,10 +29,10 @@
 
 
 @dataclass(frozen=True)
-class ShareEvidence:
-    """Notification: tells all coordinators of new evidence on crashing prompts."""
+class TellCoordinators:
+    """Notification: sends a message to all coordinators until they confirm it."""
 
-    evidence: Evidence
+    message: Message
 
 
 @dataclass(frozen=True)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -23,7 +23,7 @@
     AddSeeds,
     ListEntryHostsByCoordinator,
     SetState,
-    ShareEvidence,
+    TellCoordinators,
 )
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._dispatch_task import DispatchTask
@@ -44,10 +44,9 @@
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.policy.ejection import create_ejection
 from buckthorndeal.processmetrics import watch_process
-from buckthorndeal.quarantine import Evidence
 from buckthorndeal.settings import Address, GatewaySettings, Limits
 from buckthorndeal.transport import Transport
-from buckthorndeal.wire import derive_keys
+from buckthorndeal.wire import Message, derive_keys
 
 DRAIN_POLL_INTERVAL_S = 0.05
 # Longer, because each check goes through the directory of each coordinator.
@@ -108,7 +107,11 @@
             random.Random(),
         )
         self._dispatch = DispatchTask(
-            dispatcher, self.metrics, clock, self._share_evidence, self._probe_endpoint
+            dispatcher,
+            self.metrics,
+            clock,
+            self._tell_coordinators,
+            self._probe_endpoint,
         )
         self._control = ControlTask(
             settings,
@@ -241,8 +244,8 @@
         await server.start(self._transport, listen.address, listen.port)
         self._servers.append(server)
 
-    async def _share_evidence(self, evidence: Evidence) -> None:
-        await self._control.mailbox.send(ShareEvidence(evidence))
+    async def _tell_coordinators(self, message: Message) -> None:
+        await self._control.mailbox.send(TellCoordinators(message))
 
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -6,13 +6,13 @@
 import curio
 
 from buckthorndeal.configuration import ServiceDescription
-from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.fleet import EndpointRecord, EvidenceUpdate, RateLimitUpdate
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
     Decision,
-    DescribeEvidence,
     DescribeRegionLoad,
+    DescribeSharedState,
     Dispatch,
     EndpointNotice,
     EndpointProbed,
@@ -21,6 +21,7 @@
     Forward,
     Grant,
     HeartbeatsReceived,
+    RateLimitsReceived,
     Refusal,
     RegionUpdate,
     ResponseStarted,
@@ -28,7 +29,8 @@
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.quarantine import Change, Evidence
+from buckthorndeal.quarantine import Change
+from buckthorndeal.wire import Message
 
 IDLE_INTERVAL_S = 1.0
 # Short, so that a waiting request is refused soon after its maximum wait.
@@ -56,7 +58,7 @@
     clock : callable
         Returns monotonic seconds.
     share : callable
-        Sends evidence to other hosts.
+        Sends a message to all coordinators.
     probe : callable
         Returns whether an endpoint accepts a connection.
     """
@@ -66,7 +68,7 @@
         dispatcher: Dispatcher,
         metrics: Metrics,
         clock: Callable[[], float],
-        share: Callable[[Evidence], Awaitable[None]],
+        share: Callable[[Message], Awaitable[None]],
         probe: Callable[[EndpointRecord], Awaitable[bool]],
     ) -> None:
         self.mailbox = create_mailbox()
@@ -92,6 +94,7 @@
             if self._dispatcher.has_waiting:
                 await self._decide_waiting(now_s)
             await self._handle_crash_news(now_s)
+            await self._share_rate_limits()
             if now_s >= self._expire_due_s:
                 self._expire_due_s = now_s + IDLE_INTERVAL_S
                 self._dispatcher.expire_endpoints(ENDPOINT_EXPIRY_S, now_s)
@@ -118,10 +121,25 @@
         for change in news.changes:
             self._log_change(change)
         if news.evidence:
-            await curio.spawn(self._share, news.evidence, daemon=True)
+            update = EvidenceUpdate(news.evidence)
+            await curio.spawn(self._share, update, daemon=True)
         for record in news.probes:
             await curio.spawn(self._probe_endpoint, record, daemon=True)
 
+    async def _share_rate_limits(self) -> None:
+        """Tell other hosts which rate limits have changed."""
+        limits = self._dispatcher.view.rate_shares.take_outgoing()
+        for limit in limits:
+            log_event(
+                "rate_limit_changed",
+                endpoint=limit.endpoint,
+                incarnation=limit.incarnation,
+                revision=limit.revision,
+                per_s=limit.per_s,
+            )
+        if limits:
+            await curio.spawn(self._share, RateLimitUpdate(limits), daemon=True)
+
     def _log_change(self, change: Change) -> None:
         decision = change.decision
         self._metrics.count("quarantine_decisions", active=str(decision.active).lower())
@@ -173,9 +191,22 @@
 
     @_handle.register
     async def _(
-        self, message: DescribeEvidence, envelope: Envelope, now_s: float
+        self, message: RateLimitsReceived, envelope: Envelope, now_s: float
+    ) -> None:
+        self._dispatcher.view.rate_shares.receive(message.limits, now_s)
+
+    @_handle.register
+    async def _(
+        self, message: DescribeSharedState, envelope: Envelope, now_s: float
     ) -> None:
-        await envelope.reply(self._dispatcher.crash_guard.quarantine.export(now_s))
+        messages = []
+        evidence = self._dispatcher.crash_guard.quarantine.export(now_s)
+        if evidence:
+            messages.append(EvidenceUpdate(evidence))
+        limits = self._dispatcher.view.rate_shares.export()
+        if limits:
+            messages.append(RateLimitUpdate(limits))
+        await envelope.reply(messages)
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -9,7 +9,11 @@
 from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
-from buckthorndeal.gateway._fleet_view import FleetView, ServiceState
+from buckthorndeal.gateway._fleet_view import (
+    EndpointCondition,
+    FleetView,
+    ServiceState,
+)
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
     compute_max_wait_s,
@@ -147,9 +151,12 @@
             return self._refusals.refuse_overload(call, len(candidates), best)
         if candidates:
             return None
-        pause_s = self.view.get_shortest_pause_s(call.service, now_s)
-        if pause_s is not None:
-            return self._refusals.refuse_paused(pause_s)
+        turn = self.view.find_next_turn(call.service, now_s)
+        if turn is not None:
+            may_wait = turn.condition is EndpointCondition.RATE_LIMITED
+            if may_wait and turn.wait_s <= compute_max_wait_s(call, False):
+                return None
+            return self._refusals.refuse_until_turn(turn)
         if self._is_starting(now_s):
             return None
         return self._refusals.refuse(RefusalReason.NO_ENDPOINT)
@@ -161,6 +168,8 @@
         load = self.view.loads.get(notice.record.endpoint)
         if load is not None and notice.load is not None:
             load.record_report(notice.load, now_s)
+        if notice.is_rate_known:
+            self.view.rate_shares.record_named(notice.record, notice.rate_limit, now_s)
         if notice.pause_s is not None:
             self.view.record_pause(notice.record, notice.pause_s, now_s)
         return self.view.record_leaving(notice.record) if notice.leaving else None
@@ -382,6 +391,7 @@
         )
         load.add(dispatch.attempt_id, attempt)
         self._granted[dispatch.attempt_id] = attempt
+        self.view.rate_shares.record_request(record, now_s)
         self.crash_guard.record_grant(dispatch, now_s)
         if choice.cold:
             load.pacer.record_request(service.cold_rate_per_s * COLD_RATE_SHARE, now_s)
@@ -398,7 +408,13 @@
             choice.cache_source.entry.record.address if choice.cache_source else None
         )
         return Grant(
-            record, urgency, choice.predicted_s, connection_limit, age_s, cache_source
+            record,
+            urgency,
+            choice.predicted_s,
+            connection_limit,
+            age_s,
+            cache_source,
+            self.view.rate_shares.get_limit(record),
         )
 
     def _is_starting(self, now_s: float) -> bool:
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -10,6 +10,7 @@
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._messages import FleetChanged
 from buckthorndeal.gateway._pauses import EndpointPauses
+from buckthorndeal.gateway._rate_shares import MIN_RATE_PER_S, RateShares
 from buckthorndeal.gateway._service_time import ServiceTime
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
@@ -25,9 +26,12 @@
     EVACUATED = "evacuated"
     LEAVING = "leaving"
     PAUSED = "paused"
+    RATE_LIMITED = "rate_limited"
 
 
 USABLE_CONDITIONS = (EndpointCondition.READY, EndpointCondition.COLD)
+# Conditions in which an endpoint counts for what its region can serve.
+SERVING_CONDITIONS = (EndpointCondition.READY, EndpointCondition.RATE_LIMITED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,22 @@
     retries_allowed: float
 
 
+@dataclass(frozen=True, slots=True)
+class NextTurn:
+    """When an endpoint that holds this host off takes requests again.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds until then; infinite if other hosts use up its rate limit.
+    condition : EndpointCondition
+        Why it takes none now.
+    """
+
+    wait_s: float
+    condition: EndpointCondition
+
+
 class FleetView:
     """Endpoint loads, services and entry hosts known to this host.
 
@@ -65,6 +85,7 @@
         self._table = create_endpoint_table()
         self._last_heartbeat_s = 0.0
         self._pauses = EndpointPauses()
+        self.rate_shares = RateShares(host)
         self._service_times: dict[str, ServiceTime] = {}
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
@@ -110,23 +131,28 @@
             return EndpointCondition.EVACUATED
         if self._get_pause_s(load, now_s) > 0:
             return EndpointCondition.PAUSED
+        if self.rate_shares.get_wait_s(load.entry.record, now_s) > 0:
+            return EndpointCondition.RATE_LIMITED
         if now_s - load.entry.last_heartbeat_s >= HEARTBEAT_TIMEOUT_S:
             return EndpointCondition.SILENT
         if load.is_cold(now_s):
             return EndpointCondition.COLD
         return EndpointCondition.READY
 
-    def get_shortest_pause_s(self, service: str, now_s: float) -> float | None:
-        """Return the seconds until the first paused endpoint takes requests again.
+    def find_next_turn(self, service: str, now_s: float) -> NextTurn | None:
+        """Return when the first endpoint that holds this host off takes requests again.
 
-        None if no endpoint of the service is paused.
+        None if no endpoint of the service is paused or limits its rate.
         """
-        pauses_s = [
-            self._get_pause_s(load, now_s)
-            for load in self._list_loads(service)
-            if self._get_condition(load, now_s) is EndpointCondition.PAUSED
-        ]
-        return min(pauses_s, default=None)
+        turns = []
+        for load in self._list_loads(service):
+            condition = self._get_condition(load, now_s)
+            if condition is EndpointCondition.PAUSED:
+                turns.append(NextTurn(self._get_pause_s(load, now_s), condition))
+            elif condition is EndpointCondition.RATE_LIMITED:
+                wait_s = self.rate_shares.get_wait_s(load.entry.record, now_s)
+                turns.append(NextTurn(wait_s, condition))
+        return min(turns, key=lambda turn: turn.wait_s, default=None)
 
     def _get_pause_s(self, load: EndpointLoad, now_s: float) -> float:
         record = load.entry.record
@@ -149,6 +175,7 @@
     def set_fleet(self, message: FleetChanged) -> None:
         """Replace the entry hosts and evacuations with newer ones."""
         self.fleet = message
+        self.rate_shares.set_hosts(message.region_hosts, bool(message.ready_hosts))
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Apply a heartbeat of an endpoint."""
@@ -183,6 +210,8 @@
         Nothing is removed while no heartbeats arrive at all.
         """
         self._pauses.expire(now_s)
+        records = [load.entry.record for load in self.loads.values()]
+        self.rate_shares.expire(records, now_s)
         if now_s - self._last_heartbeat_s > HEARTBEAT_TIMEOUT_S:
             return []
         expired = [record.endpoint for record in self._table.expire(silence_s, now_s)]
@@ -205,7 +234,7 @@
             loads = [
                 load
                 for load in self._list_loads(name)
-                if self._get_condition(load, now_s) is EndpointCondition.READY
+                if self._get_condition(load, now_s) in SERVING_CONDITIONS
             ]
             if loads:
                 described[name] = self._describe_load(service, loads, now_s)
@@ -217,7 +246,13 @@
         hosts = max(1, len(self.fleet.region_hosts))
         waits = []
         free_slots = 0
-        for load in loads:
+        limits = [self.rate_shares.get_limit(load.entry.record) for load in loads]
+        if None not in limits:
+            # What they take is hardly enough for the callers of this region.
+            return 1 / max(MIN_RATE_PER_S, sum(limits)), 0
+        for load, limit in zip(loads, limits, strict=True):
+            if limit is not None:
+                continue
             total_inflight = load.inflight + load.count_other_inflight(now_s)
             free_slots += max(0, load.entry.record.slots - total_inflight)
             if service.engine is not None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.configuration import Route
-from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.fleet import EndpointRecord, RateLimit
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.quarantine import Evidence
 
@@ -114,6 +114,8 @@
     cache_source : str or None
         Address of another endpoint from which this one may fetch the cached shared
         prefix of the prompt.
+    rate_limit : float or None
+        Rate limit of the endpoint that is known, in requests per second.
     """
 
     record: EndpointRecord
@@ -122,6 +124,7 @@
     connection_limit: int
     heartbeat_age_s: float = 0.0
     cache_source: str | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,7 @@
 
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_PAUSED = "endpoints_paused"
+    RATE_LIMITED = "rate_limited"
     OVERLOADED = "overloaded"
     RETRY_BUDGET = "retry_budget"
     PROMPT_QUARANTINED = "prompt_quarantined"
@@ -217,12 +221,18 @@
         Time in seconds for which it wants no requests from this host.
     load : LoadReport or None
         Load of an endpoint that has not run the request.
+    rate_limit : float or None
+        Requests per second that it takes from all hosts together.
+    is_rate_known : bool
+        Whether the response tells the rate limit, or that there is none.
     """
 
     record: EndpointRecord
     leaving: bool
     pause_s: float | None
     load: LoadReport | None = None
+    rate_limit: float | None = None
+    is_rate_known: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -267,8 +277,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DescribeEvidence:
-    """Query: all evidence on prompts that crash endpoints."""
+class RateLimitsReceived:
+    """Notification: other hosts have learned of rate limits of endpoints."""
+
+    limits: tuple[RateLimit, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DescribeSharedState:
+    """Query: messages with all that this host has to share with other hosts."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -3,6 +3,7 @@
 import random
 
 from buckthorndeal.gateway._crash_guard import Objection
+from buckthorndeal.gateway._fleet_view import EndpointCondition, NextTurn
 from buckthorndeal.gateway._messages import Call, Refusal, RefusalReason
 from buckthorndeal.gateway._scoring import LocalChoice
 
@@ -10,6 +11,8 @@
 MIN_RETRY_AFTER_S = 0.2
 NO_ENDPOINT_RETRY_S = 1.0
 QUARANTINE_RETRY_S = 10.0
+# Callers that return later may reach a host that has a share in the limit.
+MAX_RATE_RETRY_S = 2.0
 
 
 class RefusalPolicy:
@@ -44,13 +47,19 @@
         predicted_s = best.predicted_s if best else None
         return Refusal(RefusalReason.OVERLOADED, retry_s, candidates, predicted_s)
 
-    def refuse_paused(self, pause_s: float) -> Refusal:
-        """Return a refusal until after the pause of the endpoints.
+    def refuse_until_turn(self, turn: NextTurn) -> Refusal:
+        """Return a refusal until an endpoint takes requests of this host again.
 
-        Callers return after it, not during it, and not all at its end.
+        Callers return after that moment, not before it, and not all at once.
         """
-        retry_s = max(MIN_RETRY_AFTER_S, pause_s) * self._rng.uniform(1.0, 1.5)
-        return Refusal(RefusalReason.ENDPOINTS_PAUSED, retry_s)
+        if turn.condition is EndpointCondition.RATE_LIMITED:
+            wait_s = min(turn.wait_s, MAX_RATE_RETRY_S)
+            reason = RefusalReason.RATE_LIMITED
+        else:
+            wait_s = turn.wait_s
+            reason = RefusalReason.ENDPOINTS_PAUSED
+        retry_s = max(MIN_RETRY_AFTER_S, wait_s) * self._rng.uniform(1.0, 1.5)
+        return Refusal(reason, retry_s)
 
     def refuse_crashing(self, objection: Objection) -> Refusal:
         """Return a refusal of a prompt that may crash endpoints.
--- a/buckthorndeal/subsetting.py
+++ b/buckthorndeal/subsetting.py
@@ -4,7 +4,13 @@
 import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 
-__all__ = ["assign_subsets", "choose_owner", "choose_registrars", "choose_subset"]
+__all__ = [
+    "assign_subsets",
+    "choose_owner",
+    "choose_owners",
+    "choose_registrars",
+    "choose_subset",
+]
 
 # Bounds on the number of hosts of one endpoint, as multiples of the mean. With both at
 # 1, adding or removing one name replaces up to 19% of the pairs.
@@ -39,6 +45,14 @@
     return min(names, key=_create_ranking(key))
 
 
+def choose_owners(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return the `count` names that own a key together, by rendezvous hashing.
+
+    Adding or removing a name replaces at most one of them.
+    """
+    return sorted(names, key=_create_ranking(key))[:count]
+
+
 def choose_registrars(endpoint: str, failure_domains: Mapping[str, str]) -> list[str]:
     """Return the hosts that an endpoint sends its heartbeats to.
 
--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -106,7 +106,7 @@
     request_sent: bool = False
     excluded: frozenset = frozenset()
     begun_at_first: bool = False
-    refusal: object = None
+    decision: object = None
 
 
 @dataclass(eq=False)
@@ -203,7 +203,7 @@
         """Return the sound requests that are refused because of their prompt."""
         reason = RefusalReason.PROMPT_QUARANTINED
         return sum(
-            isinstance(each.refusal, Refusal) and each.refusal.reason is reason
+            isinstance(each.decision, Refusal) and each.decision.reason is reason
             for each in self.requests
             if not each.crashing
         )
@@ -260,8 +260,8 @@
             excluded=request.excluded,
         )
         attempt_id = harness.attempt_id
+        request.decision = decision
         if not isinstance(decision, Grant):
-            request.refusal = decision
             harness.finish(attempt_id, None)
             return
         request.attempts += 1
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -355,9 +355,11 @@
     """The metrics show why endpoints are not used."""
 
     def test_conditions_of_endpoints(self):
-        harness = DispatcherHarness(endpoints=6)
+        harness = DispatcherHarness(endpoints=7)
         harness.now_s += 10
-        harness.send_heartbeats(["e0", "e1", "e2", "e3", "e5"])
+        harness.send_heartbeats(["e0", "e1", "e2", "e3", "e5", "e6"])
+        limited = harness.view.loads["e6"].entry.record
+        harness.view.rate_shares.record_named(limited, 1.0, harness.now_s)
         paused = harness.view.loads["e5"].entry.record
         harness.view.record_pause(paused, 3.0, harness.now_s)
         harness.send_heartbeats(["e1"], state=EndpointState.DRAINING)
@@ -367,7 +369,7 @@
         state = harness.dispatcher.describe_service("llm", harness.now_s)
         counts = {each.value: count for each, count in state.endpoints.items()}
         conditions = ("ready", "cold", "silent", "evacuated", "leaving", "paused")
-        expected = dict.fromkeys(conditions, 1)
+        expected = dict.fromkeys((*conditions, "rate_limited"), 1)
         self.assertEqual(counts, expected)
 
     def test_retries_and_waiting(self):
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -88,6 +88,35 @@
 
         run_fleet(check)
 
+    def test_endpoint_whose_limit_is_gone_is_used_by_all_hosts(self):
+        async def check():
+            limited = LimitedEndpoint()
+            async with Fleet() as fleet:
+                await start_limited_fleet(fleet, limited)
+                await send_steadily(fleet, NOTICE_S)
+                limited.limited = False
+                await send_steadily(fleet, NOTICE_S + 2.0)
+                before = len(limited.arrivals_s)
+                await send_steadily(fleet, 2.0)
+            self.assertGreater(len(limited.arrivals_s) - before, 5)
+
+        run_fleet(check)
+
+    def test_host_that_starts_later_keeps_a_limit_that_it_was_not_told(self):
+        async def check():
+            limited = LimitedEndpoint()
+            async with Fleet() as fleet:
+                await start_limited_fleet(fleet, limited)
+                await send_steadily(fleet, NOTICE_S)
+                await fleet.start_gateway("10.1.0.6")
+                await fleet.wait_until_ready("10.1.0.6")
+                await curio.sleep(0.5)
+                dispatcher = fleet.gateways["10.1.0.6"]._dispatch._dispatcher
+                record = dispatcher.view.loads["e0"].entry.record
+                self.assertEqual(dispatcher.view.rate_shares.get_limit(record), 1.0)
+
+        run_fleet(check)
+
 
 if __name__ == "__main__":
     unittest.main()
