Report answers to suspect parts at most five times a second, and skip empty limits

Cause: while many endpoints crash, a host reported each answer to a suspect part by itself; and each decision looked up the limits of all endpoints, also while none names one.

Change: reports are collected for 0.2 s; without any limit the look-up ends at once.

--- a/buckthorndeal/fleet/_rate_limits.py
+++ b/buckthorndeal/fleet/_rate_limits.py
@@ -52,6 +52,11 @@
     def __init__(self) -> None:
         self._limits: dict[EndpointKey, _KnownLimit] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint was ever reported."""
+        return not self._limits
+
     def get(self, key: EndpointKey) -> RateLimit | None:
         """Return the newest report on an endpoint, or None."""
         known = self._limits.get(key)
--- a/buckthorndeal/gateway/_rate_shares.py
+++ b/buckthorndeal/gateway/_rate_shares.py
@@ -60,6 +60,8 @@
 
         0 if it may now, infinite if others share the limit.
         """
+        if self._limits.is_empty:
+            return 0.0
         per_s = self.get_limit(record)
         if per_s is None:
             return 0.0
--- a/buckthorndeal/quarantine/_quarantine.py
+++ b/buckthorndeal/quarantine/_quarantine.py
@@ -149,8 +149,9 @@
         if now_s >= self._expire_due_s:
             self._expire_due_s = now_s + EXPIRE_INTERVAL_S
             self._expire(now_s)
-        due = self.is_open(now_s) and now_s >= self._review_due_s
-        if not self._changed and not due:
+        if now_s < self._review_due_s:
+            return
+        if not self._changed and not self.is_open(now_s):
             return
         self._changed = False
         self._review_due_s = now_s + REVIEW_INTERVAL_S
