--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -6,12 +6,12 @@
 import curio
 
 from buckthorndeal.coordinator._coordinator_table import CoordinatorTable
+from buckthorndeal.coordinator._directory_log import DirectoryLog
 from buckthorndeal.coordinator._endpoint_changes import (
     is_significant_change,
     log_endpoint_change,
 )
 from buckthorndeal.coordinator._entry_table import EntryTable, KnownEntryHost
-from buckthorndeal.coordinator._evidence import EvidenceRelay
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -28,6 +28,7 @@
 from buckthorndeal.coordinator._quarantine_store import QuarantineStore
 from buckthorndeal.coordinator._relay import RelayPlan, relay_record
 from buckthorndeal.coordinator._requests import ClusterState
+from buckthorndeal.coordinator._shared_state import SharedNews, SharedState
 from buckthorndeal.errors import PeerError
 from buckthorndeal.fleet import (
     ClusterNotice,
@@ -36,14 +37,9 @@
     EndpointHeartbeats,
     EndpointRecord,
     EndpointState,
-    EntryHost,
-    EvidenceUpdate,
     HostLinks,
-    RateLimit,
-    RateLimitUpdate,
     choose_entry_hosts,
     create_endpoint_table,
-    create_rate_limit_table,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
@@ -93,15 +89,13 @@
         self._endpoint_silence_s = endpoint_silence_s
         self._clock = clock
         self._metrics = metrics
-        self._evidence = EvidenceRelay(quarantine_store, clock())
-        self._rate_limits = create_rate_limit_table()
-        self._new_rate_limits: list[RateLimit] = []
+        self._shared = SharedState(quarantine_store, clock())
         self._endpoints = create_endpoint_table()
         self._entries = EntryTable()
         self._coordinators = CoordinatorTable(own)
         self._cluster: ClusterState | None = None
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
-        self._logged_remote_choices: dict[tuple[str, str], tuple[str, ...]] = {}
+        self._directory_log = DirectoryLog()
         # Heartbeats since the last flush, by endpoint: records that have changed, and
         # the regions of endpoints whose last record still holds.
         self._changed_records: dict[str, EndpointRecord] = {}
@@ -185,13 +179,12 @@
 
     @_handle.register
     async def _(self, message: EvidenceReceived, envelope: Envelope) -> None:
-        self._evidence.receive(message.evidence, self._clock())
+        self._shared.receive_evidence(message.evidence, self._clock())
         await envelope.reply()
 
     @_handle.register
     async def _(self, message: RateLimitsReceived, envelope: Envelope) -> None:
-        new = self._rate_limits.merge(message.limits, self._clock())
-        self._new_rate_limits.extend(new)
+        self._shared.receive_rate_limits(message.limits, self._clock())
         await envelope.reply()
 
     @_handle.register
@@ -232,7 +225,7 @@
             message.failure_domain,
             self._home_counts.get(message.name.lower()),
         )
-        self._log_remote_choice(message, chosen)
+        self._directory_log.record(message, chosen, len(self._entries))
         await envelope.reply(chosen)
 
     @_handle.register
@@ -250,27 +243,6 @@
         )
         await envelope.reply(chosen)
 
-    def _log_remote_choice(
-        self, message: ChooseEntryHosts, chosen: list[EntryHost]
-    ) -> None:
-        """Log a choice outside the caller's region if it differs from the last one."""
-        hosts = tuple(entry.host for entry in chosen)
-        remote = all(entry.region != message.region for entry in chosen)
-        key = (message.name, message.region)
-        if remote and self._logged_remote_choices.get(key) != hosts:
-            log_event(
-                "directory_decision",
-                name=message.name,
-                region=message.region,
-                chosen=list(hosts),
-                known=len(self._entries),
-                reason="no entry host of the region is ready",
-            )
-        if remote:
-            self._logged_remote_choices[key] = hosts
-        else:
-            self._logged_remote_choices.pop(key, None)
-
     def _reaches_majority(self) -> bool:
         """Return whether a majority of the voters, including this host, is alive."""
         if self._cluster is None or not self._cluster.voters:
@@ -326,10 +298,7 @@
         )
         if records:
             await self._send(entry, EndpointHeartbeats(records))
-        evidence = self._evidence.export(self._clock())
-        if evidence:
-            await self._send(entry, EvidenceUpdate(evidence))
-        await self._send_rate_limits(entry, self._rate_limits.export())
+        await self._send_shared_state(entry, self._shared.export(self._clock()))
 
     def _create_notice(self) -> ClusterNotice:
         state = self._cluster
@@ -343,42 +312,24 @@
             log_event("endpoint_silent", endpoint=record.endpoint)
         await self._flush_endpoints(now_s)
         await self._send_host_changes()
-        await self._flush_evidence(now_s)
-        await self._flush_rate_limits()
-
-    async def _flush_evidence(self, now_s: float) -> None:
-        """Send new evidence to all entry hosts and coordinators."""
-        await self._evidence.save()
-        new = self._evidence.take_new(now_s)
-        if not new:
-            return
-        for entry in self._entries:
-            if entry.initialized_channel is not None:
-                await self._send(entry, EvidenceUpdate(new))
-        for host in self._links.list_connected():
-            update = EvidenceUpdate(new)
-            await curio.spawn(self._links.deliver, host, update, daemon=True)
+        await self._flush_shared_state(now_s)
 
-    async def _flush_rate_limits(self) -> None:
-        """Send new rate limits to the entry hosts concerned and all coordinators."""
-        new, self._new_rate_limits = tuple(self._new_rate_limits), []
-        if not new:
+    async def _flush_shared_state(self, now_s: float) -> None:
+        """Send what is new to the entry hosts concerned and all coordinators."""
+        await self._shared.save()
+        news = self._shared.take_new(now_s)
+        if not news:
             return
         for entry in self._entries:
             if entry.initialized_channel is not None:
-                await self._send_rate_limits(entry, new)
+                await self._send_shared_state(entry, news)
         for host in self._links.list_connected():
-            update = RateLimitUpdate(new)
-            await curio.spawn(self._links.deliver, host, update, daemon=True)
+            for message in news.create_messages():
+                await curio.spawn(self._links.deliver, host, message, daemon=True)
 
-    async def _send_rate_limits(
-        self, entry: KnownEntryHost, limits: tuple[RateLimit, ...]
-    ) -> None:
-        """Send an entry host the limits of the endpoints of its region."""
-        region = entry.host.region
-        own = tuple(limit for limit in limits if limit.region == region)
-        if own:
-            await self._send(entry, RateLimitUpdate(own))
+    async def _send_shared_state(self, entry: KnownEntryHost, news: SharedNews) -> None:
+        for message in news.create_messages(entry.host.region):
+            await self._send(entry, message)
 
     async def _flush_endpoints(self, now_s: float) -> None:
         """Send the heartbeats since the last flush to the entry hosts of each region.
@@ -425,8 +376,7 @@
         for host in self._links.list_connected():
             await self._links.send(host, status)
         self._entries.remove_expired(now_s)
-        self._evidence.expire(now_s)
-        self._rate_limits.expire(now_s)
+        self._shared.expire(now_s)
         members = self._cluster.members if self._cluster else ()
         self._coordinators.remove_expired(members, now_s)
         self._update_gauges()
--- /dev/null
+++ b/buckthorndeal/coordinator/_shared_state.py
@@ -0,0 +1,86 @@
+"""State that entry hosts share through the coordinators."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.coordinator._evidence import EvidenceRelay
+from buckthorndeal.coordinator._quarantine_store import QuarantineStore
+from buckthorndeal.fleet import (
+    EvidenceUpdate,
+    RateLimit,
+    RateLimitUpdate,
+    create_rate_limit_table,
+)
+from buckthorndeal.quarantine import Evidence
+from buckthorndeal.wire import Message
+
+
+@dataclass(frozen=True)
+class SharedNews:
+    """Shared state to send.
+
+    Parameters
+    ----------
+    evidence : Evidence
+        Evidence on prompts that crash endpoints.
+    limits : tuple of RateLimit
+        Rate limits that endpoints name.
+    """
+
+    evidence: Evidence
+    limits: tuple[RateLimit, ...]
+
+    def __bool__(self) -> bool:
+        return bool(self.evidence or self.limits)
+
+    def create_messages(self, region: str | None = None) -> list[Message]:
+        """Return the messages for the entry hosts of a region, or for coordinators."""
+        messages: list[Message] = []
+        if self.evidence:
+            messages.append(EvidenceUpdate(self.evidence))
+        limits = tuple(limit for limit in self.limits if region in (None, limit.region))
+        if limits:
+            messages.append(RateLimitUpdate(limits))
+        return messages
+
+
+class SharedState:
+    """Merges what entry hosts share, and collects what is new.
+
+    Parameters
+    ----------
+    store : QuarantineStore
+        Keeps the decisions on prompts that crash endpoints.
+    now_s : float
+        Clock reading.
+    """
+
+    def __init__(self, store: QuarantineStore, now_s: float) -> None:
+        self._evidence = EvidenceRelay(store, now_s)
+        self._rate_limits = create_rate_limit_table()
+        self._new_limits: list[RateLimit] = []
+
+    def receive_evidence(self, evidence: Evidence, now_s: float) -> None:
+        """Merge the evidence of a host."""
+        self._evidence.receive(evidence, now_s)
+
+    def receive_rate_limits(self, limits: tuple[RateLimit, ...], now_s: float) -> None:
+        """Merge the rate limits that a host has learned."""
+        self._new_limits.extend(self._rate_limits.merge(limits, now_s))
+
+    def export(self, now_s: float) -> SharedNews:
+        """Return all that is known."""
+        return SharedNews(self._evidence.export(now_s), self._rate_limits.export())
+
+    def take_new(self, now_s: float) -> SharedNews:
+        """Return what was new since the last call."""
+        limits, self._new_limits = tuple(self._new_limits), []
+        return SharedNews(self._evidence.take_new(now_s), limits)
+
+    def expire(self, now_s: float) -> None:
+        """Forget what is old."""
+        self._evidence.expire(now_s)
+        self._rate_limits.expire(now_s)
+
+    async def save(self) -> None:
+        """Save what has to survive this process, without blocking other tasks."""
+        await self._evidence.save()
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -17,7 +17,6 @@
     Acknowledged,
     ClusterNotice,
     ConfigurationContent,
-    ControlHost,
     ControlStatus,
     EndpointHeartbeats,
     EndpointRecord,
@@ -41,6 +40,7 @@
     TellCoordinators,
 )
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
+from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._messages import (
     DescribeSharedState,
     EvidenceReceived,
@@ -68,9 +68,6 @@
 CONNECTED_POLL_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 1.0
 RELAY_TIMEOUT_S = 0.7
-# A coordinator that no status message has listed for this long is removed, unless it
-# is connected or a seed.
-CONTROL_HOST_EXPIRY_S = 30.0
 
 _HOST_NOTICES = (ClusterNotice, ControlStatus, EntryHosts, EntryHostChanges)
 
@@ -131,9 +128,8 @@
         )
         self._entry_state = EntryState.READY
         self._connected: set[str] = set()
-        self._control_hosts: dict[str, ControlHost] = {}
+        self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
-        self._last_listed_s: dict[str, float] = {}
         self._log_index = 0
         self._configuration_version: int | None = None
         self._versions = AnnouncedVersions()
@@ -211,7 +207,7 @@
 
     @_handle.register
     async def _(self, message: AnnounceDrain, envelope: Envelope) -> None:
-        hosts = sorted(self._connected, key=self._get_distance)
+        hosts = sorted(self._connected, key=self._coordinators.get_distance)
         await curio.spawn(self._announce_drain, hosts, message.record, daemon=True)
 
     async def _announce_drain(self, hosts: list[str], record: EndpointRecord) -> None:
@@ -269,10 +265,7 @@
 
     @_handle_peer_message.register
     async def _(self, message: ControlStatus, host: str) -> None:
-        now_s = self._clock()
-        for control in message.hosts:
-            self._control_hosts[control.host] = control
-            self._last_listed_s[control.host] = now_s
+        self._coordinators.update(message.hosts, self._clock())
         await self._links.ensure(control.host for control in message.hosts)
 
     @_handle_peer_message.register
@@ -316,8 +309,7 @@
     async def _drop_lost_coordinators(self, now_s: float) -> None:
         seeds = {seed.address for seed in self._settings.seeds}
         for host in self._links.hosts:
-            listed_s = self._last_listed_s.setdefault(host, now_s)
-            silent = now_s - listed_s > CONTROL_HOST_EXPIRY_S
+            silent = self._coordinators.is_silent(host, now_s)
             if silent and host not in self._connected and host not in seeds:
                 await self._links.drop(host)
 
@@ -362,20 +354,9 @@
         fetch = self._versions.start_fetch(self._connected, self._clock())
         if fetch is not None:
             version, hosts = fetch
-            hosts.sort(key=self._get_distance)
+            hosts.sort(key=self._coordinators.get_distance)
             await curio.spawn(self._fetch, hosts, version, daemon=True)
 
-    def _get_distance(self, host: str) -> tuple[bool, bool, str]:
-        """Return a sort key: hosts of this region and failure domain come first."""
-        control = self._control_hosts.get(host)
-        if control is None:
-            return (True, True, host)
-        return (
-            control.region != self._settings.region,
-            control.failure_domain != self._settings.failure_domain,
-            host,
-        )
-
     async def _fetch(self, hosts: list[str], version: int) -> None:
         message = FetchConfiguration(version)
         for host in hosts:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -32,7 +32,7 @@
 )
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
 from buckthorndeal.gateway._refusals import RefusalPolicy
-from buckthorndeal.gateway._regions import RegionTable
+from buckthorndeal.gateway._remote_choice import RemoteChooser
 from buckthorndeal.gateway._scoring import (
     LocalChoice,
     RemoteChoice,
@@ -43,11 +43,6 @@
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 from buckthorndeal.subsetting import choose_owner
 
-# Minimum predicted gain of forwarding a request to another region; smaller gains
-# would move work to endpoints whose cache is cold for it.
-MIN_FORWARD_GAIN_S = 0.15
-# Requests stay local if their local cost is below this share of the latency objective.
-LOCAL_LATENCY_SHARE = 0.35
 # Share of a service's `max_connections` that the hosts of the region divide.
 CONNECTION_SHARE = 0.8
 # Share of the rate limit of a cold endpoint that is used.
@@ -94,7 +89,7 @@
         self._rng = rng
         self._refusals = RefusalPolicy(rng)
         self.view = view
-        self._regions = RegionTable()
+        self._remote = RemoteChooser(view)
         self._budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
@@ -105,7 +100,7 @@
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
-        self._regions.update(message, now_s)
+        self._remote.update(message, now_s)
 
     def expire_endpoints(self, silence_s: float, now_s: float) -> None:
         """Remove endpoints without heartbeats for `silence_s` seconds."""
@@ -142,7 +137,9 @@
             return self._forward_to_home(dispatch, now_s)
         candidates = self._list_candidates(dispatch, now_s)
         best = self._choose_local(dispatch, candidates, now_s)
-        remote = self._choose_remote(dispatch, best, now_s)
+        remote = None
+        if not self.crash_guard.is_trial(dispatch):
+            remote = self._remote.choose(dispatch, best, now_s)
         if remote is not None:
             return self._accept(dispatch, remote, now_s)
         if best is not None:
@@ -318,48 +315,9 @@
         is_warming_host = choose_owner(load.name, hosts) == self._host
         return is_warming_host and load.pacer.is_due(now_s)
 
-    def _choose_remote(
-        self, dispatch: Dispatch, best: LocalChoice | None, now_s: float
-    ) -> RemoteChoice | None:
-        """Return a region if forwarding there is clearly faster than `best`."""
-        call = dispatch.call
-        if call.hops or self.crash_guard.is_trial(dispatch):
-            return None
-        local_cost_s = best.region_cost_s if best else None
-        if local_cost_s is not None:
-            if local_cost_s < LOCAL_LATENCY_SHARE * call.route.latency_objective_s:
-                return None
-        remote = self._find_region(dispatch, now_s)
-        if remote is None:
-            return None
-        if (
-            local_cost_s is None
-            or remote.predicted_s + MIN_FORWARD_GAIN_S < local_cost_s
-        ):
-            return remote
-        return None
-
-    def _find_region(self, dispatch: Dispatch, now_s: float) -> RemoteChoice | None:
-        """Return the fastest region that can respond before the deadline, or None."""
-        call = dispatch.call
-        prefill_s = 0.0
-        if call.prompt is not None:
-            prefill_s = call.prompt.tokens / self.view.get_max_prefill_speed(
-                call.service
-            )
-        choice = self._regions.choose(
-            call.service, call.route, dispatch.excluded, now_s
-        )
-        if choice is None:
-            return None
-        predicted_s = choice.wait_s + prefill_s
-        if now_s + predicted_s > call.deadline_s:
-            return None
-        return RemoteChoice(choice.region, choice.host, predicted_s)
-
     def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision:
         if not dispatch.call.hops:
-            remote = self._find_region(dispatch, now_s)
+            remote = self._remote.find_fastest(dispatch, now_s)
             if remote is not None:
                 return self._accept(dispatch, remote, now_s)
         return self._refusals.refuse(RefusalReason.HOME_UNREACHABLE)
@@ -374,7 +332,7 @@
             if not budget.try_acquire(self.view.fleet.total_hosts, now_s):
                 return self._refusals.refuse(RefusalReason.RETRY_BUDGET)
         if isinstance(choice, RemoteChoice):
-            self._regions.record_sent(choice.region, call.service)
+            self._remote.record_sent(choice, call.service)
             return Forward(choice.region, choice.host, choice.predicted_s)
         return self._grant(dispatch, choice, now_s)
 
