--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -9,9 +9,9 @@
 from buckthorndeal.gateway._messages import Dispatch
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.quarantine import (
-    Change,
     EndpointEnd,
     Evidence,
+    QuarantineChange,
     create_quarantine,
     list_shared_parts,
 )
@@ -42,7 +42,7 @@
     ----------
     evidence : Evidence
         What other hosts have to learn.
-    changes : list of Change
+    changes : list of QuarantineChange
         Decisions of this host.
     ends : list of EndpointEnd
         Ends that this host has observed.
@@ -51,7 +51,7 @@
     """
 
     evidence: Evidence
-    changes: list[Change]
+    changes: list[QuarantineChange]
     ends: list[EndpointEnd]
     probes: list[EndpointRecord]
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -29,7 +29,7 @@
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.quarantine import Change
+from buckthorndeal.quarantine import QuarantineChange
 from buckthorndeal.wire import Message
 
 IDLE_INTERVAL_S = 1.0
@@ -140,7 +140,7 @@
         if limits:
             await curio.spawn(self._share, RateLimitUpdate(limits), daemon=True)
 
-    def _log_change(self, change: Change) -> None:
+    def _log_change(self, change: QuarantineChange) -> None:
         decision = change.decision
         self._metrics.count("quarantine_decisions", active=str(decision.active).lower())
         log_event(
--- a/buckthorndeal/quarantine/__init__.py
+++ b/buckthorndeal/quarantine/__init__.py
@@ -7,8 +7,8 @@
 
 from buckthorndeal.quarantine._parts import digest_part, list_shared_parts
 from buckthorndeal.quarantine._quarantine import (
-    Change,
     Quarantine,
+    QuarantineChange,
     create_quarantine,
 )
 from buckthorndeal.quarantine._records import (
@@ -21,13 +21,13 @@
 from buckthorndeal.quarantine._table import EvidenceTable
 
 __all__ = [
-    "Change",
     "EndpointEnd",
     "Evidence",
     "EvidenceTable",
     "PartAnswers",
     "PartQuarantine",
     "Quarantine",
+    "QuarantineChange",
     "SuspectPart",
     "create_quarantine",
     "digest_part",
--- a/buckthorndeal/quarantine/_quarantine.py
+++ b/buckthorndeal/quarantine/_quarantine.py
@@ -12,8 +12,8 @@
     PartQuarantine,
 )
 from buckthorndeal.quarantine._suspicion import (
-    find_culprit,
-    is_acquitted,
+    find_crashing_part,
+    is_cleared,
 )
 from buckthorndeal.quarantine._table import EvidenceTable
 from buckthorndeal.subsetting import choose_owner
@@ -31,7 +31,7 @@
 MAX_REMEMBERED_PARTS = 4096
 # Age up to which an answer counts as one shortly before a part became suspect.
 RECENT_ANSWER_S = 10.0
-# Answers are reported until a part has so many for each end that it is acquitted
+# Answers are reported until a part has so many for each end that it is cleared
 # for some time.
 REPORTED_ANSWERS_PER_END = 4
 MIN_REPORTED_ANSWERS = 8
@@ -42,7 +42,7 @@
 
 
 @dataclass(slots=True)
-class _Accusation:
+class _SuspectRecord:
     """What this host knows of a suspect part.
 
     Parameters
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
+class QuarantineChange:
     """A decision that this host has made, for the log.
 
     Parameters
@@ -80,7 +80,7 @@
 class Quarantine:
     """Refuses requests with parts of prompts under which endpoints keep crashing.
 
-    An endpoint runs many requests at once, so each crash accuses innocent parts too.
+    An endpoint runs many requests at once, so each crash implicates other parts too.
     A part is quarantined if it explains several ends of endpoints and its requests
     have not been answered since. One host at a time may try it again later.
 
@@ -94,13 +94,13 @@
         self._host = host
         self.table = EvidenceTable()
         self._last_answers_s: OrderedDict[str, float] = OrderedDict()
-        self._accusations: dict[str, _Accusation] = {}
+        self._suspects: dict[str, _SuspectRecord] = {}
         self._unreported: set[str] = set()
         self._changed = False
         self._last_end_s = -OPEN_TIME_S
         self._review_due_s = 0.0
         self._outgoing: list[Evidence] = []
-        self._changes: list[Change] = []
+        self._changes: list[QuarantineChange] = []
         self._expire_due_s = 0.0
 
     def is_open(self, now_s: float) -> bool:
@@ -118,12 +118,12 @@
             Clock readings when it was sent and now.
         """
         for part in parts:
-            accusation = self._accusations.get(part)
-            if accusation is None and self.table.is_quarantined(part):
+            suspect = self._suspects.get(part)
+            if suspect is None and self.table.is_quarantined(part):
                 # The ends that led to the quarantine are forgotten.
-                accusation = self._accusations[part] = _Accusation(-math.inf, False)
-            if accusation is not None and sent_s > accusation.since_s:
-                accusation.after += 1
+                suspect = self._suspects[part] = _SuspectRecord(-math.inf, False)
+            if suspect is not None and sent_s > suspect.since_s:
+                suspect.after += 1
                 self._unreported.add(part)
                 self._changed = True
                 self._shorten_wait(part, now_s)
@@ -156,17 +156,17 @@
         self._changed = False
         self._review_due_s = now_s + REVIEW_INTERVAL_S
         self._report_answers(now_s)
-        while (culprit := find_culprit(self.table, now_s)) is not None:
-            known = self.table.quarantines.get(culprit.part)
+        while (crashing := find_crashing_part(self.table, now_s)) is not None:
+            known = self.table.quarantines.get(crashing.part)
             revision = known.decision.revision + 1 if known is not None else 1
             self._decide(
-                PartQuarantine(culprit.part, revision, True, FIRST_WAIT_S),
+                PartQuarantine(crashing.part, revision, True, FIRST_WAIT_S),
                 now_s,
-                culprit.ends,
-                culprit.answers,
+                crashing.ends,
+                crashing.answers,
             )
         for part, known in list(self.table.quarantines.items()):
-            if known.decision.active and is_acquitted(self.table, part):
+            if known.decision.active and is_cleared(self.table, part):
                 revision = known.decision.revision + 1
                 answers = self.table.answers[part].total
                 decision = PartQuarantine(part, revision, False, 0.0)
@@ -181,7 +181,7 @@
             tuple(decision for each in outgoing for decision in each.quarantines),
         )
 
-    def take_changes(self) -> list[Change]:
+    def take_changes(self) -> list[QuarantineChange]:
         """Return the decisions that this host has made since the last call."""
         changes, self._changes = self._changes, []
         return changes
@@ -262,9 +262,9 @@
         counts = self.table.answers.get(part)
         if counts is not None and (counts.total or counts.before):
             return True
-        accusation = self._accusations.get(part)
-        if accusation is not None:
-            return accusation.after > 0 or accusation.before
+        suspect = self._suspects.get(part)
+        if suspect is not None:
+            return suspect.after > 0 or suspect.before
         return self._is_recent(part, now_s)
 
     def _is_recent(self, part: str, now_s: float) -> bool:
@@ -281,7 +281,7 @@
         self, decision: PartQuarantine, now_s: float, ends: int, answers: int
     ) -> None:
         self._publish(Evidence(quarantines=(decision,)), now_s)
-        self._changes.append(Change(decision, ends, answers))
+        self._changes.append(QuarantineChange(decision, ends, answers))
 
     def _accept(self, new: Evidence, now_s: float) -> None:
         """Take note of new evidence, and count the answers to newly suspect parts."""
@@ -291,13 +291,13 @@
         for end in new.ends:
             self._last_end_s = now_s
             for suspect in end.suspects:
-                self._accuse(suspect.part, now_s)
+                self._add_suspect(suspect.part, now_s)
 
-    def _accuse(self, part: str, now_s: float) -> None:
-        if part in self._accusations:
+    def _add_suspect(self, part: str, now_s: float) -> None:
+        if part in self._suspects:
             return
         before = self._is_recent(part, now_s)
-        self._accusations[part] = _Accusation(now_s, before)
+        self._suspects[part] = _SuspectRecord(now_s, before)
         if before:
             self._unreported.add(part)
 
@@ -311,34 +311,32 @@
             PartQuarantine(part, decision.revision + 1, True, NEXT_TRIAL_WAIT_S),
             now_s,
             0,
-            self._accusations[part].after,
+            self._suspects[part].after,
         )
 
     def _report_answers(self, now_s: float) -> None:
         """Report the answers of this host to suspect parts, as far as others need them.
 
-        A part of nearly all prompts is acquitted by the first few hosts that report.
+        A part of nearly all prompts is cleared by the first few hosts that report.
         """
         reports = []
         for part in list(self._unreported):
-            accusation = self._accusations[part]
+            suspect = self._suspects[part]
             ends = len(self.table.list_ends(part))
             enough = MIN_REPORTED_ANSWERS + REPORTED_ANSWERS_PER_END * ends
             counts = self.table.answers.get(part)
             if counts is not None and counts.total >= enough:
                 continue
             self._unreported.remove(part)
-            reports.append(
-                PartAnswers(self._host, part, accusation.after, accusation.before)
-            )
+            reports.append(PartAnswers(self._host, part, suspect.after, suspect.before))
         if reports:
             self._publish(Evidence(answers=tuple(reports)), now_s)
 
     def _expire(self, now_s: float) -> None:
         self.table.expire(now_s)
-        for part in list(self._accusations):
+        for part in list(self._suspects):
             if not self.table.is_suspect(part) and not self.table.is_quarantined(part):
-                del self._accusations[part]
+                del self._suspects[part]
                 self._unreported.discard(part)
 
 
--- a/buckthorndeal/quarantine/_suspicion.py
+++ b/buckthorndeal/quarantine/_suspicion.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """How strongly the evidence speaks against a part.
+    """Evidence that a part crashes endpoints.
 
     Parameters
     ----------
@@ -44,11 +44,11 @@
     depth: int
 
 
-def find_culprit(table: EvidenceTable, now_s: float) -> Suspicion | None:
+def find_crashing_part(table: EvidenceTable, now_s: float) -> Suspicion | None:
     """Return the part that explains most ends, or None if the evidence is thin.
 
-    The innocent parts of the same requests have ends as well, but fewer, or have been
-    answered since. Ends that a quarantined part explains accuse no other.
+    The other parts of the same requests have ends as well, but fewer, or have been
+    answered since. Ends that a quarantined part explains implicate no other.
     """
     eligible = []
     for part in table.list_suspects():
@@ -71,7 +71,7 @@
     return any(table.is_quarantined(part) for part in end.depths)
 
 
-def is_acquitted(table: EvidenceTable, part: str) -> bool:
+def is_cleared(table: EvidenceTable, part: str) -> bool:
     """Return whether requests with a part are answered too often to crash endpoints."""
     counts = table.answers.get(part)
     if counts is None:
@@ -91,7 +91,7 @@
 
 
 def _assess(table: EvidenceTable, part: str, now_s: float) -> Suspicion | None:
-    """Return the suspicion against a part; None if it is weak or may be cleared."""
+    """Return the evidence on a part; None if it is weak or may be cleared yet."""
     ends = [end for end in table.list_ends(part) if not is_explained(table, end)]
     if len(ends) < MIN_ENDS:
         return None
--- a/tests/test_endpoint_ends.py
+++ b/tests/test_endpoint_ends.py
@@ -1,4 +1,4 @@
-"""Tests of what counts as the end of an endpoint, and whom it accuses."""
+"""Tests of what counts as the end of an endpoint, and whom it implicates."""
 
 import unittest
 
@@ -67,7 +67,7 @@
         self.harness.finish(attempt_id, BROKEN, True)
         self.assertEqual(self.probe(False), [])
 
-    def test_long_response_is_not_accused(self):
+    def test_long_response_is_not_implicated(self):
         long, short = self.send(1), self.send(2)
         self.start(long)
         self.harness.now_s += 1.5
@@ -76,7 +76,9 @@
         self.harness.finish(short, BROKEN, True)
         self.assertEqual(self.probe(False), [self.list_parts(2)])
 
-    def test_complete_response_without_a_length_is_accused_if_the_endpoint_ended(self):
+    def test_unframed_response_is_implicated_if_its_endpoint_ended(
+        self,
+    ):
         attempt_id = self.send(1)
         self.start(attempt_id)
         self.harness.finish(attempt_id, AttemptOutcome.SUCCEEDED, True)
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -166,7 +166,7 @@
 
         run_fleet(check)
 
-    def test_connections_reset_on_the_way_accuse_no_part(self):
+    def test_connections_reset_on_the_way_implicate_no_part(self):
         async def reset(endpoint, request, responder):
             await endpoint.start_stream(request, responder)
             raise RuntimeError("the connection breaks")
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -89,7 +89,7 @@
         self.end_endpoints(*ends)
         self.assertEqual(self.list_quarantined("p", "q"), [])
 
-    def test_quarantined_part_explains_ends_of_innocent_parts(self):
+    def test_quarantined_part_explains_ends_of_other_parts(self):
         ends = [create_end(number, "bad", "unlucky") for number in range(3)]
         self.end_endpoints(*ends, create_end(9, "bad"))
         self.assertEqual(self.list_quarantined("bad", "unlucky"), ["bad"])
--- a/tests/test_quarantine_play.py
+++ b/tests/test_quarantine_play.py
@@ -51,7 +51,7 @@
 class SoundPromptTest(unittest.TestCase):
     """Engines that crash for other reasons lead to no refused prompts."""
 
-    def test_engines_that_crash_by_chance_accuse_no_part(self):
+    def test_engines_that_crash_by_chance_implicate_no_part(self):
         for seed in (1, 4):
             play = CrashPlay(24, 9, seed)
             play.crash_engines(2.0, 40)
@@ -75,7 +75,7 @@
             play.play(40, 60, 3.0)
         self.assertGreater(play.count_excess(), MAX_EXCESS)
 
-    def test_answers_that_acquit_nothing_are_found(self):
+    def test_answers_that_clear_nothing_are_found(self):
         name = "buckthorndeal.quarantine._quarantine.Quarantine.record_answer"
         with mock.patch(name):
             play = CrashPlay(24, 9)
