Offer no capacity to other regions where all endpoints limit their rate

Change: such a service is left out of the report to other regions.

The suite's 44 tests of these modules pass.

--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -10,7 +10,7 @@
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._messages import FleetChanged
 from buckthorndeal.gateway._pauses import EndpointPauses
-from buckthorndeal.gateway._rate_shares import MIN_RATE_PER_S, RateShares
+from buckthorndeal.gateway._rate_shares import RateShares
 from buckthorndeal.gateway._service_time import ServiceTime
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
@@ -30,8 +30,6 @@
 
 
 USABLE_CONDITIONS = (EndpointCondition.READY, EndpointCondition.COLD)
-# Conditions in which an endpoint counts for what its region can serve.
-SERVING_CONDITIONS = (EndpointCondition.READY, EndpointCondition.RATE_LIMITED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,14 +225,16 @@
     def describe_loads(self, now_s: float) -> dict[str, tuple[float, int]]:
         """Return the expected wait in seconds and the free slots of each service.
 
-        Each host reports its share of the free slots of the region.
+        Each host reports its share of the free slots of the region. What endpoints
+        take that limit their rate is left to the callers of the region.
         """
         described: dict[str, tuple[float, int]] = {}
         for name, service in self.services.items():
             loads = [
                 load
                 for load in self._list_loads(name)
-                if self._get_condition(load, now_s) in SERVING_CONDITIONS
+                if self._get_condition(load, now_s) is EndpointCondition.READY
+                and self.rate_shares.get_limit(load.entry.record) is None
             ]
             if loads:
                 described[name] = self._describe_load(service, loads, now_s)
@@ -246,13 +246,7 @@
         hosts = max(1, len(self.fleet.region_hosts))
         waits = []
         free_slots = 0
-        limits = [self.rate_shares.get_limit(load.entry.record) for load in loads]
-        if None not in limits:
-            # What they take is hardly enough for the callers of this region.
-            return 1 / max(MIN_RATE_PER_S, sum(limits)), 0
-        for load, limit in zip(loads, limits, strict=True):
-            if limit is not None:
-                continue
+        for load in loads:
             total_inflight = load.inflight + load.count_other_inflight(now_s)
             free_slots += max(0, load.entry.record.slots - total_inflight)
             if service.engine is not None:
