Tell a closed connection from a broken one by the type of the error

Cause: the code of the error, which callers of the entry host see and which is stable, had become connection_closed for connections that the endpoint closed.

Change: ConnectionClosedError, with the code connection_broken as before.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -7,7 +7,11 @@
 import curio
 import h11
 
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import (
+    ConnectionBrokenError,
+    ConnectionClosedError,
+    RequestError,
+)
 from buckthorndeal.transport import Stream
 
 # Small, because all of the data is parsed before other tasks run again.
@@ -18,9 +22,6 @@
 MAX_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 1 << 24
 CHECK_INTERVAL_S = 0.5
-# Codes of errors: bytes that are no valid response, and a peer that is gone.
-CONNECTION_BROKEN = "connection_broken"
-CONNECTION_CLOSED = "connection_closed"
 
 LivenessCheck = Callable[[], Awaitable[None]]
 
@@ -96,9 +97,7 @@
             if isinstance(event, h11.EndOfMessage):
                 self._ended = True
             elif not isinstance(event, h11.Data):
-                raise _create_broken_error(
-                    "the response ended early", CONNECTION_CLOSED
-                )
+                raise ConnectionClosedError("the response ended early")
             elif event.data:
                 return bytes(event.data) + self._take_buffered()
         return b""
@@ -143,7 +142,7 @@
         while part := await self.read_part():
             size += len(part)
             if size > MAX_RESPONSE_BYTES:
-                raise _create_broken_error(
+                raise ConnectionBrokenError(
                     f"the response exceeds {MAX_RESPONSE_BYTES} bytes"
                 )
             parts.append(part)
@@ -174,7 +173,7 @@
     try:
         await connection.stream.sendall(data)
     except OSError as error:
-        raise _create_broken_error(str(error), CONNECTION_CLOSED) from error
+        raise ConnectionClosedError(str(error)) from error
 
 
 async def read_head(connection: ClientConnection) -> ClientResponse:
@@ -195,10 +194,8 @@
             connection.keep_alive_s = _parse_keep_alive(headers.get("keep-alive", ""))
             return ClientResponse(event.status_code, headers, connection)
         if not isinstance(event, h11.InformationalResponse):
-            raise _create_broken_error(
-                "the connection was closed before a response", CONNECTION_CLOSED
-            )
-    raise _create_broken_error(
+            raise ConnectionClosedError("the connection was closed before a response")
+    raise ConnectionBrokenError(
         f"more than {MAX_INFORMATIONAL_RESPONSES} informational responses"
     )
 
@@ -221,10 +218,11 @@
             protocol.receive_data(await _receive(connection))
             connection.needs_data = False
     except OSError as error:
-        raise _create_broken_error(str(error), CONNECTION_CLOSED) from error
+        raise ConnectionClosedError(str(error)) from error
     except h11.RemoteProtocolError as error:
-        code = CONNECTION_CLOSED if connection.closed_by_peer else CONNECTION_BROKEN
-        raise _create_broken_error(f"malformed response: {error}", code) from error
+        closed = connection.closed_by_peer
+        kind = ConnectionClosedError if closed else ConnectionBrokenError
+        raise kind(f"malformed response: {error}") from error
 
 
 async def _receive(connection: ClientConnection) -> bytes:
@@ -276,7 +274,3 @@
 def create_protocol() -> h11.Connection:
     """Return the state of the protocol for a new connection."""
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
-
-
-def _create_broken_error(reason: str, code: str = CONNECTION_BROKEN) -> RequestError:
-    return RequestError(code, 502, f"connection broken: {reason}", Verdict.MAY_HAVE_RUN)
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -7,6 +7,8 @@
     "BuckthorndealError",
     "ChartError",
     "ConflictError",
+    "ConnectionBrokenError",
+    "ConnectionClosedError",
     "CorruptStoreError",
     "DocumentError",
     "ForbiddenError",
@@ -239,3 +241,25 @@
                 "retry_after_s": self.retry_after_s,
             }
         }
+
+
+class ConnectionBrokenError(RequestError):
+    """A connection failed after bytes of the request were passed to the kernel.
+
+    Parameters
+    ----------
+    reason : str
+        Description of the failure.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(
+            "connection_broken",
+            502,
+            f"connection broken: {reason}",
+            Verdict.MAY_HAVE_RUN,
+        )
+
+
+class ConnectionClosedError(ConnectionBrokenError):
+    """The peer has closed or reset the connection before its response was complete."""
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import ConnectionClosedError, RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AnnounceDrain
@@ -20,7 +20,7 @@
     ResponseStarted,
 )
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
-from buckthorndeal.http_client import CONNECTION_CLOSED, ClientResponse, HttpPool
+from buckthorndeal.http_client import ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
 from buckthorndeal.logs import log_routine
 from buckthorndeal.policy.views import AttemptOutcome
@@ -154,7 +154,7 @@
             AttemptOutcome.BROKEN if request_sent else AttemptOutcome.CONNECT_FAILED
         )
         outcome = failed
-        closed = error.code == CONNECTION_CLOSED
+        closed = isinstance(error, ConnectionClosedError)
         raised = AttemptError(
             error.message, error.verdict, request_sent, failed, closed
         )
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -8,7 +8,6 @@
 import h11
 
 from buckthorndeal._http_connection import (
-    CONNECTION_CLOSED,
     ClientConnection,
     ClientResponse,
     LivenessCheck,
@@ -20,7 +19,7 @@
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.transport import Transport
 
-__all__ = ["CONNECTION_CLOSED", "ClientResponse", "HttpPool", "create_http_pool"]
+__all__ = ["ClientResponse", "HttpPool", "create_http_pool"]
 
 CONNECT_TIMEOUT_S = 2.0
 # An idle connection is reused for this share of the keep-alive timeout that the peer
