--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -61,7 +61,7 @@
 
 
 async def start_crashing_fleet(fleet, script, endpoints=3):
-    """Start coordinators, two gateways and endpoints; wait until they serve."""
+    """Start a deployment; return the outcomes of a few sound requests."""
     await fleet.start_coordinators()
     await fleet.put_configuration("10.1.0.1", create_configuration(1))
     for host in HOSTS:
@@ -71,8 +71,10 @@
     for host in HOSTS:
         await fleet.wait_until_ready(host)
     await curio.sleep(0.6)
-    for number in range(4):
+    return [
         await send_prompt(fleet, HOSTS[number % 2], SOUND, number)
+        for number in range(4)
+    ]
 
 
 async def send_prompt(fleet, host, parts, number):
@@ -101,7 +103,8 @@
         async def check():
             script = Crashes()
             async with Fleet() as fleet:
-                await start_crashing_fleet(fleet, script.answer)
+                outcomes = await start_crashing_fleet(fleet, script.answer)
+                self.assertEqual(outcomes, ["served"] * 4)
                 number = 100
                 while script.crashes < 5 and number < 120:
                     number += 1
@@ -126,7 +129,8 @@
         async def check():
             script = Crashes()
             async with Fleet() as fleet:
-                await start_crashing_fleet(fleet, script.answer)
+                outcomes = await start_crashing_fleet(fleet, script.answer)
+                self.assertEqual(outcomes, ["served"] * 4)
                 await send_until_refused(fleet)
                 await curio.sleep(1.0)
                 for host in HOSTS:
@@ -153,7 +157,8 @@
         async def check():
             script = Crashes()
             async with Fleet() as fleet:
-                await start_crashing_fleet(fleet, script.answer)
+                outcomes = await start_crashing_fleet(fleet, script.answer)
+                self.assertEqual(outcomes, ["served"] * 4)
                 await send_until_refused(fleet)
                 await curio.sleep(0.5)
                 await fleet.start_gateway("10.1.0.7", PromptDialect())
