Log how fresh an endpoint's heartbeat is when an attempt at it fails

A failed attempt tells how long it lasted, how old the last heartbeat of its endpoint is, and for how long nothing has been received from any endpoint.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -51,6 +51,8 @@
     ----------
     head_received : bool
         Whether the head of a response had arrived.
+    lasted_s : float
+        Seconds from the decision to the failure.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.outcome = outcome
         self.closed = closed
         self.head_received = False
+        self.lasted_s = 0.0
 
 
 @dataclass(eq=False)
@@ -86,6 +89,8 @@
         Values of the response headers.
     version : str or None
         Software version of the endpoint; None if it is not known.
+    is_direct : bool
+        Whether the response comes from an endpoint, and not through another host.
     outcome : AttemptOutcome
         Set to ``SUCCEEDED`` by the exchange once the response is complete.
     """
@@ -95,6 +100,7 @@
     response: ClientResponse
     metadata: ResponseMetadata
     version: str | None = None
+    is_direct: bool = True
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
 
 
@@ -136,6 +142,7 @@
         request_sent = True
 
     attempt = None
+    started_s = context.clock()
     outcome: AttemptOutcome = AttemptOutcome.CANCELLED
     pool = _get_pool(context, decision)
     headers = _build_headers(context, call, request, decision, attempt_id)
@@ -143,6 +150,7 @@
         async with pool.request(
             request.method, request.target, headers, request.body, mark_request_sent
         ) as response:
+            _record_contact(context, decision)
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
             _check_response(call, decision, response, metadata)
@@ -152,12 +160,14 @@
                 response,
                 metadata,
                 _get_version(decision, response),
+                isinstance(decision, Grant),
             )
             yield attempt
     except AttemptError as error:
         outcome = error.outcome
         closed = error.closed
         error.head_received = attempt is not None
+        error.lasted_s = context.clock() - started_s
         raise
     except RequestError as error:
         failed = (
@@ -169,6 +179,7 @@
             error.message, error.verdict, request_sent, failed, closed
         )
         raised.head_received = attempt is not None
+        raised.lasted_s = context.clock() - started_s
         raise raised from error
     finally:
         if attempt is not None and attempt.outcome is AttemptOutcome.SUCCEEDED:
@@ -180,6 +191,11 @@
             )
 
 
+def _record_contact(context: GatewayContext, decision: Grant | Forward) -> None:
+    if isinstance(decision, Grant):
+        context.contact.record(context.clock())
+
+
 async def report_response_start(
     context: GatewayContext, attempt: Attempt, has_events: bool
 ) -> None:
--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.configuration import RouteTable
+from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._pools import Pools
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.mailbox import Mailbox
@@ -42,6 +43,8 @@
         requests of any kind are then refused too.
     attempt_ids : itertools.count
         Source of attempt ids.
+    contact : EndpointContact
+        When anything was last received from an endpoint.
     """
 
     host: str
@@ -57,3 +60,4 @@
     routes: RouteTable | None = None
     refuse_new_streams: bool = False
     attempt_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
+    contact: EndpointContact = field(default_factory=EndpointContact)
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -260,6 +260,9 @@
             reason=error.reason,
             verdict=error.verdict.value,
             arrived=error.request_sent,
+            lasted_ms=round(error.lasted_s * 1000),
+            heartbeat_age_ms=_get_heartbeat_age_ms(decision, error),
+            silence_ms=self._context.contact.get_silence_ms(self._context.clock()),
             events=progress.events,
             closed=error.closed,
             head=error.head_received,
@@ -343,7 +346,7 @@
             if any(event.carries_data for event in events):
                 watch.record_event()
             if data:
-                self.progress.record_response_part(self._context.clock())
+                self._record_events(attempt)
                 await self._start_response(attempt)
                 await self._responder.send(data)
             if fault is not None:
@@ -359,6 +362,12 @@
         attempt.outcome = AttemptOutcome.SUCCEEDED
         await self._responder.finish()
 
+    def _record_events(self, attempt: Attempt) -> None:
+        now_s = self._context.clock()
+        self.progress.record_response_part(now_s)
+        if attempt.is_direct:
+            self._context.contact.record(now_s)
+
     async def _start_response(self, attempt: Attempt) -> None:
         if self._responder.started:
             return
@@ -389,6 +398,13 @@
         return b"".join(parts), None
 
 
+def _get_heartbeat_age_ms(decision: Decision, error: AttemptError) -> int | None:
+    """Return the age of the endpoint's last heartbeat at the failure."""
+    if isinstance(decision, Forward):
+        return None
+    return round((decision.heartbeat_age_s + error.lasted_s) * 1000)
+
+
 def _create_stream_error(reason: str, closed: bool = False) -> AttemptError:
     return AttemptError(
         reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN, closed
