Add failing tests of a host that reaches no endpoint

Callers of a gateway whose path to all endpoints hangs, is reset or opens no new connections are served through another host of the region, and running streams go on.

--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -115,7 +115,7 @@
         if wipe:
             self.directories.pop(host).cleanup()
 
-    async def start_gateway(self, host, dialect=None, **fields):
+    async def start_gateway(self, host, dialect=None, transport=None, **fields):
         domain = list(REGIONS)[int(host.split(".")[1]) - 1]
         settings = GatewaySettings(
             host=host,
@@ -131,7 +131,7 @@
         )
         gateway = create_gateway(
             settings,
-            self.transport,
+            transport or self.transport,
             create_route_format(),
             dialect or create_default_dialect(),
         )
--- /dev/null
+++ b/tests/test_gateway_path.py
@@ -0,0 +1,137 @@
+"""Tests of gateways that lose their path to all endpoints."""
+
+import itertools
+import unittest
+
+import curio
+
+from buckthorndeal.errors import RequestError
+from tests.cut_transport import CutTransport
+from tests.fleet_harness import (
+    CALLER_PORT,
+    REQUEST_ID,
+    Fleet,
+    create_configuration,
+    create_stream_events,
+    run_fleet,
+)
+
+HOST, RELAY = "10.1.0.8", "10.1.0.9"
+MANNERS = ("hang", "reset", "refuse")
+LAST_EVENT = 30
+EVENT_S = 0.1
+WORK_S = 0.05
+# Share of the first attempts that has to be served, against those at other hosts.
+MIN_SERVED_SHARE = 2 / 3
+REQUESTS = 30
+SPACING_S = 0.03
+# Time for which nothing is asked of a host after its path is gone.
+NOTICE_S = 4.5
+
+
+def is_endpoint_address(address):
+    return address.split(".")[2] == "9"
+
+
+async def answer(endpoint, request, responder):
+    if not request.path.startswith("/stream/"):
+        await curio.sleep(WORK_S)
+        await endpoint.respond(request, responder)
+        return
+    await endpoint.start_stream(request, responder)
+    first = int(request.headers.get("last-event-id", "0")) + 1
+    for number in range(first, LAST_EVENT + 1):
+        await responder.send(create_stream_events(number, number))
+        await curio.sleep(EVENT_S)
+    await responder.finish()
+
+
+async def start_hosts(fleet, hosts, endpoints=3):
+    """Start hosts with transports that can be cut; return the transports by host."""
+    await fleet.start_coordinators()
+    await fleet.put_configuration("10.1.0.1", create_configuration(1))
+    transports = {
+        host: CutTransport(fleet.transport, is_endpoint_address) for host in hosts
+    }
+    for host, transport in transports.items():
+        await fleet.start_gateway(host, transport=transport)
+    for number in range(endpoints):
+        await fleet.start_endpoint(f"e{number}", "a-1", answer)
+    for host in hosts:
+        await fleet.wait_until_ready(host)
+    await curio.sleep(1.0)
+    return transports
+
+
+async def count_served(fleet, host, kind):
+    """Send requests close together; return how many are answered with 200."""
+    async with curio.TaskGroup() as group:
+        for number in range(REQUESTS):
+            target = f"/{kind}/{number}"
+            await group.spawn(fleet.send_request, host, target)
+            await curio.sleep(SPACING_S)
+    return sum(status == 200 for status, _, _ in group.results)
+
+
+class LostPathTest(unittest.TestCase):
+    """Callers of a host without a path to endpoints are served through others."""
+
+    def check_requests(self, manner, kind):
+        async def check():
+            async with Fleet() as fleet:
+                transports = await start_hosts(fleet, (HOST, RELAY))
+                await transports[HOST].cut(manner)
+                # Traffic shows the loss.
+                await count_served(fleet, HOST, kind)
+                await curio.sleep(NOTICE_S)
+                served = await count_served(fleet, HOST, kind)
+                others = await count_served(fleet, RELAY, kind)
+                self.assertGreaterEqual(served, MIN_SERVED_SHARE * others, manner)
+
+        run_fleet(check)
+
+    def test_callers_of_a_host_whose_connections_hang_are_served(self):
+        self.check_requests("hang", "idempotent")
+
+    def test_callers_of_a_host_whose_connections_are_reset_are_served(self):
+        self.check_requests("reset", "non_idempotent")
+
+    def test_callers_of_a_host_that_opens_no_connections_are_served(self):
+        self.check_requests("refuse", "non_idempotent")
+
+    def test_streams_go_on_through_another_host_when_the_path_is_lost(self):
+        for manner in ("hang", "reset"):
+            run_fleet(self.check_stream, manner)
+
+    async def check_stream(self, manner):
+        async with Fleet() as fleet:
+            transports = await start_hosts(fleet, (HOST, RELAY))
+            task = await curio.spawn(read_events, fleet, HOST)
+            await curio.sleep(1.0)
+            await transports[HOST].cut(manner)
+            # A caller's attempt of a new request shows the loss of the path.
+            await fleet.send_request(HOST, "/idempotent/x")
+            times_s = await task.join()
+            self.assertEqual(len(times_s), LAST_EVENT, manner)
+            gaps_s = [after - before for before, after in itertools.pairwise(times_s)]
+            # Callers leave after two seconds without an event.
+            self.assertLess(max(gaps_s), 2.0, manner)
+
+
+async def read_events(fleet, host):
+    """Return the clock readings at which the events of a stream have arrived."""
+    pool = fleet.create_pool(host, CALLER_PORT)
+    headers = [("host", "x.example"), (REQUEST_ID, "stream")]
+    times_s = []
+    try:
+        async with pool.request("POST", "/stream/x", headers, b"x") as response:
+            while part := await response.read_part():
+                count = part.count(b"id: ")
+                times_s.extend([await curio.clock()] * count)
+    except RequestError:
+        pass
+    return times_s
+
+
+if __name__ == "__main__":
+    unittest.main()
