Serve callers through other hosts while a host reaches no endpoint

Cause: heartbeats of endpoints come through coordinators, so they go on, and each host judged each endpoint by itself and alone. Nothing told a lost path from an endpoint at fault, and a request was forwarded to other regions only. front-gulf-a-2 connected to the same endpoints all the time, which rules out the endpoints; failed attempts last 0.4 s, which rules out a wait for a connection.

A failure at one endpoint, or silence of all, starts a check: connections to some others, of all services. If none accepts one, the path is lost. Then the host passes requests on to a host of its region that reaches endpoints, which is told to all with the heartbeats of hosts, or to another region; it ends silent attempts that may be repeated; the directory names hosts that reach endpoints first; it tells other regions of no capacity. Ejections of that time are taken back, and the end of an endpoint counts as evidence only once the path is known to be open, or no later heartbeat has come. A request is passed on once.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -132,8 +132,7 @@
 
     async def abort(self, error: RequestError) -> None:
         """End the response; the read that waits for it raises `error`."""
-        self._connection.failure = error
-        await self._connection.stream.abort()
+        await abort_connection(self._connection, error)
 
     async def read(self) -> bytes:
         """Return the complete body."""
@@ -149,6 +148,12 @@
         return b"".join(parts)
 
 
+async def abort_connection(connection: ClientConnection, error: Exception) -> None:
+    """End a connection; the read that waits on it raises `error`."""
+    connection.failure = error
+    await connection.stream.abort()
+
+
 async def send_request(
     connection: ClientConnection,
     method: str,
@@ -266,8 +271,7 @@
         try:
             await check()
         except Exception as error:
-            connection.failure = error
-            await connection.stream.abort()
+            await abort_connection(connection, error)
             return
 
 
--- a/buckthorndeal/fleet/_directory.py
+++ b/buckthorndeal/fleet/_directory.py
@@ -60,7 +60,8 @@
     The result is the first of these groups that is not empty: ready hosts of the
     failure domain; of the region; of the region and the home regions of most routes of
     the host name; if there are home regions, draining hosts of these regions, which
-    still serve for a short time; all ready hosts; all draining hosts.
+    still serve for a short time; all ready hosts; all draining hosts. Within the
+    region, hosts that reach its endpoints come first; the others pass requests on.
 
     Parameters
     ----------
@@ -75,7 +76,10 @@
     ready = [each for each in entries if each.state is EntryState.READY]
     draining = [each for each in entries if each.state is EntryState.DRAINING]
     preferred = _list_home_regions(entries, home_route_counts or {}) | {region}
+    able = [each for each in ready if each.reaches_endpoints]
     groups = (
+        [each for each in able if each.failure_domain == failure_domain],
+        [each for each in able if each.region == region],
         [each for each in ready if each.failure_domain == failure_domain],
         [each for each in ready if each.region == region],
         [each for each in ready if each.region in preferred],
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -74,13 +74,20 @@
 
 
 class EntryHost(msgspec.Struct, frozen=True, array_like=True):
-    """An entry host with its location, address for callers and state."""
+    """An entry host with its location, address for callers and state.
+
+    Parameters
+    ----------
+    reaches_endpoints : bool
+        Whether it reaches the endpoints of its region itself.
+    """
 
     host: str
     region: str
     failure_domain: str
     caller_address: str
     state: EntryState
+    reaches_endpoints: bool = True
 
 
 class ControlHost(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -20,7 +20,7 @@
     ResponseStarted,
 )
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
-from buckthorndeal.http_client import ClientResponse, HttpPool
+from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
 from buckthorndeal.logs import log_routine
 from buckthorndeal.policy.views import AttemptOutcome
@@ -111,6 +111,7 @@
     request: Request,
     decision: Grant | Forward,
     attempt_id: int,
+    may_repeat: bool = False,
 ) -> AsyncIterator[Attempt]:
     """Send one attempt and yield it once the response headers have been checked.
 
@@ -128,6 +129,8 @@
         Target of the attempt.
     attempt_id : int
         Id of the attempt on this host.
+    may_repeat : bool, optional
+        Whether the request may be sent to another endpoint if the path is lost.
 
     Raises
     ------
@@ -141,6 +144,10 @@
         nonlocal request_sent
         request_sent = True
 
+    def watch_connection(connection: ClientConnection) -> None:
+        if may_repeat and isinstance(decision, Grant):
+            context.open_attempts.add(attempt_id, connection)
+
     attempt = None
     started_s = context.clock()
     outcome: AttemptOutcome = AttemptOutcome.CANCELLED
@@ -148,7 +155,12 @@
     headers = _build_headers(context, call, request, decision, attempt_id)
     try:
         async with pool.request(
-            request.method, request.target, headers, request.body, mark_request_sent
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            mark_request_sent,
+            on_connection=watch_connection,
         ) as response:
             _record_contact(context, decision)
             metadata = context.dialect.parse_response(response.status, response.headers)
@@ -182,6 +194,7 @@
         raised.lasted_s = context.clock() - started_s
         raise raised from error
     finally:
+        context.open_attempts.remove(attempt_id)
         if attempt is not None and attempt.outcome is AttemptOutcome.SUCCEEDED:
             outcome = AttemptOutcome.SUCCEEDED
             closed = attempt.response.ends_with_connection
@@ -306,7 +319,7 @@
     forwarded = ForwardedRequest(
         origin=hops[0],
         hops=hops,
-        crossed=True,
+        crossed=call.crossed or not decision.is_relay,
         deadline_ms=int(remaining_s * 1000),
         request_id=f"{context.host}-{attempt_id}-{call.request_id}",
         sent_ms=int(context.wall_clock() * 1000),
--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -6,6 +6,7 @@
 
 from buckthorndeal.configuration import RouteTable
 from buckthorndeal.gateway._contact import EndpointContact
+from buckthorndeal.gateway._open_attempts import OpenAttempts
 from buckthorndeal.gateway._pools import Pools
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.mailbox import Mailbox
@@ -45,6 +46,8 @@
         Source of attempt ids.
     contact : EndpointContact
         When anything was last received from an endpoint.
+    open_attempts : OpenAttempts
+        Attempts under way that may be repeated at another endpoint.
     """
 
     host: str
@@ -61,3 +64,4 @@
     refuse_new_streams: bool = False
     attempt_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
     contact: EndpointContact = field(default_factory=EndpointContact)
+    open_attempts: OpenAttempts = field(default_factory=OpenAttempts)
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -34,6 +34,7 @@
     AskForOrigin,
     ListEntryHosts,
     ListEntryHostsByCoordinator,
+    SetReach,
     SetState,
     ShareOrigins,
     TellCoordinators,
@@ -130,6 +131,7 @@
             self._receive,
         )
         self._entry_state = EntryState.READY
+        self._reaches_endpoints = True
         self._connected: set[str] = set()
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
@@ -202,6 +204,11 @@
         self._entry_state = message.state
         await self._send_status()
 
+    @_handle.register
+    async def _(self, message: SetReach, envelope: Envelope) -> None:
+        self._reaches_endpoints = message.reaches_endpoints
+        await self._send_status()
+
     @_handle.register
     async def _(self, message: AddSeeds, envelope: Envelope) -> None:
         await self._links.ensure(seed.address for seed in message.seeds)
@@ -333,29 +340,34 @@
             settings.failure_domain,
             f"{settings.listen.address}:{settings.listen.port}",
             self._entry_state,
+            self._reaches_endpoints,
         )
         return EntryStatus(entry, self._log_index, self._configuration_version)
 
     async def _update_fleet(self) -> None:
         entries = self._entry_hosts.list_all()
-        region_hosts = tuple(
+        ready = [entry for entry in entries if entry.state is EntryState.READY]
+        in_region = [each for each in ready if each.region == self._settings.region]
+        region_hosts = tuple(entry.host for entry in in_region)
+        total = max(1, len(entries))
+        relay_hosts = tuple(
             entry.host
-            for entry in entries
-            if entry.region == self._settings.region and entry.state is EntryState.READY
+            for entry in in_region
+            if entry.reaches_endpoints and entry.host != self._own_address
         )
-        total = max(1, len(entries))
-        ready = [entry.host for entry in entries if entry.state is EntryState.READY]
         fleet = FleetChanged(
             region_hosts or (self._own_address,),
             total,
             self._evacuated,
-            tuple(ready),
+            tuple(entry.host for entry in ready),
+            relay_hosts,
         )
         if fleet != self._fleet:
             self._fleet = fleet
             log_event(
                 "fleet_changed",
                 region_hosts=list(region_hosts),
+                relay_hosts=list(relay_hosts),
                 total_hosts=total,
                 evacuated=sorted(self._evacuated),
             )
--- a/buckthorndeal/gateway/_control_messages.py
+++ b/buckthorndeal/gateway/_control_messages.py
@@ -14,6 +14,13 @@
     state: EntryState
 
 
+@dataclass(frozen=True)
+class SetReach:
+    """Notification: sets whether this host reaches the endpoints of its region."""
+
+    reaches_endpoints: bool
+
+
 @dataclass(frozen=True)
 class AddSeeds:
     """Notification: adds coordinators from reloaded settings."""
--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -1,10 +1,13 @@
 """Keeps requests that crash endpoints away from them; no I/O."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+import msgspec
+
 from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.gateway._endpoint_ends import EndpointEnds
+from buckthorndeal.gateway._endpoint_path import EndpointPath
 from buckthorndeal.gateway._loads import GrantedAttempt
 from buckthorndeal.gateway._messages import Dispatch
 from buckthorndeal.policy.views import AttemptOutcome
@@ -15,6 +18,29 @@
     create_quarantine,
 )
 
+# A heartbeat that arrives so long after a supposed end was sent after it: coordinators
+# pass them on within this time.
+MAX_HEARTBEAT_DELAY_S = 1.0
+# Without such a heartbeat by then the endpoint has ended.
+MAX_HOLD_S = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldEnd:
+    """End of an endpoint that may be a loss of this host's own path.
+
+    Parameters
+    ----------
+    held_s : float
+        Clock reading since when it is held.
+    ended_s : float
+        Clock reading of the end.
+    """
+
+    end: EndpointEnd
+    held_s: float
+    ended_s: float
+
 
 @dataclass(frozen=True, slots=True)
 class Objection:
@@ -61,16 +87,30 @@
     ----------
     host : str
         Name of this host.
+    path : EndpointPath
+        Whether this host reaches endpoints; if not, it sees no end of them.
+    get_heartbeat_s : callable
+        Returns when the last heartbeat of an endpoint's incarnation has arrived, or
+        None.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(
+        self,
+        host: str,
+        path: EndpointPath,
+        get_heartbeat_s: Callable[[str, int], float | None],
+    ) -> None:
         self._ends = EndpointEnds()
+        self._path = path
+        self._get_heartbeat_s = get_heartbeat_s
+        self._held: list[_HeldEnd] = []
         self._new_ends: list[EndpointEnd] = []
         self.quarantine = create_quarantine(host)
 
     def is_open(self, now_s: float) -> bool:
         """Return whether something may follow from the passage of time."""
-        return self._ends.is_open or self.quarantine.is_open(now_s)
+        is_open = self._ends.is_open or bool(self._held)
+        return is_open or self.quarantine.is_open(now_s)
 
     def find_objection(
         self, dispatch: Dispatch, hosts: Sequence[str], now_s: float
@@ -89,7 +129,7 @@
         if self.quarantine.is_empty and not dispatch.is_retry:
             return None
         keys = self.quarantine.list_known_keys(dispatch.call)
-        open_suspects = self._ends.list_suspects()
+        open_suspects = self._list_open_suspects()
         for key in self.quarantine.find_quarantined(keys):
             may_try = self.quarantine.may_try(key, hosts, now_s)
             if dispatch.is_retry or not may_try:
@@ -154,6 +194,7 @@
 
     def take_news(self, now_s: float) -> CrashNews:
         """Return what follows from the evidence since the last call."""
+        self._settle_held(now_s)
         self.quarantine.update(now_s)
         ends, self._new_ends = self._new_ends, []
         return CrashNews(
@@ -169,9 +210,44 @@
         keys = self.quarantine.list_known_keys(dispatch.call)
         return self.quarantine.find_quarantined(keys)
 
+    def _list_open_suspects(self) -> set[str]:
+        suspects = self._ends.list_suspects()
+        for held in self._held:
+            suspects.update(suspect.key for suspect in held.end.suspects)
+        return suspects
+
     def _record_end(self, end: EndpointEnd | None, now_s: float) -> None:
+        """Hold an end until it is known that this host has not lost its path."""
         if end is None:
             return
+        self._held.append(_HeldEnd(end, now_s, now_s - end.age_s))
+        self._settle_held(now_s)
+
+    def _settle_held(self, now_s: float) -> None:
+        held, self._held = self._held, []
+        for each in held:
+            if self._path.confirmed_s < each.held_s:
+                self._path.request_check(each.end.endpoint, now_s)
+            has_ended = self._has_ended(each, now_s)
+            if has_ended is None:
+                self._held.append(each)
+            elif has_ended:
+                age_s = now_s - each.ended_s
+                end = msgspec.structs.replace(each.end, age_s=age_s)
+                self._accept_end(end, now_s)
+
+    def _has_ended(self, held: _HeldEnd, now_s: float) -> bool | None:
+        """Return whether an endpoint has ended; None if that is not known yet."""
+        if self._path.confirmed_s >= held.held_s:
+            return True
+        end = held.end
+        heartbeat_s = self._get_heartbeat_s(end.endpoint, end.incarnation)
+        if heartbeat_s is not None:
+            if heartbeat_s > held.ended_s + MAX_HEARTBEAT_DELAY_S:
+                return False
+        return True if now_s - held.ended_s > MAX_HOLD_S else None
+
+    def _accept_end(self, end: EndpointEnd, now_s: float) -> None:
         self._new_ends.append(end)
         if end.suspects:
             self.quarantine.record_end(end, now_s)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -18,17 +18,19 @@
     count_home_routes,
     is_advertised,
 )
+from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control import ControlTask
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
     ListEntryHostsByCoordinator,
+    SetReach,
     SetState,
     ShareOrigins,
     TellCoordinators,
 )
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
-from buckthorndeal.gateway._dispatch_task import DispatchTask
+from buckthorndeal.gateway._dispatch_task import DispatchEffects, DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
@@ -108,13 +110,19 @@
             create_ejection(),
             random.Random(),
         )
+        contact = EndpointContact()
         self._dispatch = DispatchTask(
             dispatcher,
             self.metrics,
             clock,
-            self._tell_coordinators,
-            self._probe_endpoint,
-            self._share_origins,
+            contact,
+            DispatchEffects(
+                self._tell_coordinators,
+                self._share_origins,
+                self._probe_endpoint,
+                self._report_reach,
+                self._end_silent_attempts,
+            ),
         )
         self._control = ControlTask(
             settings,
@@ -140,6 +148,7 @@
             metrics=self.metrics,
             clock=clock,
             wall_clock=time.time,
+            contact=contact,
         )
         self._home_route_counts: Mapping[str, Mapping[str, int]] = {}
         self._servers: list[HttpServer] = []
@@ -256,6 +265,14 @@
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
 
+    async def _report_reach(self, reaches_endpoints: bool) -> None:
+        if not reaches_endpoints:
+            await self._pools.close_idle_endpoints()
+        await self._control.mailbox.send(SetReach(reaches_endpoints))
+
+    async def _end_silent_attempts(self, now_s: float) -> int:
+        return await self._context.open_attempts.end_silent(now_s)
+
     async def _close_unused_pools(self) -> None:
         while True:
             await curio.sleep(POOL_CLEANUP_INTERVAL_S)
--- /dev/null
+++ b/buckthorndeal/gateway/_detours.py
@@ -0,0 +1,42 @@
+"""Ways around endpoints that this host does not reach; no I/O."""
+
+from buckthorndeal.gateway._messages import Dispatch
+from buckthorndeal.gateway._relays import RelayHosts
+from buckthorndeal.gateway._remote_choice import RemoteChooser
+from buckthorndeal.gateway._scoring import RemoteChoice
+
+
+class Detours:
+    """Chooses the entry hosts that serve requests while this one reaches no endpoint.
+
+    Other hosts of the region have the same endpoints, and the request does not cross a
+    border, so they come first. A request that another host has passed on goes no
+    further.
+
+    Parameters
+    ----------
+    region : str
+        Region of this host.
+    relays : RelayHosts
+        Hosts of the region that reach its endpoints.
+    remote : RemoteChooser
+        Chooses other regions.
+    """
+
+    def __init__(self, region: str, relays: RelayHosts, remote: RemoteChooser) -> None:
+        self._region = region
+        self._relays = relays
+        self._remote = remote
+
+    def choose(self, dispatch: Dispatch, now_s: float) -> RemoteChoice | None:
+        """Return where a request is sent, or None if no host can serve it."""
+        if dispatch.call.hops:
+            return None
+        remote = self._remote.find_fastest(dispatch, now_s)
+        # A host of the region that could not serve the request speaks for the others.
+        if remote is not None and self._relays.was_tried(dispatch.excluded):
+            return remote
+        host = self._relays.choose(dispatch.excluded, now_s)
+        if host is None:
+            return remote
+        return RemoteChoice(self._region, host, 0.0, is_relay=True)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -1,6 +1,7 @@
 """Task that owns the dispatcher and replies to queries once they are decided."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import curio
@@ -12,6 +13,7 @@
     RateLimitUpdate,
     StreamOrigin,
 )
+from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
@@ -28,9 +30,11 @@
     Forward,
     Grant,
     HeartbeatsReceived,
+    PathProbed,
     RateLimitsReceived,
     Refusal,
     RegionUpdate,
+    RelayUnreachable,
     ResponseStarted,
 )
 from buckthorndeal.logs import log_event, log_routine
@@ -43,6 +47,7 @@
 # Short, so that a waiting request is refused soon after its maximum wait.
 WAITING_INTERVAL_S = 0.02
 EVIDENCE_INTERVAL_S = 0.1
+PATH_INTERVAL_S = 0.1
 ENDPOINT_EXPIRY_S = 10.0
 GAUGES = {
     "endpoints": "Endpoints of the region by condition.",
@@ -50,9 +55,36 @@
     "retries_in_window": "Repeats in the window of the retry budget.",
     "retries_allowed": "Part of this host in the retry budget.",
     "quarantined_keys": "Keys of requests that crash endpoints.",
+    "endpoint_path_lost": "1 while this host reaches no endpoint of its region.",
 }
 
 
+@dataclass(frozen=True)
+class DispatchEffects:
+    """What the dispatch task has other parts of the gateway do.
+
+    Parameters
+    ----------
+    share : callable
+        Sends a message to all coordinators.
+    share_origins : callable
+        Gives the origins of streams to a few coordinators.
+    probe : callable
+        Returns whether an endpoint accepts a connection.
+    report_reach : callable
+        Tells the coordinators whether this host reaches endpoints.
+    end_silent_attempts : callable
+        Called with a clock reading while the path to the endpoints is lost; ends the
+        attempts that bring nothing and may be repeated, and returns their number.
+    """
+
+    share: Callable[[Message], Awaitable[None]]
+    share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
+    probe: Callable[[EndpointRecord], Awaitable[bool]]
+    report_reach: Callable[[bool], Awaitable[None]]
+    end_silent_attempts: Callable[[float], Awaitable[int]]
+
+
 class DispatchTask:
     """Runs the dispatcher, which other tasks reach through the mailbox.
 
@@ -64,12 +96,10 @@
         Metrics of the daemon.
     clock : callable
         Returns monotonic seconds.
-    share : callable
-        Sends a message to all coordinators.
-    probe : callable
-        Returns whether an endpoint accepts a connection.
-    share_origins : callable
-        Gives the origins of streams to a few coordinators.
+    contact : EndpointContact
+        When anything was last received from an endpoint.
+    effects : DispatchEffects
+        What the dispatcher's decisions do outside of it.
     """
 
     def __init__(
@@ -77,17 +107,16 @@
         dispatcher: Dispatcher,
         metrics: Metrics,
         clock: Callable[[], float],
-        share: Callable[[Message], Awaitable[None]],
-        probe: Callable[[EndpointRecord], Awaitable[bool]],
-        share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]],
+        contact: EndpointContact,
+        effects: DispatchEffects,
     ) -> None:
         self.mailbox = create_mailbox()
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
-        self._share = share
-        self._probe = probe
-        self._share_with_few = share_origins
+        self._contact = contact
+        self._effects = effects
+        self._path_lost_s: float | None = None
         metrics.describe_gauges(GAUGES)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
@@ -104,6 +133,7 @@
                     await fail_unexpectedly(envelope, error, self._metrics)
             if self._dispatcher.has_waiting:
                 await self._decide_waiting(now_s)
+            await self._watch_path(now_s)
             await self._handle_crash_news(now_s)
             await self._share_rate_limits()
             await self._share_origins(now_s)
@@ -117,6 +147,8 @@
             return WAITING_INTERVAL_S
         if self._dispatcher.crash_guard.is_open(self._clock()):
             return EVIDENCE_INTERVAL_S
+        if self._dispatcher.reach.path.needs_attention:
+            return PATH_INTERVAL_S
         return IDLE_INTERVAL_S
 
     async def _handle_crash_news(self, now_s: float) -> None:
@@ -134,7 +166,7 @@
             self._log_change(change)
         if news.evidence:
             update = EvidenceUpdate(news.evidence)
-            await curio.spawn(self._share, update, daemon=True)
+            await curio.spawn(self._effects.share, update, daemon=True)
         for record in news.probes:
             await curio.spawn(self._probe_endpoint, record, daemon=True)
 
@@ -150,14 +182,15 @@
                 per_s=limit.per_s,
             )
         if limits:
-            await curio.spawn(self._share, RateLimitUpdate(limits), daemon=True)
+            update = RateLimitUpdate(limits)
+            await curio.spawn(self._effects.share, update, daemon=True)
 
     async def _share_origins(self, now_s: float) -> None:
         """Tell coordinators which versions have begun streams, if that may matter."""
         origins = self._dispatcher.view.stream_versions.take_outgoing(now_s)
         if origins:
             self._metrics.count("stream_origins_shared", len(origins))
-            await curio.spawn(self._share_with_few, origins, daemon=True)
+            await curio.spawn(self._effects.share_origins, origins, daemon=True)
 
     def _log_change(self, change: QuarantineChange) -> None:
         decision = change.decision
@@ -172,9 +205,43 @@
         )
 
     async def _probe_endpoint(self, record: EndpointRecord) -> None:
-        accepted = await self._probe(record)
+        accepted = await self._effects.probe(record)
         await self.mailbox.send(EndpointProbed(record, accepted))
 
+    async def _probe_path(self, record: EndpointRecord) -> None:
+        accepted = await self._effects.probe(record)
+        await self.mailbox.send(PathProbed(record, accepted))
+
+    async def _watch_path(self, now_s: float) -> None:
+        """Check the path to the endpoints, and act on its loss and return."""
+        dispatcher = self._dispatcher
+        dispatcher.watch_silence(self._contact.heard_s, now_s)
+        for record in dispatcher.reach.take_probes(now_s):
+            await curio.spawn(self._probe_path, record, daemon=True)
+        is_lost = dispatcher.reach.is_lost
+        if is_lost != (self._path_lost_s is not None):
+            await self._report_path(is_lost, now_s)
+        if is_lost:
+            ended = await self._effects.end_silent_attempts(now_s)
+            self._metrics.count("attempts_ended_on_lost_path", ended)
+
+    async def _report_path(self, is_lost: bool, now_s: float) -> None:
+        path = self._dispatcher.reach.path
+        if is_lost:
+            self._path_lost_s = now_s
+            log_event(
+                "endpoint_path_lost",
+                suspected_ms=round((now_s - path.suspected_s) * 1000),
+                silence_ms=self._contact.get_silence_ms(now_s),
+                relays=list(self._dispatcher.view.relay_hosts),
+            )
+        else:
+            lost_ms = round((now_s - self._path_lost_s) * 1000)
+            log_event("endpoint_path_restored", lost_ms=lost_ms)
+            self._path_lost_s = None
+        self._metrics.set_gauge("endpoint_path_lost", int(is_lost))
+        await self._effects.report_reach(not is_lost)
+
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
@@ -245,6 +312,16 @@
         guard = self._dispatcher.crash_guard
         guard.record_probe(message.record, message.accepted, now_s)
 
+    @_handle.register
+    async def _(self, message: PathProbed, envelope: Envelope, now_s: float) -> None:
+        self._dispatcher.reach.record_probe(message.record, message.accepted, now_s)
+
+    @_handle.register
+    async def _(
+        self, message: RelayUnreachable, envelope: Envelope, now_s: float
+    ) -> None:
+        self._dispatcher.relays.record_failure(message.host, now_s)
+
     @_handle.register
     async def _(
         self, message: EndpointNotice, envelope: Envelope, now_s: float
@@ -280,7 +357,7 @@
     async def _(
         self, message: DescribeRegionLoad, envelope: Envelope, now_s: float
     ) -> None:
-        await envelope.reply(self._dispatcher.view.describe_region(now_s))
+        await envelope.reply(self._dispatcher.describe_region(now_s))
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -6,9 +6,11 @@
 
 import random
 
-from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.fleet import EndpointRecord, ServiceLoad
 from buckthorndeal.gateway._crash_guard import CrashGuard
+from buckthorndeal.gateway._detours import Detours
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
+from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_view import (
     EndpointCondition,
     FleetView,
@@ -32,6 +34,7 @@
 )
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
 from buckthorndeal.gateway._refusals import RefusalPolicy
+from buckthorndeal.gateway._relays import RelayHosts
 from buckthorndeal.gateway._remote_choice import RemoteChooser
 from buckthorndeal.gateway._scoring import (
     LocalChoice,
@@ -95,7 +98,10 @@
         )
         self._queues: dict[str, WaitingQueue] = {}
         self._granted: dict[int, GrantedAttempt] = {}
-        self.crash_guard = CrashGuard(host)
+        self.reach = EndpointReach(view, ejection, rng)
+        self.relays = RelayHosts(view, rng)
+        self._detours = Detours(region, self.relays, self._remote)
+        self.crash_guard = CrashGuard(host, self.reach.path, view.get_heartbeat_s)
         self._started_s: float | None = None
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
@@ -137,6 +143,13 @@
             return self._refusals.refuse_crashing(objection)
         if not call.route.may_run_in(self._region):
             return self._forward_to_home(dispatch, now_s)
+        if self.reach.is_lost:
+            return self._make_detour(dispatch, now_s)
+        return self._decide_here(dispatch, now_s)
+
+    def _decide_here(self, dispatch: Dispatch, now_s: float) -> Decision | None:
+        """Choose between the endpoints of this region and another region."""
+        call = dispatch.call
         candidates = self._list_candidates(dispatch, now_s)
         best = self._choose_local(dispatch, candidates, now_s)
         remote = None
@@ -205,6 +218,7 @@
         """
         for queue in self._queues.values():
             queue.remove(attempt_id)
+        self.relays.record_end(attempt_id)
         ended = self._granted.pop(attempt_id, None)
         if ended is None:
             return
@@ -217,9 +231,11 @@
         queue = self._queues.get(load.entry.record.service)
         if queue is not None:
             queue.record_slot_release(now_s)
-        if outcome is None:
-            return
         record = ended.record
+        if outcome is AttemptOutcome.CONNECT_FAILED:
+            self.reach.path.record_failure(record.endpoint, now_s)
+        if outcome is None or self.reach.is_lost:
+            return
         result = AttemptResult(
             record.endpoint,
             record.incarnation,
@@ -261,6 +277,14 @@
                     decided.append((attempt_id, decision))
         return decided
 
+    def watch_silence(self, heard_s: float, now_s: float) -> None:
+        """Check the path if no endpoint sends anything; see `EndpointReach`."""
+        self.reach.watch_silence(self._granted, heard_s, now_s)
+
+    def describe_region(self, now_s: float) -> tuple[ServiceLoad, ...]:
+        """Return the load of the region for others; none if no endpoint is reached."""
+        return () if self.reach.is_lost else self.view.describe_region(now_s)
+
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for free capacity."""
@@ -332,6 +356,12 @@
                 return self._accept(dispatch, remote, now_s)
         return self._refusals.refuse(RefusalReason.HOME_UNREACHABLE)
 
+    def _make_detour(self, dispatch: Dispatch, now_s: float) -> Decision:
+        choice = self._detours.choose(dispatch, now_s)
+        if choice is None:
+            return self._refusals.refuse(RefusalReason.ENDPOINTS_UNREACHABLE)
+        return self._accept(dispatch, choice, now_s)
+
     def _accept(
         self, dispatch: Dispatch, choice: LocalChoice | RemoteChoice, now_s: float
     ) -> Decision:
@@ -342,8 +372,13 @@
             if not budget.try_acquire(self.view.fleet.total_hosts, now_s):
                 return self._refusals.refuse(RefusalReason.RETRY_BUDGET)
         if isinstance(choice, RemoteChoice):
-            self._remote.record_sent(choice, call.service)
-            return Forward(choice.region, choice.host, choice.predicted_s)
+            if choice.is_relay:
+                self.relays.record_sent(dispatch.attempt_id, choice.host)
+            else:
+                self._remote.record_sent(choice, call.service)
+            return Forward(
+                choice.region, choice.host, choice.predicted_s, choice.is_relay
+            )
         return self._grant(dispatch, choice, now_s)
 
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -24,6 +24,7 @@
     Forward,
     Refusal,
     RegionUpdate,
+    RelayUnreachable,
 )
 from buckthorndeal.gateway._origins import find_stream_version
 from buckthorndeal.gateway._stalls import (
@@ -168,16 +169,32 @@
                     self._request,
                     decision,
                     attempt_id,
+                    self._may_repeat_elsewhere(),
                 ) as attempt:
                     if await self._relay_response(attempt):
                         return
             except AttemptError as error:
-                if isinstance(decision, Forward) and error.verdict is Verdict.NOT_RUN:
-                    # Other requests do not try the region before its next report.
-                    lost = RegionUpdate(decision.region, None)
-                    await self._context.dispatch_mailbox.send(lost)
+                await self._report_unserved(decision, error)
                 self._record_failure(decision, error)
 
+    async def _report_unserved(self, decision: Decision, error: AttemptError) -> None:
+        """Keep other requests from an entry host that has not run this one."""
+        if not isinstance(decision, Forward) or error.verdict is not Verdict.NOT_RUN:
+            return
+        if not decision.is_relay:
+            # Until the next report of the region.
+            lost = RegionUpdate(decision.region, None)
+            await self._context.dispatch_mailbox.send(lost)
+        elif not error.request_sent:
+            unreachable = RelayUnreachable(decision.host)
+            await self._context.dispatch_mailbox.send(unreachable)
+
+    def _may_repeat_elsewhere(self) -> bool:
+        """Return whether this host, or the one that has forwarded it, may retry."""
+        if self._call.hops:
+            return self._call.route.retryable
+        return self._may_retry_run()
+
     def _is_taken_up(self) -> bool:
         """Return whether a caller takes up a stream of which no host has told more."""
         call = self._call
@@ -247,7 +264,7 @@
         """Record a failed attempt; raise `RequestError` if no retry is allowed."""
         progress = self.progress
         target = (
-            decision.region
+            decision.target
             if isinstance(decision, Forward)
             else decision.record.endpoint
         )
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -16,6 +16,8 @@
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
 HEARTBEAT_TIMEOUT_S = 3.0
+# Age of the last heartbeat of an endpoint that is most likely alive.
+RECENT_HEARTBEAT_S = 2.0
 
 
 class EndpointCondition(enum.Enum):
@@ -90,6 +92,7 @@
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
         self.fleet = FleetChanged((host,), 1, frozenset())
+        self.relay_hosts: tuple[str, ...] = ()
 
     def list_available(
         self, service: str, version: str | None, now_s: float
@@ -126,6 +129,26 @@
             return None
         return load.entry.record.version
 
+    def list_alive(self, now_s: float) -> list[EndpointRecord]:
+        """Return the ready endpoints whose heartbeats are recent.
+
+        All of them, if this applies to none.
+        """
+        ready = [load for load in self.loads.values() if load.is_ready(now_s)]
+        recent = [
+            load
+            for load in ready
+            if now_s - load.entry.last_heartbeat_s < RECENT_HEARTBEAT_S
+        ]
+        return [load.entry.record for load in recent or ready]
+
+    def get_heartbeat_s(self, endpoint: str, incarnation: int) -> float | None:
+        """Return when the last heartbeat of an incarnation arrived, if it is known."""
+        load = self.loads.get(endpoint)
+        if load is None or load.entry.record.incarnation != incarnation:
+            return None
+        return load.entry.last_heartbeat_s
+
     def count_endpoints(self, service: str) -> int:
         """Return how many endpoints of a service are known."""
         return len(self._list_loads(service))
@@ -193,8 +216,13 @@
         self.services = services
 
     def set_fleet(self, message: FleetChanged) -> None:
-        """Replace the entry hosts and evacuations with newer ones."""
+        """Replace the entry hosts and evacuations with newer ones.
+
+        A host that is cut off from the coordinators keeps the relays that it knows.
+        """
         self.fleet = message
+        if message.ready_hosts:
+            self.relay_hosts = message.relay_hosts
         self.rate_shares.set_hosts(message.region_hosts, bool(message.ready_hosts))
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -142,11 +142,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Forward:
-    """Decision: send the request to an entry host of another region."""
+    """Decision: send the request to another entry host.
+
+    Parameters
+    ----------
+    region : str
+        Region of that host.
+    host : str
+        The host.
+    predicted_s : float
+        Predicted time until the response starts.
+    is_relay : bool
+        Whether it belongs to this region and reaches the endpoints, unlike this one.
+    """
 
     region: str
     host: str
     predicted_s: float
+    is_relay: bool = False
+
+    @property
+    def target(self) -> str:
+        """Name under which a failed attempt is excluded: the host, or its region."""
+        return self.host if self.is_relay else self.region
 
 
 class RefusalReason(enum.Enum):
@@ -162,6 +180,7 @@
     REQUEST_SUSPECT = "request_suspect"
     HOME_UNREACHABLE = "home_unreachable"
     VERSION_NOT_SERVED = "version_not_served"
+    ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -341,6 +360,21 @@
     accepted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PathProbed:
+    """Notification: whether an endpoint has accepted a connection of a path check."""
+
+    record: EndpointRecord
+    accepted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RelayUnreachable:
+    """Notification: an entry host of this region has accepted no connection."""
+
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class RegionUpdate:
     """Notification: load of another region.
@@ -378,12 +412,15 @@
         Evacuated failure domains.
     ready_hosts : tuple of str
         Ready entry hosts of all regions.
+    relay_hosts : tuple of str
+        Other ready entry hosts of this region that reach its endpoints.
     """
 
     region_hosts: tuple[str, ...]
     total_hosts: int
     evacuated: frozenset[str]
     ready_hosts: tuple[str, ...] = ()
+    relay_hosts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_pools.py
+++ b/buckthorndeal/gateway/_pools.py
@@ -69,6 +69,11 @@
         entry.last_used_s = now_s
         return entry.pool
 
+    async def close_idle_endpoints(self) -> None:
+        """Close the idle connections to all endpoints, which may be dead."""
+        for entry in self._endpoints.values():
+            await entry.pool.close_idle()
+
     async def accepts_connection(self, address: str) -> bool:
         """Return whether the endpoint at ``IP:port`` accepts a new connection."""
         ip, _, port = address.rpartition(":")
--- a/buckthorndeal/gateway/_region_links.py
+++ b/buckthorndeal/gateway/_region_links.py
@@ -128,11 +128,13 @@
     def _rank_hosts(self, hosts: list[EntryHost]) -> list[str]:
         """Return the hosts by state, ready ones first, then by a hash of both names.
 
-        The hash spreads the hosts of this region over those of the other one.
+        Those that reach no endpoint come last. The hash spreads the hosts of this
+        region over those of the other one.
         """
         ranked = sorted(
             hosts,
             key=lambda each: (
+                not each.reaches_endpoints,
                 _STATE_RANKS[each.state],
                 hashlib.blake2b(f"{self._own_address} {each.host}".encode()).digest(),
             ),
--- a/buckthorndeal/gateway/_scoring.py
+++ b/buckthorndeal/gateway/_scoring.py
@@ -120,8 +120,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RemoteChoice:
-    """An entry host of another region, with the predicted latency through it."""
+    """Another entry host, with the predicted latency through it; see `Forward`."""
 
     region: str
     host: str
     predicted_s: float
+    is_relay: bool = False
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -11,6 +11,7 @@
     ClientConnection,
     ClientResponse,
     LivenessCheck,
+    abort_connection,
     create_protocol,
     read_head,
     send_request,
@@ -19,7 +20,13 @@
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.transport import Transport
 
-__all__ = ["ClientResponse", "HttpPool", "create_http_pool"]
+__all__ = [
+    "ClientConnection",
+    "ClientResponse",
+    "HttpPool",
+    "abort_connection",
+    "create_http_pool",
+]
 
 CONNECT_TIMEOUT_S = 2.0
 # An idle connection is reused for this share of the keep-alive timeout that the peer
@@ -75,6 +82,7 @@
         on_dispatch: Callable[[], None] | None = None,
         fresh: bool = False,
         check: LivenessCheck | None = None,
+        on_connection: Callable[[ClientConnection], None] | None = None,
     ) -> AsyncIterator[ClientResponse]:
         """Send a request and yield the response once its head has arrived.
 
@@ -90,6 +98,8 @@
         check : callable, optional
             Coroutine function that is awaited whenever nothing has been received for
             `CHECK_INTERVAL_S`. An exception that it raises ends the request.
+        on_connection : callable, optional
+            Called with the connection before anything is sent over it.
 
         Raises
         ------
@@ -101,6 +111,8 @@
             connection = await self._acquire(fresh)
             watcher = await start_watcher(connection, check)
             try:
+                if on_connection is not None:
+                    on_connection(connection)
                 if on_dispatch is not None:
                     on_dispatch()
                 await send_request(
@@ -130,6 +142,10 @@
     async def close(self) -> None:
         """Close the idle connections; the others are closed when released."""
         self._closed = True
+        await self.close_idle()
+
+    async def close_idle(self) -> None:
+        """Close the idle connections; others are opened when they are needed."""
         while self._idle:
             await self._idle.pop().stream.close()
 
--- a/buckthorndeal/policy/ejection.py
+++ b/buckthorndeal/policy/ejection.py
@@ -137,6 +137,26 @@
         if endpoint in self._ejected.get(service, ()):
             self._records[service][endpoint].probe_started_s = now_s
 
+    def forgive(self, since_s: float) -> None:
+        """Take back the failures since a moment, which are not the endpoints' fault.
+
+        Parameters
+        ----------
+        since_s : float
+            Clock reading; an ejection since then is ended.
+        """
+        for service, records in self._records.items():
+            for name, record in records.items():
+                if record.last_failure_s < since_s:
+                    continue
+                record.failures = 0
+                if (
+                    record.ejected_until_s is not None
+                    and record.ejected_at_s >= since_s
+                ):
+                    record.ejections = max(0, record.ejections - 1)
+                    self._restore(service, name)
+
     def forget(self, endpoint: str) -> None:
         """Remove the state of an endpoint that has left."""
         for service, records in self._records.items():
--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -377,6 +377,8 @@
         news = host.guard.take_news(self.now_s)
         for record in news.probes:
             self._schedule(self.now_s + PROBE_S, self._probe, host, record)
+        for record in host.harness.dispatcher.reach.take_probes(self.now_s):
+            self._schedule(self.now_s + PROBE_S, self._probe_path, host, record)
         for coordinator in self.coordinators:
             name = host.name
             if self.now_s >= coordinator.lost_s or host.is_cut(self.now_s):
@@ -418,6 +420,11 @@
         accepted = engine is not None and engine.up
         host.guard.record_probe(record, accepted, self.now_s)
 
+    def _probe_path(self, host, record):
+        engine = self._find_engine(record)
+        accepted = engine is not None and engine.up
+        host.harness.dispatcher.reach.record_probe(record, accepted, self.now_s)
+
     def _find_engine(self, record):
         return next(
             (
--- a/tests/repeat_play.py
+++ b/tests/repeat_play.py
@@ -22,6 +22,7 @@
 # Ends of endpoints under one request after which the rule counts.
 COUNTED_ENDS = 3
 REGION_DELAY_S = 0.08
+HOST_DELAY_S = 0.002
 REGION_REPORT_S = 0.4
 DOWN_S = (3.0, 4.0)
 WORK_S = (0.005, 0.03)
@@ -238,10 +239,11 @@
     def _act(self, leg, attempt_id, decision):
         if isinstance(decision, Forward):
             leg.host.harness.finish(attempt_id, None)
-            leg.excluded |= {decision.region}
+            leg.excluded |= {decision.target}
             host = next(each for each in self.hosts if each.name == decision.host)
             forwarded = type(leg)(host, leg.call, host.generation, leg.request_id, leg)
-            self._schedule(self.now_s + REGION_DELAY_S, self._arrive_leg, forwarded)
+            delay_s = compute_delay_s(leg.host, host)
+            self._schedule(self.now_s + delay_s, self._arrive_leg, forwarded)
         elif isinstance(decision, Grant):
             leg.excluded |= {decision.record.endpoint}
             self._send_to_endpoint(leg, attempt_id, decision.record)
@@ -333,7 +335,7 @@
             return
         leg.ended = True
         if leg.origin is not None:
-            at_s = self.now_s + REGION_DELAY_S
+            at_s = self.now_s + compute_delay_s(leg.host, leg.origin.host)
             self._schedule(at_s, self._return_leg, leg.origin, outcome)
             return
         if outcome == "refused" and leg.runs:
@@ -405,15 +407,19 @@
     def _update_region(self, host, partner):
         if host.is_cut(self.now_s) or host.find_thaw_s(self.now_s) is not None:
             return
-        described = partner.harness.view.describe_loads(self.now_s)
+        loads = partner.harness.dispatcher.describe_region(self.now_s)
         update = RegionUpdate(
             f"region{partner.region}",
             partner.name,
-            {service: wait_s for service, (wait_s, _) in described.items()},
-            {service: free for service, (_, free) in described.items()},
+            {each.service: each.wait_s for each in loads},
+            {each.service: each.free for each in loads},
         )
         host.harness.dispatcher.update_region(update, self.now_s)
 
 
+def compute_delay_s(host, other):
+    return HOST_DELAY_S if host.region == other.region else REGION_DELAY_S
+
+
 def create_content(method, target, body=b""):
     return RequestContent(method, "x", target, "", body)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -55,6 +55,15 @@
         self.ejection.start_probe("s", "a", 3.0)
         self.assertEqual(self._list_excluded(20.0), frozenset())
 
+    def test_failures_of_a_lost_path_are_forgiven(self):
+        """Guards against endpoints that stay ejected for a fault of this host."""
+        self._fail("a", 0.0)
+        self._fail("b", 1.0)
+        self.ejection.forgive(0.5)
+        self.assertEqual(self._list_excluded(1.1), {"a"})
+        self._observe("b", "broken", 1.2)
+        self.assertEqual(self._list_excluded(1.2), {"a"})
+
     def test_share_is_capped(self):
         """Guards against a common fault that ejects every endpoint."""
         for name in "abcdef":
--- a/tests/test_fleet_directory.py
+++ b/tests/test_fleet_directory.py
@@ -19,9 +19,15 @@
 
 
 def create_host(
-    host, region, domain, state=EntryState.READY, connected=True, silent_s=0.5
+    host,
+    region,
+    domain,
+    state=EntryState.READY,
+    connected=True,
+    silent_s=0.5,
+    reaches_endpoints=True,
 ):
-    entry = EntryHost(host, region, domain, f"{host}:80", state)
+    entry = EntryHost(host, region, domain, f"{host}:80", state, reaches_endpoints)
     return EntryHostLiveness(entry, connected, silent_s)
 
 
@@ -57,6 +63,16 @@
         self.replace(1, state=EntryState.DRAINING)
         self.assertEqual(self.choose("a", "a-1"), ["b1", "c1"])
 
+    def test_hosts_that_reach_endpoints_before_others_of_the_region(self):
+        self.replace(0, reaches_endpoints=False)
+        self.assertEqual(self.choose("a", "a-1"), ["a2"])
+
+    def test_hosts_that_reach_no_endpoint_before_other_regions(self):
+        self.replace(0, reaches_endpoints=False)
+        self.replace(1, reaches_endpoints=False)
+        self.assertEqual(self.choose("a", "a-1"), ["a1"])
+        self.assertEqual(self.choose("a", "a-3"), ["a1", "a2"])
+
     def test_home_regions_before_others(self):
         self.replace(2, state=EntryState.DRAINING)
         self.assertEqual(self.choose("b", "b-1", {"a": 2, "b": 2}), ["a1", "a2"])
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -14,7 +14,13 @@
 from buckthorndeal.gateway._messages import RegionUpdate
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.crash_play import FLUSH_S, POLL_S
-from tests.repeat_play import LOOKUP, REGION_DELAY_S, Leg, RepeatPlay, create_content
+from tests.repeat_play import (
+    LOOKUP,
+    Leg,
+    RepeatPlay,
+    compute_delay_s,
+    create_content,
+)
 
 COORDINATORS = 5
 STATUS_S = 1.0
@@ -287,7 +293,7 @@
         if leg.origin is None:
             self._receive_event(leg, number, version)
         else:
-            at_s = self.now_s + REGION_DELAY_S
+            at_s = self.now_s + compute_delay_s(leg.host, leg.origin.host)
             self._schedule(at_s, self._receive_event, leg.origin, number, version)
 
     def _receive_event(self, leg, number, version):
@@ -443,7 +449,7 @@
     def _update_region(self, host, partner):
         if host.is_cut(self.now_s) or host.find_thaw_s(self.now_s) is not None:
             return
-        loads = partner.harness.view.describe_region(self.now_s)
+        loads = partner.harness.dispatcher.describe_region(self.now_s)
         update = RegionUpdate(
             f"region{partner.region}",
             partner.name,
