--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -192,6 +192,19 @@
             self._metrics.count("stream_origins_shared", len(origins))
             await curio.spawn(self._effects.share_origins, origins, daemon=True)
 
+    def _log_rejection(self, message: EndpointNotice) -> None:
+        """Log that an endpoint has not run a request, and how full it is."""
+        load = self._dispatcher.view.loads.get(message.record.endpoint)
+        self._metrics.count("requests_rejected", service=message.record.service)
+        log_event(
+            "request_rejected",
+            endpoint=message.record.endpoint,
+            own=load.inflight if load is not None else None,
+            running=message.load.running,
+            waiting=message.load.waiting,
+            slots=message.load.slots,
+        )
+
     def _log_change(self, change: QuarantineChange) -> None:
         decision = change.decision
         self._metrics.count("quarantine_decisions", active=str(decision.active).lower())
@@ -326,6 +339,8 @@
     async def _(
         self, message: EndpointNotice, envelope: Envelope, now_s: float
     ) -> None:
+        if message.load is not None:
+            self._log_rejection(message)
         await envelope.reply(self._dispatcher.record_notice(message, now_s))
 
     @_handle.register
