Divide the slots of endpoints that fail when they reject too much

Endpoints of a service may say in their answers how many requests they can turn away in a second (Server-Brittle on the platform); with more they fall over. Callers lost what ran there, again and again: three hosts had an endpoint with four slots turn 44 requests away in a second where it bears 2.

Cause: each host counted on the queue of an endpoint (a third more requests than a plain one has slots), and knew of the other hosts' requests only by the load in the last answer. 13 requests a second were turned away with one endpoint, at which no request is repeated, which rules out repeats.

What an endpoint says is shared like its rate limit, in the same record. The hosts of the region divide the slots of each endpoint of such a service: a few of them, by a hash of its id, have three or more each, and the others pass requests on to these, once. A rejection reduces what a host sends for a second. Other regions are told of no free slots. An end after a rejection implicates no request.

--- a/buckthorndeal/fleet/_rate_limits.py
+++ b/buckthorndeal/fleet/_rate_limits.py
@@ -26,6 +26,9 @@
         Number of changes of the limit.
     per_s : float or None
         Requests per second from all hosts together; None if it names no limit.
+    rejections_per_s : float or None
+        Requests per second that it can turn away before it fails; None if it names no
+        such number.
     """
 
     endpoint: str
@@ -33,6 +36,7 @@
     region: str
     revision: int
     per_s: float | None
+    rejections_per_s: float | None = None
 
     @property
     def key(self) -> EndpointKey:
@@ -67,6 +71,11 @@
         known = self._limits.get(key)
         return known.limit.per_s if known is not None else None
 
+    def get_rejections_per_s(self, key: EndpointKey) -> float | None:
+        """Return how many requests per second an endpoint can turn away, or None."""
+        known = self._limits.get(key)
+        return known.limit.rejections_per_s if known is not None else None
+
     def merge(self, limits: Iterable[RateLimit], now_s: float) -> tuple[RateLimit, ...]:
         """Add reports; return those that were not known."""
         return tuple(limit for limit in limits if self._merge(limit, now_s))
@@ -92,10 +101,18 @@
         return True
 
 
-def _rank(limit: RateLimit) -> tuple[int, bool, float]:
-    """Return a sort key; of two equal revisions the lower limit holds."""
-    named = limit.per_s is not None
-    return (limit.revision, named, -limit.per_s if named else 0.0)
+def _rank(limit: RateLimit) -> tuple[int | bool | float, ...]:
+    """Return a sort key; of two equal revisions the lower limits hold."""
+    return (
+        limit.revision,
+        *_rank_number(limit.per_s),
+        *_rank_number(limit.rejections_per_s),
+    )
+
+
+def _rank_number(per_s: float | None) -> tuple[bool, float]:
+    named = per_s is not None
+    return named, -per_s if named else 0.0
 
 
 def create_rate_limit_table() -> RateLimitTable:
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -228,37 +228,53 @@
 
     The load of an endpoint that has not run the request is reported too.
     """
-    if metadata.rate_limit is not None:
+    if metadata.rate_limit is not None or metadata.rejection_limit is not None:
         log_routine(
             "rate_limit_named",
             request_id=call.request_id,
             target=_get_target_name(decision),
             per_s=metadata.rate_limit,
+            rejections_per_s=metadata.rejection_limit,
         )
     if isinstance(decision, Forward) or metadata.misdirected:
         return
+    if metadata.request_id not in (None, call.request_id):
+        return
+    notice = _create_notice(decision, metadata)
+    if notice is None:
+        return
+    changed = await context.dispatch_mailbox.ask(notice)
+    if changed is not None:
+        await context.control_mailbox.send(AnnounceDrain(changed))
+
+
+def _create_notice(
+    decision: Grant, metadata: ResponseMetadata
+) -> EndpointNotice | None:
+    """Return what a response announces, or None if that is nothing new."""
     load = metadata.load if metadata.not_run else None
-    # A response without a proof or a run says nothing by naming no limit.
-    is_rate_known = metadata.rate_limit is not None or (
-        metadata.authentic and not metadata.not_run
-    )
-    is_rate_new = is_rate_known and metadata.rate_limit != decision.rate_limit
+    rate_limit, rejection_limit = metadata.rate_limit, metadata.rejection_limit
+    is_named = rate_limit is not None or rejection_limit is not None
+    if metadata.not_run:
+        # A response without a run says nothing by naming no limit.
+        rate_limit = decision.rate_limit if rate_limit is None else rate_limit
+        if rejection_limit is None:
+            rejection_limit = decision.rejection_limit
+    known = (decision.rate_limit, decision.rejection_limit)
+    is_rate_known = is_named or (metadata.authentic and not metadata.not_run)
+    is_rate_new = is_rate_known and (rate_limit, rejection_limit) != known
     announces = metadata.leaving or metadata.pause_s is not None or load is not None
     if not announces and not is_rate_new:
-        return
-    if metadata.request_id not in (None, call.request_id):
-        return
-    notice = EndpointNotice(
+        return None
+    return EndpointNotice(
         decision.record,
         metadata.leaving,
         metadata.pause_s,
         load,
-        metadata.rate_limit,
+        rate_limit,
         is_rate_known,
+        rejection_limit,
     )
-    changed = await context.dispatch_mailbox.ask(notice)
-    if changed is not None:
-        await context.control_mailbox.send(AnnounceDrain(changed))
 
 
 def _get_pool(context: GatewayContext, decision: Grant | Forward) -> HttpPool:
--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -1,6 +1,6 @@
 """Keeps requests that crash endpoints away from them; no I/O."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -8,6 +8,7 @@
 from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.gateway._endpoint_ends import EndpointEnds
 from buckthorndeal.gateway._endpoint_path import EndpointPath
+from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._loads import GrantedAttempt
 from buckthorndeal.gateway._messages import Dispatch
 from buckthorndeal.policy.views import AttemptOutcome
@@ -21,6 +22,8 @@
 # A heartbeat that arrives so long after a supposed end was sent after it: coordinators
 # pass them on within this time.
 MAX_HEARTBEAT_DELAY_S = 1.0
+# Time after a rejection within which a brittle endpoint ends because of it.
+REJECTION_EFFECT_S = 1.5
 # Without such a heartbeat by then the endpoint has ended.
 MAX_HOLD_S = 2.5
 
@@ -89,20 +92,14 @@
         Name of this host.
     path : EndpointPath
         Whether this host reaches endpoints; if not, it sees no end of them.
-    get_heartbeat_s : callable
-        Returns when the last heartbeat of an endpoint's incarnation has arrived, or
-        None.
+    view : FleetView
+        Heartbeats of endpoints, and requests that they have turned away.
     """
 
-    def __init__(
-        self,
-        host: str,
-        path: EndpointPath,
-        get_heartbeat_s: Callable[[str, int], float | None],
-    ) -> None:
+    def __init__(self, host: str, path: EndpointPath, view: FleetView) -> None:
         self._ends = EndpointEnds()
         self._path = path
-        self._get_heartbeat_s = get_heartbeat_s
+        self._view = view
         self._held: list[_HeldEnd] = []
         self._new_ends: list[EndpointEnd] = []
         self.quarantine = create_quarantine(host)
@@ -234,6 +231,8 @@
             elif has_ended:
                 age_s = now_s - each.ended_s
                 end = msgspec.structs.replace(each.end, age_s=age_s)
+                if self._had_too_many(end, each.ended_s):
+                    end = msgspec.structs.replace(end, suspects=())
                 self._accept_end(end, now_s)
 
     def _has_ended(self, held: _HeldEnd, now_s: float) -> bool | None:
@@ -241,12 +240,17 @@
         if self._path.confirmed_s >= held.held_s:
             return True
         end = held.end
-        heartbeat_s = self._get_heartbeat_s(end.endpoint, end.incarnation)
+        heartbeat_s = self._view.get_heartbeat_s(end.endpoint, end.incarnation)
         if heartbeat_s is not None:
             if heartbeat_s > held.ended_s + MAX_HEARTBEAT_DELAY_S:
                 return False
         return True if now_s - held.ended_s > MAX_HOLD_S else None
 
+    def _had_too_many(self, end: EndpointEnd, ended_s: float) -> bool:
+        """Return whether an endpoint has ended because it turned requests away."""
+        rejected_s = self._view.get_rejection_s(end.endpoint, end.incarnation)
+        return rejected_s is not None and ended_s - rejected_s < REJECTION_EFFECT_S
+
     def _accept_end(self, end: EndpointEnd, now_s: float) -> None:
         self._new_ends.append(end)
         if end.suspects:
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -180,6 +180,7 @@
                 incarnation=limit.incarnation,
                 revision=limit.revision,
                 per_s=limit.per_s,
+                rejections_per_s=limit.rejections_per_s,
             )
         if limits:
             update = RateLimitUpdate(limits)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -7,6 +7,7 @@
 import random
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
+from buckthorndeal.gateway._brittle_services import BrittleServices
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._detours import Detours
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
@@ -99,9 +100,10 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
+        self._brittle = BrittleServices(host, view)
         self.relays = RelayHosts(view, rng)
         self._detours = Detours(region, self.relays, self._remote)
-        self.crash_guard = CrashGuard(host, self.reach.path, view.get_heartbeat_s)
+        self.crash_guard = CrashGuard(host, self.reach.path, view)
         self._started_s: float | None = None
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
@@ -162,7 +164,7 @@
                 return self._accept(dispatch, best, now_s)
             return self._refusals.refuse_overload(call, len(candidates), best)
         if candidates:
-            return None
+            return self._pass_to_sharing_host(dispatch, candidates, now_s)
         turn = self.view.find_next_turn(call.service, now_s)
         if turn is not None:
             may_wait = turn.condition is EndpointCondition.RATE_LIMITED
@@ -183,7 +185,11 @@
         if load is not None and notice.load is not None:
             load.record_report(notice.load, now_s)
         if notice.is_rate_known:
-            self.view.rate_shares.record_named(notice.record, notice.rate_limit, now_s)
+            self.view.rate_shares.record_named(
+                notice.record, notice.rate_limit, now_s, notice.rejection_limit
+            )
+        if notice.load is not None:
+            self._brittle.record_rejection(notice.record, now_s)
         if notice.pause_s is not None:
             self.view.record_pause(notice.record, notice.pause_s, now_s)
         return self.view.record_leaving(notice.record) if notice.leaving else None
@@ -228,6 +234,7 @@
         if load is None:
             return
         load.remove(attempt_id)
+        self._brittle.record_end(ended.record, outcome, now_s)
         queue = self._queues.get(load.entry.record.service)
         if queue is not None:
             queue.record_slot_release(now_s)
@@ -331,6 +338,8 @@
                 continue
             if not load.has_capacity(call, service, now_s):
                 continue
+            if not self._brittle.may_send(load, call, service, now_s):
+                continue
             choice = score_endpoint(load, call, prefix_owner, cold, now_s)
             # Hosts that know nothing to tell two endpoints apart choose at random, as
             # all of them would otherwise send to the same one.
@@ -356,6 +365,23 @@
                 return self._accept(dispatch, remote, now_s)
         return self._refusals.refuse(RefusalReason.HOME_UNREACHABLE)
 
+    def _pass_to_sharing_host(
+        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
+    ) -> Decision | None:
+        """Pass a request on if only other hosts may have room at brittle endpoints."""
+        service = self.view.services.get(dispatch.call.service)
+        senders = self._brittle.list_other_senders(candidates, service)
+        if not senders:
+            return None
+        if dispatch.call.hops:
+            # The host that has passed it on tries another one.
+            return self._refusals.refuse_overload(dispatch.call, len(candidates), None)
+        host = self.relays.choose(dispatch.excluded, now_s, senders)
+        if host is None:
+            return None
+        choice = RemoteChoice(self._region, host, 0.0, is_relay=True)
+        return self._accept(dispatch, choice, now_s)
+
     def _make_detour(self, dispatch: Dispatch, now_s: float) -> Decision:
         choice = self._detours.choose(dispatch, now_s)
         if choice is None:
@@ -417,6 +443,7 @@
             age_s,
             cache_source,
             self.view.rate_shares.get_limit(record),
+            self.view.rate_shares.get_rejection_limit(record),
             version,
         )
 
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -93,6 +93,7 @@
         self.services: Mapping[str, ServiceDescription] = {}
         self.fleet = FleetChanged((host,), 1, frozenset())
         self.relay_hosts: tuple[str, ...] = ()
+        self.sharing_hosts: tuple[str, ...] = (host,)
 
     def list_available(
         self, service: str, version: str | None, now_s: float
@@ -201,6 +202,25 @@
         record = load.entry.record
         return self._pauses.get_remaining_s(record.endpoint, record.incarnation, now_s)
 
+    def is_brittle(self, service: str) -> bool:
+        """Return whether endpoints of a service fail if they turn much away.
+
+        What one endpoint says holds for those that have not answered yet.
+        """
+        if self.rate_shares.is_empty:
+            return False
+        return any(
+            self.rate_shares.get_rejection_limit(load.entry.record) is not None
+            for load in self._list_loads(service)
+        )
+
+    def get_rejection_s(self, endpoint: str, incarnation: int) -> float | None:
+        """Return when a brittle endpoint last turned a request away, if it did."""
+        load = self.loads.get(endpoint)
+        if load is None or load.entry.record.incarnation != incarnation:
+            return None
+        return load.rejected_s
+
     def record_pause(
         self, record: EndpointRecord, pause_s: float, now_s: float
     ) -> None:
@@ -218,11 +238,13 @@
     def set_fleet(self, message: FleetChanged) -> None:
         """Replace the entry hosts and evacuations with newer ones.
 
-        A host that is cut off from the coordinators keeps the relays that it knows.
+        A host that is cut off from the coordinators keeps the hosts that it knows, for
+        relays and for shares of endpoints.
         """
         self.fleet = message
         if message.ready_hosts:
             self.relay_hosts = message.relay_hosts
+            self.sharing_hosts = message.region_hosts
         self.rate_shares.set_hosts(message.region_hosts, bool(message.ready_hosts))
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
@@ -298,6 +320,7 @@
                 for load in self._list_loads(name)
                 if self._get_condition(load, now_s) is EndpointCondition.READY
                 and self.rate_shares.get_limit(load.entry.record) is None
+                and self.rate_shares.get_rejection_limit(load.entry.record) is None
             ]
             if loads:
                 described[name] = self._describe_load(service, loads, now_s)
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -96,6 +96,8 @@
         Last load report, received at `report_received_s`.
     inflight_at_report : int
         Attempts of this host in progress at that time.
+    rejected_s : float or None
+        Clock reading when it last turned a request away, if that may make it fail.
     """
 
     entry: EndpointEntry
@@ -112,6 +114,7 @@
     report: LoadReport | None = None
     report_received_s: float = 0.0
     inflight_at_report: int = 0
+    rejected_s: float | None = None
 
     @property
     def name(self) -> str:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -125,6 +125,8 @@
         prefix of the prompt.
     rate_limit : float or None
         Rate limit of the endpoint that is known, in requests per second.
+    rejection_limit : float or None
+        Number of requests per second that it is known to turn away before it fails.
     version : str or None
         Software version of the endpoint; None if it may have changed since its last
         heartbeat.
@@ -137,6 +139,7 @@
     heartbeat_age_s: float = 0.0
     cache_source: str | None = None
     rate_limit: float | None = None
+    rejection_limit: float | None = None
     version: str | None = None
 
 
@@ -269,7 +272,9 @@
     rate_limit : float or None
         Requests per second that it takes from all hosts together.
     is_rate_known : bool
-        Whether the response tells the rate limit, or that there is none.
+        Whether the response tells the limits, or that there are none.
+    rejection_limit : float or None
+        Requests per second that it can turn away before it fails.
     """
 
     record: EndpointRecord
@@ -278,6 +283,7 @@
     load: LoadReport | None = None
     rate_limit: float | None = None
     is_rate_known: bool = False
+    rejection_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_rate_shares.py
+++ b/buckthorndeal/gateway/_rate_shares.py
@@ -55,6 +55,15 @@
         """Return the rate limit of an endpoint in requests per second, or None."""
         return self._limits.get_per_s(_get_key(record))
 
+    def get_rejection_limit(self, record: EndpointRecord) -> float | None:
+        """Return how many requests per second an endpoint can turn away, or None."""
+        return self._limits.get_rejections_per_s(_get_key(record))
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint has ever named a limit."""
+        return self._limits.is_empty
+
     def get_wait_s(self, record: EndpointRecord, now_s: float) -> float:
         """Return the seconds until this host may send a request to an endpoint.
 
@@ -85,11 +94,28 @@
             self._last_sent_s[_get_key(record)] = now_s
 
     def record_named(
-        self, record: EndpointRecord, per_s: float | None, now_s: float
+        self,
+        record: EndpointRecord,
+        per_s: float | None,
+        now_s: float,
+        rejections_per_s: float | None = None,
     ) -> bool:
-        """Record the limit that a response names, or none; return whether it is new."""
+        """Record the limits that a response names, or none; return whether any is new.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The endpoint.
+        per_s : float or None
+            Requests per second that it takes from all hosts.
+        now_s : float
+            Clock reading.
+        rejections_per_s : float or None, optional
+            Requests per second that it can turn away before it fails.
+        """
         known = self._limits.get(_get_key(record))
-        if per_s == self.get_limit(record):
+        before = (self.get_limit(record), self.get_rejection_limit(record))
+        if (per_s, rejections_per_s) == before:
             return False
         limit = RateLimit(
             record.endpoint,
@@ -97,6 +123,7 @@
             record.region,
             known.revision + 1 if known is not None else 1,
             per_s,
+            rejections_per_s,
         )
         self._outgoing.extend(self._limits.merge((limit,), now_s))
         # Requests that were sent before the limit was known count too.
--- a/buckthorndeal/gateway/_relays.py
+++ b/buckthorndeal/gateway/_relays.py
@@ -27,7 +27,12 @@
         self._sent: dict[int, str] = {}
         self._avoided_until_s: dict[str, float] = {}
 
-    def choose(self, excluded: Collection[str], now_s: float) -> str | None:
+    def choose(
+        self,
+        excluded: Collection[str],
+        now_s: float,
+        among: Collection[str] | None = None,
+    ) -> str | None:
         """Return the host with the fewest requests of this one, or None.
 
         Parameters
@@ -36,10 +41,13 @@
             Hosts that have not served the request.
         now_s : float
             Clock reading.
+        among : collection of str, optional
+            The only hosts that are considered.
         """
         hosts = [
             host
             for host in self._view.relay_hosts
+            if among is None or host in among
             if host not in excluded and now_s >= self._avoided_until_s.get(host, 0.0)
         ]
         if not hosts:
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -26,6 +26,7 @@
 LEAVING = "buckthorndeal-leaving"
 RETRY_AFTER = "retry-after"
 RATE_LIMIT = "buckthorndeal-rate-limit"
+REJECTION_LIMIT = "buckthorndeal-brittle"
 UNAVAILABLE = 503
 # Digits with an optional fraction; a value with a sign or an exponent is malformed.
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
@@ -77,6 +78,8 @@
         Time in seconds for which an overloaded endpoint wants no more requests.
     rate_limit : float or None
         Requests per second that the endpoint takes from all hosts together.
+    rejection_limit : float or None
+        Requests per second that the endpoint can turn away before it fails.
     """
 
     request_id: str | None
@@ -87,6 +90,7 @@
     leaving: bool = False
     pause_s: float | None = None
     rate_limit: float | None = None
+    rejection_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +203,7 @@
             leaving=headers.get(LEAVING) == "1",
             pause_s=read_pause_s(status, headers),
             rate_limit=read_rate_limit(headers, RATE_LIMIT),
+            rejection_limit=read_rate_limit(headers, REJECTION_LIMIT),
         )
 
     def format_retry_after(self, seconds: float) -> str:
