Add a failing test of a fresh host that mixes two software versions

The test has a coordinator tell a fresh host of the versions a second after the endpoints: a stream that began at v1 goes on at v2.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -2,9 +2,11 @@
 
 import json
 import unittest
+from unittest import mock
 
 import curio
 
+from buckthorndeal.coordinator._fleet_task import FleetTask
 from buckthorndeal.errors import RequestError
 from tests.fleet_harness import (
     CALLER_PORT,
@@ -17,6 +19,8 @@
 HOSTS = ("10.1.0.8", "10.1.0.9")
 RESUMES = "buckthorndeal-resumes"
 LAST_EVENT = 6
+# Time after which coordinators forget an endpoint that has ended.
+SILENCE_S = 7.0
 # Events that a stream brings before it breaks.
 FIRST_EVENTS = 3
 
@@ -237,6 +241,49 @@
         run_fleet(check)
 
 
+class FreshHostTest(unittest.TestCase):
+    """A host that has just started does not take what it knows for all there is."""
+
+    def test_first_version_that_a_host_hears_of_is_not_taken_for_the_only_one(self):
+        send_shared_state = FleetTask._send_shared_state
+
+        async def send_late(task, entry, news):
+            await curio.spawn(send_later, task, entry, news, daemon=True)
+
+        async def send_later(task, entry, news):
+            await curio.sleep(1.0)
+            await send_shared_state(task, entry, news)
+
+        async def check():
+            script = BreakingStreams()
+            async with Fleet() as fleet:
+                await start_versions(fleet, script.answer, ("v1", "v2"), max_attempts=1)
+                request_id = await begin_stream(fleet, "v1")
+                for host in HOSTS:
+                    await fleet.gateways.pop(host).close()
+                # Only the coordinators still know that the version has served.
+                await fleet.endpoints.pop("e0").close()
+                await curio.sleep(SILENCE_S)
+                with mock.patch.object(FleetTask, "_send_shared_state", send_late):
+                    await fleet.start_gateway(HOSTS[0])
+                    await fleet.wait_until_ready(HOSTS[0])
+                    headers = take_up(request_id)
+                    _, seen, _ = await read_stream(fleet, HOSTS[0], "again", headers)
+                self.assertEqual(seen, [])
+
+        run_fleet(check)
+
+
+async def begin_stream(fleet, version):
+    """Send requests until one begins at an endpoint of a version; return its id."""
+    for number in range(20):
+        request_id = f"q{number}"
+        _, seen, _ = await read_stream(fleet, HOSTS[0], request_id)
+        if seen and seen[0] == version:
+            return request_id
+    raise AssertionError(f"no stream has begun at {version}")
+
+
 class OneVersionTest(unittest.TestCase):
     """Nothing of this costs callers a stream while one version serves."""
 
