Count a coordinator as reached once it has told a host all it knows

After all entry hosts were killed around a release, a caller could get a stream of two software versions: the rest of a stream of v1 came from v2, with nothing to show it.

Cause: a fresh host counted a majority of the coordinators as reached when it connected. They sent the records of endpoints before the versions that had served, so for a moment the first version that the host heard of was the only one it knew, and a stream of unknown origin went on there.

Coordinators now send shared state before endpoints, and mark the end of what they send to a host that connects; only then they count. The mark is a field that older hosts skip. With an older coordinator a host reaches no majority: it shares the origins of all streams, as while several versions serve.

In plays of 4, 24 and 76 hosts that are all killed before, in and after a release, with coordinators that tell 0.2 to 1 s late, no stream mixes, and resumed streams go on at least half as often as new ones begin; with a connection taken for news more than the two that are allowed mix, which the play finds.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -289,15 +289,16 @@
         await self._send(entry, ControlStatus(entry.sent_coordinators))
         await self._send(entry, self._create_notice())
         await self._send(entry, self._entries.create_published_list())
+        # Before the endpoints, at which requests are sent as soon as they are known.
+        await self._send_shared_state(entry, self._shared.export(self._clock()))
         region = entry.host.region
         records = tuple(
             each.record
             for each in self._endpoints.list_all()
             if each.record.region == region
         )
-        if records:
-            await self._send(entry, EndpointHeartbeats(records))
-        await self._send_shared_state(entry, self._shared.export(self._clock()))
+        last = EndpointHeartbeats(records, ends_initial_state=True)
+        await self._send(entry, last)
 
     def _create_notice(self) -> ClusterNotice:
         state = self._cluster
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -172,11 +172,14 @@
         Endpoints whose last record still holds; sent by name to save bytes.
     versions : tuple of ServiceVersion
         Software versions of endpoints of all regions that are new or seen again.
+    ends_initial_state : bool
+        Whether the receiver has now been sent all that the coordinator knows.
     """
 
     records: tuple[EndpointRecord, ...]
     alive: tuple[str, ...] = ()
     versions: tuple[ServiceVersion, ...] = ()
+    ends_initial_state: bool = False
 
 
 class RelayEndpoint(Message, tag="re"):
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -45,6 +45,7 @@
     choose_holders,
     fetch_configuration,
 )
+from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._messages import (
@@ -84,6 +85,11 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class _InitialStateReceived:
+    host: str
+
+
 class ControlTask:
     """Keeps links to all coordinators and applies their notifications.
 
@@ -132,6 +138,7 @@
         )
         self._entry_state = EntryState.READY
         self._reaches_endpoints = True
+        self._reach = CoordinatorReach()
         self._connected: set[str] = set()
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
@@ -181,6 +188,8 @@
             await self._dispatch.send(
                 HeartbeatsReceived(message.records, message.alive, message.versions)
             )
+            if message.ends_initial_state:
+                await self.mailbox.send(_InitialStateReceived(channel.host))
             return None
         news = convert_shared_state(message)
         if news is not None:
@@ -199,6 +208,11 @@
     async def _(self, message: _PeerMessage, envelope: Envelope) -> None:
         await self._handle_peer_message(message.message, message.host)
 
+    @_handle.register
+    async def _(self, message: _InitialStateReceived, envelope: Envelope) -> None:
+        self._reach.record_told(message.host)
+        await self._report_reach()
+
     @_handle.register
     async def _(self, message: SetState, envelope: Envelope) -> None:
         self._entry_state = message.state
@@ -303,6 +317,7 @@
             self._entry_hosts.drop(host)
         changed = connected != self._connected
         self._connected = connected
+        self._reach.keep(connected)
         if changed:
             await self._report_reach()
             await self._update_fleet()
@@ -322,7 +337,7 @@
         await self._drop_lost_coordinators(now_s)
 
     async def _report_reach(self) -> None:
-        majority = 2 * len(self._connected) > len(self._links.hosts)
+        majority = self._reach.has_majority(len(self._links.hosts))
         await self._dispatch.send(CoordinatorsReached(majority))
 
     async def _drop_lost_coordinators(self, now_s: float) -> None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -431,7 +431,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CoordinatorsReached:
-    """Notification, repeated: whether a majority of the coordinators is connected."""
+    """Notification, repeated: whether a majority of the coordinators is reached.
+
+    They are connected and have told this host all that they know.
+    """
 
     majority: bool
 
--- a/tests/test_version_play.py
+++ b/tests/test_version_play.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from tests.version_play import VersionPlay, disturb_all
@@ -12,6 +13,8 @@
 # Streams that are taken up go on at least this often, against new ones that begin.
 MIN_WENT_ON_RATIO = 0.5
 MIN_TAKEN_UP = 12
+# Coordinators are slow to tell what they know when all hosts connect at once.
+LATE_STATE_S = (0.2, 1.0)
 
 
 class ReleaseTest(unittest.TestCase):
@@ -57,6 +60,44 @@
         self.assertLessEqual(play.count_mixed(), MAX_MIXED)
 
 
+class AllHostsLostTest(unittest.TestCase):
+    """Streams mix nothing when all hosts are killed at once around a release."""
+
+    def play_losses(self, hosts, endpoints, seed):
+        play = VersionPlay(hosts, endpoints, seed)
+        play.initial_state_s = LATE_STATE_S
+        play.release("v2", 10.0, gap_s=0.3)
+        # Before, in and after the release.
+        for from_s in (9.0, 13.0, 24.0):
+            play.kill_all_hosts(from_s, 1.5)
+        play.play_streams(36, 10 + 3 * hosts)
+        return play
+
+    def check_play(self, play):
+        self.assertEqual(play.count_mixed(), 0)
+        self.assertGreater(play.measure_begun_streams(), 0.75)
+        went_on, counted = play.measure_went_on()
+        self.assertGreaterEqual(counted, MIN_TAKEN_UP)
+        begun = play.measure_begun_streams()
+        self.assertGreaterEqual(went_on, MIN_WENT_ON_RATIO * begun)
+
+    def test_loss_of_all_4_hosts(self):
+        for seed in (1, 2, 3):
+            self.check_play(self.play_losses(4, 6, seed))
+
+    def test_loss_of_all_24_hosts(self):
+        for seed in (4, 5):
+            self.check_play(self.play_losses(24, 9, seed))
+
+    def test_loss_of_all_76_hosts(self):
+        self.check_play(self.play_losses(76, 18, 6))
+
+    def test_hosts_that_take_a_connection_for_news_are_found(self):
+        with mock.patch.object(CoordinatorReach, "has_majority", return_value=True):
+            mixed = [self.play_losses(24, 9, seed).count_mixed() for seed in (4, 5)]
+        self.assertGreater(max(mixed), MAX_MIXED)
+
+
 class OneVersionTest(unittest.TestCase):
     """While one version serves, streams go on without any record of them."""
 
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -11,6 +11,7 @@
 from buckthorndeal.coordinator._shared_state import SharedState
 from buckthorndeal.fleet import EndpointRecord, EndpointState, digest_stream
 from buckthorndeal.gateway._coordinator_calls import choose_holders
+from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._messages import RegionUpdate
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.crash_play import FLUSH_S, POLL_S
@@ -29,6 +30,10 @@
 EVENT_S = 0.12
 PREFILL_S = (0.04, 0.15)
 ASK_S = (0.003, 0.17)
+# From a connection to a coordinator until it has told what it knows.
+INITIAL_STATE_S = (0.002, 0.1)
+# Interval at which callers look for a host while all are down.
+ALL_DOWN_RETRY_S = 0.2
 RETRY_S = (0.02, 0.4)
 # Share of the streams that break by themselves.
 BREAK_SHARE = 0.3
@@ -114,7 +119,9 @@
             for _ in range(COORDINATORS)
         ]
         self.lost_coordinators = {}
+        self.initial_state_s = INITIAL_STATE_S
         self._connected = {host.name: () for host in self.hosts}
+        self._reaches = {host.name: CoordinatorReach() for host in self.hosts}
 
     def play_streams(self, seconds, per_s):
         """Play streams and all that was planned."""
@@ -143,6 +150,12 @@
             self._schedule(at_s, self._drain, engine, version)
             at_s += gap_s
 
+    def kill_all_hosts(self, from_s, for_s):
+        """Plan that all hosts are killed at once, and start again together."""
+        at_s = self.now_s + from_s
+        for host in self.hosts:
+            host.kills.append((at_s, at_s + for_s))
+
     def lose_coordinators(self, count, after_s):
         for number in range(count):
             self.lost_coordinators[number] = self.now_s + after_s
@@ -162,14 +175,18 @@
         return went_on / max(1, len(counted)), len(counted)
 
     def _begin_stream(self, stream):
-        if not stream.tries:
-            self.streams.append(stream)
-        stream.tries += 1
         up = [
             host
             for host in self.hosts
             if host.find_thaw_s(self.now_s) is None and not host.is_down(self.now_s)
         ]
+        if not up:
+            at_s = self.now_s + ALL_DOWN_RETRY_S
+            self._schedule(at_s, self._begin_stream, stream)
+            return
+        if not stream.tries:
+            self.streams.append(stream)
+        stream.tries += 1
         host = self.rng.choice(up)
         request_id = f"{next(self._numbers)}"
         leg = StreamLeg(host, stream, host.generation, request_id, after=stream.events)
@@ -356,15 +373,34 @@
             return
         for number in set(reached) - set(self._connected[host.name]):
             versions = self.shared[number].export(self.now_s).versions
-            self._schedule_versions(host, versions)
+            at_s = self.now_s + self.rng.uniform(*self.initial_state_s)
+            args = (host, host.generation, number, versions)
+            self._schedule(at_s, self._receive_initial_state, *args)
         self._connected[host.name] = reached
+        self._reaches[host.name].keep(reached)
+        self._report_reach(host)
+
+    def _receive_initial_state(self, host, generation, number, versions):
+        def receive():
+            if host.generation != generation:
+                return
+            host.harness.view.stream_versions.receive(versions, self.now_s)
+            if number in self._connected[host.name]:
+                self._reaches[host.name].record_told(number)
+                self._report_reach(host)
+
+        self._deliver(host, receive)
+
+    def _report_reach(self, host):
+        majority = self._reaches[host.name].has_majority(COORDINATORS)
         stream_versions = host.harness.view.stream_versions
-        stream_versions.set_reach(2 * len(reached) > COORDINATORS, self.now_s)
+        stream_versions.set_reach(majority, self.now_s)
         self._share_origins(host)
 
     def _kill(self, host):
         super()._kill(host)
         self._connected[host.name] = ()
+        self._reaches[host.name] = CoordinatorReach()
 
     def _flush_shared(self, number):
         news = self.shared[number].take_new(self.now_s)
