Wait for the first reports of home regions on a host that has just started

The table of other regions was empty since no report had arrived yet, and it was taken for complete, as with the versions of endpoints.

Such requests now wait as others do for the first heartbeats of endpoints. They do not hold up requests that run in this region. The test fails without the change.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -277,7 +277,8 @@
                     decision = self._decide(waiting.dispatch, now_s)
                     # Free capacity is kept for the most urgent request, even if a
                     # smaller one behind it would fit.
-                    blocked = decision is None
+                    waits_here = waiting.dispatch.call.route.may_run_in(self._region)
+                    blocked = decision is None and waits_here
                 if decision is not None:
                     attempt_id = waiting.dispatch.attempt_id
                     queue.remove(attempt_id)
@@ -358,11 +359,14 @@
         is_warming_host = choose_owner(load.name, hosts) == self._host
         return is_warming_host and load.pacer.is_due(now_s)
 
-    def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision:
+    def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         if not dispatch.call.hops:
             remote = self._remote.find_fastest(dispatch, now_s)
             if remote is not None:
                 return self._accept(dispatch, remote, now_s)
+            if self._is_starting(now_s):
+                # First reports of other regions may still be outstanding.
+                return None
         return self._refusals.refuse(RefusalReason.HOME_UNREACHABLE)
 
     def _pass_to_sharing_host(
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -205,6 +205,21 @@
         refusal = self.harness.submit(None, unreachable)
         self.assertIs(refusal.reason, RefusalReason.HOME_UNREACHABLE)
 
+    def test_fresh_host_waits_for_the_first_reports_of_home_regions(self):
+        """Guards against refusing what a region that is not known yet would serve."""
+        harness = DispatcherHarness(endpoints=1)
+        harness.dispatcher._started_s = None
+        at_home = replace(ROUTE, home_regions=frozenset("b"))
+        self.assertIsNone(harness.submit(None, at_home))
+        waiting_id = harness.attempt_id
+        # It does not keep requests waiting that run in this region.
+        self.assertIsInstance(harness.submit(create_prompt(1, 1)), Grant)
+        update = RegionUpdate("b", "h9", {"llm": 0.05}, {"llm": 5})
+        harness.dispatcher.update_region(update, harness.now_s)
+        decided = harness.dispatcher.decide_waiting(harness.now_s)
+        self.assertEqual([attempt_id for attempt_id, _ in decided], [waiting_id])
+        self.assertIsInstance(decided[0][1], Forward)
+
     def test_deadline_too_short_for_the_other_region(self):
         """Guards against forwarding a request that cannot meet its deadline."""
         short = replace(ROUTE, timeout_s=0.2, home_regions=frozenset("b"))
