Keep the order of messages in the test of a fresh host

The test had shared state come a second late, but also after messages that were sent later on the same link, which cannot happen: the mark of the end arrived first. It failed once beside other tests, and passed when the host needed that second to get ready. Now all that follows is late too.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -21,6 +21,8 @@
 LAST_EVENT = 6
 # Time after which coordinators forget an endpoint that has ended.
 SILENCE_S = 7.0
+# Time by which a coordinator tells a fresh host of shared state late.
+LATE_S = 1.0
 # Events that a stream brings before it breaks.
 FIRST_EVENTS = 3
 
@@ -245,13 +247,18 @@
     """A host that has just started does not take what it knows for all there is."""
 
     def test_first_version_that_a_host_hears_of_is_not_taken_for_the_only_one(self):
+        send_initial_state = FleetTask._send_initial_state
         send_shared_state = FleetTask._send_shared_state
+        fresh = []
 
-        async def send_late(task, entry, news):
-            await curio.spawn(send_later, task, entry, news, daemon=True)
+        async def send_in_background(task, entry):
+            fresh.append(entry)
+            await curio.spawn(send_initial_state, task, entry, daemon=True)
 
-        async def send_later(task, entry, news):
-            await curio.sleep(1.0)
+        async def send_late(task, entry, news):
+            if entry in fresh:
+                fresh.remove(entry)
+                await curio.sleep(LATE_S)
             await send_shared_state(task, entry, news)
 
         async def check():
@@ -264,7 +271,12 @@
                 # Only the coordinators still know that the version has served.
                 await fleet.endpoints.pop("e0").close()
                 await curio.sleep(SILENCE_S)
-                with mock.patch.object(FleetTask, "_send_shared_state", send_late):
+                with (
+                    mock.patch.object(
+                        FleetTask, "_send_initial_state", send_in_background
+                    ),
+                    mock.patch.object(FleetTask, "_send_shared_state", send_late),
+                ):
                     await fleet.start_gateway(HOSTS[0])
                     await fleet.wait_until_ready(HOSTS[0])
                     headers = take_up(request_id)
