Split the long modules of the gateway

The choice between endpoints, the fields of decisions in the log, the progress of a request, what the dispatch task has others do, and the messages on shared state have modules of their own; the view of the fleet is computed beside the lists of entry hosts. Behaviour that varies with a decision uses singledispatch. Two tests that set a private field give the name of the host at construction instead.

--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -46,14 +46,16 @@
     fetch_configuration,
 )
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
-from buckthorndeal.gateway._entry_hosts import EntryHostLists
+from buckthorndeal.gateway._entry_hosts import EntryHostLists, describe_fleet
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._messages import (
-    CoordinatorsReached,
-    DescribeSharedState,
     FleetChanged,
     HeartbeatsReceived,
 )
+from buckthorndeal.gateway._shared_messages import (
+    CoordinatorsReached,
+    DescribeSharedState,
+)
 from buckthorndeal.gateway._shared_state import convert_shared_state
 from buckthorndeal.gateway._versions import AnnouncedVersions
 from buckthorndeal.logs import log_event
@@ -360,30 +362,19 @@
         return EntryStatus(entry, self._log_index, self._configuration_version)
 
     async def _update_fleet(self) -> None:
-        entries = self._entry_hosts.list_all()
-        ready = [entry for entry in entries if entry.state is EntryState.READY]
-        in_region = [each for each in ready if each.region == self._settings.region]
-        region_hosts = tuple(entry.host for entry in in_region)
-        total = max(1, len(entries))
-        relay_hosts = tuple(
-            entry.host
-            for entry in in_region
-            if entry.reaches_endpoints and entry.host != self._own_address
-        )
-        fleet = FleetChanged(
-            region_hosts or (self._own_address,),
-            total,
+        fleet = describe_fleet(
+            self._entry_hosts.list_all(),
+            self._own_address,
+            self._settings.region,
             self._evacuated,
-            tuple(entry.host for entry in ready),
-            relay_hosts,
         )
         if fleet != self._fleet:
             self._fleet = fleet
             log_event(
                 "fleet_changed",
-                region_hosts=list(region_hosts),
-                relay_hosts=list(relay_hosts),
-                total_hosts=total,
+                region_hosts=list(fleet.region_hosts),
+                relay_hosts=list(fleet.relay_hosts),
+                total_hosts=fleet.total_hosts,
                 evacuated=sorted(self._evacuated),
             )
             await self._dispatch.send(fleet)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -29,8 +29,9 @@
     ShareOrigins,
     TellCoordinators,
 )
+from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
-from buckthorndeal.gateway._dispatch_task import DispatchEffects, DispatchTask
+from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
--- /dev/null
+++ b/buckthorndeal/gateway/_decision_log.py
@@ -0,0 +1,50 @@
+"""Fields of the log line on a decision."""
+
+from functools import singledispatch
+
+from buckthorndeal.gateway._messages import Decision, Forward, Grant, Refusal
+
+
+@singledispatch
+def describe_decision(decision: Decision) -> dict[str, object]:
+    """Return the fields that tell a decision and what it rests on."""
+    raise TypeError(f"unknown decision {decision!r}")
+
+
+@describe_decision.register
+def _(decision: Grant) -> dict[str, object]:
+    record = decision.record
+    return {
+        "chosen": record.endpoint,
+        "address": record.address,
+        "version": decision.version,
+        "heartbeat": record.sequence,
+        "heartbeat_age_ms": round(decision.heartbeat_age_s * 1000),
+        "predicted_ms": round(decision.predicted_s * 1000),
+    }
+
+
+@describe_decision.register
+def _(decision: Forward) -> dict[str, object]:
+    return {
+        "chosen": decision.host,
+        "region": decision.region,
+        "relay": decision.is_relay,
+        "predicted_ms": round(decision.predicted_s * 1000),
+    }
+
+
+@describe_decision.register
+def _(decision: Refusal) -> dict[str, object]:
+    return {
+        "chosen": None,
+        "reason": decision.reason.value,
+        "retry_after_ms": round(decision.retry_after_s * 1000),
+        "candidates": decision.candidates,
+        "predicted_ms": _round_ms(decision.predicted_s),
+        "key": decision.key,
+    }
+
+
+def _round_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
--- /dev/null
+++ b/buckthorndeal/gateway/_dispatch_effects.py
@@ -0,0 +1,33 @@
+"""What the dispatch task has other parts of a gateway do."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from buckthorndeal.fleet import EndpointRecord, StreamOrigin
+from buckthorndeal.wire import Message
+
+
+@dataclass(frozen=True)
+class DispatchEffects:
+    """What the dispatch task has other parts of the gateway do.
+
+    Parameters
+    ----------
+    share : callable
+        Sends a message to all coordinators.
+    share_origins : callable
+        Gives the origins of streams to a few coordinators.
+    probe : callable
+        Returns whether an endpoint accepts a connection.
+    report_reach : callable
+        Tells the coordinators whether this host reaches endpoints.
+    end_silent_attempts : callable
+        Called with a clock reading while the path to the endpoints is lost; ends the
+        attempts that bring nothing and may be repeated, and returns their number.
+    """
+
+    share: Callable[[Message], Awaitable[None]]
+    share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
+    probe: Callable[[EndpointRecord], Awaitable[bool]]
+    report_reach: Callable[[bool], Awaitable[None]]
+    end_silent_attempts: Callable[[float], Awaitable[int]]
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -1,7 +1,6 @@
 """Task that owns the dispatcher and replies to queries once they are decided."""
 
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 
 import curio
@@ -11,37 +10,37 @@
     EndpointRecord,
     EvidenceUpdate,
     RateLimitUpdate,
-    StreamOrigin,
 )
 from buckthorndeal.gateway._contact import EndpointContact
+from buckthorndeal.gateway._decision_log import describe_decision
+from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
-    CoordinatorsReached,
     Decision,
     DescribeRegionLoad,
-    DescribeSharedState,
     Dispatch,
     EndpointNotice,
     EndpointProbed,
-    EvidenceReceived,
-    FindStreamVersion,
     FleetChanged,
-    Forward,
-    Grant,
     HeartbeatsReceived,
     PathProbed,
-    RateLimitsReceived,
     Refusal,
     RegionUpdate,
     RelayUnreachable,
     ResponseStarted,
 )
+from buckthorndeal.gateway._shared_messages import (
+    CoordinatorsReached,
+    DescribeSharedState,
+    EvidenceReceived,
+    FindStreamVersion,
+    RateLimitsReceived,
+)
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.quarantine import QuarantineChange
-from buckthorndeal.wire import Message
 
 IDLE_INTERVAL_S = 1.0
 # Short, so that a waiting request is refused soon after its maximum wait.
@@ -59,32 +58,6 @@
 }
 
 
-@dataclass(frozen=True)
-class DispatchEffects:
-    """What the dispatch task has other parts of the gateway do.
-
-    Parameters
-    ----------
-    share : callable
-        Sends a message to all coordinators.
-    share_origins : callable
-        Gives the origins of streams to a few coordinators.
-    probe : callable
-        Returns whether an endpoint accepts a connection.
-    report_reach : callable
-        Tells the coordinators whether this host reaches endpoints.
-    end_silent_attempts : callable
-        Called with a clock reading while the path to the endpoints is lost; ends the
-        attempts that bring nothing and may be repeated, and returns their number.
-    """
-
-    share: Callable[[Message], Awaitable[None]]
-    share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
-    probe: Callable[[EndpointRecord], Awaitable[bool]]
-    report_reach: Callable[[bool], Awaitable[None]]
-    end_silent_attempts: Callable[[float], Awaitable[int]]
-
-
 class DispatchTask:
     """Runs the dispatcher, which other tasks reach through the mailbox.
 
@@ -420,39 +393,6 @@
             resumes=call.resumes,
             left_ms=round((call.deadline_s - now_s) * 1000),
             waited_ms=round(waited_s * 1000),
-            **_describe(decision),
+            **describe_decision(decision),
         )
         await envelope.reply(decision)
-
-
-def _describe(decision: Decision) -> dict[str, object]:
-    if isinstance(decision, Grant):
-        record = decision.record
-        return {
-            "chosen": record.endpoint,
-            "address": record.address,
-            "version": decision.version,
-            "heartbeat": record.sequence,
-            "heartbeat_age_ms": round(decision.heartbeat_age_s * 1000),
-            "predicted_ms": round(decision.predicted_s * 1000),
-        }
-    if isinstance(decision, Forward):
-        return {
-            "chosen": decision.host,
-            "region": decision.region,
-            "predicted_ms": round(decision.predicted_s * 1000),
-        }
-    if isinstance(decision, Refusal):
-        return {
-            "chosen": None,
-            "reason": decision.reason.value,
-            "retry_after_ms": round(decision.retry_after_s * 1000),
-            "candidates": decision.candidates,
-            "predicted_ms": _round_ms(decision.predicted_s),
-            "key": decision.key,
-        }
-    raise TypeError(f"unknown decision {decision!r}")
-
-
-def _round_ms(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * 1000)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -23,6 +23,7 @@
 )
 from buckthorndeal.gateway._limits import RetryBudgets
 from buckthorndeal.gateway._loads import EndpointLoad, GrantedAttempt
+from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._messages import (
     Decision,
     Dispatch,
@@ -40,12 +41,9 @@
 from buckthorndeal.gateway._scoring import (
     LocalChoice,
     RemoteChoice,
-    find_prefix_owner,
-    score_endpoint,
 )
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
-from buckthorndeal.subsetting import choose_owner
 
 # Share of a service's `max_connections` that the hosts of the region divide.
 CONNECTION_SHARE = 0.8
@@ -101,6 +99,7 @@
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
         self._brittle = BrittleServices(host, view)
+        self._local = LocalChooser(host, view, ejection, self._brittle, rng)
         self.relays = RelayHosts(view, rng)
         self._detours = Detours(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
@@ -152,8 +151,8 @@
     def _decide_here(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Choose between the endpoints of this region and another region."""
         call = dispatch.call
-        candidates = self._list_candidates(dispatch, now_s)
-        best = self._choose_local(dispatch, candidates, now_s)
+        candidates = self._local.list_candidates(dispatch, now_s)
+        best = self._local.choose(dispatch, candidates, now_s)
         remote = None
         if not self.crash_guard.is_trial(dispatch):
             remote = self._remote.choose(dispatch, best, now_s)
@@ -309,56 +308,6 @@
             budget.compute_limit(hosts, now_s),
         )
 
-    def _list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
-        service, version = dispatch.call.service, dispatch.call.version
-        available = [
-            load
-            for load in self.view.list_available(service, version, now_s)
-            if load.name not in dispatch.excluded
-        ]
-        ejected = self._ejection.list_excluded(
-            service, now_s, dispatch.call.route.retryable
-        )
-        healthy = [load for load in available if load.name not in ejected] or available
-        preferred = [load for load in healthy if load.name not in dispatch.avoided]
-        return preferred or healthy
-
-    def _choose_local(
-        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
-    ) -> LocalChoice | None:
-        call = dispatch.call
-        service = self.view.services.get(call.service)
-        if service is None:
-            return None
-        prefix_owner = find_prefix_owner(call, candidates)
-        best: LocalChoice | None = None
-        best_rank: tuple[bool, float, float] | None = None
-        for load in candidates:
-            cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
-            if cold and not self._may_warm_up(load, now_s):
-                continue
-            if not load.has_capacity(call, service, now_s):
-                continue
-            if not self._brittle.may_send(load, call, service, now_s):
-                continue
-            choice = score_endpoint(load, call, prefix_owner, cold, now_s)
-            # Hosts that know nothing to tell two endpoints apart choose at random, as
-            # all of them would otherwise send to the same one.
-            rank = (cold, choice.endpoint_cost_s, self._rng.random())
-            if best_rank is None or rank < best_rank:
-                best, best_rank = choice, rank
-        return best
-
-    def _may_warm_up(self, load: EndpointLoad, now_s: float) -> bool:
-        """Return whether a cold endpoint may get a request of this host now.
-
-        Only one host of the region warms up an endpoint, so that the requests of all
-        hosts together keep its rate limit.
-        """
-        hosts = (*self.view.fleet.region_hosts, self._host)
-        is_warming_host = choose_owner(load.name, hosts) == self._host
-        return is_warming_host and load.pacer.is_due(now_s)
-
     def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         if not dispatch.call.hops:
             remote = self._remote.find_fastest(dispatch, now_s)
--- a/buckthorndeal/gateway/_entry_hosts.py
+++ b/buckthorndeal/gateway/_entry_hosts.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from buckthorndeal.fleet import EntryHost, EntryHostChanges
+from buckthorndeal.fleet import EntryHost, EntryHostChanges, EntryState
+from buckthorndeal.gateway._messages import FleetChanged
 
 
 class EntryHostLists:
@@ -46,5 +47,39 @@
         return tuple(_sort_by_host(entries) for entries in self._lists.values())
 
 
+def describe_fleet(
+    entries: Iterable[EntryHost],
+    own_host: str,
+    region: str,
+    evacuated: frozenset[str],
+) -> FleetChanged:
+    """Return the fleet as one host sees it.
+
+    Parameters
+    ----------
+    entries : iterable of EntryHost
+        Entry hosts that are alive.
+    own_host, region : str
+        This host and its region.
+    evacuated : frozenset of str
+        Evacuated failure domains.
+    """
+    entries = list(entries)
+    ready = [entry for entry in entries if entry.state is EntryState.READY]
+    in_region = [entry for entry in ready if entry.region == region]
+    relay_hosts = tuple(
+        entry.host
+        for entry in in_region
+        if entry.reaches_endpoints and entry.host != own_host
+    )
+    return FleetChanged(
+        tuple(entry.host for entry in in_region) or (own_host,),
+        max(1, len(entries)),
+        evacuated,
+        tuple(entry.host for entry in ready),
+        relay_hosts,
+    )
+
+
 def _sort_by_host(entries: dict[str, EntryHost]) -> tuple[EntryHost, ...]:
     return tuple(entries[host] for host in sorted(entries))
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -12,8 +12,9 @@
 )
 from buckthorndeal.gateway._attempt import VERDICT_HEADER, VERSION_HEADER
 from buckthorndeal.gateway._context import GatewayContext
-from buckthorndeal.gateway._exchange import Exchange, Progress
+from buckthorndeal.gateway._exchange import Exchange
 from buckthorndeal.gateway._messages import Call
+from buckthorndeal.gateway._progress import Progress
 from buckthorndeal.gateway.dialect import RequestMetadata
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event, log_routine
--- /dev/null
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -0,0 +1,99 @@
+"""Choice between the endpoints of this region; no I/O."""
+
+import random
+
+from buckthorndeal.gateway._brittle_services import BrittleServices
+from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._loads import EndpointLoad
+from buckthorndeal.gateway._messages import Dispatch
+from buckthorndeal.gateway._scoring import (
+    LocalChoice,
+    find_prefix_owner,
+    score_endpoint,
+)
+from buckthorndeal.policy.ejection import Ejection
+from buckthorndeal.subsetting import choose_owner
+
+
+class LocalChooser:
+    """Chooses endpoints of this region.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host.
+    view : FleetView
+        Endpoints known to this host.
+    ejection : Ejection
+        Excludes failing endpoints for a time.
+    brittle : BrittleServices
+        Limits what is sent to endpoints that bear few rejections.
+    rng : random.Random
+        Chooses between endpoints that nothing tells apart.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        view: FleetView,
+        ejection: Ejection,
+        brittle: BrittleServices,
+        rng: random.Random,
+    ) -> None:
+        self._host = host
+        self._view = view
+        self._ejection = ejection
+        self._brittle = brittle
+        self._rng = rng
+
+    def list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
+        """Return the endpoints that may get a request, the preferred ones if any."""
+        service, version = dispatch.call.service, dispatch.call.version
+        available = [
+            load
+            for load in self._view.list_available(service, version, now_s)
+            if load.name not in dispatch.excluded
+        ]
+        ejected = self._ejection.list_excluded(
+            service, now_s, dispatch.call.route.retryable
+        )
+        healthy = [load for load in available if load.name not in ejected] or available
+        preferred = [load for load in healthy if load.name not in dispatch.avoided]
+        return preferred or healthy
+
+    def choose(
+        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
+    ) -> LocalChoice | None:
+        """Return the best of some endpoints that have room, or None."""
+        call = dispatch.call
+        service = self._view.services.get(call.service)
+        if service is None:
+            return None
+        prefix_owner = find_prefix_owner(call, candidates)
+        best: LocalChoice | None = None
+        best_rank: tuple[bool, float, float] | None = None
+        for load in candidates:
+            cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
+            if cold and not self._may_warm_up(load, now_s):
+                continue
+            if not load.has_capacity(call, service, now_s):
+                continue
+            if not self._brittle.may_send(load, call, service, now_s):
+                continue
+            choice = score_endpoint(load, call, prefix_owner, cold, now_s)
+            # Hosts that know nothing to tell two endpoints apart choose at random, as
+            # all of them would otherwise send to the same one.
+            rank = (cold, choice.endpoint_cost_s, self._rng.random())
+            if best_rank is None or rank < best_rank:
+                best, best_rank = choice, rank
+        return best
+
+    def _may_warm_up(self, load: EndpointLoad, now_s: float) -> bool:
+        """Return whether a cold endpoint may get a request of this host now.
+
+        Only one host of the region warms up an endpoint, so that the requests of all
+        hosts together keep its rate limit.
+        """
+        hosts = (*self._view.fleet.region_hosts, self._host)
+        is_warming_host = choose_owner(load.name, hosts) == self._host
+        return is_warming_host and load.pacer.is_due(now_s)
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.configuration import Route
-from buckthorndeal.fleet import EndpointRecord, RateLimit, ServiceVersion
+from buckthorndeal.fleet import EndpointRecord, ServiceVersion
 from buckthorndeal.policy.views import AttemptOutcome
-from buckthorndeal.quarantine import Evidence, RequestContent
+from buckthorndeal.quarantine import RequestContent
 
 
 @dataclass(frozen=True, slots=True)
@@ -323,41 +323,6 @@
     versions: tuple[ServiceVersion, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class EvidenceReceived:
-    """Notification: other hosts have evidence on requests that crash endpoints."""
-
-    evidence: Evidence
-
-
-@dataclass(frozen=True, slots=True)
-class RateLimitsReceived:
-    """Notification: other hosts have learned of rate limits of endpoints."""
-
-    limits: tuple[RateLimit, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class FindStreamVersion:
-    """Query: software version at which a stream has begun, or None if not known here.
-
-    Parameters
-    ----------
-    service : str
-        Service of the request that takes it up.
-    resumes : str or None
-        Id of the request that brought its first event.
-    """
-
-    service: str
-    resumes: str | None
-
-
-@dataclass(frozen=True, slots=True)
-class DescribeSharedState:
-    """Query: messages with all that this host has to share with other hosts."""
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointProbed:
     """Notification: whether an endpoint has accepted a connection."""
@@ -429,16 +394,6 @@
     relay_hosts: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class CoordinatorsReached:
-    """Notification, repeated: whether a majority of the coordinators is reached.
-
-    They are connected and have told this host all that they know.
-    """
-
-    majority: bool
-
-
 @dataclass(frozen=True, slots=True)
 class DescribeRegionLoad:
     """Query: `ServiceLoad` of each service of this region, for other regions."""
--- /dev/null
+++ b/buckthorndeal/gateway/_progress.py
@@ -0,0 +1,53 @@
+"""Progress of a request across its attempts."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(eq=False)
+class Progress:
+    """Progress of a request across its attempts.
+
+    Parameters
+    ----------
+    runs : int
+        Failed attempts that may have run at an endpoint.
+    not_run_attempts : int
+        Failed attempts that no endpoint has run.
+    request_sent : bool
+        Whether any attempt has sent bytes of the request.
+    excluded : set of str
+        Endpoints and regions that are not tried again.
+    avoided : set of str
+        Endpoints that are tried again only if there is no other.
+    last_event_id : int or None
+        Id of the last relayed event.
+    events : int
+        Number of relayed events.
+    first_response_s : float or None
+        Clock reading when the first part of the response was relayed.
+    last_response_s : float
+        Clock reading when the latest part was relayed.
+    longest_pause_s : float
+        Longest time between two successive parts of the response, in seconds.
+    """
+
+    runs: int = 0
+    not_run_attempts: int = 0
+    request_sent: bool = False
+    excluded: set[str] = field(default_factory=set)
+    avoided: set[str] = field(default_factory=set)
+    last_event_id: int | None = None
+    events: int = 0
+    first_response_s: float | None = None
+    last_response_s: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def record_response_part(self, now_s: float) -> None:
+        """Record that a part of the response is relayed."""
+        if self.first_response_s is None:
+            self.first_response_s = now_s
+        else:
+            self.longest_pause_s = max(
+                self.longest_pause_s, now_s - self.last_response_s
+            )
+        self.last_response_s = now_s
--- /dev/null
+++ b/buckthorndeal/gateway/_shared_messages.py
@@ -0,0 +1,51 @@
+"""Messages to the dispatch task about state that hosts share."""
+
+from dataclasses import dataclass
+
+from buckthorndeal.fleet import RateLimit
+from buckthorndeal.quarantine import Evidence
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReceived:
+    """Notification: other hosts have evidence on requests that crash endpoints."""
+
+    evidence: Evidence
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimitsReceived:
+    """Notification: other hosts have learned of rate limits of endpoints."""
+
+    limits: tuple[RateLimit, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FindStreamVersion:
+    """Query: software version at which a stream has begun, or None if not known here.
+
+    Parameters
+    ----------
+    service : str
+        Service of the request that takes it up.
+    resumes : str or None
+        Id of the request that brought its first event.
+    """
+
+    service: str
+    resumes: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class DescribeSharedState:
+    """Query: messages with all that this host has to share with other hosts."""
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorsReached:
+    """Notification, repeated: whether a majority of the coordinators is reached.
+
+    They are connected and have told this host all that they know.
+    """
+
+    majority: bool
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -165,8 +165,7 @@
     def test_only_one_host_warms_an_endpoint_up(self):
         granted = 0
         for host in ("h1", "h2", "h3"):
-            harness = DispatcherHarness(endpoints=1)
-            harness.dispatcher._host = host
+            harness = DispatcherHarness(endpoints=1, host=host)
             hosts = FleetChanged(("h1", "h2", "h3"), 3, frozenset())
             harness.view.set_fleet(hosts)
             harness.send_heartbeats(cold_s=3.0)
--- a/tests/test_gateway_notices.py
+++ b/tests/test_gateway_notices.py
@@ -184,8 +184,9 @@
         names = tuple(f"h{number}" for number in range(self.HOSTS))
         self.hosts = []
         for name in names:
-            harness = DispatcherHarness(endpoints=6, service="desk", slots=60)
-            harness.dispatcher._host = name
+            harness = DispatcherHarness(
+                endpoints=6, service="desk", slots=60, host=name
+            )
             harness.view.set_fleet(FleetChanged(names, self.HOSTS, frozenset()))
             self.hosts.append(harness)
         # Arrivals as (clock reading, host, endpoint), and what callers got.
