Plant the fault of the version play where the choice is now

The split of the dispatcher moved the method that the test replaces; the test failed with an AttributeError since then. It replaces the method in its new place.

--- a/tests/test_version_play.py
+++ b/tests/test_version_play.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
-from buckthorndeal.gateway._dispatcher import Dispatcher
+from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from tests.version_play import VersionPlay, disturb_all
 
@@ -128,13 +128,13 @@
         self.assertGreater(play.count_mixed(), MAX_MIXED)
 
     def test_hosts_that_ignore_the_version_are_found(self):
-        list_candidates = Dispatcher._list_candidates
+        list_candidates = LocalChooser.list_candidates
 
-        def list_any(dispatcher, dispatch, now_s):
+        def list_any(chooser, dispatch, now_s):
             dispatch.call.version = None
-            return list_candidates(dispatcher, dispatch, now_s)
+            return list_candidates(chooser, dispatch, now_s)
 
-        with mock.patch.object(Dispatcher, "_list_candidates", list_any):
+        with mock.patch.object(LocalChooser, "list_candidates", list_any):
             play = self.play_release()
         self.assertGreater(play.count_mixed(), MAX_MIXED)
 
