Keep the versions that serve on the disks of coordinators

When all coordinators were lost beside a release, they started with the versions of the endpoints that serve now. A version that had left a moment before was unknown to all, so a fresh host took the newer one for the only one, and continued a stream of v1 at v2.

Coordinators now save the names of the versions when they change, and count them as seen at their start. The store of quarantine decisions is generalized for it, with one saver.

The test over coordinators and gateways fails without the change and passes with it.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -42,6 +42,7 @@
     OriginsReceived,
     RateLimitsReceived,
 )
+from buckthorndeal.coordinator._version_store import create_disk_version_store
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     FLEET_CODEC,
@@ -154,6 +155,7 @@
             clock,
             self.metrics,
             create_disk_quarantine_store(settings.data_directory),
+            create_disk_version_store(settings.data_directory),
         )
         self.service = CoordinatorService(codec, self._links, self._fleet.mailbox)
         self._create_handlers = create_handlers
--- a/buckthorndeal/coordinator/_evidence.py
+++ b/buckthorndeal/coordinator/_evidence.py
@@ -1,9 +1,7 @@
 """Evidence on crashing requests that a coordinator relays to the entry hosts."""
 
-import curio
-
 from buckthorndeal.coordinator._quarantine_store import QuarantineStore
-from buckthorndeal.logs import log_event
+from buckthorndeal.coordinator._state_store import StateSaver
 from buckthorndeal.quarantine import Evidence, EvidenceTable
 
 
@@ -19,19 +17,19 @@
     """
 
     def __init__(self, store: QuarantineStore, now_s: float) -> None:
-        self._store = store
+        self._saver = StateSaver(store, "quarantine")
         self._table = EvidenceTable()
         self._table.merge(Evidence(quarantines=store.load()), now_s)
         self._new: list[Evidence] = []
-        self._unsaved = False
-        self._saving = False
 
     def receive(self, evidence: Evidence, now_s: float) -> None:
         """Merge the evidence of a host."""
         new = self._table.merge(evidence, now_s)
         if new:
             self._new.append(new)
-        self._unsaved = self._unsaved or bool(new.quarantines)
+        if new.quarantines:
+            known = self._table.quarantines.values()
+            self._saver.put(tuple(each.decision for each in known))
 
     def export(self, now_s: float) -> Evidence:
         """Return all that is known."""
@@ -53,17 +51,4 @@
 
     async def save(self) -> None:
         """Save decisions that are not saved yet, without blocking other tasks."""
-        if not self._unsaved or self._saving:
-            return
-        self._unsaved = False
-        self._saving = True
-        await curio.spawn(self._save, daemon=True)
-
-    async def _save(self) -> None:
-        decisions = tuple(known.decision for known in self._table.quarantines.values())
-        try:
-            await curio.run_in_thread(self._store.save, decisions)
-        except OSError as error:
-            log_event("quarantine_not_saved", reason=str(error))
-        finally:
-            self._saving = False
+        await self._saver.save()
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -31,6 +31,7 @@
     handle_shared_request,
 )
 from buckthorndeal.coordinator._shared_state import SharedNews, SharedState
+from buckthorndeal.coordinator._version_store import VersionStore
 from buckthorndeal.errors import PeerError
 from buckthorndeal.fleet import (
     ClusterNotice,
@@ -74,6 +75,8 @@
         Metrics of the coordinator.
     quarantine_store : QuarantineStore
         Keeps decisions on crashing requests.
+    version_store : VersionStore
+        Keeps the software versions that serve.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         clock: Callable[[], float],
         metrics: Metrics,
         quarantine_store: QuarantineStore,
+        version_store: VersionStore,
     ) -> None:
         self.mailbox = create_mailbox()
         self._own = own
@@ -91,7 +95,7 @@
         self._endpoint_silence_s = endpoint_silence_s
         self._clock = clock
         self._metrics = metrics
-        self._shared = SharedState(quarantine_store, clock())
+        self._shared = SharedState(quarantine_store, clock(), version_store)
         self._endpoints = create_endpoint_table()
         self._entries = EntryTable()
         self._coordinators = CoordinatorTable(own)
--- a/buckthorndeal/coordinator/_shared_state.py
+++ b/buckthorndeal/coordinator/_shared_state.py
@@ -4,6 +4,11 @@
 
 from buckthorndeal.coordinator._evidence import EvidenceRelay
 from buckthorndeal.coordinator._quarantine_store import QuarantineStore
+from buckthorndeal.coordinator._state_store import StateSaver
+from buckthorndeal.coordinator._version_store import (
+    VersionStore,
+    create_memory_version_store,
+)
 from buckthorndeal.fleet import (
     EndpointHeartbeats,
     EndpointRecord,
@@ -64,13 +69,25 @@
         Keeps the decisions on requests that crash endpoints.
     now_s : float
         Clock reading.
+    version_store : VersionStore, optional
+        Keeps the versions that serve; by default they are lost with the process.
     """
 
-    def __init__(self, store: QuarantineStore, now_s: float) -> None:
+    def __init__(
+        self,
+        store: QuarantineStore,
+        now_s: float,
+        version_store: VersionStore | None = None,
+    ) -> None:
         self._evidence = EvidenceRelay(store, now_s)
         self._rate_limits = create_rate_limit_table()
         self._new_limits: list[RateLimit] = []
+        version_store = version_store or create_memory_version_store()
+        self._version_saver = StateSaver(version_store, "versions")
         self._versions = create_version_table()
+        # They may have served until just before this process started.
+        self._versions.merge(version_store.load(), now_s)
+        self._saved_versions: set[tuple[str, str]] = set()
         self._new_versions: list[ServiceVersion] = []
         self._origins = create_origin_table()
 
@@ -93,7 +110,10 @@
         self, versions: tuple[ServiceVersion, ...], now_s: float
     ) -> None:
         """Merge the versions that another coordinator has seen."""
-        self._new_versions.extend(self._versions.merge(versions, now_s))
+        new = self._versions.merge(versions, now_s)
+        if new:
+            self._new_versions.extend(new)
+            self._keep_versions(now_s)
 
     def receive_origins(self, origins: tuple[StreamOrigin, ...], now_s: float) -> None:
         """Keep the origins of streams at a host."""
@@ -126,8 +146,21 @@
         self._evidence.expire(now_s)
         self._rate_limits.expire(now_s)
         self._versions.expire(now_s)
+        self._keep_versions(now_s)
         self._origins.expire(now_s)
 
     async def save(self) -> None:
         """Save what has to survive this process, without blocking other tasks."""
         await self._evidence.save()
+        await self._version_saver.save()
+
+    def _keep_versions(self, now_s: float) -> None:
+        """Have the versions saved if there are others than before."""
+        known = self._versions.export(now_s)
+        names = {(each.service, each.version) for each in known}
+        if names != self._saved_versions:
+            self._saved_versions = names
+            # Without ages, which say nothing after a restart.
+            self._version_saver.put(
+                tuple(ServiceVersion(*name) for name in sorted(names))
+            )
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -285,6 +285,28 @@
 
         run_fleet(check)
 
+    def test_version_that_has_left_is_known_after_all_hosts_were_lost(self):
+        async def check():
+            script = BreakingStreams()
+            async with Fleet() as fleet:
+                await start_versions(fleet, script.answer, ("v1", "v2"), max_attempts=1)
+                request_id = await begin_stream(fleet, "v1")
+                await fleet.endpoints.pop("e0").close()
+                for host in HOSTS:
+                    await fleet.gateways.pop(host).close()
+                for host in list(fleet.coordinators):
+                    await fleet.stop_coordinator(host)
+                for host in list(fleet.directories):
+                    await fleet.start_coordinator(host)
+                await fleet.start_gateway(HOSTS[0])
+                await fleet.wait_until_ready(HOSTS[0])
+                await curio.sleep(1.0)
+                headers = take_up(request_id)
+                _, seen, _ = await read_stream(fleet, HOSTS[0], "again", headers)
+                self.assertEqual(seen, [])
+
+        run_fleet(check)
+
 
 async def begin_stream(fleet, version):
     """Send requests until one begins at an endpoint of a version; return its id."""
