Take the return of a short-lost path for no proof that endpoints ended

If the path of a host was reset and came back within 2.5 s, before heartbeats showed that the endpoints were alive, the check that found it open again confirmed the ends of all endpoints that the loss had seemed to show, as evidence against the requests that ran there. After a loss only heartbeats decide now. Found by reading the change; the play of losses of 0.5 to 1.5 s fails without it.

--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -237,7 +237,8 @@
 
     def _has_ended(self, held: _HeldEnd, now_s: float) -> bool | None:
         """Return whether an endpoint has ended; None if that is not known yet."""
-        if self._path.confirmed_s >= held.held_s:
+        was_lost = self._path.lost_s >= held.ended_s
+        if self._path.confirmed_s >= held.held_s and not was_lost:
             return True
         end = held.end
         heartbeat_s = self._view.get_heartbeat_s(end.endpoint, end.incarnation)
--- a/buckthorndeal/gateway/_endpoint_path.py
+++ b/buckthorndeal/gateway/_endpoint_path.py
@@ -71,6 +71,8 @@
         self.suspected_s = -math.inf
         # Start of the last check that has found the path open.
         self.confirmed_s = -math.inf
+        # When the path was last known to be lost.
+        self.lost_s = -math.inf
         self._suspect: str | None = None
         self._check: _Check | None = None
         self._due_s = -math.inf
@@ -172,5 +174,7 @@
         self._enter(PathState.OPEN, now_s)
 
     def _enter(self, state: PathState, now_s: float) -> None:
+        if PathState.LOST in (self.state, state):
+            self.lost_s = now_s
         self.state = state
         self.changed_s = now_s
--- a/tests/test_path_play.py
+++ b/tests/test_path_play.py
@@ -132,6 +132,18 @@
             self.assertEqual(count_ends(play_losses(24, 9, 1, "reset")), 0)
 
 
+class ShortLossTest(unittest.TestCase):
+    """A path that is back before heartbeats tell more shows no end of an endpoint."""
+
+    def test_path_that_is_reset_for_a_moment_implicates_nothing(self):
+        for for_s in (0.5, 1.0, 1.5):
+            play = create_path_play(24, 9, 2)
+            play.strand(0, 1.0, 8.0, for_s, "reset")
+            with LONG_WORK:
+                play.play_paths(14, 60)
+            self.assertEqual(count_ends(play), 0)
+
+
 def count_ends(play):
     """Return the ends of endpoints of which hosts have evidence."""
     return sum(
