--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -22,7 +22,7 @@
 # A heartbeat that arrives so long after a supposed end was sent after it: coordinators
 # pass them on within this time.
 MAX_HEARTBEAT_DELAY_S = 1.0
-# Time after a rejection within which a brittle endpoint ends because of it.
+# Time after a rejection within which an endpoint that bears few ends because of it.
 REJECTION_EFFECT_S = 1.5
 # Without such a heartbeat by then the endpoint has ended.
 MAX_HOLD_S = 2.5
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -7,9 +7,7 @@
 import random
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
-from buckthorndeal.gateway._brittle_services import BrittleServices
 from buckthorndeal.gateway._crash_guard import CrashGuard
-from buckthorndeal.gateway._detours import Detours
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_view import (
@@ -36,12 +34,14 @@
 )
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
 from buckthorndeal.gateway._refusals import RefusalPolicy
+from buckthorndeal.gateway._relay_choice import RelayChooser
 from buckthorndeal.gateway._relays import RelayHosts
 from buckthorndeal.gateway._remote_choice import RemoteChooser
 from buckthorndeal.gateway._scoring import (
     LocalChoice,
     RemoteChoice,
 )
+from buckthorndeal.gateway._slot_shares import SlotShares
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
@@ -98,10 +98,10 @@
         self._queues: dict[str, WaitingQueue] = {}
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
-        self._brittle = BrittleServices(host, view)
-        self._local = LocalChooser(host, view, ejection, self._brittle, rng)
+        self._slot_shares = SlotShares(host, view)
+        self._local = LocalChooser(host, view, ejection, self._slot_shares, rng)
         self.relays = RelayHosts(view, rng)
-        self._detours = Detours(region, self.relays, self._remote)
+        self._relay_chooser = RelayChooser(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
         self._started_s: float | None = None
 
@@ -145,7 +145,7 @@
         if not call.route.may_run_in(self._region):
             return self._forward_to_home(dispatch, now_s)
         if self.reach.is_lost:
-            return self._make_detour(dispatch, now_s)
+            return self._relay(dispatch, now_s)
         return self._decide_here(dispatch, now_s)
 
     def _decide_here(self, dispatch: Dispatch, now_s: float) -> Decision | None:
@@ -188,7 +188,7 @@
                 notice.record, notice.rate_limit, now_s, notice.rejection_limit
             )
         if notice.load is not None:
-            self._brittle.record_rejection(notice.record, now_s)
+            self._slot_shares.record_rejection(notice.record, now_s)
         if notice.pause_s is not None:
             self.view.record_pause(notice.record, notice.pause_s, now_s)
         return self.view.record_leaving(notice.record) if notice.leaving else None
@@ -233,7 +233,7 @@
         if load is None:
             return
         load.remove(attempt_id)
-        self._brittle.record_end(ended.record, outcome, now_s)
+        self._slot_shares.record_end(ended.record, outcome, now_s)
         queue = self._queues.get(load.entry.record.service)
         if queue is not None:
             queue.record_slot_release(now_s)
@@ -321,9 +321,9 @@
     def _pass_to_sharing_host(
         self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
     ) -> Decision | None:
-        """Pass a request on if only other hosts may have room at brittle endpoints."""
+        """Pass a request on if only other hosts may have room at the endpoints."""
         service = self.view.services.get(dispatch.call.service)
-        senders = self._brittle.list_other_senders(candidates, service)
+        senders = self._slot_shares.list_other_senders(candidates, service)
         if not senders:
             return None
         if dispatch.call.hops:
@@ -335,8 +335,8 @@
         choice = RemoteChoice(self._region, host, 0.0, is_relay=True)
         return self._accept(dispatch, choice, now_s)
 
-    def _make_detour(self, dispatch: Dispatch, now_s: float) -> Decision:
-        choice = self._detours.choose(dispatch, now_s)
+    def _relay(self, dispatch: Dispatch, now_s: float) -> Decision:
+        choice = self._relay_chooser.choose(dispatch, now_s)
         if choice is None:
             return self._refusals.refuse(RefusalReason.ENDPOINTS_UNREACHABLE)
         return self._accept(dispatch, choice, now_s)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -202,7 +202,7 @@
         record = load.entry.record
         return self._pauses.get_remaining_s(record.endpoint, record.incarnation, now_s)
 
-    def is_brittle(self, service: str) -> bool:
+    def limits_rejections(self, service: str) -> bool:
         """Return whether endpoints of a service fail if they turn much away.
 
         What one endpoint says holds for those that have not answered yet.
@@ -215,7 +215,7 @@
         )
 
     def get_rejection_s(self, endpoint: str, incarnation: int) -> float | None:
-        """Return when a brittle endpoint last turned a request away, if it did."""
+        """Return when an endpoint that bears few rejections last rejected one."""
         load = self.loads.get(endpoint)
         if load is None or load.entry.record.incarnation != incarnation:
             return None
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -2,7 +2,6 @@
 
 import random
 
-from buckthorndeal.gateway._brittle_services import BrittleServices
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import Dispatch
@@ -11,6 +10,7 @@
     find_prefix_owner,
     score_endpoint,
 )
+from buckthorndeal.gateway._slot_shares import SlotShares
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.subsetting import choose_owner
 
@@ -26,7 +26,7 @@
         Endpoints known to this host.
     ejection : Ejection
         Excludes failing endpoints for a time.
-    brittle : BrittleServices
+    slot_shares : SlotShares
         Limits what is sent to endpoints that bear few rejections.
     rng : random.Random
         Chooses between endpoints that nothing tells apart.
@@ -37,13 +37,13 @@
         host: str,
         view: FleetView,
         ejection: Ejection,
-        brittle: BrittleServices,
+        slot_shares: SlotShares,
         rng: random.Random,
     ) -> None:
         self._host = host
         self._view = view
         self._ejection = ejection
-        self._brittle = brittle
+        self._slot_shares = slot_shares
         self._rng = rng
 
     def list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
@@ -78,7 +78,7 @@
                 continue
             if not load.has_capacity(call, service, now_s):
                 continue
-            if not self._brittle.may_send(load, call, service, now_s):
+            if not self._slot_shares.may_send(load, call, service, now_s):
                 continue
             choice = score_endpoint(load, call, prefix_owner, cold, now_s)
             # Hosts that know nothing to tell two endpoints apart choose at random, as
--- a/buckthorndeal/gateway/_detours.py
+++ b/buckthorndeal/gateway/_relay_choice.py
@@ -1,4 +1,4 @@
-"""Ways around endpoints that this host does not reach; no I/O."""
+"""Choice of the entry host that serves a request out of this one's reach; no I/O."""
 
 from buckthorndeal.gateway._messages import Dispatch
 from buckthorndeal.gateway._relays import RelayHosts
@@ -6,7 +6,7 @@
 from buckthorndeal.gateway._scoring import RemoteChoice
 
 
-class Detours:
+class RelayChooser:
     """Chooses the entry hosts that serve requests while this one reaches no endpoint.
 
     Other hosts of the region have the same endpoints, and the request does not cross a
--- a/buckthorndeal/gateway/_brittle_services.py
+++ b/buckthorndeal/gateway/_slot_shares.py
@@ -1,4 +1,4 @@
-"""Slots of endpoints that must not have to turn many requests away; no I/O.
+"""Shares of hosts in the slots of endpoints that bear few rejections; no I/O.
 
 Such an endpoint fails once it rejects more requests in a second than it has named. So
 nobody counts on its queue, and the hosts of the region divide its slots among them.
@@ -35,7 +35,7 @@
 )
 
 
-class BrittleServices:
+class SlotShares:
     """Limits what this host sends to endpoints that bear few rejections.
 
     Parameters
@@ -60,7 +60,7 @@
         self, load: EndpointLoad, call: Call, service: ServiceDescription, now_s: float
     ) -> bool:
         """Return whether this host's share of an endpoint has room for a request."""
-        if not self._view.is_brittle(service.name):
+        if not self._view.limits_rejections(service.name):
             return True
         share = self._compute_share(load.entry.record, service)
         limit, until_s = self._reduced.get(load.name, (share, 0.0))
@@ -73,9 +73,9 @@
     def list_other_senders(
         self, loads: Iterable[EndpointLoad], service: ServiceDescription | None
     ) -> set[str]:
-        """Return the other hosts that have shares of brittle endpoints."""
+        """Return the other hosts that have shares of endpoints."""
         senders: set[str] = set()
-        if service is None or not self._view.is_brittle(service.name):
+        if service is None or not self._view.limits_rejections(service.name):
             return senders
         for load in loads:
             senders.update(self._list_senders(load.entry.record, service))
@@ -84,7 +84,7 @@
     def record_rejection(self, record: EndpointRecord, now_s: float) -> None:
         """Record that an endpoint has turned a request away for want of room."""
         load = self._view.loads.get(record.endpoint)
-        if load is None or not self._view.is_brittle(record.service):
+        if load is None or not self._view.limits_rejections(record.service):
             return
         load.rejected_s = now_s
         # The rejected request still counts as under way.
@@ -95,7 +95,9 @@
         self, record: EndpointRecord, outcome: AttemptOutcome | None, now_s: float
     ) -> None:
         """Record the end of an attempt, whose slot may stay taken for a moment."""
-        if outcome in _ENDED_PROPERLY or not self._view.is_brittle(record.service):
+        if outcome in _ENDED_PROPERLY or not self._view.limits_rejections(
+            record.service
+        ):
             return
         until_s = now_s + LINGER_S
         self._lingering.setdefault(record.endpoint, []).append(until_s)
--- a/tests/path_play.py
+++ b/tests/path_play.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(eq=False)
-class StrandedHost(RestartingHost):
+class CutOffHost(RestartingHost):
     """Entry host that may lose its path: (start, end, manner) of each loss."""
 
     losses: list = field(default_factory=list)
@@ -37,7 +37,7 @@
         """Return whether the path is lost, or was so short a time ago."""
         return any(start <= now_s < end + MAX_RETURN_S for start, end, _ in self.losses)
 
-    def counts_as_stranded(self, now_s):
+    def counts_as_cut_off(self, now_s):
         """Return whether the loss began long enough ago for the rule to count."""
         return any(start + CALM_S <= now_s < end for start, end, _ in self.losses)
 
@@ -48,7 +48,7 @@
 
     call: PlayCall
     sent_s: float
-    stranded: bool
+    cut_off: bool
     in_touch: bool
     outcome: str = "open"
 
@@ -67,7 +67,7 @@
     def __init__(self, hosts=24, endpoints=9, seed=1):
         super().__init__(hosts, endpoints, seed)
         self.hosts = [
-            StrandedHost(each.name, each.region, each.harness) for each in self.hosts
+            CutOffHost(each.name, each.region, each.harness) for each in self.hosts
         ]
         self.first_tries = {}
         self.runs = Counter()
@@ -76,7 +76,7 @@
         self.false_losses = 0
         self._silent = set()
 
-    def strand(self, region, share, from_s, for_s, manner):
+    def lose_paths(self, region, share, from_s, for_s, manner):
         """Plan that hosts of a region lose their path to all endpoints."""
         hosts = [each for each in self.hosts if each.region == region]
         chosen = self.rng.sample(hosts, max(1, round(share * len(hosts))))
@@ -103,28 +103,26 @@
         self.play_calls(seconds, per_s, [])
 
     def measure_first_tries(self):
-        """Return the shares of first attempts served: stranded hosts, and others."""
+        """Return the shares of first attempts served, without a path and with one."""
         shares = []
-        for stranded in (True, False):
+        for cut_off in (True, False):
             chosen = [
                 each.outcome == "served"
                 for each in self.first_tries.values()
-                if each.stranded is stranded and each.in_touch
+                if each.cut_off is cut_off and each.in_touch
             ]
             shares.append(sum(chosen) / max(1, len(chosen)))
         return shares
 
     def count_failed_first_tries(self):
-        """Return the failures at stranded hosts, and how many the rule allows."""
+        """Return the failures at hosts without a path, and how many the rule allows."""
         counted = [each for each in self.first_tries.values() if each.in_touch]
-        failed = sum(each.stranded and each.outcome != "served" for each in counted)
+        failed = sum(each.cut_off and each.outcome != "served" for each in counted)
         return failed, 10 + len(counted) / 50
 
-    def count_stranded_tries(self):
-        """Return the first attempts at stranded hosts that count."""
-        return sum(
-            each.stranded and each.in_touch for each in self.first_tries.values()
-        )
+    def count_cut_off_tries(self):
+        """Return the first attempts at hosts without a path that count."""
+        return sum(each.cut_off and each.in_touch for each in self.first_tries.values())
 
     def count_repeated_bookings(self):
         """Return the attempts of bookings that have run more than once."""
@@ -140,7 +138,7 @@
             self.first_tries[leg.call] = FirstTry(
                 leg.call,
                 self.now_s,
-                host.counts_as_stranded(self.now_s),
+                host.counts_as_cut_off(self.now_s),
                 host.is_in_touch(self.now_s),
             )
         if leg.origin is not None and leg.origin.origin is not None:
--- a/tests/brittle_play.py
+++ b/tests/rejection_play.py
@@ -34,13 +34,13 @@
         return len(self.times_s)
 
 
-class BrittlePlay(PathPlay):
-    """Plays endpoints that are brittle for some time, and whose slots are limited.
+class RejectionPlay(PathPlay):
+    """Plays endpoints that bear few rejections for some time, and have few slots.
 
     Parameters
     ----------
     from_s, until_s : float
-        Time after the start for which endpoints are brittle.
+        Time after the start for which endpoints bear few rejections.
     """
 
     def __init__(self, hosts=24, endpoints=9, seed=1, from_s=8.0, until_s=1e9):
@@ -57,8 +57,8 @@
         return counted, 2 + len(self.engines) / 10
 
     def _get_limit(self):
-        is_brittle = self.from_s <= self.now_s < self.until_s
-        return MAX_REJECTIONS_PER_S if is_brittle else None
+        limits_rejections = self.from_s <= self.now_s < self.until_s
+        return MAX_REJECTIONS_PER_S if limits_rejections else None
 
     def _count_places(self):
         """Return how many requests an endpoint takes: a queue, or its slots only."""
@@ -117,9 +117,9 @@
             self._deliver(host, lambda: receive(limits, self.now_s))
 
 
-def create_brittle_play(hosts, endpoints, seed, **times):
+def create_rejection_play(hosts, endpoints, seed, **times):
     """Return a play in which all hosts know each other."""
-    play = BrittlePlay(hosts, endpoints, seed, **times)
+    play = RejectionPlay(hosts, endpoints, seed, **times)
     for host in play.hosts:
         play._update_relays(host)
     return play
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_rejections.py
@@ -12,12 +12,12 @@
 WORK_S = 0.15
 MAX_REJECTIONS_PER_S = 2
 NOT_RUN = ("buckthorndeal-verdict", "not_run")
-BRITTLE = ("buckthorndeal-brittle", str(MAX_REJECTIONS_PER_S))
-# Time within which all hosts know that endpoints are brittle.
+REJECTION_LIMIT = ("buckthorndeal-rejection-limit", str(MAX_REJECTIONS_PER_S))
+# Time within which all hosts know how many rejections endpoints bear.
 NOTICE_S = 2.0
 
 
-class BrittleEndpoint:
+class RejectingEndpoint:
     """Script of an endpoint that lets nobody wait."""
 
     def __init__(self):
@@ -27,7 +27,7 @@
     async def answer(self, endpoint, request, responder):
         if self.running >= SLOTS:
             self.rejections_s.append(time.monotonic())
-            headers = [BRITTLE, NOT_RUN]
+            headers = [REJECTION_LIMIT, NOT_RUN]
             await endpoint.respond(request, responder, 503, b"", headers)
             return
         self.running += 1
@@ -35,7 +35,7 @@
             await curio.sleep(WORK_S)
         finally:
             self.running -= 1
-        await endpoint.respond(request, responder, headers=[BRITTLE])
+        await endpoint.respond(request, responder, headers=[REJECTION_LIMIT])
 
     def count_most(self, since_s):
         """Return the most rejections in one second."""
@@ -58,7 +58,7 @@
     return sum(status == 200 for status, _, _ in group.results)
 
 
-async def start_brittle_fleet(fleet, scripts):
+async def start_rejecting_fleet(fleet, scripts):
     await fleet.start_coordinators()
     await fleet.put_configuration("10.1.0.1", create_configuration(1))
     for host in HOSTS:
@@ -70,14 +70,14 @@
     await curio.sleep(0.6)
 
 
-class BrittleEndpointTest(unittest.TestCase):
-    """All hosts together send a brittle endpoint no more than it has slots for."""
+class RejectionLimitTest(unittest.TestCase):
+    """All hosts together send an endpoint no more than it has slots for."""
 
     def test_endpoints_turn_no_more_away_than_they_bear(self):
         async def check():
-            scripts = [BrittleEndpoint(), BrittleEndpoint()]
+            scripts = [RejectingEndpoint(), RejectingEndpoint()]
             async with Fleet() as fleet:
-                await start_brittle_fleet(fleet, scripts)
+                await start_rejecting_fleet(fleet, scripts)
                 await send_all(fleet, 20, NOTICE_S)
                 since_s = time.monotonic()
                 served = await send_all(fleet, 90, 4.0)
--- a/tests/test_path_play.py
+++ b/tests/test_path_play.py
@@ -4,14 +4,14 @@
 from unittest import mock
 
 from buckthorndeal.gateway._crash_guard import CrashGuard
-from buckthorndeal.gateway._detours import Detours
 from buckthorndeal.gateway._endpoint_path import EndpointPath
+from buckthorndeal.gateway._relay_choice import RelayChooser
 from tests.path_play import MANNERS, PathPlay, create_path_play, disturb_all
 
 # First attempts at hosts without a path are served at least this often, against the
 # others.
 MIN_RATIO = 2 / 3
-MIN_STRANDED_TRIES = 30
+MIN_CUT_OFF_TRIES = 30
 # Many requests are under way when a path is lost.
 LONG_WORK = mock.patch("tests.repeat_play.WORK_S", (0.1, 0.25))
 # Share of all first attempts that is served while no more than hosts' paths are lost.
@@ -23,24 +23,24 @@
     play = create_path_play(hosts, endpoints, seed)
     if disturb is not None:
         disturb(play, seed)
-    play.strand(0, 0.4 + 0.1 * (seed % 5), 6.0, 12.0, manner)
-    play.strand(0, 1.0, 24.0, 12.0, manner)
+    play.lose_paths(0, 0.4 + 0.1 * (seed % 5), 6.0, 12.0, manner)
+    play.lose_paths(0, 1.0, 24.0, 12.0, manner)
     play.play_paths(42, 10 + hosts * 2.0)
     return play
 
 
 def is_broken(play):
-    """Return whether the rule on stranded hosts is broken."""
-    stranded, others = play.measure_first_tries()
+    """Return whether the rule on hosts without a path is broken."""
+    cut_off, others = play.measure_first_tries()
     failed, allowed = play.count_failed_first_tries()
-    return stranded < MIN_RATIO * others and failed > allowed
+    return cut_off < MIN_RATIO * others and failed > allowed
 
 
 class LostPathTest(unittest.TestCase):
     """Callers of hosts without a path are served as well as others, and truthfully."""
 
     def check_play(self, play, min_served=MIN_SERVED):
-        self.assertGreater(play.count_stranded_tries(), MIN_STRANDED_TRIES)
+        self.assertGreater(play.count_cut_off_tries(), MIN_CUT_OFF_TRIES)
         self.assertFalse(is_broken(play))
         for share in play.measure_first_tries():
             self.assertGreater(share, min_served)
@@ -112,7 +112,7 @@
             self.assertTrue(is_broken(play_losses(24, 9, 1, "hang")))
 
     def test_hosts_that_ask_no_other_are_found(self):
-        with mock.patch.object(Detours, "choose", return_value=None):
+        with mock.patch.object(RelayChooser, "choose", return_value=None):
             self.assertTrue(is_broken(play_losses(24, 9, 1, "refuse")))
 
     def test_bookings_that_are_repeated_are_found(self):
@@ -138,7 +138,7 @@
     def test_path_that_is_reset_for_a_moment_implicates_nothing(self):
         for for_s in (0.5, 1.0, 1.5):
             play = create_path_play(24, 9, 2)
-            play.strand(0, 1.0, 8.0, for_s, "reset")
+            play.lose_paths(0, 1.0, 8.0, for_s, "reset")
             with LONG_WORK:
                 play.play_paths(14, 60)
             self.assertEqual(count_ends(play), 0)
--- a/tests/test_brittle_play.py
+++ b/tests/test_rejection_play.py
@@ -3,9 +3,9 @@
 import unittest
 from unittest import mock
 
-from buckthorndeal.gateway._brittle_services import BrittleServices
-from tests.brittle_play import create_brittle_play
+from buckthorndeal.gateway._slot_shares import SlotShares
 from tests.path_play import disturb_all
+from tests.rejection_play import create_rejection_play
 from tests.repeat_play import SLOTS
 
 WORK_S = (0.1, 0.25)
@@ -15,9 +15,9 @@
 MIN_SERVED = 0.9
 
 
-def play_brittle(hosts, endpoints, seed, load, disturb=None):
+def play_rejections(hosts, endpoints, seed, load, disturb=None):
     """Play requests that take `load` of all slots."""
-    play = create_brittle_play(hosts, endpoints, seed)
+    play = create_rejection_play(hosts, endpoints, seed)
     if disturb is not None:
         disturb(play, seed)
     with mock.patch("tests.repeat_play.WORK_S", WORK_S):
@@ -25,7 +25,7 @@
     return play
 
 
-class BrittleEndpointTest(unittest.TestCase):
+class RejectionLimitTest(unittest.TestCase):
     """Endpoints turn little away, and callers are served all the same."""
 
     def check_play(self, play, min_served=MIN_SERVED):
@@ -37,21 +37,23 @@
         self.assertEqual(play.count_false_refusals(), 0)
         self.assertEqual(play.passed_on_twice, 0)
 
-    def test_brittle_endpoints_at_4_hosts(self):
+    def test_few_rejections_at_4_hosts(self):
         for seed in (1, 2):
-            self.check_play(play_brittle(4, 6, seed, 0.7))
+            self.check_play(play_rejections(4, 6, seed, 0.7))
 
-    def test_brittle_endpoints_at_24_hosts(self):
-        self.check_play(play_brittle(24, 9, 3, 0.7))
+    def test_few_rejections_at_24_hosts(self):
+        self.check_play(play_rejections(24, 9, 3, 0.7))
 
-    def test_brittle_endpoints_at_76_hosts(self):
-        self.check_play(play_brittle(76, 9, 4, 0.5))
+    def test_few_rejections_at_76_hosts(self):
+        self.check_play(play_rejections(76, 9, 4, 0.5))
 
-    def test_brittle_endpoints_while_hosts_and_a_coordinator_are_lost(self):
-        self.check_play(play_brittle(24, 9, 11, 0.6, disturb_all), 0.8)
+    def test_few_rejections_while_hosts_and_a_coordinator_are_lost(
+        self,
+    ):
+        self.check_play(play_rejections(24, 9, 11, 0.6, disturb_all), 0.8)
 
-    def test_brittle_endpoints_that_are_overloaded(self):
-        play = play_brittle(4, 6, 5, 1.3)
+    def test_few_rejections_under_overload(self):
+        play = play_rejections(4, 6, 5, 1.3)
         falls, allowed = play.count_falls()
         self.assertLessEqual(falls, allowed)
 
@@ -60,13 +62,13 @@
     """The play finds what it is there for."""
 
     def test_hosts_that_rely_on_queues_are_found(self):
-        with mock.patch.object(BrittleServices, "may_send", return_value=True):
-            falls, allowed = play_brittle(24, 9, 1, 0.9).count_falls()
+        with mock.patch.object(SlotShares, "may_send", return_value=True):
+            falls, allowed = play_rejections(24, 9, 1, 0.9).count_falls()
         self.assertGreater(falls, allowed)
 
     def test_hosts_that_know_of_no_other_are_found(self):
-        with mock.patch.object(BrittleServices, "_compute_share", return_value=SLOTS):
-            falls, allowed = play_brittle(24, 9, 1, 0.9).count_falls()
+        with mock.patch.object(SlotShares, "_compute_share", return_value=SLOTS):
+            falls, allowed = play_rejections(24, 9, 1, 0.9).count_falls()
         self.assertGreater(falls, allowed)
 
 
