Tell the reach of coordinators from that of endpoints by name

In the control task, reach meant the coordinators in some names and the endpoints in others. Names, one bound that could not matter and layout change, no decision does: 117 tests of the gateway and the plays pass.

--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -34,7 +34,7 @@
     AskForOrigin,
     ListEntryHosts,
     ListEntryHostsByCoordinator,
-    SetReach,
+    SetEndpointReach,
     SetState,
     ShareOrigins,
     TellCoordinators,
@@ -48,10 +48,7 @@
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._entry_hosts import EntryHostLists, describe_fleet
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
-from buckthorndeal.gateway._messages import (
-    FleetChanged,
-    HeartbeatsReceived,
-)
+from buckthorndeal.gateway._messages import FleetChanged, HeartbeatsReceived
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -140,7 +137,7 @@
         )
         self._entry_state = EntryState.READY
         self._reaches_endpoints = True
-        self._reach = CoordinatorReach()
+        self._coordinator_reach = CoordinatorReach()
         self._connected: set[str] = set()
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
@@ -212,8 +209,8 @@
 
     @_handle.register
     async def _(self, message: _InitialStateReceived, envelope: Envelope) -> None:
-        self._reach.record_told(message.host)
-        await self._report_reach()
+        self._coordinator_reach.record_told(message.host)
+        await self._report_coordinator_reach()
 
     @_handle.register
     async def _(self, message: SetState, envelope: Envelope) -> None:
@@ -221,7 +218,7 @@
         await self._send_status()
 
     @_handle.register
-    async def _(self, message: SetReach, envelope: Envelope) -> None:
+    async def _(self, message: SetEndpointReach, envelope: Envelope) -> None:
         self._reaches_endpoints = message.reaches_endpoints
         await self._send_status()
 
@@ -319,9 +316,9 @@
             self._entry_hosts.drop(host)
         changed = connected != self._connected
         self._connected = connected
-        self._reach.keep(connected)
+        self._coordinator_reach.keep(connected)
         if changed:
-            await self._report_reach()
+            await self._report_coordinator_reach()
             await self._update_fleet()
             await self._fetch_if_newer()
 
@@ -335,11 +332,11 @@
         status = self._create_status()
         for host in self._links.list_connected():
             await self._links.send(host, status)
-        await self._report_reach()
+        await self._report_coordinator_reach()
         await self._drop_lost_coordinators(now_s)
 
-    async def _report_reach(self) -> None:
-        majority = self._reach.has_majority(len(self._links.hosts))
+    async def _report_coordinator_reach(self) -> None:
+        majority = self._coordinator_reach.has_majority(len(self._links.hosts))
         await self._dispatch.send(CoordinatorsReached(majority))
 
     async def _drop_lost_coordinators(self, now_s: float) -> None:
--- a/buckthorndeal/gateway/_control_messages.py
+++ b/buckthorndeal/gateway/_control_messages.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True)
-class SetReach:
+class SetEndpointReach:
     """Notification: sets whether this host reaches the endpoints of its region."""
 
     reaches_endpoints: bool
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -24,7 +24,7 @@
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
     ListEntryHostsByCoordinator,
-    SetReach,
+    SetEndpointReach,
     SetState,
     ShareOrigins,
     TellCoordinators,
@@ -121,7 +121,7 @@
                 self._tell_coordinators,
                 self._share_origins,
                 self._probe_endpoint,
-                self._report_reach,
+                self._report_endpoint_reach,
                 self._end_silent_attempts,
             ),
         )
@@ -266,10 +266,10 @@
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
 
-    async def _report_reach(self, reaches_endpoints: bool) -> None:
+    async def _report_endpoint_reach(self, reaches_endpoints: bool) -> None:
         if not reaches_endpoints:
             await self._pools.close_idle_endpoints()
-        await self._control.mailbox.send(SetReach(reaches_endpoints))
+        await self._control.mailbox.send(SetEndpointReach(reaches_endpoints))
 
     async def _end_silent_attempts(self, now_s: float) -> int:
         return await self._context.open_attempts.end_silent(now_s)
--- a/buckthorndeal/gateway/_dispatch_effects.py
+++ b/buckthorndeal/gateway/_dispatch_effects.py
@@ -19,7 +19,7 @@
         Gives the origins of streams to a few coordinators.
     probe : callable
         Returns whether an endpoint accepts a connection.
-    report_reach : callable
+    report_endpoint_reach : callable
         Tells the coordinators whether this host reaches endpoints.
     end_silent_attempts : callable
         Called with a clock reading while the path to the endpoints is lost; ends the
@@ -29,5 +29,5 @@
     share: Callable[[Message], Awaitable[None]]
     share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
     probe: Callable[[EndpointRecord], Awaitable[bool]]
-    report_reach: Callable[[bool], Awaitable[None]]
+    report_endpoint_reach: Callable[[bool], Awaitable[None]]
     end_silent_attempts: Callable[[float], Awaitable[int]]
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -227,7 +227,7 @@
             log_event("endpoint_path_restored", lost_ms=lost_ms)
             self._path_lost_s = None
         self._metrics.set_gauge("endpoint_path_lost", int(is_lost))
-        await self._effects.report_reach(not is_lost)
+        await self._effects.report_endpoint_reach(not is_lost)
 
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -10,11 +10,7 @@
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
-from buckthorndeal.gateway._fleet_view import (
-    EndpointCondition,
-    FleetView,
-    ServiceState,
-)
+from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
     compute_max_wait_s,
@@ -37,10 +33,7 @@
 from buckthorndeal.gateway._relay_choice import RelayChooser
 from buckthorndeal.gateway._relays import RelayHosts
 from buckthorndeal.gateway._remote_choice import RemoteChooser
-from buckthorndeal.gateway._scoring import (
-    LocalChoice,
-    RemoteChoice,
-)
+from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 from buckthorndeal.gateway._slot_shares import SlotShares
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -156,7 +156,7 @@
     predicted_s : float
         Predicted time until the response starts.
     is_relay : bool
-        Whether it belongs to this region and reaches the endpoints, unlike this one.
+        Whether it belongs to this region and uses the endpoints in this host's place.
     """
 
     region: str
--- a/buckthorndeal/gateway/_shared_state.py
+++ b/buckthorndeal/gateway/_shared_state.py
@@ -3,10 +3,7 @@
 from functools import singledispatch
 
 from buckthorndeal.fleet import EvidenceUpdate, RateLimitUpdate
-from buckthorndeal.gateway._shared_messages import (
-    EvidenceReceived,
-    RateLimitsReceived,
-)
+from buckthorndeal.gateway._shared_messages import EvidenceReceived, RateLimitsReceived
 
 SharedStateReceived = EvidenceReceived | RateLimitsReceived
 
--- a/buckthorndeal/gateway/_slot_shares.py
+++ b/buckthorndeal/gateway/_slot_shares.py
@@ -95,9 +95,9 @@
         self, record: EndpointRecord, outcome: AttemptOutcome | None, now_s: float
     ) -> None:
         """Record the end of an attempt, whose slot may stay taken for a moment."""
-        if outcome in _ENDED_PROPERLY or not self._view.limits_rejections(
-            record.service
-        ):
+        if outcome in _ENDED_PROPERLY:
+            return
+        if not self._view.limits_rejections(record.service):
             return
         until_s = now_s + LINGER_S
         self._lingering.setdefault(record.endpoint, []).append(until_s)
@@ -151,7 +151,7 @@
     ) -> bool:
         if call.prompt is None:
             return True
-        usable = max(1, _count_usable_slots(load.entry.record, service))
+        usable = _count_usable_slots(load.entry.record, service)
         capacity = get_kv_capacity(service) * MAX_MEMORY_UTILIZATION
         required = call.prompt.tokens + call.prompt.max_output_tokens
         if load.memory_tokens + required <= capacity * share / usable:
