--- a/review/common/client.py
+++ b/review/common/client.py
@@ -50,7 +50,7 @@
     async def send(
         self,
         method: str = "POST",
-        path: str = "/work/1",
+        path: str = "/orders/1",
         deadline_ms: int = 5000,
         headers: dict[str, str] | None = None,
         body: bytes = b"order",
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -223,7 +223,7 @@
             {
                 "name": "r-1",
                 "host": "calls.example",
-                "path_prefix": "/work/",
+                "path_prefix": "/orders/",
                 "kind": kind,
                 "timeout_ms": timeout_ms,
                 "target_latency_ms": 500,
