Log how many connections a stopping host closes, and which requests it cuts off

A request that ended with its connection was logged as caller_gone, whether the caller had closed the connection or the host itself.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -207,7 +207,11 @@
             await server.drain()
         if not await self._wait_for_requests(started_s + settings.drain_timeout_s):
             log_event("gateway_drain_overdue", active=self._count_active_requests())
-        log_event("gateway_stopped", active=self._count_active_requests())
+        log_event(
+            "gateway_stopped",
+            active=self._count_active_requests(),
+            connections=sum(server.connection_count for server in self._servers),
+        )
 
     async def _wait_for_replacement(self, until_s: float) -> None:
         """Wait until no coordinator directs callers of routes with home regions here.
@@ -245,6 +249,7 @@
         for server in [*self._servers, self._ready_server]:
             if server is not None:
                 await server.close()
+        log_event("gateway_connections_closed")
         await self._tasks.cancel_remaining()
         await self._pools.close()
 
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -111,7 +111,7 @@
         if error is not None:
             outcome = error.code
         elif not completed:
-            outcome = "caller_gone"
+            outcome = "caller_gone" if responder.disconnected else "cut_off"
         progress = exchange.progress if exchange is not None else None
         self._context.metrics.count("requests", outcome=outcome)
         self._context.metrics.observe("request_seconds", total_s)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -28,6 +28,11 @@
         Protocol state of the connection.
     is_draining : callable, optional
         Returns whether the connection is closed after this response.
+
+    Attributes
+    ----------
+    disconnected : bool
+        Whether the caller has closed the connection.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         self._stream = stream
         self._connection = connection
         self._is_draining = is_draining
+        self.disconnected = False
 
     @property
     def started(self) -> bool:
@@ -213,7 +219,9 @@
         connection: h11.Connection,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
-        watcher = await curio.spawn(_cancel_on_disconnect, stream, connection, handler)
+        watcher = await curio.spawn(
+            _cancel_on_disconnect, stream, connection, responder, handler
+        )
         try:
             await handler.wait()
         finally:
@@ -250,7 +258,10 @@
 
 
 async def _cancel_on_disconnect(
-    stream: Stream, connection: h11.Connection, handler: curio.Task
+    stream: Stream,
+    connection: h11.Connection,
+    responder: Responder,
+    handler: curio.Task,
 ) -> None:
     """Cancel the handler if the caller disconnects or pipelines too much data."""
     received = 0
@@ -263,6 +274,7 @@
         if not data:
             break
         received += len(data)
+    responder.disconnected = True
     await handler.cancel(blocking=False)
 
 
