Add failing tests of orders that a stopping host cuts off

Real processes, kept connections and two stops that overlap: in most plays 1 to 4 orders of 20 ms, which a sound endpoint ran, end with a closed connection 2 to 30 ms before the process ends, also where a host stops alone and where no route has a home region. The log has them as cut_off after gateway_stopped (total_ms 2), as hypothesis 1 expects. Orders of 0.7 s are cut off at the end of the drain time (20 to 23 a play), as hypothesis 2 expects, and a second SIGTERM cuts off all that runs.

--- /dev/null
+++ b/tests/test_stop_play.py
@@ -0,0 +1,32 @@
+"""Tests of stopping gateways, as processes, beside callers that keep connections."""
+
+import unittest
+
+from tests.stop_play import SCENARIOS, StopPlay, describe
+
+
+class StopPlayTest(unittest.TestCase):
+    """A host answers every order that it has passed on before it exits."""
+
+    def check_nothing_lost(self, scenario, seed):
+        play = StopPlay(f"{scenario}-{seed}", SCENARIOS[scenario])
+        lost = play.play()
+        cut_off = [line for line in play.log.splitlines() if '"cut_off"' in line]
+        self.assertEqual(lost, [], f"{describe(play)} {cut_off[:5]}")
+        self.assertEqual(play.list_untrue(), [], describe(play))
+
+    def test_order_is_not_cut_off_while_connections_are_closed(self):
+        """Guards against closing one connection after the other at the end."""
+        self.check_nothing_lost("short", 1)
+
+    def test_order_that_outlasts_the_drain_is_answered(self):
+        """Guards against passing on orders for which too little time is left."""
+        self.check_nothing_lost("long", 1)
+
+    def test_order_is_answered_by_a_host_that_stops_alone(self):
+        """Guards against losses without a second host that stops."""
+        self.check_nothing_lost("one", 1)
+
+    def test_order_is_answered_when_sigterm_comes_again(self):
+        """Guards against a second signal that ends the process at once."""
+        self.check_nothing_lost("signals", 1)
