Answer every running request when an HTTP server closes

Callers saw: an order that an endpoint had run ended with a closed connection around a SIGTERM to the entry host, also when it took 20 ms.

Cause: the close of a server was no single moment. Listener.close cancelled one connection, waited for its end, and went on to the next. Those that were still open meanwhile read requests and passed them on, a few milliseconds before they were cancelled themselves. The more connections callers keep and the slower the processor, the longer this lasts. What was still running at the end of the drain was cancelled without an answer in the same way.

Change: a closing server refuses requests that arrive (503, not run), ends its running handlers with ServerClosing, which the server or the gateway answers (502 if an attempt is under way, 503 if nothing was sent), waits up to 0.25 s for these answers, and cancels all idle connections before it waits for any of them. This holds for all daemons, whatever makes them close.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -153,7 +153,8 @@
         )
         self._home_route_counts: Mapping[str, Mapping[str, int]] = {}
         self._servers: list[HttpServer] = []
-        self._ready_server: HttpServer | None = None
+        # Readiness check and metrics, which are served until the end.
+        self._internal_servers: list[HttpServer] = []
         self._tasks = curio.TaskGroup(wait=any)
 
     async def start(self) -> None:
@@ -167,13 +168,10 @@
         handler = GatewayHandler(self._context)
         await self._serve(handler.handle_caller, settings.listen)
         await self._serve(handler.handle_forwarded, settings.forward_listen)
-        self._ready_server = create_http_server(self._handle_readiness, Limits())
-        listen = settings.ready_listen
-        await self._ready_server.start(self._transport, listen.address, listen.port)
+        await self._serve_internal(self._handle_readiness, settings.ready_listen)
         if settings.metrics_listen is not None:
-            listen = settings.metrics_listen
-            server = create_http_server(serve_metrics(self.metrics), Limits())
-            await server.start(self._transport, listen.address, listen.port)
+            metrics = serve_metrics(self.metrics)
+            await self._serve_internal(metrics, settings.metrics_listen)
         log_event("gateway_started", region=settings.region)
 
     async def wait(self) -> None:
@@ -246,9 +244,11 @@
 
     async def close(self) -> None:
         """Stop all servers and tasks and close all connections."""
-        for server in [*self._servers, self._ready_server]:
-            if server is not None:
-                await server.close()
+        async with curio.TaskGroup() as closing:
+            for server in self._servers:
+                await closing.spawn(server.close)
+        for server in self._internal_servers:
+            await server.close()
         log_event("gateway_connections_closed")
         await self._tasks.cancel_remaining()
         await self._pools.close()
@@ -262,6 +262,11 @@
         await server.start(self._transport, listen.address, listen.port)
         self._servers.append(server)
 
+    async def _serve_internal(self, handler: Handler, listen: Address) -> None:
+        server = create_http_server(handler, Limits())
+        await server.start(self._transport, listen.address, listen.port)
+        self._internal_servers.append(server)
+
     async def _tell_coordinators(self, message: Message) -> None:
         await self._control.mailbox.send(TellCoordinators(message))
 
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -43,6 +43,7 @@
 SERVER_ERROR = 500
 # Limit of attempts that no endpoint has run; each costs a round trip.
 MAX_NOT_RUN_ATTEMPTS = 3
+STOPPING_RETRY_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -103,6 +104,13 @@
                 "deadline", 504, "the deadline passed before the response was complete"
             ) from None
 
+    def create_stop_error(self) -> RequestError:
+        """Return the error for a caller whose request this host cannot complete."""
+        message = "the host stopped before the response was complete"
+        if self.progress.is_attempting:
+            return RequestError("stopping", 502, message, Verdict.MAY_HAVE_RUN)
+        return self._create_error("stopping", 503, message, STOPPING_RETRY_S)
+
     async def _run_attempts(self) -> None:
         if self._is_taken_up():
             version = await find_stream_version(self._context, self._call)
@@ -113,6 +121,7 @@
             if isinstance(decision, Refusal):
                 await self._handle_refusal(decision)
                 return
+            self.progress.is_attempting = True
             try:
                 async with open_attempt(
                     self._context,
@@ -124,7 +133,9 @@
                 ) as attempt:
                     if await self._relay_response(attempt):
                         return
+                self.progress.is_attempting = False
             except AttemptError as error:
+                self.progress.is_attempting = False
                 await self._report_unserved(decision, error)
                 self._record_failure(decision, error)
 
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -16,7 +16,7 @@
 from buckthorndeal.gateway._messages import Call
 from buckthorndeal.gateway._progress import Progress
 from buckthorndeal.gateway.dialect import RequestMetadata
-from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.http_server import Request, Responder, ServerClosing
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.quarantine import RequestContent
 
@@ -91,6 +91,12 @@
             completed = True
             if not responder.started:
                 await self._respond_error(raised, responder)
+        except ServerClosing:
+            if responder.started or exchange is None:
+                raise
+            error = exchange.create_stop_error()
+            completed = True
+            await self._respond_error(error, responder)
         finally:
             self._record_end(
                 request_id, arrived_s, exchange, error, completed, responder
--- a/buckthorndeal/gateway/_progress.py
+++ b/buckthorndeal/gateway/_progress.py
@@ -14,7 +14,9 @@
     not_run_attempts : int
         Failed attempts that no endpoint has run.
     request_sent : bool
-        Whether any attempt has sent bytes of the request.
+        Whether any failed attempt has sent bytes of the request.
+    is_attempting : bool
+        Whether an attempt is under way.
     excluded : set of str
         Endpoints and regions that are not tried again.
     avoided : set of str
@@ -34,6 +36,7 @@
     runs: int = 0
     not_run_attempts: int = 0
     request_sent: bool = False
+    is_attempting: bool = False
     excluded: set[str] = field(default_factory=set)
     avoided: set[str] = field(default_factory=set)
     last_event_id: int | None = None
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -12,9 +12,28 @@
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
 
-__all__ = ["Handler", "HttpServer", "Request", "Responder", "create_http_server"]
+__all__ = [
+    "Handler",
+    "HttpServer",
+    "Request",
+    "Responder",
+    "ServerClosing",
+    "create_http_server",
+]
 
 MAX_PIPELINED_BYTES = 65_536
+# Time in which handlers respond when their server closes.
+CLOSE_TIMEOUT_S = 0.25
+CLOSE_POLL_INTERVAL_S = 0.005
+CLOSING_RETRY_S = 1.0
+
+
+class ServerClosing(curio.TaskCancelled):
+    """Raised in a handler that is running when its server closes.
+
+    The handler may respond, within `CLOSE_TIMEOUT_S`. If it does not, the server
+    responds that the request may have run.
+    """
 
 
 class Responder:
@@ -128,8 +147,9 @@
     ----------
     handler : callable
         Coroutine function called with each `Request` and its `Responder`. It is
-        cancelled when the caller disconnects. A `RequestError` that it raises
-        before the response starts is sent as the response.
+        cancelled when the caller disconnects, and with `ServerClosing` when the server
+        closes. A `RequestError` that it raises before the response starts is sent as
+        the response.
     limits : Limits
         Size limits in bytes and timeouts in seconds.
     """
@@ -139,6 +159,10 @@
         self._limits = limits
         self._listener: Listener | None = None
         self._draining = False
+        self._closing = False
+        # Tasks of the connections that wait for a request, and of running handlers.
+        self._idle: set[curio.Task] = set()
+        self._running: set[curio.Task] = set()
         self.active_requests = 0
         self.connection_count = 0
 
@@ -165,9 +189,25 @@
         await self._listener.stop_accepting()
 
     async def close(self) -> None:
-        """Stop accepting connections and cancel the running requests."""
+        """Answer the running requests, and close all connections.
+
+        Requests that arrive meanwhile are refused. Responses that have started are
+        cut off.
+        """
+        self._draining = True
+        self._closing = True
+        for handler in list(self._running):
+            await handler.cancel(exc=ServerClosing, blocking=False)
+        await self._listener.stop_accepting()
+        for connection in list(self._idle):
+            await connection.cancel(blocking=False)
+        await curio.ignore_after(CLOSE_TIMEOUT_S, self._wait_until_answered)
         await self._listener.close()
 
+    async def _wait_until_answered(self) -> None:
+        while self.active_requests:
+            await curio.sleep(CLOSE_POLL_INTERVAL_S)
+
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = h11.Connection(
@@ -184,7 +224,7 @@
 
     async def _serve_requests(self, stream: Stream, connection: h11.Connection) -> None:
         while True:
-            if not await _wait_for_data(stream, connection, self._limits):
+            if not await self._wait_for_request(stream, connection):
                 return
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
@@ -199,6 +239,17 @@
                 return
             connection.start_next_cycle()
 
+    async def _wait_for_request(
+        self, stream: Stream, connection: h11.Connection
+    ) -> bool:
+        """Wait for the first bytes of a request; return False if none come."""
+        task = await curio.current_task()
+        self._idle.add(task)
+        try:
+            return await _wait_for_data(stream, connection, self._limits)
+        finally:
+            self._idle.discard(task)
+
     async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
         responder = Responder(stream, connection, lambda: self._draining)
         try:
@@ -208,6 +259,9 @@
             return False
         if request is None:
             return False
+        if self._closing:
+            await responder.respond_error(_create_closing_error(Verdict.NOT_RUN))
+            return False
         await self._run_handler(request, responder, stream, connection)
         return True
 
@@ -219,13 +273,18 @@
         connection: h11.Connection,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
+        self._running.add(handler)
         watcher = await curio.spawn(
             _cancel_on_disconnect, stream, connection, responder, handler
         )
         try:
             await handler.wait()
         finally:
+            self._running.discard(handler)
             await watcher.cancel()
+            if self._closing and not handler.terminated:
+                # A task is cancelled only once, but its next send fails.
+                await stream.abort()
             await handler.cancel()
 
     async def _handle(self, request: Request, responder: Responder) -> None:
@@ -236,6 +295,10 @@
         except RequestError as error:
             if not responder.started:
                 await _respond_if_connected(responder, error)
+        except ServerClosing:
+            if not responder.started:
+                error = _create_closing_error(Verdict.MAY_HAVE_RUN)
+                await _respond_if_connected(responder, error)
         except curio.CancelledError:
             raise
         except OSError:
@@ -250,6 +313,17 @@
                 await _respond_if_connected(responder, error)
 
 
+def _create_closing_error(verdict: Verdict) -> RequestError:
+    is_retryable = verdict is Verdict.NOT_RUN
+    return RequestError(
+        "stopping",
+        503 if is_retryable else 502,
+        "the host is stopping",
+        verdict,
+        retry_after_s=CLOSING_RETRY_S if is_retryable else None,
+    )
+
+
 async def _respond_if_connected(responder: Responder, error: RequestError) -> None:
     try:
         await responder.respond_error(error)
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -72,7 +72,11 @@
     async def close(self) -> None:
         """Close the listening socket and cancel the open connections."""
         await self.stop_accepting()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        # None of them may run while another one is waited for.
+        for task in tasks:
+            await task.cancel(blocking=False)
+        for task in tasks:
             await task.cancel()
 
 
