Finish the drain when SIGTERM comes again

Callers saw: a second SIGTERM to an entry host cut off all running orders.

Cause: the second signal of either kind called os._exit, meant for a person at a terminal, while process managers may repeat SIGTERM. The same class as the close of a server: a stop that does not know of accepted requests.

Change: SIGTERM is idempotent. A second SIGINT ends the drain early, and close() answers what is running; only a third signal of that kind exits at once.

--- a/buckthorndeal/daemons.py
+++ b/buckthorndeal/daemons.py
@@ -12,7 +12,7 @@
 
 __all__ = ["Daemon", "run_daemon"]
 
-KILLED_EXIT_STATUS = 128 + signal.SIGTERM
+KILLED_EXIT_STATUS = 128 + signal.SIGINT
 FILE_CHECK_INTERVAL_S = 2.0
 
 
@@ -36,21 +36,27 @@
 
 
 class _ShutdownSignals:
-    """Sets an event at the first SIGTERM or SIGINT; exits at the second one."""
+    """Sets `stop` at the first SIGTERM or SIGINT, and `hurry` at a later SIGINT.
+
+    Process managers may send SIGTERM again, which changes nothing. A person at a
+    terminal may press Ctrl-C again to end a drain, and once more to exit at once.
+    """
 
     def __init__(self) -> None:
-        self._received = False
-        self.event = curio.UniversalEvent()
+        self.stop = curio.UniversalEvent()
+        self.hurry = curio.UniversalEvent()
 
     def install(self) -> None:
         signal.signal(signal.SIGTERM, self._handle)
         signal.signal(signal.SIGINT, self._handle)
 
     def _handle(self, number: int, frame: object) -> None:
-        if self._received:
-            os._exit(KILLED_EXIT_STATUS)
-        self._received = True
-        self.event.set()
+        if not self.stop.is_set():
+            self.stop.set()
+        elif number == signal.SIGINT:
+            if self.hurry.is_set():
+                os._exit(KILLED_EXIT_STATUS)
+            self.hurry.set()
 
 
 class _Reloader:
@@ -120,7 +126,8 @@
 ) -> None:
     """Run a daemon until SIGTERM or SIGINT, then drain and close it.
 
-    A second signal ends the process at once with status 143. A signal that arrives
+    A second SIGINT ends the drain early: running requests are answered without their
+    result. A third one ends the process at once with status 130. A signal that arrives
     before the daemon is serving ends the run without draining.
 
     Parameters
@@ -146,7 +153,7 @@
     if reload is not None:
         reloader = _Reloader(reload, settings_file)
         reloader.install()
-    stopping = await curio.spawn(signals.event.wait)
+    stopping = await curio.spawn(signals.stop.wait)
     starting = await curio.spawn(daemon.start)
     try:
         interrupted = await _wait_for_first(stopping, starting)
@@ -161,10 +168,12 @@
         await curio.spawn(reloader.run, daemon=True)
         await curio.spawn(reloader.watch, daemon=True)
     try:
-        stopping = await curio.spawn(signals.event.wait)
+        stopping = await curio.spawn(signals.stop.wait)
         waiting = await curio.spawn(daemon.wait)
         if await _wait_for_first(stopping, waiting):
-            await daemon.drain()
+            hurrying = await curio.spawn(signals.hurry.wait)
+            draining = await curio.spawn(daemon.drain)
+            await _wait_for_first(hurrying, draining)
     finally:
         async with curio.disable_cancellation():
             await daemon.close()
--- a/tests/test_daemons.py
+++ b/tests/test_daemons.py
@@ -17,7 +17,8 @@
 class RecordingDaemon:
     """Daemon that records the calls of its methods."""
 
-    def __init__(self):
+    def __init__(self, drain_s=0.0):
+        self.drain_s = drain_s
         self.calls = []
 
     async def start(self):
@@ -28,6 +29,8 @@
 
     async def drain(self):
         self.calls.append("drain")
+        await curio.sleep(self.drain_s)
+        self.calls.append("drained")
 
     async def close(self):
         self.calls.append("close")
@@ -47,9 +50,12 @@
         self.addCleanup(file.close)
         self.file = file.name
 
-    def run_daemon(self, act, reload):
-        """Run a daemon, await `act` meanwhile, and stop it with SIGTERM."""
-        daemon = RecordingDaemon()
+    def run_daemon(self, act, reload, later=(), drain_s=0.0):
+        """Run a daemon, await `act` meanwhile, and stop it with SIGTERM.
+
+        The signals in `later` follow one by one while the daemon drains.
+        """
+        daemon = RecordingDaemon(drain_s)
 
         async def main():
             async with curio.timeout_after(TIMEOUT_S):
@@ -57,7 +63,9 @@
                 running = await curio.spawn(daemons.run_daemon, *arguments)
                 await curio.sleep(0.2)
                 await act()
-                os.kill(os.getpid(), signal.SIGTERM)
+                for number in (signal.SIGTERM, *later):
+                    os.kill(os.getpid(), number)
+                    await curio.sleep(0.1)
                 await running.join()
 
         curio.run(main)
@@ -68,6 +76,25 @@
             return
 
         calls = self.run_daemon(act, None)
+        self.assertEqual(calls, ["start", "drain", "drained", "close"])
+
+    def test_second_sigterm_does_not_end_the_drain(self):
+        """Guards against requests that are cut off when SIGTERM is sent again."""
+
+        async def act():
+            return
+
+        again = (signal.SIGTERM, signal.SIGTERM)
+        calls = self.run_daemon(act, None, again, drain_s=0.5)
+        self.assertEqual(calls, ["start", "drain", "drained", "close"])
+
+    def test_second_sigint_ends_the_drain_and_closes(self):
+        """Guards against an exit that answers no running request."""
+
+        async def act():
+            return
+
+        calls = self.run_daemon(act, None, (signal.SIGINT,), drain_s=60.0)
         self.assertEqual(calls, ["start", "drain", "close"])
 
     def test_sighup_reloads(self):
