Refuse orders that may outlast the drain of their host

Callers saw: orders of 2.5 s, accepted up to 5.9 s after the SIGTERM by a host that was alone in their home region, were cut off at 7.4 s though an endpoint ran them. Two hosts of one home region that stop together are each alone.

Cause: what a draining host accepts did not depend on the time it has left; only new streams had an earlier end. The class is that of the closing server: work is accepted that cannot be answered.

Change: the drain knows when it stops. A request is accepted if its deadline comes before, or if 1.5 times the longest recent request of its route ends before; a route without any recent request counts with its timeout. The others are refused at once, as not run, with a Retry-After of the restart if no other host of the region accepts. The deadline of what is accepted ends with the drain, and the endpoint is told so.

--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -6,6 +6,7 @@
 
 from buckthorndeal.configuration import RouteTable
 from buckthorndeal.gateway._contact import EndpointContact
+from buckthorndeal.gateway._drain import Drain, LongestDurations
 from buckthorndeal.gateway._open_attempts import OpenAttempts
 from buckthorndeal.gateway._pools import Pools
 from buckthorndeal.gateway.dialect import Dialect
@@ -39,9 +40,10 @@
         Returns seconds since the epoch.
     routes : RouteTable or None
         Active routes; None before the first configuration.
-    refuse_new_streams : bool
-        Set once a draining host has too little time left for new streams; forwarded
-        requests of any kind are then refused too.
+    drain : Drain or None
+        The drain of this host, if it is under way.
+    durations : LongestDurations
+        How long requests other than streams have taken.
     attempt_ids : itertools.count
         Source of attempt ids.
     contact : EndpointContact
@@ -61,7 +63,8 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     routes: RouteTable | None = None
-    refuse_new_streams: bool = False
+    drain: Drain | None = None
+    durations: LongestDurations = field(default_factory=LongestDurations)
     attempt_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
     contact: EndpointContact = field(default_factory=EndpointContact)
     open_attempts: OpenAttempts = field(default_factory=OpenAttempts)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import curio
 
@@ -13,6 +13,7 @@
 )
 from buckthorndeal.fleet import (
     EndpointRecord,
+    EntryHost,
     EntryState,
     StreamOrigin,
     count_home_routes,
@@ -33,6 +34,7 @@
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher
+from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.gateway._pools import create_pools
@@ -186,24 +188,27 @@
         Callers with an older response of the directory are served during
         ``drain_notice_s``, and up to ``drain_alone_s`` while no other host serves
         them. New streams are refused sooner, after ``drain_stream_s`` at the latest,
-        because they might not end before the process does.
+        because they might not end before the process does. So is each other request
+        that is expected to take longer than what is left.
         """
         settings = self._settings
         started_s = self._clock()
         self._draining = True
+        drain = Drain(started_s + settings.drain_timeout_s, random.Random())
+        self._context.drain = drain
         await self._control.mailbox.send(SetState(EntryState.DRAINING))
         log_event("gateway_draining", active=self._count_active_requests())
         for server in self._servers:
             server.announce_drain()
         await curio.sleep(settings.drain_notice_s)
         await self._wait_for_replacement(started_s + settings.drain_stream_s)
-        self._context.refuse_new_streams = True
+        drain.refuses_streams = True
         self._regions.refuse_requests()
         await self._wait_for_replacement(started_s + settings.drain_alone_s)
         await self._control.mailbox.send(SetState(EntryState.CLOSING))
         for server in self._servers:
             await server.drain()
-        if not await self._wait_for_requests(started_s + settings.drain_timeout_s):
+        if not await self._wait_for_requests(drain.stop_s):
             log_event("gateway_drain_overdue", active=self._count_active_requests())
         log_event(
             "gateway_stopped",
@@ -220,6 +225,8 @@
         while self._clock() < until_s:
             # Remote coordinators learn of a replacement later than near ones.
             directories = await self._control.mailbox.ask(ListEntryHostsByCoordinator())
+            if self._context.drain is not None:
+                self._context.drain.has_other_host = self._has_other_host(directories)
             if not any(
                 is_advertised(self._context.host, entries, self._home_route_counts)
                 for entries in set(directories)
@@ -230,6 +237,16 @@
             logged = True
             await curio.sleep(REPLACEMENT_POLL_INTERVAL_S)
 
+    def _has_other_host(self, directories: Iterable[Iterable[EntryHost]]) -> bool:
+        """Return whether any coordinator knows another host that still accepts."""
+        return any(
+            entry.host != self._context.host
+            and entry.region == self._context.region
+            and entry.state is not EntryState.CLOSING
+            for entries in directories
+            for entry in entries
+        )
+
     async def _wait_for_requests(self, until_s: float) -> bool:
         """Wait until no request is running; return False on timeout."""
         while self._count_active_requests():
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from buckthorndeal.configuration import RequestKind
+from buckthorndeal.configuration import RequestKind, Route
 from buckthorndeal.errors import RequestError, Verdict, WireError
 from buckthorndeal.gateway._attempt import (
     VERSION_HEADER,
@@ -104,6 +104,11 @@
                 "deadline", 504, "the deadline passed before the response was complete"
             ) from None
 
+    @property
+    def route(self) -> Route:
+        """Route of the request."""
+        return self._call.route
+
     def create_stop_error(self) -> RequestError:
         """Return the error for a caller whose request this host cannot complete."""
         message = "the host stopped before the response was complete"
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -12,6 +12,7 @@
 )
 from buckthorndeal.gateway._attempt import VERDICT_HEADER, VERSION_HEADER
 from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._exchange import Exchange
 from buckthorndeal.gateway._messages import Call
 from buckthorndeal.gateway._progress import Progress
@@ -24,8 +25,6 @@
 NOT_READY_RETRY_S = 0.5
 STARTUP_WAIT_S = 0.4
 STARTUP_POLL_S = 0.05
-# Short, because the directory already returns another host.
-DRAINING_RETRY_S = 0.1
 
 
 class GatewayHandler:
@@ -121,8 +120,12 @@
         progress = exchange.progress if exchange is not None else None
         self._context.metrics.count("requests", outcome=outcome)
         self._context.metrics.observe("request_seconds", total_s)
-        if progress is not None:
+        if exchange is not None:
             self._observe_response_times(progress, arrived_s)
+            if completed and exchange.route.kind is not RequestKind.STREAM:
+                self._context.durations.record(
+                    exchange.route.name, total_s, arrived_s + total_s
+                )
         write = log_event if outcome != "answered" else log_routine
         write(
             "request_ended",
@@ -147,24 +150,20 @@
         arrived_s: float,
     ) -> Call:
         route = await self._find_route(request)
-        if self._context.refuse_new_streams and (
-            forwarded is not None or route.kind is RequestKind.STREAM
-        ):
-            raise RequestError(
-                "draining",
-                503,
-                "this host is draining",
-                retry_after_s=DRAINING_RETRY_S,
-            )
         timeout_s = route.timeout_s
         if metadata.timeout_s is not None:
             timeout_s = min(timeout_s, metadata.timeout_s)
+        deadline_s = arrived_s + timeout_s
+        drain = self._context.drain
+        if drain is not None:
+            self._check_drain(drain, route, forwarded is not None, deadline_s)
+            deadline_s = min(deadline_s, drain.stop_s)
         return Call(
             request_id=metadata.request_id,
             route=route,
             service=choose_service(route, metadata.resumes or metadata.request_id),
             arrived_s=arrived_s,
-            deadline_s=arrived_s + timeout_s,
+            deadline_s=deadline_s,
             prompt=metadata.prompt,
             resume_after=metadata.resume_after,
             hops=forwarded.hops if forwarded is not None else (),
@@ -174,6 +173,21 @@
             version=request.headers.get(VERSION_HEADER) if forwarded else None,
         )
 
+    def _check_drain(
+        self, drain: Drain, route: Route, forwarded: bool, deadline_s: float
+    ) -> None:
+        """Raise `RequestError` if a request might outlast the drain of this host."""
+        now_s = self._context.clock()
+        longest_s = self._context.durations.get_seconds(route.name, now_s)
+        if drain.accepts(route, forwarded, deadline_s, longest_s, now_s):
+            return
+        raise RequestError(
+            "draining",
+            503,
+            "this host is draining",
+            retry_after_s=drain.compute_retry_s(now_s),
+        )
+
     async def _wait_for_routes(self) -> RouteTable | None:
         """Return the active routes; wait for them on a host that has just started."""
         waited_s = 0.0
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -4,6 +4,7 @@
 import unittest
 
 import curio
+import msgspec
 
 from buckthorndeal.fleet import EntryHost, EntryHosts, EntryState
 from buckthorndeal.gateway._control import _PeerMessage
@@ -66,6 +67,69 @@
 
         run_fleet(test)
 
+    def test_order_that_may_outlast_the_drain_is_refused_unsent(self):
+        """Guards against orders that run and are cut off at the end of the drain."""
+
+        async def script(endpoint, request, responder):
+            await curio.sleep(1.0 if "long" in request.path else 0.01)
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, script, home_regions=["a"])
+                gateway = fleet.gateways[GATEWAY]
+                await fleet.send_request(GATEWAY, "/non_idempotent/long")
+                await fleet.send_request(GATEWAY, "/idempotent/short")
+                gateway._settings = msgspec.structs.replace(
+                    gateway._settings,
+                    drain_stream_s=0.3,
+                    drain_alone_s=3.9,
+                    drain_timeout_s=4.0,
+                )
+                drain_task = await curio.spawn(gateway.drain)
+                await curio.sleep(0.5)
+                status, _, _ = await fleet.send_request(GATEWAY, "/non_idempotent/long")
+                self.assertEqual(status, 200)
+                sent = len(fleet.endpoints["e0"].requests)
+                stop_s = gateway._context.drain.stop_s
+                await curio.sleep(stop_s - 1.2 - time.monotonic())
+                status, headers, _ = await fleet.send_request(
+                    GATEWAY, "/non_idempotent/long"
+                )
+                self.assertEqual(status, 503)
+                self.assertEqual(headers["buckthorndeal-verdict"], "not_run")
+                self.assertEqual(len(fleet.endpoints["e0"].requests), sent)
+                status, _, _ = await fleet.send_request(GATEWAY, "/idempotent/short")
+                self.assertEqual(status, 200)
+                await drain_task.join()
+
+        run_fleet(test)
+
+    def test_order_that_outlasts_the_drain_is_answered(self):
+        """Guards against a running order that ends without an answer at the stop."""
+
+        async def script(endpoint, request, responder):
+            await curio.sleep(30)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, script)
+                request_task = await curio.spawn(
+                    fleet.send_request, GATEWAY, "/non_idempotent/"
+                )
+                await curio.sleep(0.3)
+                gateway = fleet.gateways[GATEWAY]
+                gateway._settings = msgspec.structs.replace(
+                    gateway._settings, drain_timeout_s=1.0
+                )
+                await gateway.drain()
+                await gateway.close()
+                status, headers, _ = await request_task.join()
+                self.assertEqual(status, 502)
+                self.assertEqual(headers["buckthorndeal-verdict"], "may_have_run")
+
+        run_fleet(test)
+
     def test_replacement_must_be_known_to_all_coordinators(self):
         """Guards against stopping while any coordinator still directs callers here."""
         draining = EntryHost(
