Tell the verdict when a closing host refuses a forwarded request

Cause: what a closing server refuses by itself had no header with the verdict, so the host that had forwarded the request would have relayed the refusal as an answer of the endpoint, in place of trying another host.

Change: a server sends its errors through a function of its owner; that of the gateway adds the verdict. Servers of one daemon close at the same time, and the responder has a module of its own.

Measured: test_forwarded_request_at_a_closing_host_is_not_run fails without the function and passes with it.

--- /dev/null
+++ b/buckthorndeal/_http_responding.py
@@ -0,0 +1,110 @@
+"""Writing of the response to an HTTP/1.1 request."""
+
+from collections.abc import Callable
+
+import h11
+import msgspec
+
+from buckthorndeal.errors import RequestError
+from buckthorndeal.transport import Stream
+
+
+class Responder:
+    """Writes the response to one request.
+
+    Parameters
+    ----------
+    stream : Stream
+        Connection to the caller.
+    connection : h11.Connection
+        Protocol state of the connection.
+    is_draining : callable, optional
+        Returns whether the connection is closed after this response.
+
+    Attributes
+    ----------
+    disconnected : bool
+        Whether the caller has closed the connection.
+    """
+
+    def __init__(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        is_draining: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._stream = stream
+        self._connection = connection
+        self._is_draining = is_draining
+        self.disconnected = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the response head has been sent."""
+        return self._connection.our_state is not h11.SEND_RESPONSE
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the response head; without a content length, the body is chunked."""
+        event = h11.Response(
+            status_code=status, headers=[*headers, *self._list_close_headers()]
+        )
+        await self._stream.sendall(self._connection.send(event))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._stream.sendall(self._connection.send(h11.Data(data=data)))
+
+    async def finish(self) -> None:
+        """End the body."""
+        data = self._connection.send(h11.EndOfMessage())
+        if data:
+            await self._stream.sendall(data)
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes,
+        content_type: str = "application/json",
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Send a complete response in one write."""
+        await self.respond_whole(
+            status, [("content-type", content_type), *(headers or [])], body
+        )
+
+    async def respond_whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a complete response; only content-length and connection are added."""
+        head = h11.Response(
+            status_code=status,
+            headers=[
+                *headers,
+                ("content-length", str(len(body))),
+                *self._list_close_headers(),
+            ],
+        )
+        send = self._connection.send
+        data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
+        await self._stream.sendall(data)
+
+    async def respond_json(
+        self,
+        status: int,
+        value: object,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
+        """Send `value` as a complete JSON response."""
+        await self.respond(status, msgspec.json.encode(value), headers=headers)
+
+    def _list_close_headers(self) -> list[tuple[str, str]]:
+        # A caller that is notified of the close does not send its next request on a
+        # connection that is about to be closed.
+        return [("connection", "close")] if self._is_draining() else []
+
+    async def respond_error(self, error: RequestError) -> None:
+        """Send an error as a response with its status and body."""
+        headers = []
+        if error.retry_after_s is not None:
+            headers.append(("retry-after", str(max(1, round(error.retry_after_s)))))
+        await self.respond_json(error.status, error.to_body(), headers)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -41,10 +41,12 @@
 from buckthorndeal.gateway._region_links import RegionLoadTask
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.http_server import (
+    ErrorHandler,
     Handler,
     HttpServer,
     Request,
     Responder,
+    close_servers,
     create_http_server,
 )
 from buckthorndeal.logs import log_event
@@ -155,7 +157,7 @@
         )
         self._home_route_counts: Mapping[str, Mapping[str, int]] = {}
         self._servers: list[HttpServer] = []
-        # Readiness check and metrics, which are served until the end.
+        # Readiness check and metrics.
         self._internal_servers: list[HttpServer] = []
         self._tasks = curio.TaskGroup(wait=any)
 
@@ -168,8 +170,11 @@
         await self._tasks.spawn(self._close_unused_pools)
         await self._tasks.spawn(watch_process, self.metrics, self._clock)
         handler = GatewayHandler(self._context)
-        await self._serve(handler.handle_caller, settings.listen)
-        await self._serve(handler.handle_forwarded, settings.forward_listen)
+        for handle, listen in (
+            (handler.handle_caller, settings.listen),
+            (handler.handle_forwarded, settings.forward_listen),
+        ):
+            await self._serve(handle, handler.respond_error, listen)
         await self._serve_internal(self._handle_readiness, settings.ready_listen)
         if settings.metrics_listen is not None:
             metrics = serve_metrics(self.metrics)
@@ -261,11 +266,7 @@
 
     async def close(self) -> None:
         """Stop all servers and tasks and close all connections."""
-        async with curio.TaskGroup() as closing:
-            for server in self._servers:
-                await closing.spawn(server.close)
-        for server in self._internal_servers:
-            await server.close()
+        await close_servers([*self._servers, *self._internal_servers])
         log_event("gateway_connections_closed")
         await self._tasks.cancel_remaining()
         await self._pools.close()
@@ -273,9 +274,11 @@
     def _count_active_requests(self) -> int:
         return sum(server.active_requests for server in self._servers)
 
-    async def _serve(self, handler: Handler, listen: Address) -> None:
+    async def _serve(
+        self, handler: Handler, respond_error: ErrorHandler, listen: Address
+    ) -> None:
         limits = Limits(max_connections=self._settings.max_connections)
-        server = create_http_server(handler, limits)
+        server = create_http_server(handler, limits, respond_error)
         await server.start(self._transport, listen.address, listen.port)
         self._servers.append(server)
 
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -50,7 +50,7 @@
             forwarded = self._verify(request)
         except AuthenticationError as error:
             refused = RequestError("forbidden", 403, str(error))
-            await self._respond_error(refused, responder)
+            await self.respond_error(responder, refused)
             return
         await self._handle(request, responder, forwarded)
 
@@ -89,13 +89,13 @@
             error = raised
             completed = True
             if not responder.started:
-                await self._respond_error(raised, responder)
+                await self.respond_error(responder, raised)
         except ServerClosing:
             if responder.started or exchange is None:
                 raise
             error = exchange.create_stop_error()
             completed = True
-            await self._respond_error(error, responder)
+            await self.respond_error(responder, error)
         finally:
             self._record_end(
                 request_id, arrived_s, exchange, error, completed, responder
@@ -218,7 +218,8 @@
             )
             metrics.observe("longest_pause_seconds", progress.longest_pause_s)
 
-    async def _respond_error(self, error: RequestError, responder: Responder) -> None:
+    async def respond_error(self, responder: Responder, error: RequestError) -> None:
+        """Respond with an error and its verdict, which other entry hosts read."""
         headers = [(VERDICT_HEADER, error.verdict.value)]
         if error.retry_after_s is not None:
             value = self._context.dialect.format_retry_after(error.retry_after_s)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -1,13 +1,13 @@
 """HTTP/1.1 server on h11, with limits, timeouts and detection of disconnects."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import curio
 import h11
-import msgspec
 from absl import logging
 
 from buckthorndeal._http_reading import READ_BYTES, Request, read_request
+from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
@@ -18,6 +18,7 @@
     "Request",
     "Responder",
     "ServerClosing",
+    "close_servers",
     "create_http_server",
 ]
 
@@ -36,108 +37,8 @@
     """
 
 
-class Responder:
-    """Writes the response to one request.
-
-    Parameters
-    ----------
-    stream : Stream
-        Connection to the caller.
-    connection : h11.Connection
-        Protocol state of the connection.
-    is_draining : callable, optional
-        Returns whether the connection is closed after this response.
-
-    Attributes
-    ----------
-    disconnected : bool
-        Whether the caller has closed the connection.
-    """
-
-    def __init__(
-        self,
-        stream: Stream,
-        connection: h11.Connection,
-        is_draining: Callable[[], bool] = lambda: False,
-    ) -> None:
-        self._stream = stream
-        self._connection = connection
-        self._is_draining = is_draining
-        self.disconnected = False
-
-    @property
-    def started(self) -> bool:
-        """Whether the response head has been sent."""
-        return self._connection.our_state is not h11.SEND_RESPONSE
-
-    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the response head; without a content length, the body is chunked."""
-        event = h11.Response(
-            status_code=status, headers=[*headers, *self._list_close_headers()]
-        )
-        await self._stream.sendall(self._connection.send(event))
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        await self._stream.sendall(self._connection.send(h11.Data(data=data)))
-
-    async def finish(self) -> None:
-        """End the body."""
-        data = self._connection.send(h11.EndOfMessage())
-        if data:
-            await self._stream.sendall(data)
-
-    async def respond(
-        self,
-        status: int,
-        body: bytes,
-        content_type: str = "application/json",
-        headers: list[tuple[str, str]] | None = None,
-    ) -> None:
-        """Send a complete response in one write."""
-        await self.respond_whole(
-            status, [("content-type", content_type), *(headers or [])], body
-        )
-
-    async def respond_whole(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
-        """Send a complete response; only content-length and connection are added."""
-        head = h11.Response(
-            status_code=status,
-            headers=[
-                *headers,
-                ("content-length", str(len(body))),
-                *self._list_close_headers(),
-            ],
-        )
-        send = self._connection.send
-        data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
-        await self._stream.sendall(data)
-
-    async def respond_json(
-        self,
-        status: int,
-        value: object,
-        headers: list[tuple[str, str]] | None = None,
-    ) -> None:
-        """Send `value` as a complete JSON response."""
-        await self.respond(status, msgspec.json.encode(value), headers=headers)
-
-    def _list_close_headers(self) -> list[tuple[str, str]]:
-        # A caller that is notified of the close does not send its next request on a
-        # connection that is about to be closed.
-        return [("connection", "close")] if self._is_draining() else []
-
-    async def respond_error(self, error: RequestError) -> None:
-        """Send an error as a response with its status and body."""
-        headers = []
-        if error.retry_after_s is not None:
-            headers.append(("retry-after", str(max(1, round(error.retry_after_s)))))
-        await self.respond_json(error.status, error.to_body(), headers)
-
-
 Handler = Callable[[Request, Responder], Awaitable[None]]
+ErrorHandler = Callable[[Responder, RequestError], Awaitable[None]]
 
 
 class HttpServer:
@@ -152,14 +53,22 @@
         the response.
     limits : Limits
         Size limits in bytes and timeouts in seconds.
+    respond_error : callable, optional
+        Coroutine function that sends an error as the response to a request.
     """
 
-    def __init__(self, handler: Handler, limits: Limits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits,
+        respond_error: ErrorHandler = Responder.respond_error,
+    ) -> None:
         self._handler = handler
+        self._respond_error = respond_error
         self._limits = limits
         self._listener: Listener | None = None
         self._draining = False
-        self._closing = False
+        self.closing = False
         # Tasks of the connections that wait for a request, and of running handlers.
         self._idle: set[curio.Task] = set()
         self._running: set[curio.Task] = set()
@@ -195,7 +104,7 @@
         cut off.
         """
         self._draining = True
-        self._closing = True
+        self.closing = True
         for handler in list(self._running):
             await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
@@ -259,8 +168,8 @@
             return False
         if request is None:
             return False
-        if self._closing:
-            await responder.respond_error(_create_closing_error(Verdict.NOT_RUN))
+        if self.closing:
+            await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
             return False
         await self._run_handler(request, responder, stream, connection)
         return True
@@ -282,7 +191,7 @@
         finally:
             self._running.discard(handler)
             await watcher.cancel()
-            if self._closing and not handler.terminated:
+            if self.closing and not handler.terminated:
                 # A task is cancelled only once, but its next send fails.
                 await stream.abort()
             await handler.cancel()
@@ -293,24 +202,32 @@
         try:
             await self._handler(request, responder)
         except RequestError as error:
-            if not responder.started:
-                await _respond_if_connected(responder, error)
+            await self._respond_if_possible(responder, error)
         except ServerClosing:
-            if not responder.started:
-                error = _create_closing_error(Verdict.MAY_HAVE_RUN)
-                await _respond_if_connected(responder, error)
+            error = _create_closing_error(Verdict.MAY_HAVE_RUN)
+            await self._respond_if_possible(responder, error)
         except curio.CancelledError:
             raise
         except OSError:
             return
         except Exception:
             logging.exception("request handler failed")
-            if not responder.started:
-                # The handler may have failed after dispatching the request.
-                error = RequestError(
-                    "internal", 500, "internal error", Verdict.MAY_HAVE_RUN
-                )
-                await _respond_if_connected(responder, error)
+            # The handler may have failed after dispatching the request.
+            error = RequestError(
+                "internal", 500, "internal error", Verdict.MAY_HAVE_RUN
+            )
+            await self._respond_if_possible(responder, error)
+
+    async def _respond_if_possible(
+        self, responder: Responder, error: RequestError
+    ) -> None:
+        """Send an error unless a response has started or the caller is gone."""
+        if responder.started:
+            return
+        try:
+            await self._respond_error(responder, error)
+        except OSError:
+            return
 
 
 def _create_closing_error(verdict: Verdict) -> RequestError:
@@ -324,13 +241,6 @@
     )
 
 
-async def _respond_if_connected(responder: Responder, error: RequestError) -> None:
-    try:
-        await responder.respond_error(error)
-    except OSError:
-        return
-
-
 async def _cancel_on_disconnect(
     stream: Stream,
     connection: h11.Connection,
@@ -384,6 +294,17 @@
     return True
 
 
-def create_http_server(handler: Handler, limits: Limits) -> HttpServer:
+async def close_servers(servers: Iterable[HttpServer]) -> None:
+    """Close servers at the same time."""
+    async with curio.TaskGroup() as group:
+        for server in servers:
+            await group.spawn(server.close)
+
+
+def create_http_server(
+    handler: Handler,
+    limits: Limits,
+    respond_error: ErrorHandler = Responder.respond_error,
+) -> HttpServer:
     """Return a server that is not listening yet; see `HttpServer`."""
-    return HttpServer(handler, limits)
+    return HttpServer(handler, limits, respond_error)
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -10,6 +10,7 @@
 from buckthorndeal.gateway._control import _PeerMessage
 from tests.fleet_harness import (
     CALLER_PORT,
+    FORWARD_PORT,
     GATEWAY,
     REQUEST_ID,
     Fleet,
@@ -184,3 +185,28 @@
                 await drain_task.join()
 
         run_fleet(test)
+
+    def test_forwarded_request_at_a_closing_host_is_not_run(self):
+        """Guards against a refusal that the forwarding host takes for an answer."""
+
+        async def script(endpoint, request, responder):
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await start_serving(fleet, script)
+                gateway = fleet.gateways[GATEWAY]
+                stream = await fleet.transport.connect(GATEWAY, FORWARD_PORT)
+                head = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\n"
+                await stream.sendall(head)
+                await curio.sleep(0.1)
+                close_task = await curio.spawn(gateway.close)
+                while not gateway._servers[1].closing:
+                    await curio.sleep(0)
+                await stream.sendall(b"x")
+                answer = await stream.recv(65_536)
+                self.assertIn(b" 503 ", answer)
+                self.assertIn(b"buckthorndeal-verdict: not_run", answer.lower())
+                await close_task.join()
+
+        run_fleet(test)
