--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -61,7 +61,12 @@
     count_home_routes,
     create_host_links,
 )
-from buckthorndeal.http_server import Handler, HttpServer, create_http_server
+from buckthorndeal.http_server import (
+    Handler,
+    HttpServer,
+    close_servers,
+    create_http_server,
+)
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.peers import Channel, create_peer_server
@@ -205,11 +210,14 @@
     async def drain(self) -> None:
         """Leave the cluster, stop accepting connections and finish active requests."""
         log_event("coordinator_draining")
-        await self.service.leave_cluster(self._own_address)
-        for server in self._servers:
-            await server.drain()
-        while any(server.active_requests for server in self._servers):
-            await curio.sleep(DRAIN_POLL_INTERVAL_S)
+        timeout_s = self._settings.drain_timeout_s
+        async with curio.ignore_after(timeout_s) as timer:
+            await self.service.leave_cluster(self._own_address)
+            for server in self._servers:
+                await server.drain()
+            while any(server.active_requests for server in self._servers):
+                await curio.sleep(DRAIN_POLL_INTERVAL_S)
+        log_event("coordinator_stopped", overdue=timer.expired)
 
     async def reload(self, settings: CoordinatorSettings) -> None:
         """Apply the seeds of new settings; other changes need a restart."""
@@ -219,8 +227,7 @@
 
     async def close(self) -> None:
         """Stop all servers and tasks, and close the store."""
-        for server in self._servers:
-            await server.close()
+        await close_servers(self._servers)
         await self._tasks.cancel_remaining()
         await self._links.close()
         await self._peer_server.close()
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -125,7 +125,8 @@
     discovered through them. With `bootstrap`, the seeds form a new cluster; it must
     be false for a host that has lost its store. `regions` maps each failure domain
     to its region. An endpoint without heartbeats for `endpoint_silence_s` is
-    removed. Callers may use a directory answer for `directory_lifetime_s`.
+    removed. Callers may use a directory answer for `directory_lifetime_s`. A drain
+    waits up to `drain_timeout_s` for running requests.
     """
 
     host: Name
@@ -143,6 +144,7 @@
     limits: Limits = Limits()
     endpoint_silence_s: PositiveSeconds = 6.0
     directory_lifetime_s: PositiveSeconds = 1.5
+    drain_timeout_s: PositiveSeconds = 30.0
 
 
 class RetryBudgetSettings(
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -3,8 +3,10 @@
 import unittest
 
 import curio
+import msgspec
 
 from tests.fleet_harness import (
+    API_PORT,
     DIRECTORY_PORT,
     Fleet,
     create_configuration,
@@ -184,6 +186,29 @@
                 await curio.sleep(0.1)
 
 
+class StopTest(unittest.TestCase):
+    """A coordinator that stops answers the calls that it has accepted."""
+
+    def test_drain_ends_in_time_beside_a_call_that_does_not(self):
+        """Guards against a drain that lasts until the process is killed."""
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinator(HOSTS[0], bootstrap=True)
+                daemon = fleet.coordinators[HOSTS[0]]
+                daemon._settings = msgspec.structs.replace(
+                    daemon._settings, drain_timeout_s=0.5
+                )
+                stream = await fleet.transport.connect(HOSTS[0], API_PORT)
+                head = b"PUT /v1/configuration HTTP/1.1\r\nhost: x\r\n"
+                await stream.sendall(head + b"content-length: 1\r\n\r\n")
+                await curio.sleep(0.1)
+                async with curio.timeout_after(10.0):
+                    await daemon.drain()
+
+        run_fleet(test)
+
+
 class DirectoryTest(unittest.TestCase):
     """The directory lists entry hosts that accept new callers."""
 
