--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,8 +1,10 @@
 """Tests of the adapter to the users' platform and of its boundaries."""
 
 import json
+import os
 import pathlib
 import re
+import subprocess
 import sys
 import unittest
 
@@ -123,6 +125,25 @@
         self.assertFalse((ADAPTER / "__init__.py").exists())
 
 
+class LaunchTest(unittest.TestCase):
+    """A program survives signals from its first moments on."""
+
+    def test_reload_signal_while_modules_load_does_not_end_the_process(self):
+        """Guards against a process that a reload ends before it serves."""
+        script = (
+            "import os, signal; import earlysignals; "
+            "os.kill(os.getpid(), signal.SIGHUP); print('alive')"
+        )
+        result = subprocess.run(
+            [sys.executable, "-c", script],
+            cwd=ADAPTER,
+            env={**os.environ, "PYTHONPATH": str(ADAPTER)},
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual((result.returncode, result.stdout), (0, b"alive\n"))
+
+
 class DocumentCodecTest(unittest.TestCase):
     """A configuration document is converted to typed fields or rejected."""
 
