Test stops beside streams, repeatable and forwarded requests

Streams that have not begun, requests that may be repeated, and an order whose host has forwarded it to one that stops, each get an answer with their verdict.

--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -14,6 +14,7 @@
     GATEWAY,
     REQUEST_ID,
     Fleet,
+    create_configuration,
     create_stream_events,
     run_fleet,
     start_serving,
@@ -106,28 +107,55 @@
 
         run_fleet(test)
 
-    def test_order_that_outlasts_the_drain_is_answered(self):
-        """Guards against a running order that ends without an answer at the stop."""
+    async def drain_beside(self, fleet, sender, stopped, path):
+        """Stop a host while a request runs; return its status and verdict."""
+        request_task = await curio.spawn(fleet.send_request, sender, path)
+        while not fleet.endpoints["e0"].requests:
+            await curio.sleep(0.01)
+        gateway = fleet.gateways[stopped]
+        gateway._settings = msgspec.structs.replace(
+            gateway._settings, drain_timeout_s=1.0
+        )
+        await gateway.drain()
+        await gateway.close()
+        status, headers, _ = await request_task.join()
+        return status, headers["buckthorndeal-verdict"]
+
+    def test_request_that_outlasts_the_drain_is_answered(self):
+        """Guards against a running request that ends without an answer at the stop."""
 
         async def script(endpoint, request, responder):
             await curio.sleep(30)
 
-        async def test():
+        async def test(path):
             async with Fleet() as fleet:
                 await start_serving(fleet, script)
-                request_task = await curio.spawn(
-                    fleet.send_request, GATEWAY, "/non_idempotent/"
-                )
-                await curio.sleep(0.3)
-                gateway = fleet.gateways[GATEWAY]
-                gateway._settings = msgspec.structs.replace(
-                    gateway._settings, drain_timeout_s=1.0
+                answer = await self.drain_beside(fleet, GATEWAY, GATEWAY, path)
+                self.assertEqual(answer, (502, "may_have_run"))
+
+        for path in ("/non_idempotent/", "/idempotent/", "/stream/"):
+            with self.subTest(path):
+                run_fleet(test, path)
+
+    def test_request_is_answered_when_the_host_it_was_forwarded_to_stops(self):
+        """Guards against a caller without an answer at the host that forwards."""
+
+        async def script(endpoint, request, responder):
+            await curio.sleep(30)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                content = create_configuration(home_regions=["b"], timeout_s=20.0)
+                await fleet.put_configuration("10.1.0.1", content)
+                for host in (GATEWAY, OTHER):
+                    await fleet.start_gateway(host)
+                await fleet.start_endpoint("e0", "b-1", script)
+                await fleet.wait_until_ready(GATEWAY)
+                answer = await self.drain_beside(
+                    fleet, GATEWAY, OTHER, "/non_idempotent/"
                 )
-                await gateway.drain()
-                await gateway.close()
-                status, headers, _ = await request_task.join()
-                self.assertEqual(status, 502)
-                self.assertEqual(headers["buckthorndeal-verdict"], "may_have_run")
+                self.assertEqual(answer, (502, "may_have_run"))
 
         run_fleet(test)
 
