--- /dev/null
+++ b/buckthorndeal/gateway/_response_check.py
@@ -0,0 +1,91 @@
+"""Checks of the head of a response before anything acts on it."""
+
+from buckthorndeal.errors import Verdict
+from buckthorndeal.gateway._messages import Call, Forward, Grant
+from buckthorndeal.gateway.dialect import ResponseMetadata
+from buckthorndeal.http_client import ClientResponse
+from buckthorndeal.policy.views import AttemptOutcome
+
+VERDICT_HEADER = "buckthorndeal-verdict"
+
+
+class AttemptError(Exception):
+    """An attempt failed without a response that can be relayed to the caller.
+
+    Parameters
+    ----------
+    reason : str
+        Description of the failure.
+    verdict : Verdict
+        Whether the endpoint may have run the request.
+    request_sent : bool
+        Whether any bytes of the request were sent.
+    outcome : AttemptOutcome
+        Outcome that is counted for the endpoint.
+    closed : bool
+        Whether the endpoint has closed the connection before the response was complete.
+
+    Attributes
+    ----------
+    head_received : bool
+        Whether the head of a response had arrived.
+    lasted_s : float
+        Seconds from the decision to the failure.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        verdict: Verdict,
+        request_sent: bool,
+        outcome: AttemptOutcome,
+        closed: bool = False,
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.verdict = verdict
+        self.request_sent = request_sent
+        self.outcome = outcome
+        self.closed = closed
+        self.head_received = False
+        self.lasted_s = 0.0
+
+
+def check_response(
+    call: Call,
+    decision: Grant | Forward,
+    response: ClientResponse,
+    metadata: ResponseMetadata,
+) -> None:
+    """Raise `AttemptError` unless the response can be relayed."""
+    verdict = response.headers.get(VERDICT_HEADER)
+    if isinstance(decision, Forward) and verdict is not None:
+        raise AttemptError(
+            f"entry host {decision.host} responded with status {response.status}",
+            Verdict(verdict),
+            verdict != Verdict.NOT_RUN.value,
+            AttemptOutcome.REFUSED,
+        )
+    if metadata.not_run or metadata.misdirected:
+        raise AttemptError(
+            f"the endpoint did not run the request: status {response.status}",
+            Verdict.NOT_RUN,
+            True,
+            AttemptOutcome.REFUSED,
+        )
+    reason = _find_mismatch(call, response, metadata)
+    if reason is not None:
+        raise AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
+
+
+def _find_mismatch(
+    call: Call, response: ClientResponse, metadata: ResponseMetadata
+) -> str | None:
+    """Return why a response is not a valid one to this request, or None."""
+    if metadata.request_id is not None and metadata.request_id != call.request_id:
+        return "the response belongs to a different request"
+    if "content-encoding" in response.headers:
+        return "the response has a content encoding"
+    if 200 <= response.status < 300 and not metadata.authentic:
+        return "the response lacks the proof that it comes from the endpoint"
+    return None
