Log the id in a response that is not relayed

A log could not tell a refusal of this request from one of an earlier request: it named neither the id in the response nor whether its connection had been in use before. The new line is a routine one, as rejections are frequent.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -50,6 +50,8 @@
         Idle timeout that the server has announced.
     idle_since_s : float
         Clock reading when the last response ended.
+    earlier_requests : int
+        Number of requests before the current one.
     """
 
     stream: Stream
@@ -62,6 +64,7 @@
     failure: Exception | None = None
     keep_alive_s: float | None = None
     idle_since_s: float = 0.0
+    earlier_requests: int = 0
 
 
 @dataclass(eq=False)
@@ -125,6 +128,11 @@
         chunked = "transfer-encoding" in self.headers
         return not chunked and "content-length" not in self.headers
 
+    @property
+    def is_on_used_connection(self) -> bool:
+        """Whether the connection has carried an earlier request."""
+        return self._connection.earlier_requests > 0
+
     @property
     def is_waiting(self) -> bool:
         """Whether a read waits for the endpoint."""
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -136,7 +136,7 @@
             _record_contact(context, decision)
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
-            check_response(call, decision, response, metadata)
+            _check_and_log(call, decision, response, metadata)
             attempt = Attempt(
                 attempt_id,
                 _get_target_name(decision),
@@ -248,6 +248,29 @@
     )
 
 
+def _check_and_log(
+    call: Call,
+    decision: Grant | Forward,
+    response: ClientResponse,
+    metadata: ResponseMetadata,
+) -> None:
+    """Raise `AttemptError`, and log the head, unless the response can be relayed."""
+    try:
+        check_response(call, decision, response, metadata)
+    except AttemptError as error:
+        log_routine(
+            "response_rejected",
+            request_id=call.request_id,
+            target=_get_target_name(decision),
+            status=response.status,
+            response_id=metadata.request_id,
+            used_connection=response.is_on_used_connection,
+            not_run=metadata.not_run,
+            verdict=error.verdict.value,
+        )
+        raise
+
+
 def _get_pool(context: GatewayContext, decision: Grant | Forward) -> HttpPool:
     now_s = context.clock()
     if isinstance(decision, Forward):
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -195,6 +195,7 @@
         )
         if reusable:
             protocol.start_next_cycle()
+            connection.earlier_requests += 1
             connection.idle_since_s = await curio.clock()
             self._idle.append(connection)
             return
