Compare the id in a response before its refusal is believed

Callers got 503 "not run" for a request that an endpoint was running, or the request ran at a second endpoint as well: an endpoint wrote a refusal of an earlier request on a kept connection, where the next response was expected.

The statements "not run" and 421 were acted on before the id in the response was compared with that of the request. It is compared first now, and such a response proves nothing: the request may have run. A limit in such a response is no longer logged either.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -23,6 +23,7 @@
     VERDICT_HEADER,
     AttemptError,
     check_response,
+    is_foreign,
 )
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
 from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
@@ -199,6 +200,8 @@
 
     The load of an endpoint that has not run the request is reported too.
     """
+    if is_foreign(call, metadata):
+        return
     if metadata.rate_limit is not None or metadata.rejection_limit is not None:
         log_routine(
             "rate_limit_named",
@@ -209,8 +212,6 @@
         )
     if isinstance(decision, Forward) or metadata.misdirected:
         return
-    if metadata.request_id not in (None, call.request_id):
-        return
     notice = _create_notice(decision, metadata)
     if notice is None:
         return
--- a/buckthorndeal/gateway/_response_check.py
+++ b/buckthorndeal/gateway/_response_check.py
@@ -58,6 +58,8 @@
     metadata: ResponseMetadata,
 ) -> None:
     """Raise `AttemptError` unless the response can be relayed."""
+    if is_foreign(call, metadata):
+        raise _create_mismatch_error("the response belongs to a different request")
     verdict = response.headers.get(VERDICT_HEADER)
     if isinstance(decision, Forward) and verdict is not None:
         raise AttemptError(
@@ -73,17 +75,22 @@
             True,
             AttemptOutcome.REFUSED,
         )
-    reason = _find_mismatch(call, response, metadata)
+    reason = _find_fault(response, metadata)
     if reason is not None:
-        raise AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
+        raise _create_mismatch_error(reason)
 
 
-def _find_mismatch(
-    call: Call, response: ClientResponse, metadata: ResponseMetadata
-) -> str | None:
-    """Return why a response is not a valid one to this request, or None."""
-    if metadata.request_id is not None and metadata.request_id != call.request_id:
-        return "the response belongs to a different request"
+def is_foreign(call: Call, metadata: ResponseMetadata) -> bool:
+    """Return whether a response bears the id of a different request."""
+    return metadata.request_id not in (None, call.request_id)
+
+
+def _create_mismatch_error(reason: str) -> AttemptError:
+    return AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
+
+
+def _find_fault(response: ClientResponse, metadata: ResponseMetadata) -> str | None:
+    """Return why a response must not be relayed, or None."""
     if "content-encoding" in response.headers:
         return "the response has a content encoding"
     if 200 <= response.status < 300 and not metadata.authentic:
--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -61,10 +61,12 @@
         await stream.sendall(data)
 
 
-def create_response(request_id, body):
-    """Return a complete response."""
-    head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+def create_response(request_id, body, status="200 OK", headers=()):
+    """Return a complete response; one without an id for None."""
+    given = [] if request_id is None else [(REQUEST_ID, request_id)]
+    lines = "".join(f"{name}: {value}\r\n" for name, value in [*given, *headers])
+    head = f"HTTP/1.1 {status}\r\n{lines}content-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
 
 
 def create_stream_head(request_id):
