Believe a refusal without an id on a new connection only

Callers got 503 "not run" for a request that an endpoint was running, if a late refusal of an earlier request bore no id: nothing tells to which of the requests on a kept connection it belongs.

On a connection that has carried a request, such a refusal leaves open whether the request has run. On a new one it can only belong to the request itself. It still counts as a rejection, so that an overloaded endpoint is not ejected.

--- a/buckthorndeal/gateway/_response_check.py
+++ b/buckthorndeal/gateway/_response_check.py
@@ -71,7 +71,7 @@
     if metadata.not_run or metadata.misdirected:
         raise AttemptError(
             f"the endpoint did not run the request: status {response.status}",
-            Verdict.NOT_RUN,
+            _judge_refusal(response, metadata),
             True,
             AttemptOutcome.REFUSED,
         )
@@ -85,6 +85,16 @@
     return metadata.request_id not in (None, call.request_id)
 
 
+def _judge_refusal(response: ClientResponse, metadata: ResponseMetadata) -> Verdict:
+    """Return what a refusal proves that does not bear the id of another request.
+
+    One without an id may belong to an earlier request on the same connection.
+    """
+    if metadata.request_id or not response.is_on_used_connection:
+        return Verdict.NOT_RUN
+    return Verdict.MAY_HAVE_RUN
+
+
 def _create_mismatch_error(reason: str) -> AttemptError:
     return AttemptError(reason, Verdict.MAY_HAVE_RUN, True, AttemptOutcome.BROKEN)
 
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -173,5 +173,28 @@
         self.assertIsNot(stale, following)
 
 
+class RefusalWithoutIdTest(StaleResponseCase):
+    """A refusal that bears no id proves something on a new connection only."""
+
+    def test_on_a_used_connection(self):
+        script = StaleScript(lambda name: create_refusal(None), None)
+        responses, arrivals = self.play(script, count=2, endpoints=1)
+        self.check_verdict(responses["r1"], 502, "may_have_run")
+        self.assertEqual(arrivals["r1"], 1)
+
+    def test_on_a_new_connection(self):
+        async def script(endpoint, stream, request_id):
+            if len(endpoint.requests) == 1:
+                headers = [("connection", "close")]
+                closing = create_response(request_id, b"own", headers=headers)
+                await endpoint.send(stream, closing)
+                await stream.close()
+                return
+            await endpoint.send(stream, create_refusal(None))
+
+        responses, _ = self.play(script, count=2, endpoints=1)
+        self.check_verdict(responses["r1"], 503, "not_run")
+
+
 if __name__ == "__main__":
     unittest.main()
