Wait for the response behind one of an earlier request

A request that may not be repeated ended with 502 if a late response of an earlier request came first, though the endpoint ran it and answered: the connection was closed at the foreign response.

Such a request now reads up to four foreign responses to their ends, and takes the one behind them if it bears its id. The connection is not used again. What has no certain end (no length or chunks, a closing connection, HEAD) is not skipped. A request that may be repeated is still repeated at once. If the only response is labelled wrongly, the caller waits until the deadline.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -52,6 +52,10 @@
         Clock reading when the last response ended.
     earlier_requests : int
         Number of requests before the current one.
+    method : str
+        Method of the current request.
+    is_reusable : bool
+        Whether further requests may be sent over it.
     """
 
     stream: Stream
@@ -65,6 +69,8 @@
     keep_alive_s: float | None = None
     idle_since_s: float = 0.0
     earlier_requests: int = 0
+    method: str = ""
+    is_reusable: bool = True
 
 
 @dataclass(eq=False)
@@ -142,6 +148,29 @@
         """End the response; the read that waits for it raises `error`."""
         await abort_connection(self._connection, error)
 
+    async def skip(self) -> "ClientResponse":
+        """Discard this response; return the next one to the same request.
+
+        The connection is not used for another request.
+
+        Raises
+        ------
+        RequestError
+            With verdict ``MAY_HAVE_RUN`` if the next response cannot be told from the
+            end of this one, or if the connection breaks.
+        """
+        await self.read()
+        connection = self._connection
+        connection.is_reusable = False
+        # A response to HEAD has no body, whatever its headers say.
+        if (
+            connection.method == "HEAD"
+            or connection.protocol.their_state is not h11.DONE
+        ):
+            raise ConnectionBrokenError("no response can follow a foreign one")
+        _expect_another_response(connection)
+        return await read_head(connection)
+
     async def read(self) -> bytes:
         """Return the complete body."""
         parts = []
@@ -176,6 +205,7 @@
     RequestError
         With verdict ``MAY_HAVE_RUN`` if the connection breaks.
     """
+    connection.method = method
     send = connection.protocol.send
     head = h11.Request(
         method=method,
@@ -189,6 +219,21 @@
         raise ConnectionClosedError(str(error)) from error
 
 
+def _expect_another_response(connection: ClientConnection) -> None:
+    """Continue with the protocol's state right after the request was sent."""
+    received, is_closed = connection.protocol.trailing_data
+    protocol = create_protocol()
+    request = h11.Request(method=connection.method, target="/", headers=[("host", "")])
+    protocol.send(request)
+    protocol.send(h11.EndOfMessage())
+    if received:
+        protocol.receive_data(received)
+    if is_closed:
+        protocol.receive_data(b"")
+    connection.protocol = protocol
+    connection.needs_data = False
+
+
 async def read_head(connection: ClientConnection) -> ClientResponse:
     """Return the response once its head has arrived.
 
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -28,7 +28,7 @@
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
 from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
-from buckthorndeal.logs import log_routine
+from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.policy.views import AttemptOutcome
 
 __all__ = [
@@ -43,6 +43,7 @@
 # Between entry hosts: the software version at which a stream has to continue, and in a
 # response the version of the endpoint that has sent it.
 VERSION_HEADER = "buckthorndeal-version"
+MAX_SKIPPED_RESPONSES = 4
 
 
 @dataclass(eq=False)
@@ -135,6 +136,8 @@
             on_connection=watch_connection,
         ) as response:
             _record_contact(context, decision)
+            if isinstance(decision, Grant) and not may_repeat:
+                response = await _skip_foreign(context, call, decision, response)
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
             _check_and_log(call, decision, response, metadata)
@@ -176,6 +179,28 @@
             )
 
 
+async def _skip_foreign(
+    context: GatewayContext, call: Call, grant: Grant, response: ClientResponse
+) -> ClientResponse:
+    """Return the first response that does not bear the id of a different request.
+
+    The last of too many foreign ones is returned as it is.
+    """
+    for _ in range(MAX_SKIPPED_RESPONSES):
+        metadata = context.dialect.parse_response(response.status, response.headers)
+        if not is_foreign(call, metadata):
+            break
+        log_event(
+            "response_skipped",
+            request_id=call.request_id,
+            target=grant.record.endpoint,
+            status=response.status,
+            response_id=metadata.request_id,
+        )
+        response = await response.skip()
+    return response
+
+
 def _record_contact(context: GatewayContext, decision: Grant | Forward) -> None:
     if isinstance(decision, Grant):
         context.contact.record(context.clock())
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -188,6 +188,7 @@
         protocol = connection.protocol
         reusable = (
             not self._closed
+            and connection.is_reusable
             and len(self._idle) < self._max_idle_connections
             and protocol.our_state is h11.DONE
             and protocol.their_state is h11.DONE
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -5,6 +5,9 @@
 import curio
 import msgspec
 
+from buckthorndeal.errors import ConnectionBrokenError
+from buckthorndeal.http_client import create_http_pool
+from buckthorndeal.transport import create_memory_transport
 from tests.fleet_harness import (
     CALLER_PORT,
     GATEWAY,
@@ -45,6 +48,9 @@
     return create_stream_head(request_id) + events + b"0\r\n\r\n"
 
 
+OWN_BODIES = {create_answer: b"own", create_event_stream: create_stream_events(0, 5)}
+
+
 class StaleScript:
     """Script that once sends `extra` in place of the second response of an endpoint.
 
@@ -173,6 +179,107 @@
         self.assertIsNot(stale, following)
 
 
+class OwnResponseTest(StaleResponseCase):
+    """A response behind a stale one reaches its caller, if it may not run again."""
+
+    def check_delivered(self, extra, answer=create_answer, **options):
+        """Check that each request runs once and gets its own response."""
+        script = StaleScript(extra, answer, answer)
+        responses, arrivals = self.play(script, **options)
+        self.assertEqual(set(arrivals.values()), {1})
+        self.assertTrue(script.connections)
+        for name, (status, headers, body) in responses.items():
+            self.assertEqual((status, headers[REQUEST_ID]), (200, name))
+            self.assertEqual(body, OWN_BODIES[answer])
+
+    def check_given_up(self, extra):
+        """Check that the request ends although its own response follows."""
+        responses, arrivals = self.play(StaleScript(extra), endpoints=1, count=2)
+        self.check_verdict(responses["r1"], 502, "may_have_run")
+        self.assertEqual(arrivals["r1"], 1)
+
+    def test_behind_a_refusal(self):
+        self.check_delivered(create_refusal)
+
+    def test_behind_a_success(self):
+        self.check_delivered(lambda name: create_response(name, b"earlier"))
+
+    def test_behind_a_redirection_without_a_body(self):
+        self.check_delivered(
+            lambda name: create_response(name, b"", "304 Not Modified")
+        )
+
+    def test_behind_several_refusals(self):
+        self.check_delivered(lambda name: create_refusal(name) * 3)
+
+    def test_behind_chunks_and_an_informational_response(self):
+        def extra(name):
+            head = f"HTTP/1.1 {REFUSED}\r\n{REQUEST_ID}: {name}\r\n"
+            head += f"{NOT_RUN[0]}: {NOT_RUN[1]}\r\ntransfer-encoding: chunked\r\n\r\n"
+            informational = b"HTTP/1.1 102 Processing\r\n\r\n"
+            return informational + head.encode() + create_chunk(b"a") + b"0\r\n\r\n"
+
+        self.check_delivered(extra)
+
+    def test_behind_a_body_that_looks_like_a_response(self):
+        """Guards against a search for the next head in the body of a stale response."""
+        self.check_delivered(
+            lambda name: create_refusal(name, body=create_response("r1", b"false"))
+        )
+
+    def test_stream_behind_a_refusal(self):
+        self.check_delivered(
+            create_refusal, create_event_stream, path="/stream/", max_attempts=1
+        )
+
+    def test_stream_behind_a_stream(self):
+        self.check_delivered(
+            create_event_stream, create_event_stream, path="/stream/", max_attempts=1
+        )
+
+    def test_own_refusal_behind_a_stale_one(self):
+        script = StaleScript(create_refusal, create_refusal)
+        responses, _ = self.play(script, endpoints=1, count=2)
+        self.check_verdict(responses["r1"], 503, "not_run")
+
+    def test_connection_is_not_used_again(self):
+        script = StaleScript(create_refusal)
+        responses, _ = self.play(script, endpoints=1, count=3)
+        self.assertEqual(responses["r1"][0], 200)
+        stale, following = script.connections
+        self.assertIsNot(stale, following)
+
+    def test_stale_responses_without_end(self):
+        self.check_given_up(lambda name: create_refusal(name) * 100)
+
+    def test_stale_response_that_ends_the_connection(self):
+        headers = (NOT_RUN, ("connection", "close"))
+        self.check_given_up(lambda name: create_refusal(name, headers=headers))
+
+
+class SkipTest(unittest.TestCase):
+    """Skipped responses of a client connection."""
+
+    def test_response_to_head_is_not_skipped(self):
+        """Guards against taking the body of a response to GET for a response."""
+
+        async def answer_twice(stream):
+            await stream.recv(65_536)
+            await stream.sendall(create_refusal("r0", body=b"") + create_answer("r1"))
+            await stream.recv(65_536)
+
+        async def main():
+            transport = create_memory_transport()
+            listener = await transport.listen("10.1.9.0", 80, answer_twice)
+            pool = create_http_pool(transport, "10.1.9.0", 80)
+            with self.assertRaises(ConnectionBrokenError):
+                async with pool.request("HEAD", "/", []) as response:
+                    await response.skip()
+            await listener.close()
+
+        run_fleet(main)
+
+
 class RefusalWithoutIdTest(StaleResponseCase):
     """A refusal that bears no id proves something on a new connection only."""
 
