Send a caller's header values as they were received

A caller with a header value beyond ASCII, which HTTP permits, got status 500 and its request was not sent: values are read as Latin-1, and h11 encodes text as ASCII. The client now encodes them as they were decoded.

test_caller and test_caller_of_another_region failed before (500), and pass.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -191,6 +191,14 @@
     await connection.stream.abort()
 
 
+def encode_headers(headers: list[tuple[str, str]]) -> list[tuple[str, bytes]]:
+    """Return the headers with their values as the bytes that were received.
+
+    A value may hold any byte from 0x80 on. h11 takes text as ASCII only.
+    """
+    return [(name, value.encode("latin-1")) for name, value in headers]
+
+
 async def send_request(
     connection: ClientConnection,
     method: str,
@@ -210,7 +218,7 @@
     head = h11.Request(
         method=method,
         target=target,
-        headers=[*headers, ("content-length", str(len(body)))],
+        headers=[*encode_headers(headers), ("content-length", str(len(body)))],
     )
     data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
     try:
