Relay an endpoint's header values as they were received

A response with a header value beyond ASCII ended as status 500 after the request had run. The gateway now passes on the bytes of the values, as it does towards endpoints.

test_endpoint, test_endpoint_of_another_region and test_stream failed before (500, or no response head), and pass.

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -33,6 +33,7 @@
     compute_stall_limit_s,
     watch_stalls,
 )
+from buckthorndeal.http_client import encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import MailboxError
@@ -50,7 +51,7 @@
     """A response whose body has been read completely."""
 
     status: int
-    headers: list[tuple[str, str]]
+    headers: list[tuple[str, bytes]]
     body: bytes
 
 
@@ -262,7 +263,9 @@
         body = await response.read()
         await report_response_start(self._context, attempt, has_events=False)
         buffered = BufferedResponse(
-            response.status, list(remove_hop_by_hop(response.headers).items()), body
+            response.status,
+            encode_headers(list(remove_hop_by_hop(response.headers).items())),
+            body,
         )
         failed = response.status >= SERVER_ERROR
         attempt.outcome = AttemptOutcome.SUCCEEDED
@@ -342,7 +345,9 @@
         headers = remove_hop_by_hop(attempt.response.headers)
         if self._call.hops and attempt.version is not None:
             headers[VERSION_HEADER] = attempt.version
-        await self._responder.start(attempt.response.status, list(headers.items()))
+        await self._responder.start(
+            attempt.response.status, encode_headers(list(headers.items()))
+        )
 
     def _select_new_events(self, events: list[RawEvent]) -> tuple[bytes, str | None]:
         """Return the new events up to the first gap, and an error message or None."""
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -13,6 +13,7 @@
     LivenessCheck,
     abort_connection,
     create_protocol,
+    encode_headers,
     read_head,
     send_request,
     start_watcher,
@@ -26,6 +27,7 @@
     "HttpPool",
     "abort_connection",
     "create_http_pool",
+    "encode_headers",
 ]
 
 CONNECT_TIMEOUT_S = 2.0
--- a/tests/test_header_bytes.py
+++ b/tests/test_header_bytes.py
@@ -8,6 +8,7 @@
     REQUEST_ID,
     Fleet,
     create_configuration,
+    create_stream_events,
     run_fleet,
 )
 
@@ -68,6 +69,39 @@
     def test_caller_of_another_region(self):
         self.check_caller("b-1")
 
+    def check_endpoint(self, path, domain="a-1"):
+        """Check that a caller gets the values of an endpoint."""
+        values = iter(VALUES)
+
+        async def script(endpoint, request, responder):
+            headers = [(NAME, next(values))]
+            if path != "/stream/":
+                await endpoint.respond(request, responder, headers=headers)
+                return
+            headers.append((REQUEST_ID, request.headers[REQUEST_ID]))
+            await responder.start(200, headers)
+            await responder.send(create_stream_events(0, 1))
+            await responder.finish()
+
+        async def scenario(fleet, endpoint):
+            for value in VALUES:
+                received = await send_raw(fleet, path, b"plain")
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 "))
+                self.assertIn(NAME.encode() + b": " + value + b"\r\n", received)
+            self.assertEqual(len(endpoint.requests), len(VALUES))
+
+        self.run_scenario(scenario, script, domain)
+
+    def test_endpoint(self):
+        """Guards against status 500 after the request has run."""
+        self.check_endpoint("/non_idempotent/")
+
+    def test_endpoint_of_another_region(self):
+        self.check_endpoint("/non_idempotent/", "b-1")
+
+    def test_stream(self):
+        self.check_endpoint("/stream/")
+
 
 if __name__ == "__main__":
     unittest.main()
