Wait only behind a response of an earlier request of the connection

The wait for the own response made a request whose only response is wrongly labelled last until its deadline: test_gateway's test_response_to_another_request got 504 in place of 502 in the run of the whole suite (804 passed, 1 failed). The test is right and stays as it is.

A late response bears the id of a request that its connection has carried. The connection keeps the last 16 ids, and any other foreign id ends the request at once with 502.

test_response_with_an_id_that_is_not_known is new. test_stale_refusals and test_gateway pass (44).

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -1,6 +1,7 @@
 """Connection of an HTTP/1.1 client on h11: one request and its response at a time."""
 
 import re
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,8 @@
 MAX_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 1 << 24
 CHECK_INTERVAL_S = 0.5
+# Late copies of older responses are not recognized.
+MAX_REQUEST_IDS = 16
 
 LivenessCheck = Callable[[], Awaitable[None]]
 
@@ -52,6 +55,8 @@
         Clock reading when the last response ended.
     earlier_requests : int
         Number of requests before the current one.
+    request_ids : deque of str
+        Ids of the last requests that the user of the connection has named.
     method : str
         Method of the current request.
     is_reusable : bool
@@ -69,6 +74,9 @@
     keep_alive_s: float | None = None
     idle_since_s: float = 0.0
     earlier_requests: int = 0
+    request_ids: deque[str] = field(
+        default_factory=lambda: deque(maxlen=MAX_REQUEST_IDS)
+    )
     method: str = ""
     is_reusable: bool = True
 
@@ -139,6 +147,10 @@
         """Whether the connection has carried an earlier request."""
         return self._connection.earlier_requests > 0
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the connection has recently carried that request."""
+        return request_id in self._connection.request_ids
+
     @property
     def is_waiting(self) -> bool:
         """Whether a read waits for the endpoint."""
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -118,6 +118,7 @@
         request_sent = True
 
     def watch_connection(connection: ClientConnection) -> None:
+        connection.request_ids.append(call.request_id)
         if may_repeat and isinstance(decision, Grant):
             context.open_attempts.add(attempt_id, connection)
 
@@ -137,7 +138,7 @@
         ) as response:
             _record_contact(context, decision)
             if isinstance(decision, Grant) and not may_repeat:
-                response = await _skip_foreign(context, call, decision, response)
+                response = await _skip_late(context, call, decision, response)
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
             _check_and_log(call, decision, response, metadata)
@@ -179,16 +180,19 @@
             )
 
 
-async def _skip_foreign(
+async def _skip_late(
     context: GatewayContext, call: Call, grant: Grant, response: ClientResponse
 ) -> ClientResponse:
-    """Return the first response that does not bear the id of a different request.
+    """Return the first response that is no late one of an earlier request.
 
-    The last of too many foreign ones is returned as it is.
+    The last of too many late ones is returned as it is. A response with the id of a
+    request that the connection has not carried is wrongly labelled, and may be the
+    only one.
     """
     for _ in range(MAX_SKIPPED_RESPONSES):
         metadata = context.dialect.parse_response(response.status, response.headers)
-        if not is_foreign(call, metadata):
+        foreign = is_foreign(call, metadata)
+        if not foreign or not response.has_carried(metadata.request_id):
             break
         log_event(
             "response_skipped",
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -252,6 +252,10 @@
     def test_stale_responses_without_end(self):
         self.check_given_up(lambda name: create_refusal(name) * 100)
 
+    def test_response_with_an_id_that_is_not_known(self):
+        """Guards against waiting behind a response that is wrongly labelled."""
+        self.check_given_up(lambda name: create_response("other", b"wrong"))
+
     def test_stale_response_that_ends_the_connection(self):
         headers = (NOT_RUN, ("connection", "close"))
         self.check_given_up(lambda name: create_refusal(name, headers=headers))
