--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -1,6 +1,7 @@
 """Connection of an HTTP/1.1 client on h11: one request and its response at a time."""
 
 import re
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -22,6 +23,8 @@
 MAX_HEADER_BYTES = 65_536
 MAX_RESPONSE_BYTES = 1 << 24
 CHECK_INTERVAL_S = 0.5
+# Late copies of older responses are not recognized.
+MAX_REQUEST_IDS = 16
 
 LivenessCheck = Callable[[], Awaitable[None]]
 
@@ -50,6 +53,14 @@
         Idle timeout that the server has announced.
     idle_since_s : float
         Clock reading when the last response ended.
+    earlier_requests : int
+        Number of requests before the current one.
+    request_ids : deque of str
+        Ids of the last requests that the user of the connection has named.
+    method : str
+        Method of the current request.
+    is_reusable : bool
+        Whether further requests may be sent over it.
     """
 
     stream: Stream
@@ -62,6 +73,12 @@
     failure: Exception | None = None
     keep_alive_s: float | None = None
     idle_since_s: float = 0.0
+    earlier_requests: int = 0
+    request_ids: deque[str] = field(
+        default_factory=lambda: deque(maxlen=MAX_REQUEST_IDS)
+    )
+    method: str = ""
+    is_reusable: bool = True
 
 
 @dataclass(eq=False)
@@ -125,6 +142,15 @@
         chunked = "transfer-encoding" in self.headers
         return not chunked and "content-length" not in self.headers
 
+    @property
+    def is_on_used_connection(self) -> bool:
+        """Whether the connection has carried an earlier request."""
+        return self._connection.earlier_requests > 0
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the connection has recently carried that request."""
+        return request_id in self._connection.request_ids
+
     @property
     def is_waiting(self) -> bool:
         """Whether a read waits for the endpoint."""
@@ -134,6 +160,29 @@
         """End the response; the read that waits for it raises `error`."""
         await abort_connection(self._connection, error)
 
+    async def skip(self) -> "ClientResponse":
+        """Discard this response; return the next one to the same request.
+
+        The connection is not used for another request.
+
+        Raises
+        ------
+        RequestError
+            With verdict ``MAY_HAVE_RUN`` if the next response cannot be told from the
+            end of this one, or if the connection breaks.
+        """
+        await self.read()
+        connection = self._connection
+        connection.is_reusable = False
+        # A response to HEAD has no body, whatever its headers say.
+        if (
+            connection.method == "HEAD"
+            or connection.protocol.their_state is not h11.DONE
+        ):
+            raise ConnectionBrokenError("no response can follow a foreign one")
+        _expect_another_response(connection)
+        return await read_head(connection)
+
     async def read(self) -> bytes:
         """Return the complete body."""
         parts = []
@@ -154,6 +203,14 @@
     await connection.stream.abort()
 
 
+def encode_headers(headers: list[tuple[str, str]]) -> list[tuple[str, bytes]]:
+    """Return the headers with their values as the bytes that were received.
+
+    A value may hold any byte from 0x80 on. h11 takes text as ASCII only.
+    """
+    return [(name, value.encode("latin-1")) for name, value in headers]
+
+
 async def send_request(
     connection: ClientConnection,
     method: str,
@@ -168,11 +225,12 @@
     RequestError
         With verdict ``MAY_HAVE_RUN`` if the connection breaks.
     """
+    connection.method = method
     send = connection.protocol.send
     head = h11.Request(
         method=method,
         target=target,
-        headers=[*headers, ("content-length", str(len(body)))],
+        headers=[*encode_headers(headers), ("content-length", str(len(body)))],
     )
     data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
     try:
@@ -181,6 +239,21 @@
         raise ConnectionClosedError(str(error)) from error
 
 
+def _expect_another_response(connection: ClientConnection) -> None:
+    """Continue with the protocol's state right after the request was sent."""
+    received, is_closed = connection.protocol.trailing_data
+    protocol = create_protocol()
+    request = h11.Request(method=connection.method, target="/", headers=[("host", "")])
+    protocol.send(request)
+    protocol.send(h11.EndOfMessage())
+    if received:
+        protocol.receive_data(received)
+    if is_closed:
+        protocol.receive_data(b"")
+    connection.protocol = protocol
+    connection.needs_data = False
+
+
 async def read_head(connection: ClientConnection) -> ClientResponse:
     """Return the response once its head has arrived.
 
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -13,6 +13,7 @@
     LivenessCheck,
     abort_connection,
     create_protocol,
+    encode_headers,
     read_head,
     send_request,
     start_watcher,
@@ -26,6 +27,7 @@
     "HttpPool",
     "abort_connection",
     "create_http_pool",
+    "encode_headers",
 ]
 
 CONNECT_TIMEOUT_S = 2.0
@@ -188,6 +190,7 @@
         protocol = connection.protocol
         reusable = (
             not self._closed
+            and connection.is_reusable
             and len(self._idle) < self._max_idle_connections
             and protocol.our_state is h11.DONE
             and protocol.their_state is h11.DONE
@@ -195,6 +198,7 @@
         )
         if reusable:
             protocol.start_next_cycle()
+            connection.earlier_requests += 1
             connection.idle_since_s = await curio.clock()
             self._idle.append(connection)
             return
