Answer a HEAD request that ends in an error

Callers saw: a closed connection in place of a refusal or an error, when the method was HEAD.

Cause: the responder gave h11 a body, which it rejects for HEAD, and the handler ended without a response.

Change: the responder leaves the body out for HEAD.

Measured: test_error_of_a_head_request_is_answered got nothing before.

--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -25,6 +25,8 @@
     ----------
     disconnected : bool
         Whether the caller has closed the connection.
+    is_body_allowed : bool
+        Whether the response may have a body, which is not so for HEAD.
     """
 
     def __init__(
@@ -37,6 +39,7 @@
         self._connection = connection
         self._is_draining = is_draining
         self.disconnected = False
+        self.is_body_allowed = True
 
     @property
     def started(self) -> bool:
@@ -85,7 +88,10 @@
             ],
         )
         send = self._connection.send
-        data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
+        data = send(head)
+        if self.is_body_allowed:
+            data += send(h11.Data(data=body))
+        data += send(h11.EndOfMessage())
         await self._stream.sendall(data)
 
     async def respond_json(
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -168,6 +168,7 @@
             return False
         if request is None:
             return False
+        responder.is_body_allowed = request.method != "HEAD"
         if self.closing:
             await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
             return False
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -69,6 +69,23 @@
 
         self.assertEqual(self.run_with_server(scenario, respond_slowly), 2)
 
+    def test_error_of_a_head_request_is_answered(self):
+        """Guards against a closed connection in place of the answer."""
+
+        async def refuse(request, responder):
+            raise RequestError("refused", 503, "refused", Verdict.NOT_RUN)
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(b"HEAD / HTTP/1.1\r\nhost: a\r\n\r\n")
+            answer = await stream.recv(4096)
+            await stream.close()
+            return answer
+
+        answer = self.run_with_server(scenario, refuse)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\n"), answer)
+
     def send_raw(self, data):
         """Return the response to raw bytes, and whether the connection was closed."""
 
