Refuse reports with values that no endpoint can have

What callers saw: one status report of another writer with `slots` of 21 digits ended all coordinators, again and again. A port out of range was acknowledged, and a request that was sent there ended as an internal error; a host name was resolved by the whole process.

Cause: JSON holds numbers of any size, messages between hosts 64 bits and sockets 16. Values of other writers reached the table of endpoints as they came, and failed in the task that encodes it. The only check of the address was that the port is digits.

Change: `check_record` bounds names, numbers, durations and the address, with the port. The coordinator's service applies it to each heartbeat and leave, whatever the API, and answers as for an unreadable report (400). Coordinators and gateways apply it to records of peers: a gateway leaves the odd one out, and takes the rest of the list.

--- a/buckthorndeal/coordinator/_api.py
+++ b/buckthorndeal/coordinator/_api.py
@@ -7,7 +7,7 @@
 from buckthorndeal.configuration import ConfigurationError
 from buckthorndeal.coordinator._service import CoordinatorService
 from buckthorndeal.errors import RequestError
-from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.fleet import EndpointRecord, EndpointState, InvalidRecordError
 from buckthorndeal.http_server import Handler, Request, Responder
 
 RETRY_AFTER_S = 0.5
@@ -65,6 +65,8 @@
         except msgspec.MsgspecError as error:
             message = f"malformed body: {error}"
             raise RequestError("bad_request", 400, message) from error
+        except InvalidRecordError as error:
+            raise RequestError("bad_request", 400, str(error)) from error
         except ConfigurationError as error:
             raise RequestError("invalid_configuration", 400, str(error)) from error
 
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -58,6 +58,7 @@
     OriginUpdate,
     RateLimitUpdate,
     RelayEndpoint,
+    check_record,
     count_home_routes,
     create_host_links,
 )
@@ -320,6 +321,7 @@
         if isinstance(message, DescribeReplica):
             return self._describe_replica()
         if isinstance(message, RelayEndpoint):
+            check_record(message.record)
             await self._fleet.mailbox.ask(RelayedRecordReceived(message.record))
             return Acknowledged()
         if isinstance(message, EvidenceUpdate):
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -29,6 +29,8 @@
     ProposeEvacuation,
     ReadCommittedConfiguration,
     Unavailable,
+    check_incarnation,
+    check_record,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox
@@ -77,7 +79,13 @@
         -------
         bool
             Whether the heartbeat may be acknowledged.
+
+        Raises
+        ------
+        InvalidRecordError
+            If a value is one that no endpoint can have.
         """
+        check_record(record)
         return await self._fleet.ask(HeartbeatReceived(record))
 
     async def report_leave(self, endpoint: str, incarnation: int | None) -> bool:
@@ -94,7 +102,14 @@
         -------
         bool
             Whether the notice may be acknowledged.
+
+        Raises
+        ------
+        InvalidRecordError
+            If the incarnation is out of bounds.
         """
+        if incarnation is not None:
+            check_incarnation(incarnation)
         return await self._fleet.ask(LeaveReceived(endpoint, incarnation))
 
     async def choose_registrar(self, region: str, failure_domain: str) -> str | None:
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -50,6 +50,12 @@
     RateLimitTable,
     create_rate_limit_table,
 )
+from buckthorndeal.fleet._record_checks import (
+    InvalidRecordError,
+    check_incarnation,
+    check_record,
+    select_valid_records,
+)
 from buckthorndeal.fleet._stream_origins import (
     OriginTable,
     StreamOrigin,
@@ -88,6 +94,7 @@
     "FetchConfiguration",
     "FindOrigin",
     "HostLinks",
+    "InvalidRecordError",
     "LeaveCluster",
     "OriginReply",
     "OriginTable",
@@ -105,6 +112,8 @@
     "StreamOrigin",
     "Unavailable",
     "VersionTable",
+    "check_incarnation",
+    "check_record",
     "choose_entry_hosts",
     "count_home_routes",
     "create_endpoint_table",
@@ -114,4 +123,5 @@
     "create_version_table",
     "digest_stream",
     "is_advertised",
+    "select_valid_records",
 ]
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -26,7 +26,9 @@
     EntryStatus,
     OriginUpdate,
     RelayEndpoint,
+    check_record,
     create_host_links,
+    select_valid_records,
 )
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
@@ -181,11 +183,13 @@
 
     async def _receive(self, message: Message, channel: Channel) -> Message | None:
         if isinstance(message, RelayEndpoint):
+            check_record(message.record)
             await self._dispatch.ask(HeartbeatsReceived((message.record,)))
             return Acknowledged()
         if isinstance(message, EndpointHeartbeats):
+            records = select_valid_records(message.records)
             await self._dispatch.send(
-                HeartbeatsReceived(message.records, message.alive, message.versions)
+                HeartbeatsReceived(records, message.alive, message.versions)
             )
             if message.ends_initial_state:
                 await self.mailbox.send(_InitialStateReceived(channel.host))
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -58,8 +58,13 @@
 class Fleet:
     """A deployment on a memory transport; hosts are named by their IP addresses."""
 
-    def __init__(self, coordinators=("10.1.0.1", "10.2.0.1", "10.3.0.1")):
+    def __init__(
+        self,
+        coordinators=("10.1.0.1", "10.2.0.1", "10.3.0.1"),
+        create_handlers=create_default_handlers,
+    ):
         self.transport = create_memory_transport()
+        self.create_handlers = create_handlers
         self.seeds = tuple(
             Address(address=each, port=PEER_PORT) for each in coordinators
         )
@@ -105,7 +110,7 @@
             data_directory=self.directories[host].name,
         )
         daemon = create_coordinator(
-            settings, self.transport, create_route_format(), create_default_handlers
+            settings, self.transport, create_route_format(), self.create_handlers
         )
         await daemon.start()
         self.coordinators[host] = daemon
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,254 @@
+"""Tests that odd reports of other writers end no task and hide no sound endpoint."""
+
+import json
+import pathlib
+import sys
+import unittest
+from contextlib import asynccontextmanager
+
+import curio
+import msgspec
+
+from buckthorndeal.coordinator import create_default_handlers
+from buckthorndeal.fleet import (
+    EndpointHeartbeats,
+    EndpointRecord,
+    EndpointState,
+    RelayEndpoint,
+)
+from tests.fleet_harness import (
+    GATEWAY,
+    REGIONS,
+    Fleet,
+    run_fleet,
+    start_serving,
+)
+
+sys.path.append(str(pathlib.Path(__file__).parent.parent / "platform"))
+
+import controlapi
+
+COORDINATOR = "10.1.0.1"
+OTHER_GATEWAY = "10.1.0.8"
+BEYOND_64_BITS = 10**20
+# Longer than two intervals at which coordinators send what has changed.
+FLUSHED_S = 0.6
+SOUND = EndpointRecord(
+    "other", 1, 1, "s", "a", "a-1", "10.1.9.77:80", 4, EndpointState.READY
+)
+
+
+async def respond(endpoint, request, responder):
+    await endpoint.respond(request, responder)
+
+
+def create_platform_handlers(service, lifetime_s):
+    """Return the platform's handlers, which take reports of both formats."""
+    api, directory = controlapi.create_handlers(service, REGIONS, lifetime_s)
+    default_api, _ = create_default_handlers(service, lifetime_s)
+
+    async def handle(request, responder):
+        handler = default_api if request.path.startswith("/v1/") else api
+        await handler(request, responder)
+
+    return handle, directory
+
+
+def create_report(**changes):
+    """Return a status report in the platform's format, as JSON."""
+    body = {
+        "service": "s",
+        "address": "10.1.9.77:80",
+        "zone": "a-1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1,
+        **changes,
+    }
+    return json.dumps(body).encode()
+
+
+def create_default_report(**changes):
+    """Return a heartbeat in the default format, as JSON."""
+    body = {
+        "incarnation": 1,
+        "sequence": 1,
+        "service": "s",
+        "region": "a",
+        "failure_domain": "a-1",
+        "address": "10.1.9.77:80",
+        "slots": 4,
+        **changes,
+    }
+    return json.dumps(body).encode()
+
+
+@asynccontextmanager
+async def serve_watched():
+    """Start a serving fleet with two gateways; yields it and the daemons that end."""
+    async with Fleet(create_handlers=create_platform_handlers) as fleet:
+        await start_serving(fleet, respond)
+        await fleet.start_gateway(OTHER_GATEWAY)
+        await fleet.wait_until_ready(OTHER_GATEWAY)
+        ended = []
+        watchers = [
+            await curio.spawn(_record_end, host, daemon, ended, daemon=True)
+            for host, daemon in [*fleet.coordinators.items(), *fleet.gateways.items()]
+        ]
+        try:
+            yield fleet, ended
+        finally:
+            for watcher in watchers:
+                await watcher.cancel()
+
+
+async def _record_end(host, daemon, ended):
+    try:
+        await daemon.wait()
+    except Exception as error:
+        ended.append((host, repr(error)))
+    else:
+        ended.append((host, None))
+
+
+async def report(fleet, content, endpoint="odd", host=COORDINATOR):
+    status, _ = await fleet.call_api(
+        host, "POST", f"/instances/{endpoint}/heartbeat", content
+    )
+    return status
+
+
+def list_endpoints(fleet, host):
+    """Return the endpoints that a gateway may send requests to."""
+    return set(fleet.gateways[host]._dispatch._dispatcher.view.loads)
+
+
+class OddEntriesTest(unittest.TestCase):
+    """No task ends, and sound endpoints stay in use."""
+
+    def run_serving(self, scenario):
+        async def test():
+            async with serve_watched() as (fleet, ended):
+                await scenario(fleet)
+                await curio.sleep(FLUSHED_S)
+                self.assertEqual(ended, [])
+                await self.check_sound_endpoints(fleet)
+
+        run_fleet(test)
+
+    async def check_sound_endpoints(self, fleet):
+        """Check that a new endpoint is still learned of, and used."""
+        await fleet.start_endpoint("new", "a-1", respond)
+        await curio.sleep(FLUSHED_S)
+        for host in (GATEWAY, OTHER_GATEWAY):
+            self.assertEqual(list_endpoints(fleet, host), {"e0", "new"})
+            status, _, _ = await fleet.send_request(host, "/idempotent/x")
+            self.assertEqual(status, 200)
+
+
+class OddReportTest(OddEntriesTest):
+    """A report with a value that no endpoint can have is refused."""
+
+    def check_refused(self, *contents):
+        async def scenario(fleet):
+            for content in contents:
+                for host in fleet.coordinators:
+                    self.assertEqual(await report(fleet, content, host=host), 400)
+
+        self.run_serving(scenario)
+
+    def test_number_beyond_64_bits(self):
+        self.check_refused(
+            *(
+                create_report(**{name: BEYOND_64_BITS})
+                for name in ("slots", "sequence", "born")
+            )
+        )
+
+    def test_number_out_of_bounds(self):
+        self.check_refused(
+            create_report(slots=-1),
+            create_report(sequence=-(2**63)),
+            create_report(born=2**62),
+            create_report(cold_remaining_ms=1e300),
+            create_report(remaining_ms=1e300),
+        )
+
+    def test_address_that_no_endpoint_has(self):
+        self.check_refused(
+            *(
+                create_report(address=address)
+                for address in (
+                    "10.1.9.77:70000",
+                    "10.1.9.77:0",
+                    "10.1.9.77:" + "9" * 5_000,
+                    "host.example:80",
+                    "0.0.0.0:80",
+                    "10.1.9.77\0:80",
+                    ":80",
+                )
+            )
+        )
+
+    def test_name_too_long_for_the_messages_between_hosts(self):
+        long = "x" * 100_000
+        self.check_refused(
+            create_report(service=long),
+            create_report(version=long),
+            create_report(service=""),
+            create_report(service="\0"),
+        )
+
+    def test_leave(self):
+        async def scenario(fleet):
+            content = b'{"born":%d}' % BEYOND_64_BITS
+            status, _ = await fleet.call_api(
+                COORDINATOR, "POST", "/instances/e0/leave", content
+            )
+            self.assertEqual(status, 400)
+
+        self.run_serving(scenario)
+
+    def test_default_format(self):
+        async def scenario(fleet):
+            for content in (
+                create_default_report(slots=BEYOND_64_BITS),
+                create_default_report(address="10.1.9.77:70000"),
+            ):
+                status, _ = await fleet.call_api(
+                    COORDINATOR, "POST", "/v1/endpoints/odd/heartbeat", content
+                )
+                self.assertEqual(status, 400)
+
+        self.run_serving(scenario)
+
+
+class OddRecordOfPeerTest(OddEntriesTest):
+    """A record that another coordinator should not have sent is left out."""
+
+    ODD = msgspec.structs.replace(SOUND, endpoint="odd", address="10.1.9.76:70000")
+
+    def test_list_for_gateways(self):
+        async def scenario(fleet):
+            coordinator = fleet.coordinators[COORDINATOR]
+            message = EndpointHeartbeats((self.ODD,))
+            for entry in coordinator._fleet._entries:
+                await entry.channel.send(message)
+
+        self.run_serving(scenario)
+
+    def test_drain_that_is_relayed(self):
+        async def scenario(fleet):
+            coordinator = fleet.coordinators[COORDINATOR]
+            odd = msgspec.structs.replace(self.ODD, state=EndpointState.DRAINING)
+            for host in coordinator._links.list_connected():
+                await coordinator._links.deliver(host, RelayEndpoint(odd))
+
+        self.run_serving(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
