Refuse reports and configurations that are nested too deeply

What callers saw: a status report or leave with 100,000 nested lists was answered with 500, in place of 400, and left a traceback. A configuration nested 900 deep was acknowledged.

Cause: the decoders raise RecursionError, which was expected only for frames of peers. The depth at which they do depends on the stack of the caller: a document of 900 levels was read by a request handler, and not by a task 100 calls deeper. Every host decodes the same configuration, in other tasks.

Change: one list of what decoders raise, used at each of them, also for files of coordinators and messages of replicas. A configuration may be nested 64 deep.

Measured: the tests of nested reports, leaves and configurations failed before (500 in place of 400, 200 in place of 400 for 900 levels) and pass. No process ended by nesting in any of them.

--- a/buckthorndeal/configuration.py
+++ b/buckthorndeal/configuration.py
@@ -7,6 +7,7 @@
 
 import enum
 import hashlib
+import re
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -24,11 +25,14 @@
     "ServiceDescription",
     "WeightedService",
     "check_configuration",
+    "check_nesting",
     "choose_service",
     "create_route_table",
 ]
 
 HASH_BYTES = 8
+MAX_NESTING = 64
+_NESTING = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 HASH_RANGE = 1 << (8 * HASH_BYTES)
 
 
@@ -238,6 +242,24 @@
         raise ConfigurationError(route.name, "no service has a positive weight")
 
 
+def check_nesting(content: bytes) -> None:
+    """Check that every task can decode a JSON document, whatever its stack.
+
+    Raises
+    ------
+    ConfigurationError
+        If it is nested more than `MAX_NESTING` deep.
+    """
+    depth = 0
+    for match in _NESTING.finditer(content):
+        if match[0] in (b"[", b"{"):
+            depth += 1
+        elif match[0] in (b"]", b"}"):
+            depth -= 1
+        if depth > MAX_NESTING:
+            raise ConfigurationError("$", f"nested more than {MAX_NESTING} deep")
+
+
 class RouteTable:
     """Finds the route of a request by its host name and path.
 
--- a/buckthorndeal/coordinator/_api.py
+++ b/buckthorndeal/coordinator/_api.py
@@ -6,7 +6,7 @@
 
 from buckthorndeal.configuration import ConfigurationError
 from buckthorndeal.coordinator._service import CoordinatorService
-from buckthorndeal.errors import RequestError
+from buckthorndeal.errors import DECODING_ERRORS, RequestError
 from buckthorndeal.fleet import EndpointRecord, EndpointState, InvalidRecordError
 from buckthorndeal.http_server import Handler, Request, Responder
 
@@ -62,7 +62,7 @@
         """
         try:
             await self._handle(request, responder)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             message = f"malformed body: {error}"
             raise RequestError("bad_request", 400, message) from error
         except InvalidRecordError as error:
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -2,7 +2,7 @@
 
 import zlib
 
-from buckthorndeal.configuration import ConfigurationCodec
+from buckthorndeal.configuration import ConfigurationCodec, check_nesting
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -171,6 +171,7 @@
             With status 503 if the outcome is unknown.
         """
         version = self._codec.decode(content).version
+        check_nesting(content)
         compressed = zlib.compress(content)
         reply = await self._ask_leader(
             StoreConfiguration(PutConfiguration(version=version, content=compressed)),
--- a/buckthorndeal/coordinator/_state_store.py
+++ b/buckthorndeal/coordinator/_state_store.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from buckthorndeal._files import make_directory, replace_file
+from buckthorndeal.errors import DECODING_ERRORS
 from buckthorndeal.logs import log_event
 
 Record = TypeVar("Record")
@@ -76,7 +77,7 @@
                 return self._decoder.decode(file.read())
         except FileNotFoundError:
             return ()
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, *DECODING_ERRORS) as error:
             log_event(f"{self._name}_unreadable", path=self._path, reason=str(error))
             return ()
 
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -2,7 +2,10 @@
 
 import enum
 
+import msgspec
+
 __all__ = [
+    "DECODING_ERRORS",
     "AuthenticationError",
     "BuckthorndealError",
     "ChartError",
@@ -26,6 +29,11 @@
 ]
 
 
+# What a decoder raises on content of any kind. One that is nested too deeply gives
+# RecursionError, at a depth that depends on the stack of the caller.
+DECODING_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
+
 class Verdict(enum.Enum):
     """Whether a request may have run at an endpoint.
 
--- a/buckthorndeal/replication.py
+++ b/buckthorndeal/replication.py
@@ -21,6 +21,7 @@
     ReplicaId,
 )
 from buckthorndeal.errors import (
+    DECODING_ERRORS,
     ForbiddenError,
     MembershipChangeError,
     NotLeaderError,
@@ -136,7 +137,7 @@
     async def _receive(self, message: ConsensusReceived) -> None:
         try:
             decoded: ConsensusMessage = self._decoder.decode(message.data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             log_event("consensus_message_refused", reason=str(error))
             return
         # The link has authenticated the host name; the incarnation is the one that the
--- a/buckthorndeal/routeformat.py
+++ b/buckthorndeal/routeformat.py
@@ -27,10 +27,12 @@
         """
         try:
             raw = jsonc.loads(content.decode("utf-8"))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise ConfigurationError("$", f"not JSON: {error}") from error
         try:
             configuration = msgspec.convert(raw, Configuration)
+        except RecursionError as error:
+            raise ConfigurationError("$", "nested too deeply") from error
         except msgspec.ValidationError as error:
             reason, path = split_validation_error(str(error))
             raise ConfigurationError(path, reason) from error
--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from buckthorndeal.errors import AuthenticationError, FrameError
+from buckthorndeal.errors import DECODING_ERRORS, AuthenticationError, FrameError
 
 __all__ = [
     "CLIENT",
@@ -95,7 +95,7 @@
         """
         try:
             return self._decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             raise FrameError(f"malformed payload: {error}") from error
 
 
@@ -315,7 +315,7 @@
             raise AuthenticationError("datagram has a wrong MAC")
         try:
             datagram = self._decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             raise FrameError(f"malformed datagram: {error}") from error
         self._check_timestamp(datagram, wall_s)
         return datagram.sender, self._codec.decode(datagram.body)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,6 +20,7 @@
     GATEWAY,
     REGIONS,
     Fleet,
+    create_configuration,
     run_fleet,
     start_serving,
 )
@@ -31,6 +32,7 @@
 COORDINATOR = "10.1.0.1"
 OTHER_GATEWAY = "10.1.0.8"
 BEYOND_64_BITS = 10**20
+DEEP_NESTING = 100_000
 # Longer than two intervals at which coordinators send what has changed.
 FLUSHED_S = 0.6
 SOUND = EndpointRecord(
@@ -86,6 +88,12 @@
     return json.dumps(body).encode()
 
 
+def nest(content, depth=DEEP_NESTING):
+    """Return a JSON object with a deeply nested field added."""
+    nested = b"[" * depth + b"]" * depth
+    return content[:-1] + b',"odd":' + nested + b"}"
+
+
 @asynccontextmanager
 async def serve_watched():
     """Start a serving fleet with two gateways; yields it and the daemons that end."""
@@ -202,13 +210,16 @@
             create_report(service="\0"),
         )
 
+    def test_deep_nesting(self):
+        self.check_refused(nest(create_report()))
+
     def test_leave(self):
         async def scenario(fleet):
-            content = b'{"born":%d}' % BEYOND_64_BITS
-            status, _ = await fleet.call_api(
-                COORDINATOR, "POST", "/instances/e0/leave", content
-            )
-            self.assertEqual(status, 400)
+            for content in (b'{"born":%d}' % BEYOND_64_BITS, nest(b'{"born":1 }')):
+                status, _ = await fleet.call_api(
+                    COORDINATOR, "POST", "/instances/e0/leave", content
+                )
+                self.assertEqual(status, 400)
 
         self.run_serving(scenario)
 
@@ -217,6 +228,7 @@
             for content in (
                 create_default_report(slots=BEYOND_64_BITS),
                 create_default_report(address="10.1.9.77:70000"),
+                nest(create_default_report()),
             ):
                 status, _ = await fleet.call_api(
                     COORDINATOR, "POST", "/v1/endpoints/odd/heartbeat", content
@@ -250,5 +262,27 @@
         self.run_serving(scenario)
 
 
+class OddConfigurationTest(OddEntriesTest):
+    """A configuration that not every host can read or pass on is refused."""
+
+    def check_refused(self, *contents):
+        async def scenario(fleet):
+            for content in contents:
+                status, _ = await fleet.put_configuration(COORDINATOR, content)
+                self.assertEqual(status, 400)
+            content = create_configuration(2)
+            status, _ = await fleet.put_configuration(COORDINATOR, content)
+            self.assertEqual(status, 200)
+            self.assertEqual(await fleet.get_configuration(COORDINATOR), content)
+
+        self.run_serving(scenario)
+
+    def test_deep_nesting(self):
+        """Guards against a depth that only tasks with a short stack can read."""
+        self.check_refused(
+            *(nest(create_configuration(9), depth) for depth in (65, 900, DEEP_NESTING))
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
