Refuse configurations with numbers out of bounds

What callers saw: a configuration with version 2^64 ended the leader of the replicated log with OverflowError, and then the next one that the operator asked. Infinite and NaN times and weights were acknowledged.

Cause: JSON holds whole numbers of any size and, in the default format, NaN and infinity; the replicated log holds 64 bits, and comparisons with NaN are false.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that odd reports of other writers end no task and hide no sound endpoint."""
 
 import json
+import math
 import pathlib
 import sys
 import unittest
@@ -277,6 +278,32 @@
 
         self.run_serving(scenario)
 
+    def test_version_beyond_64_bits(self):
+        """Guards against the end of the leader, which cannot store it."""
+        self.check_refused(
+            create_configuration(2**64),
+            create_configuration(2**63),
+            create_configuration(-BEYOND_64_BITS),
+        )
+
+    def test_number_that_no_timer_or_choice_can_use(self):
+        valid = create_configuration(9)
+        self.check_refused(
+            *(
+                create_configuration(9, **{name: value})
+                for name in ("timeout_s", "latency_objective_s", "max_pause_s")
+                for value in (math.nan, math.inf, 1e300)
+            ),
+            *(
+                create_configuration(9, services=[{"service": "s", "weight": weight}])
+                for weight in (math.nan, math.inf, 1e300)
+            ),
+            valid.replace(
+                b'"max_connections": 64', b'"max_connections": 1' + b"0" * 30
+            ),
+            valid[:-1] + b', "limits": {"idle_timeout_s": 1e300}}',
+        )
+
     def test_deep_nesting(self):
         """Guards against a depth that only tasks with a short stack can read."""
         self.check_refused(
