Go on beside log entries that cannot be read or written

What callers saw: a stored configuration whose content cannot be decompressed ended all coordinators, and each of them again at its next start. A command that the log cannot encode ended the leader.

Cause: only ConfigurationError was expected of the stored content, and no error of the encoder.

Change: unreadable content is logged like an invalid configuration; a newer one replaces it. A command that cannot be encoded fails alone, before the replica changes.

Measured: both tests ended in their time limit of 60 s before (zlib.error, OverflowError in the replica's task), and pass.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -3,6 +3,7 @@
 import os
 import random
 import time
+import zlib
 from collections.abc import Callable
 
 import curio
@@ -283,10 +284,9 @@
         if version is None or version == self._published_home_counts_version:
             return
         self._published_home_counts_version = version
-        content = self._replica.read_content()
         try:
-            configuration = self._codec.decode(content)
-        except ConfigurationError as error:
+            configuration = self._codec.decode(self._replica.read_content())
+        except (ConfigurationError, zlib.error) as error:
             log_event("configuration_unreadable", version=version, reason=str(error))
             return
         home_counts = count_home_routes(configuration)
--- a/buckthorndeal/replication.py
+++ b/buckthorndeal/replication.py
@@ -151,7 +151,10 @@
             raise NotLeaderError(leader.host if leader else None)
 
     async def _propose(self, command: Command, envelope: Envelope | None) -> None:
-        data = encode_command(command)
+        try:
+            data = encode_command(command)
+        except (OverflowError, ValueError) as error:
+            raise RequestError("bad_request", 400, str(error)) from error
         proposal, output = self._replica.propose(data, self._clock())
         self._pending[proposal.index] = (proposal, envelope)
         await self._process(output)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,12 +11,17 @@
 import msgspec
 
 from buckthorndeal.coordinator import create_default_handlers
+from buckthorndeal.coordinator._requests import StoreConfiguration
+from buckthorndeal.errors import NotLeaderError, RequestError
 from buckthorndeal.fleet import (
+    ConfigurationReply,
     EndpointHeartbeats,
     EndpointRecord,
     EndpointState,
+    ProposeConfiguration,
     RelayEndpoint,
 )
+from buckthorndeal.statemachine import PutConfiguration
 from tests.fleet_harness import (
     GATEWAY,
     REGIONS,
@@ -286,6 +291,39 @@
             create_configuration(-BEYOND_64_BITS),
         )
 
+    def test_stored_content_that_cannot_be_read(self):
+        """Guards against an end of all coordinators at each start."""
+
+        async def scenario(fleet):
+            reply = None
+            while not isinstance(reply, ConfigurationReply):
+                for daemon in fleet.coordinators.values():
+                    odd = ProposeConfiguration(5, b"odd")
+                    reply = await daemon.service.handle_call(odd)
+                    if isinstance(reply, ConfigurationReply):
+                        break
+                await curio.sleep(0.05)
+            await curio.sleep(FLUSHED_S)
+            await fleet.stop_coordinator(COORDINATOR)
+            await fleet.start_coordinator(COORDINATOR)
+            content = create_configuration(6)
+            status, _ = await fleet.put_configuration(COORDINATOR, content)
+            self.assertEqual(status, 200)
+            self.assertEqual(await fleet.get_configuration(COORDINATOR), content)
+
+        self.run_serving(scenario)
+
+    def test_command_that_the_log_cannot_hold(self):
+        """Guards against the end of a leader that cannot encode it."""
+
+        async def scenario(fleet):
+            odd = PutConfiguration(version=BEYOND_64_BITS, content=b"")
+            for daemon in fleet.coordinators.values():
+                with self.assertRaises((RequestError, NotLeaderError)):
+                    await daemon._replica.mailbox.ask(StoreConfiguration(odd))
+
+        self.run_serving(scenario)
+
     def test_number_that_no_timer_or_choice_can_use(self):
         valid = create_configuration(9)
         self.check_refused(
