Bound the numbers in headers of callers and endpoints

A deadline of 400 digits or an event id of 5,000 got 500 in place of 400.

Cause: digits were checked, not how many; Python refuses to parse more than 4,300 of them, and to turn more than 308 into a float.

Change: one function reads whole numbers in headers, of at most 15 digits.

Retry-After and the two limits had bounds already, and Keep-Alive takes any number: these hold before and after.

--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -29,6 +29,7 @@
 REJECTION_LIMIT = "buckthorndeal-rejection-limit"
 UNAVAILABLE = 503
 # Digits with an optional fraction; a value with a sign or an exponent is malformed.
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,15}")
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
@@ -219,12 +220,21 @@
     RequestError
         With status 400 if it is not a non-negative whole number.
     """
-    value = headers.get(name)
-    if value is None:
-        return None
-    if not (value.isascii() and value.isdecimal()):
-        raise RequestError("bad_request", 400, f"header {name!r} is not a whole number")
-    return int(value) / 1000
+    milliseconds = read_event_id(headers, name)
+    return None if milliseconds is None else milliseconds / 1000
+
+
+def parse_whole_number(text: str) -> int:
+    """Return the whole number of at most 15 digits in a header.
+
+    Raises
+    ------
+    ValueError
+        If it is something else, or longer.
+    """
+    if _WHOLE_NUMBER.fullmatch(text) is None:
+        raise ValueError("not a whole number of at most 15 digits")
+    return int(text)
 
 
 def read_event_id(headers: dict[str, str], name: str) -> int | None:
@@ -238,9 +248,10 @@
     value = headers.get(name)
     if value is None:
         return None
-    if not (value.isascii() and value.isdecimal()):
-        raise RequestError("bad_request", 400, f"header {name!r} is not a whole number")
-    return int(value)
+    try:
+        return parse_whole_number(value)
+    except ValueError as error:
+        raise RequestError("bad_request", 400, f"header {name!r}: {error}") from error
 
 
 def read_pause_s(status: int, headers: dict[str, str]) -> float | None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -21,6 +21,7 @@
     ProposeConfiguration,
     RelayEndpoint,
 )
+from buckthorndeal.http_server import Request
 from buckthorndeal.statemachine import PutConfiguration
 from tests.fleet_harness import (
     GATEWAY,
@@ -34,6 +35,7 @@
 sys.path.append(str(pathlib.Path(__file__).parent.parent / "platform"))
 
 import controlapi
+import headnames
 
 COORDINATOR = "10.1.0.1"
 OTHER_GATEWAY = "10.1.0.8"
@@ -349,5 +351,44 @@
         )
 
 
+class OddHeaderTest(unittest.TestCase):
+    """A header with a number out of bounds fails alone, and says so truthfully."""
+
+    LONG = ("9" * 400, "9" * 5_000)
+
+    def setUp(self):
+        self.dialect = headnames.HeadDialect()
+
+    def test_response(self):
+        for number in self.LONG:
+            for name, value in (
+                ("x-server-load", f"{number},1,8"),
+                ("x-server-load", f"1,1,{number}"),
+                ("retry-after", number),
+                ("server-limit", number),
+                ("server-brittle", number),
+                ("server-brittle", "nan"),
+            ):
+                with self.subTest(name):
+                    metadata = self.dialect.parse_response(503, {name: value})
+                    self.assertIsNone(metadata.load)
+                    self.assertIsNone(metadata.pause_s)
+                    self.assertIsNone(metadata.rate_limit)
+                    self.assertIsNone(metadata.rejection_limit)
+
+    def test_request(self):
+        for number in (*self.LONG, "-1", "1_0"):
+            for name, value in (
+                ("x-deadline-ms", number),
+                ("last-event-id", number),
+                ("x-token-count", f"{number},1"),
+                ("x-token-count", f"1,{number}"),
+                ("x-prompt-prefix", f"5c1e:{number}"),
+            ):
+                headers = {"x-model": "m", "x-token-count": "1,2", name: value}
+                with self.subTest(name), self.assertRaises(RequestError):
+                    self.dialect.parse_request(Request("POST", "/", headers))
+
+
 if __name__ == "__main__":
     unittest.main()
