Keep tasks running after an unexpected error beside their messages

What callers saw: a coordinator ended when it could not encode one record for the gateways, and with it all that it knew; a drain of such a record got no answer at all.

Cause: owner tasks log an error in the handling of a message and go on, but flushes, status and timers ran outside of that guard. Errors of the encoder were not expected anywhere.

Change: each step of the fleet task of a coordinator, and of the control and dispatch tasks of a gateway, runs guarded by itself: an error is logged and counted. A message that cannot be encoded fails alone, as one that cannot be sent.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -200,7 +200,7 @@
         Raises
         ------
         PeerError
-            If the queue is full or the link is closed.
+            If the message cannot be encoded, the queue is full or the link is closed.
         """
         await self._mailbox.send(self._create_outgoing(message, is_call=False))
 
@@ -209,7 +209,11 @@
             raise PeerError("link is closed", Verdict.NOT_RUN)
         if self._queued + len(self._pending) >= self._options.max_queued:
             raise PeerError("send queue is full", Verdict.NOT_RUN)
-        outgoing = _Outgoing(msgspec.Raw(self._codec.encode(message)), is_call)
+        try:
+            body = self._codec.encode(message)
+        except WireError as error:
+            raise PeerError(str(error), Verdict.NOT_RUN) from error
+        outgoing = _Outgoing(msgspec.Raw(body), is_call)
         self._queued += 1
         return outgoing
 
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -45,7 +45,12 @@
     create_endpoint_table,
 )
 from buckthorndeal.logs import log_event
-from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
+from buckthorndeal.mailbox import (
+    Envelope,
+    create_mailbox,
+    fail_unexpectedly,
+    run_guarded,
+)
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.wire import Message
 
@@ -123,10 +128,10 @@
             now_s = self._clock()
             if now_s >= self._flush_due_s:
                 self._flush_due_s = now_s + FLUSH_INTERVAL_S
-                await self._flush(now_s)
+                await run_guarded(self._metrics, self._flush, now_s)
             if now_s >= self._status_due_s:
                 self._status_due_s = now_s + STATUS_INTERVAL_S
-                await self._send_status(now_s)
+                await run_guarded(self._metrics, self._send_status, now_s)
 
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope) -> None:
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -63,6 +63,7 @@
     Mailbox,
     create_mailbox,
     fail_unexpectedly,
+    run_guarded,
 )
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.peers import Channel
@@ -168,10 +169,10 @@
                     await self._handle(envelope.message, envelope)
                 except Exception as error:
                     await fail_unexpectedly(envelope, error, self._metrics)
-            await self._update_connections()
-            await self._fetch_if_newer()
+            await run_guarded(self._metrics, self._update_connections)
+            await run_guarded(self._metrics, self._fetch_if_newer)
             if self._clock() >= self._status_due_s:
-                await self._send_status()
+                await run_guarded(self._metrics, self._send_status)
 
     def _get_poll_interval_s(self) -> float:
         """Return how soon connections are checked: sooner while any is missing."""
--- a/buckthorndeal/gateway/_decision_log.py
+++ b/buckthorndeal/gateway/_decision_log.py
@@ -1,8 +1,10 @@
-"""Fields of the log line on a decision."""
+"""Log lines on decisions."""
 
 from functools import singledispatch
 
 from buckthorndeal.gateway._messages import Decision, Forward, Grant, Refusal
+from buckthorndeal.logs import log_event
+from buckthorndeal.quarantine import QuarantineChange
 
 
 @singledispatch
@@ -46,5 +48,18 @@
     }
 
 
+def log_quarantine_change(change: QuarantineChange) -> None:
+    """Log that requests with a key are kept from endpoints, or no longer."""
+    decision = change.decision
+    log_event(
+        "key_quarantined" if decision.active else "key_released",
+        key=decision.key,
+        revision=decision.revision,
+        ends=change.ends,
+        answers=change.answers,
+        wait_ms=round(decision.wait_s * 1000),
+    )
+
+
 def _round_ms(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * 1000)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -12,7 +12,7 @@
     RateLimitUpdate,
 )
 from buckthorndeal.gateway._contact import EndpointContact
-from buckthorndeal.gateway._decision_log import describe_decision
+from buckthorndeal.gateway._decision_log import describe_decision, log_quarantine_change
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._messages import (
@@ -38,9 +38,13 @@
     RateLimitsReceived,
 )
 from buckthorndeal.logs import log_event, log_routine
-from buckthorndeal.mailbox import Envelope, create_mailbox, fail_unexpectedly
+from buckthorndeal.mailbox import (
+    Envelope,
+    create_mailbox,
+    fail_unexpectedly,
+    run_guarded,
+)
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.quarantine import QuarantineChange
 
 IDLE_INTERVAL_S = 1.0
 # Short, so that a waiting request is refused soon after its maximum wait.
@@ -104,16 +108,15 @@
                     await self._handle(envelope.message, envelope, now_s)
                 except Exception as error:
                     await fail_unexpectedly(envelope, error, self._metrics)
-            if self._dispatcher.has_waiting:
-                await self._decide_waiting(now_s)
-            await self._watch_path(now_s)
-            await self._handle_crash_news(now_s)
-            await self._share_rate_limits()
-            await self._share_origins(now_s)
-            if now_s >= self._expire_due_s:
-                self._expire_due_s = now_s + IDLE_INTERVAL_S
-                self._dispatcher.expire_endpoints(ENDPOINT_EXPIRY_S, now_s)
-                self._record_state(now_s)
+            for step in (
+                self._decide_waiting,
+                self._watch_path,
+                self._handle_crash_news,
+                self._share_rate_limits,
+                self._share_origins,
+                self._expire,
+            ):
+                await run_guarded(self._metrics, step, now_s)
 
     def _get_wait_s(self) -> float:
         if self._dispatcher.has_waiting:
@@ -136,15 +139,24 @@
                 suspects=[suspect.key for suspect in end.suspects],
             )
         for change in news.changes:
-            self._log_change(change)
+            active = str(change.decision.active).lower()
+            self._metrics.count("quarantine_decisions", active=active)
+            log_quarantine_change(change)
         if news.evidence:
             update = EvidenceUpdate(news.evidence)
             await curio.spawn(self._effects.share, update, daemon=True)
         for record in news.probes:
             await curio.spawn(self._probe_endpoint, record, daemon=True)
 
-    async def _share_rate_limits(self) -> None:
+    async def _expire(self, now_s: float) -> None:
+        if now_s >= self._expire_due_s:
+            self._expire_due_s = now_s + IDLE_INTERVAL_S
+            self._dispatcher.expire_endpoints(ENDPOINT_EXPIRY_S, now_s)
+            self._record_state(now_s)
+
+    async def _share_rate_limits(self, now_s: float) -> None:
         """Tell other hosts which rate limits have changed."""
+        del now_s
         limits = self._dispatcher.view.rate_shares.take_outgoing()
         for limit in limits:
             log_event(
@@ -179,18 +191,6 @@
             slots=message.load.slots,
         )
 
-    def _log_change(self, change: QuarantineChange) -> None:
-        decision = change.decision
-        self._metrics.count("quarantine_decisions", active=str(decision.active).lower())
-        log_event(
-            "key_quarantined" if decision.active else "key_released",
-            key=decision.key,
-            revision=decision.revision,
-            ends=change.ends,
-            answers=change.answers,
-            wait_ms=round(decision.wait_s * 1000),
-        )
-
     async def _probe_endpoint(self, record: EndpointRecord) -> None:
         accepted = await self._effects.probe(record)
         await self.mailbox.send(EndpointProbed(record, accepted))
@@ -368,6 +368,8 @@
             )
 
     async def _decide_waiting(self, now_s: float) -> None:
+        if not self._dispatcher.has_waiting:
+            return
         for attempt_id, decision in self._dispatcher.decide_waiting(now_s):
             envelope = self._waiting.pop(attempt_id, None)
             if envelope is not None:
--- a/buckthorndeal/mailbox.py
+++ b/buckthorndeal/mailbox.py
@@ -1,6 +1,6 @@
 """Message passing between tasks through a bounded queue owned by one of them."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
     "MailboxError",
     "create_mailbox",
     "fail_unexpectedly",
+    "run_guarded",
 ]
 
 DEFAULT_CAPACITY = 10_000
@@ -69,6 +70,21 @@
     await envelope.fail(MailboxError(f"{kind}: {error!r}"))
 
 
+async def run_guarded(
+    metrics: Metrics, work: Callable[..., Awaitable[None]], *args: object
+) -> None:
+    """Run a step of a task beside its messages; log and count an unexpected error.
+
+    The task that owns the step goes on, as after a message that it cannot handle.
+    """
+    try:
+        await work(*args)
+    except Exception:
+        kind = work.__name__.strip("_")
+        logging.exception("%s failed", kind)
+        metrics.count("message_failures", kind=kind)
+
+
 class Mailbox:
     """Bounded queue of messages to the task that owns it.
 
--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -82,8 +82,17 @@
         self._decoder = msgspec.msgpack.Decoder(Union[message_types])  # noqa: UP007
 
     def encode(self, message: Message) -> bytes:
-        """Return `message` as MessagePack."""
-        return self._encoder.encode(message)
+        """Return `message` as MessagePack.
+
+        Raises
+        ------
+        FrameError
+            If a value cannot be encoded, such as a number beyond 64 bits.
+        """
+        try:
+            return self._encoder.encode(message)
+        except (OverflowError, ValueError) as error:
+            raise FrameError(f"message cannot be encoded: {error}") from error
 
     def decode(self, payload: bytes | msgspec.Raw) -> Any:
         """Return the message in `payload`.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from buckthorndeal.coordinator import create_default_handlers
+from buckthorndeal.coordinator._fleet_messages import HeartbeatReceived
 from buckthorndeal.coordinator._requests import StoreConfiguration
 from buckthorndeal.errors import NotLeaderError, RequestError
 from buckthorndeal.fleet import (
@@ -38,6 +39,7 @@
 import headnames
 
 COORDINATOR = "10.1.0.1"
+OTHER_COORDINATOR = "10.2.0.1"
 OTHER_GATEWAY = "10.1.0.8"
 BEYOND_64_BITS = 10**20
 DEEP_NESTING = 100_000
@@ -246,6 +248,29 @@
         self.run_serving(scenario)
 
 
+class UnencodableRecordTest(OddEntriesTest):
+    """A record that cannot be encoded ends no task, should one pass the checks."""
+
+    ODD = msgspec.structs.replace(SOUND, endpoint="odd", slots=BEYOND_64_BITS)
+
+    def test_heartbeat(self):
+        async def scenario(fleet):
+            mailbox = fleet.coordinators[OTHER_COORDINATOR]._fleet.mailbox
+            await mailbox.ask(HeartbeatReceived(self.ODD))
+            # The next status of a gateway makes the coordinator send all it knows.
+            await curio.sleep(2 * FLUSHED_S)
+
+        self.run_serving(scenario)
+
+    def test_drain(self):
+        async def scenario(fleet):
+            mailbox = fleet.coordinators[OTHER_COORDINATOR]._fleet.mailbox
+            odd = msgspec.structs.replace(self.ODD, state=EndpointState.DRAINING)
+            self.assertFalse(await mailbox.ask(HeartbeatReceived(odd)))
+
+        self.run_serving(scenario)
+
+
 class OddRecordOfPeerTest(OddEntriesTest):
     """A record that another coordinator should not have sent is left out."""
 
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -4,7 +4,13 @@
 
 import curio
 
-from tests.fleet_harness import GATEWAY, Fleet, run_fleet, start_serving
+from tests.fleet_harness import (
+    GATEWAY,
+    Fleet,
+    create_configuration,
+    run_fleet,
+    start_serving,
+)
 
 COORDINATOR = "10.1.0.1"
 
@@ -72,6 +78,45 @@
 
         self.run_serving(scenario)
 
+    def test_flush_of_a_coordinator(self):
+        async def scenario(fleet, gateway):
+            table = fleet.coordinators[COORDINATOR]._fleet._endpoints
+            table.expire = fail_once(table.expire)
+            await curio.sleep(1.0)
+            self.assertTrue(await fleet.endpoints["e0"].send_heartbeat(COORDINATOR))
+
+        self.run_serving(scenario)
+
+    def test_status_of_a_coordinator(self):
+        async def scenario(fleet, gateway):
+            table = fleet.coordinators[COORDINATOR]._fleet._coordinators
+            table.remove_expired = fail_once(table.remove_expired)
+            await curio.sleep(1.5)
+            self.assertTrue(await fleet.endpoints["e0"].send_heartbeat(COORDINATOR))
+
+        self.run_serving(scenario)
+
+    def test_timers_of_the_control_task(self):
+        async def scenario(fleet, gateway):
+            reach = gateway._control._coordinator_reach
+            reach.keep = fail_once(reach.keep)
+            await curio.sleep(1.0)
+            await fleet.put_configuration(COORDINATOR, create_configuration(2))
+            await curio.sleep(1.0)
+            self.assertEqual(gateway._context.routes.configuration.version, 2)
+
+        self.run_serving(scenario)
+
+    def test_timers_of_the_dispatch_task(self):
+        async def scenario(fleet, gateway):
+            dispatcher = gateway._dispatch._dispatcher
+            dispatcher.expire_endpoints = fail_once(dispatcher.expire_endpoints)
+            await curio.sleep(1.0)
+            status, _, _ = await fleet.send_request(GATEWAY, "/non_idempotent/")
+            self.assertEqual(status, 200)
+
+        self.run_serving(scenario)
+
     def test_notice_at_the_control_task(self):
         async def scenario(fleet, gateway):
             control = gateway._control
