--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
 from buckthorndeal.http_server import Request
 from buckthorndeal.statemachine import PutConfiguration
 from tests.fleet_harness import (
+    DIRECTORY_PORT,
     GATEWAY,
     create_configuration,
     run_fleet,
@@ -284,6 +285,32 @@
         )
 
 
+class OddPathTest(OddEntriesTest):
+    """Odd names in the paths of evacuations and directory queries end no task."""
+
+    NAMES = ("%00", "%ed%a0%80", "%ff", "x" * 8_000)
+
+    def test_evacuation(self):
+        async def scenario(fleet):
+            for name in self.NAMES:
+                for change in ("start", "end"):
+                    target = f"/evacuation/{name}/{change}"
+                    status, _ = await fleet.call_api(COORDINATOR, "POST", target)
+                    self.assertIn(status, (200, 400, 503))
+
+        self.run_serving(scenario)
+
+    def test_directory_query(self):
+        async def scenario(fleet):
+            pool = fleet.create_pool(COORDINATOR, DIRECTORY_PORT)
+            for name in self.NAMES:
+                target = f"/resolve?name={name}&region={name}&zone={name}"
+                status, _, _ = await pool.fetch("GET", target, [], b"")
+                self.assertIn(status, (200, 400))
+
+        self.run_serving(scenario)
+
+
 class OddReportPlayTest(unittest.TestCase):
     """No odd report of many ends a task or hides a sound endpoint."""
 
