--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -3,6 +3,7 @@
 import os
 import random
 import time
+import zlib
 from collections.abc import Callable
 
 import curio
@@ -58,6 +59,7 @@
     OriginUpdate,
     RateLimitUpdate,
     RelayEndpoint,
+    check_record,
     count_home_routes,
     create_host_links,
 )
@@ -289,10 +291,9 @@
         if version is None or version == self._published_home_counts_version:
             return
         self._published_home_counts_version = version
-        content = self._replica.read_content()
         try:
-            configuration = self._codec.decode(content)
-        except ConfigurationError as error:
+            configuration = self._codec.decode(self._replica.read_content())
+        except (ConfigurationError, zlib.error) as error:
             log_event("configuration_unreadable", version=version, reason=str(error))
             return
         home_counts = count_home_routes(configuration)
@@ -327,6 +328,7 @@
         if isinstance(message, DescribeReplica):
             return self._describe_replica()
         if isinstance(message, RelayEndpoint):
+            check_record(message.record)
             await self._fleet.mailbox.ask(RelayedRecordReceived(message.record))
             return Acknowledged()
         if isinstance(message, EvidenceUpdate):
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -2,7 +2,7 @@
 
 import zlib
 
-from buckthorndeal.configuration import ConfigurationCodec
+from buckthorndeal.configuration import ConfigurationCodec, check_nesting
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -29,6 +29,8 @@
     ProposeEvacuation,
     ReadCommittedConfiguration,
     Unavailable,
+    check_incarnation,
+    check_record,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Mailbox
@@ -77,7 +79,13 @@
         -------
         bool
             Whether the heartbeat may be acknowledged.
+
+        Raises
+        ------
+        InvalidRecordError
+            If a value is one that no endpoint can have.
         """
+        check_record(record)
         return await self._fleet.ask(HeartbeatReceived(record))
 
     async def report_leave(self, endpoint: str, incarnation: int | None) -> bool:
@@ -94,7 +102,14 @@
         -------
         bool
             Whether the notice may be acknowledged.
+
+        Raises
+        ------
+        InvalidRecordError
+            If the incarnation is out of bounds.
         """
+        if incarnation is not None:
+            check_incarnation(incarnation)
         return await self._fleet.ask(LeaveReceived(endpoint, incarnation))
 
     async def choose_registrar(self, region: str, failure_domain: str) -> str | None:
@@ -156,6 +171,7 @@
             With status 503 if the outcome is unknown.
         """
         version = self._codec.decode(content).version
+        check_nesting(content)
         compressed = zlib.compress(content)
         reply = await self._ask_leader(
             StoreConfiguration(PutConfiguration(version=version, content=compressed)),
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -26,7 +26,9 @@
     EntryStatus,
     OriginUpdate,
     RelayEndpoint,
+    check_record,
     create_host_links,
+    select_valid_records,
 )
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
@@ -61,6 +63,7 @@
     Mailbox,
     create_mailbox,
     fail_unexpectedly,
+    run_guarded,
 )
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.peers import Channel
@@ -166,10 +169,10 @@
                     await self._handle(envelope.message, envelope)
                 except Exception as error:
                     await fail_unexpectedly(envelope, error, self._metrics)
-            await self._update_connections()
-            await self._fetch_if_newer()
+            await run_guarded(self._metrics, self._update_connections)
+            await run_guarded(self._metrics, self._fetch_if_newer)
             if self._clock() >= self._status_due_s:
-                await self._send_status()
+                await run_guarded(self._metrics, self._send_status)
 
     def _get_poll_interval_s(self) -> float:
         """Return how soon connections are checked: sooner while any is missing."""
@@ -181,11 +184,13 @@
 
     async def _receive(self, message: Message, channel: Channel) -> Message | None:
         if isinstance(message, RelayEndpoint):
+            check_record(message.record)
             await self._dispatch.ask(HeartbeatsReceived((message.record,)))
             return Acknowledged()
         if isinstance(message, EndpointHeartbeats):
+            records = select_valid_records(message.records)
             await self._dispatch.send(
-                HeartbeatsReceived(message.records, message.alive, message.versions)
+                HeartbeatsReceived(records, message.alive, message.versions)
             )
             if message.ends_initial_state:
                 await self.mailbox.send(_InitialStateReceived(channel.host))
--- a/buckthorndeal/replication.py
+++ b/buckthorndeal/replication.py
@@ -21,6 +21,7 @@
     ReplicaId,
 )
 from buckthorndeal.errors import (
+    DECODING_ERRORS,
     ForbiddenError,
     MembershipChangeError,
     NotLeaderError,
@@ -136,7 +137,7 @@
     async def _receive(self, message: ConsensusReceived) -> None:
         try:
             decoded: ConsensusMessage = self._decoder.decode(message.data)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             log_event("consensus_message_refused", reason=str(error))
             return
         # The link has authenticated the host name; the incarnation is the one that the
@@ -150,7 +151,10 @@
             raise NotLeaderError(leader.host if leader else None)
 
     async def _propose(self, command: Command, envelope: Envelope | None) -> None:
-        data = encode_command(command)
+        try:
+            data = encode_command(command)
+        except (OverflowError, ValueError) as error:
+            raise RequestError("bad_request", 400, str(error)) from error
         proposal, output = self._replica.propose(data, self._clock())
         self._pending[proposal.index] = (proposal, envelope)
         await self._process(output)
--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from buckthorndeal.errors import AuthenticationError, FrameError
+from buckthorndeal.errors import DECODING_ERRORS, AuthenticationError, FrameError
 
 __all__ = [
     "CLIENT",
@@ -82,8 +82,17 @@
         self._decoder = msgspec.msgpack.Decoder(Union[message_types])  # noqa: UP007
 
     def encode(self, message: Message) -> bytes:
-        """Return `message` as MessagePack."""
-        return self._encoder.encode(message)
+        """Return `message` as MessagePack.
+
+        Raises
+        ------
+        FrameError
+            If a value cannot be encoded, such as a number beyond 64 bits.
+        """
+        try:
+            return self._encoder.encode(message)
+        except (OverflowError, ValueError) as error:
+            raise FrameError(f"message cannot be encoded: {error}") from error
 
     def decode(self, payload: bytes | msgspec.Raw) -> Any:
         """Return the message in `payload`.
@@ -95,7 +104,7 @@
         """
         try:
             return self._decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             raise FrameError(f"malformed payload: {error}") from error
 
 
@@ -315,7 +324,7 @@
             raise AuthenticationError("datagram has a wrong MAC")
         try:
             datagram = self._decoder.decode(payload)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             raise FrameError(f"malformed datagram: {error}") from error
         self._check_timestamp(datagram, wall_s)
         return datagram.sender, self._codec.decode(datagram.body)
