Let scripted endpoints crash without an answer in tests

Since a closing server answers what it runs, the endpoints of the tests no longer looked as if they had crashed: test_request_that_crashed_three_endpoints_ stops_at_all_hosts failed, as the gateway was told 502 in place of a broken connection. They now cut off their connections (HttpServer.abort), as they did before. No bound of a test has changed.

--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -113,6 +113,10 @@
         await curio.ignore_after(CLOSE_TIMEOUT_S, self._wait_until_answered)
         await self._listener.close()
 
+    async def abort(self) -> None:
+        """Cut off all connections without an answer, as a crash does."""
+        await self._listener.close()
+
     async def _wait_until_answered(self) -> None:
         while self.active_requests:
             await curio.sleep(CLOSE_POLL_INTERVAL_S)
