Ask coordinators before a stream goes on at the only version known

Callers got streams of two software versions from a host that was cut off from the coordinators in silence, or that stood still, while endpoints of a new version joined.

Cause: whether one version serves was decided by what the host had been told earlier. Open links counted as fresh for 2 s of silence, reports of them for 3 s more, and a request may be read before the news that waits in another socket.

Change: a host that takes up a stream and does not know its origin asks the coordinators each time, which reply with the versions that serve. Without a majority of replies, or if more than one version is known, the stream is refused (503, not run). Coordinators of older builds reply without versions; they count once they have sent their state.

The play's planted fault "a connection counts as news" patched has_majority, on which the lookup no longer depends, so it mixed nothing. It now patches the conclusion from the replies, so that coordinators that have told nothing count; the bound (more than two mixed) is the same.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -54,7 +54,6 @@
     EvidenceUpdate,
     FetchConfiguration,
     FindOrigin,
-    OriginReply,
     OriginUpdate,
     RateLimitUpdate,
     RelayEndpoint,
@@ -332,8 +331,8 @@
             await self._fleet.mailbox.ask(OriginsReceived(message.origins))
             return Acknowledged()
         if isinstance(message, FindOrigin):
-            origin = await self._fleet.mailbox.ask(OriginRequested(message.stream))
-            return OriginReply(origin)
+            request = OriginRequested(message.stream, message.service)
+            return await self._fleet.mailbox.ask(request)
         if isinstance(message, FetchConfiguration):
             return await self._fetch_configuration()
         reply = await self.service.handle_call(message)
--- a/buckthorndeal/coordinator/_shared_requests.py
+++ b/buckthorndeal/coordinator/_shared_requests.py
@@ -4,7 +4,7 @@
 from functools import singledispatch
 
 from buckthorndeal.coordinator._shared_state import SharedState
-from buckthorndeal.fleet import RateLimit, StreamOrigin
+from buckthorndeal.fleet import OriginReply, RateLimit, StreamOrigin
 from buckthorndeal.quarantine import Evidence
 
 
@@ -36,9 +36,10 @@
 
 @dataclass(frozen=True)
 class OriginRequested(SharedStateRequest):
-    """Request: origin of a stream, or None."""
+    """Request: `OriginReply` with the origin of a stream of a service."""
 
     stream: str
+    service: str
 
 
 @singledispatch
@@ -65,7 +66,10 @@
 
 
 @handle_shared_request.register
-def _(
-    request: OriginRequested, shared: SharedState, now_s: float
-) -> StreamOrigin | None:
-    return shared.find_origin(request.stream)
+def _(request: OriginRequested, shared: SharedState, now_s: float) -> OriginReply:
+    versions = tuple(
+        each
+        for each in shared.export_versions(now_s)
+        if each.service == request.service
+    )
+    return OriginReply(shared.find_origin(request.stream), versions)
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -211,15 +211,20 @@
 
 
 class FindOrigin(Message, tag="fo"):
-    """Call: find the origin of a stream."""
+    """Call: find the origin of a stream, and the versions that serve in its service."""
 
     stream: str
+    service: str = ""
 
 
 class OriginReply(Message, tag="or"):
-    """Reply: origin of a stream; None if it is not known here."""
+    """Reply: origin of a stream, None if it is not known here.
+
+    `versions` are those that serve in the service; None from older builds.
+    """
 
     origin: StreamOrigin | None
+    versions: tuple[ServiceVersion, ...] | None = None
 
 
 class FetchConfiguration(Message, tag="fc"):
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -24,6 +24,7 @@
     EntryHosts,
     EntryState,
     EntryStatus,
+    FindOrigin,
     OriginUpdate,
     RelayEndpoint,
     create_host_links,
@@ -245,11 +246,12 @@
 
     @_handle.register
     async def _(self, message: AskForOrigin, envelope: Envelope) -> None:
-        await curio.spawn(self._ask_for_origin, message.stream, envelope, daemon=True)
+        await curio.spawn(self._search_origin, message.query, envelope, daemon=True)
 
-    async def _ask_for_origin(self, stream: str, envelope: Envelope) -> None:
-        hosts = self._list_nearest_first()
-        await envelope.reply(await ask_for_origin(self._links, hosts, stream))
+    async def _search_origin(self, query: FindOrigin, envelope: Envelope) -> None:
+        replies = await ask_for_origin(self._links, self._list_nearest_first(), query)
+        known = len(self._links.hosts)
+        await envelope.reply(self._coordinator_reach.conclude(replies, known))
 
     def _list_nearest_first(self) -> list[str]:
         """Return the connected coordinators."""
--- a/buckthorndeal/gateway/_control_messages.py
+++ b/buckthorndeal/gateway/_control_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.fleet import EndpointRecord, EntryState, StreamOrigin
+from buckthorndeal.fleet import EndpointRecord, EntryState, FindOrigin, StreamOrigin
 from buckthorndeal.settings import Address
 from buckthorndeal.wire import Message
 
@@ -51,9 +51,9 @@
 
 @dataclass(frozen=True)
 class AskForOrigin:
-    """Query: origin of a stream as known to any coordinator, or None."""
+    """Query: `OriginSearch` at all coordinators."""
 
-    stream: str
+    query: FindOrigin
 
 
 @dataclass(frozen=True)
--- a/buckthorndeal/gateway/_coordinator_calls.py
+++ b/buckthorndeal/gateway/_coordinator_calls.py
@@ -1,5 +1,7 @@
 """Calls of a gateway to coordinators, each to as many as it takes."""
 
+from collections.abc import Collection
+
 import curio
 
 from buckthorndeal.errors import PeerError
@@ -11,7 +13,6 @@
     HostLinks,
     OriginReply,
     RelayEndpoint,
-    StreamOrigin,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.subsetting import choose_owners
@@ -37,26 +38,48 @@
 
 
 async def ask_for_origin(
-    links: HostLinks, hosts: list[str], stream: str
-) -> StreamOrigin | None:
-    """Return the first answer that knows the origin of a stream, or None."""
+    links: HostLinks, hosts: list[str], message: FindOrigin
+) -> dict[str, OriginReply]:
+    """Return the replies by coordinator, up to those that decide.
+
+    One that knows the origin does. So do replies that all name the same version, once
+    they are so many that they include a part of each majority and of each set of
+    holders of an origin.
+    """
+    replies: dict[str, OriginReply] = {}
+    known = len(links.hosts)
+    enough = max(known // 2 + 1, known - HOLDERS + 1)
     async with curio.TaskGroup() as group:
         for host in hosts:
-            await group.spawn(_ask, links, host, stream)
+            await group.spawn(_ask, links, host, message)
         while (task := await group.next_done()) is not None:
-            if task.result is not None:
+            if task.result is None:
+                continue
+            host, reply = task.result
+            replies[host] = reply
+            is_decided = len(replies) >= enough and _name_one_version(replies.values())
+            if reply.origin is not None or is_decided:
                 await group.cancel_remaining()
-                return task.result
-    return None
+                break
+    return replies
+
+
+def _name_one_version(replies: Collection[OriginReply]) -> bool:
+    if any(each.versions is None for each in replies):
+        return False
+    names = {each.version for reply in replies for each in reply.versions}
+    return len(names) == 1
 
 
-async def _ask(links: HostLinks, host: str, stream: str) -> StreamOrigin | None:
+async def _ask(
+    links: HostLinks, host: str, message: FindOrigin
+) -> tuple[str, OriginReply] | None:
     try:
-        reply = await links.call(host, FindOrigin(stream), FIND_TIMEOUT_S)
+        reply = await links.call(host, message, FIND_TIMEOUT_S)
     except PeerError as error:
         log_event("origin_not_asked", peer=host, reason=str(error))
         return None
-    return reply.origin if isinstance(reply, OriginReply) else None
+    return (host, reply) if isinstance(reply, OriginReply) else None
 
 
 async def announce_drain(
--- a/buckthorndeal/gateway/_coordinator_reach.py
+++ b/buckthorndeal/gateway/_coordinator_reach.py
@@ -1,6 +1,29 @@
 """Coordinators that are connected and have told all that they know; no I/O."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from buckthorndeal.fleet import OriginReply, ServiceVersion, StreamOrigin
+
+
+@dataclass(frozen=True, slots=True)
+class OriginSearch:
+    """What coordinators have answered when asked for the origin of a stream.
+
+    Parameters
+    ----------
+    origin : StreamOrigin or None
+        The origin, if any of them knows it.
+    versions : tuple of ServiceVersion
+        Versions that they know to serve in the service.
+    majority : bool
+        Whether more than half of the known coordinators have told all they know, as of
+        a time after they were asked.
+    """
+
+    origin: StreamOrigin | None
+    versions: tuple[ServiceVersion, ...]
+    majority: bool
 
 
 class CoordinatorReach:
@@ -24,3 +47,22 @@
     def has_majority(self, known: int) -> bool:
         """Return whether more than half of the `known` coordinators have."""
         return 2 * len(self._told) > known
+
+    def conclude(self, replies: Mapping[str, OriginReply], known: int) -> OriginSearch:
+        """Return what the replies of some of the `known` coordinators tell together.
+
+        One of an older build does not tell the versions in its reply; it counts once it
+        has sent its state, since what it has sent before has arrived before.
+        """
+        origins = [each.origin for each in replies.values() if each.origin is not None]
+        complete = [
+            host
+            for host, reply in replies.items()
+            if reply.versions is not None or host in self._told
+        ]
+        versions = [each for reply in replies.values() for each in reply.versions or ()]
+        return OriginSearch(
+            origins[0] if origins else None,
+            tuple(versions),
+            2 * len(complete) > known,
+        )
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -276,8 +276,7 @@
         self, message: FindStreamVersion, envelope: Envelope, now_s: float
     ) -> None:
         stream_versions = self._dispatcher.view.stream_versions
-        version = stream_versions.find_version(message.resumes, message.service, now_s)
-        await envelope.reply(version)
+        await envelope.reply(stream_versions.find_version(message, now_s))
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_origins.py
+++ b/buckthorndeal/gateway/_origins.py
@@ -1,7 +1,9 @@
 """Lookup of the software version that began a stream, here or at coordinators."""
 
+from dataclasses import replace
+
 from buckthorndeal.errors import RequestError
-from buckthorndeal.fleet import digest_stream
+from buckthorndeal.fleet import FindOrigin, digest_stream
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AskForOrigin
 from buckthorndeal.gateway._messages import Call
@@ -51,10 +53,16 @@
     """Return the version, or None, and where it was found or sought last."""
     query = FindStreamVersion(call.service, call.resumes)
     version = await context.dispatch_mailbox.ask(query)
-    if version is not None or not call.resumes:
+    if version is not None:
         return version, "here"
-    stream = digest_stream(call.resumes)
-    origin = await context.control_mailbox.ask(AskForOrigin(stream))
-    if origin is None or origin.service != call.service:
-        return None, "coordinators"
-    return origin.version, "coordinators"
+    stream = digest_stream(call.resumes or "")
+    search = await context.control_mailbox.ask(
+        AskForOrigin(FindOrigin(stream, call.service))
+    )
+    if search.origin is not None:
+        is_same_service = search.origin.service == call.service
+        return search.origin.version if is_same_service else None, "coordinators"
+    if not search.majority:
+        return None, "minority"
+    query = replace(query, told=search.versions)
+    return await context.dispatch_mailbox.ask(query), "majority"
--- a/buckthorndeal/gateway/_shared_messages.py
+++ b/buckthorndeal/gateway/_shared_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.fleet import RateLimit
+from buckthorndeal.fleet import RateLimit, ServiceVersion
 from buckthorndeal.quarantine import Evidence
 
 
@@ -30,10 +30,14 @@
         Service of the request that takes it up.
     resumes : str or None
         Id of the request that brought its first event.
+    told : tuple of ServiceVersion or None
+        Versions of which a majority of the coordinators has told since the request was
+        received; None if it has not been asked.
     """
 
     service: str
     resumes: str | None
+    told: tuple[ServiceVersion, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_stream_versions.py
+++ b/buckthorndeal/gateway/_stream_versions.py
@@ -18,6 +18,7 @@
     digest_stream,
 )
 from buckthorndeal.gateway._messages import Call
+from buckthorndeal.gateway._shared_messages import FindStreamVersion
 
 # Age up to which it holds that a majority of the coordinators is connected. A host that
 # was suspended, or whose tasks were, has not been told since.
@@ -71,10 +72,9 @@
             self._outgoing.append(origin)
 
     def is_uniform(self, service: str, now_s: float) -> bool:
-        """Return whether it is known that one version serves, and no other did of late.
+        """Return whether one version seems to serve, so that origins stay at this host.
 
-        Another host may know of a version that this one has not heard of; but two hosts
-        that each reach a majority of the coordinators share one of them.
+        If it is mistaken, other hosts refuse the streams that have begun here.
         """
         versions = self._versions.list_versions(service, now_s)
         if not versions:
@@ -83,28 +83,23 @@
             return False
         return len(versions) == 1
 
-    def find_version(
-        self, request_id: str | None, service: str, now_s: float
-    ) -> str | None:
+    def find_version(self, query: FindStreamVersion, now_s: float) -> str | None:
         """Return the version at which a stream has begun, or None if it is not known.
 
-        Parameters
-        ----------
-        request_id : str or None
-            Id of the request that brought its first event, if the caller names it.
-        service : str
-            Service that the caller's request is for now.
-        now_s : float
-            Clock reading.
+        What this host has been told may be old, however short ago that was. So the only
+        version of which it knows is that of the stream only if a majority of the
+        coordinators was asked after the stream had broken.
         """
-        if request_id:
-            origin = self._origins.find(digest_stream(request_id))
-            if origin is not None:
-                return origin.version if origin.service == service else None
-        if not self.is_uniform(service, now_s):
+        origin = self._origins.find(digest_stream(query.resumes or ""))
+        if origin is not None:
+            return origin.version if origin.service == query.service else None
+        if query.told is None:
             return None
-        versions = self._versions.list_versions(service, now_s)
-        return versions[0] if versions else ""
+        self.receive(query.told, now_s)
+        versions = self._versions.list_versions(query.service, now_s)
+        if not versions:
+            return "" if query.service in self._unnamed else None
+        return versions[0] if len(versions) == 1 else None
 
     def take_outgoing(self, now_s: float) -> tuple[StreamOrigin, ...]:
         """Return the origins that other hosts may need, since the last call.
--- a/tests/test_version_play.py
+++ b/tests/test_version_play.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
+from buckthorndeal.gateway._coordinator_reach import CoordinatorReach, OriginSearch
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from tests.version_play import VersionPlay, disturb_all
@@ -93,7 +93,13 @@
         self.check_play(self.play_losses(76, 18, 6))
 
     def test_hosts_that_take_a_connection_for_news_are_found(self):
-        with mock.patch.object(CoordinatorReach, "has_majority", return_value=True):
+        conclude = CoordinatorReach.conclude
+
+        def count_untold(reach, replies, known):
+            search = conclude(reach, replies, known)
+            return OriginSearch(search.origin, (), True)
+
+        with mock.patch.object(CoordinatorReach, "conclude", count_untold):
             mixed = [self.play_losses(24, 9, seed).count_mixed() for seed in (4, 5)]
         self.assertGreater(max(mixed), MAX_MIXED)
 
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -8,11 +8,16 @@
 from buckthorndeal.coordinator._quarantine_store import (
     create_memory_quarantine_store,
 )
+from buckthorndeal.coordinator._shared_requests import (
+    OriginRequested,
+    handle_shared_request,
+)
 from buckthorndeal.coordinator._shared_state import SharedState
 from buckthorndeal.fleet import EndpointRecord, EndpointState, digest_stream
 from buckthorndeal.gateway._coordinator_calls import choose_holders
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._messages import RegionUpdate
+from buckthorndeal.gateway._shared_messages import FindStreamVersion
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.crash_play import FLUSH_S, POLL_S
 from tests.repeat_play import (
@@ -39,6 +44,7 @@
 BREAK_SHARE = 0.3
 DRAIN_S = 2.5
 CHANGE_S = (0.3, 3.0)
+SERVICE = "desk"
 MAX_TRIES = 3
 STREAM = replace(
     LOOKUP, kind=RequestKind.STREAM, resumable=True, timeout_s=6.0, max_attempts=2
@@ -175,11 +181,7 @@
         return went_on / max(1, len(counted)), len(counted)
 
     def _begin_stream(self, stream):
-        up = [
-            host
-            for host in self.hosts
-            if host.find_thaw_s(self.now_s) is None and not host.is_down(self.now_s)
-        ]
+        up = self._list_open_hosts()
         if not up:
             at_s = self.now_s + ALL_DOWN_RETRY_S
             self._schedule(at_s, self._begin_stream, stream)
@@ -191,7 +193,7 @@
         request_id = f"{next(self._numbers)}"
         leg = StreamLeg(host, stream, host.generation, request_id, after=stream.events)
         if not stream.events:
-            self._offer(leg)
+            self._deliver_request(host, self._offer, leg)
             return
         version = next(iter(stream.versions))
         serving = sum(
@@ -201,28 +203,53 @@
         )
         counts = host.is_in_touch(self.now_s) and serving >= 2
         self.taken_up.append(TakenUp(stream, counts, stream.events))
-        self._find_version(leg)
+        self._deliver_request(host, self._find_version, leg)
+
+    def _list_open_hosts(self):
+        """Return the hosts to which callers may send."""
+        return [
+            host
+            for host in self.hosts
+            if host.find_thaw_s(self.now_s) is None and not host.is_down(self.now_s)
+        ]
+
+    def _deliver_request(self, host, action, leg):
+        action(leg)
 
     def _find_version(self, leg):
         """Look the version of a stream up as an exchange does."""
         stream_versions = leg.host.harness.view.stream_versions
-        first_id = leg.call.first_id
-        leg.version = stream_versions.find_version(first_id, "desk", self.now_s)
+        query = FindStreamVersion(SERVICE, leg.call.first_id)
+        leg.version = stream_versions.find_version(query, self.now_s)
         if leg.version is not None:
             self._offer(leg)
             return
-        stream = digest_stream(first_id)
-        origins = [
-            self.shared[number].find_origin(stream)
+        at_s = self.now_s + self.rng.uniform(*ASK_S)
+        self._schedule(at_s, self._ask_coordinators, leg, query)
+
+    def _ask_coordinators(self, leg, query):
+        request = OriginRequested(digest_stream(query.resumes), query.service)
+        replies = {
+            number: handle_shared_request(request, self.shared[number], self.now_s)
             for number in self._connected[leg.host.name]
-        ]
-        known = [origin for origin in origins if origin is not None]
-        if not known:
-            self._end_leg(leg, "refused")
+            if not self._is_lost(number) and not leg.host.is_cut(self.now_s)
+        }
+        search = self._reaches[leg.host.name].conclude(replies, COORDINATORS)
+        self._deliver(leg.host, self._end_search, leg, query, search)
+
+    def _end_search(self, leg, query, search):
+        if leg.is_lost:
             return
-        leg.version = known[0].version
-        at_s = self.now_s + self.rng.uniform(*ASK_S)
-        self._schedule(at_s, self._offer, leg)
+        if search.origin is not None:
+            leg.version = search.origin.version
+        elif search.majority:
+            query = replace(query, told=search.versions)
+            stream_versions = leg.host.harness.view.stream_versions
+            leg.version = stream_versions.find_version(query, self.now_s)
+        if leg.version is None:
+            self._end_leg(leg, "refused")
+        else:
+            self._offer(leg)
 
     def _offer(self, leg):
         if not isinstance(leg.call, PlayStream):
