Doubt the version of an endpoint that has refused a connection

Callers can get streams of two software versions when an endpoint crashes and starts again under its id with another version.

Cause: the version of an endpoint is that of its last heartbeat, up to 3 s old. A stream that begins at the new process counts as one of the former version, and one of the former version may go on there.

Change: a refused connection shows that the process has ended. Until the next incarnation's heartbeat, or one of the same incarnation that arrives a second later, the version is unknown at that host: no stream goes on there, and one that begins there is not continued.

--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -297,6 +297,8 @@
     ) -> None:
         guard = self._dispatcher.crash_guard
         guard.record_probe(message.record, message.accepted, now_s)
+        if not message.accepted:
+            self._dispatcher.view.record_refusal(message.record, now_s)
 
     @_handle.register
     async def _(self, message: PathProbed, envelope: Envelope, now_s: float) -> None:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -233,6 +233,7 @@
         record = ended.record
         if outcome is AttemptOutcome.CONNECT_FAILED:
             self.reach.path.record_failure(record.endpoint, now_s)
+            self.view.record_refusal(record, now_s)
         if outcome is None or self.reach.is_lost:
             return
         result = AttemptResult(
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -16,6 +16,8 @@
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
 HEARTBEAT_TIMEOUT_S = 3.0
+# Most that passes from when an endpoint sends a heartbeat until it arrives here.
+RELAY_DELAY_S = 1.0
 # Age of the last heartbeat of an endpoint that is most likely alive.
 RECENT_HEARTBEAT_S = 2.0
 
@@ -121,15 +123,28 @@
             elif condition is EndpointCondition.SILENT:
                 silent.append(load)
         if version is not None:
-            return [load for load in usable if load.entry.record.version == version]
+            return [load for load in usable if self.get_version(load, now_s) == version]
         return usable or silent
 
     def get_version(self, load: EndpointLoad, now_s: float) -> str | None:
-        """Return the software version of an endpoint; None if it may have changed."""
-        if now_s - load.entry.last_heartbeat_s >= HEARTBEAT_TIMEOUT_S:
+        """Return the software version of an endpoint; None if it may have changed.
+
+        After a refused connection it may have started again, until a heartbeat arrives
+        that was sent later.
+        """
+        last_heartbeat_s = load.entry.last_heartbeat_s
+        if now_s - last_heartbeat_s >= HEARTBEAT_TIMEOUT_S:
+            return None
+        if last_heartbeat_s < load.refused_s + RELAY_DELAY_S:
             return None
         return load.entry.record.version
 
+    def record_refusal(self, record: EndpointRecord, now_s: float) -> None:
+        """Record that an endpoint has not accepted a connection."""
+        load = self.loads.get(record.endpoint)
+        if load is not None and load.entry.record.incarnation == record.incarnation:
+            load.refused_s = now_s
+
     def list_alive(self, now_s: float) -> list[EndpointRecord]:
         """Return the ready endpoints whose heartbeats are recent.
 
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -1,5 +1,6 @@
 """Load of one endpoint, as seen by one gateway."""
 
+import math
 from dataclasses import dataclass, field
 
 from buckthorndeal.configuration import ServiceDescription
@@ -98,6 +99,8 @@
         Attempts of this host in progress at that time.
     rejected_s : float or None
         Clock reading when it last turned a request away, if that may make it fail.
+    refused_s : float
+        Clock reading when it last did not accept a connection.
     """
 
     entry: EndpointEntry
@@ -115,6 +118,7 @@
     report_received_s: float = 0.0
     inflight_at_report: int = 0
     rejected_s: float | None = None
+    refused_s: float = -math.inf
 
     @property
     def name(self) -> str:
--- a/tests/out_of_step_play.py
+++ b/tests/out_of_step_play.py
@@ -2,11 +2,14 @@
 
 import math
 
+from buckthorndeal.policy.views import AttemptOutcome
 from tests.version_play import VersionPlay
 
 # How long a host stands still, and is cut off from all others.
 HALT_S = (0.3, 5.0)
 CUT_S = (1.0, 6.0)
+# From the crash of an endpoint until it has started again.
+DOWN_S = (0.2, 1.5)
 
 
 class OutOfStepPlay(VersionPlay):
@@ -33,6 +36,42 @@
             self._schedule(at_s, self._restart, engine)
             at_s += gap_s
 
+    def crash_to(self, version, count, from_s, gap_s=0.4):
+        """Plan endpoints that crash and start again under their ids with a version."""
+        at_s = self.now_s + from_s
+        for engine in self.engines[:count]:
+            engine.keeps_name = True
+            self._schedule(at_s, self._crash_to, engine, version)
+            at_s += gap_s
+
+    def _crash_to(self, engine, version):
+        self._crash_without_restart(engine)
+        self.versions[engine.number] = version
+        self._schedule(self.now_s + self.rng.uniform(*DOWN_S), self._restart, engine)
+
+    def _crash_without_restart(self, engine):
+        engine.up = False
+        broken = list(engine.running.values())
+        engine.running.clear()
+        for leg, attempt_id in broken:
+            if not leg.is_lost:
+                self._deliver(leg.host, self._close_attempt, leg, attempt_id)
+
+    def _close_attempt(self, leg, attempt_id):
+        if not leg.is_lost:
+            self._finish(leg.host, attempt_id, AttemptOutcome.BROKEN, True)
+            self._fail_attempt(leg, ran=True)
+
+    def _probe(self, host, record):
+        super()._probe(host, record)
+        if not self._is_accepted(host, record):
+            host.harness.view.record_refusal(record, self.now_s)
+
+    def _is_accepted(self, host, record):
+        # What has started again at an address accepts connections for the former one.
+        engine = self._find_named(record)
+        return engine is not None and engine.up
+
     def _send_heartbeat(self, engine):
         if engine.up:
             super()._send_heartbeat(engine)
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -9,7 +9,10 @@
 from buckthorndeal.fleet import FindOrigin, OriginReply, ServiceVersion, StreamOrigin
 from buckthorndeal.gateway._coordinator_calls import ask_for_origin
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
+from buckthorndeal.gateway._messages import RefusalReason
+from buckthorndeal.policy.views import AttemptOutcome
 from tests.cut_transport import CutTransport
+from tests.dispatcher_harness import DispatcherHarness
 from tests.fleet_harness import (
     HANG_TIMEOUT_S,
     Fleet,
@@ -186,5 +189,39 @@
         self.assertTrue(reach.conclude(replies, 3).majority)
 
 
+class RestartedEndpointTest(unittest.TestCase):
+    """The version of an endpoint that has refused a connection may have changed."""
+
+    def setUp(self):
+        self.harness = DispatcherHarness(endpoints=1, service="desk", slots=4)
+        self.harness.send_heartbeats(incarnation=2, version="v1")
+        self.assertEqual(self.harness.submit().version, "v1")
+        self.harness.finish(self.harness.attempt_id, AttemptOutcome.CONNECT_FAILED)
+
+    def get_version(self):
+        return self.harness.submit(is_retry=False).version
+
+    def test_stream_that_begins_there_has_no_known_version(self):
+        self.assertIsNone(self.get_version())
+
+    def test_stream_does_not_go_on_there(self):
+        decision = self.harness.submit(call_fields={"version": "v1"})
+        self.assertIs(decision.reason, RefusalReason.VERSION_NOT_SERVED)
+
+    def test_heartbeat_that_was_on_its_way_does_not_count(self):
+        self.harness.now_s += 0.5
+        self.harness.send_heartbeats(incarnation=2, version="v1")
+        self.assertIsNone(self.get_version())
+
+    def test_heartbeat_that_was_sent_later_confirms_the_version(self):
+        self.harness.now_s += 1.5
+        self.harness.send_heartbeats(incarnation=2, version="v1")
+        self.assertEqual(self.get_version(), "v1")
+
+    def test_next_incarnation_has_its_own_version(self):
+        self.harness.send_heartbeats(incarnation=3, version="v2")
+        self.assertEqual(self.get_version(), "v2")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_out_of_step_play.py
+++ b/tests/test_out_of_step_play.py
@@ -3,12 +3,15 @@
 import unittest
 from unittest import mock
 
+from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from tests.out_of_step_play import OutOfStepPlay
 
 # Streams that are taken up go on at least this often, against new ones that begin.
 MIN_WENT_ON_RATIO = 0.5
 MIN_TAKEN_UP = 12
+# Streams of two versions that the rule allows on a day.
+MAX_MIXED = 2
 SECONDS = 20
 
 
@@ -21,6 +24,16 @@
     return play
 
 
+def play_crashes(hosts, endpoints, seed, halts=False):
+    """Play endpoints that crash and start again under their ids with a version."""
+    play = OutOfStepPlay(hosts, endpoints, seed)
+    play.crash_to("v2", endpoints // 2, 8.0)
+    if halts:
+        play.halt_hosts(6.0, 9.0)
+    play.play_streams(SECONDS, 10 + 3 * hosts)
+    return play
+
+
 class OutOfStepTest(unittest.TestCase):
     """Hosts that are out of step continue no stream at another version."""
 
@@ -54,5 +67,33 @@
         self.assertGreater(min(mixed), 0)
 
 
+class RestartedEndpointTest(unittest.TestCase):
+    """An endpoint that starts again may have another version than its heartbeats."""
+
+    def check_play(self, play):
+        self.assertLessEqual(play.count_mixed(), MAX_MIXED)
+        went_on, counted = play.measure_went_on()
+        self.assertGreaterEqual(counted, MIN_TAKEN_UP)
+        begun = play.measure_begun_streams()
+        self.assertGreaterEqual(went_on, MIN_WENT_ON_RATIO * begun)
+
+    def test_crashes_at_4_hosts(self):
+        for seed in (20, 26):
+            self.check_play(play_crashes(4, 6, seed))
+
+    def test_crashes_at_24_hosts(self):
+        for seed in (22, 30):
+            self.check_play(play_crashes(24, 9, seed))
+
+    def test_crashes_at_24_hosts_that_are_out_of_step(self):
+        for seed in (22, 33):
+            self.check_play(play_crashes(24, 9, seed, halts=True))
+
+    def test_hosts_that_trust_the_last_heartbeat_are_found(self):
+        with mock.patch.object(FleetView, "record_refusal"):
+            mixed = [play_crashes(24, 9, seed).count_mixed() for seed in (22, 30)]
+        self.assertGreater(min(mixed), MAX_MIXED)
+
+
 if __name__ == "__main__":
     unittest.main()
