Tell other coordinators of a new software version at once

A host whose majority of the coordinators does not include the one to which a new version reports did not hear of it for up to a second from them, and can take the former version for the only one in that time. No stream of two versions was traced to it.

Cause: coordinators tell each other of versions with their status, once a second.

Measured: the test, in which the next regular status never comes, failed before the change (no news in 20 s) and passes now.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -324,6 +324,9 @@
         news = self._shared.take_new(now_s)
         if not news:
             return
+        if news.versions:
+            # Other coordinators learn of versions by the status.
+            self._status_due_s = now_s
         for entry in self._entries:
             if entry.initialized_channel is not None:
                 await self._send_shared_state(entry, news)
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from buckthorndeal.coordinator import _fleet_task
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import FindOrigin, OriginReply, ServiceVersion, StreamOrigin
 from buckthorndeal.gateway._coordinator_calls import ask_for_origin
@@ -15,6 +16,7 @@
 from tests.dispatcher_harness import DispatcherHarness
 from tests.fleet_harness import (
     HANG_TIMEOUT_S,
+    Endpoint,
     Fleet,
     create_configuration,
     run_fleet,
@@ -33,6 +35,9 @@
 HALT_S = 0.2
 # Time after which a coordinator that does not reply counts as lost.
 SILENCE_S = 0.1
+NEVER_S = 1000.0
+# Far longer than coordinators take to tell each other, also on a busy machine.
+TOLD_S = 20.0
 
 
 def is_coordinator(address):
@@ -129,6 +134,29 @@
         run_fleet(check)
 
 
+class CoordinatorTest(unittest.TestCase):
+    """Coordinators tell each other of a new version at once."""
+
+    def test_new_version_is_told_before_the_next_regular_status(self):
+        async def check():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                await fleet.put_configuration("10.1.0.1", create_configuration(1))
+                with mock.patch.object(_fleet_task, "STATUS_INTERVAL_S", NEVER_S):
+                    # The regular status that was due before has been sent.
+                    await curio.sleep(1.5)
+                    endpoint = Endpoint(
+                        fleet, "e0", "a-1", None, "s", {"version": "v2"}
+                    )
+                    await endpoint.send_heartbeat("10.1.0.1")
+                    shared = fleet.coordinators["10.3.0.1"]._fleet._shared
+                    async with curio.timeout_after(TOLD_S):
+                        while not shared.export_versions(0.0):
+                            await curio.sleep(0.05)
+
+        run_fleet(check)
+
+
 class ScriptedLinks:
     """Links to coordinators that reply as given; one without a reply is silent."""
 
