--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -276,8 +276,7 @@
         self, message: FindStreamVersion, envelope: Envelope, now_s: float
     ) -> None:
         stream_versions = self._dispatcher.view.stream_versions
-        version = stream_versions.find_version(message.resumes, message.service, now_s)
-        await envelope.reply(version)
+        await envelope.reply(stream_versions.find_version(message, now_s))
 
     @_handle.register
     async def _(
@@ -298,6 +297,8 @@
     ) -> None:
         guard = self._dispatcher.crash_guard
         guard.record_probe(message.record, message.accepted, now_s)
+        if not message.accepted:
+            self._dispatcher.view.record_refusal(message.record, now_s)
 
     @_handle.register
     async def _(self, message: PathProbed, envelope: Envelope, now_s: float) -> None:
