Keep a part of prompts in doubt until the evidence decides on it

Callers saw: up to sixteen more requests with a part that had ended five endpoints, if its callers come at nearly the same moment.

Cause: the same as for whole requests: ends within 0.2 s count as one cause, so five ends and more may decide nothing, and nothing held requests with that part back.

Change: with five ends that no answer clears and no quarantined key explains, a part is in doubt as a whole request is with three.

The new test of the play failed before (8).

--- a/buckthorndeal/quarantine/_quarantine.py
+++ b/buckthorndeal/quarantine/_quarantine.py
@@ -7,7 +7,6 @@
 
 from buckthorndeal.quarantine._keys import (
     Call,
-    is_request_key,
     list_keys,
     list_part_keys,
 )
@@ -277,14 +276,14 @@
         hosts: Sequence[str],
         now_s: float,
     ) -> bool:
-        """Return whether a whole request must wait until evidence decides on it.
+        """Return whether a request must wait until evidence decides on its keys.
 
         The parameters are those of `may_repeat`, and all entry hosts.
         """
         return any(
             self._review.must_wait(key, key in open_suspects, hosts, now_s)
             for key in keys
-            if is_request_key(key) and not self._was_answered(key, now_s)
+            if not self._was_answered(key, now_s)
         )
 
     def is_in_doubt(self, keys: Sequence[str], now_s: float) -> bool:
@@ -292,7 +291,7 @@
         return any(
             self._review.is_in_doubt(key)
             for key in keys
-            if is_request_key(key) and not self._was_answered(key, now_s)
+            if not self._was_answered(key, now_s)
         )
 
     def record_sent(self, keys: Sequence[str], now_s: float) -> None:
@@ -300,7 +299,7 @@
         for key in keys:
             if self.table.is_quarantined(key):
                 self.start_trial(key, now_s)
-            elif is_request_key(key):
+            else:
                 self._review.record_sent(key, now_s)
 
     def _was_answered(self, key: str, now_s: float) -> bool:
--- a/buckthorndeal/quarantine/_review.py
+++ b/buckthorndeal/quarantine/_review.py
@@ -1,24 +1,29 @@
-"""Requests that are in doubt: neither quarantined nor cleared yet."""
+"""Keys that are in doubt: neither quarantined nor cleared yet."""
 
 import math
 from collections.abc import Sequence
 
-from buckthorndeal.quarantine._suspicion import MIN_ENDS, count_causes, list_open_ends
+from buckthorndeal.quarantine._keys import is_request_key
+from buckthorndeal.quarantine._suspicion import (
+    count_causes,
+    get_min_ends_in_doubt,
+    list_open_ends,
+)
 from buckthorndeal.quarantine._table import EvidenceTable
 from buckthorndeal.quarantine._turns import TURN_S, is_turn
 
-# Ends of endpoints under a request after which it is held back while hosts exchange
-# evidence, and for how long.
+# Ends of endpoints under a whole request after which it is held back while hosts
+# exchange evidence, and for how long.
 MIN_ENDS_TO_HOLD = 2
 REVIEW_HOLD_S = 2.0
 
 
 class Review:
-    """Decides whether a whole request that no answer clears may reach an endpoint.
+    """Decides whether requests with a key that no answer clears may reach endpoints.
 
-    It is held back for a short time after each end. With as many ends as can lead to a
-    decision it is in doubt until one is made: they may have a cause in common, or
-    another request may explain as many. Then one host at a time tries it once.
+    A whole request is held back for a short time after each end. With as many ends as
+    can lead to a decision a key is in doubt until one is made: they may have a cause in
+    common, or another key may explain as many. Then one host at a time tries it once.
 
     Parameters
     ----------
@@ -34,18 +39,19 @@
         self._sent_s: dict[str, float] = {}
 
     def is_in_doubt(self, key: str) -> bool:
-        """Return whether only one host at a time may try a request."""
-        return len(list_open_ends(self._table, key)) >= MIN_ENDS
+        """Return whether only one host at a time may try requests with a key."""
+        ends = list_open_ends(self._table, key)
+        return len(ends) >= get_min_ends_in_doubt(key)
 
     def must_wait(
         self, key: str, is_open: bool, hosts: Sequence[str], now_s: float
     ) -> bool:
-        """Return whether a request that no answer clears must not be sent now.
+        """Return whether a request with a key must not be sent now.
 
         Parameters
         ----------
         key : str
-            Key of the whole request.
+            Key that no answer clears.
         is_open : bool
             Whether an endpoint has probably ended under it just now.
         hosts : sequence of str
@@ -58,8 +64,9 @@
             return False
         since_s = now_s - ends[-1].learned_s
         causes = count_causes(key, ends) + is_open
-        if since_s < REVIEW_HOLD_S and causes >= MIN_ENDS_TO_HOLD:
-            return True
+        if is_request_key(key) and since_s < REVIEW_HOLD_S:
+            if causes >= MIN_ENDS_TO_HOLD:
+                return True
         if not self.is_in_doubt(key):
             return False
         if is_open or now_s - self._sent_s.get(key, -math.inf) < TURN_S:
@@ -68,12 +75,12 @@
         return not is_turn(trial, since_s - REVIEW_HOLD_S, self._host, hosts)
 
     def record_sent(self, key: str, now_s: float) -> None:
-        """Record that a request is sent to an endpoint."""
+        """Record that a request with a key is sent to an endpoint."""
         if self.is_in_doubt(key):
             self._sent_s[key] = now_s
 
     def expire(self) -> None:
-        """Forget the requests that are no longer in doubt."""
+        """Forget the keys that are no longer in doubt."""
         for key in list(self._sent_s):
             if not self.is_in_doubt(key):
                 del self._sent_s[key]
--- a/buckthorndeal/quarantine/_suspicion.py
+++ b/buckthorndeal/quarantine/_suspicion.py
@@ -10,9 +10,11 @@
 MIN_ENDS = 3
 # The same for a key that was answered shortly before it became suspect.
 MIN_ENDS_WITH_HISTORY = 5
-# Causes that suffice for a whole request with more than `MIN_ENDS` ends. With that many
-# it is sent by one host at a time, so a further end has no cause in common with them.
-MIN_CAUSES_OF_REQUEST = 2
+# Ends from which a part of prompts is in doubt; whole requests are from `MIN_ENDS` on.
+MIN_ENDS_OF_PART_IN_DOUBT = 5
+# Causes that suffice for a key with an end after it was in doubt. One host at a time
+# sends it then, so that end has no cause in common with those before.
+MIN_CAUSES_AFTER_DOUBT = 2
 # Ends after which one of several equally suspect keys is chosen.
 MIN_ENDS_IF_AMBIGUOUS = 5
 # Answers to requests with a key, for each end, that show that it crashes nothing.
@@ -88,6 +90,11 @@
     return [end for end in ends if _find_explanation(table, end) is None]
 
 
+def get_min_ends_in_doubt(key: str) -> int:
+    """Return the number of ends from which a key is in doubt until it is decided on."""
+    return MIN_ENDS if is_request_key(key) else MIN_ENDS_OF_PART_IN_DOUBT
+
+
 def _find_explanation(table: EvidenceTable, end: KnownEnd) -> str | None:
     """Return the quarantined key that explains the end of an endpoint, or None.
 
@@ -150,7 +157,7 @@
     if has_history:
         min_causes = MIN_ENDS_WITH_HISTORY
     elif _has_further_end(table, key, reviewed):
-        min_causes = MIN_CAUSES_OF_REQUEST
+        min_causes = MIN_CAUSES_AFTER_DOUBT
     if causes < min_causes or answers > ANSWERS_PER_END * causes:
         return None
     depth = max(end.suspects[key].depth for end in ends)
@@ -158,9 +165,9 @@
 
 
 def _has_further_end(table: EvidenceTable, key: str, ends: list[KnownEnd]) -> bool:
-    """Return whether an endpoint has ended under a request that was in doubt."""
+    """Return whether an endpoint has ended under a key that was in doubt."""
     unexplained = [end for end in ends if _find_explanation(table, end) is None]
-    return is_request_key(key) and len(unexplained) > MIN_ENDS
+    return len(unexplained) > get_min_ends_in_doubt(key)
 
 
 def _rank(suspicion: Suspicion) -> tuple:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -322,6 +322,24 @@
         self.end_endpoint(3, "r1", request="a3", after_s=5.0)
         self.assertEqual(self.review("r1"), ["r1"])
 
+    def test_part_of_five_ends_is_in_doubt(self):
+        for number in range(4):
+            self.end_endpoint(number, "p", after_s=0.02)
+        self.assertFalse(self.quarantine.is_in_doubt(["p"], self.now_s))
+        self.end_endpoint(4, "p", after_s=0.02)
+        self.assertTrue(self.quarantine.is_in_doubt(["p"], self.now_s))
+        self.assertEqual(self.review("p"), [])
+        held = self.quarantine.is_under_review(["p"], (), ("h2",), self.now_s + 3.0)
+        self.assertTrue(held)
+        self.end_endpoint(5, "p", after_s=5.0)
+        self.assertEqual(self.review("p"), ["p"])
+
+    def test_part_of_fewer_ends_is_not_held_back(self):
+        for number in range(4):
+            self.end_endpoint(number, "p", after_s=0.02)
+        held = self.quarantine.is_under_review(["p"], (), HOSTS, self.now_s)
+        self.assertFalse(held)
+
     def test_end_under_a_part_that_ended_three_at_once_does_not_suffice(self):
         self.end_three_at_once("p")
         self.end_endpoint(3, "p", after_s=5.0)
--- a/tests/test_quarantine_play.py
+++ b/tests/test_quarantine_play.py
@@ -5,6 +5,7 @@
 
 from buckthorndeal.coordinator._evidence import EvidenceRelay
 from buckthorndeal.gateway._messages import Prompt, PromptPart
+from buckthorndeal.quarantine import RequestContent
 from tests.crash_play import CrashPlay, PlayRequest
 
 # Crashing requests that may reach engines once five have ended and hosts are calm.
@@ -94,6 +95,38 @@
             self.assertEqual(play.count_quarantined_sound(), 0)
 
 
+class GroupedPromptPlay(CrashPlay):
+    """Callers send crashing prompts with a common part at nearly the same moment."""
+
+    def plan_groups(self, size, interval_s, spread_s, until_s):
+        group_s = self.now_s + 8.0
+        while group_s < self.now_s + until_s:
+            for _ in range(size):
+                at_s = group_s + self.rng.uniform(0, spread_s)
+                prompt = self.create_prompt(True)
+                body = prompt.parts[-1].key.encode()
+                content = RequestContent("POST", "x", "/", "", body)
+                request = PlayRequest(True, prompt, content, at_s)
+                self._schedule(at_s, self._receive, request)
+            group_s += interval_s
+
+
+class GroupedPromptTest(unittest.TestCase):
+    """A crashing part stays held back while the evidence decides nothing."""
+
+    def test_part_under_which_engines_end_at_once_stops(self):
+        for hosts, engines, seed in ((4, 6, 1), (4, 6, 3), (24, 9, 1), (24, 9, 3)):
+            play = GroupedPromptPlay(hosts, engines, seed)
+            play.plan_groups(8, 9.0, 0.2, 80.0)
+            play.play(80, 20, 0)
+            self.assertGreaterEqual(len(play.crash_times_s), 5)
+            self.assertLessEqual(play.count_excess(), MAX_EXCESS)
+            self.assertEqual(play.count_quarantined_sound(), 0)
+            before = play.measure_begun(2.0, 8.0)
+            after = play.measure_begun(50.0, 80.0)
+            self.assertGreater(after, MIN_BEGUN_RATIO * before)
+
+
 class SoundPromptTest(unittest.TestCase):
     """Engines that crash for other reasons lead to no refused prompts."""
 
