Log because of which key a suspect request is refused

The decision `request_suspect` did not tell which request or part was in doubt, so a timeline needed the lines of the requests' failed attempts. It has the key now, as refusals of quarantined keys have. Tests of the dispatcher show that a key in doubt is sent in turns, once in each, and again after an answer.

--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -52,13 +52,16 @@
     Parameters
     ----------
     key : str or None
-        Quarantined key; None for a repeat that might crash another endpoint.
+        Quarantined or suspect key; None for a repeat that might crash another endpoint.
     wait_s : float
-        Seconds until a request with the key may be tried.
+        Seconds until a request with a quarantined key may be tried.
+    is_quarantined : bool
+        Whether the key is quarantined.
     """
 
     key: str | None
-    wait_s: float
+    wait_s: float = 0.0
+    is_quarantined: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,13 +133,14 @@
         for key in self.quarantine.find_quarantined(keys):
             may_try = self.quarantine.may_try(key, hosts, now_s)
             if dispatch.is_retry or not may_try:
-                return Objection(key, self.quarantine.get_wait_s(key, now_s))
+                wait_s = self.quarantine.get_wait_s(key, now_s)
+                return Objection(key, wait_s, is_quarantined=True)
         if dispatch.is_retry:
             if not self.quarantine.may_repeat(keys, open_suspects, now_s):
-                return Objection(None, 0.0)
-        elif self.quarantine.is_under_review(keys, open_suspects, hosts, now_s):
-            return Objection(None, 0.0)
-        return None
+                return Objection(None)
+            return None
+        key = self.quarantine.find_under_review(keys, open_suspects, hosts, now_s)
+        return Objection(key) if key is not None else None
 
     def is_trial(self, dispatch: Dispatch, now_s: float) -> bool:
         """Return whether a request is one that only one host at a time may send."""
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -197,7 +197,7 @@
     predicted_s : float or None
         Predicted time until the response starts at the best of them with capacity.
     key : str or None
-        Quarantined key of the request.
+        Quarantined or suspect key of the request.
     """
 
     reason: RefusalReason
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -67,8 +67,9 @@
 
         A caller with a deadline before the next trial need not return at all.
         """
-        if objection.key is None:
-            return self.refuse(RefusalReason.REQUEST_SUSPECT)
+        if not objection.is_quarantined:
+            retry_s = self._jitter(NO_ENDPOINT_RETRY_S)
+            return Refusal(RefusalReason.REQUEST_SUSPECT, retry_s, key=objection.key)
         retry_s = self._jitter(max(QUARANTINE_RETRY_S, objection.wait_s))
         reason = RefusalReason.PROMPT_QUARANTINED
         if is_request_key(objection.key):
--- a/buckthorndeal/quarantine/_quarantine.py
+++ b/buckthorndeal/quarantine/_quarantine.py
@@ -269,22 +269,23 @@
                 return False
         return True
 
-    def is_under_review(
+    def find_under_review(
         self,
         keys: Sequence[str],
         open_suspects: Collection[str],
         hosts: Sequence[str],
         now_s: float,
-    ) -> bool:
-        """Return whether a request must wait until evidence decides on its keys.
+    ) -> str | None:
+        """Return the key because of which a request must wait for evidence, or None.
 
         The parameters are those of `may_repeat`, and all entry hosts.
         """
-        return any(
-            self._review.must_wait(key, key in open_suspects, hosts, now_s)
-            for key in keys
-            if not self._was_answered(key, now_s)
-        )
+        for key in keys:
+            if self._was_answered(key, now_s):
+                continue
+            if self._review.must_wait(key, key in open_suspects, hosts, now_s):
+                return key
+        return None
 
     def is_in_doubt(self, keys: Sequence[str], now_s: float) -> bool:
         """Return whether one host at a time may try a request with some keys."""
--- a/tests/test_endpoint_ends.py
+++ b/tests/test_endpoint_ends.py
@@ -2,9 +2,20 @@
 
 import unittest
 
-from buckthorndeal.gateway._messages import Grant, Refusal, RefusalReason
+from buckthorndeal.gateway._messages import (
+    FleetChanged,
+    Grant,
+    Refusal,
+    RefusalReason,
+)
 from buckthorndeal.policy.views import AttemptOutcome
-from buckthorndeal.quarantine import RequestContent, digest_part
+from buckthorndeal.quarantine import (
+    EndpointEnd,
+    Evidence,
+    RequestContent,
+    Suspect,
+    digest_part,
+)
 from tests.dispatcher_harness import DispatcherHarness, create_prompt
 
 BROKEN = AttemptOutcome.BROKEN
@@ -154,5 +165,45 @@
         self.assertIsInstance(self.harness.submit(create_prompt(8, 51)), Grant)
 
 
+class DoubtTest(unittest.TestCase):
+    """A request under which three endpoints have ended at once is sent in turns."""
+
+    CONTENT = RequestContent("GET", "x", "/", "", b"")
+    KEY = "r" + CONTENT.digest
+
+    def setUp(self):
+        self.harness = DispatcherHarness(endpoints=1, host="h1")
+        suspects = (Suspect(self.KEY, 0),)
+        ends = tuple(EndpointEnd(f"x{number}", 1, suspects) for number in range(3))
+        self.guard = self.harness.dispatcher.crash_guard
+        self.guard.quarantine.receive(Evidence(ends), self.harness.now_s)
+
+    def submit(self, hosts):
+        self.harness.view.set_fleet(FleetChanged(hosts, len(hosts), frozenset(), hosts))
+        return self.harness.submit(content=self.CONTENT)
+
+    def check_suspect(self, decision):
+        self.assertIsInstance(decision, Refusal)
+        self.assertIs(decision.reason, RefusalReason.REQUEST_SUSPECT)
+        self.assertEqual(decision.key, self.KEY)
+
+    def test_request_is_refused_while_it_is_another_host_s_turn(self):
+        self.harness.now_s += 3.0
+        self.check_suspect(self.submit(("h2",)))
+
+    def test_request_is_sent_once_in_a_turn(self):
+        self.check_suspect(self.submit(("h1",)))
+        self.harness.now_s += 3.0
+        self.assertIsInstance(self.submit(("h1",)), Grant)
+        self.check_suspect(self.submit(("h1",)))
+
+    def test_request_that_was_answered_is_sent_again(self):
+        self.harness.now_s += 3.0
+        self.submit(("h1",))
+        self.harness.now_s += 0.1
+        self.harness.finish(self.harness.attempt_id)
+        self.assertIsInstance(self.submit(("h1",)), Grant)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -28,6 +28,11 @@
     return EndpointEnd(f"e{number}", 1, suspects, age_s)
 
 
+def is_held(quarantine, keys, open_suspects, hosts, now_s):
+    key = quarantine.find_under_review(keys, open_suspects, hosts, now_s)
+    return key is not None
+
+
 class QuarantineTest(unittest.TestCase):
     """One entry host decides by its own evidence and that of others."""
 
@@ -231,24 +236,18 @@
 
     def test_request_of_two_ends_is_held_back_for_a_short_time(self):
         self.end_endpoint(0, "r1")
-        self.assertFalse(self.quarantine.is_under_review(["r1"], (), HOSTS, self.now_s))
-        self.assertTrue(
-            self.quarantine.is_under_review(["r1"], ("r1",), HOSTS, self.now_s)
-        )
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s))
+        self.assertTrue(is_held(self.quarantine, ["r1"], ("r1",), HOSTS, self.now_s))
         self.end_endpoint(1, "r1")
-        self.assertTrue(self.quarantine.is_under_review(["r1"], (), HOSTS, self.now_s))
-        self.assertFalse(self.quarantine.is_under_review(["r2"], (), HOSTS, self.now_s))
-        self.assertFalse(
-            self.quarantine.is_under_review(["r1"], (), HOSTS, self.now_s + 3)
-        )
+        self.assertTrue(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s))
+        self.assertFalse(is_held(self.quarantine, ["r2"], (), HOSTS, self.now_s))
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s + 3))
 
     def test_answered_request_is_not_held_back(self):
         for number in range(2):
             self.end_endpoint(number, "r1")
         self.quarantine.record_answer(["r1"], self.now_s + 0.1, self.now_s + 0.2)
-        self.assertFalse(
-            self.quarantine.is_under_review(["r1"], (), HOSTS, self.now_s + 0.3)
-        )
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s + 0.3))
 
     def end_three_at_once(self, *keys):
         """Report three ends at nearly the same moment; return their evidence."""
@@ -268,7 +267,7 @@
             allowed = [
                 each
                 for each in quarantines
-                if not each.is_under_review(["r1"], (), HOSTS, now_s)
+                if not is_held(each, ["r1"], (), HOSTS, now_s)
             ]
             self.assertLessEqual(len(allowed), 1)
             senders.update(id(each) for each in allowed)
@@ -279,7 +278,7 @@
         sent_s = []
         for step in range(200):
             now_s = self.now_s + 0.1 * step
-            if not self.quarantine.is_under_review(["r1"], (), ("h1",), now_s):
+            if not is_held(self.quarantine, ["r1"], (), ("h1",), now_s):
                 self.quarantine.record_sent(["r1"], now_s)
                 sent_s.append(now_s)
         gaps = [later - sooner for sooner, later in itertools.pairwise(sent_s)]
@@ -290,7 +289,7 @@
         self.end_three_at_once("r1")
         for after_s in (3.0, 30.0, 300.0):
             now_s = self.now_s + after_s
-            self.assertTrue(self.quarantine.is_under_review(["r1"], (), (), now_s))
+            self.assertTrue(is_held(self.quarantine, ["r1"], (), (), now_s))
 
     def test_answer_ends_the_doubt(self):
         self.end_three_at_once("r1")
@@ -298,7 +297,7 @@
         self.quarantine.record_answer(["r1"], self.now_s, self.now_s + 0.1)
         self.now_s += 0.2
         self.assertFalse(self.quarantine.is_in_doubt(["r1"], self.now_s))
-        held = self.quarantine.is_under_review(["r1"], (), HOSTS, self.now_s)
+        held = is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s)
         self.assertFalse(held)
 
     def test_answer_to_one_of_two_requests_in_doubt_decides_on_the_other(self):
@@ -329,7 +328,7 @@
         self.end_endpoint(4, "p", after_s=0.02)
         self.assertTrue(self.quarantine.is_in_doubt(["p"], self.now_s))
         self.assertEqual(self.review("p"), [])
-        held = self.quarantine.is_under_review(["p"], (), ("h2",), self.now_s + 3.0)
+        held = is_held(self.quarantine, ["p"], (), ("h2",), self.now_s + 3.0)
         self.assertTrue(held)
         self.end_endpoint(5, "p", after_s=5.0)
         self.assertEqual(self.review("p"), ["p"])
@@ -337,7 +336,7 @@
     def test_part_of_fewer_ends_is_not_held_back(self):
         for number in range(4):
             self.end_endpoint(number, "p", after_s=0.02)
-        held = self.quarantine.is_under_review(["p"], (), HOSTS, self.now_s)
+        held = is_held(self.quarantine, ["p"], (), HOSTS, self.now_s)
         self.assertFalse(held)
 
     def test_end_under_a_part_that_ended_three_at_once_does_not_suffice(self):
