--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,5 @@
 """Tests of evidence on prompts that crash endpoints, and of what follows from it."""
 
-import itertools
 import tempfile
 import unittest
 
@@ -17,10 +16,8 @@
     RequestContent,
     Suspect,
     create_quarantine,
-    is_request_key,
 )
-
-HOSTS = ("h1", "h2", "h3")
+from tests.quarantine_harness import HOSTS, EvidenceTestCase, is_held
 
 
 def create_end(number, *parts, age_s=0.0):
@@ -28,11 +25,6 @@
     return EndpointEnd(f"e{number}", 1, suspects, age_s)
 
 
-def is_held(quarantine, keys, open_suspects, hosts, now_s):
-    key = quarantine.find_under_review(keys, open_suspects, hosts, now_s)
-    return key is not None
-
-
 class QuarantineTest(unittest.TestCase):
     """One entry host decides by its own evidence and that of others."""
 
@@ -179,27 +171,9 @@
         self.assertEqual(len(digests), 1 + len(others))
 
 
-class RequestKeyTest(unittest.TestCase):
+class RequestKeyTest(EvidenceTestCase):
     """A whole request and the parts of its prompt explain ends together."""
 
-    def setUp(self):
-        self.quarantine = create_quarantine("h1")
-        self.now_s = 100.0
-
-    def end_endpoint(self, number, *keys, request="", after_s=1.0):
-        self.now_s += after_s
-        suspects = tuple(
-            Suspect(key, depth, request if is_request_key(key) else "")
-            for depth, key in enumerate(keys)
-        )
-        end = EndpointEnd(f"e{number}", 1, suspects)
-        self.quarantine.record_end(end, self.now_s)
-
-    def review(self, *keys):
-        self.now_s += 1.0
-        self.quarantine.update(self.now_s)
-        return self.quarantine.find_quarantined(keys)
-
     def test_request_is_quarantined_and_not_the_part_that_it_has(self):
         for number in range(3):
             self.end_endpoint(number, "part", "r1")
@@ -249,101 +223,6 @@
         self.quarantine.record_answer(["r1"], self.now_s + 0.1, self.now_s + 0.2)
         self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s + 0.3))
 
-    def end_three_at_once(self, *keys):
-        """Report three ends at nearly the same moment; return their evidence."""
-        for number in range(3):
-            self.end_endpoint(number, *keys, request=f"a{number}", after_s=0.05)
-        self.review()
-        return self.quarantine.export(self.now_s)
-
-    def test_request_in_doubt_is_sent_by_one_host_at_a_time(self):
-        evidence = self.end_three_at_once("r1")
-        quarantines = [create_quarantine(host) for host in HOSTS]
-        for number, each in enumerate(quarantines):
-            each.receive(evidence, self.now_s + 0.3 * number)
-        senders = set()
-        for step in range(600):
-            now_s = self.now_s + 0.1 * step
-            allowed = [
-                each
-                for each in quarantines
-                if not is_held(each, ["r1"], (), HOSTS, now_s)
-            ]
-            self.assertLessEqual(len(allowed), 1)
-            senders.update(id(each) for each in allowed)
-        self.assertEqual(len(senders), len(HOSTS))
-
-    def test_request_in_doubt_is_sent_once_in_a_turn(self):
-        self.end_three_at_once("r1")
-        sent_s = []
-        for step in range(200):
-            now_s = self.now_s + 0.1 * step
-            if not is_held(self.quarantine, ["r1"], (), ("h1",), now_s):
-                self.quarantine.record_sent(["r1"], now_s)
-                sent_s.append(now_s)
-        gaps = [later - sooner for sooner, later in itertools.pairwise(sent_s)]
-        self.assertGreater(len(gaps), 1)
-        self.assertGreater(min(gaps), 4.9)
-
-    def test_host_without_others_sends_no_request_in_doubt(self):
-        self.end_three_at_once("r1")
-        for after_s in (3.0, 30.0, 300.0):
-            now_s = self.now_s + after_s
-            self.assertTrue(is_held(self.quarantine, ["r1"], (), (), now_s))
-
-    def test_answer_ends_the_doubt(self):
-        self.end_three_at_once("r1")
-        self.assertTrue(self.quarantine.is_in_doubt(["r1"], self.now_s))
-        self.quarantine.record_answer(["r1"], self.now_s, self.now_s + 0.1)
-        self.now_s += 0.2
-        self.assertFalse(self.quarantine.is_in_doubt(["r1"], self.now_s))
-        held = is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s)
-        self.assertFalse(held)
-
-    def test_answer_to_one_of_two_requests_in_doubt_decides_on_the_other(self):
-        for number in range(3):
-            self.end_endpoint(number, "r1", "r2")
-        self.assertEqual(self.review("r1", "r2"), [])
-        for _ in range(2):
-            self.quarantine.record_answer(["r2"], self.now_s, self.now_s + 0.1)
-        self.assertEqual(self.review("r1", "r2"), ["r1"])
-
-    def test_request_whose_ends_another_one_explains_is_not_in_doubt(self):
-        self.end_three_at_once("r1", "r2")
-        self.end_endpoint(3, "r1", request="a3", after_s=5.0)
-        self.assertTrue(self.quarantine.is_in_doubt(["r2"], self.now_s))
-        self.assertEqual(self.review("r1", "r2"), ["r1"])
-        self.assertFalse(self.quarantine.is_in_doubt(["r2"], self.now_s))
-
-    def test_end_under_a_request_in_doubt_suffices(self):
-        self.end_three_at_once("r1")
-        self.assertEqual(self.review("r1"), [])
-        self.end_endpoint(3, "r1", request="a3", after_s=5.0)
-        self.assertEqual(self.review("r1"), ["r1"])
-
-    def test_part_of_five_ends_is_in_doubt(self):
-        for number in range(4):
-            self.end_endpoint(number, "p", after_s=0.02)
-        self.assertFalse(self.quarantine.is_in_doubt(["p"], self.now_s))
-        self.end_endpoint(4, "p", after_s=0.02)
-        self.assertTrue(self.quarantine.is_in_doubt(["p"], self.now_s))
-        self.assertEqual(self.review("p"), [])
-        held = is_held(self.quarantine, ["p"], (), ("h2",), self.now_s + 3.0)
-        self.assertTrue(held)
-        self.end_endpoint(5, "p", after_s=5.0)
-        self.assertEqual(self.review("p"), ["p"])
-
-    def test_part_of_fewer_ends_is_not_held_back(self):
-        for number in range(4):
-            self.end_endpoint(number, "p", after_s=0.02)
-        held = is_held(self.quarantine, ["p"], (), HOSTS, self.now_s)
-        self.assertFalse(held)
-
-    def test_end_under_a_part_that_ended_three_at_once_does_not_suffice(self):
-        self.end_three_at_once("p")
-        self.end_endpoint(3, "p", after_s=5.0)
-        self.assertEqual(self.review("p"), [])
-
     def test_no_more_than_two_trials_in_a_day(self):
         for number in range(3):
             self.end_endpoint(number, "r1")
