--- a/buckthorndeal/quarantine/_suspicion.py
+++ b/buckthorndeal/quarantine/_suspicion.py
@@ -10,6 +10,11 @@
 MIN_ENDS = 3
 # The same for a key that was answered shortly before it became suspect.
 MIN_ENDS_WITH_HISTORY = 5
+# Ends from which a part of prompts is in doubt; whole requests are from `MIN_ENDS` on.
+MIN_ENDS_OF_PART_IN_DOUBT = 5
+# Causes that suffice for a key with an end after it was in doubt. One host at a time
+# sends it then, so that end has no cause in common with those before.
+MIN_CAUSES_AFTER_DOUBT = 2
 # Ends after which one of several equally suspect keys is chosen.
 MIN_ENDS_IF_AMBIGUOUS = 5
 # Answers to requests with a key, for each end, that show that it crashes nothing.
@@ -79,6 +84,17 @@
     return counts.total > ANSWERS_PER_END * count_causes(key, table.list_ends(key))
 
 
+def list_open_ends(table: EvidenceTable, key: str) -> list[KnownEnd]:
+    """Return the ends under a key that no quarantined key explains."""
+    ends = table.list_ends(key)
+    return [end for end in ends if _find_explanation(table, end) is None]
+
+
+def get_min_ends_in_doubt(key: str) -> int:
+    """Return the number of ends from which a key is in doubt until it is decided on."""
+    return MIN_ENDS if is_request_key(key) else MIN_ENDS_OF_PART_IN_DOUBT
+
+
 def _find_explanation(table: EvidenceTable, end: KnownEnd) -> str | None:
     """Return the quarantined key that explains the end of an endpoint, or None.
 
@@ -137,13 +153,23 @@
             return None
     reviewed = [end for end in ends if now_s - end.learned_s >= REPORT_TIME_S]
     causes = _count_open_causes(table, key, reviewed)
-    min_causes = MIN_ENDS_WITH_HISTORY if has_history else MIN_ENDS
+    min_causes = MIN_ENDS
+    if has_history:
+        min_causes = MIN_ENDS_WITH_HISTORY
+    elif _has_further_end(table, key, reviewed):
+        min_causes = MIN_CAUSES_AFTER_DOUBT
     if causes < min_causes or answers > ANSWERS_PER_END * causes:
         return None
     depth = max(end.suspects[key].depth for end in ends)
     return Suspicion(key, causes, answers, has_history, depth)
 
 
+def _has_further_end(table: EvidenceTable, key: str, ends: list[KnownEnd]) -> bool:
+    """Return whether an endpoint has ended under a key that was in doubt."""
+    unexplained = [end for end in ends if _find_explanation(table, end) is None]
+    return len(unexplained) > get_min_ends_in_doubt(key)
+
+
 def _rank(suspicion: Suspicion) -> tuple:
     """Return a sort key: keys without an earlier answer and with most ends first."""
     return (
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -16,10 +16,8 @@
     RequestContent,
     Suspect,
     create_quarantine,
-    is_request_key,
 )
-
-HOSTS = ("h1", "h2", "h3")
+from tests.quarantine_harness import HOSTS, EvidenceTestCase, is_held
 
 
 def create_end(number, *parts, age_s=0.0):
@@ -173,27 +171,9 @@
         self.assertEqual(len(digests), 1 + len(others))
 
 
-class RequestKeyTest(unittest.TestCase):
+class RequestKeyTest(EvidenceTestCase):
     """A whole request and the parts of its prompt explain ends together."""
 
-    def setUp(self):
-        self.quarantine = create_quarantine("h1")
-        self.now_s = 100.0
-
-    def end_endpoint(self, number, *keys, request="", after_s=1.0):
-        self.now_s += after_s
-        suspects = tuple(
-            Suspect(key, depth, request if is_request_key(key) else "")
-            for depth, key in enumerate(keys)
-        )
-        end = EndpointEnd(f"e{number}", 1, suspects)
-        self.quarantine.record_end(end, self.now_s)
-
-    def review(self, *keys):
-        self.now_s += 1.0
-        self.quarantine.update(self.now_s)
-        return self.quarantine.find_quarantined(keys)
-
     def test_request_is_quarantined_and_not_the_part_that_it_has(self):
         for number in range(3):
             self.end_endpoint(number, "part", "r1")
@@ -230,18 +210,18 @@
 
     def test_request_of_two_ends_is_held_back_for_a_short_time(self):
         self.end_endpoint(0, "r1")
-        self.assertFalse(self.quarantine.is_under_review(["r1"], (), self.now_s))
-        self.assertTrue(self.quarantine.is_under_review(["r1"], ("r1",), self.now_s))
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s))
+        self.assertTrue(is_held(self.quarantine, ["r1"], ("r1",), HOSTS, self.now_s))
         self.end_endpoint(1, "r1")
-        self.assertTrue(self.quarantine.is_under_review(["r1"], (), self.now_s))
-        self.assertFalse(self.quarantine.is_under_review(["r2"], (), self.now_s))
-        self.assertFalse(self.quarantine.is_under_review(["r1"], (), self.now_s + 3))
+        self.assertTrue(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s))
+        self.assertFalse(is_held(self.quarantine, ["r2"], (), HOSTS, self.now_s))
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s + 3))
 
     def test_answered_request_is_not_held_back(self):
         for number in range(2):
             self.end_endpoint(number, "r1")
         self.quarantine.record_answer(["r1"], self.now_s + 0.1, self.now_s + 0.2)
-        self.assertFalse(self.quarantine.is_under_review(["r1"], (), self.now_s + 0.3))
+        self.assertFalse(is_held(self.quarantine, ["r1"], (), HOSTS, self.now_s + 0.3))
 
     def test_no_more_than_two_trials_in_a_day(self):
         for number in range(3):
