End each part of a gateway's drain at its time

A draining host asks its control task whether another host has taken over. A part of the drain that waits for this had no limit of its own: without an answer it never ended, so that the host is killed with all that it has accepted, and with one it ended up to 0.2 s late, when new streams were already accepted for longer than drain_stream_s.

Each part is now cut off at its time.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -226,8 +226,13 @@
 
         Gives up once the clock reads `until_s`.
         """
+        left_s = until_s - self._clock()
+        if left_s > 0:
+            await curio.ignore_after(left_s, self._poll_for_replacement)
+
+    async def _poll_for_replacement(self) -> None:
         logged = False
-        while self._clock() < until_s:
+        while True:
             # Remote coordinators learn of a replacement later than near ones.
             directories = await self._control.mailbox.ask(ListEntryHostsByCoordinator())
             if self._context.drain is not None:
@@ -236,7 +241,7 @@
                 is_advertised(self._context.host, entries, self._home_route_counts)
                 for entries in set(directories)
             ):
-                break
+                return
             if not logged:
                 log_event("gateway_drain_alone", coordinators=len(directories))
             logged = True
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+import unittest.mock
 
 import curio
 import msgspec
@@ -187,6 +188,42 @@
 
         run_fleet(test)
 
+    def test_drain_ends_in_time_when_no_coordinator_state_is_known(self):
+        """Guards against a host that is killed because its drain waits for an answer."""
+
+        async def test():
+            async with Fleet() as fleet:
+                gateway = await fleet.start_gateway(
+                    GATEWAY, drain_stream_s=0.3, drain_alone_s=0.6
+                )
+                control_task = next(
+                    task
+                    for task in gateway._tasks._running
+                    if task.coro.__qualname__ == "ControlTask.run"
+                )
+                await control_task.cancel()
+                async with curio.timeout_after(20):
+                    await gateway.drain()
+
+        run_fleet(test)
+
+    def test_wait_for_replacement_ends_at_its_time(self):
+        """Guards against new streams that are accepted too late in a drain."""
+        own = EntryHost(GATEWAY, "a", "a-1", f"{GATEWAY}:9000", EntryState.DRAINING)
+
+        async def test():
+            async with Fleet() as fleet:
+                gateway = await fleet.start_gateway(GATEWAY)
+                gateway._home_route_counts = {"x.example": {"a": 1}}
+                message = _PeerMessage("near", EntryHosts((own,)))
+                await gateway._control.mailbox.send(message)
+                interval = "buckthorndeal.gateway._daemon.REPLACEMENT_POLL_INTERVAL_S"
+                with unittest.mock.patch(interval, 60.0):
+                    async with curio.timeout_after(20):
+                        await gateway._wait_for_replacement(time.monotonic() + 0.3)
+
+        run_fleet(test)
+
     def test_new_stream_is_refused_after_the_notice_period(self):
         async def script(endpoint, request, responder):
             await curio.sleep(1)
