Stop accepting connections at once when a listener is told to

A listener that stops takes the connections that still wait in its backlog, and waited up to 1 ms for each further one. While callers keep connecting faster than that, or the process is so busy that one comes in each turn, it went on: the drain did not end, nor the close, and the host was killed beside the requests that it had accepted.

It now takes those that wait at that moment.

--- a/buckthorndeal/transport/_socket.py
+++ b/buckthorndeal/transport/_socket.py
@@ -4,6 +4,7 @@
 
 import curio
 from curio import socket
+from curio.io import Socket
 
 from buckthorndeal.transport._base import (
     DatagramPort,
@@ -17,7 +18,6 @@
 __all__ = ["SocketTransport", "create_socket_transport"]
 
 ACCEPT_BACKLOG = 1024
-BACKLOG_ACCEPT_TIMEOUT_S = 0.001
 MAX_DATAGRAM_BYTES = 65_535
 
 
@@ -99,13 +99,25 @@
                 await _spawn_handler(client, handler, tasks)
         except curio.CancelledError:
             # Closing the socket would reset the connections in its backlog.
-            while accepted := await curio.ignore_after(
-                BACKLOG_ACCEPT_TIMEOUT_S, sock.accept
-            ):
-                await _spawn_handler(accepted[0], handler, tasks)
+            for client in _accept_backlog(sock):
+                await _spawn_handler(client, handler, tasks)
             raise
 
 
+def _accept_backlog(sock: socket.socket) -> list[Socket]:
+    """Return the connections that wait to be accepted at this moment."""
+    clients: list[Socket] = []
+    with sock.blocking() as listening:
+        listening.setblocking(False)
+        while len(clients) <= ACCEPT_BACKLOG:
+            try:
+                client, _ = listening.accept()
+            except OSError:
+                break
+            clients.append(Socket(client))
+    return clients
+
+
 async def _spawn_handler(
     client: socket.socket, handler: StreamHandler, tasks: set
 ) -> None:
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -189,7 +189,7 @@
         run_fleet(test)
 
     def test_drain_ends_in_time_when_no_coordinator_state_is_known(self):
-        """Guards against a host that is killed because its drain waits for an answer."""
+        """Guards against a drain that waits for an answer until the host is killed."""
 
         async def test():
             async with Fleet() as fleet:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -31,6 +31,32 @@
 
         self.assertEqual(curio.run(main), b"hello")
 
+    def test_accepting_stops_while_callers_keep_connecting(self):
+        """Guards against a drain that lasts for as long as new callers come."""
+        clients = []
+
+        async def connect_again(stream):
+            if len(clients) < 1000:
+                clients.append(socket.create_connection(("127.0.0.1", listener.port)))
+
+        async def main():
+            nonlocal listener
+            listener = await create_socket_transport().listen(
+                "127.0.0.1", 0, connect_again
+            )
+            with socket.create_connection(("127.0.0.1", listener.port)):
+                await listener.stop_accepting()
+            accepted = len(clients)
+            await listener.close()
+            return accepted
+
+        listener = None
+        try:
+            self.assertLess(curio.run(main), 100)
+        finally:
+            for client in clients:
+                client.close()
+
 
 if __name__ == "__main__":
     unittest.main()
