Send a response to its end when its server closes

A server that closes ended every running handler. One that was writing a complete response to a slow caller was ended too, and the rest of the response was lost: the endpoint had run the request, and the caller got a part of the answer.

Handlers whose response is complete are no longer ended; they have the time of the close for it, as the other ones have for their errors. A caller that takes longer is still cut off.

The test failed before: 1000 of 5000 bytes and the end of the connection.

--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -43,6 +43,11 @@
         """Whether the response head has been sent."""
         return self._connection.our_state is not h11.SEND_RESPONSE
 
+    @property
+    def ended(self) -> bool:
+        """Whether the response is complete, and being sent or sent."""
+        return self._connection.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the response head; without a content length, the body is chunked."""
         event = h11.Response(
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -71,7 +71,7 @@
         self.closing = False
         # Tasks of the connections that wait for a request, and of running handlers.
         self._idle: set[curio.Task] = set()
-        self._running: set[curio.Task] = set()
+        self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
 
@@ -100,13 +100,14 @@
     async def close(self) -> None:
         """Answer the running requests, and close all connections.
 
-        Requests that arrive meanwhile are refused. Responses that have started are
-        cut off.
+        Requests that arrive meanwhile are refused. Responses that are not complete yet
+        are cut off; those that are being sent have `CLOSE_TIMEOUT_S` for it.
         """
         self._draining = True
         self.closing = True
-        for handler in list(self._running):
-            await handler.cancel(exc=ServerClosing, blocking=False)
+        for handler, responder in list(self._running.items()):
+            if not responder.ended:
+                await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
         for connection in list(self._idle):
             await connection.cancel(blocking=False)
@@ -182,14 +183,14 @@
         connection: h11.Connection,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
-        self._running.add(handler)
+        self._running[handler] = responder
         watcher = await curio.spawn(
             _cancel_on_disconnect, stream, connection, responder, handler
         )
         try:
             await handler.wait()
         finally:
-            self._running.discard(handler)
+            del self._running[handler]
             await watcher.cancel()
             if self.closing and not handler.terminated:
                 # A task is cancelled only once, but its next send fails.
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -6,7 +6,7 @@
 
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.settings import Limits
-from buckthorndeal.transport import create_memory_transport
+from buckthorndeal.transport import MemoryTransport, create_memory_transport
 from tests.fleet_harness import run_fleet
 
 ADDRESS = "10.1.0.1"
@@ -48,6 +48,30 @@
     return sum([bool(await stream.recv(65_536)) for stream in streams])
 
 
+class HalvingTransport(MemoryTransport):
+    """Transport whose callers take half of a large response until told to go on."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_go_on = curio.Event()
+
+    async def listen(self, address, port, handler):
+        async def handle(stream):
+            sendall = stream.sendall
+
+            async def send_halves(data):
+                if len(data) > 1000:
+                    await sendall(data[:1000])
+                    await self.may_go_on.wait()
+                    data = data[1000:]
+                await sendall(data)
+
+            stream.sendall = send_halves
+            await handler(stream)
+
+        return await super().listen(address, port, handle)
+
+
 class CloseTest(unittest.TestCase):
     """A server that closes answers each request that it has begun."""
 
@@ -78,3 +102,29 @@
                 self.assertIn(b"may_have_run", answer)
 
         run_fleet(test)
+
+    def test_response_that_is_being_sent_is_sent_to_its_end(self):
+        """Guards against the second half of a response that is lost at the close."""
+        body = b"x" * 5000
+
+        async def respond(request, responder):
+            await responder.respond(200, body)
+
+        async def test():
+            transport = HalvingTransport()
+            http = create_http_server(respond, Limits())
+            await http.start(transport, ADDRESS, PORT)
+            stream = await transport.connect(ADDRESS, PORT)
+            await stream.sendall(REQUEST)
+            answer = await stream.recv(65_536)
+            close_task = await curio.spawn(http.close)
+            while not http.closing:
+                await curio.sleep(0)
+            await curio.sleep(0.01)
+            await transport.may_go_on.set()
+            while part := await stream.recv(65_536):
+                answer += part
+            self.assertTrue(answer.endswith(b"\r\n\r\n" + body))
+            await close_task.join()
+
+        run_fleet(test)
