Notice that a caller leaves after it has sent much of a next request

The watcher of a running request stops reading after 64 KiB of what follows, so that the request is answered. It did not notice any more that the caller left: the endpoint worked on for nobody, until its end or the deadline.

A stream can now tell that its peer has ended it while data is unread, and the watcher asks for that.

--- a/buckthorndeal/bench/_control_host.py
+++ b/buckthorndeal/bench/_control_host.py
@@ -54,6 +54,9 @@
     def is_readable(self) -> bool:
         return self._inner.is_readable()
 
+    def is_ended(self) -> bool:
+        return self._inner.is_ended()
+
     async def close(self) -> None:
         await self._inner.close()
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -23,6 +23,7 @@
 ]
 
 MAX_PIPELINED_BYTES = 65_536
+DISCONNECT_POLL_INTERVAL_S = 0.1
 # Time in which handlers respond when their server closes.
 CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
@@ -253,7 +254,9 @@
     while True:
         if received > MAX_PIPELINED_BYTES:
             # The rest is read once this request has been answered.
-            return
+            while not stream.is_ended():
+                await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
+            break
         try:
             data = await stream.recv(READ_BYTES)
         except OSError:
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -30,6 +30,10 @@
     def is_readable(self) -> bool:
         """Return whether `recv` would return at once, with data or at the end."""
 
+    @abc.abstractmethod
+    def is_ended(self) -> bool:
+        """Return whether the peer has ended the stream, also while data is unread."""
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -79,6 +79,9 @@
     def is_readable(self) -> bool:
         return self._incoming.readable
 
+    def is_ended(self) -> bool:
+        return self._incoming.closed
+
     async def close(self) -> None:
         await self._incoming.close()
         await self._outgoing.close()
--- a/buckthorndeal/transport/_shaped.py
+++ b/buckthorndeal/transport/_shaped.py
@@ -190,6 +190,9 @@
     def is_readable(self) -> bool:
         return self._ended or bool(self._received)
 
+    def is_ended(self) -> bool:
+        return self._ended
+
     async def close(self) -> None:
         if self._closed:
             return
--- a/buckthorndeal/transport/_socket.py
+++ b/buckthorndeal/transport/_socket.py
@@ -1,5 +1,6 @@
 """Transport over TCP and UDP sockets."""
 
+import select
 import socket as stdlib_socket
 
 import curio
@@ -43,6 +44,11 @@
             return True
         return True
 
+    def is_ended(self) -> bool:
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     async def close(self) -> None:
         await self._sock.close()
 
--- a/tests/cut_transport.py
+++ b/tests/cut_transport.py
@@ -80,6 +80,9 @@
     def is_readable(self):
         return self._inner.is_readable() and self._transport.manner != "hang"
 
+    def is_ended(self):
+        return self._inner.is_ended() and self._transport.manner != "hang"
+
     async def close(self):
         self._ended = True
         await self._inner.close()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -69,6 +69,29 @@
 
         self.assertEqual(self.run_with_server(scenario, respond_slowly), 2)
 
+    def test_handler_is_cancelled_when_its_caller_leaves_after_much_more(self):
+        """Guards against work for a caller that has sent much of a next request."""
+        cancelled = curio.Event()
+
+        async def respond_never(request, responder):
+            try:
+                await curio.sleep(1000)
+            finally:
+                await cancelled.set()
+
+        async def scenario(transport, server):
+            stream = await transport.connect("127.0.0.1", server.port)
+            head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: "
+            await stream.sendall(f"{head}0\r\n\r\n".encode())
+            await stream.sendall(f"{head}200000\r\n\r\n".encode() + b"b" * 200_000)
+            await curio.sleep(0.1)
+            await stream.close()
+            async with curio.timeout_after(20):
+                await cancelled.wait()
+            return True
+
+        self.assertTrue(self.run_with_server(scenario, respond_never))
+
     def send_raw(self, data):
         """Return the response to raw bytes, and whether the connection was closed."""
 
