Cut off connections when a test crashes an endpoint

Endpoint.crash closed its HTTP server, which since answers the running requests with 502. The endpoints of test_gateway_quarantine did not crash any more under a request, and its test of requests that crash endpoints failed: 8 requests reached an endpoint; at most 3.

A crash now cuts off the connections without an answer, as it did before.

--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -222,8 +222,10 @@
         await self._server.close()
 
     async def crash(self, down_s):
-        """Close all connections, and start again as a new incarnation."""
-        await self.close()
+        """Cut off all connections, and start again as a new incarnation."""
+        await self._task.cancel()
+        # `HttpServer.close` would answer the running requests first.
+        await self._server._listener.close()
         await curio.sleep(down_s)
         self.incarnation += 1
         self.sequence = 0
