--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -23,6 +23,7 @@
 ]
 
 MAX_PIPELINED_BYTES = 65_536
+DISCONNECT_POLL_INTERVAL_S = 0.1
 # Time in which handlers respond when their server closes.
 CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
@@ -71,7 +72,7 @@
         self.closing = False
         # Tasks of the connections that wait for a request, and of running handlers.
         self._idle: set[curio.Task] = set()
-        self._running: set[curio.Task] = set()
+        self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
 
@@ -100,13 +101,14 @@
     async def close(self) -> None:
         """Answer the running requests, and close all connections.
 
-        Requests that arrive meanwhile are refused. Responses that have started are
-        cut off.
+        Requests that arrive meanwhile are refused. Responses that are not complete yet
+        are cut off; those that are being sent have `CLOSE_TIMEOUT_S` for it.
         """
         self._draining = True
         self.closing = True
-        for handler in list(self._running):
-            await handler.cancel(exc=ServerClosing, blocking=False)
+        for handler, responder in list(self._running.items()):
+            if not responder.ended:
+                await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
         for connection in list(self._idle):
             await connection.cancel(blocking=False)
@@ -187,14 +189,14 @@
         connection: h11.Connection,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
-        self._running.add(handler)
+        self._running[handler] = responder
         watcher = await curio.spawn(
             _cancel_on_disconnect, stream, connection, responder, handler
         )
         try:
             await handler.wait()
         finally:
-            self._running.discard(handler)
+            del self._running[handler]
             await watcher.cancel()
             if self.closing and not handler.terminated:
                 # A task is cancelled only once, but its next send fails.
@@ -257,7 +259,9 @@
     while True:
         if received > MAX_PIPELINED_BYTES:
             # The rest is read once this request has been answered.
-            return
+            while not stream.is_ended():
+                await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
+            break
         try:
             data = await stream.recv(READ_BYTES)
         except OSError:
