--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -28,6 +28,7 @@
     create_configuration,
     create_stream_events,
 )
+from tests.raw_caller import read_answer
 
 PORTS = ("listen", "ready_listen", "forward_listen", "peer_listen", "api", "directory")
 # Maximum time that a play waits for a state; no requirement on the product.
@@ -256,7 +257,7 @@
         try:
             async with curio.timeout_after(DEADLINE_S + 1.0):
                 await stream.sendall(head.encode() + body)
-                order.status, order.body = await _read_answer(stream)
+                order.status, order.body = await read_answer(stream)
         except (OSError, EOFError, curio.TaskTimeout):
             order.status = None
         order.ended_s = time.monotonic()
@@ -378,28 +379,6 @@
     await responder.finish()
 
 
-async def _read_answer(stream):
-    """Return status and body of an answer; raise EOFError if it is not complete."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        data += await _receive(stream)
-    head, _, body = data.partition(b"\r\n\r\n")
-    first, *lines = head.decode("latin-1").lower().split("\r\n")
-    headers = dict(line.split(": ", 1) for line in lines)
-    while "content-length" not in headers and not body.endswith(b"0\r\n\r\n"):
-        body += await _receive(stream)
-    while len(body) < int(headers.get("content-length", 0)):
-        body += await _receive(stream)
-    return int(first.split()[1]), body
-
-
-async def _receive(stream):
-    part = await stream.recv(65_536)
-    if not part:
-        raise EOFError("the connection ended before the answer")
-    return part
-
-
 def describe(play):
     """Return one line on the end of a play."""
     statuses = collections.Counter(order.status for order in play.orders)
