--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -1,6 +1,6 @@
 """Writing of the response to an HTTP/1.1 request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import h11
 import msgspec
@@ -8,6 +8,9 @@
 from buckthorndeal.errors import RequestError
 from buckthorndeal.transport import Stream
 
+# Values given as bytes may hold any byte from 0x80 on.
+Headers = Sequence[tuple[str, str | bytes]]
+
 
 class Responder:
     """Writes the response to one request.
@@ -51,7 +54,7 @@
         """Whether the response is complete, and being sent or sent."""
         return self._connection.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
-    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+    async def start(self, status: int, headers: Headers) -> None:
         """Send the response head; without a content length, the body is chunked."""
         event = h11.Response(
             status_code=status, headers=[*headers, *self._list_close_headers()]
@@ -80,9 +83,7 @@
             status, [("content-type", content_type), *(headers or [])], body
         )
 
-    async def respond_whole(
-        self, status: int, headers: list[tuple[str, str]], body: bytes
-    ) -> None:
+    async def respond_whole(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response; only content-length and connection are added."""
         head = h11.Response(
             status_code=status,
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -127,6 +127,7 @@
             if isinstance(decision, Refusal):
                 await self._handle_refusal(decision)
                 return
+            # A cancellation leaves it set, for `create_stop_error`.
             self.progress.is_attempting = True
             try:
                 async with open_attempt(
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -28,8 +28,8 @@
 RATE_LIMIT = "buckthorndeal-rate-limit"
 REJECTION_LIMIT = "buckthorndeal-rejection-limit"
 UNAVAILABLE = 503
-# Digits with an optional fraction; a value with a sign or an exponent is malformed.
 _WHOLE_NUMBER = re.compile(r"[0-9]{1,15}")
+# Digits with an optional fraction; a value with a sign or an exponent is malformed.
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -56,6 +56,11 @@
         Size limits in bytes and timeouts in seconds.
     respond_error : callable, optional
         Coroutine function that sends an error as the response to a request.
+
+    Attributes
+    ----------
+    closing : bool
+        Whether new requests are refused, because the server is about to end.
     """
 
     def __init__(
@@ -101,8 +106,8 @@
     async def close(self) -> None:
         """Answer the running requests, and close all connections.
 
-        Requests that arrive meanwhile are refused. Responses that are not complete yet
-        are cut off; those that are being sent have `CLOSE_TIMEOUT_S` for it.
+        Requests that arrive meanwhile are refused. A response that has started and is
+        not complete is cut off; one that is being sent has `CLOSE_TIMEOUT_S` for it.
         """
         self._draining = True
         self.closing = True
