Keep what hosts divide divided when the coordinators are lost

Cause: the list of a lost coordinator is dropped, and where no list was left the host took itself for the only one. Who warms a cold endpoint, the share of the connections and that of the retry budget followed. A coordinator that has just started lists hosts as they connect to it, so the same went on while lists were short; and a new holder had counted nothing, and sent at once.

Ruled out: that relays and shares of slots and limits did the same; they kept the hosts known before, by rules of their own.

Change: KnownEntryHosts is the one owner of who shares work with a host, and how old that is. A host counts until a majority of the coordinators, connected for 2 s, lists it no more. WarmUps owns who warms an endpoint; a new holder begins as if the last one had just sent, and a host that has just started waits until it has known all. fleet_changed names the hosts that are kept, and the age.

--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -49,8 +49,9 @@
     fetch_configuration,
 )
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
-from buckthorndeal.gateway._entry_hosts import EntryHostLists, describe_fleet
+from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
+from buckthorndeal.gateway._known_hosts import KnownEntryHosts, describe_fleet
 from buckthorndeal.gateway._messages import FleetChanged, HeartbeatsReceived
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
@@ -145,6 +146,7 @@
         self._connected: set[str] = set()
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
+        self._known_hosts = KnownEntryHosts(self._entry_hosts)
         self._log_index = 0
         self._configuration_version: int | None = None
         self._versions = AnnouncedVersions()
@@ -303,7 +305,7 @@
 
     @_handle_peer_message.register
     async def _(self, message: EntryHosts, host: str) -> None:
-        self._entry_hosts.replace(host, message.entries)
+        self._entry_hosts.replace(host, message.entries, self._clock())
         await self._update_fleet()
 
     @_handle_peer_message.register
@@ -326,8 +328,8 @@
         self._coordinator_reach.keep(connected)
         if changed:
             await self._report_coordinator_reach()
-            await self._update_fleet()
             await self._fetch_if_newer()
+            await self._update_fleet()
 
     async def _deliver_shared_state(self, host: str) -> None:
         for message in await self._dispatch.ask(DescribeSharedState()):
@@ -341,6 +343,7 @@
             await self._links.send(host, status)
         await self._report_coordinator_reach()
         await self._drop_lost_coordinators(now_s)
+        await self._update_fleet()
 
     async def _report_coordinator_reach(self) -> None:
         majority = self._coordinator_reach.has_majority(len(self._links.hosts))
@@ -353,9 +356,9 @@
             if silent and host not in self._connected and host not in seeds:
                 await self._links.drop(host)
 
-    def _create_status(self) -> EntryStatus:
+    def _describe_self(self) -> EntryHost:
         settings = self._settings
-        entry = EntryHost(
+        return EntryHost(
             self._own_address,
             settings.region,
             settings.failure_domain,
@@ -363,15 +366,17 @@
             self._entry_state,
             self._reaches_endpoints,
         )
+
+    def _create_status(self) -> EntryStatus:
+        entry = self._describe_self()
         return EntryStatus(entry, self._log_index, self._configuration_version)
 
     async def _update_fleet(self) -> None:
-        fleet = describe_fleet(
-            self._entry_hosts.list_all(),
-            self._own_address,
-            self._settings.region,
-            self._evacuated,
-        )
+        now_s = self._clock()
+        age_s = self._known_hosts.get_age_s(now_s)
+        self._known_hosts.update(len(self._links.hosts), now_s)
+        own = self._describe_self()
+        fleet = describe_fleet(self._known_hosts, own, self._evacuated)
         if fleet != self._fleet:
             self._fleet = fleet
             log_event(
@@ -380,6 +385,8 @@
                 relay_hosts=list(fleet.relay_hosts),
                 total_hosts=fleet.total_hosts,
                 evacuated=sorted(self._evacuated),
+                kept=list(self._known_hosts.kept),
+                complete_ms_ago=None if age_s is None else round(age_s * 1000),
             )
             await self._dispatch.send(fleet)
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -220,7 +220,7 @@
                 "endpoint_path_lost",
                 suspected_ms=round((now_s - path.suspected_s) * 1000),
                 silence_ms=self._contact.get_silence_ms(now_s),
-                relays=list(self._dispatcher.view.relay_hosts),
+                relays=list(self._dispatcher.view.fleet.relay_hosts),
             )
         else:
             lost_ms = round((now_s - self._path_lost_s) * 1000)
@@ -335,7 +335,7 @@
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
-        self._dispatcher.view.set_fleet(message)
+        self._dispatcher.view.set_fleet(message, now_s)
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -40,8 +40,6 @@
 
 # Share of a service's `max_connections` that the hosts of the region divide.
 CONNECTION_SHARE = 0.8
-# Share of the rate limit of a cold endpoint that is used.
-COLD_RATE_SHARE = 0.9
 # Length of the startup phase, in heartbeat intervals.
 STARTUP_HEARTBEAT_INTERVALS = 1.5
 # Value for the least urgent requests; 0 is the most urgent.
@@ -92,7 +90,7 @@
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
         self._slot_shares = SlotShares(host, view)
-        self._local = LocalChooser(host, view, ejection, self._slot_shares, rng)
+        self._local = LocalChooser(view, ejection, self._slot_shares, rng)
         self.relays = RelayHosts(view, rng)
         self._relay_chooser = RelayChooser(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
@@ -371,7 +369,7 @@
         self.view.rate_shares.record_request(record, now_s)
         self.crash_guard.record_grant(dispatch, now_s)
         if choice.cold:
-            load.pacer.record_request(service.cold_rate_per_s * COLD_RATE_SHARE, now_s)
+            self.view.warm_ups.record_request(load.name, now_s)
         self._ejection.start_probe(call.service, load.name, now_s)
         hosts = max(1, len(self.view.fleet.region_hosts))
         share = int(service.max_connections * CONNECTION_SHARE)
--- a/buckthorndeal/gateway/_entry_hosts.py
+++ b/buckthorndeal/gateway/_entry_hosts.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable
 
-from buckthorndeal.fleet import EntryHost, EntryHostChanges, EntryState
-from buckthorndeal.gateway._messages import FleetChanged
+from buckthorndeal.fleet import EntryHost, EntryHostChanges
+
+# A coordinator that has just started lists entry hosts as they connect to it.
+LIST_SETTLING_S = 2.0
 
 
 class EntryHostLists:
@@ -14,10 +16,14 @@
 
     def __init__(self) -> None:
         self._lists: dict[str, dict[str, EntryHost]] = {}
+        self._first_listed_s: dict[str, float] = {}
 
-    def replace(self, coordinator: str, entries: Iterable[EntryHost]) -> None:
+    def replace(
+        self, coordinator: str, entries: Iterable[EntryHost], now_s: float
+    ) -> None:
         """Store the complete list of a coordinator."""
         self._lists[coordinator] = {entry.host: entry for entry in entries}
+        self._first_listed_s.setdefault(coordinator, now_s)
 
     def apply(self, coordinator: str, changes: EntryHostChanges) -> None:
         """Apply changes to the list of a coordinator.
@@ -34,6 +40,29 @@
     def drop(self, coordinator: str) -> None:
         """Remove the list of a coordinator that is not connected."""
         self._lists.pop(coordinator, None)
+        self._first_listed_s.pop(coordinator, None)
+
+    def are_complete(self, coordinators: int, now_s: float) -> bool:
+        """Return whether a host that is in no list is gone.
+
+        Parameters
+        ----------
+        coordinators : int
+            Number of known coordinators; more than half of them have to be connected,
+            for `LIST_SETTLING_S` or longer.
+        now_s : float
+            Clock reading.
+        """
+        settled = sum(
+            now_s - since_s >= LIST_SETTLING_S
+            for since_s in self._first_listed_s.values()
+        )
+        return 2 * settled > coordinators
+
+    @property
+    def coordinators(self) -> tuple[str, ...]:
+        """The connected coordinators that have sent their lists."""
+        return tuple(self._lists)
 
     def list_all(self) -> tuple[EntryHost, ...]:
         """Return the entry hosts that at least one coordinator reports as alive."""
@@ -47,39 +76,5 @@
         return tuple(_sort_by_host(entries) for entries in self._lists.values())
 
 
-def describe_fleet(
-    entries: Iterable[EntryHost],
-    own_host: str,
-    region: str,
-    evacuated: frozenset[str],
-) -> FleetChanged:
-    """Return the fleet as one host sees it.
-
-    Parameters
-    ----------
-    entries : iterable of EntryHost
-        Entry hosts that are alive.
-    own_host, region : str
-        This host and its region.
-    evacuated : frozenset of str
-        Evacuated failure domains.
-    """
-    entries = list(entries)
-    ready = [entry for entry in entries if entry.state is EntryState.READY]
-    in_region = [entry for entry in ready if entry.region == region]
-    relay_hosts = tuple(
-        entry.host
-        for entry in in_region
-        if entry.reaches_endpoints and entry.host != own_host
-    )
-    return FleetChanged(
-        tuple(entry.host for entry in in_region) or (own_host,),
-        max(1, len(entries)),
-        evacuated,
-        tuple(entry.host for entry in ready),
-        relay_hosts,
-    )
-
-
 def _sort_by_host(entries: dict[str, EntryHost]) -> tuple[EntryHost, ...]:
     return tuple(entries[host] for host in sorted(entries))
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -13,6 +13,7 @@
 from buckthorndeal.gateway._rate_shares import RateShares
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
+from buckthorndeal.gateway._warm_ups import WarmUps
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
 HEARTBEAT_TIMEOUT_S = 3.0
@@ -94,8 +95,7 @@
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
         self.fleet = FleetChanged((host,), 1, frozenset())
-        self.relay_hosts: tuple[str, ...] = ()
-        self.sharing_hosts: tuple[str, ...] = (host,)
+        self.warm_ups = WarmUps(host)
 
     def list_available(
         self, service: str, version: str | None, now_s: float
@@ -250,17 +250,12 @@
         """Replace the services with those of a newer configuration."""
         self.services = services
 
-    def set_fleet(self, message: FleetChanged) -> None:
-        """Replace the entry hosts and evacuations with newer ones.
-
-        A host that is cut off from the coordinators keeps the hosts that it knows, for
-        relays and for shares of endpoints.
-        """
+    def set_fleet(self, message: FleetChanged, now_s: float) -> None:
+        """Replace the entry hosts and evacuations with newer ones."""
         self.fleet = message
-        if message.ready_hosts:
-            self.relay_hosts = message.relay_hosts
-            self.sharing_hosts = message.region_hosts
-        self.rate_shares.set_hosts(message.region_hosts, bool(message.ready_hosts))
+        self.rate_shares.set_hosts(message.region_hosts)
+        sharing_hosts = message.region_hosts if message.is_confirmed else ()
+        self.warm_ups.set_hosts(sharing_hosts, now_s)
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Apply a heartbeat of an endpoint."""
@@ -304,6 +299,7 @@
         expired = [record.endpoint for record in self._table.expire(silence_s, now_s)]
         for endpoint in expired:
             self.loads.pop(endpoint, None)
+            self.warm_ups.forget(endpoint)
         return expired
 
     def get_max_prefill_speed(self, service: str) -> float:
--- a/buckthorndeal/gateway/_limits.py
+++ b/buckthorndeal/gateway/_limits.py
@@ -1,4 +1,4 @@
-"""Retry budget shared by all entry hosts, and pacing of cold endpoints; no I/O."""
+"""Retry budget shared by all entry hosts; no I/O."""
 
 from collections import deque
 
@@ -86,18 +86,3 @@
             share = RetryBudgetShare(self._ratio, self._slack, self._window_s)
             self._shares[service] = share
         return share
-
-
-class RequestPacer:
-    """Spaces out requests to a cold endpoint to keep its rate limit."""
-
-    def __init__(self) -> None:
-        self._next_request_s = 0.0
-
-    def is_due(self, now_s: float) -> bool:
-        """Return whether a request may be sent now."""
-        return now_s >= self._next_request_s
-
-    def record_request(self, rate_per_s: float, now_s: float) -> None:
-        """Record that a request is sent."""
-        self._next_request_s = now_s + 1.0 / rate_per_s
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -6,7 +6,6 @@
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointEntry, EndpointRecord, EndpointState
 from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache
-from buckthorndeal.gateway._limits import RequestPacer
 from buckthorndeal.gateway._messages import Call, LoadReport
 from buckthorndeal.gateway._service_time import ServiceTime
 
@@ -81,8 +80,6 @@
         Model of the prefix cache of the endpoint.
     prefill_speed : PrefillSpeed
         Estimated prefill speed of the engine.
-    pacer : RequestPacer
-        Rate limit while the endpoint is cold.
     attempts : dict of int to GrantedAttempt
         Attempts of this host that have not ended, by attempt id.
     queued_tokens, queued_count : int
@@ -106,7 +103,6 @@
     entry: EndpointEntry
     cache: PrefixCache
     prefill_speed: PrefillSpeed = field(default_factory=PrefillSpeed)
-    pacer: RequestPacer = field(default_factory=RequestPacer)
     attempts: dict[int, GrantedAttempt] = field(default_factory=dict)
     queued_tokens: int = 0
     queued_count: int = 0
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -2,6 +2,7 @@
 
 import random
 
+from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import Dispatch
@@ -12,7 +13,9 @@
 )
 from buckthorndeal.gateway._slot_shares import SlotShares
 from buckthorndeal.policy.ejection import Ejection
-from buckthorndeal.subsetting import choose_owner
+
+# Share of a cold endpoint's rate limit that is used.
+COLD_RATE_SHARE = 0.9
 
 
 class LocalChooser:
@@ -20,8 +23,6 @@
 
     Parameters
     ----------
-    host : str
-        Name of this host.
     view : FleetView
         Endpoints known to this host.
     ejection : Ejection
@@ -34,13 +35,11 @@
 
     def __init__(
         self,
-        host: str,
         view: FleetView,
         ejection: Ejection,
         slot_shares: SlotShares,
         rng: random.Random,
     ) -> None:
-        self._host = host
         self._view = view
         self._ejection = ejection
         self._slot_shares = slot_shares
@@ -74,7 +73,7 @@
         best_rank: tuple[bool, float, float] | None = None
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
-            if cold and not self._may_warm_up(load, now_s):
+            if cold and not self._may_warm_up(load, service, now_s):
                 continue
             if not load.has_capacity(call, service, now_s):
                 continue
@@ -88,12 +87,8 @@
                 best, best_rank = choice, rank
         return best
 
-    def _may_warm_up(self, load: EndpointLoad, now_s: float) -> bool:
-        """Return whether a cold endpoint may get a request of this host now.
-
-        Only one host of the region warms up an endpoint, so that the requests of all
-        hosts together keep its rate limit.
-        """
-        hosts = (*self._view.fleet.region_hosts, self._host)
-        is_warming_host = choose_owner(load.name, hosts) == self._host
-        return is_warming_host and load.pacer.is_due(now_s)
+    def _may_warm_up(
+        self, load: EndpointLoad, service: ServiceDescription, now_s: float
+    ) -> bool:
+        rate_per_s = service.cold_rate_per_s * COLD_RATE_SHARE
+        return self._view.warm_ups.may_send(load.name, rate_per_s, now_s)
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -376,15 +376,18 @@
     Parameters
     ----------
     region_hosts : tuple of str
-        Ready entry hosts of this region.
+        Entry hosts of this region that share its endpoints: ready ones, and this host
+        unless it drains beside them.
     total_hosts : int
         Number of entry hosts of all regions.
     evacuated : frozenset of str
         Evacuated failure domains.
     ready_hosts : tuple of str
-        Ready entry hosts of all regions.
+        Ready entry hosts of all regions; none while this host is cut off.
     relay_hosts : tuple of str
         Other ready entry hosts of this region that reach its endpoints.
+    is_confirmed : bool
+        Whether this host has ever known all entry hosts.
     """
 
     region_hosts: tuple[str, ...]
@@ -392,6 +395,7 @@
     evacuated: frozenset[str]
     ready_hosts: tuple[str, ...] = ()
     relay_hosts: tuple[str, ...] = ()
+    is_confirmed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_rate_shares.py
+++ b/buckthorndeal/gateway/_rate_shares.py
@@ -36,20 +36,10 @@
         # Whether this host has a share, by endpoint and number of hosts that have one.
         self._sends: dict[tuple[str, int], bool] = {}
 
-    def set_hosts(self, region_hosts: Sequence[str], connected: bool) -> None:
-        """Replace the hosts that share the limits.
-
-        Parameters
-        ----------
-        region_hosts : sequence of str
-            Ready entry hosts of this region.
-        connected : bool
-            Whether any coordinator is connected; a host that is cut off keeps the
-            hosts that it knows.
-        """
-        if connected:
-            self._hosts = tuple({*region_hosts, self._host})
-            self._sends.clear()
+    def set_hosts(self, region_hosts: Sequence[str]) -> None:
+        """Replace the entry hosts of this region, which share the limits."""
+        self._hosts = tuple({*region_hosts, self._host})
+        self._sends.clear()
 
     def get_limit(self, record: EndpointRecord) -> float | None:
         """Return the rate limit of an endpoint in requests per second, or None."""
--- a/buckthorndeal/gateway/_relays.py
+++ b/buckthorndeal/gateway/_relays.py
@@ -46,7 +46,7 @@
         """
         hosts = [
             host
-            for host in self._view.relay_hosts
+            for host in self._view.fleet.relay_hosts
             if among is None or host in among
             if host not in excluded and now_s >= self._avoided_until_s.get(host, 0.0)
         ]
@@ -57,7 +57,7 @@
 
     def was_tried(self, excluded: Collection[str]) -> bool:
         """Return whether a host has not served the request that it was sent."""
-        return any(host in excluded for host in self._view.relay_hosts)
+        return any(host in excluded for host in self._view.fleet.relay_hosts)
 
     def record_sent(self, attempt_id: int, host: str) -> None:
         """Record that a request is sent to a host."""
--- a/buckthorndeal/gateway/_slot_shares.py
+++ b/buckthorndeal/gateway/_slot_shares.py
@@ -116,8 +116,8 @@
 
         They are few, since parts of a few slots are often full while others are free.
         """
-        if self._hosts is not self._view.sharing_hosts:
-            self._hosts = self._view.sharing_hosts
+        if self._hosts is not self._view.fleet.region_hosts:
+            self._hosts = self._view.fleet.region_hosts
             self._senders.clear()
         count = max(1, _count_usable_slots(record, service) // MIN_SHARE)
         senders = self._senders.get((record.endpoint, count))
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -16,6 +16,7 @@
 from buckthorndeal.gateway._messages import (
     Call,
     Dispatch,
+    FleetChanged,
     Prompt,
     PromptPart,
 )
@@ -50,6 +51,7 @@
             random.Random(1),
         )
         self.view = self.dispatcher.view
+        self.view.set_fleet(FleetChanged((host,), 1, frozenset()), self.now_s - 10.0)
         self.view.set_services({"llm": ENGINE, "desk": DESK})
         self.sequence = 0
         self.attempt_id = 0
--- /dev/null
+++ b/tests/test_gateway_warm_up.py
@@ -0,0 +1,98 @@
+"""Tests of requests to cold endpoints, around the loss of all coordinators."""
+
+import json
+import time
+import unittest
+
+import curio
+
+from tests.fleet_harness import Fleet, create_configuration, run_fleet
+
+COORDINATOR = "10.1.0.1"
+GATEWAYS = tuple(f"10.1.0.{number}" for number in range(10, 18))
+COLD_PER_S = 2.4
+COLD_OVERAGE = 1.5
+COLD_SLACK = 3
+COLD_S = 4.0
+# Time after which all hosts agree on who shares the endpoints.
+SETTLED_S = 3.0
+
+
+def create_cold_configuration():
+    configuration = json.loads(create_configuration(1, max_attempts=1))
+    for service in configuration["services"]:
+        service["cold_start_s"] = COLD_S
+        service["cold_rate_per_s"] = COLD_PER_S
+    return json.dumps(configuration).encode()
+
+
+def count_most(times_s, window_s=1.0):
+    """Return the most of some times that lie within one window."""
+    return max(
+        (sum(s <= t < s + window_s for t in times_s) for s in times_s), default=0
+    )
+
+
+class ColdEndpointTest(unittest.TestCase):
+    """A cold endpoint gets few requests, whatever hosts know of each other."""
+
+    def play(self, stop_coordinators):
+        """Return the arrivals at an endpoint while it is cold, in seconds."""
+        arrivals_s = []
+
+        async def respond(endpoint, request, responder):
+            arrivals_s.append(time.monotonic())
+            await endpoint.respond(request, responder)
+
+        async def call(fleet, host, stopped):
+            number = 0
+            while not stopped.is_set():
+                number += 1
+                headers = [("buckthorndeal-call-id", f"{host}-{number}")]
+                await fleet.send_request(host, "/idempotent/x", headers)
+                await curio.sleep(0.1)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                await fleet.put_configuration(COORDINATOR, create_cold_configuration())
+                for host in GATEWAYS:
+                    await fleet.start_gateway(host)
+                endpoint = await fleet.start_endpoint("e1", "a-1", respond)
+                for host in GATEWAYS:
+                    await fleet.wait_until_ready(host)
+                await curio.sleep(SETTLED_S)
+                stopped = curio.Event()
+                callers = [
+                    await curio.spawn(call, fleet, host, stopped) for host in GATEWAYS
+                ]
+                endpoint.state["cold_s"] = COLD_S
+                await endpoint.send_heartbeat()
+                await curio.sleep(0.5)
+                arrivals_s.clear()
+                if stop_coordinators:
+                    for host in list(fleet.coordinators):
+                        await fleet.stop_coordinator(host)
+                await curio.sleep(2.5)
+                await stopped.set()
+                for caller in callers:
+                    await caller.join()
+
+        run_fleet(test)
+        return arrivals_s
+
+    def test_hosts_that_lose_all_coordinators_do_not_all_warm_an_endpoint(self):
+        """Guards against hosts that take themselves for the only ones (FAILBACK)."""
+        arrivals_s = self.play(stop_coordinators=True)
+        bound = COLD_PER_S * COLD_OVERAGE + COLD_SLACK
+        self.assertLessEqual(count_most(arrivals_s), bound)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
+    def test_one_host_warms_an_endpoint_while_coordinators_run(self):
+        arrivals_s = self.play(stop_coordinators=False)
+        self.assertLessEqual(count_most(arrivals_s), COLD_PER_S * COLD_OVERAGE + 1)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
