Give a silent stream up early only if another endpoint takes it

What callers saw: a stream that may be resumed was broken off because its sound endpoint had paused for longer than half of the limit (LOST: a server's silence is no reason to end an answer sooner).

Cause: the attempt was ended first, and another endpoint looked for afterwards. With none of that version, none with room, no retry left, or an unknown version of the first, nothing was left to relay.

Change: the watch of a stream asks the dispatcher for a replacement while the stream is open, ends the silent attempt only if one is granted and no event has come meanwhile, and gives it back otherwise.

Measured: of the tests of streams whose endpoint pauses for 2.6 s of 4 s, two of three failed before (the third guards what must not change), and all six pass.

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -14,10 +14,10 @@
     report_response_start,
 )
 from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._decisions import Replacement, request_decision
 from buckthorndeal.gateway._events import EventSplitter, RawEvent
 from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
-    AttemptEnded,
     Call,
     Decision,
     Dispatch,
@@ -28,11 +28,7 @@
 )
 from buckthorndeal.gateway._origins import find_stream_version
 from buckthorndeal.gateway._progress import Progress
-from buckthorndeal.gateway._stalls import (
-    StallWatch,
-    compute_stall_limit_s,
-    watch_stalls,
-)
+from buckthorndeal.gateway._stalls import StallWatch, watch_stalls
 from buckthorndeal.http_client import encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.logs import log_event
@@ -84,6 +80,7 @@
         self._responder = responder
         self.progress = Progress(last_event_id=call.resume_after)
         self._failed_response: BufferedResponse | None = None
+        self._replacement = Replacement(context)
         # Only the host chosen by the caller retries a request that may have run.
         self._max_runs = 1 if call.hops else call.route.max_attempts
 
@@ -104,6 +101,8 @@
             raise self._create_error(
                 "deadline", 504, "the deadline passed before the response was complete"
             ) from None
+        finally:
+            await self._replacement.release()
 
     @property
     def route(self) -> Route:
@@ -122,8 +121,7 @@
             version = await find_stream_version(self._context, self._call)
             self._call = replace(self._call, version=version)
         while True:
-            attempt_id = next(self._context.attempt_ids)
-            decision = await self._request_decision(attempt_id)
+            attempt_id, decision = await self._request_decision()
             if isinstance(decision, Refusal):
                 await self._handle_refusal(decision)
                 return
@@ -170,29 +168,28 @@
         is_stream = call.route.kind is RequestKind.STREAM
         return is_stream and call.resume_after is not None and call.version is None
 
-    async def _request_decision(self, attempt_id: int) -> Decision:
-        progress = self.progress
-        dispatch = Dispatch(
-            attempt_id,
-            self._call,
-            progress.request_sent,
-            frozenset(progress.excluded),
-            frozenset(progress.avoided),
-        )
-        decided = False
+    async def _request_decision(self) -> tuple[int, Decision]:
+        """Return the id of the next attempt, and the decision on it."""
+        granted = self._replacement.take()
+        if granted is not None:
+            return granted
+        dispatch = self._create_dispatch(self.progress.request_sent)
         try:
-            decision = await self._context.dispatch_mailbox.ask(dispatch)
-            decided = True
-            return decision
+            decision = await request_decision(self._context, dispatch)
         except MailboxError as error:
             raise self._create_error("internal", 503, str(error), 1.0) from error
-        finally:
-            if not decided:
-                # Releases what the dispatcher may still grant to this attempt.
-                async with curio.disable_cancellation():
-                    await self._context.dispatch_mailbox.send(
-                        AttemptEnded(attempt_id, None)
-                    )
+        return dispatch.attempt_id, decision
+
+    def _create_dispatch(
+        self, is_retry: bool, excluded: frozenset[str] = frozenset()
+    ) -> Dispatch:
+        return Dispatch(
+            next(self._context.attempt_ids),
+            self._call,
+            is_retry,
+            excluded.union(self.progress.excluded),
+            frozenset(self.progress.avoided),
+        )
 
     def _create_attempt_call(self) -> Call:
         if self.progress.last_event_id == self._call.resume_after:
@@ -313,9 +310,20 @@
         )
 
     async def _relay_events(self, attempt: Attempt) -> None:
-        limit_s = compute_stall_limit_s(self._call.route, self._may_retry_run())
-        clock = self._context.clock
-        async with watch_stalls(attempt.response, limit_s, clock) as watch:
+        async def find_replacement() -> bool:
+            if self._has_begun_at_unknown_version():
+                return False
+            excluded = frozenset((attempt.target,))
+            return await self._replacement.find(self._create_dispatch(True, excluded))
+
+        watch = StallWatch(
+            attempt.response,
+            self._call.route,
+            self._context.clock,
+            find_replacement if self._may_retry_run() else None,
+            self._replacement.release,
+        )
+        async with watch_stalls(watch):
             await self._relay_watched_events(attempt, watch)
 
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
--- a/buckthorndeal/gateway/_stalls.py
+++ b/buckthorndeal/gateway/_stalls.py
@@ -1,6 +1,6 @@
 """Detection of streams that have stopped to make progress."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import curio
@@ -39,25 +39,42 @@
 class StallWatch:
     """Ends a response when no event has arrived for too long.
 
-    Bytes that complete no event are no progress.
+    Bytes that complete no event are no progress. A sound endpoint may fall silent and
+    go on, so a stream that can continue elsewhere is given up early, but only once
+    another endpoint takes it.
 
     Parameters
     ----------
     response : ClientResponse
         The response.
-    limit_s : float
-        Seconds without an event after which it is ended.
+    route : Route
+        Its route.
     clock : callable
         Returns monotonic seconds.
+    find_replacement : callable or None
+        Coroutine function that returns whether another endpoint takes the stream; None
+        if it cannot continue elsewhere.
+    release_replacement : callable
+        Coroutine function that gives that endpoint back, as events arrive again.
     """
 
     def __init__(
-        self, response: ClientResponse, limit_s: float, clock: Callable[[], float]
+        self,
+        response: ClientResponse,
+        route: Route,
+        clock: Callable[[], float],
+        find_replacement: Callable[[], Awaitable[bool]] | None,
+        release_replacement: Callable[[], Awaitable[None]],
     ) -> None:
         self._response = response
-        self._limit_s = limit_s
+        self._limit_s = compute_stall_limit_s(route, False)
+        self._resume_s = compute_stall_limit_s(route, find_replacement is not None)
         self._clock = clock
+        self._find_replacement = find_replacement
+        self._release_replacement = release_replacement
         self._last_event_s = clock()
+        # The event after which no other endpoint has taken the stream.
+        self._searched_s: float | None = None
 
     def record_event(self) -> None:
         """Record that an event has arrived."""
@@ -65,33 +82,49 @@
 
     async def run(self) -> None:
         """End the response once it has stalled."""
-        while True:
-            left_s = self._last_event_s + self._limit_s - self._clock()
-            if left_s > 0:
-                await curio.sleep(left_s)
-            elif self._response.is_waiting:
-                break
-            else:
-                # The caller reads slowly, and the endpoint may be sound.
-                self.record_event()
+        limit_s = await self._wait_until_silent()
+        while limit_s < self._limit_s and not await self._is_replaced():
+            limit_s = await self._wait_until_silent()
         await self._response.abort(
             RequestError(
                 "stalled",
                 502,
-                f"no event has arrived for {self._limit_s:g} s",
+                f"no event has arrived for {limit_s:g} s",
                 Verdict.MAY_HAVE_RUN,
             )
         )
 
+    async def _wait_until_silent(self) -> float:
+        """Return the limit that the silence has reached, in seconds."""
+        while True:
+            searched = self._searched_s == self._last_event_s
+            limit_s = self._limit_s if searched else self._resume_s
+            left_s = self._last_event_s + limit_s - self._clock()
+            if left_s > 0:
+                await curio.sleep(left_s)
+            elif self._response.is_waiting:
+                return limit_s
+            else:
+                # The caller reads slowly, and the endpoint may be sound.
+                self.record_event()
+
+    async def _is_replaced(self) -> bool:
+        """Return whether another endpoint has taken the stream while this is silent."""
+        self._searched_s = self._last_event_s
+        if not await self._find_replacement():
+            return False
+        if self._last_event_s == self._searched_s:
+            return True
+        await self._release_replacement()
+        return False
+
 
 @asynccontextmanager
-async def watch_stalls(
-    response: ClientResponse, limit_s: float, clock: Callable[[], float]
-) -> AsyncIterator[StallWatch]:
-    """Watch a response while the context is open; see `StallWatch`."""
-    watch = StallWatch(response, limit_s, clock)
+async def watch_stalls(watch: StallWatch) -> AsyncIterator[StallWatch]:
+    """Run a watch while the context is open."""
     task = await curio.spawn(watch.run, daemon=True)
     try:
         yield watch
     finally:
-        await task.cancel(blocking=False)
+        # The response is not ended any more, and no replacement asked for.
+        await task.cancel()
--- /dev/null
+++ b/tests/test_silent_endpoints.py
@@ -0,0 +1,150 @@
+"""Tests of streams whose sound endpoint falls silent for a while and goes on."""
+
+import time
+import unittest
+from dataclasses import replace
+
+import curio
+
+from buckthorndeal.gateway._stalls import StallWatch
+from tests.dispatcher_harness import ROUTE
+from tests.fleet_harness import (
+    GATEWAY,
+    Fleet,
+    create_configuration,
+    create_stream_events,
+    run_fleet,
+)
+
+REMOTE_GATEWAY = "10.2.0.9"
+LAST_EVENT = 5
+# Between the time after which a stream may continue elsewhere, and its whole limit.
+SILENCE_S = 2.6
+# The limit is four objectives.
+OBJECTIVE_S = 1.0
+
+
+async def resume(endpoint, request, responder):
+    """Send the events after the last one that the caller has."""
+    after = int(request.headers["last-event-id"])
+    await endpoint.start_stream(request, responder)
+    await responder.send(create_stream_events(after + 1, LAST_EVENT))
+    await responder.finish()
+
+
+class SilentEndpointTest(unittest.TestCase):
+    """A silence is no reason to end a stream that nobody else continues."""
+
+    def play(self, others=(), silence_s=SILENCE_S, host=GATEWAY, **changes):
+        """Let endpoint ``e0`` fall silent; return the answer and the fleet's requests.
+
+        `others` are scripts and software versions of further endpoints, and `host` the
+        one that the caller asks.
+        """
+        result = {}
+
+        async def fall_silent(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            await responder.send(create_stream_events(0, 1))
+            await curio.sleep(silence_s)
+            await responder.send(create_stream_events(2, LAST_EVENT))
+            await responder.finish()
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                changes.setdefault("latency_objective_s", OBJECTIVE_S)
+                content = create_configuration(1, timeout_s=30.0, **changes)
+                await fleet.put_configuration("10.1.0.1", content)
+                for each in {GATEWAY, host}:
+                    await fleet.start_gateway(each)
+                first = await fleet.start_endpoint(
+                    "e0", "a-1", fall_silent, version="v1"
+                )
+                await fleet.wait_until_ready(host)
+                request = await curio.spawn(fleet.send_request, host, "/stream/")
+                while not first.requests:
+                    await curio.sleep(0.01)
+                for number, (script, version) in enumerate(others, 1):
+                    await fleet.start_endpoint(
+                        f"e{number}", "a-1", script, version=version
+                    )
+                try:
+                    result["answer"] = await request.join()
+                except curio.TaskError as error:
+                    result["answer"] = error.__cause__
+                result["requests"] = {
+                    name: len(each.requests) for name, each in fleet.endpoints.items()
+                }
+
+        run_fleet(test)
+        return result
+
+    def check_whole(self, result):
+        answer = result["answer"]
+        self.assertIsInstance(answer, tuple, answer)
+        self.assertEqual(answer[2], create_stream_events(0, LAST_EVENT))
+
+    def test_stream_goes_on_when_there_is_no_other_endpoint(self):
+        """Guards against a stream that is cut because its endpoint paused (LOST)."""
+        self.check_whole(self.play())
+
+    def test_stream_goes_on_when_no_other_endpoint_has_its_version(self):
+        result = self.play([(resume, "v2")])
+        self.check_whole(result)
+        self.assertEqual(result["requests"], {"e0": 1, "e1": 0})
+
+    def test_stream_through_another_host_goes_on(self):
+        self.check_whole(self.play(host=REMOTE_GATEWAY, home_regions=["a"]))
+
+    def test_stream_continues_at_an_endpoint_that_takes_it(self):
+        """Guards against waiting for a stalled endpoint while another is free."""
+        result = self.play([(resume, "v1")], silence_s=20.0)
+        self.check_whole(result)
+        self.assertEqual(result["requests"], {"e0": 1, "e1": 1})
+
+
+class StallWatchTest(unittest.TestCase):
+    """Another endpoint takes a stream only while the first one is silent."""
+
+    ROUTE = replace(ROUTE, latency_objective_s=0.05, max_pause_s=0.0)
+
+    def watch(self, events_during_search, seconds=3.0):
+        """Return what a watch does when its search for an endpoint succeeds."""
+        done = []
+
+        class Response:
+            is_waiting = True
+
+            async def abort(self, error):
+                done.append("ended")
+
+        async def find():
+            done.append("found")
+            if events_during_search and done.count("found") == 1:
+                watch.record_event()
+            return True
+
+        async def release():
+            done.append("released")
+
+        async def test():
+            nonlocal watch
+            watch = StallWatch(Response(), self.ROUTE, time.monotonic, find, release)
+            await curio.ignore_after(seconds, watch.run)
+
+        watch = None
+        curio.run(test)
+        return done
+
+    def test_silent_endpoint_is_replaced(self):
+        self.assertEqual(self.watch(False), ["found", "ended"])
+
+    def test_replacement_is_given_back_when_events_arrive(self):
+        """Guards against a stream that is ended although its endpoint goes on."""
+        expected = ["found", "released", "found", "ended"]
+        self.assertEqual(self.watch(True), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
