Keep the service of what a host has accepted

What callers saw: a request that waits for room when the configuration drops its service is not served and refused only after its whole wait, though endpoints of the service are free; a broken attempt of it is not repeated.

Cause: the dispatcher reads the service from the newest configuration only. What a host has accepted belongs to the configuration that it was accepted under.

Change: FleetView keeps services that a newer configuration has dropped while any endpoint of them is known. New requests cannot reach them, as routes are looked up in the newest configuration.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -314,7 +314,7 @@
         self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
     ) -> Decision | None:
         """Pass a request on if only other hosts may have room at the endpoints."""
-        service = self.view.services.get(dispatch.call.service)
+        service = self.view.get_service(dispatch.call.service)
         senders = self._slot_shares.list_other_senders(candidates, service)
         if not senders:
             return None
@@ -354,7 +354,7 @@
 
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
         call, load = dispatch.call, choice.load
-        service = self.view.services[call.service]
+        service = self.view.get_service(call.service)
         memory_tokens = 0
         if call.prompt is not None:
             memory_tokens = call.prompt.tokens + call.prompt.max_output_tokens
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -94,6 +94,8 @@
         self._service_times: dict[str, ServiceTime] = {}
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
+        # Services that a newer configuration has dropped, while endpoints of them live.
+        self._dropped_services: dict[str, ServiceDescription] = {}
         self.fleet = FleetChanged((host,), 1, frozenset())
         self.warm_ups = WarmUps(host)
 
@@ -248,8 +250,20 @@
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
+        known = {**self._dropped_services, **self.services}
+        self._dropped_services = {
+            name: service for name, service in known.items() if name not in services
+        }
         self.services = services
 
+    def get_service(self, name: str) -> ServiceDescription | None:
+        """Return a service, or None if it is unknown.
+
+        A request that was accepted under an older configuration may still need one that
+        the newer one has dropped.
+        """
+        return self.services.get(name) or self._dropped_services.get(name)
+
     def set_fleet(self, message: FleetChanged, now_s: float) -> None:
         """Replace the entry hosts and evacuations with newer ones."""
         self.fleet = message
@@ -270,7 +284,7 @@
             previous is not None and previous.record.incarnation != record.incarnation
         )
         if load is None or restarted:
-            cache = PrefixCache(compute_cache_tokens(self.services.get(record.service)))
+            cache = PrefixCache(compute_cache_tokens(self.get_service(record.service)))
             service_time = ServiceTime(
                 self._service_times.setdefault(record.service, ServiceTime())
             )
@@ -300,6 +314,9 @@
         for endpoint in expired:
             self.loads.pop(endpoint, None)
             self.warm_ups.forget(endpoint)
+        for service in list(self._dropped_services):
+            if not self.count_endpoints(service):
+                del self._dropped_services[service]
         return expired
 
     def get_max_prefill_speed(self, service: str) -> float:
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -65,7 +65,7 @@
     ) -> LocalChoice | None:
         """Return the best of some endpoints that have room, or None."""
         call = dispatch.call
-        service = self._view.services.get(call.service)
+        service = self._view.get_service(call.service)
         if service is None:
             return None
         prefix_owner = find_prefix_owner(call, candidates)
