Let a larger bound on headers hold for kept connections

What callers saw: 431 for a request that the configuration allows, on a connection that was opened before the bound grew.

Cause: the bound is set when the protocol of a connection is created. set_limits says that new limits hold from the next request on, which was not true for this one.

Change: between two requests a connection with older limits gets a protocol with the new ones, and what was received already.

Measured: the test of a kept connection got 431 before and passes.

--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -91,7 +91,7 @@
         self._listener = await transport.listen(address, port, self._serve)
 
     def set_limits(self, limits: Limits) -> None:
-        """Replace the limits, starting with the next request."""
+        """Replace the limits, starting with the next request on each connection."""
         self._limits = limits
 
     def announce_drain(self) -> None:
@@ -130,22 +130,25 @@
 
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        connection = _create_protocol(limits)
         if self.connection_count >= limits.max_connections:
             await _refuse_connection(stream, connection)
             return
         self.connection_count += 1
         try:
-            await self._serve_requests(stream, connection)
+            await self._serve_requests(stream, connection, limits)
         finally:
             self.connection_count -= 1
 
-    async def _serve_requests(self, stream: Stream, connection: h11.Connection) -> None:
+    async def _serve_requests(
+        self, stream: Stream, connection: h11.Connection, limits: Limits
+    ) -> None:
         while True:
             if not await self._wait_for_request(stream, connection):
                 return
+            if limits is not self._limits:
+                limits = self._limits
+                connection = _continue_with_limits(connection, limits)
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
             try:
@@ -253,6 +256,21 @@
     )
 
 
+def _create_protocol(limits: Limits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
+
+
+def _continue_with_limits(connection: h11.Connection, limits: Limits) -> h11.Connection:
+    """Return a protocol with newer limits, and what was received between requests."""
+    received, is_closed = connection.trailing_data
+    renewed = _create_protocol(limits)
+    if received:
+        renewed.receive_data(received)
+    if is_closed:
+        renewed.receive_data(b"")
+    return renewed
+
+
 async def _cancel_on_disconnect(
     stream: Stream,
     connection: h11.Connection,
