Let a longer idle timeout hold for connections that are idle already

What callers saw: a kept connection was closed although the configuration in force lets them use it longer; what they sent at that moment got neither an answer nor a refusal.

Cause: the idle timeout was read once, when the wait for the next request began.

Change: when the wait ends, the newest timeout counts from its start.

Measured: the test of a connection that is idle when the timeout grows found it closed before, and passes. A request that arrives together with the end of the timeout is answered, before and after (a test shows it).

--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -169,10 +169,25 @@
         task = await curio.current_task()
         self._idle.add(task)
         try:
-            return await _wait_for_data(stream, connection, self._limits)
+            return await self._wait_for_data(stream, connection)
         finally:
             self._idle.discard(task)
 
+    async def _wait_for_data(self, stream: Stream, connection: h11.Connection) -> bool:
+        if connection.trailing_data[0]:
+            return True
+        since_s = await curio.clock()
+        data = None
+        while data is None:
+            # Callers go by the newest idle timeout, which may have grown meanwhile.
+            left_s = since_s + self._limits.idle_timeout_s - await curio.clock()
+            if left_s <= 0:
+                return False
+            data = await curio.ignore_after(left_s, stream.recv, READ_BYTES)
+        if data:
+            connection.receive_data(data)
+        return bool(data)
+
     async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
         responder = Responder(stream, connection, lambda: self._draining)
         try:
@@ -314,18 +329,6 @@
     )
 
 
-async def _wait_for_data(
-    stream: Stream, connection: h11.Connection, limits: Limits
-) -> bool:
-    if connection.trailing_data[0]:
-        return True
-    data = await curio.ignore_after(limits.idle_timeout_s, stream.recv, READ_BYTES)
-    if not data:
-        return False
-    connection.receive_data(data)
-    return True
-
-
 async def close_servers(servers: Iterable[HttpServer]) -> None:
     """Close servers at the same time."""
     async with curio.TaskGroup() as group:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,5 +1,6 @@
 """Tests of an HTTP server whose limits change while connections are kept."""
 
+import time
 import unittest
 
 import curio
@@ -39,6 +40,36 @@
 
         curio.run(main)
 
+    def test_longer_idle_timeout_holds_for_an_idle_connection(self):
+        """Guards against closing a connection that its caller may still use (LOST)."""
+
+        async def scenario(server, stream):
+            server.set_limits(Limits(idle_timeout_s=5.0))
+            await curio.sleep(0.8)
+            await stream.sendall(REQUEST)
+            self.assertEqual(await read_answer(stream), (200, b"/a"))
+
+        self.run_on_kept_connection(scenario, idle_timeout_s=0.4)
+
+    def test_request_that_arrives_with_the_end_of_the_idle_timeout(self):
+        async def scenario(server, stream):
+            await stream.sendall(REQUEST)
+            # Both have happened by the time that the server runs again.
+            time.sleep(0.4)
+            self.assertEqual(await read_answer(stream), (200, b"/a"))
+
+        self.run_on_kept_connection(scenario, idle_timeout_s=0.2)
+
+    def test_shorter_idle_timeout_holds_from_the_next_request_on(self):
+        async def scenario(server, stream):
+            server.set_limits(Limits(idle_timeout_s=0.2))
+            await stream.sendall(REQUEST)
+            self.assertEqual(await read_answer(stream), (200, b"/a"))
+            async with curio.timeout_after(3.0):
+                self.assertEqual(await stream.recv(100), b"")
+
+        self.run_on_kept_connection(scenario, idle_timeout_s=60.0)
+
     def test_larger_header_bound_holds_for_a_kept_connection(self):
         """Guards against refusing a proper request by an older bound (DENIED)."""
         head = REQUEST[:-2] + b"x-more: " + b"m" * 20_000
