Keep text without a number out of a continued stream

What callers saw: a stream had begun and broke off, the next endpoint answered 200 with a block of text in place of events, and the text was in the caller's stream, which ended as complete (MIXED).

Cause: what has no number was passed on as it came. In a continuation it cannot be placed, and may be the text of an error.

Ruled out, with tests at the next endpoint, at the third, and through a host that relays: errors by status (500, 503, 404), other 2xx, a whole text with a length, half a head, and bytes that are no response. The caller's stream breaks off there with nothing of the answer in it, before and after.

Change: EventSelector decides per response what continues a stream. In a continuation an event without a number is a fault; comments are left out until it has brought an event. On a first response all is passed on as before.

--- a/buckthorndeal/gateway/_events.py
+++ b/buckthorndeal/gateway/_events.py
@@ -25,9 +25,14 @@
 
     @property
     def carries_data(self) -> bool:
-        """Whether it is more than comments."""
+        """Whether it has a number or data."""
         return self.event_id is not None or DATA_FIELD in self.data
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has nothing but comments."""
+        return all(line[:1] in (b"", b":") for line in self.data.splitlines())
+
 
 class EventSplitter:
     """Incremental parser that returns only complete events."""
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -14,8 +14,9 @@
     report_response_start,
 )
 from buckthorndeal.gateway._context import GatewayContext
+from buckthorndeal.gateway._continuation import EventSelector
 from buckthorndeal.gateway._decisions import Replacement, request_decision
-from buckthorndeal.gateway._events import EventSplitter, RawEvent
+from buckthorndeal.gateway._events import EventSplitter
 from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
     Call,
@@ -328,13 +329,17 @@
 
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
         splitter = EventSplitter()
+        selector = EventSelector(self.progress.last_event_id)
         reported = False
         while part := await attempt.response.read_part():
             try:
                 events = splitter.feed(part)
             except WireError as error:
                 raise _create_stream_error(str(error)) from error
-            data, fault = self._select_new_events(events)
+            before = selector.count
+            data, fault = selector.select(events)
+            self.progress.last_event_id = selector.last_event_id
+            self.progress.events += selector.count - before
             if data and not reported:
                 reported = True
                 self._call = replace(self._call, version=attempt.version)
@@ -374,27 +379,6 @@
             attempt.response.status, encode_headers(list(headers.items()))
         )
 
-    def _select_new_events(self, events: list[RawEvent]) -> tuple[bytes, str | None]:
-        """Return the new events up to the first gap, and an error message or None."""
-        progress = self.progress
-        parts = []
-        for event in events:
-            event_id = event.event_id
-            if event_id is not None and progress.last_event_id is not None:
-                if event_id <= progress.last_event_id:
-                    continue
-                if event_id != progress.last_event_id + 1:
-                    fault = (
-                        f"gap in the stream: event {event_id} follows "
-                        f"{progress.last_event_id}"
-                    )
-                    return b"".join(parts), fault
-            if event_id is not None:
-                progress.last_event_id = event_id
-            progress.events += 1
-            parts.append(event.data)
-        return b"".join(parts), None
-
 
 def _get_heartbeat_age_ms(decision: Decision, error: AttemptError) -> int | None:
     """Return the age of the endpoint's last heartbeat at the failure."""
