Believe the end of a continued stream only with an event

What callers saw: a stream had begun and broke off, the next endpoint answered 200 without an event, and the stream ended as if it were complete (ORDER). The same for one that repeats only old events, or sends a comment.

Cause: an answer without events looks like that to a stream that was whole when it broke. Nothing in it tells them apart: length 0, empty chunks and a closed connection all ended the stream.

Change: a continuation without an event counts as broken. Another endpoint is asked if the route allows it, and the caller's stream breaks off otherwise. A caller that takes up a stream by itself still gets an empty answer with a length or chunks as the end; a closed connection without any event is not one (it was one for such callers). The price: a stream that broke right at its end has to be taken up by its caller.

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -356,9 +356,11 @@
             raise _create_stream_error(
                 "the stream ended in the middle of an event", closed=True
             )
-        nothing_new = not self.progress.events and self._call.resume_after is None
-        if attempt.response.ends_with_connection and nothing_new:
-            raise _create_stream_error("the stream ended before any event", closed=True)
+        # The end of a stream is believed only together with an event, unless it is all
+        # that the endpoint was asked for.
+        closed = attempt.response.ends_with_connection
+        if not selector.count and (closed or self.progress.events):
+            raise _create_stream_error("the stream ended without an event", closed)
         await self._start_response(attempt)
         attempt.outcome = AttemptOutcome.SUCCEEDED
         await self._responder.finish()
--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -57,6 +57,13 @@
     "half a head": lambda request_id: create_unframed_head(request_id)[:-2],
     "unframed text": lambda request_id: create_unframed_head(request_id) + ERROR_TEXT,
 }
+NO_EVENTS = {
+    "unframed": create_unframed_head,
+    "length 0": lambda request_id: create_response(request_id, b""),
+    "empty chunks": create_chunked(),
+    "only old events": create_chunked(create_stream_events(0, 2)),
+    "only a comment": create_chunked(b": " + ERROR_TEXT + b"\n\n"),
+}
 NO_NUMBERS = {
     "text": create_chunked(ERROR_TEXT + b"\n\n"),
     "data": create_chunked(b"data: " + ERROR_TEXT + b"\n\n"),
@@ -170,6 +177,10 @@
         """Guards against the text or the head of an error inside a stream."""
         self.check_breaks_off({**ERRORS, **JUNK})
 
+    def test_answer_without_a_next_event(self):
+        """Guards against a stream that ends as if it were complete (ORDER)."""
+        self.check_breaks_off(NO_EVENTS)
+
     def test_events_without_a_number(self):
         """Guards against the text of an error inside a stream (MIXED)."""
         self.check_breaks_off(NO_NUMBERS)
@@ -180,13 +191,13 @@
         self.check_breaks_off(cases, create_stream_events(0, 3))
 
     def test_error_of_the_third_endpoint(self):
-        cases = {**ERRORS, **JUNK, **NO_NUMBERS}
+        cases = {**ERRORS, **JUNK, **NO_EVENTS, **NO_NUMBERS}
         begin = (break_off, break_off_again)
         body = create_stream_events(0, 4)
         self.check_breaks_off(cases, body, begin, max_attempts=3)
 
     def test_error_through_a_host_that_relays(self):
-        cases = {**ERRORS, **JUNK, **NO_NUMBERS}
+        cases = {**ERRORS, **JUNK, **NO_EVENTS, **NO_NUMBERS}
         self.check_breaks_off(cases, **self.RELAYED)
 
     def test_next_event_continues_the_stream(self):
@@ -198,6 +209,16 @@
         rest = create_chunked(b": hello\n\n", create_stream_events(3, 5))
         self.check_continues([break_off, rest])
 
+    def test_caller_that_takes_up_a_whole_stream_gets_its_end(self):
+        fields = {"headers": [("last-event-id", "5")]}
+        ((seen, is_whole, _),) = play_all(([create_chunked()], fields))
+        self.assertEqual((seen, is_whole), (b"", True))
+
+    def test_caller_that_takes_up_a_stream_gets_no_closed_connection_as_its_end(self):
+        fields = {"headers": [("last-event-id", "5")]}
+        ((_, is_whole, _),) = play_all(([create_unframed_head] * 2, fields))
+        self.assertFalse(is_whole)
+
 
 if __name__ == "__main__":
     unittest.main()
