Do not repeat a stream whose events have no numbers

Cause: the next attempt is told after which event to go on. Without a number it is told nothing, and begins.

Change: what has begun continues only if its last event has a number, as it does already only if its version is known.

Measured: the test got both events twice and an end before; now the stream breaks off after the first attempt.

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -265,7 +265,7 @@
             return
         progress.runs += 1
         may_repeat = self._call.route.retryable and progress.runs < self._max_runs
-        if not may_repeat or self._has_begun_at_unknown_version():
+        if not may_repeat or not self._can_continue():
             raise self._create_error("attempt_failed", 502, error.reason)
 
     async def _relay_response(self, attempt: Attempt) -> bool:
@@ -294,8 +294,12 @@
         await self._respond(buffered)
         return True
 
-    def _has_begun_at_unknown_version(self) -> bool:
-        return self.progress.events > 0 and self._call.version is None
+    def _can_continue(self) -> bool:
+        """Return whether another endpoint can go on with what the caller has."""
+        if not self.progress.events:
+            return True
+        has_number = self.progress.last_event_id is not None
+        return has_number and self._call.version is not None
 
     def _may_retry_run(self) -> bool:
         retryable = self._call.route.retryable
@@ -312,7 +316,7 @@
 
     async def _relay_events(self, attempt: Attempt) -> None:
         async def find_replacement() -> bool:
-            if self._has_begun_at_unknown_version():
+            if not self._can_continue():
                 return False
             excluded = frozenset((attempt.target,))
             return await self._replacement.find(self._create_dispatch(True, excluded))
--- a/tests/test_stream_continuation.py
+++ b/tests/test_stream_continuation.py
@@ -219,6 +219,16 @@
         ((_, is_whole, _),) = play_all(([create_unframed_head] * 2, fields))
         self.assertFalse(is_whole)
 
+    def test_stream_without_numbers_is_not_repeated(self):
+        """Guards against events that come twice, as nobody can tell them apart."""
+        events = b"data: a\n\ndata: b\n\n"
+
+        def begin(request_id):
+            return create_stream_head(request_id) + create_chunk(events)
+
+        ((seen, is_whole, attempts),) = play_all(([begin, create_chunked(events)], {}))
+        self.assertEqual((seen, is_whole, attempts), (events, False, 1))
+
 
 if __name__ == "__main__":
     unittest.main()
