--- a/buckthorndeal/gateway/_continuation.py
+++ b/buckthorndeal/gateway/_continuation.py
@@ -1,8 +1,29 @@
 """Choice of the events of one response that continue a stream; no I/O."""
 
+from dataclasses import dataclass
+
 from buckthorndeal.gateway._events import RawEvent
 
 
+@dataclass(frozen=True, slots=True)
+class Selection:
+    """What a caller gets of some events.
+
+    Parameters
+    ----------
+    data : bytes
+        Bytes of the selected events.
+    count : int
+        Number of these events, without comments.
+    fault : str or None
+        Why nothing more of the response may be passed on, if that is so.
+    """
+
+    data: bytes
+    count: int
+    fault: str | None
+
+
 class EventSelector:
     """Selects what a caller gets of the events of one response.
 
@@ -20,7 +41,7 @@
     last_event_id : int or None
         Number of the last event that was selected, or that the caller has.
     count : int
-        Number of selected events, without comments.
+        Number of all selected events, without comments.
     """
 
     def __init__(self, last_event_id: int | None) -> None:
@@ -28,8 +49,9 @@
         self.last_event_id = last_event_id
         self.count = 0
 
-    def select(self, events: list[RawEvent]) -> tuple[bytes, str | None]:
-        """Return the new events up to the first fault, and its description or None."""
+    def select(self, events: list[RawEvent]) -> Selection:
+        """Return the new events up to the first fault."""
+        before = self.count
         parts = []
         fault = None
         for event in events:
@@ -39,7 +61,7 @@
             if self._is_new(event):
                 self._record(event)
                 parts.append(event.data)
-        return b"".join(parts), fault
+        return Selection(b"".join(parts), self.count - before, fault)
 
     def _find_fault(self, event: RawEvent) -> str | None:
         last = self.last_event_id
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -328,8 +328,8 @@
         self._coordinator_reach.keep(connected)
         if changed:
             await self._report_coordinator_reach()
-            await self._fetch_if_newer()
             await self._update_fleet()
+            await self._fetch_if_newer()
 
     async def _deliver_shared_state(self, host: str) -> None:
         for message in await self._dispatch.ask(DescribeSharedState()):
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -1,6 +1,7 @@
 """Handling of one request: attempts, retries and relay of the response."""
 
 from dataclasses import dataclass, replace
+from functools import partial
 
 import curio
 
@@ -315,22 +316,26 @@
         )
 
     async def _relay_events(self, attempt: Attempt) -> None:
-        async def find_replacement() -> bool:
-            if not self._can_continue():
-                return False
-            excluded = frozenset((attempt.target,))
-            return await self._replacement.find(self._create_dispatch(True, excluded))
-
+        find = (
+            partial(self._find_replacement, attempt) if self._may_retry_run() else None
+        )
         watch = StallWatch(
             attempt.response,
             self._call.route,
             self._context.clock,
-            find_replacement if self._may_retry_run() else None,
+            find,
             self._replacement.release,
         )
         async with watch_stalls(watch):
             await self._relay_watched_events(attempt, watch)
 
+    async def _find_replacement(self, attempt: Attempt) -> bool:
+        """Return whether another endpoint is granted for what `attempt` has begun."""
+        if not self._can_continue():
+            return False
+        excluded = frozenset((attempt.target,))
+        return await self._replacement.find(self._create_dispatch(True, excluded))
+
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
         splitter = EventSplitter()
         selector = EventSelector(self.progress.last_event_id)
@@ -340,22 +345,21 @@
                 events = splitter.feed(part)
             except WireError as error:
                 raise _create_stream_error(str(error)) from error
-            before = selector.count
-            data, fault = selector.select(events)
+            selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
-            self.progress.events += selector.count - before
-            if data and not reported:
+            self.progress.events += selection.count
+            if selection.data and not reported:
                 reported = True
                 self._call = replace(self._call, version=attempt.version)
                 await report_response_start(self._context, attempt, has_events=True)
             if any(event.carries_data for event in events):
                 watch.record_event()
-            if data:
+            if selection.data:
                 self._record_events(attempt)
                 await self._start_response(attempt)
-                await self._responder.send(data)
-            if fault is not None:
-                raise _create_stream_error(fault)
+                await self._responder.send(selection.data)
+            if selection.fault is not None:
+                raise _create_stream_error(selection.fault)
         if not splitter.is_at_event_boundary:
             raise _create_stream_error(
                 "the stream ended in the middle of an event", closed=True
