--- a/tests/warm_up_play.py
+++ b/tests/warm_up_play.py
@@ -21,21 +21,27 @@
 MESSAGE_S = (0.001, 0.1)
 CONNECT_S = (0.05, 1.2)
 SILENCE_S = 2.0
-NEVER_S = float("inf")
 
 
 @dataclass(eq=False)
 class PlayHost:
-    """One host, with the coordinators that it is connected to."""
+    """One host, with what it knows of the others.
+
+    Connections belong to a `generation`, which ends when the host stops or is cut off.
+    """
 
     name: str
     own: EntryHost
-    lists: EntryHostLists = field(default_factory=EntryHostLists)
     generation: int = 0
     is_running: bool = True
     cut_until_s: float = 0.0
 
     def __post_init__(self):
+        self.forget_all()
+
+    def forget_all(self):
+        """Begin without any knowledge, as a process that starts."""
+        self.lists = EntryHostLists()
         self.known = KnownEntryHosts(self.lists)
         self.view = FleetView(self.name)
 
@@ -245,6 +251,5 @@
     def _restart(self, host):
         host.generation += 1
         host.is_running = True
-        host.lists = EntryHostLists()
-        host.__post_init__()
+        host.forget_all()
         self._connect_all(host)
