Add one account of the bytes that a process holds for messages

Cause: each read has a bound of its own, and nothing bounds their sum. Bodies without end and unfinished request bodies make a process grow until it ends.

Its capacity follows from the memory of the process, which the platform names. The account belongs to the transport; its counters are metrics. Nothing is booked in it yet.

--- a/buckthorndeal/bench/_control_host.py
+++ b/buckthorndeal/bench/_control_host.py
@@ -56,6 +56,7 @@
     """
 
     def __init__(self, inner: Transport) -> None:
+        super().__init__(inner.memory)
         self.counters = Counters()
         self.counted_port: int | None = None
         self._inner = inner
--- a/buckthorndeal/bench/_traffic.py
+++ b/buckthorndeal/bench/_traffic.py
@@ -38,6 +38,7 @@
     def __init__(
         self, inner: Transport, shape: LinkShape, place: str, count: Count
     ) -> None:
+        super().__init__(inner.memory)
         self._shaped: ShapedTransport = create_shaped_transport(inner, shape, place)
         self._shape = shape
         self._place = place
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -17,6 +17,7 @@
     "ForbiddenError",
     "FrameError",
     "MembershipChangeError",
+    "MemoryShortageError",
     "NotLeaderError",
     "PeerError",
     "RequestError",
@@ -208,6 +209,10 @@
     """A change to the voters or learners is currently not allowed."""
 
 
+class MemoryShortageError(BuckthorndealError):
+    """A message does not fit into the memory that the process has for messages."""
+
+
 class RequestError(BuckthorndealError):
     """A caller's request fails and is answered with an error response.
 
--- a/buckthorndeal/processmetrics.py
+++ b/buckthorndeal/processmetrics.py
@@ -60,6 +60,15 @@
     metrics.describe(
         "descriptor_shortages", "counter", "Uses refused to keep descriptors free."
     )
+    metrics.describe("message_bytes_held", "gauge", "Bytes held for messages.")
+    metrics.describe("message_bytes_peak", "gauge", "Most bytes held for messages.")
+    metrics.describe("message_bytes_capacity", "gauge", "Limit of the bytes held.")
+    metrics.describe(
+        "messages_refused_for_memory", "counter", "Messages that did not fit."
+    )
+    metrics.describe(
+        "messages_cut_for_memory", "counter", "Incomplete messages that made room."
+    )
     metrics.describe("sockets_open", "gauge", "Open sockets of connections.")
     metrics.describe("loop_lag_seconds", "summary", "Time by which timers are late.")
     while True:
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from buckthorndeal.memory import MemoryAccount, create_memory_account
+
 __all__ = [
     "DatagramPort",
     "Listener",
@@ -98,11 +100,20 @@
 
 
 class Transport(abc.ABC):
-    """Opens and accepts streams, and binds datagram ports."""
+    """Opens and accepts streams, and binds datagram ports.
+
+    Parameters
+    ----------
+    memory : MemoryAccount, optional
+        Account of what the process holds for messages.
+    """
+
+    def __init__(self, memory: MemoryAccount | None = None) -> None:
+        self.memory = memory if memory is not None else create_memory_account()
 
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
-        return {}
+        return self.memory.read_counters()
 
     def has_free_descriptors(self, share: float, returning: int = 0) -> bool:
         """Return whether more than a share of the descriptors is free.
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -115,6 +115,7 @@
     """Streams and datagrams between the users of one instance."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._listeners: dict[tuple[str, int], curio.Queue] = {}
         self.datagram_ports: dict[tuple[str, int], _MemoryDatagramPort] = {}
         self._ports = itertools.count(FIRST_FREE_PORT)
--- a/buckthorndeal/transport/_shaped.py
+++ b/buckthorndeal/transport/_shaped.py
@@ -246,13 +246,14 @@
     """
 
     def __init__(self, inner: Transport, shape: LinkShape, place: str) -> None:
+        super().__init__()
         self._inner = inner
         self._shape = shape
         self._place = place
 
     def read_counters(self) -> Mapping[str, int]:
-        """Return the counters of the inner transport."""
-        return self._inner.read_counters()
+        """Return the counters of the inner transport and of the own account."""
+        return {**self._inner.read_counters(), **super().read_counters()}
 
     def has_free_descriptors(self, share: float, returning: int = 0) -> bool:
         """Return whether more than a share of the descriptors is free."""
--- a/buckthorndeal/transport/_socket.py
+++ b/buckthorndeal/transport/_socket.py
@@ -7,6 +7,7 @@
 import curio
 from curio import socket
 
+from buckthorndeal.memory import MemoryAccount, create_memory_account
 from buckthorndeal.transport._accepting import (
     AcceptLoop,
     SocketListener,
@@ -36,9 +37,16 @@
     ----------
     max_descriptors : int, optional
         Descriptors that the process may use, if fewer than the system allows it.
+    memory : MemoryAccount, optional
+        Account of what the process holds for messages.
     """
 
-    def __init__(self, max_descriptors: int | None = None) -> None:
+    def __init__(
+        self,
+        max_descriptors: int | None = None,
+        memory: MemoryAccount | None = None,
+    ) -> None:
+        super().__init__(memory)
         self._descriptors = Descriptors(max_descriptors)
         self._accept_failures = FailureLog("accept_failed")
         self._datagram_failures = FailureLog("datagram_read_failed")
@@ -46,6 +54,7 @@
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process."""
         return {
+            **super().read_counters(),
             "accepts_failed": self._accept_failures.count,
             "datagram_reads_failed": self._datagram_failures.count,
             "descriptor_shortages": self._descriptors.shortages,
@@ -127,6 +136,16 @@
         await self._sock.close()
 
 
-def create_socket_transport(max_descriptors: int | None = None) -> SocketTransport:
-    """Return a transport over TCP and UDP sockets; see `SocketTransport`."""
-    return SocketTransport(max_descriptors)
+def create_socket_transport(
+    max_descriptors: int | None = None, memory_bytes: int | None = None
+) -> SocketTransport:
+    """Return a transport over TCP and UDP sockets; see `SocketTransport`.
+
+    Parameters
+    ----------
+    max_descriptors : int, optional
+        Descriptors that the process may use, if fewer than the system allows it.
+    memory_bytes : int, optional
+        Memory that the process may use, if that is limited.
+    """
+    return SocketTransport(max_descriptors, create_memory_account(memory_bytes))
--- a/tests/cut_transport.py
+++ b/tests/cut_transport.py
@@ -16,6 +16,7 @@
     """
 
     def __init__(self, inner, is_cut_off):
+        super().__init__(inner.memory)
         self._inner = inner
         self._is_cut_off = is_cut_off
         self._streams = []
--- a/tests/silence_play.py
+++ b/tests/silence_play.py
@@ -60,6 +60,7 @@
     """Transport whose listening sockets accept nothing while they are paused."""
 
     def __init__(self, inner):
+        super().__init__(inner.memory)
         self._inner = inner
         self._socket = None
         self._fillers = []
