Add a play of endless and large messages beside real processes

Faulty endpoints send for ever, and connections hold request bodies open but for their last byte. Processes that are told they may use 160 MB reach 986 MB (endless bodies of 60 callers), 1,276 MB (120 callers, chunks) and 539 MB (120 bodies of 4 MiB at a gateway, as heartbeats or as configurations). An event without end gives 121 MB, header lines 43 MB.

--- /dev/null
+++ b/tests/test_memory_play.py
@@ -0,0 +1,48 @@
+"""Messages without end, and large ones that are never complete, beside processes."""
+
+import unittest
+
+from tests.memory_play import (
+    MEMORY_BYTES,
+    SCENARIOS,
+    MemoryPlay,
+    describe,
+    list_unanswered,
+)
+
+
+class MemoryPlayTest(unittest.TestCase):
+    """A process stays within the memory that it is told it may use, and answers."""
+
+    def check(self, scenario):
+        play = MemoryPlay(f"{scenario}-1", SCENARIOS[scenario])
+        play.play()
+        text = describe(play)
+        self.assertEqual(play.ended, [], text)
+        self.assertEqual(len(play.peaks), 3, text)
+        self.assertLessEqual(max(play.peaks.values()), MEMORY_BYTES, text)
+        self.assertGreater(len(play.sound_orders), 50, text)
+        self.assertEqual(list_unanswered(play), [], text)
+        self.assertGreater(play.api_statuses.count(200), 10, text)
+        return play
+
+    def test_responses_without_end_do_not_fill_a_host(self):
+        """Guards against bounds of single responses whose sum has no bound."""
+        play = self.check("bodies")
+        self.assertGreater(play.endless, 10, describe(play))
+
+    def test_requests_without_end_do_not_fill_a_host(self):
+        """Guards against bounds of single bodies whose sum has no bound."""
+        self.check("requests")
+
+    def test_heartbeats_without_end_do_not_fill_a_coordinator(self):
+        """Guards against bounds of single bodies whose sum has no bound."""
+        self.check("heartbeats")
+
+    def test_configurations_without_end_do_not_fill_a_coordinator(self):
+        """Guards against bounds of single bodies whose sum has no bound."""
+        self.check("configurations")
+
+
+if __name__ == "__main__":
+    unittest.main()
