Let an announced size be refused before its bytes are received

Cause: a body whose named length can never fit was only to be found out by receiving it up to the limit, and then refusing it.

Change: Booking.check refuses a size for which there would be no room even if all larger incomplete messages were cut. It books nothing, so that heads alone cannot take the room of those who send.

--- a/buckthorndeal/memory.py
+++ b/buckthorndeal/memory.py
@@ -7,6 +7,7 @@
 import enum
 import time
 from collections.abc import Callable, Hashable, Mapping
+from typing import NoReturn
 
 from buckthorndeal.errors import MemoryShortageError
 from buckthorndeal.logs import log_event
@@ -105,6 +106,17 @@
         if size_bytes != self.size_bytes:
             self._account.resize(self, size_bytes)
 
+    def check(self, size_bytes: int) -> None:
+        """Refuse a message that could not grow to `size_bytes` at present.
+
+        Raises
+        ------
+        MemoryShortageError
+            If there is no room for so many bytes, even if larger messages are cut.
+        """
+        if size_bytes > max(self.size_bytes, UNBOOKED_BYTES):
+            self._account.check(self, size_bytes)
+
     def settle(self) -> None:
         """Keep the message from being cut, as it is complete."""
         self.is_settled = True
@@ -178,6 +190,16 @@
             self._make_room(booking, size_bytes, added)
         self._record(booking, size_bytes, added)
 
+    def check(self, booking: Booking, size_bytes: int) -> None:
+        """Refuse a booking that cannot have a size; see `Booking.check`."""
+        added = size_bytes - booking.size_bytes
+        owned = self._owned_bytes.get(booking.owner, 0) + added
+        held = self.held_bytes + added
+        if owned > self._compute_share(booking.use) or held > self._compute_limit(
+            booking.use, size_bytes
+        ):
+            self._check_after_cuts(booking, size_bytes, owned, held)
+
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
         return {
@@ -189,22 +211,50 @@
         }
 
     def _make_room(self, booking: Booking, size_bytes: int, added: int) -> None:
-        share = int(booking.use.value * self.capacity_bytes)
+        share = self._compute_share(booking.use)
         owned = self._owned_bytes.get(booking.owner, 0)
         while owned + added > share:
             self._cut_larger(booking, size_bytes, booking.owner)
             owned = self._owned_bytes.get(booking.owner, 0)
-        limit = self.capacity_bytes - self._compute_reserve(booking.use, size_bytes)
+        limit = self._compute_limit(booking.use, size_bytes)
         while self.held_bytes + added > limit:
             self._cut_larger(booking, size_bytes, None)
 
-    def _compute_reserve(self, use: Use, size_bytes: int) -> int:
-        """Return the bytes that are kept from a message."""
+    def _check_after_cuts(
+        self, booking: Booking, size_bytes: int, owned: int, held: int
+    ) -> None:
+        """Refuse a booking for which cutting all larger messages is not enough."""
+        larger = self._list_larger(booking, size_bytes)
+        held -= sum(other.size_bytes for other in larger)
+        owned -= sum(
+            other.size_bytes for other in larger if other.owner == booking.owner
+        )
+        if owned > self._compute_share(booking.use) or held > self._compute_limit(
+            booking.use, size_bytes
+        ):
+            self._refuse(booking, size_bytes)
+
+    def _compute_share(self, use: Use) -> int:
+        """Return the bytes that an owner may hold."""
+        return int(use.value * self.capacity_bytes)
+
+    def _compute_limit(self, use: Use, size_bytes: int) -> int:
+        """Return the bytes that may be held in all once a message has its size."""
         if use is Use.PEER:
-            return 0
+            return self.capacity_bytes
         if size_bytes <= SMALL_BYTES:
-            return self._reserve_bytes // 2
-        return self._reserve_bytes
+            return self.capacity_bytes - self._reserve_bytes // 2
+        return self.capacity_bytes - self._reserve_bytes
+
+    def _list_larger(self, booking: Booking, size_bytes: int) -> list[Booking]:
+        """Return the incomplete messages that are larger than `size_bytes`."""
+        return [
+            other
+            for other in self._bookings
+            if not other.is_settled
+            and other is not booking
+            and other.size_bytes > size_bytes
+        ]
 
     def _cut_larger(
         self, booking: Booking, size_bytes: int, owner: Hashable | None
@@ -219,22 +269,23 @@
         largest = max(
             (
                 other
-                for other in self._bookings
-                if not other.is_settled
-                and other is not booking
-                and (owner is None or other.owner == owner)
+                for other in self._list_larger(booking, size_bytes)
+                if owner is None or other.owner == owner
             ),
             key=lambda other: other.size_bytes,
             default=None,
         )
-        if largest is None or largest.size_bytes <= size_bytes:
-            self.refused_count += 1
-            self._log_shortage(booking, size_bytes)
-            raise MemoryShortageError(f"there is no room for {size_bytes} bytes")
+        if largest is None:
+            self._refuse(booking, size_bytes)
         self.cut_count += 1
         self._log_shortage(largest, largest.size_bytes)
         largest.cut()
 
+    def _refuse(self, booking: Booking, size_bytes: int) -> NoReturn:
+        self.refused_count += 1
+        self._log_shortage(booking, size_bytes)
+        raise MemoryShortageError(f"there is no room for {size_bytes} bytes")
+
     def _record(self, booking: Booking, size_bytes: int, added: int) -> None:
         booking.size_bytes = size_bytes
         self.held_bytes += added
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -128,6 +128,37 @@
         self.open(Use.PEER, "coordinator", MIB, can_cut=False)
 
 
+class CheckTest(AccountCase):
+    """What is known to become too large is refused before it is received."""
+
+    def check(self, size_bytes):
+        self.account.open(Use.REQUEST, drop=self.fail).check(size_bytes)
+
+    def test_message_larger_than_a_share_is_refused(self):
+        self.check(3 * MIB)
+        with self.assertRaises(MemoryShortageError):
+            self.check(4 * MIB)
+        self.assertEqual(self.account.refused_count, 1)
+
+    def test_check_holds_nothing(self):
+        """Guards against messages that are only announced and take all room."""
+        for _ in range(20):
+            self.check(3 * MIB)
+        self.assertEqual(self.account.held_bytes, 0)
+
+    def test_check_agrees_with_what_may_be_cut(self):
+        self.fill(can_cut=True)
+        self.check(MIB)
+        with self.assertRaises(MemoryShortageError):
+            self.check(2 * MIB)
+        self.assertEqual(self.dropped, [])
+
+    def test_complete_messages_leave_no_room(self):
+        self.fill(can_cut=False)
+        with self.assertRaises(MemoryShortageError):
+            self.check(MIB)
+
+
 class RandomTest(AccountCase):
     def test_sum_never_exceeds_the_capacity(self):
         for seed in range(20):
