Tell an owner that holds too much from a full account, and let messages wait

Cause: a message that is cut or refused does not know whether its owner alone held too much, so whoever reads it can blame the owner always or never. A message of a named length can only be refused, though room may be free soon.

Change: MemoryShortageError.is_excess and Booking.is_excess are true if the incomplete messages of the owner fill half of its share. Booking.try_resize books without counting a refusal and cuts nothing in vain; reopen lets the next part of a stream be cut. get_share_bytes gives the largest size that one message may have.

--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -210,7 +210,19 @@
 
 
 class MemoryShortageError(BuckthorndealError):
-    """A message does not fit into the memory that the process has for messages."""
+    """A message does not fit into the memory that the process has for messages.
+
+    Parameters
+    ----------
+    reason : str
+        What there is no room for.
+    is_excess : bool
+        Whether the incomplete messages of its owner alone hold too much.
+    """
+
+    def __init__(self, reason: str, is_excess: bool = False) -> None:
+        super().__init__(reason)
+        self.is_excess = is_excess
 
 
 class RequestError(BuckthorndealError):
--- a/buckthorndeal/memory.py
+++ b/buckthorndeal/memory.py
@@ -7,7 +7,6 @@
 import enum
 import time
 from collections.abc import Callable, Hashable, Mapping
-from typing import NoReturn
 
 from buckthorndeal.errors import MemoryShortageError
 from buckthorndeal.logs import log_event
@@ -61,6 +60,8 @@
         Bytes that are booked.
     is_cut : bool
         Whether the message was cut. It cannot grow any more.
+    is_excess : bool
+        Whether it was cut because its owner alone held too much.
     is_settled : bool
         Whether the message is complete, and is never cut.
     """
@@ -69,6 +70,7 @@
         "_account",
         "_drop",
         "is_cut",
+        "is_excess",
         "is_settled",
         "owner",
         "size_bytes",
@@ -88,6 +90,7 @@
         self.owner = self if owner is None else owner
         self.size_bytes = 0
         self.is_cut = False
+        self.is_excess = False
         self.is_settled = drop is None
 
     def resize(self, size_bytes: int) -> None:
@@ -102,7 +105,9 @@
         if size_bytes <= UNBOOKED_BYTES:
             size_bytes = 0
         if self.is_cut:
-            raise MemoryShortageError("it was cut in favour of other messages")
+            raise MemoryShortageError(
+                "it was cut in favour of other messages", self.is_excess
+            )
         if size_bytes != self.size_bytes:
             self._account.resize(self, size_bytes)
 
@@ -117,18 +122,32 @@
         if size_bytes > max(self.size_bytes, UNBOOKED_BYTES):
             self._account.check(self, size_bytes)
 
+    def try_resize(self, size_bytes: int) -> bool:
+        """Hold `size_bytes` from now on if there is room, and return whether there is.
+
+        A message that waits for room is not counted as refused.
+        """
+        if size_bytes <= UNBOOKED_BYTES:
+            size_bytes = 0
+        return not self.is_cut and self._account.try_resize(self, size_bytes)
+
     def settle(self) -> None:
         """Keep the message from being cut, as it is complete."""
         self.is_settled = True
 
+    def reopen(self) -> None:
+        """Let the message be cut again, as the next part of it is incomplete."""
+        self.is_settled = self._drop is None
+
     def release(self) -> None:
         """Hold nothing any more."""
         if self.size_bytes:
             self._account.resize(self, 0)
 
-    def cut(self) -> None:
+    def cut(self, is_excess: bool = False) -> None:
         """Drop the message."""
         self.is_cut = True
+        self.is_excess = is_excess
         self.release()
         if self._drop is not None:
             self._drop()
@@ -183,22 +202,31 @@
         """Return an empty booking; without `drop`, the message is never cut."""
         return Booking(self, use, owner, drop)
 
+    def get_share_bytes(self, use: Use) -> int:
+        """Return the bytes that one owner may hold for a use."""
+        return int(use.value * self.capacity_bytes)
+
     def resize(self, booking: Booking, size_bytes: int) -> None:
         """Change the size of a booking; see `Booking.resize`."""
-        added = size_bytes - booking.size_bytes
-        if added > 0:
-            self._make_room(booking, size_bytes, added)
-        self._record(booking, size_bytes, added)
+        try:
+            self._resize(booking, size_bytes)
+        except MemoryShortageError:
+            self._record_refusal(booking, size_bytes)
+            raise
+
+    def try_resize(self, booking: Booking, size_bytes: int) -> bool:
+        """Change the size of a booking if there is room; see `Booking.try_resize`."""
+        if not self._fits(booking, size_bytes):
+            return False
+        self._resize(booking, size_bytes)
+        return True
 
     def check(self, booking: Booking, size_bytes: int) -> None:
         """Refuse a booking that cannot have a size; see `Booking.check`."""
-        added = size_bytes - booking.size_bytes
-        owned = self._owned_bytes.get(booking.owner, 0) + added
-        held = self.held_bytes + added
-        if owned > self._compute_share(booking.use) or held > self._compute_limit(
-            booking.use, size_bytes
-        ):
-            self._check_after_cuts(booking, size_bytes, owned, held)
+        if self._fits(booking, size_bytes):
+            return
+        self._record_refusal(booking, size_bytes)
+        raise MemoryShortageError(f"there is no room for {size_bytes} bytes")
 
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
@@ -210,8 +238,14 @@
             "messages_cut_for_memory": self.cut_count,
         }
 
+    def _resize(self, booking: Booking, size_bytes: int) -> None:
+        added = size_bytes - booking.size_bytes
+        if added > 0:
+            self._make_room(booking, size_bytes, added)
+        self._record(booking, size_bytes, added)
+
     def _make_room(self, booking: Booking, size_bytes: int, added: int) -> None:
-        share = self._compute_share(booking.use)
+        share = self.get_share_bytes(booking.use)
         owned = self._owned_bytes.get(booking.owner, 0)
         while owned + added > share:
             self._cut_larger(booking, size_bytes, booking.owner)
@@ -220,23 +254,21 @@
         while self.held_bytes + added > limit:
             self._cut_larger(booking, size_bytes, None)
 
-    def _check_after_cuts(
-        self, booking: Booking, size_bytes: int, owned: int, held: int
-    ) -> None:
-        """Refuse a booking for which cutting all larger messages is not enough."""
+    def _fits(self, booking: Booking, size_bytes: int) -> bool:
+        """Return whether there is room once all larger messages have been cut."""
+        added = size_bytes - booking.size_bytes
+        share = self.get_share_bytes(booking.use)
+        limit = self._compute_limit(booking.use, size_bytes)
+        owned = self._owned_bytes.get(booking.owner, 0) + added
+        held = self.held_bytes + added
+        if owned <= share and held <= limit:
+            return True
         larger = self._list_larger(booking, size_bytes)
         held -= sum(other.size_bytes for other in larger)
         owned -= sum(
             other.size_bytes for other in larger if other.owner == booking.owner
         )
-        if owned > self._compute_share(booking.use) or held > self._compute_limit(
-            booking.use, size_bytes
-        ):
-            self._refuse(booking, size_bytes)
-
-    def _compute_share(self, use: Use) -> int:
-        """Return the bytes that an owner may hold."""
-        return int(use.value * self.capacity_bytes)
+        return owned <= share and held <= limit
 
     def _compute_limit(self, use: Use, size_bytes: int) -> int:
         """Return the bytes that may be held in all once a message has its size."""
@@ -266,6 +298,7 @@
         MemoryShortageError
             If none is larger than `size_bytes`.
         """
+        is_excess = owner is not None and self._is_excess(booking, size_bytes)
         largest = max(
             (
                 other
@@ -276,15 +309,27 @@
             default=None,
         )
         if largest is None:
-            self._refuse(booking, size_bytes)
+            raise MemoryShortageError(
+                f"there is no room for {size_bytes} bytes", is_excess
+            )
         self.cut_count += 1
         self._log_shortage(largest, largest.size_bytes)
-        largest.cut()
+        largest.cut(is_excess)
+
+    def _is_excess(self, booking: Booking, size_bytes: int) -> bool:
+        """Return whether incomplete messages of an owner fill half of its share."""
+        others = sum(
+            other.size_bytes
+            for other in self._bookings
+            if not other.is_settled
+            and other is not booking
+            and other.owner == booking.owner
+        )
+        return (size_bytes + others) * 2 >= self.get_share_bytes(booking.use)
 
-    def _refuse(self, booking: Booking, size_bytes: int) -> NoReturn:
+    def _record_refusal(self, booking: Booking, size_bytes: int) -> None:
         self.refused_count += 1
         self._log_shortage(booking, size_bytes)
-        raise MemoryShortageError(f"there is no room for {size_bytes} bytes")
 
     def _record(self, booking: Booking, size_bytes: int, added: int) -> None:
         booking.size_bytes = size_bytes
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -86,6 +86,27 @@
         self.assertEqual(self.dropped, [large])
         self.assertFalse(other.is_cut)
 
+    def test_owner_whose_incomplete_messages_fill_its_share_is_to_blame(self):
+        """Guards against endless responses that compete and are never blamed."""
+        large = self.open(Use.RESPONSE, "endpoint", 3 * MIB)
+        self.open(Use.RESPONSE, "endpoint", 2 * MIB)
+        self.assertTrue(large.is_excess)
+        with self.assertRaises(MemoryShortageError) as caught:
+            self.open(Use.RESPONSE, "endpoint", 3 * MIB)
+        self.assertTrue(caught.exception.is_excess)
+
+    def test_owner_is_not_to_blame_for_messages_that_are_sent_on_slowly(self):
+        self.open(Use.RESPONSE, "endpoint", 4 * MIB - 1, can_cut=False)
+        with self.assertRaises(MemoryShortageError) as caught:
+            self.open(Use.RESPONSE, "endpoint", MIB)
+        self.assertFalse(caught.exception.is_excess)
+
+    def test_nobody_is_to_blame_for_a_full_account(self):
+        bookings = self.fill(can_cut=True)
+        self.open(size_bytes=MIB)
+        cut = next(each for each in bookings if each.is_cut)
+        self.assertFalse(cut.is_excess)
+
     def test_owner_is_forgotten_with_its_last_message(self):
         """Guards against a table that grows with each endpoint ever seen."""
         self.open(Use.RESPONSE, "endpoint", MIB).release()
@@ -107,6 +128,25 @@
         with self.assertRaises(MemoryShortageError):
             cut.resize(SMALL_BYTES)
 
+    def test_message_that_waits_for_room_is_not_refused(self):
+        bookings = self.fill(can_cut=False)
+        waiting = self.account.open(Use.REQUEST)
+        refused_count = self.account.refused_count
+        self.assertFalse(waiting.try_resize(2 * MIB))
+        self.assertEqual(self.account.refused_count, refused_count)
+        bookings.pop().release()
+        self.assertTrue(waiting.try_resize(2 * MIB))
+
+    def test_next_part_of_a_message_can_be_cut(self):
+        bookings = self.fill(can_cut=True)
+        for each in bookings:
+            each.settle()
+        with self.assertRaises(MemoryShortageError):
+            self.open(size_bytes=MIB)
+        bookings[0].reopen()
+        self.open(size_bytes=MIB)
+        self.assertEqual(self.dropped, [bookings[0]])
+
     def test_complete_message_is_never_cut(self):
         self.fill(can_cut=False)
         with self.assertRaises(MemoryShortageError):
