--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -86,6 +86,27 @@
         self.assertEqual(self.dropped, [large])
         self.assertFalse(other.is_cut)
 
+    def test_owner_whose_incomplete_messages_fill_its_share_is_to_blame(self):
+        """Guards against endless responses that compete and are never blamed."""
+        large = self.open(Use.RESPONSE, "endpoint", 3 * MIB)
+        self.open(Use.RESPONSE, "endpoint", 2 * MIB)
+        self.assertTrue(large.is_excess)
+        with self.assertRaises(MemoryShortageError) as caught:
+            self.open(Use.RESPONSE, "endpoint", 3 * MIB)
+        self.assertTrue(caught.exception.is_excess)
+
+    def test_owner_is_not_to_blame_for_messages_that_are_sent_on_slowly(self):
+        self.open(Use.RESPONSE, "endpoint", 4 * MIB - 1, can_cut=False)
+        with self.assertRaises(MemoryShortageError) as caught:
+            self.open(Use.RESPONSE, "endpoint", MIB)
+        self.assertFalse(caught.exception.is_excess)
+
+    def test_nobody_is_to_blame_for_a_full_account(self):
+        bookings = self.fill(can_cut=True)
+        self.open(size_bytes=MIB)
+        cut = next(each for each in bookings if each.is_cut)
+        self.assertFalse(cut.is_excess)
+
     def test_owner_is_forgotten_with_its_last_message(self):
         """Guards against a table that grows with each endpoint ever seen."""
         self.open(Use.RESPONSE, "endpoint", MIB).release()
@@ -107,6 +128,25 @@
         with self.assertRaises(MemoryShortageError):
             cut.resize(SMALL_BYTES)
 
+    def test_message_that_waits_for_room_is_not_refused(self):
+        bookings = self.fill(can_cut=False)
+        waiting = self.account.open(Use.REQUEST)
+        refused_count = self.account.refused_count
+        self.assertFalse(waiting.try_resize(2 * MIB))
+        self.assertEqual(self.account.refused_count, refused_count)
+        bookings.pop().release()
+        self.assertTrue(waiting.try_resize(2 * MIB))
+
+    def test_next_part_of_a_message_can_be_cut(self):
+        bookings = self.fill(can_cut=True)
+        for each in bookings:
+            each.settle()
+        with self.assertRaises(MemoryShortageError):
+            self.open(size_bytes=MIB)
+        bookings[0].reopen()
+        self.open(size_bytes=MIB)
+        self.assertEqual(self.dropped, [bookings[0]])
+
     def test_complete_message_is_never_cut(self):
         self.fill(can_cut=False)
         with self.assertRaises(MemoryShortageError):
@@ -128,6 +168,37 @@
         self.open(Use.PEER, "coordinator", MIB, can_cut=False)
 
 
+class CheckTest(AccountCase):
+    """What is known to become too large is refused before it is received."""
+
+    def check(self, size_bytes):
+        self.account.open(Use.REQUEST, drop=self.fail).check(size_bytes)
+
+    def test_message_larger_than_a_share_is_refused(self):
+        self.check(3 * MIB)
+        with self.assertRaises(MemoryShortageError):
+            self.check(4 * MIB)
+        self.assertEqual(self.account.refused_count, 1)
+
+    def test_check_holds_nothing(self):
+        """Guards against messages that are only announced and take all room."""
+        for _ in range(20):
+            self.check(3 * MIB)
+        self.assertEqual(self.account.held_bytes, 0)
+
+    def test_check_agrees_with_what_may_be_cut(self):
+        self.fill(can_cut=True)
+        self.check(MIB)
+        with self.assertRaises(MemoryShortageError):
+            self.check(2 * MIB)
+        self.assertEqual(self.dropped, [])
+
+    def test_complete_messages_leave_no_room(self):
+        self.fill(can_cut=False)
+        with self.assertRaises(MemoryShortageError):
+            self.check(MIB)
+
+
 class RandomTest(AccountCase):
     def test_sum_never_exceeds_the_capacity(self):
         for seed in range(20):
