--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -5,13 +5,8 @@
 
 import curio
 
-from buckthorndeal._peer_channel import (
-    LINK_CODEC,
-    Channel,
-    Handler,
-    Introduction,
-    LinkOptions,
-)
+from buckthorndeal._peer_channel import Channel, Handler
+from buckthorndeal._peer_messages import LINK_CODEC, Introduction, LinkOptions
 from buckthorndeal.errors import AuthenticationError, PeerError, Verdict, WireError
 from buckthorndeal.logs import log_event
 from buckthorndeal.supervision import spawn_loop
