Book the messages of peers in the account of the process

Cause: a connection to a peer holds frames of up to 8 MiB, 1,000 queued messages, 256 running calls and their replies, each of any size; nothing bounds their sum. Change: a frame beyond 4 KiB is booked from its length on, and stays booked until it is handled; a reply until it is written; a queued message until it is sent or abandoned. Without room, a frame waits unread, for the limit of a silence at most, then the connection is lost; a message to a peer is refused as not run. A large frame has to be complete within four such limits. The body of a call is not kept while its reply is awaited.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -8,52 +8,39 @@
 import msgspec
 from absl import logging
 
+from buckthorndeal._peer_memory import ConnectionMemory
 from buckthorndeal._peer_messages import (
     Call,
+    ConnectionLost,
     Failure,
     Heartbeat,
+    IncomingReply,
     LinkOptions,
     Notice,
+    Outgoing,
+    OutgoingReply,
     Reply,
 )
-from buckthorndeal.errors import BuckthorndealError, PeerError, Verdict, WireError
+from buckthorndeal.errors import (
+    BuckthorndealError,
+    MemoryShortageError,
+    PeerError,
+    Verdict,
+    WireError,
+)
 from buckthorndeal.mailbox import Envelope, create_mailbox
+from buckthorndeal.memory import Booking, MemoryAccount, Use
 from buckthorndeal.transport import Stream
 from buckthorndeal.wire import Codec, Message, Session
 
 READ_BYTES = 65_536
 
 
-@dataclass(eq=False)
-class _Outgoing:
-    body: msgspec.Raw
-    is_call: bool
-    sent: bool = False
-    abandoned: bool = False
-
-
-@dataclass(frozen=True, eq=False)
-class _OutgoingReply:
-    connection: object
-    message: Message
-
-
-@dataclass(frozen=True, eq=False)
-class _IncomingReply:
-    connection: object
-    message: Message
-
-
-@dataclass(frozen=True, eq=False)
-class _ConnectionLost:
-    connection: object
-    reason: str
-
-
 @dataclass(eq=False)
 class _Connection:
     stream: Stream
     session: Session
+    memory: ConnectionMemory
     call_slots: curio.Semaphore
     last_sent_s: float
     # Not a curio.TaskGroup, because that keeps every finished task until it is joined
@@ -90,17 +77,26 @@
         the reply to a call. Calls are handled concurrently, notices in order.
     options : LinkOptions
         Timeouts and limits.
+    account : MemoryAccount
+        Account in which messages are booked.
     """
 
-    def __init__(self, codec: Codec, handler: "Handler", options: LinkOptions) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        handler: "Handler",
+        options: LinkOptions,
+        account: MemoryAccount,
+    ) -> None:
         self._codec = codec
         self._handler = handler
         self._options = options
+        self._account = account
         # Leaves room for received replies, of which there are at most as many as
         # calls, so that a full mailbox does not block reading.
         self._mailbox = create_mailbox(4 * options.max_queued)
         self._queued = 0
-        self._pending: dict[int, tuple[Envelope, _Outgoing]] = {}
+        self._pending: dict[int, tuple[Envelope, Outgoing]] = {}
         self._next_call_id = 0
         self.host: str | None = None
         self.connected = False
@@ -121,10 +117,11 @@
                 return await self._mailbox.ask(outgoing)
         except curio.TaskTimeout:
             raise PeerError(
-                f"no reply within {timeout_s:g} s", get_verdict(outgoing)
+                f"no reply within {timeout_s:g} s", outgoing.get_verdict()
             ) from None
         finally:
             outgoing.abandoned = True
+            outgoing.drop_body()
 
     async def send(self, message: Message) -> None:
         """Queue `message` without a reply; it is lost if the connection breaks.
@@ -132,11 +129,18 @@
         Raises
         ------
         PeerError
-            If the message cannot be encoded, the queue is full or the link is closed.
+            If the message cannot be encoded, the queue is full, there is no room for
+            the message or the link is closed.
         """
-        await self._mailbox.send(self._create_outgoing(message, is_call=False))
+        outgoing = self._create_outgoing(message, is_call=False)
+        try:
+            await self._mailbox.send(outgoing)
+        except BaseException:
+            outgoing.abandoned = True
+            outgoing.drop_body()
+            raise
 
-    def _create_outgoing(self, message: Message, is_call: bool) -> _Outgoing:
+    def _create_outgoing(self, message: Message, is_call: bool) -> Outgoing:
         if self._closed:
             raise PeerError("link is closed", Verdict.NOT_RUN)
         if self._queued + len(self._pending) >= self._options.max_queued:
@@ -145,7 +149,12 @@
             body = self._codec.encode(message)
         except WireError as error:
             raise PeerError(str(error), Verdict.NOT_RUN) from error
-        outgoing = _Outgoing(msgspec.Raw(body), is_call)
+        booking = self._account.open(Use.PEER, self.host or self)
+        try:
+            booking.resize(len(body))
+        except MemoryShortageError as error:
+            raise PeerError(str(error), Verdict.NOT_RUN) from error
+        outgoing = Outgoing(msgspec.Raw(body), is_call, booking)
         self._queued += 1
         return outgoing
 
@@ -158,8 +167,9 @@
         """Fail all messages that are queued but not sent."""
         while self._mailbox.size:
             envelope = await self._mailbox.receive()
-            if isinstance(envelope.message, _Outgoing):
+            if isinstance(envelope.message, Outgoing):
                 self._queued -= 1
+                envelope.message.drop_body()
                 await envelope.fail(PeerError(reason, Verdict.NOT_RUN))
 
     async def serve(
@@ -177,7 +187,12 @@
             Messages that were received together with the handshake.
         """
         call_slots = curio.Semaphore(self._options.max_running_calls)
-        connection = _Connection(stream, session, call_slots, await curio.clock())
+        memory = ConnectionMemory(
+            self._account, self.host or self, session, self._options.silence_s
+        )
+        connection = _Connection(
+            stream, session, memory, call_slots, await curio.clock()
+        )
         self.connected = True
         try:
             await connection.spawn(self._read, connection, early_messages)
@@ -188,23 +203,29 @@
             self.connected = False
             async with curio.disable_cancellation():
                 await connection.cancel_tasks()
+                memory.close()
                 await self._fail_pending()
 
     async def _process_mailbox(self, connection: _Connection) -> str:
         while True:
             envelope = await self._receive_or_heartbeat(connection)
             message = getattr(envelope, "message", None)
-            if isinstance(message, _Outgoing):
+            if isinstance(message, Outgoing):
                 self._queued -= 1
-                await self._send_outgoing(connection, envelope, message)
+                try:
+                    await self._send_outgoing(connection, envelope, message)
+                finally:
+                    message.drop_body()
             elif getattr(message, "connection", connection) is not connection:
                 # It was queued by a task of a previous connection.
                 continue
-            elif isinstance(message, _OutgoingReply):
+            elif isinstance(message, OutgoingReply):
                 await self._write(connection, message.message)
-            elif isinstance(message, _IncomingReply):
+                connection.memory.release(message.booking)
+            elif isinstance(message, IncomingReply):
                 await self._complete_call(message.message)
-            elif isinstance(message, _ConnectionLost):
+                connection.memory.release(message.booking)
+            elif isinstance(message, ConnectionLost):
                 return message.reason
 
     async def _receive_or_heartbeat(self, connection: _Connection) -> Envelope | None:
@@ -227,7 +248,7 @@
             del self._pending[call_id]
 
     async def _send_outgoing(
-        self, connection: _Connection, envelope: Envelope, outgoing: _Outgoing
+        self, connection: _Connection, envelope: Envelope, outgoing: Outgoing
     ) -> None:
         if outgoing.abandoned:
             return
@@ -279,32 +300,36 @@
             while True:
                 for message in messages:
                     await self._dispatch(connection, message)
+                await connection.memory.book_incomplete()
                 async with curio.timeout_after(self._options.silence_s):
                     data = await connection.stream.recv(READ_BYTES)
                 if not data:
                     raise ConnectionResetError("closed by the peer")
                 messages = connection.session.feed(data)
         except (OSError, WireError) as error:
-            await self._mailbox.send(_ConnectionLost(connection, repr(error)))
+            await self._mailbox.send(ConnectionLost(connection, repr(error)))
         except curio.TaskTimeout:
             await self._mailbox.send(
-                _ConnectionLost(
+                ConnectionLost(
                     connection, f"nothing received for {self._options.silence_s:g} s"
                 )
             )
         except Exception as error:
             # A connection that nobody reads would count as connected.
             logging.exception("reader of a connection failed")
-            await self._mailbox.send(_ConnectionLost(connection, repr(error)))
+            await self._mailbox.send(ConnectionLost(connection, repr(error)))
 
     async def _dispatch(self, connection: _Connection, message: Message) -> None:
+        booking = await connection.memory.take(message)
         if isinstance(message, Call):
             await connection.call_slots.acquire()
-            await connection.spawn(self._run_call, connection, message)
-        elif isinstance(message, Notice):
-            await self._run_notice(message)
+            await connection.spawn(self._run_call, connection, message, booking)
         elif isinstance(message, Reply | Failure):
-            await self._mailbox.send(_IncomingReply(connection, message))
+            await self._mailbox.send(IncomingReply(connection, message, booking))
+        else:
+            if isinstance(message, Notice):
+                await self._run_notice(message)
+            connection.memory.release(booking)
 
     async def _run_notice(self, notice: Notice) -> None:
         try:
@@ -314,13 +339,26 @@
         except Exception:
             logging.exception("handler of a notice failed")
 
-    async def _run_call(self, connection: _Connection, call: Call) -> None:
+    async def _run_call(
+        self, connection: _Connection, call: Call, booking: Booking | None
+    ) -> None:
         try:
             response = await self._run_handler(call)
-            await self._mailbox.send(_OutgoingReply(connection, response))
+            connection.memory.release(booking)
+            response, booking = await self._book_reply(connection, response)
+            reply = OutgoingReply(connection, response, booking)
+            await self._mailbox.send(reply)
         finally:
             await connection.call_slots.release()
 
+    async def _book_reply(
+        self, connection: _Connection, response: Reply | Failure
+    ) -> tuple[Reply | Failure, Booking | None]:
+        try:
+            return response, await connection.memory.book_message(response)
+        except MemoryShortageError as error:
+            return Failure(response.call_id, str(error)), None
+
     async def _run_handler(self, call: Call) -> Reply | Failure:
         try:
             result = await self._handler(self._codec.decode(call.body), self)
@@ -333,8 +371,3 @@
 
 
 Handler = Callable[[Any, Channel], Awaitable[Message | None]]
-
-
-def get_verdict(outgoing: _Outgoing) -> Verdict:
-    """Return whether the peer may have received the message."""
-    return Verdict.MAY_HAVE_RUN if outgoing.sent else Verdict.NOT_RUN
--- a/buckthorndeal/_peer_messages.py
+++ b/buckthorndeal/_peer_messages.py
@@ -1,11 +1,15 @@
-"""Options of links between peers, and the frames that they exchange."""
+"""Options of links between peers, their frames, and the messages of a channel."""
 
 from dataclasses import dataclass
 
 import msgspec
 
+from buckthorndeal.errors import Verdict
+from buckthorndeal.memory import Booking
 from buckthorndeal.wire import Message, create_codec
 
+EMPTY_BODY = msgspec.Raw(b"")
+
 
 @dataclass(frozen=True)
 class LinkOptions:
@@ -81,3 +85,49 @@
 
 
 LINK_CODEC = create_codec((Introduction, Call, Reply, Failure, Notice, Heartbeat))
+
+
+@dataclass(eq=False)
+class Outgoing:
+    """A message that waits to be sent; a call also for its reply."""
+
+    body: msgspec.Raw
+    is_call: bool
+    booking: Booking
+    sent: bool = False
+    abandoned: bool = False
+
+    def drop_body(self) -> None:
+        """Hold the body no more, as it is sent or will never be."""
+        self.body = EMPTY_BODY
+        self.booking.release()
+
+    def get_verdict(self) -> Verdict:
+        """Return whether the peer may have received the message."""
+        return Verdict.MAY_HAVE_RUN if self.sent else Verdict.NOT_RUN
+
+
+@dataclass(frozen=True, eq=False)
+class OutgoingReply:
+    """The reply to a call of the peer."""
+
+    connection: object
+    message: Message
+    booking: Booking | None
+
+
+@dataclass(frozen=True, eq=False)
+class IncomingReply:
+    """The reply of the peer to a call."""
+
+    connection: object
+    message: Message
+    booking: Booking | None
+
+
+@dataclass(frozen=True, eq=False)
+class ConnectionLost:
+    """Reports that a connection cannot be read any more."""
+
+    connection: object
+    reason: str
--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -9,6 +9,7 @@
 from buckthorndeal._peer_messages import LINK_CODEC, Introduction, LinkOptions
 from buckthorndeal.errors import AuthenticationError, PeerError, Verdict, WireError
 from buckthorndeal.logs import log_event
+from buckthorndeal.memory import MemoryAccount
 from buckthorndeal.supervision import spawn_loop
 from buckthorndeal.transport import Listener, Stream, Transport
 from buckthorndeal.wire import (
@@ -70,6 +71,7 @@
         self._keys = keys
         self._host = host
         self._options = options
+        self._account: MemoryAccount | None = None
         self._listener: Listener | None = None
 
     @property
@@ -84,6 +86,7 @@
 
     async def start(self, transport: Transport, address: str, port: int) -> None:
         """Listen on `address` and `port`."""
+        self._account = transport.memory
         self._listener = await transport.listen(address, port, self._serve_stream)
 
     async def close(self) -> None:
@@ -99,7 +102,7 @@
         except (WireError, curio.TaskTimeout) as error:
             log_event("peer_refused", reason=repr(error))
             return
-        channel = Channel(self._codec, self._handler, self._options)
+        channel = Channel(self._codec, self._handler, self._options, self._account)
         channel.host = peer
         try:
             reason = await channel.serve(stream, session, early_messages)
@@ -314,7 +317,7 @@
     `handler` receives the calls and notices that the peer sends over this link.
     """
     options = options or LinkOptions()
-    channel = Channel(codec, handler or _refuse_call, options)
+    channel = Channel(codec, handler or _refuse_call, options, transport.memory)
     return PeerLink(
         transport,
         address,
--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -181,6 +181,17 @@
             messages.append(self._codec.decode(payload))
         return messages
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """Size of the frame of which only a part has been received, in bytes.
+
+        It is 0 while the size is not known.
+        """
+        if len(self._buffer) < LENGTH_BYTES:
+            return 0
+        length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+        return LENGTH_BYTES + MAC_BYTES + length
+
     def _take_payload(self) -> bytes | None:
         if len(self._buffer) < LENGTH_BYTES:
             return None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,7 @@
 import curio
 
 from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.memory import create_memory_account
 from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
 from buckthorndeal.transport import (
     create_link_shape,
@@ -285,6 +286,7 @@
 
     def __init__(self):
         self.attempts = 0
+        self.memory = create_memory_account()
 
     async def connect(self, address, port):
         self.attempts += 1
