Refuse numbers of forwarded requests with more than 15 digits

Cause: Python refuses to convert numbers beyond 4,300 digits, so a signed header of a faulty host raised ValueError in place of AuthenticationError. The test fails on the code before.

--- a/buckthorndeal/forwarding.py
+++ b/buckthorndeal/forwarding.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import re
 from dataclasses import dataclass
 
 from buckthorndeal.errors import AuthenticationError, RequestError
@@ -21,6 +22,7 @@
 MAX_HOPS = 3
 # Maximum difference of the hosts' wall clocks in seconds; the same as for datagrams.
 REPLAY_WINDOW_S = 30.0
+_MILLISECONDS = re.compile(r"[0-9]{1,15}")
 SIGNED_HEADERS = (
     "buckthorndeal-origin",
     "buckthorndeal-hops",
@@ -203,9 +205,9 @@
 def _parse_headers(headers: dict[str, str]) -> ForwardedRequest:
     deadline = headers.get("buckthorndeal-deadline-ms", "")
     sent = headers.get("buckthorndeal-sent-ms", "")
-    if not (deadline.isdecimal() and sent.isdecimal()):
+    if not (_MILLISECONDS.fullmatch(deadline) and _MILLISECONDS.fullmatch(sent)):
         raise AuthenticationError(
-            f"deadline {deadline!r} or sending time {sent!r} is not a number"
+            f"deadline {deadline[:40]!r} or sending time {sent[:40]!r} is not a number"
         )
     return ForwardedRequest(
         headers.get("buckthorndeal-origin", ""),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -70,6 +70,14 @@
         with self.assertRaises(AuthenticationError):
             verify_request(self.sign(), "POST", "/x?y=1", b"body", (b"z" * 16,))
 
+    def test_number_that_is_too_long_is_refused(self):
+        """Guards against ValueError, which Python raises beyond 4,300 digits."""
+        for name in ("deadline_ms", "sent_ms"):
+            request = dataclasses.replace(REQUEST, **{name: "9" * 5_000})
+            headers = dict(sign_request(request, "POST", "/", b"", KEY))
+            with self.assertRaises(AuthenticationError):
+                verify_request(headers, "POST", "/", b"", (KEY,))
+
     def test_no_choice_of_next_hosts_causes_a_loop(self):
         """Guards against loops and second changes of region, for any chosen hosts."""
         rng = random.Random(7)
