Refuse settings files that are not text, or nested too deeply

Cause: UnicodeDecodeError and RecursionError are no SettingsError, so the reload of a damaged file ended in an unexpected error, without reload_failed in the log. Both tests fail on the code before.

--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -222,6 +222,8 @@
             text = stream.read()
     except OSError as error:
         raise SettingsError(file, "$", None, error.strerror or str(error)) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(file, "$", None, f"UTF-8 text ({error})") from error
     return parse_settings(text, model, file)
 
 
@@ -249,7 +251,7 @@
     """
     try:
         raw = jsonc.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(file, "$", None, f"valid JSON ({error})") from error
     try:
         return msgspec.convert(raw, model, strict=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,9 +1,11 @@
 """Tests of settings files."""
 
+import pathlib
+import tempfile
 import unittest
 
 from buckthorndeal.errors import SettingsError
-from buckthorndeal.settings import EntrySettings, parse_settings
+from buckthorndeal.settings import EntrySettings, load_settings, parse_settings
 
 VALID = """{
   // Comments are allowed.
@@ -39,6 +41,19 @@
         with self.assertRaisesRegex(SettingsError, "regoin"):
             parse_settings(text, EntrySettings, "entry.jsonc")
 
+    def test_file_that_is_not_text_is_refused(self):
+        """Guards against UnicodeDecodeError, which ends a reload without its log."""
+        with tempfile.TemporaryDirectory() as directory:
+            file = pathlib.Path(directory) / "entry.jsonc"
+            file.write_bytes(b"\xff" + VALID.encode())
+            with self.assertRaises(SettingsError):
+                load_settings(str(file), EntrySettings)
+
+    def test_deeply_nested_text_is_refused(self):
+        """Guards against RecursionError of the parser."""
+        with self.assertRaises(SettingsError):
+            parse_settings("[" * 5_000, EntrySettings, "entry.jsonc")
+
 
 if __name__ == "__main__":
     unittest.main()
