--- a/buckthorndeal/_operations_client.py
+++ b/buckthorndeal/_operations_client.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from buckthorndeal.control._models import ApiError, ApiErrorBody
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import DECODING_ERRORS, RequestError, Verdict
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.settings import PeerAddress
 from buckthorndeal.transport import Transport
@@ -137,7 +137,7 @@
     """Return the error in the body of an error response."""
     try:
         return msgspec.json.decode(data, type=ApiErrorBody).error
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return ApiError(
             code="bad_answer", message="the response body cannot be decoded"
         )
--- a/buckthorndeal/consensus/_logstore_disk.py
+++ b/buckthorndeal/consensus/_logstore_disk.py
@@ -26,7 +26,7 @@
 )
 from buckthorndeal.consensus._logstore_base import LogStore, StoredState
 from buckthorndeal.consensus._records import Ballot, Entry, Snapshot, select_suffix
-from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.errors import DECODING_ERRORS, CorruptStoreError, StoreError
 
 FILE_HEADER = b"BDLOG\x00\x00\x01"
 # Length, checksum of length and offset, checksum of the payload. The first checksum
@@ -317,7 +317,7 @@
 def _decode(payload: bytes, model: type, file: str, offset: int) -> Any:
     try:
         return msgspec.msgpack.decode(payload, type=model)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise CorruptStoreError(file, offset, f"record is invalid: {error}") from error
 
 
--- a/buckthorndeal/control/_api.py
+++ b/buckthorndeal/control/_api.py
@@ -15,6 +15,7 @@
 from buckthorndeal.control._subscriptions import ListSubscribers
 from buckthorndeal.document import Document, create_diff
 from buckthorndeal.errors import (
+    DECODING_ERRORS,
     ForbiddenError,
     NotLeaderError,
     RequestError,
@@ -308,7 +309,7 @@
 def _decode_body(data: bytes, model: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=model)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise RequestError("bad_request", 400, str(error)) from error
 
 
--- a/buckthorndeal/entry/_attempts.py
+++ b/buckthorndeal/entry/_attempts.py
@@ -17,7 +17,7 @@
     Route,
 )
 from buckthorndeal.entry._routes import end_attempt, get_target_name
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import DECODING_ERRORS, RequestError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.http_client import ClientResponse
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult, EndpointView
@@ -277,7 +277,7 @@
             Verdict(value),
             error["retry_after_s"],
         )
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as reason:
+    except (*DECODING_ERRORS, KeyError, TypeError, ValueError) as reason:
         raise create_mismatch_error(f"malformed refusal: {reason}") from reason
     if refusal.verdict is Verdict.NOT_RUN:
         # The other host guarantees that this dispatch did not run.
--- a/buckthorndeal/entry/_calls.py
+++ b/buckthorndeal/entry/_calls.py
@@ -33,7 +33,7 @@
     Route,
 )
 from buckthorndeal.entry._routes import choose_route, get_target_name, log_route
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import DECODING_ERRORS, RequestError, Verdict
 from buckthorndeal.policy.views import AttemptOutcome, Decision
 
 RETRY_AFTER_S = 1.0
@@ -199,7 +199,7 @@
     """Record the token counts of a model's response, if it has any."""
     try:
         usage = _COMPLETION_DECODER.decode(response.body).usage
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return
     if usage is None:
         return
--- a/buckthorndeal/entry/_endpoint_handler.py
+++ b/buckthorndeal/entry/_endpoint_handler.py
@@ -7,7 +7,7 @@
 from buckthorndeal.entry._context import EntryContext
 from buckthorndeal.entry._messages import GetDocument, ListEndpoints, ListRegionHosts
 from buckthorndeal.entry._reports import EndpointReported
-from buckthorndeal.errors import RequestError
+from buckthorndeal.errors import DECODING_ERRORS, RequestError
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.registry import (
     Accepted,
@@ -44,7 +44,7 @@
         message = msgspec.json.decode(
             request.body, type=ENDPOINT_MESSAGES[request.path]
         )
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise RequestError("bad_request", 400, str(error)) from error
     if isinstance(message, Announcement) and message.region != context.region:
         raise RequestError(
--- a/buckthorndeal/entry/_parse.py
+++ b/buckthorndeal/entry/_parse.py
@@ -7,7 +7,7 @@
 
 from buckthorndeal.authentication import Identity
 from buckthorndeal.entry._messages import Call, DocumentView
-from buckthorndeal.errors import AuthenticationError, RequestError
+from buckthorndeal.errors import DECODING_ERRORS, AuthenticationError, RequestError
 from buckthorndeal.forwarding import (
     ForwardedRequest,
     ReplayGuard,
@@ -161,7 +161,7 @@
         )
     try:
         fields = msgspec.json.decode(request.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         reason = f"the body is not JSON: {error}"
         raise RequestError("bad_request", 400, reason) from error
     if not isinstance(fields, dict) or not isinstance(fields.get("model"), str):
--- a/buckthorndeal/entry/_store.py
+++ b/buckthorndeal/entry/_store.py
@@ -8,7 +8,12 @@
 from buckthorndeal._files import make_directory, replace_file, sync_directory
 from buckthorndeal.control._messages import DocumentContent
 from buckthorndeal.document import Document, create_document, restore_document
-from buckthorndeal.errors import CorruptStoreError, StoreError, ValidationError
+from buckthorndeal.errors import (
+    DECODING_ERRORS,
+    CorruptStoreError,
+    StoreError,
+    ValidationError,
+)
 
 FILE_NAME = "document"
 MAGIC = b"BKDDOC1\n"
@@ -71,7 +76,7 @@
         try:
             content = msgspec.msgpack.decode(payload, type=DocumentContent)
             return read_content(content)
-        except (msgspec.DecodeError, ValidationError) as error:
+        except (*DECODING_ERRORS, ValidationError) as error:
             raise CorruptStoreError(self._path, start, str(error)) from error
 
     def save(self, document: Document) -> None:
--- a/buckthorndeal/ledger/_claim_disk.py
+++ b/buckthorndeal/ledger/_claim_disk.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from buckthorndeal._files import make_directory, replace_file, sync_directory
-from buckthorndeal.errors import CorruptStoreError, StoreError
+from buckthorndeal.errors import DECODING_ERRORS, CorruptStoreError, StoreError
 from buckthorndeal.ledger._claim_records import (
     ClaimSnapshot,
     Record,
@@ -132,7 +132,7 @@
     def _apply(self, snapshot: ClaimSnapshot, payload: bytes, offset: int) -> None:
         try:
             self.identity = apply_payload(snapshot, payload) or self.identity
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             raise CorruptStoreError(self._path, offset, str(error)) from error
 
     def _truncate_torn_frame(self, data: bytes, offset: int) -> None:
--- a/buckthorndeal/operations.py
+++ b/buckthorndeal/operations.py
@@ -29,7 +29,7 @@
     SectionBody,
     StatusBody,
 )
-from buckthorndeal.errors import RequestError
+from buckthorndeal.errors import DECODING_ERRORS, RequestError
 from buckthorndeal.statemachine import (
     ChangeAccepted,
     ChangeAnswer,
@@ -348,7 +348,7 @@
     try:
         with open(_get_pending_path(file), "rb") as stream:
             pending = msgspec.json.decode(stream.read(), type=_PendingChange)
-    except (FileNotFoundError, msgspec.MsgspecError) as error:
+    except (FileNotFoundError, *DECODING_ERRORS) as error:
         raise RequestError(
             "not_edited", 400, f"{file} was not created by the command 'edit'"
         ) from error
@@ -383,7 +383,7 @@
 def _decode_body(data: bytes, model: Any) -> Any:
     try:
         return msgspec.json.decode(data, type=model)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise RequestError(
             "bad_answer", 502, f"the response body cannot be decoded: {error}"
         ) from error
--- a/buckthorndeal/sections.py
+++ b/buckthorndeal/sections.py
@@ -208,7 +208,7 @@
     """
     try:
         raw = jsonc.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ValidationError(name, "$", f"not valid JSON: {error}") from error
     try:
         return msgspec.convert(raw, SECTION_MODELS.get(name, dict[str, Any]))
--- a/buckthorndeal/statemachine/__init__.py
+++ b/buckthorndeal/statemachine/__init__.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from buckthorndeal.document import Document, create_splice, restore_document
+from buckthorndeal.errors import DECODING_ERRORS
 from buckthorndeal.ledger import LedgerView
 from buckthorndeal.statemachine._document_state import (
     DocumentState,
@@ -89,7 +90,7 @@
     """Return the command in the data of a log entry; None if it is not valid."""
     try:
         return msgspec.msgpack.decode(data, type=Command)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
 
 
@@ -238,7 +239,7 @@
             return None
         try:
             command = msgspec.msgpack.decode(data, type=Command)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             return CommandRefused(reason=str(error))
         return self._apply(command)
 
