Bound the length of a configuration while it is decompressed

Cause: 305,767 bytes of a peer, or of the log, could stand for a text of 300 MiB; decompressing it took 611 MB (run alone). A frame of 8 MiB could stand for 8 GB. Content that is cut off is refused, too.

--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -1,9 +1,9 @@
 """Task that owns the replica of the configuration and the evacuations."""
 
-import zlib
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 
+from buckthorndeal._configuration_content import decompress_content
 from buckthorndeal.consensus import (
     ElasticPolicy,
     EntryKind,
@@ -126,9 +126,15 @@
         return super()._is_compaction_due()
 
     def read_content(self) -> bytes:
-        """Return the configuration as the operator wrote it; empty if there is none."""
+        """Return the configuration as the operator wrote it; empty if there is none.
+
+        Raises
+        ------
+        ConfigurationError
+            If what is stored cannot be read.
+        """
         stored = self._machine.configuration
-        return zlib.decompress(stored.content) if stored else b""
+        return decompress_content(stored.content) if stored else b""
 
     def _get_version(self) -> int | None:
         stored = self._machine.configuration
