Read JSON with comments in time and memory in proportion to its size

Quotes that do not end, as in a comment, took time that grows with the square of the text. A quote in a comment no longer hides nesting from check_nesting.

--- a/buckthorndeal/configuration.py
+++ b/buckthorndeal/configuration.py
@@ -38,7 +38,10 @@
 MAX_COUNT = 2**53
 # A week; the timers of the operating system take up to 24 days.
 MAX_DURATION_S = 604_800.0
-_NESTING = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# A string or a comment is taken at once, also one that does not end.
+_NESTING = re.compile(
+    rb'"(?:[^"\\]++|\\.)*+"?|//[^\n]*+|/\*.*?(?:\*/|\Z)|[\[\]{}]', re.DOTALL
+)
 HASH_RANGE = 1 << (8 * HASH_BYTES)
 
 
--- a/buckthorndeal/sections.py
+++ b/buckthorndeal/sections.py
@@ -2,10 +2,10 @@
 
 from typing import Annotated, Any, Literal
 
-import jsonc
 import msgspec
 from msgspec import Meta
 
+from buckthorndeal._json_text import parse_json
 from buckthorndeal.errors import ValidationError
 from buckthorndeal.settings import split_validation_error
 
@@ -207,8 +207,8 @@
         If the text is not valid JSON with comments or does not match the model.
     """
     try:
-        raw = jsonc.loads(text)
-    except (ValueError, RecursionError) as error:
+        raw = parse_json(text)
+    except ValueError as error:
         raise ValidationError(name, "$", f"not valid JSON: {error}") from error
     try:
         return msgspec.convert(raw, SECTION_MODELS.get(name, dict[str, Any]))
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -3,10 +3,10 @@
 import re
 from typing import Annotated, Any, Literal, TypeVar
 
-import jsonc
 import msgspec
 from msgspec import Meta
 
+from buckthorndeal._json_text import parse_json
 from buckthorndeal.errors import SettingsError
 
 __all__ = [
@@ -250,8 +250,8 @@
         If the text cannot be parsed or validated.
     """
     try:
-        raw = jsonc.loads(text)
-    except (ValueError, RecursionError) as error:
+        raw = parse_json(text)
+    except ValueError as error:
         raise SettingsError(file, "$", None, f"valid JSON ({error})") from error
     try:
         return msgspec.convert(raw, model, strict=True)
--- a/tests/decoder_fuzz.py
+++ b/tests/decoder_fuzz.py
@@ -22,6 +22,7 @@
 MAX_MEMORY_RATIO = 64
 MAX_MEMORY_BYTES = 2_000_000
 NESTING = 5_000
+LONG_STRING_BYTES = 30_000
 LONG_DIGITS = b"9" * 5_000
 TOKENS = (
     b"0",
@@ -59,6 +60,9 @@
     b'{"a":' * NESTING + b"1" + b"}" * NESTING,
     b"\x91" * NESTING + b"\xc0",
     b"\x81\xa1a" * NESTING + b"\xc0",
+    b'"' + b"a" * LONG_STRING_BYTES + b'"',
+    b'"' + b"\\n" * (LONG_STRING_BYTES // 2) + b'"',
+    b'"' + b'\\"' * (LONG_STRING_BYTES // 2),
 )
 
 
