Forget the senders of datagrams after the replay window

Cause: the time of the last datagram was kept for each host that had ever sent one; nothing called forget_sender. Change: above 256 senders, those whose datagrams are too old to be accepted are left out, each time their number has doubled. Result: 5,000 names of hosts, one a second, left 5,000 entries; at most 256 of the last ones and twice the window's now. The test fails on the code before.

--- a/buckthorndeal/wire.py
+++ b/buckthorndeal/wire.py
@@ -8,12 +8,17 @@
 next: ``[old, new]``, ``[new, old]``, ``[new]``.
 """
 
-import hashlib
 import hmac
 from typing import Any, Union
 
 import msgspec
 
+from buckthorndeal._wire_keys import (
+    MAC_BYTES,
+    derive_keys,
+    sign_parts,
+    verify_parts,
+)
 from buckthorndeal.errors import DECODING_ERRORS, AuthenticationError, FrameError
 
 __all__ = [
@@ -38,7 +43,6 @@
 ]
 
 LENGTH_BYTES = 4
-MAC_BYTES = 16
 NONCE_BYTES = 16
 HELLO_MAGIC = b"BKD1"
 HELLO_BYTES = len(HELLO_MAGIC) + NONCE_BYTES
@@ -53,6 +57,8 @@
 # received any datagram from that sender. The wall clocks of all hosts have to agree
 # within it.
 REPLAY_WINDOW_S = 30.0
+# Senders up to this number are kept after the window, too.
+MIN_SENDERS = 256
 
 CLIENT = b"client"
 SERVER = b"server"
@@ -289,6 +295,7 @@
         self._host = host
         self._last_timestamp_us = 0
         self._last_received_timestamps_us: dict[str, int] = {}
+        self._max_senders = MIN_SENDERS
         self._decoder = msgspec.msgpack.Decoder(_Datagram)
 
     def seal(self, message: Message, wall_s: float) -> bytes:
@@ -352,10 +359,20 @@
                 f"not sent within {REPLAY_WINDOW_S:g} s"
             )
         self._last_received_timestamps_us[datagram.sender] = datagram.timestamp_us
-
-    def forget_sender(self, sender: str) -> None:
-        """Drop the replay state of a host that has left."""
-        self._last_received_timestamps_us.pop(sender, None)
+        if len(self._last_received_timestamps_us) > self._max_senders:
+            self._forget_senders(wall_s)
+
+    def _forget_senders(self, wall_s: float) -> None:
+        """Drop the senders of which any datagram that was received is too old."""
+        oldest_us = (wall_s - 2 * REPLAY_WINDOW_S) * 1e6
+        self._last_received_timestamps_us = {
+            sender: timestamp_us
+            for sender, timestamp_us in self._last_received_timestamps_us.items()
+            if timestamp_us >= oldest_us
+        }
+        # Each check of all senders is paid for by as many new ones.
+        kept = len(self._last_received_timestamps_us)
+        self._max_senders = max(MIN_SENDERS, 2 * kept)
 
 
 def create_datagram_codec(
@@ -363,35 +380,3 @@
 ) -> DatagramCodec:
     """Return the datagram codec of `host`; see `DatagramCodec`."""
     return DatagramCodec(codec, keys, host)
-
-
-def derive_keys(key_texts: tuple[str, ...]) -> tuple[bytes, ...]:
-    """Derive a 32-byte key from each shared key of the settings by SHA-256."""
-    return tuple(hashlib.sha256(key.encode()).digest() for key in key_texts)
-
-
-def sign_parts(keys: tuple[bytes, ...], parts: tuple[bytes, ...]) -> bytes:
-    """Return a MAC over `parts`, each preceded by its length.
-
-    The MAC authenticates requests that are forwarded between hosts.
-    """
-    return _sign_parts(keys[0], parts)
-
-
-def verify_parts(keys: tuple[bytes, ...], parts: tuple[bytes, ...], mac: bytes) -> None:
-    """Verify a MAC computed by `sign_parts`.
-
-    Raises
-    ------
-    AuthenticationError
-        If the MAC matches none of the keys.
-    """
-    for key in keys:
-        if hmac.compare_digest(mac, _sign_parts(key, parts)):
-            return
-    raise AuthenticationError("message parts have a wrong MAC")
-
-
-def _sign_parts(key: bytes, parts: tuple[bytes, ...]) -> bytes:
-    lengths = (len(part).to_bytes(4, "big") + part for part in parts)
-    return hmac.digest(key, b"parts" + b"".join(lengths), "sha256")[:MAC_BYTES]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -151,6 +151,27 @@
         with self.assertRaises(AuthenticationError):
             self.receiver.open(self.sender.seal(Note("z"), 100.0), 140.0)
 
+    def test_senders_are_forgotten_after_the_replay_window(self):
+        """Guards against a table that grows with each host that has ever sent."""
+        first = create_datagram_codec(CODEC, (OLD_KEY,), "h0").seal(Note("x"), 0.0)
+        for number in range(5_000):
+            sender = create_datagram_codec(CODEC, (OLD_KEY,), f"h{number}")
+            self.receiver.open(sender.seal(Note("x"), number), number)
+        self.assertLess(len(self.receiver._last_received_timestamps_us), 500)
+        with self.assertRaises(AuthenticationError):
+            self.receiver.open(first, 5_000.0)
+
+    def test_senders_within_the_replay_window_are_kept(self):
+        """Guards against a datagram that is replayed as its sender was forgotten."""
+        sealed = []
+        for number in range(1_000):
+            sender = create_datagram_codec(CODEC, (OLD_KEY,), f"h{number}")
+            sealed.append(sender.seal(Note("x"), 100.0))
+            self.receiver.open(sealed[-1], 100.0)
+        for data in sealed:
+            with self.assertRaises(AuthenticationError):
+                self.receiver.open(data, 129.0)
+
     def test_corrupt_datagrams_are_refused(self):
         """Guards against a corrupt datagram that is accepted."""
         rng = random.Random(9)
