--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -6,6 +6,7 @@
 import collections
 import json
 import os
+import secrets
 import subprocess
 import sys
 import time
@@ -14,8 +15,20 @@
 import curio
 import msgspec
 
+from buckthorndeal._peer_messages import LINK_CODEC, Introduction
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.settings import Limits
+from buckthorndeal.wire import (
+    CLIENT,
+    HELLO_BYTES,
+    LENGTH_BYTES,
+    MAX_FRAME_BYTES,
+    NONCE_BYTES,
+    create_hello,
+    create_session,
+    derive_keys,
+    parse_hello,
+)
 from tests.control_harness import ROOT, find_ports
 from tests.fleet_harness import REQUEST_ID, create_stream_events
 from tests.stop_play import DEADLINE_S, StopPlay
@@ -33,6 +46,7 @@
 HELD_CONNECTIONS = 120
 WORK_S = 0.02
 SOUND_CALLERS = 10
+PEER_KEY = "00112233445566778899aabbccddeeff"
 SOUND_PAUSE_S = 0.1
 
 
@@ -42,7 +56,7 @@
 
     Each of the `manners` is a way in which faulty endpoints send for ever, at
     `rate_bytes_s` on each connection; `targets` get request bodies that lack their
-    last byte.
+    last byte, and `peers` connections between hosts hold a frame in the same way.
     """
 
     manners: tuple[str, ...] = ()
@@ -50,6 +64,7 @@
     callers: int = 60
     stream_share: float = 0.0
     targets: tuple[str, ...] = ()
+    peers: int = 0
     seconds: float = 6.0
 
 
@@ -105,6 +120,9 @@
             if self.options.manners:
                 for _ in range(self.options.callers):
                     await group.spawn(self._call_faulty, until_s)
+            for number in range(self.options.peers):
+                host = (self.hosts[0], self.coordinator)[number % 2]
+                await group.spawn(self._hold_frame, host, f"p{number}", until_s)
             for target in self.options.targets:
                 for _ in range(HELD_CONNECTIONS):
                     await group.spawn(self._hold_body, target, until_s)
@@ -162,6 +180,29 @@
         finally:
             await stream.close()
 
+    async def _hold_frame(self, host, peer, until_s):
+        """Send all but the last byte of a frame as a peer that has the key."""
+        stream = await self.transport.connect(host, self.ports["peer_listen"])
+        try:
+            async with curio.timeout_after(max(0.1, until_s - time.monotonic())):
+                await self._introduce(stream, peer)
+                await stream.sendall(MAX_FRAME_BYTES.to_bytes(LENGTH_BYTES, "big"))
+                for _ in range(MAX_FRAME_BYTES // PART_BYTES):
+                    await stream.sendall(PART)
+                await curio.sleep(DEADLINE_S)
+        except (OSError, curio.TaskTimeout):
+            pass
+        finally:
+            await stream.close()
+
+    async def _introduce(self, stream, peer):
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        await stream.sendall(create_hello(nonce))
+        server_nonce = parse_hello(await stream.recv(HELLO_BYTES))
+        keys = derive_keys((PEER_KEY,))
+        session = create_session(LINK_CODEC, keys, CLIENT, nonce, server_nonce)
+        await stream.sendall(session.seal(Introduction(peer)))
+
     def _get_target(self, target):
         if target == "gateway":
             return self.hosts[0], self.ports["listen"], f"/idempotent/{WORK_S}"
@@ -368,10 +409,12 @@
     "requests": MemoryOptions(targets=("gateway",), seconds=4.0),
     "heartbeats": MemoryOptions(targets=("heartbeat",), seconds=4.0),
     "configurations": MemoryOptions(targets=("configuration",), seconds=4.0),
+    "peers": MemoryOptions(peers=80, seconds=5.0),
     "all": MemoryOptions(
         manners=("chunks", "length", "event", "header"),
         stream_share=0.5,
         targets=("gateway", "heartbeat", "configuration"),
+        peers=80,
         seconds=10.0,
     ),
 }
--- a/tests/test_memory_play.py
+++ b/tests/test_memory_play.py
@@ -43,6 +43,10 @@
         """Guards against bounds of single bodies whose sum has no bound."""
         self.check("configurations")
 
+    def test_frames_without_end_do_not_fill_a_host(self):
+        """Guards against frames of 8 MiB from many peers at once."""
+        self.check("peers")
+
 
 if __name__ == "__main__":
     unittest.main()
