Bound the content that a compressed configuration may expand to

Cause: four places decompressed what another process had sent without a bound, so a message of some KiB could fill the memory of a process. Damaged content raised an error of the compression library.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -3,7 +3,6 @@
 import os
 import random
 import time
-import zlib
 from collections.abc import Callable
 
 import curio
@@ -45,7 +44,7 @@
     RateLimitsReceived,
 )
 from buckthorndeal.coordinator._version_store import create_disk_version_store
-from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.errors import PeerError, Verdict, WireError
 from buckthorndeal.fleet import (
     FLEET_CODEC,
     LINK_OPTIONS,
@@ -301,7 +300,7 @@
         self._published_home_counts_version = version
         try:
             configuration = self._codec.decode(self._replica.read_content())
-        except (ConfigurationError, zlib.error) as error:
+        except (ConfigurationError, WireError) as error:
             log_event("configuration_unreadable", version=version, reason=str(error))
             return
         home_counts = count_home_routes(configuration)
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -1,9 +1,9 @@
 """Task that owns the replica of the configuration and the evacuations."""
 
-import zlib
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 
+from buckthorndeal.compression import decompress_content
 from buckthorndeal.consensus import (
     ElasticPolicy,
     EntryKind,
@@ -128,7 +128,7 @@
     def read_content(self) -> bytes:
         """Return the configuration as the operator wrote it; empty if there is none."""
         stored = self._machine.configuration
-        return zlib.decompress(stored.content) if stored else b""
+        return decompress_content(stored.content) if stored else b""
 
     def _get_version(self) -> int | None:
         stored = self._machine.configuration
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -1,7 +1,6 @@
 """Operations of a coordinator behind its HTTP API."""
 
-import zlib
-
+from buckthorndeal.compression import compress_content, decompress_content
 from buckthorndeal.configuration import ConfigurationCodec, check_nesting
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
@@ -172,7 +171,7 @@
         """
         version = self._codec.decode(content).version
         check_nesting(content)
-        compressed = zlib.compress(content)
+        compressed = compress_content(content)
         reply = await self._ask_leader(
             StoreConfiguration(PutConfiguration(version=version, content=compressed)),
             ProposeConfiguration(version, compressed),
@@ -217,7 +216,7 @@
             isinstance(reply, ConfigurationContent) and reply.version is None
         ):
             return None
-        return zlib.decompress(reply.content)
+        return decompress_content(reply.content)
 
     async def leave_cluster(self, host: str) -> None:
         """Remove a host from the voters, unless the others would be too few.
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -1,18 +1,18 @@
 """Task that tracks the coordinators, entry hosts and configuration of a gateway."""
 
-import zlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import curio
 
+from buckthorndeal.compression import decompress_content
 from buckthorndeal.configuration import (
     Configuration,
     ConfigurationCodec,
     ConfigurationError,
 )
-from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.errors import PeerError, Verdict, WireError
 from buckthorndeal.fleet import (
     Acknowledged,
     ClusterNotice,
@@ -446,8 +446,8 @@
     async def _apply_content(self, content: ConfigurationContent) -> None:
         if self._versions.end_fetch(content.version, self._clock()):
             try:
-                configuration = self._codec.decode(zlib.decompress(content.content))
-            except (ConfigurationError, zlib.error) as error:
+                configuration = self._codec.decode(decompress_content(content.content))
+            except (ConfigurationError, WireError) as error:
                 log_event(
                     "configuration_unreadable",
                     version=content.version,
