--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -52,6 +52,7 @@
 )
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
+from buckthorndeal.gateway._evacuations import NotedEvacuations
 from buckthorndeal.gateway._fleet_messages import (
     EndpointLeft,
     FleetChanged,
@@ -154,12 +155,9 @@
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
         self._known_hosts = KnownEntryHosts(self._entry_hosts)
-        self._log_index = 0
         self._configuration_version: int | None = None
         self._versions = AnnouncedVersions()
-        self._committed_evacuations: frozenset[str] = frozenset()
-        self._pending_evacuations: dict[str, frozenset[str]] = {}
-        self._evacuated: frozenset[str] = frozenset()
+        self._evacuations = NotedEvacuations()
         self._fleet: FleetChanged | None = None
         self._status_due_s = clock()
 
@@ -305,33 +303,10 @@
     async def _(self, message: ClusterNotice, host: str) -> None:
         if message.version is not None:
             self._versions.announce(host, message.version)
-        if self._record_evacuations(message, host):
+        if self._evacuations.record(message, host, self._connected):
             await self._update_fleet()
         await self._fetch_if_newer()
 
-    def _record_evacuations(self, message: ClusterNotice, host: str) -> bool:
-        """Record the evacuations of a notice; return whether they have changed."""
-        pending = self._pending_evacuations
-        if message.index > self._log_index:
-            # A leader decides on them. Those that it commits come without them.
-            for each in set(pending) - self._connected:
-                del pending[each]
-        if message.index >= self._log_index:
-            self._log_index = message.index
-            self._committed_evacuations = frozenset(message.evacuated)
-        pending[host] = frozenset(message.pending)
-        evacuated = self._committed_evacuations.union(*pending.values())
-        if evacuated == self._evacuated:
-            return False
-        log_event(
-            "evacuations_changed",
-            evacuated=sorted(evacuated),
-            index=message.index,
-            source=host,
-        )
-        self._evacuated = evacuated
-        return True
-
     @_handle_peer_message.register
     async def _(self, message: ControlStatus, host: str) -> None:
         self._coordinators.update(message.hosts, self._clock())
@@ -403,14 +378,17 @@
 
     def _create_status(self) -> EntryStatus:
         entry = self._describe_self()
-        return EntryStatus(entry, self._log_index, self._configuration_version)
+        return EntryStatus(
+            entry, self._evacuations.log_index, self._configuration_version
+        )
 
     async def _update_fleet(self) -> None:
         now_s = self._clock()
         age_s = self._known_hosts.get_age_s(now_s)
         self._known_hosts.update(len(self._links.hosts), now_s)
         own = self._describe_self()
-        fleet = describe_fleet(self._known_hosts, own, self._evacuated)
+        evacuated = self._evacuations.evacuated
+        fleet = describe_fleet(self._known_hosts, own, evacuated)
         if fleet != self._fleet:
             self._fleet = fleet
             log_event(
@@ -418,7 +396,7 @@
                 region_hosts=list(fleet.region_hosts),
                 relay_hosts=list(fleet.relay_hosts),
                 total_hosts=fleet.total_hosts,
-                evacuated=sorted(self._evacuated),
+                evacuated=sorted(evacuated),
                 kept=list(self._known_hosts.kept),
                 complete_ms_ago=None if age_s is None else round(age_s * 1000),
             )
