Answer what comes on a connection that was not told of its end

Cause: the head of a response that began before a drain does not announce the end of its connection, but the server closed the connection after it. The caller sends its next request at once; the server may have read it beside the response, and dropped it (LOST). At the close, a request that had arrived on an idle connection and was not read yet was dropped in the same way.

Change: a connection ends only after a response that announced it. During a drain the others are kept until the server closes, and their next response announces the end. The close first waits for the running requests, then ends the connections on which nothing has arrived, and refuses what has (503, not run). Waiting for requests is a module of its own.

--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -7,6 +7,7 @@
 import msgspec
 from absl import logging
 
+from buckthorndeal._http_idle import IdleConnections
 from buckthorndeal._http_reading import READ_BYTES, Request, read_request
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
@@ -94,8 +95,7 @@
         self._listener: Listener | None = None
         self._draining = False
         self.closing = False
-        # Tasks of the connections that wait for a request, and of running handlers.
-        self._idle: set[curio.Task] = set()
+        self._idle = IdleConnections()
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
@@ -118,19 +118,22 @@
         self._limits = limits
 
     def announce_drain(self) -> None:
-        """Close connections after their next response, but accept new ones."""
+        """Close connections after their next response, but accept new ones.
+
+        A connection whose caller has not been told is kept until the server closes.
+        """
         self._draining = True
 
     async def drain(self) -> None:
-        """Stop accepting connections; close them after their current request."""
+        """Stop accepting connections, and close them as `announce_drain` does."""
         self._draining = True
         await self._listener.stop_accepting()
 
     async def close(self) -> None:
         """Answer the running requests, and close all connections.
 
-        Requests that arrive meanwhile are refused. A response that has started and is
-        not complete is cut off; one that is being sent has `CLOSE_TIMEOUT_S` for it.
+        Requests that have arrived by then are refused. A response that has started and
+        is not complete is cut off; one that is being sent has `CLOSE_TIMEOUT_S` for it.
         """
         self._draining = True
         self.closing = True
@@ -138,18 +141,20 @@
             if not responder.ended:
                 await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
-        for connection in list(self._idle):
-            await connection.cancel(blocking=False)
-        await curio.ignore_after(CLOSE_TIMEOUT_S, self._wait_until_answered)
+        await curio.ignore_after(CLOSE_TIMEOUT_S, self._answer_requests)
         await self._listener.close()
 
     async def abort(self) -> None:
         """Cut off all connections without an answer, as a crash does."""
         await self._listener.close()
 
-    async def _wait_until_answered(self) -> None:
+    async def _answer_requests(self) -> None:
+        """Wait until all requests that have arrived are answered."""
         while self.active_requests:
             await curio.sleep(CLOSE_POLL_INTERVAL_S)
+        await self._idle.close()
+        while self.active_requests or self._idle:
+            await curio.sleep(CLOSE_POLL_INTERVAL_S)
 
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
@@ -209,7 +214,9 @@
         self, stream: Stream, connection: h11.Connection, limits: Limits
     ) -> None:
         while True:
-            if not await self._wait_for_request(stream, connection):
+            if not await self._idle.wait_for_request(
+                stream, connection, self._get_idle_timeout_s
+            ):
                 return
             if limits is not self._limits:
                 limits = self._limits
@@ -221,37 +228,13 @@
                     return
             finally:
                 self.active_requests -= 1
-            if connection.our_state is not h11.DONE or self._draining:
-                return
-            if connection.their_state is not h11.DONE:
+            # A caller that was not told of a drain may have sent its next request.
+            if (connection.our_state, connection.their_state) != (h11.DONE, h11.DONE):
                 return
             connection.start_next_cycle()
 
-    async def _wait_for_request(
-        self, stream: Stream, connection: h11.Connection
-    ) -> bool:
-        """Wait for the first bytes of a request; return False if none come."""
-        task = await curio.current_task()
-        self._idle.add(task)
-        try:
-            return await self._wait_for_data(stream, connection)
-        finally:
-            self._idle.discard(task)
-
-    async def _wait_for_data(self, stream: Stream, connection: h11.Connection) -> bool:
-        if connection.trailing_data[0]:
-            return True
-        since_s = await curio.clock()
-        data = None
-        while data is None:
-            # Callers go by the newest idle timeout, which may have grown meanwhile.
-            left_s = since_s + self._limits.idle_timeout_s - await curio.clock()
-            if left_s <= 0:
-                return False
-            data = await curio.ignore_after(left_s, stream.recv, READ_BYTES)
-        if data:
-            connection.receive_data(data)
-        return bool(data)
+    def _get_idle_timeout_s(self) -> float:
+        return self._limits.idle_timeout_s
 
     async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
         responder = Responder(stream, connection, lambda: self._draining)
