Let only the candidate of the highest rank win a pre-vote

Two replicas with equal logs that time out within a round trip granted each other's pre-vote while their own was under way. Both won it, both raised the term, and each voted for itself; if all running voters are needed, the term is lost, and the next try comes one to two election timeouts later.

A replica with a pre-vote of its own under way now refuses those that rank lower, by log and then by id, and asks again; to a higher one it gives way. One that grants a pre-vote defers its own by a third of the timeout.

--- a/buckthorndeal/consensus/_election.py
+++ b/buckthorndeal/consensus/_election.py
@@ -11,6 +11,7 @@
     state.leader = None
     state.advance_role("time_out")
     state.reset_election_timer(now_s)
+    state.pre_vote_started_s = now_s
     state.votes = {state.identity}
     if _has_majority(state):
         _start_vote(state, now_s)
@@ -39,7 +40,7 @@
 
 def _ask_voters(state: ReplicaState, message_type: type, term: int) -> None:
     for voter in state.log.membership.voters:
-        if voter != state.identity:
+        if voter not in state.votes:
             state.send(
                 message_type,
                 voter,
@@ -70,12 +71,44 @@
 
 
 def handle_pre_vote(state: ReplicaState, request: PreVote, now_s: float) -> None:
-    """Reply whether this replica would grant its vote, without changing state."""
+    """Reply whether this replica would grant its vote.
+
+    Of replicas that ask at the same time, only the one of the highest rank goes on to
+    the vote: if all of them did, each would vote for itself and the votes be split.
+    """
     granted = request.term > state.term and _may_grant_vote(state, request, now_s)
+    if granted and _runs_pre_vote(state, now_s):
+        if _outranks(state, request):
+            # The source has been refused by this replica's earlier question, or has
+            # not received it.
+            _ask_voters(state, PreVote, state.term + 1)
+            granted = False
+        else:
+            state.step_down(now_s)
+    if granted:
+        state.defer_election(now_s)
     term = request.term if granted else state.term
     state.send(PreVoteReply, request.source, term, granted=granted)
 
 
+def _runs_pre_vote(state: ReplicaState, now_s: float) -> bool:
+    """Return whether a pre-vote of this replica may still succeed.
+
+    Its replies arrive within the defer time, or never; one that never succeeds keeps
+    others from winning for that time only.
+    """
+    if state.role != "pre_candidate" or not state.may_campaign:
+        return False
+    return now_s < state.pre_vote_started_s + state.options.election_defer_s
+
+
+def _outranks(state: ReplicaState, request: PreVote) -> bool:
+    """Return whether this replica goes before the source, by log and then by id."""
+    own_position = (state.log.last_term, state.log.last_index)
+    position = (request.last_term, request.last_index)
+    return (own_position, state.identity) > (position, request.source)
+
+
 def handle_pre_vote_reply(
     state: ReplicaState, reply: PreVoteReply, now_s: float
 ) -> None:
--- a/buckthorndeal/consensus/_state.py
+++ b/buckthorndeal/consensus/_state.py
@@ -14,6 +14,8 @@
 # A replica that is not a voter campaigns after this many election timeouts without
 # contact with a leader, which gives the voters time for several elections.
 NONVOTER_ELECTION_TIMEOUTS = 8
+# Fraction of the election timeout that a replica waits for a candidate it supports.
+ELECTION_DEFER_SHARE = 1 / 3
 
 
 @dataclass(frozen=True)
@@ -58,6 +60,11 @@
     snapshot_chunk_bytes: int = 65_536
     catch_up_entries: int = 32
 
+    @property
+    def election_defer_s(self) -> float:
+        """Time in seconds that a candidate is given to win before others start."""
+        return self.election_timeout_s * ELECTION_DEFER_SHARE
+
     @property
     def lease_s(self) -> float:
         """Duration of the leader lease in seconds, on the leader's clock.
@@ -129,6 +136,8 @@
         # `Leadership` while this replica leads, None otherwise.
         self.leadership: Any = None
         self.votes: set[ReplicaId] = set()
+        # Start of this replica's last pre-vote, on the monotonic clock.
+        self.pre_vote_started_s = now_s
         self.incoming_snapshot: Any = None
         self.commit_index = self.log.base_index
         # Before a restart, this replica may have acknowledged a leader whose lease
@@ -196,6 +205,15 @@
     def reset_election_timer(self, now_s: float) -> None:
         timeout_s = self.options.election_timeout_s
         self.election_due_s = now_s + timeout_s * (1 + self.rng.random())
+        self.election_deferred = False
+
+    def defer_election(self, now_s: float) -> None:
+        """Give a candidate time to win, once for each election timeout."""
+        if self.election_deferred:
+            return
+        self.election_deferred = True
+        earliest_s = now_s + self.options.election_defer_s
+        self.election_due_s = max(self.election_due_s, earliest_s)
 
     def step_down(self, now_s: float) -> None:
         """Stop leading or campaigning and return to the role of a non-leader."""
