--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -31,6 +31,7 @@
     Refusal,
     ResponseStarted,
 )
+from buckthorndeal.gateway._path_watch import PathWatch
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -60,7 +61,6 @@
     "retries_in_window": "Repeats in the window of the retry budget.",
     "retries_allowed": "Part of this host in the retry budget.",
     "quarantined_keys": "Keys of requests that crash endpoints.",
-    "endpoint_path_lost": "1 while this host reaches no endpoint of its region.",
 }
 
 
@@ -93,9 +93,8 @@
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
-        self._contact = contact
         self._effects = effects
-        self._path_lost_s: float | None = None
+        self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
         metrics.describe_gauges(GAUGES)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
@@ -112,7 +111,7 @@
                     await fail_unexpectedly(envelope, error, self._metrics)
             for step in (
                 self._decide_waiting,
-                self._watch_path,
+                self._path.check,
                 self._handle_crash_news,
                 self._share_rate_limits,
                 self._share_origins,
@@ -197,40 +196,6 @@
         accepted = await self._effects.probe(record)
         await self.mailbox.send(EndpointProbed(record, accepted))
 
-    async def _probe_path(self, record: EndpointRecord) -> None:
-        accepted = await self._effects.probe(record)
-        await self.mailbox.send(PathProbed(record, accepted))
-
-    async def _watch_path(self, now_s: float) -> None:
-        """Check the path to the endpoints, and act on its loss and return."""
-        dispatcher = self._dispatcher
-        dispatcher.watch_silence(self._contact.heard_s, now_s)
-        for record in dispatcher.reach.take_probes(now_s):
-            await spawn_job(self._probe_path, record)
-        is_lost = dispatcher.reach.is_lost
-        if is_lost != (self._path_lost_s is not None):
-            await self._report_path(is_lost, now_s)
-        if is_lost:
-            ended = await self._effects.replace_silent_attempts(now_s)
-            self._metrics.count("attempts_ended_on_lost_path", ended)
-
-    async def _report_path(self, is_lost: bool, now_s: float) -> None:
-        path = self._dispatcher.reach.path
-        if is_lost:
-            self._path_lost_s = now_s
-            log_event(
-                "endpoint_path_lost",
-                suspected_ms=round((now_s - path.suspected_s) * 1000),
-                silence_ms=self._contact.get_silence_ms(now_s),
-                relays=list(self._dispatcher.view.fleet.relay_hosts),
-            )
-        else:
-            lost_ms = round((now_s - self._path_lost_s) * 1000)
-            log_event("endpoint_path_restored", lost_ms=lost_ms)
-            self._path_lost_s = None
-        self._metrics.set_gauge("endpoint_path_lost", int(is_lost))
-        await self._effects.report_endpoint_reach(not is_lost)
-
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
