Let an idle timeout end no connection that its caller may still use

Cause: a shorter idle timeout held for connections whose callers went by the longer one, as soon as they waited again. And a connection whose time had passed was closed though a request had arrived before its task ran, as it does on a busy host.

Change: the timeout of a connection does not fall. The response to the next request announces the end of the connection instead. A connection is closed only if nothing has arrived.

--- a/buckthorndeal/_http_idle.py
+++ b/buckthorndeal/_http_idle.py
@@ -9,6 +9,31 @@
 from buckthorndeal.transport import Stream
 
 
+class IdleTimeout:
+    """Idle timeout of one connection, by which its caller goes.
+
+    It grows with the timeout of the server, but does not fall with it.
+
+    Parameters
+    ----------
+    get_newest_s : callable
+        Returns the present timeout of the server in seconds.
+    """
+
+    def __init__(self, get_newest_s: Callable[[], float]) -> None:
+        self._get_newest_s = get_newest_s
+        self._known_s = get_newest_s()
+
+    def get_seconds(self) -> float:
+        """Return the longest timeout in seconds by which the caller may go."""
+        self._known_s = max(self._known_s, self._get_newest_s())
+        return self._known_s
+
+    def has_fallen(self) -> bool:
+        """Return whether the server has a shorter timeout than the caller knows."""
+        return self._get_newest_s() < self._known_s
+
+
 class IdleConnections:
     """Connections of one server that wait for a request."""
 
@@ -22,7 +47,7 @@
         self,
         stream: Stream,
         connection: h11.Connection,
-        get_timeout_s: Callable[[], float],
+        timeout: IdleTimeout,
     ) -> bool:
         """Wait for the first bytes of a request; return False if none come.
 
@@ -32,13 +57,13 @@
             Connection to the caller.
         connection : h11.Connection
             Protocol state of the connection, which takes the bytes.
-        get_timeout_s : callable
-            Returns the present idle timeout in seconds.
+        timeout : IdleTimeout
+            Time for which the connection is kept without a request.
         """
         task = await curio.current_task()
         self._streams[task] = stream
         try:
-            return await _receive_request(stream, connection, get_timeout_s)
+            return await _receive_request(stream, connection, timeout)
         finally:
             del self._streams[task]
 
@@ -50,18 +75,21 @@
 
 
 async def _receive_request(
-    stream: Stream, connection: h11.Connection, get_timeout_s: Callable[[], float]
+    stream: Stream, connection: h11.Connection, timeout: IdleTimeout
 ) -> bool:
     if connection.trailing_data[0]:
         return True
     since_s = await curio.clock()
     data = None
     while data is None:
-        # Callers go by the newest idle timeout, which may have grown meanwhile.
-        left_s = since_s + get_timeout_s() - await curio.clock()
-        if left_s <= 0:
+        # The timeout may have grown meanwhile.
+        left_s = since_s + timeout.get_seconds() - await curio.clock()
+        if left_s > 0:
+            data = await curio.ignore_after(left_s, stream.recv, READ_BYTES)
+        elif stream.is_readable():
+            data = await stream.recv(READ_BYTES)
+        else:
             return False
-        data = await curio.ignore_after(left_s, stream.recv, READ_BYTES)
     if data:
         connection.receive_data(data)
     return bool(data)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -7,7 +7,7 @@
 import msgspec
 from absl import logging
 
-from buckthorndeal._http_idle import IdleConnections
+from buckthorndeal._http_idle import IdleConnections, IdleTimeout
 from buckthorndeal._http_reading import READ_BYTES, Request, read_request
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
@@ -114,7 +114,10 @@
             self._listener.leave_free(RESERVED_SHARE / 2)
 
     def set_limits(self, limits: Limits) -> None:
-        """Replace the limits, starting with the next request on each connection."""
+        """Replace the limits, starting with the next request on each connection.
+
+        A shorter idle timeout ends a connection with its next response, which says so.
+        """
         self._limits = limits
 
     def announce_drain(self) -> None:
@@ -213,10 +216,9 @@
     async def _serve_requests(
         self, stream: Stream, connection: h11.Connection, limits: Limits
     ) -> None:
+        idle_timeout = IdleTimeout(lambda: self._limits.idle_timeout_s)
         while True:
-            if not await self._idle.wait_for_request(
-                stream, connection, self._get_idle_timeout_s
-            ):
+            if not await self._idle.wait_for_request(stream, connection, idle_timeout):
                 return
             if limits is not self._limits:
                 limits = self._limits
@@ -224,20 +226,21 @@
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
             try:
-                if not await self._serve_request(stream, connection):
+                if not await self._serve_request(stream, connection, idle_timeout):
                     return
             finally:
                 self.active_requests -= 1
-            # A caller that was not told of a drain may have sent its next request.
+            # A caller that was not told of the end may have sent its next request.
             if (connection.our_state, connection.their_state) != (h11.DONE, h11.DONE):
                 return
             connection.start_next_cycle()
 
-    def _get_idle_timeout_s(self) -> float:
-        return self._limits.idle_timeout_s
-
-    async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
-        responder = Responder(stream, connection, lambda: self._draining)
+    async def _serve_request(
+        self, stream: Stream, connection: h11.Connection, idle_timeout: IdleTimeout
+    ) -> bool:
+        responder = Responder(
+            stream, connection, lambda: self._draining or idle_timeout.has_fallen()
+        )
         try:
             request = await read_request(stream, connection, self._limits)
         except RequestError as error:
--- a/tests/test_server_drain.py
+++ b/tests/test_server_drain.py
@@ -1,5 +1,6 @@
 """Tests of connections whose callers were not told that they end."""
 
+import time
 import unittest
 
 import curio
@@ -22,13 +23,13 @@
     the caller sends next before it has ended the request.
     """
 
-    def __init__(self):
+    def __init__(self, **limits):
         self.started = curio.Event()
         self.may_finish = curio.Event()
         self.may_return = curio.Event()
         self.served = 0
         self.transport = create_memory_transport()
-        self.http = create_http_server(self._handle, Limits())
+        self.http = create_http_server(self._handle, Limits(**limits))
 
     async def _handle(self, request, responder):
         self.served += 1
@@ -115,6 +116,52 @@
         self.check_next_request(drain, is_read_early=False)
 
 
+class IdleTimeoutTest(unittest.TestCase):
+    """A caller may use a connection for as long as it was told."""
+
+    def test_shorter_idle_timeout_ends_no_connection_without_a_notice(self):
+        """Guards against a connection that ends sooner than its caller knows (LOST)."""
+
+        async def test():
+            server = Server(idle_timeout_s=60.0)
+            stream = await server.open_connection()
+            server.http.set_limits(Limits(idle_timeout_s=0.1))
+            await server.may_finish.set()
+            await server.may_return.set()
+            self.assertEqual(await read_answer(stream), (200, b"done"))
+            await curio.sleep(0.3)
+            await stream.sendall(REQUEST)
+            answer = await receive_until_end(stream)
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+            self.assertIn(b"connection: close", answer.lower())
+            await server.http.close()
+
+        run_fleet(test)
+
+    def test_request_that_arrives_with_the_end_of_the_idle_timeout_is_answered(self):
+        """Guards against a timeout that goes before a request that has arrived."""
+
+        async def send_later(stream):
+            await curio.sleep(0.05)
+            await stream.sendall(REQUEST)
+
+        async def test():
+            server = Server(idle_timeout_s=0.1)
+            stream = await server.open_connection()
+            await server.may_finish.set()
+            await server.may_return.set()
+            self.assertEqual(await read_answer(stream), (200, b"done"))
+            await run_others()
+            await curio.spawn(send_later, stream, daemon=True)
+            await run_others()
+            # The request is sent after the timeout, and before the server runs again.
+            time.sleep(0.2)
+            self.assertEqual(await read_answer(stream), (200, b"done"))
+            await server.http.close()
+
+        run_fleet(test)
+
+
 class CloseTest(unittest.TestCase):
     """A request that has arrived as the server closes is refused."""
 
