Keep connections between hosts open for longer than their users do

Cause: the idle timeout that the configuration sets for callers held for the port on which other hosts forward requests, too. They keep an idle connection for 10 s. With a shorter timeout a host closed connections that others were about to use, so that a forwarded request that may not be repeated ended as one that may have run.

Change: the idle timeout of that port is 20 s at least.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import curio
+import msgspec
 
 from buckthorndeal.configuration import (
     Configuration,
@@ -37,11 +38,10 @@
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
-from buckthorndeal.gateway._pools import create_pools
+from buckthorndeal.gateway._pools import HOST_IDLE_TIMEOUT_S, create_pools
 from buckthorndeal.gateway._region_links import RegionLoadTask
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.http_server import (
-    ErrorHandler,
     Handler,
     HttpServer,
     Request,
@@ -62,6 +62,8 @@
 # Longer, because each check goes through the directory of each coordinator.
 REPLACEMENT_POLL_INTERVAL_S = 0.2
 POOL_CLEANUP_INTERVAL_S = 10.0
+# Twice as long as other hosts keep an idle connection.
+FORWARD_IDLE_TIMEOUT_S = 2 * HOST_IDLE_TIMEOUT_S
 
 
 class Gateway:
@@ -162,7 +164,15 @@
             contact=contact,
         )
         self._home_route_counts: Mapping[str, Mapping[str, int]] = {}
-        self._servers: list[HttpServer] = []
+        handler = GatewayHandler(self._context)
+        initial = Limits(max_connections=settings.max_connections)
+        self._caller_server = create_http_server(
+            handler.handle_caller, initial, handler.respond_error
+        )
+        self._forward_server = create_http_server(
+            handler.handle_forwarded, initial, handler.respond_error
+        )
+        self._servers = [self._caller_server, self._forward_server]
         # Readiness check and metrics.
         self._internal_servers: list[HttpServer] = []
         self._tasks = curio.TaskGroup(wait=any)
@@ -177,12 +187,11 @@
         await self._tasks.spawn(
             watch_process, self.metrics, self._clock, self._transport
         )
-        handler = GatewayHandler(self._context)
-        for handle, listen in (
-            (handler.handle_caller, settings.listen),
-            (handler.handle_forwarded, settings.forward_listen),
+        for server, listen in (
+            (self._caller_server, settings.listen),
+            (self._forward_server, settings.forward_listen),
         ):
-            await self._serve(handle, handler.respond_error, listen)
+            await server.start(self._transport, listen.address, listen.port)
         await self._serve_internal(self._handle_readiness, settings.ready_listen)
         if settings.metrics_listen is not None:
             metrics = serve_metrics(self.metrics)
@@ -287,14 +296,6 @@
     def _count_active_requests(self) -> int:
         return sum(server.active_requests for server in self._servers)
 
-    async def _serve(
-        self, handler: Handler, respond_error: ErrorHandler, listen: Address
-    ) -> None:
-        limits = Limits(max_connections=self._settings.max_connections)
-        server = create_http_server(handler, limits, respond_error)
-        await server.start(self._transport, listen.address, listen.port)
-        self._servers.append(server)
-
     async def _serve_internal(self, handler: Handler, listen: Address) -> None:
         server = create_http_server(handler, Limits(), uses_reserve=True)
         await server.start(self._transport, listen.address, listen.port)
@@ -338,8 +339,12 @@
             idle_timeout_s=configured.idle_timeout_s,
             max_connections=self._settings.max_connections,
         )
-        for server in self._servers:
-            server.set_limits(limits)
+        self._caller_server.set_limits(limits)
+        # Other hosts go by an idle timeout of their own.
+        idle_timeout_s = max(limits.idle_timeout_s, FORWARD_IDLE_TIMEOUT_S)
+        self._forward_server.set_limits(
+            msgspec.structs.replace(limits, idle_timeout_s=idle_timeout_s)
+        )
 
     async def _handle_readiness(self, request: Request, responder: Responder) -> None:
         if request.path != self._ready_path:
