--- a/tests/test_change_play.py
+++ b/tests/test_change_play.py
@@ -17,6 +17,7 @@
         orders = play.orders[play.first :]
         answered = [order.status == 200 for order in orders]
         self.assertGreater(sum(answered), 50, text)
+        self.assertGreater(play.count_reused(), 50, text)
         # A silence in the past shuts out no service.
         self.assertTrue(any(answered[-len(answered) // 4 :]), text)
         self.assertEqual(play.list_cut_off(), [], text)
