Let callers read the response to a request that they still send

Cause: a request that is too large or malformed, or that arrives on a connection beyond the limit, is refused before it has been read. The connection was closed at once; what the caller sends then resets it, and takes the refusal with it.

Result: the four tests of tests.test_server_refusals fail on the code before with a reset.

--- a/buckthorndeal/bench/_counted_stream.py
+++ b/buckthorndeal/bench/_counted_stream.py
@@ -45,6 +45,10 @@
         """Return whether the stream has ended."""
         return self._inner.is_ended()
 
+    async def end_sending(self) -> None:
+        """End the sending half of the stream."""
+        await self._inner.end_sending()
+
     async def close(self) -> None:
         """Close the stream."""
         await self._inner.close()
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -8,6 +8,7 @@
 from absl import logging
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
+from buckthorndeal._http_lingering import LingeringConnections
 from buckthorndeal._http_reading import READ_BYTES, Request, read_request
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
@@ -96,6 +97,7 @@
         self._draining = False
         self.closing = False
         self._idle = IdleConnections()
+        self._lingering = LingeringConnections()
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
@@ -164,12 +166,14 @@
         connection = _create_protocol(limits)
         if not self._has_room(limits):
             await self._refuse_connection(stream, connection, limits)
+            await self._lingering.linger(stream, connection)
             return
         self.connection_count += 1
         try:
-            await self._serve_requests(stream, connection, limits)
+            connection = await self._serve_requests(stream, connection, limits)
         finally:
             self.connection_count -= 1
+        await self._lingering.linger(stream, connection)
 
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served."""
@@ -215,11 +219,12 @@
 
     async def _serve_requests(
         self, stream: Stream, connection: h11.Connection, limits: Limits
-    ) -> None:
+    ) -> h11.Connection:
+        """Serve requests until the connection ends; return its protocol state."""
         idle_timeout = IdleTimeout(lambda: self._limits.idle_timeout_s)
         while True:
             if not await self._idle.wait_for_request(stream, connection, idle_timeout):
-                return
+                return connection
             if limits is not self._limits:
                 limits = self._limits
                 connection = _continue_with_limits(connection, limits)
@@ -227,12 +232,12 @@
             self.active_requests += 1
             try:
                 if not await self._serve_request(stream, connection, idle_timeout):
-                    return
+                    return connection
             finally:
                 self.active_requests -= 1
             # A caller that was not told of the end may have sent its next request.
             if (connection.our_state, connection.their_state) != (h11.DONE, h11.DONE):
-                return
+                return connection
             connection.start_next_cycle()
 
     async def _serve_request(
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -46,6 +46,13 @@
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
 
+    async def end_sending(self) -> None:
+        """Let the peer read the end of the stream, and go on reading.
+
+        Streams that cannot end one direction alone do nothing.
+        """
+        return
+
     async def abort(self) -> None:
         """Shut down both directions at once; a pending `recv` returns no data."""
         await self.close()
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -83,6 +83,9 @@
     def is_ended(self) -> bool:
         return self._incoming.closed
 
+    async def end_sending(self) -> None:
+        await self._outgoing.close()
+
     async def close(self) -> None:
         await self._incoming.close()
         await self._outgoing.close()
--- a/buckthorndeal/transport/_streams.py
+++ b/buckthorndeal/transport/_streams.py
@@ -41,6 +41,13 @@
         await self._sock.close()
         self._descriptors.remove(self._sock)
 
+    async def end_sending(self) -> None:
+        try:
+            await self._sock.shutdown(stdlib_socket.SHUT_WR)
+        except OSError:
+            # The connection has already ended.
+            return
+
     async def abort(self) -> None:
         try:
             await self._sock.shutdown(stdlib_socket.SHUT_RDWR)
