--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 
-from buckthorndeal.compression import decompress_content
+from buckthorndeal._configuration_content import decompress_content
 from buckthorndeal.consensus import (
     ElasticPolicy,
     EntryKind,
@@ -126,7 +126,13 @@
         return super()._is_compaction_due()
 
     def read_content(self) -> bytes:
-        """Return the configuration as the operator wrote it; empty if there is none."""
+        """Return the configuration as the operator wrote it; empty if there is none.
+
+        Raises
+        ------
+        ConfigurationError
+            If what is stored cannot be read.
+        """
         stored = self._machine.configuration
         return decompress_content(stored.content) if stored else b""
 
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -1,7 +1,14 @@
 """Operations of a coordinator behind its HTTP API."""
 
-from buckthorndeal.compression import compress_content, decompress_content
-from buckthorndeal.configuration import ConfigurationCodec, check_nesting
+from buckthorndeal._configuration_content import (
+    compress_content,
+    decompress_content,
+)
+from buckthorndeal.configuration import (
+    ConfigurationCodec,
+    ConfigurationError,
+    check_nesting,
+)
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -216,7 +223,10 @@
             isinstance(reply, ConfigurationContent) and reply.version is None
         ):
             return None
-        return decompress_content(reply.content)
+        try:
+            return decompress_content(reply.content)
+        except ConfigurationError as error:
+            raise RequestError("unavailable", 503, str(error)) from error
 
     async def leave_cluster(self, host: str) -> None:
         """Remove a host from the voters, unless the others would be too few.
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -6,13 +6,13 @@
 
 import curio
 
-from buckthorndeal.compression import decompress_content
+from buckthorndeal._configuration_content import decompress_content
 from buckthorndeal.configuration import (
     Configuration,
     ConfigurationCodec,
     ConfigurationError,
 )
-from buckthorndeal.errors import PeerError, Verdict, WireError
+from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     Acknowledged,
     ClusterNotice,
@@ -425,7 +425,7 @@
         if self._versions.end_fetch(content.version, self._clock()):
             try:
                 configuration = self._codec.decode(decompress_content(content.content))
-            except (ConfigurationError, WireError) as error:
+            except ConfigurationError as error:
                 log_event(
                     "configuration_unreadable",
                     version=content.version,
