Book the responses that a gateway holds, and give up those beyond a bound early

Cause: each read of a response has a bound, and their sum has none. Endpoints that send bodies or events without end make a gateway hold as many of them as there are callers, up to 16 MiB each. A length beyond the bound is only found out by receiving so much.

Change: ResponseMemory books in the account of the transport, for each server, what a client holds of a response: bodies that are collected, partial events, incomplete heads, a failed response that is kept for a retry, and a body or a long event while a slow caller takes it. A body of a named length waits until there is room for all of it, and one beyond the bound ends at its head; the bound is the share of one server, 16 MiB at most. A cut response frees its bytes at once and its pending read ends. An endpoint whose responses alone hold too much has broken off, which counts towards its ejection, and its request may be repeated elsewhere; a shortage of the host blames nobody, and the request is not repeated, since the next answer would need the same memory. Discarded responses are no longer collected. ClientResponse moves to a module of its own.

Without the end of the pending read, the test of a silent endpoint fails; with events counted before there is room for them, that of the continued stream does.

--- a/buckthorndeal/_event_buffer.py
+++ b/buckthorndeal/_event_buffer.py
@@ -27,6 +27,16 @@
         """Whether the received data ends with a complete event."""
         return not self._buffer.strip(b"\r\n")
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of an incomplete event."""
+        return len(self._buffer)
+
+    def clear(self) -> None:
+        """Drop the bytes of an incomplete event."""
+        self._buffer.clear()
+        self._searched_bytes = 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Add received data and return the events that it completes.
 
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -308,3 +308,22 @@
 
 class ConnectionClosedError(ConnectionBrokenError):
     """The peer has closed or reset the connection before its response was complete."""
+
+
+class ResponseCutError(RequestError):
+    """A response was cut, as there is no room for it in the memory of this process.
+
+    Parameters
+    ----------
+    is_excess : bool
+        Whether its server alone holds too much, and not all servers together.
+    """
+
+    def __init__(self, is_excess: bool) -> None:
+        super().__init__(
+            "host_shortage",
+            502,
+            "this host lacks memory for the response",
+            Verdict.MAY_HAVE_RUN,
+        )
+        self.is_excess = is_excess
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from buckthorndeal.errors import ConnectionClosedError, RequestError, ShortageError
+from buckthorndeal.errors import RequestError, ShortageError
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AnnounceDrain
@@ -24,6 +24,7 @@
     VERDICT_HEADER,
     AttemptError,
     check_response,
+    create_connection_error,
     is_foreign,
 )
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
@@ -172,14 +173,9 @@
         # Says nothing about the target, so the outcome stays ``CANCELLED``.
         raise
     except RequestError as error:
-        failed = (
-            AttemptOutcome.BROKEN if request_sent else AttemptOutcome.CONNECT_FAILED
-        )
-        outcome = failed
-        closed = isinstance(error, ConnectionClosedError)
-        raised = AttemptError(
-            error.message, error.verdict, request_sent, failed, closed
-        )
+        raised = create_connection_error(error, request_sent)
+        outcome = raised.outcome
+        closed = raised.closed
         raised.head_received = attempt is not None
         raised.lasted_s = context.clock() - started_s
         raise raised from error
--- a/buckthorndeal/gateway/_events.py
+++ b/buckthorndeal/gateway/_events.py
@@ -45,6 +45,15 @@
         """Whether the received data ends with a complete event."""
         return self._buffer.is_at_event_boundary
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of an incomplete event."""
+        return self._buffer.pending_bytes
+
+    def clear(self) -> None:
+        """Drop the bytes of an incomplete event."""
+        self._buffer.clear()
+
     def feed(self, data: bytes) -> list[RawEvent]:
         """Add received data and return the events that it completes.
 
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -42,6 +42,7 @@
 from buckthorndeal.http_client import ClientConnection, encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.mailbox import MailboxError
+from buckthorndeal.memory import UNBOOKED_BYTES
 from buckthorndeal.policy.views import AttemptOutcome
 
 OK = 200
@@ -107,6 +108,7 @@
                 "deadline", 504, "the deadline passed before the response was complete"
             ) from None
         finally:
+            self._keep_failed(None)
             await self._replacement.release()
 
     @property
@@ -269,7 +271,13 @@
                 raise self.progress.create_error("not_accepted", 503, error.reason, 0.5)
             return
         progress.runs += 1
-        may_repeat = self._call.route.retryable and progress.runs < self._max_runs
+        # The next one would need as much of the memory that this host lacks.
+        is_worth_it = not error.is_shortage or self._replacement.is_open
+        may_repeat = (
+            is_worth_it
+            and self._call.route.retryable
+            and progress.runs < self._max_runs
+        )
         if not may_repeat or not self._can_continue():
             raise self.progress.create_error("attempt_failed", 502, error.reason)
 
@@ -300,7 +308,7 @@
         attempt.outcome = AttemptOutcome.SUCCEEDED
         self.progress.record_response_part(self._context.clock())
         if failed and self._may_retry_run():
-            self._failed_response = buffered
+            self._keep_failed(replace(buffered, booking=response.memory.take()))
             self.progress.runs += 1
             self.progress.request_sent = True
             self.progress.avoided.add(attempt.target)
@@ -308,6 +316,12 @@
         await self._respond(buffered)
         return True
 
+    def _keep_failed(self, response: BufferedResponse | None) -> None:
+        """Keep a response for a request that no other attempt answers."""
+        if self._failed_response is not None:
+            self._failed_response.release()
+        self._failed_response = response
+
     def _can_continue(self) -> bool:
         """Return whether another endpoint can go on with what the caller has."""
         if not self.progress.events:
@@ -372,6 +386,8 @@
 
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
         splitter = EventSplitter()
+        memory = attempt.response.memory
+        memory.set_clear(splitter.clear)
         selector = EventSelector(self.progress.last_event_id)
         reported = False
         while part := await attempt.response.read_part():
@@ -379,6 +395,10 @@
                 events = splitter.feed(part)
             except WireError as error:
                 raise create_stream_error(str(error)) from error
+            if memory.is_booked or splitter.pending_bytes > UNBOOKED_BYTES:
+                complete_bytes = sum(len(event.data) for event in events)
+                # Before the events count as passed on, as it may fail.
+                await memory.hold(splitter.pending_bytes + complete_bytes)
             selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
             self.progress.events += selection.count
@@ -391,7 +411,9 @@
             if selection.data:
                 self._record_events(attempt)
                 await self._start_response(attempt)
+                memory.settle()
                 await self._responder.send(selection.data)
+                memory.reopen()
             if selection.fault is not None:
                 raise create_stream_error(selection.fault)
         if not splitter.is_at_event_boundary:
--- a/buckthorndeal/gateway/_progress.py
+++ b/buckthorndeal/gateway/_progress.py
@@ -4,15 +4,34 @@
 
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.http_client import ClientConnection
+from buckthorndeal.memory import Booking
 
 
 @dataclass(frozen=True)
 class BufferedResponse:
-    """A response whose body has been read completely."""
+    """A response whose body has been read completely.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple
+        Names and values.
+    body : bytes
+        Complete body.
+    booking : Booking or None
+        Holds the body of a response that is kept beyond its attempt.
+    """
 
     status: int
     headers: list[tuple[str, bytes]]
     body: bytes
+    booking: Booking | None = None
+
+    def release(self) -> None:
+        """Hold nothing any more."""
+        if self.booking is not None:
+            self.booking.release()
 
 
 @dataclass(eq=False)
--- a/buckthorndeal/gateway/_response_check.py
+++ b/buckthorndeal/gateway/_response_check.py
@@ -1,6 +1,11 @@
 """Checks of the head of a response before anything acts on it."""
 
-from buckthorndeal.errors import Verdict
+from buckthorndeal.errors import (
+    ConnectionClosedError,
+    RequestError,
+    ResponseCutError,
+    Verdict,
+)
 from buckthorndeal.gateway._messages import (
     Call,
     Forward,
@@ -28,6 +33,8 @@
         Outcome that is counted for the endpoint.
     closed : bool
         Whether the endpoint has closed the connection before the response was complete.
+    is_shortage : bool
+        Whether this host lacks memory for the response of any endpoint.
 
     Attributes
     ----------
@@ -44,6 +51,7 @@
         request_sent: bool,
         outcome: AttemptOutcome,
         closed: bool = False,
+        is_shortage: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -51,6 +59,7 @@
         self.request_sent = request_sent
         self.outcome = outcome
         self.closed = closed
+        self.is_shortage = is_shortage
         self.head_received = False
         self.lasted_s = 0.0
 
@@ -84,6 +93,23 @@
         raise _create_mismatch_error(reason)
 
 
+def create_connection_error(error: RequestError, request_sent: bool) -> AttemptError:
+    """Return the error of an attempt that a failure of the connection has ended.
+
+    No target is blamed for a shortage of this host.
+    """
+    is_shortage = isinstance(error, ResponseCutError) and not error.is_excess
+    outcome = AttemptOutcome.BROKEN
+    if not request_sent:
+        outcome = AttemptOutcome.CONNECT_FAILED
+    elif is_shortage:
+        outcome = AttemptOutcome.CANCELLED
+    closed = isinstance(error, ConnectionClosedError)
+    return AttemptError(
+        error.message, error.verdict, request_sent, outcome, closed, is_shortage
+    )
+
+
 def create_stream_error(reason: str, closed: bool = False) -> AttemptError:
     """Return the error of a stream that cannot go on from an endpoint."""
     return AttemptError(
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -10,15 +10,14 @@
 from buckthorndeal._connection_slots import ConnectionSlots
 from buckthorndeal._http_connection import (
     ClientConnection,
-    ClientResponse,
     LivenessCheck,
     abort_connection,
     create_protocol,
     encode_headers,
-    read_head,
     send_request,
     start_watcher,
 )
+from buckthorndeal._http_response import ClientResponse, read_head
 from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.transport import Transport, is_shortage
 
@@ -132,6 +131,7 @@
             finally:
                 if watcher is not None:
                     await watcher.cancel()
+                await connection.memory.end()
                 await self._release(connection)
 
     async def fetch(
@@ -185,7 +185,10 @@
                 Verdict.NOT_RUN,
                 retry_after_s=1.0,
             ) from error
-        return ClientConnection(stream, create_protocol())
+        owner = f"{self.address}:{self.port}"
+        return ClientConnection(
+            stream, create_protocol(), self._transport.memory, owner
+        )
 
     async def _is_stale(self, connection: ClientConnection) -> bool:
         limit_s = self._max_idle_s
--- a/buckthorndeal/streams.py
+++ b/buckthorndeal/streams.py
@@ -52,6 +52,15 @@
     def __init__(self) -> None:
         self._buffer = EventBuffer()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of an incomplete event."""
+        return self._buffer.pending_bytes
+
+    def clear(self) -> None:
+        """Drop the bytes of an incomplete event."""
+        self._buffer.clear()
+
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that `data` completes.
 
--- a/tests/test_misbehaving_endpoints.py
+++ b/tests/test_misbehaving_endpoints.py
@@ -6,7 +6,8 @@
 import curio
 
 from buckthorndeal._event_buffer import MAX_EVENT_BYTES, EventBuffer
-from buckthorndeal._http_connection import MAX_HEADER_BYTES, MAX_RESPONSE_BYTES
+from buckthorndeal._http_connection import MAX_HEADER_BYTES
+from buckthorndeal._http_response import MAX_RESPONSE_BYTES
 from buckthorndeal.configuration import RequestKind
 from buckthorndeal.errors import WireError
 from buckthorndeal.gateway._events import EventSplitter
