Send large bodies without a copy together with their head

Cause: head and body of a message are joined before they are sent, which copies bodies of up to 16 MiB once more.

Change: a body over 64 KiB is sent in a write of its own, in responses and in requests; smaller messages keep their single write. A response still counts as complete before its first write.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -13,7 +13,7 @@
     ConnectionClosedError,
     ResponseCutError,
 )
-from buckthorndeal.memory import UNBOOKED_BYTES, MemoryAccount
+from buckthorndeal.memory import SMALL_BYTES, UNBOOKED_BYTES, MemoryAccount
 from buckthorndeal.transport import Stream
 
 # Small, because all of the data is parsed before other tasks run again.
@@ -138,9 +138,14 @@
         target=target,
         headers=[*encode_headers(headers), ("content-length", str(len(body)))],
     )
-    data = send(head) + send(h11.Data(data=body)) + send(h11.EndOfMessage())
+    data = send(head)
+    content = send(h11.Data(data=body)) + send(h11.EndOfMessage())
     try:
-        await connection.stream.sendall(data)
+        if len(content) > SMALL_BYTES:
+            await connection.stream.sendall(data)
+            await connection.stream.sendall(content)
+        else:
+            await connection.stream.sendall(data + content)
     except OSError as error:
         raise ConnectionClosedError(str(error)) from error
 
--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from buckthorndeal.errors import RequestError
+from buckthorndeal.memory import SMALL_BYTES
 from buckthorndeal.transport import Stream
 
 # Values given as bytes may hold any byte from 0x80 on.
@@ -106,10 +107,14 @@
         )
         send = self._connection.send
         data = send(head)
-        if self.is_body_allowed:
-            data += send(h11.Data(data=body))
-        data += send(h11.EndOfMessage())
-        await self._write(data)
+        content = send(h11.Data(data=body)) if self.is_body_allowed else b""
+        # The response counts as complete before any of it is sent.
+        content += send(h11.EndOfMessage())
+        if len(content) > SMALL_BYTES:
+            await self._write(data)
+            await self._write(content)
+        else:
+            await self._write(data + content)
 
     async def _write(self, data: bytes) -> None:
         try:
