Refuse orders on evacuations that arrive after the opposite one

Orders on evacuations have no number. One that a coordinator passes on to the leader and that is held up on the way was applied when it arrived, even if the operator had given the opposite one through another host meanwhile and both had been acknowledged.

A coordinator that does not lead now asks the leader for its term and the end of its log after it has received the order, and names both with it. The leader refuses the order if its term is another one, or if it has got the opposite one on this failure domain since.

test_evacuation_order: a held up start was in force after the end (503 in place of 200), and a held up end after the start (200 in place of 503); both failed on the code before and pass now.

--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -2,12 +2,14 @@
 
 import zlib
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from buckthorndeal.consensus import (
     ElasticPolicy,
     EntryKind,
     FixedSizePolicy,
+    ProposalId,
     Replica,
     choose_removal,
 )
@@ -15,10 +17,16 @@
     ChangeEvacuation,
     ClusterState,
     ReadConfiguration,
+    ReadPosition,
     RemoveHost,
     StoreConfiguration,
 )
-from buckthorndeal.errors import MembershipChangeError, NotLeaderError
+from buckthorndeal.errors import (
+    MembershipChangeError,
+    NotLeaderError,
+    RequestError,
+    Verdict,
+)
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope
 from buckthorndeal.metrics import Metrics
@@ -37,6 +45,14 @@
 Publish = Callable[[ClusterState], Awaitable[None]]
 
 
+@dataclass(frozen=True)
+class _Order:
+    """Start or end of an evacuation that was proposed at a log index."""
+
+    index: int
+    active: bool
+
+
 class ReplicaTask(BaseReplicaTask):
     """Runs the replica; `BaseReplicaTask` describes the other parameters.
 
@@ -62,6 +78,8 @@
         self._publish_state = publish
         self._metrics = metrics
         self._published: ClusterState | None = None
+        # Last order on each failure domain while this replica leads.
+        self._orders: dict[str, _Order] = {}
         self._snapshot_state: tuple[int | None, frozenset[str]] | None = None
 
     @singledispatchmethod
@@ -82,11 +100,19 @@
     @_handle.register
     async def _(self, message: ChangeEvacuation, envelope: Envelope) -> None:
         self._require_leader()
+        self._check_current(message)
         command = SetEvacuation(
             failure_domain=message.failure_domain, active=message.active
         )
+        order = _Order(self._replica.last_index + 1, message.active)
+        self._orders[message.failure_domain] = order
         await self._propose(command, envelope)
 
+    @_handle.register
+    async def _(self, message: ReadPosition, envelope: Envelope) -> None:
+        self._require_leader()
+        await envelope.reply(ProposalId(self._replica.term, self._replica.last_index))
+
     @_handle.register
     async def _(self, message: ReadConfiguration, envelope: Envelope) -> None:
         if message.linearizable:
@@ -112,6 +138,27 @@
         log_event("host_leaves", peer=message.host, removed=change is not None)
         await envelope.reply(change is not None)
 
+    def _check_current(self, order: ChangeEvacuation) -> None:
+        """Raise `RequestError` if the opposite order may have been given since."""
+        after = order.after
+        if after is None:
+            return
+        last = self._orders.get(order.failure_domain)
+        undoes = last is not None and last.active != order.active
+        if after.term == self._replica.term and not (
+            undoes and last.index > after.index
+        ):
+            return
+        log_event(
+            "order_outdated",
+            failure_domain=order.failure_domain,
+            active=order.active,
+            after=after.index,
+            last=last.index if last else None,
+        )
+        reason = f"another order on {order.failure_domain} may be newer"
+        raise RequestError("order_outdated", 503, reason, Verdict.NOT_RUN)
+
     def _is_compaction_due(self) -> bool:
         """Return whether the log should be compacted into a snapshot.
 
@@ -141,6 +188,8 @@
         del answer
 
     async def _handle_role_change(self, role: str, term: int) -> None:
+        if role != "leader":
+            self._orders.clear()
         self._metrics.set_gauge("term", term)
         self._metrics.set_gauge("leads", role == "leader")
 
--- a/buckthorndeal/coordinator/_requests.py
+++ b/buckthorndeal/coordinator/_requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from buckthorndeal.consensus import ProposalId
 from buckthorndeal.statemachine import PutConfiguration
 
 
@@ -14,10 +15,28 @@
 
 @dataclass(frozen=True)
 class ChangeEvacuation:
-    """Request to the leader: start or end an evacuation."""
+    """Request to the leader: start or end an evacuation.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Failure domain to change.
+    active : bool
+        Whether it is evacuated from now on.
+    after : ProposalId or None
+        Position of the log after the order was received. The order is outdated if the
+        leader has another term, or got the opposite one on this failure domain since.
+        None for an order that the operator has sent to the leader itself.
+    """
 
     failure_domain: str
     active: bool
+    after: ProposalId | None = None
+
+
+@dataclass(frozen=True)
+class ReadPosition:
+    """Request to the leader: its term and the end of its log, as a `ProposalId`."""
 
 
 @dataclass(frozen=True)
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -2,7 +2,10 @@
 
 import zlib
 
+import curio
+
 from buckthorndeal.configuration import ConfigurationCodec, check_nesting
+from buckthorndeal.consensus import ProposalId
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
     ChooseRegistrar,
@@ -12,6 +15,7 @@
 from buckthorndeal.coordinator._requests import (
     ChangeEvacuation,
     ReadConfiguration,
+    ReadPosition,
     RemoveHost,
     StoreConfiguration,
 )
@@ -25,9 +29,11 @@
     EvacuationReply,
     HostLinks,
     LeaveCluster,
+    LogPosition,
     ProposeConfiguration,
     ProposeEvacuation,
     ReadCommittedConfiguration,
+    ReadLogPosition,
     Unavailable,
     check_incarnation,
     check_record,
@@ -196,12 +202,28 @@
         RequestError
             With status 503 if the outcome is unknown.
         """
-        await self._ask_leader(
-            ChangeEvacuation(failure_domain, active),
-            ProposeEvacuation(failure_domain, active),
-        )
+        try:
+            await self._ask_replica(ChangeEvacuation(failure_domain, active))
+        except NotLeaderError as error:
+            await self._order_at_leader(error.leader, failure_domain, active)
         log_event("evacuation_set", failure_domain=failure_domain, active=active)
 
+    async def _order_at_leader(
+        self, leader: str | None, failure_domain: str, active: bool
+    ) -> None:
+        """Order the leader to change an evacuation, unless the call is held up.
+
+        Orders have no number. One that arrives after the operator has given up, and has
+        given the opposite one through another host, must not undo that.
+        """
+        deadline_s = await curio.clock() + CALL_TIMEOUT_S
+        position = await self._call_leader(leader, ReadLogPosition(), CALL_TIMEOUT_S)
+        if not isinstance(position, LogPosition):
+            raise _create_unavailable(f"leader {leader} named no position")
+        order = ProposeEvacuation(failure_domain, active, position.term, position.index)
+        timeout_s = max(0.0, deadline_s - await curio.clock())
+        await self._call_leader(leader, order, timeout_s)
+
     async def get_configuration(self) -> bytes | None:
         """Return the latest configuration as the operator wrote it, or None.
 
@@ -262,11 +284,15 @@
         try:
             return await self._ask_replica(local)
         except NotLeaderError as error:
-            leader = error.leader
+            return await self._call_leader(error.leader, remote, CALL_TIMEOUT_S)
+
+    async def _call_leader(
+        self, leader: str | None, message: Message, timeout_s: float
+    ) -> Message:
         if leader is None or self._links.get(leader) is None:
             raise _create_unavailable("no reachable leader is known")
         try:
-            reply = await self._links.call(leader, remote, CALL_TIMEOUT_S)
+            reply = await self._links.call(leader, message, timeout_s)
         except PeerError as error:
             raise _create_unavailable(
                 f"the call to leader {leader} failed: {error}"
@@ -296,19 +322,27 @@
     return ConfigurationContent(stored.version, stored.content)
 
 
+def _read_position(message: ProposeEvacuation) -> ProposalId | None:
+    if message.term is None or message.index is None:
+        return None
+    return ProposalId(message.term, message.index)
+
+
 _LOCAL_REQUEST_FACTORIES = {
     ProposeConfiguration: lambda message: StoreConfiguration(
         PutConfiguration(version=message.version, content=message.content)
     ),
     ProposeEvacuation: lambda message: ChangeEvacuation(
-        message.failure_domain, message.active
+        message.failure_domain, message.active, _read_position(message)
     ),
+    ReadLogPosition: lambda message: ReadPosition(),
     LeaveCluster: lambda message: RemoveHost(message.host),
     ReadCommittedConfiguration: lambda message: ReadConfiguration(True),
 }
 _REPLY_FACTORIES = {
     ProposeConfiguration: lambda answer: ConfigurationReply(answer.version),
     ProposeEvacuation: lambda answer: EvacuationReply(),
+    ReadLogPosition: lambda answer: LogPosition(answer.term, answer.index),
     LeaveCluster: lambda answer: Acknowledged(),
     ReadCommittedConfiguration: create_configuration_content,
 }
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -273,11 +273,28 @@
     version: int
 
 
+class ReadLogPosition(Message, tag="lq"):
+    """Call to the leader: its term and the end of its log."""
+
+
+class LogPosition(Message, tag="lp"):
+    """Reply: term of the leader and last index of its log."""
+
+    term: int
+    index: int
+
+
 class ProposeEvacuation(Message, tag="pe"):
-    """Call to the leader: start or end an evacuation."""
+    """Call to the leader: start or end an evacuation.
+
+    It is refused if the leader has another term than `term`, or has got the opposite
+    order on this failure domain after `index`. Senders of older builds leave both out.
+    """
 
     failure_domain: str
     active: bool
+    term: int | None = None
+    index: int | None = None
 
 
 class EvacuationReply(Message, tag="er"):
@@ -342,6 +359,8 @@
         Acknowledged,
         FetchConfiguration,
         ConfigurationContent,
+        ReadLogPosition,
+        LogPosition,
         ProposeConfiguration,
         ConfigurationReply,
         ProposeEvacuation,
