Keep drains and leaves of endpoints on the disks of a majority

A drain or leave was acknowledged once a majority of the coordinators had it in memory. After a restart of all hosts, a heartbeat that was sent before and arrived late made the endpoint ready again. A leave by id left nothing at coordinators without a record, so that a first heartbeat that came after it counted. A drain that no majority had confirmed was acknowledged when it was repeated, as it was no change any more.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -20,6 +20,7 @@
 )
 from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
+from buckthorndeal.coordinator._departure_store import create_disk_departure_store
 from buckthorndeal.coordinator._fleet_messages import (
     ClusterStateChanged,
     ControlStatusReceived,
@@ -165,6 +166,7 @@
             self.metrics,
             create_disk_quarantine_store(settings.data_directory),
             create_disk_version_store(settings.data_directory),
+            create_disk_departure_store(settings.data_directory),
         )
         self.service = CoordinatorService(codec, self._links, self._fleet.mailbox)
         self._create_handlers = create_handlers
@@ -237,6 +239,7 @@
         await self._tasks.cancel_remaining()
         await self._links.close()
         await self._peer_server.close()
+        await self._fleet.close()
         if self._store is not None:
             self._store.close()
 
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -4,6 +4,9 @@
 from functools import singledispatchmethod
 
 from buckthorndeal.coordinator._coordinator_table import CoordinatorTable
+from buckthorndeal.coordinator._departure_relay import DepartureRelay
+from buckthorndeal.coordinator._departure_store import DepartureStore
+from buckthorndeal.coordinator._departures import create_departures
 from buckthorndeal.coordinator._directory_log import DirectoryLog
 from buckthorndeal.coordinator._endpoint_changes import (
     is_significant_change,
@@ -24,11 +27,6 @@
 )
 from buckthorndeal.coordinator._heartbeat_batch import HeartbeatBatch
 from buckthorndeal.coordinator._quarantine_store import QuarantineStore
-from buckthorndeal.coordinator._relay import (
-    RelayPlan,
-    relay_record,
-    relay_to_entry_hosts,
-)
 from buckthorndeal.coordinator._requests import ClusterState
 from buckthorndeal.coordinator._shared_requests import (
     SharedStateRequest,
@@ -45,7 +43,6 @@
     EndpointRecord,
     EndpointState,
     HostLinks,
-    RelayEndpoint,
     RelayLeave,
     choose_entry_hosts,
     create_endpoint_table,
@@ -58,7 +55,6 @@
     run_guarded,
 )
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.peers import Channel
 from buckthorndeal.supervision import spawn_job
 from buckthorndeal.wire import Message
 
@@ -87,6 +83,8 @@
         Keeps decisions on crashing requests.
     version_store : VersionStore
         Keeps the software versions that serve.
+    departure_store : DepartureStore
+        Keeps the drains and leaves of endpoints.
     """
 
     def __init__(
@@ -98,6 +96,7 @@
         metrics: Metrics,
         quarantine_store: QuarantineStore,
         version_store: VersionStore,
+        departure_store: DepartureStore,
     ) -> None:
         self.mailbox = create_mailbox()
         self._own = own
@@ -108,6 +107,10 @@
         self._shared = SharedState(quarantine_store, clock(), version_store)
         self._endpoints = create_endpoint_table()
         self._entries = EntryTable()
+        self._departures = create_departures(departure_store, clock())
+        self._departure_relay = DepartureRelay(
+            own.host, links, self._entries, self._departures
+        )
         self._coordinators = CoordinatorTable(own)
         self._cluster: ClusterState | None = None
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
@@ -134,6 +137,10 @@
                 self._status_due_s = now_s + STATUS_INTERVAL_S
                 await run_guarded(self._metrics, self._send_status, now_s)
 
+    async def close(self) -> None:
+        """Wait until no file is written any more, after the end of `run`."""
+        await self._departures.close()
+
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
@@ -141,10 +148,13 @@
     @_handle.register
     async def _(self, message: HeartbeatReceived, envelope: Envelope) -> None:
         now_s = self._clock()
-        record = message.record
-        self._shared.record_heartbeat(record, now_s)
+        self._shared.record_heartbeat(message.record, now_s)
+        record = self._departures.apply(message.record)
         known = self._endpoints.get(record.endpoint)
         merged = self._endpoints.update(record, now_s)
+        unconfirmed = self._departures.is_unconfirmed(
+            record.endpoint, record.incarnation
+        )
         if merged is None:
             log_event(
                 "heartbeat_out_of_date",
@@ -152,7 +162,10 @@
                 incarnation=record.incarnation,
                 sequence=record.sequence,
             )
-            await envelope.reply(True)
+            if unconfirmed and known is not None:
+                await self._relay_and_acknowledge(known.record, envelope)
+            else:
+                await envelope.reply(True)
             return
         changed = known is None or is_significant_change(known.record, merged)
         if changed:
@@ -162,46 +175,52 @@
             self._heartbeats.record_refresh(merged)
         if merged.state is EndpointState.READY:
             await envelope.reply(self._may_acknowledge(merged.region))
-        elif changed or not known:
+        elif changed or unconfirmed:
             await self._relay_and_acknowledge(merged, envelope)
         else:
+            self._record_departure(merged)
             await envelope.reply(self._reaches_majority())
 
     @_handle.register
     async def _(self, message: LeaveReceived, envelope: Envelope) -> None:
         now_s = self._clock()
-        known = self._endpoints.get(message.endpoint)
+        endpoint, incarnation = message.endpoint, message.incarnation
+        known = self._endpoints.get(endpoint)
         if known is None:
-            log_event("leave_of_unknown_endpoint", endpoint=message.endpoint)
-            leave = RelayLeave(message.endpoint, message.incarnation)
-            await self._spread(leave, None, envelope)
+            log_event("leave_of_unknown_endpoint", endpoint=endpoint)
+            await self._relay_leave(endpoint, incarnation, envelope)
             return
         before = known.record
-        if not self._endpoints.mark_left(message.endpoint, message.incarnation, now_s):
-            log_event("leave_out_of_date", endpoint=message.endpoint)
+        if not self._endpoints.mark_left(endpoint, incarnation, now_s):
+            log_event("leave_out_of_date", endpoint=endpoint)
             await envelope.reply(self._reaches_majority())
             return
         record = known.record
         if before.state is not EndpointState.LEFT:
             log_endpoint_change(record, before)
-        await self._relay_and_acknowledge(record, envelope)
+        if incarnation is not None and incarnation > record.incarnation:
+            await self._relay_leave(endpoint, incarnation, envelope)
+        else:
+            await self._relay_and_acknowledge(record, envelope)
 
     @_handle.register
     async def _(self, message: RelayedRecordReceived, envelope: Envelope) -> None:
-        record = self._endpoints.update(message.record, self._clock())
-        if record is not None:
-            self._heartbeats.record_change(record)
+        record = self._departures.apply(message.record)
+        if record.state is not EndpointState.READY:
+            self._record_departure(record)
+        merged = self._endpoints.update(record, self._clock())
+        if merged is not None:
+            self._heartbeats.record_change(merged)
             await self._flush_endpoints(self._clock())
-        await envelope.reply()
+        await self._departure_relay.confirm(envelope)
 
     @_handle.register
     async def _(self, message: RelayedLeaveReceived, envelope: Envelope) -> None:
-        now_s = self._clock()
-        self._endpoints.mark_left(message.endpoint, message.incarnation, now_s)
+        self._record_leave(message.endpoint, message.incarnation)
+        self._endpoints.mark_left(message.endpoint, message.incarnation, self._clock())
         leave = RelayLeave(message.endpoint, message.incarnation)
-        channels = self._list_entry_channels(None)
-        await spawn_job(relay_to_entry_hosts, leave, channels)
-        await envelope.reply()
+        await self._departure_relay.pass_on(leave)
+        await self._departure_relay.confirm(envelope)
 
     @_handle.register
     async def _(self, message: SharedStateRequest, envelope: Envelope) -> None:
@@ -233,6 +252,7 @@
     @_handle.register
     async def _(self, message: ClusterStateChanged, envelope: Envelope) -> None:
         self._cluster = message.state
+        self._departure_relay.voters = message.state.voters
         await self._links.ensure(message.state.members)
         notice = self._create_notice()
         for entry in self._entries:
@@ -291,47 +311,34 @@
         self, record: EndpointRecord, envelope: Envelope
     ) -> None:
         """Relay a drain or leave, and acknowledge it once a majority has it."""
+        self._record_departure(record)
         if self._voters:
             # The relay tells the entry hosts.
             self._heartbeats.drop_change(record.endpoint)
-        await self._spread(RelayEndpoint(record), record.region, envelope)
+        await self._departure_relay.relay_record(record, envelope)
 
-    async def _spread(
-        self,
-        message: RelayEndpoint | RelayLeave,
-        region: str | None,
-        envelope: Envelope,
+    async def _relay_leave(
+        self, endpoint: str, incarnation: int | None, envelope: Envelope
     ) -> None:
-        """Relay a message to the voters and the entry hosts of a region, None for all.
-
-        The request is acknowledged once a majority of the voters has it.
-        """
-        voters = self._voters
-        if not voters:
-            # Nobody could confirm that the other coordinators know of it.
-            await envelope.reply(False)
-            return
-        plan = RelayPlan(
-            message=message,
-            entry_channels=self._list_entry_channels(region),
-            other_voters=[voter for voter in voters if voter != self._own.host],
-            required=len(voters) // 2 if self._own.host in voters else len(voters),
-        )
-        await spawn_job(
-            relay_record,
-            plan,
-            self._links,
-            envelope,
-            on_failure=envelope.fail_unexpectedly,
+        """Relay a leave of an incarnation of which there is no record."""
+        self._record_leave(endpoint, incarnation)
+        leave = RelayLeave(endpoint, incarnation)
+        await self._departure_relay.relay_leave(leave, envelope)
+
+    def _record_departure(self, record: EndpointRecord) -> None:
+        self._departures.record(
+            record.endpoint, record.incarnation, record.state, self._clock()
         )
 
-    def _list_entry_channels(self, region: str | None) -> list[Channel]:
-        """Return the connections to the entry hosts of a region, None for all."""
-        return [
-            entry.channel
-            for entry in self._entries
-            if region in (None, entry.host.region) and entry.channel.connected
-        ]
+    def _record_leave(self, endpoint: str, incarnation: int | None) -> None:
+        """Record a leave by id; without an incarnation, that of the known record."""
+        known = self._endpoints.get(endpoint)
+        if incarnation is None and known is not None:
+            incarnation = known.record.incarnation
+        if incarnation is not None:
+            self._departures.record(
+                endpoint, incarnation, EndpointState.LEFT, self._clock()
+            )
 
     async def _send_initial_state(self, entry: KnownEntryHost) -> None:
         entry.sent_coordinators = self._coordinators.list_with_self(self._clock())
@@ -361,6 +368,7 @@
         """Remove silent endpoints and send the changes since the last flush."""
         for record in self._endpoints.expire(self._endpoint_silence_s, now_s):
             log_event("endpoint_silent", endpoint=record.endpoint)
+        self._departures.expire(now_s)
         await self._flush_endpoints(now_s)
         await self._send_host_changes()
         await self._flush_shared_state(now_s)
--- a/buckthorndeal/coordinator/_relay.py
+++ b/buckthorndeal/coordinator/_relay.py
@@ -5,6 +5,8 @@
 
 import curio
 
+from buckthorndeal.coordinator._departure_store import Departure
+from buckthorndeal.coordinator._departures import Departures
 from buckthorndeal.errors import PeerError
 from buckthorndeal.fleet import EndpointState, HostLinks, RelayEndpoint, RelayLeave
 from buckthorndeal.logs import log_event
@@ -27,20 +29,25 @@
         Connections to the entry hosts that may use the endpoint.
     other_voters : list of str
         Other coordinators that vote in the replicated log.
+    votes : bool
+        Whether this host votes too.
     required : int
-        Number of `other_voters` that have to confirm. Together with this host they
-        form a majority, and every entry host that is not isolated receives the record
-        from one of its members. A host without a vote needs all voters.
+        Number of voters that must have it on disk: a majority, so every entry host that
+        is not isolated receives the record from one of them. A host without a vote
+        needs all voters.
     """
 
     message: RelayEndpoint | RelayLeave
     entry_channels: list[Channel]
     other_voters: list[str]
+    votes: bool
     required: int
 
 
-async def relay_record(plan: RelayPlan, links: HostLinks, envelope: Envelope) -> None:
-    """Relay a message to all receivers; reply whether enough coordinators confirm.
+async def relay_departure(
+    plan: RelayPlan, links: HostLinks, departures: Departures, envelope: Envelope
+) -> None:
+    """Relay a message to all receivers; reply whether enough voters have it on disk.
 
     Confirmations of entry hosts are only logged.
 
@@ -50,6 +57,8 @@
         Message and receivers.
     links : HostLinks
         Links to the other coordinators.
+    departures : Departures
+        Drains and leaves of this host, this one among them.
     envelope : Envelope
         Request that is answered with True or False.
     """
@@ -60,6 +69,8 @@
             await group.spawn(_call_host, links, voter, plan.message)
             for voter in plan.other_voters
         }
+        if plan.votes:
+            coordinator_tasks.add(await group.spawn(departures.wait_saved))
         for channel in plan.entry_channels:
             await group.spawn(_call_channel, channel, plan.message)
         async for task in group:
@@ -70,6 +81,9 @@
             else:
                 confirmed_entry_hosts += 1
     accepted = confirmed_coordinators >= plan.required
+    departure = _create_departure(plan.message)
+    if accepted and departure is not None:
+        departures.record_confirmation(departure)
     log_event(
         "endpoint_spread",
         **_describe(plan.message),
@@ -91,6 +105,25 @@
             await group.spawn(_call_channel, channel, message)
 
 
+@singledispatch
+def _create_departure(message: object) -> Departure | None:
+    """Return what a message says, or None if it names no incarnation."""
+    raise TypeError(f"{type(message).__name__} is not relayed")
+
+
+@_create_departure.register
+def _(message: RelayEndpoint) -> Departure | None:
+    record = message.record
+    return Departure(record.endpoint, record.incarnation, record.state)
+
+
+@_create_departure.register
+def _(message: RelayLeave) -> Departure | None:
+    if message.incarnation is None:
+        return None
+    return Departure(message.endpoint, message.incarnation, EndpointState.LEFT)
+
+
 @singledispatch
 def _describe(message: object) -> dict[str, str]:
     raise TypeError(f"{type(message).__name__} is not relayed")
