Pass an order on to a leader of an older build, which checks none

Cause: a coordinator asks the leader for the end of its log before it passes on an order on an evacuation. A leader of an older build answers with a failure, so orders through followers were refused until a release was through.

Change: a failure of the peer is an error of its own type, after which the order goes without a position, as an older follower sends it.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -25,6 +25,7 @@
     BuckthorndealError,
     MemoryShortageError,
     PeerError,
+    PeerFailureError,
     Verdict,
     WireError,
 )
@@ -279,7 +280,7 @@
         if envelope is None:
             return
         if isinstance(message, Failure):
-            await envelope.fail(PeerError(message.reason, Verdict.MAY_HAVE_RUN))
+            await envelope.fail(PeerFailureError(message.reason, Verdict.MAY_HAVE_RUN))
             return
         try:
             await envelope.reply(self._codec.decode(message.body))
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -25,7 +25,13 @@
     RemoveHost,
     StoreConfiguration,
 )
-from buckthorndeal.errors import NotLeaderError, PeerError, RequestError, Verdict
+from buckthorndeal.errors import (
+    NotLeaderError,
+    PeerError,
+    PeerFailureError,
+    RequestError,
+    Verdict,
+)
 from buckthorndeal.fleet import (
     Acknowledged,
     ConfigurationContent,
@@ -223,13 +229,30 @@
         given the opposite one through another host, must not undo that.
         """
         deadline_s = await curio.clock() + CALL_TIMEOUT_S
-        position = await self._call_leader(leader, ReadLogPosition(), CALL_TIMEOUT_S)
-        if not isinstance(position, LogPosition):
-            raise _create_unavailable(f"leader {leader} named no position")
-        order = ProposeEvacuation(failure_domain, active, position.term, position.index)
+        position = await self._read_leader_position(leader)
+        order = ProposeEvacuation(failure_domain, active, *position)
         timeout_s = max(0.0, deadline_s - await curio.clock())
         await self._call_leader(leader, order, timeout_s)
 
+    async def _read_leader_position(
+        self, leader: str | None
+    ) -> tuple[int | None, int | None]:
+        """Return the leader's term and the end of its log.
+
+        Both are None for a leader of a build before this call, which checks no order.
+        """
+        try:
+            position = await self._call_leader(
+                leader, ReadLogPosition(), CALL_TIMEOUT_S
+            )
+        except RequestError as error:
+            if isinstance(error.__cause__, PeerFailureError):
+                return None, None
+            raise
+        if not isinstance(position, LogPosition):
+            raise _create_unavailable(f"leader {leader} named no position")
+        return position.term, position.index
+
     async def get_configuration(self) -> bytes | None:
         """Return the latest configuration as the operator wrote it, or None.
 
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -20,6 +20,7 @@
     "MemoryShortageError",
     "NotLeaderError",
     "PeerError",
+    "PeerFailureError",
     "RequestError",
     "SettingsError",
     "ShortageError",
@@ -111,6 +112,10 @@
         self.verdict = verdict
 
 
+class PeerFailureError(PeerError):
+    """The peer has answered a call with a failure, as one that does not know it."""
+
+
 class StoreError(BuckthorndealError):
     """State on disk cannot be read or written."""
 
--- a/tests/test_evacuation_order.py
+++ b/tests/test_evacuation_order.py
@@ -4,8 +4,8 @@
 
 import curio
 
-from buckthorndeal.errors import PeerError, Verdict
-from buckthorndeal.fleet import ProposeEvacuation
+from buckthorndeal.errors import FrameError, PeerError, Verdict
+from buckthorndeal.fleet import ProposeEvacuation, ReadLogPosition
 from tests.fleet_harness import GATEWAY, Fleet, run_fleet, start_serving
 
 COORDINATORS = ("10.1.0.1", "10.2.0.1", "10.3.0.1")
@@ -14,6 +14,10 @@
 TARGET = "/v1/evacuations/a-1"
 
 
+def leads(fleet, host):
+    return fleet.coordinators[host].metrics.get_value("leads") == 1
+
+
 async def respond(endpoint, request, responder):
     await endpoint.respond(request, responder)
 
@@ -50,11 +54,7 @@
         """Hold up an order, give others, let it arrive, and send a request."""
         async with Fleet() as fleet:
             await start_serving(fleet, respond)
-            leads = {
-                host: daemon.metrics.get_value("leads") == 1
-                for host, daemon in fleet.coordinators.items()
-            }
-            leader = max(COORDINATORS, key=leads.get)
+            leader = max(COORDINATORS, key=lambda host: leads(fleet, host))
             follower, other = (each for each in COORDINATORS if each != leader)
             if held == "DELETE":
                 await self.order(fleet, leader, "PUT")
@@ -76,6 +76,28 @@
         """Guards against requests to an evacuated failure domain."""
         run_fleet(self.check, "DELETE", ("DELETE", "PUT"), 503)
 
+    def test_leader_of_an_older_build_takes_orders_of_a_follower(self):
+        """Guards against orders that fail until a release is through."""
+
+        async def scenario():
+            async with Fleet() as fleet:
+                await start_serving(fleet, respond)
+                leader = max(COORDINATORS, key=lambda host: leads(fleet, host))
+                service = fleet.coordinators[leader].service
+                handle_call = service.handle_call
+
+                async def handle_known_call(message):
+                    if isinstance(message, ReadLogPosition):
+                        raise FrameError("malformed payload: unknown tag")
+                    return await handle_call(message)
+
+                service.handle_call = handle_known_call
+                follower = next(host for host in COORDINATORS if host != leader)
+                status, _ = await fleet.call_api(follower, "PUT", TARGET)
+                self.assertEqual(status, 200)
+
+        run_fleet(scenario)
+
     def test_orders_through_a_follower_are_obeyed_in_turn(self):
         """Guards against an order that counts as outdated, though it is the last."""
 
