Keep the endpoints of an entry host that is stopped before its first check

Cause: the time in which a host does not run counts as silence of its endpoints until the registry has been asked for the first time. Stopped for longer than 3 s before that, the host dropped all endpoints and refused requests (503 no_endpoint, not run) until they announced themselves again.

Change: the time is measured from the first announcement on.

--- a/buckthorndeal/registry.py
+++ b/buckthorndeal/registry.py
@@ -177,6 +177,8 @@
             state = record.view.state
         if not self._chart.allows(state, "announce"):
             return Refused(f"the endpoint is {state}")
+        if self._checked_s is None:
+            self._checked_s = now_s
         view = _create_view(message, self._chart.advance(state, "announce"), now_s)
         if state == "ready":
             _copy_load(record.view, view)
