Play drains in turn beside callers that keep their connections

Callers send one order after the other on connections that they keep, four fifths of them streams in pieces, while two gateways, as processes, are stopped and started again in turn. No order may be read and end without an answer, and none on a kept connection may end at all unless it crossed the end of the process.

--- a/tests/test_stop_play.py
+++ b/tests/test_stop_play.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from tests.stop_play import SCENARIOS, StopPlay, describe
+from tests.drain_play import DrainPlay, describe_drains
+from tests.stop_play import SCENARIOS, StopOptions, StopPlay, describe
 
 
 class StopPlayTest(unittest.TestCase):
@@ -34,3 +35,13 @@
     def test_stream_is_cut_off_only_when_its_host_stops(self):
         """Guards against streams that begin too late in a drain, or end early."""
         self.check_nothing_lost("streams", 1)
+
+    def test_order_on_a_kept_connection_is_answered_while_hosts_drain_in_turn(self):
+        """Guards against connections that end without an announcement (LOST)."""
+        play = DrainPlay("drain-1", StopOptions())
+        play.play()
+        text = describe_drains(play)
+        self.assertEqual(len(play.exited_s), len(play.hosts), text)
+        self.assertGreater(play.count_reused(), 100, text)
+        self.assertEqual(play.list_unanswered(), [], text)
+        self.assertEqual(play.list_untrue(), [], text)
