Book what an entry host holds of responses, and read events in one place

Cause: the entry host of the older generation holds collected bodies and partial events as the gateway does. In the gateway, the size of a long event stayed booked until the next part of its stream.

Change: the entry host books partial events, and a body until nothing refers to it, since it is sent after its attempt has ended. A shortage of the host blames no endpoint there, and is not repeated. The gateway reads events through EventReader, which books them; report_unserved moves to the decisions.

--- a/buckthorndeal/_response_memory.py
+++ b/buckthorndeal/_response_memory.py
@@ -111,10 +111,17 @@
         if self._booking is not None:
             self._booking.settle()
 
-    def reopen(self) -> None:
-        """Let the response be cut again, as the next part is incomplete."""
+    async def reopen(self, size_bytes: int) -> None:
+        """Hold only `size_bytes` of the next part, which is incomplete.
+
+        Raises
+        ------
+        ResponseCutError
+            As `hold`.
+        """
         if self._booking is not None:
             self._booking.reopen()
+        await self.hold(size_bytes)
 
     def take(self) -> Booking | None:
         """Return the booking, which the caller releases from now on."""
--- a/buckthorndeal/entry/_attempts.py
+++ b/buckthorndeal/entry/_attempts.py
@@ -1,5 +1,6 @@
 """One attempt to run a call at an endpoint or through another entry host."""
 
+import weakref
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -12,12 +13,13 @@
 from buckthorndeal.entry._messages import (
     Call,
     EndAttempt,
+    EndpointResponse,
     IsTargetLive,
     Progress,
     Route,
 )
 from buckthorndeal.entry._routes import end_attempt, get_target_name
-from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.errors import RequestError, ResponseCutError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.http_client import ClientResponse
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult, EndpointView
@@ -110,8 +112,11 @@
     except PeerRefusalError:
         outcome = AttemptOutcome.REFUSED
         raise
-    except RequestError:
+    except RequestError as error:
         outcome = AttemptOutcome.BROKEN
+        if is_host_shortage(error):
+            # No endpoint is blamed for a shortage of this host.
+            outcome = AttemptOutcome.CANCELLED
         if progress.state in ("connecting", "reconnecting"):
             outcome = AttemptOutcome.CONNECT_FAILED
             progress.advance("connect_failed")
@@ -257,6 +262,29 @@
         raise create_mismatch_error("the response belongs to another request")
 
 
+async def read_response(
+    attempt: Attempt, default_type: str = "application/octet-stream"
+) -> EndpointResponse:
+    """Return the complete response of an attempt.
+
+    Its body is held until nothing refers to it, as it may be sent to a slow caller.
+    """
+    response = attempt.response
+    body = await response.read()
+    attempt.outcome = AttemptOutcome.SUCCEEDED
+    content_type = response.headers.get("content-type", default_type)
+    read = EndpointResponse(response.status, content_type, body)
+    booking = response.memory.take()
+    if booking is not None:
+        weakref.finalize(read, booking.release)
+    return read
+
+
+def is_host_shortage(error: RequestError) -> bool:
+    """Return whether this host lacks memory for the response of any endpoint."""
+    return isinstance(error, ResponseCutError) and not error.is_excess
+
+
 def create_mismatch_error(reason: str) -> RequestError:
     """Return the error for a response that does not match its request."""
     return RequestError("answer_mismatch", 502, reason, Verdict.MAY_HAVE_RUN)
--- a/buckthorndeal/entry/_calls.py
+++ b/buckthorndeal/entry/_calls.py
@@ -11,7 +11,9 @@
     REFUSAL_STATUSES,
     Attempt,
     PeerRefusalError,
+    is_host_shortage,
     open_attempt,
+    read_response,
 )
 from buckthorndeal.entry._claims import (
     Claims,
@@ -123,7 +125,8 @@
             last_error = error
         excluded |= plan.hedged_endpoints
         if progress.verdict is Verdict.MAY_HAVE_RUN:
-            if not call.idempotent:
+            # The next response would need as much of the memory that is lacking.
+            if not call.idempotent or is_host_shortage(last_error):
                 break
             # After a failed connection of a retry, the state is "retrying" already.
             progress.advance_if_allowed("retry")
@@ -158,7 +161,7 @@
         if attempt.response.status in REFUSAL_STATUSES:
             attempt.outcome = AttemptOutcome.REFUSED
             return None
-        response = await _read_response(attempt)
+        response = await read_response(attempt)
         if call.fields is not None:
             _read_usage(attempt, response)
         return response
@@ -171,14 +174,6 @@
     )
 
 
-async def _read_response(attempt: Attempt) -> EndpointResponse:
-    response = attempt.response
-    body = await response.read()
-    attempt.outcome = AttemptOutcome.SUCCEEDED
-    content_type = response.headers.get("content-type", "application/octet-stream")
-    return EndpointResponse(response.status, content_type, body)
-
-
 class _CachedTokens(msgspec.Struct):
     cached_tokens: int | None = None
 
@@ -273,7 +268,7 @@
                 call,
                 progress,
                 lambda: run_attempts(
-                    self._context, call, progress, _read_response, lambda: call
+                    self._context, call, progress, read_response, lambda: call
                 ),
             )
         except curio.CancelledError:
@@ -325,4 +320,4 @@
             route,
             lambda: self._claims.record_forward(get_claim_key(call)),
         ) as attempt:
-            return await _read_response(attempt)
+            return await read_response(attempt)
--- a/buckthorndeal/entry/_messages.py
+++ b/buckthorndeal/entry/_messages.py
@@ -330,7 +330,7 @@
         return verdict
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, weakref_slot=True)
 class EndpointResponse:
     """Complete response of an endpoint."""
 
--- a/buckthorndeal/entry/_relay.py
+++ b/buckthorndeal/entry/_relay.py
@@ -11,12 +11,14 @@
     REFUSAL_STATUSES,
     Attempt,
     create_mismatch_error,
+    read_response,
 )
 from buckthorndeal.entry._calls import run_attempts, run_with_deadline
 from buckthorndeal.entry._context import EntryContext
 from buckthorndeal.entry._messages import Call, EndpointResponse, Progress
 from buckthorndeal.errors import RequestError, WireError
 from buckthorndeal.http_server import Responder, ResponseAborted
+from buckthorndeal.memory import UNBOOKED_BYTES
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.streams import (
     Event,
@@ -121,10 +123,8 @@
             return None
         if response.status != 200:
             return await self._read_error_response(attempt)
-        parser = create_event_parser()
         try:
-            while not self._cursor.ended and (data := await response.read_part()):
-                await self._forward_events(parser.feed(data), attempt)
+            await self._forward_all_events(attempt)
         except WireError as error:
             raise create_mismatch_error(str(error)) from error
         finally:
@@ -140,10 +140,7 @@
     async def _read_error_response(self, attempt: Attempt) -> EndpointResponse:
         if self._responder.started:
             raise create_mismatch_error("the endpoint refused to resume the stream")
-        body = await attempt.response.read()
-        attempt.outcome = AttemptOutcome.SUCCEEDED
-        content_type = attempt.response.headers.get("content-type", "text/plain")
-        return EndpointResponse(attempt.response.status, content_type, body)
+        return await read_response(attempt, "text/plain")
 
     async def _read_remainder(self, attempt: Attempt) -> None:
         await self._responder.finish()
@@ -153,6 +150,23 @@
         except RequestError:
             pass
 
+    async def _forward_all_events(self, attempt: Attempt) -> None:
+        response, memory = attempt.response, attempt.response.memory
+        parser = create_event_parser()
+        memory.set_clear(parser.clear)
+        pending_bytes = 0
+        while not self._cursor.ended and (data := await response.read_part()):
+            held_bytes = pending_bytes + len(data)
+            events = parser.feed(data)
+            pending_bytes = parser.pending_bytes
+            is_long = memory.is_booked or pending_bytes > UNBOOKED_BYTES
+            if is_long:
+                await memory.hold(held_bytes)
+                memory.settle()
+            await self._forward_events(events, attempt)
+            if is_long:
+                await memory.reopen(pending_bytes)
+
     async def _forward_events(self, events: list[Event], attempt: Attempt) -> None:
         accepted = []
         mismatch = None
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -8,7 +8,7 @@
 import curio
 
 from buckthorndeal.configuration import RequestKind, Route
-from buckthorndeal.errors import RequestError, ShortageError, Verdict, WireError
+from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.gateway._attempt import (
     VERSION_HEADER,
     Attempt,
@@ -19,18 +19,17 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._continuation import EventSelector
 from buckthorndeal.gateway._decision_log import log_failed_attempt
-from buckthorndeal.gateway._decisions import get_target, request_decision
-from buckthorndeal.gateway._events import EventSplitter
-from buckthorndeal.gateway._fleet_messages import (
-    RegionUpdate,
-    RelayUnreachable,
+from buckthorndeal.gateway._decisions import (
+    get_target,
+    report_unserved,
+    request_decision,
 )
+from buckthorndeal.gateway._event_reader import EventReader
 from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
     Call,
     Decision,
     Dispatch,
-    Forward,
     Refusal,
 )
 from buckthorndeal.gateway._open_attempts import Handover
@@ -42,7 +41,6 @@
 from buckthorndeal.http_client import ClientConnection, encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.mailbox import MailboxError
-from buckthorndeal.memory import UNBOOKED_BYTES
 from buckthorndeal.policy.views import AttemptOutcome
 
 OK = 200
@@ -161,7 +159,7 @@
                 return
             except AttemptError as error:
                 self.progress.is_attempting = False
-                await self._report_unserved(decision, error)
+                await report_unserved(self._context, decision, error)
                 self._record_failure(decision, error)
 
     def _open_attempt(
@@ -203,21 +201,6 @@
                 raise create_stream_error(f"the response has status {status}")
             yield attempt
 
-    async def _report_unserved(self, decision: Decision, error: AttemptError) -> None:
-        """Keep other requests from an entry host that has not run this one."""
-        if not isinstance(decision, Forward) or error.verdict is not Verdict.NOT_RUN:
-            return
-        if error.outcome is AttemptOutcome.CANCELLED:
-            # A shortage of this host says nothing about the other one.
-            return
-        if not decision.is_relay:
-            # Until the next report of the region.
-            lost = RegionUpdate(decision.region, None)
-            await self._context.dispatch_mailbox.send(lost)
-        elif not error.request_sent:
-            unreachable = RelayUnreachable(decision.host)
-            await self._context.dispatch_mailbox.send(unreachable)
-
     def _is_taken_up(self) -> bool:
         """Return whether a caller takes up a stream of which no host has told more."""
         call = self._call
@@ -374,7 +357,7 @@
         self, decision: Decision, error: AttemptError
     ) -> None:
         """Record an attempt that has failed while the one before goes on."""
-        await self._report_unserved(decision, error)
+        await report_unserved(self._context, decision, error)
         self._exclude(decision, error)
         if error.verdict is not Verdict.NOT_RUN:
             self.progress.runs += 1
@@ -385,20 +368,10 @@
         self.progress.request_sent = True
 
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
-        splitter = EventSplitter()
-        memory = attempt.response.memory
-        memory.set_clear(splitter.clear)
+        reader = EventReader(attempt.response)
         selector = EventSelector(self.progress.last_event_id)
         reported = False
-        while part := await attempt.response.read_part():
-            try:
-                events = splitter.feed(part)
-            except WireError as error:
-                raise create_stream_error(str(error)) from error
-            if memory.is_booked or splitter.pending_bytes > UNBOOKED_BYTES:
-                complete_bytes = sum(len(event.data) for event in events)
-                # Before the events count as passed on, as it may fail.
-                await memory.hold(splitter.pending_bytes + complete_bytes)
+        while (events := await reader.read()) is not None:
             selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
             self.progress.events += selection.count
@@ -411,12 +384,12 @@
             if selection.data:
                 self._record_events(attempt)
                 await self._start_response(attempt)
-                memory.settle()
+                reader.start_passing_on()
                 await self._responder.send(selection.data)
-                memory.reopen()
+                await reader.end_passing_on()
             if selection.fault is not None:
                 raise create_stream_error(selection.fault)
-        if not splitter.is_at_event_boundary:
+        if not reader.is_at_event_boundary:
             raise create_stream_error(
                 "the stream ended in the middle of an event", closed=True
             )
