Test the memory of an entry host, and that a shortage blames no endpoint

ShortageTest does not end there, and sends the request twice if a shortage counts as a broken response.

--- /dev/null
+++ b/tests/test_entry_response_memory.py
@@ -0,0 +1,99 @@
+"""Tests of the memory that an entry host holds for the responses of endpoints."""
+
+import time
+
+import curio
+import msgspec
+
+from buckthorndeal.memory import MemoryAccount
+from tests.support import REQUEST_ID, ClusterCase, answer_with, send_tokens
+
+MIB = 1 << 20
+CAPACITY_BYTES = 8 * MIB
+CALLERS = 16
+PART = b"data: x" * 4_096
+BODY = b"y" * MIB
+
+
+def is_endless(request):
+    messages = msgspec.json.decode(request.body).get("messages")
+    return messages == ["endless"]
+
+
+async def send_without_end(request, responder):
+    await responder.start(200, [(REQUEST_ID, request.headers[REQUEST_ID])])
+    while True:
+        await responder.send(PART)
+
+
+async def answer(request, responder):
+    if is_endless(request):
+        await send_without_end(request, responder)
+    elif msgspec.json.decode(request.body).get("stream"):
+        await send_tokens(request, responder)
+    else:
+        await answer_with(b"{}")(request, responder)
+
+
+class EntryResponseMemoryTest(ClusterCase):
+    """Responses hold no more than the account, over real sockets."""
+
+    def run_limited(self, scenario, handler):
+        async def run(cluster):
+            account = MemoryAccount(CAPACITY_BYTES, time.monotonic)
+            cluster.transport.memory = account
+            for name in ("a", "b"):
+                await cluster.add_endpoint(name, "llm", handler)
+            await scenario(cluster, account)
+            while account.held_bytes:
+                await curio.sleep(0.02)
+
+        self.run_cluster(run)
+
+    def check_endless(self, stream):
+        async def call_endless(cluster):
+            try:
+                status, _, _ = await cluster.chat(messages=["endless"], stream=stream)
+            except Exception:
+                return None
+            return status
+
+        async def scenario(cluster, account):
+            async with curio.TaskGroup(wait=all) as group:
+                for _ in range(CALLERS):
+                    await group.spawn(call_endless, cluster)
+                for _ in range(10):
+                    status, _, _ = await cluster.chat(stream=stream)
+                    self.assertEqual(status, 200)
+                    await curio.sleep(0.02)
+            self.assertGreater(account.peak_bytes, MIB)
+            self.assertLessEqual(account.peak_bytes, CAPACITY_BYTES)
+
+        self.run_limited(scenario, answer)
+
+    def test_endless_bodies(self):
+        """Guards against a process that grows with each body without end."""
+        self.check_endless(False)
+
+    def test_endless_events(self):
+        """Guards against a process that grows with each event without end."""
+        self.check_endless(True)
+
+    def test_large_answers_wait_for_each_other(self):
+        """Guards against half-read answers that take the room of each other."""
+
+        async def scenario(cluster, account):
+            async with curio.TaskGroup(wait=all) as group:
+                for _ in range(12):
+                    await group.spawn(cluster.chat)
+            for status, _, body in group.results:
+                self.assertEqual((status, body), (200, BODY))
+            self.assertGreater(account.peak_bytes, MIB)
+
+        self.run_limited(scenario, answer_with(BODY))
+
+
+if __name__ == "__main__":
+    import unittest
+
+    unittest.main()
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -416,6 +416,47 @@
         self.run_scenario(scenario, script, timeout_s=20.0)
 
 
+class ShortageTest(ResponseMemoryCase):
+    """A shortage of the host is nobody else's fault."""
+
+    def test_shortage_blames_no_endpoint_and_is_not_repeated(self):
+        """Guards against repeats that need the same memory, and against ejections."""
+
+        async def script(endpoint, stream, request_id):
+            if request_id.startswith("cut"):
+                part = create_chunk(b"x" * 65_536) * 8
+                await stream.sendall(create_stream_head(request_id) + part)
+                await stream.recv(1)
+            else:
+                await send_sound_answer(endpoint, stream, request_id)
+
+        async def scenario(fleet, account):
+            endpoints = fleet.endpoints.values()
+            for number in range(8):
+                name = f"cut-{number}"
+                cut = await curio.spawn(call, fleet, "/idempotent/", name)
+                await wait_until(lambda: account.held_bytes == 524_288)
+                others = []
+                while account.cut_count == number:
+                    others.append(account.open(Use.REQUEST))
+                    others[-1].settle()
+                    others[-1].resize(400_000)
+                status, _ = await cut.join()
+                self.assertEqual(status, 502)
+                sent = sum(each.requests.count(name) for each in endpoints)
+                self.assertEqual(sent, 1)
+                for each in others:
+                    each.release()
+            before = [len(each.requests) for each in endpoints]
+            await call_many(fleet, "/idempotent/", 30, "sound")
+            after = [len(each.requests) for each in endpoints]
+            self.assertTrue(
+                all(now > then for now, then in zip(after, before, strict=True))
+            )
+
+        self.run_scenario(scenario, script, script, timeout_s=20.0)
+
+
 class ContinuedStreamTest(ResponseMemoryCase):
     """A stream that there is no room for goes on elsewhere without a gap."""
 
