Let the reading of a stream be ended without waiting

Cause: a message that is cut has to be dropped at once, while its task waits for the next bytes of its peer, for up to a time-out.

Change: Stream.end_reading lets a pending recv return at once, without a trap of the event loop, and leaves sending as it is. In memory, readers wait on futures, which can be set without waiting.

Result: tests.test_transport over both transports.

--- a/buckthorndeal/bench/_counted_stream.py
+++ b/buckthorndeal/bench/_counted_stream.py
@@ -45,6 +45,10 @@
         """Return whether the stream has ended."""
         return self._inner.is_ended()
 
+    def end_reading(self) -> None:
+        """End the reading of the stream."""
+        self._inner.end_reading()
+
     async def close(self) -> None:
         """Close the stream."""
         await self._inner.close()
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -46,6 +46,13 @@
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
 
+    @abc.abstractmethod
+    def end_reading(self) -> None:
+        """Let a pending `recv` return no data, and later ones not wait.
+
+        What has arrived already may still be read. Sending goes on.
+        """
+
     async def abort(self) -> None:
         """Shut down both directions at once; a pending `recv` returns no data."""
         await self.close()
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -3,8 +3,10 @@
 import errno
 import itertools
 from collections import deque
+from concurrent.futures import Future
 
 import curio
+from curio.traps import _future_wait
 
 from buckthorndeal.transport._base import (
     DatagramPort,
@@ -29,41 +31,65 @@
         self._chunks: deque[bytes] = deque()
         self._size = 0
         self.closed = False
-        self._changed = curio.Condition()
+        self._is_reading_ended = False
+        # Of the readers that wait; a future can be set without waiting.
+        self._pending_reads: set[Future] = set()
+        self._has_room = curio.Condition()
 
     @property
     def readable(self) -> bool:
-        return self.closed or bool(self._chunks)
+        return self.closed or self._is_reading_ended or bool(self._chunks)
 
     async def write(self, data: bytes) -> None:
-        async with self._changed:
+        async with self._has_room:
             while self._size >= PIPE_CAPACITY_BYTES and not self.closed:
-                await self._changed.wait()
-            if self.closed:
-                raise BrokenPipeError("stream is closed")
-            if data:
-                self._chunks.append(bytes(data))
-                self._size += len(data)
-            await self._changed.notify_all()
+                await self._has_room.wait()
+        if self.closed:
+            raise BrokenPipeError("stream is closed")
+        if data:
+            self._chunks.append(bytes(data))
+            self._size += len(data)
+            self._wake_readers()
 
     async def read(self, max_bytes: int) -> bytes:
-        async with self._changed:
-            while not self.readable:
-                await self._changed.wait()
-            if not self._chunks:
-                return b""
-            chunk = self._chunks.popleft()
-            if len(chunk) > max_bytes:
-                self._chunks.appendleft(chunk[max_bytes:])
-                chunk = chunk[:max_bytes]
-            self._size -= len(chunk)
-            await self._changed.notify_all()
-            return chunk
+        while not self.readable:
+            await self._wait_for_data()
+        if not self._chunks:
+            return b""
+        if self._size >= PIPE_CAPACITY_BYTES:
+            await self._notify_writers()
+        chunk = self._chunks.popleft()
+        if len(chunk) > max_bytes:
+            self._chunks.appendleft(chunk[max_bytes:])
+            chunk = chunk[:max_bytes]
+        self._size -= len(chunk)
+        return chunk
 
     async def close(self) -> None:
-        async with self._changed:
-            self.closed = True
-            await self._changed.notify_all()
+        self.closed = True
+        self._wake_readers()
+        await self._notify_writers()
+
+    def end_reading(self) -> None:
+        self._is_reading_ended = True
+        self._wake_readers()
+
+    async def _wait_for_data(self) -> None:
+        pending = Future()
+        self._pending_reads.add(pending)
+        try:
+            await _future_wait(pending)
+        finally:
+            self._pending_reads.discard(pending)
+
+    def _wake_readers(self) -> None:
+        for pending in self._pending_reads:
+            if not pending.done():
+                pending.set_result(None)
+
+    async def _notify_writers(self) -> None:
+        async with self._has_room:
+            await self._has_room.notify_all()
 
 
 class _MemoryStream(Stream):
@@ -83,6 +109,9 @@
     def is_ended(self) -> bool:
         return self._incoming.closed
 
+    def end_reading(self) -> None:
+        self._incoming.end_reading()
+
     async def close(self) -> None:
         await self._incoming.close()
         await self._outgoing.close()
--- a/buckthorndeal/transport/_shaped.py
+++ b/buckthorndeal/transport/_shaped.py
@@ -193,6 +193,9 @@
     def is_ended(self) -> bool:
         return self._ended
 
+    def end_reading(self) -> None:
+        self._inner.end_reading()
+
     async def close(self) -> None:
         if self._closed:
             return
--- a/buckthorndeal/transport/_streams.py
+++ b/buckthorndeal/transport/_streams.py
@@ -41,6 +41,14 @@
         await self._sock.close()
         self._descriptors.remove(self._sock)
 
+    def end_reading(self) -> None:
+        try:
+            with self._sock.blocking() as sock:
+                sock.shutdown(stdlib_socket.SHUT_RD)
+        except OSError:
+            # The connection has already ended, so no `recv` is pending.
+            return
+
     async def abort(self) -> None:
         try:
             await self._sock.shutdown(stdlib_socket.SHUT_RDWR)
--- a/tests/cut_transport.py
+++ b/tests/cut_transport.py
@@ -84,6 +84,9 @@
     def is_ended(self):
         return self._inner.is_ended() and self._transport.manner != "hang"
 
+    def end_reading(self):
+        self._inner.end_reading()
+
     async def close(self):
         self._ended = True
         await self._inner.close()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from buckthorndeal.transport import create_socket_transport
+from buckthorndeal.transport import create_memory_transport, create_socket_transport
 
 
 class SocketTransportTest(unittest.TestCase):
@@ -58,5 +58,61 @@
                 client.close()
 
 
+class EndReadingTest(unittest.TestCase):
+    """The reading of a stream is ended without waiting, by another task."""
+
+    def run_on_streams(self, scenario):
+        """Run a scenario with both ends of a connection, of each transport."""
+
+        async def main(transport):
+            accepted = curio.Queue()
+            ended = curio.Event()
+
+            async def accept(stream):
+                await accepted.put(stream)
+                await ended.wait()
+
+            listener = await transport.listen("127.0.0.1", 0, accept)
+            near = await transport.connect("127.0.0.1", listener.port)
+            try:
+                async with curio.timeout_after(10.0):
+                    await scenario(near, await accepted.get())
+            finally:
+                await near.close()
+                await ended.set()
+                await listener.close()
+
+        for create in (create_memory_transport, create_socket_transport):
+            with self.subTest(create.__name__):
+                curio.run(main, create())
+
+    def test_pending_read_returns_and_sending_goes_on(self):
+        """Guards against a refusal that waits until its peer sends more."""
+
+        async def scenario(near, far):
+            read = await curio.spawn(far.recv, 100)
+            await curio.sleep(0.05)
+            far.end_reading()
+            self.assertEqual(await read.join(), b"")
+            await far.sendall(b"refused")
+            self.assertEqual(await near.recv(100), b"refused")
+
+        self.run_on_streams(scenario)
+
+    def test_bytes_that_come_later_reset_nothing(self):
+        """Guards against a refusal that is lost as its peer goes on sending."""
+
+        async def scenario(near, far):
+            far.end_reading()
+            await far.sendall(b"refused")
+            await near.sendall(b"more")
+            await curio.sleep(0.05)
+            await near.sendall(b"more")
+            self.assertEqual(await near.recv(100), b"refused")
+            self.assertEqual(await far.recv(4), b"more")
+
+        self.run_on_streams(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
