Let one direction of a stream be ended, and wake readers in memory as before

Cause: the in-memory transport woke each reader by a future, which logs an error when hundreds are woken in one turn of the event loop. Ending one direction was not possible, so a server could either close at once or let its caller wait.

Change: readers wait on a condition again, and one task of the transport notifies those whose reading was ended by code that cannot wait. Stream.end_writing ends one direction only.

Result: tests.test_transport over both transports.

--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -53,6 +53,10 @@
         What has arrived already may still be read. Sending goes on.
         """
 
+    async def end_writing(self) -> None:
+        """End the stream for the peer, whose bytes may still be read if possible."""
+        await self.close()
+
     async def abort(self) -> None:
         """Shut down both directions at once; a pending `recv` returns no data."""
         await self.close()
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -27,69 +27,75 @@
 class _Pipe:
     """One direction of a stream: a bounded byte buffer that can be closed."""
 
-    def __init__(self) -> None:
+    def __init__(self, notifier: "_Notifier") -> None:
+        self._notifier = notifier
+        self._is_reading_ended = False
         self._chunks: deque[bytes] = deque()
         self._size = 0
         self.closed = False
-        self._is_reading_ended = False
-        # Of the readers that wait; a future can be set without waiting.
-        self._pending_reads: set[Future] = set()
-        self._has_room = curio.Condition()
+        self._changed = curio.Condition()
 
     @property
     def readable(self) -> bool:
         return self.closed or self._is_reading_ended or bool(self._chunks)
 
     async def write(self, data: bytes) -> None:
-        async with self._has_room:
+        async with self._changed:
             while self._size >= PIPE_CAPACITY_BYTES and not self.closed:
-                await self._has_room.wait()
-        if self.closed:
-            raise BrokenPipeError("stream is closed")
-        if data:
-            self._chunks.append(bytes(data))
-            self._size += len(data)
-            self._wake_readers()
+                await self._changed.wait()
+            if self.closed:
+                raise BrokenPipeError("stream is closed")
+            if data:
+                self._chunks.append(bytes(data))
+                self._size += len(data)
+            await self._changed.notify_all()
 
     async def read(self, max_bytes: int) -> bytes:
-        while not self.readable:
-            await self._wait_for_data()
-        if not self._chunks:
-            return b""
-        if self._size >= PIPE_CAPACITY_BYTES:
-            await self._notify_writers()
-        chunk = self._chunks.popleft()
-        if len(chunk) > max_bytes:
-            self._chunks.appendleft(chunk[max_bytes:])
-            chunk = chunk[:max_bytes]
-        self._size -= len(chunk)
-        return chunk
+        async with self._changed:
+            while not self.readable:
+                await self._changed.wait()
+            if not self._chunks:
+                return b""
+            chunk = self._chunks.popleft()
+            if len(chunk) > max_bytes:
+                self._chunks.appendleft(chunk[max_bytes:])
+                chunk = chunk[:max_bytes]
+            self._size -= len(chunk)
+            await self._changed.notify_all()
+            return chunk
 
     async def close(self) -> None:
         self.closed = True
-        self._wake_readers()
-        await self._notify_writers()
+        await self.notify()
 
     def end_reading(self) -> None:
         self._is_reading_ended = True
-        self._wake_readers()
+        self._notifier.add(self)
 
-    async def _wait_for_data(self) -> None:
-        pending = Future()
-        self._pending_reads.add(pending)
-        try:
-            await _future_wait(pending)
-        finally:
-            self._pending_reads.discard(pending)
+    async def notify(self) -> None:
+        async with self._changed:
+            await self._changed.notify_all()
 
-    def _wake_readers(self) -> None:
-        for pending in self._pending_reads:
-            if not pending.done():
-                pending.set_result(None)
 
-    async def _notify_writers(self) -> None:
-        async with self._has_room:
-            await self._has_room.notify_all()
+class _Notifier:
+    """Notifies those who wait for pipes that are changed by code that cannot wait."""
+
+    def __init__(self) -> None:
+        self._pipes: list[_Pipe] = []
+        self._added = Future()
+
+    def add(self, pipe: _Pipe) -> None:
+        self._pipes.append(pipe)
+        if not self._added.done():
+            self._added.set_result(None)
+
+    async def run(self) -> None:
+        while True:
+            await _future_wait(self._added)
+            self._added = Future()
+            pipes, self._pipes = self._pipes, []
+            for pipe in pipes:
+                await pipe.notify()
 
 
 class _MemoryStream(Stream):
@@ -112,6 +118,9 @@
     def end_reading(self) -> None:
         self._incoming.end_reading()
 
+    async def end_writing(self) -> None:
+        await self._outgoing.close()
+
     async def close(self) -> None:
         await self._incoming.close()
         await self._outgoing.close()
@@ -146,6 +155,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._listeners: dict[tuple[str, int], curio.Queue] = {}
+        self._notifier = _Notifier()
+        self._notifier_task: curio.Task | None = None
         self.datagram_ports: dict[tuple[str, int], _MemoryDatagramPort] = {}
         self._ports = itertools.count(FIRST_FREE_PORT)
 
@@ -155,7 +166,7 @@
             queue = self._listeners[address, port]
         except KeyError:
             raise ConnectionRefusedError(f"no listener at {address}:{port}") from None
-        to_listener, to_connector = _Pipe(), _Pipe()
+        to_listener, to_connector = _Pipe(self._notifier), _Pipe(self._notifier)
         await queue.put(_MemoryStream(to_listener, to_connector))
         return _MemoryStream(to_connector, to_listener)
 
@@ -164,6 +175,8 @@
         port = port or next(self._ports)
         if (address, port) in self._listeners:
             raise OSError(f"address {address}:{port} is in use")
+        if self._notifier_task is None:
+            self._notifier_task = await curio.spawn(self._notifier.run, daemon=True)
         tasks: set = set()
         accept_task = await curio.spawn(
             self._accept, (address, port), handler, tasks, daemon=True
--- a/buckthorndeal/transport/_streams.py
+++ b/buckthorndeal/transport/_streams.py
@@ -49,6 +49,13 @@
             # The connection has already ended, so no `recv` is pending.
             return
 
+    async def end_writing(self) -> None:
+        try:
+            await self._sock.shutdown(stdlib_socket.SHUT_WR)
+        except OSError:
+            # The connection has already ended.
+            return
+
     async def abort(self) -> None:
         try:
             await self._sock.shutdown(stdlib_socket.SHUT_RDWR)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -58,8 +58,8 @@
                 client.close()
 
 
-class EndReadingTest(unittest.TestCase):
-    """The reading of a stream is ended without waiting, by another task."""
+class EndTest(unittest.TestCase):
+    """One direction of a stream is ended; reading also by code that cannot wait."""
 
     def run_on_streams(self, scenario):
         """Run a scenario with both ends of a connection, of each transport."""
@@ -99,6 +99,17 @@
 
         self.run_on_streams(scenario)
 
+    def test_peer_sees_the_end_and_sends_on(self):
+        async def scenario(near, far):
+            await far.sendall(b"refused")
+            await far.end_writing()
+            self.assertEqual(await near.recv(100), b"refused")
+            self.assertEqual(await near.recv(100), b"")
+            await near.sendall(b"more")
+            self.assertEqual(await far.recv(100), b"more")
+
+        self.run_on_streams(scenario)
+
     def test_bytes_that_come_later_reset_nothing(self):
         """Guards against a refusal that is lost as its peer goes on sending."""
 
