Bound the bytes that servers hold for requests

Cause: each request body may have max_body_bytes, and nothing bounds their sum. 120 connections that send all but the last byte of 4 MiB make a process hold 480 MiB.

Change: each connection books what it holds of a request, from an incomplete head to the whole body until the response is complete, and requests that are read ahead. A request that finds no room, or that is cut in favour of smaller ones, is refused at once with 503 memory_short, not run, in the form of the server; a length that cannot fit, at its head and before an expectation is answered. The read of a request that is cut is ended, so it is told at once. What still comes of a refused request is read and dropped for up to 5 s, because closing with unread bytes resets the connection and loses the refusal. A body is collected without a join of its parts.

Result: tests.test_server_memory, 20 tests. On the code before, five of five that were tried fail: 480 MiB are taken in place of 32 MiB, none is refused, and a refusal for its length is lost.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -1,15 +1,31 @@
-"""Reading of HTTP/1.1 requests on the server, within limits."""
+"""Reading of HTTP/1.1 requests on the server, within limits and the memory."""
 
+import io
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import singledispatch
 
 import curio
 import h11
 
-from buckthorndeal.errors import RequestError
+from buckthorndeal.errors import MemoryShortageError, RequestError
+from buckthorndeal.memory import UNBOOKED_BYTES, Booking, MemoryAccount, Use
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Stream
 
 READ_BYTES = 65_536
+# Bytes of further requests that are read while one is running.
+MAX_PIPELINED_BYTES = 65_536
+DISCONNECT_POLL_INTERVAL_S = 0.1
+SHORTAGE_RETRY_S = 1.0
+# Time for the rest of a request that was refused, and for a pause in it.
+DISCARD_TIMEOUT_S = 5.0
+DISCARD_PAUSE_S = 0.5
+DISCARD_POLL_INTERVAL_S = 0.02
+
+# Called with method and path; returns the bytes that the body of such a request may
+# have, or None if only the limits of the server apply.
+BodyLimit = Callable[[str, str], int | None]
 
 
 @dataclass
@@ -39,73 +55,284 @@
         return self.target.partition("?")[0]
 
 
-async def read_request(
-    stream: Stream, connection: h11.Connection, limits: Limits
-) -> Request | None:
-    """Return the next request, or None if the caller has closed the connection.
+class RequestReader:
+    """Reads the requests of one connection, and accounts for what it holds.
+
+    Parameters
+    ----------
+    stream : Stream
+        Connection to the caller.
+    memory : MemoryAccount
+        Account of the process. What is held of a request that is not complete may be
+        cut in favour of others.
 
-    Raises
-    ------
-    RequestError
-        With the status to respond with, if the request is malformed, too large or too
-        slow.
+    Attributes
+    ----------
+    method : str
+        Method of the request whose head was read last.
+    has_unread : bool
+        Whether a request has not been read to its end.
     """
-    try:
-        head = await _read_head(stream, connection, limits)
+
+    def __init__(self, stream: Stream, memory: MemoryAccount) -> None:
+        self._stream = stream
+        self._memory = memory
+        self._booking: Booking | None = None
+        self._content: io.BytesIO | None = None
+        self._content_bytes = 0
+        self._head_bytes = 0
+        self._is_complete = False
+        self._is_reading_ended = False
+        self.method = ""
+        self.has_unread = False
+
+    async def read(
+        self,
+        connection: h11.Connection,
+        limits: Limits,
+        limit_body: BodyLimit | None = None,
+    ) -> Request | None:
+        """Return the next request, or None if the caller has closed the connection.
+
+        Its bytes are held until `release` is called.
+
+        Raises
+        ------
+        RequestError
+            With the status to respond with, if the request is malformed, too large or
+            too slow, or if there is no memory for it. Nothing is held then.
+        """
+        self.has_unread = True
+        try:
+            request = await self._read(connection, limits, limit_body)
+        except RequestError:
+            self.release()
+            raise
+        except (
+            curio.TaskTimeout,
+            h11.RemoteProtocolError,
+            MemoryShortageError,
+        ) as error:
+            self.release()
+            if isinstance(error, curio.TaskTimeout) and not self.method:
+                # Nothing is on its way from a caller that does not send its head.
+                self.has_unread = False
+            raise create_request_error(error) from error
+        self.has_unread = False
+        return request
+
+    def release(self) -> None:
+        """Hold nothing of the last request any more."""
+        if self._booking is not None:
+            self._booking.release()
+            self._booking = None
+        self._content = None
+        self._content_bytes = 0
+        self._head_bytes = 0
+        self._is_complete = False
+
+    async def wait_for_disconnect(self, connection: h11.Connection) -> None:
+        """Return once the caller has closed the connection.
+
+        Further requests that it sends are read as far as there is room for them, and
+        the rest of them after the response to the present one.
+        """
+        if await self._read_ahead(connection):
+            return
+        while not self._stream.is_ended():
+            await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
+
+    async def discard_rest(self, timeout_s: float = DISCARD_TIMEOUT_S) -> None:
+        """Read and drop the rest of a request that was refused, for a limited time.
+
+        A connection that is closed with unread bytes is reset, so that its caller might
+        not receive the response.
+        """
+        if not self.has_unread:
+            return
+        if not self._is_reading_ended:
+            # With both directions ended, further bytes would reset the connection.
+            await self._stream.end_writing()
+        await curio.ignore_after(timeout_s, self._discard)
+
+    async def _read(
+        self, connection: h11.Connection, limits: Limits, limit_body: BodyLimit | None
+    ) -> Request | None:
+        self.method = ""
+        async with curio.timeout_after(limits.header_timeout_s):
+            head = await self._read_head(connection)
         if head is None:
             return None
-        headers = _join_headers(head.headers)
-        _check_framing(headers)
-        _check_length(headers, limits.max_body_bytes)
+        self.method = head.method.decode("ascii")
+        request = Request(
+            self.method, head.target.decode("latin-1"), _join_headers(head.headers)
+        )
+        self._head_bytes = _measure_head(request)
+        max_bytes = _limit_body(request, limits.max_body_bytes, limit_body)
+        _check_framing(request.headers)
+        self._check_length(request.headers, max_bytes)
         async with curio.timeout_after(limits.body_timeout_s):
             if connection.they_are_waiting_for_100_continue:
                 reply = h11.InformationalResponse(status_code=100, headers=[])
-                await stream.sendall(connection.send(reply))
-            body = await _read_body(stream, connection, limits.max_body_bytes)
-    except curio.TaskTimeout:
-        raise RequestError(
-            "request_timeout", 408, "the request was not received in time"
-        ) from None
-    except h11.RemoteProtocolError as error:
-        status = error.error_status_hint
-        code = "header_too_large" if status == 431 else "bad_request"
-        raise RequestError(code, status, str(error)) from error
-    return Request(
-        head.method.decode("ascii"), head.target.decode("latin-1"), headers, body
-    )
-
+                await self._stream.sendall(connection.send(reply))
+            request.body = await self._read_body(connection, max_bytes)
+        self._complete(connection)
+        return request
 
-async def _read_head(
-    stream: Stream, connection: h11.Connection, limits: Limits
-) -> h11.Request | None:
-    async with curio.timeout_after(limits.header_timeout_s):
+    async def _read_head(self, connection: h11.Connection) -> h11.Request | None:
         while True:
             event = connection.next_event()
             if isinstance(event, h11.Request):
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            connection.receive_data(await stream.recv(READ_BYTES))
-
-
-async def _read_body(
-    stream: Stream, connection: h11.Connection, max_bytes: int
-) -> bytes:
-    parts = []
-    size = 0
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.recv(READ_BYTES))
-        elif isinstance(event, h11.Data):
-            size += len(event.data)
-            if size > max_bytes:
-                raise _create_too_large_error(max_bytes)
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        else:
-            raise RequestError("bad_request", 400, "the request body ended early")
+            await self._receive(connection)
+
+    async def _read_body(self, connection: h11.Connection, max_bytes: int) -> bytes:
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive(connection)
+            elif isinstance(event, h11.Data):
+                self._add_content(event.data, max_bytes)
+            elif isinstance(event, h11.EndOfMessage):
+                return self._take_content()
+            else:
+                raise RequestError("bad_request", 400, "the request body ended early")
+
+    async def _receive(self, connection: h11.Connection) -> None:
+        """Wait for further bytes of a request that is not complete."""
+        self._hold(len(connection.trailing_data[0]))
+        data = await self._stream.recv(READ_BYTES)
+        if self._booking is not None and self._booking.is_cut:
+            raise MemoryShortageError("the request was cut")
+        connection.receive_data(data)
+
+    def _add_content(self, data: bytes | bytearray, max_bytes: int) -> None:
+        self._content_bytes += len(data)
+        if self._content_bytes > max_bytes:
+            raise _create_too_large_error(max_bytes)
+        self._hold(0)
+        if self._content is None:
+            self._content = io.BytesIO()
+        self._content.write(data)
+
+    def _take_content(self) -> bytes:
+        if self._content is None:
+            return b""
+        # Not a copy, unlike a join of the parts.
+        body = self._content.getvalue()
+        self._content = None
+        return body
+
+    def _complete(self, connection: h11.Connection) -> None:
+        """Keep the present request from being cut."""
+        self._hold(len(connection.trailing_data[0]))
+        self._is_complete = True
+        if self._booking is not None:
+            self._booking.settle()
+
+    def _hold(self, buffered_bytes: int) -> None:
+        """Account for the request, and for the bytes that are not decoded yet.
+
+        Raises
+        ------
+        MemoryShortageError
+            If there is no room for them, or if the request was cut.
+        """
+        size_bytes = self._head_bytes + self._content_bytes + buffered_bytes
+        if self._booking is None and size_bytes <= UNBOOKED_BYTES:
+            return
+        self._get_booking().resize(size_bytes)
+
+    def _get_booking(self) -> Booking:
+        if self._booking is None:
+            drop = None if self._is_complete else self._cut
+            self._booking = self._memory.open(Use.REQUEST, drop=drop)
+        return self._booking
+
+    def _cut(self) -> None:
+        """Drop the present request, whose task is told by the end of its read."""
+        self._content = None
+        self._is_reading_ended = True
+        self._stream.end_reading()
+
+    def _check_length(self, headers: dict[str, str], max_bytes: int) -> None:
+        """Refuse a body that is known to be too large before it is received."""
+        length = headers.get("content-length", "")
+        if not length.isdigit():
+            return
+        if int(length) > max_bytes:
+            raise _create_too_large_error(max_bytes)
+        if int(length) > UNBOOKED_BYTES:
+            self._get_booking().check(self._head_bytes + int(length))
+
+    async def _read_ahead(self, connection: h11.Connection) -> bool:
+        """Read requests that follow; return whether the caller has disconnected."""
+        left_bytes = MAX_PIPELINED_BYTES
+        read_bytes = UNBOOKED_BYTES
+        while left_bytes > 0:
+            try:
+                data = await self._stream.recv(read_bytes)
+            except OSError:
+                data = b""
+            connection.receive_data(data)
+            if not data:
+                return True
+            left_bytes -= len(data)
+            read_bytes = left_bytes
+            try:
+                self._hold(len(connection.trailing_data[0]) + left_bytes)
+            except MemoryShortageError:
+                return False
+        return False
+
+    async def _discard(self) -> None:
+        paused_s = 0.0
+        while paused_s < DISCARD_PAUSE_S:
+            data = await curio.ignore_after(
+                DISCARD_PAUSE_S, self._stream.recv, READ_BYTES
+            )
+            if data:
+                paused_s = 0.0
+            elif self._is_reading_ended:
+                # The caller of a request that was cut may go on sending.
+                await curio.sleep(DISCARD_POLL_INTERVAL_S)
+                paused_s += DISCARD_POLL_INTERVAL_S
+            else:
+                return
+
+
+@singledispatch
+def create_request_error(error: BaseException) -> RequestError:
+    """Return the error to respond with when the reading of a request has failed."""
+    raise TypeError(f"unexpected error {type(error).__name__}") from error
+
+
+@create_request_error.register
+def _(error: curio.TaskTimeout) -> RequestError:
+    message = "the request was not received in time"
+    return RequestError("request_timeout", 408, message)
+
+
+@create_request_error.register
+def _(error: h11.RemoteProtocolError) -> RequestError:
+    status = error.error_status_hint
+    code = "header_too_large" if status == 431 else "bad_request"
+    return RequestError(code, status, str(error))
+
+
+@create_request_error.register
+def _(error: MemoryShortageError) -> RequestError:
+    message = "the host has no memory for the request at present"
+    return RequestError("memory_short", 503, message, retry_after_s=SHORTAGE_RETRY_S)
+
+
+def _limit_body(request: Request, max_bytes: int, limit_body: BodyLimit | None) -> int:
+    if limit_body is None:
+        return max_bytes
+    own_bytes = limit_body(request.method, request.path)
+    return max_bytes if own_bytes is None else min(max_bytes, own_bytes)
 
 
 def _check_framing(headers: dict[str, str]) -> None:
@@ -118,18 +345,16 @@
         )
 
 
-def _check_length(headers: dict[str, str], max_bytes: int) -> None:
-    length = headers.get("content-length", "")
-    if length.isdigit() and int(length) > max_bytes:
-        raise _create_too_large_error(max_bytes)
-
-
 def _create_too_large_error(max_bytes: int) -> RequestError:
     return RequestError(
         "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
     )
 
 
+def _measure_head(request: Request) -> int:
+    return len(request.target) + sum(map(len, request.headers.values()))
+
+
 def _join_headers(pairs: h11._headers.Headers) -> dict[str, str]:
     headers: dict[str, str] = {}
     for raw_name, raw_value in pairs:
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -7,13 +7,19 @@
 import msgspec
 from absl import logging
 
-from buckthorndeal._http_reading import READ_BYTES, Request, read_request
+from buckthorndeal._http_reading import (
+    READ_BYTES,
+    BodyLimit,
+    Request,
+    RequestReader,
+)
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
 
 __all__ = [
+    "BodyLimit",
     "Handler",
     "HttpServer",
     "Request",
@@ -24,8 +30,6 @@
     "create_http_server",
 ]
 
-MAX_PIPELINED_BYTES = 65_536
-DISCONNECT_POLL_INTERVAL_S = 0.1
 # Time in which handlers respond when their server closes.
 CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
@@ -71,6 +75,9 @@
         Coroutine function that sends an error as the response to a request.
     uses_reserve : bool, optional
         Whether connections are served while descriptors are short.
+    limit_body : callable, optional
+        Called with the method and the path of a request before its body is read;
+        returns the bytes that the body may have, or None if only `limits` apply.
 
     Attributes
     ----------
@@ -84,8 +91,10 @@
         limits: Limits,
         respond_error: ErrorHandler = Responder.respond_error,
         uses_reserve: bool = False,
+        limit_body: BodyLimit | None = None,
     ) -> None:
         self._handler = handler
+        self._limit_body = limit_body
         self._uses_reserve = uses_reserve
         self._transport: Transport | None = None
         self._refusing = 0
@@ -154,12 +163,14 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = _create_protocol(limits)
+        reader = RequestReader(stream, self._transport.memory)
         if not self._has_room(limits):
-            await self._refuse_connection(stream, connection, limits)
+            await self._refuse_connection(stream, connection, limits, reader)
             return
         self.connection_count += 1
         try:
-            await self._serve_requests(stream, connection, limits)
+            await self._serve_requests(stream, connection, limits, reader)
+            await reader.discard_rest()
         finally:
             self.connection_count -= 1
 
@@ -174,7 +185,11 @@
         return self._transport.has_free_descriptors(RESERVED_SHARE, unserved)
 
     async def _refuse_connection(
-        self, stream: Stream, connection: h11.Connection, limits: Limits
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        limits: Limits,
+        reader: RequestReader,
     ) -> None:
         """Refuse the first request of a connection.
 
@@ -186,8 +201,7 @@
             try:
                 await curio.ignore_after(
                     REFUSAL_TIMEOUT_S,
-                    read_request,
-                    stream,
+                    reader.read,
                     connection,
                     msgspec.structs.replace(
                         limits, max_body_bytes=MAX_REFUSED_BODY_BYTES
@@ -197,16 +211,21 @@
                 # There is no room for the connection, whatever it carries.
                 pass
             finally:
+                reader.release()
                 self._refusing -= 1
-        responder = Responder(stream, connection, lambda: True)
-        if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            full = RequestError(
-                "too_many_connections", 503, "too many connections", retry_after_s=1.0
-            )
-            await self._respond_error(responder, full)
+        full = RequestError(
+            "too_many_connections", 503, "too many connections", retry_after_s=1.0
+        )
+        await self._respond_and_close(stream, connection, reader, full)
+        if connection.their_state is not h11.IDLE:
+            await reader.discard_rest(REFUSAL_TIMEOUT_S)
 
     async def _serve_requests(
-        self, stream: Stream, connection: h11.Connection, limits: Limits
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        limits: Limits,
+        reader: RequestReader,
     ) -> None:
         while True:
             if not await self._wait_for_request(stream, connection):
@@ -217,9 +236,10 @@
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
             try:
-                if not await self._serve_request(stream, connection):
+                if not await self._serve_request(stream, connection, reader):
                     return
             finally:
+                reader.release()
                 self.active_requests -= 1
             if connection.our_state is not h11.DONE or self._draining:
                 return
@@ -253,12 +273,14 @@
             connection.receive_data(data)
         return bool(data)
 
-    async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
+    async def _serve_request(
+        self, stream: Stream, connection: h11.Connection, reader: RequestReader
+    ) -> bool:
         responder = Responder(stream, connection, lambda: self._draining)
         try:
-            request = await read_request(stream, connection, self._limits)
+            request = await reader.read(connection, self._limits, self._limit_body)
         except RequestError as error:
-            await _respond_and_close(responder, connection, error)
+            await self._respond_and_close(stream, connection, reader, error)
             return False
         if request is None:
             return False
@@ -266,20 +288,35 @@
         if self.closing:
             await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
             return False
-        await self._run_handler(request, responder, stream, connection)
+        await self._run_handler(request, responder, stream, connection, reader)
         return True
 
+    async def _respond_and_close(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        reader: RequestReader,
+        error: RequestError,
+    ) -> None:
+        """Refuse a request; nothing follows it on the connection."""
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        responder = Responder(stream, connection, lambda: True)
+        responder.is_body_allowed = reader.method != "HEAD"
+        await self._respond_error(responder, error)
+
     async def _run_handler(
         self,
         request: Request,
         responder: Responder,
         stream: Stream,
         connection: h11.Connection,
+        reader: RequestReader,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
         self._running[handler] = responder
         watcher = await curio.spawn(
-            _cancel_on_disconnect, stream, connection, responder, handler
+            _cancel_on_disconnect, reader, connection, responder, handler
         )
         try:
             await handler.wait()
@@ -353,41 +390,17 @@
 
 
 async def _cancel_on_disconnect(
-    stream: Stream,
+    reader: RequestReader,
     connection: h11.Connection,
     responder: Responder,
     handler: curio.Task,
 ) -> None:
     """Cancel the handler if the caller disconnects."""
-    received = 0
-    while True:
-        if received > MAX_PIPELINED_BYTES:
-            # The rest is read once this request has been answered.
-            while not stream.is_ended():
-                await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
-            break
-        try:
-            data = await stream.recv(READ_BYTES)
-        except OSError:
-            data = b""
-        connection.receive_data(data)
-        if not data:
-            break
-        received += len(data)
+    await reader.wait_for_disconnect(connection)
     responder.disconnected = True
     await handler.cancel(blocking=False)
 
 
-async def _respond_and_close(
-    responder: Responder, connection: h11.Connection, error: RequestError
-) -> None:
-    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
-    await responder.respond_json(
-        error.status, error.to_body(), [("connection", "close")]
-    )
-
-
 async def close_servers(servers: Iterable[HttpServer]) -> None:
     """Close servers at the same time."""
     async with curio.TaskGroup() as group:
@@ -400,6 +413,7 @@
     limits: Limits,
     respond_error: ErrorHandler = Responder.respond_error,
     uses_reserve: bool = False,
+    limit_body: BodyLimit | None = None,
 ) -> HttpServer:
     """Return a server that is not listening yet; see `HttpServer`."""
-    return HttpServer(handler, limits, respond_error, uses_reserve)
+    return HttpServer(handler, limits, respond_error, uses_reserve, limit_body)
