--- a/buckthorndeal/_http_lingering.py
+++ b/buckthorndeal/_http_lingering.py
@@ -3,10 +3,13 @@
 import curio
 import h11
 
-from buckthorndeal._http_reading import READ_BYTES
+from buckthorndeal._http_reading import READ_BYTES, RequestReader
 from buckthorndeal.transport import Stream
 
-LINGER_TIMEOUT_S = 0.5
+# Time for what a caller still sends, and for a pause in it.
+LINGER_TIMEOUT_S = 5.0
+MAX_PAUSE_S = 0.5
+POLL_INTERVAL_S = 0.02
 MAX_LINGERING_CONNECTIONS = 256
 MAX_DISCARDED_BYTES = 16_777_216
 
@@ -17,7 +20,13 @@
     def __init__(self) -> None:
         self._count = 0
 
-    async def linger(self, stream: Stream, connection: h11.Connection) -> None:
+    async def linger(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        reader: RequestReader,
+        timeout_s: float = LINGER_TIMEOUT_S,
+    ) -> None:
         """Discard what the caller still sends after its last response, for a while.
 
         Closing a connection with unread bytes resets it, which can take the response
@@ -29,8 +38,10 @@
             return
         self._count += 1
         try:
-            await stream.end_sending()
-            await curio.ignore_after(LINGER_TIMEOUT_S, _discard, stream)
+            if not reader.is_reading_ended:
+                # With both directions ended, further bytes would reset the connection.
+                await stream.end_sending()
+            await curio.ignore_after(timeout_s, _discard, stream, reader)
         finally:
             self._count -= 1
 
@@ -44,12 +55,19 @@
     return is_sending or stream.is_readable()
 
 
-async def _discard(stream: Stream) -> None:
+async def _discard(stream: Stream, reader: RequestReader) -> None:
     received = 0
-    while received < MAX_DISCARDED_BYTES:
-        data = await stream.recv(READ_BYTES)
-        if not data:
+    paused_s = 0.0
+    while received < MAX_DISCARDED_BYTES and paused_s < MAX_PAUSE_S:
+        data = await curio.ignore_after(MAX_PAUSE_S, stream.recv, READ_BYTES)
+        if data:
+            received += len(data)
+            paused_s = 0.0
+            # A caller that sends without end never lets a read wait.
+            await curio.sleep(0)
+        elif reader.is_reading_ended:
+            # Reads of a request that was cut do not wait, but bytes may still come.
+            await curio.sleep(POLL_INTERVAL_S)
+            paused_s += POLL_INTERVAL_S
+        else:
             return
-        received += len(data)
-        # A caller that sends without end never lets a read wait.
-        await curio.sleep(0)
--- a/buckthorndeal/bench/_counted_stream.py
+++ b/buckthorndeal/bench/_counted_stream.py
@@ -49,6 +49,10 @@
         """End the sending half of the stream."""
         await self._inner.end_sending()
 
+    def end_reading(self) -> None:
+        """End the reading of the stream."""
+        self._inner.end_reading()
+
     async def close(self) -> None:
         """Close the stream."""
         await self._inner.close()
