Let a silent stream go on for a moment after the next attempt has its head

When the path to endpoints comes back, a new connection may be open and answered a few milliseconds before the events that were held up arrive. The replacement was then taken at once, and began its part of the stream anew, which may be too late for the deadline of the request.

A replacement is now taken no sooner than 0.1 s after its request was sent; both users of it look for progress of the silent attempt after that.

--- a/buckthorndeal/gateway/_replacement.py
+++ b/buckthorndeal/gateway/_replacement.py
@@ -25,6 +25,9 @@
 
 # Longest time for which two endpoints may work on one stream.
 MAX_OVERLAP_S = 0.2
+# As a path comes back, a new connection may be open some milliseconds before what was
+# held up arrives. For this time the silent stream may go on.
+MIN_OVERLAP_S = 0.1
 SENDING_POLL_S = 0.02
 # Limit of the targets that are tried while an attempt goes on.
 MAX_TARGETS = 3
@@ -132,6 +135,12 @@
                 return
             await curio.ignore_after(min(left_s, SENDING_POLL_S), self._settled.wait)
 
+    async def wait_for_previous(self) -> None:
+        """Wait until the attempt before has had time to go on."""
+        if self._sent_s is not None:
+            left_s = self._sent_s + MIN_OVERLAP_S - self._context.clock()
+            await curio.sleep(max(0.0, left_s))
+
     async def join(self) -> Attempt:
         """Return the attempt once it is open.
 
@@ -234,6 +243,8 @@
                     return False
                 await opening.wait_until_taken(max_overlap_s)
                 if not opening.is_settled or await self._is_open(opening):
+                    if max_overlap_s is not None:
+                        await opening.wait_for_previous()
                     return True
             return False
         finally:
--- a/tests/test_gateway_replacement.py
+++ b/tests/test_gateway_replacement.py
@@ -14,7 +14,11 @@
     Dispatch,
     Forward,
 )
-from buckthorndeal.gateway._replacement import Replacement
+from buckthorndeal.gateway._replacement import (
+    MAX_OVERLAP_S,
+    MIN_OVERLAP_S,
+    Replacement,
+)
 
 
 class ReplacementTest(unittest.TestCase):
@@ -57,6 +61,33 @@
         curio.run(test)
         self.assertEqual(len(asked), 1)
 
+    def test_silent_attempt_may_go_on_after_the_head_of_the_next(self):
+        """Guards against a stream that starts anew as its endpoint goes on (LOST)."""
+        sent_s = []
+
+        async def ask(dispatch):
+            return Forward("b", "h2", 0.0)
+
+        @asynccontextmanager
+        async def open_attempt(attempt_id, decision, on_connection):
+            sent_s.append(time.monotonic())
+            on_connection(SimpleNamespace(informational_count=0))
+            yield decision.host
+
+        async def test():
+            context = SimpleNamespace(
+                dispatch_mailbox=SimpleNamespace(ask=ask), clock=time.monotonic
+            )
+            replacement = Replacement(context, open_attempt, None, None)
+            found = await replacement.find(lambda: Dispatch(1, None), MAX_OVERLAP_S)
+            elapsed_s = time.monotonic() - sent_s[0]
+            async with replacement.take().enter():
+                pass
+            self.assertTrue(found)
+            self.assertGreaterEqual(elapsed_s, MIN_OVERLAP_S)
+
+        curio.run(test)
+
     def test_host_is_not_blamed_for_a_replacement_that_lacks_a_descriptor(self):
         """Guards against a region that gets nothing as this host lacks descriptors."""
         messages = []
