--- a/tests/test_server_drain.py
+++ b/tests/test_server_drain.py
@@ -7,12 +7,13 @@
 
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.settings import Limits
-from buckthorndeal.transport import create_memory_transport
+from buckthorndeal.transport import (
+    create_memory_transport,
+    create_socket_transport,
+)
 from tests.fleet_harness import run_fleet
 from tests.raw_caller import read_answer
 
-ADDRESS = "10.1.0.1"
-PORT = 80
 REQUEST = b"POST /order HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx"
 
 
@@ -23,12 +24,12 @@
     the caller sends next before it has ended the request.
     """
 
-    def __init__(self, **limits):
+    def __init__(self, transport=None, **limits):
         self.started = curio.Event()
         self.may_finish = curio.Event()
         self.may_return = curio.Event()
         self.served = 0
-        self.transport = create_memory_transport()
+        self.transport = transport or create_memory_transport()
         self.http = create_http_server(self._handle, Limits(**limits))
 
     async def _handle(self, request, responder):
@@ -42,8 +43,9 @@
 
     async def open_connection(self):
         """Return a connection whose first response has begun."""
-        await self.http.start(self.transport, ADDRESS, PORT)
-        stream = await self.transport.connect(ADDRESS, PORT)
+        address = "127.0.0.1"
+        await self.http.start(self.transport, address, 0)
+        stream = await self.transport.connect(address, self.http.port)
         await stream.sendall(REQUEST)
         await self.started.wait()
         return stream
@@ -191,8 +193,8 @@
     def test_request_that_arrives_on_an_idle_connection_is_refused(self):
         """Guards against a request that is unread as its connection is closed."""
 
-        async def test():
-            server = Server()
+        async def test(transport):
+            server = Server(transport)
             stream = await server.open_connection()
             await server.may_finish.set()
             await server.may_return.set()
@@ -203,7 +205,9 @@
             self.check_refused(await receive_until_end(stream))
             self.assertEqual(server.served, 1)
 
-        run_fleet(test)
+        for transport in (create_memory_transport(), create_socket_transport()):
+            with self.subTest(transport=type(transport).__name__):
+                run_fleet(test, transport)
 
     def test_idle_connection_ends_with_the_close(self):
         """Guards against a server that waits for callers which send nothing."""
