Refuse CONNECT before it runs

Cause: after a success in response to CONNECT the connection belongs to a tunnel, and h11 sends no body and no end of the response. The request ran, its handler failed, and the connection ended without an answer.

Change: 501 and the end of the connection.

Result: the new test of tests.test_server_refusals fails on the code before.

--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -9,6 +9,7 @@
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
 from buckthorndeal._http_lingering import LingeringConnections
+from buckthorndeal._http_protocol import continue_with_limits, create_protocol
 from buckthorndeal._http_reading import READ_BYTES, Request, read_request
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
@@ -163,7 +164,7 @@
 
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
-        connection = _create_protocol(limits)
+        connection = create_protocol(limits)
         if not self._has_room(limits):
             await self._refuse_connection(stream, connection, limits)
             await self._lingering.linger(stream, connection)
@@ -227,7 +228,7 @@
                 return connection
             if limits is not self._limits:
                 limits = self._limits
-                connection = _continue_with_limits(connection, limits)
+                connection = continue_with_limits(connection, limits)
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
             try:
@@ -253,6 +254,10 @@
             return False
         if request is None:
             return False
+        if request.method == "CONNECT":
+            # After a success its response could not be ended.
+            await _respond_and_close(responder, connection, _create_tunnel_error())
+            return False
         responder.is_body_allowed = request.method != "HEAD"
         if self.closing:
             await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
@@ -328,19 +333,8 @@
     )
 
 
-def _create_protocol(limits: Limits) -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
-
-
-def _continue_with_limits(connection: h11.Connection, limits: Limits) -> h11.Connection:
-    """Return a protocol with newer limits, and what was received between requests."""
-    received, is_closed = connection.trailing_data
-    renewed = _create_protocol(limits)
-    if received:
-        renewed.receive_data(received)
-    if is_closed:
-        renewed.receive_data(b"")
-    return renewed
+def _create_tunnel_error() -> RequestError:
+    return RequestError("not_implemented", 501, "CONNECT is not supported")
 
 
 async def _cancel_on_disconnect(
--- a/tests/test_server_refusals.py
+++ b/tests/test_server_refusals.py
@@ -58,6 +58,28 @@
     def test_caller_beyond_the_limit_of_connections_reads_why(self):
         self.check_refusal(HEAD.encode(), 503, max_connections=1)
 
+    def test_tunnel_is_refused_before_it_runs(self):
+        """Guards against a request that runs and gets no answer (LOST)."""
+        runs = []
+
+        async def handle(request, responder):
+            runs.append(request.method)
+            await responder.respond(200, b"done")
+
+        async def main():
+            transport = create_socket_transport()
+            server = create_http_server(handle, Limits())
+            await server.start(transport, "127.0.0.1", 0)
+            stream = await transport.connect("127.0.0.1", server.port)
+            await stream.sendall(b"CONNECT /a HTTP/1.1\r\nhost: a\r\n\r\n")
+            status, headers, _ = await read_response(stream)
+            self.assertEqual((status, headers["connection"]), (501, "close"))
+            self.assertEqual(runs, [])
+            await stream.close()
+            await server.close()
+
+        curio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
