Let a forwarded request have longer header fields than a caller's

Cause: the limit that the configuration sets for the head of a caller's request held for the port on which other hosts forward it, too, with the fields that they add. A head just below the limit was refused there with 431 if it did not arrive at once.

Change: that port takes 8 KiB more.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -62,6 +62,8 @@
 # Longer, because each check goes through the directory of each coordinator.
 REPLACEMENT_POLL_INTERVAL_S = 0.2
 POOL_CLEANUP_INTERVAL_S = 10.0
+# Of the fields that the host which forwards a request adds.
+MAX_ADDED_HEADER_BYTES = 8_192
 # Twice as long as other hosts keep an idle connection.
 FORWARD_IDLE_TIMEOUT_S = 2 * HOST_IDLE_TIMEOUT_S
 
@@ -340,11 +342,7 @@
             max_connections=self._settings.max_connections,
         )
         self._caller_server.set_limits(limits)
-        # Other hosts go by an idle timeout of their own.
-        idle_timeout_s = max(limits.idle_timeout_s, FORWARD_IDLE_TIMEOUT_S)
-        self._forward_server.set_limits(
-            msgspec.structs.replace(limits, idle_timeout_s=idle_timeout_s)
-        )
+        self._forward_server.set_limits(_extend_for_hosts(limits))
 
     async def _handle_readiness(self, request: Request, responder: Responder) -> None:
         if request.path != self._ready_path:
@@ -354,6 +352,16 @@
         await responder.respond_json(200 if ready else 503, {"ready": ready})
 
 
+def _extend_for_hosts(limits: Limits) -> Limits:
+    """Return the limits for requests that other hosts have accepted by them."""
+    return msgspec.structs.replace(
+        limits,
+        # Other hosts go by an idle timeout of their own.
+        idle_timeout_s=max(limits.idle_timeout_s, FORWARD_IDLE_TIMEOUT_S),
+        max_header_bytes=limits.max_header_bytes + MAX_ADDED_HEADER_BYTES,
+    )
+
+
 def create_gateway(
     settings: GatewaySettings,
     transport: Transport,
