--- a/buckthorndeal/bench/_counted_stream.py
+++ b/buckthorndeal/bench/_counted_stream.py
@@ -45,6 +45,14 @@
         """Return whether the stream has ended."""
         return self._inner.is_ended()
 
+    async def end_sending(self) -> None:
+        """End the sending half of the stream."""
+        await self._inner.end_sending()
+
+    def end_reading(self) -> None:
+        """End the reading of the stream."""
+        self._inner.end_reading()
+
     async def close(self) -> None:
         """Close the stream."""
         await self._inner.close()
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -8,7 +8,7 @@
 import curio
 
 from buckthorndeal.configuration import RequestKind, Route
-from buckthorndeal.errors import RequestError, ShortageError, Verdict, WireError
+from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.gateway._attempt import (
     VERSION_HEADER,
     Attempt,
@@ -19,18 +19,17 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._continuation import EventSelector
 from buckthorndeal.gateway._decision_log import log_failed_attempt
-from buckthorndeal.gateway._decisions import get_target, request_decision
-from buckthorndeal.gateway._events import EventSplitter
-from buckthorndeal.gateway._fleet_messages import (
-    RegionUpdate,
-    RelayUnreachable,
+from buckthorndeal.gateway._decisions import (
+    get_target,
+    report_unserved,
+    request_decision,
 )
+from buckthorndeal.gateway._event_reader import EventReader
 from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
     Call,
     Decision,
     Dispatch,
-    Forward,
     Refusal,
 )
 from buckthorndeal.gateway._open_attempts import Handover
@@ -107,6 +106,7 @@
                 "deadline", 504, "the deadline passed before the response was complete"
             ) from None
         finally:
+            self._keep_failed(None)
             await self._replacement.release()
 
     @property
@@ -159,7 +159,7 @@
                 return
             except AttemptError as error:
                 self.progress.is_attempting = False
-                await self._report_unserved(decision, error)
+                await report_unserved(self._context, decision, error)
                 self._record_failure(decision, error)
 
     def _open_attempt(
@@ -201,21 +201,6 @@
                 raise create_stream_error(f"the response has status {status}")
             yield attempt
 
-    async def _report_unserved(self, decision: Decision, error: AttemptError) -> None:
-        """Keep other requests from an entry host that has not run this one."""
-        if not isinstance(decision, Forward) or error.verdict is not Verdict.NOT_RUN:
-            return
-        if error.outcome is AttemptOutcome.CANCELLED:
-            # A shortage of this host says nothing about the other one.
-            return
-        if not decision.is_relay:
-            # Until the next report of the region.
-            lost = RegionUpdate(decision.region, None)
-            await self._context.dispatch_mailbox.send(lost)
-        elif not error.request_sent:
-            unreachable = RelayUnreachable(decision.host)
-            await self._context.dispatch_mailbox.send(unreachable)
-
     def _is_taken_up(self) -> bool:
         """Return whether a caller takes up a stream of which no host has told more."""
         call = self._call
@@ -269,7 +254,13 @@
                 raise self.progress.create_error("not_accepted", 503, error.reason, 0.5)
             return
         progress.runs += 1
-        may_repeat = self._call.route.retryable and progress.runs < self._max_runs
+        # The next one would need as much of the memory that this host lacks.
+        is_worth_it = not error.is_shortage or self._replacement.is_open
+        may_repeat = (
+            is_worth_it
+            and self._call.route.retryable
+            and progress.runs < self._max_runs
+        )
         if not may_repeat or not self._can_continue():
             raise self.progress.create_error("attempt_failed", 502, error.reason)
 
@@ -300,7 +291,7 @@
         attempt.outcome = AttemptOutcome.SUCCEEDED
         self.progress.record_response_part(self._context.clock())
         if failed and self._may_retry_run():
-            self._failed_response = buffered
+            self._keep_failed(replace(buffered, booking=response.memory.take()))
             self.progress.runs += 1
             self.progress.request_sent = True
             self.progress.avoided.add(attempt.target)
@@ -308,6 +299,12 @@
         await self._respond(buffered)
         return True
 
+    def _keep_failed(self, response: BufferedResponse | None) -> None:
+        """Keep a response for a request that no other attempt answers."""
+        if self._failed_response is not None:
+            self._failed_response.release()
+        self._failed_response = response
+
     def _can_continue(self) -> bool:
         """Return whether another endpoint can go on with what the caller has."""
         if not self.progress.events:
@@ -360,7 +357,7 @@
         self, decision: Decision, error: AttemptError
     ) -> None:
         """Record an attempt that has failed while the one before goes on."""
-        await self._report_unserved(decision, error)
+        await report_unserved(self._context, decision, error)
         self._exclude(decision, error)
         if error.verdict is not Verdict.NOT_RUN:
             self.progress.runs += 1
@@ -371,14 +368,10 @@
         self.progress.request_sent = True
 
     async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
-        splitter = EventSplitter()
+        reader = EventReader(attempt.response)
         selector = EventSelector(self.progress.last_event_id)
         reported = False
-        while part := await attempt.response.read_part():
-            try:
-                events = splitter.feed(part)
-            except WireError as error:
-                raise create_stream_error(str(error)) from error
+        while (events := await reader.read()) is not None:
             selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
             self.progress.events += selection.count
@@ -391,10 +384,12 @@
             if selection.data:
                 self._record_events(attempt)
                 await self._start_response(attempt)
+                reader.start_passing_on()
                 await self._responder.send(selection.data)
+                await reader.end_passing_on()
             if selection.fault is not None:
                 raise create_stream_error(selection.fault)
-        if not splitter.is_at_event_boundary:
+        if not reader.is_at_event_boundary:
             raise create_stream_error(
                 "the stream ended in the middle of an event", closed=True
             )
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -7,13 +7,17 @@
 import msgspec
 from absl import logging
 
-from buckthorndeal._http_reading import READ_BYTES, Request, read_request
+from buckthorndeal._http_idle import IdleConnections, IdleTimeout
+from buckthorndeal._http_lingering import LingeringConnections
+from buckthorndeal._http_protocol import continue_with_limits, create_protocol
+from buckthorndeal._http_reading import BodyLimit, Request, RequestReader
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
 
 __all__ = [
+    "BodyLimit",
     "Handler",
     "HttpServer",
     "Request",
@@ -24,8 +28,6 @@
     "create_http_server",
 ]
 
-MAX_PIPELINED_BYTES = 65_536
-DISCONNECT_POLL_INTERVAL_S = 0.1
 # Time in which handlers respond when their server closes.
 CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
@@ -71,6 +73,9 @@
         Coroutine function that sends an error as the response to a request.
     uses_reserve : bool, optional
         Whether connections are served while descriptors are short.
+    limit_body : callable, optional
+        Called with the method and the path of a request before its body is read;
+        returns the bytes that the body may have, or None if only `limits` apply.
 
     Attributes
     ----------
@@ -84,8 +89,10 @@
         limits: Limits,
         respond_error: ErrorHandler = Responder.respond_error,
         uses_reserve: bool = False,
+        limit_body: BodyLimit | None = None,
     ) -> None:
         self._handler = handler
+        self._limit_body = limit_body
         self._uses_reserve = uses_reserve
         self._transport: Transport | None = None
         self._refusing = 0
@@ -94,8 +101,8 @@
         self._listener: Listener | None = None
         self._draining = False
         self.closing = False
-        # Tasks of the connections that wait for a request, and of running handlers.
-        self._idle: set[curio.Task] = set()
+        self._idle = IdleConnections()
+        self._lingering = LingeringConnections()
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
@@ -114,23 +121,29 @@
             self._listener.leave_free(RESERVED_SHARE / 2)
 
     def set_limits(self, limits: Limits) -> None:
-        """Replace the limits, starting with the next request on each connection."""
+        """Replace the limits, starting with the next request on each connection.
+
+        A shorter idle timeout ends a connection with its next response, which says so.
+        """
         self._limits = limits
 
     def announce_drain(self) -> None:
-        """Close connections after their next response, but accept new ones."""
+        """Close connections after their next response, but accept new ones.
+
+        A connection whose caller has not been told is kept until the server closes.
+        """
         self._draining = True
 
     async def drain(self) -> None:
-        """Stop accepting connections; close them after their current request."""
+        """Stop accepting connections, and close them as `announce_drain` does."""
         self._draining = True
         await self._listener.stop_accepting()
 
     async def close(self) -> None:
         """Answer the running requests, and close all connections.
 
-        Requests that arrive meanwhile are refused. A response that has started and is
-        not complete is cut off; one that is being sent has `CLOSE_TIMEOUT_S` for it.
+        Requests that have arrived by then are refused. A response that has started and
+        is not complete is cut off; one that is being sent has `CLOSE_TIMEOUT_S` for it.
         """
         self._draining = True
         self.closing = True
@@ -138,30 +151,35 @@
             if not responder.ended:
                 await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
-        for connection in list(self._idle):
-            await connection.cancel(blocking=False)
-        await curio.ignore_after(CLOSE_TIMEOUT_S, self._wait_until_answered)
+        await curio.ignore_after(CLOSE_TIMEOUT_S, self._answer_requests)
         await self._listener.close()
 
     async def abort(self) -> None:
         """Cut off all connections without an answer, as a crash does."""
         await self._listener.close()
 
-    async def _wait_until_answered(self) -> None:
+    async def _answer_requests(self) -> None:
+        """Wait until all requests that have arrived are answered."""
         while self.active_requests:
             await curio.sleep(CLOSE_POLL_INTERVAL_S)
+        await self._idle.close()
+        while self.active_requests or self._idle:
+            await curio.sleep(CLOSE_POLL_INTERVAL_S)
 
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
-        connection = _create_protocol(limits)
+        connection = create_protocol(limits)
+        reader = RequestReader(stream, self._transport.memory)
         if not self._has_room(limits):
-            await self._refuse_connection(stream, connection, limits)
+            await self._refuse_connection(stream, connection, limits, reader)
+            await self._lingering.linger(stream, connection, reader, REFUSAL_TIMEOUT_S)
             return
         self.connection_count += 1
         try:
-            await self._serve_requests(stream, connection, limits)
+            connection = await self._serve_requests(stream, connection, limits, reader)
         finally:
             self.connection_count -= 1
+        await self._lingering.linger(stream, connection, reader)
 
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served."""
@@ -174,7 +192,11 @@
         return self._transport.has_free_descriptors(RESERVED_SHARE, unserved)
 
     async def _refuse_connection(
-        self, stream: Stream, connection: h11.Connection, limits: Limits
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        limits: Limits,
+        reader: RequestReader,
     ) -> None:
         """Refuse the first request of a connection.
 
@@ -186,8 +208,7 @@
             try:
                 await curio.ignore_after(
                     REFUSAL_TIMEOUT_S,
-                    read_request,
-                    stream,
+                    reader.read,
                     connection,
                     msgspec.structs.replace(
                         limits, max_body_bytes=MAX_REFUSED_BODY_BYTES
@@ -197,89 +218,99 @@
                 # There is no room for the connection, whatever it carries.
                 pass
             finally:
+                reader.release()
                 self._refusing -= 1
-        responder = Responder(stream, connection, lambda: True)
-        if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            full = RequestError(
-                "too_many_connections", 503, "too many connections", retry_after_s=1.0
-            )
-            await self._respond_error(responder, full)
+        full = RequestError(
+            "too_many_connections", 503, "too many connections", retry_after_s=1.0
+        )
+        await self._respond_and_close(stream, connection, reader, full)
 
     async def _serve_requests(
-        self, stream: Stream, connection: h11.Connection, limits: Limits
-    ) -> None:
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        limits: Limits,
+        reader: RequestReader,
+    ) -> h11.Connection:
+        """Serve requests until the connection ends; return its protocol state."""
+        idle_timeout = IdleTimeout(lambda: self._limits.idle_timeout_s)
         while True:
-            if not await self._wait_for_request(stream, connection):
-                return
+            if not await self._idle.wait_for_request(stream, connection, idle_timeout):
+                return connection
             if limits is not self._limits:
                 limits = self._limits
-                connection = _continue_with_limits(connection, limits)
+                connection = continue_with_limits(connection, limits)
             # A request is active from its first byte on, so that a drain waits for it.
             self.active_requests += 1
             try:
-                if not await self._serve_request(stream, connection):
-                    return
+                if not await self._serve_request(
+                    stream, connection, reader, idle_timeout
+                ):
+                    return connection
             finally:
+                reader.release()
                 self.active_requests -= 1
-            if connection.our_state is not h11.DONE or self._draining:
-                return
-            if connection.their_state is not h11.DONE:
-                return
+            # A caller that was not told of the end may have sent its next request.
+            if (connection.our_state, connection.their_state) != (h11.DONE, h11.DONE):
+                return connection
             connection.start_next_cycle()
 
-    async def _wait_for_request(
-        self, stream: Stream, connection: h11.Connection
+    async def _serve_request(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        reader: RequestReader,
+        idle_timeout: IdleTimeout,
     ) -> bool:
-        """Wait for the first bytes of a request; return False if none come."""
-        task = await curio.current_task()
-        self._idle.add(task)
-        try:
-            return await self._wait_for_data(stream, connection)
-        finally:
-            self._idle.discard(task)
-
-    async def _wait_for_data(self, stream: Stream, connection: h11.Connection) -> bool:
-        if connection.trailing_data[0]:
-            return True
-        since_s = await curio.clock()
-        data = None
-        while data is None:
-            # Callers go by the newest idle timeout, which may have grown meanwhile.
-            left_s = since_s + self._limits.idle_timeout_s - await curio.clock()
-            if left_s <= 0:
-                return False
-            data = await curio.ignore_after(left_s, stream.recv, READ_BYTES)
-        if data:
-            connection.receive_data(data)
-        return bool(data)
-
-    async def _serve_request(self, stream: Stream, connection: h11.Connection) -> bool:
-        responder = Responder(stream, connection, lambda: self._draining)
+        responder = Responder(
+            stream, connection, lambda: self._draining or idle_timeout.has_fallen()
+        )
         try:
-            request = await read_request(stream, connection, self._limits)
+            request = await reader.read(connection, self._limits, self._limit_body)
         except RequestError as error:
-            await _respond_and_close(responder, connection, error)
+            await self._respond_and_close(stream, connection, reader, error)
             return False
         if request is None:
             return False
+        if request.method == "CONNECT":
+            # After a success its response could not be ended.
+            await self._respond_and_close(
+                stream, connection, reader, _create_tunnel_error()
+            )
+            return False
         responder.is_body_allowed = request.method != "HEAD"
         if self.closing:
             await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
             return False
-        await self._run_handler(request, responder, stream, connection)
+        await self._run_handler(request, responder, stream, connection, reader)
         return True
 
+    async def _respond_and_close(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        reader: RequestReader,
+        error: RequestError,
+    ) -> None:
+        """Refuse a request; nothing follows it on the connection."""
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        responder = Responder(stream, connection, lambda: True)
+        responder.is_body_allowed = reader.method != "HEAD"
+        await self._respond_error(responder, error)
+
     async def _run_handler(
         self,
         request: Request,
         responder: Responder,
         stream: Stream,
         connection: h11.Connection,
+        reader: RequestReader,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
         self._running[handler] = responder
         watcher = await curio.spawn(
-            _cancel_on_disconnect, stream, connection, responder, handler
+            _cancel_on_disconnect, reader, connection, responder, handler
         )
         try:
             await handler.wait()
@@ -337,57 +368,22 @@
     )
 
 
-def _create_protocol(limits: Limits) -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
-
-
-def _continue_with_limits(connection: h11.Connection, limits: Limits) -> h11.Connection:
-    """Return a protocol with newer limits, and what was received between requests."""
-    received, is_closed = connection.trailing_data
-    renewed = _create_protocol(limits)
-    if received:
-        renewed.receive_data(received)
-    if is_closed:
-        renewed.receive_data(b"")
-    return renewed
+def _create_tunnel_error() -> RequestError:
+    return RequestError("not_implemented", 501, "CONNECT is not supported")
 
 
 async def _cancel_on_disconnect(
-    stream: Stream,
+    reader: RequestReader,
     connection: h11.Connection,
     responder: Responder,
     handler: curio.Task,
 ) -> None:
     """Cancel the handler if the caller disconnects."""
-    received = 0
-    while True:
-        if received > MAX_PIPELINED_BYTES:
-            # The rest is read once this request has been answered.
-            while not stream.is_ended():
-                await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
-            break
-        try:
-            data = await stream.recv(READ_BYTES)
-        except OSError:
-            data = b""
-        connection.receive_data(data)
-        if not data:
-            break
-        received += len(data)
+    await reader.wait_for_disconnect(connection)
     responder.disconnected = True
     await handler.cancel(blocking=False)
 
 
-async def _respond_and_close(
-    responder: Responder, connection: h11.Connection, error: RequestError
-) -> None:
-    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
-    await responder.respond_json(
-        error.status, error.to_body(), [("connection", "close")]
-    )
-
-
 async def close_servers(servers: Iterable[HttpServer]) -> None:
     """Close servers at the same time."""
     async with curio.TaskGroup() as group:
@@ -400,6 +396,7 @@
     limits: Limits,
     respond_error: ErrorHandler = Responder.respond_error,
     uses_reserve: bool = False,
+    limit_body: BodyLimit | None = None,
 ) -> HttpServer:
     """Return a server that is not listening yet; see `HttpServer`."""
-    return HttpServer(handler, limits, respond_error, uses_reserve)
+    return HttpServer(handler, limits, respond_error, uses_reserve, limit_body)
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -46,6 +46,20 @@
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
 
+    async def end_sending(self) -> None:
+        """Let the peer read the end of the stream, and go on reading.
+
+        Streams that cannot end one direction alone do nothing.
+        """
+        return
+
+    @abc.abstractmethod
+    def end_reading(self) -> None:
+        """Let a pending `recv` return no data, and later ones not wait.
+
+        What has arrived already may still be read. Sending goes on.
+        """
+
     async def abort(self) -> None:
         """Shut down both directions at once; a pending `recv` returns no data."""
         await self.close()
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -3,8 +3,10 @@
 import errno
 import itertools
 from collections import deque
+from concurrent.futures import Future
 
 import curio
+from curio.traps import _future_wait
 
 from buckthorndeal.transport._base import (
     DatagramPort,
@@ -25,7 +27,9 @@
 class _Pipe:
     """One direction of a stream: a bounded byte buffer that can be closed."""
 
-    def __init__(self) -> None:
+    def __init__(self, notifier: "_Notifier") -> None:
+        self._notifier = notifier
+        self._is_reading_ended = False
         self._chunks: deque[bytes] = deque()
         self._size = 0
         self.closed = False
@@ -33,7 +37,7 @@
 
     @property
     def readable(self) -> bool:
-        return self.closed or bool(self._chunks)
+        return self.closed or self._is_reading_ended or bool(self._chunks)
 
     async def write(self, data: bytes) -> None:
         async with self._changed:
@@ -61,11 +65,39 @@
             return chunk
 
     async def close(self) -> None:
+        self.closed = True
+        await self.notify()
+
+    def end_reading(self) -> None:
+        self._is_reading_ended = True
+        self._notifier.add(self)
+
+    async def notify(self) -> None:
         async with self._changed:
-            self.closed = True
             await self._changed.notify_all()
 
 
+class _Notifier:
+    """Notifies those who wait for pipes that are changed by code that cannot wait."""
+
+    def __init__(self) -> None:
+        self._pipes: list[_Pipe] = []
+        self._added = Future()
+
+    def add(self, pipe: _Pipe) -> None:
+        self._pipes.append(pipe)
+        if not self._added.done():
+            self._added.set_result(None)
+
+    async def run(self) -> None:
+        while True:
+            await _future_wait(self._added)
+            self._added = Future()
+            pipes, self._pipes = self._pipes, []
+            for pipe in pipes:
+                await pipe.notify()
+
+
 class _MemoryStream(Stream):
     def __init__(self, incoming: _Pipe, outgoing: _Pipe) -> None:
         self._incoming = incoming
@@ -83,6 +115,12 @@
     def is_ended(self) -> bool:
         return self._incoming.closed
 
+    def end_reading(self) -> None:
+        self._incoming.end_reading()
+
+    async def end_sending(self) -> None:
+        await self._outgoing.close()
+
     async def close(self) -> None:
         await self._incoming.close()
         await self._outgoing.close()
@@ -117,6 +155,8 @@
     def __init__(self) -> None:
         super().__init__()
         self._listeners: dict[tuple[str, int], curio.Queue] = {}
+        self._notifier = _Notifier()
+        self._notifier_task: curio.Task | None = None
         self.datagram_ports: dict[tuple[str, int], _MemoryDatagramPort] = {}
         self._ports = itertools.count(FIRST_FREE_PORT)
 
@@ -126,7 +166,7 @@
             queue = self._listeners[address, port]
         except KeyError:
             raise ConnectionRefusedError(f"no listener at {address}:{port}") from None
-        to_listener, to_connector = _Pipe(), _Pipe()
+        to_listener, to_connector = _Pipe(self._notifier), _Pipe(self._notifier)
         await queue.put(_MemoryStream(to_listener, to_connector))
         return _MemoryStream(to_connector, to_listener)
 
@@ -135,6 +175,8 @@
         port = port or next(self._ports)
         if (address, port) in self._listeners:
             raise OSError(f"address {address}:{port} is in use")
+        if self._notifier_task is None:
+            self._notifier_task = await curio.spawn(self._notifier.run, daemon=True)
         tasks: set = set()
         accept_task = await curio.spawn(
             self._accept, (address, port), handler, tasks, daemon=True
--- a/tests/fuzzed_http.py
+++ b/tests/fuzzed_http.py
@@ -7,8 +7,9 @@
 import h11
 
 from buckthorndeal._event_buffer import EventBuffer
-from buckthorndeal._http_connection import ClientConnection, create_protocol, read_head
-from buckthorndeal._http_reading import read_request
+from buckthorndeal._http_connection import ClientConnection, create_protocol
+from buckthorndeal._http_reading import RequestReader
+from buckthorndeal._http_response import read_head
 from buckthorndeal.entry._calls import _read_usage
 from buckthorndeal.errors import (
     RequestError,
@@ -17,6 +18,7 @@
 from buckthorndeal.gateway._events import EventSplitter
 from buckthorndeal.gateway.dialect import create_default_dialect
 from buckthorndeal.http_server import Request
+from buckthorndeal.memory import create_memory_account
 from buckthorndeal.settings import (
     Limits,
 )
@@ -60,6 +62,12 @@
     def is_readable(self):
         return True
 
+    def end_reading(self):
+        self._data = b""
+
+    async def abort(self):
+        self._data = b""
+
 
 def create_http_decoders():
     errors = (RequestError,)
@@ -89,7 +97,9 @@
     stream = _Stream(data)
     connection = h11.Connection(h11.SERVER)
     limits = Limits(max_body_bytes=1 << 20)
-    while (request := await read_request(stream, connection, limits)) is not None:
+    reader = RequestReader(stream, create_memory_account())
+    while (request := await reader.read(connection, limits)) is not None:
+        reader.release()
         _ = request.path
         if connection.their_state is not h11.DONE:
             return
@@ -108,7 +118,8 @@
     protocol = create_protocol()
     protocol.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
     protocol.send(h11.EndOfMessage())
-    response = await read_head(ClientConnection(_Stream(data), protocol))
+    account = create_memory_account()
+    response = await read_head(ClientConnection(_Stream(data), protocol, account, "x"))
     _parse_response_headers(response.status, response.headers)
     await response.read()
 
--- a/tests/test_gateway_replacement.py
+++ b/tests/test_gateway_replacement.py
@@ -9,12 +9,16 @@
 import curio
 
 from buckthorndeal.errors import ShortageError
-from buckthorndeal.gateway._exchange import Exchange
+from buckthorndeal.gateway._decisions import report_unserved
 from buckthorndeal.gateway._messages import (
     Dispatch,
     Forward,
 )
-from buckthorndeal.gateway._replacement import Replacement
+from buckthorndeal.gateway._replacement import (
+    MAX_OVERLAP_S,
+    MIN_OVERLAP_S,
+    Replacement,
+)
 
 
 class ReplacementTest(unittest.TestCase):
@@ -57,6 +61,33 @@
         curio.run(test)
         self.assertEqual(len(asked), 1)
 
+    def test_silent_attempt_may_go_on_after_the_head_of_the_next(self):
+        """Guards against a stream that starts anew as its endpoint goes on (LOST)."""
+        sent_s = []
+
+        async def ask(dispatch):
+            return Forward("b", "h2", 0.0)
+
+        @asynccontextmanager
+        async def open_attempt(attempt_id, decision, on_connection):
+            sent_s.append(time.monotonic())
+            on_connection(SimpleNamespace(informational_count=0))
+            yield decision.host
+
+        async def test():
+            context = SimpleNamespace(
+                dispatch_mailbox=SimpleNamespace(ask=ask), clock=time.monotonic
+            )
+            replacement = Replacement(context, open_attempt, None, None)
+            found = await replacement.find(lambda: Dispatch(1, None), MAX_OVERLAP_S)
+            elapsed_s = time.monotonic() - sent_s[0]
+            async with replacement.take().enter():
+                pass
+            self.assertTrue(found)
+            self.assertGreaterEqual(elapsed_s, MIN_OVERLAP_S)
+
+        curio.run(test)
+
     def test_host_is_not_blamed_for_a_replacement_that_lacks_a_descriptor(self):
         """Guards against a region that gets nothing as this host lacks descriptors."""
         messages = []
@@ -75,8 +106,6 @@
         async def test():
             mailbox = SimpleNamespace(ask=ask, send=send)
             context = SimpleNamespace(dispatch_mailbox=mailbox, clock=time.monotonic)
-            call = SimpleNamespace(resume_after=None, hops=("h1",))
-            exchange = Exchange(context, call, None, None)
             errors = []
 
             async def record_failure(decision, error):
@@ -89,7 +118,7 @@
             for decision, error in errors:
                 for is_relay in (False, True):
                     target = replace(decision, is_relay=is_relay)
-                    await exchange._report_unserved(target, error)
+                    await report_unserved(context, target, error)
             self.assertEqual(messages, [])
 
         curio.run(test)
