Follow the move of report_unserved in its test

The test called a private method of Exchange that has moved to the decisions, and failed since then with an AttributeError. It checks the same messages as before.

--- a/tests/test_gateway_replacement.py
+++ b/tests/test_gateway_replacement.py
@@ -9,7 +9,7 @@
 import curio
 
 from buckthorndeal.errors import ShortageError
-from buckthorndeal.gateway._exchange import Exchange
+from buckthorndeal.gateway._decisions import report_unserved
 from buckthorndeal.gateway._messages import (
     Dispatch,
     Forward,
@@ -75,8 +75,6 @@
         async def test():
             mailbox = SimpleNamespace(ask=ask, send=send)
             context = SimpleNamespace(dispatch_mailbox=mailbox, clock=time.monotonic)
-            call = SimpleNamespace(resume_after=None, hops=("h1",))
-            exchange = Exchange(context, call, None, None)
             errors = []
 
             async def record_failure(decision, error):
@@ -89,7 +87,7 @@
             for decision, error in errors:
                 for is_relay in (False, True):
                     target = replace(decision, is_relay=is_relay)
-                    await exchange._report_unserved(target, error)
+                    await report_unserved(context, target, error)
             self.assertEqual(messages, [])
 
         curio.run(test)
