Limit what coordinators take by the kind of message, before it is read

Cause: a coordinator took 4 MiB for a heartbeat, a leave, an evacuation or a query, as the limit was that of configurations.

Change: the method and the path decide the limit on the head: 256 KiB for reports of endpoints, 4 KiB for evacuations, what was allowed for configurations, and no body for queries, directories, readiness and metrics. More is answered with 413 at once. The platform's API only tells the kind of each of its calls.

Result: tests.test_request_memory; on the code before, 120 unfinished bodies of 4 MiB at a gateway (ports of callers and of other hosts) and at a coordinator are all held, and none at the other ports is refused. tests.test_odd_entries, whose reports have up to 200 KB, passes; it failed with a first limit of 128 KiB.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -328,6 +328,12 @@
     return RequestError("memory_short", 503, message, retry_after_s=SHORTAGE_RETRY_S)
 
 
+def refuse_body(method: str, path: str) -> int:
+    """Return the limit of bodies on a server that only answers queries."""
+    del method, path
+    return 0
+
+
 def _limit_body(request: Request, max_bytes: int, limit_body: BodyLimit | None) -> int:
     if limit_body is None:
         return max_bytes
--- a/buckthorndeal/coordinator/_api.py
+++ b/buckthorndeal/coordinator/_api.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from buckthorndeal.configuration import ConfigurationError
+from buckthorndeal.coordinator._body_limits import BodyKind
 from buckthorndeal.coordinator._service import CoordinatorService
 from buckthorndeal.errors import DECODING_ERRORS, RequestError
 from buckthorndeal.fleet import EndpointRecord, EndpointState, InvalidRecordError
@@ -143,6 +144,19 @@
     await responder.respond_json(200, {})
 
 
+def classify_body(method: str, path: str) -> BodyKind:
+    """Return what the body of a request to the API may be."""
+    match (method, *path.strip("/").split("/")):
+        case ("PUT", "v1", "configuration"):
+            return BodyKind.CONFIGURATION
+        case ("PUT" | "DELETE", "v1", "evacuations", _):
+            return BodyKind.COMMAND
+        case ("GET", *_):
+            return BodyKind.NONE
+        case _:
+            return BodyKind.REPORT
+
+
 def create_default_handlers(
     service: CoordinatorService, lifetime_s: float
 ) -> tuple[Handler, Handler]:
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -20,6 +20,9 @@
 )
 from buckthorndeal.consensus.bootstrap import choose_membership, is_empty
 from buckthorndeal.consensus.logstore import LogStore, create_disk_log_store
+from buckthorndeal.coordinator._api import classify_body
+from buckthorndeal.coordinator._body_limits import ClassifyBody, create_body_limit
+from buckthorndeal.coordinator._clock import read_clock
 from buckthorndeal.coordinator._fleet_messages import (
     ClusterStateChanged,
     ControlStatusReceived,
@@ -66,10 +69,12 @@
     create_host_links,
 )
 from buckthorndeal.http_server import (
+    BodyLimit,
     Handler,
     HttpServer,
     close_servers,
     create_http_server,
+    refuse_body,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import create_metrics, serve_metrics
@@ -100,14 +105,6 @@
 CreateHandlers = Callable[[CoordinatorService, float], tuple[Handler, Handler]]
 
 
-def read_clock() -> float:
-    """Return the seconds of a monotonic clock that includes suspended time.
-
-    A leader whose host resumes from suspension must notice that its lease has expired.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Coordinator:
     """Coordinator with its replica of the log, its peer links and its HTTP servers.
 
@@ -124,6 +121,9 @@
         cached; returns the HTTP handlers of the API and of the directory.
     clock : callable
         Returns monotonic seconds.
+    classify_body : callable
+        Called with the method and the path of a request to the API; returns the
+        `BodyKind`, which limits the body before it is read.
     """
 
     def __init__(
@@ -133,8 +133,10 @@
         codec: ConfigurationCodec,
         create_handlers: CreateHandlers,
         clock: Callable[[], float],
+        classify_body: ClassifyBody,
     ) -> None:
         self._settings = settings
+        self._limit_body = create_body_limit(classify_body)
         self._transport = transport
         self._clock = clock
         self._codec = codec
@@ -200,7 +202,7 @@
         api, directory_handler = self._create_handlers(
             self.service, self._settings.directory_lifetime_s
         )
-        await self._serve(api, settings.api_listen)
+        await self._serve(api, settings.api_listen, self._limit_body)
         await self._serve(directory_handler, settings.directory_listen)
         if settings.metrics_listen is not None:
             handler = serve_metrics(self.metrics)
@@ -241,10 +243,17 @@
             self._store.close()
 
     async def _serve(
-        self, handler: Handler, listen: Address, uses_reserve: bool = False
+        self,
+        handler: Handler,
+        listen: Address,
+        limit_body: BodyLimit = refuse_body,
+        uses_reserve: bool = False,
     ) -> None:
         server = create_http_server(
-            handler, self._settings.limits, uses_reserve=uses_reserve
+            handler,
+            self._settings.limits,
+            uses_reserve=uses_reserve,
+            limit_body=limit_body,
         )
         await server.start(self._transport, listen.address, listen.port)
         self._servers.append(server)
@@ -378,6 +387,9 @@
     codec: ConfigurationCodec,
     create_handlers: CreateHandlers,
     clock: Callable[[], float] = read_clock,
+    classify_body: ClassifyBody = classify_body,
 ) -> Coordinator:
     """Return a coordinator that has not been started; see `Coordinator`."""
-    return Coordinator(settings, transport, codec, create_handlers, clock)
+    return Coordinator(
+        settings, transport, codec, create_handlers, clock, classify_body
+    )
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -48,6 +48,7 @@
     Responder,
     close_servers,
     create_http_server,
+    refuse_body,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import run_guarded
@@ -296,7 +297,9 @@
         self._servers.append(server)
 
     async def _serve_internal(self, handler: Handler, listen: Address) -> None:
-        server = create_http_server(handler, Limits(), uses_reserve=True)
+        server = create_http_server(
+            handler, Limits(), uses_reserve=True, limit_body=refuse_body
+        )
         await server.start(self._transport, listen.address, listen.port)
         self._internal_servers.append(server)
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -12,6 +12,7 @@
     BodyLimit,
     Request,
     RequestReader,
+    refuse_body,
 )
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
@@ -28,6 +29,7 @@
     "ServerClosing",
     "close_servers",
     "create_http_server",
+    "refuse_body",
 ]
 
 # Time in which handlers respond when their server closes.
