Send refusals of an entry host's server with their verdict

Cause: what the server refuses before a request is handled, as without memory or on too many connections, had no verdict header, so another entry host had to take it for a request that may have run.

Change: the server uses the error form of the handler.

--- a/buckthorndeal/entry/_daemon.py
+++ b/buckthorndeal/entry/_daemon.py
@@ -18,7 +18,7 @@
     create_view_from_document,
     run_document_task,
 )
-from buckthorndeal.entry._handler import EntryHandler
+from buckthorndeal.entry._handler import EntryHandler, respond_error
 from buckthorndeal.entry._ledger_views import ControlLedgerViews, LedgerViewSource
 from buckthorndeal.entry._membership import (
     convert_record,
@@ -146,7 +146,7 @@
         handler = EntryHandler(
             self._context, self.claims, self._non_idempotent_runner, lambda: self._ready
         )
-        self._server = create_http_server(handler.handle, limits)
+        self._server = create_http_server(handler.handle, limits, respond_error)
 
     def _create_subscriber(self) -> SubscriberTask:
         directory = self._settings.data_directory
--- a/buckthorndeal/entry/_handler.py
+++ b/buckthorndeal/entry/_handler.py
@@ -173,7 +173,7 @@
             error, status = caught, caught.code
             if responder.started:
                 raise
-            await _send_refusal(responder, caught, request_id)
+            await respond_error(responder, caught, request_id)
         finally:
             self._record_request_end(
                 request_id, service, status, progress, started_s, error
@@ -320,10 +320,13 @@
     )
 
 
-async def _send_refusal(
-    responder: Responder, error: RequestError, request_id: str
+async def respond_error(
+    responder: Responder, error: RequestError, request_id: str | None = None
 ) -> None:
-    headers = [(REQUEST_ID_HEADER, request_id), (VERDICT_HEADER, error.verdict.value)]
+    """Respond with an error and its verdict, which other entry hosts read."""
+    headers = [(VERDICT_HEADER, error.verdict.value)]
+    if request_id is not None:
+        headers.append((REQUEST_ID_HEADER, request_id))
     if error.retry_after_s is not None:
         headers.append(("retry-after", str(max(1, round(error.retry_after_s)))))
     await responder.respond_json(error.status, error.to_body(), headers)
