Let settings name the memory that a process may use

Cause: only the platform's file named it, so the other commands held up to 64 MiB of messages whatever they were given.

--- a/buckthorndeal/command_control.py
+++ b/buckthorndeal/command_control.py
@@ -101,7 +101,8 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logging(settings.host)
-    daemon = create_control(settings, texts, create_socket_transport())
+    transport = create_socket_transport(memory_bytes=settings.memory_bytes)
+    daemon = create_control(settings, texts, transport)
     try:
         curio.run(run_daemon, daemon)
     except (StartError, StoreError) as error:
--- a/buckthorndeal/command_entry.py
+++ b/buckthorndeal/command_entry.py
@@ -27,7 +27,8 @@
 
 
 async def _run(settings: EntrySettings) -> None:
-    await run_daemon(create_entry_host(settings, create_socket_transport()))
+    transport = create_socket_transport(memory_bytes=settings.memory_bytes)
+    await run_daemon(create_entry_host(settings, transport))
 
 
 def main(_: list[str]) -> int | None:
--- a/buckthorndeal/command_gateway.py
+++ b/buckthorndeal/command_gateway.py
@@ -15,7 +15,7 @@
 def _create(settings: GatewaySettings) -> Gateway:
     return create_gateway(
         settings,
-        create_socket_transport(),
+        create_socket_transport(memory_bytes=settings.memory_bytes),
         create_route_format(),
         create_default_dialect(),
     )
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -31,6 +31,7 @@
 Strategy = Literal["ours", "round_robin", "random", "least_load", "local_only"]
 PositiveCount = Annotated[int, Meta(ge=1, le=1_000_000)]
 ByteCount = Annotated[int, Meta(ge=1, le=1 << 30)]
+MemorySize = Annotated[int, Meta(ge=1 << 26, le=1 << 40)]
 
 
 class Address(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -73,6 +74,9 @@
     It waits until each running request has ended or reached its deadline; requests
     that take longer than `drain_timeout_s` are logged and not aborted. The stored
     answer of a request is reduced to its fingerprint after `answer_retention_s`.
+
+    The process may use `memory_bytes`; messages of others hold what it does not need
+    itself. Without it, they may hold 64 MiB.
     """
 
     host: Name
@@ -90,6 +94,7 @@
     drain_notice_s: PositiveSeconds = 3.0
     answer_retention_s: PositiveSeconds = 86_400.0
     strategy: Strategy = "ours"
+    memory_bytes: MemorySize | None = None
 
 
 class ControlSettings(
@@ -100,6 +105,9 @@
     `voters` are the hosts that vote when the cluster is created. `learners` are hosts
     that replicate the log without a vote; one of them is promoted when a voter has
     been without contact for `promote_after_s`.
+
+    The process may use `memory_bytes`; messages of others hold what it does not need
+    itself. Without it, they may hold 64 MiB.
     """
 
     host: Name
@@ -114,6 +122,7 @@
     initial_document: str | None = None
     limits: Limits = Limits()
     promote_after_s: PositiveSeconds = 30.0
+    memory_bytes: MemorySize | None = None
 
 
 class CoordinatorSettings(
@@ -127,6 +136,9 @@
     to its region. An endpoint without heartbeats for `endpoint_silence_s` is
     removed. Callers may use a directory answer for `directory_lifetime_s`. A drain
     waits up to `drain_timeout_s` for running requests.
+
+    The process may use `memory_bytes`; messages of others hold what it does not need
+    itself. Without it, they may hold 64 MiB.
     """
 
     host: Name
@@ -145,6 +157,7 @@
     endpoint_silence_s: PositiveSeconds = 6.0
     directory_lifetime_s: PositiveSeconds = 1.5
     drain_timeout_s: PositiveSeconds = 30.0
+    memory_bytes: MemorySize | None = None
 
 
 class RetryBudgetSettings(
@@ -173,6 +186,9 @@
     directory has no other host for some routes with home regions: new streams for up
     to `drain_stream_s`, other requests for up to `drain_alone_s`. It waits up to
     `drain_timeout_s` for running requests. Each of these times starts with the drain.
+
+    The process may use `memory_bytes`; messages of others hold what it does not need
+    itself. Without it, they may hold 64 MiB.
     """
 
     host: Name
@@ -192,6 +208,7 @@
     drain_stream_s: PositiveSeconds = 8.0
     drain_alone_s: PositiveSeconds = 15.0
     max_connections: PositiveCount = 4096
+    memory_bytes: MemorySize | None = None
 
 
 ModelT = TypeVar("ModelT")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,13 @@
 import unittest
 
 from buckthorndeal.errors import SettingsError
-from buckthorndeal.settings import EntrySettings, parse_settings
+from buckthorndeal.settings import (
+    ControlSettings,
+    CoordinatorSettings,
+    EntrySettings,
+    GatewaySettings,
+    parse_settings,
+)
 
 VALID = """{
   // Comments are allowed.
@@ -39,6 +45,22 @@
         with self.assertRaisesRegex(SettingsError, "regoin"):
             parse_settings(text, EntrySettings, "entry.jsonc")
 
+    def test_memory_of_the_process_is_validated(self):
+        """Guards against a size in megabytes, with which nothing would fit."""
+        for size, is_valid in ((200_000_000, True), (200, False)):
+            text = VALID.replace('"region"', f'"memory_bytes": {size}, "region"')
+            with self.subTest(size):
+                if is_valid:
+                    settings = parse_settings(text, EntrySettings, "entry.jsonc")
+                    self.assertEqual(settings.memory_bytes, size)
+                    continue
+                with self.assertRaisesRegex(SettingsError, "memory_bytes"):
+                    parse_settings(text, EntrySettings, "entry.jsonc")
+
+    def test_each_daemon_has_a_memory_size(self):
+        for model in (ControlSettings, CoordinatorSettings, GatewaySettings):
+            self.assertIn("memory_bytes", model.__struct_fields__)
+
 
 if __name__ == "__main__":
     unittest.main()
