Keep nothing of a refused request while its rest is discarded

Cause: the protocol state of a refused connection, with up to 64 KiB of its first read, was kept for as long as the rest of its body was read and dropped.

Change: it is let go after the refusal.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -71,7 +71,7 @@
     method : str
         Method of the request whose head was read last.
     has_unread : bool
-        Whether a request has not been read to its end.
+        Whether more of a request that was refused is to be expected.
     """
 
     def __init__(self, stream: Stream, memory: MemoryAccount) -> None:
@@ -102,7 +102,7 @@
             With the status to respond with, if the request is malformed, too large or
             too slow, or if there is no memory for it. Nothing is held then.
         """
-        self.has_unread = True
+        self.has_unread = False
         try:
             request = await self._read(connection, limits, limit_body)
         except RequestError:
@@ -114,9 +114,8 @@
             MemoryShortageError,
         ) as error:
             self.release()
-            if isinstance(error, curio.TaskTimeout) and not self.method:
-                # Nothing is on its way from a caller that does not send its head.
-                self.has_unread = False
+            if not isinstance(error, curio.TaskTimeout):
+                self.has_unread = True
             raise create_request_error(error) from error
         self.has_unread = False
         return request
@@ -163,6 +162,7 @@
             head = await self._read_head(connection)
         if head is None:
             return None
+        self.has_unread = True
         self.method = head.method.decode("ascii")
         request = Request(
             self.method, head.target.decode("latin-1"), _join_headers(head.headers)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -168,10 +168,14 @@
         reader = RequestReader(stream, self._transport.memory)
         if not self._has_room(limits):
             await self._refuse_connection(stream, connection, limits, reader)
+            del connection
+            await reader.discard_rest(REFUSAL_TIMEOUT_S)
             return
         self.connection_count += 1
         try:
             await self._serve_requests(stream, connection, limits, reader)
+            # What it has buffered is not needed meanwhile.
+            del connection
             await reader.discard_rest()
         finally:
             self.connection_count -= 1
@@ -219,8 +223,6 @@
             "too_many_connections", 503, "too many connections", retry_after_s=1.0
         )
         await self._respond_and_close(stream, connection, reader, full)
-        if connection.their_state is not h11.IDLE:
-            await reader.discard_rest(REFUSAL_TIMEOUT_S)
 
     async def _serve_requests(
         self,
--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -1,8 +1,10 @@
 """Tests of the memory that an HTTP server holds for requests."""
 
+import gc
 import unittest
 
 import curio
+import h11
 
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.memory import MemoryAccount
@@ -209,6 +211,27 @@
 
         self.run_with_server(scenario, capacity_bytes=8 * MIB)
 
+    def test_refused_body_is_not_kept_while_its_rest_is_discarded(self):
+        """Guards against buffers of refused requests that no account bounds."""
+
+        async def scenario():
+            # Other tests have left protocols.
+            gc.collect()
+            data = create_head(length=3 * MIB) + b"b" * 60_000
+            streams = [await self.connect(data) for _ in range(100)]
+            for stream in streams:
+                self.check_refused(await read_answer(stream))
+            protocols = [
+                each for each in gc.get_objects() if isinstance(each, h11.Connection)
+            ]
+            buffered = sum(len(each.trailing_data[0]) for each in protocols)
+            self.assertGreater(self.server.connection_count, 50)
+            self.assertLess(buffered, 10 * 60_000)
+            for stream in streams:
+                await stream.close()
+
+        self.run_with_server(scenario, capacity_bytes=8 * MIB)
+
     def test_expectation_is_answered_after_room_was_found(self):
         async def scenario():
             head = create_head(length=3 * MIB, headers=["expect: 100-continue"])
