--- a/buckthorndeal/_http_lingering.py
+++ b/buckthorndeal/_http_lingering.py
@@ -23,7 +23,6 @@
     async def linger(
         self,
         stream: Stream,
-        connection: h11.Connection,
         reader: RequestReader,
         timeout_s: float = LINGER_TIMEOUT_S,
     ) -> None:
@@ -32,8 +31,6 @@
         Closing a connection with unread bytes resets it, which can take the response
         with it before the caller has read it.
         """
-        if not _has_to_linger(stream, connection):
-            return
         if self._count >= MAX_LINGERING_CONNECTIONS:
             return
         self._count += 1
@@ -46,7 +43,8 @@
             self._count -= 1
 
 
-def _has_to_linger(stream: Stream, connection: h11.Connection) -> bool:
+def has_to_linger(stream: Stream, connection: h11.Connection) -> bool:
+    """Return whether the caller may still send on a connection that has responded."""
     has_responded = connection.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
     if not has_responded:
         return False
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -8,9 +8,14 @@
 from absl import logging
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
-from buckthorndeal._http_lingering import LingeringConnections
+from buckthorndeal._http_lingering import LingeringConnections, has_to_linger
 from buckthorndeal._http_protocol import continue_with_limits, create_protocol
-from buckthorndeal._http_reading import BodyLimit, Request, RequestReader
+from buckthorndeal._http_reading import (
+    BodyLimit,
+    Request,
+    RequestReader,
+    refuse_body,
+)
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
@@ -26,6 +31,7 @@
     "ServerClosing",
     "close_servers",
     "create_http_server",
+    "refuse_body",
 ]
 
 # Time in which handlers respond when their server closes.
@@ -172,14 +178,19 @@
         reader = RequestReader(stream, self._transport.memory)
         if not self._has_room(limits):
             await self._refuse_connection(stream, connection, limits, reader)
-            await self._lingering.linger(stream, connection, reader, REFUSAL_TIMEOUT_S)
+            if has_to_linger(stream, connection):
+                del connection
+                await self._lingering.linger(stream, reader, REFUSAL_TIMEOUT_S)
             return
         self.connection_count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
         finally:
             self.connection_count -= 1
-        await self._lingering.linger(stream, connection, reader)
+        if has_to_linger(stream, connection):
+            # What it has buffered is not needed meanwhile.
+            del connection
+            await self._lingering.linger(stream, reader)
 
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served."""
