--- a/tests/process_load.py
+++ b/tests/process_load.py
@@ -145,14 +145,17 @@
         """Send the booking once and return its outcome.
 
         `answered` is a response with status 200. For a failed exchange, `unsent` says
-        that nothing was sent, `broken` that something may have been sent. Any other
-        outcome is the verdict in the system's error response.
+        that nothing was sent, `broken` that something may have been sent, and
+        `timed_out` that the connection was still open. Any other outcome is the verdict
+        in the system's error response.
         """
         try:
             status, data = await self.deployment.book(
                 host, booking.workspace, booking.key, booking.path
             )
         except RequestError as error:
+            if error.code == "timeout":
+                return "timed_out"
             return "unsent" if error.verdict is Verdict.NOT_RUN else "broken"
         body = msgspec.json.decode(data)
         if status == 200:
