Replace silent attempts at other hosts that reach no endpoint

A lookup that was forwarded to a host that then lost its path for good waited until its deadline, though a third host reached the endpoints: the relay may not repeat it, and the host that had forwarded it looked for a replacement only of its own connections to endpoints.

Hosts tell with their heartbeats whether they reach endpoints. A host now also looks for a replacement of attempts that were forwarded to a host that does not and are silent for 0.4 s, as it does for its own on a lost path. Attempts are kept by host, so this costs nothing for those at other hosts.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -121,6 +121,7 @@
     """
     request_sent = False
     closed = False
+    host = decision.host if isinstance(decision, Forward) else None
 
     def mark_request_sent() -> None:
         nonlocal request_sent
@@ -128,8 +129,8 @@
 
     def watch_connection(connection: ClientConnection) -> None:
         connection.request_ids.append(call.request_id)
-        if handover is not None and isinstance(decision, Grant):
-            context.open_attempts.add(attempt_id, connection, handover)
+        if handover is not None:
+            context.open_attempts.add(attempt_id, host, connection, handover)
         if on_connection is not None:
             on_connection(connection)
 
@@ -188,7 +189,7 @@
             outcome = AttemptOutcome.SUCCEEDED
             closed = attempt.response.ends_with_connection
         async with curio.disable_cancellation():
-            await context.open_attempts.remove(attempt_id)
+            await context.open_attempts.remove(attempt_id, host)
             await context.dispatch_mailbox.send(
                 AttemptEnded(attempt_id, outcome, closed, request_sent)
             )
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -314,8 +314,10 @@
             await self._pools.close_idle_endpoints()
         await self._control.mailbox.send(SetEndpointReach(reaches_endpoints))
 
-    async def _replace_silent_attempts(self, now_s: float) -> int:
-        return await self._context.open_attempts.replace_silent(now_s)
+    async def _replace_silent_attempts(
+        self, hosts: tuple[str | None, ...], now_s: float
+    ) -> int:
+        return await self._context.open_attempts.replace_silent(hosts, now_s)
 
     async def _close_unused_pools(self) -> None:
         while True:
--- a/buckthorndeal/gateway/_dispatch_effects.py
+++ b/buckthorndeal/gateway/_dispatch_effects.py
@@ -22,13 +22,13 @@
     report_endpoint_reach : callable
         Tells the coordinators whether this host reaches endpoints.
     replace_silent_attempts : callable
-        Called with a clock reading while the path to the endpoints is lost; replaces
-        the attempts that bring nothing and may be repeated, and returns how many have
-        ended so.
+        Called with hosts whose path to the endpoints is lost, None for this one, and a
+        clock reading; replaces the attempts there that bring nothing and may be
+        repeated, and returns how many have ended so.
     """
 
     share: Callable[[Message], Awaitable[None]]
     share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
     probe: Callable[[EndpointRecord], Awaitable[bool]]
     report_endpoint_reach: Callable[[bool], Awaitable[None]]
-    replace_silent_attempts: Callable[[float], Awaitable[int]]
+    replace_silent_attempts: Callable[[tuple[str | None, ...], float], Awaitable[int]]
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -127,6 +127,8 @@
             return EVIDENCE_INTERVAL_S
         if self._dispatcher.reach.path.needs_attention:
             return PATH_INTERVAL_S
+        if self._dispatcher.view.fleet.cut_off_hosts:
+            return PATH_INTERVAL_S
         return IDLE_INTERVAL_S
 
     async def _handle_crash_news(self, now_s: float) -> None:
@@ -210,10 +212,16 @@
         is_lost = dispatcher.reach.is_lost
         if is_lost != (self._path_lost_s is not None):
             await self._report_path(is_lost, now_s)
-        if is_lost:
-            ended = await self._effects.replace_silent_attempts(now_s)
+        hosts = self._list_cut_off_hosts()
+        if hosts:
+            ended = await self._effects.replace_silent_attempts(hosts, now_s)
             self._metrics.count("attempts_ended_on_lost_path", ended)
 
+    def _list_cut_off_hosts(self) -> tuple[str | None, ...]:
+        """Return the hosts that reach no endpoints, None for this one."""
+        others = self._dispatcher.view.fleet.cut_off_hosts
+        return (None, *others) if self._dispatcher.reach.is_lost else others
+
     async def _report_path(self, is_lost: bool, now_s: float) -> None:
         path = self._dispatcher.reach.path
         if is_lost:
--- a/buckthorndeal/gateway/_fleet_messages.py
+++ b/buckthorndeal/gateway/_fleet_messages.py
@@ -95,6 +95,8 @@
         Ready entry hosts of all regions; none while this host is cut off.
     relay_hosts : tuple of str
         Other ready entry hosts of this region that reach its endpoints.
+    cut_off_hosts : tuple of str
+        Other entry hosts of all regions that reach no endpoints of theirs.
     is_confirmed : bool
         Whether this host has ever known all entry hosts.
     """
@@ -105,6 +107,7 @@
     ready_hosts: tuple[str, ...] = ()
     relay_hosts: tuple[str, ...] = ()
     is_confirmed: bool = True
+    cut_off_hosts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_known_hosts.py
+++ b/buckthorndeal/gateway/_known_hosts.py
@@ -99,4 +99,7 @@
         ready_hosts=() if known.is_cut_off else tuple(all_ready),
         relay_hosts=tuple(entry.host for entry in listed_relays or relays),
         is_confirmed=known.is_confirmed,
+        cut_off_hosts=tuple(
+            entry.host for entry in others if not entry.reaches_endpoints
+        ),
     )
--- a/buckthorndeal/gateway/_open_attempts.py
+++ b/buckthorndeal/gateway/_open_attempts.py
@@ -1,6 +1,6 @@
 """Attempts under way that may be repeated elsewhere once the path is lost."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import curio
@@ -54,36 +54,58 @@
     """Connections of the attempts that may be repeated at another endpoint."""
 
     def __init__(self) -> None:
-        self._attempts: dict[int, _OpenAttempt] = {}
+        # By the host that the request was forwarded to; None for own connections to
+        # endpoints.
+        self._attempts: dict[str | None, dict[int, _OpenAttempt]] = {}
         self._ended = 0
 
     def add(
-        self, attempt_id: int, connection: ClientConnection, handover: Handover
+        self,
+        attempt_id: int,
+        host: str | None,
+        connection: ClientConnection,
+        handover: Handover,
     ) -> None:
-        """Add an attempt whose request is about to be sent."""
-        self._attempts[attempt_id] = _OpenAttempt(connection, handover)
+        """Add an attempt whose request is about to be sent, to a host or endpoint."""
+        attempt = _OpenAttempt(connection, handover)
+        self._attempts.setdefault(host, {})[attempt_id] = attempt
 
-    async def remove(self, attempt_id: int) -> None:
+    async def remove(self, attempt_id: int, host: str | None) -> None:
         """Remove an attempt that has ended."""
-        attempt = self._attempts.pop(attempt_id, None)
-        if attempt is not None and attempt.search is not None:
+        attempts = self._attempts.get(host)
+        attempt = attempts.pop(attempt_id, None) if attempts else None
+        if attempt is None:
+            return
+        if not attempts:
+            del self._attempts[host]
+        if attempt.search is not None:
             await attempt.search.cancel()
 
-    async def replace_silent(self, now_s: float) -> int:
+    async def replace_silent(self, hosts: Iterable[str | None], now_s: float) -> int:
         """Look for a replacement of the attempts that have brought nothing of late.
 
-        Called repeatedly while the path is lost: the silence counts from the first
-        call. An attempt ends only once another endpoint or host has taken its request,
-        as its endpoint may go on.
+        Called repeatedly while a path is lost: the silence counts from the first call.
+        An attempt ends only once another endpoint or host has taken its request, as its
+        endpoint may go on.
+
+        Parameters
+        ----------
+        hosts : iterable of str or None
+            Hosts without a path to endpoints; None for this one.
+        now_s : float
+            Clock reading.
 
         Returns
         -------
         ended : int
             Number of attempts that have ended so since the last call.
         """
-        for attempt in list(self._attempts.values()):
-            if attempt.search is None and self._is_silent(attempt, now_s):
-                attempt.search = await curio.spawn(self._replace, attempt, daemon=True)
+        for host in hosts:
+            for attempt in list(self._attempts.get(host, {}).values()):
+                if attempt.search is None and self._is_silent(attempt, now_s):
+                    attempt.search = await curio.spawn(
+                        self._replace, attempt, daemon=True
+                    )
         ended, self._ended = self._ended, 0
         return ended
 
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -16,7 +16,7 @@
     run_fleet,
 )
 
-HOST, RELAY = "10.1.0.8", "10.1.0.9"
+HOST, RELAY, THIRD = "10.1.0.8", "10.1.0.9", "10.1.0.7"
 MANNERS = ("hang", "reset", "refuse")
 LAST_EVENT = 30
 EVENT_S = 0.1
@@ -132,6 +132,31 @@
 
         run_fleet(check)
 
+    def test_lookup_at_a_relay_that_loses_its_path_is_answered(self):
+        """Guards against a request that waits for the path of another host."""
+
+        async def check():
+            async with Fleet() as fleet:
+                transports = await start_hosts(fleet, (HOST, RELAY, THIRD))
+                await transports[HOST].cut("hang")
+                await fleet.send_request(HOST, "/idempotent/x")
+                await curio.sleep(NOTICE_S)
+                relays = fleet.gateways[HOST]._dispatch._dispatcher.relays
+                task = await curio.spawn(fleet.send_request, HOST, "/idempotent/slow")
+                while not relays._sent:
+                    await curio.sleep(0.01)
+                (relay,) = relays._sent.values()
+                await curio.sleep(SLOW_WORK_S / 4)
+                await transports[relay].cut("hang")
+                # A caller's attempt of a new request shows the loss of the path.
+                await curio.spawn(
+                    fleet.send_request, relay, "/idempotent/x", daemon=True
+                )
+                status, _, _ = await task.join()
+                self.assertEqual(status, 200)
+
+        run_fleet(check)
+
     async def check_stream(self, manner):
         async with Fleet() as fleet:
             transports = await start_hosts(fleet, (HOST, RELAY))
