--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -126,6 +126,8 @@
             return EVIDENCE_INTERVAL_S
         if self._dispatcher.reach.path.needs_attention:
             return PATH_INTERVAL_S
+        if self._dispatcher.view.fleet.cut_off_hosts:
+            return PATH_INTERVAL_S
         return IDLE_INTERVAL_S
 
     async def _handle_crash_news(self, now_s: float) -> None:
--- a/buckthorndeal/gateway/_path_watch.py
+++ b/buckthorndeal/gateway/_path_watch.py
@@ -57,10 +57,16 @@
         is_lost = dispatcher.reach.is_lost
         if is_lost != (self._lost_s is not None):
             await self._report(is_lost, now_s)
-        if is_lost:
-            ended = await self._effects.replace_silent_attempts(now_s)
+        hosts = self._list_cut_off_hosts()
+        if hosts:
+            ended = await self._effects.replace_silent_attempts(hosts, now_s)
             self._metrics.count("attempts_ended_on_lost_path", ended)
 
+    def _list_cut_off_hosts(self) -> tuple[str | None, ...]:
+        """Return the hosts that reach no endpoints, None for this one."""
+        others = self._dispatcher.view.fleet.cut_off_hosts
+        return (None, *others) if self._dispatcher.reach.is_lost else others
+
     async def _probe(self, record: EndpointRecord) -> None:
         accepted = await self._effects.probe(record)
         await self._mailbox.send(PathProbed(record, accepted))
