--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -185,12 +185,12 @@
         self.connection_count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
+            if has_to_linger(stream, connection):
+                # What it has buffered is not needed meanwhile.
+                del connection
+                await self._lingering.linger(stream, reader)
         finally:
             self.connection_count -= 1
-        if has_to_linger(stream, connection):
-            # What it has buffered is not needed meanwhile.
-            del connection
-            await self._lingering.linger(stream, reader)
 
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served."""
