Let the endpoints of a test of responses send heartbeats

In one of three runs at a load of 24 to 38, test_endless_bodies got a refusal in place of an answer: its log shows that both endpoints had expired, as the scenario took longer than 3 s and they sent no heartbeats.

--- a/tests/test_entry_response_memory.py
+++ b/tests/test_entry_response_memory.py
@@ -11,6 +11,7 @@
 MIB = 1 << 20
 CAPACITY_BYTES = 8 * MIB
 CALLERS = 16
+HEARTBEAT_INTERVAL_S = 0.5
 PART = b"data: x" * 4_096
 BODY = b"y" * MIB
 
@@ -35,6 +36,13 @@
         await answer_with(b"{}")(request, responder)
 
 
+async def send_heartbeats(cluster):
+    """Keep the endpoints from expiring on a busy machine."""
+    while True:
+        await cluster.send_heartbeats()
+        await curio.sleep(HEARTBEAT_INTERVAL_S)
+
+
 class EntryResponseMemoryTest(ClusterCase):
     """Responses hold no more than the account, over real sockets."""
 
@@ -44,7 +52,9 @@
             cluster.transport.memory = account
             for name in ("a", "b"):
                 await cluster.add_endpoint(name, "llm", handler)
+            heartbeats = await curio.spawn(send_heartbeats, cluster, daemon=True)
             await scenario(cluster, account)
+            await heartbeats.cancel()
             while account.held_bytes:
                 await curio.sleep(0.02)
 
