Test that a body whose length is only named gives way to sound answers

Stalled bodies of the largest size at both endpoints are cut as soon as a sound answer of 300 kB needs their room; each one is served within 2 s.

--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -237,6 +237,32 @@
 
         self.run_scenario(scenario, script, timeout_s=20.0)
 
+    def test_body_that_is_never_sent_gives_way(self):
+        """Guards against sound answers that wait for a length that is only named."""
+        body = b"y" * 300_000
+
+        async def script(endpoint, stream, request_id):
+            if request_id.startswith("stalled"):
+                whole = create_response(request_id, b"x" * SHARE_BYTES)
+                await stream.sendall(whole[:1_000])
+                await stream.recv(1)
+            else:
+                await stream.sendall(create_response(request_id, body))
+
+        async def scenario(fleet, account):
+            path = "/non_idempotent/"
+            stalled = await curio.spawn(call_many, fleet, path, 8, "stalled")
+            await wait_until(lambda: account.held_bytes >= SHARE_BYTES)
+            for number in range(10):
+                started_s = time.monotonic()
+                result = await call(fleet, path, f"sound-{number}")
+                self.assertEqual(result, (200, body))
+                self.assertLess(time.monotonic() - started_s, 2.0)
+            for result in await stalled.join():
+                self.assertIn(result[0], (502, 504))
+
+        self.run_scenario(scenario, script, script, timeout_s=8.0)
+
     def test_response_to_head_names_the_length_of_no_body(self):
         async def script(endpoint, stream, request_id):
             head = create_response(request_id, b"")[:-5] + b"64000000000\r\n\r\n"
