Continue a stream after a short lack of descriptors

A stream whose endpoint breaks off while its host has no descriptor for another connection was cut off at once. Its caller cannot be refused any more, so the host now tries again every 0.1 s, until a stream that may be continued counts as stalled. What has not begun is refused at once as before.

test_broken_stream_goes_on_after_a_short_lack_of_descriptors failed on the code before (cut off, with a shortage of 0.5 s) and passes; a longer shortage still ends the stream. The tests of shortages, replacements, cut responses and the play of descriptors passed (18).

--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -38,7 +38,11 @@
 from buckthorndeal.gateway._progress import BufferedResponse, Progress
 from buckthorndeal.gateway._replacement import MAX_OVERLAP_S, Replacement
 from buckthorndeal.gateway._response_check import create_stream_error
-from buckthorndeal.gateway._stalls import StallWatch, watch_stalls
+from buckthorndeal.gateway._stalls import (
+    StallWatch,
+    wait_for_descriptors,
+    watch_stalls,
+)
 from buckthorndeal.http_client import ClientConnection, encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.mailbox import MailboxError
@@ -155,6 +159,8 @@
                 self.progress.is_attempting = False
             except ShortageError as error:
                 self.progress.is_attempting = False
+                if await self._may_continue_later():
+                    continue
                 await self._refuse(error.code, error.message, error.retry_after_s)
                 return
             except AttemptError as error:
@@ -162,6 +168,16 @@
                 await self._report_unserved(decision, error)
                 self._record_failure(decision, error)
 
+    async def _may_continue_later(self) -> bool:
+        """Return whether a stream that lacks a descriptor is tried again, after a wait.
+
+        What has not begun is refused at once, as other hosts can serve it.
+        """
+        if not self._responder.started:
+            return False
+        last_event_s = self.progress.last_response_s
+        return await wait_for_descriptors(self.route, last_event_s, self._context.clock)
+
     def _open_attempt(
         self,
         attempt_id: int,
--- a/buckthorndeal/gateway/_stalls.py
+++ b/buckthorndeal/gateway/_stalls.py
@@ -16,6 +16,8 @@
 STALL_PAUSES = 8
 # Share of the limit after which a stream that can continue elsewhere is given up.
 RESUMABLE_SHARE = 0.5
+# Pause before a stream is continued that lacked a descriptor for it.
+SHORTAGE_RETRY_S = 0.1
 
 
 def compute_stall_limit_s(route: Route, may_resume: bool) -> float:
@@ -36,6 +38,21 @@
     return limit_s * RESUMABLE_SHARE if may_resume else limit_s
 
 
+async def wait_for_descriptors(
+    route: Route, last_event_s: float, clock: Callable[[], float]
+) -> bool:
+    """Wait before a stream that has begun is continued; return whether there is time.
+
+    Its caller cannot be refused any more. There is time while a stream that another
+    attempt may continue does not count as stalled.
+    """
+    left_s = last_event_s + compute_stall_limit_s(route, True) - clock()
+    if left_s <= 0:
+        return False
+    await curio.sleep(min(left_s, SHORTAGE_RETRY_S))
+    return True
+
+
 class StallWatch:
     """Ends a response when no event has arrived for too long.
 
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -1,6 +1,7 @@
 """Tests of gateways that cannot open connections for lack of descriptors."""
 
 import errno
+import time
 import unittest
 
 import curio
@@ -25,6 +26,7 @@
 ROUTE_TIMEOUT_S = 12.0
 # Longer than a stream may be silent before another endpoint is asked.
 SILENCE_S = 2.6
+SHORTAGE_S = 0.5
 
 
 def is_endpoint_address(address):
@@ -147,6 +149,73 @@
         run_fleet(check)
         return answer[0]
 
+    def test_broken_stream_goes_on_after_a_short_lack_of_descriptors(self):
+        """Guards against a stream that is cut off where its host is short (LOST)."""
+        (status, _, body), _ = self.break_stream(SHORTAGE_S)
+        self.assertEqual(status, 200)
+        self.assertEqual(body, create_stream_events(0, LAST_EVENT))
+
+    def test_broken_stream_ends_when_descriptors_are_lacking_for_long(self):
+        """Guards against a caller who waits for a host that stays short."""
+        (lasted_s,) = self.break_stream(ROUTE_TIMEOUT_S)
+        self.assertLess(lasted_s, ROUTE_TIMEOUT_S / 2)
+
+    def break_stream(self, shortage_s):
+        """Break a stream on a host without sockets; return its answer and duration.
+
+        A stream that is cut off has no answer.
+        """
+        answer = []
+        broken = curio.Event()
+
+        async def respond(endpoint, request, responder):
+            await endpoint.start_stream(request, responder)
+            first = int(request.headers.get("last-event-id", "-1")) + 1
+            if first == 0:
+                await responder.send(create_stream_events(0, 1))
+                await broken.wait()
+                raise RuntimeError("the stream breaks")
+            await responder.send(create_stream_events(first, LAST_EVENT))
+            await responder.finish()
+
+        async def heal(transport):
+            await curio.sleep(shortage_s)
+            transport.manner = None
+
+        async def check():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                content = create_configuration(
+                    1, timeout_s=ROUTE_TIMEOUT_S, latency_objective_s=1.0
+                )
+                await fleet.put_configuration("10.1.0.1", content)
+                transport = ShortTransport(fleet.transport)
+                gateway = await fleet.start_gateway(HOST, transport=transport)
+                for index in range(2):
+                    await fleet.start_endpoint(
+                        f"e{index}", "a-1", respond, version="v1"
+                    )
+                await fleet.wait_until_ready(HOST)
+                await curio.sleep(1.0)
+                request = await curio.spawn(fleet.send_request, HOST, "/stream/")
+                while not any(each.requests for each in fleet.endpoints.values()):
+                    await curio.sleep(0.01)
+                await gateway._pools.close_idle_endpoints()
+                transport.manner = errno.EMFILE
+                await broken.set()
+                await curio.spawn(heal, transport, daemon=True)
+                started_s = time.monotonic()
+                try:
+                    answer.append(await request.join())
+                finally:
+                    answer.append(time.monotonic() - started_s)
+
+        try:
+            run_fleet(check)
+        except curio.TaskError:
+            pass
+        return answer
+
     def test_probe_without_a_descriptor_does_not_count_against_an_endpoint(self):
         """Guards against evidence of a crash from a probe that was never sent."""
 
