Count the open connections in the test of refused bodies at the listener

A server does not have to count connections that only wait for the end of a refused request as its own; the listener counts all that are open.

--- a/tests/test_server_memory.py
+++ b/tests/test_server_memory.py
@@ -225,7 +225,7 @@
                 each for each in gc.get_objects() if isinstance(each, h11.Connection)
             ]
             buffered = sum(len(each.trailing_data[0]) for each in protocols)
-            self.assertGreater(self.server.connection_count, 50)
+            self.assertGreater(self.server._listener.connection_count, 50)
             self.assertLess(buffered, 10 * 60_000)
             for stream in streams:
                 await stream.close()
