Name the memory of the processes of a play in their settings

Cause: the daemons take memory_bytes from their settings since, which overrode the start file that the play of memory used, so its processes had the default capacity.

Change: the play sets memory_bytes; the start file is gone.

--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -5,9 +5,7 @@
 
 import collections
 import json
-import os
 import secrets
-import subprocess
 import sys
 import time
 from dataclasses import dataclass, field
@@ -29,7 +27,7 @@
     derive_keys,
     parse_hello,
 )
-from tests.control_harness import ROOT, find_ports
+from tests.control_harness import find_ports
 from tests.fleet_harness import REQUEST_ID, create_stream_events
 from tests.stop_play import DEADLINE_S, StopPlay
 
@@ -255,20 +253,9 @@
                     if line.startswith("VmHWM:"):
                         self.peaks[host] = int(line.split()[1]) * 1024
 
-    def _start_process(self, kind, host):
-        settings = self._create_settings(kind, host)
-        file = self.directory / f"{host}.jsonc"
-        file.write_text(json.dumps(settings))
-        command = [sys.executable, "-m", "tests.memory_daemon", kind]
-        with open(self.directory / f"{host}.log", "ab") as log:
-            self.processes[host] = subprocess.Popen(
-                [*command, str(MEMORY_BYTES), f"--config={file}"],
-                cwd=ROOT,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
-            )
+    def _create_settings(self, kind, host):
+        settings = super()._create_settings(kind, host)
+        return {**settings, "memory_bytes": MEMORY_BYTES}
 
     async def _configure(self):
         content = self._create_configuration()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -94,6 +94,7 @@
 directory = "10.1.0.35:8143"
 [limits]
 max_fds = 8200
+memory_mb = 560
 [bounds]
 grace_s = 8
 budget_slack = 58
@@ -276,6 +277,12 @@
         self.node.limits.max_fds = 0
         self.assertGreater(nodefile.get_max_descriptors(self.node), 100)
 
+    def test_memory_of_a_process_is_passed_on(self):
+        """Guards against an account of bytes that ignores the limit of the process."""
+        self.assertEqual(nodefile.get_memory_bytes(self.node), 560_000_000)
+        self.node.limits.memory_mb = None
+        self.assertIsNone(nodefile.get_memory_bytes(self.node))
+
     def test_drain_of_a_host_without_a_replacement(self):
         """Guards against refusing callers before another host of the region is back.
 
