Cut no message in favour of one that is refused all the same

Cause: a message without room had larger incomplete ones cut one after the other, and only then met the limit that it still exceeded. While peers hold a part of the reserve that requests and responses may not use, one refused request ended all larger requests and responses under way, whose callers got 502 or 503 for nothing.

Change: whether a message fits once all larger ones are cut is checked before any is cut, as a wait for room and an early refusal did already.

Result: test_refused_message_cuts_no_other_one failed before (two messages cut) and passes; the tests of the account, of requests, responses and peers pass (89).

--- a/buckthorndeal/memory.py
+++ b/buckthorndeal/memory.py
@@ -208,11 +208,10 @@
 
     def resize(self, booking: Booking, size_bytes: int) -> None:
         """Change the size of a booking; see `Booking.resize`."""
-        try:
-            self._resize(booking, size_bytes)
-        except MemoryShortageError:
+        if size_bytes > booking.size_bytes and not self._fits(booking, size_bytes):
             self._record_refusal(booking, size_bytes)
-            raise
+            raise self._create_error(booking, size_bytes)
+        self._resize(booking, size_bytes)
 
     def try_resize(self, booking: Booking, size_bytes: int) -> bool:
         """Change the size of a booking if there is room; see `Booking.try_resize`."""
@@ -245,6 +244,7 @@
         self._record(booking, size_bytes, added)
 
     def _make_room(self, booking: Booking, size_bytes: int, added: int) -> None:
+        """Cut larger messages until one that fits beside the others has room."""
         share = self.get_share_bytes(booking.use)
         owned = self._owned_bytes.get(booking.owner, 0)
         while owned + added > share:
@@ -291,13 +291,7 @@
     def _cut_larger(
         self, booking: Booking, size_bytes: int, owner: Hashable | None
     ) -> None:
-        """Cut the largest incomplete message, of an owner or of all.
-
-        Raises
-        ------
-        MemoryShortageError
-            If none is larger than `size_bytes`.
-        """
+        """Cut the largest incomplete message, of an owner or of all."""
         is_excess = owner is not None and self._is_excess(booking, size_bytes)
         largest = max(
             (
@@ -306,16 +300,20 @@
                 if owner is None or other.owner == owner
             ),
             key=lambda other: other.size_bytes,
-            default=None,
         )
-        if largest is None:
-            raise MemoryShortageError(
-                f"there is no room for {size_bytes} bytes", is_excess
-            )
         self.cut_count += 1
         self._log_shortage(largest, largest.size_bytes)
         largest.cut(is_excess)
 
+    def _create_error(self, booking: Booking, size_bytes: int) -> MemoryShortageError:
+        owned = self._owned_bytes.get(booking.owner, 0)
+        added = size_bytes - booking.size_bytes
+        exceeds_share = owned + added > self.get_share_bytes(booking.use)
+        is_excess = exceeds_share and self._is_excess(booking, size_bytes)
+        return MemoryShortageError(
+            f"there is no room for {size_bytes} bytes", is_excess
+        )
+
     def _is_excess(self, booking: Booking, size_bytes: int) -> bool:
         """Return whether incomplete messages of an owner fill half of its share."""
         others = sum(
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -147,6 +147,15 @@
         self.open(size_bytes=MIB)
         self.assertEqual(self.dropped, [bookings[0]])
 
+    def test_refused_message_cuts_no_other_one(self):
+        self.open(size_bytes=2 * MIB)
+        self.open(Use.RESPONSE, "endpoint", 3 * MIB // 2)
+        self.open(Use.PEER, "coordinator", 8 * MIB, can_cut=False)
+        self.open(Use.PEER, "other", 4 * MIB, can_cut=False)
+        with self.assertRaises(MemoryShortageError):
+            self.open(size_bytes=MIB)
+        self.assertEqual(self.dropped, [])
+
     def test_complete_message_is_never_cut(self):
         self.fill(can_cut=False)
         with self.assertRaises(MemoryShortageError):
