Answer calls of peers whose handler ends with a timeout

Cause: Curio's TaskTimeout is no Exception. A handler that let one out ended the task of its call without a reply; the caller waited for its whole timeout, and the booking of the call was kept until the connection ended.

Change: it fails the call as any other unexpected error does.

Result: test_handler_that_times_out_gives_its_room_back failed before (no reply within 1 s) and passes; the tests of peers and of their memory pass.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -31,6 +31,7 @@
 )
 from buckthorndeal.mailbox import Envelope, create_mailbox
 from buckthorndeal.memory import Booking, MemoryAccount, Use
+from buckthorndeal.supervision import UNEXPECTED_ERRORS
 from buckthorndeal.transport import Stream
 from buckthorndeal.wire import Codec, Message, Session
 
@@ -366,7 +367,7 @@
             return Reply(call.call_id, msgspec.Raw(self._codec.encode(result)))
         except BuckthorndealError as error:
             return Failure(call.call_id, str(error))
-        except Exception:
+        except UNEXPECTED_ERRORS:
             logging.exception("handler of a call failed")
             return Failure(call.call_id, "internal error")
 
--- a/buckthorndeal/supervision.py
+++ b/buckthorndeal/supervision.py
@@ -7,7 +7,7 @@
 import curio
 from absl import logging
 
-__all__ = ["get_failure_counts", "spawn_job", "spawn_loop"]
+__all__ = ["UNEXPECTED_ERRORS", "get_failure_counts", "spawn_job", "spawn_loop"]
 
 # Restarts are apart by a pause that doubles, up to the maximum. A loop that has run for
 # longer than that starts again with the shortest pause.
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -7,7 +7,7 @@
 import curio
 
 from buckthorndeal._peer_messages import LINK_CODEC, Introduction
-from buckthorndeal.errors import PeerError, Verdict
+from buckthorndeal.errors import PeerError, PeerFailureError, Verdict
 from buckthorndeal.memory import MemoryAccount
 from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
 from buckthorndeal.transport import create_memory_transport
@@ -217,6 +217,24 @@
 
         run(scenario)
 
+    def test_handler_that_times_out_gives_its_room_back(self):
+        """Guards against calls that nobody answers and whose room is never free."""
+
+        async def time_out(message, channel):
+            raise curio.TaskTimeout(1.0)
+
+        async def scenario(system):
+            server = create_peer_server(time_out, CODEC, KEYS, "slow", OPTIONS)
+            await server.start(system.transport, "server", PORT + 1)
+            link = await system.open_link(port=PORT + 1)
+            with self.assertRaises(PeerFailureError):
+                await link.call(Load(bytes(BODY_BYTES)), 1.0)
+            self.assertEqual(system.account.held_bytes, 0)
+            await link.close()
+            await server.close()
+
+        run(scenario)
+
 
 class SentTest(unittest.TestCase):
     """Tests of messages that are sent."""
