Forget the bookings of messages between hosts that are refused

Cause: a booking was added to those of its connection before there was room for it, and stayed there when it was refused. A peer that asks again and again for a reply without room made the set grow as long as the connection lasted.

Change: a refused booking is removed from the set.

Result: test_refused_message_is_forgotten failed before (one booking left) and passes; the tests of peers and of their memory pass.

--- a/buckthorndeal/_peer_memory.py
+++ b/buckthorndeal/_peer_memory.py
@@ -107,7 +107,11 @@
         while waits and not booking.try_resize(size_bytes):
             await curio.sleep(ROOM_CHECK_INTERVAL_S)
             waits -= 1
-        booking.resize(size_bytes)
+        try:
+            booking.resize(size_bytes)
+        except MemoryShortageError:
+            self._bookings.discard(booking)
+            raise
         return booking
 
     def release(self, booking: Booking | None) -> None:
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -6,8 +6,14 @@
 
 import curio
 
+from buckthorndeal._peer_memory import ConnectionMemory
 from buckthorndeal._peer_messages import LINK_CODEC, Introduction
-from buckthorndeal.errors import PeerError, PeerFailureError, Verdict
+from buckthorndeal.errors import (
+    MemoryShortageError,
+    PeerError,
+    PeerFailureError,
+    Verdict,
+)
 from buckthorndeal.memory import MemoryAccount
 from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
 from buckthorndeal.transport import create_memory_transport
@@ -199,6 +205,17 @@
         except OSError:
             pass
 
+    def test_refused_message_is_forgotten(self):
+        """Guards against a set that grows with each reply that is too large."""
+
+        async def scenario(system):
+            memory = ConnectionMemory(system.account, "client", None, TIMEOUT_S)
+            with self.assertRaises(MemoryShortageError):
+                await memory.book(3 * MIB)
+            self.assertEqual(memory._bookings, set())
+
+        run(scenario)
+
     def test_lost_connection_gives_all_room_back(self):
         """Guards against bookings of calls that were cancelled, and of half frames."""
 
