Drop the events of a stream before the next part is awaited

Cause: the task that relays a stream gave back the booking of its long events once they were sent, but its local variables referred to them until the next part came. A faulty endpoint that sent one long event in each stream and then nothing let a gateway, or an entry host, hold up to 1 MiB for each stream without a booking.

Change: both relays delete them before the next read; nothing is added to the path of an event but that.

Result: test_long_event_is_not_kept_until_the_next_one of the gateway and of the entry host failed before (one event held, none booked) and pass; the tests of responses, streams and misbehaving endpoints pass (58).

--- a/buckthorndeal/entry/_relay.py
+++ b/buckthorndeal/entry/_relay.py
@@ -164,6 +164,8 @@
                 await memory.hold(held_bytes)
                 memory.settle()
             await self._forward_events(events, attempt)
+            # They are not booked while the next part is awaited.
+            del events
             if is_long:
                 await memory.reopen(pending_bytes)
 
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -415,6 +415,8 @@
                     await memory.keep_pending()
             if selection.fault is not None:
                 raise create_stream_error(selection.fault)
+            # They are not booked while the next part is awaited.
+            del events, selection
         if not splitter.is_at_event_boundary:
             raise create_stream_error(
                 "the stream ended in the middle of an event", closed=True
--- a/tests/test_entry_response_memory.py
+++ b/tests/test_entry_response_memory.py
@@ -1,17 +1,21 @@
 """Tests of the memory that an entry host holds for the responses of endpoints."""
 
+import gc
 import time
+from functools import partial
 
 import curio
 import msgspec
 
 from buckthorndeal.memory import MemoryAccount
+from buckthorndeal.streams import Event, format_event
 from tests.support import REQUEST_ID, ClusterCase, answer_with, send_tokens
 
 MIB = 1 << 20
 CAPACITY_BYTES = 8 * MIB
 CALLERS = 16
 HEARTBEAT_INTERVAL_S = 0.5
+SILENCE_S = 3.0
 PART = b"data: x" * 4_096
 BODY = b"y" * MIB
 
@@ -102,6 +106,35 @@
 
         self.run_limited(scenario, answer_with(BODY))
 
+    def test_long_event_is_not_kept_until_the_next_one(self):
+        """Guards against a long event for each silent stream, which nothing bounds."""
+        text = "x" * (MIB // 2)
+
+        async def send_long_event(request, responder):
+            request_id = request.headers[REQUEST_ID]
+            await responder.start(200, [(REQUEST_ID, request_id)])
+            event = Event(f"{request_id}:0", text)
+            await responder.send(format_event(event))
+            del event
+            await curio.sleep(SILENCE_S)
+
+        async def scenario(cluster, account):
+            chat = partial(cluster.chat, stream=True)
+            caller = await curio.spawn(chat)
+            while account.peak_bytes < len(text) or account.held_bytes:
+                await curio.sleep(0.02)
+            await curio.sleep(0.1)
+            self.assertEqual(count_long_events(len(text)), 0)
+            await caller.cancel()
+
+        self.run_limited(scenario, send_long_event)
+
+
+def count_long_events(size):
+    return sum(
+        isinstance(each, Event) and len(each.data) >= size for each in gc.get_objects()
+    )
+
 
 if __name__ == "__main__":
     import unittest
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -1,10 +1,12 @@
 """Tests of the memory that a gateway holds for the responses of endpoints."""
 
+import gc
 import time
 import unittest
 
 import curio
 
+from buckthorndeal.gateway._events import RawEvent
 from buckthorndeal.memory import MemoryAccount, Use
 from tests.cut_transport import CutTransport
 from tests.fleet_harness import (
@@ -442,6 +444,37 @@
         self.run_scenario(scenario, script, timeout_s=20.0)
 
 
+class PassedOnEventTest(ResponseMemoryCase):
+    """What is not booked any more is not held either."""
+
+    def test_long_event_is_not_kept_until_the_next_one(self):
+        """Guards against a long event for each silent stream, which nothing bounds."""
+        event = b"id: 0\ndata: " + b"x" * (MIB // 2) + b"\n\n"
+
+        async def script(endpoint, stream, request_id):
+            head = create_stream_head(request_id)
+            await stream.sendall(head + create_chunk(event))
+            await stream.recv(1)
+
+        async def scenario(fleet, account):
+            caller = await open_caller(fleet, "/stream/", "q")
+            received = 0
+            while received < len(event):
+                received += len(await caller.recv(65_536))
+            await wait_until(lambda: account.held_bytes == 0)
+            self.assertEqual(count_long_events(len(event)), 0)
+            await caller.close()
+
+        self.run_scenario(scenario, script)
+
+
+def count_long_events(size_bytes):
+    return sum(
+        isinstance(each, RawEvent) and len(each.data) >= size_bytes
+        for each in gc.get_objects()
+    )
+
+
 class ShortageTest(ResponseMemoryCase):
     """A shortage of the host is nobody else's fault."""
 
