Drop the messages of a peer before the next ones are awaited

Cause: the reader of a connection gave back the booking of a large message once it was handled, but its local variables referred to the message until more arrived. Each silent peer could leave one whole frame held without a booking, for the limit of a silence.

Change: a function of its own handles what one read has brought.

Result: test_handled_call_is_not_kept_until_the_next_message failed before (one call held, none booked) and passes; the tests of peers and of their memory pass.

--- a/buckthorndeal/_peer_channel.py
+++ b/buckthorndeal/_peer_channel.py
@@ -297,17 +297,16 @@
     async def _read(
         self, connection: _Connection, early_messages: list[Message]
     ) -> None:
-        messages = early_messages
         try:
+            await self._dispatch_all(connection, early_messages)
             while True:
-                for message in messages:
-                    await self._dispatch(connection, message)
                 await connection.memory.book_incomplete()
                 async with curio.timeout_after(self._options.silence_s):
                     data = await connection.stream.recv(READ_BYTES)
                 if not data:
                     raise ConnectionResetError("closed by the peer")
-                messages = connection.session.feed(data)
+                # What is handled is not held while the next message is awaited.
+                await self._dispatch_all(connection, connection.session.feed(data))
         except (OSError, WireError) as error:
             await self._mailbox.send(ConnectionLost(connection, repr(error)))
         except curio.TaskTimeout:
@@ -321,6 +320,12 @@
             logging.exception("reader of a connection failed")
             await self._mailbox.send(ConnectionLost(connection, repr(error)))
 
+    async def _dispatch_all(
+        self, connection: _Connection, messages: list[Message]
+    ) -> None:
+        for message in messages:
+            await self._dispatch(connection, message)
+
     async def _dispatch(self, connection: _Connection, message: Message) -> None:
         booking = await connection.memory.take(message)
         if isinstance(message, Call):
--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -1,13 +1,15 @@
 """Tests of what a process holds for the messages of its peers."""
 
+import gc
 import secrets
 import time
 import unittest
 
 import curio
+import msgspec
 
 from buckthorndeal._peer_memory import ConnectionMemory
-from buckthorndeal._peer_messages import LINK_CODEC, Introduction
+from buckthorndeal._peer_messages import LINK_CODEC, Call, Introduction
 from buckthorndeal.errors import (
     MemoryShortageError,
     PeerError,
@@ -126,6 +128,18 @@
         await curio.sleep(0.005)
 
 
+def count_large_calls():
+    """Return the number of lists with a large call, which is not tracked itself."""
+    return sum(
+        isinstance(each, list) and any(map(is_large_call, each))
+        for each in gc.get_objects()
+    )
+
+
+def is_large_call(message):
+    return isinstance(message, Call) and len(message.body) >= MIB
+
+
 class ReceivedTest(unittest.TestCase):
     """Tests of frames that are received."""
 
@@ -205,6 +219,23 @@
         except OSError:
             pass
 
+    def test_handled_call_is_not_kept_until_the_next_message(self):
+        """Guards against a large message for each silent peer, which nothing bounds."""
+
+        async def scenario(system):
+            await system.go_on.set()
+            stream, session = await system.open_session()
+            body = msgspec.Raw(CODEC.encode(Load(bytes(MIB))))
+            await stream.sendall(session.seal(Call(1, body)))
+            await wait_until(lambda: system.account.peak_bytes >= MIB)
+            await wait_until(lambda: system.account.held_bytes == 0)
+            await curio.sleep(0.1)
+            del body
+            self.assertEqual(count_large_calls(), 0)
+            await stream.close()
+
+        run(scenario)
+
     def test_refused_message_is_forgotten(self):
         """Guards against a set that grows with each reply that is too large."""
 
