--- a/tests/test_peer_memory.py
+++ b/tests/test_peer_memory.py
@@ -1,13 +1,21 @@
 """Tests of what a process holds for the messages of its peers."""
 
+import gc
 import secrets
 import time
 import unittest
 
 import curio
-
-from buckthorndeal._peer_messages import LINK_CODEC, Introduction
-from buckthorndeal.errors import PeerError, Verdict
+import msgspec
+
+from buckthorndeal._peer_memory import ConnectionMemory
+from buckthorndeal._peer_messages import LINK_CODEC, Call, Introduction
+from buckthorndeal.errors import (
+    MemoryShortageError,
+    PeerError,
+    PeerFailureError,
+    Verdict,
+)
 from buckthorndeal.memory import MemoryAccount
 from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
 from buckthorndeal.transport import create_memory_transport
@@ -120,6 +128,18 @@
         await curio.sleep(0.005)
 
 
+def count_large_calls():
+    """Return the number of lists with a large call, which is not tracked itself."""
+    return sum(
+        isinstance(each, list) and any(map(is_large_call, each))
+        for each in gc.get_objects()
+    )
+
+
+def is_large_call(message):
+    return isinstance(message, Call) and len(message.body) >= MIB
+
+
 class ReceivedTest(unittest.TestCase):
     """Tests of frames that are received."""
 
@@ -199,6 +219,34 @@
         except OSError:
             pass
 
+    def test_handled_call_is_not_kept_until_the_next_message(self):
+        """Guards against a large message for each silent peer, which nothing bounds."""
+
+        async def scenario(system):
+            await system.go_on.set()
+            stream, session = await system.open_session()
+            body = msgspec.Raw(CODEC.encode(Load(bytes(MIB))))
+            await stream.sendall(session.seal(Call(1, body)))
+            await wait_until(lambda: system.account.peak_bytes >= MIB)
+            await wait_until(lambda: system.account.held_bytes == 0)
+            await curio.sleep(0.1)
+            del body
+            self.assertEqual(count_large_calls(), 0)
+            await stream.close()
+
+        run(scenario)
+
+    def test_refused_message_is_forgotten(self):
+        """Guards against a set that grows with each reply that is too large."""
+
+        async def scenario(system):
+            memory = ConnectionMemory(system.account, "client", None, TIMEOUT_S)
+            with self.assertRaises(MemoryShortageError):
+                await memory.book(3 * MIB)
+            self.assertEqual(memory._bookings, set())
+
+        run(scenario)
+
     def test_lost_connection_gives_all_room_back(self):
         """Guards against bookings of calls that were cancelled, and of half frames."""
 
@@ -217,6 +265,24 @@
 
         run(scenario)
 
+    def test_handler_that_times_out_gives_its_room_back(self):
+        """Guards against calls that nobody answers and whose room is never free."""
+
+        async def time_out(message, channel):
+            raise curio.TaskTimeout(1.0)
+
+        async def scenario(system):
+            server = create_peer_server(time_out, CODEC, KEYS, "slow", OPTIONS)
+            await server.start(system.transport, "server", PORT + 1)
+            link = await system.open_link(port=PORT + 1)
+            with self.assertRaises(PeerFailureError):
+                await link.call(Load(bytes(BODY_BYTES)), 1.0)
+            self.assertEqual(system.account.held_bytes, 0)
+            await link.close()
+            await server.close()
+
+        run(scenario)
+
 
 class SentTest(unittest.TestCase):
     """Tests of messages that are sent."""
