Show with a test that complete requests can fill the room of responses

A request is held until it is answered. If complete requests fill the account up to the limit of large messages, no response above 64 KiB gets room: its read waits until one of the requests reaches its deadline, or is refused with 502 if its length is not named, although it ran.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -166,6 +166,12 @@
         self.fill(can_cut=False)
         self.open(size_bytes=SMALL_BYTES)
 
+    def test_response_fits_beside_all_requests(self):
+        """Guards against requests that hold the room that their responses wait for."""
+        self.fill(can_cut=False)
+        waiting = self.account.open(Use.RESPONSE, "endpoint")
+        self.assertTrue(waiting.try_resize(MIB))
+
     def test_messages_of_peers_fit_beside_all_others(self):
         """Guards against coordinators that are not heard while callers send much."""
         self.fill(can_cut=False)
