Read only the ends of requests from the logs of the play of memory

Cause: the line on log lines that were left out names request_ended too, and has no outcome; the play ended with KeyError where a busy host left lines out.

Change: the event of the line is compared.

--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -418,7 +418,9 @@
         # The last line of a process that was killed may be cut off.
         if '"request_ended"' in line and line.endswith("}"):
             entry = json.loads(line)
-            ended[entry["request_id"]] = (entry["outcome"], entry["reason"])
+            # The event of lines that were left out names others.
+            if entry["event"] == "request_ended":
+                ended[entry["request_id"]] = (entry["outcome"], entry["reason"])
     return [
         (order.order_id, order.status, ended.get(order.order_id))
         for order in play.sound_orders
