Keep room for responses beside the requests that wait for them

Cause: a request is held until it is answered. Complete requests, which are never cut, could fill the account up to the limit of large responses, and no response above 64 KiB got room: one of a named length waited until a request reached its deadline, another was answered 502 though it had run.

Change: requests leave an eighth of the capacity more than responses do.

--- a/buckthorndeal/memory.py
+++ b/buckthorndeal/memory.py
@@ -24,6 +24,8 @@
 # Messages up to this size may use the first half of the reserve.
 SMALL_BYTES = 65_536
 RESERVE_SHARE = 1 / 4
+# Kept from requests, which are held until there was room for their responses.
+RESPONSE_ROOM_SHARE = 1 / 8
 LOG_INTERVAL_S = 1.0
 
 
@@ -165,6 +167,7 @@
     What does not fit takes the place of the largest incomplete message, if that is
     larger than itself; otherwise it is refused. The last quarter of the capacity is a
     reserve: small messages may use the first half of it, and messages of peers all.
+    Requests leave an eighth more to responses.
 
     Parameters
     ----------
@@ -185,6 +188,7 @@
         self.capacity_bytes = capacity_bytes
         self._clock = clock
         self._reserve_bytes = int(capacity_bytes * RESERVE_SHARE)
+        self._response_room_bytes = int(capacity_bytes * RESPONSE_ROOM_SHARE)
         self._bookings: set[Booking] = set()
         self._owned_bytes: dict[Hashable, int] = {}
         self._logged_s: float | None = None
@@ -274,9 +278,12 @@
         """Return the bytes that may be held in all once a message has its size."""
         if use is Use.PEER:
             return self.capacity_bytes
+        limit = self.capacity_bytes - self._reserve_bytes
         if size_bytes <= SMALL_BYTES:
-            return self.capacity_bytes - self._reserve_bytes // 2
-        return self.capacity_bytes - self._reserve_bytes
+            limit += self._reserve_bytes // 2
+        if use is Use.REQUEST:
+            limit -= self._response_room_bytes
+        return limit
 
     def _list_larger(self, booking: Booking, size_bytes: int) -> list[Booking]:
         """Return the incomplete messages that are larger than `size_bytes`."""
