--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -16,6 +16,11 @@
     RequestReader,
     refuse_body,
 )
+from buckthorndeal._http_refusals import (
+    create_closing_error,
+    create_full_error,
+    create_tunnel_error,
+)
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
@@ -37,7 +42,6 @@
 # Time in which handlers respond when their server closes.
 CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
-CLOSING_RETRY_S = 1.0
 # Share of the descriptors that callers leave to the requests under way, each of which
 # may need a connection to its endpoint, and to other hosts.
 RESERVED_SHARE = 1 / 4
@@ -231,10 +235,7 @@
             finally:
                 reader.release()
                 self._refusing -= 1
-        full = RequestError(
-            "too_many_connections", 503, "too many connections", retry_after_s=1.0
-        )
-        await self._respond_and_close(stream, connection, reader, full)
+        await self._respond_and_close(stream, connection, reader, create_full_error())
 
     async def _serve_requests(
         self,
@@ -286,12 +287,12 @@
         if request.method == "CONNECT":
             # After a success its response could not be ended.
             await self._respond_and_close(
-                stream, connection, reader, _create_tunnel_error()
+                stream, connection, reader, create_tunnel_error()
             )
             return False
         responder.is_body_allowed = request.method != "HEAD"
         if self.closing:
-            await self._respond_error(responder, _create_closing_error(Verdict.NOT_RUN))
+            await self._respond_error(responder, create_closing_error(Verdict.NOT_RUN))
             return False
         await self._run_handler(request, responder, stream, connection, reader)
         return True
@@ -341,7 +342,7 @@
         except RequestError as error:
             await self._respond_if_possible(responder, error)
         except ServerClosing:
-            error = _create_closing_error(Verdict.MAY_HAVE_RUN)
+            error = create_closing_error(Verdict.MAY_HAVE_RUN)
             await self._respond_if_possible(responder, error)
         except ResponseAborted:
             return
@@ -368,21 +369,6 @@
             return
 
 
-def _create_closing_error(verdict: Verdict) -> RequestError:
-    is_retryable = verdict is Verdict.NOT_RUN
-    return RequestError(
-        "stopping",
-        503 if is_retryable else 502,
-        "the host is stopping",
-        verdict,
-        retry_after_s=CLOSING_RETRY_S if is_retryable else None,
-    )
-
-
-def _create_tunnel_error() -> RequestError:
-    return RequestError("not_implemented", 501, "CONNECT is not supported")
-
-
 async def _cancel_on_disconnect(
     reader: RequestReader,
     connection: h11.Connection,
