Require an answer to each sound order of the play of memory again

Cause: let the play pass with a fifth of its sound orders refused as overloaded, and with half of the calls to the coordinator failed. The failed run behind it was not traced, so nothing shows that the case is allowed.

Reasons of failures are still reported.

--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -408,11 +408,7 @@
 
 
 def list_unanswered(play):
-    """Return the sound orders that were not answered, with the end that hosts logged.
-
-    A slow machine may be a reason to refuse one as overloaded, but not as memory is
-    short.
-    """
+    """Return the sound orders without an answer, and how hosts say that they ended."""
     ended = {}
     for line in play.log.splitlines():
         # The last line of a process that was killed may be cut off.
@@ -425,7 +421,6 @@
         (order.order_id, order.status, ended.get(order.order_id))
         for order in play.sound_orders
         if order.status != 200
-        and (order.status, ended.get(order.order_id, ("",))[0]) != (503, "overloaded")
     ]
 
 
--- a/tests/test_memory_play.py
+++ b/tests/test_memory_play.py
@@ -21,15 +21,10 @@
         self.assertEqual(play.ended, [], text)
         self.assertEqual(len(play.peaks), 3, text)
         self.assertLessEqual(max(play.peaks.values()), MEMORY_BYTES, text)
-        statuses = [order.status for order in play.sound_orders]
-        self.assertGreater(statuses.count(200), 0.8 * len(statuses), text)
+        self.assertGreater(len(play.sound_orders), 50, text)
         self.assertEqual(list_unanswered(play), [], text)
-        refused = [order for order in play.sound_orders if order.status == 503]
-        untrue = [order for order in refused if play.runs[order.order_id]]
-        self.assertEqual(untrue, [], text)
-        self.assertGreater(
-            play.api_statuses.count(200), 0.5 * len(play.api_statuses), text
-        )
+        # How many calls there are depends on the machine, but each is answered.
+        self.assertEqual(set(play.api_statuses), {200}, text)
         return play
 
     def test_responses_without_end_do_not_fill_a_host(self):
