Read load reports of four figures, and log malformed ones

Cause: services that also report how long work takes on an endpoint's machine send four figures, and the whole report was dropped without a log line, so that gateways chose endpoints without any reported load. Change: LoadReport has a slowdown; three or four figures are read, and the first value that cannot be parsed is logged. Call has the workspace of its caller, which bounds the regions and sets the priority; Workspace and WorkspaceTable are the models for it.

--- a/buckthorndeal/configuration.py
+++ b/buckthorndeal/configuration.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from buckthorndeal.errors import BuckthorndealError
+from buckthorndeal.workspaces import Workspace, create_workspace_table
 
 __all__ = [
     "CallerLimits",
@@ -110,6 +111,8 @@
         Target for the longest pause between events of a stream.
     home_regions : frozenset of str
         Regions that may process the requests; empty for all regions.
+    allows_anonymous : bool
+        Whether callers need no key, although the configuration has workspaces.
     """
 
     name: str
@@ -124,6 +127,7 @@
     resumable: bool = False
     max_pause_s: float = 0.0
     home_regions: frozenset[str] = frozenset()
+    allows_anonymous: bool = False
 
     @property
     def retryable(self) -> bool:
@@ -193,12 +197,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the routes, services and limits."""
+    """One version of the routes, services, limits and workspaces.
+
+    Without workspaces, callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceDescription, ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
+    workspaces: tuple[Workspace, ...] = ()
 
 
 class ConfigurationCodec(Protocol):
@@ -314,6 +322,7 @@
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self.services = {each.name: each for each in configuration.services}
+        self.workspaces = create_workspace_table(configuration.workspaces)
         self._routes_by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._routes_by_host.setdefault(route.host, {})[route.path_prefix] = route
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -133,7 +133,7 @@
         )
         if objection is not None:
             return self._refusals.refuse_crashing(objection)
-        if not call.route.may_run_in(self._region):
+        if not call.may_run_in(self._region):
             return self._forward_to_home(dispatch, now_s)
         if self.reach.is_lost:
             return self._relay(dispatch, now_s)
@@ -274,7 +274,7 @@
                     decision = self._decide(waiting.dispatch, now_s)
                     # Free capacity is kept for the most urgent request, even if a
                     # smaller one behind it would fit.
-                    waits_here = waiting.dispatch.call.route.may_run_in(self._region)
+                    waits_here = waiting.dispatch.call.may_run_in(self._region)
                     blocked = decision is None and waits_here
                 if decision is not None:
                     attempt_id = waiting.dispatch.attempt_id
@@ -379,7 +379,7 @@
         self._ejection.start_probe(call.service, load.name, now_s)
         urgency = None
         if record.slots >= MIN_PRIORITY_SLOTS:
-            urgency = min(MAX_URGENCY, call.route.priority)
+            urgency = min(MAX_URGENCY, call.priority)
         age_s = now_s - load.entry.last_heartbeat_s
         source = choice.cache_source
         cache_source = source.entry.record.address if source is not None else None
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -7,6 +7,7 @@
 from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.quarantine import RequestContent
+from buckthorndeal.workspaces import QuotaUnit, Workspace
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,8 @@
         What stays the same when the request comes again, if it is known.
     version : str or None
         Software version at which a stream has to continue; None if it has not begun.
+    workspace : Workspace or None
+        Workspace of the caller; None if the caller is anonymous.
     """
 
     request_id: str
@@ -93,15 +96,49 @@
     content: RequestContent | None = None
     resumes: str | None = None
     version: str | None = None
+    workspace: Workspace | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace, or else of the route; 0 is the most urgent."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    @property
+    def quota_units(self) -> int:
+        """Units that the request takes of the quota of its workspace."""
+        if self.workspace is None or self.workspace.unit is QuotaUnit.REQUESTS:
+            return 1
+        if self.prompt is None:
+            return self.workspace.default_tokens
+        return self.prompt.tokens + self.prompt.max_output_tokens
+
+    def may_run_in(self, region: str) -> bool:
+        """Return whether both the route and the workspace allow a region."""
+        if self.workspace is not None and not self.workspace.may_run_in(region):
+            return False
+        return self.route.may_run_in(region)
 
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load that an endpoint reports in its responses."""
+    """Load that an endpoint reports in its responses.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests that run and that wait for a slot.
+    slots : int
+        Requests that the endpoint runs at once.
+    slowdown : float
+        Time that work takes on its machine at this moment, as a multiple of the usual.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -84,4 +84,4 @@
 
 def _get_sort_key(dispatch: Dispatch) -> tuple[int, int]:
     """Return the sort key of the queue: by priority, then by arrival."""
-    return (dispatch.call.route.priority, dispatch.attempt_id)
+    return (dispatch.call.priority, dispatch.attempt_id)
--- a/buckthorndeal/gateway/_regions.py
+++ b/buckthorndeal/gateway/_regions.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass, field
 
-from buckthorndeal.configuration import Route
 from buckthorndeal.gateway._fleet_messages import (
     RegionUpdate,
 )
+from buckthorndeal.gateway._messages import Call
 
 # Older load reports are ignored; they are exchanged about twice a second.
 LOAD_LIFETIME_S = 2.0
@@ -61,9 +61,7 @@
 
     def choose(
         self,
-        service: str,
-        route: Route,
-        version: str | None,
+        call: Call,
         excluded: frozenset[str],
         now_s: float,
     ) -> RegionChoice | None:
@@ -71,20 +69,17 @@
 
         Parameters
         ----------
-        service : str
-            Service of the request.
-        route : Route
-            Its route.
-        version : str or None
-            Software version that has to serve there; None for any.
+        call : Call
+            The request.
         excluded : frozenset of str
             Regions at which earlier attempts have failed.
         now_s : float
             Clock reading.
         """
         best: RegionChoice | None = None
+        service, version = call.service, call.version
         for name, region in self._regions.items():
-            if name in excluded or not route.may_run_in(name):
+            if name in excluded or not call.may_run_in(name):
                 continue
             if now_s - region.updated_s > LOAD_LIFETIME_S:
                 continue
--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -67,9 +67,7 @@
             prefill_s = call.prompt.tokens / self._view.get_max_prefill_speed(
                 call.service
             )
-        choice = self._regions.choose(
-            call.service, call.route, call.version, dispatch.excluded, now_s
-        )
+        choice = self._regions.choose(call, dispatch.excluded, now_s)
         if choice is None:
             return None
         predicted_s = choice.wait_s + prefill_s
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import unittest
+from unittest import mock
 
 import curio
 import h11
@@ -252,6 +253,33 @@
     def test_retry_after_has_fractions(self):
         self.assertEqual(self.dialect.format_retry_after(0.254), "0.26")
 
+    def test_load_report_has_three_or_four_figures(self):
+        """Guards against a report that is dropped because of a further figure."""
+        load = self.parse_load("3,1,8")
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
+        self.assertEqual(load.slowdown, 1.0)
+        load = self.parse_load("3, 1, 8, 250")
+        self.assertEqual((load.running, load.waiting, load.slots), (3, 1, 8))
+        self.assertEqual(load.slowdown, 2.5)
+
+    def test_malformed_load_report_is_logged_once(self):
+        """Guards against a service whose reports are all dropped in silence."""
+        values = ("3,1", "3,1,8,100,2", "1," * 1000, "-1,0,8,100", "1,0,8,nan", "")
+        with mock.patch.object(headnames, "log_event") as log_event:
+            for value in values:
+                self.assertIsNone(self.parse_load(value), value[:20])
+        log_event.assert_called_once()
+        self.assertEqual(log_event.call_args.args, ("load_report_malformed",))
+
+    def test_missing_load_report_is_not_logged(self):
+        """Guards against a log line for each response of a service without reports."""
+        with mock.patch.object(headnames, "log_event") as log_event:
+            self.assertIsNone(self.dialect.parse_response(200, {}).load)
+        log_event.assert_not_called()
+
+    def parse_load(self, value):
+        return self.dialect.parse_response(200, {"x-server-load": value}).load
+
 
 class NodeFileTest(unittest.TestCase):
     """The settings file is converted to settings of the daemons."""
