--- a/buckthorndeal/coordinator/_clock.py
+++ b/buckthorndeal/coordinator/_clock.py
@@ -1,11 +1,6 @@
 """Clock of a coordinator."""
 
-import time
+from buckthorndeal.clocks import read_lease_clock
 
-
-def read_clock() -> float:
-    """Return the seconds of a monotonic clock that includes suspended time.
-
-    A leader whose host resumes from suspension must notice that its lease has expired.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+# A leader whose host resumes from suspension must notice that its lease has expired.
+read_clock = read_lease_clock
