Let a new leader grant at once within what is kept for it

After a change of the leader hosts went without grants for a lease. Hosts now hold at most 0.7 of the capacity, and a new leader uses the rest from the start.

--- a/buckthorndeal/quota/_granter.py
+++ b/buckthorndeal/quota/_granter.py
@@ -29,6 +29,9 @@
 EXPIRY_INTERVAL_S = 0.1
 # The use is counted by steps of this length.
 USE_STEP_S = 0.25
+# Part of the capacity that hosts hold at most. The rest is what a new leader may work
+# with as long as grants of the former one are valid.
+HELD_PART = 0.7
 # Parts of the capacity that are granted only for requests that are there, and of these
 # only by shares.
 NEED_RESERVE = 0.5
@@ -62,15 +65,15 @@
 class _Pool:
     """Units of one workspace that the leader divides.
 
-    `used` has the use by steps of time, as (end of the step, units).
+    `used` has the use by steps of time, as (end of the step, units). Until `started_s`,
+    grants of a former leader are valid.
     """
 
     plan: QuotaPlan
     window_s: float
     filled_s: float
-    start_left: float
-    knows_use_s: float
-    free: float = 0.0
+    free: float
+    started_s: float
     used: deque[tuple[float, float]] = field(default_factory=deque)
     used_units: float = 0.0
     holders: dict[tuple[str, int], _Holder] = field(default_factory=dict)
@@ -80,20 +83,23 @@
 
     def fill(self, now_s: float) -> None:
         """Add what was gained since the last call, up to the capacity."""
-        if self.plan.refills_by_use and now_s >= self.knows_use_s:
+        if self.plan.refills_by_use and now_s >= self.started_s + self.window_s:
             self._forget_use(now_s)
             gained = self.plan.rate_per_s * self.window_s
             left = self.plan.capacity + gained - self.held - self.used_units
             self.filled_s = now_s
             self.free = min(self.plan.capacity - self.held, left)
-        elif now_s > self.filled_s:
-            elapsed_s = now_s - self.filled_s
-            self.filled_s = now_s
-            self.give_back(self.plan.rate_per_s * elapsed_s)
+            return
+        elapsed_s = max(0.0, now_s - self.filled_s)
+        self.filled_s += elapsed_s
+        self.give_back(self.plan.rate_per_s * elapsed_s)
 
     def give_back(self, units: float) -> None:
         """Add free units, up to the capacity, which a lower quota may have reduced."""
-        self.free = min(self.plan.capacity - self.held, self.free + units)
+        capacity = self.plan.capacity
+        if self.filled_s < self.started_s:
+            capacity *= 1 - HELD_PART
+        self.free = min(capacity - self.held, self.free + units)
 
     def record_use(self, units: float, now_s: float) -> None:
         """Count units that hosts hold no more as used."""
@@ -159,7 +165,6 @@
                 continue
             pool.fill(now_s)
             pool.plan = create_plan(workspace, self._options)
-            pool.start_left = min(pool.start_left, pool.plan.start)
             pool.give_back(0.0)
 
     def start_leading(self, term: int, now_s: float) -> None:
@@ -247,7 +252,7 @@
             return need + spare
         pool = self._get_pool(workspace, now_s)
         holder = self._update_holder(pool, host, applied, demand, now_s)
-        granted = self._choose_amount(pool, holder, demand, need, spare, now_s)
+        granted = self._choose_amount(pool, holder, demand, need, spare)
         granted = max(0, int(granted))
         pool.free -= granted
         pool.held += granted
@@ -260,10 +265,12 @@
         pool = self._pools.get(workspace.name)
         if pool is None:
             plan = create_plan(workspace, self._options)
-            # What the former leader has granted may be as much as the capacity.
-            filled_s = self._started_s + START_S
-            window_s = self._options.window_s
-            pool = _Pool(plan, window_s, filled_s, plan.start, filled_s + window_s)
+            started_s = self._started_s + START_S
+            pool = _Pool(
+                plan, self._options.window_s, self._started_s, plan.start, started_s
+            )
+            # Up to the capacity of a new leader first.
+            pool.fill(min(now_s, started_s))
             self._pools[workspace.name] = pool
         pool.fill(now_s)
         if now_s - pool.checked_s >= EXPIRY_INTERVAL_S:
@@ -298,10 +305,8 @@
         holder.share += returned
         self._add_share(pool, holder, demand, now_s)
         holder.seen_s = now_s
-        if not pool.plan.refills_by_use:
-            pool.give_back(returned)
-        else:
-            pool.fill(now_s)
+        pool.give_back(returned)
+        pool.fill(now_s)
         return holder
 
     def _add_share(
@@ -324,22 +329,19 @@
         demand: QuotaDemand,
         need: int,
         spare: int,
-        now_s: float,
     ) -> float:
         """Return the units for a demand.
 
         While the pool is at least half full, everything is granted; below that, what is
         there for requests that are there; and near its end, each host's share of it.
         """
-        if now_s - self._started_s < START_S:
-            granted = need if need <= pool.start_left else 0
-            pool.start_left -= granted
-            return granted
-        reserve = NEED_RESERVE * pool.plan.capacity
-        if pool.free - reserve >= need:
-            return need + min(spare, pool.free - reserve - need)
-        reserve = SHARE_RESERVE * pool.plan.capacity
-        granted = min(need, pool.free, max(holder.share, pool.free - reserve))
+        capacity = pool.plan.capacity
+        room = min(pool.free, HELD_PART * capacity - pool.held)
+        reserve = NEED_RESERVE * capacity
+        if pool.free - reserve >= need and room >= need:
+            return need + min(spare, pool.free - reserve - need, room - need)
+        reserve = SHARE_RESERVE * capacity
+        granted = min(need, room, max(holder.share, pool.free - reserve))
         # A part that serves no request is left to the others.
         return granted if granted >= min(need, _clip(demand.least)) else 0
 
