Charge requests to the quotas of their workspaces at the gateways

A gateway charges an attempt before it waits for an endpoint, and refuses what exceeds the quota with status 429. The leader of the coordinators answers calls for units; older coordinators answer them with a failure, after which the next one is asked.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -35,6 +35,7 @@
 from buckthorndeal.coordinator._quarantine_store import (
     create_disk_quarantine_store,
 )
+from buckthorndeal.coordinator._quota_desk import QuotaDesk
 from buckthorndeal.coordinator._replica import ReplicaTask
 from buckthorndeal.coordinator._requests import ClusterState, ReadConfiguration
 from buckthorndeal.coordinator._service import (
@@ -60,6 +61,7 @@
     FetchConfiguration,
     FindOrigin,
     OriginUpdate,
+    QuotaRequest,
     RateLimitUpdate,
     RelayEndpoint,
     RelayLeave,
@@ -159,6 +161,7 @@
         )
         self.metrics = create_metrics()
         self.metrics.describe_gauges(GAUGES)
+        self._quotas = QuotaDesk(settings.quota, clock, self.metrics)
         self._fleet = FleetTask(
             own,
             self._links,
@@ -315,6 +318,7 @@
         except ConfigurationError as error:
             log_event("configuration_unreadable", version=version, reason=str(error))
             return
+        self._quotas.set_workspaces(configuration.workspaces)
         home_counts = count_home_routes(configuration)
         await self._fleet.mailbox.send(HomeRegionsChanged(home_counts))
 
@@ -341,9 +345,12 @@
             self._add_join_hosts(tuple(host.host for host in message.hosts))
             await self._fleet.mailbox.send(ControlStatusReceived(channel.host, message))
             return None
-        return await self._handle_call(message)
+        return await self._handle_call(message, channel.host)
 
-    async def _handle_call(self, message: Message) -> Message:
+    def _get_leadership(self) -> tuple[int | None, str | None]:
+        return self._replica.get_leadership() if self._replica else (None, None)
+
+    async def _handle_call(self, message: Message, host: str) -> Message:
         if isinstance(message, DescribeReplica):
             return self._describe_replica()
         if isinstance(message, RelayEndpoint):
@@ -370,6 +377,8 @@
             return await self._fleet.mailbox.ask(request)
         if isinstance(message, FetchConfiguration):
             return await self._fetch_configuration()
+        if isinstance(message, QuotaRequest):
+            return self._quotas.handle(host, message, self._get_leadership())
         reply = await self.service.handle_call(message)
         if reply is None:
             name = type(message).__name__
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -183,6 +183,16 @@
         stored = self._machine.configuration
         return decompress_content(stored.content) if stored else b""
 
+    def get_leadership(self) -> tuple[int | None, str | None]:
+        """Return the term in which this replica surely leads, and the known leader.
+
+        The term is None unless this replica holds the lease of the leader, so that no
+        other one leads.
+        """
+        leader = self._replica.leader
+        term = self._replica.term if self._has_lease() else None
+        return term, leader.host if leader else None
+
     def _get_version(self) -> int | None:
         stored = self._machine.configuration
         return stored.version if stored else None
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from buckthorndeal.errors import RequestError, ShortageError
+from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AnnounceDrain
@@ -121,6 +121,7 @@
         If this host cannot open a connection to any target.
     """
     request_sent = False
+    not_run = False
     closed = False
     host = decision.host if isinstance(decision, Forward) else None
 
@@ -166,6 +167,7 @@
             yield attempt
     except AttemptError as error:
         outcome = error.outcome
+        not_run = error.verdict is Verdict.NOT_RUN
         closed = error.closed
         error.head_received = attempt is not None
         error.lasted_s = context.clock() - started_s
@@ -187,7 +189,7 @@
         async with curio.disable_cancellation():
             await context.open_attempts.remove(attempt_id, host)
             await context.dispatch_mailbox.send(
-                AttemptEnded(attempt_id, outcome, closed, request_sent)
+                AttemptEnded(attempt_id, outcome, closed, request_sent, not_run)
             )
 
 
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -37,6 +37,7 @@
     AddSeeds,
     AnnounceDrain,
     AskForOrigin,
+    AskForQuota,
     ListEntryHosts,
     ListEntryHostsByCoordinator,
     SetEndpointReach,
@@ -60,6 +61,7 @@
 )
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._known_hosts import KnownEntryHosts, describe_fleet
+from buckthorndeal.gateway._quota_calls import QuotaCaller
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -148,6 +150,7 @@
             settings.peer_listen.port,
             self._receive,
         )
+        self._quota_caller = QuotaCaller(self._links, dispatch)
         self._entry_state = EntryState.READY
         self._reaches_endpoints = True
         self._coordinator_reach = CoordinatorReach()
@@ -274,6 +277,11 @@
             on_failure=envelope.fail_unexpectedly,
         )
 
+    @_handle.register
+    async def _(self, message: AskForQuota, envelope: Envelope) -> None:
+        hosts = self._list_nearest_first()
+        await spawn_job(self._quota_caller.ask, hosts, message.request)
+
     async def _search_origin(self, query: FindOrigin, envelope: Envelope) -> None:
         replies = await ask_for_origin(self._links, self._list_nearest_first(), query)
         known = len(self._links.hosts)
--- a/buckthorndeal/gateway/_control_messages.py
+++ b/buckthorndeal/gateway/_control_messages.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.fleet import EndpointRecord, EntryState, FindOrigin, StreamOrigin
+from buckthorndeal.fleet import (
+    EndpointRecord,
+    EntryState,
+    FindOrigin,
+    QuotaRequest,
+    StreamOrigin,
+)
 from buckthorndeal.settings import Address
 from buckthorndeal.wire import Message
 
@@ -42,6 +48,13 @@
     message: Message
 
 
+@dataclass(frozen=True)
+class AskForQuota:
+    """Notification: asks the leader for units; the dispatch task gets its reply."""
+
+    request: QuotaRequest
+
+
 @dataclass(frozen=True)
 class ShareOrigins:
     """Notification: gives the origins of streams to a few coordinators."""
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -16,6 +16,7 @@
     EndpointRecord,
     EntryHost,
     EntryState,
+    QuotaRequest,
     StreamOrigin,
     count_home_routes,
     is_advertised,
@@ -25,6 +26,7 @@
 from buckthorndeal.gateway._control import ControlTask
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
+    AskForQuota,
     ListEntryHostsByCoordinator,
     SetEndpointReach,
     SetState,
@@ -39,6 +41,7 @@
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.gateway._pools import HOST_IDLE_TIMEOUT_S, create_pools
+from buckthorndeal.gateway._quota_gate import QuotaGate
 from buckthorndeal.gateway._region_links import RegionLoadTask
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.http_server import (
@@ -55,6 +58,7 @@
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.policy.ejection import create_ejection
 from buckthorndeal.processmetrics import watch_process
+from buckthorndeal.quota import create_quota_leases, create_quota_options
 from buckthorndeal.settings import Address, GatewaySettings, Limits
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import Message, derive_keys
@@ -120,6 +124,7 @@
             ),
             create_ejection(),
             random.Random(),
+            QuotaGate(create_quota_leases(create_quota_options(settings.quota))),
         )
         contact = EndpointContact()
         self._dispatch = DispatchTask(
@@ -133,6 +138,7 @@
                 self._probe_endpoint,
                 self._report_endpoint_reach,
                 self._replace_silent_attempts,
+                self._request_quota,
             ),
         )
         self._control = ControlTask(
@@ -312,6 +318,9 @@
     async def _share_origins(self, origins: tuple[StreamOrigin, ...]) -> None:
         await self._control.mailbox.send(ShareOrigins(origins))
 
+    async def _request_quota(self, request: QuotaRequest) -> None:
+        await self._control.mailbox.send(AskForQuota(request))
+
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
 
@@ -335,6 +344,7 @@
         """Activate a newer configuration."""
         routes = create_route_table(configuration)
         self._dispatch.set_services(routes.services)
+        self._dispatch.set_workspaces(configuration.workspaces)
         self._context.routes = routes
         self._home_route_counts = count_home_routes(configuration)
         self.metrics.set_gauge("configuration_version", configuration.version)
--- a/buckthorndeal/gateway/_dispatch_effects.py
+++ b/buckthorndeal/gateway/_dispatch_effects.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from buckthorndeal.fleet import EndpointRecord, StreamOrigin
+from buckthorndeal.fleet import EndpointRecord, QuotaRequest, StreamOrigin
 from buckthorndeal.wire import Message
 
 
@@ -25,6 +25,8 @@
         Called with hosts whose path to the endpoints is lost, None for this one, and a
         clock reading; replaces the attempts there that bring nothing and may be
         repeated, and returns how many have ended so.
+    request_quota : callable
+        Asks the leader of the coordinators for units; its reply is a `QuotaReplied`.
     """
 
     share: Callable[[Message], Awaitable[None]]
@@ -32,3 +34,4 @@
     probe: Callable[[EndpointRecord], Awaitable[bool]]
     report_endpoint_reach: Callable[[bool], Awaitable[None]]
     replace_silent_attempts: Callable[[tuple[str | None, ...], float], Awaitable[int]]
+    request_quota: Callable[[QuotaRequest], Awaitable[None]]
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -1,6 +1,6 @@
 """Task that owns the dispatcher and replies to queries once they are decided."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 
 from buckthorndeal.configuration import ServiceDescription
@@ -32,11 +32,13 @@
     ResponseStarted,
 )
 from buckthorndeal.gateway._path_watch import PathWatch
+from buckthorndeal.gateway._quota_requests import QuotaRequests
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
     EvidenceReceived,
     FindStreamVersion,
+    QuotaReplied,
     RateLimitsReceived,
 )
 from buckthorndeal.logs import log_event, log_routine
@@ -48,6 +50,7 @@
 )
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.supervision import spawn_job
+from buckthorndeal.workspaces import Workspace
 
 IDLE_INTERVAL_S = 1.0
 # Short, so that a waiting request is refused soon after its maximum wait.
@@ -96,6 +99,7 @@
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
         metrics.describe_gauges(GAUGES)
+        self._quota = QuotaRequests(dispatcher.quota, metrics, effects)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
 
@@ -115,6 +119,7 @@
                 self._handle_crash_news,
                 self._share_rate_limits,
                 self._share_origins,
+                self._request_quota,
                 self._expire,
             ):
                 await run_guarded(self._metrics, step, now_s)
@@ -128,7 +133,11 @@
             return PATH_INTERVAL_S
         if self._dispatcher.view.fleet.cut_off_hosts:
             return PATH_INTERVAL_S
-        return IDLE_INTERVAL_S
+        return self._quota.get_interval_s(IDLE_INTERVAL_S)
+
+    async def _request_quota(self, now_s: float) -> None:
+        del now_s
+        await self._quota.request(self._dispatcher.view.fleet.total_hosts)
 
     async def _handle_crash_news(self, now_s: float) -> None:
         """Act on new evidence of requests that crash endpoints."""
@@ -230,8 +239,13 @@
             now_s,
             message.closed,
             message.was_sent,
+            message.not_run,
         )
 
+    @_handle.register
+    async def _(self, message: QuotaReplied, envelope: Envelope, now_s: float) -> None:
+        self._quota.apply(message)
+
     @_handle.register
     async def _(
         self, message: EvidenceReceived, envelope: Envelope, now_s: float
@@ -332,7 +346,12 @@
         """Replace the services with those of a newer configuration."""
         self._dispatcher.view.set_services(services)
 
+    def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
+        """Replace the workspaces with those of a newer configuration."""
+        self._dispatcher.quota.set_workspaces(workspaces)
+
     def _record_state(self, now_s: float) -> None:
+        self._quota.record_state()
         quarantine = self._dispatcher.crash_guard.quarantine
         self._metrics.set_gauge("quarantined_keys", quarantine.count_quarantined())
         for service in self._dispatcher.view.services:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -28,8 +28,10 @@
     Forward,
     Grant,
     LoadReport,
+    Refusal,
     RefusalReason,
 )
+from buckthorndeal.gateway._quota_gate import Admission, QuotaGate
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
 from buckthorndeal.gateway._refusals import RefusalPolicy
 from buckthorndeal.gateway._relay_choice import RelayChooser
@@ -64,6 +66,8 @@
         Outlier ejection, which excludes failing endpoints for a time.
     rng : random.Random
         Source of the jitter.
+    quota : QuotaGate, optional
+        Charges requests to their workspaces.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         options: DispatchOptions,
         ejection: Ejection,
         rng: random.Random,
+        quota: QuotaGate | None = None,
     ) -> None:
         self._host = host
         self._region = region
@@ -82,6 +87,7 @@
         self._rng = rng
         self._refusals = RefusalPolicy(rng)
         self.view = view
+        self.quota = quota or QuotaGate()
         self._remote = RemoteChooser(view)
         self._budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window_s
@@ -113,9 +119,23 @@
         """Return a decision, or None if the request is queued for free capacity."""
         if self._started_s is None:
             self._started_s = now_s
-        decision = self._decide(dispatch, now_s)
-        if decision is not None:
-            return decision
+        admission = self.quota.admit(dispatch)
+        if admission is Admission.WAITING:
+            return None
+        if admission is not Admission.ADMITTED:
+            return self._refusals.refuse_quota(admission)
+        return self._submit_admitted(dispatch, now_s)
+
+    def _submit_admitted(self, dispatch: Dispatch, now_s: float) -> Decision | None:
+        decision = self._decide(dispatch, now_s) or self._queue(dispatch, now_s)
+        if decision is None:
+            self.quota.reserve(dispatch.attempt_id)
+        elif isinstance(decision, Refusal):
+            self.quota.finish(dispatch.attempt_id, has_run=False)
+        return decision
+
+    def _queue(self, dispatch: Dispatch, now_s: float) -> Refusal | None:
+        """Queue a request, or refuse it if it would wait for too long."""
         queue = self._queues.setdefault(dispatch.call.service, WaitingQueue())
         wait_s = now_s - dispatch.call.arrived_s
         if not self._is_starting(now_s):
@@ -211,12 +231,15 @@
         now_s: float,
         closed: bool = False,
         was_sent: bool = True,
+        not_run: bool = False,
     ) -> None:
         """Record that an attempt has ended or was withdrawn while it waited.
 
         `closed` tells whether the endpoint has closed the connection, and `was_sent`
-        whether bytes of the request have been sent.
+        whether bytes of the request have been sent. `not_run` tells that an endpoint
+        certainly has not run it all the same.
         """
+        self.quota.finish(attempt_id, has_run=was_sent and not not_run)
         for queue in self._queues.values():
             queue.remove(attempt_id)
         self.relays.record_end(attempt_id)
@@ -262,6 +285,13 @@
     def decide_waiting(self, now_s: float) -> list[tuple[int, Decision]]:
         """Return decisions for waiting requests that can be served or refused now."""
         decided: list[tuple[int, Decision]] = []
+        for dispatch, retry_s in self.quota.take_decided():
+            if retry_s is None:
+                decision = self._submit_admitted(dispatch, now_s)
+            else:
+                decision = self._refusals.refuse_quota(retry_s)
+            if decision is not None:
+                decided.append((dispatch.attempt_id, decision))
         for queue in self._queues.values():
             blocked = False
             for waiting in queue.list_by_priority():
@@ -279,6 +309,8 @@
                 if decision is not None:
                     attempt_id = waiting.dispatch.attempt_id
                     queue.remove(attempt_id)
+                    if isinstance(decision, Refusal):
+                        self.quota.finish(attempt_id, has_run=False)
                     decided.append((attempt_id, decision))
         return decided
 
@@ -293,7 +325,7 @@
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for free capacity."""
-        return any(self._queues.values())
+        return self.quota.has_waiting or any(self._queues.values())
 
     def describe_service(self, service: str, now_s: float) -> ServiceState:
         """Return the metrics of one service."""
@@ -342,8 +374,11 @@
     def _accept(
         self, dispatch: Dispatch, choice: LocalChoice | RemoteChoice, now_s: float
     ) -> Decision:
-        """Return the decision for a choice; refuse a retry that exceeds the budget."""
+        """Return the decision for a choice; refuse what exceeds a budget or quota."""
         call = dispatch.call
+        retry_s = self.quota.settle(dispatch)
+        if retry_s is not None:
+            return self._refusals.refuse_quota(retry_s)
         if dispatch.is_retry and not self._budgets.try_acquire(
             call.service, dispatch.attempt_id, self.view.fleet.total_hosts, now_s
         ):
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -149,7 +149,8 @@
                 if isinstance(decision, Refusal):
                     reason = decision.reason.value
                     message = f"the request was refused: {reason}"
-                    await self._refuse(reason, message, decision.retry_after_s)
+                    status = decision.reason.status
+                    await self._refuse(reason, message, decision.retry_after_s, status)
                     return
                 opened = self._open_attempt(attempt_id, decision)
             # A cancellation leaves it set, for `create_stop_error`.
@@ -252,13 +253,17 @@
         return replace(self._call, resume_after=self.progress.last_event_id)
 
     async def _refuse(
-        self, code: str, message: str, retry_after_s: float | None
+        self,
+        code: str,
+        message: str,
+        retry_after_s: float | None,
+        status: int = 503,
     ) -> None:
         """End a request of which no other attempt is made."""
         if self._failed_response is not None:
             await self._respond(self._failed_response)
             return
-        raise self.progress.create_error(code, 503, message, retry_after_s)
+        raise self.progress.create_error(code, status, message, retry_after_s)
 
     def _record_failure(self, decision: Decision, error: AttemptError) -> None:
         """Record a failed attempt; raise `RequestError` if no retry is allowed."""
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -221,6 +221,12 @@
     HOME_UNREACHABLE = "home_unreachable"
     VERSION_NOT_SERVED = "version_not_served"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
+    QUOTA_EXCEEDED = "quota_exceeded"
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the refusal."""
+        return 429 if self is RefusalReason.QUOTA_EXCEEDED else 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,9 +342,12 @@
         end.
     was_sent : bool
         Whether bytes of the request have been sent.
+    not_run : bool
+        Whether the request certainly has not run, although bytes have been sent.
     """
 
     attempt_id: int
     outcome: AttemptOutcome | None
     closed: bool = False
     was_sent: bool = True
+    not_run: bool = False
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -66,6 +66,11 @@
         retry_s = max(MIN_RETRY_AFTER_S, wait_s) * self._rng.uniform(1.0, 1.5)
         return Refusal(reason, retry_s)
 
+    def refuse_quota(self, wait_s: float) -> Refusal:
+        """Return a refusal until the quota of the workspace leaves room again."""
+        retry_s = max(MIN_RETRY_AFTER_S, wait_s) * self._rng.uniform(1.0, 1.5)
+        return Refusal(RefusalReason.QUOTA_EXCEEDED, retry_s)
+
     def refuse_crashing(self, objection: Objection) -> Refusal:
         """Return a refusal of a request that may crash endpoints.
 
--- a/buckthorndeal/gateway/_shared_messages.py
+++ b/buckthorndeal/gateway/_shared_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from buckthorndeal.fleet import RateLimit, ServiceVersion
+from buckthorndeal.fleet import QuotaGrants, RateLimit, ServiceVersion
 from buckthorndeal.quarantine import Evidence
 
 
@@ -20,6 +20,20 @@
     limits: tuple[RateLimit, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaReplied:
+    """Notification: reply of the leader on quotas, or None if there was none.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the request.
+    """
+
+    sequence: int
+    reply: QuotaGrants | None
+
+
 @dataclass(frozen=True, slots=True)
 class FindStreamVersion:
     """Query: software version at which a stream has begun, or None if not known here.
--- a/buckthorndeal/quota/__init__.py
+++ b/buckthorndeal/quota/__init__.py
@@ -14,7 +14,13 @@
     QuotaWait,
     create_quota_leases,
 )
-from buckthorndeal.quota._options import LEASE_S, QuotaOptions, QuotaPlan, create_plan
+from buckthorndeal.quota._options import (
+    LEASE_S,
+    QuotaOptions,
+    QuotaPlan,
+    create_plan,
+    create_quota_options,
+)
 
 __all__ = [
     "LEASE_S",
@@ -30,4 +36,5 @@
     "create_plan",
     "create_quota_granter",
     "create_quota_leases",
+    "create_quota_options",
 ]
--- a/buckthorndeal/quota/_leases.py
+++ b/buckthorndeal/quota/_leases.py
@@ -32,6 +32,8 @@
 SCARCE_S = 0.7
 # After a request without a reply, nobody waits for the next one.
 FAILURE_S = 1.0
+# A request is given up after this time, whatever has become of its caller.
+REPLY_TIMEOUT_S = 1.0
 # Longest time that a request waits for units; a reply across regions takes 0.16 s.
 MAX_WAIT_S = 0.45
 MIN_RETRY_S = 0.3
@@ -296,6 +298,7 @@
             return False
         lease.reserved -= charge.units
         charge.is_reserved = False
+        charge.charged_s, charge.sequence = now_s, self.sequence
         return True
 
     def refund(self, charge: Charge, now_s: float) -> None:
@@ -321,6 +324,8 @@
 
     def is_request_due(self, now_s: float) -> bool:
         """Return whether a request should be sent to the leader now."""
+        if self._open is not None and now_s - self._open.sent_s > REPLY_TIMEOUT_S:
+            self.record_failure(now_s)
         if self._open is not None or not self._leases:
             return False
         elapsed_s = now_s - self._sent_s
--- a/buckthorndeal/quota/_options.py
+++ b/buckthorndeal/quota/_options.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 
+from buckthorndeal.settings import QuotaSettings
 from buckthorndeal.workspaces import Workspace
 
 # Validity of a grant, from before its request was sent. Two requests in a row may fail
@@ -54,6 +55,11 @@
         return quota * (1 + self.overage) + self.slack
 
 
+def create_quota_options(settings: QuotaSettings) -> QuotaOptions:
+    """Return the options of a daemon's settings."""
+    return QuotaOptions(settings.window_s, settings.overage, settings.slack)
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaPlan:
     """Division of the bound of one workspace.
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -17,6 +17,7 @@
     "GatewaySettings",
     "Limits",
     "PeerAddress",
+    "QuotaSettings",
     "RetryBudgetSettings",
     "load_settings",
     "parse_settings",
@@ -125,6 +126,21 @@
     memory_bytes: MemorySize | None = None
 
 
+class QuotaSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """Bound on what a workspace with a quota may use, over all hosts.
+
+    In any `window_s` seconds it may use what its quota allows in them, the part
+    `overage` of that, and `slack` units. All gateways and coordinators need the same
+    values.
+    """
+
+    window_s: Annotated[float, Meta(ge=1, le=3_600)] = 8.0
+    overage: Annotated[float, Meta(ge=0, le=10)] = 0.1
+    slack: Annotated[float, Meta(ge=0, le=1e12)] = 0.0
+
+
 class CoordinatorSettings(
     msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
 ):
@@ -157,6 +173,7 @@
     endpoint_silence_s: PositiveSeconds = 6.0
     directory_lifetime_s: PositiveSeconds = 1.5
     drain_timeout_s: PositiveSeconds = 30.0
+    quota: QuotaSettings = QuotaSettings()
     memory_bytes: MemorySize | None = None
 
 
@@ -203,6 +220,7 @@
     peer_keys: Annotated[tuple[PeerKey, ...], Meta(min_length=1)]
     heartbeat_interval_s: PositiveSeconds = 1.0
     retry_budget: RetryBudgetSettings = RetryBudgetSettings()
+    quota: QuotaSettings = QuotaSettings()
     drain_timeout_s: PositiveSeconds = 30.0
     drain_notice_s: PositiveSeconds = 3.0
     drain_stream_s: PositiveSeconds = 8.0
--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -136,7 +136,10 @@
         loads = [self.get_region_load(region) for region in range(REGIONS)]
         host = self.rng.choices(
             self.hosts,
-            [w * loads[h.region] for w, h in zip(self.weights, self.hosts, strict=True)],
+            [
+                w * loads[h.region]
+                for w, h in zip(self.weights, self.hosts, strict=True)
+            ],
         )[0]
         units = LARGE if self.rng.random() < LARGE_PART else SMALL
         self.offered[name] += units
@@ -246,7 +249,9 @@
     def count_refused(self, names, from_s=0.0):
         """Return the part of the units of workspaces that were refused."""
         ran = sum(u for n in names for at_s, u in self.ran[n] if at_s >= from_s)
-        refused = sum(u for n in names for at_s, u, _ in self.refused[n] if at_s >= from_s)
+        refused = sum(
+            u for n in names for at_s, u, _ in self.refused[n] if at_s >= from_s
+        )
         return refused / max(1, ran + refused)
 
     def get_bytes_per_s(self):
@@ -313,9 +318,19 @@
     "none": (),
     "kill": ((10.0, kill_region),),
     "cut": ((10.0, cut_region), (14.0, make_hot), (18.0, join_region)),
-    "freeze": ((10.0, freeze_some), (11.2, thaw_all), (13.0, freeze_some), (18.0, thaw_all)),
+    "freeze": (
+        (10.0, freeze_some),
+        (11.2, thaw_all),
+        (13.0, freeze_some),
+        (18.0, thaw_all),
+    ),
     "restart": ((10.0, restart_all), (13.0, make_hot), (14.0, restart_all)),
-    "leader": ((9.9, make_hot), (10.0, lose_leader), (15.0, replace_leader), (16.0, replace_leader)),
+    "leader": (
+        (9.9, make_hot),
+        (10.0, lose_leader),
+        (15.0, replace_leader),
+        (16.0, replace_leader),
+    ),
     "calm-leader": ((10.0, lose_leader), (20.0, replace_leader)),
     "burst": ((9.0, make_hot),),
     "lower": ((10.0, make_hot), (12.0, lower_limits)),
