--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -9,11 +9,15 @@
     DescribeReplica,
     ReplicaDescription,
 )
+from buckthorndeal.fleet._quota_messages import (
+    QuotaGrants,
+    QuotaRedirect,
+    QuotaRequest,
+)
 from buckthorndeal.fleet._rate_limits import RateLimit
 from buckthorndeal.fleet._stream_origins import StreamOrigin
 from buckthorndeal.fleet._versions import ServiceVersion
 from buckthorndeal.quarantine import Evidence
-from buckthorndeal.quota import QuotaDemand
 from buckthorndeal.wire import Message, create_codec
 
 
@@ -344,54 +348,6 @@
     services: tuple[ServiceLoad, ...]
 
 
-class QuotaRequest(Message, tag="qr"):
-    """Call to the leader: grant units of workspaces with a quota.
-
-    Coordinators of older builds reply with a failure. It is therefore no notification:
-    one with an unknown tag closes the connection.
-
-    Parameters
-    ----------
-    incarnation : int
-        Number of the sender's process, drawn at its start.
-    sequence : int
-        Number of the request of this process.
-    applied : int
-        Number of the last request whose grants it has applied.
-    demands : tuple of QuotaDemand
-        Demands, at most one for a workspace.
-    """
-
-    incarnation: int
-    sequence: int
-    applied: int
-    demands: tuple[QuotaDemand, ...]
-
-
-class QuotaGrants(Message, tag="qg"):
-    """Reply of the leader: units granted for each demand, in their order.
-
-    Parameters
-    ----------
-    term : int
-        Term of the leader.
-    sequence : int
-        Number of the request.
-    amounts : tuple of int
-        Units, which the host may use within `LEASE_S` of sending the request.
-    """
-
-    term: int
-    sequence: int
-    amounts: tuple[int, ...]
-
-
-class QuotaRedirect(Message, tag="qd"):
-    """Reply: this coordinator does not lead; `leader` does, if it knows of one."""
-
-    leader: str | None = None
-
-
 FLEET_CODEC = create_codec(
     (
         ConsensusFrame,
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -31,8 +31,8 @@
     Refusal,
     RefusalReason,
 )
-from buckthorndeal.gateway._quota_gate import Admission, QuotaGate
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
+from buckthorndeal.gateway._quota_gate import Admission, QuotaGate
 from buckthorndeal.gateway._refusals import RefusalPolicy
 from buckthorndeal.gateway._relay_choice import RelayChooser
 from buckthorndeal.gateway._relays import RelayHosts
--- a/buckthorndeal/quota/__init__.py
+++ b/buckthorndeal/quota/__init__.py
@@ -6,9 +6,9 @@
 
 from buckthorndeal.quota._demands import QuotaDemand
 from buckthorndeal.quota._granter import QuotaGranter, create_quota_granter
+from buckthorndeal.quota._lease import Charge
 from buckthorndeal.quota._leases import (
     MAX_WAIT_S,
-    Charge,
     QuotaLeases,
     QuotaState,
     QuotaWait,
--- a/buckthorndeal/quota/_leases.py
+++ b/buckthorndeal/quota/_leases.py
@@ -12,22 +12,15 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.quota._demands import QuotaDemand
+from buckthorndeal.quota._lease import DEMAND_TIME_S, Charge, Lease
 from buckthorndeal.quota._options import (
     LEASE_S,
     QuotaOptions,
-    QuotaPlan,
     create_plan,
     is_valid_units,
 )
 from buckthorndeal.workspaces import Workspace
 
-# Time constant of the demand that is expected to go on.
-DEMAND_TIME_S = 3.0
-# Demand for which units are held in advance: until the reply to the request after the
-# next one, across regions.
-ADVANCE_S = 0.8
-# A grant is renewed this long before it expires.
-RENEW_BEFORE_S = 0.9
 # After a grant below the need, requests are refused at once for this time.
 SCARCE_S = 0.7
 # After a request without a reply, nobody waits for the next one.
@@ -38,14 +31,10 @@
 MAX_WAIT_S = 0.45
 MIN_RETRY_S = 0.3
 MAX_RETRY_S = 8.0
-# Time constant of the largest request.
-LARGEST_TIME_S = 10.0
 # Refunds after this time are not accounted for, as they would raise the bound.
 REFUND_S = 2.0
 # Hosts restarted in a region that is cut off know of no others: shares count double.
 FALLBACK_DIVISOR = 2
-# Workspaces without requests are forgotten after this time.
-IDLE_S = 60.0
 # Mean time between two requests to the leader, and less while requests lack units: all
 # of them in the pool, or this host alone.
 REQUEST_INTERVAL_S = 0.5
@@ -53,34 +42,6 @@
 URGENT_INTERVAL_S = 0.1
 
 
-@dataclass(slots=True)
-class Charge:
-    """Units that a request has taken.
-
-    Parameters
-    ----------
-    workspace : str
-        Name of the workspace.
-    units : int
-        Number of units.
-    charged_s : float
-        Clock reading.
-    lapses : int or None
-        Changes whenever a grant expires; None for units without a grant.
-    sequence : int
-        Number of the last request to the leader before.
-    is_reserved : bool
-        Whether the request has not been sent yet, so that the units count as held.
-    """
-
-    workspace: str
-    units: int
-    charged_s: float
-    lapses: int | None
-    sequence: int
-    is_reserved: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class QuotaWait:
     """A request lacks units.
@@ -106,65 +67,6 @@
     granted_per_s: float
 
 
-@dataclass(slots=True)
-class _Lease:
-    """What this host holds and knows of one workspace."""
-
-    plan: QuotaPlan
-    # Numbers of the grants that have expired, over all workspaces.
-    numbers: itertools.count
-    fallback_s: float
-    fallback: float = 0.0
-    free: float = 0.0
-    reserved: float = 0.0
-    expires_s: float = -math.inf
-    lapses: int = 0
-    need: float = 0.0
-    largest_need: float = 0.0
-    waiting: float = 0.0
-    returned: float = 0.0
-    demand_per_s: float = 0.0
-    demand_s: float = 0.0
-    granted_per_s: float = 0.0
-    granted_s: float = 0.0
-    largest: float = 0.0
-    largest_s: float = 0.0
-    scarce_until_s: float = -math.inf
-    used_s: float = -math.inf
-    # What the leader counts as held by this host.
-    counted: float = 0.0
-
-    def expire(self, now_s: float) -> None:
-        """Drop the units of an expired grant."""
-        if now_s >= self.expires_s and (self.free or self.reserved):
-            self.free = self.reserved = 0.0
-            self.lapses = next(self.numbers)
-
-    def record_demand(self, units: float, now_s: float) -> None:
-        """Count a request of a caller."""
-        decay = math.exp(-max(0.0, now_s - self.demand_s) / DEMAND_TIME_S)
-        self.demand_per_s = self.demand_per_s * decay + units / DEMAND_TIME_S
-        self.demand_s = self.used_s = now_s
-        self.largest = max(units, self.get_largest(now_s))
-        self.largest_s = now_s
-
-    def get_largest(self, now_s: float) -> float:
-        """Return the size of the largest request of late."""
-        elapsed_s = max(0.0, now_s - self.largest_s)
-        return self.largest * math.exp(-elapsed_s / LARGEST_TIME_S)
-
-    def get_demand(self, now_s: float) -> float:
-        """Return the units per second that callers ask for."""
-        elapsed_s = max(0.0, now_s - self.demand_s)
-        return self.demand_per_s * math.exp(-elapsed_s / DEMAND_TIME_S)
-
-    def record_grant(self, units: float, now_s: float) -> None:
-        """Count granted units, for the time after which callers may return."""
-        decay = math.exp(-max(0.0, now_s - self.granted_s) / DEMAND_TIME_S)
-        self.granted_per_s = self.granted_per_s * decay + units / DEMAND_TIME_S
-        self.granted_s = now_s
-
-
 @dataclass(slots=True)
 class _Open:
     """The request that awaits its reply: needs by workspace."""
@@ -195,7 +97,7 @@
         self._sent_s = -math.inf
         self._interval_s = 0.0
         self._hosts = 1
-        self._leases: dict[str, _Lease] = {}
+        self._leases: dict[str, Lease] = {}
         self._workspaces: dict[str, Workspace] = {}
         self._open: _Open | None = None
         self._applied = 0
@@ -352,11 +254,11 @@
         self._interval_s = REQUEST_INTERVAL_S * self._rng.uniform(0.8, 1.2)
         demands, needs = [], []
         for name, lease in list(self._leases.items()):
-            demand = self._describe(name, lease, now_s)
+            demand = lease.describe_demand(name, now_s)
             if demand is not None:
                 demands.append(demand)
                 needs.append((name, demand.need))
-            elif self._is_idle(lease, now_s):
+            elif lease.is_idle(now_s):
                 del self._leases[name]
         if not demands:
             return None
@@ -412,7 +314,7 @@
             )
         return states
 
-    def _get_lease(self, workspace: Workspace, now_s: float) -> _Lease:
+    def _get_lease(self, workspace: Workspace, now_s: float) -> Lease:
         lease = self._leases.get(workspace.name)
         if lease is None:
             # Of two configurations, the newer one decides.
@@ -420,28 +322,28 @@
             if known is None or not known.is_limited:
                 known = workspace
             plan = create_plan(known, self._options)
-            lease = _Lease(plan, self._numbers, now_s, lapses=next(self._numbers))
+            lease = Lease(plan, self._numbers, now_s, lapses=next(self._numbers))
             self._leases[workspace.name] = lease
         return lease
 
-    def _find_charged(self, charge: Charge) -> _Lease | None:
+    def _find_charged(self, charge: Charge) -> Lease | None:
         """Return the lease whose grant a charge belongs to, unless it has expired."""
         lease = self._leases.get(charge.workspace)
         if lease is None or charge.lapses != lease.lapses:
             return None
         return lease
 
-    def _get_fallback_capacity(self, lease: _Lease) -> float:
+    def _get_fallback_capacity(self, lease: Lease) -> float:
         return lease.plan.fallback_capacity / (FALLBACK_DIVISOR * self._hosts)
 
-    def _fill_fallback(self, lease: _Lease, now_s: float) -> None:
+    def _fill_fallback(self, lease: Lease, now_s: float) -> None:
         rate = lease.plan.fallback_rate_per_s / (FALLBACK_DIVISOR * self._hosts)
         gained = rate * max(0.0, now_s - lease.fallback_s)
         lease.fallback_s = now_s
         capacity = self._get_fallback_capacity(lease)
         lease.fallback = min(capacity, lease.fallback + gained)
 
-    def _predict_wait_s(self, lease: _Lease, units: float, now_s: float) -> float:
+    def _predict_wait_s(self, lease: Lease, units: float, now_s: float) -> float:
         """Return the time until this host is granted `units` more, at its pace."""
         elapsed_s = max(0.0, now_s - lease.granted_s)
         granted_per_s = lease.granted_per_s * math.exp(-elapsed_s / DEMAND_TIME_S)
@@ -450,54 +352,6 @@
         missing = max(0.0, units - lease.free)
         return min(MAX_RETRY_S, max(MIN_RETRY_S, missing / per_s))
 
-    def _is_idle(self, lease: _Lease, now_s: float) -> bool:
-        """Return whether nothing of a workspace is in use."""
-        is_empty = not lease.free and not lease.reserved
-        return is_empty and now_s - lease.used_s > IDLE_S
-
-    def _describe(self, name: str, lease: _Lease, now_s: float) -> QuotaDemand | None:
-        """Return the demand for a workspace, or None if there is nothing to say."""
-        lease.expire(now_s)
-        demand_per_s = lease.get_demand(now_s)
-        largest = lease.get_largest(now_s)
-        advance = demand_per_s * ADVANCE_S
-        # A host with rare requests holds no units for them.
-        target = advance + largest if advance >= 0.3 * largest else 0.0
-        is_scarce = now_s < lease.scarce_until_s
-        need, largest_need = lease.need, lease.largest_need
-        lease.need = lease.largest_need = 0.0
-        if is_scarce:
-            # Of the refused requests, others like them are expected until the reply.
-            need = min(need, advance + max(largest, largest_need))
-        keeps = target
-        if is_scarce and lease.free < largest:
-            # Too little for a request, and others may have use for it.
-            need, keeps = need + (lease.free if need else 0.0), 0.0
-        surplus = max(0.0, lease.free - 2 * keeps)
-        returned = math.floor(lease.returned + surplus)
-        lease.returned = max(0.0, lease.returned + surplus - returned)
-        lease.free -= surplus
-        spare = max(0.0, target - lease.free)
-        is_renewal = lease.free + lease.reserved > 0 and (
-            lease.expires_s - now_s < RENEW_BEFORE_S
-        )
-        held = math.ceil(lease.free + lease.reserved)
-        # What the leader does not know to be used lessens what it can grant.
-        is_news = need or returned or is_renewal or spare > 0.25 * target
-        if not is_news and held >= lease.counted:
-            return None
-        lease.counted = held
-        least = min(need, max(largest_need, largest - lease.free if is_scarce else 0.0))
-        return QuotaDemand(
-            name,
-            held,
-            math.ceil(need),
-            math.ceil(least),
-            math.ceil(spare),
-            returned,
-            math.ceil(demand_per_s),
-        )
-
 
 def create_quota_leases(
     options: QuotaOptions | None = None, rng: random.Random | None = None
--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -224,7 +224,7 @@
     # Results
 
     def find_largest_excess(self, limits=None, from_s=0.0):
-        """Return the largest use of a window as a part of the bound, of any workspace."""
+        """Return the largest use of a window, as a part of the bound of a workspace."""
         worst = (0.0, "")
         for name, runs in self.ran.items():
             workspace = (limits or self.workspaces)[name]
