--- a/buckthorndeal/quota/_granter.py
+++ b/buckthorndeal/quota/_granter.py
@@ -31,7 +31,7 @@
 USE_STEP_S = 0.25
 # Part of the capacity that hosts hold at most. The rest is what a new leader may work
 # with as long as grants of the former one are valid.
-HELD_PART = 0.7
+HELD_PART = 0.8
 # Parts of the capacity that are granted only for requests that are there, and of these
 # only by shares.
 NEED_RESERVE = 0.5
--- a/buckthorndeal/quota/_leases.py
+++ b/buckthorndeal/quota/_leases.py
@@ -193,10 +193,11 @@
         if charge.lapses is None or not charge.is_reserved:
             return True
         lease = self._leases.get(charge.workspace)
-        if lease is not None:
-            lease.expire(now_s)
-        lease = self._find_charged(charge)
         if lease is None:
+            # A newer configuration has ended the quota.
+            return True
+        lease.expire(now_s)
+        if self._find_charged(charge) is None:
             return False
         lease.reserved -= charge.units
         charge.is_reserved = False
@@ -236,10 +237,14 @@
         if elapsed_s < URGENT_INTERVAL_S:
             return False
         is_scarce_due = elapsed_s >= self._interval_s * SCARCE_PART
-        return any(
-            lease.need > 0 and (is_scarce_due or now_s >= lease.scarce_until_s)
-            for lease in self._leases.values()
-        )
+        for lease in self._leases.values():
+            is_scarce = now_s < lease.scarce_until_s
+            if lease.need > 0 and (is_scarce_due or not is_scarce):
+                return True
+            # Others wait for what is too little for a request here.
+            if is_scarce and 0 < lease.free < lease.get_largest(now_s):
+                return True
+        return False
 
     def build_request(
         self, now_s: float
--- a/buckthorndeal/quota/_options.py
+++ b/buckthorndeal/quota/_options.py
@@ -1,6 +1,5 @@
 """Options of the quotas, and how the bound of a workspace is divided."""
 
-import math
 from dataclasses import dataclass
 
 from buckthorndeal.settings import QuotaSettings
@@ -11,13 +10,14 @@
 LEASE_S = 1.6
 # Largest difference between two clocks within `LEASE_S`.
 DRIFT_S = 0.1
-# Part of the rate that the leader divides. The rest pays for units that are held.
+# Part of the rate that the leader divides. The rest pays for units that are held. In the
+# simulation of 24 hosts, 0.974 to 0.983 of the rate is used beyond the limit.
 LEADER_RATE = 0.98
 # Parts of the rate and of the slack that hosts use without a grant.
 FALLBACK_RATE = 0.01
 FALLBACK_SLACK = 0.1
 # Part of the slack that a new leader grants while grants of the former one are valid.
-START_SLACK = 0.15
+START_SLACK = 0.1
 # Time that passes between the charge of a request and its arrival at an endpoint, or
 # its refund, in the window of the bound.
 DELAY_S = 0.1
@@ -127,4 +127,5 @@
 
 def is_valid_units(units: float) -> bool:
     """Return whether a number of units can be counted."""
-    return math.isfinite(units) and 0 <= units <= MAX_UNITS
+    # Every comparison with NaN is false.
+    return 0 <= units <= MAX_UNITS
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -62,9 +62,12 @@
         self,
         coordinators=("10.1.0.1", "10.2.0.1", "10.3.0.1"),
         create_handlers=create_default_handlers,
+        **settings,
     ):
         self.transport = create_memory_transport()
         self.create_handlers = create_handlers
+        # Further fields of the settings of coordinators.
+        self.settings = settings
         self.seeds = tuple(
             Address(address=each, port=PEER_PORT) for each in coordinators
         )
@@ -108,6 +111,7 @@
             bootstrap=bootstrap,
             peer_keys=KEYS,
             data_directory=self.directories[host].name,
+            **self.settings,
         )
         daemon = create_coordinator(
             settings, self.transport, create_route_format(), self.create_handlers
