--- a/buckthorndeal/quota/_options.py
+++ b/buckthorndeal/quota/_options.py
@@ -24,6 +24,7 @@
 # Least room beyond the rate, in parts of what the rate gives in a window. Without any,
 # no host could hold units before it uses them.
 MIN_ROOM = 0.1
+MIN_WINDOW_S = 1.0
 # Larger quotas limit nothing, and stay exact in messages.
 MAX_UNITS = 2**53
 
@@ -56,8 +57,13 @@
 
 
 def create_quota_options(settings: QuotaSettings) -> QuotaOptions:
-    """Return the options of a daemon's settings."""
-    return QuotaOptions(settings.window_s, settings.overage, settings.slack)
+    """Return the options of a daemon's settings.
+
+    Values that cannot be meant, in settings that were not validated, become the nearest
+    that can.
+    """
+    window_s = max(MIN_WINDOW_S, settings.window_s)
+    return QuotaOptions(window_s, max(0.0, settings.overage), max(0.0, settings.slack))
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -99,6 +99,8 @@
 [bounds]
 grace_s = 8
 budget_slack = 58
+quota_overage = 0.2
+quota_slack = 110_000
 """
 
 
@@ -299,6 +301,17 @@
         self.assertEqual(settings.retry_budget.slack, 58)
         self.assertLess(settings.drain_timeout_s, 8)
 
+    def test_quota_is_the_same_for_both_programs(self):
+        """Guards against a leader that divides another bound than hosts expect."""
+        for create in (
+            nodefile.create_gateway_settings,
+            nodefile.create_coordinator_settings,
+        ):
+            quota = create(self.node).quota
+            self.assertEqual(quota.window_s, 8.0)
+            self.assertEqual(quota.overage, 0.2)
+            self.assertEqual(quota.slack, 110_000)
+
     def test_sockets_stay_within_the_descriptors_of_the_platform(self):
         """Guards against limits of single listeners whose sum exceeds `max_fds`."""
         self.assertEqual(nodefile.get_max_descriptors(self.node), 8000)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -19,7 +19,9 @@
     create_plan,
     create_quota_granter,
     create_quota_leases,
+    create_quota_options,
 )
+from buckthorndeal.settings import QuotaSettings
 from buckthorndeal.wire import create_codec
 from buckthorndeal.workspaces import QuotaUnit, Workspace
 from tests.dispatcher_harness import DispatcherHarness, create_prompt
@@ -79,6 +81,13 @@
         plan = create_plan(create_workspace(100.0), OPTIONS)
         self.assertGreater(0.7 * plan.capacity, 2 * LARGE)
 
+    def test_odd_settings_become_usable_options(self):
+        """Guards against a platform's file with a window of 0 or a negative slack."""
+        settings = QuotaSettings(window_s=0.0, overage=-3.0, slack=-1e9)
+        plan = create_plan(create_workspace(), create_quota_options(settings))
+        self.assertGreater(plan.rate_per_s, 0.0)
+        self.assertGreater(plan.capacity, 0.0)
+
 
 class GranterTest(unittest.TestCase):
     def test_only_a_leader_grants(self):
