--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -76,6 +76,7 @@
         self.leader_region = 0
         self.granter = create_quota_granter(OPTIONS)
         self.has_leader = True
+        self.loss = 0.0
         self.term = 1
         sizes = [1 / (1 + rank) ** 0.9 for rank in range(workspaces)]
         total = sum(sizes)
@@ -183,7 +184,7 @@
         host.sent_bytes += len(FLEET_CODEC.encode(message)) + FRAME_BYTES
         timeout_s = self.now_s + CALL_TIMEOUT_S
         self.schedule(timeout_s, self.time_out, host, host.leases, sequence)
-        if host.linked and self.has_leader:
+        if host.linked and self.has_leader and self.rng.random() >= self.loss:
             at_s = self.now_s + host.link_s
             self.schedule(at_s, self.ask_leader, host, host.leases, host.name, built)
 
@@ -191,7 +192,7 @@
         if not self.has_leader:
             return
         amounts = self.granter.request(name, *built, self.now_s)
-        if amounts is None or not host.linked:
+        if amounts is None or not host.linked or self.rng.random() < self.loss:
             return
         reply = QuotaGrants(self.granter.term, built[0], amounts)
         host.sent_bytes += len(FLEET_CODEC.encode(reply)) + FRAME_BYTES
@@ -308,6 +309,11 @@
         world.factors[name] = 6.0
 
 
+def lose_messages(world):
+    """Lose a fifth of the requests and of the replies."""
+    world.loss = 0.2
+
+
 def lower_limits(world):
     for name, workspace in list(world.workspaces.items()):
         world.set_limit(name, workspace.rate_per_s / 4)
@@ -333,6 +339,7 @@
     ),
     "calm-leader": ((10.0, lose_leader), (20.0, replace_leader)),
     "burst": ((9.0, make_hot),),
+    "loss": ((5.0, lose_messages), (10.0, make_hot), (14.0, replace_leader)),
     "lower": ((10.0, make_hot), (12.0, lower_limits)),
 }
 
--- a/tests/test_quota_play.py
+++ b/tests/test_quota_play.py
@@ -43,7 +43,7 @@
 
     def test_bound_holds_through_faults(self):
         """Guards against units that are granted again while a host may use them."""
-        for name in ("cut", "freeze", "restart", "leader", "lower"):
+        for name in ("cut", "freeze", "restart", "leader", "loss", "lower"):
             with self.subTest(fault=name):
                 world, limits = play(24, 16, 19.0, FAULTS[name])
                 self.check_bound(world, limits)
