--- a/buckthorndeal/authentication.py
+++ b/buckthorndeal/authentication.py
@@ -1,10 +1,10 @@
 """Authentication of callers and endpoints by the SHA-256 hashes of bearer keys."""
 
-import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from buckthorndeal.errors import RequestError
+from buckthorndeal.keys import KeyTable, hash_key
 from buckthorndeal.sections import AccountsSection, Service, Workspace
 
 __all__ = [
@@ -45,24 +45,21 @@
 
     def __init__(self, accounts: AccountsSection) -> None:
         self._workspaces = accounts.workspaces
-        self._by_hash = {
-            key_hash: Identity(name, workspace)
+        self._keys = KeyTable(
+            (key_hash, Identity(name, workspace))
             for name, workspace in accounts.workspaces.items()
             for key_hash in workspace.key_hashes
-        }
+        )
 
     def authenticate(self, header: str | None) -> Identity:
         """Return the identity for an ``Authorization`` header.
 
-        The lookup by digest does not leak the key through its timing, because a
-        caller cannot choose the digest of a guessed key.
-
         Raises
         ------
         RequestError
             With status 401 if the header has no bearer key or the key is unknown.
         """
-        identity = self._by_hash.get(hash_bearer(header))
+        identity = self._keys.find_by_hash(hash_bearer(header))
         if identity is None:
             raise RequestError("unauthorized", 401, "the bearer key is not valid")
         return identity
@@ -126,17 +123,11 @@
         if checked_service is not None
         for key_hash in checked_service.endpoint_key_hashes
     }
-    # The lookup by digest does not leak a key through its timing, because the sender
-    # cannot choose the digest of a guessed key.
+    # The lookup by digest is safe for the reason that `KeyTable` gives.
     if allowed_hashes and hash_bearer(header) not in allowed_hashes:
         raise RequestError("unauthorized", 401, "the endpoint key is not valid")
 
 
-def hash_key(key: str) -> str:
-    """Return the SHA-256 hash of a key in hexadecimal, as stored in the document."""
-    return hashlib.sha256(key.encode("utf-8")).hexdigest()
-
-
 def create_authenticator(accounts: AccountsSection) -> Authenticator:
     """Return an authenticator for an accounts section."""
     return Authenticator(accounts)
--- a/buckthorndeal/configuration.py
+++ b/buckthorndeal/configuration.py
@@ -11,7 +11,9 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from buckthorndeal.errors import BuckthorndealError
+from buckthorndeal._configuration_numbers import check_counts, check_durations
+from buckthorndeal._workspace_checks import check_workspaces
+from buckthorndeal.errors import ConfigurationError
 from buckthorndeal.workspaces import Workspace, create_workspace_table
 
 __all__ = [
@@ -35,10 +37,6 @@
 MAX_NESTING = 64
 # The replicated log and the messages between hosts hold 64 bits.
 MAX_VERSION = 2**63 - 1
-# Whole numbers up to here are exact as floating-point numbers, too.
-MAX_COUNT = 2**53
-# A week; the timers of the operating system take up to 24 days.
-MAX_DURATION_S = 604_800.0
 # A string or a comment is taken at once, also one that does not end.
 _NESTING = re.compile(
     rb'"(?:[^"\\]++|\\.)*+"?|//[^\n]*+|/\*.*?(?:\*/|\Z)|[\[\]{}]', re.DOTALL
@@ -46,23 +44,6 @@
 HASH_RANGE = 1 << (8 * HASH_BYTES)
 
 
-class ConfigurationError(BuckthorndealError):
-    """A configuration is malformed or inconsistent.
-
-    Parameters
-    ----------
-    path : str
-        Path of the invalid value, or the name of the invalid route.
-    reason : str
-        Why it is invalid.
-    """
-
-    def __init__(self, path: str, reason: str) -> None:
-        super().__init__(f"{path}: {reason}")
-        self.path = path
-        self.reason = reason
-
-
 class RequestKind(enum.Enum):
     """How a request may be retried.
 
@@ -217,7 +198,7 @@
 
 
 def check_configuration(configuration: Configuration) -> None:
-    """Check the routes of a configuration, and their references to services.
+    """Check the routes and the workspaces of a configuration.
 
     Raises
     ------
@@ -225,9 +206,11 @@
         If a route names an unknown service, has the same host name and path prefix
         as another route, a path prefix that does not begin and end with a slash, a
         negative weight or none above 0, or a timeout that is not positive; or if a
-        number is infinite or out of bounds.
+        number is infinite or out of bounds; or if a workspace is invalid, see
+        `check_workspaces`.
     """
     _check_numbers(configuration)
+    check_workspaces(configuration.workspaces)
     service_names = {service.name for service in configuration.services}
     seen: set[tuple[str, str]] = set()
     for route in configuration.routes:
@@ -246,31 +229,20 @@
     if not 0 <= configuration.version <= MAX_VERSION:
         raise ConfigurationError("version", f"not from 0 to {MAX_VERSION}")
     limits = configuration.limits
-    _check_counts("limits", limits.max_header_bytes, limits.max_body_bytes)
-    _check_durations("limits", limits.header_timeout_s, limits.idle_timeout_s)
+    check_counts("limits", limits.max_header_bytes, limits.max_body_bytes)
+    check_durations("limits", limits.header_timeout_s, limits.idle_timeout_s)
     for route in configuration.routes:
-        _check_counts(route.name, route.priority, route.max_attempts)
-        _check_counts(route.name, *(target.weight for target in route.services))
-        _check_durations(
+        check_counts(route.name, route.priority, route.max_attempts)
+        check_counts(route.name, *(target.weight for target in route.services))
+        check_durations(
             route.name, route.timeout_s, route.latency_objective_s, route.max_pause_s
         )
     for service in configuration.services:
-        _check_counts(service.name, service.max_connections, service.cold_rate_per_s)
-        _check_durations(service.name, service.cold_start_s)
+        check_counts(service.name, service.max_connections, service.cold_rate_per_s)
+        check_durations(service.name, service.cold_start_s)
         if service.engine is not None:
             engine = service.engine
-            _check_counts(service.name, engine.slots, engine.kv_capacity_tokens)
-
-
-def _check_counts(name: str, *values: float) -> None:
-    # A comparison with NaN is false.
-    if not all(abs(value) <= MAX_COUNT for value in values):
-        raise ConfigurationError(name, f"a number is not at most {MAX_COUNT}")
-
-
-def _check_durations(name: str, *durations_s: float) -> None:
-    if not all(abs(duration_s) <= MAX_DURATION_S for duration_s in durations_s):
-        raise ConfigurationError(name, f"a time is not at most {MAX_DURATION_S:g} s")
+            check_counts(service.name, engine.slots, engine.kv_capacity_tokens)
 
 
 def _check_route(route: Route, service_names: set[str]) -> None:
--- a/buckthorndeal/entry/_admission.py
+++ b/buckthorndeal/entry/_admission.py
@@ -19,6 +19,7 @@
     Ticket,
     create_admission,
 )
+from buckthorndeal.policy.bucket import TokenBucket
 from buckthorndeal.policy.views import EndpointView
 
 CONCURRENCY_RETRY_S = 1.0
@@ -36,8 +37,7 @@
 class _Usage:
     """Token bucket and running requests of one workspace."""
 
-    tokens: float
-    refilled_s: float
+    bucket: TokenBucket
     running: int = 0
 
 
@@ -58,19 +58,15 @@
         """
         workspace = identity.workspace
         usage = self._usages.setdefault(
-            identity.name, _Usage(float(workspace.burst), now_s)
+            identity.name, _Usage(TokenBucket(float(workspace.burst), now_s))
         )
-        usage.tokens = min(
-            workspace.burst,
-            usage.tokens + (now_s - usage.refilled_s) * workspace.requests_per_s,
-        )
-        usage.refilled_s = now_s
+        usage.bucket.refill(workspace.requests_per_s, workspace.burst, now_s)
         if usage.running >= workspace.concurrency:
             raise _create_refusal("concurrency", CONCURRENCY_RETRY_S)
-        if usage.tokens < 1:
-            wait_s = (1 - usage.tokens) / workspace.requests_per_s
+        wait_s = usage.bucket.compute_wait_s(workspace.requests_per_s)
+        if wait_s > 0:
             raise _create_refusal("request rate", wait_s)
-        usage.tokens -= 1
+        usage.bucket.tokens -= 1
         usage.running += 1
         self._tickets[ticket_id] = identity.name
 
--- a/buckthorndeal/errors.py
+++ b/buckthorndeal/errors.py
@@ -9,6 +9,7 @@
     "AuthenticationError",
     "BuckthorndealError",
     "ChartError",
+    "ConfigurationError",
     "ConflictError",
     "ConnectionBrokenError",
     "ConnectionClosedError",
@@ -57,6 +58,23 @@
     """A state chart is malformed, or an event is not allowed in a state."""
 
 
+class ConfigurationError(BuckthorndealError):
+    """A configuration is malformed or inconsistent.
+
+    Parameters
+    ----------
+    path : str
+        Path of the invalid value, or the name of the invalid route.
+    reason : str
+        Why it is invalid.
+    """
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: {reason}")
+        self.path = path
+        self.reason = reason
+
+
 class SettingsError(BuckthorndealError):
     """A settings file cannot be used.
 
--- a/buckthorndeal/policy/admission.py
+++ b/buckthorndeal/policy/admission.py
@@ -7,6 +7,7 @@
 
 from buckthorndeal._waiters import Waiter, WaitQueue
 from buckthorndeal.errors import RequestError, Verdict
+from buckthorndeal.policy.bucket import TokenBucket
 
 __all__ = [
     "Admission",
@@ -108,12 +109,6 @@
     displaced: tuple[Refused, ...] = ()
 
 
-@dataclass(slots=True)
-class _Bucket:
-    tokens: float
-    updated_s: float
-
-
 class Admission:
     """Admits requests of one entry host up to a capacity, then queues them.
 
@@ -137,7 +132,7 @@
         self._queue = WaitQueue(max_waiters)
         self._running: dict[int, Ticket] = {}
         self._ticket_counts: Counter[str] = Counter()
-        self._buckets: OrderedDict[str, _Bucket] = OrderedDict()
+        self._buckets: OrderedDict[str, TokenBucket] = OrderedDict()
         self._ticket_numbers = itertools.count(1)
         self._mean_hold_s = INITIAL_HOLD_S
 
@@ -285,9 +280,9 @@
     def _estimate_wait(self, ahead: int) -> float:
         return (ahead + 1) * self._mean_hold_s / max(1, self._capacity)
 
-    def _check_workspace(self, request: AdmissionRequest, bucket: _Bucket) -> None:
-        if bucket.tokens < 1:
-            retry_s = (1 - bucket.tokens) / request.requests_per_s
+    def _check_workspace(self, request: AdmissionRequest, bucket: TokenBucket) -> None:
+        retry_s = bucket.compute_wait_s(request.requests_per_s)
+        if retry_s > 0:
             raise _create_error(
                 "rate_limited",
                 429,
@@ -331,17 +326,15 @@
         message = "no capacity within the deadline"
         return Refused(waiter.request, _create_error(code, 503, message, retry_s))
 
-    def _refill_bucket(self, request: AdmissionRequest, now_s: float) -> _Bucket:
+    def _refill_bucket(self, request: AdmissionRequest, now_s: float) -> TokenBucket:
         bucket = self._buckets.get(request.workspace)
         if bucket is None:
-            bucket = _Bucket(float(request.burst), now_s)
+            bucket = TokenBucket(float(request.burst), now_s)
             self._buckets[request.workspace] = bucket
             if len(self._buckets) > MAX_BUCKETS:
                 self._buckets.popitem(last=False)
         self._buckets.move_to_end(request.workspace)
-        added = (now_s - bucket.updated_s) * request.requests_per_s
-        bucket.tokens = min(float(request.burst), bucket.tokens + added)
-        bucket.updated_s = now_s
+        bucket.refill(request.requests_per_s, request.burst, now_s)
         return bucket
 
 
--- a/buckthorndeal/workspaces.py
+++ b/buckthorndeal/workspaces.py
@@ -3,9 +3,9 @@
 import enum
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from buckthorndeal.authentication import hash_key
+from buckthorndeal.keys import KeyTable, hash_key
 
 __all__ = ["QuotaUnit", "Workspace", "WorkspaceTable", "create_workspace_table"]
 
@@ -26,7 +26,7 @@
     name : str
         Name under which endpoints know the workspace.
     keys : tuple of str
-        Keys of its callers.
+        Keys of its callers; left out of `repr`, which may end up in a log.
     priority : int or None
         0 is the most urgent; None for the priority of the route.
     unit : QuotaUnit
@@ -42,7 +42,7 @@
     """
 
     name: str
-    keys: tuple[str, ...] = ()
+    keys: tuple[str, ...] = field(default=(), repr=False)
     priority: int | None = None
     unit: QuotaUnit = QuotaUnit.REQUESTS
     default_tokens: int = 0
@@ -71,18 +71,18 @@
 
     def __init__(self, workspaces: Iterable[Workspace]) -> None:
         self._by_name = {each.name: each for each in workspaces}
-        # The lookup by digest does not leak a key through its timing, because a caller
-        # cannot choose the digest of a guessed key.
-        self._by_hash = {
-            hash_key(key): each for each in self._by_name.values() for key in each.keys
-        }
+        self._keys = KeyTable(
+            (hash_key(key), each)
+            for each in self._by_name.values()
+            for key in each.keys
+        )
 
     def __bool__(self) -> bool:
         return bool(self._by_name)
 
     def find_by_key(self, key: str) -> Workspace | None:
         """Return the workspace that a key belongs to, or None."""
-        return self._by_hash.get(hash_key(key))
+        return self._keys.find(key)
 
     def find_by_name(self, name: str) -> Workspace | None:
         """Return the workspace with a name, or None."""
