Authenticate callers at the gateway, and keep home regions of workspaces

Cause: a gateway knew no keys, so that any caller was served, and the home regions of a workspace bound no request. Change: a request is authenticated with the version of the configuration under which its route is found. The dialects drop the key and set the name of the workspace for the endpoint; the name goes to other hosts in the signed headers, and the receiving host finds the workspace and checks the home regions in its own configuration. A host that disagrees answers 421, after which the sender goes on sending it other requests. The workspace replaces the key in what tells callers apart for the quarantine, so that it is equal at all hosts. A draining host also waits for a replacement if it is the last one in the home regions of a workspace.

--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -5,6 +5,7 @@
     EntryHostLiveness,
     choose_entry_hosts,
     count_home_routes,
+    count_home_workspaces,
     is_advertised,
 )
 from buckthorndeal.fleet._endpoints import (
@@ -122,6 +123,7 @@
     "check_record",
     "choose_entry_hosts",
     "count_home_routes",
+    "count_home_workspaces",
     "create_endpoint_table",
     "create_host_links",
     "create_origin_table",
--- a/buckthorndeal/fleet/_directory.py
+++ b/buckthorndeal/fleet/_directory.py
@@ -49,6 +49,21 @@
     return {host: regions for host, regions in home_route_counts.items() if regions}
 
 
+def count_home_workspaces(configuration: Configuration) -> dict[str, dict[str, int]]:
+    """Return the home regions of workspaces, in the form of `count_home_routes`.
+
+    Each set of home regions occurs once, under its names. The directory does not know
+    the workspace of a caller, but a draining host has to know for whom it may be the
+    last one of its region.
+    """
+    home_sets = {each.home_regions for each in configuration.workspaces}
+    return {
+        f"workspaces of {','.join(sorted(regions))}": dict.fromkeys(regions, 1)
+        for regions in home_sets
+        if regions
+    }
+
+
 def choose_entry_hosts(
     hosts: Iterable[EntryHostLiveness],
     region: str,
@@ -97,7 +112,8 @@
 ) -> bool:
     """Return whether the directory directs callers of any region to a draining host.
 
-    Only callers of routes with home regions are considered.
+    Only callers of routes with home regions are considered, and those of workspaces,
+    whose requests other hosts pass on to it.
 
     Parameters
     ----------
@@ -106,7 +122,7 @@
     entries : iterable of EntryHost
         All entry hosts that are alive.
     home_route_counts : mapping of str to mapping
-        Result of `count_home_routes`.
+        Results of `count_home_routes` and `count_home_workspaces` together.
     """
     entries = list(entries)
     hosts = [
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -345,7 +345,10 @@
     build_headers = context.dialect.build_headers
     if isinstance(decision, Grant):
         hints = EndpointHints(
-            decision.record.endpoint, decision.urgency, decision.cache_source
+            decision.record.endpoint,
+            decision.urgency,
+            decision.cache_source,
+            call.workspace.name if call.workspace is not None else None,
         )
         return build_headers(end_to_end, remaining_s, hints, call.resume_after)
     headers = build_headers(end_to_end, remaining_s, None, call.resume_after)
@@ -374,7 +377,7 @@
         deadline_ms=int(remaining_s * 1000),
         request_id=f"{context.host}-{attempt_id}-{call.request_id}",
         sent_ms=int(context.wall_clock() * 1000),
-        workspace="",
+        workspace=call.workspace.name if call.workspace is not None else "",
         content_type=request.headers.get("content-type", ""),
         idempotency_key=request.headers.get("idempotency-key", ""),
     )
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -18,6 +18,7 @@
     EntryState,
     StreamOrigin,
     count_home_routes,
+    count_home_workspaces,
     is_advertised,
 )
 from buckthorndeal.gateway._contact import EndpointContact
@@ -242,7 +243,7 @@
         )
 
     async def _wait_for_replacement(self, until_s: float) -> None:
-        """Wait until no coordinator directs callers of routes with home regions here.
+        """Wait until no request with home regions depends on this host.
 
         Gives up once the clock reads `until_s`.
         """
@@ -336,7 +337,10 @@
         routes = create_route_table(configuration)
         self._dispatch.set_services(routes.services)
         self._context.routes = routes
-        self._home_route_counts = count_home_routes(configuration)
+        self._home_route_counts = {
+            **count_home_routes(configuration),
+            **count_home_workspaces(configuration),
+        }
         self.metrics.set_gauge("configuration_version", configuration.version)
         configured = configuration.limits
         limits = Limits(
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -1,5 +1,7 @@
 """HTTP handlers for requests of callers and of other entry hosts."""
 
+from dataclasses import dataclass
+
 import curio
 from absl import logging
 
@@ -12,6 +14,13 @@
     verify_request,
 )
 from buckthorndeal.gateway._attempt import VERDICT_HEADER, VERSION_HEADER
+from buckthorndeal.gateway._authentication import (
+    WorkspaceMetrics,
+    check_home,
+    describe_caller,
+    identify_caller,
+    identify_forwarded,
+)
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._exchange import INTERNAL_RETRY_S, Exchange
@@ -24,6 +33,7 @@
 from buckthorndeal.http_server import Request, Responder, ServerClosing
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.quarantine import RequestContent
+from buckthorndeal.workspaces import Workspace
 
 # A host that has just started receives the configuration within this time.
 NOT_READY_RETRY_S = 0.5
@@ -31,6 +41,32 @@
 STARTUP_POLL_S = 0.05
 
 
+@dataclass(eq=False, slots=True)
+class _Handling:
+    """A request that is being handled, and what is known of it so far.
+
+    Parameters
+    ----------
+    arrived_s : float
+        Clock reading at arrival.
+    workspace : Workspace or None
+        Workspace of the caller; None if it is anonymous or not known yet.
+    exchange : Exchange or None
+        The exchange, once it has begun.
+    error : RequestError or None
+        Error with which the request has ended.
+    completed : bool
+        Whether the request has ended other than by a cancellation.
+    """
+
+    arrived_s: float
+    request_id: str = ""
+    workspace: Workspace | None = None
+    exchange: Exchange | None = None
+    error: RequestError | None = None
+    completed: bool = False
+
+
 class GatewayHandler:
     """Handles requests of callers and of other entry hosts.
 
@@ -43,6 +79,7 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
         self._replays = ReplayGuard()
+        self._workspace_metrics = WorkspaceMetrics(context.metrics)
 
     async def handle_caller(self, request: Request, responder: Responder) -> None:
         """Handle a request of a caller."""
@@ -88,70 +125,83 @@
         responder: Responder,
         forwarded: ForwardedRequest | None,
     ) -> None:
-        arrived_s = self._context.clock()
-        exchange = None
-        request_id = ""
-        error: RequestError | None = None
-        completed = False
+        handling = _Handling(self._context.clock())
         try:
-            metadata = self._context.dialect.parse_request(request)
-            request_id = metadata.request_id
-            call = await self._create_call(request, metadata, forwarded, arrived_s)
-            exchange = Exchange(self._context, call, request, responder)
-            await self._run(exchange, responder, forwarded is not None)
-            completed = True
+            await self._answer(request, responder, forwarded, handling)
+            handling.completed = True
         except RequestError as raised:
-            error = raised
-            completed = True
+            handling.error = raised
+            handling.completed = True
             if not responder.started:
                 await self.respond_error(responder, raised)
         except ServerClosing:
-            if responder.started or exchange is None:
+            if responder.started or handling.exchange is None:
                 raise
-            error = exchange.create_stop_error()
-            completed = True
-            await self.respond_error(responder, error)
+            handling.error = handling.exchange.create_stop_error()
+            handling.completed = True
+            await self.respond_error(responder, handling.error)
         except Exception as raised:
             if responder.started:
                 raise
             logging.exception("handling of a request failed")
-            error = _create_internal_error(exchange, raised)
-            completed = True
-            await self.respond_error(responder, error)
+            handling.error = _create_internal_error(handling.exchange, raised)
+            handling.completed = True
+            await self.respond_error(responder, handling.error)
         finally:
-            self._record_end(
-                request_id, arrived_s, exchange, error, completed, responder
-            )
+            self._record_end(handling, responder)
 
-    def _record_end(
+    async def _answer(
         self,
-        request_id: str,
-        arrived_s: float,
-        exchange: Exchange | None,
-        error: RequestError | None,
-        completed: bool,
+        request: Request,
         responder: Responder,
+        forwarded: ForwardedRequest | None,
+        handling: _Handling,
     ) -> None:
+        """Respond to a request; raise `RequestError` if it is refused or fails."""
+        metadata = self._context.dialect.parse_request(request)
+        handling.request_id = metadata.request_id
+        # All that follows goes by this version of the configuration.
+        routes = await self._get_routes()
+        route = _find_route(routes, request)
+        if forwarded is None:
+            handling.workspace = identify_caller(routes, route, metadata.key)
+        else:
+            handling.workspace = identify_forwarded(routes, route, forwarded)
+        call = self._create_call(request, metadata, forwarded, route, handling)
+        if forwarded is not None:
+            check_home(call, self._context.region)
+        handling.exchange = Exchange(self._context, call, request, responder)
+        await self._run(handling.exchange, responder, forwarded is not None)
+
+    def _record_end(self, handling: _Handling, responder: Responder) -> None:
         """Count and log the end of a request; a cancelled one has not completed."""
+        arrived_s, error, exchange = (
+            handling.arrived_s,
+            handling.error,
+            handling.exchange,
+        )
         total_s = self._context.clock() - arrived_s
         outcome = "answered"
         if error is not None:
             outcome = error.code
-        elif not completed:
+        elif not handling.completed:
             outcome = "caller_gone" if responder.disconnected else "cut_off"
         progress = exchange.progress if exchange is not None else None
         self._context.metrics.count("requests", outcome=outcome)
         self._context.metrics.observe("request_seconds", total_s)
+        if self._context.routes is not None and self._context.routes.workspaces:
+            self._workspace_metrics.count(handling.workspace, outcome, error)
         if exchange is not None:
             self._observe_response_times(progress, arrived_s)
-            if completed and exchange.route.kind is not RequestKind.STREAM:
+            if handling.completed and exchange.route.kind is not RequestKind.STREAM:
                 self._context.durations.record(
                     exchange.route.name, total_s, arrived_s + total_s
                 )
         write = log_event if outcome != "answered" else log_routine
         write(
             "request_ended",
-            request_id=request_id,
+            request_id=handling.request_id,
+            workspace=handling.workspace.name if handling.workspace else None,
             outcome=outcome,
             status=error.status if error is not None else None,
             verdict=error.verdict.value if error is not None else None,
@@ -164,18 +214,18 @@
             total_ms=round(total_s * 1000),
         )
 
-    async def _create_call(
+    def _create_call(
         self,
         request: Request,
         metadata: RequestMetadata,
         forwarded: ForwardedRequest | None,
-        arrived_s: float,
+        route: Route,
+        handling: _Handling,
     ) -> Call:
-        route = await self._find_route(request)
         timeout_s = route.timeout_s
         if metadata.timeout_s is not None:
             timeout_s = min(timeout_s, metadata.timeout_s)
-        deadline_s = arrived_s + timeout_s
+        deadline_s = handling.arrived_s + timeout_s
         drain = self._context.drain
         if drain is not None:
             self._check_drain(drain, route, forwarded is not None, deadline_s)
@@ -184,15 +234,16 @@
             request_id=metadata.request_id,
             route=route,
             service=choose_service(route, metadata.resumes or metadata.request_id),
-            arrived_s=arrived_s,
+            arrived_s=handling.arrived_s,
             deadline_s=deadline_s,
             prompt=metadata.prompt,
             resume_after=metadata.resume_after,
             hops=forwarded.hops if forwarded is not None else (),
             crossed=forwarded.crossed if forwarded is not None else False,
-            content=_describe_content(request, metadata),
+            content=_describe_content(request, metadata, handling.workspace),
             resumes=metadata.resumes,
             version=request.headers.get(VERSION_HEADER) if forwarded else None,
+            workspace=handling.workspace,
         )
 
     def _check_drain(
@@ -210,27 +261,20 @@
             retry_after_s=drain.compute_retry_s(now_s),
         )
 
-    async def _wait_for_routes(self) -> RouteTable | None:
+    async def _get_routes(self) -> RouteTable:
         """Return the active routes; wait for them on a host that has just started."""
         waited_s = 0.0
         while self._context.routes is None and waited_s < STARTUP_WAIT_S:
             await curio.sleep(STARTUP_POLL_S)
             waited_s += STARTUP_POLL_S
-        return self._context.routes
-
-    async def _find_route(self, request: Request) -> Route:
-        routes = await self._wait_for_routes()
-        if routes is None:
+        if self._context.routes is None:
             raise RequestError(
                 "not_ready",
                 503,
                 "no configuration has been received yet",
                 retry_after_s=NOT_READY_RETRY_S,
             )
-        route = routes.find(request.headers.get("host", ""), request.path)
-        if route is None:
-            raise RequestError("not_found", 404, "no route matches the host and path")
-        return route
+        return self._context.routes
 
     def _observe_response_times(self, progress: Progress, arrived_s: float) -> None:
         metrics = self._context.metrics
@@ -256,12 +300,22 @@
     return RequestError("internal", 503, message, retry_after_s=INTERNAL_RETRY_S)
 
 
-def _describe_content(request: Request, metadata: RequestMetadata) -> RequestContent:
+def _find_route(routes: RouteTable, request: Request) -> Route:
+    """Return the route of a request; it tells whether the caller needs a key."""
+    route = routes.find(request.headers.get("host", ""), request.path)
+    if route is None:
+        raise RequestError("not_found", 404, "no route matches the host and path")
+    return route
+
+
+def _describe_content(
+    request: Request, metadata: RequestMetadata, workspace: Workspace | None
+) -> RequestContent:
     return RequestContent(
         request.method,
         request.headers.get("host", ""),
         request.target,
-        metadata.caller,
+        describe_caller(workspace, metadata),
         request.body,
     )
 
--- a/buckthorndeal/gateway/_response_check.py
+++ b/buckthorndeal/gateway/_response_check.py
@@ -16,6 +16,9 @@
 from buckthorndeal.policy.views import AttemptOutcome
 
 VERDICT_HEADER = "buckthorndeal-verdict"
+# With this status an entry host refuses a request only for its workspace, of which its
+# configuration holds something else than the sender's.
+MISDIRECTED = 421
 
 
 class AttemptError(Exception):
@@ -75,11 +78,13 @@
         raise _create_mismatch_error("the response belongs to a different request")
     verdict = response.headers.get(VERDICT_HEADER)
     if isinstance(decision, Forward) and verdict is not None:
+        # Says nothing about other requests that are sent to that host.
+        is_misdirected = response.status == MISDIRECTED
         raise AttemptError(
             f"entry host {decision.host} responded with status {response.status}",
             Verdict(verdict),
             verdict != Verdict.NOT_RUN.value,
-            AttemptOutcome.REFUSED,
+            AttemptOutcome.CANCELLED if is_misdirected else AttemptOutcome.REFUSED,
         )
     if metadata.not_run or metadata.misdirected:
         raise AttemptError(
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -1,7 +1,7 @@
 """Interface to the HTTP headers of callers and endpoints, and its default."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from buckthorndeal.errors import RequestError
@@ -25,6 +25,8 @@
 TIMEOUT_MS = "buckthorndeal-timeout-ms"
 RESUME_AFTER = "last-event-id"
 CREDENTIALS = "authorization"
+KEY = "buckthorndeal-key"
+WORKSPACE = "buckthorndeal-workspace"
 RESUMES = "buckthorndeal-resumes"
 LEAVING = "buckthorndeal-leaving"
 RETRY_AFTER = "retry-after"
@@ -47,9 +49,12 @@
     resume_after : int or None
         Id of the last event of the stream that the caller has received.
     caller : str
-        Credentials of the caller; empty if callers have none.
+        Credentials that the endpoint gets too; empty if the caller sends none.
     resumes : str or None
         Id of the request that brought the first event of a stream that is resumed.
+    key : str or None
+        Key of the workspace of the caller, which no endpoint or other host gets; None
+        if it is missing or empty.
     """
 
     request_id: str
@@ -58,6 +63,7 @@
     resume_after: int | None = None
     caller: str = ""
     resumes: str | None = None
+    key: str | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,11 +115,14 @@
         Priority at the endpoint, 0 for the most urgent; None if requests are equal.
     cache_source : str or None
         Address of an endpoint from which it may fetch the shared prefix.
+    workspace : str or None
+        Name of the workspace of the caller; None if the caller is anonymous.
     """
 
     endpoint: str
     urgency: int | None
     cache_source: str | None = None
+    workspace: str | None = None
 
 
 class Dialect(Protocol):
@@ -135,7 +144,9 @@
         hints: EndpointHints | None,
         resume_after: int | None,
     ) -> list[tuple[str, str]]:
-        """Return the headers of an attempt.
+        """Return the headers of an attempt, without the key of the caller.
+
+        The name of the workspace is that of the hints, whatever the caller has sent.
 
         Parameters
         ----------
@@ -175,6 +186,7 @@
             read_event_id(headers, RESUME_AFTER),
             headers.get(CREDENTIALS, ""),
             headers.get(RESUMES),
+            headers.get(KEY) or None,
         )
 
     def build_headers(
@@ -185,7 +197,11 @@
         resume_after: int | None,
     ) -> list[tuple[str, str]]:
         """Return the headers of an attempt."""
-        sent = dict(headers)
+        sent = {
+            name: value
+            for name, value in headers.items()
+            if name not in (KEY, WORKSPACE)
+        }
         sent[TIMEOUT_MS] = str(max(1, int(remaining_s * 1000)))
         if hints is not None:
             sent["buckthorndeal-endpoint"] = hints.endpoint
@@ -193,6 +209,8 @@
                 sent["buckthorndeal-urgency"] = str(hints.urgency)
             if hints.cache_source is not None:
                 sent["buckthorndeal-cache-source"] = hints.cache_source
+            if hints.workspace is not None:
+                sent[WORKSPACE] = hints.workspace
         if resume_after is not None:
             sent[RESUME_AFTER] = str(resume_after)
         return list(sent.items())
