--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,6 +15,7 @@
     create_route_table,
 )
 from buckthorndeal.routeformat import create_route_format
+from buckthorndeal.workspaces import Workspace
 
 SERVICE = ServiceDescription("s", "/health", 8)
 ROUTE = Route(
@@ -55,6 +56,13 @@
     def test_timeout_not_positive(self):
         self.assert_invalid(replace(ROUTE, timeout_s=0.0))
 
+    def test_workspaces_are_checked(self):
+        """Guards against a key whose workspace depends on the order of entries."""
+        workspaces = (Workspace("a", ("k",)), Workspace("b", ("k",)))
+        configuration = replace(create(ROUTE), workspaces=workspaces)
+        with self.assertRaises(ConfigurationError):
+            check_configuration(configuration)
+
     def test_prefix_without_slash(self):
         self.assert_invalid(replace(ROUTE, path_prefix="/x"))
 
@@ -92,6 +100,14 @@
     def test_root(self):
         self.assertEqual(self.find("b.example", "/anything"), "root")
 
+    def test_workspaces_belong_to_the_same_version_as_routes(self):
+        """Guards against a key of one version with a route of another."""
+        workspaces = (Workspace("a", ("k",)),)
+        table = create_route_table(replace(create(ROUTE), workspaces=workspaces))
+        self.assertEqual(table.workspaces.find_by_key("k").name, "a")
+        self.assertIsNone(self.table.workspaces.find_by_key("k"))
+        self.assertFalse(self.table.workspaces)
+
 
 class ChooseServiceTest(unittest.TestCase):
     """All hosts choose the same service for a request, in proportion to weights."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from buckthorndeal.fleet import EndpointState
 from buckthorndeal.gateway.dialect import EndpointHints
 from buckthorndeal.http_server import Request, Responder
+from buckthorndeal.workspaces import QuotaUnit
 
 ROOT = pathlib.Path(__file__).parent.parent
 ADAPTER = ROOT / "platform"
@@ -30,8 +31,10 @@
 # Names of the platform that may occur only in the adapter.
 WIRE_NAMES = re.compile(
     r"x-(server-stamp|expect-instance|not-executed|server-load|cold-ms|kv-backup"
-    r"|prompt-prefix|deadline-ms|token-count|cache-hold|pin-ms|request-urgency)"
+    r"|prompt-prefix|deadline-ms|token-count|cache-hold|pin-ms|request-urgency"
+    r"|credential|tenant)"
     r"|kv-from|kv-fetch|node_file|target_latency_ms|gap_aim_ms|max_attempts_"
+    r"|api_keys|plain_tokens|allow_anonymous"
     r"|path_prefix_|heartbeat_ms|cold_remaining_ms|internal_ports|loss_counted",
     re.IGNORECASE,
 )
@@ -183,6 +186,79 @@
             with self.subTest(name), self.assertRaises(ConfigurationError):
                 self.codec.decode(content)
 
+    def decode_tenants(self, *tenants):
+        return self.codec.decode(encode(tenants=tenants)).workspaces
+
+    def test_tenants(self):
+        """Guards against fields of a tenant that are read wrongly or not at all."""
+        tenant = {
+            "name": "acme",
+            "api_keys": ["k1", "k2"],
+            "priority": 2,
+            "unit": "tokens",
+            "plain_tokens": 700,
+            "rate_per_s": 1200.5,
+            "burst": 4000,
+            "home_regions": ["gulf"],
+            "later_field": 1,
+        }
+        first, second = self.decode_tenants(tenant, {"name": "bare"})
+        self.assertEqual((first.name, first.keys), ("acme", ("k1", "k2")))
+        self.assertEqual((first.priority, first.default_tokens), (2, 700))
+        self.assertIs(first.unit, QuotaUnit.TOKENS)
+        self.assertEqual((first.rate_per_s, first.burst), (1200.5, 4000))
+        self.assertEqual(first.home_regions, frozenset({"gulf"}))
+        self.assertIs(second.unit, QuotaUnit.REQUESTS)
+        self.assertEqual((second.priority, second.burst), (None, 0))
+        self.assertFalse(second.is_limited)
+
+    def test_absent_and_empty_tenants(self):
+        """Guards against asking for keys where there are no tenants."""
+        for changes in ({}, {"tenants": None}, {"tenants": []}):
+            self.assertEqual(self.codec.decode(encode(**changes)).workspaces, ())
+
+    def test_fields_without_a_value(self):
+        """Guards against refusing a document that writes absent fields as null."""
+        names = ("priority", "unit", "plain_tokens", "rate_per_s", "burst")
+        tenant = {"name": "a", "api_keys": ["k"], **dict.fromkeys(names)}
+        (workspace,) = self.decode_tenants({**tenant, "home_regions": None})
+        self.assertEqual(workspace.home_regions, frozenset())
+
+    def test_invalid_tenants(self):
+        """Guards against tenants that take effect although they contradict."""
+        tenant = {"name": "a", "api_keys": ["k"]}
+        cases = {
+            "key of two": [tenant, {"name": "b", "api_keys": ["k"]}],
+            "key given twice": [{"name": "a", "api_keys": ["k", "k"]}],
+            "name of two": [tenant, {"name": "a", "api_keys": ["j"]}],
+            "empty key": [{"name": "a", "api_keys": [""]}],
+            "empty name": [{**tenant, "name": ""}],
+            "no name": [{"api_keys": ["k"]}],
+            "negative rate": [{**tenant, "rate_per_s": -0.5}],
+            "infinite burst": [{**tenant, "burst": 1e308}],
+            "negative priority": [{**tenant, "priority": -1}],
+            "negative plain tokens": [{**tenant, "plain_tokens": -1}],
+            "unknown unit": [{**tenant, "unit": "bytes"}],
+            "key of the wrong type": [{**tenant, "api_keys": "k"}],
+        }
+        for name, tenants in cases.items():
+            with self.subTest(name), self.assertRaises(ConfigurationError):
+                self.decode_tenants(*tenants)
+
+    def test_numbers_that_json_cannot_hold(self):
+        """Guards against an infinite rate, which is no limit at all."""
+        content = encode(tenants=[{"name": "a", "rate_per_s": 1.5}]).decode()
+        for number in ("1e999", "NaN", "Infinity", "-1e999"):
+            changed = content.replace("1.5", number).encode()
+            with self.subTest(number), self.assertRaises(ConfigurationError):
+                self.codec.decode(changed)
+
+    def test_anonymous_callers(self):
+        route = DOCUMENT["routes"][0]
+        self.assertFalse(self.codec.decode(encode()).routes[0].allows_anonymous)
+        opened = encode(routes=[{**route, "allow_anonymous": True}])
+        self.assertTrue(self.codec.decode(opened).routes[0].allows_anonymous)
+
 
 class HeadDialectTest(unittest.TestCase):
     """Headers are parsed into typed fields; callers cannot set the gateway's."""
@@ -227,6 +303,32 @@
             {"x-own": "kept", "x-deadline-ms": "1500", "x-expect-instance": "i-1"},
         )
 
+    def test_key_and_name_of_the_workspace(self):
+        """Guards against a key, or a forged name, that reaches an endpoint."""
+        headers = {
+            "x-credential": "k",
+            "x-tenant": "forged",
+            "authorization": "Bearer own",
+        }
+        metadata = self.dialect.parse_request(Request("POST", "/", headers))
+        self.assertEqual((metadata.key, metadata.caller), ("k", "Bearer own"))
+        cases = (
+            (EndpointHints("i-1", None, workspace="acme"), "acme"),
+            (EndpointHints("i-1", None), None),
+            (None, None),
+        )
+        for hints, name in cases:
+            sent = dict(self.dialect.build_headers(headers, 1.5, hints, None))
+            self.assertEqual(sent.get("x-tenant"), name)
+            self.assertNotIn("x-credential", sent)
+            self.assertEqual(sent["authorization"], "Bearer own")
+
+    def test_empty_key(self):
+        """Guards against an empty header that counts as an unknown key."""
+        for headers in ({}, {"x-credential": ""}):
+            metadata = self.dialect.parse_request(Request("POST", "/", headers))
+            self.assertIsNone(metadata.key)
+
     def test_cache_source_and_urgency(self):
         headers = {"x-model": "m", "kv-fetch": "10.9.9.9:80"}
         hints = EndpointHints("i-1", 3, "10.0.0.9:80")
