--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -23,6 +23,7 @@
     identify_caller,
     identify_forwarded,
 )
+from buckthorndeal.gateway._messages import Call, Prompt
 from buckthorndeal.gateway.dialect import RequestMetadata, create_default_dialect
 from buckthorndeal.http_server import Request
 from buckthorndeal.metrics import create_metrics
@@ -235,6 +236,29 @@
         self.assertEqual(describe_caller(None, metadata), "Bearer x")
 
 
+class CallTest(unittest.TestCase):
+    """A call goes by its workspace where that says more than the route."""
+
+    def create(self, workspace, prompt=None):
+        return Call("q", ROUTE, "s", 0.0, 1.0, prompt, workspace=workspace)
+
+    def test_priority(self):
+        """Guards against the priority of the route winning, also over the value 0."""
+        self.assertEqual(self.create(None).priority, 3)
+        self.assertEqual(self.create(BELL).priority, 3)
+        for priority in (0, 7):
+            workspace = replace(BELL, priority=priority)
+            self.assertEqual(self.create(workspace).priority, priority)
+
+    def test_units(self):
+        """Guards against charging requests where tokens count, and the reverse."""
+        prompt = Prompt("m", 1_000, 50)
+        by_tokens = replace(BELL, unit=QuotaUnit.TOKENS, default_tokens=700)
+        self.assertEqual(self.create(BELL, prompt).quota_units, 1)
+        self.assertEqual(self.create(by_tokens, prompt).quota_units, 1_050)
+        self.assertEqual(self.create(by_tokens).quota_units, 700)
+
+
 class DialectTest(unittest.TestCase):
     """The default header names treat keys and names as the platform's do."""
 
