Test that the last host of a workspace's home region waits for a replacement

Cause: nothing showed that a draining host considers the homes of workspaces. Change: a test over two regions, of a request that is passed on to the draining host.

--- a/tests/test_workspace_hosts.py
+++ b/tests/test_workspace_hosts.py
@@ -193,6 +193,30 @@
 
         run_fleet(test)
 
+    def test_last_host_of_the_home_region_drains(self):
+        """Guards against a rolling restart that leaves a workspace without a host.
+
+        The other host passes its requests on to the draining one until that has a
+        replacement.
+        """
+
+        async def test():
+            async with Fleet() as fleet:
+                at_home = {**BELL, "home_regions": ["a"]}
+                await start(fleet, ACME, at_home, hosts=self.HOSTS)
+                await wait_for_status(fleet, OTHER, "k-bell", 200)
+                drain_task = await curio.spawn(fleet.gateways[GATEWAY].drain)
+                # Far longer than `drain_notice_s`.
+                await curio.sleep(1)
+                self.assertEqual(await send(fleet, OTHER, "k-bell"), 200)
+                self.assertEqual(await send(fleet, GATEWAY, "k-bell"), 200)
+                self.assertFalse(drain_task.terminated)
+                await fleet.start_gateway("10.1.0.8")
+                await drain_task.join()
+                await wait_for_status(fleet, OTHER, "k-bell", 200)
+
+        run_fleet(test)
+
     def test_request_has_one_name_at_all_hosts(self):
         """Guards against evidence on a crashing request that no other host can use."""
         digests = {}
