Check that a relay sends no body out of the home regions of a workspace

Cause: the test looked at the endpoints only, and the receiving host refuses such a request, so a relay that sends it anyway went unnoticed. Change: the test also requires that the other region has refused nothing.

--- a/tests/test_workspace_hosts.py
+++ b/tests/test_workspace_hosts.py
@@ -168,6 +168,7 @@
                 await fleet.start_endpoint("e1", "b-1", respond)
                 reach = type(fleet.gateways[GATEWAY]._dispatch._dispatcher.reach)
                 own = fleet.gateways[GATEWAY]._dispatch._dispatcher.reach
+                own.path.suspected_s = 0.0
                 with mock.patch.object(
                     reach, "is_lost", property(lambda each: each is own)
                 ):
@@ -190,6 +191,11 @@
                         self.assertEqual(status, 503)
                         await curio.sleep(0.1)
                 self.assertEqual(fleet.endpoints["e1"].requests, [])
+                # Its host would refuse what it must not have been sent.
+                refused = fleet.gateways[OTHER].metrics.get_value(
+                    "requests", outcome="home_elsewhere"
+                )
+                self.assertEqual(refused, 0)
 
         run_fleet(test)
 
