--- a/buckthorndeal/bench/_policy_world.py
+++ b/buckthorndeal/bench/_policy_world.py
@@ -1,6 +1,5 @@
 """Testbed: a deployment in one process with entry hosts, endpoints and faults."""
 
-import hashlib
 import itertools
 import math
 import random
@@ -24,6 +23,7 @@
 from buckthorndeal.entry._document import create_document_view
 from buckthorndeal.entry._messages import DocumentView, ListEndpoints, ListHosts
 from buckthorndeal.errors import BuckthorndealError
+from buckthorndeal.keys import hash_key
 from buckthorndeal.ledger import LedgerView
 from buckthorndeal.sections import parse_section
 from buckthorndeal.settings import (
@@ -362,7 +362,7 @@
             for kind in ("bound", "free"):
                 name = f"{region.name}-{kind}-{number}"
                 workspaces[name] = {
-                    "key_hashes": [hashlib.sha256(get_key(name).encode()).hexdigest()],
+                    "key_hashes": [hash_key(get_key(name))],
                     "home_region": region.name,
                     "bound": kind == "bound",
                     "requests_per_s": 1000,
--- a/buckthorndeal/bench/_relay.py
+++ b/buckthorndeal/bench/_relay.py
@@ -1,6 +1,5 @@
 """Benchmark `relay`: throughput and latency of one entry host process."""
 
-import hashlib
 import pathlib
 import tempfile
 import time
@@ -20,6 +19,7 @@
 from buckthorndeal.bench._relay_load import HEADERS, KEY, CallerReport
 from buckthorndeal.errors import BuckthorndealError
 from buckthorndeal.http_client import HttpPool, create_http_pool
+from buckthorndeal.keys import hash_key
 from buckthorndeal.transport import create_socket_transport
 
 __all__ = ["measure_relay"]
@@ -54,7 +54,7 @@
         "accounts": {
             "workspaces": {
                 "bench": {
-                    "key_hashes": [hashlib.sha256(KEY.encode()).hexdigest()],
+                    "key_hashes": [hash_key(KEY)],
                     "home_region": "here",
                     "requests_per_s": 100_000,
                     "burst": 100_000,
