Learn the speed of endpoints that report a slowdown

Cause: the prefill speed starts at 50,000 tokens/s and follows slowly, the slowdown in a load report is ignored, endpoints without a recent report count as idle, and a plain endpoint counts as equal to its service unless it takes 1.5 times as long. Requests are sent to slow endpoints, and most are late in a peak.

Change: for services whose endpoints report a slowdown, each endpoint has a learned scale over a model of its service (time to the first response, time between events), and limits on requests and queued tokens. A report fades into the mean of the service. The choice is random between endpoints of nearly the least cost. Error responses no longer count as observations of speed, in any service.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -46,6 +46,7 @@
 # response the version of the endpoint that has sent it.
 VERSION_HEADER = "buckthorndeal-version"
 MAX_SKIPPED_RESPONSES = 4
+CLIENT_ERROR = 400
 
 
 @dataclass(eq=False)
@@ -68,6 +69,10 @@
         Whether the response comes from an endpoint, and not through another host.
     outcome : AttemptOutcome
         Set to ``SUCCEEDED`` by the exchange once the response is complete.
+    received_s : float
+        Clock reading when the headers were received.
+    events : int
+        Number of events of a stream that it has brought; set by the exchange.
     """
 
     attempt_id: int
@@ -77,6 +82,8 @@
     version: str | None = None
     is_direct: bool = True
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
+    received_s: float = 0.0
+    events: int = 0
 
 
 @asynccontextmanager
@@ -155,6 +162,7 @@
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
             _check_and_log(call, decision, response, metadata)
+            received_s = context.clock()
             attempt = Attempt(
                 attempt_id,
                 _get_target_name(decision),
@@ -162,6 +170,7 @@
                 metadata,
                 _get_version(decision, response),
                 isinstance(decision, Grant),
+                received_s=received_s,
             )
             yield attempt
     except AttemptError as error:
@@ -186,8 +195,9 @@
             closed = attempt.response.ends_with_connection
         async with curio.disable_cancellation():
             await context.open_attempts.remove(attempt_id, host)
+            events = attempt.events if attempt is not None else 0
             await context.dispatch_mailbox.send(
-                AttemptEnded(attempt_id, outcome, closed, request_sent)
+                AttemptEnded(attempt_id, outcome, closed, request_sent, events)
             )
 
 
@@ -225,8 +235,13 @@
     context: GatewayContext, attempt: Attempt, has_events: bool
 ) -> None:
     """Tell the dispatcher that the response has started."""
-    load = attempt.metadata.load
-    started = ResponseStarted(attempt.attempt_id, load, has_events)
+    started = ResponseStarted(
+        attempt.attempt_id,
+        attempt.metadata.load,
+        has_events,
+        attempt.response.status >= CLIENT_ERROR,
+        context.clock() - attempt.received_s,
+    )
     await context.dispatch_mailbox.send(started)
 
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -217,7 +217,13 @@
         self, message: ResponseStarted, envelope: Envelope, now_s: float
     ) -> None:
         dispatcher = self._dispatcher
-        dispatcher.record_response_start(message.attempt_id, message.load, now_s)
+        dispatcher.record_response_start(
+            message.attempt_id,
+            message.load,
+            now_s,
+            message.is_failure,
+            message.load_age_s,
+        )
         if message.has_events:
             dispatcher.record_first_event(message.attempt_id, now_s)
 
@@ -230,6 +236,7 @@
             now_s,
             message.closed,
             message.was_sent,
+            message.events,
         )
 
     @_handle.register
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -188,15 +188,20 @@
         return self.view.record_leaving(notice.record) if notice.leaving else None
 
     def record_response_start(
-        self, attempt_id: int, report: LoadReport | None, now_s: float
+        self,
+        attempt_id: int,
+        report: LoadReport | None,
+        now_s: float,
+        is_failure: bool = False,
+        report_age_s: float = 0.0,
     ) -> None:
         """Record that the response to an attempt has started."""
         load = self._get_load(self._granted.get(attempt_id))
         if load is None:
             return
-        load.record_response_start(attempt_id, now_s)
         if report is not None:
-            load.record_report(report, now_s)
+            load.record_report(report, now_s, report_age_s)
+        load.record_response_start(attempt_id, now_s, is_failure)
 
     def record_first_event(self, attempt_id: int, now_s: float) -> None:
         """Record that an attempt has brought the first event of a stream."""
@@ -211,11 +216,13 @@
         now_s: float,
         closed: bool = False,
         was_sent: bool = True,
+        events: int = 0,
     ) -> None:
         """Record that an attempt has ended or was withdrawn while it waited.
 
-        `closed` tells whether the endpoint has closed the connection, and `was_sent`
-        whether bytes of the request have been sent.
+        `closed` tells whether the endpoint has closed the connection, `was_sent`
+        whether bytes of the request have been sent, and `events` how many events of a
+        stream it has brought.
         """
         for queue in self._queues.values():
             queue.remove(attempt_id)
@@ -229,7 +236,7 @@
             self.crash_guard.record_attempt(ended, outcome, closed, now_s)
         if load is None:
             return
-        load.remove(attempt_id)
+        load.remove(attempt_id, now_s, outcome, events)
         self._slot_shares.record_end(ended.record, outcome, now_s)
         queue = self._queues.get(load.entry.record.service)
         if queue is not None:
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -401,6 +401,7 @@
             selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
             self.progress.events += selection.count
+            attempt.events += selection.count
             if selection.data and not reported:
                 reported = True
                 self._call = replace(self._call, version=attempt.version)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -10,7 +10,9 @@
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
 )
+from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
+from buckthorndeal.gateway._pace import EndpointPace, ServicePace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
 from buckthorndeal.gateway._service_time import ServiceTime
@@ -98,6 +100,7 @@
         self.rate_shares = RateShares(host)
         self.stream_versions = StreamVersions()
         self._service_times: dict[str, ServiceTime] = {}
+        self._service_paces: dict[str, ServicePace] = {}
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
         # Services that a newer configuration has dropped, while endpoints of them live.
@@ -304,8 +307,14 @@
             service_time = ServiceTime(
                 self._service_times.setdefault(record.service, ServiceTime())
             )
+            pace = EndpointPace(
+                self._service_paces.setdefault(record.service, ServicePace())
+            )
             self.loads[record.endpoint] = EndpointLoad(
-                entry, cache, service_time=service_time
+                entry,
+                cache,
+                service_time=service_time,
+                learning=EndpointLearning(record.slots, pace),
             )
         else:
             load.entry = entry
@@ -337,6 +346,9 @@
 
     def get_max_prefill_speed(self, service: str) -> float:
         """Return the highest prefill speed of a service, in tokens per second."""
+        pace = self._service_paces.get(service)
+        if pace is not None and pace.is_active:
+            return 1 / pace.get_token_s()
         speeds = [load.prefill_speed.tokens_per_s for load in self._list_loads(service)]
         return max(speeds, default=INITIAL_TOKENS_PER_S)
 
@@ -377,16 +389,16 @@
         waits = []
         free_slots = 0
         for load in loads:
-            total_inflight = load.inflight + load.count_other_inflight(now_s)
-            free_slots += max(0, load.entry.record.slots - total_inflight)
+            if load.pace.is_active:
+                free_slots += load.count_free(service, now_s)
+            else:
+                total_inflight = load.inflight + load.count_other_inflight(now_s)
+                free_slots += max(0, load.entry.record.slots - total_inflight)
             if service.engine is not None:
-                wait_s = load.prefill_speed.predict(load.count_queued_tokens(now_s))
+                wait_s = load.predict_wait_s(now_s)
                 waits.append(wait_s + load.compute_load_penalty_s(now_s))
             else:
-                excess = max(0, total_inflight + 1 - load.entry.record.slots)
-                slots = max(1, load.entry.record.slots)
-                service_s = load.service_time.get_seconds(now_s)
-                waits.append(service_s * (1 + excess / slots))
+                waits.append(load.predict_plain_response_s(now_s))
         return min(waits), free_slots // hosts
 
     def _is_evacuated(self, load: EndpointLoad) -> bool:
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -3,72 +3,32 @@
 import math
 from dataclasses import dataclass, field
 
-from buckthorndeal.configuration import ServiceDescription
-from buckthorndeal.fleet import EndpointEntry, EndpointRecord, EndpointState
+from buckthorndeal.configuration import RequestKind, ServiceDescription
+from buckthorndeal.fleet import EndpointEntry, EndpointState
 from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
+from buckthorndeal.gateway._learning import EndpointLearning
+from buckthorndeal.gateway._load_limit import MAX_MEMORY_UTILIZATION, get_slot_limit
 from buckthorndeal.gateway._messages import (
     Call,
     LoadReport,
 )
+from buckthorndeal.gateway._pace import EndpointPace
 from buckthorndeal.gateway._service_time import ServiceTime
+from buckthorndeal.policy.views import AttemptOutcome
 
 # Older load reports are ignored.
 REPORT_LIFETIME_S = 2.0
 MOVING_AVERAGE_WEIGHT = 0.1
-# Shares of an engine's slots and memory that running requests may use. A full engine
-# evicts cached prompts of earlier requests and delays every token, and its load
-# reports always lag behind.
-MAX_SLOT_UTILIZATION = 0.8
-MAX_MEMORY_UTILIZATION = 0.65
 # Penalty for a request at a full engine, where every token takes longer.
 FULL_ENGINE_PENALTY_S = 1.0
 DEFAULT_CAPACITY_TOKENS = 1_000_000
 # Share of an engine's memory that is assumed to cache earlier prompts.
 CACHE_SHARE = 0.6
-# A response that has gone on for this long is not what ends its endpoint.
-LONG_RESPONSE_S = 1.0
-
-
-@dataclass(slots=True)
-class GrantedAttempt:
-    """An attempt that was granted an endpoint and has not ended.
-
-    Parameters
-    ----------
-    record : EndpointRecord
-        Endpoint to which it was sent.
-    granted_s : float
-        Clock reading when it was granted.
-    uncached_tokens : int
-        Prompt tokens that the endpoint has to prefill for the attempt.
-    queued_tokens : float
-        Tokens queued for prefill at the endpoint before the attempt.
-    memory_tokens : int
-        Tokens of the prompt and of the longest possible output.
-    version : str or None
-        Software version of the endpoint; None if it may have changed since its last
-        heartbeat.
-    started_s : float or None
-        Clock reading when the response started.
-    """
-
-    call: Call
-    record: EndpointRecord
-    granted_s: float
-    uncached_tokens: int
-    queued_tokens: float
-    memory_tokens: int
-    version: str | None = None
-    started_s: float | None = None
-
-    @property
-    def started(self) -> bool:
-        """Whether the response has started."""
-        return self.started_s is not None
-
-    def has_run_long(self, now_s: float) -> bool:
-        """Return whether the response has gone on for `LONG_RESPONSE_S`."""
-        return self.started and now_s - self.started_s >= LONG_RESPONSE_S
+# A report counts as at most this many requests for each slot, whatever it says.
+MAX_REPORTED_PER_SLOT = 4
+# A request is overdue after this many times its predicted time.
+OVERDUE_FACTOR = 2.0
 
 
 @dataclass(slots=True)
@@ -85,8 +45,10 @@
         Estimated prefill speed of the engine.
     attempts : dict of int to GrantedAttempt
         Attempts of this host that have not ended, by attempt id.
-    queued_tokens, queued_count : int
-        Uncached tokens and number of attempts whose response has not started.
+    queued : dict of int to GrantedAttempt
+        Attempts whose response has not started, in the order of their grants.
+    queued_tokens : int
+        Uncached tokens of these attempts.
     memory_tokens : int
         Sum of the memory that the attempts need.
     service_time : ServiceTime
@@ -101,14 +63,18 @@
         Clock reading when it last turned a request away, if that may make it fail.
     refused_s : float
         Clock reading when it last did not accept a connection.
+    learning : EndpointLearning
+        Learned speed and limits; used once endpoints of the service report a slowdown.
+    responded_s : float
+        Clock reading when a response last started.
     """
 
     entry: EndpointEntry
     cache: PrefixCache
     prefill_speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     attempts: dict[int, GrantedAttempt] = field(default_factory=dict)
+    queued: dict[int, GrantedAttempt] = field(default_factory=dict)
     queued_tokens: int = 0
-    queued_count: int = 0
     memory_tokens: int = 0
     service_time: ServiceTime = field(default_factory=ServiceTime)
     mean_uncached_tokens: float = 0.0
@@ -118,6 +84,11 @@
     inflight_at_report: int = 0
     rejected_s: float | None = None
     refused_s: float = -math.inf
+    learning: EndpointLearning = field(default_factory=EndpointLearning)
+    responded_s: float = -math.inf
+    # Result of `count_other_inflight` at a clock reading.
+    _others: float = 0.0
+    _others_s: float | None = None
 
     @property
     def name(self) -> str:
@@ -129,6 +100,11 @@
         """Number of requests of this host that have not ended."""
         return len(self.attempts)
 
+    @property
+    def pace(self) -> EndpointPace:
+        """Learned speed of the endpoint."""
+        return self.learning.pace
+
     def is_ready(self, now_s: float) -> bool:
         """Return whether the endpoint takes new requests."""
         if self.entry.record.state is not EndpointState.READY:
@@ -138,22 +114,43 @@
 
     def is_idle(self, now_s: float) -> bool:
         """Return whether no request is known to be under way at the endpoint."""
-        return not self.inflight and not self.count_other_inflight(now_s)
+        return not self.inflight and not self._count_reported(now_s)
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the endpoint is cold and its request rate limited."""
         return now_s < self.entry.cold_until_s
 
-    def count_other_inflight(self, now_s: float) -> int:
-        """Return the number of requests of other hosts.
-
-        The result is 0 without a recent load report.
-        """
+    def _count_reported(self, now_s: float) -> int:
+        """Return the requests of other hosts in the last report, if it is recent."""
         if self.report is None or now_s - self.report_received_s > REPORT_LIFETIME_S:
             return 0
         total = self.report.running + self.report.waiting
         return max(0, total - self.inflight_at_report)
 
+    def count_other_inflight(self, now_s: float) -> float:
+        """Return the number of requests of other hosts.
+
+        Without a recent load report, the result is 0. If the pace is learned, a report
+        fades with its age into the mean of the service.
+        """
+        if not self.pace.is_active:
+            return self._count_reported(now_s)
+        if self._others_s == now_s:
+            return self._others
+        mean = self.pace.service.get_mean_load(now_s)
+        age_s = now_s - self.report_received_s
+        if self.report is None or age_s >= REPORT_LIFETIME_S:
+            others = mean
+        else:
+            reported = self._limit_reported(self._count_reported(now_s))
+            others = mean + (reported - mean) * (1 - age_s / REPORT_LIFETIME_S)
+        self._others, self._others_s = others, now_s
+        return others
+
+    def _limit_reported(self, count: int) -> int:
+        """Limit a reported number of requests to a credible one."""
+        return min(count, MAX_REPORTED_PER_SLOT * max(1, self.entry.record.slots))
+
     def count_other_queued(self, now_s: float) -> int:
         """Return the number of requests of other hosts that wait for their first token.
 
@@ -161,30 +158,94 @@
         """
         if self.report is None or now_s - self.report_received_s > REPORT_LIFETIME_S:
             return 0
-        return max(0, self.report.waiting - self.queued_count)
-
-    def record_report(self, report: LoadReport, now_s: float) -> None:
-        """Store the load report of a response."""
+        waiting = max(0, self.report.waiting - len(self.queued))
+        return self._limit_reported(waiting) if self.pace.is_active else waiting
+
+    def record_report(
+        self, report: LoadReport, now_s: float, age_s: float = 0.0
+    ) -> None:
+        """Store the load report of a response that was received `age_s` ago."""
+        if report.slowdown is not None:
+            self.pace.record_slowdown(report.slowdown, now_s - age_s)
         self.report = report
-        self.report_received_s = now_s
+        self.report_received_s = now_s - age_s if self.pace.is_active else now_s
         self.inflight_at_report = self.inflight
+        self._others_s = None
+        if self.pace.is_active:
+            others = min(self._count_reported(now_s), self.entry.record.slots)
+            self.pace.service.record_load(others, now_s)
 
     def predict_first_response_s(
         self, call: Call, uncached_tokens: int, now_s: float
     ) -> float:
         """Return the predicted time until the response starts, in seconds."""
-        slots = self.entry.record.slots
         if call.prompt is None:
-            waiting = self.inflight + self.count_other_inflight(now_s) + 1 - slots
+            return self.predict_plain_response_s(now_s)
+        return self.predict_wait_s(now_s, uncached_tokens)
+
+    def predict_plain_response_s(self, now_s: float) -> float:
+        """Return the predicted time of a response without a prompt, in seconds."""
+        slots = self.entry.record.slots
+        total = self.inflight + self.count_other_inflight(now_s)
+        if self.pace.is_active:
+            service_s = self.pace.predict_first_s(0, total, now_s)
+            service_s += self._compute_overdue_s(now_s)
+        else:
             service_s = self.service_time.get_seconds(now_s)
-            return service_s * (1 + max(0, waiting) / max(1, slots))
-        return self.prefill_speed.predict(
-            self.count_queued_tokens(now_s) + uncached_tokens
+        return service_s * (1 + max(0, total + 1 - slots) / max(1, slots))
+
+    def _compute_overdue_s(self, now_s: float) -> float:
+        """Return how long the endpoint has owed a response, in seconds."""
+        if not self.queued:
+            return 0.0
+        oldest = next(iter(self.queued.values()))
+        allowed_s = OVERDUE_FACTOR * oldest.predicted_s
+        # A single lost request does not stand for an endpoint that answers others.
+        due_s = max(oldest.granted_s, self.responded_s) + allowed_s
+        return max(0.0, now_s - due_s)
+
+    def predict_total_s(self, call: Call, uncached_tokens: int, now_s: float) -> float:
+        """Return the predicted time until the response is complete, in seconds.
+
+        The output is the usual one of the route, as learned from complete streams.
+        """
+        first_s = self.predict_first_response_s(call, uncached_tokens, now_s)
+        if call.prompt is None or call.route.kind is not RequestKind.STREAM:
+            return first_s
+        events = self.pace.service.predict_events(
+            call.route.name, call.prompt.max_output_tokens
         )
+        total = self.inflight + self.count_other_inflight(now_s)
+        return first_s + (events - 1) * self.pace.predict_interval_s(total, now_s)
+
+    def predict_wait_s(self, now_s: float, uncached_tokens: int = 0) -> float:
+        """Return the predicted time until the response to a prompt starts."""
+        tokens = self.count_queued_tokens(now_s) + uncached_tokens
+        if not self.pace.is_active:
+            return self.prefill_speed.predict(tokens)
+        total = self.inflight + self.count_other_inflight(now_s)
+        predicted_s = self.pace.predict_first_s(tokens, total, now_s)
+        return predicted_s + self._compute_overdue_s(now_s)
+
+    def get_token_s(self, now_s: float) -> float:
+        """Return the time to prefill a token, in seconds."""
+        if self.pace.is_active:
+            return self.pace.get_token_s(now_s)
+        return 1 / self.prefill_speed.tokens_per_s
 
     def compute_load_penalty_s(self, now_s: float) -> float:
         """Return the penalty of the engine's load for one more request, in seconds."""
-        return FULL_ENGINE_PENALTY_S * self.compute_utilization(now_s)
+        penalty_s = FULL_ENGINE_PENALTY_S * self.compute_utilization(now_s)
+        if not self.pace.is_active:
+            return penalty_s
+        # Requests stay longer at a slow endpoint.
+        return penalty_s * self.pace.get_scale(now_s) * self.pace.get_slowdown(now_s)
+
+    def compute_failure_cost_s(self, now_s: float) -> float:
+        """Return the cost of responses of which some fail, in seconds."""
+        if not self.pace.is_active:
+            return 0.0
+        return self.learning.compute_failure_cost_s(now_s)
 
     def compute_utilization(self, now_s: float) -> float:
         """Return the known requests as a share of the slots; above 1 if some wait."""
@@ -203,24 +264,50 @@
 
         Requests without a prompt may exceed the slots by a third.
         """
-        slots = self.entry.record.slots
         others = self.count_other_inflight(now_s)
         total_inflight = self.inflight + others
         if call.prompt is None:
-            return total_inflight < slots + max(1, slots // 3)
-        if not total_inflight:
+            return total_inflight < self._get_request_limit(False, now_s)
+        if not self.inflight and others < 1:
             return True
-        if total_inflight >= slots * MAX_SLOT_UTILIZATION:
+        if total_inflight >= self._get_request_limit(True, now_s):
+            return False
+        if self.learning.is_queue_full(self.count_queued_tokens(now_s), now_s):
             return False
         used = self.memory_tokens + others * self.mean_memory_tokens
         required = call.prompt.tokens + call.prompt.max_output_tokens
         return used + required <= get_kv_capacity(service) * MAX_MEMORY_UTILIZATION
 
+    def count_free(self, service: ServiceDescription, now_s: float) -> int:
+        """Return the number of requests that the endpoint still takes well."""
+        others = self.count_other_inflight(now_s)
+        limit = self._get_request_limit(service.engine is not None, now_s)
+        free = min(limit, self.entry.record.slots) - self.inflight - others
+        if service.engine is not None and self.mean_memory_tokens:
+            used = self.memory_tokens + others * self.mean_memory_tokens
+            left = get_kv_capacity(service) * MAX_MEMORY_UTILIZATION - used
+            free = min(free, left / self.mean_memory_tokens)
+        return max(0, math.floor(free))
+
+    def _get_request_limit(self, is_engine: bool, now_s: float) -> float:
+        """Return how many requests may be at the endpoint, also of other hosts."""
+        limit = get_slot_limit(self.entry.record.slots, is_engine)
+        if not self.pace.is_active:
+            return limit
+        return self.learning.get_request_limit(limit, now_s)
+
     def add(self, attempt_id: int, attempt: GrantedAttempt) -> None:
         """Add an attempt that is about to be sent."""
+        if self.pace.is_active:
+            now_s = attempt.granted_s
+            attempt.inflight = self.inflight + self.count_other_inflight(now_s)
+            attempt.slowdown = self.pace.get_slowdown(now_s)
+            attempt.predicted_s = self.predict_first_response_s(
+                attempt.call, attempt.uncached_tokens, now_s
+            )
         self.attempts[attempt_id] = attempt
+        self.queued[attempt_id] = attempt
         self.queued_tokens += attempt.uncached_tokens
-        self.queued_count += 1
         self.memory_tokens += attempt.memory_tokens
         if attempt.call.prompt is not None:
             weight = MOVING_AVERAGE_WEIGHT
@@ -232,30 +319,60 @@
             )
             self.cache.record(attempt.call.prompt)
 
-    def record_response_start(self, attempt_id: int, now_s: float) -> None:
-        """Record that the response to an attempt has started."""
-        attempt = self.attempts.get(attempt_id)
-        if attempt is None or attempt.started:
+    def record_response_start(
+        self, attempt_id: int, now_s: float, is_failure: bool = False
+    ) -> None:
+        """Record that the response to an attempt has started.
+
+        A failure says nothing about the speed of the endpoint.
+        """
+        attempt = self.queued.pop(attempt_id, None)
+        if attempt is None:
             return
         attempt.started_s = now_s
+        self.responded_s = now_s
         self.queued_tokens -= attempt.uncached_tokens
-        self.queued_count -= 1
+        self.learning.record_result(is_failure, now_s)
+        if is_failure:
+            return
         latency_s = now_s - attempt.granted_s
         if attempt.call.prompt is None:
             self.service_time.observe(latency_s, now_s)
         else:
             prefilled_tokens = attempt.queued_tokens + attempt.uncached_tokens
             self.prefill_speed.observe(prefilled_tokens, latency_s)
-
-    def remove(self, attempt_id: int) -> GrantedAttempt | None:
-        """Remove an attempt that has ended."""
+        if self.pace.is_active:
+            self.learning.learn_from_start(attempt, latency_s, now_s)
+
+    def remove(
+        self,
+        attempt_id: int,
+        now_s: float | None = None,
+        outcome: AttemptOutcome | None = None,
+        events: int = 0,
+    ) -> GrantedAttempt | None:
+        """Remove an attempt that has ended, and learn from its end.
+
+        Parameters
+        ----------
+        attempt_id : int
+            Id of the attempt.
+        now_s : float, optional
+            Clock reading; without it nothing is learned.
+        outcome : AttemptOutcome, optional
+            How the attempt has ended.
+        events : int, optional
+            Number of events that it has brought.
+        """
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is None:
             return None
-        if not attempt.started:
+        if self.queued.pop(attempt_id, None) is not None:
             self.queued_tokens -= attempt.uncached_tokens
-            self.queued_count -= 1
         self.memory_tokens -= attempt.memory_tokens
+        if now_s is not None and self.pace.is_active:
+            inflight = self.inflight + self.count_other_inflight(now_s)
+            self.learning.learn_from_end(attempt, outcome, events, inflight, now_s)
         return attempt
 
 
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -1,5 +1,6 @@
 """Choice between the endpoints of this region; no I/O."""
 
+import operator
 import random
 
 from buckthorndeal.configuration import ServiceDescription
@@ -20,6 +21,14 @@
 COLD_RATE_SHARE = 0.9
 
 
+# Endpoints that cost up to this many times as much as the best one may be chosen, the
+# more rarely the more they cost.
+NEAR_BEST = 1.5
+SPREAD_POWER = 6
+
+_get_cost = operator.attrgetter("endpoint_cost_s")
+
+
 class LocalChooser:
     """Chooses endpoints of this region.
 
@@ -72,8 +81,7 @@
             return None
         prefix_owner = find_prefix_owner(call, candidates)
         connections = self._view.get_connection_limit(service)
-        best: LocalChoice | None = None
-        best_rank: tuple[bool, float, float] | None = None
+        choices: list[LocalChoice] = []
         for load in candidates:
             cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
             if cold and not self._may_warm_up(load, service, now_s):
@@ -85,13 +93,39 @@
                 continue
             if not self._slot_shares.may_send(load, call, service, now_s):
                 continue
-            choice = score_endpoint(load, call, prefix_owner, cold, now_s)
-            # Hosts that know nothing to tell two endpoints apart choose at random, as
-            # all of them would otherwise send to the same one.
-            rank = (cold, choice.endpoint_cost_s, self._rng.random())
-            if best_rank is None or rank < best_rank:
-                best, best_rank = choice, rank
-        return best
+            choices.append(score_endpoint(load, call, prefix_owner, cold, now_s))
+        if not choices:
+            return None
+        if choices[0].load.pace.is_active:
+            return self._choose_near_best(choices, prefix_owner)
+        # Hosts that know nothing to tell two endpoints apart choose at random, as all
+        # of them would otherwise send to the same one.
+        return min(
+            choices,
+            key=lambda each: (each.cold, each.endpoint_cost_s, self._rng.random()),
+        )
+
+    def _choose_near_best(
+        self, choices: list[LocalChoice], prefix_owner: EndpointLoad | None
+    ) -> LocalChoice:
+        """Choose at random between endpoints of about the least cost.
+
+        Hosts with the same old reports would otherwise all send to the same endpoint.
+        The owner of a shared prefix gets its requests while it costs least.
+        """
+        warm = [choice for choice in choices if not choice.cold] or choices
+        best = min(warm, key=_get_cost)
+        if best.load is prefix_owner:
+            return best
+        least_s = best.endpoint_cost_s
+        limit_s = least_s * NEAR_BEST
+        near = [choice for choice in warm if choice.endpoint_cost_s <= limit_s]
+        if len(near) == 1:
+            return best
+        weights = [
+            (least_s / choice.endpoint_cost_s) ** SPREAD_POWER for choice in near
+        ]
+        return self._rng.choices(near, weights)[0]
 
     def _may_warm_up(
         self, load: EndpointLoad, service: ServiceDescription, now_s: float
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -131,14 +131,15 @@
         Requests that run and that wait for a slot.
     slots : int
         Requests that the endpoint runs at once.
-    slowdown : float
-        Time that work takes on its machine at this moment, as a multiple of the usual.
+    slowdown : float or None
+        Time that work takes on its machine at this moment, as a multiple of the usual;
+        None if the endpoint does not report it.
     """
 
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,11 +283,17 @@
         Load of the endpoint, if it reports it.
     has_events : bool
         Whether it has brought an event of a stream.
+    is_failure : bool
+        Whether its status is an error, which says nothing about the endpoint's speed.
+    load_age_s : float
+        Time since the load was received.
     """
 
     attempt_id: int
     load: LoadReport | None
     has_events: bool = False
+    is_failure: bool = False
+    load_age_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,9 +343,12 @@
         end.
     was_sent : bool
         Whether bytes of the request have been sent.
+    events : int
+        Number of events of a stream that it has brought.
     """
 
     attempt_id: int
     outcome: AttemptOutcome | None
     closed: bool = False
     was_sent: bool = True
+    events: int = 0
--- a/buckthorndeal/gateway/_scoring.py
+++ b/buckthorndeal/gateway/_scoring.py
@@ -81,13 +81,18 @@
         # Free slots are used evenly: the requests of other hosts come on top of those
         # known here.
         endpoint_cost_s = predicted_s * (1 + load.compute_utilization(now_s))
+        endpoint_cost_s += load.compute_failure_cost_s(now_s)
         return LocalChoice(load, 0, predicted_s, predicted_s, endpoint_cost_s, cold)
     if prefix_owner is not None and not _may_copy(prefix_owner, load):
         prefix_owner = None
     cached_tokens = load.cache.count_cached(call.prompt)
     uncached = _count_uncached(call.prompt, cached_tokens, prefix_owner)
     predicted_s = load.predict_first_response_s(call, uncached, now_s)
-    region_cost_s = predicted_s + load.compute_load_penalty_s(now_s)
+    region_cost_s = (
+        predicted_s
+        + load.compute_load_penalty_s(now_s)
+        + load.compute_failure_cost_s(now_s)
+    )
     if load is prefix_owner:
         return LocalChoice(
             load, uncached, predicted_s, region_cost_s, region_cost_s, cold
@@ -95,9 +100,9 @@
     missing_tokens = max(0, call.prompt.shared_prefix_tokens - cached_tokens)
     # Besides the time of this request, one more copy evicts other prefixes, which
     # have to be fetched or computed again.
-    endpoint_cost_s = (
-        region_cost_s + COPY_WEIGHT * missing_tokens / load.prefill_speed.tokens_per_s
-    )
+    endpoint_cost_s = region_cost_s
+    if missing_tokens:
+        endpoint_cost_s += COPY_WEIGHT * missing_tokens * load.get_token_s(now_s)
     return LocalChoice(
         load, uncached, predicted_s, region_cost_s, endpoint_cost_s, cold, prefix_owner
     )
