Show learned speeds, and make decisions cheaper

Cause: with learned speeds a decision among 32 endpoints took 45% more processor time, most of it repeated for each of several methods; one stalled response moved the predictions of all endpoints of its service by 30%; nothing showed what is learned.

Change: estimates of an endpoint are computed once for a clock reading, the owner of a prefix is remembered, and an observation counts as at most twice the predicted time for the service. Gauges and a log line (`endpoint_pace_changed`) show scale, slowdown and limits, bounded in number.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -156,13 +156,13 @@
             mark_request_sent,
             on_connection=watch_connection,
         ) as response:
-            _record_contact(context, decision)
+            if isinstance(decision, Grant):
+                context.contact.record(context.clock())
             if isinstance(decision, Grant) and not may_repeat:
                 response = await _skip_late(context, call, decision, response)
             metadata = context.dialect.parse_response(response.status, response.headers)
             await _report_notice(context, call, decision, metadata)
             _check_and_log(call, decision, response, metadata)
-            received_s = context.clock()
             attempt = Attempt(
                 attempt_id,
                 _get_target_name(decision),
@@ -170,7 +170,7 @@
                 metadata,
                 _get_version(decision, response),
                 isinstance(decision, Grant),
-                received_s=received_s,
+                received_s=context.clock(),
             )
             yield attempt
     except AttemptError as error:
@@ -226,11 +226,6 @@
     return response
 
 
-def _record_contact(context: GatewayContext, decision: Grant | Forward) -> None:
-    if isinstance(decision, Grant):
-        context.contact.record(context.clock())
-
-
 async def report_response_start(
     context: GatewayContext, attempt: Attempt, has_events: bool
 ) -> None:
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -31,6 +31,7 @@
     Refusal,
     ResponseStarted,
 )
+from buckthorndeal.gateway._pace_log import PaceLog
 from buckthorndeal.gateway._path_watch import PathWatch
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
@@ -95,6 +96,7 @@
         self._clock = clock
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
+        self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
         self._waiting: dict[int, Envelope] = {}
         self._expire_due_s = clock()
@@ -156,6 +158,7 @@
             self._expire_due_s = now_s + IDLE_INTERVAL_S
             self._dispatcher.expire_endpoints(ENDPOINT_EXPIRY_S, now_s)
             self._record_state(now_s)
+            self._pace_log.write(self._dispatcher.view.loads.values(), now_s)
 
     async def _share_rate_limits(self, now_s: float) -> None:
         """Tell other hosts which rate limits have changed."""
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -15,6 +15,7 @@
 from buckthorndeal.gateway._pace import EndpointPace, ServicePace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
+from buckthorndeal.gateway._region_load import describe_load
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from buckthorndeal.gateway._warm_ups import WarmUps
@@ -379,27 +380,9 @@
                 and self.rate_shares.get_rejection_limit(load.entry.record) is None
             ]
             if loads:
-                described[name] = self._describe_load(service, loads, now_s)
+                hosts = max(1, len(self.fleet.region_hosts))
+                described[name] = describe_load(service, loads, hosts, now_s)
         return described
 
-    def _describe_load(
-        self, service: ServiceDescription, loads: list[EndpointLoad], now_s: float
-    ) -> tuple[float, int]:
-        hosts = max(1, len(self.fleet.region_hosts))
-        waits = []
-        free_slots = 0
-        for load in loads:
-            if load.pace.is_active:
-                free_slots += load.count_free(service, now_s)
-            else:
-                total_inflight = load.inflight + load.count_other_inflight(now_s)
-                free_slots += max(0, load.entry.record.slots - total_inflight)
-            if service.engine is not None:
-                wait_s = load.predict_wait_s(now_s)
-                waits.append(wait_s + load.compute_load_penalty_s(now_s))
-            else:
-                waits.append(load.predict_plain_response_s(now_s))
-        return min(waits), free_slots // hosts
-
     def _is_evacuated(self, load: EndpointLoad) -> bool:
         return load.entry.record.failure_domain in self.fleet.evacuated
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -27,6 +27,8 @@
 CACHE_SHARE = 0.6
 # A report counts as at most this many requests for each slot, whatever it says.
 MAX_REPORTED_PER_SLOT = 4
+# Share of that penalty where the pace is learned and tells most of the load's effect.
+LOAD_WEIGHT = 0.2
 # A request is overdue after this many times its predicted time.
 OVERDUE_FACTOR = 2.0
 
@@ -86,9 +88,15 @@
     refused_s: float = -math.inf
     learning: EndpointLearning = field(default_factory=EndpointLearning)
     responded_s: float = -math.inf
-    # Result of `count_other_inflight` at a clock reading.
-    _others: float = 0.0
-    _others_s: float | None = None
+    pace: EndpointPace = field(init=False)
+    # Results of `_refresh`, as several methods need them for each decision.
+    _refreshed_s: float | None = None
+    _others: float = 0
+    _others_queued: int = 0
+    _relative: float = 1.0
+
+    def __post_init__(self) -> None:
+        self.pace = self.learning.pace
 
     @property
     def name(self) -> str:
@@ -100,11 +108,6 @@
         """Number of requests of this host that have not ended."""
         return len(self.attempts)
 
-    @property
-    def pace(self) -> EndpointPace:
-        """Learned speed of the endpoint."""
-        return self.learning.pace
-
     def is_ready(self, now_s: float) -> bool:
         """Return whether the endpoint takes new requests."""
         if self.entry.record.state is not EndpointState.READY:
@@ -114,52 +117,52 @@
 
     def is_idle(self, now_s: float) -> bool:
         """Return whether no request is known to be under way at the endpoint."""
-        return not self.inflight and not self._count_reported(now_s)
+        return not self.inflight and self.count_other_inflight(now_s) < 1
 
     def is_cold(self, now_s: float) -> bool:
         """Return whether the endpoint is cold and its request rate limited."""
         return now_s < self.entry.cold_until_s
 
-    def _count_reported(self, now_s: float) -> int:
-        """Return the requests of other hosts in the last report, if it is recent."""
-        if self.report is None or now_s - self.report_received_s > REPORT_LIFETIME_S:
-            return 0
-        total = self.report.running + self.report.waiting
-        return max(0, total - self.inflight_at_report)
-
     def count_other_inflight(self, now_s: float) -> float:
         """Return the number of requests of other hosts.
 
         Without a recent load report, the result is 0. If the pace is learned, a report
         fades with its age into the mean of the service.
         """
-        if not self.pace.is_active:
-            return self._count_reported(now_s)
-        if self._others_s == now_s:
-            return self._others
-        mean = self.pace.service.get_mean_load(now_s)
-        age_s = now_s - self.report_received_s
-        if self.report is None or age_s >= REPORT_LIFETIME_S:
-            others = mean
-        else:
-            reported = self._limit_reported(self._count_reported(now_s))
-            others = mean + (reported - mean) * (1 - age_s / REPORT_LIFETIME_S)
-        self._others, self._others_s = others, now_s
-        return others
-
-    def _limit_reported(self, count: int) -> int:
-        """Limit a reported number of requests to a credible one."""
-        return min(count, MAX_REPORTED_PER_SLOT * max(1, self.entry.record.slots))
+        if self._refreshed_s != now_s:
+            self._refresh(now_s)
+        return self._others
 
     def count_other_queued(self, now_s: float) -> int:
         """Return the number of requests of other hosts that wait for their first token.
 
         The result is 0 without a recent load report.
         """
-        if self.report is None or now_s - self.report_received_s > REPORT_LIFETIME_S:
-            return 0
-        waiting = max(0, self.report.waiting - len(self.queued))
-        return self._limit_reported(waiting) if self.pace.is_active else waiting
+        if self._refreshed_s != now_s:
+            self._refresh(now_s)
+        return self._others_queued
+
+    def _refresh(self, now_s: float) -> None:
+        """Update what the last report tells at a clock reading."""
+        self._refreshed_s = now_s
+        report, age_s = self.report, now_s - self.report_received_s
+        others = queued = 0
+        is_recent = report is not None and age_s <= REPORT_LIFETIME_S
+        if is_recent:
+            others = max(0, report.running + report.waiting - self.inflight_at_report)
+            queued = max(0, report.waiting - len(self.queued))
+        pace = self.pace
+        if pace.service.is_active:
+            mean = pace.service.get_mean_load(now_s)
+            if is_recent:
+                most = MAX_REPORTED_PER_SLOT * max(1, self.entry.record.slots)
+                queued = min(queued, most)
+                fresh = 1 - age_s / REPORT_LIFETIME_S
+                others = mean + (min(others, most) - mean) * fresh
+            else:
+                others = mean
+            self._relative = pace.get_scale(now_s) * pace.get_slowdown(now_s)
+        self._others, self._others_queued = others, queued
 
     def record_report(
         self, report: LoadReport, now_s: float, age_s: float = 0.0
@@ -170,9 +173,10 @@
         self.report = report
         self.report_received_s = now_s - age_s if self.pace.is_active else now_s
         self.inflight_at_report = self.inflight
-        self._others_s = None
+        self._refreshed_s = None
         if self.pace.is_active:
-            others = min(self._count_reported(now_s), self.entry.record.slots)
+            total = report.running + report.waiting - self.inflight
+            others = min(max(0, total), self.entry.record.slots)
             self.pace.service.record_load(others, now_s)
 
     def predict_first_response_s(
@@ -187,17 +191,16 @@
         """Return the predicted time of a response without a prompt, in seconds."""
         slots = self.entry.record.slots
         total = self.inflight + self.count_other_inflight(now_s)
-        if self.pace.is_active:
-            service_s = self.pace.predict_first_s(0, total, now_s)
-            service_s += self._compute_overdue_s(now_s)
+        if self.pace.service.is_active:
+            service_s = self.pace.service.predict_first_s(0, total) * self._relative
+            if self.queued:
+                service_s += self._compute_overdue_s(now_s)
         else:
             service_s = self.service_time.get_seconds(now_s)
         return service_s * (1 + max(0, total + 1 - slots) / max(1, slots))
 
     def _compute_overdue_s(self, now_s: float) -> float:
         """Return how long the endpoint has owed a response, in seconds."""
-        if not self.queued:
-            return 0.0
         oldest = next(iter(self.queued.values()))
         allowed_s = OVERDUE_FACTOR * oldest.predicted_s
         # A single lost request does not stand for an endpoint that answers others.
@@ -212,19 +215,21 @@
         first_s = self.predict_first_response_s(call, uncached_tokens, now_s)
         if call.prompt is None or call.route.kind is not RequestKind.STREAM:
             return first_s
-        events = self.pace.service.predict_events(
-            call.route.name, call.prompt.max_output_tokens
-        )
+        most = call.prompt.max_output_tokens
+        events = self.pace.service.predict_events(call.route.name, most)
         total = self.inflight + self.count_other_inflight(now_s)
         return first_s + (events - 1) * self.pace.predict_interval_s(total, now_s)
 
     def predict_wait_s(self, now_s: float, uncached_tokens: int = 0) -> float:
         """Return the predicted time until the response to a prompt starts."""
         tokens = self.count_queued_tokens(now_s) + uncached_tokens
-        if not self.pace.is_active:
+        service = self.pace.service
+        if not service.is_active:
             return self.prefill_speed.predict(tokens)
-        total = self.inflight + self.count_other_inflight(now_s)
-        predicted_s = self.pace.predict_first_s(tokens, total, now_s)
+        total = len(self.attempts) + self._others
+        predicted_s = service.predict_first_s(tokens, total) * self._relative
+        if not self.queued:
+            return predicted_s
         return predicted_s + self._compute_overdue_s(now_s)
 
     def get_token_s(self, now_s: float) -> float:
@@ -236,21 +241,20 @@
     def compute_load_penalty_s(self, now_s: float) -> float:
         """Return the penalty of the engine's load for one more request, in seconds."""
         penalty_s = FULL_ENGINE_PENALTY_S * self.compute_utilization(now_s)
-        if not self.pace.is_active:
+        if not self.pace.service.is_active:
             return penalty_s
         # Requests stay longer at a slow endpoint.
-        return penalty_s * self.pace.get_scale(now_s) * self.pace.get_slowdown(now_s)
+        return penalty_s * LOAD_WEIGHT * self._relative
 
     def compute_failure_cost_s(self, now_s: float) -> float:
         """Return the cost of responses of which some fail, in seconds."""
-        if not self.pace.is_active:
-            return 0.0
-        return self.learning.compute_failure_cost_s(now_s)
+        is_learned = self.pace.service.is_active
+        return self.learning.compute_failure_cost_s(now_s) if is_learned else 0.0
 
     def compute_utilization(self, now_s: float) -> float:
         """Return the known requests as a share of the slots; above 1 if some wait."""
-        total_inflight = self.inflight + self.count_other_inflight(now_s)
-        return total_inflight / max(1, self.entry.record.slots)
+        total_inflight = len(self.attempts) + self.count_other_inflight(now_s)
+        return total_inflight / (self.entry.record.slots or 1)
 
     def count_queued_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that are queued for prefill at the engine."""
@@ -265,18 +269,19 @@
         Requests without a prompt may exceed the slots by a third.
         """
         others = self.count_other_inflight(now_s)
-        total_inflight = self.inflight + others
+        total_inflight = len(self.attempts) + others
         if call.prompt is None:
             return total_inflight < self._get_request_limit(False, now_s)
         if not self.inflight and others < 1:
             return True
         if total_inflight >= self._get_request_limit(True, now_s):
             return False
-        if self.learning.is_queue_full(self.count_queued_tokens(now_s), now_s):
+        if self.learning.limits is not None and self.learning.is_queue_full(
+            self.count_queued_tokens(now_s), now_s
+        ):
             return False
-        used = self.memory_tokens + others * self.mean_memory_tokens
         required = call.prompt.tokens + call.prompt.max_output_tokens
-        return used + required <= get_kv_capacity(service) * MAX_MEMORY_UTILIZATION
+        return required <= self._count_free_memory(service, others)
 
     def count_free(self, service: ServiceDescription, now_s: float) -> int:
         """Return the number of requests that the endpoint still takes well."""
@@ -284,15 +289,18 @@
         limit = self._get_request_limit(service.engine is not None, now_s)
         free = min(limit, self.entry.record.slots) - self.inflight - others
         if service.engine is not None and self.mean_memory_tokens:
-            used = self.memory_tokens + others * self.mean_memory_tokens
-            left = get_kv_capacity(service) * MAX_MEMORY_UTILIZATION - used
+            left = self._count_free_memory(service, others)
             free = min(free, left / self.mean_memory_tokens)
         return max(0, math.floor(free))
 
+    def _count_free_memory(self, service: ServiceDescription, others: float) -> float:
+        used = self.memory_tokens + others * self.mean_memory_tokens
+        return get_kv_capacity(service) * MAX_MEMORY_UTILIZATION - used
+
     def _get_request_limit(self, is_engine: bool, now_s: float) -> float:
         """Return how many requests may be at the endpoint, also of other hosts."""
         limit = get_slot_limit(self.entry.record.slots, is_engine)
-        if not self.pace.is_active:
+        if self.learning.limits is None:
             return limit
         return self.learning.get_request_limit(limit, now_s)
 
@@ -305,6 +313,7 @@
             attempt.predicted_s = self.predict_first_response_s(
                 attempt.call, attempt.uncached_tokens, now_s
             )
+        self._refreshed_s = None
         self.attempts[attempt_id] = attempt
         self.queued[attempt_id] = attempt
         self.queued_tokens += attempt.uncached_tokens
@@ -329,6 +338,7 @@
         attempt = self.queued.pop(attempt_id, None)
         if attempt is None:
             return
+        self._refreshed_s = None
         attempt.started_s = now_s
         self.responded_s = now_s
         self.queued_tokens -= attempt.uncached_tokens
@@ -367,6 +377,7 @@
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is None:
             return None
+        self._refreshed_s = None
         if self.queued.pop(attempt_id, None) is not None:
             self.queued_tokens -= attempt.uncached_tokens
         self.memory_tokens -= attempt.memory_tokens
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -11,7 +11,7 @@
 )
 from buckthorndeal.gateway._scoring import (
     LocalChoice,
-    find_prefix_owner,
+    PrefixOwners,
     score_endpoint,
 )
 from buckthorndeal.gateway._slot_shares import SlotShares
@@ -23,7 +23,7 @@
 
 # Endpoints that cost up to this many times as much as the best one may be chosen, the
 # more rarely the more they cost.
-NEAR_BEST = 1.5
+NEAR_BEST = 1.2
 SPREAD_POWER = 6
 
 _get_cost = operator.attrgetter("endpoint_cost_s")
@@ -55,6 +55,7 @@
         self._ejection = ejection
         self._slot_shares = slot_shares
         self._rng = rng
+        self._prefix_owners = PrefixOwners()
 
     def list_candidates(self, dispatch: Dispatch, now_s: float) -> list[EndpointLoad]:
         """Return the endpoints that may get a request, the preferred ones if any."""
@@ -79,7 +80,7 @@
         service = self._view.get_service(call.service)
         if service is None:
             return None
-        prefix_owner = find_prefix_owner(call, candidates)
+        prefix_owner = self._prefix_owners.find(call, candidates)
         connections = self._view.get_connection_limit(service)
         choices: list[LocalChoice] = []
         for load in candidates:
--- a/buckthorndeal/gateway/_pace.py
+++ b/buckthorndeal/gateway/_pace.py
@@ -23,8 +23,10 @@
 # An observation counts as at most this many times shorter or longer than predicted, as
 # a single stalled response says little about the speed.
 MAX_RATIO = 4.0
+# The same for what is learned about all endpoints of the service.
+MAX_SERVICE_RATIO = 2.0
 # Weights of a new observation, once there are several.
-ENDPOINT_WEIGHT = 0.25
+ENDPOINT_WEIGHT = 0.2
 SERVICE_WEIGHT = 0.1
 MODEL_RATE = 0.05
 MIN_SCALE = 0.2
@@ -116,6 +118,10 @@
         per_token_s = self.first_response.per_token_s * self.scale
         return max(MIN_TOKEN_S, per_token_s * self.mean_slowdown)
 
+    def predict_first_s(self, tokens: float, inflight: float) -> float:
+        """Return the time until a response starts, without the endpoint's factors."""
+        return self.first_response.predict(tokens, inflight) * self.scale
+
     def record_slowdown(self, slowdown: float) -> None:
         """Record the slowdown in a report of any endpoint."""
         self.is_active = True
@@ -276,13 +282,14 @@
         scale = self.get_scale(now_s)
         ratio = seconds / (usual_s * service.scale * scale)
         ratio = min(MAX_RATIO, max(1 / MAX_RATIO, ratio))
-        service.scale = _limit(service.scale * ratio**SERVICE_WEIGHT)
+        service_ratio = min(MAX_SERVICE_RATIO, max(1 / MAX_SERVICE_RATIO, ratio))
+        service.scale = _limit(service.scale * service_ratio**SERVICE_WEIGHT)
         self._count += 1
         weight = max(ENDPOINT_WEIGHT, 1 / (self._count + 1))
         self._scale = _limit(scale * ratio**weight)
         self._observed_s = now_s
         # The models learn what depends on the load; the scales take up the rest.
-        return usual_s * ratio
+        return usual_s * service_ratio
 
 
 def _limit(scale: float) -> float:
--- a/buckthorndeal/gateway/_scoring.py
+++ b/buckthorndeal/gateway/_scoring.py
@@ -5,13 +5,14 @@
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
     Call,
-    Prompt,
 )
 from buckthorndeal.subsetting import choose_owner
 
 # Cost of one more copy of a shared prefix, per second of prefill of its tokens. The
 # copy itself is fetched, but it takes memory from other prefixes.
 COPY_WEIGHT = 0.5
+# Owners of prefixes that are remembered, as finding one takes a hash for each endpoint.
+MAX_OWNERS = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,14 +45,28 @@
     cache_source: EndpointLoad | None = None
 
 
-def find_prefix_owner(
-    call: Call, candidates: list[EndpointLoad]
-) -> EndpointLoad | None:
-    """Return the endpoint that caches the shared prefix of a prompt for all hosts."""
-    if call.prompt is None or call.prompt.shared_prefix_key is None or not candidates:
-        return None
-    loads = {load.name: load for load in candidates}
-    return loads[choose_owner(call.prompt.shared_prefix_key, loads)]
+class PrefixOwners:
+    """Endpoints that cache shared prefixes for all hosts, remembered by prefix."""
+
+    def __init__(self) -> None:
+        self._names: list[str] = []
+        self._owners: dict[str, int] = {}
+
+    def find(self, call: Call, candidates: list[EndpointLoad]) -> EndpointLoad | None:
+        """Return the endpoint that caches the shared prefix of a prompt, if any."""
+        if call.prompt is None or not candidates:
+            return None
+        key = call.prompt.shared_prefix_key
+        if key is None:
+            return None
+        names = [load.name for load in candidates]
+        if names != self._names or len(self._owners) >= MAX_OWNERS:
+            self._names = names
+            self._owners.clear()
+        index = self._owners.get(key)
+        if index is None:
+            index = self._owners[key] = names.index(choose_owner(key, names))
+        return candidates[index]
 
 
 def score_endpoint(
@@ -86,7 +101,13 @@
     if prefix_owner is not None and not _may_copy(prefix_owner, load):
         prefix_owner = None
     cached_tokens = load.cache.count_cached(call.prompt)
-    uncached = _count_uncached(call.prompt, cached_tokens, prefix_owner)
+    shared_tokens = call.prompt.shared_prefix_tokens
+    # The owner of the shared prefix caches it for all hosts, even if this host has not
+    # sent it there; other endpoints fetch it from the owner.
+    known_tokens = cached_tokens
+    if prefix_owner is not None and shared_tokens > cached_tokens:
+        known_tokens = shared_tokens
+    uncached = call.prompt.tokens - known_tokens
     predicted_s = load.predict_first_response_s(call, uncached, now_s)
     region_cost_s = (
         predicted_s
@@ -97,7 +118,7 @@
         return LocalChoice(
             load, uncached, predicted_s, region_cost_s, region_cost_s, cold
         )
-    missing_tokens = max(0, call.prompt.shared_prefix_tokens - cached_tokens)
+    missing_tokens = max(0, shared_tokens - cached_tokens)
     # Besides the time of this request, one more copy evicts other prefixes, which
     # have to be fetched or computed again.
     endpoint_cost_s = region_cost_s
@@ -113,19 +134,6 @@
     return source.entry.record.version == target.entry.record.version
 
 
-def _count_uncached(
-    prompt: Prompt, cached_tokens: int, prefix_owner: EndpointLoad | None
-) -> int:
-    """Return the tokens of a prompt that an endpoint has to prefill.
-
-    The owner of the shared prefix caches it for all hosts, even if this host has not
-    sent it there; other endpoints fetch it from the owner.
-    """
-    if prefix_owner is not None:
-        cached_tokens = max(cached_tokens, prompt.shared_prefix_tokens)
-    return prompt.tokens - cached_tokens
-
-
 @dataclass(frozen=True, slots=True)
 class RemoteChoice:
     """Another entry host, with the predicted latency through it; see `Forward`."""
--- a/buckthorndeal/metrics.py
+++ b/buckthorndeal/metrics.py
@@ -93,6 +93,10 @@
         if key in series or len(series) < MAX_SERIES:
             series[key] = value
 
+    def clear(self, name: str) -> None:
+        """Remove the series of a gauge, whose labels may not exist any more."""
+        self._values.pop(name, None)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a latency in seconds."""
         self.get_recorder(name, **labels).record(seconds)
