--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import curio
 
@@ -27,6 +27,7 @@
     create_connection_error,
     is_foreign,
 )
+from buckthorndeal.gateway._stream_pace import StreamPace
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
 from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
@@ -46,6 +47,7 @@
 # response the version of the endpoint that has sent it.
 VERSION_HEADER = "buckthorndeal-version"
 MAX_SKIPPED_RESPONSES = 4
+CLIENT_ERROR = 400
 
 
 @dataclass(eq=False)
@@ -68,6 +70,8 @@
         Whether the response comes from an endpoint, and not through another host.
     outcome : AttemptOutcome
         Set to ``SUCCEEDED`` by the exchange once the response is complete.
+    pace : StreamPace
+        Events of a stream, which the exchange counts.
     """
 
     attempt_id: int
@@ -77,6 +81,7 @@
     version: str | None = None
     is_direct: bool = True
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
+    pace: StreamPace = field(default_factory=StreamPace)
 
 
 @asynccontextmanager
@@ -149,7 +154,8 @@
             mark_request_sent,
             on_connection=watch_connection,
         ) as response:
-            _record_contact(context, decision)
+            if isinstance(decision, Grant):
+                context.contact.record(context.clock())
             if isinstance(decision, Grant) and not may_repeat:
                 response = await _skip_late(context, call, decision, response)
             metadata = context.dialect.parse_response(response.status, response.headers)
@@ -162,6 +168,7 @@
                 metadata,
                 _get_version(decision, response),
                 isinstance(decision, Grant),
+                pace=StreamPace(context.clock()),
             )
             yield attempt
     except AttemptError as error:
@@ -186,8 +193,9 @@
             closed = attempt.response.ends_with_connection
         async with curio.disable_cancellation():
             await context.open_attempts.remove(attempt_id, host)
+            events = attempt.pace.count_events(context.clock()) if attempt else 0
             await context.dispatch_mailbox.send(
-                AttemptEnded(attempt_id, outcome, closed, request_sent)
+                AttemptEnded(attempt_id, outcome, closed, request_sent, events)
             )
 
 
@@ -216,17 +224,17 @@
     return response
 
 
-def _record_contact(context: GatewayContext, decision: Grant | Forward) -> None:
-    if isinstance(decision, Grant):
-        context.contact.record(context.clock())
-
-
 async def report_response_start(
     context: GatewayContext, attempt: Attempt, has_events: bool
 ) -> None:
     """Tell the dispatcher that the response has started."""
-    load = attempt.metadata.load
-    started = ResponseStarted(attempt.attempt_id, load, has_events)
+    started = ResponseStarted(
+        attempt.attempt_id,
+        attempt.metadata.load,
+        has_events,
+        attempt.response.status >= CLIENT_ERROR,
+        context.clock() - attempt.pace.received_s,
+    )
     await context.dispatch_mailbox.send(started)
 
 
