Merge quotas over all hosts

Cause: a workspace has one quota for all hosts together. Change: leases granted by the leader of the coordinators, charged at the gateways.

--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -9,6 +9,11 @@
     DescribeReplica,
     ReplicaDescription,
 )
+from buckthorndeal.fleet._quota_messages import (
+    QuotaGrants,
+    QuotaRedirect,
+    QuotaRequest,
+)
 from buckthorndeal.fleet._rate_limits import RateLimit
 from buckthorndeal.fleet._stream_origins import StreamOrigin
 from buckthorndeal.fleet._versions import ServiceVersion
@@ -374,5 +379,8 @@
         OriginUpdate,
         FindOrigin,
         OriginReply,
+        QuotaRequest,
+        QuotaGrants,
+        QuotaRedirect,
     )
 )
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -16,6 +16,7 @@
     EndpointRecord,
     EntryHost,
     EntryState,
+    QuotaRequest,
     StreamOrigin,
     count_home_routes,
     count_home_workspaces,
@@ -26,6 +27,7 @@
 from buckthorndeal.gateway._control import ControlTask
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
+    AskForQuota,
     ListEntryHostsByCoordinator,
     SetEndpointReach,
     SetState,
@@ -40,6 +42,7 @@
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.gateway._pools import HOST_IDLE_TIMEOUT_S, create_pools
+from buckthorndeal.gateway._quota_gate import QuotaGate
 from buckthorndeal.gateway._region_links import RegionLoadTask
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.http_server import (
@@ -56,6 +59,7 @@
 from buckthorndeal.metrics import create_metrics, serve_metrics
 from buckthorndeal.policy.ejection import create_ejection
 from buckthorndeal.processmetrics import watch_process
+from buckthorndeal.quota import create_quota_leases, create_quota_options
 from buckthorndeal.settings import Address, GatewaySettings, Limits
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import Message, derive_keys
@@ -121,6 +125,7 @@
             ),
             create_ejection(),
             random.Random(),
+            QuotaGate(create_quota_leases(create_quota_options(settings.quota))),
         )
         contact = EndpointContact()
         self._dispatch = DispatchTask(
@@ -134,6 +139,7 @@
                 self._probe_endpoint,
                 self._report_endpoint_reach,
                 self._replace_silent_attempts,
+                self._request_quota,
             ),
         )
         self._control = ControlTask(
@@ -313,6 +319,9 @@
     async def _share_origins(self, origins: tuple[StreamOrigin, ...]) -> None:
         await self._control.mailbox.send(ShareOrigins(origins))
 
+    async def _request_quota(self, request: QuotaRequest) -> None:
+        await self._control.mailbox.send(AskForQuota(request))
+
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
 
@@ -336,6 +345,7 @@
         """Activate a newer configuration."""
         routes = create_route_table(configuration)
         self._dispatch.set_services(routes.services)
+        self._dispatch.set_workspaces(configuration.workspaces)
         self._context.routes = routes
         self._home_route_counts = {
             **count_home_routes(configuration),
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -222,6 +222,12 @@
     HOME_UNREACHABLE = "home_unreachable"
     VERSION_NOT_SERVED = "version_not_served"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
+    QUOTA_EXCEEDED = "quota_exceeded"
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the refusal."""
+        return 429 if self is RefusalReason.QUOTA_EXCEEDED else 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -346,6 +352,8 @@
     events : int
         Number of events of a stream that it has brought; 0 if the caller has held
         them up, so that they do not tell the endpoint's pace.
+    not_run : bool
+        Whether the request certainly has not run, although bytes have been sent.
     """
 
     attempt_id: int
@@ -353,3 +361,4 @@
     closed: bool = False
     was_sent: bool = True
     events: int = 0
+    not_run: bool = False
