Bound what chunked and unfinished bodies cost a server

Cause: h11 returns each chunk, for 5.6 us of processor time whatever its size, and all that one read had brought was decoded without a turn for others: 60 ms for 64 KiB in chunks of one byte. Bytes of chunk extensions and lines of heads were never counted, and a body that stopped short kept its connection for 20 s, whoever else needed one.

Other tasks run after each slice. Bodies of more than 4,096 chunks take turns, each followed by a pause as long as itself, so that all of them together take half of the time of the process at most. IncompleteRequests gives half of a server's connections to bodies that are not complete; beyond it, and once descriptors are short, the one that has been silent for longest, and for 1 s at least, is refused: 503 too_many_incomplete, not run.

New limits, each with a default that no caller within the documented limits meets: max_header_lines 1,024 (431), max_chunk_framing_bytes 65,536 and max_chunk_framing_per_byte 16 (413), body_pause_s 10 (408), incomplete_share 0.5.

--- a/buckthorndeal/_http_idle.py
+++ b/buckthorndeal/_http_idle.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 import curio
-import h11
 
+from buckthorndeal._http_protocol import ServerProtocol
 from buckthorndeal._http_reading import READ_BYTES
 from buckthorndeal.transport import Stream
 
@@ -46,7 +46,7 @@
     async def wait_for_request(
         self,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         timeout: IdleTimeout,
     ) -> bool:
         """Wait for the first bytes of a request; return False if none come.
@@ -75,9 +75,9 @@
 
 
 async def _receive_request(
-    stream: Stream, connection: h11.Connection, timeout: IdleTimeout
+    stream: Stream, connection: ServerProtocol, timeout: IdleTimeout
 ) -> bool:
-    if connection.trailing_data[0]:
+    if connection.pending_bytes:
         return True
     since_s = await curio.clock()
     data = None
--- /dev/null
+++ b/buckthorndeal/_http_incomplete.py
@@ -0,0 +1,115 @@
+"""Requests of a server whose bodies are not complete: their places and their turns."""
+
+import time
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+import curio
+
+from buckthorndeal.logs import log_event
+
+# Requests that have been silent for a shorter time keep their places.
+MIN_SILENCE_S = 1.0
+LOG_INTERVAL_S = 1.0
+
+ResultT = TypeVar("ResultT")
+
+
+class Displaceable(Protocol):
+    """Request that can be refused while its body is read."""
+
+    def displace(self) -> None:
+        """Refuse the request; its task is told by the end of its read."""
+
+
+class IncompleteRequests:
+    """Requests of one server whose bodies are not complete.
+
+    It answers the load of callers that begin bodies and do not end them, or send them
+    in very small chunks: the former keep a share of the connections only, the latter
+    take up to half of the time of the process, one after the other.
+
+    Parameters
+    ----------
+    get_places : callable
+        Returns the number of requests that may stay incomplete.
+    clock : callable, optional
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    displaced_count : int
+        Number of requests that were refused in favour of others.
+    """
+
+    def __init__(
+        self,
+        get_places: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._get_places = get_places
+        self._clock = clock
+        # By request, the clock reading since which it has been silent; the longest
+        # silent one comes first.
+        self._silent_since_s: dict[Displaceable, float] = {}
+        self._turns = curio.Lock()
+        self._logged_s: float | None = None
+        self.displaced_count = 0
+
+    def __len__(self) -> int:
+        return len(self._silent_since_s)
+
+    def record_wait(self, request: Displaceable) -> None:
+        """Record that a request waits for more of its body from now on."""
+        self._silent_since_s.pop(request, None)
+        self._silent_since_s[request] = self._clock()
+        self.free_places()
+
+    def remove(self, request: Displaceable) -> None:
+        """Forget a request that is complete or refused."""
+        self._silent_since_s.pop(request, None)
+
+    def free_places(self, is_full: bool = False) -> None:
+        """Refuse the longest silent requests beyond the places.
+
+        If the process is full for another reason, one of them is refused in any case.
+        """
+        left = max(len(self) - self._get_places(), int(is_full))
+        silent_until_s = self._clock() - MIN_SILENCE_S
+        while left > 0 and self._silent_since_s:
+            request, since_s = next(iter(self._silent_since_s.items()))
+            if since_s > silent_until_s:
+                return
+            del self._silent_since_s[request]
+            left -= 1
+            self.displaced_count += 1
+            self._log()
+            request.displace()
+
+    async def take_turn(self, decode: Callable[[], ResultT]) -> ResultT:
+        """Return the result of `decode`, once no other body in many chunks has a turn.
+
+        The next one comes after a pause as long as the turn, for the other requests.
+        """
+        async with self._turns:
+            begun_s = self._clock()
+            result = decode()
+            await curio.sleep(self._clock() - begun_s)
+        return result
+
+    def _log(self) -> None:
+        now_s = self._clock()
+        if self._logged_s is not None and now_s - self._logged_s < LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        log_event(
+            "incomplete_requests_refused",
+            incomplete=len(self),
+            places=self._get_places(),
+            refused=self.displaced_count,
+        )
+
+
+def create_incomplete_requests(get_places: Callable[[], int]) -> IncompleteRequests:
+    """Return an empty collection; see `IncompleteRequests`."""
+    return IncompleteRequests(get_places)
--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -8,16 +8,23 @@
 import curio
 import h11
 
+from buckthorndeal._http_incomplete import IncompleteRequests
+from buckthorndeal._http_protocol import ServerProtocol
+from buckthorndeal._http_refusals import create_displaced_error
+from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import MemoryShortageError, RequestError
 from buckthorndeal.memory import UNBOOKED_BYTES, Booking, MemoryAccount, Use
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Stream
 
 READ_BYTES = 65_536
+# Chunks of a body that are decoded without regard to the other bodies.
+FREE_CHUNKS = 4_096
 # Bytes of further requests that are read while one is running.
 MAX_PIPELINED_BYTES = 65_536
 DISCONNECT_POLL_INTERVAL_S = 0.1
 SHORTAGE_RETRY_S = 1.0
+PROTOCOL_ERROR_CODES = {413: "body_too_large", 431: "header_too_large"}
 
 # Called with method and path; returns the bytes that the body of such a request may
 # have, or None if only the limits of the server apply.
@@ -61,6 +68,8 @@
     memory : MemoryAccount
         Account of the process. What is held of a request that is not complete may be
         cut in favour of others.
+    incomplete : IncompleteRequests
+        Requests of the server whose bodies are not complete.
 
     Attributes
     ----------
@@ -70,9 +79,13 @@
         Whether a request was cut while it was read, and its read was ended.
     """
 
-    def __init__(self, stream: Stream, memory: MemoryAccount) -> None:
+    def __init__(
+        self, stream: Stream, memory: MemoryAccount, incomplete: IncompleteRequests
+    ) -> None:
         self._stream = stream
         self._memory = memory
+        self._incomplete = incomplete
+        self._is_displaced = False
         self._booking: Booking | None = None
         self._content: io.BytesIO | None = None
         self._content_bytes = 0
@@ -83,7 +96,7 @@
 
     async def read(
         self,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         limits: Limits,
         limit_body: BodyLimit | None = None,
     ) -> Request | None:
@@ -112,6 +125,7 @@
 
     def release(self) -> None:
         """Hold nothing of the last request any more."""
+        self._incomplete.remove(self)
         if self._booking is not None:
             self._booking.release()
             self._booking = None
@@ -120,7 +134,12 @@
         self._head_bytes = 0
         self._is_complete = False
 
-    async def wait_for_disconnect(self, connection: h11.Connection) -> None:
+    def displace(self) -> None:
+        """Refuse the present request, whose task is told by the end of its read."""
+        self._is_displaced = True
+        self._cut()
+
+    async def wait_for_disconnect(self, connection: ServerProtocol) -> None:
         """Return once the caller has closed the connection.
 
         Further requests that it sends are read as far as there is room for them, and
@@ -132,7 +151,7 @@
             await curio.sleep(DISCONNECT_POLL_INTERVAL_S)
 
     async def _read(
-        self, connection: h11.Connection, limits: Limits, limit_body: BodyLimit | None
+        self, connection: ServerProtocol, limits: Limits, limit_body: BodyLimit | None
     ) -> Request | None:
         self.method = ""
         async with curio.timeout_after(limits.header_timeout_s):
@@ -151,11 +170,13 @@
             if connection.they_are_waiting_for_100_continue:
                 reply = h11.InformationalResponse(status_code=100, headers=[])
                 await self._stream.sendall(connection.send(reply))
-            request.body = await self._read_body(connection, max_bytes)
+            request.body = await self._read_body(
+                connection, max_bytes, limits.body_pause_s
+            )
         self._complete(connection)
         return request
 
-    async def _read_head(self, connection: h11.Connection) -> h11.Request | None:
+    async def _read_head(self, connection: ServerProtocol) -> h11.Request | None:
         while True:
             event = connection.next_event()
             if isinstance(event, h11.Request):
@@ -164,25 +185,46 @@
                 return None
             await self._receive(connection)
 
-    async def _read_body(self, connection: h11.Connection, max_bytes: int) -> bytes:
+    async def _read_body(
+        self, connection: ServerProtocol, max_bytes: int, pause_s: float
+    ) -> bytes:
         while True:
-            event = connection.next_event()
+            event = await self._decode(connection)
             if event is h11.NEED_DATA:
-                await self._receive(connection)
+                self._incomplete.record_wait(self)
+                async with curio.ignore_after(pause_s) as pause:
+                    await self._receive(connection)
+                if pause.expired:
+                    raise _create_late_error()
             elif isinstance(event, h11.Data):
                 self._add_content(event.data, max_bytes)
+                if connection.pending_bytes:
+                    # What one caller has sent is decoded in turns with the others.
+                    await curio.sleep(0)
             elif isinstance(event, h11.EndOfMessage):
+                self._incomplete.remove(self)
                 return self._take_content()
             else:
                 raise RequestError("bad_request", 400, "the request body ended early")
 
-    async def _receive(self, connection: h11.Connection) -> None:
+    async def _decode(self, connection: ServerProtocol) -> object:
+        """Return the next event; bodies in many chunks take turns for it."""
+        if connection.chunk_count <= FREE_CHUNKS or not connection.pending_bytes:
+            return connection.next_event()
+        return await self._incomplete.take_turn(connection.next_event)
+
+    async def _receive(self, connection: ServerProtocol) -> None:
         """Wait for further bytes of a request that is not complete."""
-        self._hold(len(connection.trailing_data[0]))
+        self._hold(connection.pending_bytes)
         data = await self._stream.recv(READ_BYTES)
+        self._check_cut()
+        connection.receive_data(data)
+
+    def _check_cut(self) -> None:
+        if self._is_displaced:
+            raise create_displaced_error()
         if self._booking is not None and self._booking.is_cut:
             raise MemoryShortageError("the request was cut")
-        connection.receive_data(data)
 
     def _add_content(self, data: bytes | bytearray, max_bytes: int) -> None:
         self._content_bytes += len(data)
@@ -201,9 +243,10 @@
         self._content = None
         return body
 
-    def _complete(self, connection: h11.Connection) -> None:
+    def _complete(self, connection: ServerProtocol) -> None:
         """Keep the present request from being cut."""
-        self._hold(len(connection.trailing_data[0]))
+        self._check_cut()
+        self._hold(connection.pending_bytes)
         self._is_complete = True
         if self._booking is not None:
             self._booking.settle()
@@ -243,7 +286,7 @@
         if int(length) > UNBOOKED_BYTES:
             self._get_booking().check(self._head_bytes + int(length))
 
-    async def _read_ahead(self, connection: h11.Connection) -> bool:
+    async def _read_ahead(self, connection: ServerProtocol) -> bool:
         """Read requests that follow; return whether the caller has disconnected."""
         left_bytes = MAX_PIPELINED_BYTES
         read_bytes = UNBOOKED_BYTES
@@ -258,12 +301,24 @@
             left_bytes -= len(data)
             read_bytes = left_bytes
             try:
-                self._hold(len(connection.trailing_data[0]) + left_bytes)
+                self._hold(connection.pending_bytes + left_bytes)
             except MemoryShortageError:
                 return False
         return False
 
 
+async def cancel_on_disconnect(
+    reader: RequestReader,
+    connection: ServerProtocol,
+    responder: Responder,
+    handler: curio.Task,
+) -> None:
+    """Cancel the handler if the caller disconnects."""
+    await reader.wait_for_disconnect(connection)
+    responder.disconnected = True
+    await handler.cancel(blocking=False)
+
+
 @singledispatch
 def create_request_error(error: BaseException) -> RequestError:
     """Return the error to respond with when the reading of a request has failed."""
@@ -272,14 +327,13 @@
 
 @create_request_error.register
 def _(error: curio.TaskTimeout) -> RequestError:
-    message = "the request was not received in time"
-    return RequestError("request_timeout", 408, message)
+    return _create_late_error()
 
 
 @create_request_error.register
 def _(error: h11.RemoteProtocolError) -> RequestError:
     status = error.error_status_hint
-    code = "header_too_large" if status == 431 else "bad_request"
+    code = PROTOCOL_ERROR_CODES.get(status, "bad_request")
     return RequestError(code, status, str(error))
 
 
@@ -312,6 +366,11 @@
         )
 
 
+def _create_late_error() -> RequestError:
+    message = "the request was not received in time"
+    return RequestError("request_timeout", 408, message)
+
+
 def _create_too_large_error(max_bytes: int) -> RequestError:
     return RequestError(
         "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
--- a/buckthorndeal/_http_refusals.py
+++ b/buckthorndeal/_http_refusals.py
@@ -28,6 +28,16 @@
     )
 
 
+def create_displaced_error() -> RequestError:
+    """Return the error for a body that stays incomplete while others need its place."""
+    return RequestError(
+        "too_many_incomplete",
+        503,
+        "too many requests are incomplete, and this one has been silent for longest",
+        retry_after_s=FULL_RETRY_S,
+    )
+
+
 def create_tunnel_error() -> RequestError:
     """Return the error for a request to open a tunnel."""
     return RequestError("not_implemented", 501, "CONNECT is not supported")
--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
+import curio
 import h11
 import msgspec
 
@@ -12,6 +13,21 @@
 # Values given as bytes may hold any byte from 0x80 on.
 Headers = Sequence[tuple[str, str | bytes]]
 
+# Time in which handlers respond when their server closes.
+CLOSE_TIMEOUT_S = 0.25
+
+
+class ServerClosing(curio.TaskCancelled):
+    """Raised in a handler that is running when its server closes.
+
+    The handler may respond, within `CLOSE_TIMEOUT_S`. If it does not, the server
+    responds that the request may have run.
+    """
+
+
+class ResponseAborted(Exception):
+    """Raised by a handler to close the connection without the rest of its response."""
+
 
 class Responder:
     """Writes the response to one request.
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -8,12 +8,18 @@
 from absl import logging
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
+from buckthorndeal._http_incomplete import create_incomplete_requests
 from buckthorndeal._http_lingering import LingeringConnections, has_to_linger
-from buckthorndeal._http_protocol import continue_with_limits, create_protocol
+from buckthorndeal._http_protocol import (
+    ServerProtocol,
+    continue_with_limits,
+    create_protocol,
+)
 from buckthorndeal._http_reading import (
     BodyLimit,
     Request,
     RequestReader,
+    cancel_on_disconnect,
     refuse_body,
 )
 from buckthorndeal._http_refusals import (
@@ -21,7 +27,12 @@
     create_full_error,
     create_tunnel_error,
 )
-from buckthorndeal._http_responding import Responder
+from buckthorndeal._http_responding import (
+    CLOSE_TIMEOUT_S,
+    Responder,
+    ResponseAborted,
+    ServerClosing,
+)
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
@@ -39,8 +50,6 @@
     "refuse_body",
 ]
 
-# Time in which handlers respond when their server closes.
-CLOSE_TIMEOUT_S = 0.25
 CLOSE_POLL_INTERVAL_S = 0.005
 # Share of the descriptors that callers leave to the requests under way, each of which
 # may need a connection to its endpoint, and to other hosts.
@@ -51,18 +60,6 @@
 MAX_REFUSED_BODY_BYTES = 65_536
 
 
-class ServerClosing(curio.TaskCancelled):
-    """Raised in a handler that is running when its server closes.
-
-    The handler may respond, within `CLOSE_TIMEOUT_S`. If it does not, the server
-    responds that the request may have run.
-    """
-
-
-class ResponseAborted(Exception):
-    """Raised by a handler to close the connection without the rest of its response."""
-
-
 Handler = Callable[[Request, Responder], Awaitable[None]]
 ErrorHandler = Callable[[Responder, RequestError], Awaitable[None]]
 
@@ -113,6 +110,7 @@
         self.closing = False
         self._idle = IdleConnections()
         self._lingering = LingeringConnections()
+        self._incomplete = create_incomplete_requests(self._count_places)
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
@@ -179,7 +177,7 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = create_protocol(limits)
-        reader = RequestReader(stream, self._transport.memory)
+        reader = RequestReader(stream, self._transport.memory, self._incomplete)
         if not self._has_room(limits):
             await self._refuse_connection(stream, connection, limits, reader)
             if has_to_linger(stream, connection):
@@ -197,19 +195,31 @@
             self.connection_count -= 1
 
     def _has_room(self, limits: Limits) -> bool:
-        """Return whether another connection may be served."""
+        """Return whether another connection may be served.
+
+        If not, incomplete requests may be refused, for those that come later.
+        """
         if self.connection_count >= limits.max_connections:
+            self._incomplete.free_places()
             return False
         if self._uses_reserve or self._listener is None:
             return True
         # Connections that are not served yet must not displace each other.
         unserved = self._listener.connection_count - self.connection_count
-        return self._transport.has_free_descriptors(RESERVED_SHARE, unserved)
+        if self._transport.has_free_descriptors(RESERVED_SHARE, unserved):
+            return True
+        self._incomplete.free_places(is_full=True)
+        return False
+
+    def _count_places(self) -> int:
+        """Return the number of requests that may stay incomplete."""
+        limits = self._limits
+        return max(1, int(limits.max_connections * limits.incomplete_share))
 
     async def _refuse_connection(
         self,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         limits: Limits,
         reader: RequestReader,
     ) -> None:
@@ -240,10 +250,10 @@
     async def _serve_requests(
         self,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         limits: Limits,
         reader: RequestReader,
-    ) -> h11.Connection:
+    ) -> ServerProtocol:
         """Serve requests until the connection ends; return its protocol state."""
         idle_timeout = IdleTimeout(lambda: self._limits.idle_timeout_s)
         while True:
@@ -270,7 +280,7 @@
     async def _serve_request(
         self,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         reader: RequestReader,
         idle_timeout: IdleTimeout,
     ) -> bool:
@@ -300,7 +310,7 @@
     async def _respond_and_close(
         self,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         reader: RequestReader,
         error: RequestError,
     ) -> None:
@@ -316,13 +326,13 @@
         request: Request,
         responder: Responder,
         stream: Stream,
-        connection: h11.Connection,
+        connection: ServerProtocol,
         reader: RequestReader,
     ) -> None:
         handler = await curio.spawn(self._handle, request, responder)
         self._running[handler] = responder
         watcher = await curio.spawn(
-            _cancel_on_disconnect, reader, connection, responder, handler
+            cancel_on_disconnect, reader, connection, responder, handler
         )
         try:
             await handler.wait()
@@ -369,18 +379,6 @@
             return
 
 
-async def _cancel_on_disconnect(
-    reader: RequestReader,
-    connection: h11.Connection,
-    responder: Responder,
-    handler: curio.Task,
-) -> None:
-    """Cancel the handler if the caller disconnects."""
-    await reader.wait_for_disconnect(connection)
-    responder.disconnected = True
-    await handler.cancel(blocking=False)
-
-
 async def close_servers(servers: Iterable[HttpServer]) -> None:
     """Close servers at the same time."""
     async with curio.TaskGroup() as group:
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -52,7 +52,14 @@
 
 
 class Limits(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Limits of the HTTP listener; sizes in bytes, times in seconds."""
+    """Limits of the HTTP listener; sizes in bytes, times in seconds.
+
+    A chunked body may have `max_chunk_framing_bytes` besides its content, and
+    `max_chunk_framing_per_byte` more for each byte of it. A body that brings no byte
+    for `body_pause_s` is refused. Requests whose body is not complete keep up to
+    `incomplete_share` of the connections; those beyond it that have been silent for
+    the longest time are refused.
+    """
 
     max_header_bytes: ByteCount = 16_384
     max_body_bytes: ByteCount = 4_194_304
@@ -61,6 +68,11 @@
     idle_timeout_s: PositiveSeconds = 60.0
     max_connections: PositiveCount = 4096
     max_connections_per_endpoint: PositiveCount = 256
+    max_header_lines: PositiveCount = 1024
+    max_chunk_framing_bytes: ByteCount = 65_536
+    max_chunk_framing_per_byte: PositiveCount = 16
+    body_pause_s: PositiveSeconds = 10.0
+    incomplete_share: Annotated[float, Meta(gt=0, le=1)] = 0.5
 
 
 class EntrySettings(
--- a/tests/fuzzed_http.py
+++ b/tests/fuzzed_http.py
@@ -8,6 +8,8 @@
 
 from buckthorndeal._event_buffer import EventBuffer
 from buckthorndeal._http_connection import ClientConnection, create_protocol
+from buckthorndeal._http_incomplete import create_incomplete_requests
+from buckthorndeal._http_protocol import create_protocol as create_server_protocol
 from buckthorndeal._http_reading import RequestReader
 from buckthorndeal._http_response import read_head
 from buckthorndeal.entry._calls import _read_usage
@@ -95,9 +97,10 @@
 
 async def _read_requests(data):
     stream = _Stream(data)
-    connection = h11.Connection(h11.SERVER)
     limits = Limits(max_body_bytes=1 << 20)
-    reader = RequestReader(stream, create_memory_account())
+    connection = create_server_protocol(limits)
+    incomplete = create_incomplete_requests(lambda: 1)
+    reader = RequestReader(stream, create_memory_account(), incomplete)
     while (request := await reader.read(connection, limits)) is not None:
         reader.release()
         _ = request.path
