Take no invalid status and no early cut response for an answer

Cause: h11 accepts each status of three digits from 200 on, so 600 and 999 were passed on. A response without a length ends with its connection; if an endpoint sent a part of one early and ended its side while a shorter upload was still on its way, that part was a complete 200. A complete early response to a longer upload was lost, as the write that failed raised before anything was read.

The end of a connection ends a response without a length only if the peer's host has acknowledged all of the request (TIOCOUTQ). When the write of a request fails on a new connection, what has arrived is read as its response; a connection that was used before may hold a late copy, and fails as before.

--- a/buckthorndeal/_http_connection.py
+++ b/buckthorndeal/_http_connection.py
@@ -66,6 +66,8 @@
         Whether further requests may be sent over it.
     informational_count : int
         Number of informational responses to all requests.
+    is_request_cut : bool
+        Whether the connection failed while the current request was being sent.
 
     Attributes
     ----------
@@ -93,6 +95,7 @@
     method: str = ""
     is_reusable: bool = True
     informational_count: int = 0
+    is_request_cut: bool = False
 
     def __post_init__(self, account: MemoryAccount, owner: str) -> None:
         self.memory = ResponseMemory(account, owner, self.stream, self._fail)
@@ -126,6 +129,9 @@
 ) -> None:
     """Send a request with its whole body.
 
+    The server may respond early and end the connection. On a new connection, what has
+    arrived by then can only be its response to this request, and may be read.
+
     Raises
     ------
     RequestError
@@ -147,7 +153,15 @@
         else:
             await connection.stream.sendall(data + content)
     except OSError as error:
-        raise ConnectionClosedError(str(error)) from error
+        if connection.earlier_requests:
+            raise ConnectionClosedError(str(error)) from error
+        connection.is_request_cut = True
+        connection.is_reusable = False
+
+
+def is_request_taken(connection: ClientConnection) -> bool:
+    """Return whether the server has received all of the current request."""
+    return not connection.is_request_cut and not connection.stream.has_unsent()
 
 
 async def next_event(connection: ClientConnection) -> object:
--- a/buckthorndeal/_http_response.py
+++ b/buckthorndeal/_http_response.py
@@ -9,6 +9,7 @@
     ClientConnection,
     abort_connection,
     create_protocol,
+    is_request_taken,
     next_event,
 )
 from buckthorndeal._response_memory import ResponseMemory
@@ -20,6 +21,8 @@
 from buckthorndeal.memory import UNBOOKED_BYTES
 
 MAX_INFORMATIONAL_RESPONSES = 16
+# h11 takes any status of three digits from 200 on.
+MAX_STATUS = 599
 MAX_RESPONSE_BYTES = 1 << 24
 # Responses without a body, whatever their headers say.
 BODILESS_STATUSES = (204, 304)
@@ -56,6 +59,7 @@
         while not self._ended:
             event = await next_event(self._connection)
             if isinstance(event, h11.EndOfMessage):
+                self._check_end()
                 self._ended = True
             elif not isinstance(event, h11.Data):
                 raise ConnectionClosedError("the response ended early")
@@ -63,6 +67,19 @@
                 return bytes(event.data) + self._take_buffered()
         return b""
 
+    def _check_end(self) -> None:
+        """Refuse the end of a connection as the end of a response that came early.
+
+        Unless the server has received the request, a failure may look like that.
+        """
+        connection = self._connection
+        if not (self.ends_with_connection and connection.closed_by_peer):
+            return
+        if not is_request_taken(connection):
+            raise ConnectionClosedError(
+                "the connection ended before the request was received"
+            )
+
     def _take_buffered(self) -> bytes:
         """Return the body data that h11 has received but not yet returned."""
         protocol = self._connection.protocol
@@ -218,6 +235,10 @@
     for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
         event = await next_event(connection)
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise ConnectionBrokenError(
+                    f"malformed response: status {event.status_code}"
+                )
             headers = {
                 name.decode("ascii"): value.decode("latin-1")
                 for name, value in event.headers
--- a/buckthorndeal/bench/_counted_stream.py
+++ b/buckthorndeal/bench/_counted_stream.py
@@ -45,6 +45,10 @@
         """Return whether the stream has ended."""
         return self._inner.is_ended()
 
+    def has_unsent(self) -> bool:
+        """Return whether the peer's host has not received all that was sent."""
+        return self._inner.has_unsent()
+
     async def end_sending(self) -> None:
         """End the sending half of the stream."""
         await self._inner.end_sending()
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -42,6 +42,13 @@
     def is_ended(self) -> bool:
         """Return whether the peer has ended the stream, also while data is unread."""
 
+    def has_unsent(self) -> bool:
+        """Return whether the peer's host has not received all that was sent.
+
+        Streams that cannot tell return False.
+        """
+        return False
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
--- a/buckthorndeal/transport/_memory.py
+++ b/buckthorndeal/transport/_memory.py
@@ -35,6 +35,10 @@
         self.closed = False
         self._changed = curio.Condition()
 
+    @property
+    def has_unread(self) -> bool:
+        return bool(self._chunks)
+
     @property
     def readable(self) -> bool:
         return self.closed or self._is_reading_ended or bool(self._chunks)
@@ -115,6 +119,9 @@
     def is_ended(self) -> bool:
         return self._incoming.closed
 
+    def has_unsent(self) -> bool:
+        return self._outgoing.has_unread
+
     def end_reading(self) -> None:
         self._incoming.end_reading()
 
--- a/buckthorndeal/transport/_streams.py
+++ b/buckthorndeal/transport/_streams.py
@@ -1,7 +1,10 @@
 """Byte streams over TCP connections."""
 
+import fcntl
 import select
 import socket as stdlib_socket
+import struct
+import termios
 
 from curio.io import Socket
 
@@ -37,6 +40,11 @@
         poll.register(self._sock.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def has_unsent(self) -> bool:
+        # On a socket, the bytes that the peer has not acknowledged.
+        size = fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, bytes(4))
+        return struct.unpack("i", size)[0] > 0
+
     async def close(self) -> None:
         await self._sock.close()
         self._descriptors.remove(self._sock)
--- a/tests/cut_transport.py
+++ b/tests/cut_transport.py
@@ -84,6 +84,9 @@
     def is_ended(self):
         return self._inner.is_ended() and self._transport.manner != "hang"
 
+    def has_unsent(self):
+        return self._inner.has_unsent()
+
     def end_reading(self):
         self._inner.end_reading()
 
