--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -386,6 +386,9 @@
     "length": MemoryOptions(manners=("length",)),
     "header": MemoryOptions(manners=("header",)),
     "event": MemoryOptions(manners=("event",), stream_share=1.0),
+    "events": MemoryOptions(
+        manners=("event",), callers=250, stream_share=1.0, seconds=8.0
+    ),
     "many": MemoryOptions(
         manners=("chunks", "length", "event", "header"),
         rate_bytes_s=1e6,
--- a/tests/test_memory_play.py
+++ b/tests/test_memory_play.py
@@ -10,6 +10,9 @@
     list_unanswered,
 )
 
+# Below what the smallest host has, and above what a gateway needs for the play.
+MAX_EVENTS_BYTES = 150_000_000
+
 
 class MemoryPlayTest(unittest.TestCase):
     """A process stays within the memory that it is told it may use, and answers."""
@@ -32,6 +35,12 @@
         play = self.check("bodies")
         self.assertGreater(play.endless, 10, describe(play))
 
+    def test_events_without_end_do_not_fill_a_host(self):
+        """Guards against buffers of events that fragment the heap as they grow."""
+        play = self.check("events")
+        self.assertGreater(play.endless, 10, describe(play))
+        self.assertLessEqual(max(play.peaks.values()), MAX_EVENTS_BYTES, describe(play))
+
     def test_requests_without_end_do_not_fill_a_host(self):
         """Guards against bounds of single bodies whose sum has no bound."""
         self.check("requests")
--- a/tests/test_misbehaving_endpoints.py
+++ b/tests/test_misbehaving_endpoints.py
@@ -1,5 +1,6 @@
 """Tests of a gateway with endpoints that break the protocol."""
 
+import random
 import time
 import unittest
 
@@ -325,6 +326,26 @@
 class EventBufferTest(unittest.TestCase):
     """Events are found however small the pieces are, in time linear in their size."""
 
+    def test_pieces_do_not_change_the_events(self):
+        """Guards against line ends that are split between two pieces."""
+        for seed in range(300):
+            rng = random.Random(f"events-{seed}")
+            data = bytes(rng.choice(b"\r\n\nx\n") for _ in range(60))
+            whole, pieces = EventBuffer(), EventBuffer()
+            expected = whole.feed(data)
+            events = []
+            start = 0
+            while start < len(data):
+                end = start + rng.randrange(1, 5)
+                events += pieces.feed(data[start:end])
+                start = end
+            with self.subTest(seed=seed):
+                self.assertEqual(events, expected)
+                self.assertEqual(pieces.pending_bytes, whole.pending_bytes)
+                self.assertEqual(
+                    pieces.is_at_event_boundary, whole.is_at_event_boundary
+                )
+
     def test_long_event_in_small_pieces(self):
         """Guards against searching everything again at each piece."""
         splitter = EventSplitter()
