Let newcomers take the places of silent bodies at once

Cause: a newcomer was refused while the connections of refused bodies lingered, and bodies beyond their share stayed until someone came.

Change: a connection that lingers has left its place. One that arrives takes the place of a body that is refused for it. While too many are incomplete, those that wait look once a second whether one has to go.

The stand-in stream of the fuzz test gets the method that streams have now.

--- a/buckthorndeal/_http_incomplete.py
+++ b/buckthorndeal/_http_incomplete.py
@@ -65,26 +65,32 @@
         self._silent_since_s[request] = self._clock()
         self.free_places()
 
+    def is_crowded(self) -> bool:
+        """Return whether more requests are incomplete than may stay so."""
+        return len(self) > self._get_places()
+
     def remove(self, request: Displaceable) -> None:
         """Forget a request that is complete or refused."""
         self._silent_since_s.pop(request, None)
 
-    def free_places(self, is_full: bool = False) -> None:
-        """Refuse the longest silent requests beyond the places.
+    def free_places(self, is_full: bool = False) -> int:
+        """Refuse the longest silent requests beyond the places; return their number.
 
         If the process is full for another reason, one of them is refused in any case.
         """
         left = max(len(self) - self._get_places(), int(is_full))
         silent_until_s = self._clock() - MIN_SILENCE_S
+        before = self.displaced_count
         while left > 0 and self._silent_since_s:
             request, since_s = next(iter(self._silent_since_s.items()))
             if since_s > silent_until_s:
-                return
+                break
             del self._silent_since_s[request]
             left -= 1
             self.displaced_count += 1
             self._log()
             request.displace()
+        return self.displaced_count - before
 
     async def take_turn(self, decode: Callable[[], ResultT]) -> ResultT:
         """Return the result of `decode`, once no other body in many chunks has a turn.
--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -8,9 +8,13 @@
 import curio
 import h11
 
-from buckthorndeal._http_incomplete import IncompleteRequests
+from buckthorndeal._http_incomplete import MIN_SILENCE_S, IncompleteRequests
 from buckthorndeal._http_protocol import ServerProtocol
-from buckthorndeal._http_refusals import create_displaced_error
+from buckthorndeal._http_refusals import (
+    create_displaced_error,
+    create_late_error,
+    create_too_large_error,
+)
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.errors import MemoryShortageError, RequestError
 from buckthorndeal.memory import UNBOOKED_BYTES, Booking, MemoryAccount, Use
@@ -191,11 +195,7 @@
         while True:
             event = await self._decode(connection)
             if event is h11.NEED_DATA:
-                self._incomplete.record_wait(self)
-                async with curio.ignore_after(pause_s) as pause:
-                    await self._receive(connection)
-                if pause.expired:
-                    raise _create_late_error()
+                await self._wait_for_more(connection, pause_s)
             elif isinstance(event, h11.Data):
                 self._add_content(event.data, max_bytes)
                 if connection.pending_bytes:
@@ -207,6 +207,23 @@
             else:
                 raise RequestError("bad_request", 400, "the request body ended early")
 
+    async def _wait_for_more(self, connection: ServerProtocol, left_s: float) -> None:
+        """Wait for further bytes of a body, for `left_s` seconds at most.
+
+        While too many requests are incomplete, some are refused from time to time.
+        """
+        self._incomplete.record_wait(self)
+        while left_s > 0:
+            is_crowded = self._incomplete.is_crowded()
+            limit_s = min(left_s, MIN_SILENCE_S) if is_crowded else left_s
+            async with curio.ignore_after(limit_s) as wait:
+                await self._receive(connection)
+            if not wait.expired:
+                return
+            left_s -= limit_s
+            self._incomplete.free_places()
+        raise create_late_error()
+
     async def _decode(self, connection: ServerProtocol) -> object:
         """Return the next event; bodies in many chunks take turns for it."""
         if connection.chunk_count <= FREE_CHUNKS or not connection.pending_bytes:
@@ -229,7 +246,7 @@
     def _add_content(self, data: bytes | bytearray, max_bytes: int) -> None:
         self._content_bytes += len(data)
         if self._content_bytes > max_bytes:
-            raise _create_too_large_error(max_bytes)
+            raise create_too_large_error(max_bytes)
         self._hold(0)
         if self._content is None:
             self._content = io.BytesIO()
@@ -282,7 +299,7 @@
         if not length.isdigit():
             return
         if int(length) > max_bytes:
-            raise _create_too_large_error(max_bytes)
+            raise create_too_large_error(max_bytes)
         if int(length) > UNBOOKED_BYTES:
             self._get_booking().check(self._head_bytes + int(length))
 
@@ -327,7 +344,7 @@
 
 @create_request_error.register
 def _(error: curio.TaskTimeout) -> RequestError:
-    return _create_late_error()
+    return create_late_error()
 
 
 @create_request_error.register
@@ -366,17 +383,6 @@
         )
 
 
-def _create_late_error() -> RequestError:
-    message = "the request was not received in time"
-    return RequestError("request_timeout", 408, message)
-
-
-def _create_too_large_error(max_bytes: int) -> RequestError:
-    return RequestError(
-        "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
-    )
-
-
 def _measure_head(request: Request) -> int:
     return len(request.target) + sum(map(len, request.headers.values()))
 
--- a/buckthorndeal/_http_refusals.py
+++ b/buckthorndeal/_http_refusals.py
@@ -41,3 +41,16 @@
 def create_tunnel_error() -> RequestError:
     """Return the error for a request to open a tunnel."""
     return RequestError("not_implemented", 501, "CONNECT is not supported")
+
+
+def create_late_error() -> RequestError:
+    """Return the error for a request that was not received in time."""
+    message = "the request was not received in time"
+    return RequestError("request_timeout", 408, message)
+
+
+def create_too_large_error(max_bytes: int) -> RequestError:
+    """Return the error for a body above its limit."""
+    return RequestError(
+        "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
+    )
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -187,27 +187,28 @@
         self.connection_count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
-            if has_to_linger(stream, connection):
-                # What it has buffered is not needed meanwhile.
-                del connection
-                await self._lingering.linger(stream, reader)
         finally:
             self.connection_count -= 1
+        # It has left its place, as the number of those that linger has its own limit.
+        if has_to_linger(stream, connection):
+            # What it has buffered is not needed meanwhile.
+            del connection
+            await self._lingering.linger(stream, reader)
 
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served.
 
-        If not, incomplete requests may be refused, for those that come later.
+        It takes the place of an incomplete request if there is one to refuse for it.
         """
         if self.connection_count >= limits.max_connections:
-            self._incomplete.free_places()
-            return False
+            return self._incomplete.free_places() > 0
         if self._uses_reserve or self._listener is None:
             return True
         # Connections that are not served yet must not displace each other.
         unserved = self._listener.connection_count - self.connection_count
         if self._transport.has_free_descriptors(RESERVED_SHARE, unserved):
             return True
+        # Its descriptor is free once the caller has read the refusal.
         self._incomplete.free_places(is_full=True)
         return False
 
--- a/tests/fuzzed_http.py
+++ b/tests/fuzzed_http.py
@@ -53,6 +53,9 @@
     def __init__(self, data):
         self._data = data
 
+    def has_unsent(self):
+        return False
+
     async def recv(self, max_bytes):
         size = min(max_bytes, PIECE_BYTES)
         data, self._data = self._data[:size], self._data[size:]
