--- a/buckthorndeal/_http_refusals.py
+++ b/buckthorndeal/_http_refusals.py
@@ -28,6 +28,29 @@
     )
 
 
+def create_displaced_error() -> RequestError:
+    """Return the error for a body that stays incomplete while others need its place."""
+    return RequestError(
+        "too_many_incomplete",
+        503,
+        "too many requests are incomplete, and this one has been silent for longest",
+        retry_after_s=FULL_RETRY_S,
+    )
+
+
 def create_tunnel_error() -> RequestError:
     """Return the error for a request to open a tunnel."""
     return RequestError("not_implemented", 501, "CONNECT is not supported")
+
+
+def create_late_error() -> RequestError:
+    """Return the error for a request that was not received in time."""
+    message = "the request was not received in time"
+    return RequestError("request_timeout", 408, message)
+
+
+def create_too_large_error(max_bytes: int) -> RequestError:
+    """Return the error for a body above its limit."""
+    return RequestError(
+        "body_too_large", 413, f"the body is larger than {max_bytes} bytes"
+    )
