--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -31,6 +31,7 @@
     Refusal,
     ResponseStarted,
 )
+from buckthorndeal.gateway._pace_log import PaceLog
 from buckthorndeal.gateway._path_watch import PathWatch
 from buckthorndeal.gateway._quota_requests import QuotaRequests
 from buckthorndeal.gateway._shared_messages import (
@@ -98,6 +99,7 @@
         self._clock = clock
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
+        self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
         self._quota = QuotaRequests(dispatcher.quota, metrics, effects)
         self._waiting: dict[int, Envelope] = {}
@@ -165,6 +167,7 @@
             self._expire_due_s = now_s + IDLE_INTERVAL_S
             self._dispatcher.expire_endpoints(ENDPOINT_EXPIRY_S, now_s)
             self._record_state(now_s)
+            self._pace_log.write(self._dispatcher.view.loads.values(), now_s)
 
     async def _share_rate_limits(self, now_s: float) -> None:
         """Tell other hosts which rate limits have changed."""
@@ -226,7 +229,13 @@
         self, message: ResponseStarted, envelope: Envelope, now_s: float
     ) -> None:
         dispatcher = self._dispatcher
-        dispatcher.record_response_start(message.attempt_id, message.load, now_s)
+        dispatcher.record_response_start(
+            message.attempt_id,
+            message.load,
+            now_s,
+            message.is_failure,
+            message.load_age_s,
+        )
         if message.has_events:
             dispatcher.record_first_event(message.attempt_id, now_s)
 
@@ -239,6 +248,7 @@
             now_s,
             message.closed,
             message.was_sent,
+            message.events,
             message.not_run,
         )
 
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -172,7 +172,8 @@
         if best is not None:
             is_fast = best.predicted_s <= compute_latency_budget_s(call, now_s)
             # Only a response can tell that an idle endpoint is not slow any more.
-            is_trial = call.prompt is None and best.load.is_idle(now_s)
+            is_learned = call.prompt is None or best.load.pace.is_active
+            is_trial = is_learned and best.load.is_idle(now_s)
             if is_fast or is_trial:
                 return self._accept(dispatch, best, now_s)
             return self._refusals.refuse_overload(call, len(candidates), best)
@@ -208,15 +209,20 @@
         return self.view.record_leaving(notice.record) if notice.leaving else None
 
     def record_response_start(
-        self, attempt_id: int, report: LoadReport | None, now_s: float
+        self,
+        attempt_id: int,
+        report: LoadReport | None,
+        now_s: float,
+        is_failure: bool = False,
+        report_age_s: float = 0.0,
     ) -> None:
         """Record that the response to an attempt has started."""
         load = self._get_load(self._granted.get(attempt_id))
         if load is None:
             return
-        load.record_response_start(attempt_id, now_s)
         if report is not None:
-            load.record_report(report, now_s)
+            load.record_report(report, now_s, report_age_s)
+        load.record_response_start(attempt_id, now_s, is_failure)
 
     def record_first_event(self, attempt_id: int, now_s: float) -> None:
         """Record that an attempt has brought the first event of a stream."""
@@ -231,13 +237,15 @@
         now_s: float,
         closed: bool = False,
         was_sent: bool = True,
+        events: int = 0,
         not_run: bool = False,
     ) -> None:
         """Record that an attempt has ended or was withdrawn while it waited.
 
-        `closed` tells whether the endpoint has closed the connection, and `was_sent`
-        whether bytes of the request have been sent. `not_run` tells that an endpoint
-        certainly has not run it all the same.
+        `closed` tells whether the endpoint has closed the connection, `was_sent`
+        whether bytes of the request have been sent, and `events` how many events of a
+        stream it has brought. `not_run` tells that an endpoint certainly has not run it
+        although bytes have been sent.
         """
         self.quota.finish(attempt_id, has_run=was_sent and not not_run)
         for queue in self._queues.values():
@@ -252,7 +260,7 @@
             self.crash_guard.record_attempt(ended, outcome, closed, now_s)
         if load is None:
             return
-        load.remove(attempt_id)
+        load.remove(attempt_id, now_s, outcome, events)
         self._slot_shares.record_end(ended.record, outcome, now_s)
         queue = self._queues.get(load.entry.record.service)
         if queue is not None:
