--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import curio
 
@@ -27,6 +27,7 @@
     create_connection_error,
     is_foreign,
 )
+from buckthorndeal.gateway._stream_pace import StreamPace
 from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
 from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
@@ -69,10 +70,8 @@
         Whether the response comes from an endpoint, and not through another host.
     outcome : AttemptOutcome
         Set to ``SUCCEEDED`` by the exchange once the response is complete.
-    received_s : float
-        Clock reading when the headers were received.
-    events : int
-        Number of events of a stream that it has brought; set by the exchange.
+    pace : StreamPace
+        Events of a stream, which the exchange counts.
     """
 
     attempt_id: int
@@ -82,8 +81,7 @@
     version: str | None = None
     is_direct: bool = True
     outcome: AttemptOutcome = AttemptOutcome.BROKEN
-    received_s: float = 0.0
-    events: int = 0
+    pace: StreamPace = field(default_factory=StreamPace)
 
 
 @asynccontextmanager
@@ -170,7 +168,7 @@
                 metadata,
                 _get_version(decision, response),
                 isinstance(decision, Grant),
-                received_s=context.clock(),
+                pace=StreamPace(context.clock()),
             )
             yield attempt
     except AttemptError as error:
@@ -195,7 +193,7 @@
             closed = attempt.response.ends_with_connection
         async with curio.disable_cancellation():
             await context.open_attempts.remove(attempt_id, host)
-            events = attempt.events if attempt is not None else 0
+            events = attempt.pace.count_events(context.clock()) if attempt else 0
             await context.dispatch_mailbox.send(
                 AttemptEnded(attempt_id, outcome, closed, request_sent, events)
             )
@@ -235,7 +233,7 @@
         attempt.metadata.load,
         has_events,
         attempt.response.status >= CLIENT_ERROR,
-        context.clock() - attempt.received_s,
+        context.clock() - attempt.pace.received_s,
     )
     await context.dispatch_mailbox.send(started)
 
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -401,7 +401,7 @@
             selection = selector.select(events)
             self.progress.last_event_id = selector.last_event_id
             self.progress.events += selection.count
-            attempt.events += selection.count
+            attempt.pace.events += selection.count
             if selection.data and not reported:
                 reported = True
                 self._call = replace(self._call, version=attempt.version)
@@ -412,6 +412,8 @@
                 self._record_events(attempt)
                 await self._start_response(attempt)
                 await self._responder.send(selection.data)
+                sent_s = self._context.clock()
+                attempt.pace.held_s += sent_s - self.progress.last_response_s
                 if memory.is_used:
                     await memory.keep_pending()
             if selection.fault is not None:
--- a/buckthorndeal/gateway/_learning.py
+++ b/buckthorndeal/gateway/_learning.py
@@ -36,13 +36,13 @@
         self._failed_s = -math.inf
 
     def get_request_limit(self, limit: float, now_s: float) -> float:
-        """Return the learned number of requests, or `limit` if nothing is learned."""
+        """Return the learned number of requests, at most `limit`."""
         if self.limits is None:
             return limit
         learned = self.limits.requests.get_value(now_s)
         # In a slow phase the same time is enough for less.
         slowdown = self.pace.get_slowdown(now_s) / self.pace.service.mean_slowdown
-        return learned if slowdown <= 1 else learned / slowdown
+        return min(limit, learned) / max(1.0, slowdown)
 
     def is_queue_full(self, queued_tokens: float, now_s: float) -> bool:
         """Return whether as many tokens are queued as can be prefilled in time."""
--- a/buckthorndeal/gateway/_load_limit.py
+++ b/buckthorndeal/gateway/_load_limit.py
@@ -33,6 +33,8 @@
 MIN_SLOT_SHARE = 0.25
 MIN_QUEUED_TOKENS = 4_000.0
 MAX_QUEUED_TOKENS = 200_000.0
+# A report that claims that more than this many times the slots run is ignored.
+CREDIBLE_FACTOR = 2
 
 
 class LoadLimit:
@@ -133,3 +135,8 @@
 def get_slot_limit(slots: int, is_engine: bool) -> float:
     """Return the largest number of requests at an endpoint, whatever it has learned."""
     return slots * MAX_SLOT_UTILIZATION if is_engine else slots + max(1, slots // 3)
+
+
+def is_credible(running: int, slots: int) -> bool:
+    """Return whether a reported number of running requests is possible."""
+    return running <= CREDIBLE_FACTOR * max(1, slots)
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -8,7 +8,11 @@
 from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._learning import EndpointLearning
-from buckthorndeal.gateway._load_limit import MAX_MEMORY_UTILIZATION, get_slot_limit
+from buckthorndeal.gateway._load_limit import (
+    MAX_MEMORY_UTILIZATION,
+    get_slot_limit,
+    is_credible,
+)
 from buckthorndeal.gateway._messages import (
     Call,
     LoadReport,
@@ -133,15 +137,6 @@
             self._refresh(now_s)
         return self._others
 
-    def count_other_queued(self, now_s: float) -> int:
-        """Return the number of requests of other hosts that wait for their first token.
-
-        The result is 0 without a recent load report.
-        """
-        if self._refreshed_s != now_s:
-            self._refresh(now_s)
-        return self._others_queued
-
     def _refresh(self, now_s: float) -> None:
         """Update what the last report tells at a clock reading."""
         self._refreshed_s = now_s
@@ -154,13 +149,14 @@
         pace = self.pace
         if pace.service.is_active:
             mean = pace.service.get_mean_load(now_s)
-            if is_recent:
-                most = MAX_REPORTED_PER_SLOT * max(1, self.entry.record.slots)
+            slots = max(1, self.entry.record.slots)
+            if is_recent and is_credible(report.running, slots):
+                most = MAX_REPORTED_PER_SLOT * slots
                 queued = min(queued, most)
                 fresh = 1 - age_s / REPORT_LIFETIME_S
                 others = mean + (min(others, most) - mean) * fresh
             else:
-                others = mean
+                others, queued = mean, 0
             self._relative = pace.get_scale(now_s) * pace.get_slowdown(now_s)
         self._others, self._others_queued = others, queued
 
@@ -174,9 +170,10 @@
         self.report_received_s = now_s - age_s if self.pace.is_active else now_s
         self.inflight_at_report = self.inflight
         self._refreshed_s = None
-        if self.pace.is_active:
+        slots = self.entry.record.slots
+        if self.pace.is_active and is_credible(report.running, slots):
             total = report.running + report.waiting - self.inflight
-            others = min(max(0, total), self.entry.record.slots)
+            others = min(max(0, total), slots)
             self.pace.service.record_load(others, now_s)
 
     def predict_first_response_s(
@@ -202,6 +199,9 @@
     def _compute_overdue_s(self, now_s: float) -> float:
         """Return how long the endpoint has owed a response, in seconds."""
         oldest = next(iter(self.queued.values()))
+        if not oldest.predicted_s:
+            # It was granted before the pace was learned.
+            return 0.0
         allowed_s = OVERDUE_FACTOR * oldest.predicted_s
         # A single lost request does not stand for an endpoint that answers others.
         due_s = max(oldest.granted_s, self.responded_s) + allowed_s
@@ -258,8 +258,9 @@
 
     def count_queued_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that are queued for prefill at the engine."""
-        others = self.count_other_queued(now_s) * self.mean_uncached_tokens
-        return self.queued_tokens + others
+        if self._refreshed_s != now_s:
+            self._refresh(now_s)
+        return self.queued_tokens + self._others_queued * self.mean_uncached_tokens
 
     def has_capacity(
         self, call: Call, service: ServiceDescription, now_s: float
@@ -300,8 +301,6 @@
     def _get_request_limit(self, is_engine: bool, now_s: float) -> float:
         """Return how many requests may be at the endpoint, also of other hosts."""
         limit = get_slot_limit(self.entry.record.slots, is_engine)
-        if self.learning.limits is None:
-            return limit
         return self.learning.get_request_limit(limit, now_s)
 
     def add(self, attempt_id: int, attempt: GrantedAttempt) -> None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -344,7 +344,8 @@
     was_sent : bool
         Whether bytes of the request have been sent.
     events : int
-        Number of events of a stream that it has brought.
+        Number of events of a stream that it has brought; 0 if the caller has held
+        them up, so that they do not tell the endpoint's pace.
     """
 
     attempt_id: int
