--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -100,8 +100,7 @@
             return None
         if choices[0].load.pace.is_active:
             budget_s = compute_latency_budget_s(call, now_s)
-            timely = [each for each in choices if each.predicted_s <= budget_s]
-            return self._choose_near_best(timely or choices, prefix_owner)
+            return self._choose_near_best(choices, prefix_owner, budget_s)
         # Hosts that know nothing to tell two endpoints apart choose at random, as all
         # of them would otherwise send to the same one.
         return min(
@@ -110,7 +109,10 @@
         )
 
     def _choose_near_best(
-        self, choices: list[LocalChoice], prefix_owner: EndpointLoad | None
+        self,
+        choices: list[LocalChoice],
+        prefix_owner: EndpointLoad | None,
+        budget_s: float,
     ) -> LocalChoice:
         """Choose at random between endpoints of about the least cost.
 
@@ -118,12 +120,13 @@
         The owner of a shared prefix gets its requests while it costs least.
         """
         warm = [choice for choice in choices if not choice.cold] or choices
-        best = min(warm, key=_get_cost)
+        timely = [choice for choice in warm if choice.predicted_s <= budget_s] or warm
+        best = min(timely, key=_get_cost)
         if best.load is prefix_owner:
             return best
         least_s = best.endpoint_cost_s
         limit_s = least_s * NEAR_BEST
-        near = [choice for choice in warm if choice.endpoint_cost_s <= limit_s]
+        near = [choice for choice in timely if choice.endpoint_cost_s <= limit_s]
         if len(near) == 1:
             return best
         weights = [
--- a/tests/test_endpoint_load.py
+++ b/tests/test_endpoint_load.py
@@ -5,6 +5,7 @@
 
 from buckthorndeal.gateway import _pace_log
 from buckthorndeal.gateway._load_limit import EndpointLimits
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
     Call,
     Grant,
@@ -166,6 +167,28 @@
         self.harness.finish(self.harness.attempt_id, AttemptOutcome.CANCELLED)
         self.assertEqual(load.pace.get_scale(self.now_s), 1.0)
 
+    def test_cold_endpoint_waits_for_the_others(self):
+        """Guards against an endpoint that looks free because it is not warm yet."""
+        for name in self.loads:
+            self.report(10, name=name)
+        self.report(0)
+        with mock.patch.object(
+            EndpointLoad, "is_cold", lambda load, now_s: load.name == "e0"
+        ):
+            names = {self.send() for _ in range(20)}
+        self.assertNotIn("e0", names)
+
+    def test_owner_of_a_prefix_gets_its_requests(self):
+        """Guards against a copy of each shared prefix at each endpoint."""
+        for name in self.loads:
+            self.report(name=name)
+        names = set()
+        for number in range(10):
+            decision = self.harness.submit(create_prompt(7, number))
+            names.add(decision.record.endpoint)
+            self.harness.finish(self.harness.attempt_id)
+        self.assertEqual(len(names), 1)
+
     def test_hosts_with_the_same_report_spread_their_requests(self):
         """Guards against many hosts that all choose the endpoint that looks free."""
         names = []
