--- a/tests/test_endpoint_load.py
+++ b/tests/test_endpoint_load.py
@@ -4,6 +4,8 @@
 from unittest import mock
 
 from buckthorndeal.gateway import _pace_log
+from buckthorndeal.gateway._load_limit import EndpointLimits
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
     Call,
     Grant,
@@ -59,9 +61,8 @@
         for _ in range(20):
             self.send(slowdown=None)
         self.assertFalse(self.load.pace.is_active)
-        self.assertTrue(
-            all(each.learning.limits is None for each in self.loads.values())
-        )
+        for load in self.loads.values():
+            self.assertIsNone(load.learning.limits)
         speed = self.load.prefill_speed
         predicted_s = self.load.predict_first_response_s(
             self.create_call(create_prompt(1, 1)), 1000, self.now_s
@@ -95,13 +96,12 @@
         self.assertEqual(self.load.count_free(ENGINE, self.now_s), 0)
 
     def test_free_requests_in_a_slow_phase(self):
+        """Guards against filling an endpoint whose machine is slow at the moment."""
+        self.load.learning.limits = EndpointLimits(SLOTS, True)
         self.report(10)
         usual = self.load.count_free(ENGINE, self.now_s)
-        for _ in range(5):
-            self.send()
         self.report(10, slowdown=2.5)
-        if self.load.learning.limits is not None:
-            self.assertLess(self.load.count_free(ENGINE, self.now_s), usual)
+        self.assertLess(self.load.count_free(ENGINE, self.now_s), 0.6 * usual)
 
     def test_free_requests_without_a_learned_pace(self):
         self.load.record_report(LoadReport(10, 0, SLOTS), self.now_s)
@@ -167,6 +167,28 @@
         self.harness.finish(self.harness.attempt_id, AttemptOutcome.CANCELLED)
         self.assertEqual(load.pace.get_scale(self.now_s), 1.0)
 
+    def test_cold_endpoint_waits_for_the_others(self):
+        """Guards against an endpoint that looks free because it is not warm yet."""
+        for name in self.loads:
+            self.report(10, name=name)
+        self.report(0)
+        with mock.patch.object(
+            EndpointLoad, "is_cold", lambda load, now_s: load.name == "e0"
+        ):
+            names = {self.send() for _ in range(20)}
+        self.assertNotIn("e0", names)
+
+    def test_owner_of_a_prefix_gets_its_requests(self):
+        """Guards against a copy of each shared prefix at each endpoint."""
+        for name in self.loads:
+            self.report(name=name)
+        names = set()
+        for number in range(10):
+            decision = self.harness.submit(create_prompt(7, number))
+            names.add(decision.record.endpoint)
+            self.harness.finish(self.harness.attempt_id)
+        self.assertEqual(len(names), 1)
+
     def test_hosts_with_the_same_report_spread_their_requests(self):
         """Guards against many hosts that all choose the endpoint that looks free."""
         names = []
@@ -186,8 +208,8 @@
 
     def test_slow_caller_hides_the_pace(self):
         """Guards against callers that read slowly and make an endpoint look slow."""
-        self.assertEqual(StreamPace(30, 0.1).count_events(2.0), 30)
-        self.assertEqual(StreamPace(30, 1.0).count_events(2.0), 0)
+        self.assertEqual(StreamPace(100.0, 30, 0.1).count_events(102.0), 30)
+        self.assertEqual(StreamPace(100.0, 30, 1.0).count_events(102.0), 0)
 
 
 class PaceLogTest(unittest.TestCase):
