Send keys of workspaces in the tests of quotas

The tests replaced the method that finds the workspace of a request, which is not awaited any more since keys are checked. They now send a key, so that nothing of the gateway is replaced.

--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -3,7 +3,6 @@
 import json
 import time
 import unittest
-from dataclasses import replace
 from unittest import mock
 
 import curio
@@ -11,14 +10,15 @@
 from buckthorndeal.coordinator import Coordinator
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import QuotaRequest
-from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.settings import QuotaSettings
 from tests.fleet_harness import REQUEST_ID, Fleet, create_configuration, run_fleet
+from tests.workspace_harness import KEY
 
 HOSTS = ("10.1.0.7", "10.1.0.8", "10.2.0.9")
 QUOTA = QuotaSettings(window_s=4.0, overage=0.1, slack=0.0)
 RATE = 40.0
 WORKSPACE = "w"
+WORKSPACE_KEY = "k-w"
 
 
 def create_limited_configuration(version=1, rate_per_s=RATE):
@@ -26,24 +26,11 @@
     for route in body["routes"]:
         route["allows_anonymous"] = True
     body["workspaces"] = [
-        {"name": WORKSPACE, "keys": ["key"], "rate_per_s": rate_per_s}
+        {"name": WORKSPACE, "keys": [WORKSPACE_KEY], "rate_per_s": rate_per_s}
     ]
     return json.dumps(body).encode()
 
 
-def charge_limited_requests():
-    """Let requests with a path of their own belong to the workspace."""
-    create_call = GatewayHandler._create_call
-
-    async def create(self, request, *args):
-        call = await create_call(self, request, *args)
-        workspace = self._context.routes.workspaces.find_by_name(WORKSPACE)
-        is_limited = request.path.endswith("/limited") and not call.hops
-        return replace(call, workspace=workspace) if is_limited else call
-
-    return mock.patch.object(GatewayHandler, "_create_call", create)
-
-
 class Callers:
     """Callers that send steadily to all gateways, and what came of it."""
 
@@ -61,10 +48,8 @@
 
     async def send(self, host):
         self.sent += 1
-        headers = [(REQUEST_ID, f"q{self.sent}")]
-        response = await self.fleet.send_request(
-            host, "/non_idempotent/limited", headers
-        )
+        headers = [(REQUEST_ID, f"q{self.sent}"), (KEY, WORKSPACE_KEY)]
+        response = await self.fleet.send_request(host, "/non_idempotent/x", headers)
         self.responses.append((time.monotonic(), *response))
 
     def count(self, status, since_s=0.0):
@@ -113,11 +98,6 @@
 
 
 class QuotaFleetTest(unittest.TestCase):
-    def setUp(self):
-        patch = charge_limited_requests()
-        patch.start()
-        self.addCleanup(patch.stop)
-
     def check_refusals(self, callers, arrivals_s):
         """Check that what was refused was not run, and says when to return."""
         self.assertEqual(len(arrivals_s), callers.count(200))
