Keep requests that are being refused out of the places of others

Cause: the body of a connection that is refused, which is read so that the refusal is not lost, counted among the incomplete requests of the server and so displaced those that are served.

Change: it has a collection of its own. The number of places is a property of the limits.

--- a/buckthorndeal/_http_incomplete.py
+++ b/buckthorndeal/_http_incomplete.py
@@ -116,6 +116,8 @@
         )
 
 
-def create_incomplete_requests(get_places: Callable[[], int]) -> IncompleteRequests:
+def create_incomplete_requests(
+    get_places: Callable[[], int] = lambda: 1,
+) -> IncompleteRequests:
     """Return an empty collection; see `IncompleteRequests`."""
     return IncompleteRequests(get_places)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -110,7 +110,9 @@
         self.closing = False
         self._idle = IdleConnections()
         self._lingering = LingeringConnections()
-        self._incomplete = create_incomplete_requests(self._count_places)
+        self._incomplete = create_incomplete_requests(
+            lambda: self._limits.max_incomplete
+        )
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
         self.connection_count = 0
@@ -177,13 +179,16 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = create_protocol(limits)
-        reader = RequestReader(stream, self._transport.memory, self._incomplete)
+        memory = self._transport.memory
         if not self._has_room(limits):
+            # Its body takes no place from those that may be served.
+            reader = RequestReader(stream, memory, create_incomplete_requests())
             await self._refuse_connection(stream, connection, limits, reader)
             if has_to_linger(stream, connection):
                 del connection
                 await self._lingering.linger(stream, reader, REFUSAL_TIMEOUT_S)
             return
+        reader = RequestReader(stream, memory, self._incomplete)
         self.connection_count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
@@ -212,11 +217,6 @@
         self._incomplete.free_places(is_full=True)
         return False
 
-    def _count_places(self) -> int:
-        """Return the number of requests that may stay incomplete."""
-        limits = self._limits
-        return max(1, int(limits.max_connections * limits.incomplete_share))
-
     async def _refuse_connection(
         self,
         stream: Stream,
