--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -40,13 +40,22 @@
 
 
 class DispatcherHarness:
-    """Dispatcher of one host in region ``a`` on a simulated clock."""
+    """Dispatcher of one host, by default in region ``a``, on a simulated clock."""
 
-    def __init__(self, endpoints=3, service="llm", slots=64, host="h1", **options):
+    def __init__(
+        self,
+        endpoints=3,
+        service="llm",
+        slots=64,
+        host="h1",
+        region="a",
+        **options,
+    ):
         self.now_s = 100.0
+        self.region = region
         self.dispatcher = Dispatcher(
             host,
-            "a",
+            region,
             FleetView(host),
             DispatchOptions(**options),
             create_ejection(),
@@ -72,8 +81,8 @@
                 "incarnation": 1,
                 "sequence": self.sequence,
                 "service": self.service,
-                "region": "a",
-                "failure_domain": "a-1",
+                "region": self.region,
+                "failure_domain": f"{self.region}-1",
                 "address": f"10.0.0.{name[1:]}:80",
                 "slots": self.slots,
                 "state": EndpointState.READY,
--- a/tests/pace_play.py
+++ b/tests/pace_play.py
@@ -199,6 +199,7 @@
         self.rng = random.Random(seed)
         self.kinds = kinds
         self.texts = texts
+        self.text_prefix = ""
         self.load = load
         self.slow_phases = slow_phases
         self.is_plain = not kinds[0].tokens
@@ -333,7 +334,7 @@
         if not self.is_plain:
             tokens = int(kind.tokens * self.rng.lognormvariate(-0.18, 0.6))
             parts = (
-                PromptPart(f"{kind.name}{text}", kind.shared_tokens),
+                PromptPart(f"{self.text_prefix}{kind.name}{text}", kind.shared_tokens),
                 PromptPart(f"own{next(self.numbers)}", tokens),
             )
             output = kind.events * kind.event_tokens * 2
