Divide what a region lends among hosts, in prompt tokens

Each host of a region took the whole of the free slots that another region had reported as its own, and slots say little of an engine that has prompts to prefill. Regions whose endpoints report a slowdown now tell each host how many requests and prompt tokens it may send.

--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -328,12 +328,23 @@
         Requests that the region accepts from other regions until the next report.
     versions : tuple of str
         Software versions that serve there.
+    lent_requests : int
+        Requests that the receiver may send until the next report; -1 if the region
+        does not divide what it lends.
+    lent_tokens : int
+        Prompt tokens, to prefill, of these requests; 0 for plain services.
+    wanted : int
+        Prompt tokens, or requests of a plain service, that the sender would have liked
+        to send to other regions since its last report.
     """
 
     service: str
     wait_s: float
     free: int
     versions: tuple[str, ...] = ()
+    lent_requests: int = -1
+    lent_tokens: int = 0
+    wanted: int = 0
 
 
 class RegionLoad(Message, tag="rl"):
@@ -341,6 +352,8 @@
 
     region: str
     services: tuple[ServiceLoad, ...]
+    # Entry hosts of the region that share its endpoints; 0 from hosts of an older build.
+    hosts: int = 0
 
 
 FLEET_CODEC = create_codec(
--- a/buckthorndeal/gateway/_decision_log.py
+++ b/buckthorndeal/gateway/_decision_log.py
@@ -40,6 +40,7 @@
         "chosen": decision.host,
         "region": decision.region,
         "relay": decision.is_relay,
+        "why": decision.reason.value if decision.reason is not None else None,
         "predicted_ms": round(decision.predicted_s * 1000),
     }
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -28,6 +28,7 @@
     Decision,
     Dispatch,
     EndpointNotice,
+    Forward,
     Refusal,
     ResponseStarted,
 )
@@ -336,7 +337,8 @@
     async def _(
         self, message: DescribeRegionLoad, envelope: Envelope, now_s: float
     ) -> None:
-        await envelope.reply(self._dispatcher.describe_region(now_s))
+        loads = self._dispatcher.describe_region(now_s, message.borrower)
+        await envelope.reply(loads)
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
@@ -372,6 +374,13 @@
         call = message.call
         waited_s = now_s - call.arrived_s
         self._metrics.count("decisions", kind=type(decision).__name__.lower())
+        if isinstance(decision, Forward) and decision.reason is not None:
+            self._metrics.count(
+                "moved_requests",
+                service=call.service,
+                region=decision.region,
+                reason=decision.reason.value,
+            )
         self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
         refused = isinstance(decision, Refusal)
         write = log_event if refused else log_routine
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -11,6 +11,7 @@
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_messages import (
+    Borrower,
     RegionUpdate,
 )
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
@@ -28,6 +29,7 @@
     Forward,
     Grant,
     LoadReport,
+    MoveReason,
     RefusalReason,
 )
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
@@ -294,9 +296,14 @@
         """Check the path if no endpoint sends anything; see `EndpointReach`."""
         self.reach.watch_silence(self._granted, heard_s, now_s)
 
-    def describe_region(self, now_s: float) -> tuple[ServiceLoad, ...]:
+    def describe_region(
+        self, now_s: float, borrower: Borrower | None = None
+    ) -> tuple[ServiceLoad, ...]:
         """Return the load of the region for others; none if no endpoint is reached."""
-        return () if self.reach.is_lost else self.view.describe_region(now_s)
+        if self.reach.is_lost:
+            return ()
+        loads = self.view.describe_region(now_s)
+        return self._remote.add_lending(loads, borrower, now_s)
 
     @property
     def has_waiting(self) -> bool:
@@ -316,7 +323,7 @@
 
     def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         if not dispatch.call.hops:
-            remote = self._remote.find_fastest(dispatch, now_s)
+            remote = self._remote.find_fastest(dispatch, MoveReason.HOME, now_s)
             if remote is not None:
                 return self._accept(dispatch, remote, now_s)
             if self._is_starting(now_s):
@@ -360,9 +367,13 @@
             if choice.is_relay:
                 self.relays.record_sent(dispatch.attempt_id, choice.host)
             else:
-                self._remote.record_sent(choice, call.service)
+                self._remote.record_sent(choice, call, now_s)
             return Forward(
-                choice.region, choice.host, choice.predicted_s, choice.is_relay
+                choice.region,
+                choice.host,
+                choice.predicted_s,
+                choice.is_relay,
+                choice.reason,
             )
         return self._grant(dispatch, choice, now_s)
 
--- a/buckthorndeal/gateway/_fleet_messages.py
+++ b/buckthorndeal/gateway/_fleet_messages.py
@@ -1,8 +1,10 @@
 """Messages to the dispatch task about endpoints, entry hosts and regions."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Self
 
-from buckthorndeal.fleet import EndpointRecord, ServiceVersion
+from buckthorndeal.fleet import EndpointRecord, ServiceLoad, ServiceVersion
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,41 @@
     host: str
 
 
+@dataclass(frozen=True, slots=True)
+class SpareCapacity:
+    """What a region can do for others until the next report.
+
+    Parameters
+    ----------
+    requests : int
+        Requests that its endpoints take well.
+    tokens : int
+        Prompt tokens that they prefill without a long wait; 0 for plain services.
+    """
+
+    requests: int
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Borrower:
+    """A host of another region that asks for a part of what this region lends.
+
+    Parameters
+    ----------
+    region : str
+        Its region.
+    hosts : int
+        Hosts of that region, which divide the part of the region.
+    wanted : dict of str to int
+        What the host wants, by service; see `ServiceLoad`.
+    """
+
+    region: str
+    hosts: int
+    wanted: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class RegionUpdate:
     """Notification: load of another region.
@@ -69,6 +106,9 @@
         Requests that the region can take, by service.
     versions : dict of str to tuple of str
         Software versions that serve there, by service.
+    lent : dict of str to SpareCapacity
+        What this host may send there until the next report, by service; a service is
+        missing if the region does not divide what it lends.
     """
 
     region: str
@@ -76,6 +116,24 @@
     waits_s: dict[str, float] = field(default_factory=dict)
     free_slots: dict[str, int] = field(default_factory=dict)
     versions: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    lent: dict[str, SpareCapacity] = field(default_factory=dict)
+
+    @classmethod
+    def create(cls, region: str, host: str, loads: Iterable[ServiceLoad]) -> Self:
+        """Return the update for a report of a host."""
+        loads = tuple(loads)
+        return cls(
+            region,
+            host,
+            {each.service: each.wait_s for each in loads},
+            {each.service: each.free for each in loads},
+            {each.service: each.versions for each in loads},
+            {
+                each.service: SpareCapacity(each.lent_requests, each.lent_tokens)
+                for each in loads
+                if each.lent_requests >= 0
+            },
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,4 +170,13 @@
 
 @dataclass(frozen=True, slots=True)
 class DescribeRegionLoad:
-    """Query: `ServiceLoad` of each service of this region, for other regions."""
+    """Query: `ServiceLoad` of each service of this region, for other regions.
+
+    Parameters
+    ----------
+    borrower : Borrower or None
+        Host of another region that is told its part of what this region lends; None
+        for this host's own report, which tells what it wants.
+    """
+
+    borrower: Borrower | None = None
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -9,13 +9,14 @@
 from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
+    SpareCapacity,
 )
 from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._pace import EndpointPace, ServicePace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
-from buckthorndeal.gateway._region_load import describe_load
+from buckthorndeal.gateway._region_load import describe_load, measure_spare
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from buckthorndeal.gateway._warm_ups import WarmUps
@@ -372,17 +373,32 @@
         """
         described: dict[str, tuple[float, int]] = {}
         for name, service in self.services.items():
-            loads = [
-                load
-                for load in self._list_loads(name)
-                if self._get_condition(load, now_s) is EndpointCondition.READY
-                and self.rate_shares.get_limit(load.entry.record) is None
-                and self.rate_shares.get_rejection_limit(load.entry.record) is None
-            ]
+            loads = self._list_lendable(name, now_s)
             if loads:
                 hosts = max(1, len(self.fleet.region_hosts))
                 described[name] = describe_load(service, loads, hosts, now_s)
         return described
 
+    def measure_spare(self, service: str, now_s: float) -> SpareCapacity | None:
+        """Return what this region may lend to other regions; None if it is not known."""
+        loads = self._list_lendable(service, now_s)
+        if not loads:
+            return None
+        return measure_spare(self.services[service], loads, now_s)
+
+    def _list_lendable(self, service: str, now_s: float) -> list[EndpointLoad]:
+        return [
+            load
+            for load in self._list_loads(service)
+            if self._get_condition(load, now_s) is EndpointCondition.READY
+            and self.rate_shares.get_limit(load.entry.record) is None
+            and self.rate_shares.get_rejection_limit(load.entry.record) is None
+        ]
+
+    def has_learned_pace(self, service: str) -> bool:
+        """Return whether endpoints of a service report a slowdown."""
+        pace = self._service_paces.get(service)
+        return pace is not None and pace.is_active
+
     def _is_evacuated(self, load: EndpointLoad) -> bool:
         return load.entry.record.failure_domain in self.fleet.evacuated
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -181,6 +181,19 @@
     version: str | None = None
 
 
+class MoveReason(enum.Enum):
+    """Why a request is sent to another region."""
+
+    # Home regions do not include this one.
+    HOME = "home"
+    # No endpoint of this region can be reached.
+    UNREACHABLE = "unreachable"
+    # No endpoint of this region has room.
+    NO_ROOM = "no_room"
+    # The other region responds clearly sooner.
+    FASTER = "faster"
+
+
 @dataclass(frozen=True, slots=True)
 class Forward:
     """Decision: send the request to another entry host.
@@ -195,12 +208,15 @@
         Predicted time until the response starts.
     is_relay : bool
         Whether it belongs to this region and uses the endpoints in this host's place.
+    reason : MoveReason or None
+        Why the request leaves this region; None if it does not.
     """
 
     region: str
     host: str
     predicted_s: float
     is_relay: bool = False
+    reason: MoveReason | None = None
 
     @property
     def target(self) -> str:
--- a/buckthorndeal/gateway/_region_links.py
+++ b/buckthorndeal/gateway/_region_links.py
@@ -17,6 +17,7 @@
 )
 from buckthorndeal.gateway._control_messages import ListEntryHosts
 from buckthorndeal.gateway._fleet_messages import (
+    Borrower,
     DescribeRegionLoad,
     RegionUpdate,
 )
@@ -83,6 +84,8 @@
         )
         # Entry host of each other region that is asked for its load.
         self._partners: dict[str, str] = {}
+        # Entry hosts of this region, which divide what other regions lend to it.
+        self._region_hosts = 1
         self._rng = random.Random()
         self._refuses_requests = False
 
@@ -108,6 +111,9 @@
 
     async def _exchange_loads(self) -> None:
         entries = await self._control.ask(ListEntryHosts())
+        self._region_hosts = sum(
+            each.region == self._settings.region for each in entries
+        )
         regions = {each.region for each in entries} - {self._settings.region}
         for region in sorted(regions | set(self._partners)):
             hosts = [
@@ -167,25 +173,22 @@
             log_event("region_load_missing", region=region, reason=str(error))
             return
         if isinstance(reply, RegionLoad):
-            await self._dispatch.send(
-                RegionUpdate(
-                    region,
-                    partner,
-                    {each.service: each.wait_s for each in reply.services},
-                    {each.service: each.free for each in reply.services},
-                    {each.service: each.versions for each in reply.services},
-                )
-            )
+            update = RegionUpdate.create(region, partner, reply.services)
+            await self._dispatch.send(update)
 
-    async def _create_region_load(self) -> RegionLoad:
+    async def _create_region_load(self, borrower: Borrower | None = None) -> RegionLoad:
+        """Return the load of this region, with the part that a borrower may use."""
+        region = self._settings.region
         if self._refuses_requests:
-            return RegionLoad(self._settings.region, ())
-        services = await self._dispatch.ask(DescribeRegionLoad())
-        return RegionLoad(self._settings.region, services)
+            return RegionLoad(region, ())
+        services = await self._dispatch.ask(DescribeRegionLoad(borrower))
+        return RegionLoad(region, services, self._region_hosts)
 
     async def _handle_message(self, message: Message, channel: Channel) -> Message:
         if isinstance(message, RegionLoad):
-            return await self._create_region_load()
+            wanted = {each.service: each.wanted for each in message.services}
+            borrower = Borrower(message.region, message.hosts, wanted)
+            return await self._create_region_load(borrower)
         raise PeerError(f"unexpected {type(message).__name__}", Verdict.NOT_RUN)
 
     async def _reject_message(self, message: Message, channel: Channel) -> None:
--- a/buckthorndeal/gateway/_relay_choice.py
+++ b/buckthorndeal/gateway/_relay_choice.py
@@ -2,6 +2,7 @@
 
 from buckthorndeal.gateway._messages import (
     Dispatch,
+    MoveReason,
 )
 from buckthorndeal.gateway._relays import RelayHosts
 from buckthorndeal.gateway._remote_choice import RemoteChooser
@@ -34,7 +35,7 @@
         """Return where a request is sent, or None if no host can serve it."""
         if dispatch.call.hops:
             return None
-        remote = self._remote.find_fastest(dispatch, now_s)
+        remote = self._remote.find_fastest(dispatch, MoveReason.UNREACHABLE, now_s)
         # A host of the region that could not serve the request speaks for the others.
         if remote is not None and self._relays.was_tried(dispatch.excluded):
             return remote
--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -1,12 +1,26 @@
-"""Choice between the endpoints of this region and another region; no I/O."""
+"""Choice between the endpoints of this region and another region; no I/O.
 
+Answers demand that moves between regions. Where endpoints report a slowdown, regions
+tell each host what it may send there, and requests move before a queue has formed here.
+"""
+
+import math
+
+import msgspec
+
+from buckthorndeal.fleet import ServiceLoad
 from buckthorndeal.gateway._fleet_messages import (
+    Borrower,
     RegionUpdate,
 )
 from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
 from buckthorndeal.gateway._messages import (
+    Call,
     Dispatch,
+    MoveReason,
 )
+from buckthorndeal.gateway._region_lending import RegionLending
 from buckthorndeal.gateway._regions import RegionTable
 from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 
@@ -15,6 +29,17 @@
 MIN_FORWARD_GAIN_S = 0.15
 # Requests stay local if their local cost is below this share of the latency objective.
 LOCAL_LATENCY_SHARE = 0.35
+# The same two for regions that divide what they lend, and how long they hold after a
+# request has moved. The lower values keep a service from switching to and fro.
+MIN_GAIN_S = 0.05
+START_SHARE = 0.25
+HELD_GAIN_S = 0.0
+HELD_SHARE = 0.2
+HOLD_S = 1.0
+# Time constant in which what was wanted is forgotten: the interval of reports.
+WANTED_S = 0.4
+# Largest share of the latency budget that a request may be predicted to take elsewhere.
+MAX_REMOTE_SHARE = 1.0
 
 
 class RemoteChooser:
@@ -29,14 +54,69 @@
     def __init__(self, view: FleetView) -> None:
         self._view = view
         self._regions = RegionTable()
+        self._lending: dict[str, RegionLending] = {}
+        # Clock reading when a request of a service last moved.
+        self._moved_s: dict[str, float] = {}
+        # Units that this host would have liked to send, and when they were counted.
+        self._wanted: dict[str, tuple[float, float]] = {}
 
     def update(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
         self._regions.update(message, now_s)
 
-    def record_sent(self, choice: RemoteChoice, service: str) -> None:
+    def record_sent(self, choice: RemoteChoice, call: Call, now_s: float) -> None:
         """Count a request that is sent to a region."""
-        self._regions.record_sent(choice.region, service)
+        self._regions.record_sent(choice.region, call, now_s)
+        if choice.reason is MoveReason.FASTER:
+            self._moved_s[call.service] = now_s
+
+    def add_lending(
+        self, loads: tuple[ServiceLoad, ...], borrower: Borrower | None, now_s: float
+    ) -> tuple[ServiceLoad, ...]:
+        """Return a report of this region with the part that a borrower may use.
+
+        Parameters
+        ----------
+        loads : tuple of ServiceLoad
+            Load of each service.
+        borrower : Borrower or None
+            Host of another region; None for this host's own report, which tells what
+            it wants.
+        now_s : float
+            Clock reading.
+        """
+        return tuple(
+            self._add_lending(load, borrower, now_s)
+            if self._view.has_learned_pace(load.service)
+            else load
+            for load in loads
+        )
+
+    def _add_lending(
+        self, load: ServiceLoad, borrower: Borrower | None, now_s: float
+    ) -> ServiceLoad:
+        service = load.service
+        if borrower is None:
+            wanted = self._count_wanted(service, now_s)
+            return msgspec.structs.replace(load, wanted=wanted)
+        spare = self._view.measure_spare(service, now_s)
+        if spare is None:
+            return load
+        lending = self._lending.setdefault(service, RegionLending())
+        wanted = borrower.wanted.get(service, 0)
+        part = lending.lend(spare, borrower, wanted, now_s)
+        return msgspec.structs.replace(
+            load, lent_requests=part.requests, lent_tokens=part.tokens
+        )
+
+    def _record_wanted(self, service: str, units: int, now_s: float) -> None:
+        wanted = self._count_wanted(service, now_s)
+        self._wanted[service] = (wanted + units, now_s)
+
+    def _count_wanted(self, service: str, now_s: float) -> int:
+        """Return what was wanted in about the interval of two reports."""
+        wanted, counted_s = self._wanted.get(service, (0, now_s))
+        return int(wanted * math.exp((counted_s - now_s) / WANTED_S))
 
     def choose(
         self, dispatch: Dispatch, best: LocalChoice | None, now_s: float
@@ -45,11 +125,15 @@
         call = dispatch.call
         if call.hops:
             return None
+        if self._view.has_learned_pace(call.service):
+            if self._regions.divides_lending(call.service):
+                return self._choose_lender(dispatch, best, now_s)
         local_cost_s = best.region_cost_s if best else None
         if local_cost_s is not None:
             if local_cost_s < LOCAL_LATENCY_SHARE * call.route.latency_objective_s:
                 return None
-        remote = self.find_fastest(dispatch, now_s)
+        reason = MoveReason.NO_ROOM if best is None else MoveReason.FASTER
+        remote = self.find_fastest(dispatch, reason, now_s)
         if remote is None:
             return None
         if (
@@ -59,7 +143,39 @@
             return remote
         return None
 
-    def find_fastest(self, dispatch: Dispatch, now_s: float) -> RemoteChoice | None:
+    def _choose_lender(
+        self, dispatch: Dispatch, best: LocalChoice | None, now_s: float
+    ) -> RemoteChoice | None:
+        """Return a region that lends and is faster than `best`."""
+        call = dispatch.call
+        is_held = now_s - self._moved_s.get(call.service, -HOLD_S) < HOLD_S
+        if best is not None:
+            share = HELD_SHARE if is_held else START_SHARE
+            if best.region_cost_s < share * call.route.latency_objective_s:
+                return None
+        token_s = 0.0
+        if call.prompt is not None:
+            token_s = 1 / self._view.get_max_prefill_speed(call.service)
+        units = call.prompt.tokens if call.prompt is not None else 1
+        self._record_wanted(call.service, units, now_s)
+        budget_s = compute_latency_budget_s(call, now_s)
+        is_full = best is None or best.predicted_s > budget_s
+        choice = self._regions.choose_lender(
+            call, dispatch.excluded, token_s, is_full, now_s
+        )
+        if choice is None or choice.wait_s > MAX_REMOTE_SHARE * budget_s:
+            return None
+        reason = MoveReason.NO_ROOM
+        if not is_full:
+            reason = MoveReason.FASTER
+            gain_s = HELD_GAIN_S if is_held else MIN_GAIN_S
+            if choice.wait_s + gain_s >= best.region_cost_s:
+                return None
+        return RemoteChoice(choice.region, choice.host, choice.wait_s, reason=reason)
+
+    def find_fastest(
+        self, dispatch: Dispatch, reason: MoveReason, now_s: float
+    ) -> RemoteChoice | None:
         """Return the fastest region that can respond before the deadline, or None."""
         call = dispatch.call
         prefill_s = 0.0
@@ -73,4 +189,4 @@
         predicted_s = choice.wait_s + prefill_s
         if now_s + predicted_s > call.deadline_s:
             return None
-        return RemoteChoice(choice.region, choice.host, predicted_s)
+        return RemoteChoice(choice.region, choice.host, predicted_s, reason=reason)
--- a/buckthorndeal/gateway/_scoring.py
+++ b/buckthorndeal/gateway/_scoring.py
@@ -5,6 +5,7 @@
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
     Call,
+    MoveReason,
 )
 from buckthorndeal.subsetting import choose_owner
 
@@ -142,3 +143,4 @@
     host: str
     predicted_s: float
     is_relay: bool = False
+    reason: MoveReason | None = None
--- a/tests/region_play.py
+++ b/tests/region_play.py
@@ -11,10 +11,14 @@
 import random
 from collections import Counter
 
-from buckthorndeal.gateway._fleet_messages import FleetChanged, RegionUpdate
+from buckthorndeal.gateway._fleet_messages import (
+    Borrower,
+    FleetChanged,
+    RegionUpdate,
+)
 from buckthorndeal.gateway._messages import Forward, Grant
 from tests.dispatcher_harness import DispatcherHarness
-from tests.pace_play import R_KINDS, PacePlay
+from tests.pace_play import PacePlay
 
 LINK_DELAY_S = 0.08
 EXCHANGE_INTERVAL_S = 0.4
@@ -266,15 +270,13 @@
 
     def describe(self, host, partner):
         """Return the report of a host for a host of another region."""
-        partner.now_s = self.now_s
-        loads = partner.dispatcher.describe_region(self.now_s)
-        return RegionUpdate(
-            partner.region,
-            partner.name,
-            {each.service: each.wait_s for each in loads},
-            {each.service: each.free for each in loads},
-            {each.service: each.versions for each in loads},
-        )
+        host.now_s = partner.now_s = self.now_s
+        own = host.dispatcher.describe_region(self.now_s)
+        wanted = {each.service: each.wanted for each in own}
+        hosts = len(self.sides[host.region].hosts)
+        borrower = Borrower(host.region, hosts, wanted)
+        loads = partner.dispatcher.describe_region(self.now_s, borrower)
+        return RegionUpdate.create(partner.region, partner.name, loads)
 
     def _update(self, host, update):
         host.now_s = self.now_s
@@ -294,7 +296,7 @@
         """Return the share served in time in the worst seconds of all regions."""
         shares = []
         for side in self.sides.values():
-            for second, results in side.by_second.items():
+            for results in side.by_second.values():
                 if results.total() >= 10:
                     shares.append(results["in time"] / results.total())
         shares.sort()
