--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -332,10 +332,10 @@
         Requests that the receiver may send until the next report; -1 if the region
         does not divide what it lends.
     lent_tokens : int
-        Prompt tokens, to prefill, of these requests; 0 for plain services.
+        Prompt tokens, to prefill, of these requests.
     wanted : int
-        Prompt tokens, or requests of a plain service, that the sender would have liked
-        to send to other regions since its last report.
+        Prompt tokens that the sender would have liked to send to other regions since
+        its last report.
     """
 
     service: str
@@ -352,7 +352,7 @@
 
     region: str
     services: tuple[ServiceLoad, ...]
-    # Entry hosts of the region that share its endpoints; 0 from hosts of an older build.
+    # Entry hosts of the region that share its endpoints; 0 from older builds.
     hosts: int = 0
 
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -28,12 +28,12 @@
     Decision,
     Dispatch,
     EndpointNotice,
-    Forward,
     Refusal,
     ResponseStarted,
 )
 from buckthorndeal.gateway._pace_log import PaceLog
 from buckthorndeal.gateway._path_watch import PathWatch
+from buckthorndeal.gateway._region_metrics import count_move, record_lent
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -322,6 +322,7 @@
     @_handle.register
     async def _(self, message: RegionUpdate, envelope: Envelope, now_s: float) -> None:
         self._dispatcher.update_region(message, now_s)
+        record_lent(self._metrics, message)
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
@@ -374,13 +375,7 @@
         call = message.call
         waited_s = now_s - call.arrived_s
         self._metrics.count("decisions", kind=type(decision).__name__.lower())
-        if isinstance(decision, Forward) and decision.reason is not None:
-            self._metrics.count(
-                "moved_requests",
-                service=call.service,
-                region=decision.region,
-                reason=decision.reason.value,
-            )
+        count_move(self._metrics, call, decision)
         self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
         refused = isinstance(decision, Refusal)
         write = log_event if refused else log_routine
--- a/buckthorndeal/gateway/_fleet_messages.py
+++ b/buckthorndeal/gateway/_fleet_messages.py
@@ -66,7 +66,7 @@
     requests : int
         Requests that its endpoints take well.
     tokens : int
-        Prompt tokens that they prefill without a long wait; 0 for plain services.
+        Prompt tokens that they prefill without a long wait.
     """
 
     requests: int
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -9,14 +9,13 @@
 from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
-    SpareCapacity,
 )
 from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
 from buckthorndeal.gateway._pace import EndpointPace, ServicePace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
-from buckthorndeal.gateway._region_load import describe_load, measure_spare
+from buckthorndeal.gateway._region_load import describe_load
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from buckthorndeal.gateway._warm_ups import WarmUps
@@ -373,20 +372,14 @@
         """
         described: dict[str, tuple[float, int]] = {}
         for name, service in self.services.items():
-            loads = self._list_lendable(name, now_s)
+            loads = self.list_lendable(name, now_s)
             if loads:
                 hosts = max(1, len(self.fleet.region_hosts))
                 described[name] = describe_load(service, loads, hosts, now_s)
         return described
 
-    def measure_spare(self, service: str, now_s: float) -> SpareCapacity | None:
-        """Return what this region may lend to other regions; None if it is not known."""
-        loads = self._list_lendable(service, now_s)
-        if not loads:
-            return None
-        return measure_spare(self.services[service], loads, now_s)
-
-    def _list_lendable(self, service: str, now_s: float) -> list[EndpointLoad]:
+    def list_lendable(self, service: str, now_s: float) -> list[EndpointLoad]:
+        """Return the endpoints that may serve requests of other regions."""
         return [
             load
             for load in self._list_loads(service)
--- a/buckthorndeal/gateway/_region_lending.py
+++ b/buckthorndeal/gateway/_region_lending.py
@@ -47,13 +47,12 @@
         borrower : Borrower
             Host that asks.
         wanted : int
-            Prompt tokens, or requests of a plain service, that it would have liked to
-            send since its last report.
+            Prompt tokens that it would have liked to send since its last report.
         now_s : float
             Clock reading.
         """
         self._record(borrower, max(0, wanted), now_s)
-        total = spare.tokens or spare.requests
+        total = spare.tokens
         if total <= 0:
             return SpareCapacity(0, 0)
         wants = {
--- a/buckthorndeal/gateway/_region_load.py
+++ b/buckthorndeal/gateway/_region_load.py
@@ -6,12 +6,10 @@
 from buckthorndeal.gateway._fleet_messages import SpareCapacity
 from buckthorndeal.gateway._loads import EndpointLoad
 
-# Time that lent work may add at an endpoint, with what its own callers have queued
-# there. Their requests arrive at any moment, so most of an objective is left to them.
+# Time that lent work may take at an endpoint, with what is queued there. Borrowers
+# compare the wait with the latency objective themselves. With 0.25 s, requests are
+# refused while other regions still have room.
 LENT_WAIT_S = 0.8
-# Share of the requests that endpoints still take well; the rest is left to callers of
-# the region that arrive before the borrowers hear of them.
-LENT_SHARE = 1.0
 
 
 def describe_load(
@@ -51,19 +49,20 @@
 ) -> SpareCapacity | None:
     """Return what the region lends to all others together until the next report.
 
-    None if endpoints of the service don't report a slowdown: then their speed is not
-    learned. Parameters are those of `describe_load`.
+    None if endpoints of the service don't report a slowdown, as their speed is not
+    learned then, and for plain services: their slots serve many short requests between
+    two reports, so that free slots say too little. Parameters are those of
+    `describe_load`.
     """
+    if service.engine is None:
+        return None
     requests = tokens = 0.0
     for load in loads:
         if not load.pace.is_active:
             return None
         free = load.count_free(service, now_s)
-        if service.engine is None:
-            requests += free
-            continue
         spare_s = LENT_WAIT_S - load.predict_wait_s(now_s)
         if spare_s > 0 and free:
             requests += free
             tokens += spare_s / load.get_token_s(now_s)
-    return SpareCapacity(int(requests * LENT_SHARE), int(tokens))
+    return SpareCapacity(int(requests), int(tokens))
--- a/buckthorndeal/gateway/_regions.py
+++ b/buckthorndeal/gateway/_regions.py
@@ -18,6 +18,9 @@
 # Requests that were sent less than this long before a report arrived are not in it: a
 # round trip, and the time until endpoints have reported them.
 UNSEEN_S = 0.3
+# A request may be this many times as large as the part of the host, if it is the only
+# one.
+SINGLE_FACTOR = 2
 # Time for which a prefix counts as cached in the region to which it was sent.
 PREFIX_LIFETIME_S = 10.0
 MAX_PREFIXES = 1_000
@@ -67,13 +70,12 @@
     def has_room(self, tokens: int) -> bool:
         """Return whether one more request fits, with `tokens` to prefill.
 
-        One request that is larger than the whole part fits into an unused one.
+        A single request may be larger than the part, as parts of many hosts are small.
         """
         if len(self.sent) >= self.capacity.requests:
             return False
-        if not tokens or not self.sent_tokens:
-            return True
-        return self.sent_tokens + tokens <= self.capacity.tokens
+        allowed = self.capacity.tokens * (1 if self.sent_tokens else SINGLE_FACTOR)
+        return self.sent_tokens + tokens <= allowed
 
     def record_sent(self, tokens: int, now_s: float) -> None:
         """Count a request that is sent."""
--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -21,6 +21,7 @@
     MoveReason,
 )
 from buckthorndeal.gateway._region_lending import RegionLending
+from buckthorndeal.gateway._region_load import measure_spare
 from buckthorndeal.gateway._regions import RegionTable
 from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 
@@ -29,12 +30,13 @@
 MIN_FORWARD_GAIN_S = 0.15
 # Requests stay local if their local cost is below this share of the latency objective.
 LOCAL_LATENCY_SHARE = 0.35
-# The same two for regions that divide what they lend, and how long they hold after a
-# request has moved. The lower values keep a service from switching to and fro.
-MIN_GAIN_S = 0.05
-START_SHARE = 0.25
-HELD_GAIN_S = 0.0
-HELD_SHARE = 0.2
+# The same two for regions that divide what they lend, and their values for a while
+# after a request has moved. As the parts bound what moves, requests move before they
+# wait, and the lower values keep a service from switching to and fro.
+MIN_GAIN_S = 0.0
+START_SHARE = 0.15
+HELD_GAIN_S = -0.05
+HELD_SHARE = 0.1
 HOLD_S = 1.0
 # Time constant in which what was wanted is forgotten: the interval of reports.
 WANTED_S = 0.4
@@ -99,7 +101,8 @@
         if borrower is None:
             wanted = self._count_wanted(service, now_s)
             return msgspec.structs.replace(load, wanted=wanted)
-        spare = self._view.measure_spare(service, now_s)
+        endpoints = self._view.list_lendable(service, now_s)
+        spare = measure_spare(self._view.services[service], endpoints, now_s)
         if spare is None:
             return load
         lending = self._lending.setdefault(service, RegionLending())
