--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -33,7 +33,7 @@
 )
 from buckthorndeal.gateway._pace_log import PaceLog
 from buckthorndeal.gateway._path_watch import PathWatch
-from buckthorndeal.gateway._region_metrics import count_move, record_lent
+from buckthorndeal.gateway._region_metrics import LENT_GAUGES, count_move, record_lent
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -63,6 +63,7 @@
     "retries_in_window": "Repeats in the window of the retry budget.",
     "retries_allowed": "Part of this host in the retry budget.",
     "quarantined_keys": "Keys of requests that crash endpoints.",
+    **LENT_GAUGES,
 }
 
 
