--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -40,8 +40,6 @@
 HOLD_S = 1.0
 # Time constant in which what was wanted is forgotten: the interval of reports.
 WANTED_S = 0.4
-# Largest share of the latency budget that a request may be predicted to take elsewhere.
-MAX_REMOTE_SHARE = 1.0
 
 
 class RemoteChooser:
@@ -166,7 +164,7 @@
         choice = self._regions.choose_lender(
             call, dispatch.excluded, token_s, is_full, now_s
         )
-        if choice is None or choice.wait_s > MAX_REMOTE_SHARE * budget_s:
+        if choice is None or choice.wait_s > budget_s:
             return None
         reason = MoveReason.NO_ROOM
         if not is_full:
