Merge demand that moves between regions

Cause: each host took all free slots of another region as its own, and too late. Change: regions lend spare requests and prompt tokens, divided among hosts.

--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -34,6 +34,7 @@
 from buckthorndeal.gateway._pace_log import PaceLog
 from buckthorndeal.gateway._path_watch import PathWatch
 from buckthorndeal.gateway._quota_requests import QuotaRequests
+from buckthorndeal.gateway._region_metrics import LENT_GAUGES, count_move, record_lent
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
     DescribeSharedState,
@@ -65,6 +66,7 @@
     "retries_in_window": "Repeats in the window of the retry budget.",
     "retries_allowed": "Part of this host in the retry budget.",
     "quarantined_keys": "Keys of requests that crash endpoints.",
+    **LENT_GAUGES,
 }
 
 
@@ -335,6 +337,7 @@
     @_handle.register
     async def _(self, message: RegionUpdate, envelope: Envelope, now_s: float) -> None:
         self._dispatcher.update_region(message, now_s)
+        record_lent(self._metrics, message)
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
@@ -350,7 +353,8 @@
     async def _(
         self, message: DescribeRegionLoad, envelope: Envelope, now_s: float
     ) -> None:
-        await envelope.reply(self._dispatcher.describe_region(now_s))
+        loads = self._dispatcher.describe_region(now_s, message.borrower)
+        await envelope.reply(loads)
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
@@ -391,6 +395,7 @@
         call = message.call
         waited_s = now_s - call.arrived_s
         self._metrics.count("decisions", kind=type(decision).__name__.lower())
+        count_move(self._metrics, call, decision)
         self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
         refused = isinstance(decision, Refusal)
         write = log_event if refused else log_routine
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -372,17 +372,26 @@
         """
         described: dict[str, tuple[float, int]] = {}
         for name, service in self.services.items():
-            loads = [
-                load
-                for load in self._list_loads(name)
-                if self._get_condition(load, now_s) is EndpointCondition.READY
-                and self.rate_shares.get_limit(load.entry.record) is None
-                and self.rate_shares.get_rejection_limit(load.entry.record) is None
-            ]
+            loads = self.list_lendable(name, now_s)
             if loads:
                 hosts = max(1, len(self.fleet.region_hosts))
                 described[name] = describe_load(service, loads, hosts, now_s)
         return described
 
+    def list_lendable(self, service: str, now_s: float) -> list[EndpointLoad]:
+        """Return the endpoints that may serve requests of other regions."""
+        return [
+            load
+            for load in self._list_loads(service)
+            if self._get_condition(load, now_s) is EndpointCondition.READY
+            and self.rate_shares.get_limit(load.entry.record) is None
+            and self.rate_shares.get_rejection_limit(load.entry.record) is None
+        ]
+
+    def has_learned_pace(self, service: str) -> bool:
+        """Return whether endpoints of a service report a slowdown."""
+        pace = self._service_paces.get(service)
+        return pace is not None and pace.is_active
+
     def _is_evacuated(self, load: EndpointLoad) -> bool:
         return load.entry.record.failure_domain in self.fleet.evacuated
