Bound prefill times, huge prompts and uncounted tokens

Change: a floor for the learned time of a token; prompts above the memory of an engine are not sent; X-Token-Count counts for the quota with and without a model.

--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -244,6 +244,7 @@
             resumes=metadata.resumes,
             version=request.headers.get(VERSION_HEADER) if forwarded else None,
             workspace=handling.workspace,
+            tokens=metadata.tokens,
         )
 
     def _check_drain(
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -273,6 +273,9 @@
         total_inflight = len(self.attempts) + others
         if call.prompt is None:
             return total_inflight < self._get_request_limit(False, now_s)
+        required = call.prompt.tokens + call.prompt.max_output_tokens
+        if required > get_kv_capacity(service):
+            return False
         if not self.inflight and others < 1:
             return True
         if total_inflight >= self._get_request_limit(True, now_s):
@@ -281,7 +284,6 @@
             self.count_queued_tokens(now_s), now_s
         ):
             return False
-        required = call.prompt.tokens + call.prompt.max_output_tokens
         return required <= self._count_free_memory(service, others)
 
     def count_free(self, service: ServiceDescription, now_s: float) -> int:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -82,6 +82,8 @@
         Software version at which a stream has to continue; None if it has not begun.
     workspace : Workspace or None
         Workspace of the caller; None if the caller is anonymous.
+    tokens : int or None
+        Tokens that the request names, with or without a prompt.
     """
 
     request_id: str
@@ -97,6 +99,7 @@
     resumes: str | None = None
     version: str | None = None
     workspace: Workspace | None = None
+    tokens: int | None = None
 
     @property
     def priority(self) -> int:
@@ -110,6 +113,8 @@
         """Units that the request takes of the quota of its workspace."""
         if self.workspace is None or self.workspace.unit is QuotaUnit.REQUESTS:
             return 1
+        if self.tokens is not None:
+            return self.tokens
         if self.prompt is None:
             return self.workspace.default_tokens
         return self.prompt.tokens + self.prompt.max_output_tokens
--- a/buckthorndeal/gateway/_pace.py
+++ b/buckthorndeal/gateway/_pace.py
@@ -209,7 +209,9 @@
 
     def get_token_s(self, now_s: float) -> float:
         """Return the time to prefill a token, in seconds."""
-        return self.service.first_response.per_token_s * self.get_factor(now_s)
+        # A learned coefficient may fall to 0.
+        per_token_s = self.service.first_response.per_token_s
+        return max(MIN_TOKEN_S, per_token_s * self.get_factor(now_s))
 
     def predict_first_s(self, tokens: float, inflight: float, now_s: float) -> float:
         """Return the time until a response starts, in seconds.
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -52,6 +52,8 @@
         Credentials that the endpoint gets too; empty if the caller sends none.
     resumes : str or None
         Id of the request that brought the first event of a stream that is resumed.
+    tokens : int or None
+        Tokens that the request names, with or without a prompt.
     key : str or None
         Key of the workspace of the caller, which no endpoint or other host gets; None
         if it is missing or empty.
@@ -63,6 +65,7 @@
     resume_after: int | None = None
     caller: str = ""
     resumes: str | None = None
+    tokens: int | None = None
     key: str | None = field(default=None, repr=False)
 
 
@@ -186,7 +189,7 @@
             read_event_id(headers, RESUME_AFTER),
             headers.get(CREDENTIALS, ""),
             headers.get(RESUMES),
-            headers.get(KEY) or None,
+            key=headers.get(KEY) or None,
         )
 
     def build_headers(
--- a/tests/test_endpoint_load.py
+++ b/tests/test_endpoint_load.py
@@ -88,6 +88,12 @@
             self.assertLess(load.count_other_inflight(self.now_s), 5)
             self.assertGreater(load.count_free(ENGINE, self.now_s), 30)
 
+    def test_prompt_above_the_memory_is_not_sent(self):
+        """Guards against a false token count that spoils the averages of a host."""
+        prompt = create_prompt(1, 1, 10**12)
+        call = self.create_call(prompt)
+        self.assertFalse(self.load.has_capacity(call, ENGINE, self.now_s))
+
     def test_free_requests(self):
         self.report(10)
         free = self.load.count_free(ENGINE, self.now_s)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -51,6 +51,17 @@
             predicted_s = self.predict(self.endpoints[0], tokens)
             self.check_close(predicted_s, compute_seconds(tokens, SLOT_LOAD))
 
+    def test_prefill_time_stays_positive(self):
+        """Guards against a division by zero where prompts seem to take no time."""
+        for number in range(200):
+            self.now_s += 0.1
+            tokens = (100, 9000)[number % 2]
+            seconds = 0.5 if tokens == 100 else 0.05
+            endpoint = self.endpoints[0]
+            endpoint.observe_first(tokens, SLOT_LOAD, seconds, 1.0, self.now_s)
+        self.assertEqual(self.service.first_response.per_token_s, 0.0)
+        self.assertGreater(self.endpoints[0].get_token_s(self.now_s), 0.0)
+
     def test_endpoint_without_observations_starts_from_its_service(self):
         self.observe_all(40, (2.0,))
         fresh = EndpointPace(self.service)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -375,6 +375,14 @@
         log_event.assert_called_once()
         self.assertEqual(log_event.call_args.args, ("load_report_malformed",))
 
+    def test_tokens_are_counted_without_a_model(self):
+        """Guards against a quota that is evaded by leaving out the model."""
+        for value, tokens in (("9000,100", 9100), ("9000", 9000), ("x", None)):
+            request = Request("GET", "/", {"x-token-count": value}, b"")
+            metadata = self.dialect.parse_request(request)
+            self.assertEqual(metadata.tokens, tokens)
+            self.assertIsNone(metadata.prompt)
+
     def test_missing_load_report_is_not_logged(self):
         """Guards against a log line for each response of a service without reports."""
         with mock.patch.object(headnames, "log_event") as log_event:
