Admit requests at a gateway by what their callers get

Cause: a gateway trusted its predictions although other hosts send to the same endpoints, so that at overload most requests were sent to endpoints that ran them too late, and a waiting request blocked all behind it.

Change: predictions are corrected by observed and overdue responses, waiting requests are ordered by objective, priority, share and due time, and a workspace beyond its share or a less urgent request leaves room while others wait.

--- /dev/null
+++ b/buckthorndeal/gateway/_admission.py
@@ -0,0 +1,322 @@
+"""Admission of requests by what their callers still get from them; no I/O.
+
+Answers load beyond what the endpoints serve within the objectives: room goes to
+requests that are served in time, late ones get what nobody else wants, and the others
+are refused at once.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from buckthorndeal.gateway._calibration import Calibration
+from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
+from buckthorndeal.gateway._loads import GrantedAttempt
+from buckthorndeal.gateway._messages import Call, Dispatch
+from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
+from buckthorndeal.gateway._scoring import LocalChoice
+from buckthorndeal.policy.fairness import create_fair_shares
+from buckthorndeal.policy.views import AttemptOutcome
+from buckthorndeal.workspaces import QuotaUnit, Workspace
+
+# Length of the startup phase, in heartbeat intervals.
+STARTUP_HEARTBEAT_INTERVALS = 1.5
+# A request is refused before this share of its objective has passed, unless it will
+# most likely be served within the objective: later refusals cost their callers.
+REFUSAL_SHARE = 0.125
+# Largest share of the time up to the latest start that the predicted wait may take.
+# Requests that come later and are more urgent prolong it.
+QUEUE_SHARE = 0.5
+# Shares of the usual room, in time and in slots, that a request may use while others
+# want it: after a more urgent one, and in a workspace beyond its fair share.
+LESS_URGENT_SHARE = 0.75
+EXCESSIVE_SHARE = 0.6
+# Time for which a request that found no room shows that others want it.
+CONTENTION_S = 0.5
+# Largest backlog, as a share of the objective, behind which a late request is served
+# while nobody else wants the room.
+LATE_BACKLOG_SHARE = 1.0
+# Part of the served tokens that late requests may take from others, so that requests
+# too large for their objective are not refused for ever.
+LATE_TOKEN_SHARE = 0.05
+MAX_LATE_CREDIT_TOKENS = 60_000.0
+# Share of the slots of an engine that is used; see `MAX_SLOT_UTILIZATION`.
+USABLE_SLOT_SHARE = 0.8
+# Weight of a new observation of the time that an output token takes.
+OUTPUT_AVERAGE_WEIGHT = 0.1
+# Quota units of a request, relative to tokens, where quotas count requests.
+TOKENS_PER_REQUEST = 1000.0
+ANONYMOUS = "anonymous"
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What the caller of a request gets from an endpoint.
+
+    Parameters
+    ----------
+    first_s, total_s : float
+        Predicted time until the response starts and until it ends, corrected by what
+        was observed.
+    budget_s : float
+        Largest `first_s` that is within the latency objective.
+    left_s : float
+        Time that is left until the deadline of the caller.
+    """
+
+    first_s: float
+    total_s: float
+    budget_s: float
+    left_s: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the response starts within the objective and ends by the deadline."""
+        return self.first_s <= self.budget_s and self.is_useful
+
+    @property
+    def is_useful(self) -> bool:
+        """Whether the response ends before the deadline."""
+        return self.total_s <= self.left_s
+
+
+@dataclass(slots=True)
+class ServiceAdmission:
+    """What a host has observed of one service.
+
+    Parameters
+    ----------
+    contended_s : dict of int to float
+        When a request of each priority last found no room.
+    fair_contended_s : float
+        When a request of a workspace within its share last found no room.
+    late_credit_tokens : float
+        Tokens that late requests may take from others.
+    output_token_s : float
+        Time that a token of the longest possible output takes; 0 if unknown.
+    """
+
+    queue: WaitingQueue = field(default_factory=WaitingQueue)
+    calibration: Calibration = field(default_factory=Calibration)
+    contended_s: dict[int, float] = field(default_factory=dict)
+    fair_contended_s: float = -math.inf
+    late_credit_tokens: float = MAX_LATE_CREDIT_TOKENS
+    output_token_s: float = 0.0
+
+    def is_contended(self, now_s: float) -> bool:
+        """Return whether a request has found no room a moment ago."""
+        last_s = max(self.contended_s.values(), default=-math.inf)
+        return now_s - last_s < CONTENTION_S
+
+
+class AdmissionControl:
+    """Decides whether requests are served in time, late or not at all on one host.
+
+    Parameters
+    ----------
+    heartbeat_interval_s : float
+        Seconds between the heartbeats of an endpoint.
+    """
+
+    def __init__(self, heartbeat_interval_s: float) -> None:
+        self._heartbeat_interval_s = heartbeat_interval_s
+        self._started_s: float | None = None
+        self._services: dict[str, ServiceAdmission] = {}
+        self.shares = create_fair_shares()
+
+    def get(self, service: str) -> ServiceAdmission:
+        """Return what was observed of a service."""
+        state = self._services.get(service)
+        if state is None:
+            state = self._services[service] = ServiceAdmission()
+        return state
+
+    def list_queues(self) -> list[WaitingQueue]:
+        """Return the queues of all services."""
+        return [state.queue for state in self._services.values()]
+
+    def start(self, now_s: float) -> None:
+        """Begin the startup phase, if it has not begun."""
+        if self._started_s is None:
+            self._started_s = now_s
+
+    def compute_startup_left_s(self, now_s: float) -> float:
+        """Return how long first heartbeats of endpoints may still be outstanding.
+
+        After a restart of all hosts, every endpoint sends one within its interval.
+        """
+        phase_s = STARTUP_HEARTBEAT_INTERVALS * self._heartbeat_interval_s
+        if self._started_s is None:
+            return phase_s
+        return max(0.0, self._started_s + phase_s - now_s)
+
+    def predict(self, call: Call, choice: LocalChoice, now_s: float) -> Outlook:
+        """Return what the caller gets from the chosen endpoint."""
+        state = self.get(call.service)
+        first_s = choice.predicted_s * state.calibration.get_factor(now_s)
+        return Outlook(
+            first_s,
+            first_s + _predict_output_s(call, state),
+            compute_latency_budget_s(call, now_s),
+            call.deadline_s - now_s,
+        )
+
+    def may_serve(
+        self, call: Call, choice: LocalChoice, outlook: Outlook, now_s: float
+    ) -> bool:
+        """Return whether a request may be sent to the chosen endpoint now."""
+        if outlook.is_in_time:
+            return outlook.first_s <= outlook.budget_s * self._get_share(call, now_s)
+        # Only a response can tell that an idle endpoint is not slow any more.
+        if call.prompt is None and choice.load.is_idle(now_s):
+            return True
+        return outlook.is_useful and self._may_serve_late(call, choice, outlook, now_s)
+
+    def has_room(self, call: Call, choice: LocalChoice, now_s: float) -> bool:
+        """Return whether a request that yields to others leaves them enough slots."""
+        if call.prompt is None:
+            return True
+        share = self._get_share(call, now_s)
+        if share == 1.0:
+            return True
+        utilization = choice.load.compute_utilization(now_s)
+        return utilization < USABLE_SLOT_SHARE * share
+
+    def record_grant(
+        self, attempt_id: int, call: Call, choice: LocalChoice, now_s: float
+    ) -> None:
+        """Record that a request is sent to an endpoint."""
+        state = self.get(call.service)
+        state.calibration.record_grant(attempt_id, choice.predicted_s, now_s)
+        tokens = choice.uncached_tokens
+        if call.prompt is not None:
+            tokens += call.prompt.max_output_tokens
+        state.late_credit_tokens = min(
+            MAX_LATE_CREDIT_TOKENS, state.late_credit_tokens + LATE_TOKEN_SHARE * tokens
+        )
+        name, weight = _describe_workspace(call.workspace)
+        self.shares.record(name, weight, max(1, tokens), now_s)
+
+    def record_contention(self, call: Call, now_s: float) -> None:
+        """Record that a request has found no room."""
+        state = self.get(call.service)
+        state.contended_s[call.priority] = now_s
+        if not self._is_excessive(call, now_s):
+            state.fair_contended_s = now_s
+
+    def record_end(
+        self,
+        attempt_id: int,
+        attempt: GrantedAttempt,
+        outcome: AttemptOutcome | None,
+        now_s: float,
+    ) -> None:
+        """Record that an attempt has ended, and its slot is free."""
+        call = attempt.call
+        state = self.get(call.service)
+        state.queue.record_slot_release(now_s)
+        state.calibration.remove(attempt_id, now_s)
+        if outcome is not AttemptOutcome.SUCCEEDED or not attempt.started:
+            return
+        if call.prompt is None or call.prompt.max_output_tokens < 1:
+            return
+        token_s = (now_s - attempt.started_s) / call.prompt.max_output_tokens
+        if not state.output_token_s:
+            state.output_token_s = token_s
+        weight = OUTPUT_AVERAGE_WEIGHT
+        state.output_token_s += weight * (token_s - state.output_token_s)
+
+    def create_waiting(self, dispatch: Dispatch, now_s: float) -> WaitingRequest:
+        """Return a request that is about to wait, with its latest start."""
+        call = dispatch.call
+        objective_s = call.route.latency_objective_s
+        mean_s = self.get(call.service).calibration.mean_response_s
+        due_s = now_s + compute_latency_budget_s(call, now_s)
+        due_s -= min(mean_s, objective_s / 2)
+        return WaitingRequest(dispatch, now_s, due_s, self._is_excessive(call, now_s))
+
+    def may_begin_wait(self, waiting: WaitingRequest, now_s: float) -> bool:
+        """Return whether a request that found no room may wait for some."""
+        startup_left_s = self.compute_startup_left_s(now_s)
+        if startup_left_s > 0:
+            return now_s + startup_left_s < waiting.call.deadline_s
+        queue = self.get(waiting.call.service).queue
+        ahead = queue.count_ahead(waiting, now_s)
+        if not ahead:
+            return now_s < waiting.due_s
+        wait_s = queue.predict_wait_s(ahead, now_s)
+        return wait_s <= QUEUE_SHARE * (waiting.due_s - now_s)
+
+    def may_keep_waiting(
+        self, waiting: WaitingRequest, ahead: int, now_s: float
+    ) -> bool:
+        """Return whether a waiting request waits on behind `ahead` others."""
+        startup_left_s = self.compute_startup_left_s(now_s)
+        if startup_left_s > 0:
+            return now_s + startup_left_s < waiting.call.deadline_s
+        objective_s = waiting.call.route.latency_objective_s
+        waited_s = now_s - waiting.queued_at_s
+        if waited_s < REFUSAL_SHARE * objective_s:
+            return True
+        queue = self.get(waiting.call.service).queue
+        return now_s + queue.predict_wait_s(ahead, now_s) <= waiting.due_s
+
+    def predict_drain_s(self, call: Call, now_s: float) -> float:
+        """Return when there is room for callers that are refused now, in seconds."""
+        queue = self.get(call.service).queue
+        wait_s = queue.predict_wait_s(len(queue), now_s)
+        return min(wait_s, call.route.latency_objective_s)
+
+    def _get_share(self, call: Call, now_s: float) -> float:
+        state = self.get(call.service)
+        share = 1.0
+        for priority, contended_s in state.contended_s.items():
+            if priority < call.priority and now_s - contended_s < CONTENTION_S:
+                share = LESS_URGENT_SHARE
+        if now_s - state.fair_contended_s < CONTENTION_S:
+            if self._is_excessive(call, now_s):
+                share = min(share, EXCESSIVE_SHARE)
+        return share
+
+    def _may_serve_late(
+        self, call: Call, choice: LocalChoice, outlook: Outlook, now_s: float
+    ) -> bool:
+        state = self.get(call.service)
+        objective_s = call.route.latency_objective_s
+        own_s = outlook.first_s
+        if call.prompt is not None:
+            own_s = choice.load.prefill_speed.predict(choice.uncached_tokens)
+        if not state.is_contended(now_s) and not state.queue:
+            return outlook.first_s - own_s <= LATE_BACKLOG_SHARE * objective_s
+        tokens = choice.uncached_tokens
+        # Its own size makes it late, not the backlog.
+        if own_s <= objective_s / 2 or state.late_credit_tokens < tokens:
+            return False
+        state.late_credit_tokens -= tokens
+        return True
+
+    def _is_excessive(self, call: Call, now_s: float) -> bool:
+        if call.workspace is None and len(self.shares) < 2:
+            return False
+        return self.shares.is_excessive(_describe_workspace(call.workspace)[0], now_s)
+
+
+def _predict_output_s(call: Call, state: ServiceAdmission) -> float:
+    """Return the predicted time from the start of a response to its end.
+
+    The longest possible output says little of the actual one, so the time of a token
+    is learned from complete responses.
+    """
+    if call.prompt is None:
+        return 0.0
+    return call.prompt.max_output_tokens * state.output_token_s
+
+
+def _describe_workspace(workspace: Workspace | None) -> tuple[str, float]:
+    """Return the name and the weight of a workspace: its quota, if it has one."""
+    if workspace is None:
+        return ANONYMOUS, TOKENS_PER_REQUEST
+    if not workspace.is_limited:
+        return workspace.name, TOKENS_PER_REQUEST
+    if workspace.unit is QuotaUnit.REQUESTS:
+        return workspace.name, workspace.rate_per_s * TOKENS_PER_REQUEST
+    return workspace.name, workspace.rate_per_s
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -5,8 +5,10 @@
 """
 
 import random
+from functools import partial
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
+from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
@@ -14,23 +16,22 @@
     RegionUpdate,
 )
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
-from buckthorndeal.gateway._latency_limits import (
-    compute_latency_budget_s,
-    compute_max_wait_s,
-)
+from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
 from buckthorndeal.gateway._limits import RetryBudgets
 from buckthorndeal.gateway._loads import EndpointLoad, GrantedAttempt
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._messages import (
+    Call,
     Decision,
     Dispatch,
     EndpointNotice,
     Forward,
     Grant,
     LoadReport,
+    Refusal,
     RefusalReason,
 )
-from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
+from buckthorndeal.gateway._queue import WaitingRequest, drain
 from buckthorndeal.gateway._refusals import RefusalPolicy
 from buckthorndeal.gateway._relay_choice import RelayChooser
 from buckthorndeal.gateway._relays import RelayHosts
@@ -40,8 +41,6 @@
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
-# Length of the startup phase, in heartbeat intervals.
-STARTUP_HEARTBEAT_INTERVALS = 1.5
 # Value for the least urgent requests; 0 is the most urgent.
 MAX_URGENCY = 9
 # Engines with fewer slots are often full. They would preempt a running request for each
@@ -86,7 +85,7 @@
         self._budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
-        self._queues: dict[str, WaitingQueue] = {}
+        self.admission = AdmissionControl(options.heartbeat_interval_s)
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
         self._slot_shares = SlotShares(host, view)
@@ -94,7 +93,6 @@
         self.relays = RelayHosts(view, rng)
         self._relay_chooser = RelayChooser(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
-        self._started_s: float | None = None
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
@@ -111,18 +109,16 @@
 
     def submit(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Return a decision, or None if the request is queued for free capacity."""
-        if self._started_s is None:
-            self._started_s = now_s
+        self.admission.start(now_s)
         decision = self._decide(dispatch, now_s)
         if decision is not None:
             return decision
-        queue = self._queues.setdefault(dispatch.call.service, WaitingQueue())
-        wait_s = now_s - dispatch.call.arrived_s
-        if not self._is_starting(now_s):
-            wait_s += queue.predict_wait_s(dispatch, now_s)
-        if wait_s >= compute_max_wait_s(dispatch.call, self._is_starting(now_s)):
-            return self._refusals.refuse_overload(dispatch.call, 0, None)
-        queue.add(dispatch, now_s)
+        call = dispatch.call
+        waiting = self.admission.create_waiting(dispatch, now_s)
+        if not self.admission.may_begin_wait(waiting, now_s):
+            return self._refuse_overload(call, 0, None, now_s)
+        self.admission.record_contention(call, now_s)
+        self.admission.get(call.service).queue.add(waiting)
         return None
 
     def _decide(self, dispatch: Dispatch, now_s: float) -> Decision | None:
@@ -150,18 +146,18 @@
         if remote is not None:
             return self._accept(dispatch, remote, now_s)
         if best is not None:
-            is_fast = best.predicted_s <= compute_latency_budget_s(call, now_s)
-            # Only a response can tell that an idle endpoint is not slow any more.
-            is_trial = call.prompt is None and best.load.is_idle(now_s)
-            if is_fast or is_trial:
+            if not self.admission.has_room(call, best, now_s):
+                return None
+            outlook = self.admission.predict(call, best, now_s)
+            if self.admission.may_serve(call, best, outlook, now_s):
                 return self._accept(dispatch, best, now_s)
-            return self._refusals.refuse_overload(call, len(candidates), best)
+            return self._refuse_overload(call, len(candidates), best, now_s)
         if candidates:
             return self._pass_to_sharing_host(dispatch, candidates, now_s)
         turn = self.view.find_next_turn(call.service, now_s)
         if turn is not None:
             may_wait = turn.condition is EndpointCondition.RATE_LIMITED
-            if may_wait and turn.wait_s <= compute_max_wait_s(call, False):
+            if may_wait and turn.wait_s <= compute_max_turn_wait_s(call):
                 return None
             return self._refusals.refuse_until_turn(turn)
         if self._is_starting(now_s):
@@ -195,6 +191,8 @@
         if load is None:
             return
         load.record_response_start(attempt_id, now_s)
+        service = load.entry.record.service
+        self.admission.get(service).calibration.record_response_start(attempt_id, now_s)
         if report is not None:
             load.record_report(report, now_s)
 
@@ -217,13 +215,14 @@
         `closed` tells whether the endpoint has closed the connection, and `was_sent`
         whether bytes of the request have been sent.
         """
-        for queue in self._queues.values():
+        for queue in self.admission.list_queues():
             queue.remove(attempt_id)
         self.relays.record_end(attempt_id)
         self._budgets.record_end(attempt_id, was_sent)
         ended = self._granted.pop(attempt_id, None)
         if ended is None:
             return
+        self.admission.record_end(attempt_id, ended, outcome, now_s)
         load = self._get_load(ended)
         if load is None or load.is_ready(now_s):
             self.crash_guard.record_attempt(ended, outcome, closed, now_s)
@@ -231,9 +230,6 @@
             return
         load.remove(attempt_id)
         self._slot_shares.record_end(ended.record, outcome, now_s)
-        queue = self._queues.get(load.entry.record.service)
-        if queue is not None:
-            queue.record_slot_release(now_s)
         record = ended.record
         if outcome is AttemptOutcome.CONNECT_FAILED:
             self.reach.path.record_failure(record.endpoint, now_s)
@@ -262,26 +258,28 @@
     def decide_waiting(self, now_s: float) -> list[tuple[int, Decision]]:
         """Return decisions for waiting requests that can be served or refused now."""
         decided: list[tuple[int, Decision]] = []
-        for queue in self._queues.values():
-            blocked = False
-            for waiting in queue.list_by_priority():
-                decision = None
-                if not self._may_keep_waiting(waiting, now_s):
-                    decision = self._refusals.refuse_overload(
-                        waiting.dispatch.call, 0, None
-                    )
-                elif not blocked:
-                    decision = self._decide(waiting.dispatch, now_s)
-                    # Free capacity is kept for the most urgent request, even if a
-                    # smaller one behind it would fit.
-                    waits_here = waiting.dispatch.call.may_run_in(self._region)
-                    blocked = decision is None and waits_here
-                if decision is not None:
-                    attempt_id = waiting.dispatch.attempt_id
-                    queue.remove(attempt_id)
-                    decided.append((attempt_id, decision))
+        for queue in self.admission.list_queues():
+            if queue:
+                decided += drain(
+                    queue,
+                    now_s,
+                    partial(self._decide_again, now_s=now_s),
+                    lambda call: call.may_run_in(self._region),
+                )
         return decided
 
+    def _decide_again(
+        self, waiting: WaitingRequest, ahead: int, may_try: bool, now_s: float
+    ) -> Decision | None:
+        """Return the decision on a waiting request, or None if it waits on."""
+        if may_try:
+            decision = self._decide(waiting.dispatch, now_s)
+            if decision is not None:
+                return decision
+        if self.admission.may_keep_waiting(waiting, ahead, now_s):
+            return None
+        return self._refuse_overload(waiting.call, 0, None, now_s)
+
     def watch_silence(self, heard_s: float, now_s: float) -> None:
         """Check the path if no endpoint sends anything; see `EndpointReach`."""
         self.reach.watch_silence(self._granted, heard_s, now_s)
@@ -293,7 +291,7 @@
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for free capacity."""
-        return any(self._queues.values())
+        return any(self.admission.list_queues())
 
     def describe_service(self, service: str, now_s: float) -> ServiceState:
         """Return the metrics of one service."""
@@ -301,7 +299,7 @@
         budget = self._budgets.get(service)
         return ServiceState(
             self.view.count_conditions(service, now_s),
-            len(self._queues.get(service, ())),
+            len(self.admission.get(service).queue),
             budget.count_retries(now_s),
             budget.compute_limit(hosts, now_s),
         )
@@ -326,7 +324,7 @@
             return None
         if dispatch.call.hops:
             # The host that has passed it on tries another one.
-            return self._refusals.refuse_overload(dispatch.call, len(candidates), None)
+            return self._refuse_overload(dispatch.call, len(candidates), None, now_s)
         host = self.relays.choose(dispatch.excluded, now_s, senders)
         if host is None:
             return None
@@ -371,6 +369,7 @@
             call, record, now_s, choice.uncached_tokens, queued, memory_tokens, version
         )
         load.add(dispatch.attempt_id, attempt)
+        self.admission.record_grant(dispatch.attempt_id, call, choice, now_s)
         self._granted[dispatch.attempt_id] = attempt
         self.view.rate_shares.record_request(record, now_s)
         self.crash_guard.record_grant(dispatch, now_s)
@@ -396,15 +395,11 @@
         )
 
     def _is_starting(self, now_s: float) -> bool:
-        """Return whether first heartbeats of endpoints may still be outstanding.
-
-        After a restart of all hosts, every endpoint sends one within its interval.
-        """
-        if self._started_s is None:
-            return True
-        interval_s = self._options.heartbeat_interval_s
-        return now_s - self._started_s < STARTUP_HEARTBEAT_INTERVALS * interval_s
-
-    def _may_keep_waiting(self, waiting: WaitingRequest, now_s: float) -> bool:
-        max_wait_s = compute_max_wait_s(waiting.dispatch.call, self._is_starting(now_s))
-        return now_s - waiting.queued_at_s < max_wait_s
+        return self.admission.compute_startup_left_s(now_s) > 0
+
+    def _refuse_overload(
+        self, call: Call, candidates: int, best: LocalChoice | None, now_s: float
+    ) -> Refusal:
+        self.admission.record_contention(call, now_s)
+        drain_s = self.admission.predict_drain_s(call, now_s)
+        return self._refusals.refuse_overload(call, candidates, best, drain_s)
--- a/buckthorndeal/gateway/_latency_limits.py
+++ b/buckthorndeal/gateway/_latency_limits.py
@@ -4,10 +4,9 @@
     Call,
 )
 
-# Largest shares of the latency objective that a request waits for free capacity: in
-# general, and on a host that has just started.
-MAX_WAIT_SHARE = 0.25
-STARTUP_MAX_WAIT_SHARE = 0.6
+# Largest share of the latency objective that a request waits for an endpoint that
+# limits its rate.
+MAX_TURN_WAIT_SHARE = 0.25
 # Largest share of the objective that elapsed time takes off the budget.
 MAX_ELAPSED_SHARE = 0.5
 
@@ -23,15 +22,9 @@
     return allowed_s - min(now_s - call.arrived_s, objective_s * MAX_ELAPSED_SHARE)
 
 
-def compute_max_wait_s(call: Call, starting: bool) -> float:
-    """Return how long a request waits for capacity or for the first endpoint.
+def compute_max_turn_wait_s(call: Call) -> float:
+    """Return how long a request waits for the turn of an endpoint that limits its rate.
 
-    Parameters
-    ----------
-    call : Call
-        The request.
-    starting : bool
-        Whether this host has just started and still waits for first heartbeats.
+    The moment is known, so that a longer wait would be longer than any refusal.
     """
-    share = STARTUP_MAX_WAIT_SHARE if starting else MAX_WAIT_SHARE
-    return call.route.latency_objective_s * share
+    return call.route.latency_objective_s * MAX_TURN_WAIT_SHARE
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -33,7 +33,11 @@
         self._rng = rng
 
     def refuse_overload(
-        self, call: Call, candidates: int, best: LocalChoice | None
+        self,
+        call: Call,
+        candidates: int,
+        best: LocalChoice | None,
+        drain_s: float = 0.0,
     ) -> Refusal:
         """Return a refusal because of overload.
 
@@ -45,10 +49,13 @@
             Number of endpoints that were considered.
         best : LocalChoice or None
             Best of them with capacity.
+        drain_s : float
+            Predicted time until the requests that wait at this host are served.
         """
         objective_s = call.route.latency_objective_s
         wait_s = best.predicted_s if best else objective_s
-        retry_s = self._jitter(max(MIN_RETRY_AFTER_S, wait_s - objective_s / 2))
+        wait_s = max(MIN_RETRY_AFTER_S, wait_s - objective_s / 2, drain_s)
+        retry_s = self._jitter(wait_s)
         predicted_s = best.predicted_s if best else None
         return Refusal(RefusalReason.OVERLOADED, retry_s, candidates, predicted_s)
 
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -62,7 +62,7 @@
         self.slots = slots
         self.send_heartbeats()
         # The startup phase is over.
-        self.dispatcher._started_s = 0.0
+        self.dispatcher.admission._started_s = 0.0
 
     def send_heartbeats(self, names=None, **fields):
         self.sequence += 1
--- a/tests/test_gateway_dispatcher.py
+++ b/tests/test_gateway_dispatcher.py
@@ -211,7 +211,7 @@
     def test_fresh_host_waits_for_the_first_reports_of_home_regions(self):
         """Guards against refusing what a region that is not known yet would serve."""
         harness = DispatcherHarness(endpoints=1)
-        harness.dispatcher._started_s = None
+        harness.dispatcher.admission._started_s = None
         at_home = replace(ROUTE, home_regions=frozenset("b"))
         self.assertIsNone(harness.submit(None, at_home))
         waiting_id = harness.attempt_id
@@ -436,7 +436,7 @@
 
     def test_host_that_has_served_refuses_at_once_when_all_endpoints_leave(self):
         harness = DispatcherHarness()
-        harness.dispatcher._started_s = None
+        harness.dispatcher.admission._started_s = None
         self.assertIsInstance(harness.submit(create_prompt(1, 1)), Grant)
         harness.now_s += 10.0
         harness.send_heartbeats(state=EndpointState.DRAINING)
@@ -446,7 +446,7 @@
 
     def test_host_that_has_just_started_lets_requests_wait(self):
         harness = DispatcherHarness(endpoints=0)
-        harness.dispatcher._started_s = None
+        harness.dispatcher.admission._started_s = None
         self.assertIsNone(harness.submit(create_prompt(1, 1)))
 
 
