Leave room to large requests, and wait a moment for a shorter backlog

Cause: a late request was refused at once although others of its host finished a moment later, and requests of the largest tenth found less room than small ones.

Change: a near miss waits for at most an eighth of its objective, requests leave the time that a large one of their route needs, passes over the queue are timed, and grants and urgency are modules of their own.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -25,20 +25,30 @@
 REFUSAL_SHARE = 0.125
 # Largest share of the time up to the latest start that the predicted wait may take.
 # Requests that come later and are more urgent prolong it.
-QUEUE_SHARE = 0.5
+QUEUE_SHARE = 0.25
+# The same once a request has waited for `REFUSAL_SHARE`.
+KEEP_SHARE = 0.7
 # Shares of the usual room, in time and in slots, that a request may use while others
 # want it: after a more urgent one, and in a workspace beyond its fair share.
-LESS_URGENT_SHARE = 0.75
-EXCESSIVE_SHARE = 0.6
+LESS_URGENT_SHARE = 0.4
+EXCESSIVE_SHARE = 0.7
 # Time for which a request that found no room shows that others want it.
 CONTENTION_S = 0.5
 # Largest backlog, as a share of the objective, behind which a late request is served
 # while nobody else wants the room.
-LATE_BACKLOG_SHARE = 1.0
+LATE_BACKLOG_SHARE = 0.3
 # Part of the served tokens that late requests may take from others, so that requests
 # too large for their objective are not refused for ever.
-LATE_TOKEN_SHARE = 0.05
+LATE_TOKEN_SHARE = 0.08
 MAX_LATE_CREDIT_TOKENS = 60_000.0
+# Largest predicted time, as a multiple of what is within the objective, at which a
+# request waits a moment for a shorter backlog instead of being refused.
+NEAR_MISS_FACTOR = 1.3
+NEAR_MISS_MEMORY_S = 0.1
+# Under contention, requests leave the time that one of this quantile of its route takes
+# by itself, and so large requests find the same backlog as small ones.
+LARGE_QUANTILE = 0.95
+QUANTILE_STEP = 0.05
 # Share of the slots of an engine that is used; see `MAX_SLOT_UTILIZATION`.
 USABLE_SLOT_SHARE = 0.8
 # Weight of a new observation of the time that an output token takes.
@@ -57,6 +67,8 @@
     first_s, total_s : float
         Predicted time until the response starts and until it ends, corrected by what
         was observed.
+    own_s : float
+        Predicted time until the response starts without a backlog, not corrected.
     budget_s : float
         Largest `first_s` that is within the latency objective.
     left_s : float
@@ -65,6 +77,7 @@
 
     first_s: float
     total_s: float
+    own_s: float
     budget_s: float
     left_s: float
 
@@ -89,8 +102,12 @@
         When a request of each priority last found no room.
     fair_contended_s : float
         When a request of a workspace within its share last found no room.
+    near_miss_s : float
+        When an endpoint with a free slot was last found to have too long a backlog.
     late_credit_tokens : float
         Tokens that late requests may take from others.
+    large_own_s : dict of str to float
+        Time that large requests take by themselves, by route.
     output_token_s : float
         Time that a token of the longest possible output takes; 0 if unknown.
     """
@@ -99,7 +116,9 @@
     calibration: Calibration = field(default_factory=Calibration)
     contended_s: dict[int, float] = field(default_factory=dict)
     fair_contended_s: float = -math.inf
+    near_miss_s: float = -math.inf
     late_credit_tokens: float = MAX_LATE_CREDIT_TOKENS
+    large_own_s: dict[str, float] = field(default_factory=dict)
     output_token_s: float = 0.0
 
     def is_contended(self, now_s: float) -> bool:
@@ -107,6 +126,15 @@
         last_s = max(self.contended_s.values(), default=-math.inf)
         return now_s - last_s < CONTENTION_S
 
+    def record_own(self, route: str, own_s: float) -> None:
+        """Record the time that a request takes by itself."""
+        large_s = self.large_own_s.get(route, own_s)
+        if own_s > large_s:
+            large_s *= 1 + QUANTILE_STEP * LARGE_QUANTILE
+        else:
+            large_s *= 1 - QUANTILE_STEP * (1 - LARGE_QUANTILE)
+        self.large_own_s[route] = large_s
+
 
 class AdmissionControl:
     """Decides whether requests are served in time, late or not at all on one host.
@@ -152,10 +180,14 @@
     def predict(self, call: Call, choice: LocalChoice, now_s: float) -> Outlook:
         """Return what the caller gets from the chosen endpoint."""
         state = self.get(call.service)
-        first_s = choice.predicted_s * state.calibration.get_factor(now_s)
+        factor = state.calibration.get_factor(now_s)
+        first_s = choice.predicted_s * factor
+        own_s = _predict_own_s(call, choice)
+        state.record_own(call.route.name, own_s)
         return Outlook(
             first_s,
             first_s + _predict_output_s(call, state),
+            own_s,
             compute_latency_budget_s(call, now_s),
             call.deadline_s - now_s,
         )
@@ -165,12 +197,22 @@
     ) -> bool:
         """Return whether a request may be sent to the chosen endpoint now."""
         if outlook.is_in_time:
-            return outlook.first_s <= outlook.budget_s * self._get_share(call, now_s)
+            share = self._get_share(call, now_s)
+            needed_s = outlook.first_s + self._reserve_s(call, outlook, now_s)
+            return needed_s <= outlook.budget_s * share
         # Only a response can tell that an idle endpoint is not slow any more.
         if call.prompt is None and choice.load.is_idle(now_s):
             return True
         return outlook.is_useful and self._may_serve_late(call, choice, outlook, now_s)
 
+    def may_improve(self, call: Call, outlook: Outlook, now_s: float) -> bool:
+        """Return whether a request that would be late may be in time a moment later."""
+        nearly_s = NEAR_MISS_FACTOR * outlook.budget_s
+        if outlook.first_s > nearly_s or not outlook.is_useful:
+            return False
+        self.get(call.service).near_miss_s = now_s
+        return True
+
     def has_room(self, call: Call, choice: LocalChoice, now_s: float) -> bool:
         """Return whether a request that yields to others leaves them enough slots."""
         if call.prompt is None:
@@ -257,8 +299,12 @@
         waited_s = now_s - waiting.queued_at_s
         if waited_s < REFUSAL_SHARE * objective_s:
             return True
-        queue = self.get(waiting.call.service).queue
-        return now_s + queue.predict_wait_s(ahead, now_s) <= waiting.due_s
+        state = self.get(waiting.call.service)
+        if now_s - state.near_miss_s < NEAR_MISS_MEMORY_S:
+            # Free slots do not tell how long a backlog lasts.
+            return False
+        wait_s = state.queue.predict_wait_s(ahead, now_s)
+        return wait_s <= KEEP_SHARE * (waiting.due_s - now_s)
 
     def predict_drain_s(self, call: Call, now_s: float) -> float:
         """Return when there is room for callers that are refused now, in seconds."""
@@ -266,6 +312,14 @@
         wait_s = queue.predict_wait_s(len(queue), now_s)
         return min(wait_s, call.route.latency_objective_s)
 
+    def _reserve_s(self, call: Call, outlook: Outlook, now_s: float) -> float:
+        """Return the time that a request leaves to larger ones of its route."""
+        state = self.get(call.service)
+        if call.prompt is None or not state.is_contended(now_s):
+            return 0.0
+        large_s = min(state.large_own_s[call.route.name], outlook.budget_s / 2)
+        return max(0.0, large_s - outlook.own_s)
+
     def _get_share(self, call: Call, now_s: float) -> float:
         state = self.get(call.service)
         share = 1.0
@@ -282,9 +336,7 @@
     ) -> bool:
         state = self.get(call.service)
         objective_s = call.route.latency_objective_s
-        own_s = outlook.first_s
-        if call.prompt is not None:
-            own_s = choice.load.prefill_speed.predict(choice.uncached_tokens)
+        own_s = outlook.own_s
         if not state.is_contended(now_s) and not state.queue:
             return outlook.first_s - own_s <= LATE_BACKLOG_SHARE * objective_s
         tokens = choice.uncached_tokens
@@ -300,6 +352,14 @@
         return self.shares.is_excessive(_describe_workspace(call.workspace)[0], now_s)
 
 
+def _predict_own_s(call: Call, choice: LocalChoice) -> float:
+    """Return the time until a response starts at the endpoint without a backlog."""
+    if call.prompt is None:
+        return choice.predicted_s
+    own_s = choice.load.prefill_speed.predict(choice.uncached_tokens)
+    return min(own_s, choice.predicted_s)
+
+
 def _predict_output_s(call: Call, state: ServiceAdmission) -> float:
     """Return the predicted time from the start of a response to its end.
 
--- a/buckthorndeal/gateway/_calibration.py
+++ b/buckthorndeal/gateway/_calibration.py
@@ -12,7 +12,7 @@
 # Interval at which attempts that are overdue are counted.
 OVERDUE_INTERVAL_S = 0.05
 # Weight of the assumption that predictions are right, in seconds of predicted time.
-PRIOR_S = 0.5
+PRIOR_S = 0.1
 # Predictions are corrected by at most this factor, so that a host goes on trying.
 MAX_FACTOR = 6.0
 MOVING_AVERAGE_WEIGHT = 0.1
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -16,6 +16,7 @@
     RegionUpdate,
 )
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
+from buckthorndeal.gateway._grants import create_attempt, create_grant
 from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
 from buckthorndeal.gateway._limits import RetryBudgets
 from buckthorndeal.gateway._loads import EndpointLoad, GrantedAttempt
@@ -31,7 +32,7 @@
     Refusal,
     RefusalReason,
 )
-from buckthorndeal.gateway._queue import WaitingRequest, drain
+from buckthorndeal.gateway._queue import PassTimer, WaitingRequest, drain
 from buckthorndeal.gateway._refusals import RefusalPolicy
 from buckthorndeal.gateway._relay_choice import RelayChooser
 from buckthorndeal.gateway._relays import RelayHosts
@@ -41,12 +42,6 @@
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
-# Value for the least urgent requests; 0 is the most urgent.
-MAX_URGENCY = 9
-# Engines with fewer slots are often full. They would preempt a running request for each
-# more urgent one, and prefill it again, so they are sent no priorities.
-MIN_PRIORITY_SLOTS = 32
-
 
 class Dispatcher:
     """Chooses the target of each attempt on one entry host.
@@ -86,6 +81,7 @@
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
         self.admission = AdmissionControl(options.heartbeat_interval_s)
+        self._passes = PassTimer()
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
         self._slot_shares = SlotShares(host, view)
@@ -97,6 +93,7 @@
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
         self._remote.update(message, now_s)
+        self._passes.record_change()
 
     def expire_endpoints(self, silence_s: float, now_s: float) -> None:
         """Remove endpoints without heartbeats for `silence_s` seconds."""
@@ -151,6 +148,8 @@
             outlook = self.admission.predict(call, best, now_s)
             if self.admission.may_serve(call, best, outlook, now_s):
                 return self._accept(dispatch, best, now_s)
+            if self.admission.may_improve(call, outlook, now_s):
+                return None
             return self._refuse_overload(call, len(candidates), best, now_s)
         if candidates:
             return self._pass_to_sharing_host(dispatch, candidates, now_s)
@@ -170,6 +169,7 @@
         self, notice: EndpointNotice, now_s: float
     ) -> EndpointRecord | None:
         """Apply a notice; return the changed record if the endpoint newly leaves."""
+        self._passes.record_change()
         load = self.view.loads.get(notice.record.endpoint)
         if load is not None and notice.load is not None:
             load.record_report(notice.load, now_s)
@@ -190,6 +190,7 @@
         load = self._get_load(self._granted.get(attempt_id))
         if load is None:
             return
+        self._passes.record_change()
         load.record_response_start(attempt_id, now_s)
         service = load.entry.record.service
         self.admission.get(service).calibration.record_response_start(attempt_id, now_s)
@@ -217,6 +218,7 @@
         """
         for queue in self.admission.list_queues():
             queue.remove(attempt_id)
+        self._passes.record_change()
         self.relays.record_end(attempt_id)
         self._budgets.record_end(attempt_id, was_sent)
         ended = self._granted.pop(attempt_id, None)
@@ -258,6 +260,8 @@
     def decide_waiting(self, now_s: float) -> list[tuple[int, Decision]]:
         """Return decisions for waiting requests that can be served or refused now."""
         decided: list[tuple[int, Decision]] = []
+        if not self._passes.is_due(now_s):
+            return decided
         for queue in self.admission.list_queues():
             if queue:
                 decided += drain(
@@ -358,41 +362,16 @@
 
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
         call, load = dispatch.call, choice.load
-        service = self.view.get_service(call.service)
-        memory_tokens = 0
-        if call.prompt is not None:
-            memory_tokens = call.prompt.tokens + call.prompt.max_output_tokens
-        queued = load.count_queued_tokens(now_s)
-        record = load.entry.record
-        version = self.view.get_version(load, now_s)
-        attempt = GrantedAttempt(
-            call, record, now_s, choice.uncached_tokens, queued, memory_tokens, version
-        )
+        attempt = create_attempt(self.view, call, choice, now_s)
         load.add(dispatch.attempt_id, attempt)
         self.admission.record_grant(dispatch.attempt_id, call, choice, now_s)
         self._granted[dispatch.attempt_id] = attempt
-        self.view.rate_shares.record_request(record, now_s)
+        self.view.rate_shares.record_request(attempt.record, now_s)
         self.crash_guard.record_grant(dispatch, now_s)
         if choice.cold:
             self.view.warm_ups.record_request(load.name, now_s)
         self._ejection.start_probe(call.service, load.name, now_s)
-        urgency = None
-        if record.slots >= MIN_PRIORITY_SLOTS:
-            urgency = min(MAX_URGENCY, call.priority)
-        age_s = now_s - load.entry.last_heartbeat_s
-        source = choice.cache_source
-        cache_source = source.entry.record.address if source is not None else None
-        return Grant(
-            record,
-            urgency,
-            choice.predicted_s,
-            self.view.get_connection_limit(service),
-            age_s,
-            cache_source,
-            self.view.rate_shares.get_limit(record),
-            self.view.rate_shares.get_rejection_limit(record),
-            version,
-        )
+        return create_grant(self.view, attempt, choice, now_s)
 
     def _is_starting(self, now_s: float) -> bool:
         return self.admission.compute_startup_left_s(now_s) > 0
@@ -402,4 +381,6 @@
     ) -> Refusal:
         self.admission.record_contention(call, now_s)
         drain_s = self.admission.predict_drain_s(call, now_s)
-        return self._refusals.refuse_overload(call, candidates, best, drain_s)
+        return self._refusals.refuse_overload(
+            call, candidates, best, drain_s, call.deadline_s - now_s
+        )
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -30,6 +30,12 @@
 # costs a comparison of all endpoints.
 MAX_MISSES = 4
 
+# Shortest times between two passes over the queues: after something has changed, and
+# otherwise. A pass compares endpoints for several requests, and messages arrive more
+# often than room becomes free.
+CHANGE_INTERVAL_S = 0.005
+PASS_INTERVAL_S = 0.015
+
 
 @dataclass(slots=True)
 class WaitingRequest:
@@ -155,6 +161,27 @@
             self._slot_releases_s.popleft()
 
 
+class PassTimer:
+    """Tells when the queues are worth another pass."""
+
+    def __init__(self) -> None:
+        self._last_s = -math.inf
+        self._has_changed = True
+
+    def record_change(self) -> None:
+        """Record that there may be room for waiting requests."""
+        self._has_changed = True
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether a pass is due, which then counts as made."""
+        interval_s = CHANGE_INTERVAL_S if self._has_changed else PASS_INTERVAL_S
+        if now_s - self._last_s < interval_s:
+            return False
+        self._last_s = now_s
+        self._has_changed = False
+        return True
+
+
 class QueuePass:
     """One pass over a queue after room has become free.
 
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -1,5 +1,6 @@
 """Refusals, and when the refused callers may return; no I/O."""
 
+import math
 import random
 
 from buckthorndeal.gateway._crash_guard import Objection
@@ -18,6 +19,10 @@
 QUARANTINE_RETRY_S = 10.0
 # Callers that return later may reach a host that has a share in the limit.
 MAX_RATE_RETRY_S = 2.0
+SPREAD = (0.75, 1.5)
+OVERLOAD_SPREAD = 1.5
+# Share of the time left to their deadline after which callers still return.
+RETURN_SHARE = 0.3
 
 
 class RefusalPolicy:
@@ -38,6 +43,7 @@
         candidates: int,
         best: LocalChoice | None,
         drain_s: float = 0.0,
+        left_s: float = math.inf,
     ) -> Refusal:
         """Return a refusal because of overload.
 
@@ -51,11 +57,16 @@
             Best of them with capacity.
         drain_s : float
             Predicted time until the requests that wait at this host are served.
+        left_s : float
+            Time that is left until the deadline of the caller.
         """
         objective_s = call.route.latency_objective_s
         wait_s = best.predicted_s if best else objective_s
         wait_s = max(MIN_RETRY_AFTER_S, wait_s - objective_s / 2, drain_s)
-        retry_s = self._jitter(wait_s)
+        # Callers do not return later than this, and then get nothing.
+        latest_s = max(wait_s, RETURN_SHARE * left_s)
+        spread_s = min(latest_s, wait_s * OVERLOAD_SPREAD)
+        retry_s = max(0.75 * wait_s, self._rng.uniform(0.75 * wait_s, spread_s))
         predicted_s = best.predicted_s if best else None
         return Refusal(RefusalReason.OVERLOADED, retry_s, candidates, predicted_s)
 
@@ -93,4 +104,4 @@
 
     def _jitter(self, seconds: float) -> float:
         """Randomize a delay, so that callers refused together do not retry together."""
-        return seconds * self._rng.uniform(0.75, 1.5)
+        return seconds * self._rng.uniform(*SPREAD)
--- a/buckthorndeal/policy/fairness.py
+++ b/buckthorndeal/policy/fairness.py
@@ -15,7 +15,7 @@
 # A workspace yields if it has been served more than this multiple of its fair share.
 # Sizes of workspaces vary by themselves, so that a smaller factor singles out those
 # that are a little busy.
-EXCESS_FACTOR = 1.5
+EXCESS_FACTOR = 2.0
 # Interval at which the fair level is computed anew.
 LEVEL_INTERVAL_S = 0.25
 # Bounds the memory; the workspaces that were served least are forgotten first.
--- a/tests/overload_play.py
+++ b/tests/overload_play.py
@@ -69,6 +69,11 @@
     ),
     24, 0.00303, 92_100.0, 351_124, 10, 4,
 )  # fmt: skip
+K16 = replace(
+    K,
+    slots=16,
+    kinds=tuple(replace(kind, per_s=kind.per_s * 0.7) for kind in K.kinds),
+)
 R = Deployment(
     (
         Kind("long", 2.45, 6300, 2890, 54, 1.247, 5.196, 2.8, 0.85),
@@ -261,7 +266,7 @@
 
     def __init__(self, site, seed=1, load=1.0, busy_factor=1.0, known=True, peak=2.5):
         self.site, self.load, self.busy_factor = site, load, busy_factor
-        self.peak = peak
+        self.peak, self.known = peak, known
         self.rng = random.Random(seed)
         self.events, self.count = [], itertools.count()
         names = tuple(f"h{number}" for number in range(site.hosts))
@@ -322,8 +327,11 @@
         self.until_s = self.now_s + seconds
         for kind in self.site.kinds:
             self.schedule(0.0, self.arrive, kind)
-        self.schedule(0.0, self.send_heartbeats)
+        self.schedule(0.0 if self.known else HEARTBEAT_S * 1.2, self.send_heartbeats)
         self.schedule(0.0, self.tick)
+        if not self.known:
+            for name in self.hosts[0].names:
+                self.schedule(self.rng.uniform(0, 1.2), self.introduce, name)
         self.schedule(0.0, self.slow_down)
         while self.events and self.events[0][0] < self.until_s + drain_s:
             self.now_s, _, call, fields = heapq.heappop(self.events)
@@ -458,6 +466,12 @@
         )
         self.decide(attempt.host)
 
+    def introduce(self, name):
+        """Make an endpoint known to all hosts, as after a restart of all hosts."""
+        for host in self.hosts:
+            host.now_s = self.now_s
+            host.send_heartbeats([name])
+
     def send_heartbeats(self):
         for host in self.hosts:
             host.now_s = self.now_s
