Tell why a request was refused and what a workspace got

Cause: a refusal because of an overload did not say what was lacking. One hung endpoint or one bad moment raised the correction of predictions without a bound.

Change: refusals carry a cause, decisions are counted by workspace, and while room is short a line a second tells the correction and the largest shares. An observation counts with 20 times its prediction at most, and two overdue attempts by endpoint.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -11,7 +11,8 @@
 from buckthorndeal.gateway._calibration import Calibration
 from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
 from buckthorndeal.gateway._loads import GrantedAttempt
-from buckthorndeal.gateway._messages import Call, Dispatch
+from buckthorndeal.gateway._messages import Call, Dispatch, OverloadCause
+from buckthorndeal.gateway._outlook import Outlook, predict_own_s, predict_total_s
 from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
 from buckthorndeal.gateway._scoring import LocalChoice
 from buckthorndeal.policy.fairness import create_fair_shares
@@ -58,40 +59,6 @@
 ANONYMOUS = "anonymous"
 
 
-@dataclass(frozen=True, slots=True)
-class Outlook:
-    """What the caller of a request gets from an endpoint.
-
-    Parameters
-    ----------
-    first_s, total_s : float
-        Predicted time until the response starts and until it ends, corrected by what
-        was observed.
-    own_s : float
-        Predicted time until the response starts without a backlog, not corrected.
-    budget_s : float
-        Largest `first_s` that is within the latency objective.
-    left_s : float
-        Time that is left until the deadline of the caller.
-    """
-
-    first_s: float
-    total_s: float
-    own_s: float
-    budget_s: float
-    left_s: float
-
-    @property
-    def is_in_time(self) -> bool:
-        """Whether the response starts within the objective and ends by the deadline."""
-        return self.first_s <= self.budget_s and self.is_useful
-
-    @property
-    def is_useful(self) -> bool:
-        """Whether the response ends before the deadline."""
-        return self.total_s <= self.left_s
-
-
 @dataclass(slots=True)
 class ServiceAdmission:
     """What a host has observed of one service.
@@ -182,11 +149,11 @@
         state = self.get(call.service)
         factor = state.calibration.get_factor(now_s)
         first_s = choice.predicted_s * factor
-        own_s = _predict_own_s(call, choice)
+        own_s = predict_own_s(call, choice)
         state.record_own(call.route.name, own_s)
         return Outlook(
             first_s,
-            first_s + _predict_output_s(call, state),
+            predict_total_s(call, first_s, state.output_token_s),
             own_s,
             compute_latency_budget_s(call, now_s),
             call.deadline_s - now_s,
@@ -205,6 +172,14 @@
             return True
         return outlook.is_useful and self._may_serve_late(call, choice, outlook, now_s)
 
+    def find_cause(self, call: Call, outlook: Outlook, now_s: float) -> OverloadCause:
+        """Return why a request is not sent to the chosen endpoint."""
+        if not outlook.is_useful:
+            return OverloadCause.DEADLINE
+        if outlook.is_in_time and self._get_share(call, now_s) < 1.0:
+            return OverloadCause.YIELDS
+        return OverloadCause.BACKLOG
+
     def may_improve(self, call: Call, outlook: Outlook, now_s: float) -> bool:
         """Return whether a request that would be late may be in time a moment later."""
         nearly_s = NEAR_MISS_FACTOR * outlook.budget_s
@@ -228,7 +203,9 @@
     ) -> None:
         """Record that a request is sent to an endpoint."""
         state = self.get(call.service)
-        state.calibration.record_grant(attempt_id, choice.predicted_s, now_s)
+        state.calibration.record_grant(
+            attempt_id, choice.load.name, choice.predicted_s, now_s
+        )
         tokens = choice.uncached_tokens
         if call.prompt is not None:
             tokens += call.prompt.max_output_tokens
@@ -239,7 +216,12 @@
         self.shares.record(name, weight, max(1, tokens), now_s)
 
     def record_contention(self, call: Call, now_s: float) -> None:
-        """Record that a request has found no room."""
+        """Record that a request has found no room.
+
+        While endpoints are still becoming known, that says nothing of the load.
+        """
+        if self.compute_startup_left_s(now_s) > 0:
+            return
         state = self.get(call.service)
         state.contended_s[call.priority] = now_s
         if not self._is_excessive(call, now_s):
@@ -306,6 +288,11 @@
         wait_s = state.queue.predict_wait_s(ahead, now_s)
         return wait_s <= KEEP_SHARE * (waiting.due_s - now_s)
 
+    def describe(self, service: str, now_s: float) -> tuple[float, bool]:
+        """Return the correction of predictions and whether requests find no room."""
+        state = self.get(service)
+        return state.calibration.get_factor(now_s), state.is_contended(now_s)
+
     def predict_drain_s(self, call: Call, now_s: float) -> float:
         """Return when there is room for callers that are refused now, in seconds."""
         queue = self.get(call.service).queue
@@ -337,6 +324,8 @@
         state = self.get(call.service)
         objective_s = call.route.latency_objective_s
         own_s = outlook.own_s
+        if self.compute_startup_left_s(now_s) > 0:
+            return True
         if not state.is_contended(now_s) and not state.queue:
             return outlook.first_s - own_s <= LATE_BACKLOG_SHARE * objective_s
         tokens = choice.uncached_tokens
@@ -352,25 +341,6 @@
         return self.shares.is_excessive(_describe_workspace(call.workspace)[0], now_s)
 
 
-def _predict_own_s(call: Call, choice: LocalChoice) -> float:
-    """Return the time until a response starts at the endpoint without a backlog."""
-    if call.prompt is None:
-        return choice.predicted_s
-    own_s = choice.load.prefill_speed.predict(choice.uncached_tokens)
-    return min(own_s, choice.predicted_s)
-
-
-def _predict_output_s(call: Call, state: ServiceAdmission) -> float:
-    """Return the predicted time from the start of a response to its end.
-
-    The longest possible output says little of the actual one, so the time of a token
-    is learned from complete responses.
-    """
-    if call.prompt is None:
-        return 0.0
-    return call.prompt.max_output_tokens * state.output_token_s
-
-
 def _describe_workspace(workspace: Workspace | None) -> tuple[str, float]:
     """Return the name and the weight of a workspace: its quota, if it has one."""
     if workspace is None:
--- a/buckthorndeal/gateway/_calibration.py
+++ b/buckthorndeal/gateway/_calibration.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 
 # Time constant with which observations are forgotten.
@@ -15,14 +16,24 @@
 PRIOR_S = 0.1
 # Predictions are corrected by at most this factor, so that a host goes on trying.
 MAX_FACTOR = 6.0
+# Largest multiple of its prediction with which one response counts.
+MAX_OBSERVED_FACTOR = 20.0
+# Overdue attempts at one endpoint that count, since an endpoint that has stopped says
+# nothing of the others.
+MAX_OVERDUE = 2
 MOVING_AVERAGE_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
 class _Pending:
+    endpoint: str
     granted_s: float
     predicted_s: float
 
+    def bound_s(self, now_s: float) -> float:
+        """Return how long it has lasted, as far as one attempt counts."""
+        return min(now_s - self.granted_s, MAX_OBSERVED_FACTOR * self.predicted_s)
+
 
 class Calibration:
     """Ratio of observed to predicted response times of one service at this host.
@@ -45,9 +56,11 @@
         self._factor = 1.0
         self._factor_due_s = -math.inf
 
-    def record_grant(self, attempt_id: int, predicted_s: float, now_s: float) -> None:
+    def record_grant(
+        self, attempt_id: int, endpoint: str, predicted_s: float, now_s: float
+    ) -> None:
         """Record that an attempt begins, with its predicted response time."""
-        self._pending[attempt_id] = _Pending(now_s, predicted_s)
+        self._pending[attempt_id] = _Pending(endpoint, now_s, predicted_s)
 
     def record_response_start(self, attempt_id: int, now_s: float) -> None:
         """Record that the response to an attempt has started."""
@@ -56,7 +69,7 @@
             return
         self._decay(now_s)
         lasted_s = now_s - pending.granted_s
-        self._observed_s += lasted_s
+        self._observed_s += pending.bound_s(now_s)
         self._predicted_s += pending.predicted_s
         weight = MOVING_AVERAGE_WEIGHT
         self.mean_response_s += weight * (lasted_s - self.mean_response_s)
@@ -66,10 +79,9 @@
         pending = self._pending.pop(attempt_id, None)
         if pending is None:
             return
-        lasted_s = now_s - pending.granted_s
-        if lasted_s > pending.predicted_s:
+        if now_s - pending.granted_s > pending.predicted_s:
             self._decay(now_s)
-            self._observed_s += lasted_s
+            self._observed_s += pending.bound_s(now_s)
             self._predicted_s += pending.predicted_s
 
     def get_factor(self, now_s: float) -> float:
@@ -80,10 +92,13 @@
         self._decay(now_s)
         observed_s = self._observed_s + PRIOR_S
         predicted_s = self._predicted_s + PRIOR_S
+        counts: Counter[str] = Counter()
         for pending in self._pending.values():
-            lasted_s = now_s - pending.granted_s
-            if lasted_s > pending.predicted_s:
-                observed_s += lasted_s
+            if now_s - pending.granted_s <= pending.predicted_s:
+                continue
+            counts[pending.endpoint] += 1
+            if counts[pending.endpoint] <= MAX_OVERDUE:
+                observed_s += pending.bound_s(now_s)
                 predicted_s += pending.predicted_s
         self._factor = min(MAX_FACTOR, max(1.0, observed_s / predicted_s))
         return self._factor
--- a/buckthorndeal/gateway/_decision_log.py
+++ b/buckthorndeal/gateway/_decision_log.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._attempt import AttemptError
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._messages import (
@@ -12,8 +13,12 @@
     Refusal,
 )
 from buckthorndeal.logs import log_event
+from buckthorndeal.metrics import Metrics
 from buckthorndeal.quarantine import QuarantineChange, list_part_keys
 
+# Workspaces of which a log line tells the share: those that get most of theirs.
+LOGGED_WORKSPACES = 5
+
 
 @singledispatch
 def describe_decision(decision: Decision) -> dict[str, object]:
@@ -53,9 +58,43 @@
         "candidates": decision.candidates,
         "predicted_ms": _round_ms(decision.predicted_s),
         "key": decision.key,
+        "cause": decision.cause.value if decision.cause is not None else None,
     }
 
 
+def count_decision(metrics: Metrics, call: Call, decision: Decision) -> None:
+    """Count a decision, by workspace and by what was lacking.
+
+    Workspaces come from the configuration, and `Metrics` bounds their number.
+    """
+    kind = type(decision).__name__.lower()
+    metrics.count("decisions", kind=kind)
+    if call.workspace is not None:
+        metrics.count("workspace_decisions", workspace=call.workspace.name, kind=kind)
+    if isinstance(decision, Refusal) and decision.cause is not None:
+        cause = decision.cause.value
+        metrics.count("overload_refusals", service=call.service, cause=cause)
+
+
+def record_admission(
+    metrics: Metrics, admission: AdmissionControl, service: str, now_s: float
+) -> None:
+    """Set the gauges of a service, and log who gets what while room is short."""
+    factor, is_contended = admission.describe(service, now_s)
+    metrics.set_gauge("prediction_factor", factor, service=service)
+    metrics.set_gauge("contended", int(is_contended), service=service)
+    if not is_contended:
+        return
+    excesses = admission.shares.list_excesses(now_s, LOGGED_WORKSPACES)
+    log_event(
+        "room_contended",
+        service=service,
+        prediction_factor=round(factor, 2),
+        waiting=len(admission.get(service).queue),
+        shares={name: round(excess, 2) for name, excess in excesses},
+    )
+
+
 def log_failed_attempt(
     context: GatewayContext,
     call: Call,
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -10,7 +10,12 @@
     RateLimitUpdate,
 )
 from buckthorndeal.gateway._contact import EndpointContact
-from buckthorndeal.gateway._decision_log import describe_decision, log_quarantine_change
+from buckthorndeal.gateway._decision_log import (
+    count_decision,
+    describe_decision,
+    log_quarantine_change,
+    record_admission,
+)
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._fleet_messages import (
@@ -60,6 +65,8 @@
     "waiting_requests": "Requests that wait for room at an endpoint.",
     "retries_in_window": "Repeats in the window of the retry budget.",
     "retries_allowed": "Part of this host in the retry budget.",
+    "prediction_factor": "Observed response times relative to the predicted ones.",
+    "contended": "Whether a request has found no room within half a second.",
     "quarantined_keys": "Keys of requests that crash endpoints.",
 }
 
@@ -337,6 +344,7 @@
         self._metrics.set_gauge("quarantined_keys", quarantine.count_quarantined())
         for service in self._dispatcher.view.services:
             state = self._dispatcher.describe_service(service, now_s)
+            record_admission(self._metrics, self._dispatcher.admission, service, now_s)
             for condition, count in state.endpoints.items():
                 self._metrics.set_gauge(
                     "endpoints", count, service=service, condition=condition.value
@@ -361,7 +369,7 @@
         message: Dispatch = envelope.message
         call = message.call
         waited_s = now_s - call.arrived_s
-        self._metrics.count("decisions", kind=type(decision).__name__.lower())
+        count_decision(self._metrics, call, decision)
         self._metrics.observe("decision_wait_seconds", waited_s, service=call.service)
         refused = isinstance(decision, Refusal)
         write = log_event if refused else log_routine
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from dataclasses import replace
 from functools import partial
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
@@ -29,6 +30,7 @@
     Forward,
     Grant,
     LoadReport,
+    OverloadCause,
     Refusal,
     RefusalReason,
 )
@@ -113,7 +115,7 @@
         call = dispatch.call
         waiting = self.admission.create_waiting(dispatch, now_s)
         if not self.admission.may_begin_wait(waiting, now_s):
-            return self._refuse_overload(call, 0, None, now_s)
+            return self._refuse_overload(call, OverloadCause.QUEUE, now_s)
         self.admission.record_contention(call, now_s)
         self.admission.get(call.service).queue.add(waiting)
         return None
@@ -150,7 +152,8 @@
                 return self._accept(dispatch, best, now_s)
             if self.admission.may_improve(call, outlook, now_s):
                 return None
-            return self._refuse_overload(call, len(candidates), best, now_s)
+            cause = self.admission.find_cause(call, outlook, now_s)
+            return self._refuse_overload(call, cause, now_s, len(candidates), best)
         if candidates:
             return self._pass_to_sharing_host(dispatch, candidates, now_s)
         turn = self.view.find_next_turn(call.service, now_s)
@@ -282,7 +285,7 @@
                 return decision
         if self.admission.may_keep_waiting(waiting, ahead, now_s):
             return None
-        return self._refuse_overload(waiting.call, 0, None, now_s)
+        return self._refuse_overload(waiting.call, OverloadCause.WAIT, now_s)
 
     def watch_silence(self, heard_s: float, now_s: float) -> None:
         """Check the path if no endpoint sends anything; see `EndpointReach`."""
@@ -328,7 +331,9 @@
             return None
         if dispatch.call.hops:
             # The host that has passed it on tries another one.
-            return self._refuse_overload(dispatch.call, len(candidates), None, now_s)
+            return self._refuse_overload(
+                dispatch.call, OverloadCause.SHARE, now_s, len(candidates)
+            )
         host = self.relays.choose(dispatch.excluded, now_s, senders)
         if host is None:
             return None
@@ -377,10 +382,17 @@
         return self.admission.compute_startup_left_s(now_s) > 0
 
     def _refuse_overload(
-        self, call: Call, candidates: int, best: LocalChoice | None, now_s: float
+        self,
+        call: Call,
+        cause: OverloadCause,
+        now_s: float,
+        candidates: int = 0,
+        best: LocalChoice | None = None,
     ) -> Refusal:
         self.admission.record_contention(call, now_s)
         drain_s = self.admission.predict_drain_s(call, now_s)
-        return self._refusals.refuse_overload(
-            call, candidates, best, drain_s, call.deadline_s - now_s
+        left_s = call.deadline_s - now_s
+        refusal = self._refusals.refuse_overload(
+            call, candidates, best, drain_s, left_s
         )
+        return replace(refusal, cause=cause)
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -207,6 +207,23 @@
         return self.host if self.is_relay else self.region
 
 
+class OverloadCause(enum.Enum):
+    """What an overload lacked for a request."""
+
+    # The response would begin after the objective, and others want the room.
+    BACKLOG = "backlog"
+    # The response would end after the deadline of the caller.
+    DEADLINE = "deadline"
+    # Too many requests wait already.
+    QUEUE = "queue"
+    # No room came in time.
+    WAIT = "wait"
+    # Its workspace or priority yields to others that want the room.
+    YIELDS = "yields"
+    # Other hosts have shares in the endpoints, and have passed it on.
+    SHARE = "share"
+
+
 class RefusalReason(enum.Enum):
     """Reason for which a request is refused."""
 
@@ -235,6 +252,8 @@
         Predicted time until the response starts at the best of them with capacity.
     key : str or None
         Quarantined or suspect key of the request.
+    cause : OverloadCause or None
+        What was lacking, if the reason is an overload.
     """
 
     reason: RefusalReason
@@ -242,6 +261,7 @@
     candidates: int = 0
     predicted_s: float | None = None
     key: str | None = None
+    cause: OverloadCause | None = None
 
 
 Decision = Grant | Forward | Refusal
