--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -9,11 +9,18 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.gateway._calibration import Calibration
-from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
+from buckthorndeal.gateway._latency_limits import (
+    compute_latency_budget_s,
+    compute_max_turn_wait_s,
+)
 from buckthorndeal.gateway._loads import GrantedAttempt
 from buckthorndeal.gateway._messages import Call, Dispatch, OverloadCause
 from buckthorndeal.gateway._outlook import Outlook, predict_own_s, predict_total_s
-from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
+from buckthorndeal.gateway._queue import (
+    PASS_INTERVAL_S,
+    WaitingQueue,
+    WaitingRequest,
+)
 from buckthorndeal.gateway._scoring import LocalChoice
 from buckthorndeal.policy.fairness import create_fair_shares
 from buckthorndeal.policy.views import AttemptOutcome
@@ -69,6 +76,8 @@
         When a request of each priority last found no room.
     fair_contended_s : float
         When a request of a workspace within its share last found no room.
+    turn_s : float
+        When an endpoint that limits its rate takes the next request of this host.
     near_miss_s : float
         When an endpoint with a free slot was last found to have too long a backlog.
     late_credit_tokens : float
@@ -83,6 +92,7 @@
     calibration: Calibration = field(default_factory=Calibration)
     contended_s: dict[int, float] = field(default_factory=dict)
     fair_contended_s: float = -math.inf
+    turn_s: float = -math.inf
     near_miss_s: float = -math.inf
     late_credit_tokens: float = MAX_LATE_CREDIT_TOKENS
     large_own_s: dict[str, float] = field(default_factory=dict)
@@ -215,6 +225,11 @@
         name, weight = _describe_workspace(call.workspace)
         self.shares.record(name, weight, max(1, tokens), now_s)
 
+    def record_turn(self, call: Call, wait_s: float, now_s: float) -> None:
+        """Record when a rate-limited endpoint takes the next request of this host."""
+        # Passes over the queue come a little later than the moment itself.
+        self.get(call.service).turn_s = now_s + wait_s + PASS_INTERVAL_S
+
     def record_contention(self, call: Call, now_s: float) -> None:
         """Record that a request has found no room.
 
@@ -282,6 +297,8 @@
         if waited_s < REFUSAL_SHARE * objective_s:
             return True
         state = self.get(waiting.call.service)
+        if now_s < state.turn_s:
+            return waited_s < compute_max_turn_wait_s(waiting.call)
         if now_s - state.near_miss_s < NEAR_MISS_MEMORY_S:
             # Free slots do not tell how long a backlog lasts.
             return False
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -160,6 +160,7 @@
         if turn is not None:
             may_wait = turn.condition is EndpointCondition.RATE_LIMITED
             if may_wait and turn.wait_s <= compute_max_turn_wait_s(call):
+                self.admission.record_turn(call, turn.wait_s, now_s)
                 return None
             return self._refusals.refuse_until_turn(turn)
         if self._is_starting(now_s):
