Try a slow plain endpoint with one request at a time, and make fewer passes

Change: late service is for engines only, where a backlog is known. A pass comes at most every 10 ms and makes two fruitless choices.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -177,9 +177,10 @@
             share = self._get_share(call, now_s)
             needed_s = outlook.first_s + self._reserve_s(call, outlook, now_s)
             return needed_s <= outlook.budget_s * share
-        # Only a response can tell that an idle endpoint is not slow any more.
-        if call.prompt is None and choice.load.is_idle(now_s):
-            return True
+        if call.prompt is None:
+            # Only a response can tell that an idle endpoint is not slow any more. One
+            # request at a time tries it, as it may also have fallen silent.
+            return choice.load.is_idle(now_s)
         return outlook.is_useful and self._may_serve_late(call, choice, outlook, now_s)
 
     def find_cause(self, call: Call, outlook: Outlook, now_s: float) -> OverloadCause:
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -28,12 +28,12 @@
 MAX_OVERTAKES = 4
 # Requests that are tried in one pass although an earlier one has found no room. Each
 # costs a comparison of all endpoints.
-MAX_MISSES = 4
+MAX_MISSES = 2
 
 # Shortest times between two passes over the queues: after something has changed, and
 # otherwise. A pass compares endpoints for several requests, and messages arrive more
 # often than room becomes free.
-CHANGE_INTERVAL_S = 0.005
+CHANGE_INTERVAL_S = 0.01
 PASS_INTERVAL_S = 0.015
 
 
