Keep room from new requests for one that was overtaken too often

Cause: a request that had found no room kept it from the waiting requests behind it, while new ones went on taking it.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -13,9 +13,7 @@
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
-from buckthorndeal.gateway._fleet_messages import (
-    RegionUpdate,
-)
+from buckthorndeal.gateway._fleet_messages import RegionUpdate
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
 from buckthorndeal.gateway._grants import create_attempt, create_grant
 from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
@@ -109,15 +107,19 @@
     def submit(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Return a decision, or None if the request is queued for free capacity."""
         self.admission.start(now_s)
-        decision = self._decide(dispatch, now_s)
-        if decision is not None:
-            return decision
         call = dispatch.call
         waiting = self.admission.create_waiting(dispatch, now_s)
+        queue = self.admission.get(call.service).queue
+        if not queue.is_reserved(waiting, now_s):
+            decision = self._decide(dispatch, now_s)
+            if decision is not None:
+                if isinstance(decision, Grant):
+                    queue.record_overtake(waiting, now_s)
+                return decision
         if not self.admission.may_begin_wait(waiting, now_s):
             return self._refuse_overload(call, OverloadCause.QUEUE, now_s)
         self.admission.record_contention(call, now_s)
-        self.admission.get(call.service).queue.add(waiting)
+        queue.add(waiting)
         return None
 
     def _decide(self, dispatch: Dispatch, now_s: float) -> Decision | None:
@@ -392,8 +394,7 @@
     ) -> Refusal:
         self.admission.record_contention(call, now_s)
         drain_s = self.admission.predict_drain_s(call, now_s)
-        left_s = call.deadline_s - now_s
         refusal = self._refusals.refuse_overload(
-            call, candidates, best, drain_s, left_s
+            call, candidates, best, drain_s, call.deadline_s - now_s
         )
         return replace(refusal, cause=cause)
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -48,7 +48,9 @@
     yields : bool
         Whether its workspace had been served more than its share when it came.
     overtaken : int
-        Smaller requests that were served while this one found no room.
+        Requests behind this one that were served after it had found no room.
+    has_missed : bool
+        Whether it has found no room.
     """
 
     dispatch: Dispatch
@@ -56,6 +58,7 @@
     due_s: float = math.inf
     yields: bool = False
     overtaken: int = 0
+    has_missed: bool = False
 
     @property
     def call(self) -> Call:
@@ -115,6 +118,20 @@
             if each > priority:
                 self._passes[each] = self._passes.get(each, 0) + 1
 
+    def is_reserved(self, new: WaitingRequest, now_s: float) -> bool:
+        """Return whether room is kept for a request that is served before a new one."""
+        return any(
+            each.overtaken >= MAX_OVERTAKES
+            and self._rank(each, now_s) < self._rank(new, now_s)
+            for each in self._waiting.values()
+        )
+
+    def record_overtake(self, new: WaitingRequest, now_s: float) -> None:
+        """Count a new request that was served before others that have no room."""
+        for each in self._waiting.values():
+            if each.has_missed and self._rank(each, now_s) < self._rank(new, now_s):
+                each.overtaken += 1
+
     def record_slot_release(self, now_s: float) -> None:
         """Record that an attempt of the service has ended and released its slot."""
         self._slot_releases_s.append(now_s)
@@ -213,6 +230,7 @@
             return
         self._missed[_get_constraints(waiting.dispatch)] = waiting.required_tokens
         self._missed_requests.append(waiting)
+        waiting.has_missed = True
         if waiting.overtaken >= MAX_OVERTAKES:
             self._is_closed = True
 
--- a/tests/test_gateway_queue.py
+++ b/tests/test_gateway_queue.py
@@ -119,6 +119,21 @@
             overtakes += len(self.harness.serve(20_000)[0])
         self.assertEqual(overtakes, MAX_OVERTAKES)
 
+    def test_new_requests_overtake_a_few_times_too(self):
+        """Guards against a waiting request whose room new ones take for ever."""
+        queue = self.harness.queue
+        self.harness.add(tokens=50_000)
+        self.harness.serve(20_000)
+        new = self.harness.add(due_s=NOW_S + 2, tokens=10)
+        urgent = self.harness.add(priority=-1, tokens=10)
+        for each in (new, urgent):
+            queue.remove(each.dispatch.attempt_id)
+        for _ in range(MAX_OVERTAKES):
+            self.assertFalse(queue.is_reserved(new, NOW_S))
+            queue.record_overtake(new, NOW_S)
+        self.assertTrue(queue.is_reserved(new, NOW_S))
+        self.assertFalse(queue.is_reserved(urgent, NOW_S))
+
     def test_equal_requests_are_not_tried_in_vain(self):
         """Guards against comparing all endpoints for each of many requests."""
         for _ in range(50):
