--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -175,7 +175,6 @@
         self, notice: EndpointNotice, now_s: float
     ) -> EndpointRecord | None:
         """Apply a notice; return the changed record if the endpoint newly leaves."""
-        self._passes.record_change()
         load = self.view.loads.get(notice.record.endpoint)
         if load is not None and notice.load is not None:
             load.record_report(notice.load, now_s)
