Keep the earlier admission where nothing asks for predictions

Cause: deployments without workspaces and without reported slowdowns are to be served as before. Change: AdmissionControl predicts only for callers with a workspace and services whose endpoints report a slowdown.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -6,8 +6,10 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from buckthorndeal.gateway import _basic_admission
 from buckthorndeal.gateway._calibration import Calibration
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
@@ -116,14 +118,28 @@
 class AdmissionControl:
     """Decides whether requests are served in time, late or not at all on one host.
 
+    Predictions decide for callers with a workspace, and for services whose endpoints
+    report a slowdown. Elsewhere the latency objective alone does.
+
     Parameters
     ----------
     heartbeat_interval_s : float
         Seconds between the heartbeats of an endpoint.
+    is_pace_learned : callable
+        Returns whether the endpoints of a service report a slowdown.
+    predicts_always : bool, optional
+        Whether predictions decide everywhere.
     """
 
-    def __init__(self, heartbeat_interval_s: float) -> None:
+    def __init__(
+        self,
+        heartbeat_interval_s: float,
+        is_pace_learned: Callable[[str], bool],
+        predicts_always: bool = False,
+    ) -> None:
         self._heartbeat_interval_s = heartbeat_interval_s
+        self._is_pace_learned = is_pace_learned
+        self._predicts_always = predicts_always
         self._started_s: float | None = None
         self._services: dict[str, ServiceAdmission] = {}
         self.shares = create_fair_shares()
@@ -135,6 +151,12 @@
             state = self._services[service] = ServiceAdmission()
         return state
 
+    def predicts(self, call: Call) -> bool:
+        """Return whether predictions decide on a request."""
+        if self._predicts_always or call.workspace is not None:
+            return True
+        return self._is_pace_learned(call.service)
+
     def list_queues(self) -> list[WaitingQueue]:
         """Return the queues of all services."""
         return [state.queue for state in self._services.values()]
@@ -173,6 +195,8 @@
         self, call: Call, choice: LocalChoice, outlook: Outlook, now_s: float
     ) -> bool:
         """Return whether a request may be sent to the chosen endpoint now."""
+        if not self.predicts(call):
+            return _basic_admission.may_serve(call, choice, now_s)
         if outlook.is_in_time:
             share = self._get_share(call, now_s)
             needed_s = outlook.first_s + self._reserve_s(call, outlook, now_s)
@@ -193,6 +217,8 @@
 
     def may_improve(self, call: Call, outlook: Outlook, now_s: float) -> bool:
         """Return whether a request that would be late may be in time a moment later."""
+        if not self.predicts(call):
+            return False
         nearly_s = NEAR_MISS_FACTOR * outlook.budget_s
         if outlook.first_s > nearly_s or not outlook.is_useful:
             return False
@@ -201,7 +227,7 @@
 
     def has_room(self, call: Call, choice: LocalChoice, now_s: float) -> bool:
         """Return whether a request that yields to others leaves them enough slots."""
-        if call.prompt is None:
+        if call.prompt is None or not self.predicts(call):
             return True
         share = self._get_share(call, now_s)
         if share == 1.0:
@@ -268,6 +294,8 @@
     def create_waiting(self, dispatch: Dispatch, now_s: float) -> WaitingRequest:
         """Return a request that is about to wait, with its latest start."""
         call = dispatch.call
+        if not self.predicts(call):
+            return WaitingRequest(dispatch, now_s)
         objective_s = call.route.latency_objective_s
         mean_s = self.get(call.service).calibration.mean_response_s
         due_s = now_s + compute_latency_budget_s(call, now_s)
@@ -277,9 +305,12 @@
     def may_begin_wait(self, waiting: WaitingRequest, now_s: float) -> bool:
         """Return whether a request that found no room may wait for some."""
         startup_left_s = self.compute_startup_left_s(now_s)
+        queue = self.get(waiting.call.service).queue
+        if not self.predicts(waiting.call):
+            is_starting = startup_left_s > 0
+            return _basic_admission.may_begin_wait(waiting, queue, is_starting, now_s)
         if startup_left_s > 0:
             return now_s + startup_left_s < waiting.call.deadline_s
-        queue = self.get(waiting.call.service).queue
         ahead = queue.count_ahead(waiting, now_s)
         if not ahead:
             return now_s < waiting.due_s
@@ -291,6 +322,8 @@
     ) -> bool:
         """Return whether a waiting request waits on behind `ahead` others."""
         startup_left_s = self.compute_startup_left_s(now_s)
+        if not self.predicts(waiting.call):
+            return _basic_admission.may_keep_waiting(waiting, startup_left_s > 0, now_s)
         if startup_left_s > 0:
             return now_s + startup_left_s < waiting.call.deadline_s
         objective_s = waiting.call.route.latency_objective_s
@@ -313,6 +346,8 @@
 
     def predict_drain_s(self, call: Call, now_s: float) -> float:
         """Return when there is room for callers that are refused now, in seconds."""
+        if not self.predicts(call):
+            return 0.0
         queue = self.get(call.service).queue
         wait_s = queue.predict_wait_s(len(queue), now_s)
         return min(wait_s, call.route.latency_objective_s)
--- a/buckthorndeal/gateway/_dispatch_options.py
+++ b/buckthorndeal/gateway/_dispatch_options.py
@@ -13,9 +13,13 @@
         Retry budget that all hosts share; see `RetryBudgetShare`.
     heartbeat_interval_s : float
         Seconds between the heartbeats of an endpoint.
+    predicts_always : bool
+        Whether requests are admitted by predictions also where neither the endpoints
+        report a slowdown nor the caller has a workspace.
     """
 
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
     heartbeat_interval_s: float = 1.0
+    predicts_always: bool = False
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -4,6 +4,7 @@
 simulate load without a network.
 """
 
+import math
 import random
 from dataclasses import replace
 from functools import partial
@@ -85,7 +86,9 @@
         self._budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
-        self.admission = AdmissionControl(options.heartbeat_interval_s)
+        self.admission = AdmissionControl(
+            options.heartbeat_interval_s, view.is_pace_learned, options.predicts_always
+        )
         self._passes = PassTimer()
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
@@ -132,7 +135,8 @@
         call = dispatch.call
         waiting = self.admission.create_waiting(dispatch, now_s)
         queue = self.admission.get(call.service).queue
-        if not queue.is_reserved(waiting, now_s):
+        predicts = self.admission.predicts(call)
+        if not (predicts and queue.is_reserved(waiting, now_s)):
             decision = self._decide(dispatch, now_s)
             if decision is not None:
                 if isinstance(decision, Grant):
@@ -314,6 +318,7 @@
                 now_s,
                 partial(self._decide_again, now_s=now_s),
                 lambda call: call.may_run_in(self._region),
+                self.admission.predicts,
             )
             for attempt_id, decision in drained:
                 if isinstance(decision, Refusal):
@@ -440,7 +445,10 @@
     ) -> Refusal:
         self.admission.record_contention(call, now_s)
         drain_s = self.admission.predict_drain_s(call, now_s)
+        left_s = math.inf
+        if self.admission.predicts(call):
+            left_s = call.deadline_s - now_s
         refusal = self._refusals.refuse_overload(
-            call, candidates, best, drain_s, call.deadline_s - now_s
+            call, candidates, best, drain_s, left_s
         )
         return replace(refusal, cause=cause)
--- a/buckthorndeal/gateway/_latency_limits.py
+++ b/buckthorndeal/gateway/_latency_limits.py
@@ -4,8 +4,11 @@
     Call,
 )
 
-# Largest share of the latency objective that a request waits for an endpoint that
-# limits its rate.
+# Largest shares of the latency objective that a request waits for free capacity: in
+# general, and on a host that has just started.
+MAX_WAIT_SHARE = 0.25
+STARTUP_MAX_WAIT_SHARE = 0.6
+# The same for an endpoint that limits its rate.
 MAX_TURN_WAIT_SHARE = 0.25
 # Largest share of the objective that elapsed time takes off the budget.
 MAX_ELAPSED_SHARE = 0.5
@@ -22,6 +25,20 @@
     return allowed_s - min(now_s - call.arrived_s, objective_s * MAX_ELAPSED_SHARE)
 
 
+def compute_max_wait_s(call: Call, starting: bool) -> float:
+    """Return how long a request waits for capacity or for the first endpoint.
+
+    Parameters
+    ----------
+    call : Call
+        The request.
+    starting : bool
+        Whether this host has just started and still waits for first heartbeats.
+    """
+    share = STARTUP_MAX_WAIT_SHARE if starting else MAX_WAIT_SHARE
+    return call.route.latency_objective_s * share
+
+
 def compute_max_turn_wait_s(call: Call) -> float:
     """Return how long a request waits for the turn of an endpoint that limits its rate.
 
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -218,16 +218,23 @@
         missed = self._missed.get(_get_constraints(waiting.dispatch))
         return missed is None or waiting.required_tokens < missed
 
-    def record_miss(self, waiting: WaitingRequest, waits_here: bool) -> None:
+    def record_miss(
+        self, waiting: WaitingRequest, waits_here: bool, may_overtake: bool = True
+    ) -> None:
         """Record that a request has found no room.
 
         Parameters
         ----------
         waits_here : bool
             Whether it waits for the endpoints of this region.
+        may_overtake : bool
+            Whether smaller requests may be served before it.
         """
         if not waits_here:
             return
+        if not may_overtake:
+            self._is_closed = True
+            return
         self._missed[_get_constraints(waiting.dispatch)] = waiting.required_tokens
         self._missed_requests.append(waiting)
         waiting.has_missed = True
@@ -247,6 +254,7 @@
     now_s: float,
     decide: Callable[[WaitingRequest, int, bool], Decision | None],
     waits_here: Callable[[Call], bool],
+    may_overtake: Callable[[Call], bool],
 ) -> list[tuple[int, Decision]]:
     """Decide waiting requests in order; return the decisions by attempt id.
 
@@ -257,6 +265,8 @@
         arguments are the number of requests ahead, and whether it may find room.
     waits_here : callable
         Returns whether a request waits for the endpoints of this region.
+    may_overtake : callable
+        Returns whether smaller requests may be served before one without room.
     """
     decided: list[tuple[int, Decision]] = []
     queue_pass = QueuePass()
@@ -267,11 +277,13 @@
         if decision is None:
             ahead += 1
             if may_try:
-                queue_pass.record_miss(waiting, waits_here(waiting.call))
+                queue_pass.record_miss(
+                    waiting, waits_here(waiting.call), may_overtake(waiting.call)
+                )
             continue
         queue.remove(waiting.dispatch.attempt_id)
         decided.append((waiting.dispatch.attempt_id, decision))
-        if not isinstance(decision, Refusal):
+        if not isinstance(decision, Refusal) and may_overtake(waiting.call):
             queue.record_served(waiting)
             queue_pass.record_served()
     return decided
