Test strict order and admission by the objective alone

drain has had a required argument that tells whether requests may be overtaken, and its tests did not give it. New tests hold the order and the admission that apply where neither slowdowns nor workspaces ask for predictions.

--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -5,7 +5,8 @@
 
 from buckthorndeal.configuration import RequestKind
 from buckthorndeal.gateway._admission import REFUSAL_SHARE
-from buckthorndeal.gateway._messages import Grant, OverloadCause, Refusal
+from buckthorndeal.gateway._latency_limits import MAX_WAIT_SHARE
+from buckthorndeal.gateway._messages import Grant, LoadReport, OverloadCause, Refusal
 from buckthorndeal.workspaces import Workspace
 from tests.dispatcher_harness import ROUTE, DispatcherHarness, create_prompt
 
@@ -140,5 +141,71 @@
         self.assertLessEqual(granted, 6)
 
 
+class LatencyObjectiveTest(unittest.TestCase):
+    """Without slowdowns and workspaces the latency objective alone decides."""
+
+    def complete_slowly(self, harness, report=None):
+        """Let a response start late and its output take 3.5 s."""
+        harness.submit(create_prompt(1, 1), NORMAL)
+        harness.now_s += 0.7
+        harness.dispatcher.record_response_start(1, report, harness.now_s)
+        harness.now_s += 3.5
+        harness.finish(1)
+        harness.send_heartbeats()
+
+    def test_neither_correction_nor_length_counts(self):
+        """Guards against predictions where nothing asks for them."""
+        route = replace(NORMAL, timeout_s=2.0)
+        for report, is_granted in (
+            (None, True),
+            (LoadReport(0, 0, 64), True),
+            (LoadReport(0, 0, 64, 1.0), False),
+        ):
+            harness = DispatcherHarness()
+            self.complete_slowly(harness, report)
+            decision = harness.submit(create_prompt(1, 2), route)
+            self.assertEqual(isinstance(decision, Grant), is_granted, report)
+
+    def test_workspace_asks_for_predictions(self):
+        """Guards against callers of workspaces that get the earlier admission."""
+        harness = DispatcherHarness()
+        self.complete_slowly(harness)
+        decision = harness.submit(
+            create_prompt(1, 2),
+            replace(NORMAL, timeout_s=2.0),
+            call_fields={"workspace": Workspace("w")},
+        )
+        self.assertIs(decision.cause, OverloadCause.DEADLINE)
+
+    def test_late_request_is_refused(self):
+        """Guards against late requests that are served while room is free."""
+        harness = DispatcherHarness()
+        decision = harness.submit(create_prompt(1, 1, 60_000), NORMAL)
+        self.assertIsInstance(decision, Refusal)
+
+    def test_less_urgent_requests_use_all_slots(self):
+        """Guards against room that is kept for more urgent requests."""
+        harness = DispatcherHarness(slots=24)
+        fill(harness, URGENT)
+        for attempt_id in range(1, 13):
+            harness.finish(attempt_id)
+        decision = harness.submit(create_prompt(1, 5000, 10), NORMAL)
+        self.assertIsInstance(decision, Grant)
+
+    def test_wait_is_a_share_of_the_objective(self):
+        """Guards against another wait than before."""
+        harness = DispatcherHarness(endpoints=1, service="desk", slots=3)
+        harness.dispatcher.admission.get("desk").queue.record_slot_release(
+            harness.now_s
+        )
+        fill(harness, PLAIN, prompts=False)
+        most_s = PLAIN.latency_objective_s * MAX_WAIT_SHARE
+        harness.now_s += most_s - 0.02
+        self.assertEqual(harness.dispatcher.decide_waiting(harness.now_s), [])
+        harness.now_s += 0.04
+        ((_, decision),) = harness.dispatcher.decide_waiting(harness.now_s)
+        self.assertIs(decision.cause, OverloadCause.WAIT)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_queue.py
+++ b/tests/test_gateway_queue.py
@@ -38,7 +38,7 @@
         self.queue.add(waiting)
         return waiting
 
-    def serve(self, limit_tokens=1e9, count=1):
+    def serve(self, limit_tokens=1e9, count=1, may_overtake=True):
         """Serve up to `count` requests below a size; return all that were tried."""
         served, tried = [], []
 
@@ -51,7 +51,7 @@
                     return "grant"
             return None
 
-        drain(self.queue, NOW_S, decide, lambda call: True)
+        drain(self.queue, NOW_S, decide, lambda call: True, lambda call: may_overtake)
         return served, tried
 
 
@@ -110,6 +110,25 @@
         small = self.harness.add(tokens=10)
         self.assertEqual(self.harness.serve(20_000)[0], [small])
 
+    def test_strict_order_without_overtaking(self):
+        """Guards against another order where nothing asks for predictions."""
+        large = self.harness.add(tokens=50_000)
+        small = self.harness.add(tokens=10)
+        for _ in range(3 * MAX_OVERTAKES):
+            served, tried = self.harness.serve(20_000, may_overtake=False)
+            self.assertEqual((served, tried), ([], [large]))
+        self.assertEqual(large.overtaken, 0)
+        served, _ = self.harness.serve(count=2, may_overtake=False)
+        self.assertEqual(served, [large, small])
+
+    def test_no_turns_without_overtaking(self):
+        """Guards against turns of less urgent requests where order is strict."""
+        self.harness.add(priority=2)
+        for _ in range(MAX_PASSES + 1):
+            urgent = self.harness.add(priority=0)
+            served, _ = self.harness.serve(may_overtake=False)
+            self.assertEqual(served, [urgent])
+
     def test_large_request_is_overtaken_a_few_times(self):
         """Guards against a large request that starves behind small ones."""
         self.harness.add(tokens=50_000)
@@ -155,7 +174,9 @@
             seen.append(ahead)
             return refusal
 
-        decided = drain(self.harness.queue, NOW_S, decide, lambda call: True)
+        decided = drain(
+            self.harness.queue, NOW_S, decide, lambda call: True, lambda call: True
+        )
         self.assertEqual(len(decided), 2)
         self.assertEqual(seen, [0, 0])
         self.assertFalse(self.harness.queue)
