--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -4,25 +4,25 @@
 simulate load without a network.
 """
 
+import math
 import random
+from dataclasses import replace
+from functools import partial
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
+from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
-from buckthorndeal.gateway._fleet_messages import (
-    Borrower,
-    RegionUpdate,
-)
+from buckthorndeal.gateway._fleet_messages import Borrower, RegionUpdate
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
-from buckthorndeal.gateway._latency_limits import (
-    compute_latency_budget_s,
-    compute_max_wait_s,
-)
+from buckthorndeal.gateway._grants import create_attempt, create_grant
+from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
 from buckthorndeal.gateway._limits import RetryBudgets
 from buckthorndeal.gateway._loads import EndpointLoad, GrantedAttempt
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._messages import (
+    Call,
     Decision,
     Dispatch,
     EndpointNotice,
@@ -30,10 +30,11 @@
     Grant,
     LoadReport,
     MoveReason,
+    OverloadCause,
     Refusal,
     RefusalReason,
 )
-from buckthorndeal.gateway._queue import WaitingQueue, WaitingRequest
+from buckthorndeal.gateway._queue import PassTimer, WaitingRequest, drain
 from buckthorndeal.gateway._quota_gate import Admission, QuotaGate
 from buckthorndeal.gateway._refusals import RefusalPolicy
 from buckthorndeal.gateway._relay_choice import RelayChooser
@@ -44,14 +45,6 @@
 from buckthorndeal.policy.ejection import Ejection
 from buckthorndeal.policy.views import AttemptOutcome, AttemptResult
 
-# Length of the startup phase, in heartbeat intervals.
-STARTUP_HEARTBEAT_INTERVALS = 1.5
-# Value for the least urgent requests; 0 is the most urgent.
-MAX_URGENCY = 9
-# Engines with fewer slots are often full. They would preempt a running request for each
-# more urgent one, and prefill it again, so they are sent no priorities.
-MIN_PRIORITY_SLOTS = 32
-
 
 class Dispatcher:
     """Chooses the target of each attempt on one entry host.
@@ -94,7 +87,10 @@
         self._budgets = RetryBudgets(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
-        self._queues: dict[str, WaitingQueue] = {}
+        self.admission = AdmissionControl(
+            options.heartbeat_interval_s, view.is_pace_learned, options.predicts_always
+        )
+        self._passes = PassTimer()
         self._granted: dict[int, GrantedAttempt] = {}
         self.reach = EndpointReach(view, ejection, rng)
         self._slot_shares = SlotShares(host, view)
@@ -102,11 +98,11 @@
         self.relays = RelayHosts(view, rng)
         self._relay_chooser = RelayChooser(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
-        self._started_s: float | None = None
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
         self._remote.update(message, now_s)
+        self._passes.record_change()
 
     def expire_endpoints(self, silence_s: float, now_s: float) -> None:
         """Remove endpoints without heartbeats for `silence_s` seconds."""
@@ -119,8 +115,7 @@
 
     def submit(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Return a decision, or None if the request is queued for free capacity."""
-        if self._started_s is None:
-            self._started_s = now_s
+        self.admission.start(now_s)
         admission = self.quota.admit(dispatch)
         if admission is Admission.WAITING:
             return None
@@ -129,22 +124,29 @@
         return self._submit_admitted(dispatch, now_s)
 
     def _submit_admitted(self, dispatch: Dispatch, now_s: float) -> Decision | None:
-        decision = self._decide(dispatch, now_s) or self._queue(dispatch, now_s)
+        """Return a decision on a request that its quota allows, or queue it."""
+        decision = self._decide_or_queue(dispatch, now_s)
         if decision is None:
             self.quota.reserve(dispatch.attempt_id)
         elif isinstance(decision, Refusal):
             self.quota.finish(dispatch.attempt_id, has_run=False)
         return decision
 
-    def _queue(self, dispatch: Dispatch, now_s: float) -> Refusal | None:
-        """Queue a request, or refuse it if it would wait for too long."""
-        queue = self._queues.setdefault(dispatch.call.service, WaitingQueue())
-        wait_s = now_s - dispatch.call.arrived_s
-        if not self._is_starting(now_s):
-            wait_s += queue.predict_wait_s(dispatch, now_s)
-        if wait_s >= compute_max_wait_s(dispatch.call, self._is_starting(now_s)):
-            return self._refusals.refuse_overload(dispatch.call, 0, None)
-        queue.add(dispatch, now_s)
+    def _decide_or_queue(self, dispatch: Dispatch, now_s: float) -> Decision | None:
+        call = dispatch.call
+        waiting = self.admission.create_waiting(dispatch, now_s)
+        queue = self.admission.get(call.service).queue
+        predicts = self.admission.predicts(call)
+        if not (predicts and queue.is_reserved(waiting, now_s)):
+            decision = self._decide(dispatch, now_s)
+            if decision is not None:
+                if isinstance(decision, Grant):
+                    queue.record_overtake(waiting, now_s)
+                return decision
+        if not self.admission.may_begin_wait(waiting, now_s):
+            return self._refuse_overload(call, OverloadCause.QUEUE, now_s)
+        self.admission.record_contention(call, now_s)
+        queue.add(waiting)
         return None
 
     def _decide(self, dispatch: Dispatch, now_s: float) -> Decision | None:
@@ -172,19 +174,22 @@
         if remote is not None:
             return self._accept(dispatch, remote, now_s)
         if best is not None:
-            is_fast = best.predicted_s <= compute_latency_budget_s(call, now_s)
-            # Only a response can tell that an idle endpoint is not slow any more.
-            is_learned = call.prompt is None or best.load.pace.is_active
-            is_trial = is_learned and best.load.is_idle(now_s)
-            if is_fast or is_trial:
+            if not self.admission.has_room(call, best, now_s):
+                return None
+            outlook = self.admission.predict(call, best, now_s)
+            if self.admission.may_serve(call, best, outlook, now_s):
                 return self._accept(dispatch, best, now_s)
-            return self._refusals.refuse_overload(call, len(candidates), best)
+            if self.admission.may_improve(call, outlook, now_s):
+                return None
+            cause = self.admission.find_cause(call, outlook, now_s)
+            return self._refuse_overload(call, cause, now_s, len(candidates), best)
         if candidates:
             return self._pass_to_sharing_host(dispatch, candidates, now_s)
         turn = self.view.find_next_turn(call.service, now_s)
         if turn is not None:
             may_wait = turn.condition is EndpointCondition.RATE_LIMITED
-            if may_wait and turn.wait_s <= compute_max_wait_s(call, False):
+            if may_wait and turn.wait_s <= compute_max_turn_wait_s(call):
+                self.admission.record_turn(call, turn.wait_s, now_s)
                 return None
             return self._refusals.refuse_until_turn(turn)
         if self._is_starting(now_s):
@@ -222,6 +227,9 @@
         load = self._get_load(self._granted.get(attempt_id))
         if load is None:
             return
+        self._passes.record_change()
+        service = load.entry.record.service
+        self.admission.get(service).calibration.record_response_start(attempt_id, now_s)
         if report is not None:
             load.record_report(report, now_s, report_age_s)
         load.record_response_start(attempt_id, now_s, is_failure)
@@ -250,13 +258,15 @@
         although bytes have been sent.
         """
         self.quota.finish(attempt_id, has_run=was_sent and not not_run)
-        for queue in self._queues.values():
+        for queue in self.admission.list_queues():
             queue.remove(attempt_id)
+        self._passes.record_change()
         self.relays.record_end(attempt_id)
         self._budgets.record_end(attempt_id, was_sent)
         ended = self._granted.pop(attempt_id, None)
         if ended is None:
             return
+        self.admission.record_end(attempt_id, ended, outcome, now_s)
         load = self._get_load(ended)
         if load is None or load.is_ready(now_s):
             self.crash_guard.record_attempt(ended, outcome, closed, now_s)
@@ -264,9 +274,6 @@
             return
         load.remove(attempt_id, now_s, outcome, events)
         self._slot_shares.record_end(ended.record, outcome, now_s)
-        queue = self._queues.get(load.entry.record.service)
-        if queue is not None:
-            queue.record_slot_release(now_s)
         record = ended.record
         if outcome is AttemptOutcome.CONNECT_FAILED:
             self.reach.path.record_failure(record.endpoint, now_s)
@@ -302,28 +309,36 @@
                 decision = self._refusals.refuse_quota(retry_s)
             if decision is not None:
                 decided.append((dispatch.attempt_id, decision))
-        for queue in self._queues.values():
-            blocked = False
-            for waiting in queue.list_by_priority():
-                decision = None
-                if not self._may_keep_waiting(waiting, now_s):
-                    decision = self._refusals.refuse_overload(
-                        waiting.dispatch.call, 0, None
-                    )
-                elif not blocked:
-                    decision = self._decide(waiting.dispatch, now_s)
-                    # Free capacity is kept for the most urgent request, even if a
-                    # smaller one behind it would fit.
-                    waits_here = waiting.dispatch.call.may_run_in(self._region)
-                    blocked = decision is None and waits_here
-                if decision is not None:
-                    attempt_id = waiting.dispatch.attempt_id
-                    queue.remove(attempt_id)
-                    if isinstance(decision, Refusal):
-                        self.quota.finish(attempt_id, has_run=False)
-                    decided.append((attempt_id, decision))
+        if not self._passes.is_due(now_s):
+            return decided
+        for queue in self.admission.list_queues():
+            if not queue:
+                continue
+            drained = drain(
+                queue,
+                now_s,
+                partial(self._decide_again, now_s=now_s),
+                lambda call: call.may_run_in(self._region),
+                self.admission.predicts,
+            )
+            for attempt_id, decision in drained:
+                if isinstance(decision, Refusal):
+                    self.quota.finish(attempt_id, has_run=False)
+            decided += drained
         return decided
 
+    def _decide_again(
+        self, waiting: WaitingRequest, ahead: int, may_try: bool, now_s: float
+    ) -> Decision | None:
+        """Return the decision on a waiting request, or None if it waits on."""
+        if may_try:
+            decision = self._decide(waiting.dispatch, now_s)
+            if decision is not None:
+                return decision
+        if self.admission.may_keep_waiting(waiting, ahead, now_s):
+            return None
+        return self._refuse_overload(waiting.call, OverloadCause.WAIT, now_s)
+
     def watch_silence(self, heard_s: float, now_s: float) -> None:
         """Check the path if no endpoint sends anything; see `EndpointReach`."""
         self.reach.watch_silence(self._granted, heard_s, now_s)
@@ -340,7 +355,7 @@
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for free capacity."""
-        return self.quota.has_waiting or any(self._queues.values())
+        return self.quota.has_waiting or any(self.admission.list_queues())
 
     def describe_service(self, service: str, now_s: float) -> ServiceState:
         """Return the metrics of one service."""
@@ -348,7 +363,7 @@
         budget = self._budgets.get(service)
         return ServiceState(
             self.view.count_conditions(service, now_s),
-            len(self._queues.get(service, ())),
+            len(self.admission.get(service).queue),
             budget.count_retries(now_s),
             budget.compute_limit(hosts, now_s),
         )
@@ -373,7 +388,9 @@
             return None
         if dispatch.call.hops:
             # The host that has passed it on tries another one.
-            return self._refusals.refuse_overload(dispatch.call, len(candidates), None)
+            return self._refuse_overload(
+                dispatch.call, OverloadCause.SHARE, now_s, len(candidates)
+            )
         host = self.relays.choose(dispatch.excluded, now_s, senders)
         if host is None:
             return None
@@ -414,51 +431,34 @@
 
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
         call, load = dispatch.call, choice.load
-        service = self.view.get_service(call.service)
-        memory_tokens = 0
-        if call.prompt is not None:
-            memory_tokens = call.prompt.tokens + call.prompt.max_output_tokens
-        queued = load.count_queued_tokens(now_s)
-        record = load.entry.record
-        version = self.view.get_version(load, now_s)
-        attempt = GrantedAttempt(
-            call, record, now_s, choice.uncached_tokens, queued, memory_tokens, version
-        )
+        attempt = create_attempt(self.view, call, choice, now_s)
         load.add(dispatch.attempt_id, attempt)
+        self.admission.record_grant(dispatch.attempt_id, call, choice, now_s)
         self._granted[dispatch.attempt_id] = attempt
-        self.view.rate_shares.record_request(record, now_s)
+        self.view.rate_shares.record_request(attempt.record, now_s)
         self.crash_guard.record_grant(dispatch, now_s)
         if choice.cold:
             self.view.warm_ups.record_request(load.name, now_s)
         self._ejection.start_probe(call.service, load.name, now_s)
-        urgency = None
-        if record.slots >= MIN_PRIORITY_SLOTS:
-            urgency = min(MAX_URGENCY, call.priority)
-        age_s = now_s - load.entry.last_heartbeat_s
-        source = choice.cache_source
-        cache_source = source.entry.record.address if source is not None else None
-        return Grant(
-            record,
-            urgency,
-            choice.predicted_s,
-            self.view.get_connection_limit(service),
-            age_s,
-            cache_source,
-            self.view.rate_shares.get_limit(record),
-            self.view.rate_shares.get_rejection_limit(record),
-            version,
-        )
+        return create_grant(self.view, attempt, choice, now_s)
 
     def _is_starting(self, now_s: float) -> bool:
-        """Return whether first heartbeats of endpoints may still be outstanding.
+        return self.admission.compute_startup_left_s(now_s) > 0
 
-        After a restart of all hosts, every endpoint sends one within its interval.
-        """
-        if self._started_s is None:
-            return True
-        interval_s = self._options.heartbeat_interval_s
-        return now_s - self._started_s < STARTUP_HEARTBEAT_INTERVALS * interval_s
-
-    def _may_keep_waiting(self, waiting: WaitingRequest, now_s: float) -> bool:
-        max_wait_s = compute_max_wait_s(waiting.dispatch.call, self._is_starting(now_s))
-        return now_s - waiting.queued_at_s < max_wait_s
+    def _refuse_overload(
+        self,
+        call: Call,
+        cause: OverloadCause,
+        now_s: float,
+        candidates: int = 0,
+        best: LocalChoice | None = None,
+    ) -> Refusal:
+        self.admission.record_contention(call, now_s)
+        drain_s = self.admission.predict_drain_s(call, now_s)
+        left_s = math.inf
+        if self.admission.predicts(call):
+            left_s = call.deadline_s - now_s
+        refusal = self._refusals.refuse_overload(
+            call, candidates, best, drain_s, left_s
+        )
+        return replace(refusal, cause=cause)
