--- a/tests/quota_play.py
+++ b/tests/quota_play.py
@@ -47,6 +47,7 @@
         self.up = True
         self.frozen = False
         self.linked = True
+        self.hears = True
         self.sent_bytes = 0
         self.start()
 
@@ -202,7 +203,7 @@
         if host.frozen:
             # It is handled when the process goes on.
             self.schedule(self.now_s + 0.1, self.reply, host, leases, reply)
-        elif host.up and host.leases is leases:
+        elif host.up and host.hears and host.leases is leases:
             leases.apply_grants(reply.term, reply.sequence, reply.amounts, self.now_s)
 
     def time_out(self, host, leases, sequence):
@@ -271,9 +272,28 @@
         host.linked = host.region != REGIONS - 1
 
 
+def cut_all(world):
+    """Cut all hosts off from the leader, as by a partition of all regions."""
+    for host in world.hosts:
+        host.linked = False
+
+
+def cut_some(world):
+    """Cut about half of the hosts off from the leader, others each time."""
+    for host in world.hosts:
+        host.linked = world.rng.random() < 0.5
+
+
+def cut_replies(world):
+    """Lose all replies to the last region; its requests arrive."""
+    for host in world.hosts:
+        host.hears = host.region != REGIONS - 1
+
+
 def join_region(world):
+    """Mend all links."""
     for host in world.hosts:
-        host.linked = True
+        host.linked = host.hears = True
 
 
 def freeze_some(world):
@@ -324,6 +344,19 @@
     "none": (),
     "kill": ((10.0, kill_region),),
     "cut": ((10.0, cut_region), (14.0, make_hot), (18.0, join_region)),
+    "cut-all": ((9.0, make_hot), (10.0, cut_all), (16.0, join_region)),
+    "cut-all-long": ((9.0, make_hot), (10.0, cut_all), (30.0, join_region)),
+    "cut-all-leader": (
+        (9.0, make_hot),
+        (10.0, cut_all),
+        (15.0, replace_leader),
+        (16.0, join_region),
+    ),
+    "cut-replies": ((9.0, make_hot), (10.0, cut_replies), (20.0, join_region)),
+    "cut-often": (
+        (5.0, make_hot),
+        *((10.0 + 1.7 * step, cut_some) for step in range(8)),
+    ),
     "freeze": (
         (10.0, freeze_some),
         (11.2, thaw_all),
--- a/tests/test_quota_play.py
+++ b/tests/test_quota_play.py
@@ -48,6 +48,20 @@
                 world, limits = play(24, 16, 19.0, FAULTS[name])
                 self.check_bound(world, limits)
 
+    def test_bound_holds_through_partitions(self):
+        """Guards against units that both sides of a partition use."""
+        faults = {
+            "cut-all": 26.0,
+            "cut-all-long": 40.0,
+            "cut-all-leader": 26.0,
+            "cut-replies": 30.0,
+            "cut-often": 25.0,
+        }
+        for name, until_s in faults.items():
+            with self.subTest(fault=name):
+                world, limits = play(24, 16, until_s, FAULTS[name], {})
+                self.check_bound(world, limits)
+
     def test_lost_region_leaves_the_quota_to_the_others(self):
         world, limits = play(24, 16, 20.0, FAULTS["kill"], {"ws-0003": 12.0})
         self.check_bound(world, limits)
