Ask for units without waiting for the control task

The dispatch task sent its request for units to the control mailbox itself, while the control task asks the dispatch mailbox. With a full control mailbox each waited for the other.

A job of its own sends the request, as with the other effects. The test with a full mailbox timed out before and passes now.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -61,6 +61,7 @@
 from buckthorndeal.processmetrics import watch_process
 from buckthorndeal.quota import create_quota_leases, create_quota_options
 from buckthorndeal.settings import Address, GatewaySettings, Limits
+from buckthorndeal.supervision import spawn_job
 from buckthorndeal.transport import Transport
 from buckthorndeal.wire import Message, derive_keys
 
@@ -320,7 +321,8 @@
         await self._control.mailbox.send(ShareOrigins(origins))
 
     async def _request_quota(self, request: QuotaRequest) -> None:
-        await self._control.mailbox.send(AskForQuota(request))
+        # The dispatch task must not wait for the control task, which asks it in turn.
+        await spawn_job(self._control.mailbox.send, AskForQuota(request))
 
     async def _probe_endpoint(self, record: EndpointRecord) -> bool:
         return await self._pools.accepts_connection(record.address)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,11 +4,17 @@
 import math
 import random
 import unittest
+from types import SimpleNamespace
+
+import curio
 
 from buckthorndeal.errors import FrameError
 from buckthorndeal.fleet import FLEET_CODEC, OriginReply, QuotaGrants, QuotaRequest
+from buckthorndeal.gateway._control_messages import AskForQuota
+from buckthorndeal.gateway._daemon import Gateway
 from buckthorndeal.gateway._messages import Forward, Grant, Refusal, RefusalReason
 from buckthorndeal.gateway._quota_gate import QuotaGate
+from buckthorndeal.mailbox import create_mailbox
 from buckthorndeal.quota import (
     LEASE_S,
     MAX_WAIT_S,
@@ -424,5 +430,22 @@
         self.assertEqual(self.leases.describe(harness.now_s)["w"].held, 7350)
 
 
+class EffectTest(unittest.TestCase):
+    def test_request_does_not_wait_for_the_control_task(self):
+        """Guards against dispatch and control tasks that wait for each other."""
+
+        async def run():
+            mailbox = create_mailbox(1)
+            await mailbox.send("earlier")
+            gateway = SimpleNamespace(_control=SimpleNamespace(mailbox=mailbox))
+            request = QuotaRequest(1, 1, 0, ())
+            async with curio.timeout_after(1):
+                await Gateway._request_quota(gateway, request)
+                await mailbox.receive()
+                return (await mailbox.receive()).message
+
+        self.assertEqual(curio.run(run), AskForQuota(QuotaRequest(1, 1, 0, ())))
+
+
 if __name__ == "__main__":
     unittest.main()
