Clear quota gauges of workspaces that are not in use

The gauges by workspace kept the last values of leases that were forgotten, and had a series for each workspace.

They are cleared before they are recorded. Workspaces beyond 64 are added up in the series "(other)", as for the counted requests.

--- a/buckthorndeal/gateway/_quota_requests.py
+++ b/buckthorndeal/gateway/_quota_requests.py
@@ -3,6 +3,7 @@
 import random
 
 from buckthorndeal.fleet import QuotaRequest
+from buckthorndeal.gateway._authentication import MAX_LABELLED_WORKSPACES, OTHERS
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._quota_gate import QuotaGate
 from buckthorndeal.gateway._shared_messages import QuotaReplied
@@ -86,9 +87,21 @@
             log_event("quota_leader_found" if answered else "quota_leader_missing")
 
     def record_state(self) -> None:
-        """Update the gauges of the workspaces in use."""
-        for name, state in self._gate.leases.describe(self._gate.clock()).items():
-            set_gauge = self._metrics.set_gauge
-            set_gauge("quota_held_units", state.held, workspace=name)
-            set_gauge("quota_demand_units_per_s", state.demand_per_s, workspace=name)
-            set_gauge("quota_granted_units_per_s", state.granted_per_s, workspace=name)
+        """Update the gauges of the workspaces in use.
+
+        Those beyond `MAX_LABELLED_WORKSPACES` are added up in one series.
+        """
+        sums: dict[str, list[float]] = {}
+        states = self._gate.leases.describe(self._gate.clock())
+        for number, (name, state) in enumerate(states.items()):
+            label = name if number < MAX_LABELLED_WORKSPACES else OTHERS
+            values = sums.setdefault(label, [0.0] * len(GAUGES))
+            for position, value in enumerate(
+                (state.held, state.demand_per_s, state.granted_per_s)
+            ):
+                values[position] += value
+        # Leases that were forgotten have no series any more.
+        for position, gauge in enumerate(GAUGES):
+            self._metrics.clear(gauge)
+            for label, values in sums.items():
+                self._metrics.set_gauge(gauge, values[position], workspace=label)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -14,7 +14,9 @@
 from buckthorndeal.gateway._daemon import Gateway
 from buckthorndeal.gateway._messages import Forward, Grant, Refusal, RefusalReason
 from buckthorndeal.gateway._quota_gate import QuotaGate
+from buckthorndeal.gateway._quota_requests import QuotaRequests
 from buckthorndeal.mailbox import create_mailbox
+from buckthorndeal.metrics import create_metrics
 from buckthorndeal.quota import (
     LEASE_S,
     MAX_WAIT_S,
@@ -430,6 +432,40 @@
         self.assertEqual(self.leases.describe(harness.now_s)["w"].held, 7350)
 
 
+class StateTest(unittest.TestCase):
+    def setUp(self):
+        self.leases = create_quota_leases(OPTIONS, random.Random(1))
+        self.metrics = create_metrics()
+        gate = QuotaGate(self.leases, lambda: 100.0)
+        self.requests = QuotaRequests(gate, self.metrics, None)
+
+    def use(self, count):
+        for number in range(count):
+            workspace = create_workspace(name=f"w{number}")
+            self.leases.try_acquire(workspace, 30, 100.0)
+        self.requests.record_state()
+
+    def count_series(self):
+        lines = self.metrics.render().splitlines()
+        return sum("quota_demand_units_per_s{" in line for line in lines)
+
+    def test_gauges_of_a_forgotten_lease_are_removed(self):
+        """Guards against gauges that show a removed workspace for ever."""
+        self.use(2)
+        self.assertEqual(self.count_series(), 2)
+        self.leases.set_workspaces([])
+        self.requests.record_state()
+        self.assertEqual(self.count_series(), 0)
+
+    def test_number_of_labelled_workspaces_is_limited(self):
+        """Guards against a number of series that grows with the configuration."""
+        self.use(70)
+        self.assertEqual(self.count_series(), 65)
+        name = "quota_demand_units_per_s"
+        others = self.metrics.get_value(name, workspace="(other)")
+        self.assertAlmostEqual(others, 6 * 10.0)
+
+
 class EffectTest(unittest.TestCase):
     def test_request_does_not_wait_for_the_control_task(self):
         """Guards against dispatch and control tasks that wait for each other."""
