Admit requests that wait as their workspace becomes unlimited

A configuration without the quota of a workspace deletes its lease. Requests that waited asked again with the old limit: this created another lease without a need, so they got 429 after up to 0.45 s, and units that the lease had not recorded were taken off its waiting ones.

The gate keeps the names of the limited workspaces of the newest configuration. Requests that wait are admitted without a charge if theirs is no longer among them, also if it has a quota again by then. A new request with an older workspace is not charged either.

The tests, in which the requests were not admitted before, pass now.

--- a/buckthorndeal/gateway/_quota_gate.py
+++ b/buckthorndeal/gateway/_quota_gate.py
@@ -32,6 +32,8 @@
 class _Waiting:
     dispatch: Dispatch
     since_s: float
+    # Whether a newer configuration has ended the quota meanwhile.
+    is_free: bool = False
 
 
 class QuotaGate:
@@ -54,6 +56,8 @@
         self.clock = clock
         self._charges: dict[int, Charge] = {}
         self._waiting: dict[int, _Waiting] = {}
+        # Names of the workspaces with a quota; None before the first configuration.
+        self._limited: frozenset[str] | None = None
 
     @property
     def has_waiting(self) -> bool:
@@ -62,7 +66,12 @@
 
     def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
         """Apply the workspaces of a newer configuration."""
+        workspaces = list(workspaces)
         self.leases.set_workspaces(workspaces)
+        self._limited = frozenset(each.name for each in workspaces if each.is_limited)
+        for waiting in self._waiting.values():
+            if not self._is_limited(waiting.dispatch.call.workspace):
+                waiting.is_free = True
 
     def admit(self, dispatch: Dispatch) -> Admission | float:
         """Charge an attempt, or return the seconds after which its caller may return.
@@ -71,7 +80,7 @@
         reply of the leader may bring units for waits, for `MAX_WAIT_S` at most.
         """
         call = dispatch.call
-        if call.hops or call.workspace is None or not call.workspace.is_limited:
+        if call.hops or not self._is_limited(call.workspace):
             return Admission.ADMITTED
         now_s = self.clock()
         taken = self.leases.try_acquire(call.workspace, call.quota_units, now_s)
@@ -90,6 +99,10 @@
         now_s = self.clock()
         decided = []
         for attempt_id, waiting in list(self._waiting.items()):
+            if waiting.is_free:
+                del self._waiting[attempt_id]
+                decided.append((waiting.dispatch, None))
+                continue
             call = waiting.dispatch.call
             taken = self.leases.try_acquire(
                 call.workspace, call.quota_units, now_s, is_new=False
@@ -136,8 +149,14 @@
         if charge is not None and not has_run:
             self.leases.refund(charge, self.clock())
 
+    def _is_limited(self, workspace: Workspace | None) -> bool:
+        """Return whether a workspace has a quota, also in the newest configuration."""
+        if workspace is None or not workspace.is_limited:
+            return False
+        return self._limited is None or workspace.name in self._limited
+
     def _stop_waiting(self, attempt_id: int) -> None:
         waiting = self._waiting.pop(attempt_id, None)
-        if waiting is not None:
+        if waiting is not None and not waiting.is_free:
             call = waiting.dispatch.call
             self.leases.stop_waiting(call.workspace, call.quota_units)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -419,6 +419,32 @@
         self.harness.finish(1)
         self.assertEqual(self.leases.describe(self.harness.now_s)["w"].held, before)
 
+    def test_workspace_made_unlimited_admits_those_that_wait(self):
+        """Guards against 429 by the old limit for requests that wait at the change."""
+        for table in ([create_workspace(0.0)], []):
+            with self.subTest(table=table):
+                self.setUp()
+                self.gate.set_workspaces([self.workspace])
+                self.assertIsNone(self.submit())
+                self.gate.set_workspaces(table)
+                self.assertIsInstance(self.decide()[1], Grant)
+                self.assertFalse(self.leases.is_limiting)
+                # A caller whose workspace was read before the change.
+                self.assertIsInstance(self.submit(), Grant)
+                self.assertFalse(self.leases.is_limiting)
+
+    def test_quota_that_ends_and_returns_leaves_no_wait_below_zero(self):
+        """Guards against units of a former lease that lessen the wait of the next."""
+        self.gate.set_workspaces([self.workspace])
+        self.assertIsNone(self.submit())
+        self.gate.set_workspaces([])
+        self.gate.set_workspaces([self.workspace])
+        self.assertIsNone(self.submit())
+        lease = self.leases._leases["w"]
+        waiting = lease.waiting
+        self.assertIsInstance(self.decide()[1], Grant)
+        self.assertEqual(lease.waiting, waiting)
+
     def test_refusal_for_another_reason_is_refunded(self):
         self.harness.names = []
         harness = DispatcherHarness(endpoints=0)
