--- a/buckthorndeal/gateway/_quota_gate.py
+++ b/buckthorndeal/gateway/_quota_gate.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -20,6 +21,10 @@
 )
 from buckthorndeal.workspaces import Workspace
 
+# Unless something has changed, waiting requests are looked at after this time. A look
+# at 225 of them takes 1 ms, which is too much after every message.
+LOOK_INTERVAL_S = 0.02
+
 
 class Admission(enum.Enum):
     """A request may go on, or waits for the reply of the leader."""
@@ -32,6 +37,8 @@
 class _Waiting:
     dispatch: Dispatch
     since_s: float
+    # Whether a newer configuration has ended the quota meanwhile.
+    is_free: bool = False
 
 
 class QuotaGate:
@@ -54,6 +61,10 @@
         self.clock = clock
         self._charges: dict[int, Charge] = {}
         self._waiting: dict[int, _Waiting] = {}
+        # Names of the workspaces with a quota; None before the first configuration.
+        self._limited: frozenset[str] | None = None
+        self._looked_s = -math.inf
+        self._looked_at: tuple[int, bool] | None = None
 
     @property
     def has_waiting(self) -> bool:
@@ -62,7 +73,13 @@
 
     def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
         """Apply the workspaces of a newer configuration."""
+        workspaces = list(workspaces)
         self.leases.set_workspaces(workspaces)
+        self._limited = frozenset(each.name for each in workspaces if each.is_limited)
+        for waiting in self._waiting.values():
+            if not self._is_limited(waiting.dispatch.call.workspace):
+                waiting.is_free = True
+        self._looked_s = -math.inf
 
     def admit(self, dispatch: Dispatch) -> Admission | float:
         """Charge an attempt, or return the seconds after which its caller may return.
@@ -71,7 +88,7 @@
         reply of the leader may bring units for waits, for `MAX_WAIT_S` at most.
         """
         call = dispatch.call
-        if call.hops or call.workspace is None or not call.workspace.is_limited:
+        if call.hops or not self._is_limited(call.workspace):
             return Admission.ADMITTED
         now_s = self.clock()
         taken = self.leases.try_acquire(call.workspace, call.quota_units, now_s)
@@ -84,12 +101,27 @@
         return Admission.WAITING
 
     def take_decided(self) -> list[tuple[Dispatch, float | None]]:
-        """Return requests that wait no more, with None or the seconds as of `admit`."""
+        """Return requests that wait no more, with None or the seconds as of `admit`.
+
+        They are looked at after a reply of the leader, a failure, a refund or a newer
+        configuration, and otherwise once in `LOOK_INTERVAL_S`.
+        """
         if not self._waiting:
             return []
         now_s = self.clock()
+        # Changes as a request to the leader is sent, is answered or fails.
+        sequence = self.leases.sequence
+        state = (sequence, self.leases.is_awaiting(sequence))
+        is_due = now_s - self._looked_s >= LOOK_INTERVAL_S
+        if state == self._looked_at and not is_due:
+            return []
+        self._looked_s, self._looked_at = now_s, state
         decided = []
         for attempt_id, waiting in list(self._waiting.items()):
+            if waiting.is_free:
+                del self._waiting[attempt_id]
+                decided.append((waiting.dispatch, None))
+                continue
             call = waiting.dispatch.call
             taken = self.leases.try_acquire(
                 call.workspace, call.quota_units, now_s, is_new=False
@@ -135,9 +167,16 @@
         charge = self._charges.pop(attempt_id, None)
         if charge is not None and not has_run:
             self.leases.refund(charge, self.clock())
+            self._looked_s = -math.inf
+
+    def _is_limited(self, workspace: Workspace | None) -> bool:
+        """Return whether a workspace has a quota, also in the newest configuration."""
+        if workspace is None or not workspace.is_limited:
+            return False
+        return self._limited is None or workspace.name in self._limited
 
     def _stop_waiting(self, attempt_id: int) -> None:
         waiting = self._waiting.pop(attempt_id, None)
-        if waiting is not None:
+        if waiting is not None and not waiting.is_free:
             call = waiting.dispatch.call
             self.leases.stop_waiting(call.workspace, call.quota_units)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,11 +4,19 @@
 import math
 import random
 import unittest
+from types import SimpleNamespace
+
+import curio
 
 from buckthorndeal.errors import FrameError
 from buckthorndeal.fleet import FLEET_CODEC, OriginReply, QuotaGrants, QuotaRequest
+from buckthorndeal.gateway._control_messages import AskForQuota
+from buckthorndeal.gateway._daemon import Gateway
 from buckthorndeal.gateway._messages import Forward, Grant, Refusal, RefusalReason
 from buckthorndeal.gateway._quota_gate import QuotaGate
+from buckthorndeal.gateway._quota_requests import QuotaRequests
+from buckthorndeal.mailbox import create_mailbox
+from buckthorndeal.metrics import create_metrics
 from buckthorndeal.quota import (
     LEASE_S,
     MAX_WAIT_S,
@@ -411,6 +419,69 @@
         self.harness.finish(1)
         self.assertEqual(self.leases.describe(self.harness.now_s)["w"].held, before)
 
+    def test_workspace_made_unlimited_admits_those_that_wait(self):
+        """Guards against 429 by the old limit for requests that wait at the change."""
+        for table in ([create_workspace(0.0)], []):
+            with self.subTest(table=table):
+                self.setUp()
+                self.gate.set_workspaces([self.workspace])
+                self.assertIsNone(self.submit())
+                self.gate.set_workspaces(table)
+                self.assertIsInstance(self.decide()[1], Grant)
+                self.assertFalse(self.leases.is_limiting)
+                # A caller whose workspace was read before the change.
+                self.assertIsInstance(self.submit(), Grant)
+                self.assertFalse(self.leases.is_limiting)
+
+    def test_quota_that_ends_and_returns_leaves_no_wait_below_zero(self):
+        """Guards against units of a former lease that lessen the wait of the next."""
+        self.gate.set_workspaces([self.workspace])
+        self.assertIsNone(self.submit())
+        self.gate.set_workspaces([])
+        self.gate.set_workspaces([self.workspace])
+        self.assertIsNone(self.submit())
+        lease = self.leases._leases["w"]
+        waiting = lease.waiting
+        self.assertIsInstance(self.decide()[1], Grant)
+        self.assertEqual(lease.waiting, waiting)
+
+    def test_waiting_requests_are_not_looked_at_after_every_message(self):
+        """Guards against 1 ms of processor time per message with 225 that wait."""
+        looks = []
+        try_acquire = self.leases.try_acquire
+        self.submit()
+        self.submit()
+        self.leases.try_acquire = lambda *args, **fields: (
+            looks.append(1) or try_acquire(*args, **fields)
+        )
+        for _ in range(100):
+            self.assertEqual(self.decide(), {})
+        self.assertEqual(len(looks), 2)
+        self.harness.now_s += 0.021
+        self.decide()
+        self.assertEqual(len(looks), 4)
+
+    def test_failure_ends_the_wait_at_once(self):
+        """Guards against a look at waiting requests that misses a failed ask."""
+        self.submit()
+        self.leases.build_request(self.harness.now_s)
+        self.assertEqual(self.decide(), {})
+        self.leases.record_failure(self.harness.now_s)
+        self.assertIsInstance(self.decide()[1], Refusal)
+
+    def test_refund_serves_those_that_wait_at_once(self):
+        """Guards against a look at waiting requests that misses a refund."""
+        self.submit()
+        self.grant()
+        self.assertIsInstance(self.decide()[1], Grant)
+        self.leases._leases["w"].free = 0.0
+        self.assertIsNone(self.submit())
+        self.assertEqual(self.decide(), {})
+        self.harness.dispatcher.finish_attempt(
+            1, None, self.harness.now_s, not_run=True
+        )
+        self.assertIsInstance(self.decide()[2], Grant)
+
     def test_refusal_for_another_reason_is_refunded(self):
         self.harness.names = []
         harness = DispatcherHarness(endpoints=0)
@@ -424,5 +495,56 @@
         self.assertEqual(self.leases.describe(harness.now_s)["w"].held, 7350)
 
 
+class StateTest(unittest.TestCase):
+    def setUp(self):
+        self.leases = create_quota_leases(OPTIONS, random.Random(1))
+        self.metrics = create_metrics()
+        gate = QuotaGate(self.leases, lambda: 100.0)
+        self.requests = QuotaRequests(gate, self.metrics, None)
+
+    def use(self, count):
+        for number in range(count):
+            workspace = create_workspace(name=f"w{number}")
+            self.leases.try_acquire(workspace, 30, 100.0)
+        self.requests.record_state()
+
+    def count_series(self):
+        lines = self.metrics.render().splitlines()
+        return sum("quota_demand_units_per_s{" in line for line in lines)
+
+    def test_gauges_of_a_forgotten_lease_are_removed(self):
+        """Guards against gauges that show a removed workspace for ever."""
+        self.use(2)
+        self.assertEqual(self.count_series(), 2)
+        self.leases.set_workspaces([])
+        self.requests.record_state()
+        self.assertEqual(self.count_series(), 0)
+
+    def test_number_of_labelled_workspaces_is_limited(self):
+        """Guards against a number of series that grows with the configuration."""
+        self.use(70)
+        self.assertEqual(self.count_series(), 65)
+        name = "quota_demand_units_per_s"
+        others = self.metrics.get_value(name, workspace="(other)")
+        self.assertAlmostEqual(others, 6 * 10.0)
+
+
+class EffectTest(unittest.TestCase):
+    def test_request_does_not_wait_for_the_control_task(self):
+        """Guards against dispatch and control tasks that wait for each other."""
+
+        async def run():
+            mailbox = create_mailbox(1)
+            await mailbox.send("earlier")
+            gateway = SimpleNamespace(_control=SimpleNamespace(mailbox=mailbox))
+            request = QuotaRequest(1, 1, 0, ())
+            async with curio.timeout_after(1):
+                await Gateway._request_quota(gateway, request)
+                await mailbox.receive()
+                return (await mailbox.receive()).message
+
+        self.assertEqual(curio.run(run), AskForQuota(QuotaRequest(1, 1, 0, ())))
+
+
 if __name__ == "__main__":
     unittest.main()
