Tell waits for a turn from silence of the caller

Cause: a request counted as silent from its last wait for bytes until its body was complete, also after bytes had arrived. A body of more than 4,096 chunks that waited for its turn was therefore displaced before callers that were silent, with 503 too_many_incomplete, and its wait ran against body_timeout_s (408).

Change: a request is silent only while the server waits for its bytes; it keeps counting as incomplete. body_timeout_s leaves out the turns of a body and the waits for them, which have a bound of their own of as many seconds: 503 too_many_incomplete, not run, since the caller did not cause it. A request that is cut during a turn is told at the end of its slice.

Result: three tests of the server in test_chunked_body fail before (503, 408 and 408 in place of 200, 200 and 503) and pass now; the module passes.

--- a/buckthorndeal/_http_incomplete.py
+++ b/buckthorndeal/_http_incomplete.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 import curio
@@ -22,6 +23,18 @@
         """Refuse the request; its task is told by the end of its read."""
 
 
+@dataclass(eq=False)
+class _Body:
+    """What is known of an incomplete body; times in seconds."""
+
+    begun_s: float
+    # Spent on turns, in which nothing is read from the caller.
+    turns_s: float = 0.0
+
+    def measure_age_s(self, now_s: float) -> float:
+        return now_s - self.begun_s - self.turns_s
+
+
 class IncompleteRequests:
     """Requests of one server whose bodies are not complete.
 
@@ -49,28 +62,39 @@
     ) -> None:
         self._get_places = get_places
         self._clock = clock
-        # By request, the clock reading since which it has been silent; the longest
-        # silent one comes first.
+        self._bodies: dict[Displaceable, _Body] = {}
+        # By request that waits for its caller, the clock reading since which it does;
+        # the longest silent one comes first.
         self._silent_since_s: dict[Displaceable, float] = {}
         self._turns = curio.Lock()
         self._logged_s: float | None = None
         self.displaced_count = 0
 
     def __len__(self) -> int:
-        return len(self._silent_since_s)
+        return len(self._bodies)
 
     def record_wait(self, request: Displaceable) -> None:
         """Record that a request waits for more of its body from now on."""
+        self._get_body(request)
         self._silent_since_s.pop(request, None)
         self._silent_since_s[request] = self._clock()
         self.free_places()
 
+    def record_progress(self, request: Displaceable) -> None:
+        """Record that bytes have arrived; the request is not silent meanwhile."""
+        self._silent_since_s.pop(request, None)
+
+    def measure_age_s(self, request: Displaceable) -> float:
+        """Return the age of an incomplete body in seconds, without its turns."""
+        return self._get_body(request).measure_age_s(self._clock())
+
     def is_crowded(self) -> bool:
         """Return whether more requests are incomplete than may stay so."""
         return len(self) > self._get_places()
 
     def remove(self, request: Displaceable) -> None:
         """Forget a request that is complete or refused."""
+        self._bodies.pop(request, None)
         self._silent_since_s.pop(request, None)
 
     def free_places(self, is_full: bool = False) -> int:
@@ -85,24 +109,44 @@
             request, since_s = next(iter(self._silent_since_s.items()))
             if since_s > silent_until_s:
                 break
-            del self._silent_since_s[request]
             left -= 1
-            self.displaced_count += 1
-            self._log()
-            request.displace()
+            self._displace(request)
         return self.displaced_count - before
 
-    async def take_turn(self, decode: Callable[[], ResultT]) -> ResultT:
+    async def take_turn(
+        self, request: Displaceable, decode: Callable[[], ResultT]
+    ) -> ResultT:
         """Return the result of `decode`, once no other body in many chunks has a turn.
 
         The next one comes after a pause as long as the turn, for the other requests.
         """
-        async with self._turns:
-            begun_s = self._clock()
-            result = decode()
-            await curio.sleep(self._clock() - begun_s)
+        body = self._get_body(request)
+        waited_s = self._clock()
+        try:
+            async with self._turns:
+                begun_s = self._clock()
+                result = decode()
+                await curio.sleep(self._clock() - begun_s)
+        finally:
+            body.turns_s += self._clock() - waited_s
         return result
 
+    def measure_turns_s(self, request: Displaceable) -> float:
+        """Return the seconds that a body has spent on its turns."""
+        return self._get_body(request).turns_s
+
+    def _get_body(self, request: Displaceable) -> _Body:
+        body = self._bodies.get(request)
+        if body is None:
+            body = self._bodies[request] = _Body(self._clock())
+        return body
+
+    def _displace(self, request: Displaceable) -> None:
+        self.remove(request)
+        self.displaced_count += 1
+        self._log()
+        request.displace()
+
     def _log(self) -> None:
         now_s = self._clock()
         if self._logged_s is not None and now_s - self._logged_s < LOG_INTERVAL_S:
--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -170,13 +170,11 @@
         max_bytes = _limit_body(request, limits.max_body_bytes, limit_body)
         _check_framing(request.headers)
         self._check_length(request.headers, max_bytes)
-        async with curio.timeout_after(limits.body_timeout_s):
-            if connection.they_are_waiting_for_100_continue:
-                reply = h11.InformationalResponse(status_code=100, headers=[])
+        if connection.they_are_waiting_for_100_continue:
+            reply = h11.InformationalResponse(status_code=100, headers=[])
+            async with curio.timeout_after(limits.body_timeout_s):
                 await self._stream.sendall(connection.send(reply))
-            request.body = await self._read_body(
-                connection, max_bytes, limits.body_pause_s
-            )
+        request.body = await self._read_body(connection, max_bytes, limits)
         self._complete(connection)
         return request
 
@@ -190,12 +188,12 @@
             await self._receive(connection)
 
     async def _read_body(
-        self, connection: ServerProtocol, max_bytes: int, pause_s: float
+        self, connection: ServerProtocol, max_bytes: int, limits: Limits
     ) -> bytes:
         while True:
-            event = await self._decode(connection)
+            event = await self._decode(connection, limits.body_timeout_s)
             if event is h11.NEED_DATA:
-                await self._wait_for_more(connection, pause_s)
+                await self._wait_for_more(connection, limits)
             elif isinstance(event, h11.Data):
                 self._add_content(event.data, max_bytes)
                 if connection.pending_bytes:
@@ -207,28 +205,41 @@
             else:
                 raise RequestError("bad_request", 400, "the request body ended early")
 
-    async def _wait_for_more(self, connection: ServerProtocol, left_s: float) -> None:
-        """Wait for further bytes of a body, for `left_s` seconds at most.
+    async def _wait_for_more(self, connection: ServerProtocol, limits: Limits) -> None:
+        """Wait for further bytes of a body, as long as its pause and its time allow.
 
         While too many requests are incomplete, some are refused from time to time.
         """
         self._incomplete.record_wait(self)
+        age_s = self._incomplete.measure_age_s(self)
+        left_s = min(limits.body_pause_s, limits.body_timeout_s - age_s)
         while left_s > 0:
             is_crowded = self._incomplete.is_crowded()
             limit_s = min(left_s, MIN_SILENCE_S) if is_crowded else left_s
             async with curio.ignore_after(limit_s) as wait:
                 await self._receive(connection)
             if not wait.expired:
+                self._incomplete.record_progress(self)
                 return
             left_s -= limit_s
             self._incomplete.free_places()
         raise create_late_error()
 
-    async def _decode(self, connection: ServerProtocol) -> object:
-        """Return the next event; bodies in many chunks take turns for it."""
+    async def _decode(self, connection: ServerProtocol, max_turns_s: float) -> object:
+        """Return the next event; bodies in many chunks take turns for it.
+
+        A body whose turns take more than `max_turns_s` seconds is refused, so that it
+        does not keep its connection without an end.
+        """
         if connection.chunk_count <= FREE_CHUNKS or not connection.pending_bytes:
             return connection.next_event()
-        return await self._incomplete.take_turn(connection.next_event)
+        left_s = max_turns_s - self._incomplete.measure_turns_s(self)
+        async with curio.ignore_after(max(0.0, left_s)) as turn:
+            event = await self._incomplete.take_turn(self, connection.next_event)
+        if turn.expired:
+            raise create_displaced_error()
+        self._check_cut()
+        return event
 
     async def _receive(self, connection: ServerProtocol) -> None:
         """Wait for further bytes of a request that is not complete."""
--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -232,6 +232,7 @@
             server = create_http_server(respond, Limits(**limits))
             await server.start(transport, ADDRESS, 0)
             self.transport, self.port = transport, server.port
+            self.incomplete = server._incomplete
             try:
                 async with curio.timeout_after(ANSWER_TIMEOUT_S):
                     await scenario()
@@ -335,6 +336,64 @@
 
         self.run_with_server(scenario, max_connections=4)
 
+    async def send_and_wait_for_turn(self, pause_s):
+        """Return a connection whose body waits for its turn, after a pause before."""
+        stream = await self.transport.connect(ADDRESS, self.port)
+        await stream.sendall(HEAD)
+        await curio.sleep(pause_s)
+        await stream.sendall(create_chunks(b"x" * 10_000, [1]) + END)
+        return stream
+
+    def test_body_that_waits_for_its_turn_is_not_silent(self):
+        """Guards against a 503 for silence that the server has caused."""
+
+        async def scenario():
+            async with self.incomplete._turns:
+                honest = await self.send_and_wait_for_turn(0.1)
+                await curio.sleep(0.1)
+                silent = await self.transport.connect(ADDRESS, self.port)
+                await silent.sendall(HEAD + b"1\r\na\r\n")
+                status = 503
+                while status == 503:
+                    await curio.sleep(0.1)
+                    status, _ = await self.ask(NEXT)
+                self.assertEqual(status, 200)
+            self.assertEqual(await read_answer(honest), (200, b"10000"))
+            status, body = await read_answer(silent)
+            self.assertEqual(status, 503)
+            self.assertIn(b'"too_many_incomplete"', body)
+            for stream in (honest, silent):
+                await stream.close()
+
+        self.run_with_server(scenario, max_connections=2)
+
+    def test_body_timeout_leaves_out_the_wait_for_a_turn(self):
+        """Guards against a 408 for time that other bodies have taken."""
+
+        async def scenario():
+            async with self.incomplete._turns:
+                stream = await self.send_and_wait_for_turn(1.2)
+                await curio.sleep(1.4)
+            self.assertEqual(await read_answer(stream), (200, b"10000"))
+            await stream.close()
+
+        self.run_with_server(scenario, body_timeout_s=2.0)
+
+    def test_waits_for_turns_are_bounded(self):
+        """Guards against bodies that keep their connections while turns are short."""
+
+        async def scenario():
+            async with self.incomplete._turns:
+                stream = await self.send_and_wait_for_turn(0.0)
+                status, body = await read_answer(stream)
+            self.assertEqual(status, 503)
+            self.assertIn(b'"not_run"', body)
+            self.assertIn(b'"too_many_incomplete"', body)
+            self.assertEqual(self.bodies, [])
+            await stream.close()
+
+        self.run_with_server(scenario, body_timeout_s=0.3)
+
 
 class IncompleteRequestsTest(unittest.TestCase):
     """Which incomplete requests are refused."""
@@ -371,6 +430,20 @@
         incomplete.free_places(is_full=True)
         self.assertEqual(self.refused, [1, 0])
 
+    def test_request_that_makes_progress_is_not_silent(self):
+        """Guards against refusing requests that wait for the server."""
+        incomplete = create_incomplete_requests(lambda: 1)
+        incomplete._clock = lambda: self.now_s
+        requests = [self.create_request(number) for number in range(2)]
+        incomplete.record_wait(requests[0])
+        incomplete.record_progress(requests[0])
+        self.now_s = 0.5
+        incomplete.record_wait(requests[1])
+        self.assertEqual(len(incomplete), 2)
+        self.now_s = 5.0
+        incomplete.free_places()
+        self.assertEqual(self.refused, [1])
+
 
 if __name__ == "__main__":
     unittest.main()
