Displace the slowest body on a full server when none is silent

Cause: only bodies that had been silent for 1 s were displaced. Callers that sent a byte every 0.9 s kept any number of connections, and newcomers got 503 until body_timeout_s.

Change: at max_connections, with more incomplete bodies than places and none silent for 1 s, a newcomer displaces the body with the fewest bytes of content per second of its age. Bodies younger than 2 s, bodies that wait for a turn, and those at a rate of max_body_bytes / body_timeout_s or more are kept. A search without a result is not repeated for 0.1 s, as it visits all bodies.

--- a/buckthorndeal/_http_incomplete.py
+++ b/buckthorndeal/_http_incomplete.py
@@ -11,6 +11,11 @@
 
 # Requests that have been silent for a shorter time keep their places.
 MIN_SILENCE_S = 1.0
+# Age from which the rate of a body counts, so that its first bytes can arrive.
+RATE_GRACE_S = 2.0
+# Pause after a search among all bodies that found none to refuse: each newcomer on a
+# full server would search all of them otherwise.
+SEARCH_PAUSE_S = 0.1
 LOG_INTERVAL_S = 1.0
 
 ResultT = TypeVar("ResultT")
@@ -28,6 +33,7 @@
     """What is known of an incomplete body; times in seconds."""
 
     begun_s: float
+    received_bytes: int = 0
     # Spent on turns, in which nothing is read from the caller.
     turns_s: float = 0.0
 
@@ -68,14 +74,18 @@
         self._silent_since_s: dict[Displaceable, float] = {}
         self._turns = curio.Lock()
         self._logged_s: float | None = None
+        self._searched_s: float | None = None
         self.displaced_count = 0
 
     def __len__(self) -> int:
         return len(self._bodies)
 
-    def record_wait(self, request: Displaceable) -> None:
-        """Record that a request waits for more of its body from now on."""
-        self._get_body(request)
+    def record_wait(self, request: Displaceable, received_bytes: int = 0) -> None:
+        """Record that a request waits for more of its body from now on.
+
+        `received_bytes` is the content that has been decoded by now.
+        """
+        self._get_body(request).received_bytes = received_bytes
         self._silent_since_s.pop(request, None)
         self._silent_since_s[request] = self._clock()
         self.free_places()
@@ -113,6 +123,34 @@
             self._displace(request)
         return self.displaced_count - before
 
+    def free_slow_place(self, min_rate: float) -> bool:
+        """Refuse the slowest request beyond the places; return whether there was one.
+
+        Only bodies that are older than the grace, wait for their caller and bring less
+        than `min_rate` bytes per second are refused.
+        """
+        now_s = self._clock()
+        is_paused = (
+            self._searched_s is not None and now_s - self._searched_s < SEARCH_PAUSE_S
+        )
+        if is_paused or not self.is_crowded():
+            return False
+        slowest = None
+        slowest_rate = min_rate
+        for request in self._silent_since_s:
+            body = self._bodies[request]
+            age_s = body.measure_age_s(now_s)
+            if age_s < RATE_GRACE_S:
+                continue
+            rate = body.received_bytes / age_s
+            if rate < slowest_rate:
+                slowest, slowest_rate = request, rate
+        if slowest is None:
+            self._searched_s = now_s
+            return False
+        self._displace(slowest)
+        return True
+
     async def take_turn(
         self, request: Displaceable, decode: Callable[[], ResultT]
     ) -> ResultT:
--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -210,7 +210,7 @@
 
         While too many requests are incomplete, some are refused from time to time.
         """
-        self._incomplete.record_wait(self)
+        self._incomplete.record_wait(self, self._content_bytes)
         age_s = self._incomplete.measure_age_s(self)
         left_s = min(limits.body_pause_s, limits.body_timeout_s - age_s)
         while left_s > 0:
--- a/buckthorndeal/_http_refusals.py
+++ b/buckthorndeal/_http_refusals.py
@@ -33,7 +33,7 @@
     return RequestError(
         "too_many_incomplete",
         503,
-        "too many requests are incomplete, and this one is silent or waits long",
+        "too many requests are incomplete, and this one is silent, slow or waits long",
         retry_after_s=FULL_RETRY_S,
     )
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -206,7 +206,11 @@
         It takes the place of an incomplete request if there is one to refuse for it.
         """
         if self.connection_count >= limits.max_connections:
-            return self._incomplete.free_places() > 0
+            if self._incomplete.free_places() > 0:
+                return True
+            # At this rate the largest body is complete within its time.
+            min_rate = limits.max_body_bytes / limits.body_timeout_s
+            return self._incomplete.free_slow_place(min_rate)
         if self._uses_reserve or self._listener is None:
             return True
         # Connections that are not served yet must not displace each other.
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -59,7 +59,7 @@
     `max_chunk_framing_per_byte` more for each byte of it. A body that brings no byte
     for `body_pause_s` is refused. Requests whose body is not complete keep up to
     `incomplete_share` of the connections; those beyond it that have been silent for
-    the longest time are refused. Time in which a body in many
+    the longest time, or are the slowest, are refused. Time in which a body in many
     chunks waits for its decoding does not count for `body_timeout_s`, but is bounded by
     the same number of seconds.
     """
--- a/tests/test_chunked_body.py
+++ b/tests/test_chunked_body.py
@@ -394,6 +394,38 @@
 
         self.run_with_server(scenario, body_timeout_s=0.3)
 
+    def test_trickling_bodies_do_not_keep_all_connections(self):
+        """Guards against callers that send a byte just before they count as silent."""
+
+        async def trickle(stream):
+            try:
+                while True:
+                    await stream.sendall(b"1\r\na\r\n")
+                    await curio.sleep(0.3)
+            except OSError:
+                pass
+
+        async def scenario():
+            streams = [
+                await self.transport.connect(ADDRESS, self.port) for _ in range(4)
+            ]
+            tasks = []
+            for stream in streams:
+                await stream.sendall(HEAD)
+                tasks.append(await curio.spawn(trickle, stream, daemon=True))
+            statuses = []
+            async with curio.ignore_after(8.0):
+                while 200 not in statuses:
+                    await curio.sleep(0.1)
+                    statuses.append((await self.ask(NEXT))[0])
+            for task in tasks:
+                await task.cancel()
+            for stream in streams:
+                await stream.close()
+            self.assertIn(200, statuses)
+
+        self.run_with_server(scenario, max_connections=4)
+
 
 class IncompleteRequestsTest(unittest.TestCase):
     """Which incomplete requests are refused."""
@@ -430,6 +462,38 @@
         incomplete.free_places(is_full=True)
         self.assertEqual(self.refused, [1, 0])
 
+    def test_slowest_request_goes_when_none_is_silent(self):
+        """Guards against displacing callers in their grace or above the rate."""
+        incomplete = create_incomplete_requests(lambda: 1)
+        incomplete._clock = lambda: self.now_s
+        requests = [self.create_request(number) for number in range(4)]
+        sizes = [3_000, 2_000, 8_000, 0]
+        for request in requests[:3]:
+            incomplete.record_wait(request)
+        self.now_s = 1.9
+        for request in requests[:3]:
+            incomplete.record_progress(request)
+        for request, size in zip(requests, sizes, strict=True):
+            incomplete.record_wait(request, size)
+        self.assertFalse(incomplete.free_slow_place(2_000.0))
+        self.now_s = 2.1
+        # The last one has begun a moment ago.
+        self.assertTrue(incomplete.free_slow_place(2_000.0))
+        self.assertEqual(self.refused, [1])
+        self.assertTrue(incomplete.free_slow_place(2_000.0))
+        self.assertEqual(self.refused, [1, 0])
+        self.assertFalse(incomplete.free_slow_place(2_000.0))
+        self.assertEqual(self.refused, [1, 0])
+
+    def test_slow_requests_keep_the_places(self):
+        """Guards against displacing slow callers that take only their share."""
+        incomplete = create_incomplete_requests(lambda: 1)
+        incomplete._clock = lambda: self.now_s
+        incomplete.record_wait(self.create_request(0))
+        self.now_s = 5.0
+        self.assertFalse(incomplete.free_slow_place(2_000.0))
+        self.assertEqual(self.refused, [])
+
     def test_request_that_makes_progress_is_not_silent(self):
         """Guards against refusing requests that wait for the server."""
         incomplete = create_incomplete_requests(lambda: 1)
