Let plays run several coordinators and kill endpoints

Plays of real processes had one coordinator and wrote the head of a request in place, so a play of workspaces would have needed a copy of both.

The seeds and data directories follow a list of coordinators, endpoints can be killed, and a play may add header lines and choose the kind of a request.

--- a/tests/silence_play.py
+++ b/tests/silence_play.py
@@ -14,7 +14,7 @@
 import curio
 import msgspec
 
-from buckthorndeal.http_server import create_http_server
+from buckthorndeal.http_server import HttpServer, create_http_server
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Transport
 from buckthorndeal.transport._base import run_handler
@@ -127,6 +127,13 @@
     port: int
     transport: _SilentTransport
     silent_until_s: float = 0.0
+    server: HttpServer | None = None
+    is_killed: bool = False
+
+    async def kill(self):
+        """End all connections, listen no more and send no heartbeats."""
+        self.is_killed = True
+        await self.server.abort()
 
     async def fall_silent(self, seconds, accepts):
         self.silent_until_s = time.monotonic() + seconds
@@ -186,7 +193,6 @@
         return self.log.count('"endpoint_path_lost"')
 
     async def _play(self):
-        servers = []
         heartbeats = None
         try:
             for endpoint in self.endpoints:
@@ -195,8 +201,9 @@
                     Limits(max_connections=4096),
                 )
                 await server.start(endpoint.transport, endpoint.address, endpoint.port)
-                servers.append(server)
-            self._start_process("coordinator", self.coordinator)
+                endpoint.server = server
+            for host in self.coordinators:
+                self._start_process("coordinator", host)
             for host in self.hosts:
                 self._start_process("gateway", host)
             await self._configure()
@@ -209,8 +216,9 @@
         finally:
             if heartbeats is not None:
                 await heartbeats.cancel()
-            for server in servers:
-                await server.close()
+            for endpoint in self.endpoints:
+                if endpoint.server is not None and not endpoint.is_killed:
+                    await endpoint.server.close()
 
     async def _change_and_call(self):
         until_s = time.monotonic() + self.options.seconds
@@ -296,6 +304,8 @@
         while True:
             sequence += 1
             for endpoint in self.endpoints:
+                if endpoint.is_killed:
+                    continue
                 body = {
                     "incarnation": 1,
                     "sequence": sequence,
--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -100,11 +100,13 @@
     runs: collections.Counter = field(default_factory=collections.Counter)
     stopped_s: dict[str, float] = field(default_factory=dict)
     exited_s: dict[str, float] = field(default_factory=dict)
+    answer_timeout_s: float = DEADLINE_S + 1.0
 
     def __post_init__(self):
         self.rng = random.Random(f"stop-{self.seed}")
         net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.coordinator = f"{net}.1"
+        self.coordinators = [self.coordinator]
         self.hosts = [f"{net}.{10 + number}" for number in range(2)]
         self.endpoint = f"{net}.100"
         self.ports = dict(zip(PORTS, find_ports(len(PORTS)), strict=True))
@@ -253,14 +255,17 @@
 
     async def _send_on(self, stream, order):
         body = b"order"
-        kind = "stream" if order.is_stream else "non_idempotent"
-        head = (
-            f"POST /{kind}/{order.work_s} HTTP/1.1\r\nHost: x.example\r\n"
-            f"{REQUEST_ID}: {order.order_id}\r\ncontent-length: {len(body)}\r\n\r\n"
-        )
+        lines = [
+            f"POST /{self._get_kind(order)}/{order.work_s} HTTP/1.1",
+            "Host: x.example",
+            f"{REQUEST_ID}: {order.order_id}",
+            f"content-length: {len(body)}",
+            *self._list_header_lines(order),
+        ]
+        head = "\r\n".join([*lines, "", ""])
         order.sent_s = time.monotonic()
         try:
-            async with curio.timeout_after(DEADLINE_S + 1.0):
+            async with curio.timeout_after(self.answer_timeout_s):
                 await stream.sendall(head.encode() + body)
                 order.status, headers, order.body = await read_response(stream)
             order.ends_connection = headers.get("connection") == "close"
@@ -269,6 +274,14 @@
             order.failure = type(error).__name__
         order.ended_s = time.monotonic()
 
+    def _get_kind(self, order):
+        return "stream" if order.is_stream else "non_idempotent"
+
+    def _list_header_lines(self, order):
+        """Return further lines of the head of an order."""
+        del order
+        return []
+
     async def _run_order(self, request, responder):
         order_id = request.headers[REQUEST_ID]
         self.runs[order_id] += 1
@@ -286,7 +299,10 @@
             "region": "a",
             "failure_domain": "a-1",
             "peer_listen": address["peer_listen"],
-            "seeds": [{"address": self.coordinator, "port": self.ports["peer_listen"]}],
+            "seeds": [
+                {"address": each, "port": self.ports["peer_listen"]}
+                for each in self.coordinators
+            ],
             "peer_keys": ["00112233445566778899aabbccddeeff"],
         }
         if kind == "coordinator":
@@ -295,7 +311,7 @@
                 "directory_listen": address["directory"],
                 "regions": {"a-1": "a"},
                 "bootstrap": True,
-                "data_directory": str(self.directory / "data"),
+                "data_directory": str(self.directory / f"data-{host}"),
             }
         else:
             names = ("listen", "ready_listen", "forward_listen")
