--- a/tests/test_pace_messages.py
+++ b/tests/test_pace_messages.py
@@ -1,5 +1,6 @@
 """Tests of what a gateway tells its dispatcher about responses."""
 
+import inspect
 import unittest
 from unittest import mock
 
@@ -23,13 +24,15 @@
         started, ended = [], []
         record_start = Dispatcher.record_response_start
         finish = Dispatcher.finish_attempt
+        signature = inspect.signature(finish)
 
         def watch_start(self, attempt_id, report, now_s, is_failure=False, age_s=0.0):
             started.append((is_failure, age_s))
             record_start(self, attempt_id, report, now_s, is_failure, age_s)
 
         def watch_end(self, *arguments, **fields):
-            ended.append(arguments[-1])
+            call = signature.bind(self, *arguments, **fields)
+            ended.append(call.arguments["events"])
             finish(self, *arguments, **fields)
 
         async def test():
