Let new endpoints fill up to the mean load

An endpoint without a report counted as having the mean load at once. After a restart of all hosts those known first got the requests of all hosts, and new ones seemed as full. The mean now applies over 2 s.

--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -309,7 +309,7 @@
                 self._service_times.setdefault(record.service, ServiceTime())
             )
             pace = EndpointPace(
-                self._service_paces.setdefault(record.service, ServicePace())
+                self._service_paces.setdefault(record.service, ServicePace()), now_s
             )
             self.loads[record.endpoint] = EndpointLoad(
                 entry,
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -148,7 +148,7 @@
             queued = max(0, report.waiting - len(self.queued))
         pace = self.pace
         if pace.service.is_active:
-            mean = pace.service.get_mean_load(now_s)
+            mean = pace.get_mean_load(now_s)
             slots = max(1, self.entry.record.slots)
             if is_recent and is_credible(report.running, slots):
                 most = MAX_REPORTED_PER_SLOT * slots
@@ -213,12 +213,16 @@
         The output is the usual one of the route, as learned from complete streams.
         """
         first_s = self.predict_first_response_s(call, uncached_tokens, now_s)
+        return first_s + self.predict_output_s(call, now_s)
+
+    def predict_output_s(self, call: Call, now_s: float) -> float:
+        """Return the predicted time from the first event to the last, in seconds."""
         if call.prompt is None or call.route.kind is not RequestKind.STREAM:
-            return first_s
+            return 0.0
         most = call.prompt.max_output_tokens
         events = self.pace.service.predict_events(call.route.name, most)
         total = self.inflight + self.count_other_inflight(now_s)
-        return first_s + (events - 1) * self.pace.predict_interval_s(total, now_s)
+        return (events - 1) * self.pace.predict_interval_s(total, now_s)
 
     def predict_wait_s(self, now_s: float, uncached_tokens: int = 0) -> float:
         """Return the predicted time until the response to a prompt starts."""
--- a/buckthorndeal/gateway/_pace.py
+++ b/buckthorndeal/gateway/_pace.py
@@ -37,6 +37,9 @@
 # Time in which the mean load of endpoints is forgotten, once no reports arrive.
 MEAN_LOAD_LIFETIME_S = 5.0
 MEAN_LOAD_WEIGHT = 0.1
+# Time in which a new endpoint is assumed to get the mean load. With the mean from the
+# start, the endpoints that are known first get the requests of all hosts.
+FILL_S = 2.0
 # Coefficients before the first observation: seconds for any request, for each 1,000
 # tokens to prefill and for each 10 requests in flight.
 FIRST_RESPONSE_PRIOR = (0.05, 0.02, 0.005)
@@ -166,10 +169,15 @@
     ----------
     service : ServicePace, optional
         Speed of a usual endpoint, from which this one starts.
+    known_s : float, optional
+        Clock reading at which this host has learned of the endpoint.
     """
 
-    def __init__(self, service: ServicePace | None = None) -> None:
+    def __init__(
+        self, service: ServicePace | None = None, known_s: float = -math.inf
+    ) -> None:
         self.service = service if service is not None else ServicePace()
+        self._known_s = known_s
         self._scale = 1.0
         self._count = 0
         self._observed_s = 0.0
@@ -181,6 +189,11 @@
         """Whether endpoints of the service report their slowdown."""
         return self.service.is_active
 
+    def get_mean_load(self, now_s: float) -> float:
+        """Return the requests of other hosts that are assumed without a report."""
+        mean = self.service.get_mean_load(now_s)
+        return mean * min(1.0, max(0.0, now_s - self._known_s) / FILL_S)
+
     def record_slowdown(self, slowdown: float, now_s: float) -> None:
         """Record a reported slowdown; values beyond the usual are limited."""
         slowdown = min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, slowdown))
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -187,6 +187,14 @@
         self.assertEqual(service.get_mean_load(100.0), 20)
         self.assertEqual(service.get_mean_load(110.0), 0.0)
 
+    def test_new_endpoint_fills_up(self):
+        """Guards against new endpoints that seem as full as those known before."""
+        service = ServicePace()
+        pace = EndpointPace(service, known_s=100.0)
+        for now_s, share in ((100.0, 0.0), (101.0, 0.5), (102.0, 1.0), (200.0, 1.0)):
+            service.record_load(20, now_s)
+            self.assertAlmostEqual(pace.get_mean_load(now_s), 20 * share)
+
 
 if __name__ == "__main__":
     unittest.main()
