Use the learned pace in admission

Own time and total time of a request come from the learned pace where it is active, and an idle engine with a learned pace always gets a request.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -28,6 +28,10 @@
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.workspaces import QuotaUnit, Workspace
 
+# Largest correction where the pace of endpoints is learned: the pace follows observed
+# and overdue responses of each endpoint, and one that is slow should not raise the
+# predictions of the others.
+MAX_LEARNED_FACTOR = 2.5
 # Length of the startup phase, in heartbeat intervals.
 STARTUP_HEARTBEAT_INTERVALS = 1.5
 # A request is refused before this share of its objective has passed, unless it will
@@ -180,12 +184,14 @@
         """Return what the caller gets from the chosen endpoint."""
         state = self.get(call.service)
         factor = state.calibration.get_factor(now_s)
+        if choice.load.pace.is_active:
+            factor = min(factor, MAX_LEARNED_FACTOR)
         first_s = choice.predicted_s * factor
-        own_s = predict_own_s(call, choice)
+        own_s = predict_own_s(call, choice, now_s)
         state.record_own(call.route.name, own_s)
         return Outlook(
             first_s,
-            predict_total_s(call, first_s, state.output_token_s),
+            predict_total_s(call, choice.load, first_s, state.output_token_s, now_s),
             own_s,
             compute_latency_budget_s(call, now_s),
             call.deadline_s - now_s,
@@ -201,10 +207,11 @@
             share = self._get_share(call, now_s)
             needed_s = outlook.first_s + self._reserve_s(call, outlook, now_s)
             return needed_s <= outlook.budget_s * share
+        if _basic_admission.is_trial(call, choice, now_s):
+            # One request at a time, as the endpoint may also have fallen silent.
+            return True
         if call.prompt is None:
-            # Only a response can tell that an idle endpoint is not slow any more. One
-            # request at a time tries it, as it may also have fallen silent.
-            return choice.load.is_idle(now_s)
+            return False
         return outlook.is_useful and self._may_serve_late(call, choice, outlook, now_s)
 
     def find_cause(self, call: Call, outlook: Outlook, now_s: float) -> OverloadCause:
--- a/buckthorndeal/gateway/_basic_admission.py
+++ b/buckthorndeal/gateway/_basic_admission.py
@@ -16,8 +16,17 @@
     """Return whether a request may be sent to the chosen endpoint now."""
     if choice.predicted_s <= compute_latency_budget_s(call, now_s):
         return True
-    # Only a response can tell that an idle endpoint is not slow any more.
-    return call.prompt is None and choice.load.is_idle(now_s)
+    return is_trial(call, choice, now_s)
+
+
+def is_trial(call: Call, choice: LocalChoice, now_s: float) -> bool:
+    """Return whether a request tries an idle endpoint, however slow it seems.
+
+    Only a response can tell that it is not slow any more. The prefill speed of an
+    engine without a learned pace does not depend on the load, so it is not tried.
+    """
+    is_learned = call.prompt is None or choice.load.pace.is_active
+    return is_learned and choice.load.is_idle(now_s)
 
 
 def may_begin_wait(
--- a/buckthorndeal/gateway/_outlook.py
+++ b/buckthorndeal/gateway/_outlook.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from buckthorndeal.configuration import RequestKind
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import Call
 from buckthorndeal.gateway._scoring import LocalChoice
 
@@ -40,19 +42,25 @@
         return self.total_s <= self.left_s
 
 
-def predict_own_s(call: Call, choice: LocalChoice) -> float:
+def predict_own_s(call: Call, choice: LocalChoice, now_s: float) -> float:
     """Return the time until a response starts at the endpoint without a backlog."""
     if call.prompt is None:
         return choice.predicted_s
-    own_s = choice.load.prefill_speed.predict(choice.uncached_tokens)
+    load, tokens = choice.load, choice.uncached_tokens
+    if load.pace.is_active:
+        own_s = load.pace.predict_first_s(tokens, 0, now_s)
+    else:
+        own_s = load.prefill_speed.predict(tokens)
     return min(own_s, choice.predicted_s)
 
 
-def predict_total_s(call: Call, first_s: float, output_token_s: float) -> float:
+def predict_total_s(
+    call: Call, load: EndpointLoad, first_s: float, output_token_s: float, now_s: float
+) -> float:
     """Return the predicted time until a response ends, in seconds.
 
     The longest possible output says little of the actual one, so the time of a token
-    is learned from complete responses.
+    is learned from complete responses: by endpoint where its pace is learned.
 
     Parameters
     ----------
@@ -63,4 +71,6 @@
     """
     if call.prompt is None:
         return first_s
+    if load.pace.is_active and call.route.kind is RequestKind.STREAM:
+        return first_s + load.predict_output_s(call, now_s)
     return first_s + call.prompt.max_output_tokens * output_token_s
