Name why an endpoint or a region cannot get a request

The choice skipped full, cold and shared endpoints, and regions, without a reason that anything else could read. The tests of each now stand in functions that return the reason, which the choice and an explanation of it share. Decisions are the same: the tests of the dispatcher, regions and rejections pass unchanged.

--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -190,6 +190,15 @@
             counts[self._get_condition(load, now_s)] += 1
         return counts
 
+    def list_conditions(
+        self, service: str, now_s: float
+    ) -> list[tuple[EndpointLoad, EndpointCondition]]:
+        """Return the endpoints of a service with their conditions."""
+        return [
+            (load, self._get_condition(load, now_s))
+            for load in self._list_loads(service)
+        ]
+
     def _list_loads(self, service: str) -> list[EndpointLoad]:
         return [
             load for load in self.loads.values() if load.entry.record.service == service
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -1,5 +1,6 @@
 """Choice between the endpoints of this region; no I/O."""
 
+import enum
 import operator
 import random
 
@@ -8,6 +9,7 @@
 from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
+    Call,
     Dispatch,
 )
 from buckthorndeal.gateway._scoring import (
@@ -30,6 +32,18 @@
 _get_cost = operator.attrgetter("endpoint_cost_s")
 
 
+class Obstacle(enum.Enum):
+    """Why a candidate cannot get a request now."""
+
+    # Its turn for a request to a cold endpoint has not come, or is another host's.
+    COLD = "cold"
+    NO_CONNECTION = "no_connection"
+    # Its slots or its memory are full.
+    NO_ROOM = "no_room"
+    # This host has used up its share of an endpoint that bears few rejections.
+    NO_SHARE = "no_share"
+
+
 class LocalChooser:
     """Chooses endpoints of this region.
 
@@ -82,20 +96,13 @@
         if service is None:
             return None
         prefix_owner = self._prefix_owners.find(call, candidates)
-        connections = self._view.get_connection_limit(service)
-        choices: list[LocalChoice] = []
-        for load in candidates:
-            cold = load.is_cold(now_s) and service.cold_rate_per_s > 0
-            if cold and not self._may_warm_up(load, service, now_s):
-                continue
-            # Without a connection it would wait where nothing refuses it in time.
-            if load.inflight >= connections:
-                continue
-            if not load.has_capacity(call, service, now_s):
-                continue
-            if not self._slot_shares.may_send(load, call, service, now_s):
-                continue
-            choices.append(score_endpoint(load, call, prefix_owner, cold, now_s))
+        choices = [
+            score_endpoint(
+                load, call, prefix_owner, _is_limited(load, service, now_s), now_s
+            )
+            for load in candidates
+            if self.find_obstacle(load, call, service, now_s) is None
+        ]
         if not choices:
             return None
         if choices[0].load.pace.is_active:
@@ -108,6 +115,38 @@
             key=lambda each: (each.cold, each.endpoint_cost_s, self._rng.random()),
         )
 
+    def find_obstacle(
+        self, load: EndpointLoad, call: Call, service: ServiceDescription, now_s: float
+    ) -> Obstacle | None:
+        """Return why a candidate cannot get a request now, or None."""
+        if _is_limited(load, service, now_s):
+            if not self._may_warm_up(load, service, now_s):
+                return Obstacle.COLD
+        # Without a connection it would wait where nothing refuses it in time.
+        if load.inflight >= self._view.get_connection_limit(service):
+            return Obstacle.NO_CONNECTION
+        if not load.has_capacity(call, service, now_s):
+            return Obstacle.NO_ROOM
+        if not self._slot_shares.may_send(load, call, service, now_s):
+            return Obstacle.NO_SHARE
+        return None
+
+    def score(
+        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
+    ) -> list[LocalChoice]:
+        """Return what is predicted at each candidate, whether it has room or not."""
+        call = dispatch.call
+        service = self._view.get_service(call.service)
+        if service is None:
+            return []
+        prefix_owner = self._prefix_owners.find(call, candidates)
+        return [
+            score_endpoint(
+                load, call, prefix_owner, _is_limited(load, service, now_s), now_s
+            )
+            for load in candidates
+        ]
+
     def _choose_near_best(
         self,
         choices: list[LocalChoice],
@@ -139,3 +178,8 @@
     ) -> bool:
         rate_per_s = service.cold_rate_per_s * COLD_RATE_SHARE
         return self._view.warm_ups.may_send(load.name, rate_per_s, now_s)
+
+
+def _is_limited(load: EndpointLoad, service: ServiceDescription, now_s: float) -> bool:
+    """Return whether an endpoint is cold and the service limits what it gets then."""
+    return load.is_cold(now_s) and service.cold_rate_per_s > 0
--- a/buckthorndeal/gateway/_regions.py
+++ b/buckthorndeal/gateway/_regions.py
@@ -49,6 +49,36 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RegionStatus:
+    """What is known of another region, for an explanation of a decision.
+
+    Parameters
+    ----------
+    region, host : str
+        The region, and the entry host through which it is reached.
+    age_s : float
+        Age of its last report in seconds.
+    wait_s : float or None
+        Reported wait at the service; None if it is not served there.
+    free_slots, sent : int
+        Reported free slots, and requests of this host since the report.
+    lent_requests : int or None
+        Requests that it lends to this host; None if it does not divide them.
+    obstacle : str or None
+        Why the request cannot go there; None if it can.
+    """
+
+    region: str
+    host: str
+    age_s: float
+    wait_s: float | None
+    free_slots: int
+    sent: int
+    lent_requests: int | None
+    obstacle: str | None
+
+
 @dataclass(slots=True)
 class _Loan:
     """What this host may still send to a service of another region.
@@ -200,17 +230,32 @@
         self, call: Call, excluded: frozenset[str], now_s: float
     ) -> Iterator[tuple[str, _RegionState]]:
         """Yield the regions that serve the request, as far as is known."""
-        service, version = call.service, call.version
         for name, region in self._regions.items():
-            if name in excluded or not call.may_run_in(name):
-                continue
-            if now_s - region.updated_s > LOAD_LIFETIME_S:
-                continue
-            if service not in region.waits_s:
-                continue
-            if version is not None and version not in region.versions.get(service, ()):
-                continue
-            yield name, region
+            if _find_obstacle(name, region, call, excluded, now_s) is None:
+                yield name, region
+
+    def describe(
+        self, call: Call, excluded: frozenset[str], now_s: float
+    ) -> list[RegionStatus]:
+        """Return what is known of each region, and why a request cannot go there.
+
+        The parameters are those of `choose`.
+        """
+        described = []
+        for name, region in sorted(self._regions.items()):
+            loan = region.loans.get(call.service)
+            status = RegionStatus(
+                region=name,
+                host=region.host,
+                age_s=now_s - region.updated_s,
+                wait_s=region.waits_s.get(call.service),
+                free_slots=region.free_slots.get(call.service, 0),
+                sent=region.sent.get(call.service, 0),
+                lent_requests=loan.capacity.requests if loan is not None else None,
+                obstacle=_find_obstacle(name, region, call, excluded, now_s),
+            )
+            described.append(status)
+        return described
 
     def count_tokens(self, call: Call, name: str, now_s: float) -> int:
         """Return the tokens that a region would prefill for a request."""
@@ -243,6 +288,28 @@
                 self._prefixes.popitem(last=False)
 
 
+def _find_obstacle(
+    name: str,
+    region: _RegionState,
+    call: Call,
+    excluded: frozenset[str],
+    now_s: float,
+) -> str | None:
+    """Return why a region cannot serve a request, as far as is known, or None."""
+    service, version = call.service, call.version
+    if name in excluded:
+        return "excluded"
+    if not call.may_run_in(name):
+        return "no_home"
+    if now_s - region.updated_s > LOAD_LIFETIME_S:
+        return "old_report"
+    if service not in region.waits_s:
+        return "not_served"
+    if version is not None and version not in region.versions.get(service, ()):
+        return "version_not_served"
+    return None
+
+
 def get_long_prefix(call: Call) -> str | None:
     """Return the key of a shared prefix that is worth to be kept together."""
     prompt = call.prompt
--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -22,7 +22,7 @@
 )
 from buckthorndeal.gateway._region_lending import RegionLending
 from buckthorndeal.gateway._region_load import measure_spare
-from buckthorndeal.gateway._regions import RegionTable
+from buckthorndeal.gateway._regions import RegionStatus, RegionTable
 from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 
 # Minimum predicted gain of forwarding a request to another region; smaller gains
@@ -64,6 +64,10 @@
         """Apply a newer load report of another region."""
         self._regions.update(message, now_s)
 
+    def describe_regions(self, dispatch: Dispatch, now_s: float) -> list[RegionStatus]:
+        """Return what is known of other regions; see `RegionTable.describe`."""
+        return self._regions.describe(dispatch.call, dispatch.excluded, now_s)
+
     def record_sent(self, choice: RemoteChoice, call: Call, now_s: float) -> None:
         """Count a request that is sent to a region."""
         self._regions.record_sent(choice.region, call, now_s)
