Explain where a request would go, without sending it

Operators could only infer from logs and metrics why a gateway refuses or moves requests.

The outcome comes from a copy of the dispatcher whose submit runs as it is; only the step that would send is replaced. Draws, turns, quota units and queues are those of the copy.

--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -12,6 +12,7 @@
     ConfigurationCodec,
     create_route_table,
 )
+from buckthorndeal.explanation import EXPLANATION_PATH
 from buckthorndeal.fleet import (
     EndpointRecord,
     EntryHost,
@@ -39,6 +40,7 @@
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._drain import Drain
+from buckthorndeal.gateway._explanation import ExplanationHandler
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
 from buckthorndeal.gateway._pools import HOST_IDLE_TIMEOUT_S, create_pools
@@ -204,8 +206,8 @@
             await server.start(self._transport, listen.address, listen.port)
         await self._serve_internal(self._handle_readiness, settings.ready_listen)
         if settings.metrics_listen is not None:
-            metrics = serve_metrics(self.metrics)
-            await self._serve_internal(metrics, settings.metrics_listen)
+            handler = self._create_metrics_handler()
+            await self._serve_internal(handler, settings.metrics_listen)
         log_event("gateway_started", region=settings.region)
 
     async def wait(self) -> None:
@@ -363,6 +365,18 @@
         self._caller_server.set_limits(limits)
         self._forward_server.set_limits(_extend_for_hosts(limits))
 
+    def _create_metrics_handler(self) -> Handler:
+        """Return the handler of the metrics address, which also explains decisions."""
+        metrics = serve_metrics(self.metrics)
+        explanations = ExplanationHandler(self._context)
+
+        async def handle(request: Request, responder: Responder) -> None:
+            is_metrics = request.path != EXPLANATION_PATH
+            respond = metrics if is_metrics else explanations.handle
+            await respond(request, responder)
+
+        return handle
+
     async def _handle_readiness(self, request: Request, responder: Responder) -> None:
         if request.path != self._ready_path:
             await responder.respond_json(404, {"error": "unknown path"})
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -1,6 +1,7 @@
 """Task that owns the dispatcher and replies to queries once they are decided."""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from buckthorndeal.configuration import ServiceDescription
@@ -13,6 +14,7 @@
 from buckthorndeal.gateway._decision_log import describe_decision, log_quarantine_change
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatcher import Dispatcher
+from buckthorndeal.gateway._explanation import explain
 from buckthorndeal.gateway._fleet_messages import (
     DescribeRegionLoad,
     EndpointLeft,
@@ -28,6 +30,7 @@
     Decision,
     Dispatch,
     EndpointNotice,
+    ExplainDecision,
     Refusal,
     ResponseStarted,
 )
@@ -356,6 +359,13 @@
         loads = self._dispatcher.describe_region(now_s, message.borrower)
         await envelope.reply(loads)
 
+    @_handle.register
+    async def _(
+        self, message: ExplainDecision, envelope: Envelope, now_s: float
+    ) -> None:
+        explanation = explain(self._dispatcher, message.call, now_s)
+        await envelope.reply(replace(explanation, draining=message.is_draining))
+
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
         self._dispatcher.view.set_services(services)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -4,7 +4,9 @@
 simulate load without a network.
 """
 
+import copy
 import random
+from collections.abc import Callable
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
 from buckthorndeal.gateway._crash_guard import CrashGuard
@@ -128,6 +130,37 @@
             return self._refusals.refuse_quota(admission)
         return self._submit_admitted(dispatch, now_s)
 
+    def create_preview(
+        self, dispatch: Dispatch, now_s: float, take: Callable[..., object]
+    ) -> "Dispatcher":
+        """Return a copy on which a decision leaves this dispatcher as it is.
+
+        Endpoints, evidence, ejections and budgets are shared, as the copy only reads
+        them: `take` gets the arguments of `_accept` in its place, which alone would
+        record there. What the steps before it count or draw is copied.
+        """
+        queue = self._queues.get(dispatch.call.service, WaitingQueue())
+        view = copy.copy(self.view)
+        view.warm_ups = copy.deepcopy(self.view.warm_ups)
+        shared = (
+            self._ejection,
+            self._budgets,
+            self._granted,
+            self.crash_guard,
+            self.reach,
+            *(waiting.dispatch for waiting in queue.list_by_priority()),
+        )
+        memo: dict[int, object] = {id(each): each for each in shared}
+        memo[id(self.view)] = view
+        memo[id(self.quota)] = self.quota.copy_for(dispatch.call.workspace)
+        memo[id(self._queues)] = queues = {}
+        copied = copy.deepcopy(self, memo)
+        queues[dispatch.call.service] = copy.deepcopy(queue, memo)
+        copied._accept = take
+        if copied._started_s is None:
+            copied._started_s = now_s
+        return copied
+
     def _submit_admitted(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         decision = self._decide(dispatch, now_s) or self._queue(dispatch, now_s)
         if decision is None:
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -378,3 +378,19 @@
     was_sent: bool = True
     events: int = 0
     not_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainDecision:
+    """Query: `Explanation` of where a request would go now.
+
+    Parameters
+    ----------
+    call : Call
+        The request, which is not sent.
+    is_draining : bool
+        Whether this host drains.
+    """
+
+    call: Call
+    is_draining: bool = False
--- a/buckthorndeal/gateway/_quota_gate.py
+++ b/buckthorndeal/gateway/_quota_gate.py
@@ -55,6 +55,10 @@
         self._charges: dict[int, Charge] = {}
         self._waiting: dict[int, _Waiting] = {}
 
+    def copy_for(self, workspace: Workspace | None) -> "QuotaGate":
+        """Return a gate that charges copies of the units of one workspace."""
+        return QuotaGate(self.leases.copy_for(workspace), self.clock)
+
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for the reply of the leader."""
--- a/buckthorndeal/quota/_leases.py
+++ b/buckthorndeal/quota/_leases.py
@@ -5,6 +5,7 @@
 next request to the leader, unless the leader has lately granted less than was needed.
 """
 
+import copy
 import itertools
 import math
 import random
@@ -175,6 +176,17 @@
                 lease.waiting += units
         return QuotaWait(self._predict_wait_s(lease, least, now_s), may_wait)
 
+    def copy_for(self, workspace: Workspace | None) -> "QuotaLeases":
+        """Return a copy with the lease of one workspace, of which nothing is sent."""
+        copied = copy.copy(self)
+        copied._numbers = itertools.count(1)
+        copied._leases = {}
+        lease = self._leases.get(workspace.name) if workspace is not None else None
+        if lease is not None:
+            memo = {id(lease.numbers): copied._numbers}
+            copied._leases[workspace.name] = copy.deepcopy(lease, memo)
+        return copied
+
     def stop_waiting(self, workspace: Workspace, units: int) -> None:
         """Record that a request which might wait does not do so any more."""
         lease = self._leases.get(workspace.name)
