Test the command that explains a decision

Nothing ran the command itself. A test now runs it against a canned gateway: its parameters, an unknown workspace, a gateway of an older build, and none.

--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -1,18 +1,28 @@
 """Tests of the explanation of a decision, without a network and at a gateway."""
 
 import copy
+import http.server
 import json
 import logging
 import pickle
 import random
+import subprocess
+import sys
+import threading
 import unittest
 from dataclasses import replace
 
 import curio
+import msgspec
 
 from buckthorndeal.configuration import RequestKind
 from buckthorndeal.errors import RequestError
-from buckthorndeal.explanation import fetch_explanation, format_explanation
+from buckthorndeal.explanation import (
+    Explanation,
+    Outcome,
+    fetch_explanation,
+    format_explanation,
+)
 from buckthorndeal.fleet import EndpointState
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._explanation import explain
@@ -407,5 +417,64 @@
         run_fleet(test)
 
 
+class _CannedGateway(http.server.BaseHTTPRequestHandler):
+    """Responds with an explanation that names the target, or with an error."""
+
+    def do_GET(self):
+        outcome = Outcome("refusal", reason=self.path, status=503, retry_after_s=1.5)
+        body = msgspec.json.encode(Explanation("g", "a", outcome))
+        status = 200
+        if "workspace=nobody" in self.path:
+            status, body = 400, b'{"error": "no workspace has this name"}'
+        elif "host=old" in self.path:
+            body = b"# HELP a gateway of an older build\n"
+        self.send_response(status)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        pass
+
+
+class CommandTest(unittest.TestCase):
+    """The command passes its flags on and prints the outcome."""
+
+    def run_command(self, *arguments):
+        command = [sys.executable, "-m", "buckthorndeal.command_explain", *arguments]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=60, check=False
+        )
+
+    def test_flags_and_errors(self):
+        """Guards against lost parameters, and a traceback in place of a message."""
+        server = http.server.HTTPServer(("127.0.0.1", 0), _CannedGateway)
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        gateway = f"--gateway=127.0.0.1:{server.server_port}"
+        try:
+            given = self.run_command(
+                gateway, "--host=x.example", "--path=/a/", "--tokens=5"
+            )
+            unknown = self.run_command(gateway, "--host=x", "--workspace=nobody")
+            old = self.run_command(gateway, "--host=old")
+        finally:
+            server.shutdown()
+            thread.join()
+            server.server_close()
+        self.assertEqual(given.returncode, 0, given.stderr)
+        target = "/explain?host=x.example&path=%2Fa%2F&tokens=5"
+        expected = f"refused with 503: {target}, Retry-After about 1.500 s"
+        self.assertIn(expected, given.stdout)
+        self.assertEqual((unknown.returncode, unknown.stdout), (1, ""))
+        self.assertEqual(unknown.stderr, "no workspace has this name\n")
+        self.assertEqual((old.returncode, old.stdout), (1, ""))
+        self.assertIn("metrics address", old.stderr)
+        closed = self.run_command(gateway, "--host=x")
+        self.assertEqual((closed.returncode, closed.stdout), (1, ""))
+        self.assertNotIn("Traceback", closed.stderr)
+        self.assertEqual(self.run_command("--gateway=here", "--host=x").returncode, 1)
+
+
 if __name__ == "__main__":
     unittest.main()
