--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -26,8 +26,12 @@
 from buckthorndeal.fleet import EndpointState
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._explanation import explain
-from buckthorndeal.gateway._fleet_messages import FleetChanged, RegionUpdate
-from buckthorndeal.gateway._messages import Call, Forward, Grant
+from buckthorndeal.gateway._fleet_messages import (
+    FleetChanged,
+    RegionUpdate,
+    SpareCapacity,
+)
+from buckthorndeal.gateway._messages import Call, Forward, Grant, LoadReport
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.settings import Address
 from buckthorndeal.workspaces import Workspace
@@ -141,7 +145,7 @@
         return kinds
 
     def test_other_regions(self):
-        """Guards against wishes towards lenders that an explanation records."""
+        """Guards against another region than that of the decision."""
         harness = DispatcherHarness(slots=1)
         report_region(harness)
         kinds = set()
@@ -154,6 +158,36 @@
         self.assertIn("forward", kinds)
         self.assertEqual([each.region for each in explanation.regions], ["b"])
 
+    def test_regions_that_lend(self):
+        """Guards against wishes towards lenders that an explanation records."""
+        harness = DispatcherHarness(endpoints=1, slots=2)
+        harness.submit(create_prompt(0, 0))
+        report = LoadReport(1, 0, 2, slowdown=1.0)
+        harness.dispatcher.record_response_start(1, report, harness.now_s)
+        lent = {"llm": SpareCapacity(9, 90_000)}
+        update = RegionUpdate("b", "host-b", {"llm": 0.0}, {"llm": 9}, lent=lent)
+        harness.dispatcher.update_region(update, harness.now_s)
+        for number in range(1, 6):
+            prompt = create_prompt(number, number)
+            explanation = self.check(
+                harness, lambda p=prompt: harness.submit(p), prompt=prompt
+            )
+        self.assertTrue(harness.dispatcher._remote._wanted)
+        self.assertEqual(explanation.regions[0].lent_requests, 9)
+
+    def test_queue(self):
+        """Guards against a place in the queue that an explanation takes."""
+        harness = DispatcherHarness(endpoints=1, service="desk", slots=15)
+        while isinstance(harness.submit(), Grant):
+            pass
+        for attempt_id in range(1, 19):
+            harness.finish(attempt_id)
+        while isinstance(harness.submit(), Grant):
+            pass
+        explanation = self.check(harness, harness.submit)
+        self.assertEqual(explanation.outcome.kind, "wait")
+        self.assertGreater(explanation.waiting, 0)
+
     def test_cold_endpoint(self):
         """Guards against a turn for a cold endpoint that an explanation uses up."""
         harness = DispatcherHarness(endpoints=1, service="llm")
