Test explanations at the metrics address from the settings

The tests served the handler themselves, so a gateway without it would have passed. They now start a gateway with metrics_listen. The outcome is that of a workspace without a quota: one with a quota may wait for its first units.

--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -36,9 +36,10 @@
 from buckthorndeal.settings import Address
 from buckthorndeal.workspaces import Workspace
 from tests.dispatcher_harness import ROUTE, DispatcherHarness, create_prompt
-from tests.fleet_harness import GATEWAY, Fleet, run_fleet
-from tests.workspace_harness import ACME, BELL, send, start
+from tests.fleet_harness import CALLER_PORT, Fleet, run_fleet
+from tests.workspace_harness import ACME, BELL, send, start, wait_for_status
 
+EXPLAINING = "10.1.0.8"
 METRICS_PORT = 9003
 
 
@@ -336,12 +337,12 @@
 
 
 async def start_explained(fleet):
+    """Start a deployment; return a pool to the metrics address of a gateway."""
     await start(fleet, {**ACME, "rate_per_s": 50.0, "burst": 20.0}, BELL)
-    gateway = fleet.gateways[GATEWAY]
-    handler = gateway._create_metrics_handler()
-    listen = Address(address=GATEWAY, port=METRICS_PORT)
-    await gateway._serve_internal(handler, listen)
-    return fleet.create_pool(GATEWAY, METRICS_PORT)
+    listen = Address(address=EXPLAINING, port=METRICS_PORT)
+    await fleet.start_gateway(EXPLAINING, metrics_listen=listen)
+    await wait_for_status(fleet, EXPLAINING, "k-acme", 200)
+    return fleet.create_pool(EXPLAINING, METRICS_PORT)
 
 
 class GatewayTest(unittest.TestCase):
@@ -355,14 +356,19 @@
                 pool = await start_explained(fleet)
                 endpoint = fleet.endpoints["e0"]
                 sent = len(endpoint.requests)
-                given = {"host": "x.example", "path": "/stream/1", "workspace": "acme"}
+                given = {"host": "x.example", "path": "/stream/1", "workspace": "bell"}
                 with self.assertNoLogs("absl", logging.DEBUG):
                     explanation = await fetch_explanation(pool, given)
                 self.assertEqual(explanation.outcome.target, "e0")
+                self.assertIsNone(explanation.quota)
                 self.assertEqual(explanation.route, "stream")
-                self.assertEqual(explanation.quota.rate_per_s, 50.0)
+                # It may wait for units here, as a request of this workspace would.
+                given["workspace"] = "acme"
+                limited = await fetch_explanation(pool, given)
+                self.assertEqual(limited.quota.rate_per_s, 50.0)
+                self.assertIn("quota ", format_explanation(limited))
                 text = format_explanation(explanation)
-                for part in ("endpoint e0", "acme", "candidate", "quota"):
+                for part in ("endpoint e0", "bell", "candidate"):
                     self.assertIn(part, text)
                 status, _, body = await pool.fetch(
                     "GET", "/explain?host=x.example&path=/stream/&workspace=acme", []
@@ -380,7 +386,7 @@
                 opened = await fetch_explanation(pool, given)
                 self.assertEqual(opened.outcome.target, "e0")
                 self.assertEqual(len(endpoint.requests), sent)
-                self.assertEqual(await send(fleet, GATEWAY, "k-acme"), 200)
+                self.assertEqual(await send(fleet, EXPLAINING, "k-acme"), 200)
 
         run_fleet(test)
 
@@ -390,10 +396,10 @@
         async def test():
             async with Fleet() as fleet:
                 pool = await start_explained(fleet)
-                context = fleet.gateways[GATEWAY]._context
+                context = fleet.gateways[EXPLAINING]._context
                 now_s = context.clock()
                 context.drain = Drain(now_s + 60.0, random.Random(1))
-                given = {"host": "x.example", "path": "/stream/", "workspace": "acme"}
+                given = {"host": "x.example", "path": "/stream/", "workspace": "bell"}
                 served = await fetch_explanation(pool, given)
                 self.assertEqual(
                     (served.outcome.kind, served.draining), ("endpoint", True)
@@ -445,7 +451,7 @@
                 explanation = await fetch_explanation(pool, {**good, **prompt})
                 self.assertEqual(explanation.outcome.target, "e0")
                 with self.assertRaises(RequestError):
-                    caller = fleet.create_pool(GATEWAY, 9000)
+                    caller = fleet.create_pool(EXPLAINING, CALLER_PORT)
                     await curio.timeout_after(5, fetch_explanation, caller, good)
 
         run_fleet(test)
