--- a/buckthorndeal/gateway/_explanation.py
+++ b/buckthorndeal/gateway/_explanation.py
@@ -21,10 +21,7 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._handler import NOT_READY_RETRY_S
-from buckthorndeal.gateway._latency_limits import (
-    compute_latency_budget_s,
-    compute_max_wait_s,
-)
+from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
 from buckthorndeal.gateway._messages import (
     Call,
     Dispatch,
@@ -73,7 +70,8 @@
     preview = dispatcher.create_preview(dispatch, now_s, _take)
     endpoints = _describe_endpoints(preview, dispatch, now_s)
     regions = preview._remote.describe_regions(dispatch, now_s)
-    waiting = len(preview._queues.get(call.service, ()))
+    max_wait_s = preview.admission.compute_max_wait_s(call, now_s)
+    waiting = len(preview.admission.get(call.service).queue)
     decision = preview.submit(dispatch, now_s)
     if decision is None:
         reason = "units of its quota" if preview.quota.has_waiting else "room"
@@ -89,7 +87,7 @@
         workspace=call.workspace.name if call.workspace is not None else None,
         home_regions=_describe_homes(call),
         budget_s=compute_latency_budget_s(call, now_s),
-        max_wait_s=compute_max_wait_s(call, preview._is_starting(now_s)),
+        max_wait_s=max_wait_s,
         path_lost=preview.reach.is_lost,
         waiting=waiting,
         quota=quota,
@@ -178,7 +176,7 @@
 
 def _describe_quota(dispatcher: Dispatcher, call: Call) -> QuotaStatus | None:
     workspace = call.workspace
-    if workspace is None or not workspace.is_limited:
+    if workspace is None or not dispatcher.quota._is_limited(workspace):
         return None
     gate = dispatcher.quota.copy_for(workspace)
     state = gate.leases.describe(gate.clock()).get(workspace.name)
--- a/buckthorndeal/gateway/_latency_limits.py
+++ b/buckthorndeal/gateway/_latency_limits.py
@@ -8,6 +8,8 @@
 # general, and on a host that has just started.
 MAX_WAIT_SHARE = 0.25
 STARTUP_MAX_WAIT_SHARE = 0.6
+# The same for an endpoint that limits its rate.
+MAX_TURN_WAIT_SHARE = 0.25
 # Largest share of the objective that elapsed time takes off the budget.
 MAX_ELAPSED_SHARE = 0.5
 
@@ -35,3 +37,11 @@
     """
     share = STARTUP_MAX_WAIT_SHARE if starting else MAX_WAIT_SHARE
     return call.route.latency_objective_s * share
+
+
+def compute_max_turn_wait_s(call: Call) -> float:
+    """Return how long a request waits for the turn of an endpoint that limits its rate.
+
+    The moment is known, so that a longer wait would be longer than any refusal.
+    """
+    return call.route.latency_objective_s * MAX_TURN_WAIT_SHARE
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -82,6 +82,8 @@
         Software version at which a stream has to continue; None if it has not begun.
     workspace : Workspace or None
         Workspace of the caller; None if the caller is anonymous.
+    tokens : int or None
+        Tokens that the request names, with or without a prompt.
     """
 
     request_id: str
@@ -97,6 +99,7 @@
     resumes: str | None = None
     version: str | None = None
     workspace: Workspace | None = None
+    tokens: int | None = None
 
     @property
     def priority(self) -> int:
@@ -110,6 +113,8 @@
         """Units that the request takes of the quota of its workspace."""
         if self.workspace is None or self.workspace.unit is QuotaUnit.REQUESTS:
             return 1
+        if self.tokens is not None:
+            return self.tokens
         if self.prompt is None:
             return self.workspace.default_tokens
         return self.prompt.tokens + self.prompt.max_output_tokens
@@ -224,6 +229,23 @@
         return self.host if self.is_relay else self.region
 
 
+class OverloadCause(enum.Enum):
+    """What an overload lacked for a request."""
+
+    # The response would begin after the objective, and others want the room.
+    BACKLOG = "backlog"
+    # The response would end after the deadline of the caller.
+    DEADLINE = "deadline"
+    # Too many requests wait already.
+    QUEUE = "queue"
+    # No room came in time.
+    WAIT = "wait"
+    # Its workspace or priority yields to others that want the room.
+    YIELDS = "yields"
+    # Other hosts have shares in the endpoints, and have passed it on.
+    SHARE = "share"
+
+
 class RefusalReason(enum.Enum):
     """Reason for which a request is refused."""
 
@@ -258,6 +280,8 @@
         Predicted time until the response starts at the best of them with capacity.
     key : str or None
         Quarantined or suspect key of the request.
+    cause : OverloadCause or None
+        What was lacking, if the reason is an overload.
     """
 
     reason: RefusalReason
@@ -265,6 +289,7 @@
     candidates: int = 0
     predicted_s: float | None = None
     key: str | None = None
+    cause: OverloadCause | None = None
 
 
 Decision = Grant | Forward | Refusal
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -31,6 +31,7 @@
     RegionUpdate,
     SpareCapacity,
 )
+from buckthorndeal.gateway._latency_limits import MAX_WAIT_SHARE
 from buckthorndeal.gateway._messages import Call, Forward, Grant, LoadReport
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.settings import Address
@@ -73,9 +74,14 @@
         dispatcher._remote._moved_s,
         dispatcher._remote._regions,
         dispatcher._budgets,
-        dispatcher._queues,
+        dispatcher.admission._services,
+        dispatcher.admission._started_s,
+        dispatcher.admission.shares,
+        dispatcher._passes,
+        dispatcher._slot_shares._lingering,
+        dispatcher._slot_shares._reduced,
+        dispatcher.view._service_paces,
         dispatcher._granted,
-        dispatcher._started_s,
         dispatcher._ejection,
         dispatcher.relays._sent,
         dispatcher.view.warm_ups,
@@ -85,7 +91,13 @@
         dispatcher.quota._waiting,
         dispatcher.crash_guard.quarantine,
         {
-            name: (load.attempts, load.queued, load.cache, load.queued_tokens)
+            name: (
+                load.attempts,
+                load.queued,
+                load.cache,
+                load.queued_tokens,
+                load.pace,
+            )
             for name, load in dispatcher.view.loads.items()
         },
     ]
@@ -189,6 +201,30 @@
         self.assertEqual(explanation.outcome.kind, "wait")
         self.assertGreater(explanation.waiting, 0)
 
+    def test_longest_wait(self):
+        """Guards against a limit of the wait other than that of the admission."""
+        for workspace in (None, Workspace("acme")):
+            harness = DispatcherHarness(endpoints=1, service="desk", slots=6)
+            fields = {"workspace": workspace}
+            while isinstance(harness.submit(call_fields=fields), Grant):
+                pass
+            explanation = explain_call(harness, **fields)
+            objective_s = ROUTE.latency_objective_s
+            max_wait_s = explanation.max_wait_s
+            if workspace is None:
+                self.assertEqual(max_wait_s, MAX_WAIT_SHARE * objective_s)
+                continue
+            queue = harness.dispatcher.admission.get("desk").queue
+            (waiting,) = queue.list_by_rank(harness.now_s)
+            self.assertEqual(max_wait_s, waiting.due_s - harness.now_s)
+            harness.dispatcher.admission._started_s = harness.now_s
+            startup_s = harness.dispatcher.admission.compute_startup_left_s(
+                harness.now_s
+            )
+            self.assertGreater(startup_s, max_wait_s)
+            starting = explain_call(harness, **fields)
+            self.assertEqual(starting.max_wait_s, startup_s)
+
     def test_cold_endpoint(self):
         """Guards against a turn for a cold endpoint that an explanation uses up."""
         harness = DispatcherHarness(endpoints=1, service="llm")
@@ -235,13 +271,25 @@
         self.assertNotIn("k-acme", format_explanation(explanation))
         self.assertIn("acme", format_explanation(explanation))
 
+    def test_quota_that_has_ended(self):
+        """Guards against a wait for units that the newest configuration has ended."""
+        workspace = Workspace("acme", ("k-acme",), rate_per_s=10.0, burst=5.0)
+        harness = DispatcherHarness(service="desk")
+        harness.dispatcher.quota.set_workspaces([replace(workspace, rate_per_s=0.0)])
+        fields = {"workspace": workspace}
+        explanation = self.check(
+            harness, lambda: harness.submit(call_fields=fields), **fields
+        )
+        self.assertEqual(explanation.outcome.kind, "endpoint")
+        self.assertIsNone(explanation.quota)
+
     def test_host_that_has_just_started(self):
         """Guards against a startup phase that an explanation begins."""
         harness = DispatcherHarness(endpoints=0, service="desk")
-        harness.dispatcher._started_s = None
+        harness.dispatcher.admission._started_s = None
         explanation = explain_call(harness)
         self.assertEqual(explanation.outcome.kind, "wait")
-        self.assertIsNone(harness.dispatcher._started_s)
+        self.assertIsNone(harness.dispatcher.admission._started_s)
 
 
 def eject(harness, name):
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -51,6 +51,17 @@
             predicted_s = self.predict(self.endpoints[0], tokens)
             self.check_close(predicted_s, compute_seconds(tokens, SLOT_LOAD))
 
+    def test_prefill_time_stays_positive(self):
+        """Guards against a division by zero where prompts seem to take no time."""
+        for number in range(200):
+            self.now_s += 0.1
+            tokens = (100, 9000)[number % 2]
+            seconds = 0.5 if tokens == 100 else 0.05
+            endpoint = self.endpoints[0]
+            endpoint.observe_first(tokens, SLOT_LOAD, seconds, 1.0, self.now_s)
+        self.assertEqual(self.service.first_response.per_token_s, 0.0)
+        self.assertGreater(self.endpoints[0].get_token_s(self.now_s), 0.0)
+
     def test_endpoint_without_observations_starts_from_its_service(self):
         self.observe_all(40, (2.0,))
         fresh = EndpointPace(self.service)
@@ -187,6 +198,14 @@
         self.assertEqual(service.get_mean_load(100.0), 20)
         self.assertEqual(service.get_mean_load(110.0), 0.0)
 
+    def test_new_endpoint_fills_up(self):
+        """Guards against new endpoints that seem as full as those known before."""
+        service = ServicePace()
+        pace = EndpointPace(service, known_s=100.0)
+        for now_s, share in ((100.0, 0.0), (101.0, 0.5), (102.0, 1.0), (200.0, 1.0)):
+            service.record_load(20, now_s)
+            self.assertAlmostEqual(pace.get_mean_load(now_s), 20 * share)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_workspace_homes.py
+++ b/tests/test_workspace_homes.py
@@ -107,7 +107,7 @@
     def test_waiting_request_keeps_its_homes(self):
         """Guards against a queue that forgets the workspace of what waits in it."""
         harness = self.create_harness(0, (), False)
-        harness.dispatcher._started_s = None
+        harness.dispatcher.admission._started_s = None
         workspace = replace(BELL, home_regions=frozenset("d"))
         self.assertIsNone(harness.submit(call_fields={"workspace": workspace}))
         for _ in range(10):
