Name the cause of an overload in explanations

Cause: a refusal because of overload tells what was lacking, and an explanation left it out.

Result: the comparison with the next decision includes the cause. A new test mixes workspaces, priorities, sizes and deadlines and meets backlog, deadline and queue.

--- a/buckthorndeal/explanation.py
+++ b/buckthorndeal/explanation.py
@@ -42,6 +42,8 @@
         HTTP status of a refusal.
     retry_after_s : float or None
         Seconds after which a refused caller may return; each refusal draws its own.
+    cause : str or None
+        What was lacking, if the reason is an overload.
     """
 
     kind: str
@@ -51,6 +53,7 @@
     predicted_s: float | None = None
     status: int | None = None
     retry_after_s: float | None = None
+    cause: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,6 +250,8 @@
 def _format_outcome(outcome: Outcome) -> str:
     if outcome.kind == "refusal":
         text = f"refused with {outcome.status}: {outcome.reason}"
+        if outcome.cause is not None:
+            text += f" ({outcome.cause})"
         if outcome.retry_after_s is not None:
             text += f", Retry-After about {_format_s(outcome.retry_after_s)}"
         return text
--- a/buckthorndeal/gateway/_explanation.py
+++ b/buckthorndeal/gateway/_explanation.py
@@ -123,6 +123,7 @@
             predicted_s=decision.predicted_s,
             status=decision.reason.status,
             retry_after_s=decision.retry_after_s,
+            cause=decision.cause.value if decision.cause is not None else None,
         )
     if isinstance(decision, LocalChoice):
         name = decision.load.name
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -132,6 +132,8 @@
             self.assertEqual(outcome.reason, decision.reason.value)
             self.assertEqual(outcome.status, decision.reason.status)
             self.assertEqual(outcome.retry_after_s, decision.retry_after_s)
+            cause = decision.cause.value if decision.cause is not None else None
+            self.assertEqual(outcome.cause, cause)
         return explanation
 
     def test_requests_until_refusals(self):
@@ -283,6 +285,50 @@
         self.assertEqual(explanation.outcome.kind, "endpoint")
         self.assertIsNone(explanation.quota)
 
+    def test_causes_of_overload(self):
+        """Guards against observations of the load that an explanation records.
+
+        These are contention, near misses, credit of late requests, sizes and shares.
+        """
+        causes = ("backlog", "deadline", "queue")
+        for slowdown in (None, 1.0):
+            seen = self.overload(DispatcherHarness(endpoints=2, slots=8), slowdown)
+            self.assertGreaterEqual(seen, {"endpoint", "wait", *causes})
+
+    def overload(self, harness, slowdown):
+        """Mix workspaces, priorities and sizes; return outcomes and causes."""
+        seen = set()
+        workspaces = [Workspace("acme"), Workspace("bell")]
+        routes = [replace(ROUTE, priority=priority) for priority in (0, 2)]
+        rng = random.Random(1)
+        for number in range(150):
+            fields = {"workspace": workspaces[number % 5 == 0]}
+            route = routes[rng.random() < 0.7]
+            route = replace(route, timeout_s=rng.choice((0.5, 4.0, 9.0)))
+            prompt = create_prompt(number, number, rng.choice((100, 5000, 60_000)))
+            explanation = self.check(
+                harness,
+                lambda p=prompt, r=route, f=fields: harness.submit(p, r, call_fields=f),
+                prompt=prompt,
+                route=route,
+                **fields,
+            )
+            outcome = explanation.outcome
+            seen.add(outcome.cause or outcome.kind)
+            if outcome.cause is not None:
+                self.assertIn(f"({outcome.cause})", format_explanation(explanation))
+            harness.now_s += 0.02
+            for attempt_id in list(harness.dispatcher._granted)[: number % 2]:
+                report = LoadReport(1, 0, 8, slowdown=slowdown)
+                harness.dispatcher.record_response_start(
+                    attempt_id, report, harness.now_s
+                )
+                harness.finish(attempt_id)
+            if number % 5 == 4:
+                harness.send_heartbeats()
+                harness.dispatcher.decide_waiting(harness.now_s)
+        return seen
+
     def test_host_that_has_just_started(self):
         """Guards against a startup phase that an explanation begins."""
         harness = DispatcherHarness(endpoints=0, service="desk")
