--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -5,6 +5,7 @@
 are refused at once.
 """
 
+import copy
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
     compute_max_turn_wait_s,
+    compute_max_wait_s,
 )
 from buckthorndeal.gateway._loads import GrantedAttempt
 from buckthorndeal.gateway._messages import Call, Dispatch, OverloadCause
@@ -155,6 +157,20 @@
             state = self._services[service] = ServiceAdmission()
         return state
 
+    def copy_for(self, service: str) -> "AdmissionControl":
+        """Return a copy that decides on requests of one service and changes no other.
+
+        The other services are left out, as they do not decide on these requests.
+        """
+        copied = copy.copy(self)
+        copied._services = {}
+        copied.shares = copy.deepcopy(self.shares)
+        state = self._services.get(service)
+        if state is not None:
+            memo = {id(state.queue): state.queue.copy()}
+            copied._services[service] = copy.deepcopy(state, memo)
+        return copied
+
     def predicts(self, call: Call) -> bool:
         """Return whether predictions decide on a request."""
         if self._predicts_always or call.workspace is not None:
@@ -324,6 +340,19 @@
         wait_s = queue.predict_wait_s(ahead, now_s)
         return wait_s <= QUEUE_SHARE * (waiting.due_s - now_s)
 
+    def compute_max_wait_s(self, call: Call, now_s: float) -> float:
+        """Return the longest wait for room of a request that comes now, in seconds.
+
+        Where predictions decide, a long queue or a rate limit shortens it.
+        """
+        startup_left_s = self.compute_startup_left_s(now_s)
+        if not self.predicts(call):
+            return compute_max_wait_s(call, startup_left_s > 0)
+        if now_s + startup_left_s >= call.deadline_s:
+            startup_left_s = 0.0
+        due_s = self.create_waiting(Dispatch(0, call), now_s).due_s
+        return max(startup_left_s, due_s - now_s)
+
     def may_keep_waiting(
         self, waiting: WaitingRequest, ahead: int, now_s: float
     ) -> bool:
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -4,8 +4,10 @@
 simulate load without a network.
 """
 
+import copy
 import math
 import random
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 
@@ -123,6 +125,33 @@
             return self._refusals.refuse_quota(admission)
         return self._submit_admitted(dispatch, now_s)
 
+    def create_preview(
+        self, dispatch: Dispatch, now_s: float, take: Callable[..., object]
+    ) -> "Dispatcher":
+        """Return a copy on which a decision leaves this dispatcher as it is.
+
+        Endpoints, evidence, ejections and budgets are shared, as the copy only reads
+        them: `take` gets the arguments of `_accept` in its place, which alone would
+        record there. What the steps before it count or draw is copied.
+        """
+        view = copy.copy(self.view)
+        view.warm_ups = copy.deepcopy(self.view.warm_ups)
+        shared = (
+            self._ejection,
+            self._budgets,
+            self._granted,
+            self.crash_guard,
+            self.reach,
+        )
+        memo: dict[int, object] = {id(each): each for each in shared}
+        memo[id(self.view)] = view
+        memo[id(self.quota)] = self.quota.copy_for(dispatch.call.workspace)
+        memo[id(self.admission)] = self.admission.copy_for(dispatch.call.service)
+        copied = copy.deepcopy(self, memo)
+        copied._accept = take
+        copied.admission.start(now_s)
+        return copied
+
     def _submit_admitted(self, dispatch: Dispatch, now_s: float) -> Decision | None:
         """Return a decision on a request that its quota allows, or queue it."""
         decision = self._decide_or_queue(dispatch, now_s)
--- a/buckthorndeal/gateway/_queue.py
+++ b/buckthorndeal/gateway/_queue.py
@@ -4,6 +4,7 @@
 what their callers still get from them, and none is passed over without end.
 """
 
+import copy
 import math
 from collections import deque
 from collections.abc import Callable, Hashable
@@ -89,6 +90,11 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
+    def copy(self) -> "WaitingQueue":
+        """Return a copy that shares nothing but the dispatches, which are only read."""
+        dispatches = [waiting.dispatch for waiting in self._waiting.values()]
+        return copy.deepcopy(self, {id(each): each for each in dispatches})
+
     def add(self, waiting: WaitingRequest) -> None:
         """Add a request."""
         self._waiting[waiting.dispatch.attempt_id] = waiting
--- a/buckthorndeal/gateway/_quota_gate.py
+++ b/buckthorndeal/gateway/_quota_gate.py
@@ -66,6 +66,12 @@
         self._looked_s = -math.inf
         self._looked_at: tuple[int, bool] | None = None
 
+    def copy_for(self, workspace: Workspace | None) -> "QuotaGate":
+        """Return a gate that charges copies of the units of one workspace."""
+        copied = QuotaGate(self.leases.copy_for(workspace), self.clock)
+        copied._limited = self._limited
+        return copied
+
     @property
     def has_waiting(self) -> bool:
         """Whether any request waits for the reply of the leader."""
