--- a/buckthorndeal/gateway/_urgency.py
+++ b/buckthorndeal/gateway/_urgency.py
@@ -11,9 +11,8 @@
 MAX_URGENCY = 9
 # Engines with fewer slots are often full. They would preempt a running request for each
 # more urgent one, and prefill it again, so they are sent no priorities. Priorities only
-# while an engine is half or three quarters full gave no more, as some requests then run
-# without one: in the play of K, 0.442 and 0.447 of the value with a busy workspace, and
-# 0.445 without priorities. The order is kept at the gateways instead.
+# while an engine has room would let it preempt the requests that were sent without one.
+# The order is kept at the gateways instead.
 MIN_PRIORITY_SLOTS = 32
 
 
--- a/buckthorndeal/quota/_options.py
+++ b/buckthorndeal/quota/_options.py
@@ -10,8 +10,7 @@
 LEASE_S = 1.6
 # Largest difference between two clocks within `LEASE_S`.
 DRIFT_S = 0.1
-# Part of the rate that the leader divides. The rest pays for units that are held. In a
-# simulation of 24 hosts, 0.97 to 0.98 of the rate is used beyond the limit.
+# Part of the rate that the leader divides. The rest pays for units that are held.
 LEADER_RATE = 0.98
 # Parts of the rate and of the slack that hosts use without a grant.
 FALLBACK_RATE = 0.01
