--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -131,7 +131,7 @@
     ----------
     heartbeat_interval_s : float
         Seconds between the heartbeats of an endpoint.
-    is_pace_learned : callable
+    has_learned_pace : callable
         Returns whether the endpoints of a service report a slowdown.
     predicts_always : bool, optional
         Whether predictions decide everywhere.
@@ -140,11 +140,11 @@
     def __init__(
         self,
         heartbeat_interval_s: float,
-        is_pace_learned: Callable[[str], bool],
+        has_learned_pace: Callable[[str], bool],
         predicts_always: bool = False,
     ) -> None:
         self._heartbeat_interval_s = heartbeat_interval_s
-        self._is_pace_learned = is_pace_learned
+        self._has_learned_pace = has_learned_pace
         self._predicts_always = predicts_always
         self._started_s: float | None = None
         self._services: dict[str, ServiceAdmission] = {}
@@ -175,7 +175,7 @@
         """Return whether predictions decide on a request."""
         if self._predicts_always or call.workspace is not None:
             return True
-        return self._is_pace_learned(call.service)
+        return self._has_learned_pace(call.service)
 
     def list_queues(self) -> list[WaitingQueue]:
         """Return the queues of all services."""
@@ -375,6 +375,14 @@
         wait_s = state.queue.predict_wait_s(ahead, now_s)
         return wait_s <= KEEP_SHARE * (waiting.due_s - now_s)
 
+    def list_contended(self, now_s: float) -> frozenset[str]:
+        """Return the services of which a request has found no room a moment ago."""
+        return frozenset(
+            service
+            for service, state in self._services.items()
+            if state.is_contended(now_s)
+        )
+
     def describe(self, service: str, now_s: float) -> tuple[float, bool]:
         """Return the correction of predictions and whether requests find no room."""
         state = self.get(service)
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -90,7 +90,7 @@
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
         self.admission = AdmissionControl(
-            options.heartbeat_interval_s, view.is_pace_learned, options.predicts_always
+            options.heartbeat_interval_s, view.has_learned_pace, options.predicts_always
         )
         self._passes = PassTimer()
         self._granted: dict[int, GrantedAttempt] = {}
@@ -379,7 +379,8 @@
         if self.reach.is_lost:
             return ()
         loads = self.view.describe_region(now_s)
-        return self._remote.add_lending(loads, borrower, now_s)
+        contended = self.admission.list_contended(now_s)
+        return self._remote.add_lending(loads, borrower, now_s, contended)
 
     @property
     def has_waiting(self) -> bool:
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -354,11 +354,6 @@
                 del self._dropped_services[service]
         return expired
 
-    def is_pace_learned(self, service: str) -> bool:
-        """Return whether endpoints of a service have reported a slowdown."""
-        pace = self._service_paces.get(service)
-        return pace is not None and pace.is_active
-
     def get_max_prefill_speed(self, service: str) -> float:
         """Return the highest prefill speed of a service, in tokens per second."""
         pace = self._service_paces.get(service)
--- a/buckthorndeal/gateway/_remote_choice.py
+++ b/buckthorndeal/gateway/_remote_choice.py
@@ -12,6 +12,7 @@
 from buckthorndeal.gateway._fleet_messages import (
     Borrower,
     RegionUpdate,
+    SpareCapacity,
 )
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._latency_limits import compute_latency_budget_s
@@ -75,7 +76,11 @@
             self._moved_s[call.service] = now_s
 
     def add_lending(
-        self, loads: tuple[ServiceLoad, ...], borrower: Borrower | None, now_s: float
+        self,
+        loads: tuple[ServiceLoad, ...],
+        borrower: Borrower | None,
+        now_s: float,
+        contended: frozenset[str] = frozenset(),
     ) -> tuple[ServiceLoad, ...]:
         """Return a report of this region with the part that a borrower may use.
 
@@ -88,16 +93,23 @@
             it wants.
         now_s : float
             Clock reading.
+        contended : frozenset of str, optional
+            Services of which requests find no room at this host. Nothing of them is
+            lent, as what arrives from another region would be refused.
         """
         return tuple(
-            self._add_lending(load, borrower, now_s)
+            self._add_lending(load, borrower, now_s, load.service in contended)
             if self._view.has_learned_pace(load.service)
             else load
             for load in loads
         )
 
     def _add_lending(
-        self, load: ServiceLoad, borrower: Borrower | None, now_s: float
+        self,
+        load: ServiceLoad,
+        borrower: Borrower | None,
+        now_s: float,
+        is_contended: bool,
     ) -> ServiceLoad:
         service = load.service
         if borrower is None:
@@ -107,6 +119,8 @@
         spare = measure_spare(self._view.services[service], endpoints, now_s)
         if spare is None:
             return load
+        if is_contended:
+            spare = SpareCapacity(0, 0)
         lending = self._lending.setdefault(service, RegionLending())
         wanted = borrower.wanted.get(service, 0)
         part = lending.lend(spare, borrower, wanted, now_s)
