Review case 7: streams are joined from two software versions

A script with five coordinators, a gateway and six servers of two versions. A server crashes and starts again under its id with another version, its status report is 1.5 s late. Streams that begin there count as the former version's and go on at it when the server crashes again, in one complete answer.

--- a/review/support/standins.py
+++ b/review/support/standins.py
@@ -97,6 +97,14 @@
         Gets what it runs.
     work_s : float
         Time that a request takes; for a stream, the pause between events.
+    slots : int
+        Requests that it runs at once, as it reports.
+    events : int
+        Number of events of a stream.
+    version : str
+        Version of its software, which its events bear.
+    report_after_s : float
+        Time that its first status report is late.
     """
 
     def __init__(
@@ -111,6 +119,8 @@
         work_s: float = 0.03,
         slots: int = 6,
         events: int = 20,
+        version: str = "v1",
+        report_after_s: float = 0.0,
     ) -> None:
         self.endpoint = endpoint
         self.service = service
@@ -122,6 +132,8 @@
         self.work_s = work_s
         self.slots = slots
         self.events = events
+        self.version = version
+        self.report_after_s = report_after_s
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -161,6 +173,7 @@
         return await self._post(f"/instances/{self.endpoint}/leave", body)
 
     async def _beat(self) -> None:
+        await asyncio.sleep(self.report_after_s)
         while True:
             await self.report()
             await asyncio.sleep(1.2)
@@ -172,7 +185,7 @@
             "service": self.service,
             "address": f"{self.address}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -303,7 +316,7 @@
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.work_s)
-            event = f"id: {number}\ndata: {self.service} {number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.version} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
