--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -14,10 +14,13 @@
 from glob import glob
 
 MODULE_TIMEOUT_S = 240
+LONE_TIMEOUT_S = 900
 # The modules mostly wait for timers, so more of them run at once than there are cores.
 WORKERS_PER_CORE = 1.5
 # Prefixes of the slowest modules, which are started first.
 SLOW_MODULES = ("tests.test_control", "tests.test_entry_", "tests.test_processes")
+# Modules that measure the memory of processes; each is run alone, after the others.
+LONE_MODULES = ("tests.test_gateway_clients", "tests.test_coordinator_clients")
 KNOWN_RED_FILE = "KNOWN-RED.txt"
 
 
@@ -62,13 +65,14 @@
     """Run one module in a process of its own and return its result."""
     started_s = time.monotonic()
     command = [sys.executable, "-m", "unittest", "-v", module]
+    timeout_s = LONE_TIMEOUT_S if module in LONE_MODULES else MODULE_TIMEOUT_S
     try:
         process = subprocess.run(
-            command, capture_output=True, text=True, timeout=MODULE_TIMEOUT_S
+            command, capture_output=True, text=True, timeout=timeout_s
         )
     except subprocess.TimeoutExpired as error:
         text = (error.stderr or b"").decode(errors="replace")
-        return ModuleResult(module, 0, (), True, text, MODULE_TIMEOUT_S)
+        return ModuleResult(module, 0, (), True, text, timeout_s)
     output = process.stdout + process.stderr
     summary = re.search(r"^Ran (\d+) tests?", output, re.MULTILINE)
     failed = tuple(re.findall(r"^(?:FAIL|ERROR): \S+ \((\S+?)\)", output, re.MULTILINE))
@@ -90,7 +94,9 @@
     modules = arguments or list_modules()
     workers = max(1, int((os.cpu_count() or 1) * WORKERS_PER_CORE))
     with ThreadPoolExecutor(workers) as pool:
-        results = list(pool.map(run_module, modules))
+        shared = [each for each in modules if each not in LONE_MODULES]
+        results = list(pool.map(run_module, shared))
+    results += [run_module(each) for each in modules if each in LONE_MODULES]
     known_failures = read_known_failures()
     failed = [name for result in results for name in result.failed]
     unexpected = [name for name in failed if name not in known_failures]
