Book what was read of a body that waits for its turn

Cause: the account of bytes was told of undecoded bytes only while more was awaited. A body in many chunks waits for its turn after that, and each part that was decoded set its booking to the decoded content alone. So up to 64 KiB of each waiting body were in no account, and nothing was refused or cut for them.

Change: undecoded bytes are booked as soon as they are read, and stay booked beside the content.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -195,7 +195,7 @@
             if event is h11.NEED_DATA:
                 await self._wait_for_more(connection, limits)
             elif isinstance(event, h11.Data):
-                self._add_content(event.data, max_bytes)
+                self._add_content(event.data, max_bytes, connection.pending_bytes)
                 if connection.pending_bytes:
                     # What one caller has sent is decoded in turns with the others.
                     await curio.sleep(0)
@@ -247,6 +247,8 @@
         data = await self._stream.recv(READ_BYTES)
         self._check_cut()
         connection.receive_data(data)
+        # They may wait for their turn before they are decoded.
+        self._hold(connection.pending_bytes)
 
     def _check_cut(self) -> None:
         if self._is_displaced:
@@ -254,11 +256,13 @@
         if self._booking is not None and self._booking.is_cut:
             raise MemoryShortageError("the request was cut")
 
-    def _add_content(self, data: bytes | bytearray, max_bytes: int) -> None:
+    def _add_content(
+        self, data: bytes | bytearray, max_bytes: int, pending_bytes: int
+    ) -> None:
         self._content_bytes += len(data)
         if self._content_bytes > max_bytes:
             raise create_too_large_error(max_bytes)
-        self._hold(0)
+        self._hold(pending_bytes)
         if self._content is None:
             self._content = io.BytesIO()
         self._content.write(data)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -6,7 +6,11 @@
 import curio
 import msgspec
 
-from buckthorndeal.memory import MemoryAccount
+from buckthorndeal._http_incomplete import create_incomplete_requests
+from buckthorndeal._http_protocol import create_protocol
+from buckthorndeal._http_reading import FREE_CHUNKS, RequestReader
+from buckthorndeal.memory import SMALL_BYTES, MemoryAccount
+from buckthorndeal.settings import Limits
 from tests.fleet_harness import (
     API_PORT,
     CALLER_PORT,
@@ -29,12 +33,47 @@
 BODY_BYTES = 4 * MIB
 MANY = 120
 COORDINATOR = "10.1.0.1"
+CHUNKED_HEAD = b"POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+TIMEOUT_S = 20.0
 
 
 async def respond(endpoint, request, responder):
     await endpoint.respond(request, responder)
 
 
+class SilentStream:
+    """Stream of a caller that sends nothing more."""
+
+    async def recv(self, max_bytes):
+        await curio.sleep(TIMEOUT_S)
+
+
+class WaitingBodyTest(unittest.TestCase):
+    """A body that waits for its turn is in the account with all that was read."""
+
+    def test_undecoded_bytes_are_booked(self):
+        """Guards against undecoded bytes of many bodies that count nowhere."""
+        incomplete = create_incomplete_requests()
+        account = MemoryAccount(CAPACITY_BYTES, lambda: 0.0)
+        reader = RequestReader(SilentStream(), account, incomplete)
+        protocol = create_protocol(Limits())
+        # Of chunks in several sizes, no more than a slice is decoded at once.
+        protocol.receive_data(CHUNKED_HEAD + b"1\r\nx\r\n2\r\nxx\r\n" * 10_000)
+
+        async def main():
+            async with incomplete._turns:
+                task = await curio.spawn(reader.read, protocol, Limits(), daemon=True)
+                while protocol.chunk_count <= FREE_CHUNKS:
+                    await curio.sleep(0.01)
+                held_bytes = account.held_bytes
+                await task.cancel(blocking=False)
+            return held_bytes
+
+        held_bytes = curio.run(main)
+        self.assertGreater(protocol.pending_bytes, SMALL_BYTES)
+        self.assertGreater(held_bytes, protocol.pending_bytes)
+
+
 class DaemonTest(unittest.TestCase):
     """Unfinished bodies at each port leave room for what is small."""
 
