Bound what the kernel holds for each connection

Cause: the kernel holds up to 128 KB unread for each connection, accepted or not, and lets a send queue grow to 3 MB. These bytes count for the process and are in no account.

Change: listening sockets ask for 16 KiB in each direction, which accepted connections inherit, so it holds before they are accepted. The backlog follows from the memory. A large body gets 96 KiB for receiving while it is read, so that 4 MiB still arrive in time over a link of 80 ms; so does a connection that sent much behind a running request, whose end would not be seen otherwise. A sixteenth of the connections may have that at a time, and a silent one with nothing unread gives it up. Connections to endpoints and between hosts have bounded buffers too.

Measured: on Linux 6.18 a connection with a size of 16 KiB holds 24,576 bytes unread and 26,624 untaken, before 128,512 and 2,985,984.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -16,12 +16,15 @@
     create_too_large_error,
 )
 from buckthorndeal._http_responding import Responder
+from buckthorndeal.connections import ReceiveWindows
 from buckthorndeal.errors import MemoryShortageError, RequestError
 from buckthorndeal.memory import UNBOOKED_BYTES, Booking, MemoryAccount, Use
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Stream
 
-READ_BYTES = 65_536
+# Of a head, and of a body that has not got wide buffers.
+READ_BYTES = 16_384
+WIDE_READ_BYTES = 65_536
 # Chunks of a body that are decoded without regard to the other bodies.
 FREE_CHUNKS = 4_096
 # Bytes of further requests that are read while one is running.
@@ -74,6 +77,8 @@
         cut in favour of others.
     incomplete : IncompleteRequests
         Requests of the server whose bodies are not complete.
+    windows : ReceiveWindows
+        Wide buffers for large bodies.
 
     Attributes
     ----------
@@ -84,8 +89,14 @@
     """
 
     def __init__(
-        self, stream: Stream, memory: MemoryAccount, incomplete: IncompleteRequests
+        self,
+        stream: Stream,
+        memory: MemoryAccount,
+        incomplete: IncompleteRequests,
+        windows: ReceiveWindows,
     ) -> None:
+        self._windows = windows
+        self._received_bytes = 0
         self._stream = stream
         self._memory = memory
         self._incomplete = incomplete
@@ -130,6 +141,8 @@
     def release(self) -> None:
         """Hold nothing of the last request any more."""
         self._incomplete.remove(self)
+        self._windows.narrow(self._stream)
+        self._received_bytes = 0
         if self._booking is not None:
             self._booking.release()
             self._booking = None
@@ -185,7 +198,7 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
-            await self._receive(connection)
+            await self._receive(connection, READ_BYTES)
 
     async def _read_body(
         self, connection: ServerProtocol, max_bytes: int, limits: Limits
@@ -217,7 +230,7 @@
             is_crowded = self._incomplete.is_crowded()
             limit_s = min(left_s, MIN_SILENCE_S) if is_crowded else left_s
             async with curio.ignore_after(limit_s) as wait:
-                await self._receive(connection)
+                await self._receive_body(connection)
             if not wait.expired:
                 self._incomplete.record_progress(self)
                 return
@@ -241,11 +254,19 @@
         self._check_cut()
         return event
 
-    async def _receive(self, connection: ServerProtocol) -> None:
+    async def _receive_body(self, connection: ServerProtocol) -> None:
+        """Wait for further bytes of a body; a large one gets wide buffers."""
+        is_wide = self._received_bytes > READ_BYTES and self._windows.widen(
+            self._stream
+        )
+        await self._receive(connection, WIDE_READ_BYTES if is_wide else READ_BYTES)
+
+    async def _receive(self, connection: ServerProtocol, max_bytes: int) -> None:
         """Wait for further bytes of a request that is not complete."""
         self._hold(connection.pending_bytes)
-        data = await self._stream.recv(READ_BYTES)
+        data = await self._stream.recv(max_bytes)
         self._check_cut()
+        self._received_bytes += len(data)
         connection.receive_data(data)
         # They may wait for their turn before they are decoded.
         self._hold(connection.pending_bytes)
@@ -336,6 +357,8 @@
                 self._hold(connection.pending_bytes + left_bytes)
             except MemoryShortageError:
                 return False
+        # The end of the connection arrives only behind what the caller has sent.
+        self._windows.widen(self._stream)
         return False
 
 
--- /dev/null
+++ b/buckthorndeal/connections.py
@@ -0,0 +1,191 @@
+"""Buffers that the kernel keeps for the connections of a process.
+
+Bytes that have arrived and are not read count for the memory of the process, and so
+do bytes that were sent and not taken.
+"""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from buckthorndeal.memory import BASE_BYTES
+
+__all__ = [
+    "CLIENT_BUFFERS",
+    "NARROW_BUFFERS",
+    "PEER_BUFFERS",
+    "WIDE_BUFFERS",
+    "Buffered",
+    "Buffers",
+    "ConnectionLimits",
+    "ReceiveWindows",
+    "create_connection_limits",
+]
+
+# State of a connection, its narrow buffers, and what is read of it at once.
+CONNECTION_BYTES = 65_536
+# Of the memory beyond `BASE_BYTES`; the rest is for messages.
+MEMORY_SHARE = 1 / 2
+BACKLOG_SHARE = 1 / 8
+MIN_BACKLOG = 128
+MAX_BACKLOG = 1_024
+WINDOWS_SHARE = 1 / 16
+MIN_WINDOWS = 8
+MAX_WINDOWS = 1_024
+# A body that has received nothing for so long gives its window to another one.
+WINDOW_SILENCE_S = 1.0
+# Pause after a search among all windows that found none to take back.
+SEARCH_PAUSE_S = 0.1
+
+
+@dataclass(frozen=True)
+class Buffers:
+    """Buffers of a connection in the kernel, which keeps up to twice these sizes.
+
+    Parameters
+    ----------
+    receive_bytes, send_bytes : int
+        Sizes in bytes.
+    """
+
+    receive_bytes: int
+    send_bytes: int
+
+
+# Of an accepted connection.
+NARROW_BUFFERS = Buffers(16_384, 16_384)
+# Of a connection that brings a large body: 4 MiB take 5 s over a link of 80 ms.
+WIDE_BUFFERS = Buffers(98_304, 16_384)
+# Of a connection that this process opens as an HTTP client.
+CLIENT_BUFFERS = Buffers(32_768, 65_536)
+# Of a connection between hosts that have introduced themselves.
+PEER_BUFFERS = Buffers(65_536, 65_536)
+
+
+class Buffered(Protocol):
+    """Connection whose buffers can be changed."""
+
+    def set_buffers(self, buffers: Buffers) -> None:
+        """Ask the kernel for other sizes."""
+
+    def is_readable(self) -> bool:
+        """Return whether the kernel holds unread bytes."""
+
+
+class ReceiveWindows:
+    """Wide buffers, which a bounded number of connections have at a time.
+
+    Parameters
+    ----------
+    count : int
+        Number of connections that may have them.
+    clock : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    missed_count : int
+        Number of requests for wide buffers while all were in use.
+    """
+
+    def __init__(self, count: int, clock: Callable[[], float]) -> None:
+        self._count = count
+        self._clock = clock
+        # By connection, when it last received something; the longest silent one first.
+        self._received_s: OrderedDict[Buffered, float] = OrderedDict()
+        self._searched_s: float | None = None
+        self.missed_count = 0
+
+    def __len__(self) -> int:
+        return len(self._received_s)
+
+    def widen(self, stream: Buffered) -> bool:
+        """Give a connection that has received a part of a large body wide buffers.
+
+        Returns whether it has them. The one that has been silent for longest loses
+        them for it, if none are left.
+        """
+        now_s = self._clock()
+        is_new = stream not in self._received_s
+        if is_new and len(self) >= self._count and not self._take_back(now_s):
+            self.missed_count += 1
+            return False
+        self._received_s[stream] = now_s
+        self._received_s.move_to_end(stream)
+        if is_new:
+            stream.set_buffers(WIDE_BUFFERS)
+        return True
+
+    def narrow(self, stream: Buffered) -> None:
+        """Take wide buffers back from a connection that has them."""
+        if self._received_s.pop(stream, None) is not None:
+            stream.set_buffers(NARROW_BUFFERS)
+
+    def _take_back(self, now_s: float) -> bool:
+        """Narrow the longest silent connection; return whether there was one.
+
+        The kernel goes on holding the unread bytes of those that have some.
+        """
+        if self._searched_s is not None and now_s - self._searched_s < SEARCH_PAUSE_S:
+            return False
+        for stream, received_s in self._received_s.items():
+            if now_s - received_s < WINDOW_SILENCE_S:
+                break
+            if not stream.is_readable():
+                self.narrow(stream)
+                return True
+        self._searched_s = now_s
+        return False
+
+
+class ConnectionLimits:
+    """Numbers of connections that wait to be accepted, or have wide buffers.
+
+    Parameters
+    ----------
+    places : int or None
+        Connections at all ports together; None if the memory is not limited.
+    clock : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    windows : ReceiveWindows
+        Wide buffers of connections that bring large bodies.
+    """
+
+    def __init__(self, places: int | None, clock: Callable[[], float]) -> None:
+        self.places = places
+        self.windows = ReceiveWindows(
+            self._bound(WINDOWS_SHARE, MIN_WINDOWS, MAX_WINDOWS), clock
+        )
+
+    @property
+    def backlog(self) -> int:
+        """Connections of a port that may wait to be accepted."""
+        return self._bound(BACKLOG_SHARE, MIN_BACKLOG, MAX_BACKLOG)
+
+    def read_counters(self) -> Mapping[str, int]:
+        """Return counters for the metrics of the process, by name."""
+        return {
+            "wide_receive_windows": len(self.windows),
+            "wide_receive_windows_missed": self.windows.missed_count,
+        }
+
+    def _bound(self, share: float, lowest: int, highest: int) -> int:
+        if self.places is None:
+            return highest
+        return min(highest, max(lowest, int(share * self.places)))
+
+
+def create_connection_limits(
+    memory_bytes: int | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> ConnectionLimits:
+    """Return the limits of a process that may use `memory_bytes` of memory."""
+    if memory_bytes is None:
+        return ConnectionLimits(None, clock)
+    spare_bytes = max(0, memory_bytes - BASE_BYTES)
+    return ConnectionLimits(int(spare_bytes * MEMORY_SHARE) // CONNECTION_BYTES, clock)
--- a/buckthorndeal/http_client.py
+++ b/buckthorndeal/http_client.py
@@ -18,6 +18,7 @@
     start_watcher,
 )
 from buckthorndeal._http_response import ClientResponse, read_head
+from buckthorndeal.connections import CLIENT_BUFFERS
 from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.transport import Transport, is_shortage
 
@@ -186,6 +187,7 @@
                 Verdict.NOT_RUN,
                 retry_after_s=1.0,
             ) from error
+        stream.set_buffers(CLIENT_BUFFERS)
         owner = f"{self.address}:{self.port}"
         return ClientConnection(
             stream, create_protocol(), self._transport.memory, owner
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -8,7 +8,10 @@
 from absl import logging
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
-from buckthorndeal._http_incomplete import create_incomplete_requests
+from buckthorndeal._http_incomplete import (
+    IncompleteRequests,
+    create_incomplete_requests,
+)
 from buckthorndeal._http_lingering import LingeringConnections, has_to_linger
 from buckthorndeal._http_protocol import (
     ServerProtocol,
@@ -179,16 +182,15 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = create_protocol(limits)
-        memory = self._transport.memory
         if not self._has_room(limits):
             # Its body takes no place from those that may be served.
-            reader = RequestReader(stream, memory, create_incomplete_requests())
+            reader = self._create_reader(stream, create_incomplete_requests())
             await self._refuse_connection(stream, connection, limits, reader)
             if has_to_linger(stream, connection):
                 del connection
                 await self._lingering.linger(stream, reader, REFUSAL_TIMEOUT_S)
             return
-        reader = RequestReader(stream, memory, self._incomplete)
+        reader = self._create_reader(stream, self._incomplete)
         self.connection_count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
@@ -200,6 +202,13 @@
             del connection
             await self._lingering.linger(stream, reader)
 
+    def _create_reader(
+        self, stream: Stream, incomplete: IncompleteRequests
+    ) -> RequestReader:
+        transport = self._transport
+        windows = transport.connections.windows
+        return RequestReader(stream, transport.memory, incomplete, windows)
+
     def _has_room(self, limits: Limits) -> bool:
         """Return whether another connection may be served.
 
--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -7,6 +7,7 @@
 
 from buckthorndeal._peer_channel import Channel, Handler
 from buckthorndeal._peer_messages import LINK_CODEC, Introduction, LinkOptions
+from buckthorndeal.connections import PEER_BUFFERS
 from buckthorndeal.errors import AuthenticationError, PeerError, Verdict, WireError
 from buckthorndeal.logs import log_event
 from buckthorndeal.memory import MemoryAccount
@@ -102,6 +103,7 @@
         except (WireError, curio.TaskTimeout) as error:
             log_event("peer_refused", reason=repr(error))
             return
+        stream.set_buffers(PEER_BUFFERS)
         channel = Channel(self._codec, self._handler, self._options, self._account)
         channel.host = peer
         try:
@@ -228,6 +230,7 @@
             try:
                 async with curio.timeout_after(self._options.connect_timeout_s):
                     stream = await self._open()
+                    stream.set_buffers(PEER_BUFFERS)
                     session, early_messages = await self._handshake(stream)
             except (OSError, WireError, curio.TaskTimeout) as error:
                 return repr(error)
--- a/buckthorndeal/processmetrics.py
+++ b/buckthorndeal/processmetrics.py
@@ -69,6 +69,14 @@
     metrics.describe(
         "messages_cut_for_memory", "counter", "Incomplete messages that made room."
     )
+    metrics.describe(
+        "wide_receive_windows", "gauge", "Large bodies with wide receive buffers."
+    )
+    metrics.describe(
+        "wide_receive_windows_missed",
+        "counter",
+        "Reads of large bodies that found no wide receive buffers.",
+    )
     metrics.describe("sockets_open", "gauge", "Open sockets of connections.")
     metrics.describe("loop_lag_seconds", "summary", "Time by which timers are late.")
     while True:
--- a/buckthorndeal/transport/_accepting.py
+++ b/buckthorndeal/transport/_accepting.py
@@ -5,6 +5,7 @@
 import curio
 from curio.io import Socket
 
+from buckthorndeal.connections import NARROW_BUFFERS
 from buckthorndeal.transport._base import (
     Listener,
     Stream,
@@ -13,9 +14,8 @@
 )
 from buckthorndeal.transport._descriptors import Descriptors
 from buckthorndeal.transport._failures import FailureLog
-from buckthorndeal.transport._streams import create_socket_stream
+from buckthorndeal.transport._streams import create_socket_stream, limit_buffers
 
-ACCEPT_BACKLOG = 1024
 # Errors of a single connection, which `accept` takes from the backlog and gives up.
 CONNECTION_ERRNOS = frozenset(
     (
@@ -47,6 +47,8 @@
     ----------
     sock : curio.io.Socket
         Listening socket, which is closed at the end.
+    backlog : int
+        Number of connections that may wait to be accepted.
     handler : callable
         Coroutine function called with each accepted stream.
     tasks : set of curio.Task
@@ -65,12 +67,14 @@
     def __init__(
         self,
         sock: Socket,
+        backlog: int,
         handler: StreamHandler,
         tasks: set,
         failures: FailureLog,
         descriptors: Descriptors,
     ) -> None:
         self._sock = sock
+        self._backlog = backlog
         self._port = sock.getsockname()[1]
         self._handler = handler
         self._tasks = tasks
@@ -109,7 +113,7 @@
 
     async def _accept_backlog(self) -> None:
         """Accept the connections that wait at this moment."""
-        left = ACCEPT_BACKLOG
+        left = self._backlog
         while left > 0:
             accepted, error = self._list_waiting(left)
             for stream in accepted:
@@ -186,8 +190,11 @@
         self._loop.reserved_share = share
 
 
-def listen_on_socket(address: str, port: int) -> Socket:
-    """Return a listening socket."""
-    return curio.tcp_server_socket(
-        address, port, backlog=ACCEPT_BACKLOG, reuse_address=True
-    )
+def listen_on_socket(address: str, port: int, backlog: int) -> Socket:
+    """Return a listening socket, whose connections have narrow buffers from the start.
+
+    What arrives before a connection is accepted is held by the kernel as well.
+    """
+    sock = curio.tcp_server_socket(address, port, backlog=backlog, reuse_address=True)
+    limit_buffers(sock, NARROW_BUFFERS)
+    return sock
--- a/buckthorndeal/transport/_base.py
+++ b/buckthorndeal/transport/_base.py
@@ -6,6 +6,11 @@
 
 import curio
 
+from buckthorndeal.connections import (
+    Buffers,
+    ConnectionLimits,
+    create_connection_limits,
+)
 from buckthorndeal.memory import MemoryAccount, create_memory_account
 
 __all__ = [
@@ -24,7 +29,16 @@
 
 
 class Stream(abc.ABC):
-    """A bidirectional byte stream."""
+    """A bidirectional byte stream.
+
+    Attributes
+    ----------
+    sent_bytes : int
+        Bytes that the present and all earlier calls of `sendall` have passed on, for
+        streams that can tell during a call.
+    """
+
+    sent_bytes = 0
 
     @abc.abstractmethod
     async def recv(self, max_bytes: int) -> bytes:
@@ -49,6 +63,10 @@
         """
         return False
 
+    def set_buffers(self, buffers: Buffers) -> None:
+        """Ask the kernel for other buffers; streams without such do nothing."""
+        del buffers
+
     @abc.abstractmethod
     async def close(self) -> None:
         """Close both directions; closing twice is allowed."""
@@ -127,14 +145,23 @@
     ----------
     memory : MemoryAccount, optional
         Account of what the process holds for messages.
+    connections : ConnectionLimits, optional
+        Numbers of connections that the process may keep.
     """
 
-    def __init__(self, memory: MemoryAccount | None = None) -> None:
+    def __init__(
+        self,
+        memory: MemoryAccount | None = None,
+        connections: ConnectionLimits | None = None,
+    ) -> None:
         self.memory = memory if memory is not None else create_memory_account()
+        if connections is None:
+            connections = create_connection_limits()
+        self.connections = connections
 
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
-        return self.memory.read_counters()
+        return {**self.memory.read_counters(), **self.connections.read_counters()}
 
     def has_free_descriptors(self, share: float, returning: int = 0) -> bool:
         """Return whether more than a share of the descriptors is free.
--- a/buckthorndeal/transport/_socket.py
+++ b/buckthorndeal/transport/_socket.py
@@ -7,6 +7,7 @@
 import curio
 from curio import socket
 
+from buckthorndeal.connections import ConnectionLimits, create_connection_limits
 from buckthorndeal.memory import MemoryAccount, create_memory_account
 from buckthorndeal.transport._accepting import (
     AcceptLoop,
@@ -39,14 +40,17 @@
         Descriptors that the process may use, if fewer than the system allows it.
     memory : MemoryAccount, optional
         Account of what the process holds for messages.
+    connections : ConnectionLimits, optional
+        Numbers of connections that the process may keep.
     """
 
     def __init__(
         self,
         max_descriptors: int | None = None,
         memory: MemoryAccount | None = None,
+        connections: ConnectionLimits | None = None,
     ) -> None:
-        super().__init__(memory)
+        super().__init__(memory, connections)
         self._descriptors = Descriptors(max_descriptors)
         self._accept_failures = FailureLog("accept_failed")
         self._datagram_failures = FailureLog("datagram_read_failed")
@@ -83,10 +87,11 @@
 
     async def listen(self, address: str, port: int, handler: StreamHandler) -> Listener:
         """Listen on a TCP port."""
-        sock = listen_on_socket(address, port)
+        backlog = self.connections.backlog
+        sock = listen_on_socket(address, port, backlog)
         tasks: set = set()
         loop = AcceptLoop(
-            sock, handler, tasks, self._accept_failures, self._descriptors
+            sock, backlog, handler, tasks, self._accept_failures, self._descriptors
         )
         accept_task = await curio.spawn(loop.run, daemon=True)
         return SocketListener(sock.getsockname()[1], accept_task, tasks, loop)
@@ -148,4 +153,8 @@
     memory_bytes : int, optional
         Memory that the process may use, if that is limited.
     """
-    return SocketTransport(max_descriptors, create_memory_account(memory_bytes))
+    return SocketTransport(
+        max_descriptors,
+        create_memory_account(memory_bytes),
+        create_connection_limits(memory_bytes),
+    )
--- a/buckthorndeal/transport/_streams.py
+++ b/buckthorndeal/transport/_streams.py
@@ -8,6 +8,7 @@
 
 from curio.io import Socket
 
+from buckthorndeal.connections import Buffers
 from buckthorndeal.transport._base import Stream
 from buckthorndeal.transport._descriptors import Descriptors
 
@@ -22,7 +23,15 @@
         return await self._sock.recv(max_bytes)
 
     async def sendall(self, data: bytes) -> None:
-        await self._sock.sendall(data)
+        sent = await self._sock.send(data)
+        self.sent_bytes += sent
+        if sent == len(data):
+            return
+        rest = memoryview(data)[sent:]
+        while rest:
+            sent = await self._sock.send(rest)
+            self.sent_bytes += sent
+            rest = rest[sent:]
 
     def is_readable(self) -> bool:
         flags = stdlib_socket.MSG_PEEK | stdlib_socket.MSG_DONTWAIT
@@ -45,6 +54,13 @@
         size = fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, bytes(4))
         return struct.unpack("i", size)[0] > 0
 
+    def set_buffers(self, buffers: Buffers) -> None:
+        try:
+            limit_buffers(self._sock, buffers)
+        except OSError:
+            # The connection has already ended.
+            return
+
     async def close(self) -> None:
         await self._sock.close()
         self._descriptors.remove(self._sock)
@@ -72,6 +88,21 @@
             return
 
 
+def limit_buffers(sock: Socket, buffers: Buffers) -> None:
+    """Ask the kernel for the sizes of a socket's buffers, which it grows no more.
+
+    Raises
+    ------
+    OSError
+        If the socket is closed.
+    """
+    for option, size_bytes in (
+        (stdlib_socket.SO_RCVBUF, buffers.receive_bytes),
+        (stdlib_socket.SO_SNDBUF, buffers.send_bytes),
+    ):
+        sock.setsockopt(stdlib_socket.SOL_SOCKET, option, size_bytes)
+
+
 def create_socket_stream(sock: Socket, descriptors: Descriptors) -> Stream:
     """Return a stream over a connected socket, which sends without delay.
 
--- a/tests/fuzzed_http.py
+++ b/tests/fuzzed_http.py
@@ -12,6 +12,7 @@
 from buckthorndeal._http_protocol import create_protocol as create_server_protocol
 from buckthorndeal._http_reading import RequestReader
 from buckthorndeal._http_response import read_head
+from buckthorndeal.connections import create_connection_limits
 from buckthorndeal.entry._calls import _read_usage
 from buckthorndeal.errors import (
     RequestError,
@@ -103,7 +104,8 @@
     limits = Limits(max_body_bytes=1 << 20)
     connection = create_server_protocol(limits)
     incomplete = create_incomplete_requests(lambda: 1)
-    reader = RequestReader(stream, create_memory_account(), incomplete)
+    windows = create_connection_limits().windows
+    reader = RequestReader(stream, create_memory_account(), incomplete, windows)
     while (request := await reader.read(connection, limits)) is not None:
         reader.release()
         _ = request.path
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -9,6 +9,7 @@
 from buckthorndeal._http_incomplete import create_incomplete_requests
 from buckthorndeal._http_protocol import create_protocol
 from buckthorndeal._http_reading import FREE_CHUNKS, RequestReader
+from buckthorndeal.connections import create_connection_limits
 from buckthorndeal.memory import SMALL_BYTES, MemoryAccount
 from buckthorndeal.settings import Limits
 from tests.fleet_harness import (
@@ -55,7 +56,8 @@
         """Guards against undecoded bytes of many bodies that count nowhere."""
         incomplete = create_incomplete_requests()
         account = MemoryAccount(CAPACITY_BYTES, lambda: 0.0)
-        reader = RequestReader(SilentStream(), account, incomplete)
+        windows = create_connection_limits().windows
+        reader = RequestReader(SilentStream(), account, incomplete, windows)
         protocol = create_protocol(Limits())
         # Of chunks in several sizes, no more than a slice is decoded at once.
         protocol.receive_data(CHUNKED_HEAD + b"1\r\nx\r\n2\r\nxx\r\n" * 10_000)
