Bound the connections of a process by its memory

Seen: beside 1,200 connections a process that is told 128 MB keeps all of them (1,213 descriptors, tests.client_play gateway-idle), whatever they cost, and 1,200 pipelined queries of its metrics leave it without an answer for 45 s after they have ended (gateway-metrics).

Cause: the number of connections came from the descriptors and from the settings of each port, 4,096 by default, also for readiness and metrics.

Change: half of the memory that the process does not need itself is for connections, 64 KiB for each. Each port has a share of their number. Connections that are read before they are refused, or linger afterwards, have slots of the process in place of a constant for each server. Without a limit of the memory nothing changes. With the 160 MB of the smallest gateway of the platform, 354 callers are served at once. connection_places, connections_refused and the log event connections_short say when the limit acts.

--- a/buckthorndeal/_http_lingering.py
+++ b/buckthorndeal/_http_lingering.py
@@ -4,43 +4,36 @@
 import h11
 
 from buckthorndeal._http_reading import READ_BYTES, RequestReader
+from buckthorndeal.connections import Slots
 from buckthorndeal.transport import Stream
 
 # Time for what a caller still sends, and for a pause in it.
 LINGER_TIMEOUT_S = 5.0
 MAX_PAUSE_S = 0.5
 POLL_INTERVAL_S = 0.02
-MAX_LINGERING_CONNECTIONS = 256
 MAX_DISCARDED_BYTES = 16_777_216
 
 
-class LingeringConnections:
-    """Connections of one server whose last response may not have been read yet."""
+async def linger(
+    stream: Stream,
+    reader: RequestReader,
+    slots: Slots,
+    timeout_s: float = LINGER_TIMEOUT_S,
+) -> None:
+    """Discard what the caller still sends after its last response, for a while.
 
-    def __init__(self) -> None:
-        self._count = 0
-
-    async def linger(
-        self,
-        stream: Stream,
-        reader: RequestReader,
-        timeout_s: float = LINGER_TIMEOUT_S,
-    ) -> None:
-        """Discard what the caller still sends after its last response, for a while.
-
-        Closing a connection with unread bytes resets it, which can take the response
-        with it before the caller has read it.
-        """
-        if self._count >= MAX_LINGERING_CONNECTIONS:
-            return
-        self._count += 1
-        try:
-            if not reader.is_reading_ended:
-                # With both directions ended, further bytes would reset the connection.
-                await stream.end_sending()
-            await curio.ignore_after(timeout_s, _discard, stream, reader)
-        finally:
-            self._count -= 1
+    Closing a connection with unread bytes resets it, which can take the response
+    with it before the caller has read it. Without a free slot nothing is done.
+    """
+    if not slots.take():
+        return
+    try:
+        if not reader.is_reading_ended:
+            # With both directions ended, further bytes would reset the connection.
+            await stream.end_sending()
+        await curio.ignore_after(timeout_s, _discard, stream, reader)
+    finally:
+        slots.give_back()
 
 
 def has_to_linger(stream: Stream, connection: h11.Connection) -> bool:
--- a/buckthorndeal/connections.py
+++ b/buckthorndeal/connections.py
@@ -1,7 +1,8 @@
-"""Buffers that the kernel keeps for the connections of a process.
+"""Connections that a process keeps for others, by the memory that it may use.
 
-Bytes that have arrived and are not read count for the memory of the process, and so
-do bytes that were sent and not taken.
+Each accepted connection costs memory whatever it sends: its state, bytes that the
+kernel keeps unread, and bytes that were sent and not taken. The memory bounds their
+number, and the buffers of each bound what the kernel keeps.
 """
 
 import time
@@ -10,10 +11,14 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from buckthorndeal.logs import log_event
 from buckthorndeal.memory import BASE_BYTES
 
 __all__ = [
+    "CALLER_SHARE",
     "CLIENT_BUFFERS",
+    "HOST_SHARE",
+    "INTERNAL_SHARE",
     "NARROW_BUFFERS",
     "PEER_BUFFERS",
     "WIDE_BUFFERS",
@@ -21,6 +26,7 @@
     "Buffers",
     "ConnectionLimits",
     "ReceiveWindows",
+    "Slots",
     "create_connection_limits",
 ]
 
@@ -28,6 +34,16 @@
 CONNECTION_BYTES = 65_536
 # Of the memory beyond `BASE_BYTES`; the rest is for messages.
 MEMORY_SHARE = 1 / 2
+# Shares of the ports for callers, for other hosts, and for readiness and metrics, so
+# that none takes the places of the others.
+CALLER_SHARE = 1 / 2
+HOST_SHARE = 1 / 4
+INTERNAL_SHARE = 1 / 16
+MIN_PLACES = 16
+# Connections of all ports that are read before they are refused, and that linger
+# afterwards. With the shares of the ports they make up the whole.
+REFUSED_SHARE = 1 / 16
+MAX_REFUSED = 512
 BACKLOG_SHARE = 1 / 8
 MIN_BACKLOG = 128
 MAX_BACKLOG = 1_024
@@ -38,6 +54,7 @@
 WINDOW_SILENCE_S = 1.0
 # Pause after a search among all windows that found none to take back.
 SEARCH_PAUSE_S = 0.1
+LOG_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -74,6 +91,31 @@
         """Return whether the kernel holds unread bytes."""
 
 
+class Slots:
+    """A bounded number of uses at a time.
+
+    Parameters
+    ----------
+    limit : int
+        Largest number.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._count = 0
+
+    def take(self) -> bool:
+        """Take a slot if one is free, and return whether there was one."""
+        if self._count >= self._limit:
+            return False
+        self._count += 1
+        return True
+
+    def give_back(self) -> None:
+        """Free a slot that was taken."""
+        self._count -= 1
+
+
 class ReceiveWindows:
     """Wide buffers, which a bounded number of connections have at a time.
 
@@ -141,7 +183,7 @@
 
 
 class ConnectionLimits:
-    """Numbers of connections that wait to be accepted, or have wide buffers.
+    """Numbers of connections that a process may keep, and what these limits did.
 
     Parameters
     ----------
@@ -154,22 +196,51 @@
     ----------
     windows : ReceiveWindows
         Wide buffers of connections that bring large bodies.
+    refusals, lingering : Slots
+        Connections that are read before they are refused, and whose last response may
+        not have been read yet.
+    refused_count : int
+        Connections that were refused as their port was full.
     """
 
     def __init__(self, places: int | None, clock: Callable[[], float]) -> None:
         self.places = places
+        self._clock = clock
+        self._logged_s: float | None = None
         self.windows = ReceiveWindows(
             self._bound(WINDOWS_SHARE, MIN_WINDOWS, MAX_WINDOWS), clock
         )
+        self.refusals = Slots(self._bound(REFUSED_SHARE, MIN_PLACES, MAX_REFUSED))
+        self.lingering = Slots(self._bound(REFUSED_SHARE, MIN_PLACES, MAX_REFUSED))
+        self.refused_count = 0
 
     @property
     def backlog(self) -> int:
         """Connections of a port that may wait to be accepted."""
         return self._bound(BACKLOG_SHARE, MIN_BACKLOG, MAX_BACKLOG)
 
+    def limit_places(self, share: float, configured: int) -> int:
+        """Return the places of a port that has a share of them, as configured at most.
+
+        Parameters
+        ----------
+        share : float
+            Share of the port.
+        configured : int
+            Number in the settings of the port.
+        """
+        return self._bound(share, MIN_PLACES, configured)
+
+    def record_refusal(self, port: int, open_count: int, places: int) -> None:
+        """Count a connection that is refused because its port is full, and log it."""
+        self.refused_count += 1
+        self._log("refused", port, open_count, places)
+
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
         return {
+            "connection_places": self.places or 0,
+            "connections_refused": self.refused_count,
             "wide_receive_windows": len(self.windows),
             "wide_receive_windows_missed": self.windows.missed_count,
         }
@@ -179,6 +250,20 @@
             return highest
         return min(highest, max(lowest, int(share * self.places)))
 
+    def _log(self, reason: str, port: int, open_count: int, places: int) -> None:
+        now_s = self._clock()
+        if self._logged_s is not None and now_s - self._logged_s < LOG_INTERVAL_S:
+            return
+        self._logged_s = now_s
+        log_event(
+            "connections_short",
+            reason=reason,
+            port=port,
+            open=open_count,
+            places=places,
+            refused=self.refused_count,
+        )
+
 
 def create_connection_limits(
     memory_bytes: int | None = None,
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -8,6 +8,7 @@
 import curio
 
 from buckthorndeal.configuration import ConfigurationCodec, ConfigurationError
+from buckthorndeal.connections import CALLER_SHARE, HOST_SHARE, INTERNAL_SHARE
 from buckthorndeal.consensus import (
     ConsensusFrame,
     DescribeReplica,
@@ -207,10 +208,17 @@
             self.service, self._settings.directory_lifetime_s
         )
         await self._serve(api, settings.api_listen, self._limit_body)
-        await self._serve(directory_handler, settings.directory_listen)
+        await self._serve(
+            directory_handler, settings.directory_listen, places_share=HOST_SHARE
+        )
         if settings.metrics_listen is not None:
             handler = serve_metrics(self.metrics)
-            await self._serve(handler, settings.metrics_listen, uses_reserve=True)
+            await self._serve(
+                handler,
+                settings.metrics_listen,
+                uses_reserve=True,
+                places_share=INTERNAL_SHARE,
+            )
         log_event("coordinator_started", incarnation=f"{self._store.incarnation:x}")
 
     async def wait(self) -> None:
@@ -253,12 +261,14 @@
         listen: Address,
         limit_body: BodyLimit = refuse_body,
         uses_reserve: bool = False,
+        places_share: float = CALLER_SHARE,
     ) -> None:
         server = create_http_server(
             handler,
             self._settings.limits,
             uses_reserve=uses_reserve,
             limit_body=limit_body,
+            places_share=places_share,
         )
         await server.start(self._transport, listen.address, listen.port)
         self._servers.append(server)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -12,6 +12,7 @@
     ConfigurationCodec,
     create_route_table,
 )
+from buckthorndeal.connections import HOST_SHARE, INTERNAL_SHARE
 from buckthorndeal.explanation import EXPLANATION_PATH
 from buckthorndeal.fleet import (
     EndpointRecord,
@@ -183,7 +184,10 @@
             handler.handle_caller, initial, handler.respond_error
         )
         self._forward_server = create_http_server(
-            handler.handle_forwarded, initial, handler.respond_error
+            handler.handle_forwarded,
+            initial,
+            handler.respond_error,
+            places_share=HOST_SHARE,
         )
         self._servers = [self._caller_server, self._forward_server]
         # Readiness check and metrics.
@@ -311,7 +315,11 @@
 
     async def _serve_internal(self, handler: Handler, listen: Address) -> None:
         server = create_http_server(
-            handler, Limits(), uses_reserve=True, limit_body=refuse_body
+            handler,
+            Limits(),
+            uses_reserve=True,
+            limit_body=refuse_body,
+            places_share=INTERNAL_SHARE,
         )
         await server.start(self._transport, listen.address, listen.port)
         self._internal_servers.append(server)
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -12,7 +12,8 @@
     IncompleteRequests,
     create_incomplete_requests,
 )
-from buckthorndeal._http_lingering import LingeringConnections, has_to_linger
+from buckthorndeal._http_lingering import has_to_linger, linger
+from buckthorndeal._http_places import ConnectionPlaces
 from buckthorndeal._http_protocol import (
     ServerProtocol,
     continue_with_limits,
@@ -36,6 +37,7 @@
     ResponseAborted,
     ServerClosing,
 )
+from buckthorndeal.connections import CALLER_SHARE
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import Listener, Stream, Transport
@@ -57,8 +59,7 @@
 # Share of the descriptors that callers leave to the requests under way, each of which
 # may need a connection to its endpoint, and to other hosts.
 RESERVED_SHARE = 1 / 4
-# Connections whose first request is read before it is refused, and the time for it.
-MAX_REFUSED_CONNECTIONS = 256
+# Time in which the first request of a refused connection is read.
 REFUSAL_TIMEOUT_S = 0.5
 MAX_REFUSED_BODY_BYTES = 65_536
 
@@ -86,6 +87,8 @@
     limit_body : callable, optional
         Called with the method and the path of a request before its body is read;
         returns the bytes that the body may have, or None if only `limits` apply.
+    places_share : float, optional
+        Share of the connections that the memory of the process allows.
 
     Attributes
     ----------
@@ -100,35 +103,44 @@
         respond_error: ErrorHandler = Responder.respond_error,
         uses_reserve: bool = False,
         limit_body: BodyLimit | None = None,
+        places_share: float = CALLER_SHARE,
     ) -> None:
         self._handler = handler
         self._limit_body = limit_body
         self._uses_reserve = uses_reserve
         self._transport: Transport | None = None
-        self._refusing = 0
         self._respond_error = respond_error
         self._limits = limits
         self._listener: Listener | None = None
         self._draining = False
         self.closing = False
         self._idle = IdleConnections()
-        self._lingering = LingeringConnections()
         self._incomplete = create_incomplete_requests(
-            lambda: self._limits.max_incomplete
+            lambda: self._places.max_incomplete
+        )
+        self._places = ConnectionPlaces(
+            lambda: self._limits,
+            places_share,
+            self._incomplete,
         )
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
-        self.connection_count = 0
 
     @property
     def port(self) -> int:
         """Port that the server is bound to."""
         return self._listener.port
 
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that are served."""
+        return self._places.count
+
     async def start(self, transport: Transport, address: str, port: int) -> None:
         """Listen on `address` and `port`."""
         self._transport = transport
         self._listener = await transport.listen(address, port, self._serve)
+        self._places.attach(transport.connections, self._listener.port)
         if not self._uses_reserve:
             # What is between is for connections that are being refused.
             self._listener.leave_free(RESERVED_SHARE / 2)
@@ -165,7 +177,7 @@
                 await handler.cancel(exc=ServerClosing, blocking=False)
         await self._listener.stop_accepting()
         await curio.ignore_after(CLOSE_TIMEOUT_S, self._answer_requests)
-        await self._listener.close()
+        await self.abort()
 
     async def abort(self) -> None:
         """Cut off all connections without an answer, as a crash does."""
@@ -182,25 +194,26 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = create_protocol(limits)
-        if not self._has_room(limits):
+        if not self._has_room():
             # Its body takes no place from those that may be served.
             reader = self._create_reader(stream, create_incomplete_requests())
             await self._refuse_connection(stream, connection, limits, reader)
             if has_to_linger(stream, connection):
                 del connection
-                await self._lingering.linger(stream, reader, REFUSAL_TIMEOUT_S)
+                slots = self._transport.connections.lingering
+                await linger(stream, reader, slots, REFUSAL_TIMEOUT_S)
             return
         reader = self._create_reader(stream, self._incomplete)
-        self.connection_count += 1
+        self._places.count += 1
         try:
             connection = await self._serve_requests(stream, connection, limits, reader)
         finally:
-            self.connection_count -= 1
+            self._places.count -= 1
         # It has left its place, as the number of those that linger has its own limit.
         if has_to_linger(stream, connection):
             # What it has buffered is not needed meanwhile.
             del connection
-            await self._lingering.linger(stream, reader)
+            await linger(stream, reader, self._transport.connections.lingering)
 
     def _create_reader(
         self, stream: Stream, incomplete: IncompleteRequests
@@ -209,17 +222,10 @@
         windows = transport.connections.windows
         return RequestReader(stream, transport.memory, incomplete, windows)
 
-    def _has_room(self, limits: Limits) -> bool:
-        """Return whether another connection may be served.
-
-        It takes the place of an incomplete request if there is one to refuse for it.
-        """
-        if self.connection_count >= limits.max_connections:
-            if self._incomplete.free_places() > 0:
-                return True
-            # At this rate the largest body is complete within its time.
-            min_rate = limits.max_body_bytes / limits.body_timeout_s
-            return self._incomplete.free_slow_place(min_rate)
+    def _has_room(self) -> bool:
+        """Return whether another connection may be served."""
+        if not self._places.make_room():
+            return False
         if self._uses_reserve or self._listener is None:
             return True
         # Connections that are not served yet must not displace each other.
@@ -242,8 +248,8 @@
         It is read before if it comes soon, because the caller might not receive a
         response on a connection that is closed with unread bytes.
         """
-        if self._refusing < MAX_REFUSED_CONNECTIONS:
-            self._refusing += 1
+        slots = self._transport.connections.refusals
+        if slots.take():
             try:
                 await curio.ignore_after(
                     REFUSAL_TIMEOUT_S,
@@ -258,7 +264,7 @@
                 pass
             finally:
                 reader.release()
-                self._refusing -= 1
+                slots.give_back()
         await self._respond_and_close(stream, connection, reader, create_full_error())
 
     async def _serve_requests(
@@ -299,7 +305,9 @@
         idle_timeout: IdleTimeout,
     ) -> bool:
         responder = Responder(
-            stream, connection, lambda: self._draining or idle_timeout.has_fallen()
+            stream,
+            connection,
+            lambda: self._draining or idle_timeout.has_fallen(),
         )
         try:
             request = await reader.read(connection, self._limits, self._limit_body)
@@ -406,6 +414,9 @@
     respond_error: ErrorHandler = Responder.respond_error,
     uses_reserve: bool = False,
     limit_body: BodyLimit | None = None,
+    places_share: float = CALLER_SHARE,
 ) -> HttpServer:
     """Return a server that is not listening yet; see `HttpServer`."""
-    return HttpServer(handler, limits, respond_error, uses_reserve, limit_body)
+    return HttpServer(
+        handler, limits, respond_error, uses_reserve, limit_body, places_share
+    )
--- a/buckthorndeal/processmetrics.py
+++ b/buckthorndeal/processmetrics.py
@@ -69,6 +69,12 @@
     metrics.describe(
         "messages_cut_for_memory", "counter", "Incomplete messages that made room."
     )
+    metrics.describe(
+        "connection_places", "gauge", "Connections of others that the memory allows."
+    )
+    metrics.describe(
+        "connections_refused", "counter", "Connections beyond the places of a port."
+    )
     metrics.describe(
         "wide_receive_windows", "gauge", "Large bodies with wide receive buffers."
     )
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,13 +1,24 @@
-"""Tests of the wide buffers that some connections have."""
+"""Tests of the number of connections that the memory of a process allows."""
 
 import unittest
 
 from buckthorndeal.connections import (
+    CALLER_SHARE,
+    CONNECTION_BYTES,
+    HOST_SHARE,
+    INTERNAL_SHARE,
+    MEMORY_SHARE,
     NARROW_BUFFERS,
     WIDE_BUFFERS,
     WINDOW_SILENCE_S,
     ReceiveWindows,
+    create_connection_limits,
 )
+from buckthorndeal.memory import BASE_BYTES
+
+# The least that a gateway of the users' platform has.
+SMALLEST_BYTES = 160_000_000
+CONFIGURED = 4_096
 
 
 class Stream:
@@ -24,6 +35,69 @@
         self.buffers.append(buffers)
 
 
+class ConnectionLimitsTest(unittest.TestCase):
+    """The limits follow from the memory, and from the settings where these are less."""
+
+    def test_connections_fit_into_their_share_of_the_memory(self):
+        """Guards against a number of connections that comes from descriptors alone."""
+        for memory_bytes in (SMALLEST_BYTES, 2 * SMALLEST_BYTES, 820_000_000):
+            limits = create_connection_limits(memory_bytes)
+            shares = (CALLER_SHARE, HOST_SHARE, INTERNAL_SHARE, INTERNAL_SHARE)
+            places = [limits.limit_places(each, 1 << 20) for each in shares]
+            places += [_count_slots(limits.refusals), _count_slots(limits.lingering)]
+            self.assertLessEqual(sum(places), limits.places)
+            self.assertLessEqual(
+                limits.places * CONNECTION_BYTES,
+                (memory_bytes - BASE_BYTES) * MEMORY_SHARE,
+            )
+
+    def test_settings_may_ask_for_fewer(self):
+        """Guards against more connections than an operator has allowed."""
+        limits = create_connection_limits(SMALLEST_BYTES)
+        self.assertEqual(limits.limit_places(CALLER_SHARE, 24), 24)
+        self.assertEqual(limits.limit_places(INTERNAL_SHARE, 2), 2)
+
+    def test_without_a_limit_of_the_memory_the_settings_hold(self):
+        """Guards against a limit that nobody has asked for."""
+        limits = create_connection_limits()
+        self.assertEqual(limits.limit_places(INTERNAL_SHARE, CONFIGURED), CONFIGURED)
+
+    def test_process_without_spare_memory_serves_some(self):
+        """Guards against a small process that refuses all of its callers."""
+        limits = create_connection_limits(BASE_BYTES)
+        self.assertGreater(limits.limit_places(CALLER_SHARE, CONFIGURED), 0)
+        self.assertTrue(limits.refusals.take())
+
+    def test_limits_that_act_are_counted_and_logged_once_a_second(self):
+        """Guards against refusals that an operator does not see, or that fill logs."""
+        now_s = 0.0
+        limits = create_connection_limits(SMALLEST_BYTES, lambda: now_s)
+        with self.assertLogs() as logs:
+            for _ in range(3):
+                limits.record_refusal(80, 24, 24)
+            now_s = 1.0
+            limits.record_refusal(80, 24, 24)
+        self.assertEqual(len(logs.records), 2)
+        counters = limits.read_counters()
+        self.assertEqual(counters["connections_refused"], 4)
+
+    def test_slots_that_are_given_back_are_free(self):
+        """Guards against refusals that are cut short once some have been."""
+        slots = create_connection_limits(SMALLEST_BYTES).refusals
+        count = _count_slots(slots)
+        self.assertGreater(count, 0)
+        slots.give_back()
+        self.assertEqual(_count_slots(slots), 1)
+
+
+def _count_slots(slots):
+    """Take all free slots, and return their number."""
+    count = 0
+    while slots.take():
+        count += 1
+    return count
+
+
 class ReceiveWindowsTest(unittest.TestCase):
     """Wide buffers go to those who use them."""
 
