End responses that their callers do not read

Cause: a write waits for its caller without a limit, and only incomplete requests make room on a full server.

Change: a server knows its writes that wait. One that passes on no byte for send_pause_s (20 s) ends its connection, and on a full server the longest one after 2 s, for a newcomer. A caller that takes some bytes now and then keeps its response. What was cut off counts as connections_closed_for_others and is told by connections_short with the reason "unread".

--- a/buckthorndeal/_http_places.py
+++ b/buckthorndeal/_http_places.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from buckthorndeal._http_incomplete import IncompleteRequests
+from buckthorndeal._http_unread import PendingWrites
 from buckthorndeal.connections import ConnectionLimits, create_connection_limits
 from buckthorndeal.settings import Limits
 
@@ -10,8 +11,9 @@
 class ConnectionPlaces:
     """Connections that one server serves at once.
 
-    On a full server, a newcomer takes the place of a silent incomplete request, or of a
-    slow one.
+    On a full server, a newcomer takes the place of the first of these that exists: a
+    silent incomplete request, a response that its caller does not read, a slow
+    incomplete request.
 
     Parameters
     ----------
@@ -21,6 +23,8 @@
         Share of the connections that the memory of the process allows.
     incomplete : IncompleteRequests
         Requests whose bodies are not complete.
+    writes : PendingWrites
+        Parts of responses that wait for their callers.
 
     Attributes
     ----------
@@ -33,10 +37,12 @@
         get_limits: Callable[[], Limits],
         share: float,
         incomplete: IncompleteRequests,
+        writes: PendingWrites,
     ) -> None:
         self._get_limits = get_limits
         self._share = share
         self._incomplete = incomplete
+        self._writes = writes
         self._connections = create_connection_limits()
         self._port = 0
         self.count = 0
@@ -57,12 +63,15 @@
         self._connections = connections
         self._port = port
 
-    def make_room(self) -> bool:
+    async def make_room(self) -> bool:
         """Return whether another connection may be served, after it has made room."""
         if self.count < self.limit:
             return True
         if self._incomplete.free_places() > 0:
             return True
+        if await self._writes.abort_longest():
+            self._record_close("unread")
+            return True
         limits = self._get_limits()
         # At this rate the largest body is complete within its time.
         min_rate = limits.max_body_bytes / limits.body_timeout_s
@@ -70,3 +79,13 @@
             return True
         self._connections.record_refusal(self._port, self.count, self.limit)
         return False
+
+    async def close_unread(self) -> None:
+        """End the connections of callers that read nothing, until cancelled."""
+        await self._writes.abort_overdue(
+            lambda: self._get_limits().send_pause_s,
+            lambda: self._record_close("unread"),
+        )
+
+    def _record_close(self, reason: str) -> None:
+        self._connections.record_close(reason, self._port, self.count, self.limit)
--- a/buckthorndeal/_http_responding.py
+++ b/buckthorndeal/_http_responding.py
@@ -6,6 +6,7 @@
 import h11
 import msgspec
 
+from buckthorndeal._http_unread import PendingWrites
 from buckthorndeal.errors import RequestError
 from buckthorndeal.memory import SMALL_BYTES
 from buckthorndeal.transport import Stream
@@ -40,6 +41,8 @@
         Protocol state of the connection.
     is_draining : callable, optional
         Returns whether the connection is closed after this response.
+    writes : PendingWrites, optional
+        Writes of the server, some of which are ended if their callers do not read.
 
     Attributes
     ----------
@@ -54,10 +57,12 @@
         stream: Stream,
         connection: h11.Connection,
         is_draining: Callable[[], bool] = lambda: False,
+        writes: PendingWrites | None = None,
     ) -> None:
         self._stream = stream
         self._connection = connection
         self._is_draining = is_draining
+        self._writes = writes
         self.disconnected = False
         self._is_broken = False
         self.is_body_allowed = True
@@ -87,7 +92,7 @@
     async def send_informational(self, status: int) -> None:
         """Send an informational response, before the head of the response."""
         event = h11.InformationalResponse(status_code=status, headers=[])
-        await self._stream.sendall(self._connection.send(event))
+        await self._write(self._connection.send(event))
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
@@ -134,7 +139,10 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            await self._stream.sendall(data)
+            if self._writes is None:
+                await self._stream.sendall(data)
+            else:
+                await self._writes.write(self._stream, data)
         except OSError:
             self._is_broken = True
             raise
--- a/buckthorndeal/connections.py
+++ b/buckthorndeal/connections.py
@@ -199,8 +199,9 @@
     refusals, lingering : Slots
         Connections that are read before they are refused, and whose last response may
         not have been read yet.
-    refused_count : int
-        Connections that were refused as their port was full.
+    refused_count, closed_count : int
+        Connections that were refused as their port was full, and that were closed to
+        make room for others.
     """
 
     def __init__(self, places: int | None, clock: Callable[[], float]) -> None:
@@ -213,6 +214,7 @@
         self.refusals = Slots(self._bound(REFUSED_SHARE, MIN_PLACES, MAX_REFUSED))
         self.lingering = Slots(self._bound(REFUSED_SHARE, MIN_PLACES, MAX_REFUSED))
         self.refused_count = 0
+        self.closed_count = 0
 
     @property
     def backlog(self) -> int:
@@ -236,11 +238,19 @@
         self.refused_count += 1
         self._log("refused", port, open_count, places)
 
+    def record_close(
+        self, reason: str, port: int, open_count: int, places: int
+    ) -> None:
+        """Count a connection that is closed for others, and log it."""
+        self.closed_count += 1
+        self._log(reason, port, open_count, places)
+
     def read_counters(self) -> Mapping[str, int]:
         """Return counters for the metrics of the process, by name."""
         return {
             "connection_places": self.places or 0,
             "connections_refused": self.refused_count,
+            "connections_closed_for_others": self.closed_count,
             "wide_receive_windows": len(self.windows),
             "wide_receive_windows_missed": self.windows.missed_count,
         }
@@ -262,6 +272,7 @@
             open=open_count,
             places=places,
             refused=self.refused_count,
+            closed=self.closed_count,
         )
 
 
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -37,9 +37,11 @@
     ResponseAborted,
     ServerClosing,
 )
+from buckthorndeal._http_unread import PendingWrites
 from buckthorndeal.connections import CALLER_SHARE
 from buckthorndeal.errors import RequestError, Verdict
 from buckthorndeal.settings import Limits
+from buckthorndeal.supervision import spawn_loop
 from buckthorndeal.transport import Listener, Stream, Transport
 
 __all__ = [
@@ -115,6 +117,7 @@
         self._draining = False
         self.closing = False
         self._idle = IdleConnections()
+        self._writes = PendingWrites()
         self._incomplete = create_incomplete_requests(
             lambda: self._places.max_incomplete
         )
@@ -122,7 +125,9 @@
             lambda: self._limits,
             places_share,
             self._incomplete,
+            self._writes,
         )
+        self._unread_task: curio.Task | None = None
         self._running: dict[curio.Task, Responder] = {}
         self.active_requests = 0
 
@@ -141,6 +146,7 @@
         self._transport = transport
         self._listener = await transport.listen(address, port, self._serve)
         self._places.attach(transport.connections, self._listener.port)
+        self._unread_task = await spawn_loop(self._places.close_unread)
         if not self._uses_reserve:
             # What is between is for connections that are being refused.
             self._listener.leave_free(RESERVED_SHARE / 2)
@@ -181,6 +187,7 @@
 
     async def abort(self) -> None:
         """Cut off all connections without an answer, as a crash does."""
+        await self._unread_task.cancel()
         await self._listener.close()
 
     async def _answer_requests(self) -> None:
@@ -194,7 +201,7 @@
     async def _serve(self, stream: Stream) -> None:
         limits = self._limits
         connection = create_protocol(limits)
-        if not self._has_room():
+        if not await self._has_room():
             # Its body takes no place from those that may be served.
             reader = self._create_reader(stream, create_incomplete_requests())
             await self._refuse_connection(stream, connection, limits, reader)
@@ -222,9 +229,9 @@
         windows = transport.connections.windows
         return RequestReader(stream, transport.memory, incomplete, windows)
 
-    def _has_room(self) -> bool:
+    async def _has_room(self) -> bool:
         """Return whether another connection may be served."""
-        if not self._places.make_room():
+        if not await self._places.make_room():
             return False
         if self._uses_reserve or self._listener is None:
             return True
@@ -308,6 +315,7 @@
             stream,
             connection,
             lambda: self._draining or idle_timeout.has_fallen(),
+            self._writes,
         )
         try:
             request = await reader.read(connection, self._limits, self._limit_body)
@@ -339,7 +347,7 @@
         """Refuse a request; nothing follows it on the connection."""
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        responder = Responder(stream, connection, lambda: True)
+        responder = Responder(stream, connection, lambda: True, self._writes)
         responder.is_body_allowed = reader.method != "HEAD"
         await self._respond_error(responder, error)
 
--- a/buckthorndeal/processmetrics.py
+++ b/buckthorndeal/processmetrics.py
@@ -75,6 +75,11 @@
     metrics.describe(
         "connections_refused", "counter", "Connections beyond the places of a port."
     )
+    metrics.describe(
+        "connections_closed_for_others",
+        "counter",
+        "Idle or unread connections that were closed.",
+    )
     metrics.describe(
         "wide_receive_windows", "gauge", "Large bodies with wide receive buffers."
     )
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -61,7 +61,8 @@
     `incomplete_share` of the connections; those beyond it that have been silent for
     the longest time, or are the slowest, are refused. Time in which a body in many
     chunks waits for its decoding does not count for `body_timeout_s`, but is bounded by
-    the same number of seconds.
+    the same number of seconds. A response of which a caller takes nothing for
+    `send_pause_s` ends with its connection.
     """
 
     max_header_bytes: ByteCount = 16_384
@@ -75,6 +76,7 @@
     max_chunk_framing_bytes: ByteCount = 65_536
     max_chunk_framing_per_byte: PositiveCount = 16
     body_pause_s: PositiveSeconds = 10.0
+    send_pause_s: PositiveSeconds = 20.0
     incomplete_share: Annotated[float, Meta(gt=0, le=1)] = 0.5
 
     @property
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -76,10 +76,11 @@
             for _ in range(3):
                 limits.record_refusal(80, 24, 24)
             now_s = 1.0
-            limits.record_refusal(80, 24, 24)
+            limits.record_close("idle", 80, 24, 24)
         self.assertEqual(len(logs.records), 2)
         counters = limits.read_counters()
-        self.assertEqual(counters["connections_refused"], 4)
+        self.assertEqual(counters["connections_refused"], 3)
+        self.assertEqual(counters["connections_closed_for_others"], 1)
 
     def test_slots_that_are_given_back_are_free(self):
         """Guards against refusals that are cut short once some have been."""
