Let idle connections and unfinished heads make room

Cause: on a full server only incomplete bodies made room for a newcomer. The others went after header_timeout_s and idle_timeout_s, and came again.

Change: a head that is not complete counts as an incomplete request, and the longest idle connection ends for a newcomer after 1 s, first those that brought no request. A request that has arrived by then is still served. connections_closed_for_others counts them and connections_short tells the reason "idle".

--- a/buckthorndeal/_http_idle.py
+++ b/buckthorndeal/_http_idle.py
@@ -1,5 +1,6 @@
 """Connections of an HTTP server that wait for a request."""
 
+import time
 from collections.abc import Callable
 
 import curio
@@ -8,6 +9,9 @@
 from buckthorndeal._http_reading import READ_BYTES
 from buckthorndeal.transport import Stream
 
+# Connections that have waited for a shorter time are kept.
+MIN_IDLE_S = 1.0
+
 
 class IdleTimeout:
     """Idle timeout of one connection, by which its caller goes.
@@ -35,10 +39,21 @@
 
 
 class IdleConnections:
-    """Connections of one server that wait for a request."""
+    """Connections of one server that wait for a request.
+
+    Parameters
+    ----------
+    clock : callable, optional
+        Returns monotonic seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
         self._streams: dict[curio.Task, Stream] = {}
+        # By connection, since when it waits, the longest first: for its first
+        # request, and for a further one.
+        self._unused_since_s: dict[Stream, float] = {}
+        self._used_since_s: dict[Stream, float] = {}
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -48,6 +63,7 @@
         stream: Stream,
         connection: ServerProtocol,
         timeout: IdleTimeout,
+        is_first: bool = False,
     ) -> bool:
         """Wait for the first bytes of a request; return False if none come.
 
@@ -59,13 +75,33 @@
             Protocol state of the connection, which takes the bytes.
         timeout : IdleTimeout
             Time for which the connection is kept without a request.
+        is_first : bool, optional
+            Whether the connection has brought no request yet.
         """
         task = await curio.current_task()
         self._streams[task] = stream
+        waiting = self._unused_since_s if is_first else self._used_since_s
+        waiting[stream] = self._clock()
         try:
             return await _receive_request(stream, connection, timeout)
         finally:
             del self._streams[task]
+            waiting.pop(stream, None)
+
+    def end_longest(self) -> bool:
+        """Let the longest idle connection end; return whether there was one.
+
+        Those that have brought no request yet come first. A request that has arrived
+        by then is still served.
+        """
+        idle_until_s = self._clock() - MIN_IDLE_S
+        for waiting in (self._unused_since_s, self._used_since_s):
+            stream, since_s = next(iter(waiting.items()), (None, 0.0))
+            if stream is not None and since_s <= idle_until_s:
+                del waiting[stream]
+                stream.end_reading()
+                return True
+        return False
 
     async def close(self) -> None:
         """Close the connections on which nothing has arrived, all at the same time."""
--- a/buckthorndeal/_http_places.py
+++ b/buckthorndeal/_http_places.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from buckthorndeal._http_idle import IdleConnections
 from buckthorndeal._http_incomplete import IncompleteRequests
 from buckthorndeal._http_unread import PendingWrites
 from buckthorndeal.connections import ConnectionLimits, create_connection_limits
@@ -12,8 +13,8 @@
     """Connections that one server serves at once.
 
     On a full server, a newcomer takes the place of the first of these that exists: a
-    silent incomplete request, a response that its caller does not read, a slow
-    incomplete request.
+    silent incomplete request, an idle connection, a response that its caller does not
+    read, a slow incomplete request.
 
     Parameters
     ----------
@@ -22,7 +23,9 @@
     share : float
         Share of the connections that the memory of the process allows.
     incomplete : IncompleteRequests
-        Requests whose bodies are not complete.
+        Requests whose heads or bodies are not complete.
+    idle : IdleConnections
+        Connections that wait for a request.
     writes : PendingWrites
         Parts of responses that wait for their callers.
 
@@ -37,11 +40,13 @@
         get_limits: Callable[[], Limits],
         share: float,
         incomplete: IncompleteRequests,
+        idle: IdleConnections,
         writes: PendingWrites,
     ) -> None:
         self._get_limits = get_limits
         self._share = share
         self._incomplete = incomplete
+        self._idle = idle
         self._writes = writes
         self._connections = create_connection_limits()
         self._port = 0
@@ -69,6 +74,9 @@
             return True
         if self._incomplete.free_places() > 0:
             return True
+        if self._idle.end_longest():
+            self._record_close("idle")
+            return True
         if await self._writes.abort_longest():
             self._record_close("unread")
             return True
--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -173,6 +173,8 @@
         self.method = ""
         async with curio.timeout_after(limits.header_timeout_s):
             head = await self._read_head(connection)
+        # The age of a body does not include that of its head.
+        self._incomplete.remove(self)
         if head is None:
             return None
         self.method = head.method.decode("ascii")
@@ -198,7 +200,9 @@
                 return event
             if event is not h11.NEED_DATA:
                 return None
+            self._incomplete.record_wait(self)
             await self._receive(connection, READ_BYTES)
+            self._incomplete.record_progress(self)
 
     async def _read_body(
         self, connection: ServerProtocol, max_bytes: int, limits: Limits
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -125,6 +125,7 @@
             lambda: self._limits,
             places_share,
             self._incomplete,
+            self._idle,
             self._writes,
         )
         self._unread_task: curio.Task | None = None
@@ -283,9 +284,13 @@
     ) -> ServerProtocol:
         """Serve requests until the connection ends; return its protocol state."""
         idle_timeout = IdleTimeout(lambda: self._limits.idle_timeout_s)
+        is_first = True
         while True:
-            if not await self._idle.wait_for_request(stream, connection, idle_timeout):
+            if not await self._idle.wait_for_request(
+                stream, connection, idle_timeout, is_first
+            ):
                 return connection
+            is_first = False
             if limits is not self._limits:
                 limits = self._limits
                 connection = continue_with_limits(connection, limits)
--- a/tests/test_http_places.py
+++ b/tests/test_http_places.py
@@ -67,6 +67,16 @@
 
         self.run_with_server(scenario, *arguments, **limits)
 
+    def test_connections_without_a_request_make_room(self):
+        """Guards against callers that connect, send nothing and take all places."""
+        self.check_crowd(b"")
+        self.assertGreater(self.read_counter("connections_closed_for_others"), 0)
+        self.assertGreater(self.read_counter("connections_refused"), 0)
+
+    def test_heads_without_end_make_room(self):
+        """Guards against heads that take all places until their time is over."""
+        self.check_crowd(b"GET / HTTP/1.1\r\nhost: ", header_timeout_s=TIMEOUT_S)
+
     def test_responses_that_are_not_read_make_room(self):
         """Guards against callers that read nothing and keep their places."""
         self.check_crowd(GET % b"large", create_socket_transport())
@@ -105,6 +115,20 @@
         self.run_with_server(scenario, create_socket_transport(), send_pause_s=1.0)
         self.assertEqual(self.read_counter("connections_closed_for_others"), 0)
 
+    def test_used_connections_stay_while_unused_ones_can_go(self):
+        """Guards against newcomers that take the places of callers that keep theirs."""
+
+        async def scenario():
+            kept = await self.connect(GET % b"")
+            await read_answer(kept)
+            for _ in range(PLACES - 1):
+                await self.connect()
+            self.assertEqual((await self.ask())[-1], 200)
+            await kept.sendall(GET % b"")
+            self.assertEqual((await read_answer(kept))[0], 200)
+
+        self.run_with_server(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
