Bound the handshakes of hosts that do not introduce themselves

Cause: up to 2,048 connections were kept until connect_timeout_s, whatever the memory, and beyond that each newcomer was closed, a host with the key as well.

Change: a quarter of the places, 128 at least, may be without an introduction. A newcomer takes the place of the oldest, if that has had 0.25 s, and is refused otherwise, so that hosts which connect at the same time let each other finish.

--- a/buckthorndeal/connections.py
+++ b/buckthorndeal/connections.py
@@ -44,6 +44,10 @@
 # afterwards. With the shares of the ports they make up the whole.
 REFUSED_SHARE = 1 / 16
 MAX_REFUSED = 512
+# Connections between hosts that have not introduced themselves, besides the places.
+HANDSHAKE_SHARE = 1 / 4
+MIN_HANDSHAKES = 128
+MAX_HANDSHAKES = 2_048
 BACKLOG_SHARE = 1 / 8
 MIN_BACKLOG = 128
 MAX_BACKLOG = 1_024
@@ -221,6 +225,11 @@
         """Connections of a port that may wait to be accepted."""
         return self._bound(BACKLOG_SHARE, MIN_BACKLOG, MAX_BACKLOG)
 
+    @property
+    def max_handshakes(self) -> int:
+        """Connections between hosts that may be without an introduction."""
+        return self._bound(HANDSHAKE_SHARE, MIN_HANDSHAKES, MAX_HANDSHAKES)
+
     def limit_places(self, share: float, configured: int) -> int:
         """Return the places of a port that has a share of them, as configured at most.
 
--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -7,7 +7,7 @@
 
 from buckthorndeal._peer_channel import Channel, Handler
 from buckthorndeal._peer_messages import LINK_CODEC, Introduction, LinkOptions
-from buckthorndeal.connections import PEER_BUFFERS
+from buckthorndeal.connections import PEER_BUFFERS, ConnectionLimits
 from buckthorndeal.errors import AuthenticationError, PeerError, Verdict, WireError
 from buckthorndeal.logs import log_event
 from buckthorndeal.memory import MemoryAccount
@@ -38,6 +38,8 @@
 
 READ_BYTES = 4_096
 MAX_CONNECTIONS = 2_048
+# Longer than a round trip between regions, which a handshake takes.
+MIN_HANDSHAKE_S = 0.25
 
 
 class PeerServer:
@@ -73,7 +75,10 @@
         self._host = host
         self._options = options
         self._account: MemoryAccount | None = None
+        self._connections: ConnectionLimits | None = None
         self._listener: Listener | None = None
+        # By connection, when its handshake began; the oldest comes first.
+        self._handshakes: dict[Stream, float] = {}
 
     @property
     def port(self) -> int:
@@ -88,6 +93,7 @@
     async def start(self, transport: Transport, address: str, port: int) -> None:
         """Listen on `address` and `port`."""
         self._account = transport.memory
+        self._connections = transport.connections
         self._listener = await transport.listen(address, port, self._serve_stream)
 
     async def close(self) -> None:
@@ -97,12 +103,17 @@
     async def _serve_stream(self, stream: Stream) -> None:
         if self._listener and self.connection_count > MAX_CONNECTIONS:
             return
+        if not await self._has_room():
+            return
+        self._handshakes[stream] = await curio.clock()
         try:
             async with curio.timeout_after(self._options.connect_timeout_s):
                 session, peer, early_messages = await self._accept_handshake(stream)
         except (WireError, curio.TaskTimeout) as error:
             log_event("peer_refused", reason=repr(error))
             return
+        finally:
+            self._handshakes.pop(stream, None)
         stream.set_buffers(PEER_BUFFERS)
         channel = Channel(self._codec, self._handler, self._options, self._account)
         channel.host = peer
@@ -113,6 +124,25 @@
                 await channel.close()
         log_event("peer_gone", peer=peer, reason=reason)
 
+    async def _has_room(self) -> bool:
+        """Return whether another handshake may begin.
+
+        If too many have begun, it takes the place of the oldest. A peer that was
+        refused tries again.
+        """
+        limits = self._connections
+        count = len(self._handshakes)
+        if count < limits.max_handshakes:
+            return True
+        oldest, begun_s = next(iter(self._handshakes.items()))
+        if await curio.clock() - begun_s < MIN_HANDSHAKE_S:
+            limits.record_refusal(self.port, count, limits.max_handshakes)
+            return False
+        del self._handshakes[oldest]
+        limits.record_close("handshake", self.port, count, limits.max_handshakes)
+        await oldest.abort()
+        return True
+
     async def _accept_handshake(
         self, stream: Stream
     ) -> tuple[Session, str, list[Message]]:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,9 @@
 
 import curio
 
+from buckthorndeal.connections import MIN_HANDSHAKES, create_connection_limits
 from buckthorndeal.errors import PeerError, Verdict
-from buckthorndeal.memory import create_memory_account
+from buckthorndeal.memory import BASE_BYTES, create_memory_account
 from buckthorndeal.peers import LinkOptions, create_peer_link, create_peer_server
 from buckthorndeal.transport import (
     create_link_shape,
@@ -198,6 +199,26 @@
 
         self.run_scenario(scenario)
 
+    def test_silent_connections_do_not_keep_a_host_out(self):
+        """Guards against callers that connect to the peer port and send nothing."""
+
+        async def scenario(system, server):
+            transport = system.client_transport
+            system.server_transport.connections = create_connection_limits(BASE_BYTES)
+            server = await system.start_server()
+            silent = [
+                await transport.connect("127.0.0.1", server.port)
+                for _ in range(2 * MIN_HANDSHAKES)
+            ]
+            link = await system.start_link(server.port)
+            reply = await call_until_answered(link, Echo("hello"))
+            self.assertEqual(reply, Echo("hello"))
+            self.assertLessEqual(server.connection_count, MIN_HANDSHAKES + 1)
+            for stream in silent:
+                await stream.close()
+
+        self.run_scenario(scenario)
+
     def test_handler_error_and_lost_server_may_have_run(self):
         """Guards against NOT_RUN for a call that reached the handler."""
 
