Split the server of HTTP: received requests, and running ones

Change: the handlers that run move to _http_running.py, the request, its head and the errors of its reading to _http_requests.py.

Measured: the tests of the server (test_http_server, test_server_*, test_request_memory, test_chunked_body, test_http_places) pass.

--- a/buckthorndeal/_http_reading.py
+++ b/buckthorndeal/_http_reading.py
@@ -1,9 +1,6 @@
 """Reading of HTTP/1.1 requests on the server, within limits and the memory."""
 
 import io
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from functools import singledispatch
 
 import curio
 import h11
@@ -15,6 +12,15 @@
     create_late_error,
     create_too_large_error,
 )
+from buckthorndeal._http_requests import (
+    BodyLimit,
+    Request,
+    check_framing,
+    create_request_error,
+    get_max_body_bytes,
+    join_headers,
+    measure_head,
+)
 from buckthorndeal._http_responding import Responder
 from buckthorndeal.connections import ReceiveWindows
 from buckthorndeal.errors import MemoryShortageError, RequestError
@@ -30,39 +36,6 @@
 # Bytes of further requests that are read while one is running.
 MAX_PIPELINED_BYTES = 65_536
 DISCONNECT_POLL_INTERVAL_S = 0.1
-SHORTAGE_RETRY_S = 1.0
-PROTOCOL_ERROR_CODES = {413: "body_too_large", 431: "header_too_large"}
-
-# Called with method and path; returns the bytes that the body of such a request may
-# have, or None if only the limits of the server apply.
-BodyLimit = Callable[[str, str], int | None]
-
-
-@dataclass
-class Request:
-    """A received request.
-
-    Parameters
-    ----------
-    method : str
-        HTTP method in upper case.
-    target : str
-        Path and query string.
-    headers : dict of str to str
-        Values by lower-case name; repeated headers are joined with commas.
-    body : bytes
-        Complete body.
-    """
-
-    method: str
-    target: str
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
-
-    @property
-    def path(self) -> str:
-        """Path without the query string."""
-        return self.target.partition("?")[0]
 
 
 class RequestReader:
@@ -179,11 +152,11 @@
             return None
         self.method = head.method.decode("ascii")
         request = Request(
-            self.method, head.target.decode("latin-1"), _join_headers(head.headers)
+            self.method, head.target.decode("latin-1"), join_headers(head.headers)
         )
-        self._head_bytes = _measure_head(request)
-        max_bytes = _limit_body(request, limits.max_body_bytes, limit_body)
-        _check_framing(request.headers)
+        self._head_bytes = measure_head(request)
+        max_bytes = get_max_body_bytes(request, limits.max_body_bytes, limit_body)
+        check_framing(request.headers)
         self._check_length(request.headers, max_bytes)
         if connection.they_are_waiting_for_100_continue:
             reply = h11.InformationalResponse(status_code=100, headers=[])
@@ -376,63 +349,3 @@
     await reader.wait_for_disconnect(connection)
     responder.disconnected = True
     await handler.cancel(blocking=False)
-
-
-@singledispatch
-def create_request_error(error: BaseException) -> RequestError:
-    """Return the error to respond with when the reading of a request has failed."""
-    raise TypeError(f"unexpected error {type(error).__name__}") from error
-
-
-@create_request_error.register
-def _(error: curio.TaskTimeout) -> RequestError:
-    return create_late_error()
-
-
-@create_request_error.register
-def _(error: h11.RemoteProtocolError) -> RequestError:
-    status = error.error_status_hint
-    code = PROTOCOL_ERROR_CODES.get(status, "bad_request")
-    return RequestError(code, status, str(error))
-
-
-@create_request_error.register
-def _(error: MemoryShortageError) -> RequestError:
-    message = "the host has no memory for the request at present"
-    return RequestError("memory_short", 503, message, retry_after_s=SHORTAGE_RETRY_S)
-
-
-def refuse_body(method: str, path: str) -> int:
-    """Return the limit of bodies on a server that only answers queries."""
-    del method, path
-    return 0
-
-
-def _limit_body(request: Request, max_bytes: int, limit_body: BodyLimit | None) -> int:
-    if limit_body is None:
-        return max_bytes
-    own_bytes = limit_body(request.method, request.path)
-    return max_bytes if own_bytes is None else min(max_bytes, own_bytes)
-
-
-def _check_framing(headers: dict[str, str]) -> None:
-    """Refuse two kinds of body framing in one request (request smuggling)."""
-    if "transfer-encoding" in headers and "content-length" in headers:
-        raise RequestError(
-            "bad_request",
-            400,
-            "the request has both content-length and transfer-encoding",
-        )
-
-
-def _measure_head(request: Request) -> int:
-    return len(request.target) + sum(map(len, request.headers.values()))
-
-
-def _join_headers(pairs: h11._headers.Headers) -> dict[str, str]:
-    headers: dict[str, str] = {}
-    for raw_name, raw_value in pairs:
-        name = raw_name.decode("ascii")
-        value = raw_value.decode("latin-1")
-        headers[name] = f"{headers[name]},{value}" if name in headers else value
-    return headers
--- a/buckthorndeal/http_server.py
+++ b/buckthorndeal/http_server.py
@@ -1,11 +1,10 @@
 """HTTP/1.1 server on h11, with limits, timeouts and detection of disconnects."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 
 import curio
 import h11
 import msgspec
-from absl import logging
 
 from buckthorndeal._http_idle import IdleConnections, IdleTimeout
 from buckthorndeal._http_incomplete import (
@@ -19,24 +18,20 @@
     continue_with_limits,
     create_protocol,
 )
-from buckthorndeal._http_reading import (
-    BodyLimit,
-    Request,
-    RequestReader,
-    cancel_on_disconnect,
-    refuse_body,
-)
+from buckthorndeal._http_reading import RequestReader
 from buckthorndeal._http_refusals import (
     create_closing_error,
     create_full_error,
     create_tunnel_error,
 )
+from buckthorndeal._http_requests import BodyLimit, Request, refuse_body
 from buckthorndeal._http_responding import (
     CLOSE_TIMEOUT_S,
     Responder,
     ResponseAborted,
     ServerClosing,
 )
+from buckthorndeal._http_running import ErrorHandler, Handler, RunningRequests
 from buckthorndeal._http_unread import PendingWrites
 from buckthorndeal.connections import CALLER_SHARE
 from buckthorndeal.errors import RequestError, Verdict
@@ -66,10 +61,6 @@
 MAX_REFUSED_BODY_BYTES = 65_536
 
 
-Handler = Callable[[Request, Responder], Awaitable[None]]
-ErrorHandler = Callable[[Responder, RequestError], Awaitable[None]]
-
-
 class HttpServer:
     """Serves HTTP on one address.
 
@@ -107,7 +98,6 @@
         limit_body: BodyLimit | None = None,
         places_share: float = CALLER_SHARE,
     ) -> None:
-        self._handler = handler
         self._limit_body = limit_body
         self._uses_reserve = uses_reserve
         self._transport: Transport | None = None
@@ -129,7 +119,7 @@
             self._writes,
         )
         self._unread_task: curio.Task | None = None
-        self._running: dict[curio.Task, Responder] = {}
+        self._running = RunningRequests(handler, respond_error)
         self.active_requests = 0
 
     @property
@@ -179,9 +169,7 @@
         """
         self._draining = True
         self.closing = True
-        for handler, responder in list(self._running.items()):
-            if not responder.ended:
-                await handler.cancel(exc=ServerClosing, blocking=False)
+        await self._running.close()
         await self._listener.stop_accepting()
         await curio.ignore_after(CLOSE_TIMEOUT_S, self._answer_requests)
         await self.abort()
@@ -339,7 +327,7 @@
         if self.closing:
             await self._respond_error(responder, create_closing_error(Verdict.NOT_RUN))
             return False
-        await self._run_handler(request, responder, stream, connection, reader)
+        await self._running.run(request, responder, stream, connection, reader)
         return True
 
     async def _respond_and_close(
@@ -356,63 +344,6 @@
         responder.is_body_allowed = reader.method != "HEAD"
         await self._respond_error(responder, error)
 
-    async def _run_handler(
-        self,
-        request: Request,
-        responder: Responder,
-        stream: Stream,
-        connection: ServerProtocol,
-        reader: RequestReader,
-    ) -> None:
-        handler = await curio.spawn(self._handle, request, responder)
-        self._running[handler] = responder
-        watcher = await curio.spawn(
-            cancel_on_disconnect, reader, connection, responder, handler
-        )
-        try:
-            await handler.wait()
-        finally:
-            del self._running[handler]
-            await watcher.cancel()
-            if self.closing and not handler.terminated:
-                # A task is cancelled only once, but its next send fails.
-                await stream.abort()
-            await handler.cancel()
-
-    async def _handle(self, request: Request, responder: Responder) -> None:
-        # A response that has started and is not finished is cut off by closing the
-        # connection, which is done by the task that spawned this one.
-        try:
-            await self._handler(request, responder)
-        except RequestError as error:
-            await self._respond_if_possible(responder, error)
-        except ServerClosing:
-            error = create_closing_error(Verdict.MAY_HAVE_RUN)
-            await self._respond_if_possible(responder, error)
-        except ResponseAborted:
-            return
-        except (Exception, curio.TaskTimeout) as raised:
-            # Errors of files and of other connections are of the same type.
-            if isinstance(raised, OSError) and responder.is_caller_gone:
-                return
-            logging.exception("request handler failed")
-            # The handler may have failed after dispatching the request.
-            error = RequestError(
-                "internal", 500, "internal error", Verdict.MAY_HAVE_RUN
-            )
-            await self._respond_if_possible(responder, error)
-
-    async def _respond_if_possible(
-        self, responder: Responder, error: RequestError
-    ) -> None:
-        """Send an error unless a response has started or the caller is gone."""
-        if responder.started:
-            return
-        try:
-            await self._respond_error(responder, error)
-        except OSError:
-            return
-
 
 async def close_servers(servers: Iterable[HttpServer]) -> None:
     """Close servers at the same time."""
