What the bounds leave alone: the largest body, and links of hosts

Cause: the plays of crowds show what is bounded, not what still has to work.

Change: a test sends one body of 4 MiB in chunks of one byte to a gateway with the 160 MB of the smallest one of the platform; one starts a gateway again while silent connections hold all ports of the coordinator, and asks it for an answer; one compares the wide buffers with the time for a body over a link of 80 ms.

--- a/tests/client_play.py
+++ b/tests/client_play.py
@@ -19,6 +19,7 @@
 from tests.crowd_play import CrowdOptions, CrowdPlay
 from tests.fleet_harness import REQUEST_ID, create_configuration
 from tests.process_use import ProcessUse, read_use
+from tests.raw_caller import read_answer
 from tests.stop_play import DEADLINE_S, StopOptions
 
 # What each process is told it may use, and the bound of what it uses.
@@ -71,6 +72,9 @@
         Whether the process is stopped while the crowd comes, and goes on afterwards.
     is_killed : bool
         Whether the process is killed and started again, and the crowd comes again.
+    asks_meanwhile : bool
+        Whether the ordinary request is sent while the crowd is there, through a gateway
+        that has just been started again, and so has to reach the coordinator.
     """
 
     target: str
@@ -79,6 +83,7 @@
     call: str = ORDER
     is_frozen: bool = False
     is_killed: bool = False
+    asks_meanwhile: bool = False
 
 
 @dataclass
@@ -90,6 +95,7 @@
     largest: collections.Counter = field(default_factory=collections.Counter)
     worst: ProcessUse = field(default_factory=ProcessUse)
     is_ended: bool = False
+    memory_bytes: int = MEMORY_BYTES
 
     def __post_init__(self):
         self.crowd = CrowdOptions(self.clients.target, 0, 0)
@@ -119,13 +125,18 @@
             while self.sent.total() < CROWD and time.monotonic() < until_s:
                 await curio.sleep(SAMPLE_INTERVAL_S)
             await curio.sleep(STAY_S)
+            if self.clients.asks_meanwhile:
+                self._restart(self.hosts[0])
+                await self._wait_until_served(self.hosts[0])
+                await self._ask_ordinary()
         finally:
             self.is_over = True
             for task in crowd:
                 await task.cancel(blocking=False)
             for task in crowd:
                 await task.cancel()
-        await self._ask_ordinary()
+        if not self.clients.asks_meanwhile:
+            await self._ask_ordinary()
         await sampler.cancel()
         self.is_ended = self.processes[host].poll() is not None
 
@@ -190,7 +201,8 @@
         settings.pop("max_connections", None)
         settings.pop("limits", None)
         listen = {"address": host, "port": self.ports["metrics_listen"]}
-        return {**settings, "metrics_listen": listen}
+        memory = {"memory_bytes": self.memory_bytes}
+        return {**settings, **memory, "metrics_listen": listen}
 
     async def _configure(self):
         """Configure a service that takes the whole crowd, and many routes."""
@@ -318,11 +330,41 @@
             {"call": CONFIGURATION, "is_frozen": True},
         ),
         ("killed", ("api",), "small", {"call": CONFIGURATION, "is_killed": True}),
+        ("held-ports", COORDINATOR_PORTS, "idle", {"asks_meanwhile": True}),
     )
 }
+# What each process is told in the play of one caller in calm, as the smallest hosts
+# of the platform are.
+CALM_MEMORY_BYTES = 160_000_000
+LARGEST_BODY_BYTES = 4 << 20
+CALM_TIMEOUT_S = 60.0
 SCENARIOS = {**GATEWAY_SCENARIOS, **COORDINATOR_SCENARIOS}
 
 
+@dataclass
+class CalmPlay(ClientPlay):
+    """One caller sends the largest body in chunks of one byte, and nobody else."""
+
+    status: int | None = None
+    memory_bytes: int = CALM_MEMORY_BYTES
+
+    async def _stop_hosts(self):
+        stream = await self._open(self.hosts[0])
+        head = f"{ORDER} HTTP/1.1\r\nhost: x.example\r\n{REQUEST_ID}: calm\r\n"
+        async with curio.timeout_after(CALM_TIMEOUT_S):
+            await stream.sendall(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
+            for _ in range(LARGEST_BODY_BYTES // PART_BYTES):
+                await stream.sendall(b"1\r\nx\r\n" * PART_BYTES)
+            await stream.sendall(b"0\r\n\r\n")
+            self.status = (await read_answer(stream))[0]
+        await stream.close()
+
+
+def create_calm_play():
+    """Return the play of one caller in calm."""
+    return CalmPlay("calm", StopOptions(), clients=SCENARIOS["gateway-small"])
+
+
 def create_play(name):
     """Return the play of a scenario."""
     return ClientPlay(name, StopOptions(), clients=SCENARIOS[name])
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -15,10 +15,12 @@
     create_connection_limits,
 )
 from buckthorndeal.memory import BASE_BYTES
+from buckthorndeal.settings import Limits
 
 # The least that a gateway of the users' platform has.
 SMALLEST_BYTES = 160_000_000
 CONFIGURED = 4_096
+FAR_ROUND_TRIP_S = 0.16
 
 
 class Stream:
@@ -99,6 +101,18 @@
     return count
 
 
+class BuffersTest(unittest.TestCase):
+    """The sizes allow what the limits of a server allow."""
+
+    def test_largest_body_arrives_in_time_over_a_far_link(self):
+        """Guards against buffers that slow down sound uploads."""
+        limits = Limits()
+        round_trips = limits.body_timeout_s / FAR_ROUND_TRIP_S
+        self.assertGreater(
+            round_trips * WIDE_BUFFERS.receive_bytes, 2 * limits.max_body_bytes
+        )
+
+
 class ReceiveWindowsTest(unittest.TestCase):
     """Wide buffers go to those who use them."""
 
--- a/tests/test_coordinator_clients.py
+++ b/tests/test_coordinator_clients.py
@@ -36,6 +36,10 @@
         """Guards against bytes of connections that are not accepted yet."""
         self.check("coordinator-frozen-ports")
 
+    def test_crowd_at_all_ports_does_not_keep_gateways_out(self):
+        """Guards against places of hosts, and of callers, that silent callers hold."""
+        self.check("coordinator-held-ports")
+
     def test_crowd_that_returns_after_a_kill(self):
         """Guards against a process that starts into a crowd and does not answer."""
         self.check("coordinator-killed")
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from tests.client_play import MAX_DESCRIPTORS, MEMORY_BYTES, create_play, describe
+from tests.client_play import (
+    MAX_DESCRIPTORS,
+    MEMORY_BYTES,
+    create_calm_play,
+    create_play,
+    describe,
+)
 
 
 class ClientPlayCase(unittest.TestCase):
@@ -20,6 +26,16 @@
         self.assertIn(200, play.attempts, text)
 
 
+class CalmTest(unittest.TestCase):
+    """What the limits of a configuration allow is served in calm."""
+
+    def test_largest_body_in_chunks_of_one_byte_is_served(self):
+        """Guards against bounds that a single caller inside the limits meets."""
+        play = create_calm_play()
+        play.play()
+        self.assertEqual(play.status, 200)
+
+
 class GatewayClientsTest(ClientPlayCase):
     """A crowd takes no more memory and descriptors than a gateway may use."""
 
