Crowds in the soak, and one way to read what a process uses

Cause: the soak knew no clients that do not behave, and three plays read the memory and the descriptors of processes each in its own way. Limits.max_incomplete stood twice since the places follow from the memory.

Change: in a soak, 150 connections call one process for 2 s in one of four manners, at a time of their own source of randomness, so that the other faults of a seed stay as they are; the processes are told 96 MB, which such a crowd fills. The plays use tests.process_use. The property of the settings that nobody calls any more is gone.

--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -79,11 +79,6 @@
     send_pause_s: PositiveSeconds = 20.0
     incomplete_share: Annotated[float, Meta(gt=0, le=1)] = 0.5
 
-    @property
-    def max_incomplete(self) -> int:
-        """Number of requests that may stay incomplete."""
-        return max(1, int(self.max_connections * self.incomplete_share))
-
 
 class EntrySettings(
     msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
--- a/tests/client_play.py
+++ b/tests/client_play.py
@@ -65,7 +65,7 @@
     ports : tuple of str
         Ports that it calls, in turn.
     manner : str
-        What each of its connections sends; see `_create_parts`.
+        What each of its connections sends; see `create_parts`.
     call : str
         Method and path of its requests.
     is_frozen : bool
@@ -163,7 +163,7 @@
         """Send what this connection of the crowd sends, and read nothing."""
         port = self.clients.ports[number % len(self.clients.ports)]
         address = (self._get_target()[0], self.ports[port])
-        parts = _create_parts(self.clients, port)
+        parts = create_parts(self.clients, port)
         is_first = True
         while is_first or (self.clients.is_killed and not self.is_over):
             await self._send_parts(address, parts, is_first)
@@ -244,7 +244,7 @@
     return data == b""
 
 
-def _create_parts(clients, port):
+def create_parts(clients, port):
     """Return what a connection of the crowd sends, in parts.
 
     small, large, length : a body that lacks its end, in chunks of one byte, in chunks
--- a/tests/crowd_play.py
+++ b/tests/crowd_play.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import os
 import sys
 from dataclasses import dataclass, field
 
@@ -13,6 +12,7 @@
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import create_http_pool
 from tests.fleet_harness import REQUEST_ID
+from tests.process_use import count_descriptors, read_peak_bytes
 from tests.stop_play import StopOptions, StopPlay
 
 # What each process is told it may use, and the bound of its peak.
@@ -56,7 +56,7 @@
 
     async def _stop_hosts(self):
         process = self._get_process()
-        before = _count_descriptors(process)
+        before = count_descriptors(process.pid)
         release = curio.Event()
         crowd = [
             await curio.spawn(self._call_unfinished, release, daemon=True)
@@ -67,7 +67,7 @@
                 await curio.sleep(0.05)
             await self._ask_ordinary()
             for _ in range(SETTLE_PAUSES):
-                self.crowd_descriptors = _count_descriptors(process) - before
+                self.crowd_descriptors = count_descriptors(process.pid) - before
                 if self.crowd_descriptors <= MAX_CROWD_DESCRIPTORS:
                     break
                 await curio.sleep(PAUSE_S)
@@ -157,17 +157,7 @@
             if process.poll() is not None:
                 self.ended.append(host)
                 continue
-            with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
-                for line in file:
-                    if line.startswith("VmHWM:"):
-                        self.peaks[host] = int(line.split()[1]) * 1024
-
-
-def _count_descriptors(process):
-    try:
-        return len(os.listdir(f"/proc/{process.pid}/fd"))
-    except OSError:
-        return 0
+            self.peaks[host] = read_peak_bytes(process.pid)
 
 
 def describe(play):
--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -29,6 +29,7 @@
 )
 from tests.control_harness import find_ports
 from tests.fleet_harness import REQUEST_ID, create_stream_events
+from tests.process_use import read_peak_bytes
 from tests.stop_play import DEADLINE_S, StopPlay
 
 MIB = 1 << 20
@@ -248,10 +249,7 @@
             if process.poll() is not None:
                 self.ended.append(host)
                 continue
-            with open(f"/proc/{process.pid}/status", encoding="ascii") as file:
-                for line in file:
-                    if line.startswith("VmHWM:"):
-                        self.peaks[host] = int(line.split()[1]) * 1024
+            self.peaks[host] = read_peak_bytes(process.pid)
 
     def _create_settings(self, kind, host):
         settings = super()._create_settings(kind, host)
--- a/tests/process_use.py
+++ b/tests/process_use.py
@@ -56,6 +56,21 @@
     return ProcessUse(pages * os.sysconf("SC_PAGE_SIZE"), unread, untaken, descriptors)
 
 
+def read_peak_bytes(pid):
+    """Return the largest resident memory that a running process has had."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        (line,) = [each for each in file if each.startswith("VmHWM:")]
+    return int(line.split()[1]) * 1024
+
+
+def count_descriptors(pid):
+    """Return the number of open descriptors of a process, 0 without it."""
+    try:
+        return len(os.listdir(f"/proc/{pid}/fd"))
+    except OSError:
+        return 0
+
+
 def _list_sockets(pid):
     """Return the inodes of the sockets of a process, and the number of descriptors."""
     directory = f"/proc/{pid}/fd"
--- a/tests/soak_play.py
+++ b/tests/soak_play.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import json
+import random
 import signal
 import sys
 import time
@@ -17,6 +18,7 @@
 from buckthorndeal.http_client import create_http_pool
 from buckthorndeal.quota import QuotaOptions
 from buckthorndeal.quota._options import DRIFT_S, LEASE_S
+from tests.client_play import HEARTBEAT, ClientOptions, create_parts
 from tests.fleet_harness import REQUEST_ID
 from tests.silence_play import SilencePlay, _is_answered
 from tests.stop_play import Order
@@ -59,6 +61,11 @@
 SLOW_S = 0.5
 FAULTS = ("change", "slow", "kill_endpoint", "cut_endpoint", "kill", "freeze")
 LAST_FAULT_S = 3.5
+# What each process is told it may use; a crowd of this size takes all places of a port.
+MEMORY_BYTES = 96_000_000
+CROWD = 150
+CROWD_S = 2.0
+CROWD_MANNERS = ("small", "length", "head", "idle")
 
 
 @dataclass
@@ -105,6 +112,11 @@
         self.killed_gateway = rng.choice(self.hosts)
         self.frozen = rng.choice(self.hosts + self.coordinators)
         self.freeze_s = rng.uniform(1.0, 2.5)
+        # Of its own, so that the other faults of a seed stay as they are.
+        crowd_rng = random.Random(f"crowd-{self.seed}")
+        self.times_s["crowd"] = crowd_rng.uniform(0.5, LAST_FAULT_S)
+        self.crowded = crowd_rng.choice(self.hosts + self.coordinators)
+        self.crowd_manner = crowd_rng.choice(CROWD_MANNERS)
         # One endpoint of the home region stays sound.
         self.targets = rng.sample(self.endpoints[:-1], 3)
 
@@ -324,6 +336,7 @@
             "cut_endpoint": self._cut_endpoint,
             "kill": self._kill_process,
             "freeze": self._freeze_process,
+            "crowd": self._crowd_process,
         }
         async with curio.TaskGroup() as group:
             for name, action in actions.items():
@@ -374,6 +387,32 @@
         await curio.sleep(self.freeze_s)
         self.processes[self.frozen].send_signal(signal.SIGCONT)
 
+    async def _crowd_process(self):
+        """Let clients that do not behave call one process."""
+        port = "api" if self.crowded in self.coordinators else "listen"
+        clients = ClientOptions("", (port,), self.crowd_manner, HEARTBEAT)
+        async with curio.TaskGroup() as group:
+            for _ in range(CROWD):
+                await group.spawn(
+                    curio.ignore_after, CROWD_S, self._misbehave, clients, port
+                )
+
+    async def _misbehave(self, clients, port):
+        """Send what never becomes a whole request, and stay."""
+        try:
+            stream = await self.transport.connect(self.crowded, self.ports[port])
+        except OSError:
+            return
+        try:
+            for part in create_parts(clients, port):
+                await stream.sendall(part)
+            await curio.sleep(CROWD_S)
+        except OSError:
+            # It was refused.
+            return
+        finally:
+            await stream.close()
+
     def _find_leader(self):
         """Return the coordinator that has last logged that it leads."""
         terms = {}
@@ -417,6 +456,7 @@
 
     def _create_settings(self, kind, host):
         settings = super()._create_settings(kind, host)
+        settings["memory_bytes"] = MEMORY_BYTES
         settings["quota"] = {
             "window_s": QUOTA.window_s,
             "overage": QUOTA.overage,
@@ -449,7 +489,8 @@
     frozen = "coordinator" if play.frozen in play.coordinators else "gateway"
     return (
         f"seed {play.seed}: killed a {killed}, froze a {frozen} for "
-        f"{play.freeze_s:.1f} s, {len(play.orders)} orders, statuses {dict(statuses)}, "
+        f"{play.freeze_s:.1f} s, crowd ({play.crowd_manner}) at "
+        f"{play.crowded}, {len(play.orders)} orders, statuses {dict(statuses)}, "
         f"{len(play.arrivals)} runs, most in a window {used}, {LOWERED} lowered "
         f"{lowered} of {QUOTA.compute_bound(LOWERED_RATE, 0.0):.1f}, "
         f"{play.count_late_runs()} runs with the removed key after {APPLY_S} s, "
