Split the two daemons: limits of servers, calls for the fleet task

Change: the limits of a gateway's servers move to _server_limits.py. The calls of other hosts that the fleet task answers move to _fleet_calls.py, by singledispatch in place of six type checks.

--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -24,13 +24,12 @@
 from buckthorndeal.coordinator._body_limits import ClassifyBody, create_body_limit
 from buckthorndeal.coordinator._clock import read_clock
 from buckthorndeal.coordinator._departure_store import create_disk_departure_store
+from buckthorndeal.coordinator._fleet_calls import call_fleet
 from buckthorndeal.coordinator._fleet_messages import (
     ClusterStateChanged,
     ControlStatusReceived,
     EntryStatusReceived,
     HomeRegionsChanged,
-    RelayedLeaveReceived,
-    RelayedRecordReceived,
 )
 from buckthorndeal.coordinator._fleet_task import FleetTask
 from buckthorndeal.coordinator._quarantine_store import (
@@ -43,31 +42,16 @@
     CoordinatorService,
     create_configuration_content,
 )
-from buckthorndeal.coordinator._shared_requests import (
-    EvidenceReceived,
-    OriginRequested,
-    OriginsReceived,
-    RateLimitsReceived,
-)
 from buckthorndeal.coordinator._version_store import create_disk_version_store
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     FLEET_CODEC,
     LINK_OPTIONS,
-    Acknowledged,
     ControlHost,
     ControlStatus,
     EntryStatus,
-    EvidenceUpdate,
     FetchConfiguration,
-    FindOrigin,
-    OriginUpdate,
     QuotaRequest,
-    RateLimitUpdate,
-    RelayEndpoint,
-    RelayLeave,
-    check_incarnation,
-    check_record,
     count_home_routes,
     create_host_links,
 )
@@ -363,33 +347,13 @@
     async def _handle_call(self, message: Message, host: str) -> Message:
         if isinstance(message, DescribeReplica):
             return self._describe_replica()
-        if isinstance(message, RelayEndpoint):
-            check_record(message.record)
-            await self._fleet.mailbox.ask(RelayedRecordReceived(message.record))
-            return Acknowledged()
-        if isinstance(message, RelayLeave):
-            if message.incarnation is not None:
-                check_incarnation(message.incarnation)
-            leave = RelayedLeaveReceived(message.endpoint, message.incarnation)
-            await self._fleet.mailbox.ask(leave)
-            return Acknowledged()
-        if isinstance(message, EvidenceUpdate):
-            await self._fleet.mailbox.ask(EvidenceReceived(message.evidence))
-            return Acknowledged()
-        if isinstance(message, RateLimitUpdate):
-            await self._fleet.mailbox.ask(RateLimitsReceived(message.limits))
-            return Acknowledged()
-        if isinstance(message, OriginUpdate):
-            await self._fleet.mailbox.ask(OriginsReceived(message.origins))
-            return Acknowledged()
-        if isinstance(message, FindOrigin):
-            request = OriginRequested(message.stream, message.service)
-            return await self._fleet.mailbox.ask(request)
         if isinstance(message, FetchConfiguration):
             return await self._fetch_configuration()
         if isinstance(message, QuotaRequest):
             return self._quotas.handle(host, message, self._get_leadership())
-        reply = await self.service.handle_call(message)
+        reply = await call_fleet(message, self._fleet.mailbox)
+        if reply is None:
+            reply = await self.service.handle_call(message)
         if reply is None:
             name = type(message).__name__
             raise PeerError(f"unexpected message {name}", Verdict.NOT_RUN)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import curio
-import msgspec
 
 from buckthorndeal.configuration import (
     Configuration,
@@ -44,9 +43,10 @@
 from buckthorndeal.gateway._explanation import ExplanationHandler
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
-from buckthorndeal.gateway._pools import HOST_IDLE_TIMEOUT_S, create_pools
+from buckthorndeal.gateway._pools import create_pools
 from buckthorndeal.gateway._quota_gate import QuotaGate
 from buckthorndeal.gateway._region_links import RegionLoadTask
+from buckthorndeal.gateway._server_limits import create_caller_limits, extend_for_hosts
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.http_server import (
     Handler,
@@ -72,10 +72,6 @@
 # Longer, because each check goes through the directory of each coordinator.
 REPLACEMENT_POLL_INTERVAL_S = 0.2
 POOL_CLEANUP_INTERVAL_S = 10.0
-# Of the fields that the host which forwards a request adds.
-MAX_ADDED_HEADER_BYTES = 8_192
-# Twice as long as other hosts keep an idle connection.
-FORWARD_IDLE_TIMEOUT_S = 2 * HOST_IDLE_TIMEOUT_S
 
 
 class Gateway:
@@ -364,16 +360,11 @@
             **count_home_workspaces(configuration),
         }
         self.metrics.set_gauge("configuration_version", configuration.version)
-        configured = configuration.limits
-        limits = Limits(
-            max_header_bytes=configured.max_header_bytes,
-            max_body_bytes=configured.max_body_bytes,
-            header_timeout_s=configured.header_timeout_s,
-            idle_timeout_s=configured.idle_timeout_s,
-            max_connections=self._settings.max_connections,
+        limits = create_caller_limits(
+            configuration.limits, self._settings.max_connections
         )
         self._caller_server.set_limits(limits)
-        self._forward_server.set_limits(_extend_for_hosts(limits))
+        self._forward_server.set_limits(extend_for_hosts(limits))
 
     def _create_metrics_handler(self) -> Handler:
         """Return the handler of the metrics address, which also explains decisions."""
@@ -395,16 +386,6 @@
         await responder.respond_json(200 if ready else 503, {"ready": ready})
 
 
-def _extend_for_hosts(limits: Limits) -> Limits:
-    """Return the limits for requests that other hosts have accepted by them."""
-    return msgspec.structs.replace(
-        limits,
-        # Other hosts go by an idle timeout of their own.
-        idle_timeout_s=max(limits.idle_timeout_s, FORWARD_IDLE_TIMEOUT_S),
-        max_header_bytes=limits.max_header_bytes + MAX_ADDED_HEADER_BYTES,
-    )
-
-
 def create_gateway(
     settings: GatewaySettings,
     transport: Transport,
