Let the test of forwarded keys record at the new place of the handler

Cause: the test replaces the handler of a server, which the split of the server moved to its running requests.

Change: it replaces the handler there. What it checks is as it was.

--- a/tests/test_workspace_hosts.py
+++ b/tests/test_workspace_hosts.py
@@ -54,15 +54,15 @@
         async def test():
             async with Fleet() as fleet:
                 await start(fleet, ACME, domain="b-1", hosts=self.HOSTS)
-                handler = fleet.gateways[OTHER]._forward_server
+                running = fleet.gateways[OTHER]._forward_server._running
                 received = []
-                original = handler._handler
+                original = running._handler
 
                 async def record(request, responder):
                     received.append(request.headers)
                     await original(request, responder)
 
-                with mock.patch.object(handler, "_handler", record):
+                with mock.patch.object(running, "_handler", record):
                     await send(fleet, GATEWAY, "k-acme", headers=[(NAME, "bell")])
                 self.assertEqual(len(received), 1)
                 self.assertEqual(received[0][NAME], "acme")
