Callers and endpoints that name ever more things, as red tests

What callers saw: nothing yet. A trial of crowds bounds what incomplete requests cost; complete ones are answered, and what the process remembers of them has no bound where their senders choose the names.

Six plays over real processes that are told 96 MB, each with requests that are all complete and inside the limits of the pages.

The programs of the adapter run as processes in a play for the first time, as only they read prompts.

--- a/tests/crowd_play.py
+++ b/tests/crowd_play.py
@@ -122,7 +122,7 @@
         method, body = ("GET", b"") if address == self.coordinator else ("POST", b"a")
         if path.startswith("/v1/endpoints/"):
             path = "/v1/configuration"
-        headers = [("host", "x.example"), (REQUEST_ID, "ordinary")]
+        headers = [("host", "x.example"), *self._list_ordinary_headers()]
         pool = create_http_pool(self.transport, address, port, 1)
         try:
             async with curio.timeout_after(ATTEMPT_TIMEOUT_S):
@@ -132,6 +132,9 @@
         finally:
             await pool.close()
 
+    def _list_ordinary_headers(self):
+        return [(REQUEST_ID, "ordinary")]
+
     def _get_target(self):
         if self.crowd.target == "gateway":
             return self.hosts[0], self.ports["listen"], "/idempotent/0.02"
--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -20,7 +20,11 @@
 # Prefixes of the slowest modules, which are started first.
 SLOW_MODULES = ("tests.test_control", "tests.test_entry_", "tests.test_processes")
 # Modules that measure the memory of processes; each is run alone, after the others.
-LONE_MODULES = ("tests.test_gateway_clients", "tests.test_coordinator_clients")
+LONE_MODULES = (
+    "tests.test_gateway_clients",
+    "tests.test_coordinator_clients",
+    "tests.test_name_play",
+)
 KNOWN_RED_FILE = "KNOWN-RED.txt"
 
 
--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -319,24 +319,25 @@
         return settings
 
     def _start_process(self, kind, host):
-        settings = self._create_settings(kind, host)
-        file = self.directory / f"{host}.jsonc"
-        file.write_text(json.dumps(settings))
+        command, variables = self._prepare_process(kind, host)
         with open(self.directory / f"{host}.log", "ab") as log:
             self.processes[host] = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    f"buckthorndeal.command_{kind}",
-                    f"--config={file}",
-                ],
+                command,
                 cwd=ROOT,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env={**os.environ, "PYTHONPATH": str(ROOT)},
+                env={**os.environ, "PYTHONPATH": str(ROOT), **variables},
             )
 
+    def _prepare_process(self, kind, host):
+        """Write the settings; return the command and variables of a process."""
+        settings = self._create_settings(kind, host)
+        file = self.directory / f"{host}.jsonc"
+        file.write_text(json.dumps(settings))
+        module = f"buckthorndeal.command_{kind}"
+        return [sys.executable, "-m", module, f"--config={file}"], {}
+
     async def _configure(self):
         content = create_configuration(
             1, home_regions=list(self.options.homes), timeout_s=DEADLINE_S
@@ -362,20 +363,23 @@
         sequence = 0
         while True:
             sequence += 1
-            body = {
-                "incarnation": 1,
-                "sequence": sequence,
-                "region": "a",
-                "failure_domain": "a-1",
-                "address": f"{self.endpoint}:{self.endpoint_port}",
-                "service": "s",
-                "slots": 256,
-            }
-            await self._call_api(
-                "POST", "/v1/endpoints/e1/heartbeat", msgspec.json.encode(body)
-            )
+            path, body = self._create_heartbeat(sequence)
+            await self._call_api("POST", path, body)
             await curio.sleep(0.4)
 
+    def _create_heartbeat(self, sequence):
+        """Return path and body of a heartbeat of the endpoint."""
+        body = {
+            "incarnation": 1,
+            "sequence": sequence,
+            "region": "a",
+            "failure_domain": "a-1",
+            "address": f"{self.endpoint}:{self.endpoint_port}",
+            "service": "s",
+            "slots": 256,
+        }
+        return "/v1/endpoints/e1/heartbeat", msgspec.json.encode(body)
+
     async def _wait_until_served(self, host):
         async def is_served():
             try:
