Look at accepted connections before further ones are accepted

What callers saw: nothing; a process opened far more descriptors for a crowd than its places allow. tests.test_gateway_clients test_streams_that_are_not_read failed in one run of the whole suite on (972 descriptors, at most 929); five runs alone had 511 to 787.

Cause: an `accept` that need not wait lets no other task run, so that the loop emptied the backlog before the first connection was refused. A sample of the sockets 0.07 s after the crowd came showed 787 accepted connections at a port of 232 places, in one of three runs.

Change: after 16 connections in a row other tasks run, which serve or refuse them.

Test: 120 callers connect before a listener runs, whose handler ends at once. Before: 120 were open when the first was looked at, at most 32 wanted. Now it passes.

--- a/buckthorndeal/transport/_accepting.py
+++ b/buckthorndeal/transport/_accepting.py
@@ -33,6 +33,8 @@
         errno.ETIMEDOUT,
     )
 )
+# Connections that are accepted before the first of them is looked at.
+MAX_ACCEPTS_IN_A_ROW = 16
 # Connections that may fail in a row without a pause.
 MAX_PROMPT_RETRIES = 32
 RETRY_PAUSE_S = 0.02
@@ -88,13 +90,20 @@
         async with self._sock:
             try:
                 while True:
-                    await self._wait_for_descriptors()
-                    await self._accept()
+                    await self._accept_some()
+                    # An accept that need not wait lets no other task run.
+                    await curio.sleep(0)
             except curio.CancelledError:
                 # Closing the socket would reset the connections in its backlog.
                 await curio.ignore_after(BACKLOG_TIMEOUT_S, self._accept_backlog)
                 raise
 
+    async def _accept_some(self) -> None:
+        """Accept connections; they are refused or served before further ones."""
+        for _ in range(MAX_ACCEPTS_IN_A_ROW):
+            await self._wait_for_descriptors()
+            await self._accept()
+
     async def _wait_for_descriptors(self) -> None:
         while not self._descriptors.has_free(self.reserved_share):
             await curio.sleep(RETRY_PAUSE_S)
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -25,6 +25,9 @@
 )
 TIMEOUT_S = 10.0
 DESCRIPTORS = 20
+CROWD = 120
+# Connections that may be open before the first of them is looked at.
+MAX_UNSEEN = 32
 
 
 async def echo(stream):
@@ -62,6 +65,37 @@
         await stream.close()
 
 
+class CrowdTest(unittest.TestCase):
+    """A crowd that connects at once is looked at while it is accepted."""
+
+    def test_few_connections_are_accepted_before_one_is_refused(self):
+        """Guards against a whole backlog that is open before a limit is applied."""
+
+        async def main():
+            most = served = 0
+
+            async def refuse(stream):
+                nonlocal most, served
+                served += 1
+                most = max(most, listener.connection_count)
+
+            listener = await create_socket_transport().listen("127.0.0.1", 0, refuse)
+            # Nothing else runs while they connect.
+            crowd = [
+                socket.create_connection(("127.0.0.1", listener.port))
+                for _ in range(CROWD)
+            ]
+            async with curio.timeout_after(TIMEOUT_S):
+                while served < CROWD:
+                    await curio.sleep(0.01)
+            for each in crowd:
+                each.close()
+            await listener.close()
+            return most
+
+        self.assertLessEqual(curio.run(main), MAX_UNSEEN)
+
+
 class FailingAcceptTest(unittest.TestCase):
     """A listener goes on after each error that `accept` may raise."""
 
