Set the buffers of a listening socket before it listens

What callers saw: nothing. A process that starts into a crowd could accept connections with the buffers of the kernel's defaults, up to 128 KB unread each, that came between `listen` and `setsockopt`.

Change: the options are set before the socket is bound. A port in use leaves no socket open.

Test: the option SO_ACCEPTCONN of the socket when its buffers are set. Before: "Lists differ: [1] != [0]". How many connections came in that time was not measured.

--- a/buckthorndeal/transport/_accepting.py
+++ b/buckthorndeal/transport/_accepting.py
@@ -1,6 +1,7 @@
 """Accepting of TCP connections, which goes on after each error."""
 
 import errno
+import socket
 
 import curio
 from curio.io import Socket
@@ -202,8 +203,21 @@
 def listen_on_socket(address: str, port: int, backlog: int) -> Socket:
     """Return a listening socket, whose connections have narrow buffers from the start.
 
-    What arrives before a connection is accepted is held by the kernel as well.
+    What arrives before a connection is accepted is held by the kernel as well, so
+    that the buffers are set before the first one can come.
+
+    Raises
+    ------
+    OSError
+        If the address or the port cannot be used.
     """
-    sock = curio.tcp_server_socket(address, port, backlog=backlog, reuse_address=True)
-    limit_buffers(sock, NARROW_BUFFERS)
-    return sock
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, True)
+        limit_buffers(sock, NARROW_BUFFERS)
+        sock.bind((address, port))
+        sock.listen(backlog)
+    except BaseException:
+        sock.close()
+        raise
+    return Socket(sock)
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -1,8 +1,10 @@
 """Tests of the buffers that the kernel keeps for connections."""
 
+import os
 import socket as stdlib_socket
 import time
 import unittest
+from unittest import mock
 
 import curio
 
@@ -10,9 +12,12 @@
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.settings import Limits
 from buckthorndeal.transport import create_socket_transport
+from buckthorndeal.transport._accepting import limit_buffers, listen_on_socket
+from tests.process_use import count_descriptors
 from tests.raw_caller import read_answer
 
 ADDRESS = "127.0.0.1"
+ACCEPTING_MODULE = "buckthorndeal.transport._accepting"
 PART = b"x" * 65_536
 # The time after which nothing more is expected to be taken.
 FILL_S = 0.5
@@ -57,6 +62,28 @@
 
         curio.run(main)
 
+    def test_buffers_are_set_before_the_first_connection_can_come(self):
+        """Guards against a process that starts into a crowd with large buffers."""
+        listening = []
+
+        def record(sock, buffers):
+            option = stdlib_socket.SO_ACCEPTCONN
+            listening.append(sock.getsockopt(stdlib_socket.SOL_SOCKET, option))
+            limit_buffers(sock, buffers)
+
+        with mock.patch(f"{ACCEPTING_MODULE}.limit_buffers", record):
+            curio.run(listen_on_socket(ADDRESS, 0, 8).close)
+        self.assertEqual(listening, [0])
+
+    def test_port_in_use_leaves_no_socket_open(self):
+        """Guards against a descriptor for each attempt to listen."""
+        sock = listen_on_socket(ADDRESS, 0, 8)
+        before = count_descriptors(os.getpid())
+        with self.assertRaises(OSError):
+            listen_on_socket(ADDRESS, sock.getsockname()[1], 8)
+        self.assertEqual(count_descriptors(os.getpid()), before)
+        curio.run(sock.close)
+
     def test_connection_that_is_not_accepted_holds_little(self):
         """Guards against bytes of connections that wait in the backlog."""
 
