Bound what is remembered of the parts of prompts

What callers saw: a gateway whose memory grew with each request of one caller, in whole requests of the usual size, until its machine ended it: 292 MB after 1,000 requests with 1,800 parts each, 172 MB after 8,000 requests with a key of 15,000 characters; the process was told 96 MB.

Cause: the models of the endpoints' caches evict by tokens, so that parts without a token were kept for ever, and parts of one token up to the capacity of each endpoint (232,000 entries). Tables of keys (owners of prefixes, prefixes sent to regions, digests) are bounded by their number, but a key could be as long as a head.

The caches of all endpoints together remember 32,768 parts; beyond it the largest one loses its older half. No request is refused.

--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -385,6 +385,9 @@
         self._quota.record_state()
         quarantine = self._dispatcher.crash_guard.quarantine
         self._metrics.set_gauge("quarantined_keys", quarantine.count_quarantined())
+        caches = self._dispatcher.view.prefix_caches
+        self._metrics.set_gauge("prompt_parts", len(caches))
+        self._metrics.set_gauge("prompt_parts_evicted", caches.evicted_count)
         for service in self._dispatcher.view.services:
             state = self._dispatcher.describe_service(service, now_s)
             record_admission(self._metrics, self._dispatcher.admission, service, now_s)
--- a/buckthorndeal/gateway/_engine.py
+++ b/buckthorndeal/gateway/_engine.py
@@ -1,10 +1,9 @@
 """Models of an inference engine: prefill speed and prefix cache."""
 
+import weakref
 from collections import OrderedDict
 
-from buckthorndeal.gateway._messages import (
-    Prompt,
-)
+from buckthorndeal.gateway._prompts import Prompt
 
 # Estimate before the first observation.
 INITIAL_TOKENS_PER_S = 50_000.0
@@ -16,6 +15,10 @@
 DECAY = 0.97
 # A shorter prefill says nothing about the speed.
 MIN_OBSERVED_TOKENS = 500
+# Parts of prompts that are remembered of all endpoints together, about 9 MB.
+MAX_CACHED_PARTS = 32_768
+# The sum is formed once as many parts have been added.
+CHECK_PARTS = 512
 
 
 class PrefillSpeed:
@@ -51,13 +54,19 @@
     ----------
     capacity_tokens : int
         Capacity beyond which the least recently used parts are evicted.
+    caches : PrefixCaches
+        Caches of all endpoints, which limit the number of parts.
     """
 
-    def __init__(self, capacity_tokens: int) -> None:
+    def __init__(self, capacity_tokens: int, caches: "PrefixCaches") -> None:
         self._capacity_tokens = capacity_tokens
+        self._caches = caches
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
 
+    def __len__(self) -> int:
+        return len(self._parts)
+
     def count_cached(self, prompt: Prompt) -> int:
         """Return the tokens of the leading parts that are cached."""
         cached = 0
@@ -73,10 +82,67 @@
             self._tokens += part.tokens - self._parts.pop(part.key, 0)
             self._parts[part.key] = part.tokens
         while self._tokens > self._capacity_tokens and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+            self._evict_oldest()
+        self._caches.limit_parts(len(prompt.parts))
+
+    def evict_half(self) -> int:
+        """Remove the less recently used half of the parts; return their number.
+
+        Parts without a token take no capacity, so that nothing else evicts them.
+        """
+        count = (len(self._parts) + 1) // 2
+        for _ in range(count):
+            self._evict_oldest()
+        return count
 
     def clear(self) -> None:
         """Remove all parts, because the endpoint has restarted."""
         self._parts.clear()
         self._tokens = 0
+
+    def _evict_oldest(self) -> None:
+        _, tokens = self._parts.popitem(last=False)
+        self._tokens -= tokens
+
+
+class PrefixCaches:
+    """Prefix caches of all endpoints, whose parts are limited together.
+
+    Callers choose the parts of their prompts and the tokens of each, so that the
+    capacities of the endpoints bound their number no further.
+
+    Parameters
+    ----------
+    max_parts : int
+        Number of parts beyond which the largest cache loses half of its parts.
+
+    Attributes
+    ----------
+    evicted_count : int
+        Number of parts that were removed to keep within the limit.
+    """
+
+    def __init__(self, max_parts: int = MAX_CACHED_PARTS) -> None:
+        self._max_parts = max_parts
+        # Those of endpoints that are gone are not kept.
+        self._caches: weakref.WeakSet[PrefixCache] = weakref.WeakSet()
+        self._added = 0
+        self.evicted_count = 0
+
+    def __len__(self) -> int:
+        return sum(len(cache) for cache in self._caches)
+
+    def create(self, capacity_tokens: int) -> PrefixCache:
+        """Return an empty cache of an endpoint."""
+        cache = PrefixCache(capacity_tokens, self)
+        self._caches.add(cache)
+        return cache
+
+    def limit_parts(self, added: int) -> None:
+        """Keep within the limit after parts were added to a cache."""
+        self._added += added
+        if self._added < CHECK_PARTS:
+            return
+        self._added = 0
+        while len(self) > self._max_parts:
+            self.evicted_count += max(self._caches, key=len).evict_half()
--- a/buckthorndeal/gateway/_explanation.py
+++ b/buckthorndeal/gateway/_explanation.py
@@ -26,10 +26,9 @@
     Call,
     Dispatch,
     ExplainDecision,
-    Prompt,
-    PromptPart,
     Refusal,
 )
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.workspaces import Workspace
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -6,7 +6,7 @@
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad, create_endpoint_table
-from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCache
+from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCaches
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
 )
@@ -102,6 +102,7 @@
         self.stream_versions = StreamVersions()
         self._service_times: dict[str, ServiceTime] = {}
         self._service_paces: dict[str, ServicePace] = {}
+        self.prefix_caches = PrefixCaches()
         self.loads: dict[str, EndpointLoad] = {}
         self.services: Mapping[str, ServiceDescription] = {}
         # Services that a newer configuration has dropped, while endpoints of them live.
@@ -313,7 +314,7 @@
             previous is not None and previous.record.incarnation != record.incarnation
         )
         if load is None or restarted:
-            cache = PrefixCache(compute_cache_tokens(self.get_service(record.service)))
+            capacity = compute_cache_tokens(self.get_service(record.service))
             service_time = ServiceTime(
                 self._service_times.setdefault(record.service, ServiceTime())
             )
@@ -322,7 +323,7 @@
             )
             self.loads[record.endpoint] = EndpointLoad(
                 entry,
-                cache,
+                self.prefix_caches.create(capacity),
                 service_time=service_time,
                 learning=EndpointLearning(record.slots, pace),
             )
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -24,6 +24,7 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._exchange import INTERNAL_RETRY_S, Exchange
+from buckthorndeal.gateway._long_prompts import LongPrompts
 from buckthorndeal.gateway._messages import (
     Call,
 )
@@ -80,6 +81,7 @@
         self._context = context
         self._replays = ReplayGuard()
         self._workspace_metrics = WorkspaceMetrics(context.metrics)
+        self._long_prompts = LongPrompts(context.metrics)
 
     async def handle_caller(self, request: Request, responder: Responder) -> None:
         """Handle a request of a caller."""
@@ -160,6 +162,7 @@
         """Respond to a request; raise `RequestError` if it is refused or fails."""
         metadata = self._context.dialect.parse_request(request)
         handling.request_id = metadata.request_id
+        self._long_prompts.record(metadata.request_id, metadata.prompt)
         # All that follows goes by this version of the configuration.
         routes = await self._get_routes()
         route = _find_route(routes, request)
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -5,59 +5,12 @@
 
 from buckthorndeal.configuration import Route
 from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.gateway._prompts import Prompt
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.quarantine import RequestContent
 from buckthorndeal.workspaces import QuotaUnit, Workspace
 
 
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """Part of a prompt that several requests may share.
-
-    Parameters
-    ----------
-    key : str
-        Key that identifies the part together with all parts before it.
-    tokens : int
-        Length of the part.
-    """
-
-    key: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class Prompt:
-    """Size and prefix of the prompt of a model request.
-
-    Parameters
-    ----------
-    model : str
-        Name of the model.
-    tokens : int
-        Length of the prompt in tokens.
-    max_output_tokens : int
-        Largest number of tokens that may be generated.
-    parts : tuple of PromptPart
-        Parts in order; the last one is private to the request or its session.
-    """
-
-    model: str
-    tokens: int
-    max_output_tokens: int
-    parts: tuple[PromptPart, ...] = ()
-
-    @property
-    def shared_prefix_key(self) -> str | None:
-        """Key of the longest prefix that other requests may share."""
-        return self.parts[-2].key if len(self.parts) > 1 else None
-
-    @property
-    def shared_prefix_tokens(self) -> int:
-        """Length of the longest prefix that other requests may share."""
-        return sum(part.tokens for part in self.parts[:-1])
-
-
 @dataclass(slots=True)
 class Call:
     """Properties of a request that the dispatcher needs.
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -7,8 +7,8 @@
 from buckthorndeal.errors import RequestError
 from buckthorndeal.gateway._messages import (
     LoadReport,
-    Prompt,
 )
+from buckthorndeal.gateway._prompts import Prompt
 from buckthorndeal.http_server import Request
 
 __all__ = [
--- a/tests/crash_play.py
+++ b/tests/crash_play.py
@@ -16,11 +16,10 @@
 )
 from buckthorndeal.gateway._messages import (
     Grant,
-    Prompt,
-    PromptPart,
     Refusal,
     RefusalReason,
 )
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.quarantine import RequestContent
 from tests.dispatcher_harness import ROUTE, DispatcherHarness
--- a/tests/dispatcher_harness.py
+++ b/tests/dispatcher_harness.py
@@ -19,9 +19,8 @@
 from buckthorndeal.gateway._messages import (
     Call,
     Dispatch,
-    Prompt,
-    PromptPart,
 )
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.policy.ejection import create_ejection
 from buckthorndeal.policy.views import AttemptOutcome
 
--- a/tests/overload_play.py
+++ b/tests/overload_play.py
@@ -17,9 +17,8 @@
     Dispatch,
     Grant,
     LoadReport,
-    Prompt,
-    PromptPart,
 )
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.gateway._quota_gate import Admission, QuotaGate
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.workspaces import QuotaUnit, Workspace
--- a/tests/pace_play.py
+++ b/tests/pace_play.py
@@ -17,9 +17,8 @@
 from buckthorndeal.gateway._messages import (
     Grant,
     LoadReport,
-    Prompt,
-    PromptPart,
 )
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.dispatcher_harness import DispatcherHarness
 
--- a/tests/test_quarantine_play.py
+++ b/tests/test_quarantine_play.py
@@ -4,10 +4,7 @@
 from unittest import mock
 
 from buckthorndeal.coordinator._evidence import EvidenceRelay
-from buckthorndeal.gateway._messages import (
-    Prompt,
-    PromptPart,
-)
+from buckthorndeal.gateway._prompts import Prompt, PromptPart
 from buckthorndeal.quarantine import RequestContent
 from tests.crash_play import CrashPlay, PlayRequest
 
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -23,7 +23,8 @@
     identify_caller,
     identify_forwarded,
 )
-from buckthorndeal.gateway._messages import Call, Prompt
+from buckthorndeal.gateway._messages import Call
+from buckthorndeal.gateway._prompts import Prompt
 from buckthorndeal.gateway.dialect import RequestMetadata, create_default_dialect
 from buckthorndeal.http_server import Request
 from buckthorndeal.metrics import create_metrics
