--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -432,6 +432,8 @@
         connected = sum(each.connected for each in liveness)
         self._metrics.set_gauge("endpoints", len(self._endpoints.list_all()))
         self._metrics.set_gauge("entry_hosts", connected)
+        left_out = self._directory_log.left_out_count
+        self._metrics.set_gauge("directory_decisions_left_out", left_out)
         self._metrics.set_gauge(
             "coordinators", len(self._coordinators.list_alive(self._clock()))
         )
