Remove endpoints that have left, and services that only they named

What callers saw: nothing at once; a gateway kept the load, the prefix cache and the pace of every endpoint that ever left in order, and looked at all of them for each decision. Each release of a service added its endpoints once more.

Cause: the table returned only endpoints that had fallen silent, not those whose tombstone had ended, and their loads were removed by that list. The same held for services: what is learned of one, and whether its endpoints name a version, was kept for every name in a heartbeat.

Change: loads go with the entry of the table. `KnownServices` holds what is known of services and forgets those that are neither configured nor served.

--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -10,9 +10,10 @@
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
 )
+from buckthorndeal.gateway._known_services import KnownServices
 from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
-from buckthorndeal.gateway._pace import EndpointPace, ServicePace
+from buckthorndeal.gateway._pace import EndpointPace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
 from buckthorndeal.gateway._region_load import describe_load
@@ -100,16 +101,17 @@
         self._pauses = EndpointPauses()
         self.rate_shares = RateShares(host)
         self.stream_versions = StreamVersions()
-        self._service_times: dict[str, ServiceTime] = {}
-        self._service_paces: dict[str, ServicePace] = {}
         self.prefix_caches = PrefixCaches()
         self.loads: dict[str, EndpointLoad] = {}
-        self.services: Mapping[str, ServiceDescription] = {}
-        # Services that a newer configuration has dropped, while endpoints of them live.
-        self._dropped_services: dict[str, ServiceDescription] = {}
+        self._known_services = KnownServices()
         self.fleet = FleetChanged((host,), 1, frozenset())
         self.warm_ups = WarmUps(host)
 
+    @property
+    def services(self) -> Mapping[str, ServiceDescription]:
+        """Services of the newest configuration by name."""
+        return self._known_services.described
+
     def list_available(
         self, service: str, version: str | None, now_s: float
     ) -> list[EndpointLoad]:
@@ -274,19 +276,11 @@
 
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
-        known = {**self._dropped_services, **self.services}
-        self._dropped_services = {
-            name: service for name, service in known.items() if name not in services
-        }
-        self.services = services
+        self._known_services.describe(services)
 
     def get_service(self, name: str) -> ServiceDescription | None:
-        """Return a service, or None if it is unknown.
-
-        A request that was accepted under an older configuration may still need one that
-        the newer one has dropped.
-        """
-        return self.services.get(name) or self._dropped_services.get(name)
+        """Return a service, or None if it is unknown; see `KnownServices.get`."""
+        return self._known_services.get(name)
 
     def get_connection_limit(self, service: ServiceDescription) -> int:
         """Return how many connections this host may open to each endpoint."""
@@ -315,12 +309,9 @@
         )
         if load is None or restarted:
             capacity = compute_cache_tokens(self.get_service(record.service))
-            service_time = ServiceTime(
-                self._service_times.setdefault(record.service, ServiceTime())
-            )
-            pace = EndpointPace(
-                self._service_paces.setdefault(record.service, ServicePace()), now_s
-            )
+            services = self._known_services
+            service_time = ServiceTime(services.get_time(record.service))
+            pace = EndpointPace(services.get_pace(record.service), now_s)
             self.loads[record.endpoint] = EndpointLoad(
                 entry,
                 self.prefix_caches.create(capacity),
@@ -338,7 +329,8 @@
     def expire(self, silence_s: float, now_s: float) -> list[str]:
         """Remove and return the endpoints without heartbeats for `silence_s` seconds.
 
-        Nothing is removed while no heartbeats arrive at all.
+        Those that have left are kept while a late heartbeat may still come. Nothing is
+        removed while no heartbeats arrive at all.
         """
         self._pauses.expire(now_s)
         self.stream_versions.expire(now_s)
@@ -346,19 +338,19 @@
         self.rate_shares.expire(records, now_s)
         if now_s - self._last_heartbeat_s > HEARTBEAT_TIMEOUT_S:
             return []
-        expired = [record.endpoint for record in self._table.expire(silence_s, now_s)]
-        for endpoint in expired:
-            self.loads.pop(endpoint, None)
+        self._table.expire(silence_s, now_s)
+        removed = [each for each in self.loads if self._table.get(each) is None]
+        for endpoint in removed:
+            del self.loads[endpoint]
             self.warm_ups.forget(endpoint)
-        for service in list(self._dropped_services):
-            if not self.count_endpoints(service):
-                del self._dropped_services[service]
-        return expired
+        served = {load.entry.record.service for load in self.loads.values()}
+        self.stream_versions.forget_services(self._known_services.expire(served))
+        return removed
 
     def get_max_prefill_speed(self, service: str) -> float:
         """Return the highest prefill speed of a service, in tokens per second."""
-        pace = self._service_paces.get(service)
-        if pace is not None and pace.is_active:
+        pace = self._known_services.find_active_pace(service)
+        if pace is not None:
             return 1 / pace.get_token_s()
         speeds = [load.prefill_speed.tokens_per_s for load in self._list_loads(service)]
         return max(speeds, default=INITIAL_TOKENS_PER_S)
@@ -400,8 +392,7 @@
 
     def has_learned_pace(self, service: str) -> bool:
         """Return whether endpoints of a service report a slowdown."""
-        pace = self._service_paces.get(service)
-        return pace is not None and pace.is_active
+        return self._known_services.find_active_pace(service) is not None
 
     def _is_evacuated(self, load: EndpointLoad) -> bool:
         return load.entry.record.failure_domain in self.fleet.evacuated
--- a/buckthorndeal/gateway/_stream_versions.py
+++ b/buckthorndeal/gateway/_stream_versions.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from buckthorndeal.configuration import RequestKind
 from buckthorndeal.fleet import (
@@ -114,6 +114,10 @@
         outgoing, self._outgoing = self._outgoing, []
         return tuple(outgoing)
 
+    def forget_services(self, kept: Collection[str]) -> None:
+        """Forget which services name no version, but for those that are kept."""
+        self._unnamed.intersection_update(kept)
+
     def expire(self, now_s: float) -> None:
         """Forget streams that are over, and versions that nobody has seen of late."""
         self._versions.expire(now_s)
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -80,7 +80,7 @@
         dispatcher._passes,
         dispatcher._slot_shares._lingering,
         dispatcher._slot_shares._reduced,
-        dispatcher.view._service_paces,
+        dispatcher.view._known_services._paces,
         dispatcher._granted,
         dispatcher._ejection,
         dispatcher.relays._sent,
