Bound the endpoints that a process knows

Cause: whoever sends heartbeats chooses the ids. An endpoint is kept for 3.5 s of silence, and for 60 s if another one reports its address. What a host that connects is told of all endpoints was one message besides, which with long names is larger than a frame may be, so that the link breaks.

Change: tables hold 4,096 endpoints, seven times those of the largest deployment in design; heartbeats of further ones get 503. Records are sent in messages of 256. Metric endpoints_refused, log event endpoint_refused, about one a second. Messages to entry hosts move out of `_fleet_task`.

Tests: before, 8,192 endpoints were added (4,096 wanted), and the message on 4,096 endpoints had 25 MB (8.4 MB are a frame). Both pass now.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -12,6 +12,14 @@
     is_significant_change,
     log_endpoint_change,
 )
+from buckthorndeal.coordinator._endpoint_refusals import EndpointRefusals
+from buckthorndeal.coordinator._entry_notices import (
+    create_cluster_notice,
+    send_heartbeats,
+    send_host_changes,
+    send_notice,
+    send_shared_state,
+)
 from buckthorndeal.coordinator._entry_table import EntryTable, KnownEntryHost
 from buckthorndeal.coordinator._fleet_messages import (
     ChooseEntryHosts,
@@ -34,9 +42,7 @@
 )
 from buckthorndeal.coordinator._shared_state import SharedNews, SharedState
 from buckthorndeal.coordinator._version_store import VersionStore
-from buckthorndeal.errors import PeerError
 from buckthorndeal.fleet import (
-    ClusterNotice,
     ControlHost,
     ControlStatus,
     EndpointHeartbeats,
@@ -56,7 +62,6 @@
 )
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.supervision import spawn_job
-from buckthorndeal.wire import Message
 
 FLUSH_INTERVAL_S = 0.2
 STATUS_INTERVAL_S = 1.0
@@ -115,6 +120,7 @@
         self._cluster: ClusterState | None = None
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
         self._directory_log = DirectoryLog()
+        self._refusals = EndpointRefusals(metrics, clock)
         self._heartbeats = HeartbeatBatch(clock())
         self._flush_due_s = clock()
         self._status_due_s = clock()
@@ -148,6 +154,10 @@
     @_handle.register
     async def _(self, message: HeartbeatReceived, envelope: Envelope) -> None:
         now_s = self._clock()
+        if not self._endpoints.has_room(message.record.endpoint):
+            self._refusals.record(message.record, len(self._endpoints.list_all()))
+            await envelope.reply(False)
+            return
         self._shared.record_heartbeat(message.record, now_s)
         record = self._departures.apply(message.record)
         known = self._endpoints.get(record.endpoint)
@@ -254,9 +264,9 @@
         self._cluster = message.state
         self._departure_relay.voters = message.state.voters
         await self._links.ensure(message.state.members)
-        notice = self._create_notice()
+        notice = create_cluster_notice(self._cluster)
         for entry in self._entries:
-            await self._send(entry, notice)
+            await send_notice(entry, notice)
 
     @_handle.register
     async def _(self, message: ChooseEntryHosts, envelope: Envelope) -> None:
@@ -342,9 +352,9 @@
 
     async def _send_initial_state(self, entry: KnownEntryHost) -> None:
         entry.sent_coordinators = self._coordinators.list_with_self(self._clock())
-        await self._send(entry, ControlStatus(entry.sent_coordinators))
-        await self._send(entry, self._create_notice())
-        await self._send(entry, self._entries.create_published_list())
+        await send_notice(entry, ControlStatus(entry.sent_coordinators))
+        await send_notice(entry, create_cluster_notice(self._cluster))
+        await send_notice(entry, self._entries.create_published_list())
         # Before the endpoints, at which requests are sent as soon as they are known.
         await self._send_shared_state(entry, self._shared.export(self._clock()))
         region = entry.host.region
@@ -354,15 +364,7 @@
             if each.record.region == region
         )
         last = EndpointHeartbeats(records, ends_initial_state=True)
-        await self._send(entry, last)
-
-    def _create_notice(self) -> ClusterNotice:
-        state = self._cluster
-        if state is None:
-            return ClusterNotice(0, None, ())
-        return ClusterNotice(
-            state.index, state.version, tuple(state.evacuated), tuple(state.pending)
-        )
+        await send_heartbeats(entry, last)
 
     async def _flush(self, now_s: float) -> None:
         """Remove silent endpoints and send the changes since the last flush."""
@@ -370,7 +372,11 @@
             log_event("endpoint_silent", endpoint=record.endpoint)
         self._departures.expire(now_s)
         await self._flush_endpoints(now_s)
-        await self._send_host_changes()
+        await send_host_changes(
+            self._entries,
+            self._entries.take_changes(now_s),
+            self._coordinators.list_with_self(now_s),
+        )
         await self._flush_shared_state(now_s)
 
     async def _flush_shared_state(self, now_s: float) -> None:
@@ -390,8 +396,7 @@
                 await spawn_job(self._links.deliver, host, message)
 
     async def _send_shared_state(self, entry: KnownEntryHost, news: SharedNews) -> None:
-        for message in news.create_messages(entry.host.region):
-            await self._send(entry, message)
+        await send_shared_state(entry, news)
 
     async def _flush_endpoints(self, now_s: float) -> None:
         """Send the heartbeats since the last flush to entry hosts, by region."""
@@ -399,20 +404,7 @@
         for entry in self._entries:
             message = messages.get(entry.host.region)
             if message is not None:
-                await self._send(entry, message)
-
-    async def _send_host_changes(self) -> None:
-        """Send all entry hosts the changes in the live hosts since the last call."""
-        changes = self._entries.take_changes(self._clock())
-        coordinators = self._coordinators.list_with_self(self._clock())
-        for entry in self._entries:
-            if entry.initialized_channel is None:
-                continue
-            if changes is not None:
-                await self._send(entry, changes)
-            if entry.sent_coordinators != coordinators:
-                entry.sent_coordinators = coordinators
-                await self._send(entry, ControlStatus(coordinators))
+                await send_heartbeats(entry, message)
 
     async def _send_status(self, now_s: float) -> None:
         status = ControlStatus(
@@ -437,13 +429,3 @@
         self._metrics.set_gauge(
             "coordinators", len(self._coordinators.list_alive(self._clock()))
         )
-
-    async def _send(self, entry: KnownEntryHost, message: Message) -> None:
-        if not entry.channel.connected:
-            return
-        try:
-            await entry.channel.send(message)
-        except PeerError as error:
-            log_event("notice_lost", peer=entry.host.host, reason=str(error))
-            # Changes build on each other, so the host is sent everything again.
-            entry.initialized_channel = None
--- a/buckthorndeal/coordinator/_heartbeat_batch.py
+++ b/buckthorndeal/coordinator/_heartbeat_batch.py
@@ -1,10 +1,14 @@
 """Heartbeats of endpoints that wait to be sent to the entry hosts of their regions."""
 
+import msgspec
+
 from buckthorndeal.fleet import EndpointHeartbeats, EndpointRecord
 
 # Endpoints whose record still holds are listed less often: their heartbeats say
 # nothing new, and each list goes to all entry hosts of a region.
 REFRESH_INTERVAL_S = 0.5
+# Keeps the frame of a message small, however long the names in the records are.
+MAX_RECORDS = 256
 
 
 class HeartbeatBatch:
@@ -56,3 +60,14 @@
             )
             messages[region] = EndpointHeartbeats(records, names)
         return messages
+
+
+def split_heartbeats(message: EndpointHeartbeats) -> list[EndpointHeartbeats]:
+    """Return messages with few records each that say the same, in order."""
+    records = message.records
+    if len(records) <= MAX_RECORDS:
+        return [message]
+    starts = range(0, len(records), MAX_RECORDS)
+    parts = [records[start : start + MAX_RECORDS] for start in starts]
+    last = msgspec.structs.replace(message, records=parts[-1])
+    return [*map(EndpointHeartbeats, parts[:-1]), last]
--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -12,6 +12,9 @@
 # process was stopped in between, or received no heartbeats at all, and those of some
 # endpoints may be waiting unread.
 MAX_CHECK_INTERVAL_S = 2.0
+# Endpoints that are known at once, with those that have left. Their ids are chosen by
+# whoever sends heartbeats.
+MAX_ENDPOINTS = 4_096
 
 
 @dataclass(slots=True)
@@ -49,9 +52,16 @@
 
 
 class EndpointTable:
-    """Newest incarnation and heartbeat of each endpoint, by id."""
+    """Newest incarnation and heartbeat of each endpoint, by id.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_endpoints : int
+        Number of endpoints beyond which no further one is added.
+    """
+
+    def __init__(self, max_endpoints: int = MAX_ENDPOINTS) -> None:
+        self._max_endpoints = max_endpoints
         self._entries: dict[str, EndpointEntry] = {}
         self._address_owners: dict[str, str] = {}
         self._checked_s: float | None = None
@@ -60,6 +70,10 @@
         """Return an endpoint, which may have left, or None if it is unknown."""
         return self._entries.get(endpoint)
 
+    def has_room(self, endpoint: str) -> bool:
+        """Return whether an endpoint is known or can be added."""
+        return endpoint in self._entries or len(self._entries) < self._max_endpoints
+
     def list_active(self) -> list[EndpointEntry]:
         """Return the endpoints that have not left."""
         return [
@@ -85,8 +99,10 @@
         Returns
         -------
         EndpointRecord or None
-            The merged record, or None if the heartbeat is stale.
+            The merged record, or None if the heartbeat is stale or there is no room.
         """
+        if not self.has_room(record.endpoint):
+            return None
         known = self._entries.get(record.endpoint)
         if known is not None:
             merged = _merge(known.record, record)
