Bound the names that a coordinator stores, and its evacuations

Cause: only records in heartbeats were checked. Ids in leaves and names in evacuations could be as long as a head. Departures are bounded by their number, 4,096, and each save and relay writes them again; evacuations and the last order on each domain had no bound at all.

Change: names have 256 printable characters at most (400, not stored). 1,024 failure domains may be evacuated at once, further ones are refused by the leader (503, not run); the order remembered for longest is forgotten. Metric evacuations_refused, log event evacuation_refused.

--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -27,7 +27,7 @@
     RequestError,
     Verdict,
 )
-from buckthorndeal.logs import log_event
+from buckthorndeal.logs import LineBudget, log_event
 from buckthorndeal.mailbox import Envelope
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.replication import BaseReplicaTask, SendFrame
@@ -41,6 +41,10 @@
 
 # A replaced host counts as failed until it votes, so membership is repaired often.
 REPAIR_INTERVAL_S = 0.25
+# Failure domains that may be evacuated at once. Each is kept on disk, and sent to all
+# entry hosts, until its evacuation ends.
+MAX_EVACUATIONS = 1_024
+REFUSAL_LINES_PER_S = 1.0
 
 Publish = Callable[[ClusterState], Awaitable[None]]
 
@@ -78,8 +82,9 @@
         self._publish_state = publish
         self._metrics = metrics
         self._published: ClusterState | None = None
-        # Last order on each failure domain while this replica leads.
+        # Last order on each failure domain while this replica leads, the oldest first.
         self._orders: dict[str, _Order] = {}
+        self._refusal_budget = LineBudget(REFUSAL_LINES_PER_S)
         self._snapshot_state: tuple[int | None, frozenset[str]] | None = None
 
     @singledispatchmethod
@@ -101,11 +106,11 @@
     async def _(self, message: ChangeEvacuation, envelope: Envelope) -> None:
         self._require_leader()
         self._check_current(message)
+        self._check_room(message)
         command = SetEvacuation(
             failure_domain=message.failure_domain, active=message.active
         )
-        order = _Order(self._replica.last_index + 1, message.active)
-        self._orders[message.failure_domain] = order
+        self._record_order(message)
         await self._propose(command, envelope)
 
     @_handle.register
@@ -159,6 +164,31 @@
         reason = f"another order on {order.failure_domain} may be newer"
         raise RequestError("order_outdated", 503, reason, Verdict.NOT_RUN)
 
+    def _check_room(self, order: ChangeEvacuation) -> None:
+        """Raise `RequestError` if too many failure domains would be evacuated."""
+        if not order.active or order.failure_domain in self._machine.evacuated:
+            return
+        evacuated = self._machine.evacuated | self._find_pending_evacuations()
+        if order.failure_domain in evacuated or len(evacuated) < MAX_EVACUATIONS:
+            return
+        self._metrics.count("evacuations_refused")
+        if self._refusal_budget.take(self._clock()):
+            log_event(
+                "evacuation_refused",
+                failure_domain=order.failure_domain,
+                evacuated=len(evacuated),
+            )
+        reason = f"{len(evacuated)} failure domains are evacuated"
+        raise RequestError("too_many_evacuations", 503, reason, Verdict.NOT_RUN)
+
+    def _record_order(self, order: ChangeEvacuation) -> None:
+        """Remember the last order on a failure domain; the oldest is forgotten."""
+        self._orders.pop(order.failure_domain, None)
+        if len(self._orders) >= MAX_EVACUATIONS:
+            del self._orders[next(iter(self._orders))]
+        position = self._replica.last_index + 1
+        self._orders[order.failure_domain] = _Order(position, order.active)
+
     def _is_compaction_due(self) -> bool:
         """Return whether the log should be compacted into a snapshot.
 
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -40,6 +40,7 @@
     EntryHost,
     EvacuationReply,
     HostLinks,
+    InvalidRecordError,
     LeaveCluster,
     LogPosition,
     ProposeConfiguration,
@@ -48,6 +49,7 @@
     ReadLogPosition,
     Unavailable,
     check_incarnation,
+    check_name,
     check_record,
 )
 from buckthorndeal.logs import log_event
@@ -124,8 +126,9 @@
         Raises
         ------
         InvalidRecordError
-            If the incarnation is out of bounds.
+            If no endpoint can have the id, or the incarnation is out of bounds.
         """
+        check_name(endpoint)
         if incarnation is not None:
             check_incarnation(incarnation)
         return await self._fleet.ask(LeaveReceived(endpoint, incarnation))
@@ -212,8 +215,13 @@
         Raises
         ------
         RequestError
-            With status 503 if the outcome is unknown.
+            With status 400 if no failure domain can have the name, and 503 if too many
+            are evacuated or the outcome is unknown.
         """
+        try:
+            check_name(failure_domain)
+        except InvalidRecordError as error:
+            raise RequestError("bad_request", 400, str(error)) from error
         try:
             await self._ask_replica(ChangeEvacuation(failure_domain, active))
         except NotLeaderError as error:
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -60,6 +60,7 @@
 from buckthorndeal.fleet._record_checks import (
     InvalidRecordError,
     check_incarnation,
+    check_name,
     check_record,
     select_valid_records,
 )
@@ -126,6 +127,7 @@
     "Unavailable",
     "VersionTable",
     "check_incarnation",
+    "check_name",
     "check_record",
     "choose_entry_hosts",
     "count_home_routes",
--- a/buckthorndeal/fleet/_record_checks.py
+++ b/buckthorndeal/fleet/_record_checks.py
@@ -38,9 +38,9 @@
         record.region,
         record.failure_domain,
     ):
-        _check_name(name)
+        check_name(name)
     if record.version:
-        _check_name(record.version)
+        check_name(record.version)
     check_incarnation(record.incarnation)
     _check_range("sequence number", record.sequence, 0, MAX_COUNTER)
     _check_range("number of slots", record.slots, 0, MAX_SLOTS)
@@ -77,7 +77,14 @@
     return True
 
 
-def _check_name(name: str) -> None:
+def check_name(name: str) -> None:
+    """Check a name that comes from outside.
+
+    Raises
+    ------
+    InvalidRecordError
+        If it is empty, too long or not printable.
+    """
     if not name or len(name) > MAX_NAME_CHARS or not name.isprintable():
         shown = ascii(name[:MAX_NAME_CHARS])
         raise InvalidRecordError(f"{shown} is empty, too long or not printable")
