Shorten fields of log lines that are as long as a head

What operators saw: lines of up to 16 KB for callers with such ids, up to 450 a second; 17 of them fill the buffer of lines while the reader is slow, and take the place of others.

Cause: the budgets count lines, and ids and names in them come from outside.

Change: a field has 1,024 characters and tells its length.

--- a/buckthorndeal/logs.py
+++ b/buckthorndeal/logs.py
@@ -38,6 +38,8 @@
 DROPPED_LINES_INTERVAL_S = 5.0
 # Buffered while the reader is slow; further lines are dropped.
 MAX_BUFFERED_BYTES = 262_144
+# Ids and names from outside may be as long as a head.
+MAX_FIELD_CHARACTERS = 1_024
 
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
@@ -64,13 +66,19 @@
             "level": record.levelname.lower(),
             "host": self._host,
             "event": record.getMessage(),
-            **fields,
+            **{name: _shorten(value) for name, value in fields.items()},
         }
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
         return _ENCODER.encode(line).decode()
 
 
+def _shorten(value: object) -> object:
+    if not isinstance(value, str) or len(value) <= MAX_FIELD_CHARACTERS:
+        return value
+    return f"{value[:MAX_FIELD_CHARACTERS]}... ({len(value)} characters)"
+
+
 class LineBudget:
     """Token bucket that limits the rate of one kind of lines.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -104,3 +104,14 @@
         line = logs.JsonFormatter("h1").format(record)
         self.assertNotIn("\n", line)
         self.assertEqual(json.loads(line)["value"], {"a": 1})
+
+    def test_long_field_is_shortened(self):
+        """Guards against ids of the size of a head that fill the buffer of lines."""
+        usual = "i" * logs.MAX_FIELD_CHARACTERS
+        record = create_record("e", request_id="r" * 15_000, usual=usual)
+        line = logs.JsonFormatter("h1").format(record)
+        self.assertLess(len(line), 3 * logs.MAX_FIELD_CHARACTERS)
+        fields = json.loads(line)
+        self.assertTrue(fields["request_id"].startswith("r" * 1_000))
+        self.assertIn("15000 characters", fields["request_id"])
+        self.assertEqual(fields["usual"], usual)
