Name new things in the soak, and keep the logs of what breaks a rule

The crowd of a coordinator is joined by whole requests that name new things: questions to the directory, heartbeats, or leaves, drawn last, so that the other faults of a seed stay as they are.

--- a/tests/soak_play.py
+++ b/tests/soak_play.py
@@ -6,11 +6,14 @@
 import collections
 import contextlib
 import json
+import math
 import random
 import signal
 import sys
+import tempfile
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import curio
 from curio.errors import CancelledError
@@ -20,6 +23,8 @@
 from buckthorndeal.quota._options import DRIFT_S, LEASE_S
 from tests.client_play import HEARTBEAT, ClientOptions, create_parts
 from tests.fleet_harness import REQUEST_ID
+from tests.name_play import REQUESTS
+from tests.raw_caller import read_answer
 from tests.silence_play import SilencePlay, _is_answered
 from tests.stop_play import Order
 from tests.workspace_harness import APPLY_S, KEY, NAME
@@ -66,6 +71,9 @@
 CROWD = 150
 CROWD_S = 2.0
 CROWD_MANNERS = ("small", "length", "head", "idle")
+# What else is named to a coordinator, and at which port.
+NAMED_PORTS = {"directory": "directory", "heartbeats": "api", "leaves": "api"}
+RECONNECT_S = 0.1
 
 
 @dataclass
@@ -117,6 +125,8 @@
         self.times_s["crowd"] = crowd_rng.uniform(0.5, LAST_FAULT_S)
         self.crowded = crowd_rng.choice(self.hosts + self.coordinators)
         self.crowd_manner = crowd_rng.choice(CROWD_MANNERS)
+        # What the crowd of a coordinator names, besides; drawn last, as above.
+        self.named = crowd_rng.choice(tuple(NAMED_PORTS))
         # One endpoint of the home region stays sound.
         self.targets = rng.sample(self.endpoints[:-1], 3)
 
@@ -124,7 +134,9 @@
 
     def list_violations(self):
         """Return the broken rules, one text each."""
+        is_changed = self.changed_s is not None
         return [
+            *([] if is_changed else ["no change was acknowledged"]),
             *self._check_answers(),
             *self._check_runs(),
             *self._check_removed_key(),
@@ -212,6 +224,8 @@
 
         A host that is frozen at that time, or lacks the processor, may be late.
         """
+        if self.changed_s is None:
+            return 0
         late_s = self.changed_s + APPLY_S
         return sum(
             run.order.key == REMOVED_KEY and run.order.sent_s > late_s
@@ -228,7 +242,12 @@
         return refused_s
 
     def _get_in_force_s(self):
-        """Return when the changed configuration is known to be in force everywhere."""
+        """Return when the changed configuration is known to be in force everywhere.
+
+        It is infinite if the change was not acknowledged.
+        """
+        if self.changed_s is None:
+            return math.inf
         seen_s = max(self._find_refusals().values(), default=0.0)
         return max(self.changed_s + APPLY_S, seen_s)
 
@@ -348,6 +367,9 @@
         async def is_in_force():
             return len(self._find_refusals()) == len(self.hosts)
 
+        if self.changed_s is None:
+            self.is_over = True
+            return
         # Without it, `list_violations` names the fault.
         with contextlib.suppress(AssertionError):
             await self._wait_until(is_in_force, "the removed key is refused")
@@ -359,10 +381,12 @@
     async def _remove_key_and_lower_quota(self):
         self.version += 1
         content = self._create_configuration()
-        await self._wait_until(
-            lambda: self._call_api("PUT", "/v1/configuration", content), "changed"
-        )
-        self.changed_s = time.monotonic()
+        # Without an acknowledgement, `list_violations` names the fault.
+        with contextlib.suppress(AssertionError):
+            await self._wait_until(
+                lambda: self._call_api("PUT", "/v1/configuration", content), "changed"
+            )
+            self.changed_s = time.monotonic()
 
     async def _slow_endpoint(self):
         self.slow.add(self.targets[0].name)
@@ -396,6 +420,23 @@
                 await group.spawn(
                     curio.ignore_after, CROWD_S, self._misbehave, clients, port
                 )
+            if self.crowded in self.coordinators:
+                await group.spawn(curio.ignore_after, CROWD_S, self._name_things)
+
+    async def _name_things(self):
+        """Send whole requests, each of which names what no other has named."""
+        port = self.ports[NAMED_PORTS[self.named]]
+        number = 0
+        while True:
+            try:
+                stream = await self.transport.connect(self.crowded, port)
+                while True:
+                    number += 1
+                    await stream.sendall(REQUESTS[self.named](number))
+                    await read_answer(stream)
+            except (OSError, EOFError):
+                # It was refused, or the process does not run.
+                await curio.sleep(RECONNECT_S)
 
     async def _misbehave(self, clients, port):
         """Send what never becomes a whole request, and stay."""
@@ -489,7 +530,7 @@
     frozen = "coordinator" if play.frozen in play.coordinators else "gateway"
     return (
         f"seed {play.seed}: killed a {killed}, froze a {frozen} for "
-        f"{play.freeze_s:.1f} s, crowd ({play.crowd_manner}) at "
+        f"{play.freeze_s:.1f} s, crowd ({play.crowd_manner}, {play.named}) at "
         f"{play.crowded}, {len(play.orders)} orders, statuses {dict(statuses)}, "
         f"{len(play.arrivals)} runs, most in a window {used}, {LOWERED} lowered "
         f"{lowered} of {QUOTA.compute_bound(LOWERED_RATE, 0.0):.1f}, "
@@ -505,9 +546,25 @@
         play = SoakPlay(seed)
         play.play()
         print(describe(play), flush=True)
-        failures += bool(play.list_violations())
+        if play.list_violations():
+            failures += 1
+            print(f"seed {seed}: logs in {keep_logs(play)}", flush=True)
     return failures
 
 
+def keep_logs(play):
+    """Write the orders and the logs of a play to files; return their directory."""
+    directory = Path(tempfile.mkdtemp(prefix=f"soak-{play.seed}-"))
+    begun_s = min((order.sent_s for order in play.orders), default=0.0)
+    lines = [
+        f"{order.sent_s - begun_s:.3f} {order.ended_s - begun_s:.3f} {order}\n"
+        for order in play.orders
+    ]
+    (directory / "orders.txt").write_text("".join(lines))
+    for host, log in play.logs.items():
+        (directory / f"{host}.log").write_text(log)
+    return directory
+
+
 if __name__ == "__main__":
     sys.exit(main() > 0)
--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -121,11 +121,11 @@
             try:
                 curio.run(self._play)
             finally:
-                self.log = "".join(
-                    (self.directory / f"{host}.log").read_text(errors="replace")
-                    for host in self.hosts
-                    if (self.directory / f"{host}.log").exists()
-                )
+                self.logs = {
+                    file.stem: file.read_text(errors="replace")
+                    for file in sorted(self.directory.glob("*.log"))
+                }
+                self.log = "".join(self.logs.get(host, "") for host in self.hosts)
                 for process in self.processes.values():
                     process.kill()
                     process.wait()
