Forget the shares of endpoints that are gone

Cause: slots that linger and limits after rejections are kept by the id of an endpoint whose service fails if it turns much away, and were never removed; each restart under a new id added some.

Change: they go with the endpoint. Test: before, the limit of a former endpoint was still there (Assertion {'e0': (0, ...)} != {}); passes now.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -110,6 +110,7 @@
         """Remove endpoints without heartbeats for `silence_s` seconds."""
         for endpoint in self.view.expire(silence_s, now_s):
             self._ejection.forget(endpoint)
+            self._slot_shares.forget(endpoint)
 
     def record_request(self, service: str, now_s: float) -> None:
         """Count a request of a caller for the retry budget."""
--- a/buckthorndeal/gateway/_slot_shares.py
+++ b/buckthorndeal/gateway/_slot_shares.py
@@ -103,6 +103,11 @@
         until_s = now_s + LINGER_S
         self._lingering.setdefault(record.endpoint, []).append(until_s)
 
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is gone."""
+        self._lingering.pop(endpoint, None)
+        self._reduced.pop(endpoint, None)
+
     def _count_lingering(self, endpoint: str, now_s: float) -> int:
         times_s = self._lingering.get(endpoint)
         if not times_s:
--- a/tests/test_former_endpoints.py
+++ b/tests/test_former_endpoints.py
@@ -5,6 +5,8 @@
 from buckthorndeal.fleet import EndpointRecord, EndpointState
 from buckthorndeal.fleet._endpoints import TOMBSTONE_S
 from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.policy.views import AttemptOutcome
+from tests.dispatcher_harness import DispatcherHarness
 
 SILENCE_S = 3.5
 
@@ -42,6 +44,23 @@
         self.assertEqual(list(view._known_services._times), ["s"])
         self.assertEqual(view.stream_versions._unnamed, {"s"})
 
+    def test_shares_of_former_endpoints_are_forgotten(self):
+        """Guards against limits of endpoints that nobody asks for any more."""
+        harness = DispatcherHarness(endpoints=2)
+        dispatcher, view = harness.dispatcher, harness.view
+        record = view.loads["e0"].entry.record
+        view.rate_shares.record_named(record, None, harness.now_s, 2.0)
+        dispatcher._slot_shares.record_rejection(record, harness.now_s)
+        dispatcher._slot_shares.record_end(record, AttemptOutcome.BROKEN, harness.now_s)
+        self.assertTrue(dispatcher._slot_shares._reduced)
+        self.assertTrue(dispatcher._slot_shares._lingering)
+        view.record_left("e0", None, harness.now_s)
+        harness.now_s += TOMBSTONE_S + 1
+        harness.send_heartbeats(["e1"])
+        dispatcher.expire_endpoints(SILENCE_S, harness.now_s)
+        self.assertEqual(dispatcher._slot_shares._reduced, {})
+        self.assertEqual(dispatcher._slot_shares._lingering, {})
+
 
 if __name__ == "__main__":
     unittest.main()
