Let the plays go on after a call to a coordinator that times out

`_call_api` of the plays gives up after 2.0 s, and catches `Exception`; a timeout of curio is none, so that it ended the task that sends the heartbeats of all endpoints. The log of the gateway gives the age of the last one as 49.3 s at the end, no coordinator has a line of a heartbeat after the thaw, and region a rightly told region b that none of its endpoints is alive: `home_unreachable`. The product did as it should; its own uses of `timeout_after` name the timeout, by reading.

Change: the two forms of `_call_api` catch the timeout.

Test: a coordinator that accepts and never answers. Before: both forms ended with TaskTimeout; now they return False.

--- a/tests/soak_play.py
+++ b/tests/soak_play.py
@@ -487,7 +487,7 @@
                 status, _, _ = await pool.fetch(method, path, [], body)
             if status == 200:
                 return True
-        except Exception:
+        except (Exception, curio.TaskTimeout):
             pass
         finally:
             await pool.close()
--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -354,7 +354,7 @@
             async with curio.timeout_after(2.0):
                 status, _, _ = await pool.fetch(method, path, [], body)
             return status == 200
-        except Exception:
+        except (Exception, curio.TaskTimeout):
             return False
         finally:
             await pool.close()
--- a/tests/test_soak_play.py
+++ b/tests/test_soak_play.py
@@ -1,7 +1,10 @@
 """Workspaces, quotas and slow endpoints alongside faults, beside real processes."""
 
+import socket
 import unittest
 
+import curio
+
 from tests.soak_play import LOWERED, WORKSPACES, SoakPlay, describe
 
 
@@ -23,6 +26,22 @@
         self.assertTrue(any(f"k-{LOWERED}" == order.key for order in refused), text)
         self.assertEqual(play.list_violations(), [], text)
 
+    def test_call_that_gets_no_answer_ends_only_itself(self):
+        """Guards against endpoints without heartbeats after a coordinator was frozen.
+
+        A timeout of curio is no `Exception`, so that it ended the task that sends them.
+        """
+        play = SoakPlay("silent-coordinator")
+        with socket.socket() as silent:
+            silent.bind(("127.0.0.1", 0))
+            silent.listen()
+            play.coordinators = ["127.0.0.1", "127.0.0.2"]
+            play.coordinator = play.api_host = "127.0.0.1"
+            play.ports["api"] = silent.getsockname()[1]
+            for call in (play._call_api, super(SoakPlay, play)._call_api):
+                self.assertFalse(curio.run(call, "GET", "/", b""))
+        self.assertEqual(play.api_host, "127.0.0.2")
+
 
 if __name__ == "__main__":
     unittest.main()
