Keep lines of the host apart from those of requests that fail

What operators saw: while a crowd is refused, each refusal is a line of the same budget as connections_short, memory_short or endpoint_path_lost, so that these are left out.

Change: of the 300 lines a second that are not routine, those with a request's id get 200, the others 100. The sum stays 450.

Test: 2,000 refused requests and then a line of the host. Before: 600 lines of requests with that budget for both, and not the one of the host.

--- a/buckthorndeal/logs.py
+++ b/buckthorndeal/logs.py
@@ -1,9 +1,10 @@
 """Structured logs: JSON lines, rate-limited and written without blocking.
 
 Lines go through `absl.logging` to a handler that writes to standard output. Routine
-lines, such as those of answered requests, and all other lines each have a rate limit
-of their own, so that routine lines never displace the line of a failure. Dropped lines
-are counted, and the counts are logged.
+lines, such as those of answered requests, other lines of requests, and those of the
+host each have a rate limit of their own: routine lines never displace the line of a
+failure, and callers whose requests fail never displace what the host does about them.
+Dropped lines are counted, and the counts are logged.
 """
 
 import collections
@@ -33,7 +34,10 @@
 STDOUT = 1
 
 ROUTINE_LINES_PER_S = 150.0
-OTHER_LINES_PER_S = 300.0
+# Lines of single requests, such as those of refused ones.
+REQUEST_LINES_PER_S = 200.0
+HOST_LINES_PER_S = 100.0
+REQUEST_ID_FIELD = "request_id"
 BURST_S = 3.0
 DROPPED_LINES_INTERVAL_S = 5.0
 # Buffered while the reader is slow; further lines are dropped.
@@ -158,7 +162,8 @@
         self._writer = writer
         self._clock = clock
         self._routine_budget = LineBudget(ROUTINE_LINES_PER_S)
-        self._other_budget = LineBudget(OTHER_LINES_PER_S)
+        self._request_budget = LineBudget(REQUEST_LINES_PER_S)
+        self._host_budget = LineBudget(HOST_LINES_PER_S)
         self._unreported_counts: collections.Counter[str] = collections.Counter()
         self._reported_at_s = clock()
         self.dropped_count = 0
@@ -166,9 +171,7 @@
     def emit(self, record: stdlib_logging.LogRecord) -> None:
         """Write a record, or count it as dropped."""
         now_s = self._clock()
-        routine = getattr(record, ROUTINE_FIELD, False)
-        budget = self._routine_budget if routine else self._other_budget
-        if not budget.take(now_s) or not self._write(record):
+        if not self._get_budget(record).take(now_s) or not self._write(record):
             self._unreported_counts[record.getMessage()] += 1
             self.dropped_count += 1
         if (
@@ -177,6 +180,13 @@
         ):
             self._report_dropped_lines(now_s)
 
+    def _get_budget(self, record: stdlib_logging.LogRecord) -> LineBudget:
+        if getattr(record, ROUTINE_FIELD, False):
+            return self._routine_budget
+        if REQUEST_ID_FIELD in getattr(record, EXTRA_FIELD, {}):
+            return self._request_budget
+        return self._host_budget
+
     def _write(self, record: stdlib_logging.LogRecord) -> bool:
         return self._writer.write((self.format(record) + "\n").encode())
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -51,6 +51,17 @@
         self.assertEqual(len(lines), limit + 1)
         self.assertEqual(lines[-1]["request_id"], "q")
 
+    def test_lines_of_requests_leave_room_for_those_of_the_host(self):
+        """Guards against a crowd whose refusals hide what the host does about it."""
+        for number in range(2000):
+            record = create_record("request_ended", request_id=f"r{number}")
+            self.handler.emit(record)
+        self.handler.emit(create_record("connections_short", port=1))
+        lines = self.read()
+        limit = logs.REQUEST_LINES_PER_S * logs.BURST_S
+        self.assertEqual(len(lines), limit + 1)
+        self.assertEqual(lines[-1]["event"], "connections_short")
+
     def test_dropped_lines_are_counted(self):
         for _ in range(1000):
             self.handler.emit(create_record("request_ended", True))
