--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -12,7 +12,6 @@
     is_significant_change,
     log_endpoint_change,
 )
-from buckthorndeal.coordinator._endpoint_refusals import EndpointRefusals
 from buckthorndeal.coordinator._entry_notices import (
     create_cluster_notice,
     send_heartbeats,
@@ -53,6 +52,7 @@
     choose_entry_hosts,
     create_endpoint_table,
 )
+from buckthorndeal.limitreports import create_limit_report
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import (
     Envelope,
@@ -120,7 +120,13 @@
         self._cluster: ClusterState | None = None
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
         self._directory_log = DirectoryLog()
-        self._refusals = EndpointRefusals(metrics, clock)
+        self._refusals = create_limit_report(
+            metrics,
+            "endpoints_refused",
+            "endpoint_refused",
+            "Heartbeats of endpoints beyond the limit.",
+            clock,
+        )
         self._heartbeats = HeartbeatBatch(clock())
         self._flush_due_s = clock()
         self._status_due_s = clock()
@@ -155,7 +161,7 @@
     async def _(self, message: HeartbeatReceived, envelope: Envelope) -> None:
         now_s = self._clock()
         if not self._endpoints.has_room(message.record.endpoint):
-            self._refusals.record(message.record, len(self._endpoints.list_all()))
+            self._report_refusal(message.record)
             await envelope.reply(False)
             return
         self._shared.record_heartbeat(message.record, now_s)
@@ -295,6 +301,14 @@
         )
         await envelope.reply(chosen)
 
+    def _report_refusal(self, record: EndpointRecord) -> None:
+        self._refusals.record(
+            endpoint=record.endpoint,
+            service=record.service,
+            address=record.address,
+            known=len(self._endpoints.list_all()),
+        )
+
     @property
     def _voters(self) -> tuple[str, ...]:
         return self._cluster.voters if self._cluster else ()
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -27,7 +27,8 @@
     RequestError,
     Verdict,
 )
-from buckthorndeal.logs import LineBudget, log_event
+from buckthorndeal.limitreports import create_limit_report
+from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.replication import BaseReplicaTask, SendFrame
@@ -44,7 +45,6 @@
 # Failure domains that may be evacuated at once. Each is kept on disk, and sent to all
 # entry hosts, until its evacuation ends.
 MAX_EVACUATIONS = 1_024
-REFUSAL_LINES_PER_S = 1.0
 
 Publish = Callable[[ClusterState], Awaitable[None]]
 
@@ -84,7 +84,13 @@
         self._published: ClusterState | None = None
         # Last order on each failure domain while this replica leads, the oldest first.
         self._orders: dict[str, _Order] = {}
-        self._refusal_budget = LineBudget(REFUSAL_LINES_PER_S)
+        self._refusals = create_limit_report(
+            metrics,
+            "evacuations_refused",
+            "evacuation_refused",
+            "Orders to evacuate a failure domain beyond the limit.",
+            clock,
+        )
         self._snapshot_state: tuple[int | None, frozenset[str]] | None = None
 
     @singledispatchmethod
@@ -171,13 +177,9 @@
         evacuated = self._machine.evacuated | self._find_pending_evacuations()
         if order.failure_domain in evacuated or len(evacuated) < MAX_EVACUATIONS:
             return
-        self._metrics.count("evacuations_refused")
-        if self._refusal_budget.take(self._clock()):
-            log_event(
-                "evacuation_refused",
-                failure_domain=order.failure_domain,
-                evacuated=len(evacuated),
-            )
+        self._refusals.record(
+            failure_domain=order.failure_domain, evacuated=len(evacuated)
+        )
         reason = f"{len(evacuated)} failure domains are evacuated"
         raise RequestError("too_many_evacuations", 503, reason, Verdict.NOT_RUN)
 
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -24,7 +24,6 @@
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._drain import Drain
 from buckthorndeal.gateway._exchange import INTERNAL_RETRY_S, Exchange
-from buckthorndeal.gateway._long_prompts import LongPrompts
 from buckthorndeal.gateway._messages import (
     Call,
 )
@@ -32,6 +31,7 @@
 from buckthorndeal.gateway._waiting_notice import announce_waiting
 from buckthorndeal.gateway.dialect import RequestMetadata
 from buckthorndeal.http_server import Request, Responder, ServerClosing
+from buckthorndeal.limitreports import create_limit_report
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.quarantine import RequestContent
 from buckthorndeal.workspaces import Workspace
@@ -81,7 +81,12 @@
         self._context = context
         self._replays = ReplayGuard()
         self._workspace_metrics = WorkspaceMetrics(context.metrics)
-        self._long_prompts = LongPrompts(context.metrics)
+        self._long_prompts = create_limit_report(
+            context.metrics,
+            "prompts_shortened",
+            "prompt_shortened",
+            "Prompts whose last parts were joined.",
+        )
 
     async def handle_caller(self, request: Request, responder: Responder) -> None:
         """Handle a request of a caller."""
@@ -162,7 +167,7 @@
         """Respond to a request; raise `RequestError` if it is refused or fails."""
         metadata = self._context.dialect.parse_request(request)
         handling.request_id = metadata.request_id
-        self._long_prompts.record(metadata.request_id, metadata.prompt)
+        self._report_long_prompt(metadata)
         # All that follows goes by this version of the configuration.
         routes = await self._get_routes()
         route = _find_route(routes, request)
@@ -176,6 +181,15 @@
         handling.exchange = Exchange(self._context, call, request, responder)
         await self._run(handling.exchange, responder, forwarded is not None)
 
+    def _report_long_prompt(self, metadata: RequestMetadata) -> None:
+        prompt = metadata.prompt
+        if prompt is not None and prompt.joined_parts:
+            self._long_prompts.record(
+                request_id=metadata.request_id,
+                joined=prompt.joined_parts,
+                parts=len(prompt.parts),
+            )
+
     def _record_end(self, handling: _Handling, responder: Responder) -> None:
         """Count and log the end of a request; a cancelled one has not completed."""
         arrived_s, error, exchange = (
--- a/tests/test_prompts.py
+++ b/tests/test_prompts.py
@@ -4,9 +4,7 @@
 
 from buckthorndeal.gateway import PromptPart, create_prompt
 from buckthorndeal.gateway._engine import CHECK_PARTS, PrefixCaches
-from buckthorndeal.gateway._long_prompts import LongPrompts
 from buckthorndeal.gateway._prompts import MAX_KEY_CHARS, MAX_PARTS
-from buckthorndeal.metrics import create_metrics
 
 LONG_KEY = "x" * 15_000
 
@@ -43,17 +41,6 @@
         self.assertLessEqual(len(first), MAX_KEY_CHARS)
         self.assertNotEqual(first, second)
 
-    def test_joined_parts_are_counted_and_logged(self):
-        """Guards against a limit that acts without telling operators."""
-        metrics = create_metrics()
-        long_prompts = LongPrompts(metrics)
-        with self.assertLogs("absl") as logs:
-            for number in range(100):
-                prompt = create_prompt("m", 100, 10, create_parts(100))
-                long_prompts.record(f"r{number}", prompt)
-        self.assertEqual(metrics.get_value("prompts_shortened"), 100)
-        self.assertLess(len(logs.output), 10)
-
 
 class PrefixCachesTest(unittest.TestCase):
     """The parts that are remembered of all endpoints are bounded together."""
