Let all responses share one copy of the configuration

What callers saw: a coordinator that may be ended by its machine while callers ask for the configuration and do not read it: 320 MB with a configuration of 1.2 MB and 232 responses, told 128 MB.

Cause: the text was decompressed for each request, and a response that its caller does not take keeps its copy for up to 20 s. The play of unread answers has a configuration of 0.2 MB and stayed inside the bound with 91 MB.

Change: the text that was decompressed last is kept and sent by all.

--- a/buckthorndeal/_configuration_content.py
+++ b/buckthorndeal/_configuration_content.py
@@ -42,3 +42,21 @@
     if not decompressor.eof:
         raise ConfigurationError("$", "damaged: it is cut off")
     return content
+
+
+class SharedContent:
+    """The text that was decompressed last, of which all responses send the same bytes.
+
+    Responses that their callers do not read would hold a copy each.
+    """
+
+    def __init__(self) -> None:
+        self._compressed: bytes | None = None
+        self._content = b""
+
+    def decompress(self, compressed: bytes) -> bytes:
+        """Return the text of a compressed form, as `decompress_content` does."""
+        if compressed != self._compressed:
+            self._content = decompress_content(compressed)
+            self._compressed = compressed
+        return self._content
--- a/buckthorndeal/coordinator/_service.py
+++ b/buckthorndeal/coordinator/_service.py
@@ -2,10 +2,7 @@
 
 import curio
 
-from buckthorndeal._configuration_content import (
-    compress_content,
-    decompress_content,
-)
+from buckthorndeal._configuration_content import SharedContent, compress_content
 from buckthorndeal.configuration import (
     ConfigurationCodec,
     ConfigurationError,
@@ -82,6 +79,7 @@
         self._links = links
         self._fleet = fleet
         self._replica: Mailbox | None = None
+        self._content = SharedContent()
 
     def attach_replica(self, replica: Mailbox) -> None:
         """Set the mailbox of the replica; until then, operations that need it fail."""
@@ -277,7 +275,7 @@
         ):
             return None
         try:
-            return decompress_content(reply.content)
+            return self._content.decompress(reply.content)
         except ConfigurationError as error:
             raise RequestError("unavailable", 503, str(error)) from error
 
--- a/tests/client_play.py
+++ b/tests/client_play.py
@@ -41,6 +41,8 @@
 ANSWER_BYTES = 200_000
 EVENT_PAUSE_S = 0.001
 ROUTES = 800
+# A configuration of 1.2 MB, less than a third of the largest.
+MANY_ROUTES = 5_000
 GATEWAY_PORTS = (
     "listen",
     "forward_listen",
@@ -75,6 +77,8 @@
     asks_meanwhile : bool
         Whether the ordinary request is sent while the crowd is there, through a gateway
         that has just been started again, and so has to reach the coordinator.
+    routes : int
+        Number of further routes in the configuration.
     """
 
     target: str
@@ -84,6 +88,7 @@
     is_frozen: bool = False
     is_killed: bool = False
     asks_meanwhile: bool = False
+    routes: int = ROUTES
 
 
 @dataclass
@@ -211,7 +216,7 @@
         first = body["routes"][0]
         body["routes"] += [
             {**first, "name": f"r{number}", "path_prefix": f"/{number}/"}
-            for number in range(ROUTES)
+            for number in range(self.clients.routes)
         ]
         content = json.dumps(body).encode()
         await self._wait_until(
@@ -321,6 +326,12 @@
         ("configuration", ("api",), "large", {"call": CONFIGURATION}),
         ("small", ("api",), "small", {"call": CONFIGURATION}),
         ("unread-answer", ("api",), "unread", {"call": "GET /v1/configuration"}),
+        (
+            "unread-configuration",
+            ("api",),
+            "unread",
+            {"call": "GET /v1/configuration", "routes": MANY_ROUTES},
+        ),
         ("directory", ("directory",), "pipelined", {}),
         ("peer", ("peer_listen",), "frame", {}),
         (
--- a/tests/test_coordinator_clients.py
+++ b/tests/test_coordinator_clients.py
@@ -24,6 +24,10 @@
         """Guards against send queues that the kernel lets grow."""
         self.check("coordinator-unread-answer")
 
+    def test_large_configurations_that_are_not_read(self):
+        """Guards against a copy of the configuration for each response."""
+        self.check("coordinator-unread-configuration")
+
     def test_requests_at_the_directory_that_are_not_read(self):
         """Guards against bounds that only the port of the API has."""
         self.check("coordinator-directory")
