Move departures and majorities out of the fleet task

The table of coordinators knows whether a majority is alive, and the departures how a leave without an incarnation is recorded. No change of behaviour; the tests of leaves, versions and the fleet pass.

--- a/buckthorndeal/coordinator/_coordinator_table.py
+++ b/buckthorndeal/coordinator/_coordinator_table.py
@@ -1,6 +1,6 @@
 """Table of the other coordinators and their last heartbeats; no I/O."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from buckthorndeal.fleet import ControlHost
@@ -70,6 +70,11 @@
         alive.add(self._own.host)
         return sum(voter in alive for voter in voters)
 
+    def reaches_majority(self, voters: Sequence[str], now_s: float) -> bool:
+        """Return whether a majority of the voters, including this host, is alive."""
+        reached = self.count_reachable(voters, now_s)
+        return bool(voters) and reached > len(voters) // 2
+
     def remove_expired(self, members: Iterable[str], now_s: float) -> None:
         """Remove hosts that are silent and are not members of the replicated log."""
         for host, coordinator in list(self._coordinators.items()):
--- a/buckthorndeal/coordinator/_departures.py
+++ b/buckthorndeal/coordinator/_departures.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from buckthorndeal.coordinator._departure_store import Departure, DepartureStore
-from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.fleet import EndpointEntry, EndpointRecord, EndpointState
 from buckthorndeal.logs import log_event
 from buckthorndeal.supervision import spawn_job
 
@@ -69,6 +69,23 @@
         self._known[endpoint] = _KnownDeparture(departure, now_s)
         self._revision += 1
 
+    def record_state(self, record: EndpointRecord, now_s: float) -> None:
+        """Record that an endpoint drains or has left, as its record says."""
+        self.record(record.endpoint, record.incarnation, record.state, now_s)
+
+    def record_leave(
+        self,
+        endpoint: str,
+        incarnation: int | None,
+        known: EndpointEntry | None,
+        now_s: float,
+    ) -> None:
+        """Record a leave by id; without an incarnation, that of the known record."""
+        if incarnation is None and known is not None:
+            incarnation = known.record.incarnation
+        if incarnation is not None:
+            self.record(endpoint, incarnation, EndpointState.LEFT, now_s)
+
     def apply(self, record: EndpointRecord) -> EndpointRecord:
         """Return a record with the state that it has after what is known here."""
         known = self._known.get(record.endpoint)
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -194,7 +194,7 @@
         elif changed or unconfirmed:
             await self._relay_and_acknowledge(merged, envelope)
         else:
-            self._record_departure(merged)
+            self._departures.record_state(merged, self._clock())
             await envelope.reply(self._reaches_majority())
 
     @_handle.register
@@ -223,7 +223,7 @@
     async def _(self, message: RelayedRecordReceived, envelope: Envelope) -> None:
         record = self._departures.apply(message.record)
         if record.state is not EndpointState.READY:
-            self._record_departure(record)
+            self._departures.record_state(record, self._clock())
         merged = self._endpoints.update(record, self._clock())
         if merged is not None:
             self._heartbeats.record_change(merged)
@@ -232,7 +232,10 @@
 
     @_handle.register
     async def _(self, message: RelayedLeaveReceived, envelope: Envelope) -> None:
-        self._record_leave(message.endpoint, message.incarnation)
+        known = self._endpoints.get(message.endpoint)
+        self._departures.record_leave(
+            message.endpoint, message.incarnation, known, self._clock()
+        )
         self._endpoints.mark_left(message.endpoint, message.incarnation, self._clock())
         leave = RelayLeave(message.endpoint, message.incarnation)
         await self._departure_relay.pass_on(leave)
@@ -314,10 +317,7 @@
         return self._cluster.voters if self._cluster else ()
 
     def _reaches_majority(self) -> bool:
-        """Return whether a majority of the voters, including this host, is alive."""
-        voters = self._voters
-        reached = self._coordinators.count_reachable(voters, self._clock())
-        return bool(voters) and reached > len(voters) // 2
+        return self._coordinators.reaches_majority(self._voters, self._clock())
 
     def _may_acknowledge(self, region: str) -> bool:
         """Return whether heartbeats of a region that arrive here reach entry hosts.
@@ -335,7 +335,7 @@
         self, record: EndpointRecord, envelope: Envelope
     ) -> None:
         """Relay a drain or leave, and acknowledge it once a majority has it."""
-        self._record_departure(record)
+        self._departures.record_state(record, self._clock())
         if self._voters:
             # The relay tells the entry hosts.
             self._heartbeats.drop_change(record.endpoint)
@@ -345,25 +345,11 @@
         self, endpoint: str, incarnation: int | None, envelope: Envelope
     ) -> None:
         """Relay a leave of an incarnation of which there is no record."""
-        self._record_leave(endpoint, incarnation)
+        known = self._endpoints.get(endpoint)
+        self._departures.record_leave(endpoint, incarnation, known, self._clock())
         leave = RelayLeave(endpoint, incarnation)
         await self._departure_relay.relay_leave(leave, envelope)
 
-    def _record_departure(self, record: EndpointRecord) -> None:
-        self._departures.record(
-            record.endpoint, record.incarnation, record.state, self._clock()
-        )
-
-    def _record_leave(self, endpoint: str, incarnation: int | None) -> None:
-        """Record a leave by id; without an incarnation, that of the known record."""
-        known = self._endpoints.get(endpoint)
-        if incarnation is None and known is not None:
-            incarnation = known.record.incarnation
-        if incarnation is not None:
-            self._departures.record(
-                endpoint, incarnation, EndpointState.LEFT, self._clock()
-            )
-
     async def _send_initial_state(self, entry: KnownEntryHost) -> None:
         entry.sent_coordinators = self._coordinators.list_with_self(self._clock())
         await send_notice(entry, ControlStatus(entry.sent_coordinators))
@@ -431,15 +417,14 @@
         self._shared.expire(now_s)
         members = self._cluster.members if self._cluster else ()
         self._coordinators.remove_expired(members, now_s)
-        self._update_gauges()
-
-    def _update_gauges(self) -> None:
-        liveness = self._entries.list_liveness(self._clock())
-        connected = sum(each.connected for each in liveness)
-        self._metrics.set_gauge("endpoints", len(self._endpoints.list_all()))
-        self._metrics.set_gauge("entry_hosts", connected)
-        left_out = self._directory_log.left_out_count
-        self._metrics.set_gauge("directory_decisions_left_out", left_out)
-        self._metrics.set_gauge(
-            "coordinators", len(self._coordinators.list_alive(self._clock()))
-        )
+        self._record_gauges(now_s)
+
+    def _record_gauges(self, now_s: float) -> None:
+        connected = sum(each.connected for each in self._entries.list_liveness(now_s))
+        for name, value in (
+            ("endpoints", len(self._endpoints.list_all())),
+            ("entry_hosts", connected),
+            ("coordinators", len(self._coordinators.list_alive(now_s))),
+            ("directory_decisions_left_out", self._directory_log.left_out_count),
+        ):
+            self._metrics.set_gauge(name, value)
