--- a/tests/name_play.py
+++ b/tests/name_play.py
@@ -10,8 +10,13 @@
 
 import curio
 
-from tests import platform_play
-from tests.client_play import ClientOptions, ClientPlay, describe
+from tests.client_play import (
+    SAMPLE_INTERVAL_S,
+    ClientOptions,
+    ClientPlay,
+    describe,
+)
+from tests.platform_play import PlatformPlay
 from tests.process_use import read_use
 from tests.raw_caller import read_answer
 from tests.stop_play import StopOptions
@@ -35,7 +40,6 @@
 
     memory_bytes: int = MEMORY_BYTES
     requests: int = 0
-    clients: ClientOptions | None = None
 
     async def _stop_hosts(self):
         sampler = await curio.spawn(self._sample, daemon=True)
@@ -43,7 +47,6 @@
         async with curio.TaskGroup() as group:
             for _ in range(SENDERS):
                 await group.spawn(self._send_requests, numbers)
-        await curio.sleep(1.0)
         await self._ask_ordinary()
         await sampler.cancel()
         self.is_ended = any(
@@ -60,7 +63,7 @@
                     self.largest["total"] = use.total_bytes
                 descriptors = max(self.largest["descriptors"], use.descriptors)
                 self.largest["descriptors"] = descriptors
-            await curio.sleep(0.05)
+            await curio.sleep(SAMPLE_INTERVAL_S)
 
     async def _send_requests(self, numbers):
         """Send one request after the other, and count their statuses."""
@@ -78,13 +81,15 @@
                     self.sent[(await read_answer(stream))[0]] += 1
             except (OSError, EOFError, curio.TaskTimeout):
                 self.sent["failed"] += 1
+                if stream is not None:
+                    await stream.close()
                 stream = None
         if stream is not None:
             await stream.close()
 
 
 @dataclass
-class PlatformNamePlay(NamePlay, platform_play.PlatformPlay):
+class PlatformNamePlay(NamePlay, PlatformPlay):
     """The same with the programs of the platform's adapter, which read prompts."""
 
 
