Move headers of attempts and the memory of engines to modules of their own

Change: _attempt_headers.py builds the headers of an attempt; _engine.py tells the KV cache of an endpoint; GrantedAttempt is imported from its own module. Code is moved, nothing else.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -12,12 +12,12 @@
 
 from buckthorndeal.gateway import _basic_admission
 from buckthorndeal.gateway._calibration import Calibration
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
     compute_max_turn_wait_s,
     compute_max_wait_s,
 )
-from buckthorndeal.gateway._loads import GrantedAttempt
 from buckthorndeal.gateway._messages import Call, Dispatch, OverloadCause
 from buckthorndeal.gateway._outlook import Outlook, predict_own_s, predict_total_s
 from buckthorndeal.gateway._queue import (
--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -7,10 +7,12 @@
 import curio
 
 from buckthorndeal.errors import RequestError, ShortageError, Verdict
-from buckthorndeal.forwarding import ForwardedRequest, check_next_hop, sign_request
+from buckthorndeal.gateway._attempt_headers import (
+    VERSION_HEADER,
+    build_attempt_headers,
+)
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AnnounceDrain
-from buckthorndeal.gateway._headers import remove_hop_by_hop
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
     Call,
@@ -28,7 +30,7 @@
     is_foreign,
 )
 from buckthorndeal.gateway._stream_pace import StreamPace
-from buckthorndeal.gateway.dialect import EndpointHints, ResponseMetadata
+from buckthorndeal.gateway.dialect import ResponseMetadata
 from buckthorndeal.http_client import ClientConnection, ClientResponse, HttpPool
 from buckthorndeal.http_server import Request
 from buckthorndeal.logs import log_event, log_routine
@@ -36,16 +38,12 @@
 
 __all__ = [
     "VERDICT_HEADER",
-    "VERSION_HEADER",
     "Attempt",
     "AttemptError",
     "open_attempt",
     "report_response_start",
 ]
 
-# Between entry hosts: the software version at which a stream has to continue, and in a
-# response the version of the endpoint that has sent it.
-VERSION_HEADER = "buckthorndeal-version"
 MAX_SKIPPED_RESPONSES = 4
 CLIENT_ERROR = 400
 
@@ -145,7 +143,7 @@
     started_s = context.clock()
     outcome: AttemptOutcome = AttemptOutcome.CANCELLED
     pool = _get_pool(context, decision)
-    headers = _build_headers(context, call, request, decision, attempt_id)
+    headers = build_attempt_headers(context, call, request, decision, attempt_id)
     try:
         async with pool.request(
             request.method,
@@ -341,61 +339,3 @@
     if isinstance(decision, Forward):
         return response.headers.get(VERSION_HEADER)
     return decision.version
-
-
-def _build_headers(
-    context: GatewayContext,
-    call: Call,
-    request: Request,
-    decision: Grant | Forward,
-    attempt_id: int,
-) -> list[tuple[str, str]]:
-    remaining_s = max(0.001, call.deadline_s - context.clock())
-    end_to_end = remove_hop_by_hop(request.headers)
-    build_headers = context.dialect.build_headers
-    if isinstance(decision, Grant):
-        hints = EndpointHints(
-            decision.record.endpoint,
-            decision.urgency,
-            decision.cache_source,
-            call.workspace.name if call.workspace is not None else None,
-        )
-        return build_headers(end_to_end, remaining_s, hints, call.resume_after)
-    headers = build_headers(end_to_end, remaining_s, None, call.resume_after)
-    return [
-        *headers,
-        *_create_forwarding_headers(
-            context, call, request, decision, attempt_id, remaining_s
-        ),
-    ]
-
-
-def _create_forwarding_headers(
-    context: GatewayContext,
-    call: Call,
-    request: Request,
-    decision: Forward,
-    attempt_id: int,
-    remaining_s: float,
-) -> list[tuple[str, str]]:
-    hops = (*call.hops, context.host)
-    check_next_hop(hops, call.crossed, context.region, decision.host, decision.region)
-    forwarded = ForwardedRequest(
-        origin=hops[0],
-        hops=hops,
-        crossed=call.crossed or not decision.is_relay,
-        deadline_ms=int(remaining_s * 1000),
-        request_id=f"{context.host}-{attempt_id}-{call.request_id}",
-        sent_ms=int(context.wall_clock() * 1000),
-        workspace=call.workspace.name if call.workspace is not None else "",
-        content_type=request.headers.get("content-type", ""),
-        idempotency_key=request.headers.get("idempotency-key", ""),
-    )
-    signed = sign_request(
-        forwarded, request.method, request.target, request.body, context.keys[0]
-    )
-    already_present = {"content-type", "idempotency-key"}
-    headers = [(name, value) for name, value in signed if name not in already_present]
-    if call.version is not None:
-        headers.append((VERSION_HEADER, call.version))
-    return headers
--- a/buckthorndeal/gateway/_crash_guard.py
+++ b/buckthorndeal/gateway/_crash_guard.py
@@ -9,7 +9,7 @@
 from buckthorndeal.gateway._endpoint_ends import EndpointEnds
 from buckthorndeal.gateway._endpoint_path import EndpointPath
 from buckthorndeal.gateway._fleet_view import FleetView
-from buckthorndeal.gateway._loads import GrantedAttempt
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._messages import (
     Dispatch,
 )
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -18,10 +18,11 @@
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_messages import Borrower, RegionUpdate
 from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._grants import create_attempt, create_grant
 from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
 from buckthorndeal.gateway._limits import RetryBudgets
-from buckthorndeal.gateway._loads import EndpointLoad, GrantedAttempt
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._messages import (
     Call,
--- a/buckthorndeal/gateway/_endpoint_ends.py
+++ b/buckthorndeal/gateway/_endpoint_ends.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from buckthorndeal.fleet import EndpointRecord
-from buckthorndeal.gateway._loads import GrantedAttempt
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.quarantine import (
     EndpointEnd,
     Suspect,
--- a/buckthorndeal/gateway/_endpoint_reach.py
+++ b/buckthorndeal/gateway/_endpoint_reach.py
@@ -6,7 +6,7 @@
 from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.gateway._endpoint_path import EndpointPath
 from buckthorndeal.gateway._fleet_view import FleetView
-from buckthorndeal.gateway._loads import GrantedAttempt
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.policy.ejection import Ejection
 
 # Without any bytes from endpoints for this long while requests are under way, the path
--- a/buckthorndeal/gateway/_engine.py
+++ b/buckthorndeal/gateway/_engine.py
@@ -1,8 +1,9 @@
-"""Models of an inference engine: prefill speed and prefix cache."""
+"""Models of an inference engine: memory, prefill speed and prefix cache."""
 
 import weakref
 from collections import OrderedDict
 
+from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.gateway._prompts import Prompt
 
 # Estimate before the first observation.
@@ -17,6 +18,10 @@
 MIN_OBSERVED_TOKENS = 500
 # Parts of prompts that are remembered of all endpoints together, about 9 MB.
 MAX_CACHED_PARTS = 32_768
+# KV cache of an endpoint whose service says nothing about it.
+DEFAULT_CAPACITY_TOKENS = 1_000_000
+# Share of an engine's memory that is assumed to cache earlier prompts.
+CACHE_SHARE = 0.6
 # The sum is formed once as many parts have been added.
 CHECK_PARTS = 512
 
@@ -146,3 +151,15 @@
         self._added = 0
         while len(self) > self._max_parts:
             self.evicted_count += max(self._caches, key=len).evict_half()
+
+
+def compute_cache_tokens(service: ServiceDescription | None) -> int:
+    """Return the expected size of an endpoint's prefix cache, in tokens."""
+    return int(get_kv_capacity(service) * CACHE_SHARE)
+
+
+def get_kv_capacity(service: ServiceDescription | None) -> int:
+    """Return the KV cache capacity of an endpoint, in tokens."""
+    if service is None or service.engine is None:
+        return DEFAULT_CAPACITY_TOKENS
+    return service.engine.kv_capacity_tokens
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -10,12 +10,12 @@
 from buckthorndeal.configuration import RequestKind, Route
 from buckthorndeal.errors import RequestError, ShortageError, Verdict, WireError
 from buckthorndeal.gateway._attempt import (
-    VERSION_HEADER,
     Attempt,
     AttemptError,
     open_attempt,
     report_response_start,
 )
+from buckthorndeal.gateway._attempt_headers import VERSION_HEADER
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._continuation import EventSelector
 from buckthorndeal.gateway._decision_log import log_failed_attempt
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -6,13 +6,17 @@
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad, create_endpoint_table
-from buckthorndeal.gateway._engine import INITIAL_TOKENS_PER_S, PrefixCaches
+from buckthorndeal.gateway._engine import (
+    INITIAL_TOKENS_PER_S,
+    PrefixCaches,
+    compute_cache_tokens,
+)
 from buckthorndeal.gateway._fleet_messages import (
     FleetChanged,
 )
 from buckthorndeal.gateway._known_services import KnownServices
 from buckthorndeal.gateway._learning import EndpointLearning
-from buckthorndeal.gateway._loads import EndpointLoad, compute_cache_tokens
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._pace import EndpointPace
 from buckthorndeal.gateway._pauses import EndpointPauses
 from buckthorndeal.gateway._rate_shares import RateShares
--- a/buckthorndeal/gateway/_grants.py
+++ b/buckthorndeal/gateway/_grants.py
@@ -1,7 +1,7 @@
 """Attempts and grants that follow from the choice of an endpoint; no I/O."""
 
 from buckthorndeal.gateway._fleet_view import FleetView
-from buckthorndeal.gateway._loads import GrantedAttempt
+from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._messages import Call, Grant
 from buckthorndeal.gateway._queue import count_tokens
 from buckthorndeal.gateway._scoring import LocalChoice
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -13,7 +13,8 @@
     is_forwarded,
     verify_request,
 )
-from buckthorndeal.gateway._attempt import VERDICT_HEADER, VERSION_HEADER
+from buckthorndeal.gateway._attempt import VERDICT_HEADER
+from buckthorndeal.gateway._attempt_headers import VERSION_HEADER
 from buckthorndeal.gateway._authentication import (
     WorkspaceMetrics,
     check_home,
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -5,7 +5,7 @@
 
 from buckthorndeal.configuration import RequestKind, ServiceDescription
 from buckthorndeal.fleet import EndpointEntry, EndpointState
-from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache
+from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache, get_kv_capacity
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._load_limit import (
@@ -26,9 +26,6 @@
 MOVING_AVERAGE_WEIGHT = 0.1
 # Penalty for a request at a full engine, where every token takes longer.
 FULL_ENGINE_PENALTY_S = 1.0
-DEFAULT_CAPACITY_TOKENS = 1_000_000
-# Share of an engine's memory that is assumed to cache earlier prompts.
-CACHE_SHARE = 0.6
 # A report counts as at most this many requests for each slot, whatever it says.
 MAX_REPORTED_PER_SLOT = 4
 # Share of that penalty where the pace is learned and tells most of the load's effect.
@@ -390,15 +387,3 @@
             inflight = self.inflight + self.count_other_inflight(now_s)
             self.learning.learn_from_end(attempt, outcome, events, inflight, now_s)
         return attempt
-
-
-def compute_cache_tokens(service: ServiceDescription | None) -> int:
-    """Return the expected size of an endpoint's prefix cache, in tokens."""
-    return int(get_kv_capacity(service) * CACHE_SHARE)
-
-
-def get_kv_capacity(service: ServiceDescription | None) -> int:
-    """Return the KV cache capacity of an endpoint, in tokens."""
-    if service is None or service.engine is None:
-        return DEFAULT_CAPACITY_TOKENS
-    return service.engine.kv_capacity_tokens
--- a/buckthorndeal/gateway/_slot_shares.py
+++ b/buckthorndeal/gateway/_slot_shares.py
@@ -8,12 +8,13 @@
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.gateway._engine import get_kv_capacity
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._load_limit import (
     MAX_MEMORY_UTILIZATION,
     MAX_SLOT_UTILIZATION,
 )
-from buckthorndeal.gateway._loads import EndpointLoad, get_kv_capacity
+from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._messages import (
     Call,
 )
