One way for commands of plays to read seeds and play them

Cause: eight plays held the same loop over seeds and scenarios (list of duplicates).

Change: tests/play_command.py; what the commands take and print stays, but for the duration that tests.name_play alone printed.

--- a/tests/change_play.py
+++ b/tests/change_play.py
@@ -14,6 +14,7 @@
 from buckthorndeal.http_server import create_http_server
 from buckthorndeal.settings import Limits
 from tests.fleet_harness import REQUEST_ID, create_stream_events
+from tests.play_command import parse_seeds, play_all
 from tests.stop_play import DEADLINE_S, STREAM_EVENTS, Order, StopOptions, StopPlay
 
 KINDS = ("idempotent", "non_idempotent", "stream")
@@ -303,11 +304,8 @@
 
 def main():
     """Play the seeds named on the command line."""
-    first, count = map(int, sys.argv[1:])
-    for seed in range(first, first + count):
-        play = ChangePlay(seed)
-        play.play()
-        print(describe(play), flush=True)
+    seeds, _ = parse_seeds(sys.argv[1:])
+    play_all(map(ChangePlay, seeds), describe)
 
 
 if __name__ == "__main__":
--- a/tests/client_play.py
+++ b/tests/client_play.py
@@ -18,6 +18,7 @@
 from tests.control_harness import find_ports
 from tests.crowd_play import CrowdOptions, CrowdPlay
 from tests.fleet_harness import REQUEST_ID, create_configuration
+from tests.play_command import play_all
 from tests.process_use import ProcessUse, read_use
 from tests.raw_caller import read_answer
 from tests.stop_play import DEADLINE_S, StopOptions
@@ -383,10 +384,7 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    for name in sys.argv[1:] or SCENARIOS:
-        play = create_play(name)
-        play.play()
-        print(describe(play), flush=True)
+    play_all(map(create_play, sys.argv[1:] or SCENARIOS), describe)
 
 
 if __name__ == "__main__":
--- a/tests/crowd_play.py
+++ b/tests/crowd_play.py
@@ -12,6 +12,7 @@
 from buckthorndeal.errors import RequestError
 from buckthorndeal.http_client import create_http_pool
 from tests.fleet_harness import REQUEST_ID
+from tests.play_command import play_all
 from tests.process_use import count_descriptors, read_peak_bytes
 from tests.stop_play import StopOptions, StopPlay
 
@@ -184,10 +185,11 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    for name in sys.argv[1:] or SCENARIOS:
-        play = CrowdPlay(name, StopOptions(), crowd=SCENARIOS[name])
-        play.play()
-        print(describe(play), flush=True)
+    plays = (
+        CrowdPlay(name, StopOptions(), crowd=SCENARIOS[name])
+        for name in sys.argv[1:] or SCENARIOS
+    )
+    play_all(plays, describe)
 
 
 if __name__ == "__main__":
--- a/tests/drain_play.py
+++ b/tests/drain_play.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from tests.play_command import parse_seeds, play_all
 from tests.stop_play import DRAIN, StopOptions, StopPlay, describe
 
 CALLERS = 60
@@ -120,11 +121,9 @@
 
 def main():
     """Play the seeds named on the command line."""
-    first, count = map(int, sys.argv[1:])
-    for seed in range(first, first + count):
-        play = DrainPlay(f"drain-{seed}", StopOptions())
-        play.play()
-        print(describe_drains(play), flush=True)
+    seeds, _ = parse_seeds(sys.argv[1:])
+    plays = (DrainPlay(f"drain-{seed}", StopOptions()) for seed in seeds)
+    play_all(plays, describe_drains)
 
 
 if __name__ == "__main__":
--- a/tests/memory_play.py
+++ b/tests/memory_play.py
@@ -29,6 +29,7 @@
 )
 from tests.control_harness import find_ports
 from tests.fleet_harness import REQUEST_ID, create_stream_events
+from tests.play_command import parse_seeds, play_all
 from tests.process_use import read_peak_bytes
 from tests.stop_play import DEADLINE_S, StopPlay
 
@@ -445,12 +446,13 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    first, count, *names = sys.argv[1:]
-    for seed in range(int(first), int(first) + int(count)):
-        for name in names or SCENARIOS:
-            play = MemoryPlay(f"{name}-{seed}", SCENARIOS[name])
-            play.play()
-            print(describe(play), flush=True)
+    seeds, names = parse_seeds(sys.argv[1:])
+    plays = (
+        MemoryPlay(f"{name}-{seed}", SCENARIOS[name])
+        for seed in seeds
+        for name in names or SCENARIOS
+    )
+    play_all(plays, describe)
 
 
 if __name__ == "__main__":
--- a/tests/name_play.py
+++ b/tests/name_play.py
@@ -17,6 +17,7 @@
     describe,
 )
 from tests.platform_play import PlatformPlay
+from tests.play_command import play_all
 from tests.process_use import read_use
 from tests.raw_caller import read_answer
 from tests.stop_play import StopOptions
@@ -195,11 +196,7 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    for name in sys.argv[1:] or SCENARIOS:
-        play = create_play(name)
-        begun_s = time.monotonic()
-        play.play()
-        print(f"{time.monotonic() - begun_s:.0f} s {describe(play)}", flush=True)
+    play_all(map(create_play, sys.argv[1:] or SCENARIOS), describe)
 
 
 if __name__ == "__main__":
--- a/tests/silence_play.py
+++ b/tests/silence_play.py
@@ -23,6 +23,7 @@
 from tests.change_play import KINDS, ChangePlay, _join_chunks
 from tests.control_harness import find_ports
 from tests.fleet_harness import REQUEST_ID, create_stream_events
+from tests.play_command import parse_seeds, play_all
 from tests.stop_play import DEADLINE_S
 
 REGIONS = {"a": 4, "b": 2, "c": 1}
@@ -392,12 +393,13 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    first, count, *names = sys.argv[1:]
-    for seed in range(int(first), int(first) + int(count)):
-        for name in names or SCENARIOS:
-            play = SilencePlay(f"{name}-{seed}", SCENARIOS[name])
-            play.play()
-            print(describe(play), flush=True)
+    seeds, names = parse_seeds(sys.argv[1:])
+    plays = (
+        SilencePlay(f"{name}-{seed}", SCENARIOS[name])
+        for seed in seeds
+        for name in names or SCENARIOS
+    )
+    play_all(plays, describe)
 
 
 if __name__ == "__main__":
--- a/tests/stop_play.py
+++ b/tests/stop_play.py
@@ -28,6 +28,7 @@
     create_configuration,
     create_stream_events,
 )
+from tests.play_command import parse_seeds, play_all
 from tests.raw_caller import read_response
 
 PORTS = ("listen", "ready_listen", "forward_listen", "peer_listen", "api", "directory")
@@ -440,12 +441,13 @@
 
 def main():
     """Play the scenarios named on the command line, or all."""
-    first, count, *names = sys.argv[1:]
-    for seed in range(int(first), int(first) + int(count)):
-        for name in names or SCENARIOS:
-            play = StopPlay(f"{name}-{seed}", SCENARIOS[name])
-            play.play()
-            print(describe(play), flush=True)
+    seeds, names = parse_seeds(sys.argv[1:])
+    plays = (
+        StopPlay(f"{name}-{seed}", SCENARIOS[name])
+        for seed in seeds
+        for name in names or SCENARIOS
+    )
+    play_all(plays, describe)
 
 
 if __name__ == "__main__":
