Let the play of versions share how regions tell their load

Cause: VersionPlay held a copy of RepeatPlay._update_region that differed in one line, the software versions of a region's endpoints.

Change: RepeatPlay tells the versions too, as gateways do; the copy is gone.

--- a/tests/repeat_play.py
+++ b/tests/repeat_play.py
@@ -415,6 +415,7 @@
             partner.name,
             {each.service: each.wait_s for each in loads},
             {each.service: each.free for each in loads},
+            {each.service: each.versions for each in loads},
         )
         host.harness.dispatcher.update_region(update, self.now_s)
 
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -16,9 +16,6 @@
 from buckthorndeal.fleet import EndpointRecord, EndpointState, digest_stream
 from buckthorndeal.gateway._coordinator_calls import choose_holders
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
-from buckthorndeal.gateway._fleet_messages import (
-    RegionUpdate,
-)
 from buckthorndeal.gateway._shared_messages import FindStreamVersion
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.crash_play import FLUSH_S, POLL_S
@@ -511,19 +508,6 @@
             receive = host.harness.view.record_heartbeat
             self._deliver(host, lambda: receive(record, self.now_s))
 
-    def _update_region(self, host, partner):
-        if host.is_cut(self.now_s) or host.find_thaw_s(self.now_s) is not None:
-            return
-        loads = partner.harness.dispatcher.describe_region(self.now_s)
-        update = RegionUpdate(
-            f"region{partner.region}",
-            partner.name,
-            {each.service: each.wait_s for each in loads},
-            {each.service: each.free for each in loads},
-            {each.service: each.versions for each in loads},
-        )
-        host.harness.dispatcher.update_region(update, self.now_s)
-
 
 def disturb_all(play, seed):
     """Plan hosts that freeze, are cut off and killed, and the loss of a coordinator."""
