--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -11,9 +11,7 @@
     PrefixCaches,
     compute_cache_tokens,
 )
-from buckthorndeal.gateway._fleet_messages import (
-    FleetChanged,
-)
+from buckthorndeal.gateway._fleet_messages import FleetChanged
 from buckthorndeal.gateway._known_services import KnownServices
 from buckthorndeal.gateway._learning import EndpointLearning
 from buckthorndeal.gateway._loads import EndpointLoad
