Keep as many voters as the tolerated lost disks ask for

What callers saw: six of nine coordinators were restarted in turn, two others lost their disks, as many as fault_tolerance allows. No leader was elected, each read of the configuration got 503, and no change could be made (CONFIG).

Cause: a coordinator that stopped left the voters as long as three others remained, and voters out of contact were removed down to the number of seeds (3). fault_tolerance was read nowhere. At the planned number a voter that was only slow to return was removed before its replacement had a vote.

Change: one planned number of voters for all ways out, 2 x tolerated hosts + 1, or the number of seeds if that is larger. Below it, beside a voter out of contact, or if the others would not bear the loss of a failure domain or region, a host that stops keeps its vote, and does not ask a leader that may be of an older build. At the planned number the replacement is promoted first. Lines host_leaves and vote_kept give the reason; metrics voters_planned, host_departures, votes_kept.

A voter slow to return beside a waiting learner left 4 voters of 5 planned, now 5.

--- a/buckthorndeal/consensus/__init__.py
+++ b/buckthorndeal/consensus/__init__.py
@@ -5,6 +5,7 @@
     DescribeReplica,
     ReplicaDescription,
 )
+from buckthorndeal.consensus._losses import Location, ToleratedLosses
 from buckthorndeal.consensus._messages import (
     CONSENSUS_MESSAGES,
     Append,
@@ -21,7 +22,8 @@
 from buckthorndeal.consensus._policy import (
     ElasticPolicy,
     FixedSizePolicy,
-    choose_removal,
+    VoteKept,
+    create_elastic_policy,
 )
 from buckthorndeal.consensus._records import (
     AddLearner,
@@ -61,6 +63,7 @@
     "InstallSnapshot",
     "InstallSnapshotReply",
     "Join",
+    "Location",
     "MemberStatus",
     "Membership",
     "MembershipChange",
@@ -76,8 +79,10 @@
     "ReplicaOptions",
     "RoleChange",
     "Snapshot",
+    "ToleratedLosses",
     "Vote",
+    "VoteKept",
     "VoteReply",
-    "choose_removal",
+    "create_elastic_policy",
     "create_replica",
 ]
--- a/buckthorndeal/consensus/_policy.py
+++ b/buckthorndeal/consensus/_policy.py
@@ -1,7 +1,13 @@
 """Policies that choose membership changes, for example after the loss of a voter."""
 
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
 
+from buckthorndeal.consensus._losses import (
+    Location,
+    ToleratedLosses,
+    list_borne_groups,
+)
 from buckthorndeal.consensus._member_status import MemberStatus
 from buckthorndeal.consensus._records import (
     AddLearner,
@@ -14,6 +20,24 @@
 MIN_FAULT_TOLERANT_VOTERS = 3
 
 
+@dataclass(frozen=True)
+class VoteKept:
+    """Why a host that stops keeps its vote.
+
+    Parameters
+    ----------
+    reason : str
+        "too_few_voters"; "failure_domains" or "regions" if the other voters would not
+        bear the loss of some; "voter_out_of_contact" if one of them may be lost
+        already; "membership_changes" or "no_vote" if there is nothing to remove.
+    voters : int
+        Number of voters, this one among them.
+    """
+
+    reason: str
+    voters: int = 0
+
+
 @dataclass(frozen=True)
 class FixedSizePolicy:
     """Keeps a fixed number of voters and replaces lost ones.
@@ -119,8 +143,10 @@
     """Makes every durable host a voter, for clusters without a fixed size.
 
     A lost voter is removed when a learner can replace it, when the number of voters
-    is even, or after a longer time without contact. It is removed before its
-    replacement is promoted, so that the two never count as voters together.
+    is even, or after a longer time without contact. Above the planned number it is
+    removed before its replacement is promoted, so that the two never count as voters
+    together; at the planned number the replacement is promoted first, so that no fewer
+    disks hold an entry meanwhile.
 
     Parameters
     ----------
@@ -135,8 +161,10 @@
         Maximum number of voters.
     planned_voters : int
         Number of voters that the deployment is made for. With this number or fewer, a
-        voter that is out of contact keeps its vote until a learner can replace it: its
-        disk may be one of the last that hold an entry.
+        voter that stops or is out of contact keeps its vote until a learner can replace
+        it: its disk may be one of the last that hold an entry.
+    losses : ToleratedLosses
+        Failure domains and regions whose loss the voters have to bear.
     """
 
     replace_voter_after_s: float = 2.0
@@ -144,6 +172,7 @@
     remove_learner_after_s: float = 10.0
     max_voters: int = 9
     planned_voters: int = 0
+    losses: ToleratedLosses = field(default_factory=ToleratedLosses)
 
     def choose_change(self, members: list[MemberStatus]) -> MembershipChange | None:
         """Return the next change, or None if no change is needed.
@@ -184,9 +213,12 @@
         of the first one, if the active voters are a majority with the learner.
         """
         count = len(voters)
+        has_lost_voter = any(
+            voter.silent_s >= self.replace_voter_after_s for voter in voters
+        )
         # Added to an even number, a voter does not raise the majority.
         wanted = count < self.planned_voters or (
-            count == self.planned_voters and count % 2 == 0
+            count == self.planned_voters and (count % 2 == 0 or has_lost_voter)
         )
         active_count = sum(voter.active for voter in voters) + 1
         if not wanted or count >= self.max_voters or active_count <= (count + 1) // 2:
@@ -199,10 +231,7 @@
         self, voters: list[MemberStatus], promotable: list[MemberStatus]
     ) -> list[MemberStatus]:
         promotable_hosts = {learner.replica.host for learner in promotable}
-        waits = not promotable or len(voters) % 2 == 0
-        if len(voters) < self.planned_voters or (
-            len(voters) == self.planned_voters and waits
-        ):
+        if len(voters) <= self.planned_voters:
             # Only an earlier incarnation, whose disk is gone, makes room.
             return [each for each in voters if each.replica.host in promotable_hosts]
         # Removing one of an even number of voters does not lower the number of
@@ -222,27 +251,58 @@
             lost_voters, key=lambda voter: voter.replica.host not in promotable_hosts
         )
 
+    def choose_removal(
+        self,
+        host: str,
+        members: list[MemberStatus],
+        locations: Mapping[str, Location],
+    ) -> MembershipChange | VoteKept:
+        """Return the removal of a voter whose host stops, or why it keeps its vote.
 
-def choose_removal(host: str, members: list[MemberStatus]) -> MembershipChange | None:
-    """Return the removal of a voter whose host stops, or None.
+        Parameters
+        ----------
+        host : str
+            Host that is about to stop.
+        members : list of MemberStatus
+            Result of `Replica.list_members`.
+        locations : mapping of str to Location
+            Locations of the hosts, as far as they are known.
+        """
+        voters = [member for member in members if member.standing == "voter"]
+        leaving = [voter for voter in voters if voter.replica.host == host]
+        if not leaving:
+            return VoteKept("membership_changes" if not members else "no_vote")
+        others = [voter for voter in voters if voter.replica.host != host]
+        kept = self.find_reason_to_vote(
+            host, [voter.replica.host for voter in voters], locations
+        )
+        if kept is None and not all(voter.active for voter in others):
+            kept = VoteKept("voter_out_of_contact", len(voters))
+        return kept or RemoveMember(leaving[0].replica)
 
-    The remaining voters must all be active and must tolerate the loss of one.
+    def find_reason_to_vote(
+        self, host: str, voters: Collection[str], locations: Mapping[str, Location]
+    ) -> VoteKept | None:
+        """Return why a host that stops has to keep its vote, or None.
 
-    Parameters
-    ----------
-    host : str
-        Host that is about to stop.
-    members : list of MemberStatus
-        Result of `Replica.list_members`.
-    """
-    voters = [member for member in members if member.standing == "voter"]
-    leaving = [voter for voter in voters if voter.replica.host == host]
-    others = [voter for voter in voters if voter.replica.host != host]
-    if len(others) < MIN_FAULT_TOLERANT_VOTERS or not all(
-        voter.active for voter in others
-    ):
-        return None
-    return RemoveMember(leaving[0].replica) if leaving else None
+        The others must be as many as the deployment is made for, and must bear the loss
+        of each group of hosts that all voters together bear.
+
+        Parameters
+        ----------
+        host : str
+            Host that is about to stop.
+        voters : collection of str
+            Hosts that vote.
+        locations : mapping of str to Location
+            Locations of the hosts, as far as they are known.
+        """
+        others = [voter for voter in voters if voter != host]
+        if len(others) < max(self.planned_voters, MIN_FAULT_TOLERANT_VOTERS):
+            return VoteKept("too_few_voters", len(voters))
+        borne_before = list_borne_groups(voters, self.losses, locations)
+        lost = borne_before - list_borne_groups(others, self.losses, locations)
+        return VoteKept(min(lost), len(voters)) if lost else None
 
 
 def _is_promotable(member: MemberStatus) -> bool:
@@ -253,3 +313,9 @@
     """Return whether the active voters are a majority after a lost one is removed."""
     active_count = sum(voter.active for voter in voters)
     return active_count > (len(voters) - 1) // 2
+
+
+def create_elastic_policy(seed_count: int, losses: ToleratedLosses) -> ElasticPolicy:
+    """Return the policy of a deployment with seeds and losses that it has to bear."""
+    planned_voters = max(seed_count, losses.min_voters)
+    return ElasticPolicy(planned_voters=planned_voters, losses=losses)
--- a/buckthorndeal/coordinator/_daemon.py
+++ b/buckthorndeal/coordinator/_daemon.py
@@ -12,7 +12,7 @@
 from buckthorndeal.consensus import (
     ConsensusFrame,
     DescribeReplica,
-    ElasticPolicy,
+    Location,
     ReplicaDescription,
     ReplicaId,
     ReplicaOptions,
@@ -43,6 +43,7 @@
     create_configuration_content,
 )
 from buckthorndeal.coordinator._version_store import create_disk_version_store
+from buckthorndeal.coordinator._voting import create_voting_policy, record_locations
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     FLEET_CODEC,
@@ -82,6 +83,7 @@
 GAUGES = {
     "configuration_version": "Version of the configuration in force.",
     "voters": "Hosts that vote on changes.",
+    "voters_planned": "Voters below which no host that stops gives up its vote.",
     "term": "Term of the replicated log.",
     "leads": "1 on the leader of the replicated log, 0 on the others.",
     "endpoints": "Endpoints known.",
@@ -162,6 +164,10 @@
         self._replica: ReplicaTask | None = None
         # Hosts that the replica asks for membership; shared with its options.
         self._join_hosts = [seed.address for seed in settings.seeds]
+        # Locations of the coordinators; shared with the replica task.
+        self._locations = {
+            self._own_address: Location(settings.failure_domain, settings.region)
+        }
         self._store: LogStore | None = None
         self._tasks = curio.TaskGroup(wait=any)
         self._servers: list[HttpServer] = []
@@ -216,13 +222,22 @@
         log_event("coordinator_draining")
         timeout_s = self._settings.drain_timeout_s
         async with curio.ignore_after(timeout_s) as timer:
-            await self.service.leave_cluster(self._own_address)
+            await self._leave_cluster()
             for server in self._servers:
                 await server.drain()
             while any(server.active_requests for server in self._servers):
                 await curio.sleep(DRAIN_POLL_INTERVAL_S)
         log_event("coordinator_stopped", overdue=timer.expired)
 
+    async def _leave_cluster(self) -> None:
+        """Give up the vote of this host, unless the other voters would be too few."""
+        kept = self._replica.find_reason_to_vote() if self._replica else None
+        if kept is None:
+            await self.service.leave_cluster(self._own_address)
+            return
+        self.metrics.count("votes_kept", reason=kept.reason)
+        log_event("vote_kept", reason=kept.reason, voters=kept.voters)
+
     async def reload(self, settings: CoordinatorSettings) -> None:
         """Apply the seeds of new settings; other changes need a restart."""
         seeds = tuple(seed.address for seed in settings.seeds)
@@ -282,11 +297,12 @@
         task = ReplicaTask(
             replica,
             create_statemachine(),
-            ElasticPolicy(planned_voters=len(settings.seeds)),
+            create_voting_policy(settings),
             self._send_frame,
             self._publish,
             self._clock,
             self.metrics,
+            self._locations,
         )
         self._replica = task
         self.service.attach_replica(task.mailbox)
@@ -337,6 +353,7 @@
             return None
         if isinstance(message, ControlStatus):
             self._add_join_hosts(tuple(host.host for host in message.hosts))
+            record_locations(self._locations, message.hosts)
             await self._fleet.mailbox.send(ControlStatusReceived(channel.host, message))
             return None
         return await self._handle_call(message, channel.host)
--- a/buckthorndeal/coordinator/_replica.py
+++ b/buckthorndeal/coordinator/_replica.py
@@ -1,6 +1,6 @@
 """Task that owns the replica of the configuration and the evacuations."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -8,10 +8,10 @@
 from buckthorndeal.consensus import (
     ElasticPolicy,
     EntryKind,
-    FixedSizePolicy,
+    Location,
     ProposalId,
     Replica,
-    choose_removal,
+    VoteKept,
 )
 from buckthorndeal.coordinator._requests import (
     ChangeEvacuation,
@@ -66,19 +66,23 @@
         Coroutine function called with each new `ClusterState`.
     metrics : Metrics
         Metrics of the coordinator.
+    locations : mapping of str to Location
+        Locations of the coordinators that are known at each moment.
     """
 
     def __init__(
         self,
         replica: Replica,
         machine: StateMachine,
-        policy: FixedSizePolicy | ElasticPolicy,
+        policy: ElasticPolicy,
         send: SendFrame,
         publish: Publish,
         clock: Callable[[], float],
         metrics: Metrics,
+        locations: Mapping[str, Location],
     ) -> None:
         super().__init__(replica, machine, policy, send, clock, REPAIR_INTERVAL_S)
+        self._locations = locations
         self._publish_state = publish
         self._metrics = metrics
         self._published: ClusterState | None = None
@@ -135,19 +139,50 @@
     @_handle.register
     async def _(self, message: RemoveHost, envelope: Envelope) -> None:
         self._require_leader()
-        now_s = self._clock()
-        change = None
+        kept = await self._remove_voter(message.host)
+        self._report_departure(message.host, kept)
+        await envelope.reply(kept is None)
+
+    async def _remove_voter(self, host: str) -> VoteKept | None:
+        """Remove a voter whose host stops; return why it keeps its vote, if it does."""
+        voters = len(self._replica.membership.voters)
         # A leader that shuts down keeps its vote; the other voters elect a new leader.
-        if message.host != self._replica.identity.host:
-            change = choose_removal(message.host, self._replica.list_members(now_s))
-        if change is not None:
-            try:
-                await self._process(self._replica.propose_membership(change, now_s))
-            except MembershipChangeError as error:
-                log_event("membership_change_refused", reason=str(error))
-                change = None
-        log_event("host_leaves", peer=message.host, removed=change is not None)
-        await envelope.reply(change is not None)
+        if host == self._replica.identity.host:
+            return VoteKept("leads", voters)
+        now_s = self._clock()
+        members = self._replica.list_members(now_s)
+        change = self._policy.choose_removal(host, members, self._locations)
+        if isinstance(change, VoteKept):
+            return change
+        try:
+            await self._process(self._replica.propose_membership(change, now_s))
+        except MembershipChangeError as error:
+            log_event("membership_change_refused", reason=str(error))
+            return VoteKept("membership_changes", voters)
+        return None
+
+    def _report_departure(self, host: str, kept: VoteKept | None) -> None:
+        reason = kept.reason if kept is not None else ""
+        self._metrics.count("host_departures", vote_kept=reason or "no")
+        log_event(
+            "host_leaves",
+            peer=host,
+            removed=kept is None,
+            reason=reason,
+            voters=len(self._replica.membership.voters),
+            planned=self._policy.planned_voters,
+        )
+
+    def find_reason_to_vote(self) -> VoteKept | None:
+        """Return why this host must not ask to be removed as it stops, or None.
+
+        A leader of an older build would remove it all the same.
+        """
+        voters = [each.host for each in self._replica.membership.voters]
+        own = self._replica.identity.host
+        if own not in voters:
+            return None
+        return self._policy.find_reason_to_vote(own, voters, self._locations)
 
     def _check_current(self, order: ChangeEvacuation) -> None:
         """Raise `RequestError` if the opposite order may have been given since."""
@@ -247,6 +282,7 @@
             self._published = state
             self._metrics.set_gauge("configuration_version", state.version or 0)
             self._metrics.set_gauge("voters", len(state.voters))
+            self._metrics.set_gauge("voters_planned", self._policy.planned_voters)
             await self._publish_state(state)
 
     def _find_pending_evacuations(self) -> frozenset[str]:
--- a/buckthorndeal/settings.py
+++ b/buckthorndeal/settings.py
@@ -14,6 +14,7 @@
     "ControlSettings",
     "CoordinatorSettings",
     "EntrySettings",
+    "FaultToleranceSettings",
     "GatewaySettings",
     "Limits",
     "PeerAddress",
@@ -157,6 +158,21 @@
     slack: Annotated[float, Meta(ge=0, le=1e12)] = 0.0
 
 
+class FaultToleranceSettings(
+    msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
+):
+    """What may be lost at the same time: hosts, or failure domains, or regions.
+
+    `hosts` are coordinators that may lose their disks: changes need twice as many
+    voters and one more, as far as the deployment has so many. All coordinators need the
+    same values.
+    """
+
+    hosts: Annotated[int, Meta(ge=0, le=100)] = 1
+    failure_domains: Annotated[int, Meta(ge=0, le=100)] = 0
+    regions: Annotated[int, Meta(ge=0, le=100)] = 0
+
+
 class CoordinatorSettings(
     msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True
 ):
@@ -190,6 +206,7 @@
     directory_lifetime_s: PositiveSeconds = 1.5
     drain_timeout_s: PositiveSeconds = 30.0
     quota: QuotaSettings = QuotaSettings()
+    fault_tolerance: FaultToleranceSettings = FaultToleranceSettings()
     memory_bytes: MemorySize | None = None
 
 
--- a/tests/coordinator_play.py
+++ b/tests/coordinator_play.py
@@ -5,10 +5,11 @@
 import types
 
 from buckthorndeal.consensus import (
-    ElasticPolicy,
     Membership,
     ReplicaId,
     ReplicaOptions,
+    ToleratedLosses,
+    create_elastic_policy,
     create_replica,
 )
 from buckthorndeal.consensus.logstore import create_disk_log_store
@@ -29,6 +30,7 @@
 # A lost disk counts until all coordinators have run and been connected for this time.
 CATCH_UP_S = 6.0
 CALL_TIMEOUT_S = 0.9
+SEEDS = 3
 
 
 class BrokenPromiseError(AssertionError):
@@ -97,6 +99,7 @@
         self.max_delay_s = rng.choice((0.01, 0.08))
         self.cut_hosts = frozenset()
         self.hosts = {}
+        self.locations = {}
         self.join_hosts = []
         # Disks lost since the coordinators were last calm for long enough.
         self.lost_disks = 0
@@ -190,17 +193,22 @@
         task = ReplicaTask(
             replica,
             create_statemachine(),
-            ElasticPolicy(planned_voters=2 * self.tolerance + 1),
+            self.create_policy(coordinator),
             send,
             publish,
             lambda: self.now_s,
             create_metrics(),
+            self.locations,
         )
         task.mailbox = PlayedMailbox()
         coordinator.task = task
         coordinator.running = task.run()
         self.resume(coordinator, None)
 
+    def create_policy(self, coordinator):
+        del coordinator
+        return create_elastic_policy(SEEDS, ToleratedLosses(self.tolerance))
+
     def resume(self, coordinator, envelope):
         """Let the task handle an envelope, or its timers, until it waits again."""
         task = coordinator.task
--- a/tests/last_fault_play.py
+++ b/tests/last_fault_play.py
@@ -25,7 +25,7 @@
     ----------
     seed : int
         Chooses the deployment and the disruptions.
-    mode : {"plain", "timed", "taken", "oldest"}, optional
+    mode : {"plain", "timed", "taken", "oldest", "voters"}, optional
         When the last fault comes and which disks are lost; chosen by the seed by
         default.
     plant : callable, optional
@@ -56,12 +56,16 @@
     def start_all(self):
         names = "abc" if self.tolerance == 1 else "abcde"
         coordinators = [self.add_host(name) for name in names]
+        self.start_hosts(coordinators, len(coordinators))
+
+    def start_hosts(self, coordinators, voter_count):
+        """Start hosts; the first ones are the voters of a new cluster."""
         for each in coordinators:
             each.store = self.open_store(each)
-        members = [_identify(each) for each in coordinators]
+        voters = [_identify(each) for each in coordinators[:voter_count]]
         for each in coordinators:
             each.store.close()
-            self.start(each, members if each is coordinators[0] else None)
+            self.start(each, voters if each is coordinators[0] else None)
 
     # Disruptions before the last fault
 
@@ -173,12 +177,22 @@
             hosts.sort(key=lambda each: each.host not in self.last_ack_hosts)
         elif self.mode == "oldest":
             hosts.sort(key=lambda each: each.created_s)
+        elif self.mode == "voters":
+            voters = self.list_voters()
+            hosts.sort(key=lambda each: each.host not in voters)
         for each in hosts[:count]:
             self.lose_disk(each, self.rng.uniform(0.3, 3.0))
         others = self.rng.choice((self.lose_power, self.lose_power, self.end, None))
         for each in hosts[count:] if others else ():
             others(each, self.rng.uniform(0.3, 3.0))
 
+    def list_voters(self):
+        """Return the hosts that vote, as the leader knows them."""
+        leader = self.find_leader()
+        if leader is None:
+            return set()
+        return {each.host for each in leader.task._replica.membership.voters}
+
     def check_end(self):
         """Check that the newest state is read within the limit, and stays."""
         self.accepts_orders = False
--- a/tests/test_elastic_policy.py
+++ b/tests/test_elastic_policy.py
@@ -114,6 +114,24 @@
         self.assertIn(b"change", cluster.committed[cluster.wait_for_leader()])
         self.assertEqual(cluster.get_voters(), set("abcde"))
 
+    def test_no_fewer_vote_while_a_voter_is_replaced(self):
+        """Guards against one disk fewer than planned that holds an entry.
+
+        The host that is replaced is only slow to return.
+        """
+        cluster = self.create_cluster("abcde", 5)
+        leader = cluster.wait_for_leader()
+        slow = next(host for host in "abcde" if host != leader)
+        cluster.down_hosts.add(slow)
+        self.add(cluster, "f")
+        counts = set()
+        for _ in range(100):
+            cluster.run(0.05)
+            counts.add(len(cluster.get_voters()))
+        self.assertEqual(min(counts), 5)
+        self.assertNotIn(slow, cluster.get_voters())
+        self.assertIn("f", cluster.get_voters())
+
     def test_one_replacement_removes_one_voter(self):
         """Guards against several voters removed for one learner."""
         cluster = self.create_cluster("abcde", 5)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -448,6 +448,14 @@
         self.assertLess(settings.drain_notice_s, settings.drain_stream_s)
         self.assertLess(settings.drain_stream_s, settings.drain_timeout_s / 2)
 
+    def test_losses_that_coordinators_bear_are_passed_on(self):
+        """Guards against voters whose number ignores how many disks may be lost."""
+        self.node.fault_tolerance = nodefile.FaultTolerance(2, 1, 1)
+        tolerance = nodefile.create_coordinator_settings(self.node).fault_tolerance
+        self.assertEqual(tolerance.hosts, 2)
+        self.assertEqual(tolerance.failure_domains, 1)
+        self.assertEqual(tolerance.regions, 1)
+
     def test_coordinator(self):
         settings = nodefile.create_coordinator_settings(self.node)
         self.assertEqual(settings.api_listen.port, 8146)
