Tell coordinators again what they forget of open streams

What callers saw: all coordinators were killed and back within a second; when a gateway was killed seven seconds later, none of its 24 streams could be taken up at another one (503 stream_version_unknown), while new streams began (LOST).

Cause: the origin of a stream (service and version that began it) is kept by three coordinators in memory, and a gateway told it once. A rolling restart, the replacement of coordinators, or streams that began while no coordinator was connected had the same effect. A stream that was taken up was not known to the host that took it up. While the core was away for seconds, heartbeats were missing and the version of new streams was never recorded.

Change: a gateway remembers its open streams, also those taken up there, and tells their origins again, in up to eight turns within 3 s, to a holder that has connected anew or has replaced another. Links number their connections. A heartbeat of the same incarnation that was sent later confirms a version that was not certain. While a coordinator has connected within the last 3 s, a host asks again for up to 1.2 s before it refuses.

--- a/buckthorndeal/fleet/_links.py
+++ b/buckthorndeal/fleet/_links.py
@@ -73,6 +73,14 @@
         """Return the hosts with a connected link."""
         return [host for host, link in self._links.items() if link.connected]
 
+    def list_connections(self) -> dict[str, int]:
+        """Return the number of the present connection to each connected host."""
+        return {
+            host: link.connection_number
+            for host, link in self._links.items()
+            if link.connected
+        }
+
     async def ensure(self, hosts: Iterable[str]) -> None:
         """Create and start links to the other hosts that have none yet."""
         for host in hosts:
@@ -126,16 +134,23 @@
             raise PeerError(f"no link to host {host}", Verdict.NOT_RUN)
         return await link.call(message, timeout_s)
 
-    async def deliver(self, host: str, message: Message) -> None:
-        """Send a message until the host confirms it, a few times at most."""
+    async def deliver(self, host: str, message: Message) -> bool:
+        """Send a message until the host confirms it, a few times at most.
+
+        Returns
+        -------
+        bool
+            Whether the host has confirmed it.
+        """
         for _ in range(DELIVERY_ATTEMPTS):
             try:
                 await self.call(host, message, DELIVERY_TIMEOUT_S)
-                return
+                return True
             except PeerError as error:
                 kind = type(message).__name__
                 log_event("not_delivered", peer=host, kind=kind, reason=str(error))
                 await curio.sleep(DELIVERY_RETRY_S)
+        return False
 
     async def close(self) -> None:
         """Close all links."""
--- a/buckthorndeal/fleet/_stream_origins.py
+++ b/buckthorndeal/fleet/_stream_origins.py
@@ -39,13 +39,17 @@
         # In the order in which they were learned.
         self._origins: dict[str, tuple[StreamOrigin, float]] = {}
 
-    def record(self, origin: StreamOrigin, now_s: float) -> None:
-        """Record an origin; the first one of a stream holds."""
+    def record(self, origin: StreamOrigin, now_s: float) -> bool:
+        """Record an origin; return whether it is the first one of its stream.
+
+        The first one holds.
+        """
         if origin.stream in self._origins:
-            return
+            return False
         if len(self._origins) >= MAX_ORIGINS:
             del self._origins[next(iter(self._origins))]
         self._origins[origin.stream] = (origin, now_s)
+        return True
 
     def merge(self, origins: Iterable[StreamOrigin], now_s: float) -> None:
         """Record the origins that another host has sent."""
@@ -57,11 +61,6 @@
         known = self._origins.get(stream)
         return known[0] if known is not None else None
 
-    def list_of_service(self, service: str) -> list[StreamOrigin]:
-        """Return the origins of all streams of a service."""
-        known = (origin for origin, _ in self._origins.values())
-        return [origin for origin in known if origin.service == service]
-
     def expire(self, now_s: float) -> None:
         """Forget streams that are over."""
         while self._origins:
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -24,8 +24,6 @@
     EntryHosts,
     EntryState,
     EntryStatus,
-    FindOrigin,
-    OriginUpdate,
     RelayEndpoint,
     RelayLeave,
     check_incarnation,
@@ -47,8 +45,6 @@
 )
 from buckthorndeal.gateway._coordinator_calls import (
     announce_drain,
-    ask_for_origin,
-    choose_holders,
     fetch_configuration,
 )
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
@@ -61,6 +57,7 @@
 )
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._known_hosts import KnownEntryHosts, describe_fleet
+from buckthorndeal.gateway._origin_teller import OriginTeller
 from buckthorndeal.gateway._quota_calls import QuotaCaller
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
@@ -154,7 +151,16 @@
         self._entry_state = EntryState.READY
         self._reaches_endpoints = True
         self._coordinator_reach = CoordinatorReach()
-        self._connected: set[str] = set()
+        self._origin_teller = OriginTeller(
+            self._own_address,
+            self._links,
+            dispatch,
+            self._coordinator_reach,
+            metrics,
+            clock,
+        )
+        # Number of the present connection to each connected coordinator.
+        self._connected: dict[str, int] = {}
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
         self._known_hosts = KnownEntryHosts(self._entry_hosts)
@@ -264,15 +270,14 @@
 
     @_handle.register
     async def _(self, message: ShareOrigins, envelope: Envelope) -> None:
-        update = OriginUpdate(message.origins)
-        for host in choose_holders(self._own_address, self._list_nearest_first()):
-            await spawn_job(self._links.deliver, host, update)
+        await self._origin_teller.share(message.origins, self._list_nearest_first())
 
     @_handle.register
     async def _(self, message: AskForOrigin, envelope: Envelope) -> None:
         await spawn_job(
-            self._search_origin,
+            self._origin_teller.search,
             message.query,
+            self._list_nearest_first(),
             envelope,
             on_failure=envelope.fail_unexpectedly,
         )
@@ -282,11 +287,6 @@
         hosts = self._list_nearest_first()
         await spawn_job(self._quota_caller.ask, hosts, message.request)
 
-    async def _search_origin(self, query: FindOrigin, envelope: Envelope) -> None:
-        replies = await ask_for_origin(self._links, self._list_nearest_first(), query)
-        known = len(self._links.hosts)
-        await envelope.reply(self._coordinator_reach.conclude(replies, known))
-
     def _list_nearest_first(self) -> list[str]:
         """Return the connected coordinators."""
         return sorted(self._connected, key=self._coordinators.get_distance)
@@ -311,7 +311,7 @@
     async def _(self, message: ClusterNotice, host: str) -> None:
         if message.version is not None:
             self._versions.announce(host, message.version)
-        if self._evacuations.record(message, host, self._connected):
+        if self._evacuations.record(message, host, self._connected.keys()):
             await self._update_fleet()
         await self._fetch_if_newer()
 
@@ -332,17 +332,21 @@
 
     async def _update_connections(self) -> None:
         """Handle coordinators that have connected or disconnected lately."""
-        connected = set(self._links.list_connected())
-        for host in connected - self._connected:
-            log_event("coordinator_connected", peer=host)
-            await self._links.send(host, self._create_status())
-            await spawn_job(self._deliver_shared_state, host)
-        for host in self._connected - connected:
+        connected = self._links.list_connections()
+        changed = connected != self._connected
+        for host, number in connected.items():
+            # A process that has started again may have been back before this check.
+            if self._connected.get(host) != number:
+                log_event("coordinator_connected", peer=host)
+                await self._links.send(host, self._create_status())
+                await spawn_job(self._deliver_shared_state, host)
+        for host in self._connected.keys() - connected.keys():
             log_event("coordinator_lost", peer=host)
             self._entry_hosts.drop(host)
-        changed = connected != self._connected
         self._connected = connected
         self._coordinator_reach.keep(connected)
+        nearest_first = self._list_nearest_first()
+        await self._origin_teller.update_holders(connected, nearest_first)
         if changed:
             await self._report_coordinator_reach()
             await self._update_fleet()
@@ -415,7 +419,7 @@
 
         The coordinators that have announced it are tried in turn, nearest first.
         """
-        fetch = self._versions.start_fetch(self._connected, self._clock())
+        fetch = self._versions.start_fetch(self._connected.keys(), self._clock())
         if fetch is not None:
             version, hosts = fetch
             hosts.sort(key=self._coordinators.get_distance)
--- a/buckthorndeal/gateway/_coordinator_calls.py
+++ b/buckthorndeal/gateway/_coordinator_calls.py
@@ -14,29 +14,15 @@
     OriginReply,
     RelayEndpoint,
 )
+from buckthorndeal.gateway._origin_holders import HOLDERS
 from buckthorndeal.logs import log_event
-from buckthorndeal.subsetting import choose_owners
 
 FETCH_TIMEOUT_S = 1.0
 RELAY_TIMEOUT_S = 0.7
-# Coordinators that keep an origin, so that it outlives the loss of two of them.
-HOLDERS = 3
 # Three round trips between regions.
 FIND_TIMEOUT_S = 0.5
 
 
-def choose_holders(own_host: str, nearest_first: list[str]) -> list[str]:
-    """Return the coordinators that keep the origins of the streams of a host.
-
-    One of them is near, so that it is soon asked; the others are chosen by a hash and
-    so are mostly in other regions.
-    """
-    if not nearest_first:
-        return []
-    nearest, others = nearest_first[0], nearest_first[1:]
-    return [nearest, *choose_owners(own_host, others, HOLDERS - 1)]
-
-
 async def ask_for_origin(
     links: HostLinks, hosts: list[str], message: FindOrigin
 ) -> dict[str, OriginReply]:
--- a/buckthorndeal/gateway/_coordinator_reach.py
+++ b/buckthorndeal/gateway/_coordinator_reach.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from buckthorndeal.fleet import OriginReply, ServiceVersion, StreamOrigin
+from buckthorndeal.gateway._origin_holders import REPEAT_LIMIT_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,11 +20,15 @@
     majority : bool
         Whether more than half of the known coordinators have told all they know, as of
         a time after they were asked.
+    is_settled : bool
+        Whether all of them have been connected for so long that other hosts have told
+        them again what they may have lost.
     """
 
     origin: StreamOrigin | None
     versions: tuple[ServiceVersion, ...]
     majority: bool
+    is_settled: bool = True
 
 
 class CoordinatorReach:
@@ -35,6 +40,8 @@
 
     def __init__(self) -> None:
         self._told: set[str] = set()
+        # Number of the present connection of each coordinator, and when it was seen.
+        self._connections: dict[str, tuple[int, float]] = {}
 
     def record_told(self, coordinator: str) -> None:
         """Record that a coordinator has sent all that it knows."""
@@ -44,6 +51,28 @@
         """Forget the coordinators that are not connected."""
         self._told.intersection_update(connected)
 
+    def record_connections(self, connections: Mapping[str, int], now_s: float) -> None:
+        """Record the numbers of the present connections."""
+        self._connections = {
+            host: self._date_connection(host, number, now_s)
+            for host, number in connections.items()
+        }
+
+    def _date_connection(
+        self, host: str, number: int, now_s: float
+    ) -> tuple[int, float]:
+        known = self._connections.get(host)
+        if known is not None and known[0] == number:
+            return known
+        return number, now_s
+
+    def is_settled(self, now_s: float) -> bool:
+        """Return whether no coordinator has connected of late."""
+        return all(
+            now_s - since_s >= REPEAT_LIMIT_S
+            for _, since_s in self._connections.values()
+        )
+
     def has_majority(self, known: int) -> bool:
         """Return whether more than half of the `known` coordinators have."""
         return 2 * len(self._told) > known
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -48,6 +48,7 @@
     DescribeSharedState,
     EvidenceReceived,
     FindStreamVersion,
+    ListOpenOrigins,
     QuotaReplied,
     RateLimitsReceived,
 )
@@ -287,6 +288,13 @@
         stream_versions = self._dispatcher.view.stream_versions
         await envelope.reply(stream_versions.find_version(message, now_s))
 
+    @_handle.register
+    async def _(
+        self, message: ListOpenOrigins, envelope: Envelope, now_s: float
+    ) -> None:
+        stream_versions = self._dispatcher.view.stream_versions
+        await envelope.reply(stream_versions.list_open_origins(now_s))
+
     @_handle.register
     async def _(
         self, message: DescribeSharedState, envelope: Envelope, now_s: float
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -15,9 +15,10 @@
 from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
+from buckthorndeal.gateway._endpoint_condition import EndpointCondition
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_messages import Borrower, RegionUpdate
-from buckthorndeal.gateway._fleet_view import EndpointCondition, FleetView, ServiceState
+from buckthorndeal.gateway._fleet_view import FleetView, ServiceState
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._grants import create_attempt, create_grant
 from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
@@ -268,8 +269,13 @@
     def record_first_event(self, attempt_id: int, now_s: float) -> None:
         """Record that an attempt has brought the first event of a stream."""
         attempt = self._granted.get(attempt_id)
-        if attempt is not None and attempt.version is not None:
-            self.view.stream_versions.record_start(attempt.call, attempt.version, now_s)
+        if attempt is None:
+            return
+        stream_versions = self.view.stream_versions
+        if attempt.version is not None:
+            stream_versions.record_start(attempt.call, attempt.version, now_s)
+        else:
+            stream_versions.record_unconfirmed(attempt.call, attempt.record, now_s)
 
     def finish_attempt(
         self,
@@ -297,6 +303,8 @@
         ended = self._granted.pop(attempt_id, None)
         if ended is None:
             return
+        if outcome is AttemptOutcome.SUCCEEDED:
+            self.view.stream_versions.record_end(ended.call)
         self.admission.record_end(attempt_id, ended, outcome, now_s)
         load = self._get_load(ended)
         if load is None or load.is_ready(now_s):
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -1,11 +1,14 @@
 """Endpoints of the region and state of the fleet, as known to one host; no I/O."""
 
-import enum
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad, create_endpoint_table
+from buckthorndeal.gateway._endpoint_condition import (
+    USABLE_CONDITIONS,
+    EndpointCondition,
+)
 from buckthorndeal.gateway._engine import (
     INITIAL_TOKENS_PER_S,
     PrefixCaches,
@@ -21,12 +24,11 @@
 from buckthorndeal.gateway._region_load import describe_load
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
+from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
 from buckthorndeal.gateway._warm_ups import WarmUps
 
 # Heartbeats arrive about once a second; an endpoint is avoided after two lost ones.
 HEARTBEAT_TIMEOUT_S = 3.0
-# Most that passes from when an endpoint sends a heartbeat until it arrives here.
-RELAY_DELAY_S = 1.0
 # Age of the last heartbeat of an endpoint that is most likely alive.
 RECENT_HEARTBEAT_S = 2.0
 # Share of a service's `max_connections` that the hosts of the region divide, and what
@@ -35,21 +37,6 @@
 MIN_CONNECTIONS = 2
 
 
-class EndpointCondition(enum.Enum):
-    """Condition that decides whether an endpoint gets new requests."""
-
-    READY = "ready"
-    COLD = "cold"
-    SILENT = "silent"
-    EVACUATED = "evacuated"
-    LEAVING = "leaving"
-    PAUSED = "paused"
-    RATE_LIMITED = "rate_limited"
-
-
-USABLE_CONDITIONS = (EndpointCondition.READY, EndpointCondition.COLD)
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceState:
     """Metrics of one service on this host.
@@ -327,6 +314,9 @@
         """Record that an endpoint is alive and its last heartbeat still holds."""
         self._last_heartbeat_s = now_s
         self._table.touch(endpoint, now_s)
+        entry = self._table.get(endpoint)
+        if entry is not None:
+            self.stream_versions.confirm_streams(entry.record, now_s)
 
     def expire(self, silence_s: float, now_s: float) -> list[str]:
         """Remove and return the endpoints without heartbeats for `silence_s` seconds.
--- a/buckthorndeal/gateway/_shared_messages.py
+++ b/buckthorndeal/gateway/_shared_messages.py
@@ -54,6 +54,11 @@
     told: tuple[ServiceVersion, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ListOpenOrigins:
+    """Query: origins of the open streams of which other hosts may have to learn."""
+
+
 @dataclass(frozen=True, slots=True)
 class DescribeSharedState:
     """Query: messages with all that this host has to share with other hosts."""
--- a/buckthorndeal/gateway/_stream_versions.py
+++ b/buckthorndeal/gateway/_stream_versions.py
@@ -20,7 +20,12 @@
 from buckthorndeal.gateway._messages import (
     Call,
 )
+from buckthorndeal.gateway._open_streams import create_open_streams
 from buckthorndeal.gateway._shared_messages import FindStreamVersion
+from buckthorndeal.gateway._unconfirmed_streams import (
+    UnconfirmedStream,
+    create_unconfirmed_streams,
+)
 
 # Age up to which it holds that a majority of the coordinators is connected. A host that
 # was suspended, or whose tasks were, has not been told since.
@@ -38,6 +43,8 @@
     def __init__(self) -> None:
         self._versions = create_version_table()
         self._origins = create_origin_table()
+        self._open = create_open_streams()
+        self._unconfirmed = create_unconfirmed_streams()
         self._outgoing: list[StreamOrigin] = []
         self._reached_s = -math.inf
         # Services with endpoints that name no version, or whose coordinators do not.
@@ -52,6 +59,7 @@
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Take note of the version of an endpoint."""
+        self.confirm_streams(record, now_s)
         if not record.version:
             self._unnamed.add(record.service)
             return
@@ -63,16 +71,53 @@
             self._check_due_s = now_s
 
     def record_start(self, call: Call, version: str, now_s: float) -> None:
-        """Record that an endpoint of a version has sent a stream's first event."""
-        is_resumable = call.route.kind is RequestKind.STREAM and call.route.retryable
-        if not is_resumable or call.resume_after is not None or not call.request_id:
+        """Record that an endpoint of a version has sent a first event for a call.
+
+        Of a stream that is taken up here, the host at which it began may be gone.
+        """
+        stream = _name_stream(call)
+        if stream is None:
             return
-        stream = digest_stream(call.request_id)
         origin = StreamOrigin(stream, call.service, version)
-        self._origins.record(origin, now_s)
-        if not self.is_uniform(call.service, now_s):
+        self._record_origin(origin, call.deadline_s, now_s)
+
+    def record_unconfirmed(
+        self, call: Call, record: EndpointRecord, now_s: float
+    ) -> None:
+        """Record that an endpoint without recent heartbeats has sent a first event."""
+        stream = _name_stream(call)
+        if stream is not None and record.version:
+            unconfirmed = UnconfirmedStream(record, stream, now_s, call.deadline_s)
+            self._unconfirmed.add(unconfirmed)
+
+    def confirm_streams(self, record: EndpointRecord, now_s: float) -> None:
+        """Record the origins of which a heartbeat that arrives now tells."""
+        for each in self._unconfirmed.confirm(record, now_s):
+            self._record_origin(each.origin, each.deadline_s, now_s)
+
+    def _record_origin(
+        self, origin: StreamOrigin, deadline_s: float, now_s: float
+    ) -> None:
+        is_new = self._origins.record(origin, now_s)
+        self._open.open(origin, deadline_s)
+        if is_new and not self.is_uniform(origin.service, now_s):
             self._outgoing.append(origin)
 
+    def record_end(self, call: Call) -> None:
+        """Record that a response is complete."""
+        stream = _name_stream(call)
+        if stream is not None:
+            self._open.close(stream)
+
+    def list_open_origins(self, now_s: float) -> list[StreamOrigin]:
+        """Return the origins of open streams whose versions others cannot know."""
+        services = {
+            service
+            for service in self._open.list_services()
+            if not self.is_uniform(service, now_s)
+        }
+        return self._open.list_origins(services, now_s)
+
     def is_uniform(self, service: str, now_s: float) -> bool:
         """Return whether one version seems to serve, so that origins stay at this host.
 
@@ -106,7 +151,7 @@
     def take_outgoing(self, now_s: float) -> tuple[StreamOrigin, ...]:
         """Return the origins that other hosts may need, since the last call.
 
-        Once a service is no longer uniform these include all earlier ones.
+        Once a service is no longer uniform these include those of its open streams.
         """
         if now_s >= self._check_due_s:
             self._check_due_s = now_s + CHECK_INTERVAL_S
@@ -122,6 +167,8 @@
         """Forget streams that are over, and versions that nobody has seen of late."""
         self._versions.expire(now_s)
         self._origins.expire(now_s)
+        self._open.expire(now_s)
+        self._unconfirmed.expire(now_s)
 
     def _check(self, now_s: float) -> None:
         for service in self._versions.list_services():
@@ -129,4 +176,11 @@
                 self._uniform.add(service)
             elif service in self._uniform:
                 self._uniform.discard(service)
-                self._outgoing.extend(self._origins.list_of_service(service))
+                self._outgoing.extend(self._open.list_origins((service,), now_s))
+
+
+def _name_stream(call: Call) -> str | None:
+    """Return the name of the stream of a call; None if it cannot be taken up."""
+    is_resumable = call.route.kind is RequestKind.STREAM and call.route.retryable
+    began = call.resumes or call.request_id
+    return digest_stream(began) if is_resumable and began else None
--- a/buckthorndeal/gateway/_versions.py
+++ b/buckthorndeal/gateway/_versions.py
@@ -1,5 +1,7 @@
 """Versions of the configuration that coordinators have announced; no I/O."""
 
+from collections.abc import Set
+
 # Wait after no coordinator has returned the configuration that it announces.
 FETCH_RETRY_S = 0.2
 
@@ -22,7 +24,7 @@
         self._announced[host] = version
 
     def start_fetch(
-        self, connected: set[str], now_s: float
+        self, connected: Set[str], now_s: float
     ) -> tuple[int, list[str]] | None:
         """Return the version to fetch now and the coordinators that have it, or None.
 
--- a/buckthorndeal/peers.py
+++ b/buckthorndeal/peers.py
@@ -207,6 +207,12 @@
         self._options = options
         self._rng = rng
         self._task: curio.Task | None = None
+        self._connection_count = 0
+
+    @property
+    def connection_number(self) -> int:
+        """Number of the latest connection; it rises each time one is opened."""
+        return self._connection_count
 
     @property
     def connected(self) -> bool:
@@ -264,6 +270,7 @@
                     session, early_messages = await self._handshake(stream)
             except (OSError, WireError, curio.TaskTimeout) as error:
                 return repr(error)
+            self._connection_count += 1
             reason = await self._channel.serve(stream, session, early_messages)
             log_event("peer_lost", peer=self.host, reason=reason)
             return None
--- a/tests/test_rate_shares.py
+++ b/tests/test_rate_shares.py
@@ -5,7 +5,7 @@
 
 from buckthorndeal.configuration import RequestKind
 from buckthorndeal.fleet import EndpointRecord, EndpointState, create_rate_limit_table
-from buckthorndeal.gateway._fleet_view import EndpointCondition
+from buckthorndeal.gateway._endpoint_condition import EndpointCondition
 from buckthorndeal.gateway._messages import (
     EndpointNotice,
     Grant,
