Let streams that are taken up go on at the service that began them

What callers saw: the weights of a route with two services were exchanged; when a gateway was killed later, 3 of its 24 streams could be taken up at another one, the others got 503 stream_version_unknown (LOST). With one version serving they went on at the other service, unnoticed.

Cause: the service of a stream that is taken up was drawn anew by the present weights, at the first host and at each host that was handed the request. An origin that told another service was dropped. With one version no origin is shared, so the drawn service was taken for that of the stream.

Change: the origin decides on the service, here, at coordinators and at hosts that are handed the request (header buckthorndeal-service, between hosts only). A stream whose service has no weight any more is refused as service_not_routed. Metric streams_kept_at_service; stream_taken_up names both services.

--- a/buckthorndeal/configuration.py
+++ b/buckthorndeal/configuration.py
@@ -110,6 +110,12 @@
     home_regions: frozenset[str] = frozenset()
     allows_anonymous: bool = False
 
+    def allows_service(self, service: str) -> bool:
+        """Return whether requests of this route may go to a service."""
+        return any(
+            each.service == service and each.weight > 0 for each in self.services
+        )
+
     @property
     def retryable(self) -> bool:
         """Whether a request may run more than once."""
--- a/buckthorndeal/gateway/_attempt_headers.py
+++ b/buckthorndeal/gateway/_attempt_headers.py
@@ -10,6 +10,9 @@
 # Between entry hosts: the software version at which a stream has to continue, and in a
 # response the version of the endpoint that has sent it.
 VERSION_HEADER = "buckthorndeal-version"
+# Between entry hosts: the service that was chosen, as another host may have another
+# configuration.
+SERVICE_HEADER = "buckthorndeal-service"
 
 
 def build_attempt_headers(
@@ -93,4 +96,6 @@
     headers = [(name, value) for name, value in signed if name not in already_present]
     if call.version is not None:
         headers.append((VERSION_HEADER, call.version))
+    if call.version is not None or len(call.route.services) > 1:
+        headers.append((SERVICE_HEADER, call.service))
     return headers
--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -9,6 +9,7 @@
 from buckthorndeal.gateway._drain import Drain, LongestDurations
 from buckthorndeal.gateway._open_attempts import OpenAttempts
 from buckthorndeal.gateway._pools import Pools
+from buckthorndeal.gateway._recent_splits import RecentSplits
 from buckthorndeal.gateway.dialect import Dialect
 from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.metrics import Metrics
@@ -40,6 +41,8 @@
         Returns seconds since the epoch.
     routes : RouteTable or None
         Active routes; None before the first configuration.
+    splits : RecentSplits
+        Former services of routes that have changed of late.
     drain : Drain or None
         The drain of this host, if it is under way.
     durations : LongestDurations
@@ -63,6 +66,7 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     routes: RouteTable | None = None
+    splits: RecentSplits = field(default_factory=RecentSplits)
     drain: Drain | None = None
     durations: LongestDurations = field(default_factory=LongestDurations)
     attempt_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -353,8 +353,10 @@
         """Activate a newer configuration."""
         routes = create_route_table(configuration)
         self._dispatch.set_services(routes.services)
+        self._dispatch.set_routes(configuration.routes)
         self._dispatch.set_workspaces(configuration.workspaces)
         self._context.routes = routes
+        self._context.splits.update(configuration.routes, self._clock())
         self._home_route_counts = {
             **count_home_routes(configuration),
             **count_home_workspaces(configuration),
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from functools import singledispatchmethod
 
-from buckthorndeal.configuration import ServiceDescription
+from buckthorndeal.configuration import Route, ServiceDescription
 from buckthorndeal.fleet import (
     EndpointRecord,
     EvidenceUpdate,
@@ -47,7 +47,7 @@
     CoordinatorsReached,
     DescribeSharedState,
     EvidenceReceived,
-    FindStreamVersion,
+    FindStreamOrigin,
     ListOpenOrigins,
     QuotaReplied,
     RateLimitsReceived,
@@ -283,10 +283,10 @@
 
     @_handle.register
     async def _(
-        self, message: FindStreamVersion, envelope: Envelope, now_s: float
+        self, message: FindStreamOrigin, envelope: Envelope, now_s: float
     ) -> None:
         stream_versions = self._dispatcher.view.stream_versions
-        await envelope.reply(stream_versions.find_version(message, now_s))
+        await envelope.reply(stream_versions.find_origin(message, now_s))
 
     @_handle.register
     async def _(
@@ -385,6 +385,11 @@
         """Replace the services with those of a newer configuration."""
         self._dispatcher.view.set_services(services)
 
+    def set_routes(self, routes: Iterable[Route]) -> None:
+        """Replace the routes with those of a newer configuration."""
+        stream_versions = self._dispatcher.view.stream_versions
+        stream_versions.set_routes(routes, self._clock())
+
     def set_workspaces(self, workspaces: Iterable[Workspace]) -> None:
         """Replace the workspaces with those of a newer configuration."""
         self._dispatcher.quota.set_workspaces(workspaces)
--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -34,7 +34,7 @@
     Refusal,
 )
 from buckthorndeal.gateway._open_attempts import Handover
-from buckthorndeal.gateway._origins import find_stream_version
+from buckthorndeal.gateway._origins import find_stream_origin
 from buckthorndeal.gateway._progress import BufferedResponse, Progress
 from buckthorndeal.gateway._replacement import MAX_OVERLAP_S, Replacement
 from buckthorndeal.gateway._response_check import create_stream_error
@@ -138,8 +138,10 @@
 
     async def _run_attempts(self) -> None:
         if self._is_taken_up():
-            version = await find_stream_version(self._context, self._call)
-            self._call = replace(self._call, version=version)
+            origin = await find_stream_origin(self._context, self._call)
+            self._call = replace(
+                self._call, service=origin.service, version=origin.version
+            )
         while True:
             opening = self._replacement.take()
             if opening is not None:
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -1,6 +1,6 @@
 """HTTP handlers for requests of callers and of other entry hosts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 from absl import logging
@@ -14,7 +14,7 @@
     verify_request,
 )
 from buckthorndeal.gateway._attempt import VERDICT_HEADER
-from buckthorndeal.gateway._attempt_headers import VERSION_HEADER
+from buckthorndeal.gateway._attempt_headers import SERVICE_HEADER, VERSION_HEADER
 from buckthorndeal.gateway._authentication import (
     WorkspaceMetrics,
     check_home,
@@ -28,6 +28,7 @@
 from buckthorndeal.gateway._messages import (
     Call,
 )
+from buckthorndeal.gateway._origins import check_service
 from buckthorndeal.gateway._progress import Progress
 from buckthorndeal.gateway._waiting_notice import announce_waiting
 from buckthorndeal.gateway.dialect import RequestMetadata
@@ -179,6 +180,7 @@
         call = self._create_call(request, metadata, forwarded, route, handling)
         if forwarded is not None:
             check_home(call, self._context.region)
+            call = _keep_service(call, request)
         handling.exchange = Exchange(self._context, call, request, responder)
         await self._run(handling.exchange, responder, forwarded is not None)
 
@@ -251,7 +253,7 @@
         return Call(
             request_id=metadata.request_id,
             route=route,
-            service=choose_service(route, metadata.resumes or metadata.request_id),
+            service=self._choose_service(route, metadata, handling.arrived_s),
             arrived_s=handling.arrived_s,
             deadline_s=deadline_s,
             prompt=metadata.prompt,
@@ -265,6 +267,15 @@
             tokens=metadata.tokens,
         )
 
+    def _choose_service(
+        self, route: Route, metadata: RequestMetadata, now_s: float
+    ) -> str:
+        """Choose by the weights; a stream that is taken up began under former ones."""
+        if metadata.resumes:
+            splits = self._context.splits
+            return splits.find_service(route, metadata.resumes, now_s)
+        return choose_service(route, metadata.request_id)
+
     def _check_drain(
         self, drain: Drain, route: Route, forwarded: bool, deadline_s: float
     ) -> None:
@@ -312,6 +323,21 @@
         await responder.respond_json(error.status, error.to_body(), headers)
 
 
+def _keep_service(call: Call, request: Request) -> Call:
+    """Return a forwarded call with the service that its first host has chosen.
+
+    That host may have another configuration. A stream that has begun goes on at its
+    service or not at all; other requests go to a service that this host allows.
+    """
+    service = request.headers.get(SERVICE_HEADER)
+    if service is None:
+        return call
+    if call.version is not None:
+        check_service(call, service)
+    allowed = call.route.allows_service(service)
+    return replace(call, service=service) if allowed else call
+
+
 def _create_internal_error(exchange: Exchange | None, error: Exception) -> RequestError:
     message = f"internal error: {type(error).__name__}"
     if exchange is not None:
--- a/buckthorndeal/gateway/_headers.py
+++ b/buckthorndeal/gateway/_headers.py
@@ -25,6 +25,7 @@
         "buckthorndeal-origin",
         "buckthorndeal-request-id",
         "buckthorndeal-sent-ms",
+        "buckthorndeal-service",
         "buckthorndeal-verdict",
         "buckthorndeal-version",
         "buckthorndeal-workspace",
--- a/buckthorndeal/gateway/_origins.py
+++ b/buckthorndeal/gateway/_origins.py
@@ -1,17 +1,17 @@
-"""Lookup of the software version that began a stream, here or at coordinators."""
+"""Lookup of the service and version that began a stream, here or at coordinators."""
 
 from dataclasses import replace
 
 import curio
 
 from buckthorndeal.errors import RequestError
-from buckthorndeal.fleet import FindOrigin, digest_stream
+from buckthorndeal.fleet import FindOrigin, StreamOrigin, digest_stream
 from buckthorndeal.gateway._context import GatewayContext
 from buckthorndeal.gateway._control_messages import AskForOrigin
 from buckthorndeal.gateway._messages import (
     Call,
 )
-from buckthorndeal.gateway._shared_messages import FindStreamVersion
+from buckthorndeal.gateway._shared_messages import FindStreamOrigin
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import MailboxError
 
@@ -22,16 +22,17 @@
 ASK_AGAIN_LIMIT_S = 1.2
 
 
-async def find_stream_version(context: GatewayContext, call: Call) -> str:
-    """Return the software version at which a stream that is taken up has begun.
+async def find_stream_origin(context: GatewayContext, call: Call) -> StreamOrigin:
+    """Return the service and software version that have begun a stream.
 
     Raises
     ------
     RequestError
-        With status 503 if it is not known and several versions may serve.
+        With status 503 if they are not known and several may serve, or if the route
+        does not lead to the service any more.
     """
     try:
-        version, source = await _look_up_version(context, call)
+        origin, source = await _look_up_origin(context, call)
     except MailboxError as error:
         raise RequestError(
             "internal", 503, str(error), retry_after_s=RETRY_S
@@ -41,54 +42,74 @@
         request_id=call.request_id,
         resumes=call.resumes,
         after=call.resume_after,
-        version=version,
+        service=origin.service if origin is not None else None,
+        chosen_service=call.service,
+        version=origin.version if origin is not None else None,
         source=source,
     )
-    if version is None:
+    if origin is None:
         raise RequestError(
             "stream_version_unknown",
             503,
             "the software version that began the stream is not known",
             retry_after_s=RETRY_S,
         )
-    return version
+    if origin.service != call.service:
+        context.metrics.count("streams_kept_at_service")
+    check_service(call, origin.service)
+    return origin
 
 
-async def _look_up_version(
+def check_service(call: Call, service: str) -> None:
+    """Refuse a stream whose service is not one of its route any more.
+
+    Raises
+    ------
+    RequestError
+        With status 503; this host may have an older configuration than others.
+    """
+    if not call.route.allows_service(service):
+        raise RequestError(
+            "service_not_routed",
+            503,
+            f"the route does not lead to service {service}, which began the stream",
+            retry_after_s=RETRY_S,
+        )
+
+
+async def _look_up_origin(
     context: GatewayContext, call: Call
-) -> tuple[str | None, str]:
-    """Return the version, or None, and where it was found or sought last.
+) -> tuple[StreamOrigin | None, str]:
+    """Return the origin, or None, and where it was found or sought last.
 
     A coordinator that has just connected may have lost what it knew, and be told it
     again within a moment. A refusal would cost the caller one of few tries.
     """
     until_s = min(call.deadline_s, context.clock() + ASK_AGAIN_LIMIT_S) - ASK_AGAIN_S
     while True:
-        version, source, is_final = await _ask_once(context, call)
+        origin, source, is_final = await _ask_once(context, call)
         if is_final or context.clock() >= until_s:
-            return version, source
+            return origin, source
         context.metrics.count("stream_origins_asked_again")
         await curio.sleep(ASK_AGAIN_S)
 
 
 async def _ask_once(
     context: GatewayContext, call: Call
-) -> tuple[str | None, str, bool]:
-    """Return the version or None, where it was sought, and whether that is final."""
-    query = FindStreamVersion(call.service, call.resumes)
-    version = await context.dispatch_mailbox.ask(query)
-    if version is not None:
-        return version, "here", True
+) -> tuple[StreamOrigin | None, str, bool]:
+    """Return the origin or None, where it was sought, and whether that is final."""
+    query = FindStreamOrigin(call.service, call.resumes)
+    origin = await context.dispatch_mailbox.ask(query)
+    if origin is not None:
+        return origin, "here", True
     stream = digest_stream(call.resumes or "")
     search = await context.control_mailbox.ask(
         AskForOrigin(FindOrigin(stream, call.service))
     )
     if search.origin is not None:
-        is_same_service = search.origin.service == call.service
-        version = search.origin.version if is_same_service else None
-        return version, "coordinators", True
+        return search.origin, "coordinators", True
     if not search.majority:
         return None, "minority", search.is_settled
     query = replace(query, told=search.versions)
-    version = await context.dispatch_mailbox.ask(query)
-    return version, "majority", version is not None or search.is_settled
+    origin = await context.dispatch_mailbox.ask(query)
+    return origin, "majority", origin is not None or search.is_settled
--- a/buckthorndeal/gateway/_shared_messages.py
+++ b/buckthorndeal/gateway/_shared_messages.py
@@ -35,13 +35,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FindStreamVersion:
-    """Query: software version at which a stream has begun, or None if not known here.
+class FindStreamOrigin:
+    """Query: `StreamOrigin` of a stream, or None if it is not known here.
 
     Parameters
     ----------
     service : str
-        Service of the request that takes it up.
+        Service at which it has begun if no host has told its origin.
     resumes : str or None
         Id of the request that brought its first event.
     told : tuple of ServiceVersion or None
--- a/buckthorndeal/gateway/_stream_versions.py
+++ b/buckthorndeal/gateway/_stream_versions.py
@@ -8,7 +8,7 @@
 import math
 from collections.abc import Collection, Iterable
 
-from buckthorndeal.configuration import RequestKind
+from buckthorndeal.configuration import RequestKind, Route
 from buckthorndeal.fleet import (
     EndpointRecord,
     ServiceVersion,
@@ -21,7 +21,8 @@
     Call,
 )
 from buckthorndeal.gateway._open_streams import create_open_streams
-from buckthorndeal.gateway._shared_messages import FindStreamVersion
+from buckthorndeal.gateway._recent_splits import RecentSplits
+from buckthorndeal.gateway._shared_messages import FindStreamOrigin
 from buckthorndeal.gateway._unconfirmed_streams import (
     UnconfirmedStream,
     create_unconfirmed_streams,
@@ -36,8 +37,8 @@
 class StreamVersions:
     """Remembers at which versions streams have begun, and tells other hosts.
 
-    Other hosts are told only while several versions serve in a service, or while this
-    host cannot know that.
+    Other hosts are told only while several versions serve in a service or this host
+    cannot know that, and after the services of a route have changed.
     """
 
     def __init__(self) -> None:
@@ -49,6 +50,7 @@
         self._reached_s = -math.inf
         # Services with endpoints that name no version, or whose coordinators do not.
         self._unnamed: set[str] = set()
+        self._splits = RecentSplits()
         # Services in which one version served at the last check.
         self._uniform: set[str] = set()
         self._check_due_s = -math.inf
@@ -119,10 +121,13 @@
         return self._open.list_origins(services, now_s)
 
     def is_uniform(self, service: str, now_s: float) -> bool:
-        """Return whether one version seems to serve, so that origins stay at this host.
+        """Return whether other hosts can tell the origin of a stream of a service.
 
-        If it is mistaken, other hosts refuse the streams that have begun here.
+        They can while one version seems to serve and its routes have not changed. If
+        this host is mistaken, they refuse the streams that have begun here.
         """
+        if self._splits.is_shared(service, now_s):
+            return False
         versions = self._versions.list_versions(service, now_s)
         if not versions:
             return service in self._unnamed
@@ -130,22 +135,32 @@
             return False
         return len(versions) == 1
 
-    def find_version(self, query: FindStreamVersion, now_s: float) -> str | None:
-        """Return the version at which a stream has begun, or None if it is not known.
+    def set_routes(self, routes: Iterable[Route], now_s: float) -> None:
+        """Take note of the routes of a newer configuration."""
+        self._splits.update(routes, now_s)
+        self._check_due_s = now_s
+
+    def find_origin(self, query: FindStreamOrigin, now_s: float) -> StreamOrigin | None:
+        """Return the origin of a stream, or None if it is not known.
+
+        It tells the service that began the stream, whatever the weights say now.
 
         What this host has been told may be old, however short ago that was. So the only
         version of which it knows is that of the stream only if a majority of the
         coordinators was asked after the stream had broken.
         """
-        origin = self._origins.find(digest_stream(query.resumes or ""))
-        if origin is not None:
-            return origin.version if origin.service == query.service else None
-        if query.told is None:
-            return None
+        stream = digest_stream(query.resumes or "")
+        origin = self._origins.find(stream)
+        if origin is not None or query.told is None:
+            return origin
         self.receive(query.told, now_s)
-        versions = self._versions.list_versions(query.service, now_s)
+        version = self._find_only_version(query.service, now_s)
+        return None if version is None else StreamOrigin(stream, query.service, version)
+
+    def _find_only_version(self, service: str, now_s: float) -> str | None:
+        versions = self._versions.list_versions(service, now_s)
         if not versions:
-            return "" if query.service in self._unnamed else None
+            return "" if service in self._unnamed else None
         return versions[0] if len(versions) == 1 else None
 
     def take_outgoing(self, now_s: float) -> tuple[StreamOrigin, ...]:
@@ -169,9 +184,10 @@
         self._origins.expire(now_s)
         self._open.expire(now_s)
         self._unconfirmed.expire(now_s)
+        self._splits.expire(now_s)
 
     def _check(self, now_s: float) -> None:
-        for service in self._versions.list_services():
+        for service in self._versions.list_services() | self._unnamed:
             if self.is_uniform(service, now_s):
                 self._uniform.add(service)
             elif service in self._uniform:
--- a/tests/test_out_of_step_play.py
+++ b/tests/test_out_of_step_play.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from buckthorndeal.fleet import StreamOrigin
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._stream_versions import StreamVersions
 from tests.out_of_step_play import OutOfStepPlay
@@ -53,16 +54,16 @@
             self.check_play(play_release(24, 9, seed))
 
     def test_hosts_that_ask_nobody_while_links_are_open_are_found(self):
-        find_version = StreamVersions.find_version
+        find_origin = StreamVersions.find_origin
 
         def find_alone(versions, query, now_s):
-            version = find_version(versions, query, now_s)
-            if version is None and versions.is_uniform(query.service, now_s):
+            origin = find_origin(versions, query, now_s)
+            if origin is None and versions.is_uniform(query.service, now_s):
                 names = versions._versions.list_versions(query.service, now_s)
-                return names[0] if names else None
-            return version
+                return StreamOrigin("", query.service, names[0]) if names else None
+            return origin
 
-        with mock.patch.object(StreamVersions, "find_version", find_alone):
+        with mock.patch.object(StreamVersions, "find_origin", find_alone):
             mixed = [play_release(24, 9, seed).count_mixed() for seed in (30, 33)]
         self.assertGreater(min(mixed), 0)
 
--- a/tests/test_repeated_origins.py
+++ b/tests/test_repeated_origins.py
@@ -54,9 +54,10 @@
             pass
 
     task = await curio.spawn(read, daemon=True)
-    lines = (await first.get()).decode().splitlines()
-    version = next(line[6:] for line in lines if line.startswith("data: "))
-    return version, task
+    content = (await first.get()).decode()
+    versions = [line[6:] for line in content.splitlines() if line[:6] == "data: "]
+    assert versions, content
+    return versions[0], task
 
 
 class RepeatedOriginsTest(unittest.TestCase):
--- a/tests/test_version_play.py
+++ b/tests/test_version_play.py
@@ -3,10 +3,11 @@
 import unittest
 from unittest import mock
 
+from buckthorndeal.fleet import StreamOrigin
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach, OriginSearch
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._stream_versions import StreamVersions
-from tests.version_play import VersionPlay, disturb_all
+from tests.version_play import SERVICE, VersionPlay, disturb_all
 
 # Streams of two versions that the rule allows on a day.
 MAX_MIXED = 2
@@ -129,7 +130,8 @@
         return play
 
     def test_hosts_that_guess_the_version_are_found(self):
-        with mock.patch.object(StreamVersions, "find_version", return_value="v2"):
+        guessed = StreamOrigin("", SERVICE, "v2")
+        with mock.patch.object(StreamVersions, "find_origin", return_value=guessed):
             play = self.play_release()
         self.assertGreater(play.count_mixed(), MAX_MIXED)
 
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -30,7 +30,7 @@
     split_turns,
 )
 from buckthorndeal.gateway._origins import ASK_AGAIN_LIMIT_S, ASK_AGAIN_S
-from buckthorndeal.gateway._shared_messages import FindStreamVersion
+from buckthorndeal.gateway._shared_messages import FindStreamOrigin
 from buckthorndeal.policy.views import AttemptOutcome
 from tests.crash_play import FLUSH_S, POLL_S
 from tests.repeat_play import (
@@ -261,8 +261,8 @@
     def _find_version(self, leg):
         """Look the version of a stream up as an exchange does."""
         stream_versions = leg.host.harness.view.stream_versions
-        query = FindStreamVersion(SERVICE, leg.call.first_id)
-        leg.version = stream_versions.find_version(query, self.now_s)
+        query = FindStreamOrigin(SERVICE, leg.call.first_id)
+        leg.version = get_version(stream_versions.find_origin(query, self.now_s))
         if leg.version is not None:
             self._offer(leg)
             return
@@ -283,11 +283,11 @@
         if leg.is_lost:
             return
         if search.origin is not None:
-            leg.version = search.origin.version
+            leg.version = get_version(search.origin)
         elif search.majority:
             query = replace(query, told=search.versions)
             stream_versions = leg.host.harness.view.stream_versions
-            leg.version = stream_versions.find_version(query, self.now_s)
+            leg.version = get_version(stream_versions.find_origin(query, self.now_s))
         if leg.version is not None:
             self._offer(leg)
         elif self._may_ask_again(leg):
@@ -632,6 +632,11 @@
             self._deliver(host, lambda: receive(record, self.now_s))
 
 
+def get_version(origin):
+    """Return the version that an origin tells, if there is one."""
+    return origin.version if origin is not None else None
+
+
 def drop_age(version):
     """Return a version without its age, as it is kept on disk."""
     return ServiceVersion(version.service, version.version)
