--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -1,17 +1,12 @@
 """Task that tracks the coordinators, entry hosts and configuration of a gateway."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
 import curio
 
-from buckthorndeal._configuration_content import decompress_content
-from buckthorndeal.configuration import (
-    Configuration,
-    ConfigurationCodec,
-    ConfigurationError,
-)
+from buckthorndeal.configuration import ConfigurationCodec
 from buckthorndeal.errors import PeerError, Verdict
 from buckthorndeal.fleet import (
     Acknowledged,
@@ -31,6 +26,10 @@
     create_host_links,
     select_valid_records,
 )
+from buckthorndeal.gateway._configuration_follower import (
+    ApplyConfiguration,
+    ConfigurationFollower,
+)
 from buckthorndeal.gateway._control_messages import (
     AddSeeds,
     AnnounceDrain,
@@ -43,10 +42,7 @@
     ShareOrigins,
     TellCoordinators,
 )
-from buckthorndeal.gateway._coordinator_calls import (
-    announce_drain,
-    fetch_configuration,
-)
+from buckthorndeal.gateway._coordinator_calls import announce_drain
 from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
 from buckthorndeal.gateway._entry_hosts import EntryHostLists
 from buckthorndeal.gateway._evacuations import NotedEvacuations
@@ -64,7 +60,6 @@
     DescribeSharedState,
 )
 from buckthorndeal.gateway._shared_state import convert_shared_state
-from buckthorndeal.gateway._versions import AnnouncedVersions
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import (
     Envelope,
@@ -87,8 +82,6 @@
 
 _HOST_NOTICES = (ClusterNotice, ControlStatus, EntryHosts, EntryHostChanges)
 
-ApplyConfiguration = Callable[[Configuration], Awaitable[None]]
-
 
 @dataclass(frozen=True)
 class _PeerMessage:
@@ -134,9 +127,7 @@
     ) -> None:
         self.mailbox = create_mailbox()
         self._settings = settings
-        self._codec = codec
         self._dispatch = dispatch
-        self._apply_configuration = apply_configuration
         self._metrics = metrics
         self._clock = clock
         self._own_address = settings.peer_listen.address
@@ -164,8 +155,14 @@
         self._coordinators = KnownCoordinators(settings.region, settings.failure_domain)
         self._entry_hosts = EntryHostLists()
         self._known_hosts = KnownEntryHosts(self._entry_hosts)
-        self._configuration_version: int | None = None
-        self._versions = AnnouncedVersions()
+        self._configuration = ConfigurationFollower(
+            self._links,
+            self._coordinators,
+            codec,
+            apply_configuration,
+            self.mailbox,
+            clock,
+        )
         self._evacuations = NotedEvacuations()
         self._fleet: FleetChanged | None = None
         self._status_due_s = clock()
@@ -301,7 +298,8 @@
 
     @_handle.register
     async def _(self, message: ConfigurationContent, envelope: Envelope) -> None:
-        await self._apply_content(message)
+        await self._configuration.apply_content(message)
+        await self._fetch_if_newer()
 
     @singledispatchmethod
     async def _handle_peer_message(self, message: Message, host: str) -> None:
@@ -310,7 +308,7 @@
     @_handle_peer_message.register
     async def _(self, message: ClusterNotice, host: str) -> None:
         if message.version is not None:
-            self._versions.announce(host, message.version)
+            self._configuration.announce(host, message.version)
         if self._evacuations.record(message, host, self._connected.keys()):
             await self._update_fleet()
         await self._fetch_if_newer()
@@ -391,7 +389,7 @@
     def _create_status(self) -> EntryStatus:
         entry = self._describe_self()
         return EntryStatus(
-            entry, self._evacuations.log_index, self._configuration_version
+            entry, self._evacuations.log_index, self._configuration.version
         )
 
     async def _update_fleet(self) -> None:
@@ -415,44 +413,4 @@
             await self._dispatch.send(fleet)
 
     async def _fetch_if_newer(self) -> None:
-        """Start fetching the newest announced configuration, unless it is known.
-
-        The coordinators that have announced it are tried in turn, nearest first.
-        """
-        fetch = self._versions.start_fetch(self._connected.keys(), self._clock())
-        if fetch is not None:
-            version, hosts = fetch
-            hosts.sort(key=self._coordinators.get_distance)
-            await spawn_job(
-                self._fetch, hosts, version, on_failure=self._end_failed_fetch
-            )
-
-    async def _fetch(self, hosts: list[str], version: int) -> None:
-        await self.mailbox.send(await fetch_configuration(self._links, hosts, version))
-
-    async def _end_failed_fetch(self, error: BaseException) -> None:
-        await self.mailbox.send(ConfigurationContent(None, b""))
-
-    async def _apply_content(self, content: ConfigurationContent) -> None:
-        if self._versions.end_fetch(content.version, self._clock()):
-            try:
-                configuration = self._codec.decode(decompress_content(content.content))
-            except ConfigurationError as error:
-                log_event(
-                    "configuration_unreadable",
-                    version=content.version,
-                    reason=str(error),
-                )
-                return
-            before, self._configuration_version = (
-                self._configuration_version,
-                content.version,
-            )
-            await self._apply_configuration(configuration)
-            log_event(
-                "configuration_in_force",
-                version=content.version,
-                before=before,
-                routes=len(configuration.routes),
-            )
-        await self._fetch_if_newer()
+        await self._configuration.fetch_if_newer(self._connected.keys())
