Restart the coordinators in turn in the fault soak

Cause: the soak killed and froze processes but stopped none in order, so it could not see what a rolling restart does to votes.

Change: each play stops its coordinators in turn by SIGTERM, beside its other faults, and starts each again at once; one that ends with an error, or a vote that is given up although the deployment is made for three, is a violation. A gateway looks at which coordinators keep its origins when connections change and with each status, not with each message.

--- a/buckthorndeal/consensus/_losses.py
+++ b/buckthorndeal/consensus/_losses.py
@@ -1,7 +1,7 @@
 """Losses that a deployment has to bear, and whether a set of voters bears them."""
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 
@@ -78,6 +78,6 @@
     )
 
 
-def _sum_largest(groups: Collection[str], count: int) -> int:
+def _sum_largest(groups: Iterable[str], count: int) -> int:
     """Return the number of members of the `count` largest groups."""
     return sum(size for _, size in Counter(groups).most_common(count))
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -343,13 +343,17 @@
             self._entry_hosts.drop(host)
         self._connected = connected
         self._coordinator_reach.keep(connected)
-        nearest_first = self._list_nearest_first()
-        await self._origin_teller.update_holders(connected, nearest_first)
         if changed:
+            await self._update_origin_holders()
             await self._report_coordinator_reach()
             await self._update_fleet()
             await self._fetch_if_newer()
 
+    async def _update_origin_holders(self) -> None:
+        """Tell the coordinators that have come to keep origins, as one is nearer."""
+        nearest_first = self._list_nearest_first()
+        await self._origin_teller.update_holders(self._connected, nearest_first)
+
     async def _deliver_shared_state(self, host: str) -> None:
         for message in await self._dispatch.ask(DescribeSharedState()):
             await self._links.deliver(host, message)
@@ -361,6 +365,7 @@
         for host in self._links.list_connected():
             await self._links.send(host, status)
         await self._report_coordinator_reach()
+        await self._update_origin_holders()
         await self._drop_lost_coordinators(now_s)
         await self._update_fleet()
 
--- a/tests/soak_play.py
+++ b/tests/soak_play.py
@@ -74,6 +74,7 @@
 # What else is named to a coordinator, and at which port.
 NAMED_PORTS = {"directory": "directory", "heartbeats": "api", "leaves": "api"}
 RECONNECT_S = 0.1
+RESTART_GAP_S = 0.25
 
 
 @dataclass
@@ -106,6 +107,10 @@
     unserved: list[str] = field(default_factory=list)
     changed_s: float | None = None
     is_over: bool = False
+    # How often the process of each host was started.
+    start_counts: collections.Counter = field(default_factory=collections.Counter)
+    # Held by whoever ends a process and starts it again.
+    process_lock: curio.Lock = field(default_factory=curio.Lock)
 
     def __post_init__(self):
         super().__post_init__()
@@ -127,6 +132,7 @@
         self.crowd_manner = crowd_rng.choice(CROWD_MANNERS)
         # What the crowd of a coordinator names, besides; drawn last, as above.
         self.named = crowd_rng.choice(tuple(NAMED_PORTS))
+        self.times_s["restart"] = crowd_rng.uniform(0.5, LAST_FAULT_S)
         # One endpoint of the home region stays sound.
         self.targets = rng.sample(self.endpoints[:-1], 3)
 
@@ -141,10 +147,20 @@
             *self._check_runs(),
             *self._check_removed_key(),
             *self._check_quotas(),
+            *self._check_votes(),
             *(f"{host} ended by itself" for host in self.ended),
             *(f"not served at the end: {text}" for text in self.unserved),
         ]
 
+    def _check_votes(self):
+        """Check that no coordinator gives up a vote; one of three may lose its disk."""
+        return [
+            f"a vote was given up: {line}"
+            for host in self.coordinators
+            for line in self.logs[host].splitlines()
+            if '"host_leaves"' in line and '"removed":true' in line
+        ]
+
     def _check_answers(self):
         for order in self.orders:
             runs = self.runs[order.order_id]
@@ -356,6 +372,7 @@
             "kill": self._kill_process,
             "freeze": self._freeze_process,
             "crowd": self._crowd_process,
+            "restart": self._restart_coordinators,
         }
         async with curio.TaskGroup() as group:
             for name, action in actions.items():
@@ -397,14 +414,42 @@
 
     async def _kill_process(self):
         host = self._find_leader() if self.kills_leader else self.killed_gateway
-        process = self.processes[host]
-        if process.poll() is not None:
-            self.ended.append(host)
-        process.kill()
-        process.wait()
-        await curio.sleep(1.0)
-        kind = "coordinator" if host in self.coordinators else "gateway"
-        self._start_process(kind, host)
+        async with self.process_lock:
+            process = self.processes[host]
+            if process.poll() is not None:
+                self.ended.append(host)
+            process.kill()
+            process.wait()
+            await curio.sleep(1.0)
+            kind = "coordinator" if host in self.coordinators else "gateway"
+            self._start_process(kind, host)
+
+    async def _restart_coordinators(self):
+        """Stop the coordinators in turn, and start each again at once."""
+        for host in self.coordinators:
+            async with self.process_lock:
+                await self._wait_until_started(host)
+                process = self.processes[host]
+                process.send_signal(signal.SIGTERM)
+                while process.poll() is None:
+                    await curio.sleep(0.05)
+                if process.returncode:
+                    self.ended.append(host)
+                self._start_process("coordinator", host)
+            await curio.sleep(RESTART_GAP_S)
+
+    def _start_process(self, kind, host):
+        super()._start_process(kind, host)
+        self.start_counts[host] += 1
+
+    async def _wait_until_started(self, host):
+        """Wait until the present process of a coordinator handles signals."""
+
+        async def has_started():
+            log = (self.directory / f"{host}.log").read_text(errors="replace")
+            return log.count('"coordinator_started"') >= self.start_counts[host]
+
+        await self._wait_until(has_started, f"{host} has started")
 
     async def _freeze_process(self):
         self.processes[self.frozen].send_signal(signal.SIGSTOP)
