Hold configurations back where they are applied now

Cause: workspace_harness replaced ControlTask._apply_configuration, which had moved to ConfigurationFollower.

Change: the harness replaces the same call at its new owner; what the tests check is the same.

Result: tests.test_workspace_hosts passes.

--- a/tests/workspace_harness.py
+++ b/tests/workspace_harness.py
@@ -70,5 +70,5 @@
     async def hold(configuration):
         held.append(configuration)
 
-    with mock.patch.object(gateway._control, "_apply_configuration", hold):
+    with mock.patch.object(gateway._control._configuration, "_apply", hold):
         yield held
