Tell in logs and metrics what gateways know of cold endpoints

Users saw a cold endpoint flooded. Logs and metrics could not tell whether gateways had not heard that it was cold, heard it too late, or sent too much although they knew: coordinators log the first cold time, gateways nothing.

endpoint_cold tells when a gateway learns that an endpoint is cold, and for how long it knew before; cold_ms in dispatch_decision what it knew when it sent. Counters cold_times and cold_requests. Heartbeats are applied in a module of their own.

--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -50,6 +50,10 @@
         """Return for how long no heartbeat has arrived that could have been read."""
         return now_s - self.last_heartbeat_s - self.unread_s
 
+    def get_cold_s(self, now_s: float) -> float:
+        """Return for how long the endpoint is cold, as far as is known."""
+        return max(0.0, self.cold_until_s - now_s)
+
 
 class EndpointTable:
     """Newest incarnation and heartbeat of each endpoint, by id.
--- a/buckthorndeal/gateway/_decision_log.py
+++ b/buckthorndeal/gateway/_decision_log.py
@@ -35,6 +35,7 @@
         "version": decision.version,
         "heartbeat": record.sequence,
         "heartbeat_age_ms": round(decision.heartbeat_age_s * 1000),
+        "cold_ms": round(decision.cold_s * 1000),
         "predicted_ms": round(decision.predicted_s * 1000),
     }
 
@@ -72,6 +73,8 @@
     metrics.count("decisions", kind=kind)
     if call.workspace is not None:
         metrics.count("workspace_decisions", workspace=call.workspace.name, kind=kind)
+    if isinstance(decision, Grant) and decision.cold_s > 0:
+        metrics.count("cold_requests", service=call.service)
     if isinstance(decision, Refusal) and decision.cause is not None:
         cause = decision.cause.value
         metrics.count("overload_refusals", service=call.service, cause=cause)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -19,6 +19,7 @@
 )
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
 from buckthorndeal.gateway._dispatcher import Dispatcher
+from buckthorndeal.gateway._endpoint_news import EndpointNews
 from buckthorndeal.gateway._explanation import explain
 from buckthorndeal.gateway._fleet_messages import (
     DescribeRegionLoad,
@@ -112,6 +113,7 @@
         self._clock = clock
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
+        self._endpoint_news = EndpointNews(dispatcher.view, metrics)
         self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
         self._quota = QuotaRequests(dispatcher.quota, metrics, effects)
@@ -339,17 +341,12 @@
     async def _(
         self, message: HeartbeatsReceived, envelope: Envelope, now_s: float
     ) -> None:
-        for record in message.records:
-            self._dispatcher.view.record_heartbeat(record, now_s)
-        for endpoint in message.alive:
-            self._dispatcher.view.touch(endpoint, now_s)
-        self._dispatcher.view.stream_versions.receive(message.versions, now_s)
+        self._endpoint_news.apply(message, now_s)
         await envelope.reply()
 
     @_handle.register
     async def _(self, message: EndpointLeft, envelope: Envelope, now_s: float) -> None:
-        view = self._dispatcher.view
-        view.record_left(message.endpoint, message.incarnation, now_s)
+        self._endpoint_news.record_left(message, now_s)
         await envelope.reply()
 
     @_handle.register
--- /dev/null
+++ b/buckthorndeal/gateway/_endpoint_news.py
@@ -0,0 +1,57 @@
+"""Heartbeats of endpoints as coordinators relay them, and what this host learns."""
+
+from buckthorndeal.fleet import EndpointRecord
+from buckthorndeal.gateway._fleet_messages import EndpointLeft, HeartbeatsReceived
+from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.logs import log_event
+from buckthorndeal.metrics import Metrics
+
+# Heartbeats of one cold time tell its end with this error at most, as they arrive with
+# different delays.
+COLD_END_ERROR_S = 0.25
+
+
+class EndpointNews:
+    """Applies relayed heartbeats, and logs those that make an endpoint cold.
+
+    Parameters
+    ----------
+    view : FleetView
+        Endpoints known to this host.
+    metrics : Metrics
+        Metrics of the daemon.
+    """
+
+    def __init__(self, view: FleetView, metrics: Metrics) -> None:
+        self._view = view
+        self._metrics = metrics
+
+    def apply(self, message: HeartbeatsReceived, now_s: float) -> None:
+        """Apply heartbeats."""
+        for record in message.records:
+            known_s = self._view.get_cold_s(record.endpoint, now_s)
+            self._view.record_heartbeat(record, now_s)
+            cold_s = self._view.get_cold_s(record.endpoint, now_s)
+            if cold_s > known_s + COLD_END_ERROR_S:
+                self._report_cold(record, cold_s, known_s)
+        for endpoint in message.alive:
+            self._view.touch(endpoint, now_s)
+        self._view.stream_versions.receive(message.versions, now_s)
+
+    def record_left(self, message: EndpointLeft, now_s: float) -> None:
+        """Record that an endpoint has left."""
+        self._view.record_left(message.endpoint, message.incarnation, now_s)
+
+    def _report_cold(
+        self, record: EndpointRecord, cold_s: float, known_s: float
+    ) -> None:
+        again = str(known_s > 0).lower()
+        self._metrics.count("cold_times", service=record.service, again=again)
+        log_event(
+            "endpoint_cold",
+            endpoint=record.endpoint,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+            cold_ms=round(cold_s * 1000),
+            known_ms=round(known_s * 1000),
+        )
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -169,6 +169,11 @@
             return None
         return load.entry.last_heartbeat_s
 
+    def get_cold_s(self, endpoint: str, now_s: float) -> float:
+        """Return for how long an endpoint is known to be cold, in seconds."""
+        entry = self._table.get(endpoint)
+        return 0.0 if entry is None else entry.get_cold_s(now_s)
+
     def count_endpoints(self, service: str) -> int:
         """Return how many endpoints of a service are known."""
         return len(self._list_loads(service))
--- a/buckthorndeal/gateway/_messages.py
+++ b/buckthorndeal/gateway/_messages.py
@@ -126,6 +126,8 @@
     version : str or None
         Software version of the endpoint; None if it may have changed since its last
         heartbeat.
+    cold_s : float
+        Time for which the endpoint is known to be cold.
     """
 
     record: EndpointRecord
@@ -137,6 +139,7 @@
     rate_limit: float | None = None
     rejection_limit: float | None = None
     version: str | None = None
+    cold_s: float = 0.0
 
 
 class MoveReason(enum.Enum):
