Send records with remaining times whole, so that a second cold time is heard of

Callers of a domain that was taken back while its endpoints were cold saw requests break off: an endpoint that became cold once more got all that its hosts had (FAILBACK), and failed.

Cause: a coordinator compared whether a heartbeat says "cold", not for how long. A heartbeat of a second cold time counted as no change, hosts were told the endpoint's name only, and the first cold time ran out there. A notice to leave that was shortened was lost in the same way. The class: a time that runs down is compared by its sign, and news of it left out for brevity.

A record that names a remaining time now goes out whole with each heartbeat, since each receiver counts it down from what it heard. All other fields are compared, also those that may be added. A line of endpoint_changed for each cold time, not for each heartbeat of it.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -9,7 +9,9 @@
 from buckthorndeal.coordinator._departures import create_departures
 from buckthorndeal.coordinator._directory_log import DirectoryLog
 from buckthorndeal.coordinator._endpoint_changes import (
-    is_significant_change,
+    has_remaining_time,
+    is_logged_change,
+    is_state_change,
     log_endpoint_change,
 )
 from buckthorndeal.coordinator._entry_notices import (
@@ -183,9 +185,11 @@
             else:
                 await envelope.reply(True)
             return
-        changed = known is None or is_significant_change(known.record, merged)
-        if changed:
+        changed = known is None or is_state_change(known.record, merged)
+        entry = self._endpoints.get(record.endpoint)
+        if known is None or is_logged_change(known, entry):
             log_endpoint_change(merged, known.record if known else None)
+        if changed or has_remaining_time(merged):
             self._heartbeats.record_change(merged)
         else:
             self._heartbeats.record_refresh(merged)
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -2,6 +2,7 @@
 
 import json
 import tempfile
+import time
 
 import curio
 import msgspec
@@ -219,6 +220,7 @@
         self.requests = []
         self.cancelled = []
         self.state = {}
+        self.cold_until_s = 0.0
         self._server = create_http_server(self._handle, Limits())
         self._task = None
 
@@ -250,6 +252,7 @@
             "failure_domain": self.domain,
             "address": f"{self.address}:{ENDPOINT_PORT}",
             "slots": 4,
+            "cold_s": max(0.0, self.cold_until_s - time.monotonic()),
             **self.fields,
             **self.state,
         }
@@ -264,6 +267,11 @@
                 return True
         return False
 
+    async def become_cold(self, cold_s):
+        """Be cold from now on, and tell how long it lasts in each heartbeat."""
+        self.cold_until_s = time.monotonic() + cold_s
+        await self.send_heartbeat()
+
     async def _send_heartbeats(self):
         while True:
             await self.send_heartbeat()
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -24,53 +24,71 @@
     return json.dumps(configuration).encode()
 
 
+async def call_until(stopped, fleet, host):
+    """Send requests to a host until an event is set."""
+    number = 0
+    while not stopped.is_set():
+        number += 1
+        headers = [("buckthorndeal-call-id", f"{host}-{number}")]
+        await fleet.send_request(host, "/idempotent/x", headers)
+        await curio.sleep(0.1)
+
+
+def play_arrivals(disturb):
+    """Return the arrivals at an endpoint, in seconds.
+
+    Parameters
+    ----------
+    disturb : coroutine function
+        Called with the fleet, the endpoint and the list of arrivals while all hosts
+        send; what it has removed from the list is not returned.
+    """
+    arrivals_s = []
+
+    async def respond(endpoint, request, responder):
+        arrivals_s.append(time.monotonic())
+        await endpoint.respond(request, responder)
+
+    async def test():
+        async with Fleet() as fleet:
+            await fleet.start_coordinators()
+            await fleet.put_configuration(COORDINATOR, create_cold_configuration())
+            for host in GATEWAYS:
+                await fleet.start_gateway(host)
+            endpoint = await fleet.start_endpoint("e1", "a-1", respond)
+            for host in GATEWAYS:
+                await fleet.wait_until_ready(host)
+            await curio.sleep(SETTLED_S)
+            stopped = curio.Event()
+            callers = [
+                await curio.spawn(call_until, stopped, fleet, host) for host in GATEWAYS
+            ]
+            await disturb(fleet, endpoint, arrivals_s)
+            await stopped.set()
+            for caller in callers:
+                await caller.join()
+
+    run_fleet(test)
+    return arrivals_s
+
+
 class ColdEndpointTest(unittest.TestCase):
     """A cold endpoint gets few requests, whatever hosts know of each other."""
 
     def play(self, stop_coordinators):
         """Return the arrivals at an endpoint while it is cold, in seconds."""
-        arrivals_s = []
-
-        async def respond(endpoint, request, responder):
-            arrivals_s.append(time.monotonic())
-            await endpoint.respond(request, responder)
-
-        async def call(fleet, host, stopped):
-            number = 0
-            while not stopped.is_set():
-                number += 1
-                headers = [("buckthorndeal-call-id", f"{host}-{number}")]
-                await fleet.send_request(host, "/idempotent/x", headers)
-                await curio.sleep(0.1)
-
-        async def test():
-            async with Fleet() as fleet:
-                await fleet.start_coordinators()
-                await fleet.put_configuration(COORDINATOR, create_cold_configuration())
-                for host in GATEWAYS:
-                    await fleet.start_gateway(host)
-                endpoint = await fleet.start_endpoint("e1", "a-1", respond)
-                for host in GATEWAYS:
-                    await fleet.wait_until_ready(host)
-                await curio.sleep(SETTLED_S)
-                stopped = curio.Event()
-                callers = [
-                    await curio.spawn(call, fleet, host, stopped) for host in GATEWAYS
-                ]
-                endpoint.state["cold_s"] = COLD_S
-                await endpoint.send_heartbeat()
-                await curio.sleep(0.5)
-                arrivals_s.clear()
-                if stop_coordinators:
-                    for host in list(fleet.coordinators):
-                        await fleet.stop_coordinator(host)
-                await curio.sleep(2.5)
-                await stopped.set()
-                for caller in callers:
-                    await caller.join()
-
-        run_fleet(test)
-        return arrivals_s
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            endpoint.state["cold_s"] = COLD_S
+            await endpoint.send_heartbeat()
+            await curio.sleep(0.5)
+            arrivals_s.clear()
+            if stop_coordinators:
+                for host in list(fleet.coordinators):
+                    await fleet.stop_coordinator(host)
+            await curio.sleep(2.5)
+
+        return play_arrivals(disturb)
 
     def test_hosts_that_lose_all_coordinators_do_not_all_warm_an_endpoint(self):
         """Guards against hosts that take themselves for the only ones (FAILBACK)."""
@@ -83,6 +101,21 @@
         self.assertLessEqual(count_most(arrivals_s), COLD_OVERAGE * COLD_PER_S + 1)
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
+    def test_endpoint_that_becomes_cold_once_more_is_not_flooded(self):
+        """Guards against a second cold time that hosts never hear of (FAILBACK)."""
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            await endpoint.become_cold(1.5)
+            await curio.sleep(0.5)
+            arrivals_s.clear()
+            await curio.sleep(0.5)
+            await endpoint.become_cold(COLD_S)
+            await curio.sleep(COLD_S - 0.5)
+
+        arrivals_s = play_arrivals(disturb)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
