List shares of workspaces while idle ones are forgotten

Seen in the log of a test: "dictionary changed size during iteration" in place of the line room_contended. The list of excesses iterated over the accounts, and the level that the first of them needs forgets idle accounts. The gauges of the services after it were not set in that second.

The names are copied first. test_idle_workspaces_are_forgotten_while_all_are_listed failed before.

--- a/buckthorndeal/policy/fairness.py
+++ b/buckthorndeal/policy/fairness.py
@@ -83,7 +83,9 @@
 
     def list_excesses(self, now_s: float, count: int) -> list[tuple[str, float]]:
         """Return the `count` workspaces with the largest excess, and their excess."""
-        excesses = [(name, self.compute_excess(name, now_s)) for name in self._accounts]
+        # A new level forgets accounts that have become idle.
+        names = list(self._accounts)
+        excesses = [(name, self.compute_excess(name, now_s)) for name in names]
         excesses.sort(key=lambda each: -each[1])
         return excesses[:count]
 
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -52,6 +52,14 @@
         self.serve(a=10, b=10)
         self.assertEqual(self.shares.compute_excess("new", self.now_s), 0.0)
 
+    def test_idle_workspaces_are_forgotten_while_all_are_listed(self):
+        """Guards against a log line of contended room that ends in an error."""
+        self.serve(a=7_500, b=1_000, c=1_000)
+        self.now_s += 100 * MEMORY_S
+        self.serve(a=1_000)
+        self.assertEqual(self.shares.list_excesses(self.now_s, 1), [("a", 0.0)])
+        self.assertEqual(len(self.shares), 1)
+
     def test_accounts_are_bounded(self):
         """Guards against memory that grows with the number of workspaces."""
         self.serve(busy=1_000_000)
