Tell hosts that connect what is left of remaining times

A host that connected to a coordinator was sent each record as its heartbeat had named it: a notice to leave, or a cold time, began anew there, however long ago the heartbeat was. A notice that had run out made the endpoint usable again at that host, while its requests had nobody left to serve them.

A record that is sent later now names what is left.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -361,9 +361,9 @@
         await send_notice(entry, self._entries.create_published_list())
         # Before the endpoints, at which requests are sent as soon as they are known.
         await self._send_shared_state(entry, self._shared.export(self._clock()))
-        region = entry.host.region
+        region, now_s = entry.host.region, self._clock()
         records = tuple(
-            each.record
+            each.describe(now_s)
             for each in self._endpoints.list_all()
             if each.record.region == region
         )
--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -54,6 +54,15 @@
         """Return for how long the endpoint is cold, as far as is known."""
         return max(0.0, self.cold_until_s - now_s)
 
+    def describe(self, now_s: float) -> EndpointRecord:
+        """Return the record with the times that remain of it at a clock reading."""
+        leaves_in_s = None
+        if self.leaves_at_s is not None:
+            leaves_in_s = max(0.0, self.leaves_at_s - now_s)
+        return msgspec.structs.replace(
+            self.record, cold_s=self.get_cold_s(now_s), leaves_in_s=leaves_in_s
+        )
+
 
 class EndpointTable:
     """Newest incarnation and heartbeat of each endpoint, by id.
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -267,6 +267,10 @@
                 return True
         return False
 
+    async def fall_silent(self):
+        """Send no further heartbeats."""
+        await self._task.cancel()
+
     async def become_cold(self, cold_s):
         """Be cold from now on, and tell how long it lasts in each heartbeat."""
         self.cold_until_s = time.monotonic() + cold_s
--- a/tests/test_endpoint_table.py
+++ b/tests/test_endpoint_table.py
@@ -36,6 +36,24 @@
         self.assertIsNotNone(table.update(create_record(0), 0.0))
 
 
+class RemainingTimesTest(unittest.TestCase):
+    """Times that run down are told as what is left of them."""
+
+    def test_record_that_is_sent_later_tells_what_is_left(self):
+        """Guards against a notice to leave that begins anew at a host that connects."""
+        table = create_endpoint_table()
+        record = msgspec.structs.replace(create_record(0), cold_s=3.0, leaves_in_s=2.0)
+        table.update(record, 10.0)
+        (entry,) = table.list_all()
+        left = entry.describe(11.5)
+        self.assertEqual((left.cold_s, left.leaves_in_s), (1.5, 0.5))
+        over = entry.describe(15.0)
+        self.assertEqual((over.cold_s, over.leaves_in_s), (0.0, 0.0))
+        self.assertEqual(
+            msgspec.structs.replace(over, cold_s=3.0, leaves_in_s=2.0), record
+        )
+
+
 class HeartbeatMessagesTest(unittest.TestCase):
     """A coordinator that knows many endpoints can tell entry hosts of all of them."""
 
