Take endpoints of a domain that is taken back for cold until they are heard

That end is told at once, but their heartbeats come every second or so, and may be late or lost: until then all hosts sent to them as to warm ones (FAILBACK).

Endpoints of the domain now count as cold until a heartbeat arrives that was sent later, or for cold_start_s at most. cold_doubted names them, cold_doubts counts them.

Measured: test_domain_that_is_taken_back_is_not_flooded_before_its_heartbeats failed before.

--- /dev/null
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -0,0 +1,45 @@
+"""Doubt about whether an endpoint has become cold since its last heartbeat; no I/O."""
+
+import math
+from dataclasses import dataclass
+
+from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
+
+
+@dataclass(slots=True)
+class ColdDoubt:
+    """Time in which an endpoint may be cold although no heartbeat says so.
+
+    It ends with the first heartbeat that was sent after it had begun, or once a cold
+    time that had begun before is over.
+    """
+
+    since_s: float = -math.inf
+    until_s: float = -math.inf
+
+    def begin(self, now_s: float, cold_start_s: float) -> None:
+        """Doubt from now on whether the endpoint is cold.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading.
+        cold_start_s : float
+            How long an endpoint of the service is cold.
+        """
+        self.since_s = now_s
+        self.until_s = now_s + cold_start_s
+
+    def get_remaining_s(self, last_heartbeat_s: float, now_s: float) -> float:
+        """Return for how long the doubt lasts at most, in seconds.
+
+        Parameters
+        ----------
+        last_heartbeat_s : float
+            Clock reading at the last heartbeat.
+        now_s : float
+            Clock reading.
+        """
+        if last_heartbeat_s >= self.since_s + RELAY_DELAY_S:
+            return 0.0
+        return max(0.0, self.until_s - now_s)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -356,7 +356,7 @@
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
-        self._dispatcher.view.set_fleet(message, now_s)
+        self._endpoint_news.apply_fleet(message, now_s)
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -15,10 +15,10 @@
 from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._crash_guard import CrashGuard
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
-from buckthorndeal.gateway._endpoint_condition import EndpointCondition
+from buckthorndeal.gateway._endpoint_condition import EndpointCondition, ServiceState
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_messages import Borrower, RegionUpdate
-from buckthorndeal.gateway._fleet_view import FleetView, ServiceState
+from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._grants import create_attempt, create_grant
 from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
--- a/buckthorndeal/gateway/_endpoint_news.py
+++ b/buckthorndeal/gateway/_endpoint_news.py
@@ -1,7 +1,11 @@
-"""Heartbeats of endpoints as coordinators relay them, and what this host learns."""
+"""What coordinators tell of endpoints, and what this host learns from it."""
 
 from buckthorndeal.fleet import EndpointRecord
-from buckthorndeal.gateway._fleet_messages import EndpointLeft, HeartbeatsReceived
+from buckthorndeal.gateway._fleet_messages import (
+    EndpointLeft,
+    FleetChanged,
+    HeartbeatsReceived,
+)
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import Metrics
@@ -12,7 +16,7 @@
 
 
 class EndpointNews:
-    """Applies relayed heartbeats, and logs those that make an endpoint cold.
+    """Applies what coordinators tell, and logs which endpoints are, or may be, cold.
 
     Parameters
     ----------
@@ -38,6 +42,13 @@
             self._view.touch(endpoint, now_s)
         self._view.stream_versions.receive(message.versions, now_s)
 
+    def apply_fleet(self, message: FleetChanged, now_s: float) -> None:
+        """Apply changed entry hosts and evacuations."""
+        doubted = self._view.set_fleet(message, now_s)
+        if doubted:
+            self._metrics.count("cold_doubts", len(doubted))
+            log_event("cold_doubted", endpoints=doubted)
+
     def record_left(self, message: EndpointLeft, now_s: float) -> None:
         """Record that an endpoint has left."""
         self._view.record_left(message.endpoint, message.incarnation, now_s)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -1,13 +1,13 @@
 """Endpoints of the region and state of the fleet, as known to one host; no I/O."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad, create_endpoint_table
 from buckthorndeal.gateway._endpoint_condition import (
     USABLE_CONDITIONS,
     EndpointCondition,
+    NextTurn,
 )
 from buckthorndeal.gateway._engine import (
     INITIAL_TOKENS_PER_S,
@@ -37,44 +37,6 @@
 MIN_CONNECTIONS = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceState:
-    """Metrics of one service on this host.
-
-    Parameters
-    ----------
-    endpoints : dict of EndpointCondition to int
-        Number of endpoints in each condition.
-    waiting : int
-        Requests that wait for free capacity.
-    retries : int
-        Retries in the window of the retry budget.
-    retries_allowed : float
-        Retries that this host may make in the window.
-    """
-
-    endpoints: dict[EndpointCondition, int]
-    waiting: int
-    retries: int
-    retries_allowed: float
-
-
-@dataclass(frozen=True, slots=True)
-class NextTurn:
-    """When an endpoint that holds this host off takes requests again.
-
-    Parameters
-    ----------
-    wait_s : float
-        Seconds until then; infinite if other hosts use up its rate limit.
-    condition : EndpointCondition
-        Why it takes none now.
-    """
-
-    wait_s: float
-    condition: EndpointCondition
-
-
 class FleetView:
     """Endpoint loads, services and entry hosts known to this host.
 
@@ -282,12 +244,31 @@
         share = int(service.max_connections * CONNECTION_SHARE)
         return max(MIN_CONNECTIONS, share // hosts)
 
-    def set_fleet(self, message: FleetChanged, now_s: float) -> None:
-        """Replace the entry hosts and evacuations with newer ones."""
+    def set_fleet(self, message: FleetChanged, now_s: float) -> list[str]:
+        """Replace the entry hosts and evacuations with newer ones.
+
+        The endpoints of a failure domain may have become cold shortly before the end of
+        its evacuation. Those of which this is now in doubt are returned.
+        """
+        taken_back = self.fleet.evacuated - message.evacuated
+        doubted = [
+            load
+            for load in self.loads.values()
+            if load.entry.record.failure_domain in taken_back
+        ]
+        for load in doubted:
+            self._doubt(load, now_s)
         self.fleet = message
         self.rate_shares.set_hosts(message.region_hosts)
         sharing_hosts = message.region_hosts if message.is_confirmed else ()
         self.warm_ups.set_hosts(sharing_hosts, now_s)
+        return [load.name for load in doubted]
+
+    def _doubt(self, load: EndpointLoad, now_s: float) -> None:
+        """Doubt whether an endpoint is cold, until a heartbeat tells."""
+        service = self.get_service(load.entry.record.service)
+        if service is not None:
+            load.cold_doubt.begin(now_s, service.cold_start_s)
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Apply a heartbeat of an endpoint."""
--- a/buckthorndeal/gateway/_grants.py
+++ b/buckthorndeal/gateway/_grants.py
@@ -38,5 +38,5 @@
         view.rate_shares.get_limit(record),
         view.rate_shares.get_rejection_limit(record),
         attempt.version,
-        choice.load.entry.get_cold_s(now_s),
+        choice.load.get_cold_s(now_s),
     )
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -5,6 +5,7 @@
 
 from buckthorndeal.configuration import RequestKind, ServiceDescription
 from buckthorndeal.fleet import EndpointEntry, EndpointState
+from buckthorndeal.gateway._cold_doubt import ColdDoubt
 from buckthorndeal.gateway._engine import PrefillSpeed, PrefixCache, get_kv_capacity
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._learning import EndpointLearning
@@ -70,6 +71,8 @@
         Learned speed and limits; used once endpoints of the service report a slowdown.
     responded_s : float
         Clock reading when a response last started.
+    cold_doubt : ColdDoubt
+        Whether it may have become cold since its last heartbeat.
     """
 
     entry: EndpointEntry
@@ -89,6 +92,7 @@
     refused_s: float = -math.inf
     learning: EndpointLearning = field(default_factory=EndpointLearning)
     responded_s: float = -math.inf
+    cold_doubt: ColdDoubt = field(default_factory=ColdDoubt)
     pace: EndpointPace = field(init=False)
     # Results of `_refresh`, as several methods need them for each decision.
     _refreshed_s: float | None = None
@@ -120,9 +124,14 @@
         """Return whether no request is known to be under way at the endpoint."""
         return not self.inflight and self.count_other_inflight(now_s) < 1
 
+    def get_cold_s(self, now_s: float) -> float:
+        """Return for how long the endpoint is, or may be, cold; 0 if it is not."""
+        doubt_s = self.cold_doubt.get_remaining_s(self.entry.last_heartbeat_s, now_s)
+        return max(self.entry.get_cold_s(now_s), doubt_s)
+
     def is_cold(self, now_s: float) -> bool:
-        """Return whether the endpoint is cold and its request rate limited."""
-        return now_s < self.entry.cold_until_s
+        """Return whether the endpoint is, or may be, cold."""
+        return self.get_cold_s(now_s) > 0
 
     def count_other_inflight(self, now_s: float) -> float:
         """Return the number of requests of other hosts.
--- a/buckthorndeal/gateway/_refusals.py
+++ b/buckthorndeal/gateway/_refusals.py
@@ -4,8 +4,7 @@
 import random
 
 from buckthorndeal.gateway._crash_guard import Objection
-from buckthorndeal.gateway._endpoint_condition import EndpointCondition
-from buckthorndeal.gateway._fleet_view import NextTurn
+from buckthorndeal.gateway._endpoint_condition import EndpointCondition, NextTurn
 from buckthorndeal.gateway._messages import (
     Call,
     Refusal,
--- /dev/null
+++ b/tests/test_cold_doubt.py
@@ -0,0 +1,87 @@
+"""Tests of endpoints that may have become cold since their last heartbeat."""
+
+import unittest
+
+import msgspec
+
+from buckthorndeal.configuration import ServiceDescription
+from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.gateway._endpoint_condition import EndpointCondition
+from buckthorndeal.gateway._fleet_messages import FleetChanged
+from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
+
+COLD_START_S = 3.0
+SERVICE = ServiceDescription(
+    "s", "/h", 64, cold_start_s=COLD_START_S, cold_rate_per_s=2.4
+)
+DOMAINS = {"e1": "a-1", "e2": "a-2"}
+
+
+def create_record(endpoint, sequence, **changes):
+    """Return a heartbeat of an endpoint."""
+    address = f"10.1.9.{list(DOMAINS).index(endpoint)}:80"
+    fields = ("s", "a", DOMAINS[endpoint], address, 8, EndpointState.READY)
+    return EndpointRecord(endpoint, 1, sequence, *fields, **changes)
+
+
+class TakenBackTest(unittest.TestCase):
+    """Endpoints of a domain count as cold until a later heartbeat tells."""
+
+    def setUp(self):
+        self.view = FleetView("h1")
+        self.view.set_services({"s": SERVICE})
+        for endpoint in DOMAINS:
+            self.view.record_heartbeat(create_record(endpoint, 1), 10.0)
+        self.set_evacuated(["a-1"], 10.1)
+        for endpoint in DOMAINS:
+            self.view.touch(endpoint, 11.0)
+        self.set_evacuated([], 12.0)
+
+    def set_evacuated(self, domains, now_s):
+        message = FleetChanged(("h1",), 1, frozenset(domains))
+        self.doubted = self.view.set_fleet(message, now_s)
+
+    def get_condition(self, endpoint, now_s):
+        conditions = {
+            load.name: condition
+            for load, condition in self.view.list_conditions("s", now_s)
+        }
+        return conditions[endpoint]
+
+    def test_endpoint_counts_as_cold_until_it_is_heard(self):
+        """Guards against a flood between the end of an evacuation and a heartbeat."""
+        self.assertEqual(self.doubted, ["e1"])
+        self.assertIs(self.get_condition("e1", 12.0), EndpointCondition.COLD)
+        self.view.touch("e1", 12.0 + RELAY_DELAY_S)
+        self.assertIs(self.get_condition("e1", 13.1), EndpointCondition.READY)
+
+    def test_heartbeat_that_was_under_way_does_not_confirm(self):
+        """Guards against a heartbeat that was sent before the endpoint became cold."""
+        self.view.touch("e1", 12.0 + 0.9 * RELAY_DELAY_S)
+        self.assertIs(self.get_condition("e1", 13.1), EndpointCondition.COLD)
+
+    def test_doubt_ends_without_heartbeats(self):
+        """Guards against a domain that stays at the cold rate for good."""
+        self.view.touch("e1", 12.5)
+        now_s = 12.0 + COLD_START_S
+        self.assertIs(self.get_condition("e1", now_s - 0.1), EndpointCondition.COLD)
+        self.assertIs(self.get_condition("e1", now_s + 0.1), EndpointCondition.READY)
+
+    def test_heartbeat_that_says_cold_holds(self):
+        cold = create_record("e1", 2, cold_s=2.0)
+        self.view.record_heartbeat(cold, 13.5)
+        self.assertIs(self.get_condition("e1", 15.4), EndpointCondition.COLD)
+
+    def test_other_domains_are_used_as_before(self):
+        self.assertIs(self.get_condition("e2", 12.0), EndpointCondition.READY)
+
+    def test_restarted_endpoint_tells_itself(self):
+        """Guards against a doubt that outlives the process that it is about."""
+        record = msgspec.structs.replace(create_record("e1", 1), incarnation=2)
+        self.view.record_heartbeat(record, 12.1)
+        self.assertIs(self.get_condition("e1", 12.2), EndpointCondition.READY)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -116,6 +116,24 @@
         self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
+    def test_domain_that_is_taken_back_is_not_flooded_before_its_heartbeats(self):
+        """Guards against endpoints that became cold while no heartbeat arrived."""
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            target = "/v1/evacuations/a-1"
+            status, _ = await fleet.call_api(COORDINATOR, "PUT", target)
+            self.assertEqual(status, 200)
+            await endpoint.fall_silent()
+            await curio.sleep(0.5)
+            arrivals_s.clear()
+            status, _ = await fleet.call_api(COORDINATOR, "DELETE", target)
+            self.assertEqual(status, 200)
+            await curio.sleep(2.0)
+
+        arrivals_s = play_arrivals(disturb)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
