Take an endpoint that has refused a connection for cold until it is heard

An endpoint that restarts under its id keeps its address. Until its first heartbeat, which may be late, hosts took it for the process before: warm, at its full rate (FAILBACK). The class is again what a host believes of an endpoint beyond the moment at which it may have changed.

A refused connection now begins the same doubt as the end of an evacuation: the endpoint gets the cold rate until a heartbeat that was sent later, or for cold_start_s. A dead endpoint is tried at that rate too, in place of with each request.

Measured: test_endpoint_that_restarts_before_its_heartbeat_is_not_flooded failed before.

--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -106,10 +106,14 @@
         return load.entry.record.version
 
     def record_refusal(self, record: EndpointRecord, now_s: float) -> None:
-        """Record that an endpoint has not accepted a connection."""
+        """Record that an endpoint has not accepted a connection.
+
+        It may have ended, and start again, cold, before a heartbeat says so.
+        """
         load = self.loads.get(record.endpoint)
         if load is not None and load.entry.record.incarnation == record.incarnation:
             load.refused_s = now_s
+            self._doubt(load, now_s)
 
     def list_alive(self, now_s: float) -> list[EndpointRecord]:
         """Return the ready endpoints whose heartbeats are recent.
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -224,23 +224,26 @@
         self._server = create_http_server(self._handle, Limits())
         self._task = None
 
-    async def start(self):
+    async def start(self, silent_s=0.0):
         await self._server.start(self.fleet.transport, self.address, ENDPOINT_PORT)
-        self._task = await curio.spawn(self._send_heartbeats, daemon=True)
+        self._task = await curio.spawn(self._send_heartbeats, silent_s, daemon=True)
 
     async def close(self):
         await self._task.cancel()
         await self._server.close()
 
-    async def crash(self, down_s):
-        """Cut off all connections, and start again as a new incarnation."""
+    async def crash(self, down_s, silent_s=0.0):
+        """Cut off all connections, and start again as a new incarnation.
+
+        Its first heartbeat follows `silent_s` seconds after its start.
+        """
         await self._task.cancel()
         await self._server.abort()
         await curio.sleep(down_s)
         self.incarnation += 1
         self.sequence = 0
         self._server = create_http_server(self._handle, Limits())
-        await self.start()
+        await self.start(silent_s)
 
     async def send_heartbeat(self, host=None):
         """Send a heartbeat; return whether any coordinator acknowledged it."""
@@ -276,7 +279,8 @@
         self.cold_until_s = time.monotonic() + cold_s
         await self.send_heartbeat()
 
-    async def _send_heartbeats(self):
+    async def _send_heartbeats(self, silent_s):
+        await curio.sleep(silent_s)
         while True:
             await self.send_heartbeat()
             await curio.sleep(0.3)
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -134,6 +134,18 @@
         self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
+    def test_endpoint_that_restarts_before_its_heartbeat_is_not_flooded(self):
+        """Guards against an endpoint back under its id that counts as warm."""
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            await endpoint.crash(0.5, silent_s=2.0)
+            arrivals_s.clear()
+            await curio.sleep(1.8)
+
+        arrivals_s = play_arrivals(disturb)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
