Put the temporary files of tests where no disk is waited for

tests.parallel now chooses a directory: /dev/shm if it exists, can be written to and has room, else the default of the system; BUCKTHORNDEAL_TEST_DIRECTORY names another one, and is refused with an error if it cannot be used. The first line of a run says which and why. Each module gets a directory of its own as TMPDIR, which is removed with all that is left in it. A module whose files take more than 256 MB is ended as one that takes too long. All that run at once may take that much together, so the directory is not filled; files in memory leave half of the available memory to processes. A last line tells the most that they took at once, sampled every 0.5 s.

Tests of what a disk keeps ask for a directory on the disk: DiskLogStoreTest and DiskClaimStoreTest (torn and damaged files, syncs when they are opened), FilesTest (order of writes, renames and syncs), DocumentStoreTest (a damaged document, the sync of its folder), the stores of quarantine decisions (a restart, an unreadable file), LedgerServiceTest (claims that share syncs, restarts) and the restart of replicas from disk in LogTest. Losses of power, slow and full disks are simulated without a directory. No product code changes.

--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -2,6 +2,10 @@
 
 ``python -m tests.parallel`` takes names of modules, such as ``tests.test_wire``;
 without names it runs all modules. Tests listed in ``KNOWN-RED.txt`` may fail.
+
+Temporary files go to a directory in memory if there is room, else to the default of
+the system; ``BUCKTHORNDEAL_TEST_DIRECTORY`` names another directory. Tests of
+durability keep the default, or what ``BUCKTHORNDEAL_TEST_DURABLE_DIRECTORY`` names.
 """
 
 import os
@@ -14,9 +18,22 @@
 from glob import glob
 
 from tests.machine_pressure import Pressure, format_pressure, read_pressure
+from tests.temporary_directories import (
+    DIRECTORY_VARIABLE,
+    DURABLE_VARIABLE,
+    MODULE_LIMIT_BYTES,
+    DirectoryError,
+    ModuleDirectory,
+    RunDirectory,
+    choose_directory,
+    create_run_directory,
+    format_size,
+)
 
 MODULE_TIMEOUT_S = 240
 LONE_TIMEOUT_S = 900
+# Time between two looks at the temporary files of a module.
+SAMPLE_INTERVAL_S = 0.5
 # The modules mostly wait for timers, so more of them run at once than there are cores.
 WORKERS_PER_CORE = 1.5
 # Prefixes of the slowest modules, which are started first.
@@ -71,31 +88,59 @@
     return sorted(names, key=lambda name: (not name.startswith(SLOW_MODULES), name))
 
 
-def run_module(module: str) -> ModuleResult:
+def run_module(module: str, run: RunDirectory) -> ModuleResult:
     """Run one module in a process of its own and return its result."""
     started_s, before = time.monotonic(), read_pressure()
-    command = [sys.executable, "-m", "unittest", "-v", module]
     timeout_s = LONE_TIMEOUT_S if module in LONE_MODULES else MODULE_TIMEOUT_S
-    try:
-        process = subprocess.run(
-            command, capture_output=True, text=True, timeout=timeout_s
+    with run.create_module_directory(module) as directory:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "unittest", "-v", module],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env=directory.create_environment(),
         )
-    except subprocess.TimeoutExpired as error:
-        text = (error.stderr or b"").decode(errors="replace")
-        after = read_pressure()
-        return ModuleResult(module, 0, (), True, text, timeout_s, before, after)
-    output = process.stdout + process.stderr
+        output, ended_early = wait_for_process(process, timeout_s, directory)
+    seconds, after = time.monotonic() - started_s, read_pressure()
+    if ended_early:
+        return ModuleResult(module, 0, (), True, output, seconds, before, after)
     summary = re.search(r"^Ran (\d+) tests?", output, re.MULTILINE)
     failed = tuple(re.findall(r"^(?:FAIL|ERROR): \S+ \((\S+?)\)", output, re.MULTILINE))
     incomplete = summary is None or (process.returncode != 0 and not failed)
     count = int(summary.group(1)) if summary else 0
-    seconds = time.monotonic() - started_s
-    after = read_pressure()
     return ModuleResult(
         module, count, failed, incomplete, output, seconds, before, after
     )
 
 
+def wait_for_process(
+    process: subprocess.Popen, timeout_s: float, directory: ModuleDirectory
+) -> tuple[str, bool]:
+    """Wait until a process has ended; kill it if it takes too much time or room.
+
+    Returns
+    -------
+    output : str
+        Output up to the end, with the reason if the process was killed.
+    ended_early : bool
+        Whether it was killed.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while True:
+        try:
+            stdout, stderr = process.communicate(timeout=SAMPLE_INTERVAL_S)
+            return stdout + stderr, False
+        except subprocess.TimeoutExpired as error:
+            reason = directory.find_excess()
+            if not reason and time.monotonic() > deadline_s:
+                reason = f"it took more than {timeout_s:.0f} s"
+            if reason:
+                process.kill()
+                process.wait()
+                text = (error.stderr or b"").decode(errors="replace")
+                return f"{text}\nended by the test runner: {reason}\n", True
+
+
 def read_known_failures() -> set[str]:
     """Return the tests that `KNOWN-RED.txt` names at the start of a line."""
     with open(KNOWN_RED_FILE, encoding="utf-8") as file:
@@ -137,15 +182,30 @@
     return [*lines, f"slowest: {slow}", f"{passed} passed, {unexpected} failed"]
 
 
+def run_modules(modules: list[str], workers: int, run: RunDirectory):
+    """Run modules, those that measure memory one by one; return their results."""
+    with ThreadPoolExecutor(workers) as pool:
+        shared = [each for each in modules if each not in LONE_MODULES]
+        results = list(pool.map(lambda module: run_module(module, run), shared))
+    return results + [run_module(each, run) for each in modules if each in LONE_MODULES]
+
+
 def main(arguments: list[str]) -> int:
     """Run modules, print the failures and the totals; return the exit status."""
     modules = arguments or list_modules()
     workers = max(1, int((os.cpu_count() or 1) * WORKERS_PER_CORE))
+    # Each module may take its share at once, so that the directory is never filled.
+    needed_bytes = min(workers, len(modules)) * MODULE_LIMIT_BYTES
+    try:
+        choice = choose_directory(needed_bytes, os.environ.get(DIRECTORY_VARIABLE, ""))
+    except DirectoryError as error:
+        print(f"temporary files: {error}", file=sys.stderr)
+        return 2
+    print(f"temporary files: {choice.path} ({choice.reason})", flush=True)
     before = read_pressure()
-    with ThreadPoolExecutor(workers) as pool:
-        shared = [each for each in modules if each not in LONE_MODULES]
-        results = list(pool.map(run_module, shared))
-    results += [run_module(each) for each in modules if each in LONE_MODULES]
+    durable_path = os.environ.get(DURABLE_VARIABLE, "")
+    with create_run_directory(choice.path, durable_path) as run:
+        results = run_modules(modules, workers, run)
     known = read_known_failures()
     faulty = [
         each for each in results if each.incomplete or not known.issuperset(each.failed)
@@ -153,6 +213,7 @@
     for result in faulty:
         print(f"==== {result.module}\n{result.output}")
     print(f"the machine: {format_pressure(before, read_pressure())}")
+    print(f"temporary files: at most {format_size(run.peak_bytes)} at once")
     for line in format_summary(results, known):
         print(line)
     return 1 if faulty or not any(each.count for each in results) else 0
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,7 +1,6 @@
 """Tests of the claim stores in memory and on disk."""
 
 import os
-import tempfile
 import unittest
 from unittest import mock
 
@@ -15,6 +14,7 @@
     open_disk_claim_store,
     open_memory_claim_store,
 )
+from tests.temporary_directories import create_durable_directory
 
 
 def create_entry(number, state="claimed", wall_s=100.0):
@@ -74,7 +74,7 @@
     """The store on disk, and damage to its file."""
 
     def setUp(self):
-        directory = tempfile.TemporaryDirectory()
+        directory = create_durable_directory()
         self.addCleanup(directory.cleanup)
         self.directory = directory.name
         self.path = os.path.join(directory.name, "claims.log")
--- a/tests/test_consensus_log.py
+++ b/tests/test_consensus_log.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import tempfile
 import unittest
 
 from buckthorndeal.consensus import (
@@ -23,6 +22,7 @@
 from buckthorndeal.errors import MembershipChangeError, StoreError
 from tests.consensus_cluster import OPTIONS, POLICY, REPLIES, TIMEOUT_S, Cluster
 from tests.consensus_harness import SimulatedDisk
+from tests.temporary_directories import create_durable_directory
 
 
 class LogTest(unittest.TestCase):
@@ -174,7 +174,7 @@
 
     def test_restart_from_disk(self):
         """Guards against a disk store from which the replicas cannot continue."""
-        with tempfile.TemporaryDirectory() as directory:
+        with create_durable_directory() as directory:
             cluster = Cluster("")
             for restart in range(3):
                 for host in "abc":
--- a/tests/test_entry_document.py
+++ b/tests/test_entry_document.py
@@ -4,7 +4,6 @@
 """
 
 import os
-import tempfile
 import unittest
 from unittest import mock
 
@@ -15,6 +14,7 @@
 from buckthorndeal.entry._store import DocumentStore
 from buckthorndeal.errors import CorruptStoreError
 from tests.system import TEXTS, System, SystemCase
+from tests.temporary_directories import create_durable_directory
 
 ACTIVATION_BOUND_S = 3.0
 
@@ -84,7 +84,7 @@
 
     def test_document_is_read_back_and_damage_is_found(self):
         """Guards against starting with a damaged file."""
-        with tempfile.TemporaryDirectory() as directory:
+        with create_durable_directory() as directory:
             store = DocumentStore(directory)
             self.assertIsNone(store.load())
             document = create_document(TEXTS)
@@ -98,7 +98,7 @@
 
     def test_folder_is_synced_before_a_document_is_read(self):
         """Guards against an older document after a loss of power than one in force."""
-        with tempfile.TemporaryDirectory() as directory:
+        with create_durable_directory() as directory:
             DocumentStore(directory).save(create_document(TEXTS))
             synced = []
             with mock.patch("os.fsync") as sync:
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -1,18 +1,18 @@
 """Tests of the durable creation and replacement of files."""
 
 import os
-import tempfile
 import unittest
 from unittest import mock
 
 from buckthorndeal import _files
+from tests.temporary_directories import create_durable_directory
 
 
 class FilesTest(unittest.TestCase):
     """Writes, renames and syncs happen in an order that survives a power failure."""
 
     def setUp(self):
-        directory = tempfile.TemporaryDirectory()
+        directory = create_durable_directory()
         self.addCleanup(directory.cleanup)
         self.directory = directory.name
 
--- a/tests/test_ledger_service.py
+++ b/tests/test_ledger_service.py
@@ -1,7 +1,6 @@
 """Tests of the ledger service with two hosts and their stores."""
 
 import random
-import tempfile
 import time
 import unittest
 
@@ -20,6 +19,7 @@
     open_disk_claim_store,
     open_memory_claim_store,
 )
+from tests.temporary_directories import create_durable_directory
 
 TIMEOUT_S = 20.0
 
@@ -69,7 +69,7 @@
 
     def run_scenario(self, scenario):
         async def main():
-            with tempfile.TemporaryDirectory() as directory:
+            with create_durable_directory() as directory:
                 async with curio.timeout_after(TIMEOUT_S):
                     await scenario(directory)
 
--- a/tests/test_logstore.py
+++ b/tests/test_logstore.py
@@ -2,7 +2,6 @@
 
 import os
 import random
-import tempfile
 import time
 import unittest
 
@@ -20,6 +19,7 @@
     create_memory_log_store,
 )
 from buckthorndeal.errors import CorruptStoreError, StoreError
+from tests.temporary_directories import create_durable_directory
 
 REPLICA = ReplicaId("a", 1)
 MEMBERSHIP = Membership((REPLICA,))
@@ -92,7 +92,7 @@
     """Tests of the store on disk, also with torn tails and damaged files."""
 
     def setUp(self):
-        directory = tempfile.TemporaryDirectory()
+        directory = create_durable_directory()
         self.addCleanup(directory.cleanup)
         self.directory = os.path.join(directory.name, "replica")
         self.store = self.open()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,5 @@
 """Tests of evidence on prompts that crash endpoints, and of what follows from it."""
 
-import tempfile
 import unittest
 
 from buckthorndeal.coordinator._quarantine_store import (
@@ -18,6 +17,7 @@
     create_quarantine,
 )
 from tests.quarantine_harness import HOSTS, EvidenceTestCase, is_held
+from tests.temporary_directories import create_durable_directory
 
 
 def create_end(number, *parts, age_s=0.0):
@@ -282,14 +282,14 @@
         self.check_store(store, lambda: store)
 
     def test_disk(self):
-        with tempfile.TemporaryDirectory() as directory:
+        with create_durable_directory() as directory:
             self.check_store(
                 create_disk_quarantine_store(directory),
                 lambda: create_disk_quarantine_store(directory),
             )
 
     def test_unreadable_file_is_left_out(self):
-        with tempfile.TemporaryDirectory() as directory:
+        with create_durable_directory() as directory:
             with open(f"{directory}/quarantine", "wb") as file:
                 file.write(b"\xc1torn")
             self.assertEqual(create_disk_quarantine_store(directory).load(), ())
