Keep former services of routes at one owner

Each gateway recorded the changes of its routes twice, in the context of the request handlers and in the versions of streams, with two calls for each new configuration. The versions of streams, which expire them, now own the record; the handlers read it through their context. The play of changed splits does the same.

--- a/buckthorndeal/gateway/_context.py
+++ b/buckthorndeal/gateway/_context.py
@@ -39,10 +39,10 @@
         Returns monotonic seconds.
     wall_clock : callable
         Returns seconds since the epoch.
+    recent_splits : RecentSplits
+        Former services of routes, which the dispatch task keeps; only read here.
     routes : RouteTable or None
         Active routes; None before the first configuration.
-    splits : RecentSplits
-        Former services of routes that have changed of late.
     drain : Drain or None
         The drain of this host, if it is under way.
     durations : LongestDurations
@@ -65,8 +65,8 @@
     metrics: Metrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
+    recent_splits: RecentSplits
     routes: RouteTable | None = None
-    splits: RecentSplits = field(default_factory=RecentSplits)
     drain: Drain | None = None
     durations: LongestDurations = field(default_factory=LongestDurations)
     attempt_ids: itertools.count = field(default_factory=lambda: itertools.count(1))
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -36,7 +36,7 @@
     TellCoordinators,
 )
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
-from buckthorndeal.gateway._dispatch_options import DispatchOptions
+from buckthorndeal.gateway._dispatch_options import create_dispatch_options
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._dispatcher import Dispatcher
 from buckthorndeal.gateway._drain import Drain
@@ -112,17 +112,12 @@
             "configuration_version", "gauge", "Version of the configuration in force."
         )
         host = settings.peer_listen.address
-        budget = settings.retry_budget
+        view = FleetView(host)
         dispatcher = Dispatcher(
             host,
             settings.region,
-            FleetView(host),
-            DispatchOptions(
-                budget.share,
-                budget.slack,
-                budget.window_s,
-                settings.heartbeat_interval_s,
-            ),
+            view,
+            create_dispatch_options(settings),
             create_ejection(),
             random.Random(),
             QuotaGate(create_quota_leases(create_quota_options(settings.quota))),
@@ -171,6 +166,7 @@
             metrics=self.metrics,
             clock=clock,
             wall_clock=time.time,
+            recent_splits=view.stream_versions.recent_splits,
             contact=contact,
         )
         self._home_route_counts: Mapping[str, Mapping[str, int]] = {}
@@ -356,7 +352,6 @@
         self._dispatch.set_routes(configuration.routes)
         self._dispatch.set_workspaces(configuration.workspaces)
         self._context.routes = routes
-        self._context.splits.update(configuration.routes, self._clock())
         self._home_route_counts = {
             **count_home_routes(configuration),
             **count_home_workspaces(configuration),
--- a/buckthorndeal/gateway/_dispatch_options.py
+++ b/buckthorndeal/gateway/_dispatch_options.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from buckthorndeal.settings import GatewaySettings
+
 
 @dataclass(frozen=True, slots=True)
 class DispatchOptions:
@@ -23,3 +25,11 @@
     retry_window_s: float = 10.0
     heartbeat_interval_s: float = 1.0
     predicts_always: bool = False
+
+
+def create_dispatch_options(settings: GatewaySettings) -> DispatchOptions:
+    """Return the options that the settings of a host name."""
+    budget = settings.retry_budget
+    return DispatchOptions(
+        budget.share, budget.slack, budget.window_s, settings.heartbeat_interval_s
+    )
--- a/buckthorndeal/gateway/_handler.py
+++ b/buckthorndeal/gateway/_handler.py
@@ -272,7 +272,7 @@
     ) -> str:
         """Choose by the weights; a stream that is taken up began under former ones."""
         if metadata.resumes:
-            splits = self._context.splits
+            splits = self._context.recent_splits
             return splits.find_service(route, metadata.resumes, now_s)
         return choose_service(route, metadata.request_id)
 
--- a/buckthorndeal/gateway/_stream_versions.py
+++ b/buckthorndeal/gateway/_stream_versions.py
@@ -17,9 +17,7 @@
     create_version_table,
     digest_stream,
 )
-from buckthorndeal.gateway._messages import (
-    Call,
-)
+from buckthorndeal.gateway._messages import Call
 from buckthorndeal.gateway._open_streams import create_open_streams
 from buckthorndeal.gateway._recent_splits import RecentSplits
 from buckthorndeal.gateway._shared_messages import FindStreamOrigin
@@ -39,6 +37,11 @@
 
     Other hosts are told only while several versions serve in a service or this host
     cannot know that, and after the services of a route have changed.
+
+    Attributes
+    ----------
+    recent_splits : RecentSplits
+        Former services of routes; changed only by this object.
     """
 
     def __init__(self) -> None:
@@ -50,7 +53,7 @@
         self._reached_s = -math.inf
         # Services with endpoints that name no version, or whose coordinators do not.
         self._unnamed: set[str] = set()
-        self._splits = RecentSplits()
+        self.recent_splits = RecentSplits()
         # Services in which one version served at the last check.
         self._uniform: set[str] = set()
         self._check_due_s = -math.inf
@@ -126,7 +129,7 @@
         They can while one version seems to serve and its routes have not changed. If
         this host is mistaken, they refuse the streams that have begun here.
         """
-        if self._splits.is_shared(service, now_s):
+        if self.recent_splits.is_shared(service, now_s):
             return False
         versions = self._versions.list_versions(service, now_s)
         if not versions:
@@ -137,7 +140,7 @@
 
     def set_routes(self, routes: Iterable[Route], now_s: float) -> None:
         """Take note of the routes of a newer configuration."""
-        self._splits.update(routes, now_s)
+        self.recent_splits.update(routes, now_s)
         self._check_due_s = now_s
 
     def find_origin(self, query: FindStreamOrigin, now_s: float) -> StreamOrigin | None:
@@ -184,7 +187,7 @@
         self._origins.expire(now_s)
         self._open.expire(now_s)
         self._unconfirmed.expire(now_s)
-        self._splits.expire(now_s)
+        self.recent_splits.expire(now_s)
 
     def _check(self, now_s: float) -> None:
         for service in self._versions.list_services() | self._unnamed:
--- a/tests/split_play.py
+++ b/tests/split_play.py
@@ -31,7 +31,6 @@
     split_turns,
 )
 from buckthorndeal.gateway._origins import ASK_AGAIN_LIMIT_S, ASK_AGAIN_S
-from buckthorndeal.gateway._recent_splits import RecentSplits
 from buckthorndeal.gateway._shared_messages import FindStreamOrigin
 from buckthorndeal.gateway._stream_versions import StreamVersions
 
@@ -68,7 +67,6 @@
     versions: StreamVersions
     reach: CoordinatorReach
     holders: OriginHolders
-    splits: RecentSplits = field(default_factory=RecentSplits)
     route: Route = ROUTE
     is_up: bool = True
     running: set = field(default_factory=set)
@@ -143,7 +141,6 @@
         while (at_s := at_s + self.rng.expovariate(per_s)) < SECONDS - 15.0:
             self._schedule(at_s, self._begin)
         for host in self.hosts:
-            host.splits.update([ROUTE], 0.0)
             host.versions.set_routes([ROUTE], 0.0)
             for step in range(int(SECONDS / STATUS_S)):
                 self._schedule(step * STATUS_S, self._tick, host)
@@ -181,7 +178,6 @@
 
     def _apply(self, host, route):
         host.route = route
-        host.splits.update([route], self.now_s)
         host.versions.set_routes([route], self.now_s)
         self._share(host)
 
@@ -291,7 +287,8 @@
             self._look_up(host, stream, until_s)
 
     def _look_up(self, host, stream, until_s):
-        service = host.splits.find_service(host.route, stream.request_id, self.now_s)
+        splits = host.versions.recent_splits
+        service = splits.find_service(host.route, stream.request_id, self.now_s)
         query = FindStreamOrigin(service, stream.request_id)
         origin = host.versions.find_origin(query, self.now_s)
         if origin is not None:
