Separate the search for origins from their sending

OriginTeller did three things: it sent origins of this host's streams to the coordinators that keep them, asked coordinators for origins of other streams, and noted the connections of the control task in its CoordinatorReach. OriginSender and OriginSearcher now have one of the first two each; the control task notes its connections itself, at the same moments. Log lines and metrics keep their names.

--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -53,7 +53,8 @@
 )
 from buckthorndeal.gateway._known_coordinators import KnownCoordinators
 from buckthorndeal.gateway._known_hosts import KnownEntryHosts, describe_fleet
-from buckthorndeal.gateway._origin_teller import OriginTeller
+from buckthorndeal.gateway._origin_search import OriginSearcher
+from buckthorndeal.gateway._origin_sender import OriginSender
 from buckthorndeal.gateway._quota_calls import QuotaCaller
 from buckthorndeal.gateway._shared_messages import (
     CoordinatorsReached,
@@ -142,13 +143,11 @@
         self._entry_state = EntryState.READY
         self._reaches_endpoints = True
         self._coordinator_reach = CoordinatorReach()
-        self._origin_teller = OriginTeller(
-            self._own_address,
-            self._links,
-            dispatch,
-            self._coordinator_reach,
-            metrics,
-            clock,
+        self._origin_sender = OriginSender(
+            self._own_address, self._links, dispatch, metrics
+        )
+        self._origin_searcher = OriginSearcher(
+            self._links, self._coordinator_reach, clock
         )
         # Number of the present connection to each connected coordinator.
         self._connected: dict[str, int] = {}
@@ -267,12 +266,12 @@
 
     @_handle.register
     async def _(self, message: ShareOrigins, envelope: Envelope) -> None:
-        await self._origin_teller.share(message.origins, self._list_nearest_first())
+        await self._origin_sender.send_new(message.origins, self._list_nearest_first())
 
     @_handle.register
     async def _(self, message: AskForOrigin, envelope: Envelope) -> None:
         await spawn_job(
-            self._origin_teller.search,
+            self._origin_searcher.search,
             message.query,
             self._list_nearest_first(),
             envelope,
@@ -351,8 +350,9 @@
 
     async def _update_origin_holders(self) -> None:
         """Tell the coordinators that have come to keep origins, as one is nearer."""
+        self._coordinator_reach.record_connections(self._connected, self._clock())
         nearest_first = self._list_nearest_first()
-        await self._origin_teller.update_holders(self._connected, nearest_first)
+        await self._origin_sender.update_holders(self._connected, nearest_first)
 
     async def _deliver_shared_state(self, host: str) -> None:
         for message in await self._dispatch.ask(DescribeSharedState()):
--- a/buckthorndeal/gateway/_origin_teller.py
+++ b/buckthorndeal/gateway/_origin_sender.py
@@ -1,14 +1,11 @@
-"""Origins of this host's streams at coordinators: told, told again and asked for."""
+"""Sending of the origins of this host's streams to the coordinators that keep them."""
 
 import random
-from collections.abc import Callable, Sequence
-from dataclasses import replace
+from collections.abc import Sequence
 
 import curio
 
-from buckthorndeal.fleet import FindOrigin, HostLinks, OriginUpdate, StreamOrigin
-from buckthorndeal.gateway._coordinator_calls import ask_for_origin
-from buckthorndeal.gateway._coordinator_reach import CoordinatorReach
+from buckthorndeal.fleet import HostLinks, OriginUpdate, StreamOrigin
 from buckthorndeal.gateway._origin_holders import (
     REPEAT_DELAY_S,
     REPEAT_INTERVAL_S,
@@ -18,7 +15,7 @@
 )
 from buckthorndeal.gateway._shared_messages import ListOpenOrigins
 from buckthorndeal.logs import log_event
-from buckthorndeal.mailbox import Envelope, Mailbox
+from buckthorndeal.mailbox import Mailbox
 from buckthorndeal.metrics import Metrics
 from buckthorndeal.supervision import spawn_job
 
@@ -26,8 +23,8 @@
 MIN_JITTER = 0.5
 
 
-class OriginTeller:
-    """Gives the origins of streams to coordinators, which keep them in memory only.
+class OriginSender:
+    """Sends the origins of streams to coordinators, which keep them in memory only.
 
     Parameters
     ----------
@@ -37,35 +34,23 @@
         Links to the coordinators.
     dispatch : Mailbox
         Mailbox of the dispatch task, which knows the open streams.
-    reach : CoordinatorReach
-        Coordinators that have told this host all that they know.
     metrics : Metrics
         Metrics of the daemon.
-    clock : callable
-        Returns monotonic seconds.
     """
 
     def __init__(
-        self,
-        own_host: str,
-        links: HostLinks,
-        dispatch: Mailbox,
-        reach: CoordinatorReach,
-        metrics: Metrics,
-        clock: Callable[[], float],
+        self, own_host: str, links: HostLinks, dispatch: Mailbox, metrics: Metrics
     ) -> None:
         self._own_host = own_host
         self._links = links
         self._dispatch = dispatch
-        self._reach = reach
         self._metrics = metrics
-        self._clock = clock
         self._holders = OriginHolders(own_host)
 
-    async def share(
+    async def send_new(
         self, origins: tuple[StreamOrigin, ...], nearest_first: Sequence[str]
     ) -> None:
-        """Give the origins of new streams to the coordinators that keep them."""
+        """Send the origins of new streams to the coordinators that keep them."""
         update = OriginUpdate(origins)
         for host in choose_holders(self._own_host, nearest_first):
             await spawn_job(self._links.deliver, host, update)
@@ -73,38 +58,35 @@
     async def update_holders(
         self, connections: dict[str, int], nearest_first: Sequence[str]
     ) -> None:
-        """Tell holders that may lack them the origins of the streams still open."""
-        self._reach.record_connections(connections, self._clock())
-        for host in self._holders.update(connections, nearest_first):
-            await spawn_job(self._tell_again, host, connections[host])
+        """Send the origins of all open streams to holders that may lack them.
 
-    async def search(
-        self, query: FindOrigin, nearest_first: list[str], envelope: Envelope
-    ) -> None:
-        """Ask the coordinators for an origin; reply with an `OriginSearch`."""
-        replies = await ask_for_origin(self._links, nearest_first, query)
-        known = len(self._links.hosts)
-        search = self._reach.conclude(replies, known)
-        is_settled = self._reach.is_settled(self._clock())
-        await envelope.reply(replace(search, is_settled=is_settled))
+        Parameters
+        ----------
+        connections : dict of str to int
+            Number of the present connection of each coordinator.
+        nearest_first : sequence of str
+            The same coordinators.
+        """
+        for host in self._holders.update(connections, nearest_first):
+            await spawn_job(self._send_open, host, connections[host])
 
-    async def _tell_again(self, host: str, connection: int) -> None:
-        """Tell one holder in turns, as many hosts do so at the same time."""
+    async def _send_open(self, host: str, connection: int) -> None:
+        """Send to one holder in turns, as many hosts do so at the same time."""
         await self._pause(REPEAT_DELAY_S)
         origins = await self._dispatch.ask(ListOpenOrigins())
-        told = 0
+        sent = 0
         for batch in split_turns(origins):
             while not await self._links.deliver(host, OriginUpdate(batch)):
                 if not self._holders.is_current(host, connection):
                     break
             if not self._holders.is_current(host, connection):
                 break
-            told += len(batch)
+            sent += len(batch)
             await self._pause(REPEAT_INTERVAL_S)
         if not origins:
             return
-        self._metrics.count("stream_origins_told_again", told)
-        log_event("origins_told_again", peer=host, open=len(origins), told=told)
+        self._metrics.count("stream_origins_told_again", sent)
+        log_event("origins_told_again", peer=host, open=len(origins), told=sent)
 
     async def _pause(self, longest_s: float) -> None:
         await curio.sleep(longest_s * random.uniform(MIN_JITTER, 1.0))
--- a/tests/version_play.py
+++ b/tests/version_play.py
@@ -147,7 +147,7 @@
     def __init__(self, hosts=24, endpoints=9, seed=1, coordinators=COORDINATORS):
         super().__init__(hosts, endpoints, seed)
         self.coordinator_count = coordinators
-        self._teller_rng = random.Random(seed)
+        self._repeat_rng = random.Random(seed)
         self.versions = dict.fromkeys(range(endpoints), "v1")
         self.draining = set()
         self.streams = []
@@ -435,7 +435,7 @@
         connections = {str(n): start for n, start in self._connected[host.name].items()}
         self._reaches[host.name].record_connections(connections, self.now_s)
         for number in self._holders[host.name].update(connections, list(connections)):
-            at_s = self.now_s + self._teller_rng.uniform(0.5, 1.0) * REPEAT_DELAY_S
+            at_s = self.now_s + self._repeat_rng.uniform(0.5, 1.0) * REPEAT_DELAY_S
             args = (host, host.generation, int(number))
             self._schedule(at_s, self._tell_again, *args)
 
@@ -446,7 +446,7 @@
         self.repeated_origins += len(origins)
         at_s = self.now_s
         for batch in split_turns(origins):
-            at_s += self._teller_rng.uniform(0.5, 1.0) * REPEAT_INTERVAL_S
+            at_s += self._repeat_rng.uniform(0.5, 1.0) * REPEAT_INTERVAL_S
             self._schedule(at_s, self._tell_batch, host, generation, number, batch)
 
     def _tell_batch(self, host, generation, number, batch):
