Move the decision on an attempt out of the dispatcher

The dispatcher had 504 lines and two jobs: it decided where an attempt goes, and kept the queue, the grants and what follows from their ends. Decider now has the first: objections, home and other regions, endpoints, hosts that share endpoints, and refusals because of overload. A preview replaces its accept callable in place of a method of the dispatcher. The choice of a host that shares endpoints is with the other choices of hosts, in RelayChooser. The dispatcher has 399 lines; an attribute that nothing read is gone.

--- a/buckthorndeal/gateway/_dispatcher.py
+++ b/buckthorndeal/gateway/_dispatcher.py
@@ -1,39 +1,34 @@
-"""Scheduling of attempts: choice of a target, queueing and refusal.
+"""Scheduling of attempts: queueing, grants and what follows from their ends.
 
 No I/O: methods take a clock reading and return decisions, so that tests can
 simulate load without a network.
 """
 
 import copy
-import math
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad
 from buckthorndeal.gateway._admission import AdmissionControl
 from buckthorndeal.gateway._crash_guard import CrashGuard
+from buckthorndeal.gateway._decider import Decider
 from buckthorndeal.gateway._dispatch_options import DispatchOptions
-from buckthorndeal.gateway._endpoint_condition import EndpointCondition, ServiceState
+from buckthorndeal.gateway._endpoint_condition import ServiceState
 from buckthorndeal.gateway._endpoint_reach import EndpointReach
 from buckthorndeal.gateway._fleet_messages import Borrower, RegionUpdate
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
-from buckthorndeal.gateway._grants import create_attempt, create_grant
-from buckthorndeal.gateway._latency_limits import compute_max_turn_wait_s
+from buckthorndeal.gateway._grants import create_attempt, create_forward, create_grant
 from buckthorndeal.gateway._limits import RetryBudgets
 from buckthorndeal.gateway._loads import EndpointLoad
 from buckthorndeal.gateway._local_choice import LocalChooser
 from buckthorndeal.gateway._messages import (
-    Call,
     Decision,
     Dispatch,
     EndpointNotice,
-    Forward,
     Grant,
     LoadReport,
-    MoveReason,
     OverloadCause,
     Refusal,
     RefusalReason,
@@ -51,7 +46,7 @@
 
 
 class Dispatcher:
-    """Chooses the target of each attempt on one entry host.
+    """Grants, queues or refuses each attempt on one entry host.
 
     Parameters
     ----------
@@ -81,7 +76,6 @@
     ) -> None:
         self._host = host
         self._region = region
-        self._options = options
         self._ejection = ejection
         self._rng = rng
         self._refusals = RefusalPolicy(rng)
@@ -100,8 +94,20 @@
         self._slot_shares = SlotShares(host, view)
         self._local = LocalChooser(view, ejection, self._slot_shares, rng)
         self.relays = RelayHosts(view, rng)
-        self._relay_chooser = RelayChooser(region, self.relays, self._remote)
         self.crash_guard = CrashGuard(host, self.reach.path, view)
+        self._decider = Decider(
+            region=region,
+            view=view,
+            reach=self.reach,
+            crash_guard=self.crash_guard,
+            admission=self.admission,
+            refusals=self._refusals,
+            slot_shares=self._slot_shares,
+            local=self._local,
+            remote=self._remote,
+            relay_chooser=RelayChooser(region, self.relays, self._remote),
+            accept=self._accept,
+        )
 
     def update_region(self, message: RegionUpdate, now_s: float) -> None:
         """Apply a newer load report of another region."""
@@ -151,7 +157,7 @@
         memo[id(self.quota)] = self.quota.copy_for(dispatch.call.workspace)
         memo[id(self.admission)] = self.admission.copy_for(dispatch.call.service)
         copied = copy.deepcopy(self, memo)
-        copied._accept = take
+        copied._decider.accept = take
         copied.admission.start(now_s)
         return copied
 
@@ -170,66 +176,17 @@
         queue = self.admission.get(call.service).queue
         predicts = self.admission.predicts(call)
         if not (predicts and queue.is_reserved(waiting, now_s)):
-            decision = self._decide(dispatch, now_s)
+            decision = self._decider.decide(dispatch, now_s)
             if decision is not None:
                 if isinstance(decision, Grant):
                     queue.record_overtake(waiting, now_s)
                 return decision
         if not self.admission.may_begin_wait(waiting, now_s):
-            return self._refuse_overload(call, OverloadCause.QUEUE, now_s)
+            return self._decider.refuse_overload(call, OverloadCause.QUEUE, now_s)
         self.admission.record_contention(call, now_s)
         queue.add(waiting)
         return None
 
-    def _decide(self, dispatch: Dispatch, now_s: float) -> Decision | None:
-        """Return a decision, or None if capacity may become free soon."""
-        call = dispatch.call
-        objection = self.crash_guard.find_objection(
-            dispatch, self.view.fleet.ready_hosts, now_s
-        )
-        if objection is not None:
-            return self._refusals.refuse_crashing(objection)
-        if not call.may_run_in(self._region):
-            return self._forward_to_home(dispatch, now_s)
-        if self.reach.is_lost:
-            return self._relay(dispatch, now_s)
-        return self._decide_here(dispatch, now_s)
-
-    def _decide_here(self, dispatch: Dispatch, now_s: float) -> Decision | None:
-        """Choose between the endpoints of this region and another region."""
-        call = dispatch.call
-        candidates = self._local.list_candidates(dispatch, now_s)
-        best = self._local.choose(dispatch, candidates, now_s)
-        remote = None
-        if not self.crash_guard.is_trial(dispatch, now_s):
-            remote = self._remote.choose(dispatch, best, now_s)
-        if remote is not None:
-            return self._accept(dispatch, remote, now_s)
-        if best is not None:
-            if not self.admission.has_room(call, best, now_s):
-                return None
-            outlook = self.admission.predict(call, best, now_s)
-            if self.admission.may_serve(call, best, outlook, now_s):
-                return self._accept(dispatch, best, now_s)
-            if self.admission.may_improve(call, outlook, now_s):
-                return None
-            cause = self.admission.find_cause(call, outlook, now_s)
-            return self._refuse_overload(call, cause, now_s, len(candidates), best)
-        if candidates:
-            return self._pass_to_sharing_host(dispatch, candidates, now_s)
-        turn = self.view.find_next_turn(call.service, now_s)
-        if turn is not None:
-            may_wait = turn.condition is EndpointCondition.RATE_LIMITED
-            if may_wait and turn.wait_s <= compute_max_turn_wait_s(call):
-                self.admission.record_turn(call, turn.wait_s, now_s)
-                return None
-            return self._refusals.refuse_until_turn(turn)
-        if self._is_starting(now_s):
-            return None
-        if call.version is not None:
-            return self._refusals.refuse(RefusalReason.VERSION_NOT_SERVED)
-        return self._refusals.refuse(RefusalReason.NO_ENDPOINT)
-
     def record_notice(
         self, notice: EndpointNotice, now_s: float
     ) -> EndpointRecord | None:
@@ -371,12 +328,12 @@
     ) -> Decision | None:
         """Return the decision on a waiting request, or None if it waits on."""
         if may_try:
-            decision = self._decide(waiting.dispatch, now_s)
+            decision = self._decider.decide(waiting.dispatch, now_s)
             if decision is not None:
                 return decision
         if self.admission.may_keep_waiting(waiting, ahead, now_s):
             return None
-        return self._refuse_overload(waiting.call, OverloadCause.WAIT, now_s)
+        return self._decider.refuse_overload(waiting.call, OverloadCause.WAIT, now_s)
 
     def watch_silence(self, heard_s: float, now_s: float) -> None:
         """Check the path if no endpoint sends anything; see `EndpointReach`."""
@@ -408,41 +365,6 @@
             budget.compute_limit(hosts, now_s),
         )
 
-    def _forward_to_home(self, dispatch: Dispatch, now_s: float) -> Decision | None:
-        if not dispatch.call.hops:
-            remote = self._remote.find_fastest(dispatch, MoveReason.HOME, now_s)
-            if remote is not None:
-                return self._accept(dispatch, remote, now_s)
-            if self._is_starting(now_s):
-                # First reports of other regions may still be outstanding.
-                return None
-        return self._refusals.refuse(RefusalReason.HOME_UNREACHABLE)
-
-    def _pass_to_sharing_host(
-        self, dispatch: Dispatch, candidates: list[EndpointLoad], now_s: float
-    ) -> Decision | None:
-        """Pass a request on if only other hosts may have room at the endpoints."""
-        service = self.view.get_service(dispatch.call.service)
-        senders = self._slot_shares.list_other_senders(candidates, service)
-        if not senders:
-            return None
-        if dispatch.call.hops:
-            # The host that has passed it on tries another one.
-            return self._refuse_overload(
-                dispatch.call, OverloadCause.SHARE, now_s, len(candidates)
-            )
-        host = self.relays.choose(dispatch.excluded, now_s, senders)
-        if host is None:
-            return None
-        choice = RemoteChoice(self._region, host, 0.0, is_relay=True)
-        return self._accept(dispatch, choice, now_s)
-
-    def _relay(self, dispatch: Dispatch, now_s: float) -> Decision:
-        choice = self._relay_chooser.choose(dispatch, now_s)
-        if choice is None:
-            return self._refusals.refuse(RefusalReason.ENDPOINTS_UNREACHABLE)
-        return self._accept(dispatch, choice, now_s)
-
     def _accept(
         self, dispatch: Dispatch, choice: LocalChoice | RemoteChoice, now_s: float
     ) -> Decision:
@@ -460,13 +382,7 @@
                 self.relays.record_sent(dispatch.attempt_id, choice.host)
             else:
                 self._remote.record_sent(choice, call, now_s)
-            return Forward(
-                choice.region,
-                choice.host,
-                choice.predicted_s,
-                choice.is_relay,
-                choice.reason,
-            )
+            return create_forward(choice)
         return self._grant(dispatch, choice, now_s)
 
     def _grant(self, dispatch: Dispatch, choice: LocalChoice, now_s: float) -> Grant:
@@ -481,24 +397,3 @@
             self.view.warm_ups.record_request(load.name, now_s)
         self._ejection.start_probe(call.service, load.name, now_s)
         return create_grant(self.view, attempt, choice, now_s)
-
-    def _is_starting(self, now_s: float) -> bool:
-        return self.admission.compute_startup_left_s(now_s) > 0
-
-    def _refuse_overload(
-        self,
-        call: Call,
-        cause: OverloadCause,
-        now_s: float,
-        candidates: int = 0,
-        best: LocalChoice | None = None,
-    ) -> Refusal:
-        self.admission.record_contention(call, now_s)
-        drain_s = self.admission.predict_drain_s(call, now_s)
-        left_s = math.inf
-        if self.admission.predicts(call):
-            left_s = call.deadline_s - now_s
-        refusal = self._refusals.refuse_overload(
-            call, candidates, best, drain_s, left_s
-        )
-        return replace(refusal, cause=cause)
--- a/buckthorndeal/gateway/_grants.py
+++ b/buckthorndeal/gateway/_grants.py
@@ -1,10 +1,10 @@
-"""Attempts and grants that follow from the choice of an endpoint; no I/O."""
+"""Attempts and decisions that follow from a choice; no I/O."""
 
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
-from buckthorndeal.gateway._messages import Call, Grant
+from buckthorndeal.gateway._messages import Call, Forward, Grant
 from buckthorndeal.gateway._queue import count_tokens
-from buckthorndeal.gateway._scoring import LocalChoice
+from buckthorndeal.gateway._scoring import LocalChoice, RemoteChoice
 from buckthorndeal.gateway._urgency import compute_urgency
 
 
@@ -40,3 +40,14 @@
         attempt.version,
         choice.load.get_cold_s(now_s),
     )
+
+
+def create_forward(choice: RemoteChoice) -> Forward:
+    """Return the decision to send a request to the chosen region or host."""
+    return Forward(
+        choice.region,
+        choice.host,
+        choice.predicted_s,
+        choice.is_relay,
+        choice.reason,
+    )
--- a/buckthorndeal/gateway/_relay_choice.py
+++ b/buckthorndeal/gateway/_relay_choice.py
@@ -1,9 +1,8 @@
 """Choice of the entry host that serves a request out of this one's reach; no I/O."""
 
-from buckthorndeal.gateway._messages import (
-    Dispatch,
-    MoveReason,
-)
+from collections.abc import Collection
+
+from buckthorndeal.gateway._messages import Dispatch, MoveReason
 from buckthorndeal.gateway._relays import RelayHosts
 from buckthorndeal.gateway._remote_choice import RemoteChooser
 from buckthorndeal.gateway._scoring import RemoteChoice
@@ -39,7 +38,13 @@
         # A host of the region that could not serve the request speaks for the others.
         if remote is not None and self._relays.was_tried(dispatch.excluded):
             return remote
-        host = self._relays.choose(dispatch.excluded, now_s)
+        return self.choose_among(dispatch, now_s) or remote
+
+    def choose_among(
+        self, dispatch: Dispatch, now_s: float, hosts: Collection[str] | None = None
+    ) -> RemoteChoice | None:
+        """Return one of some hosts of the region, by default of all, if any is left."""
+        host = self._relays.choose(dispatch.excluded, now_s, hosts)
         if host is None:
-            return remote
+            return None
         return RemoteChoice(self._region, host, 0.0, is_relay=True)
