Move what is observed of a service out of the admission of requests

tests.test_gateway_admission (16), test_gateway_queue (17), test_explanation (21), test_rejection_play (7) and test_path_play (13) passed.

--- a/buckthorndeal/gateway/_admission.py
+++ b/buckthorndeal/gateway/_admission.py
@@ -6,12 +6,9 @@
 """
 
 import copy
-import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from buckthorndeal.gateway import _basic_admission
-from buckthorndeal.gateway._calibration import Calibration
 from buckthorndeal.gateway._granted_attempt import GrantedAttempt
 from buckthorndeal.gateway._latency_limits import (
     compute_latency_budget_s,
@@ -26,6 +23,7 @@
     WaitingRequest,
 )
 from buckthorndeal.gateway._scoring import LocalChoice
+from buckthorndeal.gateway._service_admission import ServiceAdmission
 from buckthorndeal.policy.fairness import create_fair_shares
 from buckthorndeal.policy.views import AttemptOutcome
 from buckthorndeal.workspaces import QuotaUnit, Workspace
@@ -48,79 +46,20 @@
 # want it: after a more urgent one, and in a workspace beyond its fair share.
 LESS_URGENT_SHARE = 0.4
 EXCESSIVE_SHARE = 0.7
-# Time for which a request that found no room shows that others want it.
-CONTENTION_S = 0.5
 # Largest backlog, as a share of the objective, behind which a late request is served
 # while nobody else wants the room.
 LATE_BACKLOG_SHARE = 0.3
-# Part of the served tokens that late requests may take from others, so that requests
-# too large for their objective are not refused for ever.
-LATE_TOKEN_SHARE = 0.08
-MAX_LATE_CREDIT_TOKENS = 60_000.0
 # Largest predicted time, as a multiple of what is within the objective, at which a
 # request waits a moment for a shorter backlog instead of being refused.
 NEAR_MISS_FACTOR = 1.3
 NEAR_MISS_MEMORY_S = 0.1
-# Under contention, requests leave the time that one of this quantile of its route takes
-# by itself, and so large requests find the same backlog as small ones.
-LARGE_QUANTILE = 0.95
-QUANTILE_STEP = 0.05
 # Share of the slots of an engine that is used; see `MAX_SLOT_UTILIZATION`.
 USABLE_SLOT_SHARE = 0.8
-# Weight of a new observation of the time that an output token takes.
-OUTPUT_AVERAGE_WEIGHT = 0.1
 # Quota units of a request, relative to tokens, where quotas count requests.
 TOKENS_PER_REQUEST = 1000.0
 ANONYMOUS = "anonymous"
 
 
-@dataclass(slots=True)
-class ServiceAdmission:
-    """What a host has observed of one service.
-
-    Parameters
-    ----------
-    contended_s : dict of int to float
-        When a request of each priority last found no room.
-    fair_contended_s : float
-        When a request of a workspace within its share last found no room.
-    turn_s : float
-        When an endpoint that limits its rate takes the next request of this host.
-    near_miss_s : float
-        When an endpoint with a free slot was last found to have too long a backlog.
-    late_credit_tokens : float
-        Tokens that late requests may take from others.
-    large_own_s : dict of str to float
-        Time that large requests take by themselves, by route.
-    output_token_s : float
-        Time that a token of the longest possible output takes; 0 if unknown.
-    """
-
-    queue: WaitingQueue = field(default_factory=WaitingQueue)
-    calibration: Calibration = field(default_factory=Calibration)
-    contended_s: dict[int, float] = field(default_factory=dict)
-    fair_contended_s: float = -math.inf
-    turn_s: float = -math.inf
-    near_miss_s: float = -math.inf
-    late_credit_tokens: float = MAX_LATE_CREDIT_TOKENS
-    large_own_s: dict[str, float] = field(default_factory=dict)
-    output_token_s: float = 0.0
-
-    def is_contended(self, now_s: float) -> bool:
-        """Return whether a request has found no room a moment ago."""
-        last_s = max(self.contended_s.values(), default=-math.inf)
-        return now_s - last_s < CONTENTION_S
-
-    def record_own(self, route: str, own_s: float) -> None:
-        """Record the time that a request takes by itself."""
-        large_s = self.large_own_s.get(route, own_s)
-        if own_s > large_s:
-            large_s *= 1 + QUANTILE_STEP * LARGE_QUANTILE
-        else:
-            large_s *= 1 - QUANTILE_STEP * (1 - LARGE_QUANTILE)
-        self.large_own_s[route] = large_s
-
-
 class AdmissionControl:
     """Decides whether requests are served in time, late or not at all on one host.
 
@@ -269,9 +208,7 @@
         tokens = choice.uncached_tokens
         if call.prompt is not None:
             tokens += call.prompt.max_output_tokens
-        state.late_credit_tokens = min(
-            MAX_LATE_CREDIT_TOKENS, state.late_credit_tokens + LATE_TOKEN_SHARE * tokens
-        )
+        state.record_served(tokens)
         name, weight = _describe_workspace(call.workspace)
         self.shares.record(name, weight, max(1, tokens), now_s)
 
@@ -308,11 +245,8 @@
             return
         if call.prompt is None or call.prompt.max_output_tokens < 1:
             return
-        token_s = (now_s - attempt.started_s) / call.prompt.max_output_tokens
-        if not state.output_token_s:
-            state.output_token_s = token_s
-        weight = OUTPUT_AVERAGE_WEIGHT
-        state.output_token_s += weight * (token_s - state.output_token_s)
+        output_s = now_s - attempt.started_s
+        state.record_output(output_s / call.prompt.max_output_tokens)
 
     def create_waiting(self, dispatch: Dispatch, now_s: float) -> WaitingRequest:
         """Return a request that is about to wait, with its latest start."""
@@ -407,12 +341,10 @@
     def _get_share(self, call: Call, now_s: float) -> float:
         state = self.get(call.service)
         share = 1.0
-        for priority, contended_s in state.contended_s.items():
-            if priority < call.priority and now_s - contended_s < CONTENTION_S:
-                share = LESS_URGENT_SHARE
-        if now_s - state.fair_contended_s < CONTENTION_S:
-            if self._is_excessive(call, now_s):
-                share = min(share, EXCESSIVE_SHARE)
+        if state.has_more_urgent(call.priority, now_s):
+            share = LESS_URGENT_SHARE
+        if state.is_contended_within_shares(now_s) and self._is_excessive(call, now_s):
+            share = min(share, EXCESSIVE_SHARE)
         return share
 
     def _may_serve_late(
@@ -425,12 +357,9 @@
             return True
         if not state.is_contended(now_s) and not state.queue:
             return outlook.first_s - own_s <= LATE_BACKLOG_SHARE * objective_s
-        tokens = choice.uncached_tokens
         # Its own size makes it late, not the backlog.
-        if own_s <= objective_s / 2 or state.late_credit_tokens < tokens:
-            return False
-        state.late_credit_tokens -= tokens
-        return True
+        is_large = own_s > objective_s / 2
+        return is_large and state.try_spend_late_credit(choice.uncached_tokens)
 
     def _is_excessive(self, call: Call, now_s: float) -> bool:
         if call.workspace is None and len(self.shares) < 2:
