--- a/buckthorndeal/gateway/_exchange.py
+++ b/buckthorndeal/gateway/_exchange.py
@@ -8,31 +8,23 @@
 import curio
 
 from buckthorndeal.configuration import RequestKind, Route
-from buckthorndeal.errors import RequestError, ShortageError, Verdict, WireError
+from buckthorndeal.errors import RequestError, ShortageError, Verdict
 from buckthorndeal.gateway._attempt import (
     Attempt,
     AttemptError,
     open_attempt,
     report_response_start,
 )
-from buckthorndeal.gateway._attempt_headers import VERSION_HEADER
 from buckthorndeal.gateway._context import GatewayContext
-from buckthorndeal.gateway._continuation import EventSelector
 from buckthorndeal.gateway._decision_log import log_failed_attempt
 from buckthorndeal.gateway._decisions import (
     get_target,
     report_unserved,
     request_decision,
 )
-from buckthorndeal.gateway._event_memory import EventMemory
-from buckthorndeal.gateway._events import EventSplitter
+from buckthorndeal.gateway._event_relay import EventRelay
 from buckthorndeal.gateway._headers import remove_hop_by_hop
-from buckthorndeal.gateway._messages import (
-    Call,
-    Decision,
-    Dispatch,
-    Refusal,
-)
+from buckthorndeal.gateway._messages import Call, Decision, Dispatch, Refusal
 from buckthorndeal.gateway._open_attempts import Handover
 from buckthorndeal.gateway._origins import find_stream_origin
 from buckthorndeal.gateway._progress import BufferedResponse, Progress
@@ -46,7 +38,6 @@
 from buckthorndeal.http_client import ClientConnection, encode_headers
 from buckthorndeal.http_server import Request, Responder
 from buckthorndeal.mailbox import MailboxError
-from buckthorndeal.memory import UNBOOKED_BYTES
 from buckthorndeal.policy.views import AttemptOutcome
 
 OK = 200
@@ -363,8 +354,17 @@
             find,
             self._replacement.release,
         )
+        relay = EventRelay(
+            self._context,
+            attempt,
+            self.progress,
+            self._responder,
+            watch,
+            names_version=bool(self._call.hops),
+            record_version=self._record_version,
+        )
         async with watch_stalls(watch):
-            await self._relay_watched_events(attempt, watch)
+            await relay.run()
 
     async def _find_replacement(self, target: str) -> bool:
         """Return whether another endpoint or host takes what `target` has begun."""
@@ -392,66 +392,6 @@
         self.progress.runs += 1
         self.progress.request_sent = True
 
-    async def _relay_watched_events(self, attempt: Attempt, watch: StallWatch) -> None:
-        splitter = EventSplitter()
-        memory = EventMemory(attempt.response, splitter)
-        selector = EventSelector(self.progress.last_event_id)
-        reported = False
-        while part := await attempt.response.read_part():
-            try:
-                events = splitter.feed(part)
-            except WireError as error:
-                raise create_stream_error(str(error)) from error
-            if memory.is_used or splitter.pending_bytes > UNBOOKED_BYTES:
-                # Before the events count as passed on, as it may fail.
-                await memory.hold(events)
-            selection = selector.select(events)
-            self.progress.last_event_id = selector.last_event_id
-            self.progress.events += selection.count
-            attempt.pace.events += selection.count
-            if selection.data and not reported:
-                reported = True
-                self._call = replace(self._call, version=attempt.version)
-                await report_response_start(self._context, attempt, has_events=True)
-            if any(event.carries_data for event in events):
-                watch.record_event()
-            if selection.data:
-                self._record_events(attempt)
-                await self._start_response(attempt)
-                await self._responder.send(selection.data)
-                sent_s = self._context.clock()
-                attempt.pace.held_s += sent_s - self.progress.last_response_s
-                if memory.is_used:
-                    await memory.keep_pending()
-            if selection.fault is not None:
-                raise create_stream_error(selection.fault)
-            # They are not booked while the next part is awaited.
-            del events, selection
-        if not splitter.is_at_event_boundary:
-            raise create_stream_error(
-                "the stream ended in the middle of an event", closed=True
-            )
-        # The end of a stream is believed only together with an event, unless it is all
-        # that the endpoint was asked for.
-        closed = attempt.response.ends_with_connection
-        if not selector.count and (closed or self.progress.events):
-            raise create_stream_error("the stream ended without an event", closed)
-        await self._start_response(attempt)
-        attempt.outcome = AttemptOutcome.SUCCEEDED
-        await self._responder.finish()
-
-    def _record_events(self, attempt: Attempt) -> None:
-        now_s = self._context.clock()
-        self.progress.record_response_part(now_s)
-        if attempt.is_direct:
-            self._context.contact.record(now_s)
-
-    async def _start_response(self, attempt: Attempt) -> None:
-        if self._responder.started:
-            return
-        headers = remove_hop_by_hop(attempt.response.headers)
-        if self._call.hops and attempt.version is not None:
-            headers[VERSION_HEADER] = attempt.version
-        await self._responder.start(
-            attempt.response.status, encode_headers(list(headers.items()))
-        )
+    def _record_version(self, version: str | None) -> None:
+        """Record the only software version at which the stream may continue."""
+        self._call = replace(self._call, version=version)
