Remove temporary directories of killed test runs

A run that was killed left its directory in /dev/shm, where its files take memory until the machine restarts. A module that was named twice in one run ended it, as both got one directory.

A run locks its directory until its process ends; the next run removes those that nobody holds and that did not change for a minute. Each run of a module gets a directory of its own.

--- a/tests/temporary_directories.py
+++ b/tests/temporary_directories.py
@@ -6,11 +6,13 @@
 """
 
 import contextlib
+import fcntl
 import os
 import re
 import shutil
 import tempfile
 import threading
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -25,6 +27,8 @@
 # Files in memory leave at least this part of the available memory to processes.
 MEMORY_PART = 0.5
 BLOCK_BYTES = 512
+# A run that has just created its directory may not have locked it yet.
+STALE_AGE_S = 60.0
 
 
 class DirectoryError(Exception):
@@ -171,38 +175,33 @@
 
     @contextlib.contextmanager
     def create_module_directory(self, module: str) -> Iterator["ModuleDirectory"]:
-        """Create the directories of a module, and remove them with all that is left."""
-        paths = [os.path.join(each, module) for each in self._list_paths()]
-        for path in paths:
-            os.mkdir(path)
+        """Create the directories of a module, and remove them with all that is left.
+
+        A module may run several times at once.
+        """
+        paths = [
+            tempfile.mkdtemp(prefix=f"{module}-", dir=each)
+            for each in (self._path, self._durable_path)
+        ]
         try:
-            yield ModuleDirectory(self, module, *paths)
+            yield ModuleDirectory(self, *paths)
         finally:
             for path in paths:
                 shutil.rmtree(path, ignore_errors=True)
-            self.record_size(module, 0)
+            self.record_size(paths[0], 0)
 
-    def record_size(self, module: str, size: int) -> None:
+    def record_size(self, path: str, size: int) -> None:
         """Record the bytes that the temporary files of a module take now."""
         with self._lock:
-            self._sizes[module] = size
+            self._sizes[path] = size
             self.peak_bytes = max(self.peak_bytes, sum(self._sizes.values()))
 
-    def remove(self) -> None:
-        """Remove all files of the run."""
-        for path in self._list_paths():
-            shutil.rmtree(path, ignore_errors=True)
-
-    def _list_paths(self):
-        return (self._path, self._durable_path)
-
 
 class ModuleDirectory:
     """Directories of a module that runs."""
 
-    def __init__(self, run: RunDirectory, module: str, path: str, durable_path: str):
+    def __init__(self, run: RunDirectory, path: str, durable_path: str):
         self._run = run
-        self._module = module
         self._path = path
         self._durable_path = durable_path
 
@@ -214,7 +213,7 @@
     def find_excess(self) -> str:
         """Return in words that the files take too much room; empty if they do not."""
         size = measure_directory(self._path)
-        self._run.record_size(self._module, size)
+        self._run.record_size(self._path, size)
         if size <= MODULE_LIMIT_BYTES:
             return ""
         return (
@@ -235,14 +234,55 @@
         Directory in which that of the tests of durability is created; empty for the
         default of the system.
     """
-    directory = RunDirectory(
-        tempfile.mkdtemp(prefix=PREFIX, dir=path),
-        tempfile.mkdtemp(prefix=PREFIX, dir=durable_path or None),
-    )
+    with (
+        create_locked_directory(path) as directory,
+        create_locked_directory(durable_path or tempfile.gettempdir()) as durable,
+    ):
+        yield RunDirectory(directory, durable)
+
+
+@contextlib.contextmanager
+def create_locked_directory(parent: str) -> Iterator[str]:
+    """Create a directory, and remove it at the end with those of killed runs."""
+    path = tempfile.mkdtemp(prefix=PREFIX, dir=parent)
+    descriptor = lock_directory(path)
     try:
-        yield directory
+        remove_stale_directories(parent)
+        yield path
     finally:
-        directory.remove()
+        shutil.rmtree(path, ignore_errors=True)
+        os.close(descriptor)
+
+
+def lock_directory(path: str) -> int:
+    """Lock a directory until the process ends or closes the returned descriptor.
+
+    Raises
+    ------
+    OSError
+        If another process has locked it, or it cannot be opened.
+    """
+    descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_NOFOLLOW)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(descriptor)
+        raise
+    return descriptor
+
+
+def remove_stale_directories(parent: str) -> None:
+    """Remove the directories of runs that were killed; running ones hold a lock."""
+    for name in os.listdir(parent):
+        path = os.path.join(parent, name)
+        if not name.startswith(PREFIX):
+            continue
+        with contextlib.suppress(OSError):
+            if time.time() - os.stat(path).st_mtime < STALE_AGE_S:
+                continue
+            descriptor = lock_directory(path)
+            shutil.rmtree(path, ignore_errors=True)
+            os.close(descriptor)
 
 
 def measure_directory(path: str) -> int:
--- a/tests/test_temporary_directories.py
+++ b/tests/test_temporary_directories.py
@@ -180,6 +180,47 @@
         self.assertEqual(os.listdir(self.directory), ["durable"])
         self.assertEqual(os.listdir(self.durable), [])
 
+    def test_module_that_runs_several_times_at_once(self):
+        """Guards against a run that ends as a module is named twice."""
+        with (
+            self.create_run_directory() as run,
+            run.create_module_directory("tests.test_x") as first,
+            run.create_module_directory("tests.test_x") as second,
+        ):
+            paths = [each.create_environment()["TMPDIR"] for each in (first, second)]
+        self.assertNotEqual(*paths)
+
+    def test_directories_of_killed_runs_are_removed(self):
+        """Guards against memory that a killed run takes until the machine restarts."""
+        script = (
+            "import os, sys; from tests.temporary_directories import *\n"
+            "with create_run_directory(*sys.argv[1:]): os._exit(1)"
+        )
+        command = [sys.executable, "-c", script, self.directory, self.durable]
+        subprocess.run(command)
+        killed = [each for each in os.listdir(self.directory) if each != "durable"]
+        self.assertEqual(len(killed), 1)
+        with self.create_run_directory():
+            self.assertIn(killed[0], os.listdir(self.directory))
+        self.replace("STALE_AGE_S", 0.0)
+        with self.create_run_directory():
+            self.assertNotIn(killed[0], os.listdir(self.directory))
+        self.assertEqual(os.listdir(self.directory), ["durable"])
+        self.assertEqual(os.listdir(self.durable), [])
+
+    def test_directories_of_other_runs_stay(self):
+        """Guards against a run that removes the files of one beside it."""
+        self.replace("STALE_AGE_S", 0.0)
+        with self.create_run_directory(), self.create_run_directory():
+            self.assertEqual(len(os.listdir(self.durable)), 2)
+
+    def test_other_directories_stay(self):
+        """Guards against the removal of files that are not of the runner."""
+        self.replace("STALE_AGE_S", 0.0)
+        os.mkdir(os.path.join(self.directory, "other"))
+        with self.create_run_directory():
+            self.assertIn("other", os.listdir(self.directory))
+
     def test_most_that_modules_took_together_is_kept(self):
         """Guards against the peak of one module in place of that of the run."""
         with self.create_run_directory() as run:
