Tell hosts that connect how old the heartbeats of records are

A record that a coordinator sends to a host that connects counted as a heartbeat of that moment. It ended the doubt whether an endpoint of a domain that is taken back is cold (FAILBACK), kept a silent endpoint in use for 3 s more, and confirmed the version of a stream that had begun later.

Cause: a record names what remains of its times, but not when its heartbeat had arrived. It now names its age too, and an older heartbeat does not replace the time of a later one. Hosts of earlier builds leave the field out, and are read as before.

The other tests of the changed modules pass, test_endpoint_changes with the new field among those that change with each heartbeat.

--- a/buckthorndeal/coordinator/_endpoint_changes.py
+++ b/buckthorndeal/coordinator/_endpoint_changes.py
@@ -13,8 +13,8 @@
 def is_state_change(before: EndpointRecord, after: EndpointRecord) -> bool:
     """Return whether a newer heartbeat says more than what runs down by itself.
 
-    Sequence numbers change with every heartbeat and are not compared, nor are remaining
-    times, but for whether there is one.
+    Sequence numbers and ages change with every heartbeat and are not compared, nor are
+    remaining times, but for whether there is one.
     """
     return _drop_progress(before) != _drop_progress(after)
 
@@ -46,6 +46,7 @@
         sequence=0,
         cold_s=float(record.cold_s > 0),
         leaves_in_s=None if record.leaves_in_s is None else 0.0,
+        age_s=0.0,
     )
 
 
--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -46,6 +46,12 @@
         self.last_heartbeat_s = now_s
         self.unread_s = 0.0
 
+    def keep_later_heartbeat(self, known: "EndpointEntry") -> None:
+        """Take over when a heartbeat has arrived, if that was later than this one."""
+        if known.last_heartbeat_s > self.last_heartbeat_s:
+            self.last_heartbeat_s = known.last_heartbeat_s
+            self.unread_s = known.unread_s
+
     def get_silence_s(self, now_s: float) -> float:
         """Return for how long no heartbeat has arrived that could have been read."""
         return now_s - self.last_heartbeat_s - self.unread_s
@@ -55,12 +61,15 @@
         return max(0.0, self.cold_until_s - now_s)
 
     def describe(self, now_s: float) -> EndpointRecord:
-        """Return the record with the times that remain of it at a clock reading."""
+        """Return the record with its age and what remains of its times."""
         leaves_in_s = None
         if self.leaves_at_s is not None:
             leaves_in_s = max(0.0, self.leaves_at_s - now_s)
         return msgspec.structs.replace(
-            self.record, cold_s=self.get_cold_s(now_s), leaves_in_s=leaves_in_s
+            self.record,
+            cold_s=self.get_cold_s(now_s),
+            leaves_in_s=leaves_in_s,
+            age_s=max(0.0, now_s - self.last_heartbeat_s),
         )
 
 
@@ -129,9 +138,12 @@
         leaves_at_s = None
         if record.leaves_in_s is not None:
             leaves_at_s = now_s + record.leaves_in_s
-        self._entries[record.endpoint] = EndpointEntry(
-            record, now_s, now_s + record.cold_s, leaves_at_s
-        )
+        heard_s = now_s - max(0.0, record.age_s)
+        record = msgspec.structs.replace(record, age_s=0.0)
+        entry = EndpointEntry(record, heard_s, now_s + record.cold_s, leaves_at_s)
+        if known is not None and known.record.incarnation == record.incarnation:
+            entry.keep_later_heartbeat(known)
+        self._entries[record.endpoint] = entry
         return record
 
     def touch(self, endpoint: str, now_s: float) -> bool:
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -62,6 +62,8 @@
         Time until the endpoint is removed, if known.
     version : str
         Version of the endpoint's software; empty if it names none.
+    age_s : float
+        Time since the heartbeat arrived at the host that sends the record.
     """
 
     endpoint: str
@@ -76,6 +78,7 @@
     cold_s: float = 0.0
     leaves_in_s: float | None = None
     version: str = ""
+    age_s: float = 0.0
 
 
 class EntryHost(msgspec.Struct, frozen=True, array_like=True):
--- a/buckthorndeal/fleet/_record_checks.py
+++ b/buckthorndeal/fleet/_record_checks.py
@@ -45,6 +45,7 @@
     _check_range("sequence number", record.sequence, 0, MAX_COUNTER)
     _check_range("number of slots", record.slots, 0, MAX_SLOTS)
     _check_duration(record.cold_s)
+    _check_duration(record.age_s)
     if record.leaves_in_s is not None:
         _check_duration(record.leaves_in_s)
     _check_address(record.address)
--- a/buckthorndeal/gateway/_unconfirmed_streams.py
+++ b/buckthorndeal/gateway/_unconfirmed_streams.py
@@ -57,11 +57,12 @@
         if not waiting:
             return []
         self._count -= len(waiting)
+        heard_s = now_s - record.age_s
         confirmed = []
         for each in waiting:
             if each.record.incarnation != record.incarnation:
                 continue
-            if now_s - each.begun_s >= RELAY_DELAY_S:
+            if heard_s - each.begun_s >= RELAY_DELAY_S:
                 confirmed.append(each)
             else:
                 self.add(each)
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -5,7 +5,11 @@
 import msgspec
 
 from buckthorndeal.configuration import ServiceDescription
-from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.fleet import (
+    EndpointRecord,
+    EndpointState,
+    create_endpoint_table,
+)
 from buckthorndeal.gateway._endpoint_condition import EndpointCondition
 from buckthorndeal.gateway._fleet_messages import FleetChanged
 from buckthorndeal.gateway._fleet_view import FleetView
@@ -61,6 +65,14 @@
         self.view.touch("e1", 12.0 + 0.9 * RELAY_DELAY_S)
         self.assertIs(self.get_condition("e1", 13.1), EndpointCondition.COLD)
 
+    def test_heartbeat_that_is_told_again_does_not_confirm(self):
+        """Guards against a coordinator that connects and tells an old heartbeat."""
+        table = create_endpoint_table()
+        table.update(create_record("e1", 2), 11.5)
+        now_s = 12.0 + 1.5 * RELAY_DELAY_S
+        self.view.record_heartbeat(table.get("e1").describe(now_s), now_s)
+        self.assertIs(self.get_condition("e1", now_s), EndpointCondition.COLD)
+
     def test_doubt_ends_without_heartbeats(self):
         """Guards against a domain that stays at the cold rate for good."""
         self.view.touch("e1", 12.5)
--- a/tests/test_endpoint_changes.py
+++ b/tests/test_endpoint_changes.py
@@ -50,12 +50,13 @@
             "version": "v2",
         }
         names = {field.name for field in msgspec.structs.fields(EndpointRecord)}
-        self.assertEqual(names - {"endpoint", "sequence"}, set(changes))
+        progress = {"sequence": 2, "age_s": 1.0}
+        self.assertEqual(names - {"endpoint", *progress}, set(changes))
         for name, value in changes.items():
             record = msgspec.structs.replace(RECORD, sequence=2, **{name: value})
             self.assertTrue(is_state_change(RECORD, record), name)
         self.assertFalse(
-            is_state_change(RECORD, msgspec.structs.replace(RECORD, sequence=2))
+            is_state_change(RECORD, msgspec.structs.replace(RECORD, **progress))
         )
 
 
--- a/tests/test_endpoint_table.py
+++ b/tests/test_endpoint_table.py
@@ -49,9 +49,19 @@
         self.assertEqual((left.cold_s, left.leaves_in_s), (1.5, 0.5))
         over = entry.describe(15.0)
         self.assertEqual((over.cold_s, over.leaves_in_s), (0.0, 0.0))
-        self.assertEqual(
-            msgspec.structs.replace(over, cold_s=3.0, leaves_in_s=2.0), record
-        )
+        self.assertEqual((left.age_s, over.age_s), (1.5, 5.0))
+        named = {"cold_s": 3.0, "leaves_in_s": 2.0, "age_s": 0.0}
+        self.assertEqual(msgspec.structs.replace(over, **named), record)
+
+    def test_record_that_is_sent_later_is_no_new_heartbeat(self):
+        """Guards against an old heartbeat that counts as heard when it is told."""
+        table = create_endpoint_table()
+        old = msgspec.structs.replace(create_record(0), age_s=5.0)
+        table.update(old, 10.0)
+        self.assertEqual(table.get(old.endpoint).last_heartbeat_s, 5.0)
+        table.touch(old.endpoint, 11.0)
+        table.update(old, 12.0)
+        self.assertEqual(table.get(old.endpoint).last_heartbeat_s, 11.0)
 
 
 class HeartbeatMessagesTest(unittest.TestCase):
