Tell hosts which evacuations have ended that they may not have known

A host that starts, or is connected again, right after the end of an evacuation sent to the endpoints of the domain as to warm ones, although they may have become cold shortly before (FAILBACK).

Cause: a host doubts whether endpoints are cold when a domain leaves the set of those that it knows as evacuated. One that has never known the domain in that set, or was told nothing in between, sees no change. Its endpoints may also be told after the end is.

A coordinator that has started since the end does not know of it.

--- a/buckthorndeal/coordinator/_entry_notices.py
+++ b/buckthorndeal/coordinator/_entry_notices.py
@@ -13,17 +13,24 @@
     ControlStatus,
     EndpointHeartbeats,
     EntryHostChanges,
+    TakenBackDomain,
 )
 from buckthorndeal.logs import log_event
 from buckthorndeal.wire import Message
 
 
-def create_cluster_notice(state: ClusterState | None) -> ClusterNotice:
+def create_cluster_notice(
+    state: ClusterState | None, taken_back: tuple[TakenBackDomain, ...]
+) -> ClusterNotice:
     """Return what entry hosts learn of the state of the cluster."""
     if state is None:
         return ClusterNotice(0, None, ())
     return ClusterNotice(
-        state.index, state.version, tuple(state.evacuated), tuple(state.pending)
+        state.index,
+        state.version,
+        tuple(state.evacuated),
+        tuple(state.pending),
+        taken_back,
     )
 
 
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -42,8 +42,10 @@
     handle_shared_request,
 )
 from buckthorndeal.coordinator._shared_state import SharedNews, SharedState
+from buckthorndeal.coordinator._taken_back import TakenBackDomains
 from buckthorndeal.coordinator._version_store import VersionStore
 from buckthorndeal.fleet import (
+    ClusterNotice,
     ControlHost,
     ControlStatus,
     EndpointHeartbeats,
@@ -120,6 +122,7 @@
         )
         self._coordinators = CoordinatorTable(own)
         self._cluster: ClusterState | None = None
+        self._taken_back = TakenBackDomains()
         self._home_counts: Mapping[str, Mapping[str, int]] = {}
         self._directory_log = DirectoryLog()
         self._refusals = create_limit_report(
@@ -274,10 +277,13 @@
 
     @_handle.register
     async def _(self, message: ClusterStateChanged, envelope: Envelope) -> None:
-        self._cluster = message.state
+        state = message.state
+        evacuated = self._cluster.evacuated if self._cluster else frozenset()
+        self._taken_back.update(evacuated, state.evacuated, state.index, self._clock())
+        self._cluster = state
         self._departure_relay.voters = message.state.voters
         await self._links.ensure(message.state.members)
-        notice = create_cluster_notice(self._cluster)
+        notice = self._create_cluster_notice()
         for entry in self._entries:
             await send_notice(entry, notice)
 
@@ -354,10 +360,14 @@
         leave = RelayLeave(endpoint, incarnation)
         await self._departure_relay.relay_leave(leave, envelope)
 
+    def _create_cluster_notice(self) -> ClusterNotice:
+        taken_back = self._taken_back.list_recent(self._clock())
+        return create_cluster_notice(self._cluster, taken_back)
+
     async def _send_initial_state(self, entry: KnownEntryHost) -> None:
         entry.sent_coordinators = self._coordinators.list_with_self(self._clock())
         await send_notice(entry, ControlStatus(entry.sent_coordinators))
-        await send_notice(entry, create_cluster_notice(self._cluster))
+        await send_notice(entry, self._create_cluster_notice())
         await send_notice(entry, self._entries.create_published_list())
         # Before the endpoints, at which requests are sent as soon as they are known.
         await self._send_shared_state(entry, self._shared.export(self._clock()))
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -50,6 +50,7 @@
     RelayEndpoint,
     RelayLeave,
     ServiceLoad,
+    TakenBackDomain,
     Unavailable,
 )
 from buckthorndeal.fleet._rate_limits import (
@@ -124,6 +125,7 @@
     "ServiceLoad",
     "ServiceVersion",
     "StreamOrigin",
+    "TakenBackDomain",
     "Unavailable",
     "VersionTable",
     "check_incarnation",
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -161,17 +161,25 @@
     versions: tuple[ServiceVersion, ...] = ()
 
 
+class TakenBackDomain(msgspec.Struct, frozen=True, array_like=True):
+    """A failure domain whose evacuation had ended by a log index."""
+
+    failure_domain: str
+    index: int
+
+
 class ClusterNotice(Message, tag="cn"):
     """Replicated state at log `index`: configuration version and evacuated domains.
 
     `pending` are domains whose evacuation the sender has stored, but does not know to
-    be committed.
+    be committed. `taken_back` are domains whose evacuation has ended lately.
     """
 
     index: int
     version: int | None
     evacuated: tuple[str, ...]
     pending: tuple[str, ...] = ()
+    taken_back: tuple[TakenBackDomain, ...] = ()
 
 
 class EndpointHeartbeats(Message, tag="en"):
--- a/buckthorndeal/gateway/_control.py
+++ b/buckthorndeal/gateway/_control.py
@@ -1,7 +1,7 @@
 """Task that tracks the coordinators, entry hosts and configuration of a gateway."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
 import curio
@@ -403,7 +403,10 @@
         self._known_hosts.update(len(self._links.hosts), now_s)
         own = self._describe_self()
         evacuated = self._evacuations.evacuated
-        fleet = describe_fleet(self._known_hosts, own, evacuated)
+        fleet = replace(
+            describe_fleet(self._known_hosts, own, evacuated),
+            taken_back=self._evacuations.taken_back,
+        )
         if fleet != self._fleet:
             self._fleet = fleet
             log_event(
--- a/buckthorndeal/gateway/_evacuations.py
+++ b/buckthorndeal/gateway/_evacuations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Set
 
-from buckthorndeal.fleet import ClusterNotice
+from buckthorndeal.fleet import ClusterNotice, TakenBackDomain
 from buckthorndeal.logs import log_event
 
 
@@ -15,6 +15,9 @@
         Index of the newest notice in the log of the coordinators.
     evacuated : frozenset of str
         Failure domains that get no requests.
+    taken_back : frozenset of TakenBackDomain
+        Failure domains of which this host may not have known that they were evacuated,
+        as it was told nothing while their evacuations ended.
     """
 
     def __init__(self) -> None:
@@ -22,9 +25,10 @@
         self._pending: dict[str, frozenset[str]] = {}
         self.log_index = 0
         self.evacuated: frozenset[str] = frozenset()
+        self.taken_back: frozenset[TakenBackDomain] = frozenset()
 
     def record(self, notice: ClusterNotice, host: str, connected: Set[str]) -> bool:
-        """Record a notice; return whether it changes what is evacuated.
+        """Record a notice; return whether it changes what is, or was, evacuated.
 
         Parameters
         ----------
@@ -35,6 +39,9 @@
         connected : set of str
             Coordinators that this host is connected to.
         """
+        missed = frozenset(
+            domain for domain in notice.taken_back if domain.index > self.log_index
+        )
         if notice.index > self.log_index:
             # A leader decides on them. Those that it commits come without them.
             for each in set(self._pending) - connected:
@@ -44,12 +51,14 @@
             self._committed = frozenset(notice.evacuated)
         self._pending[host] = frozenset(notice.pending)
         evacuated = self._committed.union(*self._pending.values())
-        if evacuated == self.evacuated:
+        if evacuated == self.evacuated and not missed:
             return False
         self.evacuated = evacuated
+        self.taken_back = missed or self.taken_back
         log_event(
             "evacuations_changed",
             evacuated=sorted(evacuated),
+            taken_back=sorted(each.failure_domain for each in missed),
             index=notice.index,
             source=host,
         )
--- a/buckthorndeal/gateway/_fleet_messages.py
+++ b/buckthorndeal/gateway/_fleet_messages.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field
 from typing import Self
 
-from buckthorndeal.fleet import EndpointRecord, ServiceLoad, ServiceVersion
+from buckthorndeal.fleet import (
+    EndpointRecord,
+    ServiceLoad,
+    ServiceVersion,
+    TakenBackDomain,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +162,9 @@
         Other entry hosts of all regions that reach no endpoints of theirs.
     is_confirmed : bool
         Whether this host has ever known all entry hosts.
+    taken_back : frozenset of TakenBackDomain
+        Failure domains whose evacuations this host may not have known; see
+        `NotedEvacuations`.
     """
 
     region_hosts: tuple[str, ...]
@@ -166,6 +174,7 @@
     relay_hosts: tuple[str, ...] = ()
     is_confirmed: bool = True
     cut_off_hosts: tuple[str, ...] = ()
+    taken_back: frozenset[TakenBackDomain] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -31,6 +31,8 @@
 HEARTBEAT_TIMEOUT_S = 3.0
 # Age of the last heartbeat of an endpoint that is most likely alive.
 RECENT_HEARTBEAT_S = 2.0
+# Longer than an endpoint is cold.
+TAKEN_BACK_LIFETIME_S = 60.0
 # Share of a service's `max_connections` that the hosts of the region divide, and what
 # each of them may open at least.
 CONNECTION_SHARE = 0.8
@@ -56,6 +58,8 @@
         self.loads: dict[str, EndpointLoad] = {}
         self._known_services = KnownServices()
         self.fleet = FleetChanged((host,), 1, frozenset())
+        # When the failure domains whose evacuations have ended were last taken back.
+        self._taken_back_s: dict[str, float] = {}
         self.warm_ups = WarmUps(host)
 
     @property
@@ -233,6 +237,8 @@
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
         self._known_services.describe(services)
+        for load in self.loads.values():
+            self._doubt(load)
 
     def get_service(self, name: str) -> ServiceDescription | None:
         """Return a service, or None if it is unknown; see `KnownServices.get`."""
@@ -250,25 +256,34 @@
         The endpoints of a failure domain may have become cold shortly before the end of
         its evacuation. Those of which this is now in doubt are returned.
         """
+        missed = message.taken_back - self.fleet.taken_back
         taken_back = self.fleet.evacuated - message.evacuated
+        taken_back |= {domain.failure_domain for domain in missed}
+        self._taken_back_s = {
+            domain: taken_back_s
+            for domain, taken_back_s in self._taken_back_s.items()
+            if now_s - taken_back_s < TAKEN_BACK_LIFETIME_S
+        } | dict.fromkeys(taken_back, now_s)
         doubted = [
             load
             for load in self.loads.values()
             if load.entry.record.failure_domain in taken_back
         ]
         for load in doubted:
-            self._doubt(load, now_s)
+            self._doubt(load)
         self.fleet = message
         self.rate_shares.set_hosts(message.region_hosts)
         sharing_hosts = message.region_hosts if message.is_confirmed else ()
         self.warm_ups.set_hosts(sharing_hosts, now_s)
         return [load.name for load in doubted]
 
-    def _doubt(self, load: EndpointLoad, now_s: float) -> None:
-        """Doubt whether an endpoint is cold, until a heartbeat tells."""
-        service = self.get_service(load.entry.record.service)
-        if service is not None:
-            load.cold_doubt.begin(now_s, service.cold_start_s)
+    def _doubt(self, load: EndpointLoad) -> None:
+        """Doubt whether an endpoint is cold since its domain was taken back."""
+        record = load.entry.record
+        service = self.get_service(record.service)
+        taken_back_s = self._taken_back_s.get(record.failure_domain)
+        if service is not None and taken_back_s is not None:
+            load.cold_doubt.begin(taken_back_s, service.cold_start_s)
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Apply a heartbeat of an endpoint."""
@@ -293,6 +308,8 @@
                 service_time=service_time,
                 learning=EndpointLearning(record.slots, pace),
             )
+            if not restarted:
+                self._doubt(self.loads[record.endpoint])
         else:
             load.entry = entry
 
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -1,16 +1,20 @@
 """Tests of endpoints that may have become cold since their last heartbeat."""
 
 import unittest
+from dataclasses import replace
 
 import msgspec
 
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import (
+    ClusterNotice,
     EndpointRecord,
     EndpointState,
+    TakenBackDomain,
     create_endpoint_table,
 )
 from buckthorndeal.gateway._endpoint_condition import EndpointCondition
+from buckthorndeal.gateway._evacuations import NotedEvacuations
 from buckthorndeal.gateway._fleet_messages import FleetChanged
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
@@ -95,5 +99,60 @@
         self.assertIs(self.get_condition("e1", 12.2), EndpointCondition.READY)
 
 
+class MissedEvacuationTest(unittest.TestCase):
+    """A host that has not known an evacuation learns of its end."""
+
+    def setUp(self):
+        self.view = FleetView("h1")
+        domain = frozenset([TakenBackDomain("a-1", 7)])
+        self.message = FleetChanged(("h1",), 1, frozenset(), taken_back=domain)
+        self.view.set_fleet(self.message, 10.0)
+
+    def is_cold(self, now_s):
+        return self.view.loads["e1"].is_cold(now_s)
+
+    def record_heartbeat(self, now_s, sequence=1, **changes):
+        self.view.record_heartbeat(create_record("e1", sequence, **changes), now_s)
+
+    def test_endpoint_that_is_told_later_counts_as_cold(self):
+        """Guards against a host that starts right after the end of an evacuation."""
+        self.view.set_services({"s": SERVICE})
+        self.record_heartbeat(10.1, age_s=1.0)
+        self.assertTrue(self.is_cold(10.2))
+        self.record_heartbeat(11.1, 2)
+        self.assertFalse(self.is_cold(11.2))
+
+    def test_service_may_be_told_last(self):
+        """Guards against a host that learns of endpoints before its configuration."""
+        self.record_heartbeat(10.1, age_s=1.0)
+        self.view.set_services({"s": SERVICE})
+        self.assertTrue(self.is_cold(10.2))
+        self.assertFalse(self.is_cold(10.0 + COLD_START_S))
+
+    def test_doubt_begins_once(self):
+        """Guards against a doubt that each change of the fleet renews."""
+        self.view.set_services({"s": SERVICE})
+        self.record_heartbeat(10.1)
+        self.view.set_fleet(replace(self.message, total_hosts=2), 12.0)
+        self.assertFalse(self.is_cold(10.0 + COLD_START_S))
+
+
+class NotedEvacuationsTest(unittest.TestCase):
+    """A host tells ends of evacuations that it has missed from those it knows."""
+
+    def record(self, index, taken_back_index):
+        domain = TakenBackDomain("a-1", taken_back_index)
+        notice = ClusterNotice(index, 1, (), taken_back=(domain,))
+        return self.evacuations.record(notice, "h2", {"h2"})
+
+    def test_end_counts_once(self):
+        self.evacuations = NotedEvacuations()
+        self.assertTrue(self.record(7, 7))
+        self.assertEqual(len(self.evacuations.taken_back), 1)
+        self.assertFalse(self.record(7, 7))
+        self.assertFalse(self.record(9, 7))
+        self.assertTrue(self.record(11, 10))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -11,6 +11,7 @@
 
 COORDINATOR = "10.1.0.1"
 GATEWAYS = tuple(f"10.1.0.{number}" for number in range(10, 18))
+LATE_GATEWAY = "10.1.0.18"
 COLD_S = 4.0
 # Time after which all hosts agree on who shares the endpoints.
 SETTLED_S = 3.0
@@ -34,6 +35,14 @@
         await curio.sleep(0.1)
 
 
+async def order_evacuation(fleet, method):
+    """Order the start or end of an evacuation until it is acknowledged."""
+    status = None
+    while status != 200:
+        target = "/v1/evacuations/a-1"
+        status, _ = await fleet.call_api(COORDINATOR, method, target)
+
+
 def play_arrivals(disturb):
     """Return the arrivals at an endpoint, in seconds.
 
@@ -134,6 +143,26 @@
         self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
+    def test_host_that_starts_after_an_evacuation_does_not_flood_an_endpoint(self):
+        """Guards against a host that has never known the domain as evacuated."""
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            await order_evacuation(fleet, "PUT")
+            await endpoint.fall_silent()
+            await curio.sleep(0.5)
+            await order_evacuation(fleet, "DELETE")
+            arrivals_s.clear()
+            await fleet.start_gateway(LATE_GATEWAY)
+            stopped = curio.Event()
+            caller = await curio.spawn(call_until, stopped, fleet, LATE_GATEWAY)
+            await curio.sleep(COLD_S - 0.5)
+            await stopped.set()
+            await caller.join()
+
+        arrivals_s = play_arrivals(disturb)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
