Read news before requests after the process was stopped

A host that was frozen for some seconds sent the requests that were unread by what it had known before: to an endpoint that had become cold meanwhile it sent all of them at once (FAILBACK), although the heartbeats that told it were unread as well. Requests that had waited for room were sent in the same way.

Cause: the dispatch task handles messages in the order in which other tasks have read them, and decides on waiting requests after the first one.

A message or timer that is 0.5 s late shows a stop. The connections are then read for 0.1 s, and requests are handled after all other messages. process_stopped tells how late it was. Shorter stops, and news that coordinators could not send in the meantime, are not covered.

No run with a process that is really frozen was made.

--- /dev/null
+++ b/buckthorndeal/gateway/_backlog.py
@@ -0,0 +1,70 @@
+"""Order of messages that have arrived while the process was stopped."""
+
+from collections.abc import Callable
+
+import curio
+
+from buckthorndeal.gateway._messages import Dispatch
+from buckthorndeal.logs import log_event
+from buckthorndeal.mailbox import Envelope, Mailbox
+
+# Lateness of a message or timer from which the process counts as stopped meanwhile.
+MIN_STOP_S = 0.5
+# Time in which the connections to coordinators are read that hold unread news.
+CATCH_UP_S = 0.1
+
+
+class Backlog:
+    """Receives messages, after a stop of the process requests last.
+
+    What this host knew of endpoints before a stop may be out of date, and requests and
+    newer heartbeats are both unread.
+
+    Parameters
+    ----------
+    mailbox : Mailbox
+        Mailbox of the receiving task.
+    clock : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, mailbox: Mailbox, clock: Callable[[], float]) -> None:
+        self._mailbox = mailbox
+        self._clock = clock
+        self._received_s: float | None = None
+
+    async def receive(self, wait_s: float) -> list[Envelope]:
+        """Return the next messages in order; none if none arrives.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time to wait for the first message.
+        """
+        if self._received_s is None:
+            self._received_s = self._clock()
+        envelope = await self._mailbox.receive_within(wait_s)
+        envelopes = [] if envelope is None else [envelope]
+        now_s = self._clock()
+        late_s = now_s - self._received_s - wait_s
+        self._received_s = now_s
+        if late_s < MIN_STOP_S:
+            return envelopes
+        await self._catch_up(envelopes)
+        log_event(
+            "process_stopped",
+            late_ms=round(late_s * 1000),
+            messages=len(envelopes),
+        )
+        self._received_s = self._clock()
+        return sorted(envelopes, key=_is_request)
+
+    async def _catch_up(self, envelopes: list[Envelope]) -> None:
+        """Add the messages that arrive while other tasks read what is unread."""
+        async with curio.ignore_after(CATCH_UP_S):
+            while True:
+                envelopes.append(await self._mailbox.receive())
+
+
+def _is_request(envelope: Envelope) -> bool:
+    return isinstance(envelope.message, Dispatch)
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -10,6 +10,7 @@
     EvidenceUpdate,
     RateLimitUpdate,
 )
+from buckthorndeal.gateway._backlog import Backlog
 from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._decision_log import (
     count_decision,
@@ -108,6 +109,7 @@
         effects: DispatchEffects,
     ) -> None:
         self.mailbox = create_mailbox()
+        self._backlog = Backlog(self.mailbox, clock)
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
@@ -123,13 +125,13 @@
     async def run(self) -> None:
         """Handle messages and timers until cancelled."""
         while True:
-            envelope = await self.mailbox.receive_within(self._get_wait_s())
-            now_s = self._clock()
-            if envelope is not None:
+            for envelope in await self._backlog.receive(self._get_wait_s()):
                 try:
-                    await self._handle(envelope.message, envelope, now_s)
+                    message, now_s = envelope.message, self._clock()
+                    await self._handle(message, envelope, now_s)
                 except Exception as error:
                     await fail_unexpectedly(envelope, error, self._metrics)
+            now_s = self._clock()
             for step in (
                 self._decide_waiting,
                 self._path.check,
--- /dev/null
+++ b/tests/test_dispatch_catch_up.py
@@ -0,0 +1,68 @@
+"""Tests of a host that goes on after its process was stopped for some seconds."""
+
+import unittest
+from unittest import mock
+
+import curio
+
+from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.gateway._contact import EndpointContact
+from buckthorndeal.gateway._dispatch_task import DispatchTask
+from buckthorndeal.gateway._fleet_messages import HeartbeatsReceived
+from buckthorndeal.gateway._messages import Call, Dispatch, Grant
+from buckthorndeal.metrics import Metrics
+from tests.dispatcher_harness import ROUTE, DispatcherHarness
+
+REQUESTS = 8
+STOPPED_S = 2.5
+
+
+class DispatchCatchUpTest(unittest.TestCase):
+    """News that arrived while the process was stopped comes before requests."""
+
+    def setUp(self):
+        self.harness = DispatcherHarness(endpoints=1)
+        effects = mock.AsyncMock()
+        self.task = DispatchTask(
+            self.harness.dispatcher,
+            Metrics(),
+            lambda: self.harness.now_s,
+            EndpointContact(),
+            effects,
+        )
+
+    def create_dispatch(self, number):
+        now_s = self.harness.now_s
+        call = Call(f"q{number}", ROUTE, "llm", now_s, now_s + ROUTE.timeout_s, None)
+        return Dispatch(number, call)
+
+    async def play(self):
+        """Return the decisions on requests that were unread with a heartbeat."""
+        decisions = []
+
+        async def ask(number):
+            decisions.append(await self.task.mailbox.ask(self.create_dispatch(number)))
+
+        runner = await curio.spawn(self.task.run, daemon=True)
+        await curio.sleep(0.05)
+        self.harness.now_s += STOPPED_S
+        for number in range(REQUESTS):
+            await curio.spawn(ask, number, daemon=True)
+        await curio.sleep(0)
+        fields = ("llm", "a", "a-1", "10.0.0.0:80", 64, EndpointState.READY)
+        record = EndpointRecord("e0", 1, 9, *fields, cold_s=3.0)
+        await self.task.mailbox.send(HeartbeatsReceived((record,)))
+        await curio.sleep(0.5)
+        await runner.cancel()
+        return decisions
+
+    def test_endpoint_that_has_become_cold_is_not_flooded(self):
+        """Guards against requests sent by what was known before the stop (FAILBACK)."""
+        decisions = curio.run(self.play)
+        grants = [each for each in decisions if isinstance(each, Grant)]
+        self.assertLessEqual(len(grants), 1)
+        self.assertTrue(all(each.cold_s > 0 for each in grants))
+
+
+if __name__ == "__main__":
+    unittest.main()
