Give each incarnation of an endpoint connections of its own

Requests at an endpoint that had started again, cold, waited for connections that requests at its former process still held, as after a cut that reset none of them. They were counted when they were granted, at the pace of a cold endpoint, and reached it together once the old ones ended (FAILBACK). Until then it got none.

Cause: connections are pooled by address, with one limit, while the load of an endpoint begins anew with its incarnation. Pools now belong to address and incarnation; those of a former one are closed when they are not used any more.

Measured: test_requests_do_not_wait_for_connections_of_a_former_incarnation, over the memory transport, failed before: no request arrived in 2.5 s, then 7 in a second, 6.6 allowed.

--- a/buckthorndeal/gateway/_attempt.py
+++ b/buckthorndeal/gateway/_attempt.py
@@ -325,7 +325,7 @@
     if isinstance(decision, Forward):
         return context.pools.get_host_pool(decision.host, now_s)
     return context.pools.get_endpoint_pool(
-        decision.record.address, decision.connection_limit, now_s
+        decision.record, decision.connection_limit, now_s
     )
 
 
--- a/buckthorndeal/gateway/_pools.py
+++ b/buckthorndeal/gateway/_pools.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.transport import Transport, is_shortage
 
@@ -24,7 +25,7 @@
 
 
 class Pools:
-    """Connection pools by address.
+    """Connection pools to endpoints and hosts.
 
     Parameters
     ----------
@@ -37,26 +38,29 @@
     def __init__(self, transport: Transport, forward_port: int) -> None:
         self._transport = transport
         self._forward_port = forward_port
-        self._endpoints: dict[str, _PoolEntry] = {}
+        # By address and incarnation: requests at a process that is gone may keep their
+        # connections for long, and those at the next one must not wait for them.
+        self._endpoints: dict[tuple[str, int], _PoolEntry] = {}
         self._hosts: dict[str, _PoolEntry] = {}
 
     def get_endpoint_pool(
-        self, address: str, connections: int, now_s: float
+        self, record: EndpointRecord, connections: int, now_s: float
     ) -> HttpPool:
-        """Return the pool of the endpoint at ``IP:port``; create it if there is none.
+        """Return the pool of an endpoint's incarnation; create it if there is none.
 
         Parameters
         ----------
-        address : str
-            Address of the endpoint.
+        record : EndpointRecord
+            The endpoint.
         connections : int
             Newest connection limit of the pool.
         now_s : float
             Clock reading.
         """
-        entry = self._endpoints.get(address)
+        key = (record.address, record.incarnation)
+        entry = self._endpoints.get(key)
         if entry is None:
-            ip, _, port = address.rpartition(":")
+            ip, _, port = record.address.rpartition(":")
             pool = create_http_pool(
                 self._transport,
                 ip,
@@ -65,7 +69,7 @@
                 ENDPOINT_CONNECT_TIMEOUT_S,
                 ENDPOINT_IDLE_TIMEOUT_S,
             )
-            entry = self._endpoints[address] = _PoolEntry(pool, now_s)
+            entry = self._endpoints[key] = _PoolEntry(pool, now_s)
         entry.pool.set_limit(connections)
         entry.last_used_s = now_s
         return entry.pool
@@ -108,9 +112,9 @@
     async def close_unused(self, now_s: float) -> None:
         """Close the pools unused for longer than `UNUSED_POOL_TIMEOUT_S`."""
         for pools in (self._endpoints, self._hosts):
-            for address, entry in list(pools.items()):
+            for key, entry in list(pools.items()):
                 if now_s - entry.last_used_s > UNUSED_POOL_TIMEOUT_S:
-                    del pools[address]
+                    del pools[key]
                     await entry.pool.close()
 
     async def close(self) -> None:
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -11,6 +11,8 @@
 
 COORDINATOR = "10.1.0.1"
 GATEWAYS = tuple(f"10.1.0.{number}" for number in range(10, 18))
+# Connections that requests at a former incarnation keep.
+HELD = 8
 LATE_GATEWAY = "10.1.0.18"
 COLD_S = 4.0
 # Time after which all hosts agree on who shares the endpoints.
@@ -164,5 +166,58 @@
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
 
+class FormerConnectionsTest(unittest.TestCase):
+    """Requests at an incarnation that is gone hold up none at the next one."""
+
+    def test_requests_do_not_wait_for_connections_of_a_former_incarnation(self):
+        """Guards against requests that wait there and reach it at once (FAILBACK)."""
+        arrivals_s, early = [], []
+        released = curio.Event()
+
+        async def respond(endpoint, request, responder):
+            if request.path.endswith("/held"):
+                await released.wait()
+            else:
+                arrivals_s.append(time.monotonic())
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                configuration = json.loads(create_cold_configuration())
+                configuration["services"][0]["max_connections"] = HELD + 2
+                content = json.dumps(configuration).encode()
+                await fleet.put_configuration(COORDINATOR, content)
+                host = GATEWAYS[0]
+                await fleet.start_gateway(host)
+                endpoint = await fleet.start_endpoint("e1", "a-1", respond, slots=64)
+                await fleet.wait_until_ready(host)
+                await curio.sleep(SETTLED_S)
+                for number in range(HELD):
+                    headers = [("buckthorndeal-call-id", f"held-{number}")]
+                    held = (host, "/idempotent/held", headers)
+                    await curio.spawn(fleet.send_request, *held, daemon=True)
+                await curio.sleep(0.5)
+                endpoint.incarnation, endpoint.sequence = 2, 0
+                await endpoint.become_cold(COLD_S)
+                await curio.sleep(0.5)
+                stopped = curio.Event()
+                callers = [
+                    await curio.spawn(call_until, stopped, fleet, host)
+                    for _ in range(HELD)
+                ]
+                await curio.sleep(2.5)
+                early.extend(arrivals_s)
+                await released.set()
+                await curio.sleep(0.5)
+                await stopped.set()
+                for caller in callers:
+                    await caller.join()
+
+        run_fleet(test)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(early), COLD_PER_S)
+
+
 if __name__ == "__main__":
     unittest.main()
