Keep a doubt about an endpoint that was cold until its record is told

Coordinators of the build before name an endpoint whose heartbeat says that it is cold once more, as if its record still held.

A name now ends no doubt while the last record says "cold": coordinators of this build send the record of an endpoint that is, or was until now, cold. Without an evacuation, a second cold time that such a coordinator leaves out stays unknown.

test_name_of_an_endpoint_that_was_cold_does_not_confirm failed before. No run with two builds was made.

--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -1,6 +1,6 @@
 """Table of endpoints built from heartbeats that may be late, repeated or reordered."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -33,6 +33,9 @@
         Clock reading at which the endpoint leaves, if known.
     unread_s : float
         Seconds since the last heartbeat in which a newer one could not be read.
+    recorded_s : float
+        Clock reading at the heartbeat that the record describes; later ones were told
+        by the endpoint's name.
     """
 
     record: EndpointRecord
@@ -40,6 +43,19 @@
     cold_until_s: float
     leaves_at_s: float | None
     unread_s: float = 0.0
+    recorded_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.recorded_s = self.last_heartbeat_s
+
+    @property
+    def cold_told_s(self) -> float:
+        """Clock reading at the last heartbeat that told whether the endpoint is cold.
+
+        Coordinators of earlier builds name an endpoint that is cold once more, as if
+        its record still held.
+        """
+        return self.recorded_s if self.record.cold_s > 0 else self.last_heartbeat_s
 
     def record_heartbeat(self, now_s: float) -> None:
         """Record when the last heartbeat has arrived."""
--- a/buckthorndeal/gateway/_loads.py
+++ b/buckthorndeal/gateway/_loads.py
@@ -126,7 +126,7 @@
 
     def get_cold_s(self, now_s: float) -> float:
         """Return for how long the endpoint is, or may be, cold; 0 if it is not."""
-        doubt_s = self.cold_doubt.get_remaining_s(self.entry.last_heartbeat_s, now_s)
+        doubt_s = self.cold_doubt.get_remaining_s(self.entry.cold_told_s, now_s)
         return max(self.entry.get_cold_s(now_s), doubt_s)
 
     def is_cold(self, now_s: float) -> bool:
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -77,6 +77,20 @@
         self.view.record_heartbeat(table.get("e1").describe(now_s), now_s)
         self.assertIs(self.get_condition("e1", now_s), EndpointCondition.COLD)
 
+    def test_name_of_an_endpoint_that_was_cold_does_not_confirm(self):
+        """Guards against coordinators that name endpoints which are cold once more.
+
+        Those of earlier builds do; others send the record of a cold endpoint.
+        """
+        self.set_evacuated(["a-1"], 12.1)
+        cold = create_record("e1", 2, cold_s=2.0)
+        self.view.record_heartbeat(cold, 12.2)
+        self.set_evacuated([], 13.0)
+        self.view.touch("e1", 14.5)
+        self.assertIs(self.get_condition("e1", 14.6), EndpointCondition.COLD)
+        self.view.record_heartbeat(create_record("e1", 3), 14.7)
+        self.assertIs(self.get_condition("e1", 14.8), EndpointCondition.READY)
+
     def test_doubt_ends_without_heartbeats(self):
         """Guards against a domain that stays at the cold rate for good."""
         self.view.touch("e1", 12.5)
