Tell hosts how old a quarantine decision is

A host that connected later, or was told by one that had, waited anew for the first trial of a quarantined key: sound requests were refused there for longer, and as hosts take turns by the time since the wait has ended, two hosts could take the same turn for theirs.

The class is that of cold times: a duration that was passed on as it was received. Decisions that are told later now name their age. After a restart a coordinator still counts its stored ones from then on.

test_decision_that_is_told_later_keeps_its_age failed before, with a wait of 60 s in place of 30 s.

--- a/buckthorndeal/quarantine/_quarantine.py
+++ b/buckthorndeal/quarantine/_quarantine.py
@@ -219,7 +219,7 @@
     def get_wait_s(self, key: str, now_s: float) -> float:
         """Return the seconds until a quarantined key may be tried; 0 if it may."""
         known = self.table.quarantines[key]
-        return max(0.0, known.learned_s + known.decision.wait_s - now_s)
+        return max(0.0, known.decided_s + known.decision.wait_s - now_s)
 
     def may_try(self, key: str, hosts: Sequence[str], now_s: float) -> bool:
         """Return whether this host may send one request with a quarantined key.
@@ -231,7 +231,7 @@
             tries nothing.
         """
         known = self.table.quarantines[key]
-        elapsed_s = now_s - known.learned_s - known.decision.wait_s
+        elapsed_s = now_s - known.decided_s - known.decision.wait_s
         trial = f"{key}/{known.decision.revision}"
         return is_turn(trial, elapsed_s, self._host, hosts)
 
--- a/buckthorndeal/quarantine/_records.py
+++ b/buckthorndeal/quarantine/_records.py
@@ -78,12 +78,15 @@
         Whether requests with the key are refused.
     wait_s : float
         Seconds after this decision until one request may try again.
+    age_s : float
+        Seconds since the decision.
     """
 
     key: str
     revision: int
     active: bool
     wait_s: float
+    age_s: float = 0.0
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
--- a/buckthorndeal/quarantine/_table.py
+++ b/buckthorndeal/quarantine/_table.py
@@ -39,10 +39,10 @@
 
 @dataclass(slots=True)
 class KnownQuarantine:
-    """Newest decision on a key, and the clock reading when this host learned of it."""
+    """Newest decision on a key, and the clock reading at which it was made."""
 
     decision: QuarantineDecision
-    learned_s: float
+    decided_s: float
 
 
 @dataclass(slots=True)
@@ -108,7 +108,10 @@
             for key, counts in self.answers.items()
             for host, after in counts.after.items()
         )
-        decisions = tuple(known.decision for known in self.quarantines.values())
+        decisions = tuple(
+            msgspec.structs.replace(known.decision, age_s=now_s - known.decided_s)
+            for known in self.quarantines.values()
+        )
         return Evidence(ends, answers, decisions)
 
     def expire(self, now_s: float) -> None:
@@ -195,7 +198,9 @@
         if known is None and len(self.quarantines) >= MAX_QUARANTINES:
             del self.quarantines[next(iter(self.quarantines))]
         self._outlines = None
-        self.quarantines[decision.key] = KnownQuarantine(decision, now_s)
+        decided_s = now_s - max(0.0, decision.age_s)
+        decision = msgspec.structs.replace(decision, age_s=0.0)
+        self.quarantines[decision.key] = KnownQuarantine(decision, decided_s)
         return True
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -259,6 +259,21 @@
         self.assertFalse(table.merge(old, 2.0))
         self.assertFalse(table.is_quarantined("p"))
 
+    def test_decision_that_is_told_later_keeps_its_age(self):
+        """Guards against a wait for the next trial that begins anew at some hosts.
+
+        Their turns would differ from those of the others, and two hosts would try at
+        once.
+        """
+        first, late = create_quarantine("h1"), create_quarantine("h2")
+        decision = Evidence(quarantines=(QuarantineDecision("p", 1, True, 60.0),))
+        first.receive(decision, 100.0)
+        late.receive(first.export(130.0), 130.0)
+        self.assertEqual(late.get_wait_s("p", 130.0), 30.0)
+        third = create_quarantine("h3")
+        third.receive(late.export(140.0), 140.0)
+        self.assertEqual(third.get_wait_s("p", 140.0), 20.0)
+
     def test_ends_are_bounded_and_expire(self):
         table = EvidenceTable()
         for number in range(1000):
