Drop ends of endpoints that are told after their retention

Evidence of crashing requests was kept for 600 s after a host had learned of it. One that had forgotten an end took it for new when another host, which had learned of it later, told it again, and told all the others: while hosts connect it never expired.

test_old_end_is_not_kept_by_telling_it failed before.

--- a/buckthorndeal/quarantine/_table.py
+++ b/buckthorndeal/quarantine/_table.py
@@ -158,6 +158,8 @@
         for end in ends:
             end_id = (end.endpoint, end.incarnation)
             known = self.ends.get(end_id)
+            if known is None and end.age_s > END_RETENTION_S:
+                continue
             if known is None:
                 if len(self.ends) >= MAX_ENDS:
                     self._remove_end(next(iter(self.ends)))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -282,6 +282,16 @@
         table.expire(1000.0)
         self.assertEqual((table.ends, table.answers), ({}, {}))
 
+    def test_old_end_is_not_kept_by_telling_it(self):
+        """Guards against evidence that hosts tell each other again and never forget."""
+        first, second = EvidenceTable(), EvidenceTable()
+        first.merge(Evidence((create_end(1, "p"),)), 0.0)
+        second.merge(first.export(500.0), 500.0)
+        first.expire(700.0)
+        self.assertFalse(first.is_suspect("p"))
+        first.merge(second.export(700.0), 700.0)
+        self.assertFalse(first.is_suspect("p"))
+
 
 class QuarantineStoreTest(unittest.TestCase):
     """Decisions are read again after a restart."""
