Let a host that was stopped for long wait before it sends to cold endpoints

Of hosts that are frozen in turn, each still takes itself for the one that sends to a cold endpoint when it goes on, beside the host that has taken over: three of them send more than the endpoint bears (FAILBACK), until lists name all of them again.

A host that was stopped for 2 s or longer now leaves cold endpoints to the others for 1.5 s, by which time it is listed again. Shorter stops change nothing, as others do not replace it then.

Measured: test_hosts_that_were_stopped_do_not_all_send, with three hosts at 2.9 requests a second, failed before with 9 requests in a second, 7.35 allowed, and passes.

--- a/buckthorndeal/gateway/_backlog.py
+++ b/buckthorndeal/gateway/_backlog.py
@@ -26,11 +26,19 @@
         Mailbox of the receiving task.
     clock : callable
         Returns monotonic seconds.
+    on_stop : callable
+        Called after a stop with its duration in seconds and the clock reading.
     """
 
-    def __init__(self, mailbox: Mailbox, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        mailbox: Mailbox,
+        clock: Callable[[], float],
+        on_stop: Callable[[float, float], None],
+    ) -> None:
         self._mailbox = mailbox
         self._clock = clock
+        self._on_stop = on_stop
         self._received_s: float | None = None
 
     async def receive(self, wait_s: float) -> list[Envelope]:
@@ -50,6 +58,7 @@
         self._received_s = now_s
         if late_s < MIN_STOP_S:
             return envelopes
+        self._on_stop(late_s, now_s)
         await self._catch_up(envelopes)
         log_event(
             "process_stopped",
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -109,7 +109,9 @@
         effects: DispatchEffects,
     ) -> None:
         self.mailbox = create_mailbox()
-        self._backlog = Backlog(self.mailbox, clock)
+        self._backlog = Backlog(
+            self.mailbox, clock, dispatcher.view.warm_ups.record_stop
+        )
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
--- a/buckthorndeal/gateway/_warm_ups.py
+++ b/buckthorndeal/gateway/_warm_ups.py
@@ -10,6 +10,11 @@
 
 from buckthorndeal.subsetting import choose_owner
 
+# A host that was stopped for longer may have been replaced.
+REPLACED_S = 2.0
+# Time after which a host that goes on is listed again, and hears of the others.
+LISTED_AGAIN_S = 1.5
+
 
 @dataclass(slots=True)
 class _Turn:
@@ -42,6 +47,7 @@
         self._host = host
         self._hosts: tuple[str, ...] = ()
         self._changed_s = -math.inf
+        self._resumes_s = -math.inf
         self._turns: dict[str, _Turn] = {}
 
     def set_hosts(self, hosts: Sequence[str], now_s: float) -> None:
@@ -75,6 +81,8 @@
         now_s : float
             Clock reading.
         """
+        if now_s < self._resumes_s:
+            return False
         turn = self._get_turn(endpoint)
         return turn.is_own and now_s >= turn.last_s + 1.0 / rate_per_s
 
@@ -82,6 +90,19 @@
         """Record that a request is sent to a cold endpoint."""
         self._get_turn(endpoint).last_s = now_s
 
+    def record_stop(self, stopped_s: float, now_s: float) -> None:
+        """Record that this host was stopped, and may have been replaced meanwhile.
+
+        Parameters
+        ----------
+        stopped_s : float
+            For how long it was stopped.
+        now_s : float
+            Clock reading.
+        """
+        if stopped_s >= REPLACED_S:
+            self._resumes_s = now_s + LISTED_AGAIN_S
+
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is gone."""
         self._turns.pop(endpoint, None)
--- a/tests/test_known_hosts.py
+++ b/tests/test_known_hosts.py
@@ -12,7 +12,10 @@
 from buckthorndeal.gateway._entry_hosts import LIST_SETTLING_S, EntryHostLists
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._known_hosts import KnownEntryHosts, describe_fleet
+from buckthorndeal.subsetting import choose_owner
+from tests.warm_up_play import COLD_OVERAGE, COLD_SLACK, USED_SHARE
 
+COLD_PER_S = 2.9
 COORDINATORS = ("c1", "c2", "c3")
 RECORD = EndpointRecord(
     "e0", 1, 1, "llm", "a", "a-1", "10.0.0.1:80", 64, EndpointState.READY
@@ -155,6 +158,41 @@
         self.warm_ups[owner].set_hosts((owner,), 20.0)
         self.assertEqual(self.list_senders(20.1, (owner,)), [owner])
 
+    def test_hosts_that_were_stopped_do_not_all_send(self):
+        """Guards against several hosts that each still take themselves for the holder.
+
+        Two were stopped in turn, and replaced; both go on before lists name them again.
+        """
+        self.RATE_PER_S = USED_SHARE * COLD_PER_S
+        first, second, third = self.list_holders()
+        self.warm_ups[second].set_hosts((second, third), 23.0)
+        self.warm_ups[third].set_hosts((second, third), 23.0)
+        self.warm_ups[third].set_hosts((third,), 26.0)
+        for host in (first, second):
+            self.warm_ups[host].record_stop(4.0, 30.0)
+        sent = 0
+        for step in range(100):
+            now_s = 30.0 + step / 100
+            for host in self.list_senders(now_s):
+                self.warm_ups[host].record_request("e0", now_s)
+                sent += 1
+        self.assertLessEqual(sent, COLD_OVERAGE * COLD_PER_S + COLD_SLACK)
+        self.assertEqual(self.list_senders(32.0, (first,)), [first])
+
+    def list_holders(self):
+        """Return the hosts in the order in which they take over."""
+        left, holders = self.HOSTS, []
+        while left:
+            holders.append(choose_owner("e0", left))
+            left = tuple(host for host in left if host not in holders)
+        return holders
+
+    def test_short_stop_holds_nothing_up(self):
+        """Guards against a busy machine on which cold endpoints get nothing."""
+        first = self.list_holders()[0]
+        self.warm_ups[first].record_stop(0.6, 30.0)
+        self.assertEqual(self.list_senders(30.0, (first,)), [first])
+
     def test_host_that_does_not_know_the_others_sends_nothing(self):
         view = FleetView("h0")
         self.assertFalse(view.warm_ups.may_send("e0", self.RATE_PER_S, 10.0))
