--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -1,6 +1,6 @@
 """Table of endpoints built from heartbeats that may be late, repeated or reordered."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -33,6 +33,9 @@
         Clock reading at which the endpoint leaves, if known.
     unread_s : float
         Seconds since the last heartbeat in which a newer one could not be read.
+    recorded_s : float
+        Clock reading at the heartbeat that the record describes; later ones were told
+        by the endpoint's name.
     """
 
     record: EndpointRecord
@@ -40,12 +43,31 @@
     cold_until_s: float
     leaves_at_s: float | None
     unread_s: float = 0.0
+    recorded_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.recorded_s = self.last_heartbeat_s
+
+    @property
+    def cold_told_s(self) -> float:
+        """Clock reading at the last heartbeat that told whether the endpoint is cold.
+
+        Coordinators of earlier builds name an endpoint that is cold once more, as if
+        its record still held.
+        """
+        return self.recorded_s if self.record.cold_s > 0 else self.last_heartbeat_s
 
     def record_heartbeat(self, now_s: float) -> None:
         """Record when the last heartbeat has arrived."""
         self.last_heartbeat_s = now_s
         self.unread_s = 0.0
 
+    def keep_later_heartbeat(self, known: "EndpointEntry") -> None:
+        """Take over when a heartbeat has arrived, if that was later than this one."""
+        if known.last_heartbeat_s > self.last_heartbeat_s:
+            self.last_heartbeat_s = known.last_heartbeat_s
+            self.unread_s = known.unread_s
+
     def get_silence_s(self, now_s: float) -> float:
         """Return for how long no heartbeat has arrived that could have been read."""
         return now_s - self.last_heartbeat_s - self.unread_s
@@ -55,12 +77,15 @@
         return max(0.0, self.cold_until_s - now_s)
 
     def describe(self, now_s: float) -> EndpointRecord:
-        """Return the record with the times that remain of it at a clock reading."""
+        """Return the record with its age and what remains of its times."""
         leaves_in_s = None
         if self.leaves_at_s is not None:
             leaves_in_s = max(0.0, self.leaves_at_s - now_s)
         return msgspec.structs.replace(
-            self.record, cold_s=self.get_cold_s(now_s), leaves_in_s=leaves_in_s
+            self.record,
+            cold_s=self.get_cold_s(now_s),
+            leaves_in_s=leaves_in_s,
+            age_s=max(0.0, now_s - self.last_heartbeat_s),
         )
 
 
@@ -129,9 +154,12 @@
         leaves_at_s = None
         if record.leaves_in_s is not None:
             leaves_at_s = now_s + record.leaves_in_s
-        self._entries[record.endpoint] = EndpointEntry(
-            record, now_s, now_s + record.cold_s, leaves_at_s
-        )
+        heard_s = now_s - max(0.0, record.age_s)
+        record = msgspec.structs.replace(record, age_s=0.0)
+        entry = EndpointEntry(record, heard_s, now_s + record.cold_s, leaves_at_s)
+        if known is not None and known.record.incarnation == record.incarnation:
+            entry.keep_later_heartbeat(known)
+        self._entries[record.endpoint] = entry
         return record
 
     def touch(self, endpoint: str, now_s: float) -> bool:
--- a/buckthorndeal/fleet/_messages.py
+++ b/buckthorndeal/fleet/_messages.py
@@ -62,6 +62,8 @@
         Time until the endpoint is removed, if known.
     version : str
         Version of the endpoint's software; empty if it names none.
+    age_s : float
+        Time since the heartbeat arrived at the host that sends the record.
     """
 
     endpoint: str
@@ -76,6 +78,7 @@
     cold_s: float = 0.0
     leaves_in_s: float | None = None
     version: str = ""
+    age_s: float = 0.0
 
 
 class EntryHost(msgspec.Struct, frozen=True, array_like=True):
@@ -158,17 +161,25 @@
     versions: tuple[ServiceVersion, ...] = ()
 
 
+class TakenBackDomain(msgspec.Struct, frozen=True, array_like=True):
+    """A failure domain whose evacuation had ended by a log index."""
+
+    failure_domain: str
+    index: int
+
+
 class ClusterNotice(Message, tag="cn"):
     """Replicated state at log `index`: configuration version and evacuated domains.
 
     `pending` are domains whose evacuation the sender has stored, but does not know to
-    be committed.
+    be committed. `taken_back` are domains whose evacuation has ended lately.
     """
 
     index: int
     version: int | None
     evacuated: tuple[str, ...]
     pending: tuple[str, ...] = ()
+    taken_back: tuple[TakenBackDomain, ...] = ()
 
 
 class EndpointHeartbeats(Message, tag="en"):
--- a/buckthorndeal/gateway/_cold_doubt.py
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -18,7 +18,7 @@
     until_s: float = -math.inf
 
     def begin(self, now_s: float, cold_start_s: float) -> None:
-        """Doubt from now on whether the endpoint is cold.
+        """Doubt from now on whether the endpoint is cold; a later doubt holds.
 
         Parameters
         ----------
@@ -27,8 +27,9 @@
         cold_start_s : float
             How long an endpoint of the service is cold.
         """
-        self.since_s = now_s
-        self.until_s = now_s + cold_start_s
+        if now_s >= self.since_s:
+            self.since_s = now_s
+            self.until_s = now_s + cold_start_s
 
     def get_remaining_s(self, last_heartbeat_s: float, now_s: float) -> float:
         """Return for how long the doubt lasts at most, in seconds.
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -24,6 +24,7 @@
 from buckthorndeal.gateway._region_load import describe_load
 from buckthorndeal.gateway._service_time import ServiceTime
 from buckthorndeal.gateway._stream_versions import StreamVersions
+from buckthorndeal.gateway._taken_back import TakenBackTimes
 from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
 from buckthorndeal.gateway._warm_ups import WarmUps
 
@@ -56,6 +57,7 @@
         self.loads: dict[str, EndpointLoad] = {}
         self._known_services = KnownServices()
         self.fleet = FleetChanged((host,), 1, frozenset())
+        self._taken_back = TakenBackTimes()
         self.warm_ups = WarmUps(host)
 
     @property
@@ -237,6 +239,8 @@
     def set_services(self, services: Mapping[str, ServiceDescription]) -> None:
         """Replace the services with those of a newer configuration."""
         self._known_services.describe(services)
+        for load in self.loads.values():
+            self._doubt_taken_back(load)
 
     def get_service(self, name: str) -> ServiceDescription | None:
         """Return a service, or None if it is unknown; see `KnownServices.get`."""
@@ -254,7 +258,7 @@
         The endpoints of a failure domain may have become cold shortly before the end of
         its evacuation. Those of which this is now in doubt are returned.
         """
-        taken_back = self.fleet.evacuated - message.evacuated
+        taken_back = self._taken_back.update(self.fleet, message, now_s)
         doubted = [
             load
             for load in self.loads.values()
@@ -268,11 +272,18 @@
         self.warm_ups.set_hosts(sharing_hosts, now_s)
         return [load.name for load in doubted]
 
-    def _doubt(self, load: EndpointLoad, now_s: float) -> None:
-        """Doubt whether an endpoint is cold, until a heartbeat tells."""
+    def _doubt(self, load: EndpointLoad, since_s: float | None) -> None:
+        """Doubt whether an endpoint has become cold since, or before, a clock reading.
+
+        None, if nothing is known of that, changes nothing.
+        """
         service = self.get_service(load.entry.record.service)
-        if service is not None:
-            load.cold_doubt.begin(now_s, service.cold_start_s)
+        if service is not None and since_s is not None:
+            load.cold_doubt.begin(since_s, service.cold_start_s)
+
+    def _doubt_taken_back(self, load: EndpointLoad) -> None:
+        since_s = self._taken_back.get_end_s(load.entry.record.failure_domain)
+        self._doubt(load, since_s)
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
         """Apply a heartbeat of an endpoint."""
@@ -297,6 +308,8 @@
                 service_time=service_time,
                 learning=EndpointLearning(record.slots, pace),
             )
+            if not restarted:
+                self._doubt_taken_back(self.loads[record.endpoint])
         else:
             load.entry = entry
 
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -11,6 +11,9 @@
 
 COORDINATOR = "10.1.0.1"
 GATEWAYS = tuple(f"10.1.0.{number}" for number in range(10, 18))
+# Connections that requests at a former incarnation keep.
+HELD = 8
+LATE_GATEWAY = "10.1.0.18"
 COLD_S = 4.0
 # Time after which all hosts agree on who shares the endpoints.
 SETTLED_S = 3.0
@@ -34,6 +37,14 @@
         await curio.sleep(0.1)
 
 
+async def order_evacuation(fleet, method):
+    """Order the start or end of an evacuation until it is acknowledged."""
+    status = None
+    while status != 200:
+        target = "/v1/evacuations/a-1"
+        status, _ = await fleet.call_api(COORDINATOR, method, target)
+
+
 def play_arrivals(disturb):
     """Return the arrivals at an endpoint, in seconds.
 
@@ -146,6 +157,79 @@
         self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
+    def test_host_that_starts_after_an_evacuation_does_not_flood_an_endpoint(self):
+        """Guards against a host that has never known the domain as evacuated."""
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            await order_evacuation(fleet, "PUT")
+            await endpoint.fall_silent()
+            await curio.sleep(0.5)
+            await order_evacuation(fleet, "DELETE")
+            arrivals_s.clear()
+            await fleet.start_gateway(LATE_GATEWAY)
+            stopped = curio.Event()
+            caller = await curio.spawn(call_until, stopped, fleet, LATE_GATEWAY)
+            await curio.sleep(COLD_S - 0.5)
+            await stopped.set()
+            await caller.join()
+
+        arrivals_s = play_arrivals(disturb)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
+
+class FormerConnectionsTest(unittest.TestCase):
+    """Requests at an incarnation that is gone hold up none at the next one."""
+
+    def test_requests_do_not_wait_for_connections_of_a_former_incarnation(self):
+        """Guards against requests that wait there and reach it at once (FAILBACK)."""
+        arrivals_s, early = [], []
+        released = curio.Event()
+
+        async def respond(endpoint, request, responder):
+            if request.path.endswith("/held"):
+                await released.wait()
+            else:
+                arrivals_s.append(time.monotonic())
+            await endpoint.respond(request, responder)
+
+        async def test():
+            async with Fleet() as fleet:
+                await fleet.start_coordinators()
+                configuration = json.loads(create_cold_configuration())
+                configuration["services"][0]["max_connections"] = HELD + 2
+                content = json.dumps(configuration).encode()
+                await fleet.put_configuration(COORDINATOR, content)
+                host = GATEWAYS[0]
+                await fleet.start_gateway(host)
+                endpoint = await fleet.start_endpoint("e1", "a-1", respond, slots=64)
+                await fleet.wait_until_ready(host)
+                await curio.sleep(SETTLED_S)
+                for number in range(HELD):
+                    headers = [("buckthorndeal-call-id", f"held-{number}")]
+                    held = (host, "/idempotent/held", headers)
+                    await curio.spawn(fleet.send_request, *held, daemon=True)
+                await curio.sleep(0.5)
+                endpoint.incarnation, endpoint.sequence = 2, 0
+                await endpoint.become_cold(COLD_S)
+                await curio.sleep(0.5)
+                stopped = curio.Event()
+                callers = [
+                    await curio.spawn(call_until, stopped, fleet, host)
+                    for _ in range(HELD)
+                ]
+                await curio.sleep(2.5)
+                early.extend(arrivals_s)
+                await released.set()
+                await curio.sleep(0.5)
+                await stopped.set()
+                for caller in callers:
+                    await caller.join()
+
+        run_fleet(test)
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(early), COLD_PER_S)
+
 
 if __name__ == "__main__":
     unittest.main()
