Keep the order of requests and their ends after a stop

A request whose caller gave up while the process was stopped was granted after its end had been handled: the attempt then counted at its endpoint for good.

Only what coordinators tell now comes first; all else keeps its order.

test_request_that_is_withdrawn_leaves_no_attempt failed before, with one attempt that never ends.

--- a/buckthorndeal/gateway/_backlog.py
+++ b/buckthorndeal/gateway/_backlog.py
@@ -4,7 +4,11 @@
 
 import curio
 
-from buckthorndeal.gateway._messages import Dispatch
+from buckthorndeal.gateway._fleet_messages import (
+    EndpointLeft,
+    FleetChanged,
+    HeartbeatsReceived,
+)
 from buckthorndeal.logs import log_event
 from buckthorndeal.mailbox import Envelope, Mailbox
 
@@ -12,10 +16,13 @@
 MIN_STOP_S = 0.5
 # Time in which the connections to coordinators are read that hold unread news.
 CATCH_UP_S = 0.1
+# What coordinators tell comes first. All else keeps its order: a request that is
+# withdrawn has to come before its end.
+NEWS = (EndpointLeft, FleetChanged, HeartbeatsReceived)
 
 
 class Backlog:
-    """Receives messages, after a stop of the process requests last.
+    """Receives messages, after a stop of the process those of coordinators first.
 
     What this host knew of endpoints before a stop may be out of date, and requests and
     newer heartbeats are both unread.
@@ -66,7 +73,7 @@
             messages=len(envelopes),
         )
         self._received_s = self._clock()
-        return sorted(envelopes, key=_is_request)
+        return sorted(envelopes, key=_is_no_news)
 
     async def _catch_up(self, envelopes: list[Envelope]) -> None:
         """Add the messages that arrive while other tasks read what is unread."""
@@ -75,5 +82,5 @@
                 envelopes.append(await self._mailbox.receive())
 
 
-def _is_request(envelope: Envelope) -> bool:
-    return isinstance(envelope.message, Dispatch)
+def _is_no_news(envelope: Envelope) -> bool:
+    return not isinstance(envelope.message, NEWS)
--- a/tests/test_dispatch_catch_up.py
+++ b/tests/test_dispatch_catch_up.py
@@ -9,7 +9,7 @@
 from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._fleet_messages import HeartbeatsReceived
-from buckthorndeal.gateway._messages import Call, Dispatch, Grant
+from buckthorndeal.gateway._messages import AttemptEnded, Call, Dispatch, Grant
 from buckthorndeal.metrics import Metrics
 from tests.dispatcher_harness import ROUTE, DispatcherHarness
 
@@ -63,6 +63,21 @@
         self.assertLessEqual(len(grants), 1)
         self.assertTrue(all(each.cold_s > 0 for each in grants))
 
+    def test_request_that_is_withdrawn_leaves_no_attempt(self):
+        """Guards against an end that is handled before the request that has ended."""
+
+        async def play():
+            runner = await curio.spawn(self.task.run, daemon=True)
+            await curio.sleep(0.05)
+            self.harness.now_s += STOPPED_S
+            await self.task.mailbox.send(self.create_dispatch(1))
+            await self.task.mailbox.send(AttemptEnded(1, None))
+            await curio.sleep(0.5)
+            await runner.cancel()
+
+        curio.run(play)
+        self.assertEqual(self.harness.view.loads["e0"].inflight, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
