--- a/buckthorndeal/gateway/_relay_choice.py
+++ b/buckthorndeal/gateway/_relay_choice.py
@@ -1,4 +1,4 @@
-"""Choice of the entry host that serves a request out of this one's reach; no I/O."""
+"""Choice of the entry host that serves a request in place of this one; no I/O."""
 
 from collections.abc import Collection
 
@@ -9,11 +9,11 @@
 
 
 class RelayChooser:
-    """Chooses the entry hosts that serve requests while this one reaches no endpoint.
+    """Chooses the entry hosts that serve requests in place of this one.
 
     Other hosts of the region have the same endpoints, and the request does not cross a
-    border, so they come first. A request that another host has passed on goes no
-    further.
+    border, so they come first while this one reaches no endpoint. A request that
+    another host has passed on goes no further.
 
     Parameters
     ----------
@@ -31,7 +31,7 @@
         self._remote = remote
 
     def choose(self, dispatch: Dispatch, now_s: float) -> RemoteChoice | None:
-        """Return where a request is sent, or None if no host can serve it."""
+        """Return where a request is sent while no endpoint is reached, or None."""
         if dispatch.call.hops:
             return None
         remote = self._remote.find_fastest(dispatch, MoveReason.UNREACHABLE, now_s)
@@ -43,7 +43,7 @@
     def choose_among(
         self, dispatch: Dispatch, now_s: float, hosts: Collection[str] | None = None
     ) -> RemoteChoice | None:
-        """Return one of some hosts of the region, by default of all, if any is left."""
+        """Return one of the hosts, by default of all of the region, or None."""
         host = self._relays.choose(dispatch.excluded, now_s, hosts)
         if host is None:
             return None
