Ask the health path of endpoints that are taken back whether they are cold

Endpoints of a failure domain that is taken back count as cold until a heartbeat that was sent later arrives, for a second and more. If they are warm, that costs served requests; and nothing read the cold time in their health responses.

The gateway that sends to a cold endpoint, its owner, asks its health path as the doubt begins, and once more if no answer comes within 0.5 s. The question counts as a request to the cold endpoint. The answer is believed if it names the endpoint's own id and at most cold_start_s: no cold time ends the doubt at this gateway, another one holds until it is over. Other answers, and those to a doubt that has begun anew since, change nothing. cold_checked and cold_checks tell the results. The probe of an endpoint takes its record, so that the gateway passes the pools' own method on.

Of HealthCheckTest, with no check sent, test_warm_endpoint_is_used_before_its_heartbeats fails; with ids and malformed values believed, the tests of these fail; with all hosts asking, the test of one question fails.

--- a/buckthorndeal/gateway/_cold_doubt.py
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -11,11 +11,13 @@
     """Time in which an endpoint may be cold although no heartbeat says so.
 
     It ends with the first heartbeat that was sent after it had begun, or once a cold
-    time that had begun before is over.
+    time that had begun before is over. A health response may tell that time; then
+    heartbeats do not end it, as they may have been sent long ago.
     """
 
     since_s: float = -math.inf
     until_s: float = -math.inf
+    is_settled: bool = False
 
     def begin(self, now_s: float, cold_start_s: float) -> None:
         """Doubt from now on whether the endpoint is cold.
@@ -29,6 +31,20 @@
         """
         self.since_s = now_s
         self.until_s = now_s + cold_start_s
+        self.is_settled = False
+
+    def settle(self, cold_s: float, now_s: float) -> None:
+        """Record that the endpoint has told how long it is cold; 0 if it is warm.
+
+        Parameters
+        ----------
+        cold_s : float
+            Remaining cold time in seconds.
+        now_s : float
+            Clock reading.
+        """
+        self.until_s = now_s + cold_s
+        self.is_settled = True
 
     def get_remaining_s(self, last_heartbeat_s: float, now_s: float) -> float:
         """Return for how long the doubt lasts at most, in seconds.
@@ -40,6 +56,7 @@
         now_s : float
             Clock reading.
         """
-        if last_heartbeat_s >= self.since_s + RELAY_DELAY_S:
+        is_heard = last_heartbeat_s >= self.since_s + RELAY_DELAY_S
+        if is_heard and not self.is_settled:
             return 0.0
         return max(0.0, self.until_s - now_s)
--- a/buckthorndeal/gateway/_daemon.py
+++ b/buckthorndeal/gateway/_daemon.py
@@ -14,7 +14,6 @@
 from buckthorndeal.connections import HOST_SHARE, INTERNAL_SHARE
 from buckthorndeal.explanation import EXPLANATION_PATH
 from buckthorndeal.fleet import (
-    EndpointRecord,
     EntryHost,
     EntryState,
     QuotaRequest,
@@ -43,6 +42,7 @@
 from buckthorndeal.gateway._explanation import ExplanationHandler
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._handler import GatewayHandler
+from buckthorndeal.gateway._health import HealthClient
 from buckthorndeal.gateway._pools import create_pools
 from buckthorndeal.gateway._quota_gate import QuotaGate
 from buckthorndeal.gateway._region_links import RegionLoadTask
@@ -128,6 +128,8 @@
             QuotaGate(create_quota_leases(create_quota_options(settings.quota))),
         )
         contact = EndpointContact()
+        self._pools = create_pools(transport, settings.forward_listen.port)
+        health = HealthClient(self._pools, dialect, clock)
         self._dispatch = DispatchTask(
             dispatcher,
             self.metrics,
@@ -136,7 +138,8 @@
             DispatchEffects(
                 self._tell_coordinators,
                 self._share_origins,
-                self._probe_endpoint,
+                self._pools.accepts_connection,
+                health.check,
                 self._report_endpoint_reach,
                 self._replace_silent_attempts,
                 self._request_quota,
@@ -159,7 +162,6 @@
             self.metrics,
             clock,
         )
-        self._pools = create_pools(transport, settings.forward_listen.port)
         self._context = GatewayContext(
             host=host,
             region=settings.region,
@@ -330,9 +332,6 @@
         # The dispatch task must not wait for the control task, which asks it in turn.
         await spawn_job(self._control.mailbox.send, AskForQuota(request))
 
-    async def _probe_endpoint(self, record: EndpointRecord) -> bool:
-        return await self._pools.accepts_connection(record.address)
-
     async def _report_endpoint_reach(self, reaches_endpoints: bool) -> None:
         if not reaches_endpoints:
             await self._pools.close_idle_endpoints()
--- a/buckthorndeal/gateway/_dispatch_effects.py
+++ b/buckthorndeal/gateway/_dispatch_effects.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 from buckthorndeal.fleet import EndpointRecord, QuotaRequest, StreamOrigin
+from buckthorndeal.gateway._fleet_messages import ColdCheck
+from buckthorndeal.gateway.dialect import HealthMetadata
 from buckthorndeal.wire import Message
 
 
@@ -19,6 +21,8 @@
         Gives the origins of streams to a few coordinators.
     probe : callable
         Returns whether an endpoint accepts a connection.
+    check_health : callable
+        Asks an endpoint for its health; returns None if it does not answer in time.
     report_endpoint_reach : callable
         Tells the coordinators whether this host reaches endpoints.
     replace_silent_attempts : callable
@@ -32,6 +36,7 @@
     share: Callable[[Message], Awaitable[None]]
     share_origins: Callable[[tuple[StreamOrigin, ...]], Awaitable[None]]
     probe: Callable[[EndpointRecord], Awaitable[bool]]
+    check_health: Callable[[ColdCheck], Awaitable[HealthMetadata | None]]
     report_endpoint_reach: Callable[[bool], Awaitable[None]]
     replace_silent_attempts: Callable[[tuple[str | None, ...], float], Awaitable[int]]
     request_quota: Callable[[QuotaRequest], Awaitable[None]]
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -10,6 +10,7 @@
     EvidenceUpdate,
     RateLimitUpdate,
 )
+from buckthorndeal.gateway._cold_watch import ColdWatch
 from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._decision_log import (
     count_decision,
@@ -22,6 +23,7 @@
 from buckthorndeal.gateway._endpoint_news import EndpointNews
 from buckthorndeal.gateway._explanation import explain
 from buckthorndeal.gateway._fleet_messages import (
+    ColdCheckEnded,
     DescribeRegionLoad,
     EndpointLeft,
     EndpointProbed,
@@ -69,6 +71,7 @@
 WAITING_INTERVAL_S = 0.02
 EVIDENCE_INTERVAL_S = 0.1
 PATH_INTERVAL_S = 0.1
+COLD_CHECK_INTERVAL_S = 0.1
 ENDPOINT_EXPIRY_S = 10.0
 GAUGES = {
     "endpoints": "Endpoints of the region by condition.",
@@ -114,6 +117,7 @@
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
         self._endpoint_news = EndpointNews(dispatcher.view, metrics)
+        self._cold_watch = ColdWatch(dispatcher.view, self.mailbox, metrics, effects)
         self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
         self._quota = QuotaRequests(dispatcher.quota, metrics, effects)
@@ -131,6 +135,7 @@
                 except Exception as error:
                     await fail_unexpectedly(envelope, error, self._metrics)
             for step in (
+                self._cold_watch.check,
                 self._decide_waiting,
                 self._path.check,
                 self._handle_crash_news,
@@ -150,6 +155,8 @@
             return PATH_INTERVAL_S
         if self._dispatcher.view.fleet.cut_off_hosts:
             return PATH_INTERVAL_S
+        if self._cold_watch.is_pending:
+            return COLD_CHECK_INTERVAL_S
         return self._quota.get_interval_s(IDLE_INTERVAL_S)
 
     async def _request_quota(self, now_s: float) -> None:
@@ -356,7 +363,13 @@
 
     @_handle.register
     async def _(self, message: FleetChanged, envelope: Envelope, now_s: float) -> None:
-        self._endpoint_news.apply_fleet(message, now_s)
+        self._cold_watch.begin(self._endpoint_news.apply_fleet(message, now_s))
+
+    @_handle.register
+    async def _(
+        self, message: ColdCheckEnded, envelope: Envelope, now_s: float
+    ) -> None:
+        self._cold_watch.record_end(message, now_s)
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_endpoint_news.py
+++ b/buckthorndeal/gateway/_endpoint_news.py
@@ -42,12 +42,16 @@
             self._view.touch(endpoint, now_s)
         self._view.stream_versions.receive(message.versions, now_s)
 
-    def apply_fleet(self, message: FleetChanged, now_s: float) -> None:
-        """Apply changed entry hosts and evacuations."""
+    def apply_fleet(self, message: FleetChanged, now_s: float) -> list[str]:
+        """Apply changed entry hosts and evacuations.
+
+        Returns the endpoints that may be cold from now on.
+        """
         doubted = self._view.set_fleet(message, now_s)
         if doubted:
             self._metrics.count("cold_doubts", len(doubted))
             log_event("cold_doubted", endpoints=doubted)
+        return doubted
 
     def record_left(self, message: EndpointLeft, now_s: float) -> None:
         """Record that an endpoint has left."""
--- a/buckthorndeal/gateway/_fleet_messages.py
+++ b/buckthorndeal/gateway/_fleet_messages.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from buckthorndeal.fleet import EndpointRecord, ServiceLoad, ServiceVersion
+from buckthorndeal.gateway.dialect import HealthMetadata
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,39 @@
     accepted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ColdCheck:
+    """A health check of an endpoint that may be cold.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        The endpoint.
+    path : str
+        Path of the health check.
+    max_connections : int
+        Connections that this host may open to the endpoint.
+    doubted_s : float
+        Clock reading since which the endpoint may be cold.
+    max_cold_s : float
+        How long an endpoint of the service is cold.
+    """
+
+    record: EndpointRecord
+    path: str
+    max_connections: int
+    doubted_s: float
+    max_cold_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ColdCheckEnded:
+    """Notification: answer to a health check; None if there was none in time."""
+
+    check: ColdCheck
+    answer: HealthMetadata | None
+
+
 @dataclass(frozen=True, slots=True)
 class RelayUnreachable:
     """Notification: an entry host of this region has accepted no connection."""
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -83,7 +83,7 @@
         """
         usable, silent = [], []
         for load in self._list_loads(service):
-            condition = self._get_condition(load, now_s)
+            condition = self.get_condition(load, now_s)
             if condition in USABLE_CONDITIONS:
                 usable.append(load)
             elif condition is EndpointCondition.SILENT:
@@ -146,7 +146,7 @@
         """Return the number of endpoints of a service in each condition."""
         counts = dict.fromkeys(EndpointCondition, 0)
         for load in self._list_loads(service):
-            counts[self._get_condition(load, now_s)] += 1
+            counts[self.get_condition(load, now_s)] += 1
         return counts
 
     def list_conditions(
@@ -154,7 +154,7 @@
     ) -> list[tuple[EndpointLoad, EndpointCondition]]:
         """Return the endpoints of a service with their conditions."""
         return [
-            (load, self._get_condition(load, now_s))
+            (load, self.get_condition(load, now_s))
             for load in self._list_loads(service)
         ]
 
@@ -163,7 +163,8 @@
             load for load in self.loads.values() if load.entry.record.service == service
         ]
 
-    def _get_condition(self, load: EndpointLoad, now_s: float) -> EndpointCondition:
+    def get_condition(self, load: EndpointLoad, now_s: float) -> EndpointCondition:
+        """Return the condition of an endpoint."""
         if not load.is_ready(now_s):
             return EndpointCondition.LEAVING
         if self._is_evacuated(load):
@@ -185,7 +186,7 @@
         """
         turns = []
         for load in self._list_loads(service):
-            condition = self._get_condition(load, now_s)
+            condition = self.get_condition(load, now_s)
             if condition is EndpointCondition.PAUSED:
                 turns.append(NextTurn(self._get_pause_s(load, now_s), condition))
             elif condition is EndpointCondition.RATE_LIMITED:
@@ -363,7 +364,7 @@
         return [
             load
             for load in self._list_loads(service)
-            if self._get_condition(load, now_s) is EndpointCondition.READY
+            if self.get_condition(load, now_s) is EndpointCondition.READY
             and self.rate_shares.get_limit(load.entry.record) is None
             and self.rate_shares.get_rejection_limit(load.entry.record) is None
         ]
--- a/buckthorndeal/gateway/_local_choice.py
+++ b/buckthorndeal/gateway/_local_choice.py
@@ -18,12 +18,9 @@
     score_endpoint,
 )
 from buckthorndeal.gateway._slot_shares import SlotShares
+from buckthorndeal.gateway._warm_ups import COLD_RATE_SHARE
 from buckthorndeal.policy.ejection import Ejection
 
-# Share of a cold endpoint's rate limit that is used.
-COLD_RATE_SHARE = 0.9
-
-
 # Endpoints that cost up to this many times as much as the best one may be chosen, the
 # more rarely the more they cost.
 NEAR_BEST = 1.2
--- a/buckthorndeal/gateway/_pools.py
+++ b/buckthorndeal/gateway/_pools.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from buckthorndeal.fleet import EndpointRecord
 from buckthorndeal.http_client import HttpPool, create_http_pool
 from buckthorndeal.transport import Transport, is_shortage
 
@@ -75,12 +76,12 @@
         for entry in self._endpoints.values():
             await entry.pool.close_idle()
 
-    async def accepts_connection(self, address: str) -> bool:
-        """Return whether the endpoint at ``IP:port`` accepts a new connection.
+    async def accepts_connection(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint accepts a new connection.
 
         An endpoint is not blamed for a shortage of this host.
         """
-        ip, _, port = address.rpartition(":")
+        ip, _, port = record.address.rpartition(":")
         try:
             async with curio.timeout_after(ENDPOINT_CONNECT_TIMEOUT_S):
                 stream = await self._transport.connect(ip, int(port))
--- a/buckthorndeal/gateway/_warm_ups.py
+++ b/buckthorndeal/gateway/_warm_ups.py
@@ -10,6 +10,9 @@
 
 from buckthorndeal.subsetting import choose_owner
 
+# Share of a cold endpoint's rate limit that is used.
+COLD_RATE_SHARE = 0.9
+
 
 @dataclass(slots=True)
 class _Turn:
@@ -63,6 +66,10 @@
             if turn.is_own and not was_own:
                 turn.last_s = now_s
 
+    def is_own(self, endpoint: str) -> bool:
+        """Return whether it is this host that sends to a cold endpoint."""
+        return self._get_turn(endpoint).is_own
+
     def may_send(self, endpoint: str, rate_per_s: float, now_s: float) -> bool:
         """Return whether this host may send a request to a cold endpoint now.
 
--- a/buckthorndeal/gateway/dialect.py
+++ b/buckthorndeal/gateway/dialect.py
@@ -14,6 +14,7 @@
 __all__ = [
     "DefaultDialect",
     "Dialect",
+    "HealthMetadata",
     "RequestMetadata",
     "ResponseMetadata",
     "create_default_dialect",
@@ -32,6 +33,9 @@
 RETRY_AFTER = "retry-after"
 RATE_LIMIT = "buckthorndeal-rate-limit"
 REJECTION_LIMIT = "buckthorndeal-rejection-limit"
+ENDPOINT = "buckthorndeal-endpoint"
+COLD_MS = "buckthorndeal-cold-ms"
+MAX_COLD_S = 600.0
 UNAVAILABLE = 503
 _WHOLE_NUMBER = re.compile(r"[0-9]{1,15}")
 # Digits with an optional fraction; a value with a sign or an exponent is malformed.
@@ -106,6 +110,23 @@
     rejection_limit: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class HealthMetadata:
+    """Values of the headers of a health response.
+
+    Parameters
+    ----------
+    endpoint : str or None
+        Id of the endpoint that has responded; None if it names none.
+    cold_s : float or None
+        For how long it stays cold, in seconds: 0 if it is warm, and None if the value
+        is malformed.
+    """
+
+    endpoint: str | None
+    cold_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointHints:
     """Values that an attempt passes to its endpoint in headers.
@@ -166,6 +187,9 @@
     def parse_response(self, status: int, headers: dict[str, str]) -> ResponseMetadata:
         """Return the values of the response headers."""
 
+    def parse_health(self, headers: dict[str, str]) -> HealthMetadata:
+        """Return the values of the headers of a health response."""
+
     def format_retry_after(self, seconds: float) -> str:
         """Return the value of the ``Retry-After`` header."""
 
@@ -207,7 +231,7 @@
         }
         sent[TIMEOUT_MS] = str(max(1, int(remaining_s * 1000)))
         if hints is not None:
-            sent["buckthorndeal-endpoint"] = hints.endpoint
+            sent[ENDPOINT] = hints.endpoint
             if hints.urgency is not None:
                 sent["buckthorndeal-urgency"] = str(hints.urgency)
             if hints.cache_source is not None:
@@ -231,6 +255,10 @@
             rejection_limit=read_rate_limit(headers, REJECTION_LIMIT),
         )
 
+    def parse_health(self, headers: dict[str, str]) -> HealthMetadata:
+        """Return the values of the headers of a health response."""
+        return HealthMetadata(headers.get(ENDPOINT), read_cold_s(headers, COLD_MS))
+
     def format_retry_after(self, seconds: float) -> str:
         """Return the value of the ``Retry-After`` header in whole seconds."""
         return str(max(1, round(seconds)))
@@ -301,6 +329,20 @@
     return float(value)
 
 
+def read_cold_s(headers: dict[str, str], name: str) -> float | None:
+    """Return for how long an endpoint stays cold, in seconds.
+
+    0 if the header is missing. None if it is malformed, or above `MAX_COLD_S`.
+    """
+    value = headers.get(name)
+    if value is None:
+        return 0.0
+    if _DECIMAL.fullmatch(value.strip()) is None:
+        return None
+    cold_s = float(value) / 1000
+    return cold_s if cold_s <= MAX_COLD_S else None
+
+
 def create_default_dialect() -> Dialect:
     """Return the dialect with the default header names."""
     return DefaultDialect()
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -28,6 +28,7 @@
 # Far longer than any test takes on a busy machine.
 HANG_TIMEOUT_S = 60
 REQUEST_ID = "buckthorndeal-call-id"
+HEALTH_PATH = "/h"
 # Gateway of the tests that need only one.
 GATEWAY = "10.1.0.9"
 
@@ -51,7 +52,7 @@
         attempts = changes.get("max_attempts", 2)
         each["max_attempts"] = 1 if each["kind"] == "non_idempotent" else attempts
         each["resumable"] = each["kind"] == "stream"
-    services = [{"name": "s", "health_path": "/h", "max_connections": 64}]
+    services = [{"name": "s", "health_path": HEALTH_PATH, "max_connections": 64}]
     body = {"version": version, "routes": routes, "services": services}
     return json.dumps(body).encode()
 
@@ -176,6 +177,17 @@
                 return status, answer
             await curio.sleep(0.1)
 
+    async def send_evacuation(self, host, method, domain):
+        """Start or end an evacuation, retrying until it is acknowledged."""
+        while True:
+            target = f"/v1/evacuations/{domain}"
+            status, _ = await self.call_api(host, method, target)
+            if status == 200:
+                return
+            if status != 503:
+                raise AssertionError(f"status {status}")
+            await curio.sleep(0.1)
+
     async def get_configuration(self, host):
         """Return the configuration, retrying until a coordinator can confirm it."""
         while True:
@@ -221,6 +233,8 @@
         self.cancelled = []
         self.state = {}
         self.cold_until_s = 0.0
+        # Further headers of health responses.
+        self.health_headers = []
         self._server = create_http_server(self._handle, Limits())
         self._task = None
 
@@ -294,6 +308,8 @@
 
     async def respond(self, request, responder, status=200, body=b"ok", headers=()):
         given = [(REQUEST_ID, request.headers.get(REQUEST_ID, "")), *headers]
+        if request.path == HEALTH_PATH:
+            given += self.health_headers
         await responder.respond_whole(status, given, body)
 
     async def start_stream(self, request, responder):
--- a/tests/fuzzed_http.py
+++ b/tests/fuzzed_http.py
@@ -160,6 +160,8 @@
         headnames.LOAD,
         headnames.RATE_LIMIT,
         headnames.REJECTION_LIMIT,
+        headnames.COLD_MS,
+        "buckthorndeal-cold-ms",
     )
     _parse_response_headers(503, dict.fromkeys(names, value))
 
@@ -167,6 +169,7 @@
 def _parse_response_headers(status, headers):
     for dialect in (create_default_dialect(), headnames.HeadDialect()):
         dialect.parse_response(status, headers)
+        dialect.parse_health(headers)
 
 
 def _split_events(data):
--- a/tests/test_gateway_shortage.py
+++ b/tests/test_gateway_shortage.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from buckthorndeal.fleet import EndpointRecord, EndpointState
 from buckthorndeal.gateway._pools import create_pools
 from buckthorndeal.logs import EXTRA_FIELD
 from buckthorndeal.transport import create_memory_transport
@@ -222,9 +223,12 @@
         async def main():
             transport = ShortTransport(create_memory_transport())
             pools = create_pools(transport, 1)
-            refused = await pools.accepts_connection("10.1.9.0:80")
+            record = EndpointRecord(
+                "e1", 1, 1, "s", "a", "a-1", "10.1.9.0:80", 8, EndpointState.READY
+            )
+            refused = await pools.accepts_connection(record)
             transport.manner = errno.EMFILE
-            return refused, await pools.accepts_connection("10.1.9.0:80")
+            return refused, await pools.accepts_connection(record)
 
         self.assertEqual(curio.run(main), (False, True))
 
--- a/tests/test_gateway_warm_up.py
+++ b/tests/test_gateway_warm_up.py
@@ -3,10 +3,18 @@
 import json
 import time
 import unittest
+from unittest import mock
 
 import curio
 
-from tests.fleet_harness import Fleet, create_configuration, run_fleet
+from buckthorndeal.gateway import _fleet_view
+from tests.fleet_harness import (
+    HANG_TIMEOUT_S,
+    HEALTH_PATH,
+    Fleet,
+    create_configuration,
+    run_fleet,
+)
 from tests.warm_up_play import COLD_OVERAGE, COLD_PER_S, MAX_PER_S, count_most
 
 COORDINATOR = "10.1.0.1"
@@ -14,6 +22,10 @@
 COLD_S = 4.0
 # Time after which all hosts agree on who shares the endpoints.
 SETTLED_S = 3.0
+# Time in which no heartbeat comes after an evacuation.
+QUESTION_S = 2.0
+ENDPOINT = "buckthorndeal-endpoint"
+COLD_MS = "buckthorndeal-cold-ms"
 
 
 def create_cold_configuration():
@@ -135,5 +147,73 @@
         self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
 
 
+class HealthCheckTest(unittest.TestCase):
+    """The health path of an endpoint that is taken back tells whether it is cold.
+
+    No heartbeat tells it, and all hosts send.
+    """
+
+    def play(self, *health_headers, is_silent=False):
+        """Return arrivals after the evacuation, in seconds, and the questions."""
+        questions = []
+
+        async def ignore_questions(endpoint, request, responder):
+            if request.path == HEALTH_PATH:
+                await curio.sleep(QUESTION_S)
+            await endpoint.respond(request, responder)
+
+        async def disturb(fleet, endpoint, arrivals_s):
+            await fleet.send_evacuation(COORDINATOR, "PUT", "a-1")
+            await endpoint.fall_silent()
+            await curio.sleep(0.5)
+            endpoint.health_headers = list(health_headers)
+            if is_silent:
+                endpoint.script = ignore_questions
+            arrivals_s.clear()
+            endpoint.requests.clear()
+            await fleet.send_evacuation(COORDINATOR, "DELETE", "a-1")
+            await curio.sleep(QUESTION_S)
+            questions.extend(
+                each for each in endpoint.requests if each.path == HEALTH_PATH
+            )
+
+        # The end of an evacuation may be acknowledged late on a busy machine.
+        with mock.patch.object(_fleet_view, "HEARTBEAT_TIMEOUT_S", HANG_TIMEOUT_S):
+            return play_arrivals(disturb), questions
+
+    def check_cold_rate(self, arrivals_s):
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+        self.assertGreater(len(arrivals_s), 0.5 * COLD_PER_S)
+
+    def test_warm_endpoint_is_used_before_its_heartbeats(self):
+        """Guards against warm endpoints at the cold rate until a heartbeat comes."""
+        arrivals_s, questions = self.play((ENDPOINT, "e1"))
+        self.assertEqual(len(questions), 1)
+        self.assertGreater(len(arrivals_s), 2 * COLD_PER_S * QUESTION_S)
+
+    def test_cold_endpoint_gets_one_question_and_few_requests(self):
+        """Guards against a question of each host to a cold endpoint (FAILBACK)."""
+        arrivals_s, questions = self.play((ENDPOINT, "e1"), (COLD_MS, "4000"))
+        self.assertEqual(len(questions), 1)
+        self.check_cold_rate(arrivals_s)
+
+    def test_another_endpoint_at_the_address_is_not_believed(self):
+        """Guards against the answer of a new process behind the same address."""
+        arrivals_s, questions = self.play((ENDPOINT, "e2"))
+        self.assertEqual(len(questions), 1)
+        self.check_cold_rate(arrivals_s)
+
+    def test_malformed_cold_time_is_not_believed(self):
+        """Guards against a cold time that is read as none at all."""
+        arrivals_s, _ = self.play((ENDPOINT, "e1"), (COLD_MS, "-1"))
+        self.check_cold_rate(arrivals_s)
+
+    def test_endpoint_that_does_not_answer_is_asked_no_more_than_twice(self):
+        """Guards against questions without end to an endpoint that hangs."""
+        arrivals_s, questions = self.play((ENDPOINT, "e1"), is_silent=True)
+        self.assertIn(len(questions), (1, 2))
+        self.assertLessEqual(count_most(arrivals_s), MAX_PER_S)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -389,6 +389,15 @@
             self.assertIsNone(self.dialect.parse_response(200, {}).load)
         log_event.assert_not_called()
 
+    def test_health_response(self):
+        """Guards against a cold time that is read from a malformed value."""
+        named = {"x-instance-id": "i-7f"}
+        for value, cold_s in (("1280", 1.28), ("12.5", 0.0125), ("-1", None)):
+            answer = self.dialect.parse_health({**named, "x-cold-ms": value})
+            self.assertEqual((answer.endpoint, answer.cold_s), ("i-7f", cold_s))
+        self.assertEqual(self.dialect.parse_health(named).cold_s, 0.0)
+        self.assertIsNone(self.dialect.parse_health({}).endpoint)
+
     def parse_load(self, value):
         return self.dialect.parse_response(200, {"x-server-load": value}).load
 
