--- a/buckthorndeal/gateway/_health.py
+++ b/buckthorndeal/gateway/_health.py
@@ -42,7 +42,7 @@
         """
         record = check.record
         pool = self._pools.get_endpoint_pool(
-            record.address, check.max_connections, self._clock()
+            record, check.max_connections, self._clock()
         )
         headers = self._dialect.build_headers(
             {}, HEALTH_TIMEOUT_S, EndpointHints(record.endpoint, None), None
