Give the merging of heartbeats at coordinators a module of its own

The handler of the fleet task merged a heartbeat, decided whether hosts need its record or only its name, and sent messages, so that the decision could not be run without tasks. The first two and the records for a host that connects are now in a module without I/O. Behaviour is unchanged.

test_endpoint_changes, test_endpoint_leave, test_acknowledged_leave and test_entry_endpoints: 17 passed.

--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -8,11 +8,10 @@
 from buckthorndeal.coordinator._departure_store import DepartureStore
 from buckthorndeal.coordinator._departures import create_departures
 from buckthorndeal.coordinator._directory_log import DirectoryLog
-from buckthorndeal.coordinator._endpoint_changes import (
-    has_remaining_time,
-    is_logged_change,
-    is_state_change,
-    log_endpoint_change,
+from buckthorndeal.coordinator._endpoint_changes import log_endpoint_change
+from buckthorndeal.coordinator._endpoint_heartbeats import (
+    create_initial_heartbeats,
+    merge_heartbeat,
 )
 from buckthorndeal.coordinator._entry_notices import (
     create_cluster_notice,
@@ -46,7 +45,6 @@
 from buckthorndeal.fleet import (
     ControlHost,
     ControlStatus,
-    EndpointHeartbeats,
     EndpointRecord,
     EndpointState,
     HostLinks,
@@ -169,11 +167,11 @@
         self._shared.record_heartbeat(message.record, now_s)
         record = self._departures.apply(message.record)
         known = self._endpoints.get(record.endpoint)
-        merged = self._endpoints.update(record, now_s)
+        heartbeat = merge_heartbeat(record, self._endpoints, self._heartbeats, now_s)
         unconfirmed = self._departures.is_unconfirmed(
             record.endpoint, record.incarnation
         )
-        if merged is None:
+        if heartbeat is None:
             log_event(
                 "heartbeat_out_of_date",
                 endpoint=record.endpoint,
@@ -185,17 +183,10 @@
             else:
                 await envelope.reply(True)
             return
-        changed = known is None or is_state_change(known.record, merged)
-        entry = self._endpoints.get(record.endpoint)
-        if known is None or is_logged_change(known, entry):
-            log_endpoint_change(merged, known.record if known else None)
-        if changed or has_remaining_time(merged):
-            self._heartbeats.record_change(merged)
-        else:
-            self._heartbeats.record_refresh(merged)
+        merged = heartbeat.record
         if merged.state is EndpointState.READY:
             await envelope.reply(self._may_acknowledge(merged.region))
-        elif changed or unconfirmed:
+        elif heartbeat.is_change or unconfirmed:
             await self._relay_and_acknowledge(merged, envelope)
         else:
             self._departures.record_state(merged, self._clock())
@@ -361,13 +352,9 @@
         await send_notice(entry, self._entries.create_published_list())
         # Before the endpoints, at which requests are sent as soon as they are known.
         await self._send_shared_state(entry, self._shared.export(self._clock()))
-        region, now_s = entry.host.region, self._clock()
-        records = tuple(
-            each.describe(now_s)
-            for each in self._endpoints.list_all()
-            if each.record.region == region
+        last = create_initial_heartbeats(
+            self._endpoints, entry.host.region, self._clock()
         )
-        last = EndpointHeartbeats(records, ends_initial_state=True)
         await send_heartbeats(entry, last)
 
     async def _flush(self, now_s: float) -> None:
