Let gateways that were stopped read the news before they send as to warm endpoints

A gateway whose process is stopped for some seconds and then runs again finds unread heartbeats and requests of callers side by side. Requests that it decided on before it had read the heartbeats went to endpoints that had become cold meanwhile (FAILBACK). A heartbeat that had waited unread also ended the doubt about a domain that was taken back, as it counted as sent when it was read.

A loop that runs 0.5 s later than it wanted to was stopped. Its endpoints then count as cold for 0.5 s, or for as long as they were in doubt before, and only a heartbeat after that ends it. process_stopped and process_stops tell of it.

--- a/buckthorndeal/gateway/_cold_doubt.py
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -5,6 +5,9 @@
 
 from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
 
+# In this time a process that runs again reads what it was sent while it was stopped.
+UNREAD_S = 0.5
+
 
 @dataclass(slots=True)
 class ColdDoubt:
@@ -30,6 +33,22 @@
         self.since_s = now_s
         self.until_s = now_s + cold_start_s
 
+    def resume(self, now_s: float, last_heartbeat_s: float) -> None:
+        """Doubt again after a time in which this process did not run.
+
+        What was sent in that time may be read at any moment from now on, and an old
+        heartbeat among it ends no doubt.
+
+        Parameters
+        ----------
+        now_s : float
+            Clock reading.
+        last_heartbeat_s : float
+            Clock reading at the last heartbeat.
+        """
+        remaining_s = self.get_remaining_s(last_heartbeat_s, now_s)
+        self.begin(now_s, max(remaining_s, UNREAD_S))
+
     def get_remaining_s(self, last_heartbeat_s: float, now_s: float) -> float:
         """Return for how long the doubt lasts at most, in seconds.
 
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -31,6 +31,7 @@
     RegionUpdate,
     RelayUnreachable,
 )
+from buckthorndeal.gateway._loop_lag import MAX_WAIT_S
 from buckthorndeal.gateway._messages import (
     AttemptEnded,
     Decision,
@@ -123,8 +124,10 @@
     async def run(self) -> None:
         """Handle messages and timers until cancelled."""
         while True:
-            envelope = await self.mailbox.receive_within(self._get_wait_s())
+            wait_s = min(self._get_wait_s(), MAX_WAIT_S)
+            envelope = await self.mailbox.receive_within(wait_s)
             now_s = self._clock()
+            self._endpoint_news.record_turn(now_s)
             if envelope is not None:
                 try:
                     await self._handle(envelope.message, envelope, now_s)
--- a/buckthorndeal/gateway/_endpoint_news.py
+++ b/buckthorndeal/gateway/_endpoint_news.py
@@ -7,6 +7,7 @@
     HeartbeatsReceived,
 )
 from buckthorndeal.gateway._fleet_view import FleetView
+from buckthorndeal.gateway._loop_lag import LoopLag
 from buckthorndeal.logs import log_event
 from buckthorndeal.metrics import Metrics
 
@@ -29,6 +30,7 @@
     def __init__(self, view: FleetView, metrics: Metrics) -> None:
         self._view = view
         self._metrics = metrics
+        self._lag = LoopLag()
 
     def apply(self, message: HeartbeatsReceived, now_s: float) -> None:
         """Apply heartbeats."""
@@ -49,6 +51,13 @@
             self._metrics.count("cold_doubts", len(doubted))
             log_event("cold_doubted", endpoints=doubted)
 
+    def record_turn(self, now_s: float) -> None:
+        """Record that the process runs; its news is old if it was stopped before."""
+        if self._lag.record_turn(now_s):
+            self._metrics.count("process_stops")
+            log_event("process_stopped", endpoints=len(self._view.loads))
+            self._view.record_stop(now_s)
+
     def record_left(self, message: EndpointLeft, now_s: float) -> None:
         """Record that an endpoint has left."""
         self._view.record_left(message.endpoint, message.incarnation, now_s)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -264,6 +264,11 @@
         self.warm_ups.set_hosts(sharing_hosts, now_s)
         return [load.name for load in doubted]
 
+    def record_stop(self, now_s: float) -> None:
+        """Record that this process did not run for a time, and may have missed news."""
+        for load in self.loads.values():
+            load.cold_doubt.resume(now_s, load.entry.last_heartbeat_s)
+
     def _doubt(self, load: EndpointLoad, now_s: float) -> None:
         """Doubt whether an endpoint is cold, until a heartbeat tells."""
         service = self.get_service(load.entry.record.service)
