--- a/tests/cold_endpoint.py
+++ b/tests/cold_endpoint.py
@@ -39,6 +39,8 @@
         Clock reading at the begin of the evacuation; `start_s` if there is none.
     told_s : dict of tuple to float
         Clock reading from which a heartbeat could have told a process of a gateway.
+    arrivals : list of Arrival
+        Requests of those that could have known of it.
     """
 
     cause: ColdCause
@@ -46,6 +48,7 @@
     end_s: float
     evacuated_s: float
     told_s: dict = field(default_factory=dict)
+    arrivals: list = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -97,6 +100,8 @@
     # Heartbeats are lost until then.
     silent_until_s: float = 0.0
     evacuated_until_s: float = 0.0
+    # Its process has ended before then, and another id has taken its place.
+    gone_s: float = 0.0
     cold_times: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
 
