Count for gateways only what coordinators could have told them in plays of cold endpoints

The play blamed the product for what it had done itself. A gateway that was cut off did not notice that its connections were lost; one that was cut off while stopped, or just after, lost what had waited unread; a second cut counted as the last contact; and requests counted as allowed after an endpoint had ended, or while the host that sends to it did not know all hosts yet.

--- a/tests/cold_endpoint.py
+++ b/tests/cold_endpoint.py
@@ -102,6 +102,7 @@
     evacuated_until_s: float = 0.0
     # Its process has ended before then, and another id has taken its place.
     gone_s: float = 0.0
+    ended_s: list = field(default_factory=list)
     cold_times: list = field(default_factory=list)
     arrivals: list = field(default_factory=list)
 
@@ -125,6 +126,15 @@
         ends_s = [each.end_s for each in self.cold_times[-1:]]
         return max(self.started_s, self.evacuated_until_s, *ends_s)
 
+    def end(self, now_s):
+        """End the process."""
+        self.is_running = False
+        self.ended_s.append(now_s)
+
+    def list_ends(self, since_s):
+        """Return when processes have ended since a clock reading."""
+        return [at_s for at_s in self.ended_s if at_s >= since_s]
+
     def restart(self, now_s):
         """Start a new process under the same id."""
         self.incarnation += 1
