--- a/tests/test_cold_play.py
+++ b/tests/test_cold_play.py
@@ -9,7 +9,8 @@
 from buckthorndeal.gateway._loop_lag import LoopLag
 from buckthorndeal.gateway._warm_ups import WarmUps
 from tests.cold_endpoint import ColdCause
-from tests.cold_play import MAX_PER_S, ColdPlay
+from tests.cold_play import ColdPlay
+from tests.cold_report import MAX_PER_S
 
 
 def play(gateways, seed):
