Merge the plays of endpoints that become cold

One detection of stops is left, that of the backlog of the dispatch task; it also begins the doubts of the play, and waits half a second at most, so that a longer wait does not hide a stop.

--- a/buckthorndeal/gateway/_backlog.py
+++ b/buckthorndeal/gateway/_backlog.py
@@ -14,6 +14,8 @@
 
 # Lateness of a message or timer from which the process counts as stopped meanwhile.
 MIN_STOP_S = 0.5
+# A longer wait would hide a stop that falls into it.
+MAX_WAIT_S = 0.5
 # Time in which the connections to coordinators are read that hold unread news.
 CATCH_UP_S = 0.1
 # What coordinators tell comes first. All else keeps its order: a request that is
@@ -58,6 +60,7 @@
         """
         if self._received_s is None:
             self._received_s = self._clock()
+        wait_s = min(wait_s, MAX_WAIT_S)
         envelope = await self._mailbox.receive_within(wait_s)
         envelopes = [] if envelope is None else [envelope]
         now_s = self._clock()
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -112,15 +112,13 @@
         effects: DispatchEffects,
     ) -> None:
         self.mailbox = create_mailbox()
-        self._backlog = Backlog(
-            self.mailbox, clock, dispatcher.view.warm_ups.record_stop
-        )
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._clock = clock
         self._effects = effects
         self._path = PathWatch(dispatcher, self.mailbox, metrics, contact, effects)
         self._endpoint_news = EndpointNews(dispatcher.view, metrics)
+        self._backlog = Backlog(self.mailbox, clock, self._endpoint_news.record_stop)
         self._cold_watch = ColdWatch(dispatcher.view, self.mailbox, metrics, effects)
         self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
--- a/buckthorndeal/gateway/_endpoint_news.py
+++ b/buckthorndeal/gateway/_endpoint_news.py
@@ -53,6 +53,19 @@
             log_event("cold_doubted", endpoints=doubted)
         return doubted
 
+    def record_stop(self, stopped_s: float, now_s: float) -> None:
+        """Record that the process was stopped, so that its news may be old.
+
+        Parameters
+        ----------
+        stopped_s : float
+            For how long it was stopped.
+        now_s : float
+            Clock reading.
+        """
+        self._metrics.count("process_stops")
+        self._view.record_stop(stopped_s, now_s)
+
     def record_left(self, message: EndpointLeft, now_s: float) -> None:
         """Record that an endpoint has left."""
         self._view.record_left(message.endpoint, message.incarnation, now_s)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -273,6 +273,12 @@
         self.warm_ups.set_hosts(sharing_hosts, now_s)
         return [load.name for load in doubted]
 
+    def record_stop(self, stopped_s: float, now_s: float) -> None:
+        """Record that this process did not run for a time, and may have missed news."""
+        self.warm_ups.record_stop(stopped_s, now_s)
+        for load in self.loads.values():
+            load.cold_doubt.resume(now_s, load.entry.cold_told_s)
+
     def _doubt(self, load: EndpointLoad, since_s: float | None) -> None:
         """Doubt whether an endpoint has become cold since, or before, a clock reading.
 
--- a/tests/test_dispatch_catch_up.py
+++ b/tests/test_dispatch_catch_up.py
@@ -6,10 +6,12 @@
 import curio
 
 from buckthorndeal.fleet import EndpointRecord, EndpointState
+from buckthorndeal.gateway._backlog import MIN_STOP_S, Backlog
 from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._dispatch_task import DispatchTask
 from buckthorndeal.gateway._fleet_messages import HeartbeatsReceived
 from buckthorndeal.gateway._messages import AttemptEnded, Call, Dispatch, Grant
+from buckthorndeal.mailbox import create_mailbox
 from buckthorndeal.metrics import Metrics
 from tests.dispatcher_harness import ROUTE, DispatcherHarness
 
@@ -79,5 +81,46 @@
         self.assertEqual(self.harness.view.loads["e0"].inflight, 0)
 
 
+class BacklogTest(unittest.TestCase):
+    """Only a process that did not run counts as stopped."""
+
+    def setUp(self):
+        self.now_s = 10.0
+        self.stops_s = []
+        self.backlog = Backlog(
+            create_mailbox(),
+            lambda: self.now_s,
+            lambda *args: self.stops_s.append(args),
+        )
+
+    def receive(self, *moments_s):
+        """Let the task wait for messages; each wait ends at a moment."""
+
+        async def wait_until(moment_s):
+            waiting = await curio.spawn(self.backlog.receive, 0.01)
+            await curio.sleep(0)
+            self.now_s = moment_s
+            await waiting.join()
+
+        async def play():
+            for moment_s in moments_s:
+                await wait_until(moment_s)
+
+        curio.run(play)
+        return len(self.stops_s)
+
+    def test_first_wait_is_no_stop(self):
+        """Guards against a host that doubts all it knows when it starts."""
+        self.assertEqual(self.receive(10.01), 0)
+
+    def test_idle_task_is_not_stopped(self):
+        """Guards against an idle host that sends at the cold rate."""
+        late_s = 0.9 * MIN_STOP_S
+        self.assertEqual(self.receive(*(10.0 + late_s * n for n in range(1, 9))), 0)
+
+    def test_long_time_without_a_turn_is_one_stop(self):
+        self.assertEqual(self.receive(10.01, 10.1 + MIN_STOP_S, 10.2 + MIN_STOP_S), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
