Let no heartbeat of before end the doubt about a domain that is taken back

Endpoints that were cold when their domain was taken back were flooded (FAILBACK) by gateways to which a heartbeat of before arrived 1.7 s late, as after a partition: it ended the doubt, which allowed for 1 s. A gateway that had been away while an endpoint started again took the record of it that a coordinator told again for the first heartbeat of the process, and began no doubt.

A heartbeat ends a doubt only 2.5 s after it has begun, and a record that is told again begins it. So that warm endpoints are not held for cold longer, up to three gateways of a region ask the health path, the owner first; the others wait for heartbeats.

--- a/buckthorndeal/gateway/_cold_checks.py
+++ b/buckthorndeal/gateway/_cold_checks.py
@@ -70,7 +70,7 @@
     def is_pending(self) -> bool:
         """Whether a check may be due soon."""
         return any(
-            not doubt.is_under_way and self._view.warm_ups.is_own(endpoint)
+            not doubt.is_under_way and self._view.warm_ups.may_ask(endpoint)
             for endpoint, doubt in self._doubts.items()
         )
 
@@ -138,8 +138,11 @@
             return False
         if self._view.get_condition(load, now_s) is not EndpointCondition.COLD:
             return False
+        warm_ups = self._view.warm_ups
+        if not warm_ups.is_own(load.name):
+            return warm_ups.may_ask(load.name)
         rate_per_s = service.cold_rate_per_s * COLD_RATE_SHARE
-        return self._view.warm_ups.may_send(load.name, rate_per_s, now_s)
+        return warm_ups.may_send(load.name, rate_per_s, now_s)
 
     def _create_check(self, load: EndpointLoad) -> ColdCheck:
         record = load.entry.record
--- a/buckthorndeal/gateway/_cold_doubt.py
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import dataclass
 
-from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
-
+# Heartbeats may arrive seconds after they were sent, as after a partition.
+HEARTBEAT_DELAY_S = 2.5
 # In this time a process that runs again reads what it was sent while it was stopped.
 UNREAD_S = 0.5
 
@@ -77,7 +77,7 @@
         now_s : float
             Clock reading.
         """
-        is_heard = last_heartbeat_s >= self.since_s + RELAY_DELAY_S
+        is_heard = last_heartbeat_s >= self.since_s + HEARTBEAT_DELAY_S
         if is_heard and not self.is_settled:
             return 0.0
         return max(0.0, self.until_s - now_s)
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -315,7 +315,8 @@
                 service_time=service_time,
                 learning=EndpointLearning(record.slots, pace),
             )
-            if not restarted:
+            # The first heartbeat of a process tells itself whether it is cold.
+            if not restarted or record.age_s > 0:
                 self._doubt_taken_back(self.loads[record.endpoint])
         else:
             load.entry = entry
--- a/buckthorndeal/gateway/_warm_ups.py
+++ b/buckthorndeal/gateway/_warm_ups.py
@@ -8,10 +8,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from buckthorndeal.subsetting import choose_owner
+from buckthorndeal.subsetting import choose_owner, choose_owners
 
 # Share of a cold endpoint's rate limit that is used.
 COLD_RATE_SHARE = 0.9
+# Hosts that ask an endpoint whether it is cold, the owner first. Few enough that their
+# questions add little to the requests of the owner.
+MAX_ASKING_HOSTS = 3
 # A host that was stopped for longer may have been replaced.
 REPLACED_S = 2.0
 # Time after which a host that goes on is listed again, and hears of the others.
@@ -75,6 +78,11 @@
         """Return whether it is this host that sends to a cold endpoint."""
         return self._get_turn(endpoint).is_own
 
+    def may_ask(self, endpoint: str) -> bool:
+        """Return whether this host may ask an endpoint whether it is cold."""
+        asking = choose_owners(endpoint, self._hosts, MAX_ASKING_HOSTS)
+        return self._host in asking
+
     def may_send(self, endpoint: str, rate_per_s: float, now_s: float) -> bool:
         """Return whether this host may send a request to a cold endpoint now.
 
--- a/tests/test_cold_checks.py
+++ b/tests/test_cold_checks.py
@@ -8,13 +8,14 @@
 from buckthorndeal.configuration import ServiceDescription
 from buckthorndeal.fleet import EndpointRecord, EndpointState
 from buckthorndeal.gateway._cold_checks import CheckResult, ColdChecks
+from buckthorndeal.gateway._cold_doubt import HEARTBEAT_DELAY_S
 from buckthorndeal.gateway._fleet_messages import ColdCheck, FleetChanged
 from buckthorndeal.gateway._fleet_view import FleetView
 from buckthorndeal.gateway._health import HealthClient
 from buckthorndeal.gateway._pools import create_pools
-from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
+from buckthorndeal.gateway._warm_ups import MAX_ASKING_HOSTS
 from buckthorndeal.gateway.dialect import HealthMetadata, create_default_dialect
-from buckthorndeal.subsetting import choose_owner
+from buckthorndeal.subsetting import choose_owner, choose_owners
 from buckthorndeal.transport import create_memory_transport
 
 COLD_START_S = 3.0
@@ -36,15 +37,15 @@
     def setUp(self):
         self.create(choose_owner("e1", HOSTS))
 
-    def create(self, host, service=SERVICE):
+    def create(self, host, service=SERVICE, hosts=HOSTS):
         self.view = FleetView(host)
         self.checks = ColdChecks(self.view)
         self.view.set_services({"s": service})
         record = msgspec.structs.replace(RECORD, state=EndpointState.READY)
         self.view.record_heartbeat(record, 10.0)
-        self.set_evacuated(["a-1"], 10.1)
+        self.set_evacuated(["a-1"], 10.1, hosts)
         self.view.touch("e1", 11.0)
-        self.set_evacuated([], TAKEN_BACK_S)
+        self.set_evacuated([], TAKEN_BACK_S, hosts)
 
     def set_evacuated(self, domains, now_s, hosts=HOSTS):
         message = FleetChanged(hosts, 2, frozenset(domains))
@@ -68,17 +69,24 @@
         may_send = self.view.warm_ups.may_send
         self.assertFalse(may_send("e1", RATE_PER_S, TAKEN_BACK_S + 0.1))
 
-    def test_other_hosts_do_not_ask(self):
+    def test_few_hosts_ask(self):
         """Guards against one question of each host to a cold endpoint."""
-        other = next(host for host in HOSTS if host != choose_owner("e1", HOSTS))
-        self.create(other)
-        self.assertEqual(self.checks.take_due(TAKEN_BACK_S), [])
-        self.assertFalse(self.checks.is_pending)
+        hosts = tuple(f"h{number}" for number in range(1, 25))
+        asked = []
+        for host in hosts:
+            self.create(host, hosts=hosts)
+            due = self.checks.take_due(TAKEN_BACK_S)
+            self.assertEqual(self.checks.is_pending, False)
+            asked += [host] * len(due)
+        self.assertEqual(len(asked), MAX_ASKING_HOSTS)
+        self.assertIn(choose_owner("e1", hosts), asked)
 
     def test_new_owner_asks(self):
         """Guards against a doubt without a question as its owner stops."""
-        other = next(host for host in HOSTS if host != choose_owner("e1", HOSTS))
-        self.create(other)
+        hosts = tuple(f"h{number}" for number in range(1, 25))
+        other = choose_owners("e1", hosts, MAX_ASKING_HOSTS + 1)[-1]
+        self.create(other, hosts=hosts)
+        self.assertEqual(self.checks.take_due(TAKEN_BACK_S + 0.05), [])
         self.set_evacuated([], TAKEN_BACK_S + 0.1, (other,))
         self.assertEqual(self.checks.take_due(TAKEN_BACK_S + 0.2), [])
         self.assertEqual(self.ask(TAKEN_BACK_S + 0.7).record.endpoint, "e1")
@@ -98,7 +106,7 @@
         """Guards against a late heartbeat from before the endpoint became cold."""
         result = self.answer(HealthMetadata("e1", 2.5), TAKEN_BACK_S + 0.4)
         self.assertIs(result, CheckResult.COLD)
-        self.view.touch("e1", TAKEN_BACK_S + RELAY_DELAY_S)
+        self.view.touch("e1", TAKEN_BACK_S + HEARTBEAT_DELAY_S)
         self.assertTrue(self.is_cold(TAKEN_BACK_S + 2.8))
         self.assertFalse(self.is_cold(TAKEN_BACK_S + 3.0))
 
@@ -108,8 +116,8 @@
         self.set_evacuated(["a-1"], TAKEN_BACK_S + 0.2)
         self.set_evacuated([], TAKEN_BACK_S + 0.3)
         self.assertTrue(self.is_cold(TAKEN_BACK_S + 0.3))
-        self.view.touch("e1", TAKEN_BACK_S + 0.3 + RELAY_DELAY_S)
-        self.assertFalse(self.is_cold(TAKEN_BACK_S + 0.4 + RELAY_DELAY_S))
+        self.view.touch("e1", TAKEN_BACK_S + 0.3 + HEARTBEAT_DELAY_S)
+        self.assertFalse(self.is_cold(TAKEN_BACK_S + 0.4 + HEARTBEAT_DELAY_S))
 
     def test_shorter_cold_time_holds(self):
         self.assertIs(self.answer(HealthMetadata("e1", 0.5)), CheckResult.COLD)
@@ -174,8 +182,8 @@
         self.assertEqual(self.checks.take_due(TAKEN_BACK_S + 0.2), [])
 
     def test_heartbeat_makes_the_question_needless(self):
-        self.view.touch("e1", TAKEN_BACK_S + RELAY_DELAY_S)
-        self.assertEqual(self.checks.take_due(TAKEN_BACK_S + RELAY_DELAY_S), [])
+        self.view.touch("e1", TAKEN_BACK_S + HEARTBEAT_DELAY_S)
+        self.assertEqual(self.checks.take_due(TAKEN_BACK_S + HEARTBEAT_DELAY_S), [])
         self.assertFalse(self.checks.is_pending)
 
 
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -13,11 +13,11 @@
     TakenBackDomain,
     create_endpoint_table,
 )
+from buckthorndeal.gateway._cold_doubt import HEARTBEAT_DELAY_S
 from buckthorndeal.gateway._endpoint_condition import EndpointCondition
 from buckthorndeal.gateway._evacuations import NotedEvacuations
 from buckthorndeal.gateway._fleet_messages import FleetChanged
 from buckthorndeal.gateway._fleet_view import FleetView
-from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
 
 COLD_START_S = 3.0
 SERVICE = ServiceDescription(
@@ -61,19 +61,21 @@
         """Guards against a flood between the end of an evacuation and a heartbeat."""
         self.assertEqual(self.doubted, ["e1"])
         self.assertIs(self.get_condition("e1", 12.0), EndpointCondition.COLD)
-        self.view.touch("e1", 12.0 + RELAY_DELAY_S)
-        self.assertIs(self.get_condition("e1", 13.1), EndpointCondition.READY)
+        heard_s = 12.0 + HEARTBEAT_DELAY_S
+        self.view.touch("e1", heard_s)
+        self.assertIs(self.get_condition("e1", heard_s), EndpointCondition.READY)
 
     def test_heartbeat_that_was_under_way_does_not_confirm(self):
         """Guards against a heartbeat that was sent before the endpoint became cold."""
-        self.view.touch("e1", 12.0 + 0.9 * RELAY_DELAY_S)
-        self.assertIs(self.get_condition("e1", 13.1), EndpointCondition.COLD)
+        heard_s = 12.0 + 0.9 * HEARTBEAT_DELAY_S
+        self.view.touch("e1", heard_s)
+        self.assertIs(self.get_condition("e1", heard_s), EndpointCondition.COLD)
 
     def test_heartbeat_that_is_told_again_does_not_confirm(self):
         """Guards against a coordinator that connects and tells an old heartbeat."""
         table = create_endpoint_table()
-        table.update(create_record("e1", 2), 11.5)
-        now_s = 12.0 + 1.5 * RELAY_DELAY_S
+        table.update(create_record("e1", 2), 11.9)
+        now_s = 12.1 + HEARTBEAT_DELAY_S
         self.view.record_heartbeat(table.get("e1").describe(now_s), now_s)
         self.assertIs(self.get_condition("e1", now_s), EndpointCondition.COLD)
 
@@ -86,10 +88,10 @@
         cold = create_record("e1", 2, cold_s=2.0)
         self.view.record_heartbeat(cold, 12.2)
         self.set_evacuated([], 13.0)
-        self.view.touch("e1", 14.5)
-        self.assertIs(self.get_condition("e1", 14.6), EndpointCondition.COLD)
-        self.view.record_heartbeat(create_record("e1", 3), 14.7)
-        self.assertIs(self.get_condition("e1", 14.8), EndpointCondition.READY)
+        self.view.touch("e1", 13.1 + HEARTBEAT_DELAY_S)
+        self.assertIs(self.get_condition("e1", 15.7), EndpointCondition.COLD)
+        self.view.record_heartbeat(create_record("e1", 3), 15.7)
+        self.assertIs(self.get_condition("e1", 15.8), EndpointCondition.READY)
 
     def test_doubt_ends_without_heartbeats(self):
         """Guards against a domain that stays at the cold rate for good."""
@@ -112,6 +114,13 @@
         self.view.record_heartbeat(record, 12.1)
         self.assertIs(self.get_condition("e1", 12.2), EndpointCondition.READY)
 
+    def test_record_of_a_restarted_endpoint_that_is_told_again_does_not_confirm(self):
+        """Guards against a host that was away while the endpoint started again."""
+        record = create_record("e1", 5, age_s=2.0)
+        record = msgspec.structs.replace(record, incarnation=2)
+        self.view.record_heartbeat(record, 12.1)
+        self.assertIs(self.get_condition("e1", 12.2), EndpointCondition.COLD)
+
 
 class MissedEvacuationTest(unittest.TestCase):
     """A host that has not known an evacuation learns of its end."""
@@ -133,8 +142,8 @@
         self.view.set_services({"s": SERVICE})
         self.record_heartbeat(10.1, age_s=1.0)
         self.assertTrue(self.is_cold(10.2))
-        self.record_heartbeat(11.1, 2)
-        self.assertFalse(self.is_cold(11.2))
+        self.record_heartbeat(10.1 + HEARTBEAT_DELAY_S, 2)
+        self.assertFalse(self.is_cold(10.2 + HEARTBEAT_DELAY_S))
 
     def test_service_may_be_told_last(self):
         """Guards against a host that learns of endpoints before its configuration."""
--- a/tests/test_stopped_host.py
+++ b/tests/test_stopped_host.py
@@ -3,12 +3,11 @@
 import unittest
 
 from buckthorndeal.fleet import EndpointRecord, EndpointState
-from buckthorndeal.gateway._cold_doubt import UNREAD_S
+from buckthorndeal.gateway._cold_doubt import HEARTBEAT_DELAY_S, UNREAD_S
 from buckthorndeal.gateway._endpoint_condition import EndpointCondition
 from buckthorndeal.gateway._endpoint_news import EndpointNews
 from buckthorndeal.gateway._fleet_messages import FleetChanged, HeartbeatsReceived
 from buckthorndeal.gateway._fleet_view import FleetView
-from buckthorndeal.gateway._unconfirmed_streams import RELAY_DELAY_S
 from buckthorndeal.metrics import Metrics
 from tests.test_cold_doubt import COLD_START_S, SERVICE
 
@@ -48,9 +47,9 @@
         """Guards against an old heartbeat that is read late and taken for a new one."""
         self.news.apply_fleet(FleetChanged(("h1",), 1, frozenset(["a-1"])), 10.1)
         self.news.apply_fleet(FleetChanged(("h1",), 1, frozenset()), 10.2)
-        self.news.record_stop(RELAY_DELAY_S, 10.3 + RELAY_DELAY_S)
-        self.news.apply(HeartbeatsReceived((), ("e1",)), 10.3 + RELAY_DELAY_S)
-        doubted_s = 10.2 + COLD_START_S
+        self.news.record_stop(HEARTBEAT_DELAY_S, 10.3 + HEARTBEAT_DELAY_S)
+        self.news.apply(HeartbeatsReceived((), ("e1",)), 10.3 + HEARTBEAT_DELAY_S)
+        doubted_s = max(10.2 + COLD_START_S, 10.3 + HEARTBEAT_DELAY_S + UNREAD_S)
         self.assertIs(self.get_condition(doubted_s - 0.1), EndpointCondition.COLD)
         self.assertIs(self.get_condition(doubted_s + 0.1), EndpointCondition.READY)
 
