Refuse a directory of tests of durability that cannot be used

BUCKTHORNDEAL_TEST_DURABLE_DIRECTORY with a missing directory ended the test runner with a traceback. It is checked as the other one is, and refused with a message and status 2.

Measured: test_missing_directory_is_refused with both variables.

--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -25,6 +25,7 @@
     DirectoryError,
     ModuleDirectory,
     RunDirectory,
+    check_directory,
     choose_directory,
     create_run_directory,
     format_size,
@@ -196,14 +197,16 @@
     workers = max(1, int((os.cpu_count() or 1) * WORKERS_PER_CORE))
     # Each module may take its share at once, so that the directory is never filled.
     needed_bytes = min(workers, len(modules)) * MODULE_LIMIT_BYTES
+    durable_path = os.environ.get(DURABLE_VARIABLE, "")
     try:
         choice = choose_directory(needed_bytes, os.environ.get(DIRECTORY_VARIABLE, ""))
+        if durable_path:
+            check_directory(durable_path, MODULE_LIMIT_BYTES)
     except DirectoryError as error:
         print(f"temporary files: {error}", file=sys.stderr)
         return 2
     print(f"temporary files: {choice.path} ({choice.reason})", flush=True)
     before = read_pressure()
-    durable_path = os.environ.get(DURABLE_VARIABLE, "")
     with create_run_directory(choice.path, durable_path) as run:
         results = run_modules(modules, workers, run)
     known = read_known_failures()
--- a/tests/temporary_directories.py
+++ b/tests/temporary_directories.py
@@ -286,7 +286,10 @@
 
 
 def measure_directory(path: str) -> int:
-    """Return the bytes that files in a directory take; they may change meanwhile."""
+    """Return the bytes that files in a directory take; they may change meanwhile.
+
+    Files that were removed while a process has them open are not counted.
+    """
     size = 0
     for parent, _, names in os.walk(path):
         for name in names:
--- a/tests/test_temporary_directories.py
+++ b/tests/test_temporary_directories.py
@@ -337,16 +337,17 @@
 
     def test_missing_directory_is_refused(self):
         """Guards against a run that begins in a directory that is not there."""
-        environment = {**os.environ, DIRECTORY_VARIABLE: self.directory + "/missing"}
-        process = subprocess.run(
-            [sys.executable, "-m", "tests.parallel", "tests.test_files"],
-            env=environment,
-            capture_output=True,
-            text=True,
-        )
-        self.assertEqual(process.returncode, 2)
-        self.assertIn("missing is no directory", process.stderr)
-        self.assertEqual(process.stdout, "")
+        for variable in (DIRECTORY_VARIABLE, DURABLE_VARIABLE):
+            with self.subTest(variable=variable):
+                process = subprocess.run(
+                    [sys.executable, "-m", "tests.parallel", "tests.test_files"],
+                    env={**os.environ, variable: self.directory + "/missing"},
+                    capture_output=True,
+                    text=True,
+                )
+                self.assertEqual(process.returncode, 2)
+                self.assertIn("missing is no directory", process.stderr)
+                self.assertEqual(process.stdout, "")
 
 
 if __name__ == "__main__":
