Count ends of evacuations that only some coordinators list

A gateway remembers by which index it knew of the end of each domain's evacuation, and takes a listed end that is newer as missed. Of doubts that begin together the longer one holds.

--- a/buckthorndeal/gateway/_cold_doubt.py
+++ b/buckthorndeal/gateway/_cold_doubt.py
@@ -32,11 +32,12 @@
         cold_start_s : float
             How long an endpoint of the service is cold.
         """
-        if now_s <= self.since_s:
-            return
-        self.since_s = now_s
-        self.until_s = now_s + cold_start_s
-        self.is_settled = False
+        if now_s > self.since_s:
+            self.since_s = now_s
+            self.until_s = now_s + cold_start_s
+            self.is_settled = False
+        elif now_s == self.since_s and not self.is_settled:
+            self.until_s = max(self.until_s, now_s + cold_start_s)
 
     def settle(self, cold_s: float, now_s: float) -> None:
         """Record that the endpoint has told how long it is cold; 0 if it is warm.
--- a/buckthorndeal/gateway/_evacuations.py
+++ b/buckthorndeal/gateway/_evacuations.py
@@ -5,6 +5,9 @@
 from buckthorndeal.fleet import ClusterNotice, TakenBackDomain
 from buckthorndeal.logs import log_event
 
+# Failure domains of which the last end is remembered; operators choose their names.
+MAX_ENDS = 1_024
+
 
 class NotedEvacuations:
     """Evacuations of the newest notice, and those that coordinators have pending.
@@ -26,6 +29,8 @@
         self.log_index = 0
         self.evacuated: frozenset[str] = frozenset()
         self.taken_back: frozenset[TakenBackDomain] = frozenset()
+        # Log index by which this host knew of the last end, by failure domain.
+        self._ends: dict[str, int] = {}
 
     def record(self, notice: ClusterNotice, host: str, connected: Set[str]) -> bool:
         """Record a notice; return whether it changes what is, or was, evacuated.
@@ -40,7 +45,9 @@
             Coordinators that this host is connected to.
         """
         missed = frozenset(
-            domain for domain in notice.taken_back if domain.index > self.log_index
+            domain
+            for domain in notice.taken_back
+            if domain.index > self._ends.get(domain.failure_domain, -1)
         )
         if notice.index > self.log_index:
             # A leader decides on them. Those that it commits come without them.
@@ -51,6 +58,12 @@
             self._committed = frozenset(notice.evacuated)
         self._pending[host] = frozenset(notice.pending)
         evacuated = self._committed.union(*self._pending.values())
+        ended = self.evacuated - evacuated
+        for domain in ended.union(each.failure_domain for each in missed):
+            self._ends.pop(domain, None)
+            self._ends[domain] = self.log_index
+        while len(self._ends) > MAX_ENDS:
+            del self._ends[next(iter(self._ends))]
         if evacuated == self.evacuated and not missed:
             return False
         self.evacuated = evacuated
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -121,6 +121,14 @@
         self.view.record_heartbeat(record, 12.1)
         self.assertIs(self.get_condition("e1", 12.2), EndpointCondition.COLD)
 
+    def test_longest_of_two_doubts_that_begin_together_holds(self):
+        """Guards against a host that goes on and hears of an evacuation at once."""
+        load = self.view.loads["e1"]
+        load.cold_doubt.resume(13.0, 13.0)
+        self.view.set_fleet(FleetChanged(("h1",), 1, frozenset(["a-1"])), 13.0)
+        self.set_evacuated([], 13.0)
+        self.assertIs(self.get_condition("e1", 13.9), EndpointCondition.COLD)
+
 
 class MissedEvacuationTest(unittest.TestCase):
     """A host that has not known an evacuation learns of its end."""
@@ -163,13 +171,29 @@
 class NotedEvacuationsTest(unittest.TestCase):
     """A host tells ends of evacuations that it has missed from those it knows."""
 
-    def record(self, index, taken_back_index):
-        domain = TakenBackDomain("a-1", taken_back_index)
-        notice = ClusterNotice(index, 1, (), taken_back=(domain,))
+    def setUp(self):
+        self.evacuations = NotedEvacuations()
+
+    def record(self, index, taken_back_index=None, evacuated=()):
+        domains = ()
+        if taken_back_index is not None:
+            domains = (TakenBackDomain("a-1", taken_back_index),)
+        notice = ClusterNotice(index, 1, evacuated, taken_back=domains)
         return self.evacuations.record(notice, "h2", {"h2"})
 
+    def test_end_counts_though_another_coordinator_does_not_list_it(self):
+        """Guards against a coordinator that has started again since the end."""
+        self.assertFalse(self.record(9))
+        self.assertTrue(self.record(9, 7))
+        self.assertFalse(self.record(9, 7))
+
+    def test_end_that_the_host_has_seen_is_not_missed(self):
+        """Guards against a doubt that a coordinator which connects later renews."""
+        self.record(6, evacuated=("a-1",))
+        self.assertTrue(self.record(7))
+        self.assertFalse(self.record(7, 7))
+
     def test_end_counts_once(self):
-        self.evacuations = NotedEvacuations()
         self.assertTrue(self.record(7, 7))
         self.assertEqual(len(self.evacuations.taken_back), 1)
         self.assertFalse(self.record(7, 7))
