Move what hosts share, and records of endpoints, to modules of their own

Coordinators send shared news by a function beside the other notices; the test of a fresh host delays that function in place of the method that called it.

--- a/buckthorndeal/coordinator/_entry_notices.py
+++ b/buckthorndeal/coordinator/_entry_notices.py
@@ -13,9 +13,11 @@
     ControlStatus,
     EndpointHeartbeats,
     EntryHostChanges,
+    HostLinks,
     TakenBackDomain,
 )
 from buckthorndeal.logs import log_event
+from buckthorndeal.supervision import spawn_job
 from buckthorndeal.wire import Message
 
 
@@ -62,6 +64,18 @@
         await send_notice(entry, message)
 
 
+async def send_shared_news(
+    entries: Iterable[KnownEntryHost], links: HostLinks, news: SharedNews
+) -> None:
+    """Send what is new to the entry hosts concerned and all coordinators."""
+    for entry in entries:
+        if entry.initialized_channel is not None:
+            await send_shared_state(entry, news)
+    for host in links.list_connected():
+        for message in news.create_messages():
+            await spawn_job(links.deliver, host, message)
+
+
 async def send_host_changes(
     entries: Iterable[KnownEntryHost],
     changes: EntryHostChanges | None,
--- a/buckthorndeal/coordinator/_fleet_task.py
+++ b/buckthorndeal/coordinator/_fleet_task.py
@@ -18,6 +18,7 @@
     send_heartbeats,
     send_host_changes,
     send_notice,
+    send_shared_news,
     send_shared_state,
 )
 from buckthorndeal.coordinator._entry_table import EntryTable, KnownEntryHost
@@ -40,7 +41,7 @@
     SharedStateRequest,
     handle_shared_request,
 )
-from buckthorndeal.coordinator._shared_state import SharedNews, SharedState
+from buckthorndeal.coordinator._shared_state import SharedState
 from buckthorndeal.coordinator._taken_back import TakenBackDomains
 from buckthorndeal.coordinator._version_store import VersionStore
 from buckthorndeal.fleet import (
@@ -63,7 +64,6 @@
     run_guarded,
 )
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.supervision import spawn_job
 
 FLUSH_INTERVAL_S = 0.2
 STATUS_INTERVAL_S = 1.0
@@ -361,7 +361,7 @@
         await send_notice(entry, self._create_cluster_notice())
         await send_notice(entry, self._entries.create_published_list())
         # Before the endpoints, at which requests are sent as soon as they are known.
-        await self._send_shared_state(entry, self._shared.export(self._clock()))
+        await send_shared_state(entry, self._shared.export(self._clock()))
         last = create_initial_heartbeats(
             self._endpoints, entry.host.region, self._clock()
         )
@@ -389,15 +389,7 @@
         if news.versions:
             # Other coordinators learn of versions by the status.
             self._status_due_s = now_s
-        for entry in self._entries:
-            if entry.initialized_channel is not None:
-                await self._send_shared_state(entry, news)
-        for host in self._links.list_connected():
-            for message in news.create_messages():
-                await spawn_job(self._links.deliver, host, message)
-
-    async def _send_shared_state(self, entry: KnownEntryHost, news: SharedNews) -> None:
-        await send_shared_state(entry, news)
+        await send_shared_news(self._entries, self._links, news)
 
     async def _flush_endpoints(self, now_s: float) -> None:
         """Send the heartbeats since the last flush to entry hosts, by region."""
--- a/buckthorndeal/fleet/__init__.py
+++ b/buckthorndeal/fleet/__init__.py
@@ -8,6 +8,7 @@
     count_home_workspaces,
     is_advertised,
 )
+from buckthorndeal.fleet._endpoint_record import EndpointRecord, EndpointState
 from buckthorndeal.fleet._endpoints import (
     EndpointEntry,
     EndpointTable,
@@ -23,8 +24,6 @@
     ControlHost,
     ControlStatus,
     EndpointHeartbeats,
-    EndpointRecord,
-    EndpointState,
     EntryHost,
     EntryHostChanges,
     EntryHosts,
--- a/buckthorndeal/fleet/_endpoints.py
+++ b/buckthorndeal/fleet/_endpoints.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from buckthorndeal.fleet._messages import EndpointRecord, EndpointState
+from buckthorndeal.fleet._endpoint_record import EndpointRecord, EndpointState
 
 # Keeps a late heartbeat from restoring an endpoint that has left.
 TOMBSTONE_S = 60.0
--- a/buckthorndeal/fleet/_record_checks.py
+++ b/buckthorndeal/fleet/_record_checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from buckthorndeal.errors import BuckthorndealError
-from buckthorndeal.fleet._messages import EndpointRecord
+from buckthorndeal.fleet._endpoint_record import EndpointRecord
 from buckthorndeal.logs import log_event
 
 MAX_NAME_CHARS = 256
--- a/buckthorndeal/gateway/_dispatch_task.py
+++ b/buckthorndeal/gateway/_dispatch_task.py
@@ -5,18 +5,12 @@
 from functools import singledispatchmethod
 
 from buckthorndeal.configuration import Route, ServiceDescription
-from buckthorndeal.fleet import (
-    EndpointRecord,
-    EvidenceUpdate,
-    RateLimitUpdate,
-)
 from buckthorndeal.gateway._backlog import Backlog
 from buckthorndeal.gateway._cold_watch import ColdWatch
 from buckthorndeal.gateway._contact import EndpointContact
 from buckthorndeal.gateway._decision_log import (
     count_decision,
     describe_decision,
-    log_quarantine_change,
     record_admission,
 )
 from buckthorndeal.gateway._dispatch_effects import DispatchEffects
@@ -56,6 +50,7 @@
     QuotaReplied,
     RateLimitsReceived,
 )
+from buckthorndeal.gateway._sharing import Sharing
 from buckthorndeal.logs import log_event, log_routine
 from buckthorndeal.mailbox import (
     Envelope,
@@ -64,7 +59,6 @@
     run_guarded,
 )
 from buckthorndeal.metrics import Metrics
-from buckthorndeal.supervision import spawn_job
 from buckthorndeal.workspaces import Workspace
 
 IDLE_INTERVAL_S = 1.0
@@ -120,6 +114,7 @@
         self._endpoint_news = EndpointNews(dispatcher.view, metrics)
         self._backlog = Backlog(self.mailbox, clock, self._endpoint_news.record_stop)
         self._cold_watch = ColdWatch(dispatcher.view, self.mailbox, metrics, effects)
+        self._sharing = Sharing(dispatcher, self.mailbox, metrics, effects)
         self._pace_log = PaceLog(metrics)
         metrics.describe_gauges(GAUGES)
         self._quota = QuotaRequests(dispatcher.quota, metrics, effects)
@@ -140,9 +135,9 @@
                 self._cold_watch.check,
                 self._decide_waiting,
                 self._path.check,
-                self._handle_crash_news,
-                self._share_rate_limits,
-                self._share_origins,
+                self._sharing.handle_crash_news,
+                self._sharing.share_rate_limits,
+                self._sharing.share_origins,
                 self._request_quota,
                 self._expire,
             ):
@@ -165,27 +160,6 @@
         del now_s
         await self._quota.request(self._dispatcher.view.fleet.total_hosts)
 
-    async def _handle_crash_news(self, now_s: float) -> None:
-        """Act on new evidence of requests that crash endpoints."""
-        news = self._dispatcher.crash_guard.take_news(now_s)
-        for end in news.ends:
-            self._metrics.count("endpoint_ends")
-            log_event(
-                "endpoint_ended",
-                endpoint=end.endpoint,
-                incarnation=end.incarnation,
-                suspects=[suspect.key for suspect in end.suspects],
-            )
-        for change in news.changes:
-            active = str(change.decision.active).lower()
-            self._metrics.count("quarantine_decisions", active=active)
-            log_quarantine_change(change)
-        if news.evidence:
-            update = EvidenceUpdate(news.evidence)
-            await spawn_job(self._effects.share, update)
-        for record in news.probes:
-            await spawn_job(self._probe_endpoint, record)
-
     async def _expire(self, now_s: float) -> None:
         if now_s >= self._expire_due_s:
             self._expire_due_s = now_s + IDLE_INTERVAL_S
@@ -193,30 +167,6 @@
             self._record_state(now_s)
             self._pace_log.write(self._dispatcher.view.loads.values(), now_s)
 
-    async def _share_rate_limits(self, now_s: float) -> None:
-        """Tell other hosts which rate limits have changed."""
-        del now_s
-        limits = self._dispatcher.view.rate_shares.take_outgoing()
-        for limit in limits:
-            log_event(
-                "rate_limit_changed",
-                endpoint=limit.endpoint,
-                incarnation=limit.incarnation,
-                revision=limit.revision,
-                per_s=limit.per_s,
-                rejections_per_s=limit.rejections_per_s,
-            )
-        if limits:
-            update = RateLimitUpdate(limits)
-            await spawn_job(self._effects.share, update)
-
-    async def _share_origins(self, now_s: float) -> None:
-        """Tell coordinators which versions have begun streams, if that may matter."""
-        origins = self._dispatcher.view.stream_versions.take_outgoing(now_s)
-        if origins:
-            self._metrics.count("stream_origins_shared", len(origins))
-            await spawn_job(self._effects.share_origins, origins)
-
     def _log_rejection(self, message: EndpointNotice) -> None:
         """Log that an endpoint has not run a request, and how full it is."""
         load = self._dispatcher.view.loads.get(message.record.endpoint)
@@ -230,10 +180,6 @@
             slots=message.load.slots,
         )
 
-    async def _probe_endpoint(self, record: EndpointRecord) -> None:
-        accepted = await self._effects.probe(record)
-        await self.mailbox.send(EndpointProbed(record, accepted))
-
     @singledispatchmethod
     async def _handle(self, message: object, envelope: Envelope, now_s: float) -> None:
         raise TypeError(f"unknown message {type(message).__name__}")
@@ -310,14 +256,7 @@
     async def _(
         self, message: DescribeSharedState, envelope: Envelope, now_s: float
     ) -> None:
-        messages = []
-        evidence = self._dispatcher.crash_guard.quarantine.export(now_s)
-        if evidence:
-            messages.append(EvidenceUpdate(evidence))
-        limits = self._dispatcher.view.rate_shares.export()
-        if limits:
-            messages.append(RateLimitUpdate(limits))
-        await envelope.reply(messages)
+        await envelope.reply(self._sharing.describe_all(now_s))
 
     @_handle.register
     async def _(
--- a/buckthorndeal/gateway/_fleet_view.py
+++ b/buckthorndeal/gateway/_fleet_view.py
@@ -280,10 +280,7 @@
             load.cold_doubt.resume(now_s, load.entry.cold_told_s)
 
     def _doubt(self, load: EndpointLoad, since_s: float | None) -> None:
-        """Doubt whether an endpoint has become cold since, or before, a clock reading.
-
-        None, if nothing is known of that, changes nothing.
-        """
+        """Doubt whether an endpoint has become cold, since a clock reading if any."""
         service = self.get_service(load.entry.record.service)
         if service is not None and since_s is not None:
             load.cold_doubt.begin(since_s, service.cold_start_s)
@@ -293,7 +290,7 @@
         self._doubt(load, since_s)
 
     def record_heartbeat(self, record: EndpointRecord, now_s: float) -> None:
-        """Apply a heartbeat of an endpoint."""
+        """Apply a heartbeat."""
         self._last_heartbeat_s = now_s
         self.stream_versions.record_heartbeat(record, now_s)
         previous = self._table.get(record.endpoint)
--- a/tests/fuzzed_peers.py
+++ b/tests/fuzzed_peers.py
@@ -12,12 +12,8 @@
     AuthenticationError,
     WireError,
 )
-from buckthorndeal.fleet._messages import (
-    FLEET_CODEC,
-    EndpointHeartbeats,
-    EndpointRecord,
-    EndpointState,
-)
+from buckthorndeal.fleet._endpoint_record import EndpointRecord, EndpointState
+from buckthorndeal.fleet._messages import FLEET_CODEC, EndpointHeartbeats
 from buckthorndeal.membership._messages import MEMBERSHIP_MESSAGES, Fetch, Ping
 from buckthorndeal.wire import (
     CLIENT,
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from buckthorndeal.coordinator import _fleet_task
+from buckthorndeal.coordinator._entry_notices import send_shared_state
 from buckthorndeal.coordinator._fleet_task import FleetTask
 from buckthorndeal.errors import RequestError
 from tests.fleet_harness import (
@@ -248,18 +250,17 @@
 
     def test_first_version_that_a_host_hears_of_is_not_taken_for_the_only_one(self):
         send_initial_state = FleetTask._send_initial_state
-        send_shared_state = FleetTask._send_shared_state
         fresh = []
 
         async def send_in_background(task, entry):
             fresh.append(entry)
             await curio.spawn(send_initial_state, task, entry, daemon=True)
 
-        async def send_late(task, entry, news):
+        async def send_late(entry, news):
             if entry in fresh:
                 fresh.remove(entry)
                 await curio.sleep(LATE_S)
-            await send_shared_state(task, entry, news)
+            await send_shared_state(entry, news)
 
         async def check():
             script = BreakingStreams()
@@ -275,7 +276,7 @@
                     mock.patch.object(
                         FleetTask, "_send_initial_state", send_in_background
                     ),
-                    mock.patch.object(FleetTask, "_send_shared_state", send_late),
+                    mock.patch.object(_fleet_task, "send_shared_state", send_late),
                 ):
                     await fleet.start_gateway(HOSTS[0])
                     await fleet.wait_until_ready(HOSTS[0])
