Renew no doubt for an end that a late coordinator lists

An end is missed only if it lies two entries or more behind the last one that is known, and if the gateway was not told of each index in between.

--- a/buckthorndeal/gateway/_evacuations.py
+++ b/buckthorndeal/gateway/_evacuations.py
@@ -1,6 +1,6 @@
 """Evacuated failure domains, as the coordinators tell them; no I/O."""
 
-from collections.abc import Set
+from collections.abc import Iterable, Set
 
 from buckthorndeal.fleet import ClusterNotice, TakenBackDomain
 from buckthorndeal.logs import log_event
@@ -31,6 +31,8 @@
         self.taken_back: frozenset[TakenBackDomain] = frozenset()
         # Log index by which this host knew of the last end, by failure domain.
         self._ends: dict[str, int] = {}
+        # From here on there was a notice for each index.
+        self._first_index = 0
 
     def record(self, notice: ClusterNotice, host: str, connected: Set[str]) -> bool:
         """Record a notice; return whether it changes what is, or was, evacuated.
@@ -44,26 +46,20 @@
         connected : set of str
             Coordinators that this host is connected to.
         """
-        missed = frozenset(
-            domain
-            for domain in notice.taken_back
-            if domain.index > self._ends.get(domain.failure_domain, -1)
-        )
         if notice.index > self.log_index:
             # A leader decides on them. Those that it commits come without them.
             for each in set(self._pending) - connected:
                 del self._pending[each]
         if notice.index >= self.log_index:
+            if notice.index > self.log_index + 1:
+                self._first_index = notice.index
             self.log_index = notice.index
             self._committed = frozenset(notice.evacuated)
         self._pending[host] = frozenset(notice.pending)
         evacuated = self._committed.union(*self._pending.values())
-        ended = self.evacuated - evacuated
-        for domain in ended.union(each.failure_domain for each in missed):
-            self._ends.pop(domain, None)
-            self._ends[domain] = self.log_index
-        while len(self._ends) > MAX_ENDS:
-            del self._ends[next(iter(self._ends))]
+        self._note_ends(self.evacuated - evacuated)
+        missed = frozenset(filter(self._is_missed, notice.taken_back))
+        self._note_ends(domain.failure_domain for domain in missed)
         if evacuated == self.evacuated and not missed:
             return False
         self.evacuated = evacuated
@@ -76,3 +72,24 @@
             source=host,
         )
         return True
+
+    def _note_ends(self, domains: Iterable[str]) -> None:
+        for domain in domains:
+            self._ends.pop(domain, None)
+            self._ends[domain] = self.log_index
+        while len(self._ends) > MAX_ENDS:
+            del self._ends[next(iter(self._ends))]
+
+    def _is_missed(self, domain: TakenBackDomain) -> bool:
+        """Return whether this host may not have known the end of an evacuation.
+
+        Coordinators that are behind name a higher index than others for the same end.
+        """
+        known = self._ends.get(domain.failure_domain)
+        if known is None:
+            return True
+        # Another evacuation takes two entries of the log, for its start and its end.
+        if domain.index < known + 2:
+            return False
+        is_told_all = known >= self._first_index and domain.index <= self.log_index
+        return not is_told_all
--- a/tests/test_cold_doubt.py
+++ b/tests/test_cold_doubt.py
@@ -193,6 +193,20 @@
         self.assertTrue(self.record(7))
         self.assertFalse(self.record(7, 7))
 
+    def test_end_that_a_late_coordinator_lists_is_not_missed(self):
+        """Guards against a doubt that a coordinator which is behind renews."""
+        self.record(6, evacuated=("a-1",))
+        for index in (7, 8, 9):
+            self.record(index)
+        self.assertFalse(self.record(9, 9))
+
+    def test_end_after_notices_were_missed_counts(self):
+        """Guards against a host that was cut off during the second evacuation."""
+        self.record(6, evacuated=("a-1",))
+        self.record(7)
+        self.assertFalse(self.record(12))
+        self.assertTrue(self.record(12, 11))
+
     def test_end_counts_once(self):
         self.assertTrue(self.record(7, 7))
         self.assertEqual(len(self.evacuations.taken_back), 1)
