--- a/tests/parallel.py
+++ b/tests/parallel.py
@@ -213,8 +213,9 @@
     faulty = [
         each for each in results if each.incomplete or not known.issuperset(each.failed)
     ]
-    for result in faulty:
-        print(f"==== {result.module}\n{result.output}")
+    for result in results:
+        if result in faulty or result.failed:
+            print(f"==== {result.module}\n{result.output}")
     print(f"the machine: {format_pressure(before, read_pressure())}")
     print(f"temporary files: at most {format_size(run.peak_bytes)} at once")
     for line in format_summary(results, known):
