--- a/buckthorndeal/gateway/_cold_checks.py
+++ b/buckthorndeal/gateway/_cold_checks.py
@@ -1,7 +1,7 @@
 """Which endpoints are asked whether they are cold, and what follows; no I/O.
 
-A heartbeat that tells it may come seconds after an evacuation ends. The owner of an
-endpoint asks its health path, so that a cold endpoint gets few questions.
+A heartbeat that tells it may come seconds after an evacuation ends. Few hosts ask the
+health path of an endpoint, its owner first, so that a cold one gets few questions.
 """
 
 import enum
